--- a/thornmount/decide.py
+++ b/mallowbeam/control.py
@@ -1,4 +1,4 @@
-"""All decisions of a thornmount host.  Its types, events and actions: thornmount/interface.py.
+"""All decisions of a mallowbeam host.  Its types, events and actions: mallowbeam/interface.py.
 
 A request is booked, a slot for each unit, into the earliest cycle with room at its node; slots are sized by
 measured slot time; one that no cycle finishes before its deadline is refused at once.  docs/design.md says
@@ -15,7 +15,7 @@
 from math import exp
 from zlib import crc32
 
-from thornmount import interface as io
+from mallowbeam import interface as io
 
 # A cycle lasts as long as the tightest aim: what is out at a node then comes back within one.
 FIRST_SLOT = 1 / 20     # of the aim, a unit, before anything was measured (design page)
--- /dev/null
+++ b/mallowbeam/facade.py
@@ -0,0 +1,114 @@
+"""The decision module in blocking style: `pick`, `report`, `tick`.
+
+Network code calls these and gets `Orders`, plain values, at once; it never sees the module's events or
+actions.  Nothing is decided here, and the clock is handed in with every call.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from mallowbeam import interface as io
+from mallowbeam.control import Scheduler
+
+NEVER = float("inf")
+
+
+class Try(NamedTuple):
+    """Send a request to a node now, and stop waiting after `timeout` seconds."""
+
+    request: str
+    number: int
+    node: str
+    timeout: float | None
+
+
+class Verdict(NamedTuple):
+    """The final answer of a request that no node served."""
+
+    request: str
+    refused: bool
+    retry_after: float | None
+
+
+@dataclass(slots=True)
+class Orders:
+    """What is to be done now."""
+
+    tries: list[Try] = field(default_factory=list)
+    cancels: list[tuple[str, int]] = field(default_factory=list)
+    verdicts: list[Verdict] = field(default_factory=list)
+    watch: bool = False                        # begin a watch on the list of nodes
+
+
+class Facade:
+    """One host's decisions, called from network code."""
+
+    def __init__(self, settings: io.Settings, now: float) -> None:
+        self._scheduler = Scheduler(settings, now)
+        self._attempts: dict[str, int] = {}    # requests that are not over: attempts so far
+        self.wake = NEVER                      # when `tick` is due
+
+    @property
+    def held(self) -> int:
+        """How many requests are not over."""
+        return len(self._attempts)
+
+    def pick(self, now: float, request: str, **fields) -> Orders:
+        """A request has come; the fields are those of `interface.RequestArrived`."""
+        self._attempts[request] = 0
+        return self._step(now, io.RequestArrived(request, **fields))
+
+    def report(self, now: float, tried: Try, outcome: io.Outcome, latency: float,
+               used: float | None = None, elsewhere: int = 0) -> Orders:
+        """An attempt has ended; `OK` means that its answer goes to the client."""
+        if outcome is io.Outcome.OK:
+            self._attempts.pop(tried.request, None)
+        return self._step(now, io.AttemptEnded(tried.request, tried.number, tried.node, outcome, latency,
+                                               tried.request not in self._attempts, used, elsewhere))
+
+    def begun(self, now: float, tried: Try, latency: float) -> Orders:
+        """A streamed answer has begun: its attempt is the client's now, and no other is made."""
+        return self._step(now, io.StreamStarted(tried.request, tried.number, tried.node, latency))
+
+    def leave(self, now: float, request: str) -> Orders:
+        """The client has gone; no answer is owed."""
+        self._attempts.pop(request, None)
+        return self._step(now, io.ClientGone(request))
+
+    def listed(self, now: float, kind: io.ListKind, version: int = 0,
+               entries: list[io.NodeEntry] | None = None) -> Orders:
+        """Word from discovery, a failure included."""
+        return self._step(now, io.NodesListed(kind, version, entries or []))
+
+    def tick(self, now: float) -> Orders:
+        """Time has passed; does nothing before `wake`, since the module counts on its own last timer."""
+        if now < self.wake:
+            return Orders()
+        self.wake = NEVER
+        return self._step(now, io.TimerFired(0))
+
+    def _step(self, now: float, event: io.Event) -> Orders:
+        """One event in, and what the module wants done as plain values."""
+        orders = Orders()
+        for action in self._scheduler.step(now, [event]):
+            match action:
+                case io.Send(request, node, timeout):
+                    orders.tries.append(Try(request, self._attempts[request], node, timeout))
+                    self._attempts[request] += 1
+                case io.Cancel(request, attempt):
+                    orders.cancels.append((request, attempt))
+                case io.Refuse(request, retry_after):
+                    self._attempts.pop(request, None)
+                    orders.verdicts.append(Verdict(request, True, retry_after))
+                case io.Fail(request):
+                    self._attempts.pop(request, None)
+                    orders.verdicts.append(Verdict(request, False, None))
+                case io.SetTimer(at):
+                    self.wake = min(self.wake, at)
+                case io.Watch(active):
+                    orders.watch = active
+                case _:
+                    raise TypeError(f"the module asked for what no socket offers: {action}")
+        return orders
--- /dev/null
+++ b/mallowbeam/fronts/platform.py
@@ -0,0 +1,91 @@
+"""The platform's protocol: thin, since the gateway's calls follow it closely."""
+
+from __future__ import annotations
+
+import re
+
+from mallowbeam.net.gateway import Answer, Call, Gateway, Kind
+from mallowbeam.net.http import HOP_BY_HOP, MAX_BODY, Message, write_head
+from mallowbeam.net.server import Reply, plain
+
+TARGET = re.compile(rb"/([^/?]+)/([0-9a-f]{16})/([0-9a-f]{16})(?:\?.*)?\Z")
+REQUEST_ID = re.compile(rb"[0-9a-f]{16}\Z")
+EXTENT = re.compile(rb"units=(\d{1,9}),shard=(-?\d{1,9}),hosts=(\d{1,9})\Z")
+MARGIN = 0.01               # seconds kept of a client's deadline for the way in and the way back
+MOST_MS = 3_600_000         # a deadline of over an hour is senseless
+FAILED = 502                # what a client is told of a failure: neither 429 nor 503, which would refuse
+REFUSED = 503
+OWN_HEADERS = HOP_BY_HOP | {b"x-deadline-ms"}
+
+
+class BadRequest(Exception):
+    """A request that the protocol doesn't allow; the text says why."""
+
+
+class Platform:
+    """Turns the platform's requests into calls and answers back."""
+
+    max_body = MAX_BODY
+
+    def __init__(self, gateway: Gateway) -> None:
+        self.gateway = gateway
+
+    async def handle(self, request: Message, close: bool) -> Reply:
+        """One request to its one answer."""
+        if request.target == b"/healthz" and request.method in (b"GET", b"HEAD"):
+            ready = self.gateway.ready
+            return plain(200 if ready else 503, self.gateway.phase.value, close), None
+        try:
+            call = self.read(request)
+        except BadRequest as error:
+            return plain(400, str(error), close), None
+        return self.write(await self.gateway.submit(call), close), None
+
+    def complain(self, status: int, text: str) -> bytes:
+        """The answer to what breaks HTTP or a bound."""
+        return plain(status, text, True)
+
+    def read(self, request: Message) -> Call:
+        """A request's call; raises `BadRequest`."""
+        settings, headers = self.gateway.config.settings, dict(reversed(request.headers))
+        path = TARGET.match(request.target)
+        if path is None:
+            raise BadRequest("the path is not /class/volume/data")
+        if request.method not in (b"GET", b"PUT"):
+            raise BadRequest("the method is neither GET nor PUT")
+        request_id = headers.get(b"x-request-id", b"")
+        if not REQUEST_ID.match(request_id) or request_id.decode() in self.gateway.exchanges:
+            raise BadRequest("X-Request-Id is missing, malformed or in use")
+        cls = settings.classes.get(headers.get(b"x-class", b"").decode("latin-1"))
+        if cls is None or path[1] != headers[b"x-class"]:
+            raise BadRequest("X-Class is missing, unknown or not the path's")
+        plan = settings.plans.get(headers.get(b"x-storage-class", b"").decode("latin-1"))
+        if plan is None:
+            raise BadRequest("X-Storage-Class is missing or unknown")
+        wait = headers.get(b"x-deadline-ms", b"")
+        if not wait.isdigit() or not 0 < len(wait) < 8 or not 0 < int(wait) <= MOST_MS:
+            raise BadRequest("X-Deadline-Ms is missing or senseless")
+        extent = EXTENT.match(headers.get(b"x-extent", b""))
+        if extent is None:
+            raise BadRequest("X-Extent is missing or malformed")
+        units, shard, hosts = (int(part) for part in extent.groups())
+        if not 1 <= units <= settings.units_top or shard < -1 or hosts < 1:
+            raise BadRequest("X-Extent is senseless")
+        return Call(
+            request_id.decode(), dict(
+                cls=cls.name, expires_in=max(0.001, int(wait) / 1000.0 - MARGIN),
+                shard=None if shard < 0 else shard, units=units, volume=path[2].decode(), plan=plan.name,
+                hosts_of_volume=hosts, key=path[3].decode(), is_retry=headers.get(b"x-retry") == b"1",
+                is_write=request.method == b"PUT"),
+            request.method, request.target, [h for h in request.headers if h[0] not in OWN_HEADERS],
+            bytes(request.body))
+
+    @staticmethod
+    def write(answer: Answer, close: bool) -> bytes:
+        """An answer's bytes."""
+        if answer.kind is Kind.SERVED:
+            return write_head(200, [], len(answer.body), close) + answer.body
+        if answer.kind is Kind.FAILED:
+            return plain(FAILED, "failed", close)
+        after = answer.retry_after
+        return plain(REFUSED, "refused", close, [(b"retry-after", b"%.3f" % after)] if after else None)
--- /dev/null
+++ b/mallowbeam/net/config.py
@@ -0,0 +1,76 @@
+"""What the platform tells a gateway, decoded once; anything wrong is one plain `BadConfig`."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from mallowbeam import interface as io
+from mallowbeam.net.discovery import Listing, read_listing
+from mallowbeam.settings import flatten, read_settings
+
+
+class BadConfig(Exception):
+    """The configuration can't be used; the text says why, on one line."""
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    """The few values that the program uses."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: str
+    sockets: int
+    known: Listing
+    settings: io.Settings
+    idle_limit: float | None
+    connect_timeout: float | None
+
+
+def read_address(text: str) -> tuple[str, int]:
+    """`host:port` as a socket address."""
+    host, sep, port = str(text).rpartition(":")
+    if not sep or not host or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"not an address: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def read_file(path: str) -> dict:
+    """A JSON object from a file."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            raw = json.load(file)
+    except (OSError, ValueError) as error:
+        raise BadConfig(f"cannot read {path}: {error}") from None
+    if not isinstance(raw, dict):
+        raise BadConfig(f"{path} holds no JSON object")
+    return raw
+
+
+def read_config(env: Mapping[str, str]) -> Config:
+    """The configuration that the environment names."""
+    path = env.get("BALANCER_CONFIG")
+    if not path:
+        raise BadConfig("BALANCER_CONFIG is not set")
+    raw = read_file(path)
+    try:
+        flat = flatten(raw["settings"])
+        connect = flat.get("Ceilings.ConnectTimeout", "-")
+        idle = flat.get("Ceilings.ConnIdle", "-")
+        settings = read_settings(int(str(raw.get("seed", "0")), 16), flat)
+        if not settings.classes:
+            raise ValueError("no classes in the settings")
+        discovery = str(env.get("BALANCER_DISCOVERY") or raw["discovery"])
+        read_address(discovery)
+        return Config(
+            name=str(env.get("BALANCER_NAME") or raw["name"]),
+            listen=read_address(env.get("BALANCER_LISTEN") or raw["listen"]), discovery=discovery,
+            sockets=int(raw.get("limits", {}).get("sockets", 1024)), known=read_listing(raw["known"]),
+            settings=settings, idle_limit=None if idle == "-" else float(idle),
+            connect_timeout=None if connect == "-" else float(connect))
+    except KeyError as error:
+        raise BadConfig(f"{path} lacks {error}, or has an unknown word there") from None
+    except (ValueError, TypeError, AttributeError) as error:
+        raise BadConfig(f"{path} is malformed: {error}") from None
--- /dev/null
+++ b/mallowbeam/net/discovery.py
@@ -0,0 +1,91 @@
+"""The watch on discovery: a long poll, the next call right after the last answer.
+
+A failed call ends the watch and is told to the module, which alone decides when to watch again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import NamedTuple
+
+from loguru import logger
+
+from mallowbeam import interface as io
+from mallowbeam.net.http import write_request
+from mallowbeam.net.upstream import Broken, Link, Unsent, connect
+
+WAIT = 10.0                 # seconds that one call may wait for news
+OVERDUE = 1.0               # seconds past that after which a call has failed: changes count as told at two
+CONNECT_TIMEOUT = 1.0
+MAX_LIST = 1024 * 1024      # bytes of a list
+STATES = {"up": io.NodeState.READY, "draining": io.NodeState.DRAINING, "removed": io.NodeState.GONE}
+
+
+class Listing(NamedTuple):
+    """A list of nodes, or of changes to it, decoded; `addresses` by node id."""
+
+    revision: int
+    complete: bool
+    entries: list[io.NodeEntry]
+    addresses: dict[str, str]
+
+
+def read_listing(raw: dict) -> Listing:
+    """Discovery's JSON, once into the few values used; raises ValueError, KeyError or TypeError."""
+    entries, addresses = [], {}
+    for member in raw["members"]:
+        state = STATES[member["phase"]]
+        entries.append(io.NodeEntry(
+            node=str(member["id"]), state=state, shard=int(member.get("cell", 0)),
+            zone=str(member.get("locality", "")), since=member.get("up_since_ms", 0) / 1000.0 or None,
+            machine=str(member.get("flavor", "")), weight=float(member.get("size", 1.0))))
+        if address := member.get("host_port"):
+            addresses[str(member["id"])] = str(address)
+    return Listing(int(raw["revision"]), bool(raw["complete"]), entries, addresses)
+
+
+class Watch:
+    """Follows the list of nodes while asked to."""
+
+    def __init__(self, address: str, revision: int, told: Callable[[Listing | None], None]) -> None:
+        self.address, self.revision, self.told = address, revision, told
+        self.link: Link | None = None
+        self.task: asyncio.Task | None = None
+
+    def begin(self) -> None:
+        """Start watching, unless a watch goes on."""
+        if self.task is None or self.task.done():
+            self.task = asyncio.create_task(self._run())
+
+    async def _run(self) -> None:
+        try:
+            while True:
+                listing = read_listing(json.loads(await self._call()))
+                self.revision = listing.revision
+                self.told(listing)
+        except (Unsent, Broken, TimeoutError, ValueError, KeyError, TypeError) as error:
+            logger.warning("discovery call failed: {}", str(error) or type(error).__name__)
+        finally:
+            if self.link is not None:
+                self.link.close()
+                self.link = None
+        self.task = None
+        self.told(None)
+
+    async def _call(self) -> bytes:
+        """One long poll over the kept connection."""
+        if self.link is None:
+            self.link = await connect(self.address, CONNECT_TIMEOUT, MAX_LIST)
+        target = b"/v1/servers?since=%d&timeout_ms=%d" % (self.revision, WAIT * 1000)
+        async with asyncio.timeout(WAIT + OVERDUE):
+            await self.link.request(write_request(b"GET", target, [(b"host", self.address.encode())], b""))
+            answer = await self.link.head()
+            body = await self.link.body(answer)
+        if answer.status != 200:
+            raise Broken(f"status {answer.status}")
+        if not self.link.reusable(answer):
+            self.link.close()
+            self.link = None
+        return body
--- /dev/null
+++ b/mallowbeam/net/gateway.py
@@ -0,0 +1,319 @@
+"""The gateway: one object that joins the facade, the connections to nodes, discovery and the fronts.
+
+Fronts hand in a `Call` and await its one `Answer`.  The program's phases are this object's `phase`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from loguru import logger
+
+from mallowbeam import interface as io
+from mallowbeam.facade import NEVER, Facade, Orders, Try, Verdict
+from mallowbeam.net.config import Config
+from mallowbeam.net.discovery import Listing, Watch
+from mallowbeam.net.http import MAX_BODY, Headers, Message, write_request
+from mallowbeam.net.server import Server
+from mallowbeam.net.upstream import Broken, Link, NoRoom, Pool, Unsent
+
+NODE_SHARE = 0.35           # of the descriptors: connections to nodes
+CLIENT_SHARE = 0.55         # of the descriptors: connections of clients, over all fronts
+LAME_DUCK = 0.5             # seconds after SIGTERM in which new connections are still taken
+SWEEP = 1.0                 # seconds between looks at what has been idle or stalled
+HELD_CHUNKS = 4             # pieces of a streamed answer that wait for a slow client
+
+NOT_RUN_STATUS = (503, 504)
+Outcome = io.Outcome
+
+
+class Phase(Enum):
+    """The program's phases, in order."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    LAME_DUCK = "lame duck"  # told to stop: still takes what comes
+    DRAINING = "draining"    # takes nothing, finishes what it holds
+    STOPPED = "stopped"
+
+
+class Kind(Enum):
+    """How a call ended."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(slots=True)
+class Answer:
+    """The one final answer of a call."""
+
+    kind: Kind
+    status: int = 0
+    headers: Headers = field(default_factory=list)
+    body: bytes = b""
+    stream: asyncio.Queue[bytes | None] | None = None  # pieces, b"" at the end, None where it broke
+    retry_after: float | None = None
+
+
+@dataclass(slots=True)
+class Call:
+    """A request as a front hands it in: what the module is told, and what goes to a node."""
+
+    id: str
+    fields: dict[str, object]                  # as `interface.RequestArrived` names them
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b""
+    final: Callable[[int], bool] = (200).__eq__  # which statuses of a node are the client's answer
+    streamed: Callable[[int], bool] = lambda status: False  # and which of them are passed on in pieces
+
+
+class Exchange:
+    """A call that has no answer yet, and its attempts."""
+
+    __slots__ = ("call", "deadline", "answer", "stream")
+
+    def __init__(self, call: Call, deadline: float) -> None:
+        self.call, self.deadline = call, deadline
+        self.answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        self.stream: asyncio.Queue | None = None
+
+    def settle(self, answer: Answer) -> None:
+        """The first answer counts."""
+        if not self.answer.done():
+            self.answer.set_result(answer)
+
+
+class Gateway:
+    """One gateway, from start to exit."""
+
+    def __init__(self, config: Config, max_body: int = MAX_BODY) -> None:
+        self.config, self.phase = config, Phase.STARTING
+        # The wall clock says when nodes started; between two readings only the steady one may count.
+        self.epoch = time.time() - time.monotonic()
+        self.facade = Facade(config.settings, self.now())
+        self.pool = Pool(int(config.sockets * NODE_SHARE), config.idle_limit, config.connect_timeout,
+                         max_body)
+        self.watch = Watch(config.discovery, config.known.revision, self._told)
+        self.addresses: dict[str, str] = {}
+        self.exchanges: dict[str, Exchange] = {}
+        self.tasks: dict[tuple[str, int], asyncio.Task] = {}
+        self.servers: list[Server] = []
+        self.timer: asyncio.TimerHandle | None = None
+        self.timer_at = NEVER
+        self.stopping = asyncio.Event()
+
+    def now(self) -> float:
+        """Unix time that never jumps."""
+        return self.epoch + time.monotonic()
+
+    # --- phases --------------------------------------------------------------------------------
+
+    async def run(self, servers: list[Server]) -> None:
+        """Serve until told to stop, then finish what is held."""
+        self.servers = servers
+        self._listing(self.config.known, io.ListKind.CACHED)
+        if not self.config.settings.discovery_on_request:
+            self.watch.begin()
+        for server in servers:
+            server.start(int(self.config.sockets * CLIENT_SHARE / len(servers)))
+        self._enter(Phase.SERVING)
+        sweeper = asyncio.create_task(self._sweep())
+        await self.stopping.wait()
+        self._enter(Phase.LAME_DUCK)
+        for server in servers:
+            server.last_answers()
+        await asyncio.sleep(LAME_DUCK)
+        self._enter(Phase.DRAINING)
+        await asyncio.gather(*(server.drain() for server in servers))
+        sweeper.cancel()
+        self._enter(Phase.STOPPED)
+
+    def stop(self) -> None:
+        """SIGTERM: begin to leave."""
+        self.stopping.set()
+
+    @property
+    def ready(self) -> bool:
+        """Whether clients should be sent here."""
+        return self.phase is Phase.SERVING
+
+    def _enter(self, phase: Phase) -> None:
+        self.phase = phase
+        logger.info("phase {}: {} requests held, {} nodes known", phase.value, len(self.exchanges),
+                    len(self.addresses))
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP)
+            self.pool.sweep()
+            for server in self.servers:
+                server.sweep()
+
+    # --- calls ---------------------------------------------------------------------------------
+
+    async def submit(self, call: Call) -> Answer:
+        """Get a call its one answer; cancelled when its client leaves."""
+        expires = float(call.fields["expires_in"])
+        exchange = self.exchanges[call.id] = Exchange(call, self.now() + expires)
+        self._apply(self.facade.pick(self.now(), call.id, **call.fields))
+        try:
+            return await exchange.answer
+        except asyncio.CancelledError:
+            self._apply(self.facade.leave(self.now(), call.id))
+            raise
+        finally:
+            del self.exchanges[call.id]
+
+    def _apply(self, orders: Orders) -> None:
+        """Do what the module wants done, and come back when it wants to be called."""
+        for tried in orders.tries:
+            self._try(tried)
+        for attempt in orders.cancels:
+            if task := self.tasks.get(attempt):
+                task.cancel()
+        for verdict in orders.verdicts:
+            self._verdict(verdict)
+        if orders.watch:
+            self.watch.begin()
+        if self.facade.wake < self.timer_at:
+            if self.timer is not None:
+                self.timer.cancel()
+            self.timer_at = self.facade.wake
+            self.timer = asyncio.get_running_loop().call_later(
+                max(0.0, self.timer_at - self.now()) + 0.0005, self._wake)
+
+    def _wake(self) -> None:
+        self.timer, self.timer_at = None, NEVER
+        self._apply(self.facade.tick(self.now()))
+
+    def _verdict(self, verdict: Verdict) -> None:
+        if exchange := self.exchanges.get(verdict.request):
+            kind = Kind.REFUSED if verdict.refused else Kind.FAILED
+            exchange.settle(Answer(kind, retry_after=verdict.retry_after))
+
+    # --- attempts ------------------------------------------------------------------------------
+
+    def _try(self, tried: Try) -> None:
+        """Start an attempt; however its task ends, even before its first step, one report follows."""
+        started = self.now()
+        task = asyncio.create_task(self._attempt(tried, self.exchanges[tried.request], started))
+        self.tasks[tried.request, tried.number] = task
+        task.add_done_callback(lambda done: self._ended(tried, started, done))
+
+    async def _attempt(self, tried: Try, exchange: Exchange,
+                       started: float) -> tuple[Outcome, Message | None]:
+        """One attempt: connect, write, read; the outcome says whether it can have run."""
+        call, link, written, kept = exchange.call, None, False, False
+        left = exchange.deadline - started
+        timeout = min(left, tried.timeout) if tried.timeout else left
+        address = self.addresses[tried.node]
+        headers = [(b"host", address.encode()), *call.headers,
+                   (b"x-deadline-ms", b"%d" % max(1, round(timeout * 1000)))]
+        try:
+            async with asyncio.timeout(timeout) as limit:
+                link = await self.pool.take(address)
+                await link.request(write_request(call.method, call.target, headers, call.body),
+                                   call.method == b"HEAD")
+                written = True
+                answer = await link.head()
+                if call.final(answer.status) and call.streamed(answer.status):
+                    limit.reschedule(None)     # the answer has begun: it is the client's now
+                    await self._pass_on(tried, exchange, link, answer, started)
+                else:
+                    await link.body(answer)
+            self.pool.put(link, answer)
+            kept = True
+            return self._outcome(call, answer), answer
+        except TimeoutError:
+            return (Outcome.TIMEOUT if written else Outcome.NOT_SENT), None
+        except NoRoom as error:
+            logger.warning("no room for a connection to a node: {}", error)
+            return Outcome.NOT_SENT, None
+        except Unsent:
+            return Outcome.NO_CONNECTION, None
+        except Broken:
+            return Outcome.RESET, None
+        finally:
+            if link is not None and not kept:
+                self.pool.drop(link)
+
+    @staticmethod
+    def _outcome(call: Call, answer: Message) -> Outcome:
+        if call.final(answer.status):
+            return Outcome.OK
+        if answer.status in NOT_RUN_STATUS and answer.get(b"x-not-run") == b"1":
+            return Outcome.REJECTED
+        return Outcome.ERROR
+
+    async def _pass_on(self, tried: Try, exchange: Exchange, link: Link, answer: Message,
+                       started: float) -> None:
+        """Hand an answer on in pieces, reading no faster than the client takes them."""
+        stream = exchange.stream = asyncio.Queue(HELD_CHUNKS)
+        self._apply(self.facade.begun(self.now(), tried, self.now() - started))
+        exchange.settle(Answer(Kind.SERVED, answer.status, answer.headers, stream=stream))
+        try:
+            while True:
+                if piece := answer.take():
+                    await stream.put(piece)
+                if answer.whole:
+                    break
+                await link.more(answer)
+        except BaseException:
+            if stream.full():
+                stream.get_nowait()
+            stream.put_nowait(None)
+            raise
+        await stream.put(b"")
+
+    def _ended(self, tried: Try, started: float, task: asyncio.Task) -> None:
+        """An attempt is over: pass a served answer on and tell the module."""
+        del self.tasks[tried.request, tried.number]
+        answer = None
+        if task.cancelled():
+            outcome = Outcome.CANCELLED
+        elif error := task.exception():
+            logger.opt(exception=error).error("an attempt failed unforeseen")
+            outcome = Outcome.RESET            # it may have run
+        else:
+            outcome, answer = task.result()
+        exchange = self.exchanges.get(tried.request)
+        if outcome is Outcome.OK and exchange is not None:
+            exchange.settle(Answer(Kind.SERVED, answer.status, answer.headers, bytes(answer.body)))
+        used, elsewhere = read_meter(answer)
+        now = self.now()
+        self._apply(self.facade.report(now, tried, outcome, now - started, used, elsewhere))
+
+    # --- nodes ---------------------------------------------------------------------------------
+
+    def _told(self, listing: Listing | None) -> None:
+        """Word from discovery, or that a call failed."""
+        if listing is None:
+            self._apply(self.facade.listed(self.now(), io.ListKind.FAILED))
+        else:
+            self._listing(listing, io.ListKind.FULL if listing.complete else io.ListKind.CHANGES)
+
+    def _listing(self, listing: Listing, kind: io.ListKind) -> None:
+        self.addresses.update(listing.addresses)
+        for entry in listing.entries:
+            if entry.state is io.NodeState.GONE and entry.node in self.addresses:
+                self.pool.forget(self.addresses[entry.node])
+        self._apply(self.facade.listed(self.now(), kind, listing.revision, listing.entries))
+
+
+def read_meter(answer: Message | None) -> tuple[float | None, int]:
+    """What an answer tells of the volume: its recent use, and its units served through other gateways."""
+    used, elsewhere = None, 0
+    for name, value in answer.headers if answer is not None else ():
+        if name == b"x-meter" and value.isdigit():
+            used = int(value) / 100.0
+        elif name == b"x-delta" and value.isdigit():
+            elsewhere = int(value)
+    return used, elsewhere
--- /dev/null
+++ b/mallowbeam/net/http.py
@@ -0,0 +1,178 @@
+"""HTTP/1.1 framing on a non-blocking socket: httptools parses, this file bounds and writes.
+
+Every buffer has a bound: a message over it raises `BadMessage` with the status that says so.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from http import HTTPStatus
+
+import httptools
+
+CHUNK = 16 * 1024           # bytes read at once: what one connection may hold beyond its messages
+MAX_HEAD = 16 * 1024        # bytes of start line and headers
+MAX_BODY = 64 * 1024        # bytes of body, where a front does not say otherwise
+HOP_BY_HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade",
+                        b"transfer-encoding", b"content-length", b"expect", b"host"))
+REASONS = {status.value: status.phrase for status in HTTPStatus}
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class BadMessage(Exception):
+    """What came in breaks HTTP or a bound; `status` is what a server answers to it."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+class Message:
+    """A request or an answer."""
+
+    __slots__ = ("method", "target", "status", "headers", "body", "keep_alive", "whole", "until_close")
+
+    def __init__(self) -> None:
+        self.method, self.target, self.status = b"", b"", 0
+        self.headers: Headers = []             # names in lower case
+        self.body = bytearray()
+        self.keep_alive, self.whole = True, False
+        self.until_close = False               # its end is the end of the connection
+
+    def get(self, name: bytes) -> bytes | None:
+        """The first header of that name."""
+        for known, value in self.headers:
+            if known == name:
+                return value
+        return None
+
+    def take(self) -> bytes:
+        """The body as far as it has come, handed over."""
+        body, self.body = bytes(self.body), bytearray()
+        return body
+
+
+class Framer:
+    """Turns bytes into messages, within bounds."""
+
+    def __init__(self, answers: bool, max_body: int = MAX_BODY) -> None:
+        self.answers, self.max_body = answers, max_body
+        self.parser = (httptools.HttpResponseParser if answers else httptools.HttpRequestParser)(self)
+        self.ready: deque[Message] = deque()   # whole messages
+        self.part: Message | None = None       # the one that is coming in
+        self.in_head, self.head_size = False, 0
+        self.bodiless = False                  # the next answer is to a HEAD
+        self.fault: BadMessage | None = None
+
+    def feed(self, data: memoryview) -> None:
+        """Take in bytes; raises `BadMessage`."""
+        if self.in_head or self.part is None:
+            self.head_size += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise BadMessage(400, "upgrade is not offered") from None
+        except httptools.HttpParserError as error:
+            raise self.fault or BadMessage(400, f"malformed message: {error}") from None
+        # Guards against a header without end, which the parser would collect without bound.
+        if self.in_head and self.head_size > MAX_HEAD:
+            raise BadMessage(431, "header too large")
+
+    def _fail(self, status: int, text: str) -> None:
+        self.fault = BadMessage(status, text)
+        raise self.fault
+
+    def on_message_begin(self) -> None:  # noqa: D102 (httptools' names)
+        self.part, self.in_head = Message(), True
+
+    def on_url(self, url: bytes) -> None:  # noqa: D102
+        self.part.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:  # noqa: D102
+        self.part.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:  # noqa: D102
+        part, self.in_head, self.head_size = self.part, False, 0
+        if sum(len(name) + len(value) for name, value in part.headers) + len(part.target) > MAX_HEAD:
+            self._fail(431, "header too large")
+        length = part.get(b"content-length")
+        if length is not None and int(length) > self.max_body and not self.bodiless:
+            self._fail(413, "body too large")
+        if self.answers:
+            part.status = self.parser.get_status_code()
+            part.until_close = (length is None and part.get(b"transfer-encoding") is None
+                                and part.status not in (204, 304) and not self.bodiless)
+        else:
+            part.method = self.parser.get_method()
+        part.keep_alive = self.parser.should_keep_alive()
+
+    def on_body(self, body: bytes) -> None:  # noqa: D102
+        self.part.body += body
+        if len(self.part.body) > self.max_body:
+            self._fail(413, "body too large")
+
+    def on_message_complete(self) -> None:  # noqa: D102
+        self.part.whole = True
+        self.ready.append(self.part)
+        self.part = None
+
+
+class Channel:
+    """A connected socket and the framer of what comes in on it."""
+
+    def __init__(self, sock: socket.socket, framer: Framer) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock, self.framer = sock, framer
+        self.loop = asyncio.get_running_loop()
+        self.buffer = memoryview(bytearray(CHUNK))
+
+    async def receive(self) -> bool:
+        """Read once and take it in; False at the end of the stream."""
+        count = await self.loop.sock_recv_into(self.sock, self.buffer)
+        if count:
+            self.framer.feed(self.buffer[:count])
+        return count > 0
+
+    async def send(self, data: bytes) -> None:
+        """Write all of it."""
+        await self.loop.sock_sendall(self.sock, data)
+
+    def stale(self) -> bool:
+        """Whether the other side has closed this idle connection or said something unasked."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    def close(self) -> None:
+        """Close the socket; no call may be waiting on it."""
+        self.sock.close()
+
+
+def write_request(method: bytes, target: bytes, headers: Headers, body: bytes | bytearray) -> bytes:
+    """A request's bytes."""
+    lines = [b"%b %b HTTP/1.1" % (method, target)]
+    lines += [b"%b: %b" % header for header in headers]
+    if body or method in (b"PUT", b"POST"):
+        lines.append(b"content-length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def write_head(status: int, headers: Headers, length: int | None, close: bool) -> bytes:
+    """An answer's start line and headers; without a length its body comes in chunks."""
+    lines = [b"HTTP/1.1 %d %b" % (status, REASONS.get(status, "Unknown").encode())]
+    lines += [b"%b: %b" % header for header in headers]
+    if length is not None:
+        lines.append(b"content-length: %d" % length)
+    elif status not in (204, 304):
+        lines.append(b"transfer-encoding: chunked")
+    if close:
+        lines.append(b"connection: close")
+    return b"\r\n".join(lines) + b"\r\n\r\n"
--- /dev/null
+++ b/mallowbeam/net/server.py
@@ -0,0 +1,233 @@
+"""The clients' side: a listening socket, its connections, and their bounds.
+
+A front is called with each whole request and returns the one answer; a client that closes its connection
+cancels that call.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from loguru import logger
+
+from mallowbeam.net.http import BadMessage, Channel, Framer, Message, write_head
+
+BACKLOG = 512
+PIPELINED = 4               # whole requests that may wait behind the one being answered
+STALLED = 10.0              # seconds in which a request must come in whole once begun, or an answer go out
+IDLE = 120.0                # seconds that a connection may lie idle
+LINGER = 1.0                # seconds given to a client to read the last answer before the close
+NO_DESCRIPTORS = 0.05       # seconds without accepting after descriptors ran out
+
+Reply = tuple[bytes, Callable[["Channel"], Awaitable[bool]] | None]
+
+
+class Front(Protocol):
+    """What speaks a protocol to clients."""
+
+    max_body: int
+
+    async def handle(self, request: Message, close: bool) -> Reply:
+        """The answer to a request: bytes, and for a streamed one what writes the rest (False: it broke)."""
+
+    def complain(self, status: int, text: str) -> bytes:
+        """The answer to what breaks HTTP or a bound; the connection is closed after it."""
+
+
+class Connection:
+    """One client's connection: a task that reads, and while a request is held one that answers."""
+
+    def __init__(self, server: Server, sock: socket.socket) -> None:
+        self.server = server
+        self.channel = Channel(sock, Framer(answers=False, max_body=server.front.max_body))
+        self.busy: asyncio.Task | None = None
+        self.since = time.monotonic()          # of the last change: what a stall is counted from
+        self.writing = self.closing = self.continued = False
+        self.room = asyncio.Event()
+        self.task = asyncio.create_task(self._run())
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is coming in, held or going out."""
+        framer = self.channel.framer
+        return self.busy is None and framer.part is None and not framer.ready
+
+    async def _run(self) -> None:
+        framer = self.channel.framer
+        try:
+            while not self.closing and await self.channel.receive():
+                self._pump()
+                while len(framer.ready) > PIPELINED:
+                    self.room.clear()
+                    await self.room.wait()
+        except BadMessage as error:
+            await self._last_word(error.status, str(error))
+        except (OSError, asyncio.CancelledError):
+            pass
+        except Exception as error:
+            logger.opt(exception=error).error("a connection failed unforeseen")
+        finally:
+            if self.busy is not None:
+                self.busy.cancel()
+                await asyncio.gather(self.busy, return_exceptions=True)
+            self.channel.close()
+            self.server.connections.discard(self)
+
+    def _pump(self) -> None:
+        """Go on with what has come in: answer the next whole request, or wait for the rest of one."""
+        framer = self.channel.framer
+        if framer.ready and self.busy is None:
+            self.busy = asyncio.create_task(self._answer(framer.ready.popleft()))
+            self.continued = False
+        elif self.busy is None and framer.part is not None and not framer.in_head and not self.continued:
+            self.continued = True
+            if (framer.part.get(b"expect") or b"").lower() == b"100-continue":
+                self.busy = asyncio.create_task(self._continue())
+        if self.busy is None and (framer.part is None or self.since_part is None):
+            self.since = time.monotonic()
+        self.since_part = framer.part
+
+    since_part: Message | None = None
+
+    async def _continue(self) -> None:
+        await self.channel.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self.busy = None
+        self._pump()
+
+    async def _answer(self, request: Message) -> None:
+        """One request, from its last byte in to its answer's last byte out."""
+        front, channel = self.server.front, self.channel
+        close = self.server.closing or not request.keep_alive
+        try:
+            data, rest = await front.handle(request, close)
+            self.since, self.writing = time.monotonic(), True
+            await channel.send(data)
+            whole = rest is None or await rest(channel)
+        except OSError:
+            whole = False
+        except Exception as error:
+            logger.opt(exception=error).error("a request failed unforeseen")
+            await channel.send(front.complain(500, "internal error"))
+            whole, close = True, True
+        self.writing, self.busy, self.since = False, None, time.monotonic()
+        if not whole:
+            self.task.cancel()
+        elif close:
+            self._hang_up()
+        else:
+            self._pump()
+            self.room.set()
+
+    def _hang_up(self) -> None:
+        """End our side; the client has a moment to read before the socket is closed."""
+        self.closing = True
+        try:
+            self.channel.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+        asyncio.get_running_loop().call_later(LINGER, self.task.cancel)
+
+    async def _last_word(self, status: int, text: str) -> None:
+        """Answer what breaks HTTP once the request before it has its answer, then read until the close.
+
+        Guards against a reset that would take the answer away: what the client still sends is read, not kept.
+        """
+        if self.busy is not None:
+            await asyncio.gather(self.busy, return_exceptions=True)
+        channel = self.channel
+        try:
+            async with asyncio.timeout(LINGER):
+                await channel.send(self.server.front.complain(status, text))
+                channel.sock.shutdown(socket.SHUT_WR)
+                while await channel.loop.sock_recv_into(channel.sock, channel.buffer):
+                    pass
+        except (OSError, TimeoutError):
+            pass
+
+    def sweep(self, now: float) -> None:
+        """Close a connection that has been idle or stalled for too long."""
+        age = now - self.since
+        if self.idle and age > IDLE or self.writing and age > STALLED:
+            self.task.cancel()
+        elif self.busy is None and not self.idle and age > STALLED:
+            try:                               # best effort: a stalled client may not read either
+                self.channel.sock.send(self.server.front.complain(408, "the request did not come in time"))
+            except OSError:
+                pass
+            self.task.cancel()
+
+
+class Server:
+    """One listening address and the front behind it."""
+
+    def __init__(self, address: tuple[str, int], front: Front) -> None:
+        self.front, self.closing, self.most = front, False, 0
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self.sock = socket.socket(family, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            self.sock.bind(address)
+        except BaseException:
+            self.sock.close()
+            raise
+        self.address = self.sock.getsockname()
+        self.connections: set[Connection] = set()
+        self.acceptor: asyncio.Task | None = None
+
+    def start(self, most: int) -> None:
+        """Begin to listen; `most` connections are held at once."""
+        self.most = most
+        self.sock.listen(BACKLOG)
+        self.sock.setblocking(False)
+        self.acceptor = asyncio.create_task(self._accept())
+
+    async def _accept(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                sock, _ = await loop.sock_accept(self.sock)
+                if len(self.connections) >= self.most:
+                    self._evict()
+                self.connections.add(Connection(self, sock))
+                while len(self.connections) > self.most:
+                    await asyncio.sleep(NO_DESCRIPTORS)
+            except OSError as error:
+                # Guards against descriptors running out: those held go on, new clients wait in the backlog.
+                logger.warning("cannot accept: {}", error)
+                await asyncio.sleep(NO_DESCRIPTORS)
+
+    def _evict(self) -> None:
+        """Close the connection that has been idle longest, to make room."""
+        if idle := [c for c in self.connections if c.idle]:
+            min(idle, key=lambda c: c.since).task.cancel()
+
+    def sweep(self) -> None:
+        """Look for connections that are idle or stalled for too long."""
+        now = time.monotonic()
+        for connection in list(self.connections):
+            connection.sweep(now)
+
+    def last_answers(self) -> None:
+        """From now on every answer closes its connection."""
+        self.closing = True
+
+    async def drain(self) -> None:
+        """Take no new connection, let go of idle ones, and wait for what is held."""
+        self.acceptor.cancel()
+        await asyncio.gather(self.acceptor, return_exceptions=True)
+        self.sock.close()
+        for connection in list(self.connections):
+            if connection.idle:
+                connection.task.cancel()
+        while self.connections:
+            await asyncio.wait([connection.task for connection in self.connections])
+
+
+def plain(status: int, text: str, close: bool, headers: list[tuple[bytes, bytes]] | None = None) -> bytes:
+    """A whole answer with a line of text."""
+    body = text.encode() + b"\n"
+    return write_head(status, [(b"content-type", b"text/plain"), *(headers or [])], len(body), close) + body
--- /dev/null
+++ b/mallowbeam/net/upstream.py
@@ -0,0 +1,173 @@
+"""Connections to nodes: opened when needed, kept while idle, retired well before the node would close them.
+
+What has run decides every error here.  Up to the last byte of a request nothing has run (`Unsent`); from
+then on it may have (`Broken`).  Nothing is ever sent again by this file.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+
+from mallowbeam.net.http import BadMessage, Channel, Framer, Message
+
+RETIRE = 0.5                # of the nodes' idle limit: a connection idle for longer is not used again
+MAX_IDLE_EACH = 32          # idle connections kept to one node
+
+
+class Unsent(Exception):
+    """The connection failed before the request's last byte was written: it never ran."""
+
+
+class NoRoom(Unsent):
+    """No socket is left here: says nothing of the node."""
+
+
+class Broken(Exception):
+    """The connection broke after the request was written: it may have run."""
+
+
+class Link:
+    """One connection to a server, carrying one request at a time."""
+
+    def __init__(self, channel: Channel, address: str) -> None:
+        self.channel, self.address, self.idle_since = channel, address, 0.0
+
+    async def request(self, data: bytes, bodiless: bool = False) -> None:
+        """Write a request; raises `Unsent`."""
+        self.channel.framer.bodiless = bodiless
+        try:
+            await self.channel.send(data)
+        except OSError as error:
+            raise Unsent(str(error)) from None
+
+    async def head(self) -> Message:
+        """The answer, its headers read and its body perhaps still coming; raises `Broken`."""
+        framer = self.channel.framer
+        while not framer.ready and (framer.part is None or framer.in_head):
+            await self._more()
+        answer = framer.ready.popleft() if framer.ready else framer.part
+        if framer.bodiless:
+            answer.whole = True
+        if 100 <= answer.status < 200:         # an interim answer: the real one follows
+            return await self.head()
+        return answer
+
+    async def more(self, answer: Message) -> None:
+        """Read on in an answer's body; raises `Broken`."""
+        if not await self._read():
+            if not answer.until_close:
+                raise Broken("the connection ended inside the answer")
+            answer.whole, answer.keep_alive = True, False
+        self.channel.framer.ready.clear()
+
+    async def body(self, answer: Message) -> bytes:
+        """The whole body of an answer."""
+        while not answer.whole:
+            await self.more(answer)
+        return bytes(answer.body)
+
+    async def _more(self) -> None:
+        if not await self._read():
+            raise Broken("the connection ended before the answer")
+
+    async def _read(self) -> bool:
+        try:
+            return await self.channel.receive()
+        except (OSError, BadMessage) as error:
+            raise Broken(str(error)) from None
+
+    def reusable(self, answer: Message) -> bool:
+        """Whether another request may follow on this connection."""
+        framer = self.channel.framer
+        return (answer.whole and answer.keep_alive and not answer.until_close
+                and not framer.bodiless and framer.part is None and not framer.ready)
+
+    def close(self) -> None:
+        """Close the connection: what is out on it is given up."""
+        self.channel.close()
+
+
+async def connect(address: str, timeout: float, max_body: int) -> Link:
+    """Open a connection; raises `Unsent`."""
+    host, _, port = address.rpartition(":")
+    try:
+        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:                   # descriptors have run out: this attempt fails, nothing else
+        raise NoRoom(str(error)) from None
+    try:
+        sock.setblocking(False)
+        async with asyncio.timeout(timeout):
+            await asyncio.get_running_loop().sock_connect(sock, (host.strip("[]"), int(port)))
+        return Link(Channel(sock, Framer(answers=True, max_body=max_body)), address)
+    except (OSError, TimeoutError) as error:
+        sock.close()
+        raise Unsent(str(error) or "the connection never came up") from None
+    except BaseException:
+        sock.close()
+        raise
+
+
+class Pool:
+    """The idle connections to nodes, and how many there are in all."""
+
+    def __init__(self, most: int, idle_limit: float | None, connect_timeout: float | None,
+                 max_body: int) -> None:
+        self.most, self.max_body = most, max_body
+        self.keep = (idle_limit or 10.0) * RETIRE
+        self.connect_timeout = connect_timeout or 1.0
+        self.idle: dict[str, list[Link]] = {}
+        self.count = 0                         # connections open or being opened
+
+    async def take(self, address: str) -> Link:
+        """An idle connection that is still good, or a new one."""
+        idle = self.idle.get(address, [])
+        while idle:
+            link = idle.pop()
+            if time.monotonic() - link.idle_since < self.keep and not link.channel.stale():
+                return link
+            self.drop(link)
+        if self.count >= self.most and not self._evict():
+            raise NoRoom("as many connections are open as are allowed")
+        self.count += 1
+        try:
+            return await connect(address, self.connect_timeout, self.max_body)
+        except BaseException:
+            self.count -= 1
+            raise
+
+    def put(self, link: Link, answer: Message) -> None:
+        """Keep a connection whose answer was read whole, or close it."""
+        idle = self.idle.setdefault(link.address, [])
+        if not link.reusable(answer) or len(idle) >= MAX_IDLE_EACH:
+            return self.drop(link)
+        link.idle_since = time.monotonic()
+        idle.append(link)
+
+    def drop(self, link: Link) -> None:
+        """Close a connection that was taken."""
+        self.count -= 1
+        link.close()
+
+    def sweep(self) -> None:
+        """Close what has been idle for too long, oldest first in each list."""
+        limit = time.monotonic() - self.keep
+        for address, idle in list(self.idle.items()):
+            while idle and idle[0].idle_since < limit:
+                self.drop(idle.pop(0))
+            if not idle:
+                del self.idle[address]
+
+    def forget(self, address: str) -> None:
+        """Close the idle connections to a node that is gone."""
+        for link in self.idle.pop(address, []):
+            self.drop(link)
+
+    def _evict(self) -> bool:
+        """Close one idle connection to make room."""
+        for idle in self.idle.values():
+            if idle:
+                self.drop(idle.pop(0))
+                return True
+        return False
--- a/thornmount/adapter.py
+++ b/mallowbeam/wirehost.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import TextIO
 
-from thornmount import interface as io
-from thornmount.decide import Scheduler
+from mallowbeam import interface as io
+from mallowbeam.control import Scheduler
+from mallowbeam.settings import flag, opt, read_pairs, read_settings
 
 OUTCOMES = {"S": io.Outcome.OK, "E": io.Outcome.ERROR, "F": io.Outcome.REJECTED, "T": io.Outcome.TIMEOUT,
             "C": io.Outcome.NO_CONNECTION, "R": io.Outcome.RESET, "X": io.Outcome.CANCELLED,
@@ -19,7 +20,6 @@
 LIST_KINDS = {"patch": io.ListKind.CHANGES, "whole": io.ListKind.FULL, "stale_copy": io.ListKind.CACHED,
               "broken": io.ListKind.FAILED}
 STATES = {"live": io.NodeState.READY, "quiescing": io.NodeState.DRAINING, "dead": io.NodeState.GONE}
-SCOPES = {"all": io.Scope.ALL, "zone": io.Scope.ZONE, "cell": io.Scope.SHARD}
 FLAG_RETRY, FLAG_WRITE = 2, 4
 
 
@@ -27,72 +27,6 @@
     """A line that does not follow the wire."""
 
 
-def opt(part: str, convert: Callable = float):
-    """A value, or None where the wire marks it absent."""
-    return None if part == "-" else convert(part)
-
-
-def flag(part: str) -> bool:
-    """A wire bool as message fields (1, 0) and settings (true, false) write it."""
-    if part in ("1", "true"):
-        return True
-    if part in ("0", "false", "-"):
-        return False
-    raise ValueError(f"not a bool: {part}")
-
-
-def read_settings(seed: str, pairs: list[str]) -> io.Settings:
-    """The start-up pairs as `Settings`; unknown ones are skipped."""
-    raw: dict[str, str] = {}
-    for pair in pairs:
-        path, sep, value = pair.partition("=")
-        if not sep:
-            raise ValueError(f"not a path=value pair: {pair}")
-        raw[path] = value
-
-    def get(path: str, convert: Callable = float, default=None):
-        value = raw.get(path, "-")
-        return default if value in ("-", "") else convert(value)
-
-    def items(path: str) -> Iterator[str]:
-        return (f"{path}.{i}." for i in range(get(f"{path}.count", int, 0)))
-
-    classes = [io.RequestClass(
-        name=get(p + "Name", str, ""), worth=get(p + "Credit", float, 1.0), aim=get(p + "OnTime", float, 1.0),
-        deadline=get(p + "HardLimit", float, 1.0), late_worth=get(p + "LateWorth", float, 0.0),
-        repeat=io.Repeat(get(p + "Idempotency", str, "unsafe")),
-        scope=get(p + "KeyScope", SCOPES.__getitem__, io.Scope.ALL),
-        repeat_window=get(p + "Window", float, 0.0), streamed=get(p + "Stream", flag, False),
-        ordered=get(p + "InOrder", flag, False)) for p in items("Classes")]
-    plans = [io.Plan(
-        name=get(p + "Name", str, ""), rate=get(p + "Nominal", float, 0.0),
-        reserve=get(p + "Reservation", float, 0.0), weight=get(p + "Shares", float, 1.0),
-        price=get(p + "Pays", float, 1.0), limit=get(p + "Limit", float, 0.0),
-        limit_burst=get(p + "MostAtOnce", float, 0.0),
-        limit_slack=get(p + "Tolerance", float, 0.0)) for p in items("Plans")]
-    g = "Guarantees."
-    return io.Settings(
-        seed=int(seed), host_index=get("MyNumber", int, 0), hosts=get("Balancers", int, 1),
-        zone=get("Zone", str, ""), tick=get("Resolution", float, 0.001),
-        classes={c.name: c for c in classes}, plans={p.name: p for p in plans},
-        usual_units=get("FamilyInfo.UsualUnits", float, 1.0),
-        units_top=get("FamilyInfo.UnitsTop", int, 1), share_worth=get("FamilyInfo.FairWorth", float, 1.0),
-        spare_worth=get("FamilyInfo.SpareWorth", float, 1.0),
-        meter_period=get("FamilyInfo.UsePeriod", float, 0.0),
-        tells_elsewhere=get("FamilyInfo.TellsElsewhere", flag, False),
-        may_cancel=get("Ceilings.Cancel", flag, False), may_probe=get("Ceilings.MayProbe", flag, False),
-        may_duplicate=get("Ceilings.MayDuplicate", flag, False),
-        max_attempts=get("Ceilings.TryLimit", int), retry_after=get("Ceilings.RetryAfter", flag, False),
-        max_retry_after=get("Ceilings.MaxRetryAfter", float, 0.0),
-        discovery_on_request=get("Discovery", str, "pushed") == "on_request",
-        ask_every=get(g + "AskEvery"), drain_grace=get(g + "DrainGrace"),
-        cold_units=get("FamilyInfo.ColdBears"), cold_start=get(g + "StartCapacity", float, 1.0),
-        cold_time=get(g + "Cold"), fall_multiple=get(g + "TipMultiple"), fall_window=get(g + "Fall"),
-        order_settle=get(g + "OrderSettle", float, 0.0), budget_floor=get(g + "ExtraFloor"),
-        budget_share=get(g + "ExtraPerRequest", float, 0.0),
-        budget_window=get(g + "CountedOver", float, 0.0))
-
-
 def read_entry(p: list[str]) -> io.NodeEntry:
     """One `NODE` line of a list."""
     if p[0] != "NODE":
@@ -195,7 +129,7 @@
             if not p[0]:
                 continue
             if kind == "NEW_INSTANCE":
-                fresh[p[1]] = read_settings(p[2], p[3:])
+                fresh[p[1]] = read_settings(int(p[2]), read_pairs(p[3:]))
                 events[p[1]] = []
             elif kind == "SHUTDOWN":
                 for table in (self.hosts, fresh, events):
@@ -228,7 +162,7 @@
     try:
         Wire(sys.stdin, sys.stdout).run()
     except (Malformed, UnicodeDecodeError) as error:
-        print(f"thornmount: {error}", file=sys.stderr)
+        print(f"mallowbeam: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,8 +6,8 @@
 
 from hypothesis import settings as hypothesis_settings
 
-from thornmount import Scheduler
-from thornmount import interface as io
+from mallowbeam import Scheduler
+from mallowbeam import interface as io
 
 hypothesis_settings.register_profile("ci", derandomize=True, max_examples=60, deadline=None)
 hypothesis_settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
--- a/tests/test_decide.py
+++ b/tests/test_control.py
@@ -5,7 +5,7 @@
 import pytest
 from conftest import Rig, of
 
-from thornmount import interface as io
+from mallowbeam import interface as io
 
 PROVEN = (io.Outcome.REJECTED, io.Outcome.NO_CONNECTION)
 UNPROVEN = (io.Outcome.TIMEOUT, io.Outcome.RESET, io.Outcome.CANCELLED, io.Outcome.ERROR)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -5,7 +5,7 @@
 import pytest
 from conftest import Rig, of
 
-from thornmount import interface as io
+from mallowbeam import interface as io
 
 
 def booked(cls: str = "read", plan: str = "gold", count: int = 1, shard: int | None = 0, **settings):
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from thornmount import interface as io
+from mallowbeam import interface as io
 
 LIMITED, BURST, SLACK = 20.0, 32.0, 8.0
 CLASSES = ("read", "log", "keyed", "ordered")
--- a/tests/test_adapter.py
+++ b/tests/test_wirehost.py
@@ -1,4 +1,4 @@
-"""The adapter on recorded text written for these tests."""
+"""The simulator host on recorded text written for these tests."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 import pytest
 
-from thornmount import adapter
+from mallowbeam import wirehost
 
 START = (
     "TICK 10.0\n"
@@ -23,7 +23,7 @@
 
 def talk(text: str) -> str:
     sink = text_io.StringIO()
-    adapter.Wire(text_io.StringIO(text), sink).run()
+    wirehost.Wire(text_io.StringIO(text), sink).run()
     return sink.getvalue()
 
 
@@ -45,7 +45,7 @@
 def test_an_exception_is_reported_as_broken(monkeypatch):
     def fail(self, now, events):
         raise RuntimeError("out of\nluck")
-    monkeypatch.setattr(adapter.Scheduler, "step", fail)
+    monkeypatch.setattr(wirehost.Scheduler, "step", fail)
     assert "BROKEN host/1 RuntimeError: out of luck" in talk(START)
 
 
@@ -60,7 +60,7 @@
     "NEW_REQUEST host/1 aa", "SETTLED host/1 aa x n S 0 0 0 0 -", "WHAT host/1", "PEERS_KNOWN host/1 odd 1 0",
     "NEW_INSTANCE host/2 nonsense", "NEW_INSTANCE host/2 3 pair"])
 def test_malformed_lines_end_the_adapter_with_a_plain_message(line):
-    run = subprocess.run([sys.executable, "-m", "thornmount.adapter"], input=f"TICK 1.0\n{line}\nEOF_BATCH\n",
-                         capture_output=True, text=True, check=False)
+    run = subprocess.run([sys.executable, "-m", "mallowbeam.wirehost"],
+                         input=f"TICK 1.0\n{line}\nEOF_BATCH\n", capture_output=True, text=True, check=False)
     assert run.returncode != 0
     assert line in run.stderr and "Traceback" not in run.stderr
