Guard drains, stalled stops and the watch; test the program, the facade and settings

Seen in a read-through: an attempt whose connection came up after its node drained was still sent (net/gateway.py, _attempt); a node missing from a whole list kept its address and idle connections (_listing); a half-sent request could hold a planned stop for 10 s (net/server.py, drain); an unforeseen fault while taking in a list would have ended the watch for good (net/discovery.py, _run). Each is guarded.

--- a/mallowbeam/__main__.py
+++ b/mallowbeam/__main__.py
@@ -16,7 +16,6 @@
 from mallowbeam.net.config import BadConfig, Config, read_address, read_config, read_file
 from mallowbeam.net.gateway import Gateway
 from mallowbeam.net.health import AgentConnection, Health
-from mallowbeam.net.http import MAX_BODY
 from mallowbeam.net.server import Connection, Server
 
 LOG_FORMAT = "{time:YYYY-MM-DD HH:mm:ss.SSS} {level} {message}"
@@ -31,14 +30,15 @@
     """The listening sockets: the platform's, and what the fronts file turns on; raises `BadConfig`."""
     config, servers = gateway.config, []
     room = int(config.sockets * CLIENT_SHARE)
-    objects = read_object_settings(fronts.get("objects", {}), gateway)
     try:
+        objects = read_object_settings(fronts.get("objects", {}), gateway)
         for name, front, connection in (("health", Health(gateway), Connection),
                                         ("agent_check", gateway, AgentConnection)):
             if listen := fronts.get(name, {}).get("listen"):
                 servers.append(Server(read_address(listen), front, WATCHER_CONNECTIONS, connection))
                 room -= WATCHER_CONNECTIONS
         if objects:
+            gateway.pool.max_body = max(gateway.pool.max_body, objects.max_body)
             room //= 2
             servers.append(Server(objects.listen, Objects(gateway, objects), room))
         servers.append(Server(config.listen, Platform(gateway), room))
@@ -51,8 +51,7 @@
 
 async def serve(config: Config, fronts: dict) -> None:
     """Run a gateway with its fronts until it is told to stop."""
-    max_body = max(MAX_BODY, int(fronts.get("objects", {}).get("max_body_bytes", 0)))
-    gateway = Gateway(config, max_body)
+    gateway = Gateway(config)
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, gateway.stop)
     await gateway.run(open_servers(gateway, fronts))
--- a/mallowbeam/net/discovery.py
+++ b/mallowbeam/net/discovery.py
@@ -24,7 +24,7 @@
 
 
 class Listing(NamedTuple):
-    """A list of nodes, or of changes to it, decoded; `addresses` by node id."""
+    """A list of nodes, or of changes to it, decoded; `addresses` of those that are up, by node id."""
 
     revision: int
     complete: bool
@@ -41,8 +41,8 @@
             node=str(member["id"]), state=state, shard=int(member.get("cell", 0)),
             zone=str(member.get("locality", "")), since=member.get("up_since_ms", 0) / 1000.0 or None,
             machine=str(member.get("flavor", "")), weight=float(member.get("size", 1.0))))
-        if address := member.get("host_port"):
-            addresses[str(member["id"])] = str(address)
+        if state is io.NodeState.READY:
+            addresses[str(member["id"])] = str(member["host_port"])
     return Listing(int(raw["revision"]), bool(raw["complete"]), entries, addresses)
 
 
@@ -67,6 +67,9 @@
                 self.told(listing)
         except (Unsent, Broken, TimeoutError, ValueError, KeyError, TypeError) as error:
             logger.warning("discovery call failed: {}", str(error) or type(error).__name__)
+        except Exception as error:
+            # Guards the watch itself: a fault with one list must not end the sight of all later ones.
+            logger.opt(exception=error).error("a list failed unforeseen")
         finally:
             if self.link is not None:
                 self.link.close()
--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -122,13 +122,13 @@
 class Gateway:
     """One gateway, from start to exit."""
 
-    def __init__(self, config: Config, max_body: int = MAX_BODY) -> None:
+    def __init__(self, config: Config) -> None:
         self.config, self.phase = config, Phase.STARTING
         # The wall clock says when nodes started; between two readings only the steady one may count.
         self.epoch = time.time() - time.monotonic()
         self.facade = Facade(config.settings, self.now())
         self.pool = Pool(int(config.sockets * NODE_SHARE), config.idle_limit, config.connect_timeout,
-                         max_body)
+                         MAX_BODY)
         self.watch = Watch(config.discovery, config.known.revision, self._told)
         self.addresses: dict[str, str] = {}
         self.exchanges: dict[str, Exchange] = {}
@@ -245,12 +245,15 @@
         call, link, written, kept = exchange.call, None, False, False
         left = exchange.deadline - started
         timeout = min(left, tried.timeout) if tried.timeout else left
-        address = self.addresses[tried.node]
+        address = self.addresses.get(tried.node, "")
         headers = [(b"host", address.encode()), *call.headers,
                    (b"x-deadline-ms", b"%d" % max(1, round(timeout * 1000)))]
         try:
             async with asyncio.timeout(timeout) as limit:
                 link = await self.pool.take(address)
+                # Guards the rule on draining: the list may have changed while the connection came up.
+                if self.addresses.get(tried.node) != address:
+                    return Outcome.NOT_SENT, None
                 await link.request(write_request(call.method, call.target, headers, len(call.body)),
                                    call.body, bodiless=call.method == b"HEAD")
                 written = True
@@ -330,10 +333,12 @@
             self._listing(listing, io.ListKind.FULL if listing.complete else io.ListKind.CHANGES)
 
     def _listing(self, listing: Listing, kind: io.ListKind) -> None:
+        told = {entry.node for entry in listing.entries}
+        for node, address in list(self.addresses.items()):
+            # Not up, not listed any more, or elsewhere: no idle connection there is of use.
+            if (node in told or kind is not io.ListKind.CHANGES) and listing.addresses.get(node) != address:
+                self.pool.forget(self.addresses.pop(node))
         self.addresses.update(listing.addresses)
-        for entry in listing.entries:
-            if entry.state is io.NodeState.GONE and entry.node in self.addresses:
-                self.pool.forget(self.addresses[entry.node])
         self._apply(self.facade.listed(self.now(), kind, listing.revision, listing.entries))
 
 
--- a/mallowbeam/net/server.py
+++ b/mallowbeam/net/server.py
@@ -227,11 +227,14 @@
         self.acceptor.cancel()
         await asyncio.gather(self.acceptor, return_exceptions=True)
         self.sock.close()
-        for connection in list(self.connections):
-            if connection.idle:
-                connection.task.cancel()
+        began = time.monotonic()
         while self.connections:
-            await asyncio.wait([connection.task for connection in self.connections])
+            for connection in self.connections:
+                # A request that has not come in whole was never taken; its client has a moment to finish it.
+                if connection.idle or connection.busy is None and time.monotonic() - began > LINGER:
+                    connection.task.cancel()
+            await asyncio.wait([c.task for c in self.connections], timeout=LINGER / 10,
+                               return_when=asyncio.FIRST_COMPLETED)
 
 
 def plain(status: int, text: str, close: bool, headers: list[tuple[bytes, bytes]] | None = None) -> bytes:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -182,7 +182,7 @@
         fronts = json.loads((EXAMPLE / "fronts.json").read_text())
         for front in fronts.values():
             front["listen"] = "127.0.0.1:0"
-        self.gateway = Gateway(configs.decode(raw, {}), fronts["objects"]["max_body_bytes"])
+        self.gateway = Gateway(configs.decode(raw, {}))
         servers = open_servers(self.gateway, fronts)
         self.health, self.agent, self.objects, self.platform = (s.address for s in servers)
         self.task = asyncio.create_task(self.gateway.run(servers))
--- /dev/null
+++ b/tests/test_facade.py
@@ -0,0 +1,84 @@
+"""The facade: plain values in and out, and nothing decided."""
+
+from __future__ import annotations
+
+import pytest
+from conftest import make_settings
+
+from mallowbeam import interface as io
+from mallowbeam.facade import NEVER, Facade, Verdict
+
+FIELDS = dict(cls="read", expires_in=1.2, shard=0, units=2, volume="v", plan="gold", hosts_of_volume=1)
+
+
+def facade(**settings) -> Facade:
+    made = Facade(make_settings(**settings), 100.0)
+    made.listed(100.0, io.ListKind.CACHED, 1, [io.NodeEntry("n0")])
+    return made
+
+
+def test_a_request_is_tried_and_its_answer_ends_it():
+    f = facade()
+    tried, = f.pick(100.0, "a", **FIELDS).tries
+    assert (tried.request, tried.number, tried.node) == ("a", 0, "n0")
+    orders = f.report(100.05, tried, io.Outcome.OK, 0.05)
+    assert not orders.tries and not orders.verdicts and f.held == 0
+
+
+def test_attempts_are_numbered_in_turn():
+    f = facade()
+    first, = f.pick(100.0, "a", **FIELDS).tries
+    orders = f.report(100.01, first, io.Outcome.ERROR, 0.01)
+    assert [tried.number for tried in orders.tries] == [1]
+
+
+def test_without_a_node_the_verdict_is_a_refusal_at_once():
+    f = Facade(make_settings(), 100.0)
+    verdict, = f.pick(100.0, "a", **FIELDS).verdicts
+    assert verdict.request == "a" and verdict.refused and verdict.retry_after > 0
+
+
+def test_a_write_that_may_have_run_fails():
+    f = facade()
+    tried, = f.pick(100.0, "a", **(FIELDS | {"cls": "log"})).tries
+    assert f.report(100.4, tried, io.Outcome.TIMEOUT, 0.4).verdicts == [Verdict("a", False, None)]
+
+
+def test_leaving_cancels_what_is_out():
+    f = facade()
+    f.pick(100.0, "a", **FIELDS)
+    assert f.leave(100.1, "a").cancels == [("a", 0)]
+    assert f.held == 0
+
+
+def test_a_tick_before_its_time_changes_nothing():
+    """Guards the module's one pending timer: taken early, it would never be set again."""
+    f = facade()
+    f.pick(100.0, "a", **FIELDS)
+    due = f.wake
+    assert 100.0 < due < NEVER
+    f.tick(due - 0.001)
+    assert f.wake == due
+    f.tick(due)
+    assert due < f.wake < NEVER
+
+
+def test_a_streamed_answer_that_breaks_off_gets_no_second_answer():
+    f = facade()
+    tried, = f.pick(100.0, "a", **FIELDS).tries
+    f.begun(100.1, tried, 0.1)
+    orders = f.report(100.2, tried, io.Outcome.RESET, 0.2)
+    assert not orders.verdicts and not orders.tries
+    assert not f.tick(102.0).verdicts
+
+
+def test_what_sockets_do_not_offer_is_an_error(monkeypatch):
+    f = facade()
+    monkeypatch.setattr(f._scheduler, "step", lambda now, events: [io.Probe("n0")])
+    with pytest.raises(TypeError):
+        f.pick(100.0, "a", **FIELDS)
+
+
+def test_a_watch_is_asked_for_where_discovery_must_be_asked():
+    f = Facade(make_settings(discovery_on_request=True), 100.0)
+    assert f.listed(100.0, io.ListKind.CACHED, 1, []).watch
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,114 @@
+"""The program as the platform starts it: configuration, signals, descriptors."""
+
+from __future__ import annotations
+
+import json
+import os
+import resource
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import pytest
+from scenario import EXAMPLE, free_port
+
+from mallowbeam.settings import flatten, read_pairs, read_settings
+
+PATIENCE = 20.0
+
+
+@contextmanager
+def program(tmp_path: Path, change: dict, files: int = 1024, fronts: str | None = None) -> Iterator:
+    """The program on a changed example configuration, and its listening address."""
+    port = free_port()
+    raw = json.loads((EXAMPLE / "config.json").read_text()) | {"listen": f"127.0.0.1:{port}"} | change
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(raw))
+    env = {**os.environ, "BALANCER_CONFIG": str(path)}
+    if fronts is not None:
+        (tmp_path / "fronts.json").write_text(fronts)
+        env["MALLOWBEAM_FRONTS"] = str(tmp_path / "fronts.json")
+    process = subprocess.Popen(
+        [sys.executable, "-m", "mallowbeam"], env=env, stderr=subprocess.PIPE, text=True,
+        preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (files, files)))
+    try:
+        yield process, ("127.0.0.1", port)
+    finally:
+        process.kill()
+        process.communicate()
+
+
+def connect(address: tuple[str, int]) -> socket.socket:
+    """A connection, as soon as the program listens."""
+    end = time.monotonic() + PATIENCE
+    while True:
+        try:
+            return socket.create_connection(address, timeout=PATIENCE)
+        except ConnectionRefusedError:
+            assert time.monotonic() < end, "the program never listened"
+            time.sleep(0.02)
+
+
+def healthy(sock: socket.socket) -> bool:
+    sock.sendall(b"GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n")
+    return sock.recv(4096).startswith(b"HTTP/1.1 200")
+
+
+def test_sigterm_ends_it_with_status_0(tmp_path):
+    with program(tmp_path, {}) as (process, address), connect(address) as sock:
+        assert healthy(sock)
+        process.send_signal(signal.SIGTERM)
+        with connect(address) as late:         # new connections are still taken for a while
+            late.sendall(b"GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n")
+            assert late.recv(4096).startswith(b"HTTP/1.1 503")
+        assert process.wait(PATIENCE) == 0
+        assert "Traceback" not in process.stderr.read()
+
+
+@pytest.mark.parametrize(("change", "fronts", "word"), [
+    ({"settings": {}}, None, "classes"), ({"known": {"members": 3}}, None, "malformed"),
+    ({"listen": "nowhere"}, None, "nowhere"), ({"listen": "192.0.2.1:80"}, None, "listen"),
+    ({"settings": None}, None, "malformed"), ({"discovery": "x"}, None, "address"),
+    ({}, "{", "fronts.json"), ({}, '{"health": {"listen": "x"}}', "fronts file"),
+    ({}, '{"objects": {"listen": "127.0.0.1:1"}}', "object front"), ({}, '{"objects": 3}', "fronts file")])
+def test_a_bad_configuration_ends_it_with_one_plain_line(tmp_path, change, fronts, word):
+    with program(tmp_path, change, fronts=fronts) as (process, _):
+        _, text = process.communicate(timeout=PATIENCE)
+    assert process.returncode == 2
+    assert text.startswith("mallowbeam: ") and word in text and text.count("\n") == 1
+
+
+def test_no_configuration_at_all():
+    env = {name: value for name, value in os.environ.items() if not name.startswith("BALANCER")}
+    run = subprocess.run([sys.executable, "-m", "mallowbeam"], env=env, capture_output=True, text=True,
+                         check=False)
+    assert run.returncode == 2 and run.stderr == "mallowbeam: BALANCER_CONFIG is not set\n"
+
+
+def test_descriptors_running_out_crash_nothing(tmp_path):
+    """The limit of the machine binds before the configured one: accepting pauses, held connections go on."""
+    with program(tmp_path, {}, files=40) as (process, address):
+        with connect(address) as first:
+            assert healthy(first)
+            crowd = [connect(address) for _ in range(60)]
+            assert healthy(first)
+            for sock in crowd:
+                sock.close()
+            with connect(address) as late:
+                assert healthy(late)
+        assert process.poll() is None
+
+
+def test_both_hosts_decode_the_same_settings():
+    raw = json.loads((EXAMPLE / "config.json").read_text())["settings"]
+    flat = flatten(raw)
+    assert read_settings(7, flat) == read_settings(7, read_pairs([f"{k}={v}" for k, v in flat.items()]))
+    settings = read_settings(7, flat)
+    assert settings.classes["new-write"].repeat_window == 4.0 and settings.shards == 2
+    assert settings.plans["bronze"].limit == 49.0 and settings.may_cancel and settings.discovery_on_request
+    assert flatten({"a": [1, True, None], "b": None}) == {"a": "1,true,-", "b": "-"}
