Bound held bodies, guard ids in use and HTTP/1.0 clients; test the agent line

Seen in a read-through: pipelined bodies of many clients could reach 180 MB of 192 (net/server.py, PIPELINED; fronts/platform.py now has a budget of 24 MiB); an id whose attempt was still out could be taken again and its outcomes mixed up (fronts/platform.py, read); an HTTP/1.0 client got chunks.

--- a/mallowbeam/facade.py
+++ b/mallowbeam/facade.py
@@ -55,6 +55,10 @@
         """How many requests are not over."""
         return len(self._attempts)
 
+    def knows(self, request: str) -> bool:
+        """Whether this id is in use: held, or over with an attempt still out."""
+        return request in self._scheduler.requests
+
     @property
     def nodes_open(self) -> int:
         """How many nodes take new work, as discovery last said."""
--- a/mallowbeam/fronts/objects.py
+++ b/mallowbeam/fronts/objects.py
@@ -319,9 +319,10 @@
 
         async def write(channel: Channel) -> bool:
             # Guards against an attempt that would wait for ever for a client that has gone.
+            chunked = size is None and request.message.version != "1.0"
             try:
-                await channel.send(write_head(status, headers, size, closing()))
-                return await copy(stream, channel, start, size)
+                await channel.send(write_head(status, headers, size, closing(), chunked))
+                return await copy(stream, channel, start, size, chunked)
             finally:
                 stream.close()
 
@@ -350,13 +351,16 @@
     return Error("InvalidRange", [(b"content-range", b"bytes */%d" % length)])
 
 
-async def copy(stream: Stream, channel: Channel, skip: int, size: int | None) -> bool:
-    """Write a stream's bytes from `skip` on: `size` of them, or in chunks to its end; False if it broke."""
+async def copy(stream: Stream, channel: Channel, skip: int, size: int | None, chunked: bool) -> bool:
+    """Write a stream's bytes from `skip` on: `size` of them, or all to its end.
+
+    False where the connection must end with it: it broke off, or only that marks its end.
+    """
     left = size
     while left is None or left > 0:
         piece = await stream.get()
         if piece is None:
-            if stream.broken or left is not None:
+            if stream.broken or not chunked:
                 return False
             await channel.send(b"0\r\n\r\n")
             return True
@@ -365,9 +369,9 @@
         data = memoryview(piece)[skipped:] if left is None else memoryview(piece)[skipped:skipped + left]
         if not data:
             continue
-        if left is None:
+        if chunked:
             await channel.send(b"%x\r\n%b\r\n" % (len(data), data))
         else:
-            left -= len(data)
+            left = None if left is None else left - len(data)
             await channel.send(data)
     return True
--- a/mallowbeam/fronts/platform.py
+++ b/mallowbeam/fronts/platform.py
@@ -7,12 +7,13 @@
 
 from mallowbeam.net.gateway import Answer, Call, Gateway, Kind
 from mallowbeam.net.health import page
-from mallowbeam.net.http import HOP_BY_HOP, MAX_BODY, Message, write_head
+from mallowbeam.net.http import HOP_BY_HOP, MAX_BODY, Budget, Message, write_head
 from mallowbeam.net.server import Reply, plain
 
 TARGET = re.compile(rb"/([^/?]+)/([0-9a-f]{16})/([0-9a-f]{16})(?:\?.*)?\Z")
 REQUEST_ID = re.compile(rb"[0-9a-f]{16}\Z")
 EXTENT = re.compile(rb"units=(\d{1,9}),shard=(-?\d{1,9}),hosts=(\d{1,9})\Z")
+HELD = 24 * 1024 * 1024     # bytes of bodies held at once, over all connections: memory is bounded
 MARGIN = 0.01               # seconds kept of a client's deadline for the way in and the way back
 MOST_MS = 3_600_000         # a deadline of over an hour is senseless
 FAILED = 502                # what a client is told of a failure: neither 429 nor 503, which would refuse
@@ -27,10 +28,10 @@
 class Platform:
     """Turns the platform's requests into calls and answers back."""
 
-    max_body, budget = MAX_BODY, None
+    max_body = MAX_BODY
 
     def __init__(self, gateway: Gateway) -> None:
-        self.gateway = gateway
+        self.gateway, self.budget = gateway, Budget(HELD)
 
     async def handle(self, request: Message, closing: Callable[[], bool]) -> Reply:
         """One request to its one answer."""
@@ -56,7 +57,7 @@
         if request.method not in (b"GET", b"PUT"):
             raise BadRequest("the method is neither GET nor PUT")
         request_id = headers.get(b"x-request-id", b"")
-        if not REQUEST_ID.match(request_id) or request_id.decode() in self.gateway.exchanges:
+        if not REQUEST_ID.match(request_id) or self.gateway.facade.knows(request_id.decode()):
             raise BadRequest("X-Request-Id is missing, malformed or in use")
         cls = settings.classes.get(headers.get(b"x-class", b"").decode("latin-1"))
         if cls is None or path[1] != headers[b"x-class"]:
--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -191,8 +191,8 @@
         """Get a call its one answer; cancelled when its client leaves."""
         expires = float(call.fields["expires_in"])
         exchange = self.exchanges[call.id] = Exchange(call, self.now() + expires)
-        self._apply(self.facade.pick(self.now(), call.id, **call.fields))
         try:
+            self._apply(self.facade.pick(self.now(), call.id, **call.fields))
             return await exchange.answer
         except asyncio.CancelledError:
             if exchange.answer.done() and not exchange.answer.cancelled():
--- a/mallowbeam/net/health.py
+++ b/mallowbeam/net/health.py
@@ -60,8 +60,8 @@
         return b"stopped\n"
     if not gateway.facade.nodes_open:
         return b"down #no node is open\n"
-    fullest = max((len(s.connections) / s.most for s in gateway.servers), default=0.0)
-    return b"up ready %d%%\n" % max(1, round(100 * (1.0 - fullest)))
+    used = sum(len(s.connections) for s in gateway.servers) / sum(s.most for s in gateway.servers)
+    return b"up ready %d%%\n" % max(1, round(100 * (1.0 - used)))
 
 
 class AgentConnection:
--- a/mallowbeam/net/http.py
+++ b/mallowbeam/net/http.py
@@ -34,13 +34,14 @@
 class Message:
     """A request or an answer."""
 
-    __slots__ = ("method", "target", "status", "headers", "body", "keep_alive", "whole", "until_close")
+    __slots__ = ("method", "target", "status", "headers", "body", "keep_alive", "whole", "until_close",
+                 "version")
 
     def __init__(self) -> None:
         self.method, self.target, self.status = b"", b"", 0
         self.headers: Headers = []             # names in lower case
         self.body = bytearray()
-        self.keep_alive, self.whole = True, False
+        self.keep_alive, self.whole, self.version = True, False, "1.1"
         self.until_close = False               # its end is the end of the connection
 
     def get(self, name: bytes) -> bytes | None:
@@ -131,7 +132,7 @@
             part.until_close = (length is None and part.get(b"transfer-encoding") is None
                                 and part.status not in (204, 304) and not self.bodiless)
         else:
-            part.method = self.parser.get_method()
+            part.method, part.version = self.parser.get_method(), self.parser.get_http_version()
         part.keep_alive = self.parser.should_keep_alive()
 
     def on_body(self, body: bytes) -> None:  # noqa: D102
@@ -204,13 +205,14 @@
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
-def write_head(status: int, headers: Headers, length: int | None, close: bool) -> bytes:
-    """An answer's start line and headers; without a length its body comes in chunks."""
+def write_head(status: int, headers: Headers, length: int | None, close: bool,
+               chunked: bool = True) -> bytes:
+    """An answer's start line and headers; a body without a length comes in chunks, or ends with the close."""
     lines = [b"HTTP/1.1 %d %b" % (status, REASONS.get(status, "Unknown").encode())]
     lines += [b"%b: %b" % header for header in headers]
     if length is not None:
         lines.append(b"content-length: %d" % length)
-    elif status not in (204, 304):
+    elif chunked and status not in (204, 304):
         lines.append(b"transfer-encoding: chunked")
     if close:
         lines.append(b"connection: close")
--- a/mallowbeam/net/server.py
+++ b/mallowbeam/net/server.py
@@ -17,7 +17,7 @@
 from mallowbeam.net.http import BadMessage, Budget, Channel, Framer, Message, write_head
 
 BACKLOG = 512
-PIPELINED = 4               # whole requests that may wait behind the one being answered
+PIPELINED = 2               # whole requests that may wait behind the one being answered
 STALLED = 10.0              # seconds in which a request must come in whole once begun, or an answer go out
 IDLE = 120.0                # seconds that a connection may lie idle
 LINGER = 1.0                # seconds given to a client to read the last answer before the close
@@ -67,7 +67,7 @@
                 if framer.part is not self.part:
                     self.part, self.since = framer.part, time.monotonic()
                 self._pump()
-                if framer.wants_continue():
+                if self.busy is None and framer.wants_continue():
                     await self.channel.send(b"HTTP/1.1 100 Continue\r\n\r\n")
                 while len(framer.ready) > PIPELINED:
                     self.room.clear()
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -71,6 +71,8 @@
                 await asyncio.Event().wait()
         except (OSError, asyncio.CancelledError):
             pass
+        if framer.part is not None and framer.part.until_close:
+            self.came.put_nowait((framer.part, writer))
         self.came.put_nowait(None)
 
     async def expect(self, patterns: list[str]) -> None:
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -250,6 +250,15 @@
     """)
 
 
+def test_an_old_client_gets_a_body_without_a_length_up_to_the_close():
+    play("""
+        o1 send raw 'GET /plates/a HTTP/1.0\\r\\nhost: x\\r\\n\\r\\n'
+        n0 expect GET
+        n0 send raw 'HTTP/1.1 200 OK\\r\\ntransfer-encoding: chunked\\r\\n\\r\\n3\\r\\nabc\\r\\n0\\r\\n\\r\\n'
+        o1 expect 200 'connection: close' '\\n\\nabc$'
+    """)
+
+
 def test_a_client_that_leaves_mid_download_frees_the_node_and_reads_are_held_back():
     """Back-pressure: of 32 MiB a node can hand over only what buffers hold while the client reads nothing."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+import re
+
 import pytest
-from scenario import play
+import uvloop
+from scenario import World, play
 
 READ = "GET /read/00000000000000aa/0000000000000001"
 
@@ -142,6 +146,29 @@
     """)
 
 
+def test_an_id_whose_attempt_is_still_out_is_turned_down():
+    """Guards the module's book-keeping: the outcome of the first request's attempt would be the second's."""
+
+    async def run() -> None:
+        async with World(Ceilings={"Cancel": False}) as world:
+            await world.play("""
+                c1 send read id=00000000000000ff
+                n0 expect GET
+                c1 close
+                wait 0.1
+                c2 send read id=00000000000000ff
+                c2 expect 400
+                n0 send 200 body=x
+                wait 0.1
+                c2 send read id=00000000000000ff
+                n0 expect GET
+                n0 send 200 body=y
+                c2 expect 200 y
+            """)
+
+    uvloop.run(run())
+
+
 def test_pipelined_requests_are_answered_in_turn():
     request = ("GET /read/00000000000000aa/0000000000000001 HTTP/1.1\\r\\nhost: x\\r\\nx-class: read\\r\\n"
                "x-storage-class: silver\\r\\nx-deadline-ms: 900\\r\\nx-extent: units=1,shard=0,hosts=1\\r\\n"
@@ -229,3 +256,31 @@
         h1 send GET /status
         h1 expect 200 '"nodes_open": 0'
     """)
+
+
+def test_the_agent_line_follows_the_phase_and_the_nodes():
+    """HAProxy reads one line up to its end: ready with a weight, down without nodes, drain when leaving."""
+
+    async def run() -> list[str]:
+        lines = []
+
+        async def ask(world: World) -> None:
+            reader, writer = await asyncio.open_connection(*world.agent)
+            lines.append((await reader.read()).decode())
+            writer.close()
+
+        async with World() as world:
+            await ask(world)
+            await world.play("""
+                d expect GET since
+                d send 200 'body={"revision":2,"complete":true,"members":[]}'
+                d expect GET since=2
+            """)
+            await ask(world)
+            await world.play("g close\nwait 0.05")
+            await ask(world)
+        return lines
+
+    ready, down, leaving = uvloop.run(run())
+    assert re.fullmatch(r"up ready \d+%\n", ready)
+    assert down.startswith("down ") and leaving == "up drain\n"
