Test the guards found in the read-throughs, and a stand-in that errs in every way

Ninety calls against two stand-ins that reset, cut short, stand still and turn away: one answer each, no part run twice.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -149,14 +149,15 @@
         cls, method = {"read": ("read", "GET"), "write": ("new-write", "PUT")}[first]
         values = dict(id=f"{self.number:08x}{self.count:08x}", cls=cls, plan="silver", volume=f"{0xaa:016x}",
                       key=f"{self.count:016x}", deadline="1200", units="1", shard="0", hosts="1")
-        values.update(word.split("=", 1) for word in rest if not word.startswith("body="))
+        own = [word for word in rest if word.startswith("body=") or ":" in word]
+        values.update(word.split("=", 1) for word in rest if word not in own)
         headers = ["host:test", f"x-request-id:{values['id']}", f"x-class:{values['cls']}",
                    f"x-storage-class:{values['plan']}", f"x-deadline-ms:{values['deadline']}",
                    f"x-extent:units={values['units']},shard={values['shard']},hosts={values['hosts']}"]
         if first == "write":
             headers.append(f"idempotency-key:key-{values['key']}")
         self.write(f"{method} /{cls}/{values['volume']}/{values['key']} HTTP/1.1",
-                   headers + [word for word in rest if word.startswith("body=")])
+                   headers + own)
 
 
 class World:
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -363,3 +363,85 @@
         assert not wanted
     else:
         assert list(range(start, end)) == wanted != []
+
+
+class Unsteady(toy.Handler):
+    """A stand-in that errs, by turns, in each way that a node can."""
+
+    ways = ("well", "turned away", "well", "error", "cut short", "well", "reset unread", "reset after",
+            "still")
+
+    def answer(self) -> None:
+        with self.server.store.lock:
+            self.server.turn += 1
+            way = self.ways[self.server.turn % len(self.ways)]
+        if way == "reset unread":
+            return self.reset()
+        if way in ("turned away", "error"):
+            self.rfile.read(int(self.headers.get("Content-Length") or 0))
+            self.send_response(503 if way == "turned away" else 500)
+            self.send_header("Content-Length", "0")
+            if way == "turned away":
+                self.send_header("X-Not-Run", "1")
+            self.end_headers()
+            return
+        if way == "still":
+            self.server.halt.wait(1.0)
+            return self.reset()
+        if way != "well":
+            self.wfile = Short(self.wfile, 40 if way == "cut short" else 0)
+        super().answer()
+        if way != "well":
+            self.reset()
+
+    do_GET = do_HEAD = do_PUT = do_POST = do_DELETE = answer
+
+    def reset(self) -> None:
+        """End the connection with nothing more."""
+        self.close_connection = True
+        self.connection.close()
+
+
+class Short:
+    """A file that takes in only the first bytes."""
+
+    def __init__(self, file, room: int) -> None:
+        self.file, self.room = file, room
+
+    def write(self, data: bytes) -> int:
+        self.file.write(data[:self.room])
+        self.room -= len(data[:self.room])
+        return len(data)
+
+    def __getattr__(self, name: str):
+        return getattr(self.file, name)
+
+
+def test_whatever_nodes_do_each_call_gets_one_answer_and_no_part_runs_twice(nodes):
+    for node in nodes:
+        node.RequestHandlerClass, node.turn, node.halt = Unsteady, 0, threading.Event()
+
+    async def call(world: World, method: str, path: str, body: bytes = b"") -> int:
+        reader, writer = await asyncio.open_connection(*world.objects)
+        writer.write(f"{method} {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\nx-deadline-ms: 700\r\n"
+                     f"content-length: {len(body)}\r\n\r\n".encode() + body)
+        async with asyncio.timeout(20):
+            data = await reader.read()
+        writer.close()
+        heads = re.findall(rb"^HTTP/1\.1 (\d+) ", data, re.MULTILINE)
+        # A download that had begun may end short, which the client can tell; anything else is whole.
+        assert len(heads) == 1, data
+        return int(heads[0])
+
+    async def run() -> list[int]:
+        async with World(servers=addresses(nodes)) as world:
+            calls = [call(world, "PUT", f"/plates/{key_at(i % 2)}-{i}", b"p" * 50) for i in range(60)]
+            calls += [call(world, "GET", f"/plates/{key_at(i % 2)}-{i}") for i in range(30)]
+            return await asyncio.gather(*calls)
+
+    statuses = uvloop.run(run())
+    for node in nodes:
+        node.halt.set()
+    assert set(statuses) <= {200, 404, 500, 503} and 200 in statuses and {500, 503} & set(statuses)
+    writes = [run for run in runs(nodes) if run.startswith("PUT")]
+    assert len(writes) == len(set(writes)) >= statuses[:60].count(200) > 0
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,6 +9,8 @@
 import uvloop
 from scenario import World, play
 
+from mallowbeam.net import gateway, server
+
 READ = "GET /read/00000000000000aa/0000000000000001"
 
 
@@ -284,3 +286,111 @@
     ready, down, leaving = uvloop.run(run())
     assert re.fullmatch(r"up ready \d+%\n", ready)
     assert down.startswith("down ") and leaving == "up drain\n"
+
+
+DRAINED = '{"revision":2,"complete":false,"members":[{"id":"n0","cell":0,"phase":"draining"}]}'
+
+
+def test_a_node_that_drains_while_a_connection_comes_up_gets_nothing():
+    """Guards the rule on draining where connecting takes longer than the grace."""
+
+    async def run() -> None:
+        async with World() as world:
+            gate, take = asyncio.Event(), world.gateway.pool.take
+
+            async def slow(address: str):
+                await gate.wait()
+                return await take(address)
+
+            world.gateway.pool.take = slow
+            await world.play(f"""
+                c1 send read
+                d expect GET since=1
+                d send 200 'body={DRAINED}'
+                d expect GET since=2
+            """)
+            gate.set()
+            await world.play("c1 expect 503\nn0 expect nothing")
+
+    uvloop.run(run())
+
+
+def test_idle_connections_to_a_node_that_is_listed_no_more_are_closed():
+    play("""
+        c1 send read
+        n0 expect GET
+        n0 send 200 body=x
+        c1 expect 200
+        d expect GET since=1
+        d send 200 'body={"revision":2,"complete":true,"members":[]}'
+        n0 expect end
+    """)
+
+
+def test_a_fault_with_one_list_does_not_end_the_watch():
+    async def run() -> None:
+        async with World() as world:
+            told, faults = world.gateway.watch.told, iter([RuntimeError("once")])
+
+            def faulty(listing) -> None:
+                for fault in faults:
+                    raise fault
+                told(listing)
+
+            world.gateway.watch.told = faulty
+            await world.play(f"""
+                d expect GET since=1
+                d send 200 'body={DRAINED}'
+                d expect GET since=2
+            """)
+
+    uvloop.run(run())
+
+
+def test_a_client_that_stalls_inside_a_request_gets_408_and_a_close(monkeypatch):
+    monkeypatch.setattr(server, "STALLED", 0.1)
+    monkeypatch.setattr(gateway, "SWEEP", 0.05)
+    play("""
+        c1 send raw 'GET / HTTP/1.1\\r\\nhost: x\\r\\n'
+        c1 expect 408
+        c1 expect end
+        c2 send read content-length:5
+        c2 expect 408
+        c2 expect end
+        n0 expect nothing
+    """)
+
+
+def test_a_request_that_never_comes_in_whole_does_not_hold_up_a_planned_stop():
+    play("""
+        c1 send raw 'GET / HTTP/1.1\\r\\n'
+        wait 0.05
+        g close
+        g expect end
+        c1 expect end
+    """)
+
+
+def test_a_fault_in_the_module_is_still_one_answer(monkeypatch):
+    """Guards the client: whatever goes wrong here, it gets a failure, and the next request is served."""
+
+    async def run() -> None:
+        async with World() as world:
+            pick = world.gateway.facade.pick
+
+            def faulty(*args, **fields):
+                world.gateway.facade.pick = pick
+                raise RuntimeError("once")
+
+            world.gateway.facade.pick = faulty
+            await world.play("""
+                c1 send read
+                c1 expect 500
+                c2 send read
+                n0 expect GET
+                n0 send 200 body=x
+                c2 expect 200
+            """)
+            assert not world.gateway.exchanges
+
+    uvloop.run(run())
