--- a/mallowbeam/net/discovery.py
+++ b/mallowbeam/net/discovery.py
@@ -77,7 +77,7 @@
         self.task = None
         self.told(None)
 
-    async def _call(self) -> bytes:
+    async def _call(self) -> bytearray:
         """One long poll over the kept connection."""
         if self.link is None:
             self.link = await connect(self.address, CONNECT_TIMEOUT, MAX_LIST)
--- a/mallowbeam/net/upstream.py
+++ b/mallowbeam/net/upstream.py
@@ -66,11 +66,11 @@
             answer.whole, answer.keep_alive = True, False
         self.channel.framer.ready.clear()
 
-    async def body(self, answer: Message) -> bytes:
+    async def body(self, answer: Message) -> bytearray:
         """The whole body of an answer."""
         while not answer.whole:
             await self.more(answer)
-        return bytes(answer.body)
+        return answer.body
 
     async def _more(self) -> None:
         if not await self._read():
