--- a/mallowbeam/net/server.py
+++ b/mallowbeam/net/server.py
@@ -202,7 +202,8 @@
                     self._evict()
                 self.connections.add(self.connection(self, sock))
                 while len(self.connections) > self.most:
-                    await asyncio.wait([c.task for c in self.connections], return_when=asyncio.FIRST_COMPLETED)
+                    await asyncio.wait([c.task for c in self.connections],
+                                       return_when=asyncio.FIRST_COMPLETED)
             except OSError as error:
                 # Guards against descriptors running out: those held go on, new clients wait in the backlog.
                 cannot_accept(error)
