Keep the sockets held within the limit, the program's own descriptors counted

Checked: a listing of the descriptors of an idle gateway shows 16 of its own, while 90% of the limit was dealt to connections (net/gateway.py, NODE_SHARE; __main__.py, CLIENT_SHARE): 57 + 16 > 64. At 1,024 there was room. Now 24 are set aside and the rest dealt out (net/config.py); fewer than 64 is a bad configuration.

--- a/mallowbeam/__main__.py
+++ b/mallowbeam/__main__.py
@@ -22,14 +22,13 @@
 
 
 FRONTS = Path(__file__).parent.parent / "deploy" / "fronts.json"  # the fronts beside the platform's
-CLIENT_SHARE = 0.55         # of the descriptors: connections of clients, over all fronts
-WATCHER_CONNECTIONS = 16    # of those, for each listener that only balancers ask
+WATCHER_CONNECTIONS = 8     # of those, for each listener that only balancers ask
 
 
 def open_servers(gateway: Gateway, fronts: dict) -> list[Server]:
     """The listening sockets: the platform's, and what the fronts file turns on; raises `BadConfig`."""
     config, servers = gateway.config, []
-    room = int(config.sockets * CLIENT_SHARE)
+    room = config.client_sockets
     try:
         objects = read_object_settings(fronts.get("objects", {}), gateway)
         for name, front, connection in (("health", Health(gateway), Connection),
--- a/mallowbeam/net/config.py
+++ b/mallowbeam/net/config.py
@@ -10,6 +10,12 @@
 from mallowbeam.net.discovery import Listing, read_listing
 from mallowbeam.settings import flatten, opt, read_settings
 
+# Guards against a crash over the limit on sockets: the program itself holds some 16 descriptors, each further
+# front two, and each listener may hold one more than its share while it lets another go.
+OWN_SOCKETS = 24
+NODE_SHARE = 0.4            # of the rest: connections to nodes; the others are for clients
+LEAST_SOCKETS = 64
+
 
 class BadConfig(Exception):
     """The configuration can't be used; the text says why, on one line."""
@@ -22,7 +28,8 @@
     name: str
     listen: tuple[str, int]
     discovery: str
-    sockets: int
+    node_sockets: int                          # connections to nodes, at most
+    client_sockets: int                        # connections of clients, at most, over all fronts
     known: Listing
     settings: io.Settings
     idle_limit: float | None
@@ -75,9 +82,13 @@
         raise ValueError("no classes in the settings")
     discovery = str(env.get("BALANCER_DISCOVERY") or raw["discovery"])
     read_address(discovery)
+    sockets = int(raw.get("limits", {}).get("sockets", 1024))
+    if sockets < LEAST_SOCKETS:
+        raise ValueError(f"fewer than {LEAST_SOCKETS} sockets")
+    node_sockets = int((sockets - OWN_SOCKETS) * NODE_SHARE)
     return Config(
         name=str(env.get("BALANCER_NAME") or raw["name"]),
         listen=read_address(env.get("BALANCER_LISTEN") or raw["listen"]), discovery=discovery,
-        sockets=int(raw.get("limits", {}).get("sockets", 1024)), known=read_listing(raw["known"]),
-        settings=settings, idle_limit=seconds("Ceilings.ConnIdle"),
+        node_sockets=node_sockets, client_sockets=sockets - OWN_SOCKETS - node_sockets,
+        known=read_listing(raw["known"]), settings=settings, idle_limit=seconds("Ceilings.ConnIdle"),
         connect_timeout=seconds("Ceilings.ConnectTimeout"))
--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -22,7 +22,6 @@
 from mallowbeam.net.server import Server
 from mallowbeam.net.upstream import Broken, Link, NoRoom, Pool, Unsent
 
-NODE_SHARE = 0.35           # of the descriptors: connections to nodes
 LAME_DUCK = 0.5             # seconds after SIGTERM in which new connections are still taken
 SWEEP = 1.0                 # seconds between looks at what has been idle or stalled
 SILENT = 10.0               # seconds without a byte after which a streamed answer has broken off
@@ -128,8 +127,7 @@
         # The wall clock says when nodes started; between two readings only the steady one may count.
         self.epoch = time.time() - time.monotonic()
         self.facade = Facade(config.settings, self.now())
-        self.pool = Pool(int(config.sockets * NODE_SHARE), config.idle_limit, config.connect_timeout,
-                         MAX_BODY)
+        self.pool = Pool(config.node_sockets, config.idle_limit, config.connect_timeout, MAX_BODY)
         self.watch = Watch(config.discovery, config.known.revision, self._told)
         self.addresses: dict[str, str] = {}
         self.exchanges: dict[str, Exchange] = {}
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -78,6 +78,7 @@
     ({"settings": {}}, None, "classes"), ({"known": {"members": 3}}, None, "malformed"),
     ({"listen": "nowhere"}, None, "nowhere"), ({"listen": "192.0.2.1:80"}, None, "listen"),
     ({"settings": None}, None, "malformed"), ({"discovery": "x"}, None, "address"),
+    ({"limits": {"sockets": 63}}, None, "sockets"),
     ({}, "{", "fronts.json"), ({}, '{"health": {"listen": "x"}}', "fronts file"),
     ({}, '{"objects": {"listen": "127.0.0.1:1"}}', "object front"), ({}, '{"objects": 3}', "fronts file")])
 def test_a_bad_configuration_ends_it_with_one_plain_line(tmp_path, change, fronts, word):
@@ -113,6 +114,18 @@
         assert process.communicate(timeout=PATIENCE)[1].count("cannot accept") <= 1
 
 
+def test_the_limit_on_sockets_is_kept(tmp_path):
+    """Guards against a gateway that is ended for one descriptor too many, as with 64 it once was."""
+    with program(tmp_path, {"limits": {"sockets": 64}}) as (process, address):
+        crowd = []
+        for _ in range(80):
+            crowd.append(connect(address))
+            assert healthy(crowd[-1])
+            assert len(os.listdir(f"/proc/{process.pid}/fd")) <= 64 - 16  # the rest is for nodes
+        for sock in crowd:
+            sock.close()
+
+
 def test_both_hosts_decode_the_same_settings():
     raw = json.loads((EXAMPLE / "config.json").read_text())["settings"]
     flat = flatten(raw)
