Refuse at once what comes beyond the last busy connection instead of leaving it waiting

Now one connection in eight is kept for refusals, 503 with Retry-After, and idle ones are let go first.

--- a/mallowbeam/fronts/platform.py
+++ b/mallowbeam/fronts/platform.py
@@ -18,6 +18,7 @@
 MOST_MS = 3_600_000         # a deadline of over an hour is senseless
 FAILED = 502                # what a client is told of a failure: neither 429 nor 503, which would refuse
 REFUSED = 503
+RETRY_AFTER = [(b"retry-after", b"0.3")]  # with a refusal that the module has no part in
 OWN_HEADERS = HOP_BY_HOP | {b"x-deadline-ms"}
 
 
@@ -46,7 +47,7 @@
 
     def complain(self, status: int, text: str) -> bytes:
         """The answer to what breaks HTTP or a bound."""
-        return plain(status, text, True)
+        return plain(status, text, True, RETRY_AFTER if status == REFUSED else None)
 
     def read(self, request: Message) -> Call:
         """A request's call; raises `BadRequest`."""
--- a/mallowbeam/net/health.py
+++ b/mallowbeam/net/health.py
@@ -69,7 +69,7 @@
 
     idle, busy = False, None
 
-    def __init__(self, server: Server, sock: socket.socket) -> None:
+    def __init__(self, server: Server, sock: socket.socket, _over: bool = False) -> None:
         self.server, self.sock = server, sock
         self.task = asyncio.create_task(self._run())
 
--- a/mallowbeam/net/server.py
+++ b/mallowbeam/net/server.py
@@ -18,6 +18,7 @@
 from mallowbeam.net.log import Sparse
 
 BACKLOG = 512
+SPARE = 8                   # one in so many connections is kept for refusing those beyond the others
 PIPELINED = 2               # whole requests that may wait behind the one being answered
 STALLED = 10.0              # seconds in which a request must come in whole once begun, or an answer go out
 IDLE = 120.0                # seconds that a connection may lie idle
@@ -46,8 +47,9 @@
 class Connection:
     """One client's connection: a task that reads, and while a request is held one that answers."""
 
-    def __init__(self, server: Server, sock: socket.socket) -> None:
+    def __init__(self, server: Server, sock: socket.socket, over: bool = False) -> None:
         self.server, front = server, server.front
+        self.over = over                       # no room for it: its request is refused at once
         self.channel = Channel(sock, Framer(answers=False, max_body=front.max_body, budget=front.budget))
         self.part: Message | None = None       # the request that is coming in
         self.since = time.monotonic()          # when that began, or the last answer went out
@@ -115,8 +117,12 @@
     async def _write(self, request: Message) -> bool:
         """Write the front's answer to a request; False if it broke off."""
         try:
-            reply = await self.server.front.handle(
-                request, lambda: self.server.closing or not request.keep_alive)
+            if self.over:
+                request.keep_alive = False
+                reply = self.server.front.complain(503, "too many connections")
+            else:
+                reply = await self.server.front.handle(
+                    request, lambda: self.server.closing or not request.keep_alive)
         except Exception as error:
             # Guards the client against a fault of ours: it still gets its one answer.
             logger.opt(exception=error).error("a request failed unforeseen")
@@ -174,6 +180,9 @@
     def __init__(self, address: tuple[str, int], front: Front, most: int,
                  connection: type = Connection) -> None:
         self.front, self.closing, self.most = front, False, most  # most: connections held at once
+        # Guards against requests lost in the backlog, where their clients count them as taken: the last few
+        # connections only refuse, at once, so that there is always room for one more.
+        self.spare = max(1, most // SPARE)
         self.connection = connection
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.sock = socket.socket(family, socket.SOCK_STREAM)
@@ -198,9 +207,7 @@
         while True:
             try:
                 sock, _ = await loop.sock_accept(self.sock)
-                if len(self.connections) >= self.most:
-                    self._evict()
-                self.connections.add(self.connection(self, sock))
+                self.connections.add(self.connection(self, sock, self._make_room()))
                 while len(self.connections) > self.most:
                     await asyncio.wait([c.task for c in self.connections],
                                        return_when=asyncio.FIRST_COMPLETED)
@@ -209,10 +216,15 @@
                 cannot_accept(error)
                 await asyncio.sleep(NO_DESCRIPTORS)
 
-    def _evict(self) -> None:
-        """Close the connection that has been idle longest, to make room."""
-        if idle := [c for c in self.connections if c.idle]:
+    def _make_room(self) -> bool:
+        """Where room is short close the connection idle longest; whether there is none left even so."""
+        room = self.most - self.spare
+        if len(self.connections) < room:
+            return False
+        idle = [c for c in self.connections if c.idle]
+        if idle:
             min(idle, key=lambda c: c.since).task.cancel()
+        return len(self.connections) - len(idle) >= room
 
     def sweep(self) -> None:
         """Look for connections that are idle or stalled for too long."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -241,6 +241,23 @@
     play(lines, sockets=120)
 
 
+def test_clients_beyond_the_last_busy_connection_are_refused_at_once():
+    """Guards the one final answer: what waits in the backlog is taken, and was lost at its deadline."""
+
+    async def run() -> None:
+        async with World(sockets=120) as world:
+            room = world.gateway.servers[-1].most - world.gateway.servers[-1].spare
+            world.gateway.submit = lambda call: asyncio.Event().wait()
+            await world.play("".join(f"c{i} send read\n" for i in range(room)) + "wait 0.1")
+            await world.play("".join(f"""
+                c{i} send read
+                c{i} expect 503 retry-after 'connection: close'
+                c{i} expect end
+            """ for i in range(room, room + 9)))
+
+    uvloop.run(run())
+
+
 def test_health_pages_and_the_agent_line_tell_the_true_state():
     gone = '{"revision":2,"complete":true,"members":[]}'
     play(f"""
