Let go only of connections that have had an answer and hold no unread request

Cause: an accepted connection whose request was not read yet counted as idle and was closed to make room (net/server.py, _make_room).

--- a/mallowbeam/net/health.py
+++ b/mallowbeam/net/health.py
@@ -67,7 +67,7 @@
 class AgentConnection:
     """One agent check: the line is written, then the connection ends."""
 
-    idle, busy = False, None
+    spare, busy = False, None
 
     def __init__(self, server: Server, sock: socket.socket, _over: bool = False) -> None:
         self.server, self.sock = server, sock
--- a/mallowbeam/net/server.py
+++ b/mallowbeam/net/server.py
@@ -54,7 +54,7 @@
         self.part: Message | None = None       # the request that is coming in
         self.since = time.monotonic()          # when that began, or the last answer went out
         self.busy: asyncio.Task | None = None
-        self.writing = self.closing = False
+        self.writing = self.closing = self.answered = False
         self.room = asyncio.Event()
         self.task = asyncio.create_task(self._run())
 
@@ -63,6 +63,16 @@
         """Whether nothing is coming in, held or going out."""
         return self.busy is None and self.channel.framer.empty
 
+    @property
+    def spare(self) -> bool:
+        """Whether it may be closed to make room.
+
+        Guards requests on their way in: a client that has just come is about to send one, and one that lies
+        unread in the socket is taken and would be lost with it.
+        """
+        return (self.idle and (self.answered or time.monotonic() - self.since > LINGER)
+                and not self.channel.stale())
+
     async def _run(self) -> None:
         framer = self.channel.framer
         try:
@@ -103,7 +113,7 @@
         except Exception as error:
             logger.opt(exception=error).error("a request failed unforeseen")
             whole, close = False, True
-        self.writing, self.busy, self.since = False, None, time.monotonic()
+        self.writing, self.busy, self.since, self.answered = False, None, time.monotonic(), True
         if self.channel.framer.empty:
             self.channel.framer.release()
         if not whole:
@@ -221,10 +231,10 @@
         room = self.most - self.spare
         if len(self.connections) < room:
             return False
-        idle = [c for c in self.connections if c.idle]
-        if idle:
-            min(idle, key=lambda c: c.since).task.cancel()
-        return len(self.connections) - len(idle) >= room
+        spare = [c for c in self.connections if c.spare]
+        if spare:
+            min(spare, key=lambda c: c.since).task.cancel()
+        return len(self.connections) - len(spare) >= room
 
     def sweep(self) -> None:
         """Look for connections that are idle or stalled for too long."""
@@ -245,7 +255,7 @@
         while self.connections:
             for connection in self.connections:
                 # A request that has not come in whole was never taken; its client has a moment to finish it.
-                if connection.idle or connection.busy is None and time.monotonic() - began > LINGER:
+                if connection.spare or connection.busy is None and time.monotonic() - began > LINGER:
                     connection.task.cancel()
             await asyncio.wait([c.task for c in self.connections], timeout=LINGER / 10,
                                return_when=asyncio.FIRST_COMPLETED)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -258,6 +258,30 @@
     uvloop.run(run())
 
 
+def test_a_connection_that_has_just_come_or_holds_an_unread_request_is_not_let_go():
+    """Guards requests that are taken but not read: closed to make room, their connections lost them."""
+
+    async def run() -> None:
+        async with World(sockets=120) as world:
+            await world.play("c1 send GET /healthz\nc1 expect 200")
+            connection, = world.gateway.servers[-1].connections
+            assert connection.spare
+            world.parties["c1"].raw("GET /healthz")
+            while not connection.channel.stale():  # the loop has not read it yet
+                await asyncio.sleep(0)
+                if not connection.idle:
+                    break
+            assert not connection.spare
+            _, writer = await asyncio.open_connection(*world.platform)
+            while len(world.gateway.servers[-1].connections) < 2:
+                await asyncio.sleep(0)
+            fresh, = world.gateway.servers[-1].connections - {connection}
+            assert fresh.idle and not fresh.spare
+            writer.close()
+
+    uvloop.run(run())
+
+
 def test_health_pages_and_the_agent_line_tell_the_true_state():
     gone = '{"revision":2,"complete":true,"members":[]}'
     play(f"""
