Test that a watch on a silent discovery is given up and begun again

The guard was there (net/discovery.py, OVERDUE); the test fails without it, as the second call never comes.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,7 +9,7 @@
 import uvloop
 from scenario import World, play
 
-from mallowbeam.net import gateway, server
+from mallowbeam.net import discovery, gateway, server
 
 READ = "GET /read/00000000000000aa/0000000000000001"
 
@@ -213,6 +213,17 @@
     """)
 
 
+def test_a_watch_that_never_answers_is_given_up_and_begun_again(monkeypatch):
+    """Guards against a discovery cut off without a word: the connection stays open and silent."""
+    monkeypatch.setattr(discovery, "WAIT", 0.1)
+    monkeypatch.setattr(discovery, "OVERDUE", 0.1)
+    play("""
+        d expect GET 'since=1&timeout_ms=100'
+        d expect end
+        d expect GET since=1
+    """)
+
+
 def test_a_planned_stop_answers_what_is_held_and_closes_connections():
     play("""
         c1 send read
