Read deadlines, cut ranges and place keys in one piece of code each

Seen in a last read: both fronts parsed X-Deadline-Ms and kept the margin by copies of their own, a range left to the gateway was cut in two places, a key was hashed twice, one pattern and one wrapper had no use.

--- a/mallowbeam/__main__.py
+++ b/mallowbeam/__main__.py
@@ -19,10 +19,8 @@
 from mallowbeam.net.server import Connection, Server
 
 LOG_FORMAT = "{time:YYYY-MM-DD HH:mm:ss.SSS} {level} {message}"
-
-
 FRONTS = Path(__file__).parent.parent / "deploy" / "fronts.json"  # the fronts beside the platform's
-WATCHER_CONNECTIONS = 8     # of those, for each listener that only balancers ask
+WATCHER_CONNECTIONS = 8     # of the clients' connections, for each listener that only balancers ask
 
 
 def open_servers(gateway: Gateway, fronts: dict) -> list[Server]:
--- a/mallowbeam/fronts/objects.py
+++ b/mallowbeam/fronts/objects.py
@@ -24,16 +24,14 @@
 
 from mallowbeam.fronts.ranges import Unsatisfiable, cut, span
 from mallowbeam.net.config import BadConfig, read_address
-from mallowbeam.net.gateway import Answer, Call, Gateway, Kind, Stream
+from mallowbeam.net.gateway import Answer, Call, Gateway, Kind, Stream, read_deadline, time_left
 from mallowbeam.net.http import HOP_BY_HOP, Budget, Channel, Headers, Message, write_head
 from mallowbeam.net.server import Reply
 
-MARGIN = 0.01               # seconds kept of a client's deadline for the way in and the way back
 MOST_MS = 86_400_000        # a deadline of over a day is senseless
 MOST_PARTS = 10_000
 MOST_KEY = 1024             # bytes of an object's name
 BUCKET = re.compile(r"[a-z0-9][a-z0-9.-]{1,61}[a-z0-9]\Z")
-REQUEST_ID = re.compile(r"[0-9A-Za-z._-]{1,64}\Z")
 # What concerns one connection, or the talk between gateway and node, is not passed on.
 OWN_REQUEST = HOP_BY_HOP | {b"x-deadline-ms", b"x-request-id", b"idempotency-key"}
 OWN_ANSWER = HOP_BY_HOP | {b"x-meter", b"x-delta", b"x-load", b"x-not-run", b"x-amz-request-id"}
@@ -155,11 +153,12 @@
             raise Error("NotImplemented")      # calls on buckets: what a bucket holds is spread over nodes
         if len(name) > MOST_KEY:
             raise Error("KeyTooLongError")
-        self.bucket, self.key = bucket.decode(), f"{crc32(bucket + b'/' + name):016x}"
+        place = crc32(bucket + b"/" + name)
+        self.bucket, self.key = bucket.decode(), f"{place:016x}"
         self.query = dict(parse_qsl(raw_query.decode("latin-1"), keep_blank_values=True))
         self.target = message.target
         self.upload: str | None = None         # the id that the client knows
-        self.shard = crc32(bucket + b"/" + name) % shards
+        self.shard = place % shards
         if "uploadId" in self.query:
             self.upload = self.query["uploadId"]
             self.shard, inner = unpack_upload(self.upload)
@@ -237,11 +236,10 @@
         """What goes to the module and to a node."""
         settings, known, headers = self.settings, self.gateway.config.settings, request.headers
         cls = known.classes[settings.read_class if request.reads else settings.write_class]
-        expires = cls.deadline
-        if (wait := headers.get(b"x-deadline-ms")) is not None:
-            if not wait.isdigit() or len(wait) > 8 or not 0 < int(wait) <= MOST_MS:
-                raise Error("InvalidArgument")
-            expires = int(wait) / 1000.0
+        wait = headers.get(b"x-deadline-ms")
+        deadline = cls.deadline if wait is None else read_deadline(wait, MOST_MS)
+        if deadline is None:
+            raise Error("InvalidArgument")
         passed = [header for header in request.message.headers if header[0] not in OWN_REQUEST]
         # A client's own key is kept, so that its own repeat is dropped too; else every attempt shares ours.
         token = headers.get(b"idempotency-key", request_id.encode())
@@ -251,7 +249,7 @@
         if not request.reads:
             passed.append((b"idempotency-key", token))
         fields = dict(
-            cls=cls.name, expires_in=max(0.001, expires - MARGIN), shard=request.shard,
+            cls=cls.name, expires_in=time_left(deadline), shard=request.shard,
             units=min(request.units, known.units_top), volume=request.bucket, key=request.key,
             plan=settings.plans.get(request.bucket, settings.plan), is_write=not request.reads)
         return Call(
@@ -272,12 +270,9 @@
         if request.method == b"HEAD":
             length = length_of(answer.headers)
             if answer.status == 200 and length is not None and (asked := request.headers.get(b"range")):
-                try:                           # a node that leaves ranges to us
-                    if piece := cut(asked, length):
-                        headers.append(range_of(*piece, length))
-                        return write_head(206, headers, piece[1] - piece[0], close)
-                except Unsatisfiable:
-                    raise out_of_range(length) from None
+                if piece := cut_here(asked, length):
+                    headers.append(range_of(*piece, length))
+                    return write_head(206, headers, piece[1] - piece[0], close)
             return write_head(answer.status, headers, length, close)
         if answer.status >= 400 and not body:
             code = CODE_OF.get(answer.status, "InvalidRequest")
@@ -308,13 +303,14 @@
         asked = request.headers.get(b"range")
         if status == 200 and length is not None and asked and b"if-range" not in request.headers:
             try:
-                if piece := cut(asked, length):
-                    start, end = piece
-                    status = 206
-                    headers.append(range_of(start, end, length))
-            except Unsatisfiable:
+                piece = cut_here(asked, length)
+            except Error:
                 stream.close()
-                raise out_of_range(length) from None
+                raise
+            if piece:
+                start, end = piece
+                status = 206
+                headers.append(range_of(start, end, length))
         size = None if end is None else end - start
 
         async def write(channel: Channel) -> bool:
@@ -346,9 +342,12 @@
     return b"content-range", b"bytes %d-%d/%d" % (start, end - 1, length)
 
 
-def out_of_range(length: int) -> Error:
-    """The error for a range outside the object."""
-    return Error("InvalidRange", [(b"content-range", b"bytes */%d" % length)])
+def cut_here(asked: bytes, length: int) -> tuple[int, int] | None:
+    """The piece asked of an object whose node left the range to us; raises `Error` outside it."""
+    try:
+        return cut(asked, length)
+    except Unsatisfiable:
+        raise Error("InvalidRange", [(b"content-range", b"bytes */%d" % length)]) from None
 
 
 async def copy(stream: Stream, channel: Channel, skip: int, size: int | None, chunked: bool) -> bool:
--- a/mallowbeam/fronts/platform.py
+++ b/mallowbeam/fronts/platform.py
@@ -5,7 +5,7 @@
 import re
 from collections.abc import Callable
 
-from mallowbeam.net.gateway import Answer, Call, Gateway, Kind
+from mallowbeam.net.gateway import Answer, Call, Gateway, Kind, read_deadline, time_left
 from mallowbeam.net.health import page
 from mallowbeam.net.http import HOP_BY_HOP, MAX_BODY, Budget, Message, write_head
 from mallowbeam.net.server import Reply, plain
@@ -14,7 +14,6 @@
 REQUEST_ID = re.compile(rb"[0-9a-f]{16}\Z")
 EXTENT = re.compile(rb"units=(\d{1,9}),shard=(-?\d{1,9}),hosts=(\d{1,9})\Z")
 HELD = 24 * 1024 * 1024     # bytes of bodies held at once, over all connections: memory is bounded
-MARGIN = 0.01               # seconds kept of a client's deadline for the way in and the way back
 MOST_MS = 3_600_000         # a deadline of over an hour is senseless
 FAILED = 502                # what a client is told of a failure: neither 429 nor 503, which would refuse
 REFUSED = 503
@@ -66,8 +65,8 @@
         plan = settings.plans.get(headers.get(b"x-storage-class", b"").decode("latin-1"))
         if plan is None:
             raise BadRequest("X-Storage-Class is missing or unknown")
-        wait = headers.get(b"x-deadline-ms", b"")
-        if not wait.isdigit() or not 0 < len(wait) < 8 or not 0 < int(wait) <= MOST_MS:
+        deadline = read_deadline(headers.get(b"x-deadline-ms", b""), MOST_MS)
+        if deadline is None:
             raise BadRequest("X-Deadline-Ms is missing or senseless")
         extent = EXTENT.match(headers.get(b"x-extent", b""))
         if extent is None:
@@ -77,7 +76,7 @@
             raise BadRequest("X-Extent is senseless")
         return Call(
             request_id.decode(), dict(
-                cls=cls.name, expires_in=max(0.001, int(wait) / 1000.0 - MARGIN),
+                cls=cls.name, expires_in=time_left(deadline),
                 shard=None if shard < 0 else shard, units=units, volume=path[2].decode(), plan=plan.name,
                 hosts_of_volume=hosts, key=path[3].decode(), is_retry=headers.get(b"x-retry") == b"1",
                 is_write=request.method == b"PUT"),
--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -27,6 +27,8 @@
 SILENT = 10.0               # seconds without a byte after which a streamed answer has broken off
 HELD_CHUNKS = 4             # pieces of a streamed answer that wait for a slow client
 
+MARGIN = 0.01               # seconds kept of a client's deadline for the way in and the way back
+
 NOT_RUN_STATUS = (503, 504)
 Outcome = io.Outcome
 
@@ -342,6 +344,18 @@
         self._apply(self.facade.listed(self.now(), kind, listing.revision, listing.entries))
 
 
+def read_deadline(value: bytes, most_ms: int) -> float | None:
+    """A client's deadline in seconds; None where it is senseless."""
+    if not value.isdigit() or len(value) > len(str(most_ms)) or not 0 < int(value) <= most_ms:
+        return None
+    return int(value) / 1000.0
+
+
+def time_left(deadline: float) -> float:
+    """What a deadline leaves for the call itself."""
+    return max(0.001, deadline - MARGIN)
+
+
 def read_meter(answer: Message | None) -> tuple[float | None, int]:
     """What an answer tells of the volume: its recent use, and its units served through other gateways."""
     used, elsewhere = None, 0
--- a/mallowbeam/net/upstream.py
+++ b/mallowbeam/net/upstream.py
@@ -50,7 +50,8 @@
         """The answer, its headers read and its body perhaps still coming; raises `Broken`."""
         framer = self.channel.framer
         while not framer.ready and (framer.part is None or framer.in_head):
-            await self._more()
+            if not await self._read():
+                raise Broken("the connection ended before the answer")
         answer = framer.ready.popleft() if framer.ready else framer.part
         if framer.bodiless:
             answer.whole = True
@@ -72,10 +73,6 @@
             await self.more(answer)
         return answer.body
 
-    async def _more(self) -> None:
-        if not await self._read():
-            raise Broken("the connection ended before the answer")
-
     async def _read(self) -> bool:
         try:
             return await self.channel.receive()
