Answer malformed HTTP at the object front with InvalidRequest, not BadDigest

Seen in a last read: the code for a bare 400 was the first of that status in the table, BadDigest (fronts/objects.py, ERRORS and CODE_OF), which nothing raised otherwise.

--- a/mallowbeam/fronts/objects.py
+++ b/mallowbeam/fronts/objects.py
@@ -41,15 +41,14 @@
            b"POST": {"uploads", "uploadId", "x-id"}}
 TOKEN = re.compile(rb"[\x21-\x7e]{1,256}\Z")
 
-# S3's error codes: status and words.
+# S3's error codes: status and words.  The first of a status stands for it where no closer code is known.
 ERRORS = {
-    "BadDigest": (400, "The Content-MD5 you specified did not match what we received."),
+    "InvalidRequest": (400, "Invalid request."),
     "EntityTooLarge": (413, "Your proposed upload exceeds the maximum allowed size."),
     "InternalError": (500, "We encountered an internal error. Please try again."),
     "InvalidArgument": (400, "Invalid argument."),
     "InvalidBucketName": (400, "The specified bucket is not valid."),
     "InvalidRange": (416, "The requested range is not satisfiable."),
-    "InvalidRequest": (400, "Invalid request."),
     "KeyTooLongError": (400, "Your key is too long."),
     "MethodNotAllowed": (405, "The specified method is not allowed against this resource."),
     "MissingContentLength": (411, "You must provide the Content-Length HTTP header."),
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -315,6 +315,14 @@
     """)
 
 
+def test_what_breaks_http_is_an_invalid_request():
+    """Guards the code for a bare status: malformed HTTP was called a bad digest."""
+    play("""
+        o1 send raw 'NONSENSE\\r\\n\\r\\n'
+        o1 expect 400 '<Code>InvalidRequest<'
+    """)
+
+
 def test_bodies_held_at_once_are_bounded():
     """Guards the memory limit: past the bound a body is turned down, and room returns with each answer."""
     part = "send PUT /plates/a content-length:8388608 fill=8388607"
