Follow discovery to its new address on SIGHUP instead of ending on it

Now the file is decoded first (a bad one: one log line, old values stay), its discovery goes before the environment's, the call in flight is given up and the whole list is asked at the new address at once. Ports, requests and module state stay.

--- a/mallowbeam/__main__.py
+++ b/mallowbeam/__main__.py
@@ -53,11 +53,13 @@
         exception=context.get("exception")).error("unforeseen: {}", context["message"]))
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, gateway.stop)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, gateway.reload, os.environ)
     await gateway.run(open_servers(gateway, fronts))
 
 
 def main() -> int:
     """Exit status: 0 after a planned stop, 2 where the configuration can't be used."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the gateway listens for it
     logger.remove()
     logger.add(sys.stderr, format=LOG_FORMAT, level="INFO", backtrace=False, diagnose=False)
     try:
--- a/mallowbeam/net/config.py
+++ b/mallowbeam/net/config.py
@@ -49,7 +49,7 @@
     try:
         with open(path, encoding="utf-8") as file:
             raw = json.load(file)
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise BadConfig(f"cannot read {path}: {error}") from None
     if not isinstance(raw, dict):
         raise BadConfig(f"{path} holds no JSON object")
@@ -66,10 +66,15 @@
         return decode(raw, env)
     except KeyError as error:
         raise BadConfig(f"{path} lacks {error}, or has an unknown word there") from None
-    except (ValueError, TypeError, AttributeError) as error:
+    except (ValueError, TypeError, AttributeError, OverflowError, RecursionError) as error:
         raise BadConfig(f"{path} is malformed: {error}") from None
 
 
+def read_again(env: Mapping[str, str]) -> Config:
+    """The configuration at a reload: discovery's address in the file goes before the environment's of old."""
+    return read_config({name: value for name, value in env.items() if name != "BALANCER_DISCOVERY"})
+
+
 def decode(raw: dict, env: Mapping[str, str]) -> Config:
     """The configuration's few values; the environment goes before the file."""
     flat = flatten(raw["settings"])
--- a/mallowbeam/net/discovery.py
+++ b/mallowbeam/net/discovery.py
@@ -1,6 +1,7 @@
 """The watch on discovery: a long poll, the next call right after the last answer.
 
-A failed call ends the watch and is told to the module, which alone decides when to watch again.
+A failed call ends the watch and is told to the module, which alone decides when to watch again.  A new
+configuration may name another address: the call in flight is given up and the watch goes on there at once.
 """
 
 from __future__ import annotations
@@ -13,7 +14,7 @@
 from loguru import logger
 
 from mallowbeam import interface as io
-from mallowbeam.net.http import write_request
+from mallowbeam.net.http import Message, write_request
 from mallowbeam.net.upstream import Broken, Link, Unsent, connect
 
 WAIT = 10.0                 # seconds that one call may wait for news
@@ -50,8 +51,8 @@
     """Follows the list of nodes while asked to."""
 
     def __init__(self, address: str, revision: int, told: Callable[[Listing | None], None]) -> None:
-        self.address, self.revision, self.told = address, revision, told
-        self.link: Link | None = None
+        self.address, self.told = address, told
+        self.revision: int | None = revision   # None: ask for the whole list first
         self.task: asyncio.Task | None = None
 
     def begin(self) -> None:
@@ -59,36 +60,50 @@
         if self.task is None or self.task.done():
             self.task = asyncio.create_task(self._run())
 
+    def move(self, address: str) -> None:
+        """Watch at another address from now on."""
+        if address == self.address:
+            return
+        # Guards against changes missed between the two: what is at the new address may count its lists anew.
+        self.address, self.revision = address, None
+        if self.task is not None:
+            self.task.cancel()
+            self.task = None
+        self.begin()
+
     async def _run(self) -> None:
+        link: Link | None = None
         try:
             while True:
-                listing = read_listing(json.loads(await self._call()))
+                if link is None:
+                    link = await connect(self.address, CONNECT_TIMEOUT, MAX_LIST)
+                answer = await self._call(link)
+                listing = read_listing(json.loads(answer.body))
                 self.revision = listing.revision
                 self.told(listing)
+                if not link.reusable(answer):
+                    link.close()
+                    link = None
         except (Unsent, Broken, TimeoutError, ValueError, KeyError, TypeError) as error:
             logger.warning("discovery call failed: {}", str(error) or type(error).__name__)
         except Exception as error:
             # Guards the watch itself: a fault with one list must not end the sight of all later ones.
             logger.opt(exception=error).error("a list failed unforeseen")
         finally:
-            if self.link is not None:
-                self.link.close()
-                self.link = None
+            if link is not None:
+                link.close()
         self.task = None
         self.told(None)
 
-    async def _call(self) -> bytearray:
-        """One long poll over the kept connection."""
-        if self.link is None:
-            self.link = await connect(self.address, CONNECT_TIMEOUT, MAX_LIST)
-        target = b"/v1/servers?since=%d&timeout_ms=%d" % (self.revision, WAIT * 1000)
+    async def _call(self, link: Link) -> Message:
+        """One long poll, or one call for the whole list, over a kept connection."""
+        target = b"/v1/servers"
+        if self.revision is not None:
+            target += b"?since=%d&timeout_ms=%d" % (self.revision, WAIT * 1000)
         async with asyncio.timeout(WAIT + OVERDUE):
-            await self.link.request(write_request(b"GET", target, [(b"host", self.address.encode())]))
-            answer = await self.link.head()
-            body = await self.link.body(answer)
+            await link.request(write_request(b"GET", target, [(b"host", self.address.encode())]))
+            answer = await link.head()
+            await link.body(answer)
         if answer.status != 200:
             raise Broken(f"status {answer.status}")
-        if not self.link.reusable(answer):
-            self.link.close()
-            self.link = None
-        return body
+        return answer
--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -15,7 +15,7 @@
 
 from mallowbeam import interface as io
 from mallowbeam.facade import NEVER, Facade, Orders, Try, Verdict
-from mallowbeam.net.config import Config
+from mallowbeam.net.config import BadConfig, Config, read_again
 from mallowbeam.net.discovery import Listing, Watch
 from mallowbeam.net.http import MAX_BODY, Headers, Message, write_request
 from mallowbeam.net.log import Sparse
@@ -170,6 +170,18 @@
         """SIGTERM: begin to leave."""
         self.stopping.set()
 
+    def reload(self, env: Mapping[str, str]) -> None:
+        """SIGHUP: from now on discovery is where the file says; all else in it counts from the next start.
+
+        Guards against a file that can't be used: it is decoded first, and changes nothing.
+        """
+        try:
+            config = read_again(env)
+        except BadConfig as error:
+            return logger.error("reload: old values stay: {}", error)
+        logger.info("reload: discovery at {}", config.discovery)
+        self.watch.move(config.discovery)
+
     @property
     def ready(self) -> bool:
         """Whether clients should be sent here."""
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -18,6 +18,7 @@
 import pytest
 from scenario import EXAMPLE, free_port
 
+from mallowbeam.net.config import read_again, read_config
 from mallowbeam.settings import flatten, read_pairs, read_settings
 
 PATIENCE = 20.0
@@ -134,3 +135,37 @@
     assert settings.classes["new-write"].repeat_window == 4.0 and settings.shards == 2
     assert settings.plans["bronze"].limit == 49.0 and settings.may_cancel and settings.discovery_on_request
     assert flatten({"a": [1, True, None], "b": None}) == {"a": "1,true,-", "b": "-"}
+
+
+def test_sighup_moves_the_watch_and_a_bad_file_changes_nothing(tmp_path):
+    """Guards against the signal's default action, which ends the program with all that it holds."""
+    old, new = socket.create_server(("127.0.0.1", 0)), socket.create_server(("127.0.0.1", 0))
+    addresses = ["{}:{}".format(*s.getsockname()) for s in (old, new)]
+    with old, new, program(tmp_path, {"discovery": addresses[0]}) as (process, address):
+        path = tmp_path / "config.json"
+        good = json.loads(path.read_text())
+        with connect(address) as sock, old.accept()[0] as watch:
+            watch.settimeout(PATIENCE)
+            assert healthy(sock) and watch.recv(4096).startswith(b"GET /v1/servers?since=")
+            for text in ("{", json.dumps(good | {"discovery": "nowhere"})):
+                path.write_text(text)
+                process.send_signal(signal.SIGHUP)
+                while "reload: old values stay" not in process.stderr.readline():
+                    assert process.poll() is None
+            path.write_text(json.dumps(good | {"discovery": addresses[1]}))
+            process.send_signal(signal.SIGHUP)
+            new.settimeout(PATIENCE)
+            with new.accept()[0] as moved:
+                assert moved.recv(4096).startswith(b"GET /v1/servers HTTP/1.1")
+                assert watch.recv(4096) == b""  # the call in flight is given up
+                assert healthy(sock)
+                process.send_signal(signal.SIGTERM)
+                assert process.wait(PATIENCE) == 0
+
+
+def test_at_a_reload_the_file_names_discovery_before_the_environment(tmp_path):
+    raw = json.loads((EXAMPLE / "config.json").read_text()) | {"discovery": "127.0.0.1:2"}
+    (tmp_path / "config.json").write_text(json.dumps(raw))
+    env = {"BALANCER_CONFIG": str(tmp_path / "config.json"), "BALANCER_DISCOVERY": "127.0.0.1:1"}
+    assert read_config(env).discovery == "127.0.0.1:1"
+    assert read_again(env).discovery == "127.0.0.1:2"
