Hold a node cold after two broken connections in a row, not after each single one

Each of some 100 connections reset in passing (closed right after an answer, reset under a request) made its node suspect and cold for 3 s (control._on_ended). Two in a row without an answer between now count; a process that ends still breaks all it has. Also: a keyed write that may have run was booked at other nodes, where _send bars it, and waited to its deadline.

--- a/mallowbeam/control.py
+++ b/mallowbeam/control.py
@@ -38,6 +38,7 @@
 PRICE_STEP = 0.5        # how far one request without a slot moves a node's price towards its worth
 CROWD = 0.3             # of the dearest unit: what one must be worth where waiting takes up the aim
 UNTOLD = 3.0            # seconds by which lists run late: so long a node not reached is taken for cold
+BREAKS = 2              # connections broken or refused in a row: one alone says little of its node
 COLD_PART = 0.4         # of the units that tip a cold node: replacements may be slower, demand uneven
 CAPACITY_DEALT = 0.9    # of a node's power is dealt out by weight (the users' terms)
 EPS = 2e-6              # seconds: a clock that counts in microseconds may round a timer down
@@ -121,6 +122,7 @@
         self.last_answer = self.held = sched.now  # held: nothing goes before this time
         self.sent_at = self.wake = -1e9
         self.suspect = False                   # silent or not reached
+        self.breaks = 0                        # connections broken or refused since the last answer
         self.cold_from = self.cold_until = -1e9  # its start, as told or presumed, and when it is warm
         self.cycle_at, self.cycle_used = sched.now, 0
         self.shares: dict[Volume, list[float]] = {}  # share level, filled at, last request
@@ -372,9 +374,7 @@
                 node.window = max(1.0, node.window * (1.0 - SHRINK))
             node.held = self.now + node.n_latency
         elif outcome in (io.Outcome.NO_CONNECTION, io.Outcome.RESET):
-            self._suspect(node)
-            if node.cold_until < self.now + UNTOLD:  # it may be back, and cold, before any list says so
-                node.cold_from, node.cold_until = self.now, self.now + UNTOLD
+            self._broke(node)
         if outcome not in NEVER_RAN:
             request.ran.append((node, attempt.sent_at))
         if outcome in MAY_STILL_RUN and request.cls.ordered and request.key:
@@ -390,11 +390,20 @@
 
     def _alive(self, node: Node) -> None:
         """An answer came; what the silence before it seemed to tell is forgotten."""
-        node.last_answer = self.now
+        node.last_answer, node.breaks = self.now, 0
         if node.suspect:
             node.suspect, node.weight, node.held = False, 0.0, self.now
             self.touched[node.id] = node
 
+    def _broke(self, node: Node) -> None:
+        """A connection broke or was refused: a node that ends breaks all of them, one that lives answers."""
+        node.breaks += 1
+        if node.breaks < BREAKS:
+            return
+        self._suspect(node)
+        if node.cold_until < self.now + UNTOLD:  # it may be back, and cold, before any list says so
+            node.cold_from, node.cold_until = self.now, self.now + UNTOLD
+
     def _suspect(self, node: Node) -> None:
         """No answers, or no connection: only a trickle goes there until one comes."""
         if not node.suspect:
@@ -437,6 +446,9 @@
         see the same idle node do not all turn to it.
         """
         nodes = self.open if request.shard is None else self.shards.get(request.shard, ())
+        if request.ran and request.cls.repeat is not io.Repeat.SAFE:
+            # Guards against a booking where it may never be sent: it would be held there to its deadline.
+            nodes = [node for node in nodes if self._may_repeat(request, node)]
         key = crc32((request.key or request.id).encode())
         best, least = None, 0.0
         for turn in range(min(CHOICES + 1, len(nodes))):
