Close silent, stalled and trickling clients within 2.5 s; let hung-up ones make room first

Seen: bad clients are owed a word or a close within 3 s of connecting; server.py gave 10 s (STALLED, counted from the last byte, so that a trickle had no end) and 120 s (IDLE, also for those that never sent). A body past its bound was read on for as long as it came at full speed.

--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -23,7 +23,7 @@
 from mallowbeam.net.upstream import Broken, Link, NoRoom, Pool, Spoilt, Unsent
 
 LAME_DUCK = 0.5             # seconds after SIGTERM in which new connections are still taken
-SWEEP = 1.0                 # seconds between looks at what has been idle or stalled
+SWEEP = 0.5                 # seconds between looks at what has been idle or stalled
 SILENT = 10.0               # seconds without a byte after which a streamed answer has broken off
 HELD_CHUNKS = 4             # pieces of a streamed answer that wait for a slow client
 
--- a/mallowbeam/net/health.py
+++ b/mallowbeam/net/health.py
@@ -67,7 +67,8 @@
 class AgentConnection:
     """One agent check: the line is written, then the connection ends."""
 
-    spare, busy = False, None
+    spare = closing = leaving = False
+    busy, since = None, 0.0
 
     def __init__(self, server: Server, sock: socket.socket, _over: bool = False) -> None:
         self.server, self.sock = server, sock
--- a/mallowbeam/net/server.py
+++ b/mallowbeam/net/server.py
@@ -9,7 +9,7 @@
 import asyncio
 import socket
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Protocol
 
 from loguru import logger
@@ -20,9 +20,13 @@
 BACKLOG = 512
 SPARE = 8                   # one in so many connections is kept for refusing those beyond the others
 PIPELINED = 2               # whole requests that may wait behind the one being answered
-STALLED = 10.0              # seconds in which a request must come in whole once begun, or an answer go out
-IDLE = 120.0                # seconds that a connection may lie idle
+STALLED = 2.0               # seconds in which a request must begin on a new connection, and then come in
+SLOWEST = 256 * 1024        # bytes of a body that are worth a second more
+UNREAD = 10.0               # seconds without a byte after which an answer has stopped going out
+IDLE = 10.0                 # seconds that a connection may lie idle after an answer
 LINGER = 1.0                # seconds given to a client to read the last answer before the close
+LINGER_BYTES = 256 * 1024   # and what is read of it meanwhile, at most
+FRESH = 0.25                # seconds in which a client that has just come begins, where room is short
 NO_DESCRIPTORS = 0.05       # seconds without accepting after descriptors ran out
 
 Reply = bytes | Callable[[Channel], Awaitable[bool]]
@@ -55,6 +59,7 @@
         self.since = time.monotonic()          # when that began, or the last answer went out
         self.busy: asyncio.Task | None = None
         self.writing = self.closing = self.answered = False
+        self.leaving = False                   # being closed to make room
         self.room = asyncio.Event()
         self.task = asyncio.create_task(self._run())
 
@@ -70,7 +75,9 @@
         Guards requests on their way in: a client that has just come is about to send one, and one that lies
         unread in the socket is taken and would be lost with it.
         """
-        return (self.idle and (self.answered or time.monotonic() - self.since > LINGER)
+        if self.closing:                       # it has had its last answer
+            return True
+        return (self.idle and (self.answered or time.monotonic() - self.since > FRESH)
                 and not self.channel.stale())
 
     async def _run(self) -> None:
@@ -146,6 +153,11 @@
         await self.channel.send(reply)
         return True
 
+    def leave(self) -> None:
+        """Close the connection now."""
+        self.closing = self.leaving = True
+        self.task.cancel()
+
     def _hang_up(self) -> None:
         """End our side; the client has a moment to read before the socket is closed."""
         self.closing = True
@@ -164,29 +176,36 @@
             await asyncio.wait([self.busy])
         if self.closing:
             return
-        channel = self.channel
+        self.closing, channel, left = True, self.channel, LINGER_BYTES
         try:
             async with asyncio.timeout(LINGER):
                 await channel.send(self.server.front.complain(status, text))
                 channel.sock.shutdown(socket.SHUT_WR)
-                while await channel.loop.sock_recv_into(channel.sock, channel.buffer):
-                    pass
+                while left > 0 and (count := await channel.loop.sock_recv_into(channel.sock, channel.buffer)):
+                    left -= count
         except (OSError, TimeoutError):
             pass
 
     def sweep(self, now: float) -> None:
         """Close a connection that has been idle or stalled for too long."""
-        framer = self.channel.framer
-        still = now - (self.since if self.idle or framer.in_head else self.channel.moved)
-        if self.idle and still > IDLE or self.writing and still > STALLED:
-            self.task.cancel()
-        elif self.busy is None and not self.idle and still > STALLED:
+        if self.writing:
+            if now - self.channel.moved > UNREAD:
+                self.task.cancel()
+        elif self.idle:
+            if now - self.since > (IDLE if self.answered else STALLED):
+                self.task.cancel()
+        elif self.busy is None and not self.closing and now - self.since > self._patience():
             try:                               # best effort: a stalled client may not read either
                 self.channel.sock.send(self.server.front.complain(408, "the request did not come in time"))
             except OSError:
                 pass
             self.task.cancel()
 
+    def _patience(self) -> float:
+        """Seconds that the request which is coming in may take, by what came: a trickle is no upload."""
+        part = self.channel.framer.part
+        return STALLED + (len(part.body) / SLOWEST if part else 0.0)
+
 
 class Server:
     """One listening address and the front behind it."""
@@ -208,6 +227,7 @@
             raise
         self.address = self.sock.getsockname()
         self.connections: set[Connection] = set()
+        self.crowded = Sparse("all connections are busy")
         self.acceptor: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -221,8 +241,13 @@
         while True:
             try:
                 sock, _ = await loop.sock_accept(self.sock)
-                self.connections.add(self.connection(self, sock, self._make_room()))
+                over = not self._make_room()
+                if over:
+                    self.crowded(f"{len(self.connections)} of {self.most}")
+                self.connections.add(self.connection(self, sock, over))
                 while len(self.connections) > self.most:
+                    # Guards those that wait to be accepted: what has had its last answer goes first.
+                    self._let_go(c for c in self.connections if c.closing) or self._let_go(self.connections)
                     await asyncio.wait([c.task for c in self.connections],
                                        return_when=asyncio.FIRST_COMPLETED)
             except OSError as error:
@@ -231,14 +256,18 @@
                 await asyncio.sleep(NO_DESCRIPTORS)
 
     def _make_room(self) -> bool:
-        """Where room is short close the connection idle longest; whether there is none left even so."""
-        room = self.most - self.spare
-        if len(self.connections) < room:
-            return False
-        spare = [c for c in self.connections if c.spare]
-        if spare:
-            min(spare, key=lambda c: c.since).task.cancel()
-        return len(self.connections) - len(spare) >= room
+        """Whether there is room for one more request, if need be that of a connection which may be closed."""
+        open_ones = [c for c in self.connections if not c.closing]
+        return len(open_ones) < self.most - self.spare or self._let_go(open_ones)
+
+    @staticmethod
+    def _let_go(among: Iterable[Connection]) -> bool:
+        """Close the one idle longest of those that may be closed; False if none may."""
+        for connection in sorted((c for c in among if not c.leaving), key=lambda c: c.since):
+            if connection.spare:
+                connection.leave()
+                return True
+        return False
 
     def sweep(self) -> None:
         """Look for connections that are idle or stalled for too long."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -495,20 +495,57 @@
     uvloop.run(run())
 
 
-def test_a_client_that_stalls_inside_a_request_gets_408_and_a_close(monkeypatch):
-    monkeypatch.setattr(server, "STALLED", 0.1)
+@pytest.mark.parametrize("front", ["c", "o"])
+def test_a_client_that_stalls_inside_a_request_gets_408_and_a_close(monkeypatch, front):
+    """Guards against requests that come in a trickle, or never: each held its connection for 10 s or more."""
+    monkeypatch.setattr(server, "STALLED", 0.2)
     monkeypatch.setattr(gateway, "SWEEP", 0.05)
-    play("""
-        c1 send raw 'GET / HTTP/1.1\\r\\nhost: x\\r\\n'
-        c1 expect 408
-        c1 expect end
-        c2 send read content-length:5
-        c2 expect 408
-        c2 expect end
+    drip = f"{front}2 send raw x\nwait 0.1\n"
+    play(f"""
+        {front}1 send raw 'GET / HTTP/1.1{NL}host: x{NL}'
+        {front}1 expect 408
+        {front}1 expect end
+        {front}2 send PUT /plates/a content-length:5
+        {drip * 5}
+        {front}2 expect 408
+        {front}2 expect end
         n0 expect nothing
     """)
 
 
+@pytest.mark.parametrize("front", ["c", "o"])
+def test_a_client_that_says_nothing_is_closed_long_before_one_that_has_been_answered(monkeypatch, front):
+    """Guards the descriptors: connections opened by the hundred lay there for two minutes."""
+    monkeypatch.setattr(server, "STALLED", 0.2)
+    monkeypatch.setattr(gateway, "SWEEP", 0.05)
+    play(f"""
+        {front}1 send GET /_/other
+        {front}1 expect 400
+        {front}2 send raw ''
+        {front}2 expect end
+        {front}1 send GET /_/other
+        {front}1 expect 400
+    """)
+
+
+@pytest.mark.parametrize("front", ["c", "o"])
+def test_what_follows_a_request_that_is_too_large_is_read_for_a_while_only(monkeypatch, front):
+    """Guards the core: a client that sends 60 MB at full speed was read for as long as it went on."""
+    monkeypatch.setattr(server, "LINGER", 60.0)
+
+    async def run() -> None:
+        async with World() as world:
+            await world.play(f"{front}1 send raw 'PUT /a/b HTTP/1.1{NL}content-length: 60000000{NL}{NL}'\n"
+                             f"{front}1 expect 413")
+            writer = world.parties[f"{front}1"].writer
+            with pytest.raises(ConnectionError):
+                for _ in range(512):           # 32 MB: far more than the sockets hold between them
+                    writer.write(b"x" * 65536)
+                    await writer.drain()
+
+    uvloop.run(run())
+
+
 def test_a_request_that_never_comes_in_whole_does_not_hold_up_a_planned_stop():
     play("""
         c1 send raw 'GET / HTTP/1.1\\r\\n'
