Keep new objects away from a node that answers mostly with errors

Always idle, it seemed to have the earliest hole for new objects (control._finish), and a keyed write that failed there may be tried again only there; attempts tried again used up the cycle's slots (cycle_used). Errors on other nodes are 0.1%, so the share of errors of late tells it apart. Ruled out: reads, which have no other node; its errors are independent (76, 80, 80, 79% by attempt), so all four tries stay.

--- a/mallowbeam/control.py
+++ b/mallowbeam/control.py
@@ -39,6 +39,7 @@
 CROWD = 0.3             # of the dearest unit: what one must be worth where waiting takes up the aim
 UNTOLD = 3.0            # seconds by which lists run late: so long a node not reached is taken for cold
 BREAKS = 2              # connections broken or refused in a row: one alone says little of its node
+FAULTY = 0.3            # share of errors from which a node counts as failing: single ones are all in a day
 COLD_PART = 0.4         # of the units that tip a cold node: replacements may be slower, demand uneven
 CAPACITY_DEALT = 0.9    # of a node's power is dealt out by weight (the users' terms)
 EPS = 2e-6              # seconds: a clock that counts in microseconds may round a timer down
@@ -123,11 +124,17 @@
         self.sent_at = self.wake = -1e9
         self.suspect = False                   # silent or not reached
         self.breaks = 0                        # connections broken or refused since the last answer
+        self.faults = 0.0                      # share of its answers of late that were errors
         self.cold_from = self.cold_until = -1e9  # its start, as told or presumed, and when it is warm
         self.cycle_at, self.cycle_used = sched.now, 0
         self.shares: dict[Volume, list[float]] = {}  # share level, filled at, last request
         self.weights, self.weights_at, self.price, self.price_at = 0.0, -1e9, 0.0, sched.now
 
+    @property
+    def fails(self) -> bool:
+        """Whether it answers, and mostly with errors."""
+        return self.faults > FAULTY
+
     def refresh(self) -> None:
         """Let answers fade with time, so that few a second weigh as they should: recent or not at all."""
         now = self.sched.now
@@ -364,6 +371,10 @@
                                                request.volume.reserve_level - event.elsewhere)
         if outcome in ALIVE:
             self._alive(node)
+            failed = outcome is io.Outcome.ERROR
+            node.faults += SMOOTH * (failed - node.faults)
+            if failed and node.fails and attempt.sent_at >= node.cycle_at:
+                node.cycle_used -= request.units  # no slot: what is sent again must not use up the cycle
         if outcome in (io.Outcome.OK, io.Outcome.TIMEOUT, io.Outcome.CANCELLED):
             # Silence is no slot time: what is given up on at a silent node teaches nothing.
             if outcome is io.Outcome.OK or not node.suspect:
@@ -463,7 +474,9 @@
         if node.suspect or self._is_cold(node):
             return 60.0 + node.silence(self.now, self.cycle)
         ahead = sum(entry[2].units for entry in node.queue) + node.out_units + units - node.window
-        return max(0.0, ahead) * node.slot() + node.serve_time(units, self.now, self.cycle)
+        # Guards new objects against a node that fails them at once, and so always seems to have a hole.
+        return (max(0.0, ahead) * node.slot() + node.serve_time(units, self.now, self.cycle)
+                + (10 * self.cycle if node.fails else 0.0))
 
     def _value(self, node: Node) -> None:
         """What each booking's units are worth now: inside the reserve, inside the share by weight, or spare.
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -333,6 +333,22 @@
         assert of(rig.step(rig.request(plan="silver", volume="s")), io.Send)
 
 
+def test_new_objects_keep_away_from_a_node_that_fails_at_once():
+    """Guards against a node that answers everything with an error: always idle, it drew all new objects."""
+    rig = Rig(nodes=2, max_attempts=4)
+    for _ in range(3):                         # reads must go there, and are tried again
+        sends = of(rig.step(rig.request(units=1, shard=0)), io.Send)
+        for attempt in range(4):
+            sends = of(rig.step(rig.ended(sends[0], io.Outcome.ERROR, attempt), after=0.001), io.Send)
+    assert rig.host.nodes["n0"].fails
+    assert rig.host.nodes["n0"].cycle_used < 12, "what fails at once takes no slot"
+    sends = [of(rig.step(rig.request("log", units=1, shard=None, volume="w")), io.Send) for _ in range(4)]
+    assert {send.node for sent in sends for send in sent} == {"n1"}
+    while rig.host.nodes["n0"].fails:
+        send, = of(rig.step(rig.request(units=1, shard=0)), io.Send)
+        rig.step(rig.ended(send), after=0.05)
+
+
 def test_a_keyed_write_that_may_have_run_is_booked_where_it_may_run_again():
     """Guards against a booking that can't be sent: it waited at another node until its deadline."""
     rig = Rig(nodes=8)
