Forget ids that never come back, bound odd clients, count resets little towards a node's end

Checked with a log of each attempt by node: 10 to 20% of attempts were reset at every node alike while others were answered, so two breaks in a row came up every few seconds, and each held a node cold for 3 s (control._broke); most refusals were units beyond the reserve. Now six broken connections in a row count as an end, a refused one as three; one that is reset while a request is written was reached, and is reported as not sent (gateway._attempt). Read off the code and shown by tests: nodes, volumes and timers were never forgotten; full_time took any deadline; the first request of a volume alone told its plan and hosts; a watch that failed often was begun again only after up to 5 s, while drains count as told after 4 to 6; all headers of a client reached nodes, twice if it liked.

--- a/mallowbeam/control.py
+++ b/mallowbeam/control.py
@@ -10,7 +10,7 @@
 import random
 from bisect import insort
 from collections import OrderedDict, deque
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from itertools import islice
 from math import exp
 from zlib import crc32
@@ -33,12 +33,15 @@
 CHOICES, HOLE = 6, 1.25  # other nodes looked at for a new object; how much later the hashed one may be
 LOOK = 0.1              # of a cycle: how often a node with work waiting or out is looked at again
 ACTIVE = 2.0            # seconds for which a volume counts in the sharing of a node after its last request
-WATCH_AGAIN = 0.5       # seconds to the first repeat of a failed call to discovery; doubled after each
+FORGET = 30.0           # seconds after which what a volume has drawn says nothing any more
+WATCH_AGAIN = 0.5       # seconds to the first repeat of a failed call to discovery; later ones twice that:
+                        # what discovery has to tell counts as told within seconds, whether it came or not
 PRICE_LASTS = 2.0       # seconds: surges come and go within seconds, and so must what they make slots worth
 PRICE_STEP = 0.5        # how far one request without a slot moves a node's price towards its worth
 CROWD = 0.3             # of the dearest unit: what one must be worth where waiting takes up the aim
 UNTOLD = 3.0            # seconds by which lists run late: so long a node not reached is taken for cold
-BREAKS = 2              # connections broken or refused in a row: one alone says little of its node
+BREAKS = 6              # broken connections in a row after which a node counts as ended: on some days one
+REFUSAL = 3             # in five breaks; a connection refused or never up, as after an end, counts for more
 FAULTY = 0.3            # share of errors from which a node counts as failing: single ones are all in a day
 COLD_PART = 0.4         # of the units that tip a cold node: replacements may be slower, demand uneven
 CAPACITY_DEALT = 0.9    # of a node's power is dealt out by weight (the users' terms)
@@ -111,7 +114,7 @@
 
     def __init__(self, entry: io.NodeEntry, sched: Scheduler) -> None:
         self.id, self.shard, self.zone, self.since = entry.node, entry.shard, entry.zone, entry.since
-        self.open = False                      # listed as ready
+        self.open = self.gone = False          # listed as ready; listed no more
         self.queue: list[tuple[float, int, Request]] = []  # bookings not sent, by aim
         self.out_units = 0
         self.out: OrderedDict[tuple[str, int], Attempt] = OrderedDict()
@@ -205,7 +208,7 @@
         self.shards: dict[int, list[Node]] = {}  # open nodes only
         self.open: list[Node] = []
         self.requests: dict[str, Request] = {}
-        self.volumes: dict[str, Volume] = {}
+        self.volumes: dict[tuple[str, str], Volume] = {}  # by name and plan
         self.full_time: dict[str, float] = {}  # class: the longest time that a try came with
         self.chains: dict[str, deque[Request]] = {}  # ordered keys: requests in the order taken
         self.rests: dict[str, float] = {}      # ordered keys: when an attempt that may still run is settled
@@ -244,6 +247,7 @@
         if passed < 1.0:
             return
         self.surveyed = self.now
+        self._tidy()
         known = sorted(node.mean for node in self.nodes.values()
                        if not node.suspect and node.weight * exp((node.fresh_at - self.now) / MEMORY) > 0.1)
         # With few answers the median fades to the lowest: one that stood would shut every node for good.
@@ -253,6 +257,22 @@
             self.floor = min(self.floor * (1.0 + CREEP * passed), known[len(known) // 4])
             self.slope = self.floor / self.settings.usual_units
 
+    def _tidy(self) -> None:
+        """Guards memory: forget ids that may never come back, and timers of requests that are over.
+
+        No rule gets looser: a volume's limit store begins at its bottom, a node's start is told by the list.
+        """
+        now = self.now
+        for name in [name for name, volume in self.volumes.items()
+                     if not volume.pending and now - volume.at > FORGET]:
+            del self.volumes[name]
+        for node in [node for node in self.nodes.values()
+                     if node.gone and not node.out and not node.queue and now > node.cold_until]:
+            del self.nodes[node.id]
+        if len(self.timers) > 2 * (len(self.requests) + len(self.nodes)) + 1000:
+            self.timers = [entry for entry in self.timers if not getattr(entry[2], "done", False)]
+            heapify(self.timers)
+
     def _at(self, when: float, what: Node | Request | str) -> None:
         """Come back to a node, a request, a key or (empty text) discovery at some time."""
         self.seq += 1
@@ -266,7 +286,8 @@
         while self.timers and self.timers[0][0] <= due:
             what = heappop(self.timers)[2]
             if isinstance(what, Node):
-                self.touched[what.id] = what
+                if self.nodes.get(what.id) is what:  # else forgotten meanwhile
+                    self.touched[what.id] = what
             elif isinstance(what, Request):
                 if not what.done and not what.streaming:
                     self._end(what)
@@ -277,15 +298,19 @@
 
     def _on_request(self, event: io.RequestArrived) -> None:
         cls = self.settings.classes.get(event.cls) or io.RequestClass(event.cls, aim=event.expires_in)
-        volume = self.volumes.get(event.volume)
+        hosts = max(1, event.hosts_of_volume or self.settings.hosts)
+        volume = self.volumes.get((event.volume, event.plan))
         if volume is None:
             plan = self.settings.plans.get(event.plan) or io.Plan(event.plan)
-            hosts = max(1, event.hosts_of_volume or self.settings.hosts)
-            volume = self.volumes[event.volume] = Volume(plan, hosts, self.settings, self.now)
+            volume = self.volumes[event.volume, event.plan] = Volume(plan, hosts, self.settings, self.now)
+        # Guards the limit against one client that names another plan or fewer hosts for the same volume.
+        volume.hosts = max(volume.hosts, hosts)
         self.seq += 1
-        # A client's further try has less time left than a first one, and its aim runs from the first.
-        full = self.full_time[cls.name] = max(self.full_time.get(cls.name, 0.0), event.expires_in)
-        request = Request(event, cls, volume, self.now, self.seq, full - event.expires_in)
+        # A client's further try has less time left than a first one, and its aim runs from the first.  Guards
+        # against an odd client, whose hours would make all others late: nobody waits longer than the class says.
+        expires = min(event.expires_in, cls.deadline)
+        full = self.full_time[cls.name] = max(self.full_time.get(cls.name, 0.0), expires)
+        request = Request(event, cls, volume, self.now, self.seq, full - expires)
         self.requests[request.id] = request
         if self.settings.budget_floor is not None:
             self.taken.append(self.now)
@@ -301,7 +326,7 @@
             # Guards against losing sight of the nodes: ask again, spaced out and jittered so that hosts
             # which lost discovery together do not return together.
             self.watch_failures += 1
-            wait = WATCH_AGAIN * 2 ** min(self.watch_failures - 1, 4) * (0.5 + self.random.random())
+            wait = WATCH_AGAIN * min(self.watch_failures, 2) * (0.5 + self.random.random())
             self._at(self.now + min(wait, (self.settings.ask_every or wait) / 2), "")
             return
         if event.kind is not io.ListKind.CACHED:
@@ -310,15 +335,19 @@
         if event.kind is not io.ListKind.CHANGES:
             for node in self.nodes.values():
                 if node.id not in named:
+                    node.gone = True
                     self._close(node)
         for entry in event.entries:
             node = self.nodes.get(entry.node)
             fresh = node is None
-            if fresh:
-                node = self.nodes[entry.node] = Node(entry, self)
             if entry.state is not io.NodeState.READY:
-                self._close(node)
+                if not fresh:
+                    node.gone = entry.state is io.NodeState.GONE
+                    self._close(node)
                 continue
+            if fresh:
+                node = self.nodes[entry.node] = Node(entry, self)
+            node.gone = False
             if not node.open:
                 node.open = True
                 self.shards.setdefault(entry.shard, []).append(node)
@@ -350,7 +379,7 @@
         request = self.requests.get(event.request)
         if request is not None:
             request.streaming = True
-            self._alive(self.nodes[event.node])
+            self._alive(request.out[event.attempt].node)
 
     def _on_gone(self, event: io.ClientGone) -> None:
         request = self.requests.get(event.request)
@@ -385,7 +414,7 @@
                 node.window = max(1.0, node.window * (1.0 - SHRINK))
             node.held = self.now + node.n_latency
         elif outcome in (io.Outcome.NO_CONNECTION, io.Outcome.RESET):
-            self._broke(node)
+            self._broke(node, REFUSAL if outcome is io.Outcome.NO_CONNECTION else 1)
         if outcome not in NEVER_RAN:
             request.ran.append((node, attempt.sent_at))
         if outcome in MAY_STILL_RUN and request.cls.ordered and request.key:
@@ -406,9 +435,9 @@
             node.suspect, node.weight, node.held = False, 0.0, self.now
             self.touched[node.id] = node
 
-    def _broke(self, node: Node) -> None:
+    def _broke(self, node: Node, weight: int) -> None:
         """A connection broke or was refused: a node that ends breaks all of them, one that lives answers."""
-        node.breaks += 1
+        node.breaks += weight
         if node.breaks < BREAKS:
             return
         self._suspect(node)
--- a/mallowbeam/fronts/objects.py
+++ b/mallowbeam/fronts/objects.py
@@ -106,6 +106,8 @@
     for name in (settings.plan, *settings.plans.values()):
         if name not in known.plans:
             raise BadConfig(f"the object front names an unknown plan: {name}")
+    if settings.held > gateway.config.memory // 2:
+        raise BadConfig("the object front may hold more than half of the memory")
     if settings.unit_bytes < 1 or settings.max_body < 1 or settings.held < settings.max_body:
         raise BadConfig("the object front's sizes are senseless")
     return settings
--- a/mallowbeam/fronts/platform.py
+++ b/mallowbeam/fronts/platform.py
@@ -5,12 +5,14 @@
 import re
 from collections.abc import Callable
 
+from mallowbeam.interface import Repeat
 from mallowbeam.net.gateway import Answer, Call, Gateway, Kind, read_deadline, time_left
 from mallowbeam.net.health import page
-from mallowbeam.net.http import HOP_BY_HOP, MAX_BODY, Budget, Message, write_head
+from mallowbeam.net.http import MAX_BODY, Budget, Message, write_head
 from mallowbeam.net.server import Reply, plain
 
-TARGET = re.compile(rb"/([^/?]+)/([0-9a-f]{16})/([0-9a-f]{16})(?:\?.*)?\Z")
+TARGET = re.compile(rb"/([^/?]+)/([0-9a-f]{16})/([0-9a-f]{16})(?:\?[\x21-\x7e]{0,1024})?\Z")
+TOKEN = re.compile(rb"[\x21-\x7e]{1,256}\Z")
 REQUEST_ID = re.compile(rb"[0-9a-f]{16}\Z")
 EXTENT = re.compile(rb"units=(\d{1,9}),shard=(-?\d{1,9}),hosts=(\d{1,9})\Z")
 HELD = 24 * 1024 * 1024     # bytes of bodies held at once, over all connections: memory is bounded
@@ -18,7 +20,10 @@
 FAILED = 502                # what a client is told of a failure: neither 429 nor 503, which would refuse
 REFUSED = 503
 RETRY_AFTER = [(b"retry-after", b"0.3")]  # with a refusal that the module has no part in
-OWN_HEADERS = HOP_BY_HOP | {b"x-deadline-ms"}
+# Guards nodes against what they might not read, and close on: only what the protocol names is passed on.
+PASSED_ON = frozenset((b"x-request-id", b"x-class", b"x-storage-class", b"x-extent", b"x-retry",
+                       b"idempotency-key", b"content-type"))
+SINGLE = PASSED_ON | {b"x-deadline-ms"}    # and each at most once: readers may differ on which counts
 
 
 class BadRequest(Exception):
@@ -31,7 +36,7 @@
     max_body = MAX_BODY
 
     def __init__(self, gateway: Gateway) -> None:
-        self.gateway, self.budget = gateway, Budget(HELD)
+        self.gateway, self.budget = gateway, Budget(min(HELD, gateway.config.memory // 8))
 
     async def handle(self, request: Message, closing: Callable[[], bool]) -> Reply:
         """One request to its one answer."""
@@ -50,7 +55,9 @@
 
     def read(self, request: Message) -> Call:
         """A request's call; raises `BadRequest`."""
-        settings, headers = self.gateway.config.settings, dict(reversed(request.headers))
+        settings, headers = self.gateway.config.settings, dict(request.headers)
+        if sum(name in SINGLE for name, _ in request.headers) > sum(name in SINGLE for name in headers):
+            raise BadRequest("a header of the protocol comes twice")
         path = TARGET.match(request.target)
         if path is None:
             raise BadRequest("the path is not /class/volume/data")
@@ -62,6 +69,13 @@
         cls = settings.classes.get(headers.get(b"x-class", b"").decode("latin-1"))
         if cls is None or path[1] != headers[b"x-class"]:
             raise BadRequest("X-Class is missing, unknown or not the path's")
+        if cls.writes is not None and cls.writes != (request.method == b"PUT"):
+            raise BadRequest("the method is not the class's")
+        if request.method == b"GET" and request.body:
+            raise BadRequest("a read has no body")
+        # Guards against effects doubled: without a key, a second attempt would not be dropped as a repeat.
+        if not TOKEN.match(headers.get(b"idempotency-key", b"" if cls.repeat is Repeat.KEYED else b"-")):
+            raise BadRequest("Idempotency-Key is missing or malformed")
         plan = settings.plans.get(headers.get(b"x-storage-class", b"").decode("latin-1"))
         if plan is None:
             raise BadRequest("X-Storage-Class is missing or unknown")
@@ -72,15 +86,15 @@
         if extent is None:
             raise BadRequest("X-Extent is missing or malformed")
         units, shard, hosts = (int(part) for part in extent.groups())
-        if not 1 <= units <= settings.units_top or shard < -1 or hosts < 1:
+        if not 1 <= units <= settings.units_top or shard < -1 or not 1 <= hosts <= settings.hosts:
             raise BadRequest("X-Extent is senseless")
         return Call(
             request_id.decode(), dict(
-                cls=cls.name, expires_in=time_left(deadline),
+                cls=cls.name, expires_in=time_left(min(deadline, cls.deadline)),
                 shard=None if shard < 0 else shard, units=units, volume=path[2].decode(), plan=plan.name,
                 hosts_of_volume=hosts, key=path[3].decode(), is_retry=headers.get(b"x-retry") == b"1",
                 is_write=request.method == b"PUT"),
-            request.method, request.target, [h for h in request.headers if h[0] not in OWN_HEADERS],
+            request.method, request.target, [h for h in request.headers if h[0] in PASSED_ON],
             request.body)
 
     @staticmethod
--- a/mallowbeam/interface.py
+++ b/mallowbeam/interface.py
@@ -69,6 +69,7 @@
     repeat_window: float = 0.0
     streamed: bool = False
     ordered: bool = False
+    writes: bool | None = None                 # None where the settings don't tell
 
 
 @dataclass(slots=True, frozen=True)
--- a/mallowbeam/net/config.py
+++ b/mallowbeam/net/config.py
@@ -30,6 +30,7 @@
     discovery: str
     node_sockets: int                          # connections to nodes, at most
     client_sockets: int                        # connections of clients, at most, over all fronts
+    memory: int                                # bytes that the program may use
     known: Listing
     settings: io.Settings
     idle_limit: float | None
@@ -90,10 +91,13 @@
     sockets = int(raw.get("limits", {}).get("sockets", 1024))
     if sockets < LEAST_SOCKETS:
         raise ValueError(f"fewer than {LEAST_SOCKETS} sockets")
+    memory = int(raw.get("limits", {}).get("memory_mb", 192)) * 1024 * 1024
+    if memory <= 0:
+        raise ValueError("no memory")
     node_sockets = int((sockets - OWN_SOCKETS) * NODE_SHARE)
     return Config(
         name=str(env.get("BALANCER_NAME") or raw["name"]),
         listen=read_address(env.get("BALANCER_LISTEN") or raw["listen"]), discovery=discovery,
         node_sockets=node_sockets, client_sockets=sockets - OWN_SOCKETS - node_sockets,
-        known=read_listing(raw["known"]), settings=settings, idle_limit=seconds("Ceilings.ConnIdle"),
-        connect_timeout=seconds("Ceilings.ConnectTimeout"))
+        memory=memory, known=read_listing(raw["known"]), settings=settings,
+        idle_limit=seconds("Ceilings.ConnIdle"), connect_timeout=seconds("Ceilings.ConnectTimeout"))
--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -258,8 +258,13 @@
 
     def _try(self, tried: Try) -> None:
         """Start an attempt; however its task ends, even before its first step, one report follows."""
-        started = self.now()
-        task = asyncio.create_task(self._attempt(tried, self.exchanges[tried.request], started))
+        started, exchange = self.now(), self.exchanges.get(tried.request)
+        if exchange is None:
+            # Guards the report of an attempt: whatever went wrong, the module must not count it as out.
+            logger.error("an attempt for a request that is not held")
+            self._apply(self.facade.report(started, tried, Outcome.NOT_SENT, 0.0))
+            return
+        task = asyncio.create_task(self._attempt(tried, exchange, started))
         self.tasks[tried.request, tried.number] = task
         task.add_done_callback(lambda done: self._ended(tried, started, done))
 
@@ -296,7 +301,8 @@
             self.no_room(error)
             return Outcome.NOT_SENT, None
         except Unsent:
-            return Outcome.NO_CONNECTION, None
+            # Guards a node that lives: one that took the connection was reached, and says no more by a reset.
+            return (Outcome.NO_CONNECTION if link is None else Outcome.NOT_SENT), None
         except Spoilt as error:
             # Guards a node that lives against being taken for a dead one: it has run this and answers others.
             self.spoilt(error)
--- a/mallowbeam/settings.py
+++ b/mallowbeam/settings.py
@@ -68,13 +68,15 @@
     def items(path: str) -> Iterator[str]:
         return (f"{path}.{i}." for i in range(get(f"{path}.count", int, 0)))
 
+    writes = dict(enumerate(map(flag, get("FamilyInfo.ClassWrites", lambda text: text.split(","), []))))
     classes = [io.RequestClass(
         name=get(p + "Name", str, ""), worth=get(p + "Credit", float, 1.0), aim=get(p + "OnTime", float, 1.0),
         deadline=get(p + "HardLimit", float, 1.0), late_worth=get(p + "LateWorth", float, 0.0),
         repeat=io.Repeat(get(p + "Idempotency", str, "unsafe")),
         scope=get(p + "KeyScope", SCOPES.__getitem__, io.Scope.ALL),
         repeat_window=get(p + "Window", float, 0.0), streamed=get(p + "Stream", flag, False),
-        ordered=get(p + "InOrder", flag, False)) for p in items("Classes")]
+        ordered=get(p + "InOrder", flag, False), writes=writes.get(i))
+        for i, p in enumerate(items("Classes"))]
     plans = [io.Plan(
         name=get(p + "Name", str, ""), rate=get(p + "Nominal", float, 0.0),
         reserve=get(p + "Reservation", float, 0.0), weight=get(p + "Shares", float, 1.0),
