Take answers of up to 4 MB whole; give up what stops short or is passed over, and try again

Now answers are taken whole up to 4 MB (less where memory is small) within a budget over all; without a byte for a fifth of the aim inside a body, the attempt has failed; one that its node has passed over for five times the expected time is cancelled and sent again where that can have no second effect; a request without attempts left is answered at once.

--- a/mallowbeam/control.py
+++ b/mallowbeam/control.py
@@ -33,6 +33,7 @@
 CHOICES, HOLE = 6, 1.25  # other nodes looked at for a new object; how much later the hashed one may be
 LOOK = 0.1              # of a cycle: how often a node with work waiting or out is looked at again
 ACTIVE = 2.0            # seconds for which a volume counts in the sharing of a node after its last request
+STUCK = 5.0             # times the expected time after which an attempt passed over by later ones is given up
 FORGET = 30.0           # seconds after which what a volume has drawn says nothing any more
 WATCH_AGAIN = 0.5       # seconds to the first repeat of a failed call to discovery; later ones twice that:
                         # what discovery has to tell counts as told within seconds, whether it came or not
@@ -76,10 +77,11 @@
 class Attempt:
     """One attempt that is out."""
 
-    __slots__ = ("request", "number", "node", "sent_at")
+    __slots__ = ("request", "number", "node", "sent_at", "stuck")
 
     def __init__(self, request: Request, number: int, node: Node, now: float) -> None:
         self.request, self.number, self.node, self.sent_at = request, number, node, now
+        self.stuck = False                     # given up on while the node answers later ones
 
 
 class Volume:
@@ -126,6 +128,7 @@
         self.last_answer = self.held = sched.now  # held: nothing goes before this time
         self.sent_at = self.wake = -1e9
         self.suspect = False                   # silent or not reached
+        self.answered = -1e9                   # when the latest sent of those that it answered went out
         self.breaks = 0                        # connections broken or refused since the last answer
         self.faults = 0.0                      # share of its answers of late that were errors
         self.cold_from = self.cold_until = -1e9  # its start, as told or presumed, and when it is warm
@@ -400,13 +403,14 @@
                                                request.volume.reserve_level - event.elsewhere)
         if outcome in ALIVE:
             self._alive(node)
+            node.answered = max(node.answered, attempt.sent_at)
             failed = outcome is io.Outcome.ERROR
             node.faults += SMOOTH * (failed - node.faults)
             if failed and node.fails and attempt.sent_at >= node.cycle_at:
                 node.cycle_used -= request.units  # no slot: what is sent again must not use up the cycle
         if outcome in (io.Outcome.OK, io.Outcome.TIMEOUT, io.Outcome.CANCELLED):
             # Silence is no slot time: what is given up on at a silent node teaches nothing.
-            if outcome is io.Outcome.OK or not node.suspect:
+            if outcome is io.Outcome.OK or not node.suspect and not attempt.stuck:
                 self._learn(node, request.units, self.now - attempt.sent_at, outcome is not io.Outcome.OK)
         elif outcome is io.Outcome.REJECTED:
             # Guards against a full queue, whoever filled it: fewer out there, and a pause of a round trip.
@@ -422,12 +426,31 @@
         if event.finished and not request.done:
             self._end(request, owed=False)
         elif not request.done and not request.out:
-            if outcome in MAY_STILL_RUN and outcome is not io.Outcome.RESET or not self._may_repeat(request):
+            again = outcome is io.Outcome.RESET or attempt.stuck
+            if (outcome in MAY_STILL_RUN and not again or not self._may_repeat(request)
+                    or self._tried_out(request)):  # booked, it would only wait for its deadline
                 self._end(request)
             else:
                 self._book(request)
         self._forget(request)
 
+    def _free_stuck(self, node: Node) -> None:
+        """Give up on attempts that the node has passed over for long, as long as another can meet the aim.
+
+        Guards against connections that fall silent while their node lives: it takes requests in turn, so one
+        that stays out far beyond the time of its size, with later ones answered, is not coming back.
+        """
+        for attempt in node.out.values():
+            request = attempt.request
+            if attempt.sent_at >= node.answered:
+                break
+            time = node.serve_time(request.units, self.now, self.cycle)
+            if (not attempt.stuck and not request.done and not request.streaming
+                    and request.cls.repeat is not io.Repeat.UNSAFE and not self._tried_out(request)
+                    and self.now - attempt.sent_at > STUCK * time and self.now + time < request.aim_at):
+                attempt.stuck = True
+                self.actions.append(io.Cancel(request.id, attempt.number))
+
     def _alive(self, node: Node) -> None:
         """An answer came; what the silence before it seemed to tell is forgotten."""
         node.last_answer, node.breaks = self.now, 0
@@ -552,6 +575,8 @@
         """Lay out a node's bookings in its cycles, send what is due, refuse what has no slot."""
         if node.open and node.silence(self.now, self.cycle) > SILENT * self.cycle:
             self._suspect(node)
+        if self.settings.may_cancel:
+            self._free_stuck(node)
         node.queue = [entry for entry in node.queue if not entry[2].done]
         if not node.open:
             self._rebook(node, lambda request: True)
@@ -681,6 +706,10 @@
         return node is None or cls.scope is io.Scope.ALL or (
             node.zone == first.zone if cls.scope is io.Scope.ZONE else node.shard == first.shard)
 
+    def _tried_out(self, request: Request) -> bool:
+        """Whether no attempt of a request is left."""
+        return self.settings.max_attempts is not None and request.tries >= self.settings.max_attempts
+
     def _has_turn(self, request: Request) -> bool:
         """Order by key: only the oldest that is not over, and only once the key has rested."""
         if not request.cls.ordered or not request.key:
@@ -690,10 +719,9 @@
 
     def _send(self, request: Request, node: Node) -> bool:
         """The one way out to a node.  Every rule on sending is checked here."""
-        s = self.settings
         if (request.done or request.out or not node.open or request.deadline <= self.now
                 or request.shard is not None and request.shard != node.shard
-                or s.max_attempts is not None and request.tries >= s.max_attempts
+                or self._tried_out(request)
                 or not self._may_repeat(request, node) or not self._has_turn(request)
                 or self._cold_bars(node, request)
                 or request.tries and not self._budget_left()):
--- a/mallowbeam/fronts/platform.py
+++ b/mallowbeam/fronts/platform.py
@@ -17,6 +17,7 @@
 EXTENT = re.compile(rb"units=(\d{1,9}),shard=(-?\d{1,9}),hosts=(\d{1,9})\Z")
 HELD = 24 * 1024 * 1024     # bytes of bodies held at once, over all connections: memory is bounded
 MOST_MS = 3_600_000         # a deadline of over an hour is senseless
+STANDSTILL = 0.2            # of the aim: nodes write their small answers in one go
 FAILED = 502                # what a client is told of a failure: neither 429 nor 503, which would refuse
 REFUSED = 503
 RETRY_AFTER = [(b"retry-after", b"0.3")]  # with a refusal that the module has no part in
@@ -95,7 +96,7 @@
                 hosts_of_volume=hosts, key=path[3].decode(), is_retry=headers.get(b"x-retry") == b"1",
                 is_write=request.method == b"PUT"),
             request.method, request.target, [h for h in request.headers if h[0] in PASSED_ON],
-            request.body)
+            request.body, standstill=cls.aim * STANDSTILL)
 
     @staticmethod
     def write(answer: Answer, close: bool) -> bytes:
--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -17,7 +17,7 @@
 from mallowbeam.facade import NEVER, Facade, Orders, Try, Verdict
 from mallowbeam.net.config import BadConfig, Config, read_again
 from mallowbeam.net.discovery import Listing, Watch
-from mallowbeam.net.http import MAX_BODY, Headers, Message, write_request
+from mallowbeam.net.http import Budget, Headers, Message, write_request
 from mallowbeam.net.log import Sparse
 from mallowbeam.net.server import Server
 from mallowbeam.net.upstream import Broken, Link, NoRoom, Pool, Spoilt, Unsent
@@ -27,6 +27,8 @@
 SILENT = 10.0               # seconds without a byte after which a streamed answer has broken off
 HELD_CHUNKS = 4             # pieces of a streamed answer that wait for a slow client
 
+# Guards against answers without end; objects of a few hundred kilobytes are answered whole.
+MAX_ANSWER = 4 * 1024 * 1024
 MARGIN = 0.01               # seconds kept of a client's deadline for the way in and the way back
 
 MOST_DIGITS = 9             # of a figure that a node tells
@@ -106,6 +108,7 @@
     body: bytes | bytearray = b""
     final: Callable[[int], bool] = (200).__eq__  # which statuses of a node are the client's answer
     streamed: Callable[[int], bool] = lambda status: False  # and which of them are passed on in pieces
+    standstill: float = SILENT                 # seconds without a byte in its body that end an answer
 
 
 class Exchange:
@@ -131,7 +134,8 @@
         # The wall clock says when nodes started; between two readings only the steady one may count.
         self.epoch = time.time() - time.monotonic()
         self.facade = Facade(config.settings, self.now())
-        self.pool = Pool(config.node_sockets, config.idle_limit, config.connect_timeout, MAX_BODY)
+        self.pool = Pool(config.node_sockets, config.idle_limit, config.connect_timeout,
+                         min(MAX_ANSWER, config.memory // 32), Budget(config.memory // 8))
         self.watch = Watch(config.discovery, config.known.revision, self._told)
         self.addresses: dict[str, str] = {}
         self.exchanges: dict[str, Exchange] = {}
@@ -291,7 +295,7 @@
                     limit.reschedule(None)     # the answer has begun: it is the client's now
                     await self._pass_on(tried, exchange, link, answer, started)
                 else:
-                    await link.body(answer)
+                    await link.body(answer, call.standstill)
             self.pool.put(link, answer)
             kept = True
             return self._outcome(call, answer), answer
@@ -330,6 +334,7 @@
         try:
             while True:
                 if piece := answer.take():
+                    link.channel.framer.release()
                     await stream.put(piece)
                 if answer.whole:
                     return await stream.put(None)
--- a/mallowbeam/net/upstream.py
+++ b/mallowbeam/net/upstream.py
@@ -10,7 +10,7 @@
 import socket
 import time
 
-from mallowbeam.net.http import CHUNK, Channel, Framer, Message
+from mallowbeam.net.http import CHUNK, Budget, Channel, Framer, Message
 
 RETIRE = 0.5                # of the nodes' idle limit: a connection idle for longer is not used again
 MAX_IDLE_EACH = 32          # idle connections kept to one node
@@ -75,12 +75,19 @@
             answer.whole, answer.keep_alive = True, False
         self.channel.framer.ready.clear()
 
-    async def body(self, answer: Message) -> bytearray:
-        """The whole body of an answer that is not passed on in pieces."""
+    async def body(self, answer: Message, standstill: float | None = None) -> bytearray:
+        """The whole body of an answer that is not passed on in pieces.
+
+        Guards against one that stops short: past `standstill` seconds without a byte no more of it comes.
+        """
         if answer.length is not None and answer.length > self.channel.framer.max_body and not answer.whole:
             raise Spoilt(f"an answer of {answer.length} bytes")
         while not answer.whole:
-            await self.more(answer)
+            try:
+                async with asyncio.timeout(standstill):
+                    await self.more(answer)
+            except TimeoutError:
+                raise Spoilt("the answer stopped short") from None
         return answer.body
 
     async def _read(self) -> bool:
@@ -105,8 +112,8 @@
         self.channel.close()
 
 
-async def connect(address: str, timeout: float, max_body: int) -> Link:
-    """Open a connection; raises `Unsent`."""
+async def connect(address: str, timeout: float, max_body: int, budget: Budget | None = None) -> Link:
+    """Open a connection, whose answers' bodies `budget` bounds together; raises `Unsent`."""
     host, _, port = address.rpartition(":")
     try:
         sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
@@ -116,7 +123,7 @@
         sock.setblocking(False)
         async with asyncio.timeout(timeout):
             await asyncio.get_running_loop().sock_connect(sock, (host.strip("[]"), int(port)))
-        return Link(Channel(sock, Framer(answers=True, max_body=max_body)), address)
+        return Link(Channel(sock, Framer(answers=True, max_body=max_body, budget=budget)), address)
     except (OSError, TimeoutError) as error:
         sock.close()
         raise Unsent(str(error) or "the connection never came up") from None
@@ -129,8 +136,8 @@
     """The idle connections to nodes, and how many there are in all."""
 
     def __init__(self, most: int, idle_limit: float | None, connect_timeout: float | None,
-                 max_body: int) -> None:
-        self.most, self.max_body = most, max_body
+                 max_body: int, budget: Budget) -> None:
+        self.most, self.max_body, self.budget = most, max_body, budget
         self.keep = (idle_limit or 10.0) * RETIRE
         self.connect_timeout = connect_timeout or 1.0
         self.idle: dict[str, list[Link]] = {}
@@ -148,7 +155,7 @@
             raise NoRoom("as many connections are open as are allowed")
         self.count += 1
         try:
-            return await connect(address, self.connect_timeout, self.max_body)
+            return await connect(address, self.connect_timeout, self.max_body, self.budget)
         except BaseException:
             self.count -= 1
             raise
@@ -158,12 +165,14 @@
         idle = self.idle.setdefault(link.address, [])
         if not link.reusable(answer) or len(idle) >= MAX_IDLE_EACH:
             return self.drop(link)
+        link.channel.framer.release()
         link.idle_since = time.monotonic()
         idle.append(link)
 
     def drop(self, link: Link) -> None:
         """Close a connection that was taken."""
         self.count -= 1
+        link.channel.framer.release()
         link.close()
 
     def sweep(self) -> None:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -403,6 +403,33 @@
         assert of(rig.wait(1.5), io.Watch)
 
 
+@pytest.mark.parametrize(("cls", "again"), [("read", True), ("keyed", True), ("log", False)])
+def test_an_attempt_that_later_ones_pass_is_given_up_and_sent_again(cls, again):
+    """Guards against a connection that fell silent at a node that lives: it took the rest of the aim."""
+    rig = Rig(max_attempts=4)
+    for _ in range(20):
+        rig.step(rig.ended(of(rig.step(rig.request(units=1)), io.Send)[0]), after=0.005)
+        rig.wait(0.1)
+    stuck = of(rig.step(rig.request(cls, units=1)), io.Send)[0]
+    cancels = []
+    for _ in range(8):
+        send = of(rig.step(rig.request(units=1)), io.Send)[0]
+        cancels += of(rig.step(rig.ended(send), after=0.005) + rig.wait(0.01), io.Cancel)
+    assert cancels == ([io.Cancel(stuck.request, 0)] if again else [])
+    ended = rig.step(rig.ended(stuck, io.Outcome.CANCELLED))
+    assert bool(of(ended, io.Send)) == again
+    assert rig.host.nodes["n0"].n_latency < 0.03, "it tells nothing of the node's speed"
+
+
+@pytest.mark.parametrize("outcome", [io.Outcome.ERROR, io.Outcome.REJECTED, io.Outcome.NOT_SENT])
+def test_after_its_last_attempt_a_request_is_answered_at_once(outcome):
+    """Guards the client: what can't be sent any more was held to its deadline."""
+    rig = Rig(max_attempts=2)
+    send = of(rig.step(rig.request(units=1)), io.Send)[0]
+    seen = rig.step(rig.ended(send, outcome), after=0.01) + rig.wait(0.15)
+    assert of(rig.step(rig.ended(of(seen, io.Send)[0], outcome, 1)), io.Refuse)
+
+
 def test_new_objects_keep_away_from_a_node_that_fails_at_once():
     """Guards against a node that answers everything with an error: always idle, it drew all new objects."""
     rig = Rig(nodes=2, max_attempts=4)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -161,6 +161,43 @@
     uvloop.run(run())
 
 
+def test_an_answer_that_stops_short_is_tried_again_and_a_large_one_is_taken_whole():
+    """Guards the aim against a length that never comes, and answers of a few hundred kilobytes."""
+
+    async def run() -> None:
+        async with World() as world:
+            await world.play(f"""
+                c1 send read
+                n0 expect GET
+                n0 send raw '{OK}content-length: 4{NL}{NL}go'
+                n0 expect GET
+                n0 send 200 fill=400000
+                c1 expect 200 'content-length: 400000'
+            """)
+            assert world.gateway.pool.budget.used == 0
+
+    uvloop.run(run())
+
+
+def test_answers_are_bounded_together():
+    """Guards memory: many large answers at once are failed attempts, not more than what is stated."""
+
+    async def run() -> None:
+        async with World() as world:
+            world.gateway.pool.budget.most = 300000
+            await world.play("""
+                c1 send read
+                n0 expect GET
+                n0 send 200 fill=400000
+                n0 expect GET
+                n0 send 200 body=small
+                c1 expect 200 small
+            """)
+            assert world.gateway.pool.budget.used == 0
+
+    uvloop.run(run())
+
+
 def test_whole_requests_before_noise_are_answered_first():
     play(f"""
         c1 send raw '{PLAIN.format(1)}\\x00\\x01noise'
