Send a cold node what each host surely may, and all units once it can't be pushed over

Now each host may use its even part of half of what a cold node always bears, grown with the ramp, and a node that only tips beyond twice its full capacity is open. The part of reserves by key stays (0.4 of the tip), so both together stay under it.

--- a/mallowbeam/control.py
+++ b/mallowbeam/control.py
@@ -45,6 +45,8 @@
 REFUSAL = 3             # in five breaks; a connection refused or never up, as after an end, counts for more
 FAULTY = 0.3            # share of errors from which a node counts as failing: single ones are all in a day
 COLD_PART = 0.4         # of the units that tip a cold node: replacements may be slower, demand uneven
+EVEN_PART = 0.5          # of what a cold node always bears, over all hosts, is dealt out evenly among them
+WARM_ENOUGH = 2.0       # times its full capacity: a node that tips only beyond that is open to all units
 CAPACITY_DEALT = 0.9    # of a node's power is dealt out by weight (the users' terms)
 EPS = 2e-6              # seconds: a clock that counts in microseconds may round a timer down
 
@@ -132,6 +134,8 @@
         self.breaks = 0                        # connections broken or refused since the last answer
         self.faults = 0.0                      # share of its answers of late that were errors
         self.cold_from = self.cold_until = -1e9  # its start, as told or presumed, and when it is warm
+        self.cold_sent: deque[tuple[float, int]] = deque()  # what went there while cold, and its units
+        self.cold_out = 0
         self.cycle_at, self.cycle_used = sched.now, 0
         self.shares: dict[Volume, list[float]] = {}  # share level, filled at, last request
         self.weights, self.weights_at, self.price, self.price_at = 0.0, -1e9, 0.0, sched.now
@@ -675,14 +679,22 @@
         Each host sends a part of what it has inside reserves: reserves fit a node, so the same part of them
         at every host is that part of what the node can do.  No history is needed, so a lead that moves or a
         new life of a host changes nothing.  Which requests, the key says: a client's repeats fare alike.
+        Beyond that each host may use its even part of half of what such a node always bears.
         """
         if not self._is_cold(node):
             return False
         s = self.settings                      # the ramp is taken at the middle of the rule's window
         age = max(0.0, self.now - node.cold_from - s.fall_window / 2)
         ramp = min(1.0, s.cold_start + (1.0 - s.cold_start) * age / max(s.cold_time, 1e-9))
+        if ramp * (s.fall_multiple or 0.0) >= WARM_ENOUGH:
+            return False
         part = COLD_PART * (s.fall_multiple or 0.0) * ramp
-        return request.tier > 0 or crc32((request.key or request.id).encode()) >= part * 2 ** 32
+        if request.tier == 0 and crc32((request.key or request.id).encode()) < part * 2 ** 32:
+            return False
+        while node.cold_sent and node.cold_sent[0][0] <= self.now - s.fall_window:
+            node.cold_out -= node.cold_sent.popleft()[1]
+        bears = EVEN_PART * (s.cold_units or 0.0) / max(1, s.hosts) * ramp / max(s.cold_start, 1e-9)
+        return node.cold_out + request.units > bears
 
     def _budget_left(self) -> bool:
         """Whether one more attempt beyond a request's first stays within the budget."""
@@ -738,6 +750,9 @@
                 request.volume.reserve_level -= request.units
             elif request.tier == 1 and request.volume in node.shares:
                 node.shares[request.volume][0] -= request.units
+        if self._is_cold(node):
+            node.cold_sent.append((self.now, request.units))
+            node.cold_out += request.units
         attempt = Attempt(request, request.tries, node, self.now)
         request.out[request.tries] = node.out[(request.id, request.tries)] = attempt
         request.tries += 1
