--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -166,7 +166,8 @@
     assert cold_share("silver", 0.0, since) == 0, "nothing is reserved for it, so nothing bounds it"
 
 
-@pytest.mark.parametrize(("hosts", "age", "least", "most"), [(1, 0.0, 12, 13), (4, 0.0, 3, 4), (1, 4.5, 20, 40)])
+@pytest.mark.parametrize(("hosts", "age", "least", "most"), [
+    (1, 0.0, 12, 13), (4, 0.0, 3, 4), (1, 4.5, 20, 40)])
 def test_a_cold_node_gets_each_hosts_even_part_of_what_it_always_bears(hosts, age, least, most):
     """Guards against an idle node: units beyond reserves were barred for the whole time that it was cold."""
     rig = Rig(nodes=0, now=1000.0, **(COLD | {"hosts": hosts, "fall_multiple": 3.0}))
