Keep one rule for keys that reach a node; order who makes room in one place

Read through again: the front of the platform had its own copy of the object front's TOKEN, which now stands in net/http; Server._accept asked _let_go twice to have hung-up connections first, which its sort key now says.

--- a/mallowbeam/fronts/objects.py
+++ b/mallowbeam/fronts/objects.py
@@ -25,7 +25,7 @@
 from mallowbeam.fronts.ranges import Unsatisfiable, cut, span
 from mallowbeam.net.config import BadConfig, read_address
 from mallowbeam.net.gateway import Answer, Call, Gateway, Kind, Stream, read_deadline, time_left
-from mallowbeam.net.http import HOP_BY_HOP, Budget, Channel, Headers, Message, write_head
+from mallowbeam.net.http import HOP_BY_HOP, TOKEN, Budget, Channel, Headers, Message, write_head
 from mallowbeam.net.server import Reply
 
 MOST_MS = 86_400_000        # a deadline of over a day is senseless
@@ -39,7 +39,6 @@
 QUERIES = {b"GET": {"uploadId", "max-parts", "part-number-marker", "x-id"}, b"HEAD": set(),
            b"PUT": {"partNumber", "uploadId", "x-id"}, b"DELETE": {"uploadId", "x-id"},
            b"POST": {"uploads", "uploadId", "x-id"}}
-TOKEN = re.compile(rb"[\x21-\x7e]{1,256}\Z")
 
 # S3's error codes: status and words.  The first of a status stands for it where no closer code is known.
 ERRORS = {
--- a/mallowbeam/fronts/platform.py
+++ b/mallowbeam/fronts/platform.py
@@ -8,11 +8,10 @@
 from mallowbeam.interface import Repeat
 from mallowbeam.net.gateway import Answer, Call, Gateway, Kind, read_deadline, time_left
 from mallowbeam.net.health import page
-from mallowbeam.net.http import MAX_BODY, Budget, Message, write_head
+from mallowbeam.net.http import MAX_BODY, TOKEN, Budget, Message, write_head
 from mallowbeam.net.server import Reply, plain
 
 TARGET = re.compile(rb"/([^/?]+)/([0-9a-f]{16})/([0-9a-f]{16})(?:\?[\x21-\x7e]{0,1024})?\Z")
-TOKEN = re.compile(rb"[\x21-\x7e]{1,256}\Z")
 REQUEST_ID = re.compile(rb"[0-9a-f]{16}\Z")
 EXTENT = re.compile(rb"units=(\d{1,9}),shard=(-?\d{1,9}),hosts=(\d{1,9})\Z")
 HELD = 24 * 1024 * 1024     # bytes of bodies held at once, over all connections: memory is bounded
--- a/mallowbeam/net/http.py
+++ b/mallowbeam/net/http.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 import time
 from collections import deque
@@ -19,6 +20,7 @@
 MAX_QUIET = MAX_HEAD        # bytes without a whole head, a piece of body or an end: trailers, chunk marks
 HOP_BY_HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade",
                         b"transfer-encoding", b"content-length", b"expect", b"host"))
+TOKEN = re.compile(rb"[\x21-\x7e]{1,256}\Z")  # what a key that goes on to a node may be
 REASONS = {status.value: status.phrase for status in HTTPStatus}
 
 Headers = list[tuple[bytes, bytes]]
--- a/mallowbeam/net/server.py
+++ b/mallowbeam/net/server.py
@@ -247,7 +247,7 @@
                 self.connections.add(self.connection(self, sock, over))
                 while len(self.connections) > self.most:
                     # Guards those that wait to be accepted: what has had its last answer goes first.
-                    self._let_go(c for c in self.connections if c.closing) or self._let_go(self.connections)
+                    self._let_go(self.connections)
                     await asyncio.wait([c.task for c in self.connections],
                                        return_when=asyncio.FIRST_COMPLETED)
             except OSError as error:
@@ -262,13 +262,13 @@
 
     @staticmethod
     def _let_go(among: Iterable[Connection]) -> bool:
-        """Close the one idle longest of those that may be closed; False if none may.
+        """Close one that may be closed: hung up first, then the longest idle; False if there is none.
 
         Guards first requests: a client whose connection closes after an answer only sends again, while one
         that has had nothing yet may be about to send, and that request would fail.
         """
         staying = (c for c in among if not c.leaving)
-        for connection in sorted(staying, key=lambda c: (not c.answered, c.since)):
+        for connection in sorted(staying, key=lambda c: (not c.closing, not c.answered, c.since)):
             if connection.spare:
                 connection.leave()
                 return True
