--- a/mallowbeam/__main__.py
+++ b/mallowbeam/__main__.py
@@ -13,6 +13,7 @@
 
 from mallowbeam.fronts.objects import Objects, read_object_settings
 from mallowbeam.fronts.platform import Platform
+from mallowbeam.net.admin import open_admin
 from mallowbeam.net.config import BadConfig, Config, read_address, read_config, read_file
 from mallowbeam.net.gateway import Gateway
 from mallowbeam.net.health import AgentConnection, Health
@@ -39,8 +40,6 @@
             room //= 2
             servers.append(Server(objects.listen, Objects(gateway, objects), room))
         servers.append(Server(config.listen, Platform(gateway), room))
-    except OSError as error:
-        raise BadConfig(f"cannot listen: {error}") from None
     except (ValueError, AttributeError) as error:
         raise BadConfig(f"the fronts file is malformed: {error}") from None
     return servers
@@ -54,7 +53,11 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, gateway.stop)
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, gateway.reload, os.environ)
-    await gateway.run(open_servers(gateway, fronts))
+    try:
+        admin, servers = open_admin(gateway), open_servers(gateway, fronts)
+    except OSError as error:
+        raise BadConfig(f"cannot listen: {error}") from None
+    await gateway.run(servers, admin)
 
 
 def main() -> int:
--- a/mallowbeam/facade.py
+++ b/mallowbeam/facade.py
@@ -59,6 +59,17 @@
         """How many nodes take new work, as discovery last said."""
         return len(self._scheduler.open)
 
+    @property
+    def nodes_listed(self) -> int:
+        """How many nodes discovery lists, in whatever state."""
+        return sum(not node.gone for node in self._scheduler.nodes.values())
+
+    @property
+    def nodes_avoided(self) -> int:
+        """How many of them get no new work now, or next to none."""
+        return sum(not node.gone and (not node.open or node.suspect or node.fails)
+                   for node in self._scheduler.nodes.values())
+
     def pick(self, now: float, request: str, **fields) -> Orders:
         """A request has come; the fields are those of `interface.RequestArrived`."""
         self._attempts[request] = 0
--- a/mallowbeam/fronts/objects.py
+++ b/mallowbeam/fronts/objects.py
@@ -223,14 +223,20 @@
         except Error as error:
             return self._error(error, message, request_id, closing())
 
-    def complain(self, status: int, text: str) -> bytes:
+    def complain(self, status: int, text: str) -> Reply:
         """The answer to what breaks HTTP or a bound."""
         code = CODE_OF.get(status, "InvalidRequest")
         headers = [(b"content-type", b"application/xml")]
         if code == "SlowDown":
             headers.append((b"retry-after", b"1"))
         body = error_body(code, b"", "")
-        return write_head(ERRORS[code][0], headers, len(body), True) + body
+        return Reply(ERRORS[code][0], write_head(ERRORS[code][0], headers, len(body), True) + body)
+
+    def ended(self, request: Message, status: int, whole: bool) -> None:
+        """A call is over: reads and writes count for the classes that stand for them."""
+        settings = self.settings
+        lane = settings.read_class if request.method in (b"GET", b"HEAD") else settings.write_class
+        self.gateway.metrics.ended(lane, status, whole)
 
     def _call(self, request: Request, request_id: str) -> Call:
         """What goes to the module and to a node."""
@@ -257,14 +263,14 @@
             final=lambda status: 200 <= status < 500,
             streamed=lambda status: request.method == b"GET" and status in (200, 206) and not request.upload)
 
-    def _error(self, error: Error, message: Message, request_id: str, close: bool) -> bytes:
-        """An S3 error's bytes; a HEAD has no body."""
+    def _error(self, error: Error, message: Message, request_id: str, close: bool) -> Reply:
+        """An S3 error; a HEAD has no body."""
         body = error_body(error.code, message.target, request_id)
         headers = [(b"content-type", b"application/xml"), (b"x-amz-request-id", request_id.encode())]
         head = write_head(ERRORS[error.code][0], headers + error.headers, len(body), close)
-        return head if message.method == b"HEAD" else head + body
+        return Reply(ERRORS[error.code][0], head if message.method == b"HEAD" else head + body)
 
-    def _whole(self, request: Request, answer: Answer, request_id: str, close: bool) -> bytes:
+    def _whole(self, request: Request, answer: Answer, request_id: str, close: bool) -> Reply:
         """A node's answer that was read whole; what names an upload is put in the client's terms."""
         headers, body = passed_on(answer, request_id), answer.body
         if request.method == b"HEAD":
@@ -272,8 +278,8 @@
             if answer.status == 200 and length is not None and (asked := request.headers.get(b"range")):
                 if piece := cut_here(asked, length):
                     headers.append(range_of(*piece, length))
-                    return write_head(206, headers, piece[1] - piece[0], close)
-            return write_head(answer.status, headers, length, close)
+                    return Reply(206, write_head(206, headers, piece[1] - piece[0], close))
+            return Reply(answer.status, write_head(answer.status, headers, length, close))
         if answer.status >= 400 and not body:
             code = CODE_OF.get(answer.status, "InvalidRequest")
             if code == "NoSuchKey" and request.upload:
@@ -282,8 +288,8 @@
             headers.append((b"content-type", b"application/xml"))
         elif answer.status == 200 and (request.initiates or request.upload and request.method == b"GET"):
             body = self._rename_upload(request, bytes(body))
-        return write_head(answer.status, headers, None if answer.status in (204, 304) else len(body),
-                          close) + body
+        size = None if answer.status in (204, 304) else len(body)
+        return Reply(answer.status, write_head(answer.status, headers, size, close) + body)
 
     def _rename_upload(self, request: Request, body: bytes) -> bytes:
         """Put the client's upload id in the place of the node's."""
@@ -322,7 +328,7 @@
             finally:
                 stream.close()
 
-        return write
+        return Reply(status, write=write)
 
 
 def passed_on(answer: Answer, request_id: str) -> Headers:
--- a/mallowbeam/fronts/platform.py
+++ b/mallowbeam/fronts/platform.py
@@ -49,10 +49,14 @@
         answer = await self.gateway.submit(call)
         return self.write(answer, closing())
 
-    def complain(self, status: int, text: str) -> bytes:
+    def complain(self, status: int, text: str) -> Reply:
         """The answer to what breaks HTTP or a bound."""
         return plain(status, text, True, RETRY_AFTER if status == REFUSED else None)
 
+    def ended(self, request: Message, status: int, whole: bool) -> None:
+        """A request is over: it counts for the class it names."""
+        self.gateway.metrics.ended((request.get(b"x-class") or b"").decode("latin-1"), status, whole)
+
     def read(self, request: Message) -> Call:
         """A request's call; raises `BadRequest`."""
         settings, headers = self.gateway.config.settings, dict(request.headers)
@@ -98,10 +102,10 @@
             request.body, standstill=cls.aim * STANDSTILL)
 
     @staticmethod
-    def write(answer: Answer, close: bool) -> bytes:
-        """An answer's bytes."""
+    def write(answer: Answer, close: bool) -> Reply:
+        """An answer as the client gets it."""
         if answer.kind is Kind.SERVED:
-            return write_head(200, [], len(answer.body), close) + answer.body
+            return Reply(200, write_head(200, [], len(answer.body), close) + answer.body)
         if answer.kind is Kind.FAILED:
             return plain(FAILED, "failed", close)
         after = answer.retry_after
--- /dev/null
+++ b/mallowbeam/net/admin.py
@@ -0,0 +1,75 @@
+"""The operators' door: readiness, the figures, and storage nodes taken out by hand.
+
+A thin front with a server, an address and connections of its own; one call a connection.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from mallowbeam.net.config import ADMIN_SOCKETS
+from mallowbeam.net.gateway import Gateway
+from mallowbeam.net.http import Message
+from mallowbeam.net.server import Connection, Reply, Server, plain
+
+MAX_ID = 256                # bytes of a body: no id is longer
+
+
+class Admin:
+    """Answers the operators' calls."""
+
+    max_body, budget = MAX_ID, None
+
+    def __init__(self, gateway: Gateway) -> None:
+        self.gateway = gateway
+        self.calls: dict[bytes, tuple[bytes, Callable[[Message], Reply]]] = {
+            b"/_ready": (b"GET", self._ready), b"/_vars": (b"GET", self._vars)}
+
+    async def handle(self, request: Message, closing: Callable[[], bool]) -> Reply:
+        """One call to its answer."""
+        method, call = self.calls.get(request.target.partition(b"?")[0], (b"", None))
+        if call is None:
+            return plain(404, "no such call", True)
+        if request.method != method:
+            return plain(405, "not by this method", True, [(b"allow", method)])
+        return call(request)
+
+    def complain(self, status: int, text: str) -> Reply:
+        """The answer to what breaks HTTP or a bound."""
+        return plain(status, text, True)
+
+    def ended(self, request: Message, status: int, whole: bool) -> None:
+        """Operators' calls are not among the figures."""
+
+    def _ready(self, _: Message) -> Reply:
+        return plain(200 if self.gateway.ready else 503, self.gateway.phase.value, True)
+
+    def _vars(self, _: Message) -> Reply:
+        gateway = self.gateway
+        text = gateway.metrics.write({
+            "pending": sum(server.pending for server in gateway.servers),
+            "members": gateway.facade.nodes_listed,
+            "members_unavailable": gateway.facade.nodes_avoided})
+        return plain(200, text.removesuffix("\n"), True)
+
+
+class Caller(Connection):
+    """An operator's connection."""
+
+    @property
+    def spare(self) -> bool:
+        """Whether it may be closed to make room.
+
+        Guards the door against callers that hold a connection without sending a whole call: where room is
+        short the oldest of them goes, since no call that has come in whole waits here.
+        """
+        return self.busy is None and not self.channel.stale()
+
+
+def open_admin(gateway: Gateway) -> Server | None:
+    """The door's server, None where the configuration names no address; raises OSError."""
+    if gateway.config.admin is None:
+        return None
+    server = Server(gateway.config.admin, Admin(gateway), ADMIN_SOCKETS, Caller)
+    server.last_answers()                      # one call a connection
+    return server
--- a/mallowbeam/net/config.py
+++ b/mallowbeam/net/config.py
@@ -13,6 +13,7 @@
 # Guards against a crash over the limit on sockets: the program itself holds some 16 descriptors, each further
 # front two, and each listener may hold one more than its share while it lets another go.
 OWN_SOCKETS = 24
+ADMIN_SOCKETS = 16          # connections at the operators' door, where there is one
 NODE_SHARE = 0.4            # of the rest: connections to nodes; the others are for clients
 LEAST_SOCKETS = 64
 
@@ -27,6 +28,7 @@
 
     name: str
     listen: tuple[str, int]
+    admin: tuple[str, int] | None              # the operators' door, None where there is none
     discovery: str
     node_sockets: int                          # connections to nodes, at most
     client_sockets: int                        # connections of clients, at most, over all fronts
@@ -94,10 +96,13 @@
     memory = int(raw.get("limits", {}).get("memory_mb", 192)) * 1024 * 1024
     if memory <= 0:
         raise ValueError("no memory")
-    node_sockets = int((sockets - OWN_SOCKETS) * NODE_SHARE)
+    door = env.get("BALANCER_ADMIN_ADDR") or raw.get("admin_addr")
+    dealt = sockets - OWN_SOCKETS - (ADMIN_SOCKETS if door else 0)
+    node_sockets = int(dealt * NODE_SHARE)
     return Config(
         name=str(env.get("BALANCER_NAME") or raw["name"]),
-        listen=read_address(env.get("BALANCER_LISTEN") or raw["listen"]), discovery=discovery,
-        node_sockets=node_sockets, client_sockets=sockets - OWN_SOCKETS - node_sockets,
+        listen=read_address(env.get("BALANCER_LISTEN") or raw["listen"]),
+        admin=read_address(door) if door else None, discovery=discovery,
+        node_sockets=node_sockets, client_sockets=dealt - node_sockets,
         memory=memory, known=read_listing(raw["known"]), settings=settings,
         idle_limit=seconds("Ceilings.ConnIdle"), connect_timeout=seconds("Ceilings.ConnectTimeout"))
--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -19,6 +19,7 @@
 from mallowbeam.net.discovery import Listing, Watch
 from mallowbeam.net.http import Budget, Headers, Message, write_request
 from mallowbeam.net.log import Sparse
+from mallowbeam.net.metrics import Metrics
 from mallowbeam.net.server import Server
 from mallowbeam.net.upstream import Broken, Link, NoRoom, Pool, Spoilt, Unsent
 
@@ -134,13 +135,14 @@
         # The wall clock says when nodes started; between two readings only the steady one may count.
         self.epoch = time.time() - time.monotonic()
         self.facade = Facade(config.settings, self.now())
+        self.metrics = Metrics(config.settings.classes)
         self.pool = Pool(config.node_sockets, config.idle_limit, config.connect_timeout,
                          min(MAX_ANSWER, config.memory // 32), Budget(config.memory // 8))
         self.watch = Watch(config.discovery, config.known.revision, self._told)
         self.addresses: dict[str, str] = {}
         self.exchanges: dict[str, Exchange] = {}
         self.tasks: dict[tuple[str, int], asyncio.Task] = {}
-        self.servers: list[Server] = []
+        self.servers: list[Server] = []        # the clients' doors
         self.timer: asyncio.TimerHandle | None = None
         self.timer_at = NEVER
         self.stopping = asyncio.Event()
@@ -153,16 +155,18 @@
 
     # --- phases --------------------------------------------------------------------------------
 
-    async def run(self, servers: list[Server]) -> None:
-        """Serve until told to stop, then finish what is held."""
+    async def run(self, servers: list[Server], admin: Server | None = None) -> None:
+        """Serve until told to stop, then finish what is held; the operators' door is open throughout."""
         self.servers = servers
+        if admin is not None:
+            admin.start()
         self._listing(self.config.known, io.ListKind.CACHED)
         if not self.config.settings.discovery_on_request:
             self.watch.begin()
         for server in servers:
             server.start()
         self._enter(Phase.SERVING)
-        sweeper = asyncio.create_task(self._sweep())
+        sweeper = asyncio.create_task(self._sweep([*servers, *([admin] if admin else [])]))
         await self.stopping.wait()
         self._enter(Phase.LAME_DUCK)
         for server in servers:
@@ -206,11 +210,11 @@
         logger.info("phase {}: {} requests held, {} nodes known", phase.value, len(self.exchanges),
                     len(self.addresses))
 
-    async def _sweep(self) -> None:
+    async def _sweep(self, servers: list[Server]) -> None:
         while True:
             await asyncio.sleep(SWEEP)
             self.pool.sweep()
-            for server in self.servers:
+            for server in servers:
                 server.sweep()
 
     # --- calls ---------------------------------------------------------------------------------
@@ -290,6 +294,7 @@
                 await link.request(write_request(call.method, call.target, headers, len(call.body)),
                                    call.body, bodiless=call.method == b"HEAD")
                 written = True
+                self.metrics.upstream_requests += 1
                 answer = await link.head()
                 if call.final(answer.status) and call.streamed(answer.status):
                     limit.reschedule(None)     # the answer has begun: it is the client's now
--- a/mallowbeam/net/health.py
+++ b/mallowbeam/net/health.py
@@ -15,7 +15,7 @@
 from mallowbeam.net.server import LINGER, Reply, Server, plain
 
 
-def page(gateway: Gateway, path: bytes, close: bool) -> bytes | None:
+def page(gateway: Gateway, path: bytes, close: bool) -> Reply | None:
     """A health page, or None if there is none at that path."""
     if path == b"/healthz":
         return plain(200 if gateway.ready else 503, gateway.phase.value, close)
@@ -26,7 +26,8 @@
             "phase": gateway.phase.value, "ready": gateway.ready, "held": len(gateway.exchanges),
             "nodes_open": gateway.facade.nodes_open, "node_connections": gateway.pool.count,
             "client_connections": sum(len(s.connections) for s in gateway.servers)}).encode()
-        return write_head(200, [(b"content-type", b"application/json")], len(body), close) + body
+        head = write_head(200, [(b"content-type", b"application/json")], len(body), close)
+        return Reply(200, head + body)
     return None
 
 
@@ -44,10 +45,13 @@
             return plain(405, "only GET", closing(), [(b"allow", b"GET")])
         return page(self.gateway, request.target, closing()) or plain(404, "no such page", closing())
 
-    def complain(self, status: int, text: str) -> bytes:
+    def complain(self, status: int, text: str) -> Reply:
         """The answer to what breaks HTTP or a bound."""
         return plain(status, text, True)
 
+    def ended(self, request: Message, status: int, whole: bool) -> None:
+        """Checks are not among the figures."""
+
 
 def agent_line(gateway: Gateway) -> bytes:
     """HAProxy's agent-check words: the administrative state, and the weight while there is room.
@@ -68,6 +72,7 @@
     """One agent check: the line is written, then the connection ends."""
 
     spare = closing = leaving = answered = False
+    pending = 0
     busy, since = None, 0.0
 
     def __init__(self, server: Server, sock: socket.socket, _over: bool = False) -> None:
--- a/mallowbeam/net/server.py
+++ b/mallowbeam/net/server.py
@@ -10,7 +10,7 @@
 import socket
 import time
 from collections.abc import Awaitable, Callable, Iterable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from loguru import logger
 
@@ -29,7 +29,13 @@
 FRESH = 1.0                 # seconds in which a client that has just come begins, where room is short
 NO_DESCRIPTORS = 0.05       # seconds without accepting after descriptors ran out
 
-Reply = bytes | Callable[[Channel], Awaitable[bool]]
+
+class Reply(NamedTuple):
+    """An answer: its status, and its bytes or what writes them as they come (False: it broke off)."""
+
+    status: int
+    data: bytes = b""
+    write: Callable[[Channel], Awaitable[bool]] | None = None
 
 
 class Front(Protocol):
@@ -39,14 +45,17 @@
     budget: Budget | None
 
     async def handle(self, request: Message, closing: Callable[[], bool]) -> Reply:
-        """The answer to a request: its bytes, or what writes them as they come (False: it broke off).
+        """The answer to a request.
 
         `closing`, asked when the answer is known, tells whether the connection is closed after it.
         """
 
-    def complain(self, status: int, text: str) -> bytes:
+    def complain(self, status: int, text: str) -> Reply:
         """The answer to what breaks HTTP or a bound; the connection is closed after it."""
 
+    def ended(self, request: Message, status: int, whole: bool) -> None:
+        """A request's answer has gone out, or broken off: the one place where requests are counted."""
+
 
 class Connection:
     """One client's connection: a task that reads, and while a request is held one that answers."""
@@ -58,6 +67,7 @@
         self.part: Message | None = None       # the request that is coming in
         self.since = time.monotonic()          # when that began, or the last answer went out
         self.busy: asyncio.Task | None = None
+        self.request: Message | None = None    # the one that is being answered
         self.writing = self.closing = self.answered = False
         self.leaving = False                   # being closed to make room
         self.room = asyncio.Event()
@@ -68,6 +78,11 @@
         """Whether nothing is coming in, held or going out."""
         return self.busy is None and self.channel.framer.empty
 
+    @property
+    def pending(self) -> int:
+        """Requests here that have come in whole and are not over yet."""
+        return len(self.channel.framer.ready) + (self.request is not None and self.request.whole)
+
     @property
     def spare(self) -> bool:
         """Whether it may be closed to make room.
@@ -116,6 +131,7 @@
     async def _answer(self, request: Message) -> None:
         """One request, from its last byte in to its answer's last byte out."""
         try:
+            self.request = request
             whole, close = await self._write(request), self.server.closing or not request.keep_alive
         except OSError:
             whole = close = False
@@ -123,6 +139,7 @@
             logger.opt(exception=error).error("a request failed unforeseen")
             whole, close = False, True
         self.writing, self.busy, self.since, self.answered = False, None, time.monotonic(), True
+        self.request = None
         if self.channel.framer.empty:
             self.channel.framer.release()
         if not whole:
@@ -147,11 +164,14 @@
             logger.opt(exception=error).error("a request failed unforeseen")
             reply = self.server.front.complain(500, "internal error")
             request.keep_alive = False
-        self.channel.moved, self.writing = time.monotonic(), True
-        if not isinstance(reply, bytes):
-            return await reply(self.channel)
-        await self.channel.send(reply)
-        return True
+        self.channel.moved, self.writing, whole = time.monotonic(), True, False
+        try:
+            if reply.write is None:
+                await self.channel.send(reply.data)
+            whole = reply.write is None or await reply.write(self.channel)
+        finally:
+            self.server.front.ended(request, reply.status, whole)
+        return whole
 
     def leave(self) -> None:
         """Close the connection now."""
@@ -179,13 +199,20 @@
         self.closing, channel, left = True, self.channel, LINGER_BYTES
         try:
             async with asyncio.timeout(LINGER):
-                await channel.send(self.server.front.complain(status, text))
+                await channel.send(self._complaint(status, text))
                 channel.sock.shutdown(socket.SHUT_WR)
                 while left > 0 and (count := await channel.loop.sock_recv_into(channel.sock, channel.buffer)):
                     left -= count
         except (OSError, TimeoutError):
             pass
 
+    def _complaint(self, status: int, text: str) -> bytes:
+        """The last word on a request that does not come in whole; it counts if its head has."""
+        part = self.channel.framer.part
+        if part is not None and not self.channel.framer.in_head:
+            self.server.front.ended(part, status, True)
+        return self.server.front.complain(status, text).data
+
     def sweep(self, now: float) -> None:
         """Close a connection that has been idle or stalled for too long."""
         if self.writing:
@@ -196,7 +223,7 @@
                 self.task.cancel()
         elif self.busy is None and not self.closing and now - self.since > self._patience():
             try:                               # best effort: a stalled client may not read either
-                self.channel.sock.send(self.server.front.complain(408, "the request did not come in time"))
+                self.channel.sock.send(self._complaint(408, "the request did not come in time"))
             except OSError:
                 pass
             self.task.cancel()
@@ -230,6 +257,11 @@
         self.crowded = Sparse("all connections are busy")
         self.acceptor: asyncio.Task | None = None
 
+    @property
+    def pending(self) -> int:
+        """Requests taken in whole that are not over yet."""
+        return sum(connection.pending for connection in self.connections)
+
     def start(self) -> None:
         """Begin to listen."""
         self.sock.listen(BACKLOG)
@@ -299,7 +331,8 @@
                                return_when=asyncio.FIRST_COMPLETED)
 
 
-def plain(status: int, text: str, close: bool, headers: list[tuple[bytes, bytes]] | None = None) -> bytes:
+def plain(status: int, text: str, close: bool, headers: list[tuple[bytes, bytes]] | None = None) -> Reply:
     """A whole answer with a line of text."""
     body = text.encode() + b"\n"
-    return write_head(status, [(b"content-type", b"text/plain"), *(headers or [])], len(body), close) + body
+    head = write_head(status, [(b"content-type", b"text/plain"), *(headers or [])], len(body), close)
+    return Reply(status, head + body)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,7 +1,8 @@
 """A small language for scenarios on sockets, and the world in which they play.
 
 A line names a party, a verb and what follows; `wait SECONDS` stands alone.  Parties: clients `c1`, `c2`, ...
-(`o1`, ... at the object front), nodes `n0`, `n1`, ..., discovery `d`, and the gateway `g`.
+(`o1`, ... at the object front, `q1`, ... at the operators' door), nodes `n0`, `n1`, ..., discovery `d`,
+and the gateway `g`.
 
     c1 send read shard=1 deadline=500   a request of the platform; or `METHOD TARGET name:value body=TEXT`
                                         (`fill=N`: a body of N bytes), or `raw "BYTES"`
@@ -28,6 +29,7 @@
 
 from mallowbeam.__main__ import open_servers
 from mallowbeam.net import config as configs
+from mallowbeam.net.admin import open_admin
 from mallowbeam.net.gateway import Gateway
 from mallowbeam.net.http import REASONS, Framer, Message
 
@@ -181,7 +183,7 @@
         member = raw["known"]["members"][0]
         raw["known"]["members"] = [member | {"id": f"n{i}", "cell": i, "host_port": address}
                                    for i, address in enumerate(addresses)]
-        raw |= {"listen": "127.0.0.1:0", "discovery": self.parties["d"].address}
+        raw |= {"listen": "127.0.0.1:0", "admin_addr": "127.0.0.1:0", "discovery": self.parties["d"].address}
         raw["limits"]["sockets"] = self.sockets
         fronts = json.loads((EXAMPLE / "fronts.json").read_text())
         for front in fronts.values():
@@ -189,7 +191,9 @@
         self.gateway = Gateway(configs.decode(raw, {}))
         servers = open_servers(self.gateway, fronts)
         self.health, self.agent, self.objects, self.platform = (s.address for s in servers)
-        self.task = asyncio.create_task(self.gateway.run(servers))
+        admin = open_admin(self.gateway)
+        self.admin = admin.address
+        self.task = asyncio.create_task(self.gateway.run(servers, admin))
         while not self.gateway.ready:
             await asyncio.sleep(0)
         return self
@@ -207,8 +211,9 @@
     def party(self, name: str) -> Party:
         """A party by its name; clients come into being when first named."""
         if name not in self.parties:
-            assert name[0] in "coha", f"no party {name}"
-            address = {"c": self.platform, "o": self.objects, "h": self.health, "a": self.agent}[name[0]]
+            assert name[0] in "cohaq", f"no party {name}"
+            address = {"c": self.platform, "o": self.objects, "h": self.health, "a": self.agent,
+                       "q": self.admin}[name[0]]
             self.parties[name] = Client(address, len(self.parties))
         return self.parties[name]
 
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,112 @@
+"""The operators' door and the figures it shows, on loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+import uvloop
+from scenario import World, play
+
+from mallowbeam.net import gateway, server
+from mallowbeam.net.metrics import Metrics
+
+
+def line(lane: str, result: str, count: int) -> str:
+    return f"'app_downstream_requests\\{{lane=.{lane}.,result=.{result}.\\}} {count}\\n'"
+
+
+def test_every_class_and_result_is_shown_from_zero():
+    play(f"""
+        q1 send GET /_vars
+        q1 expect 200 {line('read', 'completed', 0)} {line('new-write', 'failed', 0)} 'app_members 1\\n' \
+            'app_upstream_requests 0\\n' 'app_pending 0\\n' 'app_members_unavailable 0\\n' 'connection: close'
+        q1 expect end
+    """)
+
+
+def test_the_figures_tell_how_requests_ended_and_what_is_pending():
+    """Guards the counts: a request counts once, when its answer is out, an attempt once it is written."""
+    play(f"""
+        c1 send read
+        n0 expect GET
+        q1 send GET /_vars
+        q1 expect 200 'app_pending 1\\n' 'app_upstream_requests 1\\n' {line('read', 'completed', 0)}
+        n0 send 200 body=x
+        c1 expect 200
+        c1 send write deadline=300
+        n0 expect PUT
+        c1 expect 502
+        c1 send read shard=7
+        c1 expect 503
+        c1 send read plan=none
+        c1 expect 400
+        c1 send GET /healthz
+        c1 expect 200
+        q1 send GET /_vars
+        q1 expect 200 'app_pending 0\\n' 'app_upstream_requests 2\\n' {line('read', 'completed', 1)} \
+            {line('read', 'rejected', 1)} {line('read', 'failed', 1)} {line('new-write', 'failed', 1)}
+    """)
+
+
+def test_a_refusal_at_the_door_and_an_answer_that_breaks_off_count():
+    async def run() -> None:
+        async with World(sockets=140) as world:
+            here = world.gateway.servers[-1]
+            here.most, here.spare = 2, 1
+            await world.play(f"""
+                c1 send read
+                n0 expect GET
+                c2 send read
+                c2 expect 503
+                n0 send 200 body=x
+                c1 expect 200
+                o1 send GET /plates/a
+                n0 expect GET
+                n0 send raw 'HTTP/1.1 200 OK\\r\\ncontent-length: 10\\r\\n\\r\\nhalf'
+                o1 close
+                n0 close
+                q1 send GET /_vars
+                q1 expect 200 {line('read', 'rejected', 1)} {line('read', 'completed', 1)}
+            """)
+
+    uvloop.run(run())
+
+
+def test_a_broken_off_answer_is_no_completed_one():
+    metrics = Metrics(["read"])
+    metrics.ended("read", 200, False)
+    metrics.ended("none", 200, True)           # a class that nobody has must not grow the table
+    assert metrics.requests == {"read": {"completed": 0, "rejected": 0, "failed": 1}}
+
+
+@pytest.mark.parametrize(("call", "status"), [
+    ("GET /other", 404), ("PUT /_ready", "405 allow:.GET"), ("POST /_vars", "405 allow:.GET"),
+    ("PUT /_ready content-length:999", 413), (f"GET /_ready x:{'y' * 20000}", 431), ("GET /_ready?x", 200)])
+def test_a_call_that_is_none_is_told_so(call, status):
+    play(f"q1 send {call}\nq1 expect {status}\nq1 expect end")
+
+
+def test_ready_follows_the_phase():
+    play("""
+        q1 send GET /_ready
+        q1 expect 200
+        g close
+        wait 0.05
+        q1 send GET /_ready
+        q1 expect 503
+    """)
+
+
+def test_half_sent_calls_do_not_keep_others_out(monkeypatch):
+    """Guards the door: callers that never finish a call made everyone behind them wait for their time-out."""
+    monkeypatch.setattr(server, "STALLED", 60.0)
+    monkeypatch.setattr(gateway, "SWEEP", 0.05)
+
+    async def run() -> None:
+        async with World() as world:
+            await world.play("".join(f"q{i} send raw 'GET /_ready HT'\n" for i in range(2, 60)))
+            async with asyncio.timeout(5.0):
+                await world.play("q1 send GET /_ready\nq1 expect 200")
+
+    uvloop.run(run())
