--- a/mallowbeam/control.py
+++ b/mallowbeam/control.py
@@ -58,10 +58,6 @@
 class Request:
     """A request this host has taken."""
 
-    __slots__ = ("id", "cls", "volume", "units", "shard", "key", "aim_at", "deadline", "base",
-                 "density", "priced", "tries", "out", "ran", "done", "streaming", "tier",
-                 "seq", "late", "asked")
-
     def __init__(self, event: io.RequestArrived, cls: io.RequestClass, volume: Volume, now: float,
                  seq: int, spent: float) -> None:
         self.id, self.cls, self.volume, self.units = event.request, cls, volume, max(1, event.units)
@@ -79,8 +75,6 @@
 class Attempt:
     """One attempt that is out."""
 
-    __slots__ = ("request", "number", "node", "sent_at", "stuck")
-
     def __init__(self, request: Request, number: int, node: Node, now: float) -> None:
         self.request, self.number, self.node, self.sent_at = request, number, node, now
         self.stuck = False                     # given up on while the node answers later ones
@@ -118,7 +112,7 @@
 
     def __init__(self, entry: io.NodeEntry, sched: Scheduler) -> None:
         self.id, self.shard, self.zone, self.since = entry.node, entry.shard, entry.zone, entry.since
-        self.open = self.gone = False          # listed as ready; listed no more
+        self.state, self.open = entry.state, False  # as listed; whether new work may go there
         self.queue: list[tuple[float, int, Request]] = []  # bookings not sent, by aim
         self.out_units = 0
         self.out: OrderedDict[tuple[str, int], Attempt] = OrderedDict()
@@ -167,7 +161,7 @@
         self.n_latency = (self.weight * self.mean + PRIOR * self.sched.prior) / (self.weight + PRIOR)
         return usual
 
-    def silence(self, now: float, patience: float) -> float:
+    def silence(self) -> float:
         """How long work is overdue here with nothing coming back: a lower bound on the wait of others.
 
         It takes two attempts, each given the time of its own size, or one for a cycle more: a single costly
@@ -176,15 +170,15 @@
         two = list(islice(self.out.values(), 2))
         if not two:
             return 0.0
-        due = two[-1].sent_at + self.sched.slope * two[-1].request.units + (patience if len(two) < 2 else 0.0)
-        return max(0.0, now - max(self.last_answer, due))
+        due = two[-1].sent_at + self.sched.slope * two[-1].request.units
+        due += self.sched.cycle if len(two) < 2 else 0.0
+        return max(0.0, self.sched.now - max(self.last_answer, due))
 
-    def serve_time(self, units: int, now: float, patience: float) -> float:
+    def serve_time(self, units: int) -> float:
         """Expected latency of a request of this size sent now."""
         self.refresh()
-        slope = self.sched.slope
-        base = self.n_latency - slope * self.sched.settings.usual_units
-        return max(base, self.silence(now, patience)) + slope * units
+        base = self.n_latency - self.sched.slope * self.sched.settings.usual_units
+        return max(base, self.silence()) + self.sched.slope * units
 
     def bid(self, now: float, worth: float = 0.0) -> float:
         """The price of a unit here, moved by what found no slot and forgotten within seconds."""
@@ -214,7 +208,9 @@
         self.nodes: dict[str, Node] = {}
         self.shards: dict[int, list[Node]] = {}  # open nodes only
         self.open: list[Node] = []
+        self.banned: dict[str, float] = {}     # out by hand, and since when: whatever discovery says
         self.requests: dict[str, Request] = {}
+        self.most_tries = settings.max_attempts or float("inf")
         self.volumes: dict[tuple[str, str], Volume] = {}  # by name and plan
         self.full_time: dict[str, float] = {}  # class: the longest time that a try came with
         self.chains: dict[str, deque[Request]] = {}  # ordered keys: requests in the order taken
@@ -270,12 +266,10 @@
         No rule gets looser: a volume's limit store begins at its bottom, a node's start is told by the list.
         """
         now = self.now
-        for name in [name for name, volume in self.volumes.items()
-                     if not volume.pending and now - volume.at > FORGET]:
-            del self.volumes[name]
-        for node in [node for node in self.nodes.values()
-                     if node.gone and not node.out and not node.queue and now > node.cold_until]:
-            del self.nodes[node.id]
+        self.volumes = {name: volume for name, volume in self.volumes.items()
+                        if volume.pending or now - volume.at <= FORGET}
+        self.nodes = {name: node for name, node in self.nodes.items()
+                      if node.state is not io.NodeState.GONE or node.out or now <= node.cold_until}
         if len(self.timers) > 2 * (len(self.requests) + len(self.nodes)) + 1000:
             self.timers = [entry for entry in self.timers if not getattr(entry[2], "done", False)]
             heapify(self.timers)
@@ -306,12 +300,7 @@
     def _on_request(self, event: io.RequestArrived) -> None:
         cls = self.settings.classes.get(event.cls) or io.RequestClass(event.cls, aim=event.expires_in)
         hosts = max(1, event.hosts_of_volume or self.settings.hosts)
-        volume = self.volumes.get((event.volume, event.plan))
-        if volume is None:
-            plan = self.settings.plans.get(event.plan) or io.Plan(event.plan)
-            volume = self.volumes[event.volume, event.plan] = Volume(plan, hosts, self.settings, self.now)
-        # Guards the limit against one client that names another plan or fewer hosts for the same volume.
-        volume.hosts = max(volume.hosts, hosts)
+        volume = self._volume(event.volume, event.plan, hosts)
         self.seq += 1
         # A client's further try has less time left than a first one, and its aim runs from the first.  Guards
         # against an odd client, whose hours would make all others late: none waits longer than its class.
@@ -328,6 +317,24 @@
         else:
             self._book(request)
 
+    def _volume(self, name: str, plan: str, hosts: int) -> Volume:
+        """A volume on its plan, as it stands or new."""
+        volume = self.volumes.get((name, plan))
+        if volume is None:
+            known = self.settings.plans.get(plan) or io.Plan(plan)
+            volume = self.volumes[name, plan] = Volume(known, hosts, self.settings, self.now)
+        # Guards the limit against one client that names another plan or fewer hosts for the same volume.
+        volume.hosts = max(volume.hosts, hosts)
+        return volume
+
+    def _on_beside(self, event: io.SentBeside) -> None:
+        """Counts what the other process of this host has sent, from the level that it handed over."""
+        volume = self._volume(event.volume, event.plan, event.hosts)
+        volume.refill(self.now)
+        volume.limit_level = (volume.limit_level if event.level is None else event.level) - event.drawn
+        if event.node in self.nodes:
+            self._count_cold(self.nodes[event.node], event.units)
+
     def _on_list(self, event: io.NodesListed) -> None:
         if event.kind is io.ListKind.FAILED:
             # Guards against losing sight of the nodes: ask again, spaced out and jittered so that hosts
@@ -342,38 +349,55 @@
         if event.kind is not io.ListKind.CHANGES:
             for node in self.nodes.values():
                 if node.id not in named:
-                    node.gone = True
-                    self._close(node)
+                    node.state = io.NodeState.GONE
+                    self._admit(node)
         for entry in event.entries:
-            node = self.nodes.get(entry.node)
+            node, since = self.nodes.get(entry.node), entry.since
             fresh = node is None
-            if entry.state is not io.NodeState.READY:
-                if not fresh:
-                    node.gone = entry.state is io.NodeState.GONE
-                    self._close(node)
+            if fresh and entry.state is io.NodeState.GONE:
                 continue
             if fresh:
                 node = self.nodes[entry.node] = Node(entry, self)
-            node.gone = False
-            if not node.open:
-                node.open = True
-                self.shards.setdefault(entry.shard, []).append(node)
-                self.open.append(node)
-            since = entry.since
-            if fresh and since is None and event.kind is io.ListKind.CHANGES:
-                since = self.now               # a machine that joins unexplained is a replacement, so cold
-            if since is not None and (fresh or since != node.since):
-                node.cold_from, node.cold_until = since, since + (self.settings.cold_time or 0.0)
-            node.since = since
-            self.touched[node.id] = node
-
-    def _close(self, node: Node) -> None:
-        """Drained or gone: nothing new goes there from this very moment, and what waited is booked anew."""
-        if node.open:
-            node.open = False
-            self.shards[node.shard].remove(node)
-            self.open.remove(node)
-        self._rebook(node, lambda request: True)
+            node.state = entry.state
+            if node.state is io.NodeState.READY:
+                if fresh and since is None and event.kind is io.ListKind.CHANGES:
+                    since = self.now           # a machine that joins unexplained is a replacement, so cold
+                if since is not None and (fresh or since != node.since):
+                    self._chill(node, since)
+                node.since = since
+            self._admit(node)
+
+    def _on_hand(self, event: io.ByHand) -> None:
+        """Out by hand, or back: one call back lifts all that stands, and the node was restarted meanwhile."""
+        banned = self.banned.pop(event.node, None)
+        if event.out:
+            self.banned[event.node] = self.now if banned is None else banned
+        if node := self.nodes.get(event.node):
+            if banned is not None and not event.out:
+                if (node.since or 0.0) < banned:  # no list has told of a start: the latest is presumed
+                    self._chill(node, self.now)
+                node.suspect = True            # what was known of it is forgotten, as with a first answer
+                self._alive(node)
+            self._admit(node)
+
+    def _chill(self, node: Node, since: float, lasts: float | None = None) -> None:
+        """Hold a node cold from its start on, where the rule on cold nodes binds."""
+        if self.settings.fall_window is not None:
+            node.cold_from, node.cold_until = since, since + (lasts or self.settings.cold_time or 0.0)
+
+    def _admit(self, node: Node) -> None:
+        """Let new work to a node that is listed as ready and not out by hand.
+
+        To any other nothing new goes from this very moment, and what waited is booked anew.
+        """
+        opens = node.state is io.NodeState.READY and node.id not in self.banned
+        if opens != node.open:
+            node.open = opens
+            for nodes in (self.open, self.shards.setdefault(node.shard, [])):
+                (nodes.append if opens else nodes.remove)(node)
+        if not opens:
+            self._rebook(node, lambda request: True)
+        self.touched[node.id] = node
 
     def _rebook(self, node: Node, wanted) -> None:
         """Take the wanted bookings off a node and book them again."""
@@ -383,14 +407,12 @@
             self._book(request)
 
     def _on_stream(self, event: io.StreamStarted) -> None:
-        request = self.requests.get(event.request)
-        if request is not None:
+        if request := self.requests.get(event.request):
             request.streaming = True
             self._alive(request.out[event.attempt].node)
 
     def _on_gone(self, event: io.ClientGone) -> None:
-        request = self.requests.get(event.request)
-        if request is not None and not request.done:
+        if request := self.requests.get(event.request):
             self._end(request, owed=False)
 
     def _on_ended(self, event: io.AttemptEnded) -> None:
@@ -432,7 +454,7 @@
         elif not request.done and not request.out:
             again = outcome is io.Outcome.RESET or attempt.stuck
             if (outcome in MAY_STILL_RUN and not again or not self._may_repeat(request)
-                    or self._tried_out(request)):  # booked, it would only wait for its deadline
+                    or request.tries >= self.most_tries):  # booked, it would only wait for its deadline
                 self._end(request)
             else:
                 self._book(request)
@@ -448,9 +470,9 @@
             request = attempt.request
             if attempt.sent_at >= node.answered:
                 break
-            time = node.serve_time(request.units, self.now, self.cycle)
+            time = node.serve_time(request.units)
             if (not attempt.stuck and not request.done and not request.streaming
-                    and request.cls.repeat is not io.Repeat.UNSAFE and not self._tried_out(request)
+                    and request.cls.repeat is not io.Repeat.UNSAFE and not request.tries >= self.most_tries
                     and self.now - attempt.sent_at > STUCK * time and self.now + time < request.aim_at):
                 attempt.stuck = True
                 self.actions.append(io.Cancel(request.id, attempt.number))
@@ -469,7 +491,7 @@
             return
         self._suspect(node)
         if node.cold_until < self.now + UNTOLD:  # it may be back, and cold, before any list says so
-            node.cold_from, node.cold_until = self.now, self.now + UNTOLD
+            self._chill(node, self.now, UNTOLD)
 
     def _suspect(self, node: Node) -> None:
         """No answers, or no connection: only a trickle goes there until one comes."""
@@ -527,11 +549,11 @@
 
     def _finish(self, node: Node, units: int) -> float:
         """Seconds until a request booked last at a node would be answered."""
-        if node.suspect or self._is_cold(node):
-            return 60.0 + node.silence(self.now, self.cycle)
+        if node.suspect or self.now < node.cold_until:
+            return 60.0 + node.silence()
         ahead = sum(entry[2].units for entry in node.queue) + node.out_units + units - node.window
         # Guards new objects against a node that fails them at once, and so always seems to have a hole.
-        return (max(0.0, ahead) * node.slot() + node.serve_time(units, self.now, self.cycle)
+        return (max(0.0, ahead) * node.slot() + node.serve_time(units)
                 + (10 * self.cycle if node.fails else 0.0))
 
     def _value(self, node: Node) -> None:
@@ -543,8 +565,7 @@
         now, settings = self.now, self.settings
         if now - node.weights_at > ACTIVE / 4:
             node.weights_at = now
-            for volume in [v for v, known in node.shares.items() if now - known[2] > ACTIVE]:
-                del node.shares[volume]
+            node.shares = {v: known for v, known in node.shares.items() if now - known[2] <= ACTIVE}
             node.weights = sum(v.plan.weight for v in node.shares)
         power = CAPACITY_DEALT * node.window / max(node.n_latency, 1e-3) / max(node.weights, 1e-9)
         left: dict[Volume, list[float]] = {}
@@ -571,20 +592,18 @@
         out, at every host alike.
         """
         node.refresh()
-        waiting = max(node.n_latency, node.silence(self.now, self.cycle)) - self.floor
+        waiting = max(node.n_latency, node.silence()) - self.floor
         part = min(1.0, max(0.0, waiting) / max(self.cycle - self.floor, self.cycle / 4))
         return max(node.bid(self.now), CROWD * self.top * part ** 2)
 
     def _run_node(self, node: Node) -> None:
         """Lay out a node's bookings in its cycles, send what is due, refuse what has no slot."""
-        if node.open and node.silence(self.now, self.cycle) > SILENT * self.cycle:
+        if node.open and node.silence() > SILENT * self.cycle:
             self._suspect(node)
         if self.settings.may_cancel:
             self._free_stuck(node)
         node.queue = [entry for entry in node.queue if not entry[2].done]
-        if not node.open:
-            self._rebook(node, lambda request: True)
-        elif node.queue:
+        if node.queue:
             order, refused = self._layout(node)
             self._send_due(node, order)
             for request in refused:
@@ -595,10 +614,6 @@
             node.wake = self.now + LOOK * self.cycle
             self._at(node.wake, node)          # one pending wake a node, however often it is looked at
 
-    def _cycle_slots(self, node: Node) -> int:
-        """The m of the paper: slots a cycle holds by measured slot time, within the floor and the most."""
-        return int(min(M_MOST, max(self.settings.units_top + M_EXTRA, self.cycle / node.slot())))
-
     def _layout(self, node: Node) -> tuple[list[Request], list[Request]]:
         """Order of the bookings: those that meet their aims, then late ones; and those without a slot.
 
@@ -616,7 +631,7 @@
             if request.late:
                 refused.append(request)
                 continue
-            time = node.serve_time(request.units, now, self.cycle)
+            time = node.serve_time(request.units)
             heappush(heap, (request.density, -seq, request))
             total += request.units
             while heap and now + max(0.0, total - room) * slot + time > request.aim_at:
@@ -630,10 +645,9 @@
                     break
         order = [entry[2] for entry in node.queue if not entry[2].late]
         late = [entry[2] for entry in node.queue if entry[2].late and entry[2] not in refused]
-        late.sort(key=lambda r: (-r.density * r.cls.late_worth, r.seq))
         price = self._price(node)
-        for request in late:
-            time = node.serve_time(request.units, now, self.cycle)
+        for request in sorted(late, key=lambda r: (-r.density * r.cls.late_worth, r.seq)):
+            time = node.serve_time(request.units)
             end = now + max(0.0, total + request.units - room) * slot + time
             if end > request.deadline or node.suspect or request.density * request.cls.late_worth < price:
                 refused.append(request)
@@ -648,7 +662,8 @@
         """Send bookings whose cycle is the present one, as long as there is room out there."""
         if self.now - node.cycle_at >= self.cycle:
             node.cycle_at, node.cycle_used = self.now, 0
-        slots = self._cycle_slots(node)
+        # The m of the paper: slots that a cycle holds by measured slot time, within the floor and the most.
+        slots = int(min(M_MOST, max(self.settings.units_top + M_EXTRA, self.cycle / node.slot())))
         if self.now < node.held:
             return
         if node.suspect:
@@ -657,8 +672,7 @@
             return
         price = self._price(node)
         for request in order:
-            worth = request.density * request.cls.late_worth if request.late else request.density
-            if worth < price:
+            if request.density * (request.cls.late_worth if request.late else 1.0) < price:
                 continue
             if node.out_units + request.units > node.window and (
                     node.out_units or self.now - node.sent_at < request.units / node.window * node.n_latency):
@@ -669,9 +683,11 @@
 
     # --- sending -------------------------------------------------------------------------------
 
-    def _is_cold(self, node: Node) -> bool:
-        """Whether the rule on cold nodes binds here."""
-        return self.settings.fall_window is not None and self.now < node.cold_until
+    def _count_cold(self, node: Node, units: int) -> None:
+        """Units go to a node from this host: while it is cold they count."""
+        if self.now < node.cold_until:
+            node.cold_sent.append((self.now, units))
+            node.cold_out += units
 
     def _cold_bars(self, node: Node, request: Request) -> bool:
         """Whether a request must not go to a node because that is cold.
@@ -681,7 +697,7 @@
         new life of a host changes nothing.  Which requests, the key says: a client's repeats fare alike.
         Beyond that each host may use its even part of half of what such a node always bears.
         """
-        if not self._is_cold(node):
+        if self.now >= node.cold_until:
             return False
         s = self.settings                      # the ramp is taken at the middle of the rule's window
         age = max(0.0, self.now - node.cold_from - s.fall_window / 2)
@@ -718,10 +734,6 @@
         return node is None or cls.scope is io.Scope.ALL or (
             node.zone == first.zone if cls.scope is io.Scope.ZONE else node.shard == first.shard)
 
-    def _tried_out(self, request: Request) -> bool:
-        """Whether no attempt of a request is left."""
-        return self.settings.max_attempts is not None and request.tries >= self.settings.max_attempts
-
     def _has_turn(self, request: Request) -> bool:
         """Order by key: only the oldest that is not over, and only once the key has rested."""
         if not request.cls.ordered or not request.key:
@@ -733,7 +745,7 @@
         """The one way out to a node.  Every rule on sending is checked here."""
         if (request.done or request.out or not node.open or request.deadline <= self.now
                 or request.shard is not None and request.shard != node.shard
-                or self._tried_out(request)
+                or request.tries >= self.most_tries
                 or not self._may_repeat(request, node) or not self._has_turn(request)
                 or self._cold_bars(node, request)
                 or request.tries and not self._budget_left()):
@@ -750,9 +762,7 @@
                 request.volume.reserve_level -= request.units
             elif request.tier == 1 and request.volume in node.shares:
                 node.shares[request.volume][0] -= request.units
-        if self._is_cold(node):
-            node.cold_sent.append((self.now, request.units))
-            node.cold_out += request.units
+        self._count_cold(node, request.units)
         attempt = Attempt(request, request.tries, node, self.now)
         request.out[request.tries] = node.out[(request.id, request.tries)] = attempt
         request.tries += 1
@@ -774,10 +784,9 @@
             return
         request.done = True
         if owed:
-            maybe_ran = bool(request.ran or request.out)
-            repeat = request.cls.repeat
-            if not maybe_ran or repeat is io.Repeat.SAFE or (
-                    repeat is io.Repeat.KEYED and request.cls.scope is io.Scope.ALL):
+            cls = request.cls
+            if not (request.ran or request.out) or cls.repeat is io.Repeat.SAFE or (
+                    cls.repeat is io.Repeat.KEYED and cls.scope is io.Scope.ALL):
                 wait = min(retry_after or self.cycle, self.settings.max_retry_after)
                 self.actions.append(io.Refuse(request.id, wait if self.settings.retry_after else None))
             else:
@@ -816,6 +825,8 @@
 HANDLERS = {
     io.RequestArrived: Scheduler._on_request,
     io.NodesListed: Scheduler._on_list,
+    io.ByHand: Scheduler._on_hand,
+    io.SentBeside: Scheduler._on_beside,
     io.AttemptEnded: Scheduler._on_ended,
     io.StreamStarted: Scheduler._on_stream,
     io.ClientGone: Scheduler._on_gone,
--- a/mallowbeam/facade.py
+++ b/mallowbeam/facade.py
@@ -13,6 +13,7 @@
 from mallowbeam.control import Scheduler
 
 NEVER = float("inf")
+GONE = io.NodeState.GONE
 
 
 class Try(NamedTuple):
@@ -62,12 +63,12 @@
     @property
     def nodes_listed(self) -> int:
         """How many nodes discovery lists, in whatever state."""
-        return sum(not node.gone for node in self._scheduler.nodes.values())
+        return sum(node.state is not GONE for node in self._scheduler.nodes.values())
 
     @property
     def nodes_avoided(self) -> int:
         """How many of them get no new work now, or next to none."""
-        return sum(not node.gone and (not node.open or node.suspect or node.fails)
+        return sum(node.state is not GONE and (not node.open or node.suspect or node.fails)
                    for node in self._scheduler.nodes.values())
 
     def pick(self, now: float, request: str, **fields) -> Orders:
@@ -98,6 +99,22 @@
         """Word from discovery, a failure included."""
         return self._step(now, io.NodesListed(kind, version, entries or []))
 
+    def by_hand(self, now: float, node: str, out: bool) -> Orders | None:
+        """An operator takes a node out, or calls it back; None for a node that nobody has."""
+        if not self.listed_or_out(node):
+            return None
+        return self._step(now, io.ByHand(node, out))
+
+    def listed_or_out(self, node: str) -> bool:
+        """Whether there is such a node: listed, or out by hand."""
+        known = self._scheduler.nodes.get(node)
+        return known is not None and known.state is not GONE or node in self._scheduler.banned
+
+    def takes(self, node: str) -> bool:
+        """Whether new work may go to a node at this moment."""
+        known = self._scheduler.nodes.get(node)
+        return known is not None and known.open
+
     def tick(self, now: float) -> Orders:
         """Time has passed; does nothing before `wake`, since the module counts on its own last timer."""
         if now < self.wake:
--- a/mallowbeam/interface.py
+++ b/mallowbeam/interface.py
@@ -166,6 +166,30 @@
     entries: list[NodeEntry] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class ByHand:
+    """An operator takes a node out, or lets it serve again."""
+
+    node: str
+    out: bool
+
+
+@dataclass(slots=True)
+class SentBeside:
+    """Another process of this same host has sent `units` to a node, `drawn` of them from the volume's limit.
+
+    `level` is the level of that limit's store, where it is handed over; nothing need be sent with it.
+    """
+
+    volume: str
+    plan: str
+    hosts: int
+    node: str = ""
+    units: int = 0
+    drawn: int = 0
+    level: float | None = None
+
+
 @dataclass(slots=True)
 class AttemptEnded:
     """The single outcome of an attempt.
@@ -227,8 +251,8 @@
     payload: bytes
 
 
-Event = (RequestArrived | NodesListed | AttemptEnded | StreamStarted | ClientGone | TimerFired
-         | ProbeEnded | PeerMessage)
+Event = (RequestArrived | NodesListed | ByHand | SentBeside | AttemptEnded | StreamStarted | ClientGone
+         | TimerFired | ProbeEnded | PeerMessage)
 
 
 # --- actions ----------------------------------------------------------------------------------
--- a/mallowbeam/net/admin.py
+++ b/mallowbeam/net/admin.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 
 from mallowbeam.net.config import ADMIN_SOCKETS
@@ -12,6 +13,7 @@
 from mallowbeam.net.http import Message
 from mallowbeam.net.server import Connection, Reply, Server, plain
 
+ID = re.compile(r"[\x21-\x7e]+\Z")
 MAX_ID = 256                # bytes of a body: no id is longer
 
 
@@ -23,7 +25,9 @@
     def __init__(self, gateway: Gateway) -> None:
         self.gateway = gateway
         self.calls: dict[bytes, tuple[bytes, Callable[[Message], Reply]]] = {
-            b"/_ready": (b"GET", self._ready), b"/_vars": (b"GET", self._vars)}
+            b"/_ready": (b"GET", self._ready), b"/_vars": (b"GET", self._vars),
+            b"/_storage-nodes/detach": (b"PUT", lambda request: self._by_hand(request, True)),
+            b"/_storage-nodes/attach": (b"PUT", lambda request: self._by_hand(request, False))}
 
     async def handle(self, request: Message, closing: Callable[[], bool]) -> Reply:
         """One call to its answer."""
@@ -53,6 +57,17 @@
         return plain(200, text.removesuffix("\n"), True)
 
 
+    def _by_hand(self, request: Message, out: bool) -> Reply:
+        """Take a node out, or let it serve again: both hold from this yes on."""
+        node = request.body.decode("latin-1").strip()
+        if not ID.match(node):
+            return plain(400, "the body is not the id of a storage node", True)
+        if not self.gateway.by_hand(node, out):
+            return plain(404, "no such storage node", True)
+        return plain(200, "out" if out else "back", True)
+
+
+
 class Caller(Connection):
     """An operator's connection."""
 
--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -288,8 +288,9 @@
         try:
             async with asyncio.timeout(timeout) as limit:
                 link = await self.pool.take(address)
-                # Guards the rule on draining: the list may have changed while the connection came up.
-                if self.addresses.get(tried.node) != address:
+                # Guards the rule on draining: the list may have changed while the connection came up, or an
+                # operator taken the node out.
+                if self.addresses.get(tried.node) != address or not self.facade.takes(tried.node):
                     return Outcome.NOT_SENT, None
                 await link.request(write_request(call.method, call.target, headers, len(call.body)),
                                    call.body, bodiless=call.method == b"HEAD")
@@ -376,6 +377,17 @@
         else:
             self._listing(listing, io.ListKind.FULL if listing.complete else io.ListKind.CHANGES)
 
+    def by_hand(self, node: str, out: bool) -> bool:
+        """An operator takes a node out, or lets it serve again; False for one that nobody has."""
+        orders = self.facade.by_hand(self.now(), node, out)
+        if orders is None:
+            return False
+        logger.info("storage node {} {} by hand", node, "out" if out else "back")
+        if out and node in self.addresses:     # it is about to be restarted: no idle connection is of use
+            self.pool.forget(self.addresses[node])
+        self._apply(orders)
+        return True
+
     def _listing(self, listing: Listing, kind: io.ListKind) -> None:
         told = {entry.node for entry in listing.entries}
         for node, address in list(self.addresses.items()):
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -6,7 +6,7 @@
 
 import pytest
 import uvloop
-from scenario import World, play
+from scenario import EXAMPLE, World, play
 
 from mallowbeam.net import gateway, server
 from mallowbeam.net.metrics import Metrics
@@ -110,3 +110,60 @@
                 await world.play("q1 send GET /_ready\nq1 expect 200")
 
     uvloop.run(run())
+
+
+def test_a_node_out_by_hand_gets_nothing_until_it_is_called_back():
+    play("""
+        q1 send PUT /_storage-nodes/detach body=n0
+        q1 expect 200
+        q2 send GET /_vars
+        q2 expect 200 'app_members 2\\n' 'app_members_unavailable 1\\n'
+        c1 send read
+        c1 expect 503 retry-after
+        c1 send write shard=-1
+        n1 expect PUT
+        n1 send 200 body=x
+        c1 expect 200
+        q3 send PUT /_storage-nodes/attach 'body=n0 '
+        q3 expect 200
+        c1 send read
+        n0 expect GET
+        n0 send 200 body=x
+        c1 expect 200
+    """, nodes=2)
+
+
+@pytest.mark.parametrize("call", ["detach", "attach"])
+@pytest.mark.parametrize(("body", "status"), [("n9", 404), ("", 400), ("'a b'", 400), ("y" * 300, 413)])
+def test_an_id_that_nobody_has_or_that_is_none_gets_a_no(call, body, status):
+    play(f"q1 send PUT /_storage-nodes/{call} body={body}\nq1 expect {status}")
+
+
+def test_a_node_taken_out_while_a_connection_comes_up_gets_nothing():
+    """Guards the 250 ms from the yes where connecting takes longer."""
+
+    async def run() -> None:
+        async with World() as world:
+            gate, take = asyncio.Event(), world.gateway.pool.take
+
+            async def slow(address: str):
+                await gate.wait()
+                return await take(address)
+
+            world.gateway.pool.take = slow
+            await world.play("c1 send read\nwait 0.05")
+            await world.play("q1 send PUT /_storage-nodes/detach body=n0\nq1 expect 200")
+            gate.set()
+            await world.play("c1 expect 503\nn0 expect nothing")
+
+    uvloop.run(run())
+
+
+def test_a_reload_keeps_nodes_out():
+    async def run() -> None:
+        async with World() as world:
+            await world.play("q1 send PUT /_storage-nodes/detach body=n0\nq1 expect 200")
+            world.gateway.reload({"BALANCER_CONFIG": str(EXAMPLE / "config.json")})
+            await world.play("wait 0.05\nc1 send read\nc1 expect 503\nn0 expect nothing")
+
+    uvloop.run(run())
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -547,3 +547,57 @@
     middle = node.n_latency
     rig.step(rig.ended(slow, io.Outcome.CANCELLED), after=0.3)
     assert node.n_latency > max(before, middle)
+
+
+def out_by_hand(rig: Rig, out: bool, node: str = "n0") -> list[io.Action]:
+    return rig.step(io.ByHand(node, out), after=0.1)
+
+
+def test_what_only_a_node_out_by_hand_could_serve_is_refused_at_once_and_whatever_the_list_says():
+    """Guards the operators' word: a list, whole or in part, must not lift it; one call back does."""
+    rig = Rig(nodes=2, **COLD | {"hosts": 1})
+    out_by_hand(rig, True)
+    out_by_hand(rig, True)
+    for kind in (io.ListKind.CHANGES, io.ListKind.FULL):
+        rig.step(io.NodesListed(kind, 2, [io.NodeEntry("n0", shard=0), io.NodeEntry("n1", shard=1)]))
+        assert of(rig.step(rig.request()), io.Refuse)
+    assert of(rig.step(rig.request(shard=None)), io.Send)[0].node == "n1"
+    out_by_hand(rig, False)
+    assert of(rig.step(rig.request(units=1)), io.Send)[0].node == "n0"
+
+
+def test_what_waited_at_a_node_and_what_comes_back_from_it_goes_there_no_more():
+    """Guards the drain rule: a try again is new work too."""
+    rig = Rig(nodes=1)
+    sends = fill(rig, units=1)
+    waiting = [name for name, request in rig.host.requests.items() if not request.out]
+    refused = of(out_by_hand(rig, True), io.Refuse)
+    assert {action.request for action in refused} == set(waiting) and waiting
+    seen = rig.step(rig.ended(sends[0], io.Outcome.REJECTED), after=0.05) + rig.wait(0.1)
+    assert of(seen, io.Refuse) and not of(seen, io.Send)
+
+
+@pytest.mark.parametrize(("told", "cold_from"), [(None, "back"), (50.0, "back"), ("now", "told")])
+def test_a_node_called_back_is_cold_from_the_latest_start_there_can_have_been(told, cold_from):
+    """Guards a node that its operators restarted: no list has told of that yet, unless it has."""
+    rig = Rig(nodes=2, **COLD | {"hosts": 1})
+    node = rig.host.nodes["n0"]
+    out_by_hand(rig, True)
+    since = rig.now + 0.5 if told == "now" else told
+    rig.step(io.NodesListed(io.ListKind.CHANGES, 2, [io.NodeEntry("n0", since=since)]), after=1.0)
+    out_by_hand(rig, False)
+    assert node.cold_from == (since if cold_from == "told" else rig.now)
+    rig.step(io.NodesListed(io.ListKind.CHANGES, 3, [io.NodeEntry("n0", since=rig.now - 0.5)]))
+    assert node.cold_from == rig.now - 0.5, "what the list tells of a start later counts"
+    assert of(rig.step(rig.request(units=1)), io.Send), "and it is tried again at once"
+
+
+def test_what_a_sister_process_sends_counts_against_limit_and_cold_node():
+    """Guards the rules through an upgrade: two processes are one host, with one store and one part."""
+    rig = Rig(nodes=2, **COLD | {"hosts": 1})
+    rig.step(io.SentBeside("v", "basic", 1, level=20.0))
+    rig.step(io.SentBeside("v", "basic", 1, "n1", 4, 4))
+    assert rig.host.volumes["v", "basic"].limit_level == pytest.approx(16.0)
+    rig.step(io.NodesListed(io.ListKind.CHANGES, 2, [io.NodeEntry("n1", shard=1, since=rig.now)]))
+    rig.step(io.SentBeside("v", "gold", 1, "n1", 3, 0))
+    assert rig.host.nodes["n1"].cold_out == 3
