Hand the listening sockets and the state over to a new process; act as one with it

Ruled out: SO_REUSEPORT alone, since what waits in the old listener's backlog is reset when it closes.

--- a/mallowbeam/__main__.py
+++ b/mallowbeam/__main__.py
@@ -16,6 +16,7 @@
 from mallowbeam.net.admin import open_admin
 from mallowbeam.net.config import BadConfig, Config, read_address, read_config, read_file
 from mallowbeam.net.gateway import Gateway
+from mallowbeam.net.handover import Legacy, take_over
 from mallowbeam.net.health import AgentConnection, Health
 from mallowbeam.net.server import Connection, Server
 
@@ -24,22 +25,28 @@
 WATCHER_CONNECTIONS = 8     # of the clients' connections, for each listener that only balancers ask
 
 
-def open_servers(gateway: Gateway, fronts: dict) -> list[Server]:
-    """The listening sockets: the platform's, and what the fronts file turns on; raises `BadConfig`."""
-    config, servers = gateway.config, []
+def open_servers(gateway: Gateway, fronts: dict, legacy: Legacy | None = None) -> list[Server]:
+    """The listening sockets: the platform's, and what the fronts file turns on; raises `BadConfig`.
+
+    Those that the process before this one handed over are taken as they are.
+    """
+    config, servers, handed = gateway.config, [], legacy.doors if legacy else {}
     room = config.client_sockets
     try:
         objects = read_object_settings(fronts.get("objects", {}), gateway)
         for name, front, connection in (("health", Health(gateway), Connection),
                                         ("agent_check", gateway, AgentConnection)):
             if listen := fronts.get(name, {}).get("listen"):
-                servers.append(Server(read_address(listen), front, WATCHER_CONNECTIONS, connection))
+                servers.append(Server(read_address(listen), front, WATCHER_CONNECTIONS, connection, name,
+                                      handed.pop(name, None)))
                 room -= WATCHER_CONNECTIONS
         if objects:
             gateway.pool.max_body = max(gateway.pool.max_body, objects.max_body)
             room //= 2
-            servers.append(Server(objects.listen, Objects(gateway, objects), room))
-        servers.append(Server(config.listen, Platform(gateway), room))
+            servers.append(Server(objects.listen, Objects(gateway, objects), room, name="objects",
+                                  handed=handed.pop("objects", None)))
+        servers.append(Server(config.listen, Platform(gateway), room, name="platform",
+                              handed=handed.pop("platform", None)))
     except (ValueError, AttributeError) as error:
         raise BadConfig(f"the fronts file is malformed: {error}") from None
     return servers
@@ -47,17 +54,18 @@
 
 async def serve(config: Config, fronts: dict) -> None:
     """Run a gateway with its fronts until it is told to stop."""
-    gateway = Gateway(config)
+    legacy = take_over(config)
+    gateway = Gateway(legacy.config(config) if legacy else config)
     asyncio.get_running_loop().set_exception_handler(lambda _, context: logger.opt(
         exception=context.get("exception")).error("unforeseen: {}", context["message"]))
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, gateway.stop)
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, gateway.reload, os.environ)
     try:
-        admin, servers = open_admin(gateway), open_servers(gateway, fronts)
+        admin, servers = open_admin(gateway), open_servers(gateway, fronts, legacy)
     except OSError as error:
         raise BadConfig(f"cannot listen: {error}") from None
-    await gateway.run(servers, admin)
+    await gateway.run(servers, admin, legacy, meet=True)
 
 
 def main() -> int:
--- a/mallowbeam/control.py
+++ b/mallowbeam/control.py
@@ -371,7 +371,7 @@
         """Out by hand, or back: one call back lifts all that stands, and the node was restarted meanwhile."""
         banned = self.banned.pop(event.node, None)
         if event.out:
-            self.banned[event.node] = self.now if banned is None else banned
+            self.banned[event.node] = banned or event.since or self.now
         if node := self.nodes.get(event.node):
             if banned is not None and not event.out:
                 if (node.since or 0.0) < banned:  # no list has told of a start: the latest is presumed
--- a/mallowbeam/facade.py
+++ b/mallowbeam/facade.py
@@ -110,6 +110,35 @@
         known = self._scheduler.nodes.get(node)
         return known is not None and known.state is not GONE or node in self._scheduler.banned
 
+    def sent_beside(self, now: float, volume: str, plan: str, hosts: int, node: str, units: int,
+                    drawn: int) -> Orders:
+        """Another process of this host has sent to a node."""
+        return self._step(now, io.SentBeside(volume, plan, hosts, node, units, drawn))
+
+    def entries(self, now: float) -> list[io.NodeEntry]:
+        """The list as it stands here; a node held cold counts from the start told or presumed."""
+        return [io.NodeEntry(node.id, node.state, node.shard, node.zone,
+                             node.cold_from if now < node.cold_until else node.since)
+                for node in self._scheduler.nodes.values() if node.state is not GONE]
+
+    def state(self, now: float) -> dict[str, object]:
+        """What another process of this host must know to decide as this one would, in plain values."""
+        volumes = [(*key, volume) for key, volume in self._scheduler.volumes.items() if volume.plan.limit > 0]
+        for *_, volume in volumes:
+            volume.refill(now)
+        return {"out": self._scheduler.banned,
+                "stores": [[name, plan, v.hosts, v.limit_level] for name, plan, v in volumes],
+                "cold": [[n.id, n.cold_out] for n in self._scheduler.nodes.values() if n.cold_out]}
+
+    def inherit(self, now: float, state: dict) -> None:
+        """Take in the state of the process before this one, once the list is known."""
+        for node, since in state["out"].items():
+            self._step(now, io.ByHand(node, True, since))
+        for volume, plan, hosts, level in state["stores"]:
+            self._step(now, io.SentBeside(volume, plan, hosts, level=level))
+        for node, units in state["cold"]:
+            self._step(now, io.SentBeside("", "", 1, node, units))
+
     def takes(self, node: str) -> bool:
         """Whether new work may go to a node at this moment."""
         known = self._scheduler.nodes.get(node)
--- a/mallowbeam/interface.py
+++ b/mallowbeam/interface.py
@@ -172,6 +172,7 @@
 
     node: str
     out: bool
+    since: float | None = None                 # when that was said, where it was not just now
 
 
 @dataclass(slots=True)
--- a/mallowbeam/net/config.py
+++ b/mallowbeam/net/config.py
@@ -32,6 +32,7 @@
     discovery: str
     node_sockets: int                          # connections to nodes, at most
     client_sockets: int                        # connections of clients, at most, over all fronts
+    own_sockets: int                           # descriptors of the program itself and its operators' door
     memory: int                                # bytes that the program may use
     known: Listing
     settings: io.Settings
@@ -97,12 +98,13 @@
     if memory <= 0:
         raise ValueError("no memory")
     door = env.get("BALANCER_ADMIN_ADDR") or raw.get("admin_addr")
-    dealt = sockets - OWN_SOCKETS - (ADMIN_SOCKETS if door else 0)
+    own = OWN_SOCKETS + (ADMIN_SOCKETS if door else 0)
+    dealt = sockets - own
     node_sockets = int(dealt * NODE_SHARE)
     return Config(
         name=str(env.get("BALANCER_NAME") or raw["name"]),
         listen=read_address(env.get("BALANCER_LISTEN") or raw["listen"]),
         admin=read_address(door) if door else None, discovery=discovery,
         node_sockets=node_sockets, client_sockets=dealt - node_sockets,
-        memory=memory, known=read_listing(raw["known"]), settings=settings,
+        own_sockets=own, memory=memory, known=read_listing(raw["known"]), settings=settings,
         idle_limit=seconds("Ceilings.ConnIdle"), connect_timeout=seconds("Ceilings.ConnectTimeout"))
--- a/mallowbeam/net/discovery.py
+++ b/mallowbeam/net/discovery.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from loguru import logger
@@ -47,6 +47,16 @@
     return Listing(int(raw["revision"]), bool(raw["complete"]), entries, addresses)
 
 
+def write_listing(revision: int, complete: bool, entries: list[io.NodeEntry],
+                  addresses: Mapping[str, str]) -> dict:
+    """A list in discovery's JSON, as `read_listing` reads it."""
+    phases = {state: phase for phase, state in STATES.items()}
+    return {"revision": revision, "complete": complete, "members": [
+        {"id": e.node, "host_port": addresses.get(e.node, ""), "locality": e.zone, "flavor": e.machine,
+         "cell": e.shard, "phase": phases[e.state], "size": e.weight,
+         "up_since_ms": round((e.since or 0.0) * 1000)} for e in entries]}
+
+
 class Watch:
     """Follows the list of nodes while asked to."""
 
@@ -60,15 +70,19 @@
         if self.task is None or self.task.done():
             self.task = asyncio.create_task(self._run())
 
+    def pause(self) -> None:
+        """Watch no more, until told to begin again."""
+        if self.task is not None:
+            self.task.cancel()
+            self.task = None
+
     def move(self, address: str) -> None:
         """Watch at another address from now on."""
         if address == self.address:
             return
         # Guards against changes missed between the two: what is at the new address may count its lists anew.
         self.address, self.revision = address, None
-        if self.task is not None:
-            self.task.cancel()
-            self.task = None
+        self.pause()
         self.begin()
 
     async def _run(self) -> None:
--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -8,6 +8,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -16,7 +17,8 @@
 from mallowbeam import interface as io
 from mallowbeam.facade import NEVER, Facade, Orders, Try, Verdict
 from mallowbeam.net.config import BadConfig, Config, read_again
-from mallowbeam.net.discovery import Listing, Watch
+from mallowbeam.net.discovery import Listing, Watch, write_listing
+from mallowbeam.net.handover import Handover, Legacy, Sister
 from mallowbeam.net.http import Budget, Headers, Message, write_request
 from mallowbeam.net.log import Sparse
 from mallowbeam.net.metrics import Metrics
@@ -43,6 +45,7 @@
 
     STARTING = "starting"
     SERVING = "serving"
+    HANDED_OVER = "handed over"  # a new process takes what comes; its own connections come to an end
     LAME_DUCK = "lame duck"  # told to stop: still takes what comes
     DRAINING = "draining"    # takes nothing, finishes what it holds
     STOPPED = "stopped"
@@ -145,7 +148,8 @@
         self.servers: list[Server] = []        # the clients' doors
         self.timer: asyncio.TimerHandle | None = None
         self.timer_at = NEVER
-        self.stopping = asyncio.Event()
+        self.stopping, self.handed_over = asyncio.Event(), asyncio.Event()
+        self.sister: Sister | None = None      # the other process of this gateway, while there are two
         self.no_room = Sparse("no room for a connection to a node")
         self.spoilt = Sparse("a node's answer can't be read")
 
@@ -155,34 +159,133 @@
 
     # --- phases --------------------------------------------------------------------------------
 
-    async def run(self, servers: list[Server], admin: Server | None = None) -> None:
-        """Serve until told to stop, then finish what is held; the operators' door is open throughout."""
+    async def run(self, servers: list[Server], admin: Server | None = None,
+                  legacy: Legacy | None = None, meet: bool = False) -> None:
+        """Serve until told to stop, then finish what is held; the operators' door is open throughout.
+
+        `legacy` is what the process before this one hands over, `meet` says whether to wait for the next.
+        """
         self.servers = servers
         if admin is not None:
             admin.start()
         self._listing(self.config.known, io.ListKind.CACHED)
+        if legacy is not None:
+            self.facade.inherit(self.now(), legacy.state)
+            self.sister = Sister(legacy.sock, self, legacy.rest)
+            self.sister.ids.update(legacy.state["ids"])
+            self.deal(0)
         if not self.config.settings.discovery_on_request:
             self.watch.begin()
         for server in servers:
             server.start()
         self._enter(Phase.SERVING)
+        if self.sister is not None:
+            self.sister.tell("yes", True)
+        handover = self._await_next() if meet else None
         sweeper = asyncio.create_task(self._sweep([*servers, *([admin] if admin else [])]))
-        await self.stopping.wait()
-        self._enter(Phase.LAME_DUCK)
+        await self._any(self.stopping, self.handed_over)
+        self._enter(Phase.HANDED_OVER if self.handed_over.is_set() else Phase.LAME_DUCK)
         for server in servers:
             server.last_answers()
-        await asyncio.sleep(LAME_DUCK)
+        if handover is not None:
+            handover.task.cancel()
+        if self.handed_over.is_set():
+            await self._hand_over()
+        else:
+            await asyncio.sleep(LAME_DUCK)
         self._enter(Phase.DRAINING)
         await asyncio.gather(*(server.drain() for server in servers))
         sweeper.cancel()
         self._enter(Phase.STOPPED)
 
+    @staticmethod
+    async def _any(*events: asyncio.Event) -> None:
+        """Wait for one of several events."""
+        waits = [asyncio.create_task(event.wait()) for event in events]
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+
+    async def _hand_over(self) -> None:
+        """Let the new process take what comes, until nothing is left here or SIGTERM has come."""
+        for server in self.servers:
+            await server.shut()
+        self.watch.pause()                     # what the new one hears it tells
+        if self.sister is None:                # gone in this very moment
+            self.watch.begin()
+        while not self.stopping.is_set() and any(server.connections for server in self.servers):
+            self._count_clients()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(LAME_DUCK / 5):
+                    await self.stopping.wait()
+        if self.stopping.is_set():             # idle connections have a moment for their next request
+            await asyncio.sleep(LAME_DUCK)
+
+    def _count_clients(self) -> None:
+        """Tell the new process how many of the clients' connections are still held here."""
+        if self.sister is not None:
+            self.sister.tell("clients", sum(len(server.connections) for server in self.servers))
+
+    def _await_next(self) -> Handover | None:
+        """Wait for the next process; without a place to meet the two would share the address only."""
+        try:
+            return Handover(self)
+        except OSError as error:
+            logger.warning("no place to hand over at: {}", error)
+            return None
+
+    # --- two processes -------------------------------------------------------------------------
+
+    def deal(self, beside: int) -> None:
+        """While there are two processes, keep to this one's part of descriptors and memory.
+
+        Guards the limits, which count for both together: `beside` connections of clients are the other's.
+        """
+        parts = 1 if self.sister is None else 2
+        own = 0 if self.sister is None else self.config.own_sockets
+        for server in self.servers:
+            server.most = max(server.whole // 4, server.whole - (beside + own) // len(self.servers))
+            if budget := getattr(server.front, "budget", None):
+                budget.most = budget.whole // parts
+        self.pool.limit(parts)
+
+    def alone(self) -> None:
+        """The other process is gone."""
+        self.sister = None
+        self.deal(0)
+        if self.handed_over.is_set() and self.phase is not Phase.STOPPED:
+            self.watch.begin()                 # nobody tells what discovery says any more
+
+    def sent_beside(self, sent: list) -> None:
+        """The other process has sent something that counts here too."""
+        self._apply(self.facade.sent_beside(self.now(), *sent))
+
+    def told_beside(self, listing: Listing) -> None:
+        """The other process has heard from discovery.
+
+        Guards against going back: a list that is no newer than what is known here changes nothing.
+        """
+        if self.watch.revision is None or listing.revision > self.watch.revision:
+            self.watch.revision = listing.revision
+            self._listing(listing, io.ListKind.FULL if listing.complete else io.ListKind.CHANGES)
+
+    def _tell(self, kind: str, value: object) -> None:
+        """Tell the other process, where there is one."""
+        if self.sister is not None:
+            self.sister.tell(kind, value)
+
+    def _over(self, request: str) -> None:
+        """Tell it of an id that is free again."""
+        if self.sister is not None and request not in self.exchanges and not self.facade.knows(request):
+            self.sister.tell("over", request)
+
     def holds(self, request: str) -> bool:
         """Whether this id is in use: unanswered, or with an attempt still out.
 
         Guards the one final answer: what the module is done with is held until its front has the answer.
         """
-        return request in self.exchanges or self.facade.knows(request)
+        return (request in self.exchanges or self.facade.knows(request)
+                or self.sister is not None and request in self.sister.ids)
 
     def stop(self) -> None:
         """SIGTERM: begin to leave."""
@@ -198,6 +301,7 @@
         except BadConfig as error:
             return logger.error("reload: old values stay: {}", error)
         logger.info("reload: discovery at {}", config.discovery)
+        self._tell("discovery", config.discovery)
         self.watch.move(config.discovery)
 
     @property
@@ -223,6 +327,7 @@
         """Get a call its one answer; cancelled when its client leaves."""
         expires = float(call.fields["expires_in"])
         exchange = self.exchanges[call.id] = Exchange(call, self.now() + expires)
+        self._tell("taken", call.id)
         try:
             self._apply(self.facade.pick(self.now(), call.id, **call.fields))
             return await exchange.answer
@@ -234,6 +339,7 @@
             raise
         finally:
             del self.exchanges[call.id]
+            self._over(call.id)
 
     def _apply(self, orders: Orders) -> None:
         """Do what the module wants done, and come back when it wants to be called."""
@@ -272,6 +378,11 @@
             logger.error("an attempt for a request that is not held")
             self._apply(self.facade.report(started, tried, Outcome.NOT_SENT, 0.0))
             return
+        if self.sister is not None:
+            told, units = exchange.call.fields, exchange.call.fields["units"]
+            hosts = told.get("hosts_of_volume") or self.config.settings.hosts
+            self.sister.tell("sent", [told["volume"], told["plan"], hosts, tried.node, units,
+                                      0 if tried.number else units])
         task = asyncio.create_task(self._attempt(tried, exchange, started))
         self.tasks[tried.request, tried.number] = task
         task.add_done_callback(lambda done: self._ended(tried, started, done))
@@ -367,6 +478,7 @@
         used, elsewhere = read_meter(answer)
         now = self.now()
         self._apply(self.facade.report(now, tried, outcome, now - started, used, elsewhere))
+        self._over(tried.request)
 
     # --- nodes ---------------------------------------------------------------------------------
 
@@ -375,14 +487,20 @@
         if listing is None:
             self._apply(self.facade.listed(self.now(), io.ListKind.FAILED))
         else:
+            self._tell("list", write_listing(*listing))
             self._listing(listing, io.ListKind.FULL if listing.complete else io.ListKind.CHANGES)
 
-    def by_hand(self, node: str, out: bool) -> bool:
-        """An operator takes a node out, or lets it serve again; False for one that nobody has."""
+    def by_hand(self, node: str, out: bool, told: bool = False) -> bool:
+        """An operator takes a node out, or lets it serve again; False for one that nobody has.
+
+        `told` if the other process heard of it.
+        """
         orders = self.facade.by_hand(self.now(), node, out)
         if orders is None:
             return False
         logger.info("storage node {} {} by hand", node, "out" if out else "back")
+        if not told:
+            self._tell("hand", [node, out])
         if out and node in self.addresses:     # it is about to be restarted: no idle connection is of use
             self.pool.forget(self.addresses[node])
         self._apply(orders)
--- a/mallowbeam/net/health.py
+++ b/mallowbeam/net/health.py
@@ -58,7 +58,7 @@
 
     The weight falls with the share of client connections in use, and never to 0, which would be a drain.
     """
-    if gateway.phase is Phase.LAME_DUCK:
+    if gateway.phase in (Phase.LAME_DUCK, Phase.HANDED_OVER):
         return b"up drain\n"
     if gateway.phase is not Phase.SERVING:
         return b"stopped\n"
--- a/mallowbeam/net/http.py
+++ b/mallowbeam/net/http.py
@@ -64,7 +64,8 @@
     """Bytes of bodies that the connections of one server may hold together."""
 
     def __init__(self, most: int) -> None:
-        self.most, self.used = most, 0
+        self.whole = self.most = most          # in all, and while another process has its part
+        self.used = 0
 
 
 class Framer:
--- a/mallowbeam/net/server.py
+++ b/mallowbeam/net/server.py
@@ -238,25 +238,25 @@
     """One listening address and the front behind it."""
 
     def __init__(self, address: tuple[str, int], front: Front, most: int,
-                 connection: type = Connection) -> None:
-        self.front, self.closing, self.most = front, False, most  # most: connections held at once
-        # Guards against requests lost in the backlog, where their clients count them as taken: the last few
-        # connections only refuse, at once, so that there is always room for one more.
-        self.spare = max(1, most // SPARE)
+                 connection: type = Connection, name: str = "", handed: socket.socket | None = None) -> None:
+        self.front, self.closing, self.name = front, False, name
+        self.whole = self.most = most          # connections that may be held at once: in all, and now
         self.connection = connection
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self.sock = socket.socket(family, socket.SOCK_STREAM)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            self.sock.bind(address)
-        except BaseException:
-            self.sock.close()
-            raise
+        self.sock = handed or bound(address)
         self.address = self.sock.getsockname()
         self.connections: set[Connection] = set()
         self.crowded = Sparse("all connections are busy")
         self.acceptor: asyncio.Task | None = None
 
+    @property
+    def spare(self) -> int:
+        """How many of the connections only refuse.
+
+        Guards against requests lost in the backlog, where their clients count them as taken: the last few
+        refuse, at once, so that there is always room for one more.
+        """
+        return max(1, self.most // SPARE)
+
     @property
     def pending(self) -> int:
         """Requests taken in whole that are not over yet."""
@@ -316,11 +316,15 @@
         """From now on every answer closes its connection."""
         self.closing = True
 
-    async def drain(self) -> None:
-        """Take no new connection, let go of idle ones, and wait for what is held."""
+    async def shut(self) -> None:
+        """Take no new connection."""
         self.acceptor.cancel()
         await asyncio.gather(self.acceptor, return_exceptions=True)
         self.sock.close()
+
+    async def drain(self) -> None:
+        """Take no new connection, let go of idle ones, and wait for what is held."""
+        await self.shut()
         began = time.monotonic()
         while self.connections:
             for connection in self.connections:
@@ -331,6 +335,19 @@
                                return_when=asyncio.FIRST_COMPLETED)
 
 
+def bound(address: tuple[str, int]) -> socket.socket:
+    """A socket bound to an address; another process of this gateway may listen there too."""
+    sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    try:
+        sock.bind(address)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
 def plain(status: int, text: str, close: bool, headers: list[tuple[bytes, bytes]] | None = None) -> Reply:
     """A whole answer with a line of text."""
     body = text.encode() + b"\n"
--- a/mallowbeam/net/upstream.py
+++ b/mallowbeam/net/upstream.py
@@ -137,7 +137,8 @@
 
     def __init__(self, most: int, idle_limit: float | None, connect_timeout: float | None,
                  max_body: int, budget: Budget) -> None:
-        self.most, self.max_body, self.budget = most, max_body, budget
+        self.whole = self.most = most          # connections in all, and how many of them may be open now
+        self.max_body, self.budget = max_body, budget
         self.keep = (idle_limit or 10.0) * RETIRE
         self.connect_timeout = connect_timeout or 1.0
         self.idle: dict[str, list[Link]] = {}
@@ -175,6 +176,12 @@
         link.channel.framer.release()
         link.close()
 
+    def limit(self, parts: int) -> None:
+        """Keep to one of so many equal parts of connections and bodies; idle ones beyond it are closed."""
+        self.most, self.budget.most = self.whole // parts, self.budget.whole // parts
+        while self.count > self.most and self._evict():
+            pass
+
     def sweep(self) -> None:
         """Close what has been idle for too long, oldest first in each list."""
         limit = time.monotonic() - self.keep
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -31,6 +31,7 @@
 from mallowbeam.net import config as configs
 from mallowbeam.net.admin import open_admin
 from mallowbeam.net.gateway import Gateway
+from mallowbeam.net.handover import take_over
 from mallowbeam.net.http import REASONS, Framer, Message
 
 EXAMPLE = Path(__file__).parent.parent / "example"
@@ -167,11 +168,34 @@
     """A gateway between scripted parties; `servers` are addresses of nodes that are no scripted ones."""
 
     def __init__(self, nodes: int = 1, servers: list[str] | None = None, sockets: int = 1024,
-                 **settings: dict) -> None:
+                 before: World | None = None, meet: bool = False, **settings: dict) -> None:
         self.nodes, self.servers, self.sockets, self.settings = nodes, servers, sockets, settings
+        self.before, self.meet = before, meet  # the process before this one; whether to hand over to a next
         self.parties: dict[str, Party] = {}
 
     async def __aenter__(self) -> World:
+        if self.before is None:
+            self.config = configs.decode(await self.configuration(), {})
+            legacy = None
+        else:
+            self.config, self.parties = self.before.config, dict(self.before.parties)
+            self.parties.pop("q1", None)       # each has a door of its own
+            legacy = await asyncio.to_thread(take_over, self.config)
+        fronts = json.loads((EXAMPLE / "fronts.json").read_text())
+        for front in fronts.values():
+            front["listen"] = "127.0.0.1:0"
+        self.gateway = Gateway(legacy.config(self.config) if legacy else self.config)
+        servers = open_servers(self.gateway, fronts, legacy)
+        self.health, self.agent, self.objects, self.platform = (s.address for s in servers)
+        admin = open_admin(self.gateway)
+        self.admin = admin.address
+        self.task = asyncio.create_task(self.gateway.run(servers, admin, legacy, self.meet))
+        while not self.gateway.ready:
+            await asyncio.sleep(0)
+        return self
+
+    async def configuration(self) -> dict:
+        """The example's configuration, with scripted nodes and discovery in it."""
         for name in ["d", *(f"n{i}" for i in range(self.nodes))]:
             self.parties[name] = Stand()
             await self.parties[name].start()
@@ -185,18 +209,7 @@
                                    for i, address in enumerate(addresses)]
         raw |= {"listen": "127.0.0.1:0", "admin_addr": "127.0.0.1:0", "discovery": self.parties["d"].address}
         raw["limits"]["sockets"] = self.sockets
-        fronts = json.loads((EXAMPLE / "fronts.json").read_text())
-        for front in fronts.values():
-            front["listen"] = "127.0.0.1:0"
-        self.gateway = Gateway(configs.decode(raw, {}))
-        servers = open_servers(self.gateway, fronts)
-        self.health, self.agent, self.objects, self.platform = (s.address for s in servers)
-        admin = open_admin(self.gateway)
-        self.admin = admin.address
-        self.task = asyncio.create_task(self.gateway.run(servers, admin))
-        while not self.gateway.ready:
-            await asyncio.sleep(0)
-        return self
+        return raw
 
     async def __aexit__(self, *_: object) -> None:
         self.task.cancel()
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,229 @@
+"""Two processes of one gateway: the handover, and what counts for both."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import socket
+import tempfile
+import threading
+import urllib.error
+import urllib.request
+
+import pytest
+import uvloop
+from scenario import EXAMPLE, World, free_port
+from test_program import PATIENCE, connect, healthy, program
+
+from mallowbeam.net import config as configs
+from mallowbeam.net import handover
+from mallowbeam.net.gateway import Phase
+
+COLD = dict(Guarantees={"Cold": 17.0, "Fall": 3.0, "StartCapacity": 0.18, "TipMultiple": 4.0})
+
+
+@pytest.fixture(autouse=True)
+def place(monkeypatch, tmp_path):
+    """A folder of the test's own, and of a path too long for a Unix socket's address."""
+    folder = tmp_path / ("long" * 40)
+    folder.mkdir()
+    monkeypatch.setattr(tempfile, "tempdir", str(folder))
+
+
+async def until(condition) -> None:
+    """Wait for what must come."""
+    async with asyncio.timeout(PATIENCE):
+        while not condition():
+            await asyncio.sleep(0)
+
+
+def upgrade(before: str, after: str, check=None, **world: object) -> None:
+    """Play one scenario with the old process, and one with the new while the old one still runs."""
+
+    async def run() -> None:
+        async with World(meet=True, **world) as old:
+            await old.play(before)
+            async with World(before=old, **world) as new:
+                await until(lambda: old.gateway.phase is not Phase.SERVING)
+                await new.play(after)
+                if check:
+                    await check(old, new)
+
+    uvloop.run(run())
+
+
+def test_the_new_process_takes_what_comes_and_the_old_one_ends_with_its_last_answer():
+    """Guards the clients: none is closed on, an idle connection has one more request, then a close."""
+
+    async def ended(old: World, new: World) -> None:
+        await until(old.task.done)
+        assert old.gateway.metrics.upstream_requests == 2 and new.gateway.metrics.upstream_requests == 1
+        assert new.gateway.sister is None or not new.gateway.sister.ids
+
+    upgrade("""
+        c1 send GET /healthz
+        c1 expect 200
+        c2 send read
+        n0 expect GET
+    """, """
+        n0 send 200 body=held
+        c2 expect 200 held 'connection: close'
+        c1 send read
+        n0 expect GET
+        n0 send 200 body=next
+        c1 expect 200 next 'connection: close'
+        c1 expect end
+        c3 send read
+        n0 expect GET
+        n0 send 200 body=new
+        c3 expect 200 new
+        c3 send GET /healthz
+        c3 expect 200
+    """, ended)
+
+
+def test_what_waits_in_the_backlog_is_taken_by_the_new_process():
+    """Guards requests at the door: a listener that is closed resets what it has not accepted."""
+
+    async def run() -> None:
+        async with World(meet=True) as old:
+            server = old.gateway.servers[-1]
+            server.acceptor.cancel()           # a busy old process: it gets round to nobody
+            await asyncio.sleep(0)
+            await old.play("c1 send GET /healthz")
+            async with World(before=old) as new:
+                await new.play("c1 expect 200")
+                assert new.gateway.servers[-1].connections and not server.connections
+
+    uvloop.run(run())
+
+
+def test_bans_lists_and_discovery_s_address_are_in_hand_before_the_yes():
+    """Guards the rules on drains: a new process's configuration is older than what the old one knows."""
+    changed = ('{"revision":7,"complete":false,"members":[{"id":"n0","host_port":"$n0","cell":0,'
+               '"phase":"draining"}]}')
+
+    async def check(old: World, new: World) -> None:
+        assert new.gateway.facade.takes("n2") and not new.gateway.facade.takes("n0")
+        await until(lambda: old.gateway.watch.task is None)  # one watch is enough
+        new.gateway.by_hand("n2", True)
+        old.gateway.by_hand("n1", False)
+        await until(lambda: new.gateway.facade.takes("n1") and not old.gateway.facade.takes("n2"))
+
+    upgrade(f"""
+        q1 send PUT /_storage-nodes/detach body=n1
+        q1 expect 200
+        d expect GET since=1
+        d send 200 'body={changed}'
+        d expect GET since=7
+    """, """
+        d expect GET since=7
+        c1 send read shard=1
+        c1 expect 503
+        c1 send read shard=0
+        c1 expect 503
+    """, check, nodes=3)
+
+
+def test_limit_stores_cold_units_and_ids_count_for_both():
+    """Guards the rules: two processes with a store each would let twice the limit through."""
+
+    async def check(old: World, new: World) -> None:
+        assert new.gateway.holds("00000000000000ff") and old.gateway.holds("00000000000000ee")
+        stores = [w.gateway.facade._scheduler.volumes["00000000000000aa", "bronze"] for w in (old, new)]
+        assert abs(stores[0].limit_level - stores[1].limit_level) < 1.0
+        assert [w.gateway.facade._scheduler.nodes["n0"].cold_out for w in (old, new)] == [16, 16]
+
+    started = ('{"revision":2,"complete":false,"members":[{"id":"n0","host_port":"$n0","cell":0,'
+               '"phase":"up","up_since_ms":99999999999999}]}')
+    upgrade(f"""
+        d expect GET since=1
+        d send 200 'body={started}'
+        d expect GET since=2
+        c1 send read plan=bronze units=8
+        c1 expect 503
+        wait 0.8
+        c1 send read id=00000000000000ff plan=bronze units=8
+        n0 expect GET
+    """, """
+        c2 send read id=00000000000000ff
+        c2 expect 400
+        c2 send read id=00000000000000ee plan=bronze units=8
+        n0 expect GET
+    """, check, FamilyInfo={"ColdBears": 1000.0}, **COLD)
+
+
+def test_what_either_hears_of_the_list_binds_both():
+    gone = '{"revision":2,"complete":false,"members":[{"id":"n0","cell":0,"phase":"draining"}]}'
+
+    async def check(old: World, new: World) -> None:
+        await until(lambda: not old.gateway.facade.takes("n0"))
+        old.gateway.told_beside(old.gateway.config.known)  # older than what is known: changes nothing
+        assert not old.gateway.facade.takes("n0")
+
+    upgrade("d expect GET since=1\nc1 send GET /healthz\nc1 expect 200", f"""
+        d expect GET since=1
+        d send 200 'body={gone}'
+        d expect GET since=2
+    """, check)
+
+
+def test_descriptors_and_bodies_are_shared_while_there_are_two():
+    async def check(old: World, new: World) -> None:
+        for world in (old, new):
+            assert world.gateway.pool.most == world.gateway.pool.whole // 2
+            assert world.gateway.pool.budget.most == world.gateway.pool.budget.whole // 2
+        old.gateway.stop()
+        await until(old.task.done)
+        old.gateway.sister.close()             # as its end would
+        await until(lambda: new.gateway.sister is None)
+        assert new.gateway.pool.most == new.gateway.pool.whole
+        assert new.gateway.servers[-1].most == new.gateway.servers[-1].whole
+
+    upgrade("c1 send GET /healthz\nc1 expect 200", "", check)
+
+
+@pytest.mark.parametrize("says", [b"", b"noise\n", b'{"doors": []}\n{"state": {}}\n',
+                                  b'{"doors": []}\n{"state": {"version": 0}}\n'])
+def test_an_old_process_that_hands_over_nothing_holds_up_no_start(monkeypatch, says):
+    monkeypatch.setattr(handover, "PATIENCE", 0.1)
+    config = configs.decode(json.loads((EXAMPLE / "config.json").read_text()), {})
+    assert handover.take_over(config) is None  # nobody there
+    with handover.place(config) as path, socket.socket(socket.AF_UNIX) as old:
+        old.bind(path)
+        assert handover.take_over(config) is None  # a stale file
+        old.listen(1)
+        if says:
+            threading.Thread(target=lambda: old.accept()[0].sendall(says), daemon=True).start()
+        assert handover.take_over(config) is None
+
+
+def test_a_second_start_takes_over_from_the_first(tmp_path, monkeypatch):
+    """The programs as the platform starts them: same addresses, a second address of each one's own."""
+    monkeypatch.setenv("TMPDIR", tempfile.gettempdir())
+    doors, listen = [f"127.0.0.1:{free_port()}" for _ in range(2)], f"127.0.0.1:{free_port()}"
+    monkeypatch.setenv("BALANCER_LISTEN", listen)
+    monkeypatch.setenv("BALANCER_ADMIN_ADDR", doors[0])
+    host, _, port = listen.partition(":")
+    address = (host, int(port))
+    with program(tmp_path, {}) as (first, _), connect(address) as sock:
+        assert healthy(sock)
+        monkeypatch.setenv("BALANCER_ADMIN_ADDR", doors[1])
+        with program(tmp_path, {}) as (second, _):
+            connect((host, int(doors[1].partition(":")[2]))).close()
+            while True:
+                try:
+                    assert urllib.request.urlopen(f"http://{doors[1]}/_ready", timeout=PATIENCE).status == 200
+                    break
+                except urllib.error.HTTPError as error:
+                    assert error.code == 503   # not before it takes clients
+            first.send_signal(signal.SIGTERM)
+            assert first.wait(PATIENCE) == 0
+            with connect(address) as late:
+                assert healthy(late)
+            assert second.poll() is None
+            second.terminate()
+            assert second.wait(PATIENCE) == 0
+            for process in (first, second):
+                assert "Traceback" not in process.stderr.read()
