Pass large bodies through in pieces, both ways; read every form of HTTP/1.1

Then 660 attempts were turned away with 504 at once: reads of data that lies elsewhere; each closed a window and was tried four times.

--- a/mallowbeam/control.py
+++ b/mallowbeam/control.py
@@ -9,9 +9,8 @@
 
 import random
 from bisect import insort
-from collections import OrderedDict, deque
+from collections import deque
 from heapq import heapify, heappop, heappush
-from itertools import islice
 from math import exp
 from zlib import crc32
 
@@ -20,8 +19,7 @@
 # A cycle lasts as long as the tightest aim: what is out at a node then comes back within one.
 FIRST_SLOT = 1 / 20     # of the aim, a unit, before anything was measured (design page)
 M_EXTRA, M_MOST = 4, 32  # a cycle has room for the largest request and this more, and no more than M_MOST
-TARGET = 0.35            # of the cycle: the latency that the units out at a node are steered to; the rest of
-                        # the aim is for waiting here, where a booking can still be moved
+TARGET = 0.35           # of the cycle: the latency steered to; the rest is for waiting here, still movable
 GROW = 0.7              # units by which the room out there grows a round trip while latency is under target
 SHRINK = 0.3            # share of it given up a round trip at twice the target: one pause closes no node
 SMOOTH = 0.1            # weight of one sample in what is counted by answers: some ten, not one, move it
@@ -35,8 +33,7 @@
 ACTIVE = 2.0            # seconds for which a volume counts in the sharing of a node after its last request
 STUCK = 5.0             # times the expected time after which an attempt passed over by later ones is given up
 FORGET = 30.0           # seconds after which what a volume has drawn says nothing any more
-WATCH_AGAIN = 0.5       # seconds to the first repeat of a failed call to discovery; later ones twice that:
-                        # what discovery has to tell counts as told within seconds, whether it came or not
+WATCH_AGAIN = 0.5       # seconds to the first repeat of a failed call to discovery; later ones twice that
 PRICE_LASTS = 2.0       # seconds: surges come and go within seconds, and so must what they make slots worth
 PRICE_STEP = 0.5        # how far one request without a slot moves a node's price towards its worth
 CROWD = 0.3             # of the dearest unit: what one must be worth where waiting takes up the aim
@@ -50,8 +47,8 @@
 CAPACITY_DEALT = 0.9    # of a node's power is dealt out by weight (the users' terms)
 EPS = 2e-6              # seconds: a clock that counts in microseconds may round a timer down
 
-ALIVE = (io.Outcome.OK, io.Outcome.ERROR, io.Outcome.REJECTED)
-NEVER_RAN = (io.Outcome.REJECTED, io.Outcome.NO_CONNECTION, io.Outcome.NOT_SENT)
+ALIVE = (io.Outcome.OK, io.Outcome.ERROR, io.Outcome.REJECTED, io.Outcome.ASTRAY)
+NEVER_RAN = (io.Outcome.REJECTED, io.Outcome.ASTRAY, io.Outcome.NO_CONNECTION, io.Outcome.NOT_SENT)
 MAY_STILL_RUN = (io.Outcome.TIMEOUT, io.Outcome.RESET, io.Outcome.CANCELLED)
 
 
@@ -68,7 +65,7 @@
         self.tries = 0                         # attempts so far, as the wire numbers them
         self.out: dict[int, Attempt] = {}
         self.ran: list[tuple[Node, float]] = []  # attempts that may have run: where, and when sent
-        self.done = self.streaming = self.late = self.asked = self.priced = False
+        self.done = self.late = self.asked = self.priced = False
         self.tier = 2                          # 0 inside reserve, 1 inside share, 2 spare
 
 
@@ -77,7 +74,7 @@
 
     def __init__(self, request: Request, number: int, node: Node, now: float) -> None:
         self.request, self.number, self.node, self.sent_at = request, number, node, now
-        self.stuck = False                     # given up on while the node answers later ones
+        self.stuck, self.coming = False, 0     # passed over and given up; units whose body still comes
 
 
 class Volume:
@@ -88,14 +85,14 @@
         # Guards the limit across hosts and restarts: only this host's part of the store is ever drawn, and as
         # an earlier life may have spent all of it a moment ago, a new life starts at the bottom.
         self.limit_level, self.at = -plan.limit_slack / hosts, now
-        self.pending = 0                       # units booked and not sent: spoken for, drawn when sent
+        self.pending = self.coming = 0         # units booked and not sent; and those whose body still comes
         self.reserve_top = plan.reserve + settings.units_top if plan.reserve > 0 else 0.0
         self.reserve_level = self.reserve_top
 
     def refill(self, now: float) -> None:
         """Let both stores fill up to now; the reserve counts whole, less what is told of other hosts."""
         passed, self.at = now - self.at, now
-        self.limit_level = min(self.plan.limit_burst / self.hosts,
+        self.limit_level = min(self.plan.limit_burst / self.hosts - self.coming,
                                self.limit_level + passed * self.plan.limit / self.hosts)
         self.reserve_level = min(self.reserve_top, self.reserve_level + passed * self.plan.reserve)
 
@@ -115,7 +112,7 @@
         self.state, self.open = entry.state, False  # as listed; whether new work may go there
         self.queue: list[tuple[float, int, Request]] = []  # bookings not sent, by aim
         self.out_units = 0
-        self.out: OrderedDict[tuple[str, int], Attempt] = OrderedDict()
+        self.out: dict[tuple[str, int], Attempt] = {}  # what it is at work on, in the order sent
         self.sched = sched
         self.mean = self.n_latency = sched.prior  # answers of late, for the usual size; and with the prior
         self.weight, self.fresh_at = 0.0, sched.now  # how many answers of late that mean stands on
@@ -126,19 +123,13 @@
         self.suspect = False                   # silent or not reached
         self.answered = -1e9                   # when the latest sent of those that it answered went out
         self.breaks = 0                        # connections broken or refused since the last answer
-        self.faults = 0.0                      # share of its answers of late that were errors
+        self.faults, self.fails = 0.0, False   # share of its answers of late that were errors; too many
         self.cold_from = self.cold_until = -1e9  # its start, as told or presumed, and when it is warm
-        self.cold_sent: deque[tuple[float, int]] = deque()  # what went there while cold, and its units
-        self.cold_out = 0
+        self.cold_sent: list[tuple[float, int]] = []  # when units went there while cold, and how many
         self.cycle_at, self.cycle_used = sched.now, 0
         self.shares: dict[Volume, list[float]] = {}  # share level, filled at, last request
         self.weights, self.weights_at, self.price, self.price_at = 0.0, -1e9, 0.0, sched.now
 
-    @property
-    def fails(self) -> bool:
-        """Whether it answers, and mostly with errors."""
-        return self.faults > FAULTY
-
     def refresh(self) -> None:
         """Let answers fade with time, so that few a second weigh as they should: recent or not at all."""
         now = self.sched.now
@@ -167,11 +158,10 @@
         It takes two attempts, each given the time of its own size, or one for a cycle more: a single costly
         request must not close a node that is well.
         """
-        two = list(islice(self.out.values(), 2))
+        two = list(self.out.values())[:2]
         if not two:
             return 0.0
-        due = two[-1].sent_at + self.sched.slope * two[-1].request.units
-        due += self.sched.cycle if len(two) < 2 else 0.0
+        due = two[-1].sent_at + self.sched.slope * two[-1].request.units + self.sched.cycle * (len(two) < 2)
         return max(0.0, self.sched.now - max(self.last_answer, due))
 
     def serve_time(self, units: int) -> float:
@@ -206,8 +196,7 @@
         self.top = max((c.worth for c in settings.classes.values()), default=1.0) * max(
             (p.price for p in settings.plans.values()), default=1.0)  # a unit's worth, at the most
         self.nodes: dict[str, Node] = {}
-        self.shards: dict[int, list[Node]] = {}  # open nodes only
-        self.open: list[Node] = []
+        self.open: list[Node] = []             # where new work may go
         self.banned: dict[str, float] = {}     # out by hand, and since when: whatever discovery says
         self.requests: dict[str, Request] = {}
         self.most_tries = settings.max_attempts or float("inf")
@@ -215,12 +204,10 @@
         self.full_time: dict[str, float] = {}  # class: the longest time that a try came with
         self.chains: dict[str, deque[Request]] = {}  # ordered keys: requests in the order taken
         self.rests: dict[str, float] = {}      # ordered keys: when an attempt that may still run is settled
-        self.taken: deque[float] = deque()     # times of requests taken, and of further attempts
-        self.extras: deque[float] = deque()
+        self.taken, self.extras = deque(), deque()  # times of requests taken, and of further attempts
         self.timers: list[tuple[float, int, object]] = []
         self.timer_set = float("inf")
-        self.seq = 0
-        self.watch_failures = 0
+        self.seq = self.watch_failures = 0
         self.touched: dict[str, Node] = {}
         self.actions: list[io.Action] = []
         if settings.discovery_on_request:
@@ -290,7 +277,7 @@
                 if self.nodes.get(what.id) is what:  # else forgotten meanwhile
                     self.touched[what.id] = what
             elif isinstance(what, Request):
-                if not what.done and not what.streaming:
+                if what.deadline - self.settings.tick <= due:  # else it has been given more time
                     self._end(what)
             elif what:
                 self._advance(what)
@@ -332,8 +319,8 @@
         volume = self._volume(event.volume, event.plan, event.hosts)
         volume.refill(self.now)
         volume.limit_level = (volume.limit_level if event.level is None else event.level) - event.drawn
-        if event.node in self.nodes:
-            self._count_cold(self.nodes[event.node], event.units)
+        if event.node in self.nodes and self.now < self.nodes[event.node].cold_until:
+            self.nodes[event.node].cold_sent.append((self.now, event.units))
 
     def _on_list(self, event: io.NodesListed) -> None:
         if event.kind is io.ListKind.FAILED:
@@ -343,8 +330,7 @@
             wait = WATCH_AGAIN * min(self.watch_failures, 2) * (0.5 + self.random.random())
             self._at(self.now + min(wait, (self.settings.ask_every or wait) / 2), "")
             return
-        if event.kind is not io.ListKind.CACHED:
-            self.watch_failures = 0
+        self.watch_failures = 0
         named = {entry.node for entry in event.entries}
         if event.kind is not io.ListKind.CHANGES:
             for node in self.nodes.values():
@@ -390,12 +376,9 @@
 
         To any other nothing new goes from this very moment, and what waited is booked anew.
         """
-        opens = node.state is io.NodeState.READY and node.id not in self.banned
-        if opens != node.open:
-            node.open = opens
-            for nodes in (self.open, self.shards.setdefault(node.shard, [])):
-                (nodes.append if opens else nodes.remove)(node)
-        if not opens:
+        node.open = node.state is io.NodeState.READY and node.id not in self.banned
+        self.open = [known for known in self.nodes.values() if known.open]
+        if not node.open:
             self._rebook(node, lambda request: True)
         self.touched[node.id] = node
 
@@ -407,9 +390,34 @@
             self._book(request)
 
     def _on_stream(self, event: io.StreamStarted) -> None:
+        """An answer has begun: its node is done with it, and what is left is passing it on."""
         if request := self.requests.get(event.request):
-            request.streaming = True
-            self._alive(request.out[event.attempt].node)
+            node, request.done = request.out[event.attempt].node, True
+            self._idle(request.out[event.attempt])
+            self._alive(node)
+            self._learn(node, request.units, event.latency, False)
+
+    def _on_upload(self, event: io.Upload) -> None:
+        """A large body passes through: until its last byte is out no time runs, and it goes out only once."""
+        request = self.requests.get(event.request)
+        if (attempt := request.out.get(event.attempt) if request else None) is None:
+            return
+        self._idle(attempt)
+        request.volume.coming -= attempt.coming  # drawn when sent, but the limit counts from the last byte
+        attempt.coming = request.units if event.left is None else 0
+        request.volume.coming += attempt.coming
+        request.tries, request.deadline = self.most_tries, float("inf")
+        if event.left is not None:
+            attempt.sent_at, request.deadline = self.now, self.now + event.left
+            self._at(request.deadline - self.settings.tick, request)
+            attempt.node.out[request.id, event.attempt] = attempt
+            attempt.node.out_units += request.units
+
+    def _idle(self, attempt: Attempt) -> bool:
+        """Take an attempt off its node's work, unless that is over or has not begun; tell which."""
+        worked = attempt.node.out.pop((attempt.request.id, attempt.number), None) is not None
+        attempt.node.out_units -= attempt.request.units * worked
+        return worked
 
     def _on_gone(self, event: io.ClientGone) -> None:
         if request := self.requests.get(event.request):
@@ -420,9 +428,8 @@
         attempt = request.out.pop(event.attempt, None) if request else None
         if attempt is None:
             return
-        node, outcome = attempt.node, event.outcome
-        node.out.pop((request.id, event.attempt), None)
-        node.out_units -= request.units
+        node, outcome, worked = attempt.node, event.outcome, self._idle(attempt)
+        request.volume.coming -= attempt.coming
         self.touched[node.id] = node
         if event.elsewhere:
             request.volume.reserve_level = max(-request.volume.reserve_top,
@@ -432,11 +439,12 @@
             node.answered = max(node.answered, attempt.sent_at)
             failed = outcome is io.Outcome.ERROR
             node.faults += SMOOTH * (failed - node.faults)
+            node.fails = node.faults > FAULTY
             if failed and node.fails and attempt.sent_at >= node.cycle_at:
                 node.cycle_used -= request.units  # no slot: what is sent again must not use up the cycle
         if outcome in (io.Outcome.OK, io.Outcome.TIMEOUT, io.Outcome.CANCELLED):
             # Silence is no slot time: what is given up on at a silent node teaches nothing.
-            if outcome is io.Outcome.OK or not node.suspect and not attempt.stuck:
+            if worked and (outcome is io.Outcome.OK or not node.suspect and not attempt.stuck):
                 self._learn(node, request.units, self.now - attempt.sent_at, outcome is not io.Outcome.OK)
         elif outcome is io.Outcome.REJECTED:
             # Guards against a full queue, whoever filled it: fewer out there, and a pause of a round trip.
@@ -449,15 +457,12 @@
             request.ran.append((node, attempt.sent_at))
         if outcome in MAY_STILL_RUN and request.cls.ordered and request.key:
             self.rests[request.key] = self.now + self.settings.order_settle
-        if event.finished and not request.done:
-            self._end(request, owed=False)
-        elif not request.done and not request.out:
-            again = outcome is io.Outcome.RESET or attempt.stuck
-            if (outcome in MAY_STILL_RUN and not again or not self._may_repeat(request)
-                    or request.tries >= self.most_tries):  # booked, it would only wait for its deadline
-                self._end(request)
-            else:
-                self._book(request)
+        again = outcome is io.Outcome.RESET or attempt.stuck
+        if (event.finished or outcome in MAY_STILL_RUN and not again or outcome is io.Outcome.ASTRAY or not
+                self._may_repeat(request) or request.tries >= self.most_tries):  # it would wait in vain
+            self._end(request, owed=not event.finished)
+        else:
+            self._book(request)
         self._forget(request)
 
     def _free_stuck(self, node: Node) -> None:
@@ -471,7 +476,7 @@
             if attempt.sent_at >= node.answered:
                 break
             time = node.serve_time(request.units)
-            if (not attempt.stuck and not request.done and not request.streaming
+            if (not attempt.stuck and not request.done
                     and request.cls.repeat is not io.Repeat.UNSAFE and not request.tries >= self.most_tries
                     and self.now - attempt.sent_at > STUCK * time and self.now + time < request.aim_at):
                 attempt.stuck = True
@@ -534,7 +539,7 @@
         It is held against CHOICES others, hashed too: work stays the same in a large fleet, and hosts that
         see the same idle node do not all turn to it.
         """
-        nodes = self.open if request.shard is None else self.shards.get(request.shard, ())
+        nodes = [node for node in self.open if request.shard is None or request.shard == node.shard]
         if request.ran and request.cls.repeat is not io.Repeat.SAFE:
             # Guards against a booking where it may never be sent: it would be held there to its deadline.
             nodes = [node for node in nodes if self._may_repeat(request, node)]
@@ -683,12 +688,6 @@
 
     # --- sending -------------------------------------------------------------------------------
 
-    def _count_cold(self, node: Node, units: int) -> None:
-        """Units go to a node from this host: while it is cold they count."""
-        if self.now < node.cold_until:
-            node.cold_sent.append((self.now, units))
-            node.cold_out += units
-
     def _cold_bars(self, node: Node, request: Request) -> bool:
         """Whether a request must not go to a node because that is cold.
 
@@ -707,10 +706,9 @@
         part = COLD_PART * (s.fall_multiple or 0.0) * ramp
         if request.tier == 0 and crc32((request.key or request.id).encode()) < part * 2 ** 32:
             return False
-        while node.cold_sent and node.cold_sent[0][0] <= self.now - s.fall_window:
-            node.cold_out -= node.cold_sent.popleft()[1]
+        node.cold_sent = [sent for sent in node.cold_sent if sent[0] > self.now - s.fall_window]
         bears = EVEN_PART * (s.cold_units or 0.0) / max(1, s.hosts) * ramp / max(s.cold_start, 1e-9)
-        return node.cold_out + request.units > bears
+        return sum(units for _, units in node.cold_sent) + request.units > bears
 
     def _budget_left(self) -> bool:
         """Whether one more attempt beyond a request's first stays within the budget."""
@@ -762,7 +760,8 @@
                 request.volume.reserve_level -= request.units
             elif request.tier == 1 and request.volume in node.shares:
                 node.shares[request.volume][0] -= request.units
-        self._count_cold(node, request.units)
+        if self.now < node.cold_until:
+            node.cold_sent.append((self.now, request.units))
         attempt = Attempt(request, request.tries, node, self.now)
         request.out[request.tries] = node.out[(request.id, request.tries)] = attempt
         request.tries += 1
@@ -791,7 +790,7 @@
                 self.actions.append(io.Refuse(request.id, wait if self.settings.retry_after else None))
             else:
                 self.actions.append(io.Fail(request.id))
-        if not request.streaming and self.settings.may_cancel:
+        if self.settings.may_cancel:
             for attempt in request.out.values():
                 self.actions.append(io.Cancel(request.id, attempt.number))
         if request.asked and not request.tries:  # never sent, so what its booking spoke for is given back
@@ -829,6 +828,7 @@
     io.SentBeside: Scheduler._on_beside,
     io.AttemptEnded: Scheduler._on_ended,
     io.StreamStarted: Scheduler._on_stream,
+    io.Upload: Scheduler._on_upload,
     io.ClientGone: Scheduler._on_gone,
     io.TimerFired: Scheduler._on_timer,
 }
--- a/mallowbeam/facade.py
+++ b/mallowbeam/facade.py
@@ -89,6 +89,10 @@
         self._attempts.pop(tried.request, None)
         return self._step(now, io.StreamStarted(tried.request, tried.number, tried.node, latency))
 
+    def uploading(self, now: float, tried: Try, left: float | None) -> Orders:
+        """A large body has begun to pass through, or its last byte is out and `left` seconds remain."""
+        return self._step(now, io.Upload(tried.request, tried.number, left))
+
     def leave(self, now: float, request: str) -> Orders:
         """The client has gone; no answer is owed."""
         self._attempts.pop(request, None)
@@ -128,7 +132,8 @@
             volume.refill(now)
         return {"out": self._scheduler.banned,
                 "stores": [[name, plan, v.hosts, v.limit_level] for name, plan, v in volumes],
-                "cold": [[n.id, n.cold_out] for n in self._scheduler.nodes.values() if n.cold_out]}
+                "cold": [[node.id, sum(units for _, units in node.cold_sent)]
+                         for node in self._scheduler.nodes.values() if node.cold_sent]}
 
     def inherit(self, now: float, state: dict) -> None:
         """Take in the state of the process before this one, once the list is known."""
--- a/mallowbeam/fronts/objects.py
+++ b/mallowbeam/fronts/objects.py
@@ -24,9 +24,10 @@
 
 from mallowbeam.fronts.ranges import Unsatisfiable, cut, span
 from mallowbeam.net.config import BadConfig, read_address
-from mallowbeam.net.gateway import Answer, Call, Gateway, Kind, Stream, read_deadline, time_left
+from mallowbeam.net.gateway import Answer, Call, Gateway, Kind, length_of, read_deadline, time_left
 from mallowbeam.net.http import HOP_BY_HOP, TOKEN, Budget, Channel, Headers, Message, write_head
 from mallowbeam.net.server import Reply
+from mallowbeam.net.stream import Stream, copy
 
 MOST_MS = 86_400_000        # a deadline of over a day is senseless
 MOST_PARTS = 10_000
@@ -203,7 +204,8 @@
 
     def __init__(self, gateway: Gateway, settings: ObjectSettings) -> None:
         self.gateway, self.settings = gateway, settings
-        self.max_body, self.budget = settings.max_body, Budget(settings.held)
+        self.max_body = self.whole = settings.max_body
+        self.budget = Budget(settings.held)
 
     async def handle(self, message: Message, closing: Callable[[], bool]) -> Reply:
         """One call to its one answer."""
@@ -338,11 +340,6 @@
     return headers
 
 
-def length_of(headers: Headers) -> int | None:
-    """The length that a node's answer states."""
-    return next((int(value) for name, value in headers if name == b"content-length"), None)
-
-
 def range_of(start: int, end: int, length: int) -> tuple[bytes, bytes]:
     """The header that says which part of the object a 206 holds."""
     return b"content-range", b"bytes %d-%d/%d" % (start, end - 1, length)
@@ -354,29 +351,3 @@
         return cut(asked, length)
     except Unsatisfiable:
         raise Error("InvalidRange", [(b"content-range", b"bytes */%d" % length)]) from None
-
-
-async def copy(stream: Stream, channel: Channel, skip: int, size: int | None, chunked: bool) -> bool:
-    """Write a stream's bytes from `skip` on: `size` of them, or all to its end.
-
-    False where the connection must end with it: it broke off, or only that marks its end.
-    """
-    left = size
-    while left is None or left > 0:
-        piece = await stream.get()
-        if piece is None:
-            if stream.broken or not chunked:
-                return False
-            await channel.send(b"0\r\n\r\n")
-            return True
-        skipped = min(skip, len(piece))
-        skip -= skipped
-        data = memoryview(piece)[skipped:] if left is None else memoryview(piece)[skipped:skipped + left]
-        if not data:
-            continue
-        if chunked:
-            await channel.send(b"%x\r\n%b\r\n" % (len(data), data))
-        else:
-            left = None if left is None else left - len(data)
-            await channel.send(data)
-    return True
--- a/mallowbeam/fronts/platform.py
+++ b/mallowbeam/fronts/platform.py
@@ -6,10 +6,11 @@
 from collections.abc import Callable
 
 from mallowbeam.interface import Repeat
-from mallowbeam.net.gateway import Answer, Call, Gateway, Kind, read_deadline, time_left
+from mallowbeam.net.gateway import Answer, Call, Gateway, Kind, length_of, read_deadline, time_left
 from mallowbeam.net.health import page
-from mallowbeam.net.http import MAX_BODY, TOKEN, Budget, Message, write_head
+from mallowbeam.net.http import TOKEN, Budget, Channel, Message, write_head
 from mallowbeam.net.server import Reply, plain
+from mallowbeam.net.stream import MOST, WHOLE, Stream, copy
 
 TARGET = re.compile(rb"/([^/?]+)/([0-9a-f]{16})/([0-9a-f]{16})(?:\?[\x21-\x7e]{0,1024})?\Z")
 REQUEST_ID = re.compile(rb"[0-9a-f]{16}\Z")
@@ -33,20 +34,22 @@
 class Platform:
     """Turns the platform's requests into calls and answers back."""
 
-    max_body = MAX_BODY
+    max_body, whole = MOST, WHOLE
 
     def __init__(self, gateway: Gateway) -> None:
         self.gateway, self.budget = gateway, Budget(min(HELD, gateway.config.memory // 8))
 
     async def handle(self, request: Message, closing: Callable[[], bool]) -> Reply:
         """One request to its one answer."""
-        if request.target == b"/healthz" and request.method == b"GET":
+        if request.target == b"/healthz" and request.method in (b"GET", b"HEAD"):
             return page(self.gateway, request.target, closing())
         try:
             call = self.read(request)
         except BadRequest as error:
             return plain(400, str(error), closing())
         answer = await self.gateway.submit(call)
+        if answer.stream is not None:
+            return self.streamed(answer, answer.stream, request.version, closing)
         return self.write(answer, closing())
 
     def complain(self, status: int, text: str) -> Reply:
@@ -75,7 +78,7 @@
             raise BadRequest("X-Class is missing, unknown or not the path's")
         if cls.writes is not None and cls.writes != (request.method == b"PUT"):
             raise BadRequest("the method is not the class's")
-        if request.method == b"GET" and request.body:
+        if request.method == b"GET" and (request.came or request.length):
             raise BadRequest("a read has no body")
         # Guards against effects doubled: without a key, a second attempt would not be dropped as a repeat.
         if not TOKEN.match(headers.get(b"idempotency-key", b"" if cls.repeat is Repeat.KEYED else b"-")):
@@ -99,7 +102,23 @@
                 hosts_of_volume=hosts, key=path[3].decode(), is_retry=headers.get(b"x-retry") == b"1",
                 is_write=request.method == b"PUT"),
             request.method, request.target, [h for h in request.headers if h[0] in PASSED_ON],
-            request.body, standstill=cls.aim * STANDSTILL)
+            request.body, streamed=(200).__eq__, standstill=cls.aim * STANDSTILL, hold=WHOLE, most=MOST,
+            upload=request.stream, length=request.length)
+
+    @staticmethod
+    def streamed(answer: Answer, stream: Stream, version: str, closing: Callable[[], bool]) -> Reply:
+        """A large answer, passed on as it comes."""
+        size = length_of(answer.headers)
+        chunked = size is None and version != "1.0"
+
+        async def write(channel: Channel) -> bool:
+            try:
+                await channel.send(write_head(200, [], size, closing(), chunked))
+                return await copy(stream, channel, 0, size, chunked)
+            finally:
+                stream.close()                 # its attempt waits for no client that has gone
+
+        return Reply(200, write=write)
 
     @staticmethod
     def write(answer: Answer, close: bool) -> Reply:
--- a/mallowbeam/interface.py
+++ b/mallowbeam/interface.py
@@ -31,6 +31,7 @@
     OK = "ok"
     ERROR = "error"
     REJECTED = "rejected"
+    ASTRAY = "astray"                          # turned away unrun, by a node that will not take it later
     TIMEOUT = "timeout"
     NO_CONNECTION = "no connection"
     RESET = "reset"
@@ -220,6 +221,18 @@
     latency: float
 
 
+@dataclass(slots=True)
+class Upload:
+    """A large body begins to pass through: it can't be sent again, and its node has nothing to do yet.
+
+    `left` comes with its last byte: from then on the request has so many seconds.
+    """
+
+    request: str
+    attempt: int
+    left: float | None = None
+
+
 @dataclass(slots=True)
 class ClientGone:
     """The client waits no longer; no answer is owed."""
@@ -252,8 +265,8 @@
     payload: bytes
 
 
-Event = (RequestArrived | NodesListed | ByHand | SentBeside | AttemptEnded | StreamStarted | ClientGone
-         | TimerFired | ProbeEnded | PeerMessage)
+Event = (RequestArrived | NodesListed | ByHand | SentBeside | AttemptEnded | StreamStarted | Upload
+         | ClientGone | TimerFired | ProbeEnded | PeerMessage)
 
 
 # --- actions ----------------------------------------------------------------------------------
--- a/mallowbeam/net/admin.py
+++ b/mallowbeam/net/admin.py
@@ -20,7 +20,7 @@
 class Admin:
     """Answers the operators' calls."""
 
-    max_body, budget = MAX_ID, None
+    max_body, whole, budget = MAX_ID, MAX_ID, None
 
     def __init__(self, gateway: Gateway) -> None:
         self.gateway = gateway
@@ -34,7 +34,7 @@
         method, call = self.calls.get(request.target.partition(b"?")[0], (b"", None))
         if call is None:
             return plain(404, "no such call", True)
-        if request.method != method:
+        if request.method != method and (request.method, method) != (b"HEAD", b"GET"):
             return plain(405, "not by this method", True, [(b"allow", method)])
         return call(request)
 
--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -23,21 +23,20 @@
 from mallowbeam.net.log import Sparse
 from mallowbeam.net.metrics import Metrics
 from mallowbeam.net.server import Server
+from mallowbeam.net.stream import Stream
 from mallowbeam.net.upstream import Broken, Link, NoRoom, Pool, Spoilt, Unsent
 
 LAME_DUCK = 0.5             # seconds after SIGTERM in which new connections are still taken
-SWEEP = 0.5                 # seconds between looks at what has been idle or stalled
+SWEEP = 0.2                 # seconds between looks at what has been idle or stalled
 SILENT = 10.0               # seconds without a byte after which a streamed answer has broken off
-HELD_CHUNKS = 4             # pieces of a streamed answer that wait for a slow client
-
-# Guards against answers without end; objects of a few hundred kilobytes are answered whole.
-MAX_ANSWER = 4 * 1024 * 1024
+MAX_ANSWER = 4 * 1024 * 1024  # bytes of an answer that is not passed on in pieces
 MARGIN = 0.01               # seconds kept of a client's deadline for the way in and the way back
 
 MOST_DIGITS = 9             # of a figure that a node tells
 
-NOT_RUN_STATUS = (503, 504)
 Outcome = io.Outcome
+# What a node turns away unrun: as it is full, or as it is not the place or the time for it.
+NOT_RUN = {503: Outcome.REJECTED, 504: Outcome.ASTRAY}
 
 
 class Phase(Enum):
@@ -59,35 +58,6 @@
     FAILED = "failed"
 
 
-class Stream:
-    """A body on its way through: a few pieces wait here, and the node is read no faster than they go."""
-
-    def __init__(self) -> None:
-        self._pieces: asyncio.Queue[bytearray | None] = asyncio.Queue(HELD_CHUNKS)
-        self.task = asyncio.current_task()     # the attempt that reads from the node
-        self.broken = False
-
-    async def put(self, piece: bytearray | None) -> None:
-        """Hand in a piece, or None at the end; waits while the client is slow."""
-        await self._pieces.put(piece)
-
-    def break_off(self) -> None:
-        """The node's side is over before its end."""
-        self.broken = True
-        if self._pieces.full():
-            self._pieces.get_nowait()
-        self._pieces.put_nowait(None)
-
-    async def get(self) -> bytearray | None:
-        """The next piece; None at the end and where it broke."""
-        piece = await self._pieces.get()
-        return None if self.broken else piece
-
-    def close(self) -> None:
-        """The client's side wants no more."""
-        self.task.cancel()
-
-
 @dataclass(slots=True)
 class Answer:
     """The one final answer of a call."""
@@ -113,6 +83,10 @@
     final: Callable[[int], bool] = (200).__eq__  # which statuses of a node are the client's answer
     streamed: Callable[[int], bool] = lambda status: False  # and which of them are passed on in pieces
     standstill: float = SILENT                 # seconds without a byte in its body that end an answer
+    hold: int = 0                              # bytes up to which a streamed answer is held whole after all
+    most: int | None = None                    # and those that are passed on at most
+    upload: Stream | None = None               # the body where it passes through: it can be sent once
+    length: int | None = None                  # and its length, None where it comes in chunks
 
 
 class Exchange:
@@ -394,8 +368,9 @@
         left = exchange.deadline - started
         timeout = min(left, tried.timeout) if tried.timeout else left
         address = self.addresses.get(tried.node, "")
+        waits = timeout if call.upload is None else float(call.fields["expires_in"])
         headers = [(b"host", address.encode()), *call.headers,
-                   (b"x-deadline-ms", b"%d" % max(1, round(timeout * 1000)))]
+                   (b"x-deadline-ms", b"%d" % max(1, round(waits * 1000)))]
         try:
             async with asyncio.timeout(timeout) as limit:
                 link = await self.pool.take(address)
@@ -403,19 +378,30 @@
                 # operator taken the node out.
                 if self.addresses.get(tried.node) != address or not self.facade.takes(tried.node):
                     return Outcome.NOT_SENT, None
-                await link.request(write_request(call.method, call.target, headers, len(call.body)),
-                                   call.body, bodiless=call.method == b"HEAD")
-                written = True
-                self.metrics.upstream_requests += 1
+                if call.upload is None:
+                    await link.request(write_request(call.method, call.target, headers, len(call.body)),
+                                       call.body, bodiless=call.method == b"HEAD")
+                    written = True
+                else:
+                    limit.reschedule(None)     # the client's time counts from its last byte
+                    written = await self._upload(tried, exchange, link, headers)
+                    timeout = exchange.deadline - self.now() if written else MARGIN
+                    limit.reschedule(asyncio.get_running_loop().time() + timeout)
+                self.metrics.upstream_requests += written
                 answer = await link.head()
-                if call.final(answer.status) and call.streamed(answer.status):
+                if call.final(answer.status) and call.streamed(answer.status) and await link.exceeds(
+                        answer, call.hold, call.most, call.standstill):
                     limit.reschedule(None)     # the answer has begun: it is the client's now
                     await self._pass_on(tried, exchange, link, answer, started)
                 else:
                     await link.body(answer, call.standstill)
-            self.pool.put(link, answer)
-            kept = True
-            return self._outcome(call, answer), answer
+            outcome = self._outcome(call, answer)
+            if written:
+                self.pool.put(link, answer)
+                kept = True
+            elif outcome not in NOT_RUN.values():
+                outcome = Outcome.NOT_SENT     # said before the request was whole
+            return outcome, answer
         except TimeoutError:
             return (Outcome.TIMEOUT if written else Outcome.NOT_SENT), None
         except NoRoom as error:
@@ -427,9 +413,9 @@
         except Spoilt as error:
             # Guards a node that lives against being taken for a dead one: it has run this and answers others.
             self.spoilt(error)
-            return Outcome.ERROR, None
+            return (Outcome.ERROR if written else Outcome.NOT_SENT), None
         except Broken:
-            return Outcome.RESET, None
+            return (Outcome.RESET if written else Outcome.NOT_SENT), None
         finally:
             if link is not None and not kept:
                 self.pool.drop(link)
@@ -438,23 +424,50 @@
     def _outcome(call: Call, answer: Message) -> Outcome:
         if call.final(answer.status):
             return Outcome.OK
-        if answer.status in NOT_RUN_STATUS and answer.get(b"x-not-run") == b"1":
-            return Outcome.REJECTED
+        if answer.status in NOT_RUN and answer.get(b"x-not-run") == b"1":
+            return NOT_RUN[answer.status]
         return Outcome.ERROR
 
+    async def _upload(self, tried: Try, exchange: Exchange, link: Link, headers: Headers) -> bool:
+        """Pass a body on to the node as its client sends it; False if the node answers before its end.
+
+        Once it has begun it can't be sent again, and until its last byte is out no time of it runs.
+        """
+        call = exchange.call
+        head = write_request(call.method, call.target, headers, call.length, chunked=call.length is None)
+        self._apply(self.facade.uploading(self.now(), tried, None))
+        await link.request(head)
+        while (piece := await call.upload.get()) is not None:
+            if link.channel.stale():
+                return False
+            async with asyncio.timeout(SILENT):
+                await link.write(piece, call.length is None)
+        if call.upload.broken:
+            raise Unsent("the client's body broke off")
+        if call.length is None:
+            await link.write(b"", True)
+        left = float(call.fields["expires_in"])
+        exchange.deadline = self.now() + left
+        self._apply(self.facade.uploading(self.now(), tried, left))
+        return True
+
     async def _pass_on(self, tried: Try, exchange: Exchange, link: Link, answer: Message,
                        started: float) -> None:
         """Hand an answer on in pieces, reading no faster than the client takes them."""
-        stream = Stream()
+        stream = Stream(closed=asyncio.current_task().cancel)
+        most = exchange.call.most
         self._apply(self.facade.begun(self.now(), tried, self.now() - started))
         exchange.settle(Answer(Kind.SERVED, answer.status, answer.headers, stream=stream))
         try:
             while True:
                 if piece := answer.take():
                     link.channel.framer.release()
+                    link.channel.widen()
                     await stream.put(piece)
                 if answer.whole:
                     return await stream.put(None)
+                if most is not None and answer.came > most:
+                    raise Spoilt("an answer without end")
                 async with asyncio.timeout(SILENT):
                     await link.more(answer)
         except BaseException:
@@ -540,3 +553,8 @@
         elif name == b"x-delta":
             elsewhere = int(value)
     return used, elsewhere
+
+
+def length_of(headers: Headers) -> int | None:
+    """The length that a node's answer states."""
+    return next((int(value) for name, value in headers if name == b"content-length"), None)
--- a/mallowbeam/net/health.py
+++ b/mallowbeam/net/health.py
@@ -34,15 +34,15 @@
 class Health:
     """A front that serves the health pages alone."""
 
-    max_body, budget = 0, None
+    max_body, whole, budget = 0, 0, None
 
     def __init__(self, gateway: Gateway) -> None:
         self.gateway = gateway
 
     async def handle(self, request: Message, closing: Callable[[], bool]) -> Reply:
         """One page."""
-        if request.method != b"GET":
-            return plain(405, "only GET", closing(), [(b"allow", b"GET")])
+        if request.method not in (b"GET", b"HEAD"):
+            return plain(405, "only GET", closing(), [(b"allow", b"GET, HEAD")])
         return page(self.gateway, request.target, closing()) or plain(404, "no such page", closing())
 
     def complain(self, status: int, text: str) -> Reply:
--- a/mallowbeam/net/http.py
+++ b/mallowbeam/net/http.py
@@ -15,12 +15,14 @@
 import httptools
 
 CHUNK = 16 * 1024           # bytes read at once: what one connection may hold beyond its messages
+BULK = 64 * 1024            # the same while a large body passes through
 MAX_HEAD = 16 * 1024        # bytes of start line and headers
 MAX_BODY = 64 * 1024        # bytes of body, where a front does not say otherwise
 MAX_QUIET = MAX_HEAD        # bytes without a whole head, a piece of body or an end: trailers, chunk marks
 HOP_BY_HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade",
                         b"transfer-encoding", b"content-length", b"expect", b"host"))
 TOKEN = re.compile(rb"[\x21-\x7e]{1,256}\Z")  # what a key that goes on to a node may be
+ABSOLUTE = re.compile(rb"\Ahttps?://[^/?#]*", re.IGNORECASE)
 REASONS = {status.value: status.phrase for status in HTTPStatus}
 
 Headers = list[tuple[bytes, bytes]]
@@ -38,12 +40,13 @@
     """A request or an answer."""
 
     __slots__ = ("method", "target", "status", "headers", "body", "keep_alive", "whole", "until_close",
-                 "version", "length")
+                 "version", "length", "came", "stream")
 
     def __init__(self) -> None:
         self.method, self.target, self.status = b"", b"", 0
         self.headers: Headers = []             # names in lower case
-        self.body, self.length = bytearray(), None  # what came of it, and the length stated
+        self.body, self.length = bytearray(), None  # what is held of it, and the length stated
+        self.came, self.stream = 0, None       # bytes of it so far; where it goes, if not held whole
         self.keep_alive, self.whole, self.version = True, False, "1.1"
         self.until_close = False               # its end is the end of the connection
 
@@ -101,6 +104,12 @@
         """Whether nothing is coming in and nothing waits."""
         return self.part is None and not self.ready
 
+    def holds_more_than(self, most: int) -> bool:
+        """Whether the request coming in is one with a body larger than that."""
+        part = self.part
+        return (self.fault is None and part is not None and not self.in_head
+                and max(part.length or 0, part.came) > most)
+
     def wants_continue(self) -> bool:
         """Whether the client waits for a word before it sends the body of a request; true once for each."""
         part = self.part
@@ -123,7 +132,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: D102
         if self.in_head:                       # a trailer is read and not kept
-            self.part.headers.append((name.lower(), value))
+            # Space around a value is not part of it (RFC 9110, 5.5); the parser leaves what is behind.
+            self.part.headers.append((name.lower(), value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:  # noqa: D102
         part, self.in_head, self.quiet = self.part, False, 0
@@ -145,12 +155,15 @@
             part.method, part.version = self.parser.get_method(), self.parser.get_http_version()
             if self.parser.should_upgrade():
                 self._fail(400, "upgrade is not offered")
+            # An absolute target (RFC 9112, 3.2.2) names the host once more; what counts is behind it.
+            part.target = ABSOLUTE.sub(b"", part.target) or b"/"
         part.keep_alive = self.parser.should_keep_alive()
 
     def on_body(self, body: bytes) -> None:  # noqa: D102
         self.part.body += body
+        self.part.came += len(body)
         self.quiet = 0
-        if len(self.part.body) > self.max_body:
+        if (len(self.part.body) if self.answers else self.part.came) > self.max_body:
             self._fail(413, "body too large")
         if self.budget is not None:
             self.charged += len(body)
@@ -166,7 +179,8 @@
 
     def on_message_complete(self) -> None:  # noqa: D102
         self.part.whole, self.quiet = True, 0
-        self.ready.append(self.part)
+        if self.part.stream is None:           # else it is being answered already
+            self.ready.append(self.part)
         self.part = None
 
 
@@ -194,6 +208,16 @@
         await self.loop.sock_sendall(self.sock, data)
         self.moved = time.monotonic()
 
+    def widen(self) -> None:
+        """Read more at once from now on: a large body passes through."""
+        if len(self.buffer) < BULK:
+            self.buffer = memoryview(bytearray(BULK))
+
+    def narrow(self) -> None:
+        """Read as usual again."""
+        if len(self.buffer) > CHUNK:
+            self.buffer = memoryview(bytearray(CHUNK))
+
     def stale(self) -> bool:
         """Whether the other side has closed this idle connection or said something unasked."""
         try:
@@ -209,11 +233,14 @@
         self.sock.close()
 
 
-def write_request(method: bytes, target: bytes, headers: Headers, length: int = 0) -> bytes:
+def write_request(method: bytes, target: bytes, headers: Headers, length: int | None = 0,
+                  chunked: bool = False) -> bytes:
     """A request's start line and headers."""
     lines = [b"%b %b HTTP/1.1" % (method, target)]
     lines += [b"%b: %b" % header for header in headers]
-    if length or method in (b"PUT", b"POST"):
+    if chunked:
+        lines.append(b"transfer-encoding: chunked")
+    elif length or method in (b"PUT", b"POST"):
         lines.append(b"content-length: %d" % length)
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
--- a/mallowbeam/net/server.py
+++ b/mallowbeam/net/server.py
@@ -16,17 +16,19 @@
 
 from mallowbeam.net.http import BadMessage, Budget, Channel, Framer, Message, write_head
 from mallowbeam.net.log import Sparse
+from mallowbeam.net.stream import Stream
 
 BACKLOG = 512
 SPARE = 8                   # one in so many connections is kept for refusing those beyond the others
 PIPELINED = 2               # whole requests that may wait behind the one being answered
-STALLED = 2.0               # seconds in which a request must begin on a new connection, and then come in
-SLOWEST = 256 * 1024        # bytes of a body that are worth a second more
+STALLED = 2.5               # seconds in which a request must come in, on a new connection from its start on
+SLOWEST = 48 * 1024         # bytes of a body that are worth a second more
 UNREAD = 10.0               # seconds without a byte after which an answer has stopped going out
 IDLE = 10.0                 # seconds that a connection may lie idle after an answer
 LINGER = 1.0                # seconds given to a client to read the last answer before the close
-LINGER_BYTES = 256 * 1024   # and what is read of it meanwhile, at most
+LINGER_BYTES = 256 * 1024   # and what is read of it meanwhile, at most, where it breaks HTTP or a bound
 FRESH = 1.0                 # seconds in which a client that has just come begins, where room is short
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 NO_DESCRIPTORS = 0.05       # seconds without accepting after descriptors ran out
 
 
@@ -42,6 +44,7 @@
     """What speaks a protocol to clients."""
 
     max_body: int
+    whole: int                                 # bytes of a body up to which it is held whole
     budget: Budget | None
 
     async def handle(self, request: Message, closing: Callable[[], bool]) -> Reply:
@@ -68,6 +71,8 @@
         self.since = time.monotonic()          # when that began, or the last answer went out
         self.busy: asyncio.Task | None = None
         self.request: Message | None = None    # the one that is being answered
+        self.taking: Message | None = None     # the same, while its body passes through
+        self.blocked = False                   # nothing is read: the body's taker is slow
         self.writing = self.closing = self.answered = False
         self.leaving = False                   # being closed to make room
         self.room = asyncio.Event()
@@ -100,16 +105,23 @@
         try:
             while await self.channel.receive() and not self.closing:
                 if framer.part is not self.part:
-                    self.part, self.since = framer.part, time.monotonic()
+                    self.part = framer.part
+                    if self.answered:          # the first request has its time from the connection's start
+                        self.since = time.monotonic()
                 self._pump()
                 if framer.fault is not None:
                     raise framer.fault
                 if self.busy is None and framer.wants_continue():
-                    await self.channel.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+                    await self.channel.send(CONTINUE)
+                await self._pass_on()
                 while len(framer.ready) > PIPELINED:
                     self.room.clear()
                     await self.room.wait()
+            if self.closing and self.taking is not None:
+                await self._read_out(self.taking.length or self.server.front.max_body)
         except BadMessage as error:
+            if self.taking is not None:        # what is passed on of it can't be finished
+                self.taking.stream.break_off()
             await self._last_word(error.status, str(error))
         except (OSError, asyncio.CancelledError):
             pass
@@ -119,20 +131,57 @@
             if self.busy is not None:
                 self.busy.cancel()
                 await asyncio.gather(self.busy, return_exceptions=True)
+            if self.taking is not None:
+                self.taking.stream.close()
             framer.release()
             self.channel.close()
             self.server.connections.discard(self)
 
     def _pump(self) -> None:
-        """Begin to answer the next whole request, unless one is being answered."""
-        if self.channel.framer.ready and self.busy is None and not self.closing:
-            self.busy = asyncio.create_task(self._answer(self.channel.framer.ready.popleft()))
+        """Begin to answer the next request that is whole, or too large to be held, unless one is answered."""
+        framer = self.channel.framer
+        if self.busy is not None or self.closing:
+            return
+        if framer.ready:
+            request = framer.ready.popleft()
+        elif framer.holds_more_than(self.server.front.whole):
+            request = self.taking = framer.part
+            request.stream = Stream(wanted=self._wanted)
+            self.channel.widen()
+        else:
+            return
+        self.busy = asyncio.create_task(self._answer(request))
+
+    def _wanted(self) -> None:
+        """The first piece of a large body is asked for: a client that waits for a word gets it."""
+        if self.channel.framer.wants_continue():
+            try:                               # a few bytes, and nothing else is being written
+                self.channel.sock.send(CONTINUE)
+            except OSError:
+                pass
+
+    async def _pass_on(self) -> None:
+        """Hand on what came of a large body; while its taker is slow nothing is read, and no time counts."""
+        request = self.taking
+        if request is None:
+            return
+        if piece := request.take():
+            self.channel.framer.release()
+            began, self.blocked = time.monotonic(), True
+            await request.stream.put(piece)
+            self.since += time.monotonic() - began
+            self.blocked = False
+        if request.whole:
+            self.taking = None
+            self.channel.narrow()
+            await request.stream.put(None)
 
     async def _answer(self, request: Message) -> None:
         """One request, from its last byte in to its answer's last byte out."""
         try:
             self.request = request
-            whole, close = await self._write(request), self.server.closing or not request.keep_alive
+            whole = await self._write(request)
+            close = self._closes(request)
         except OSError:
             whole = close = False
         except Exception as error:
@@ -140,6 +189,8 @@
             whole, close = False, True
         self.writing, self.busy, self.since, self.answered = False, None, time.monotonic(), True
         self.request = None
+        if request.stream is not None:
+            request.stream.close()
         if self.channel.framer.empty:
             self.channel.framer.release()
         if not whole:
@@ -158,7 +209,7 @@
                 reply = self.server.front.complain(503, "too many connections")
             else:
                 reply = await self.server.front.handle(
-                    request, lambda: self.server.closing or not request.keep_alive)
+                    request, lambda: self._closes(request))
         except Exception as error:
             # Guards the client against a fault of ours: it still gets its one answer.
             logger.opt(exception=error).error("a request failed unforeseen")
@@ -167,12 +218,18 @@
         self.channel.moved, self.writing, whole = time.monotonic(), True, False
         try:
             if reply.write is None:
-                await self.channel.send(reply.data)
+                head_only = request.method == b"HEAD"  # its answer ends with the headers, whatever they say
+                await self.channel.send(reply.data.partition(b"\r\n\r\n")[0] + b"\r\n\r\n" if head_only
+                                        else reply.data)
             whole = reply.write is None or await reply.write(self.channel)
         finally:
             self.server.front.ended(request, reply.status, whole)
         return whole
 
+    def _closes(self, request: Message) -> bool:
+        """Whether the connection is closed after the answer to a request: its body may still be coming."""
+        return self.server.closing or not request.keep_alive or not request.whole
+
     def leave(self) -> None:
         """Close the connection now."""
         self.closing = self.leaving = True
@@ -196,16 +253,21 @@
             await asyncio.wait([self.busy])
         if self.closing:
             return
-        self.closing, channel, left = True, self.channel, LINGER_BYTES
+        self.closing, channel = True, self.channel
         try:
             async with asyncio.timeout(LINGER):
                 await channel.send(self._complaint(status, text))
                 channel.sock.shutdown(socket.SHUT_WR)
-                while left > 0 and (count := await channel.loop.sock_recv_into(channel.sock, channel.buffer)):
-                    left -= count
+                await self._read_out(LINGER_BYTES)
         except (OSError, TimeoutError):
             pass
 
+    async def _read_out(self, most: int) -> None:
+        """Read on and drop it, so that the last answer is not lost with what is still unread."""
+        channel = self.channel
+        while most > 0 and (count := await channel.loop.sock_recv_into(channel.sock, channel.buffer)):
+            most -= count
+
     def _complaint(self, status: int, text: str) -> bytes:
         """The last word on a request that does not come in whole; it counts if its head has."""
         part = self.channel.framer.part
@@ -221,6 +283,9 @@
         elif self.idle:
             if now - self.since > (IDLE if self.answered else STALLED):
                 self.task.cancel()
+        elif self.taking is not None and not self.closing:
+            if not self.blocked and now - self.since > self._patience():
+                self.taking.stream.break_off()  # its taker ends it, and that is answered
         elif self.busy is None and not self.closing and now - self.since > self._patience():
             try:                               # best effort: a stalled client may not read either
                 self.channel.sock.send(self._complaint(408, "the request did not come in time"))
@@ -231,7 +296,7 @@
     def _patience(self) -> float:
         """Seconds that the request which is coming in may take, by what came: a trickle is no upload."""
         part = self.channel.framer.part
-        return STALLED + (len(part.body) / SLOWEST if part else 0.0)
+        return STALLED + (part.came / SLOWEST if part else 0.0)
 
 
 class Server:
--- /dev/null
+++ b/mallowbeam/net/stream.py
@@ -0,0 +1,77 @@
+"""A body on its way through, in pieces: whoever hands it in waits while its taker is slow."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from mallowbeam.net.http import Channel
+
+HELD_CHUNKS = 4             # pieces that wait for a slow taker
+WHOLE = 64 * 1024           # bytes of a body that are held whole, where a front does not say otherwise
+MOST = 40 * 1024 * 1024     # bytes of a body that passes through the platform's front, at most
+
+
+class Stream:
+    """Between one who reads a body and one who passes it on; a few pieces wait here."""
+
+    def __init__(self, closed: Callable[[], object] | None = None,
+                 wanted: Callable[[], object] | None = None) -> None:
+        self._pieces: asyncio.Queue[bytearray | None] = asyncio.Queue(HELD_CHUNKS)
+        self._closed, self._wanted = closed, wanted  # told once: no more is wanted; the first piece is
+        self.broken = self.over = False
+
+    async def put(self, piece: bytearray | None) -> None:
+        """Hand in a piece, or None at the end; waits while the taker is slow."""
+        if not self.over:
+            await self._pieces.put(piece)
+
+    def break_off(self) -> None:
+        """The body is over before its end."""
+        self.broken = True
+        if self._pieces.full():
+            self._pieces.get_nowait()
+        self._pieces.put_nowait(None)
+
+    async def get(self) -> bytearray | None:
+        """The next piece; None at the end and where it broke."""
+        if self._wanted is not None:
+            self._wanted, wanted = None, self._wanted
+            wanted()
+        piece = await self._pieces.get()
+        return None if self.broken else piece
+
+    def close(self) -> None:
+        """No more is wanted; who waits to hand in a piece goes on."""
+        if not self.over:
+            self.over = True
+            while not self._pieces.empty():
+                self._pieces.get_nowait()
+            if self._closed is not None:
+                self._closed()
+
+
+async def copy(stream: Stream, channel: Channel, skip: int, size: int | None, chunked: bool) -> bool:
+    """Write a stream's bytes from `skip` on: `size` of them, or all to its end.
+
+    False where the connection must end with it: it broke off, or only that marks its end.
+    """
+    left = size
+    while left is None or left > 0:
+        piece = await stream.get()
+        if piece is None:
+            if stream.broken or not chunked:
+                return False
+            await channel.send(b"0\r\n\r\n")
+            return True
+        skipped = min(skip, len(piece))
+        skip -= skipped
+        data = memoryview(piece)[skipped:] if left is None else memoryview(piece)[skipped:skipped + left]
+        if not data:
+            continue
+        if chunked:
+            await channel.send(b"%x\r\n%b\r\n" % (len(data), data))
+        else:
+            left = None if left is None else left - len(data)
+            await channel.send(data)
+    return True
--- a/mallowbeam/net/upstream.py
+++ b/mallowbeam/net/upstream.py
@@ -51,6 +51,28 @@
         except OSError as error:
             raise Unsent(str(error)) from None
 
+    async def write(self, piece: bytes | bytearray, chunked: bool) -> None:
+        """Write a piece of a request's body; in chunks, an empty one is its end.  Raises `Unsent`."""
+        try:
+            await self.channel.send(b"%x\r\n%b\r\n" % (len(piece), piece) if chunked else piece)
+        except OSError as error:
+            raise Unsent(str(error)) from None
+
+    async def exceeds(self, answer: Message, hold: int, most: int | None, standstill: float) -> bool:
+        """Whether an answer is larger than what is held whole, as any is where nothing is.
+
+        Guards a large answer's further try up to its first byte, and a small one's up to its last.
+        """
+        if hold == 0:
+            return True
+        if answer.length is not None and most is not None and answer.length > most:
+            raise Spoilt(f"an answer of {answer.length} bytes")
+        if answer.length is not None and answer.length > hold:
+            hold = 1                           # its first bytes are worth passing on
+        while len(answer.body) < hold and not answer.whole:
+            await self._on(answer, standstill)
+        return not answer.whole
+
     async def head(self) -> Message:
         """The answer, its headers read and its body perhaps still coming; raises `Broken`."""
         framer = self.channel.framer
@@ -83,13 +105,17 @@
         if answer.length is not None and answer.length > self.channel.framer.max_body and not answer.whole:
             raise Spoilt(f"an answer of {answer.length} bytes")
         while not answer.whole:
-            try:
-                async with asyncio.timeout(standstill):
-                    await self.more(answer)
-            except TimeoutError:
-                raise Spoilt("the answer stopped short") from None
+            await self._on(answer, standstill)
         return answer.body
 
+    async def _on(self, answer: Message, standstill: float | None) -> None:
+        """Read on, but not for longer than `standstill` seconds without a byte."""
+        try:
+            async with asyncio.timeout(standstill):
+                await self.more(answer)
+        except TimeoutError:
+            raise Spoilt("the answer stopped short") from None
+
     async def _read(self) -> bool:
         """Read once; raises `Spoilt` for what can't be read, unless a whole answer came before it."""
         framer = self.channel.framer
@@ -167,6 +193,7 @@
         if not link.reusable(answer) or len(idle) >= MAX_IDLE_EACH:
             return self.drop(link)
         link.channel.framer.release()
+        link.channel.narrow()
         link.idle_since = time.monotonic()
         idle.append(link)
 
