--- a/mallowbeam/__main__.py
+++ b/mallowbeam/__main__.py
@@ -11,7 +11,6 @@
 import uvloop
 from loguru import logger
 
-from mallowbeam.fronts.objects import Objects, read_object_settings
 from mallowbeam.fronts.platform import Platform
 from mallowbeam.net.admin import open_admin
 from mallowbeam.net.config import BadConfig, Config, read_address, read_config, read_file
@@ -33,7 +32,11 @@
     config, servers, handed = gateway.config, [], legacy.doors if legacy else {}
     room = config.client_sockets
     try:
-        objects = read_object_settings(fronts.get("objects", {}), gateway)
+        objects = None
+        if fronts.get("objects", {}).get("listen") is not None:
+            # Loaded only where it is on: a start is short, as each second of it loses requests.
+            from mallowbeam.fronts.objects import Objects, read_object_settings
+            objects = read_object_settings(fronts["objects"], gateway)
         for name, front, connection in (("health", Health(gateway), Connection),
                                         ("agent_check", gateway, AgentConnection)):
             if listen := fronts.get(name, {}).get("listen"):
--- a/mallowbeam/control.py
+++ b/mallowbeam/control.py
@@ -80,14 +80,13 @@
 class Volume:
     """What one volume has drawn through this host, against its reserve and its limit."""
 
-    def __init__(self, plan: io.Plan, hosts: int, settings: io.Settings, now: float) -> None:
+    def __init__(self, plan: io.Plan, hosts: int, settings: io.Settings, since: float) -> None:
         self.plan, self.hosts = plan, hosts
         # Guards the limit across hosts and restarts: only this host's part of the store is ever drawn, and as
-        # an earlier life may have spent all of it a moment ago, a new life starts at the bottom.
-        self.limit_level, self.at = -plan.limit_slack / hosts, now
+        # an earlier life may have spent all of it a moment before this one, that starts at the bottom.
+        self.limit_level, self.at = -plan.limit_slack / hosts, since  # nothing was drawn here after that
         self.pending = self.coming = 0         # units booked and not sent; and those whose body still comes
-        self.reserve_top = plan.reserve + settings.units_top if plan.reserve > 0 else 0.0
-        self.reserve_level = self.reserve_top
+        self.reserve_level = self.reserve_top = plan.reserve + settings.units_top if plan.reserve else 0.0
 
     def refill(self, now: float) -> None:
         """Let both stores fill up to now; the reserve counts whole, less what is told of other hosts."""
@@ -192,7 +191,7 @@
         self.cycle = min((c.aim for c in settings.classes.values()), default=0.3)
         self.slope = self.cycle * FIRST_SLOT   # latency a further unit of a request costs, at any node
         self.prior = self.floor = 2 * settings.usual_units * self.slope  # usual and lowest latency
-        self.surveyed = now
+        self.surveyed = self.born = now
         self.top = max((c.worth for c in settings.classes.values()), default=1.0) * max(
             (p.price for p in settings.plans.values()), default=1.0)  # a unit's worth, at the most
         self.nodes: dict[str, Node] = {}
@@ -309,7 +308,8 @@
         volume = self.volumes.get((name, plan))
         if volume is None:
             known = self.settings.plans.get(plan) or io.Plan(plan)
-            volume = self.volumes[name, plan] = Volume(known, hosts, self.settings, self.now)
+            since = self.now if self.now - self.born > FORGET else self.born
+            volume = self.volumes[name, plan] = Volume(known, hosts, self.settings, since)
         # Guards the limit against one client that names another plan or fewer hosts for the same volume.
         volume.hosts = max(volume.hosts, hosts)
         return volume
--- a/mallowbeam/fronts/objects.py
+++ b/mallowbeam/fronts/objects.py
@@ -87,10 +87,8 @@
     held: int
 
 
-def read_object_settings(raw: dict, gateway: Gateway) -> ObjectSettings | None:
-    """The front's settings, None where it is off; raises `BadConfig`."""
-    if raw.get("listen") is None:
-        return None
+def read_object_settings(raw: dict, gateway: Gateway) -> ObjectSettings:
+    """The front's settings; raises `BadConfig`."""
     try:
         classes = raw["classes"]
         settings = ObjectSettings(
--- a/mallowbeam/net/upstream.py
+++ b/mallowbeam/net/upstream.py
@@ -12,7 +12,7 @@
 
 from mallowbeam.net.http import CHUNK, Budget, Channel, Framer, Message
 
-RETIRE = 0.5                # of the nodes' idle limit: a connection idle for longer is not used again
+RETIRE = 0.8                # of the nodes' idle limit: a connection idle for longer is not used again
 MAX_IDLE_EACH = 32          # idle connections kept to one node
 MOST_INTERIM = 16           # interim answers (1xx) in front of one answer
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -395,6 +395,15 @@
     assert of(rig.step(rig.request(plan="silver", volume="s", shard=1)), io.Refuse)
 
 
+def test_a_store_fills_from_the_start_of_a_life_not_from_its_volume_s_first_request():
+    """Day herd: after every return the first request of each limited volume was refused."""
+    rig = Rig(hosts=1)
+    rig.wait(5.0)
+    assert of(rig.step(rig.request(plan="basic", volume="b", units=8)), io.Send)
+    fresh = Rig(hosts=1)
+    assert of(fresh.step(fresh.request(plan="basic", volume="b", units=8)), io.Refuse)
+
+
 def test_a_limit_holds_whatever_one_client_says_of_its_volume():
     """Guards the limit: the first request of a volume alone told its plan and how many hosts it has."""
     rig = Rig(hosts=4)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -89,6 +89,13 @@
     assert text.startswith("mallowbeam: ") and word in text and text.count("\n") == 1
 
 
+def test_a_start_loads_only_what_is_on():
+    """Guards the return of many at once: each second without a gateway loses its requests."""
+    run = subprocess.run([sys.executable, "-c", "import sys, mallowbeam.__main__; print(*sys.modules)"],
+                         capture_output=True, text=True, check=True)
+    assert not {"mallowbeam.fronts.objects", "xml.sax", "urllib.request"} & set(run.stdout.split())
+
+
 def test_no_configuration_at_all():
     env = {name: value for name, value in os.environ.items() if not name.startswith("BALANCER")}
     run = subprocess.run([sys.executable, "-m", "mallowbeam"], env=env, capture_output=True, text=True,
