--- a/mallowbeam/net/handover.py
+++ b/mallowbeam/net/handover.py
@@ -11,6 +11,7 @@
 import json
 import os
 import socket
+import struct
 import tempfile
 from collections.abc import Mapping
 from contextlib import contextmanager, suppress
@@ -68,6 +69,9 @@
         sock.settimeout(PATIENCE)
         with place(config) as path:
             sock.connect(path)
+        # Guards a $TMPDIR that others can write to: what is taken over decides where requests go.
+        if struct.unpack("3i", sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, 12))[1] != os.getuid():
+            raise ValueError("it is another user's process")
         data, fds, _, _ = socket.recv_fds(sock, 65536, MOST_DOORS)
         handed = [socket.socket(fileno=fd) for fd in fds]
         while data.count(b"\n") < 2:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -185,6 +185,19 @@
     upgrade("c1 send GET /healthz\nc1 expect 200", "", check)
 
 
+def test_another_user_s_process_is_not_taken_over_from(monkeypatch):
+    """Guards a folder that others can write to."""
+    config = configs.decode(json.loads((EXAMPLE / "config.json").read_text()), {})
+    with handover.place(config) as path, socket.socket(socket.AF_UNIX) as old:
+        old.bind(path)
+        old.listen(1)
+        monkeypatch.setattr(handover.os, "getuid", lambda: 987654)
+        threading.Thread(target=lambda: old.accept()[0].sendall(
+            b'{"doors": []}\n{"state": {"version": 1, "discovery": "127.0.0.1:1", "list": '
+            b'{"revision": 1, "complete": true, "members": []}}}\n'), daemon=True).start()
+        assert handover.take_over(config) is None
+
+
 @pytest.mark.parametrize("says", [b"", b"noise\n", b'{"doors": []}\n{"state": {}}\n',
                                   b'{"doors": []}\n{"state": {"version": 0}}\n'])
 def test_an_old_process_that_hands_over_nothing_holds_up_no_start(monkeypatch, says):
