--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -276,7 +276,13 @@
             return logger.error("reload: old values stay: {}", error)
         logger.info("reload: discovery at {}", config.discovery)
         self._tell("discovery", config.discovery)
-        self.watch.move(config.discovery)
+        self.moved(config.discovery)
+
+    def moved(self, address: str) -> None:
+        """Discovery is elsewhere from now on, as SIGHUP here or at the other process says."""
+        self.watch.move(address)
+        if self.handed_over.is_set() and self.sister is not None:
+            self.watch.pause()                 # the new process watches for both
 
     @property
     def ready(self) -> bool:
--- a/mallowbeam/net/handover.py
+++ b/mallowbeam/net/handover.py
@@ -158,7 +158,7 @@
             case "list":
                 gateway.told_beside(read_listing(value))
             case "discovery":
-                gateway.watch.move(value)
+                gateway.moved(value)
             case "hand":
                 gateway.by_hand(*value, told=True)
             case "clients":
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -170,6 +170,16 @@
     """, check)
 
 
+def test_a_reload_of_either_moves_both_and_one_watch_stays():
+    async def check(old: World, new: World) -> None:
+        await until(lambda: old.gateway.watch.task is None)
+        old.gateway.reload({"BALANCER_CONFIG": str(EXAMPLE / "config.json")})
+        await until(lambda: new.gateway.watch.address == "127.0.0.1:8500")
+        assert old.gateway.watch.address == "127.0.0.1:8500" and old.gateway.watch.task is None
+
+    upgrade("c1 send GET /healthz\nc1 expect 200", "", check)
+
+
 def test_descriptors_and_bodies_are_shared_while_there_are_two():
     async def check(old: World, new: World) -> None:
         for world in (old, new):
@@ -213,8 +223,12 @@
         assert handover.take_over(config) is None
 
 
-def test_a_second_start_takes_over_from_the_first(tmp_path, monkeypatch):
-    """The programs as the platform starts them: same addresses, a second address of each one's own."""
+@pytest.mark.parametrize("meet", [True, False])
+def test_a_second_start_takes_over_from_the_first(tmp_path, monkeypatch, meet):
+    """The programs as the platform starts them: same addresses, a second address of each one's own.
+
+    Where they can't meet they share the clients' address.
+    """
     monkeypatch.setenv("TMPDIR", tempfile.gettempdir())
     doors, listen = [f"127.0.0.1:{free_port()}" for _ in range(2)], f"127.0.0.1:{free_port()}"
     monkeypatch.setenv("BALANCER_LISTEN", listen)
@@ -224,6 +238,7 @@
     with program(tmp_path, {}) as (first, _), connect(address) as sock:
         assert healthy(sock)
         monkeypatch.setenv("BALANCER_ADMIN_ADDR", doors[1])
+        monkeypatch.setenv("TMPDIR", tempfile.gettempdir() if meet else str(tmp_path))
         with program(tmp_path, {}) as (second, _):
             connect((host, int(doors[1].partition(":")[2]))).close()
             while True:
