--- a/mallowbeam/control.py
+++ b/mallowbeam/control.py
@@ -611,9 +611,8 @@
         if node.queue:
             order, refused = self._layout(node)
             self._send_due(node, order)
-            for request in refused:
-                if not request.done and not request.out:
-                    self._end(request)
+            for request in [request for request in refused if not request.out]:
+                self._end(request)
             node.queue = [entry for entry in node.queue if not entry[2].done and not entry[2].out]
         if (node.queue or node.out) and node.wake <= self.now + EPS:
             node.wake = self.now + LOOK * self.cycle
@@ -669,15 +668,16 @@
             node.cycle_at, node.cycle_used = self.now, 0
         # The m of the paper: slots that a cycle holds by measured slot time, within the floor and the most.
         slots = int(min(M_MOST, max(self.settings.units_top + M_EXTRA, self.cycle / node.slot())))
-        if self.now < node.held:
-            return
-        if node.suspect:
-            if order and self._send(order[0], node):
-                node.held = self.now + self.cycle
+        if node.suspect and self.now >= node.held and order and self._send(order[0], node):
+            node.held = self.now + self.cycle
+        if node.suspect or self.now < node.held:
             return
         price = self._price(node)
         for request in order:
-            if request.density * (request.cls.late_worth if request.late else 1.0) < price:
+            # Room left for dearer units that is still empty at a request's last chance is of use to nobody.
+            last = self.now + node.serve_time(request.units) + 2 * LOOK * self.cycle > request.aim_at
+            if request.density * (request.cls.late_worth if request.late else 1.0) < price and (
+                    node.out_units or request.late or not last):
                 continue
             if node.out_units + request.units > node.window and (
                     node.out_units or self.now - node.sent_at < request.units / node.window * node.n_latency):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -291,6 +291,21 @@
     assert len(of(rig.step(rig.request(volume="d", plan="gold", units=2)), io.Send)) == 1, "room was left"
 
 
+def test_room_left_for_dearer_units_is_used_at_the_last_chance_unless_the_node_is_at_work():
+    """Day bulk+slow+pieces: with nothing out, requests waited for a price to fall until they were refused."""
+    for busy in (False, True):
+        rig = Rig()
+        node = rig.host.nodes["n0"]
+        if busy:
+            assert of(rig.step(rig.request(units=1)), io.Send)
+        node.price, node.price_at = 30.0, rig.now
+        cheap = rig.request(volume="c", plan="silver", units=1)
+        assert not of(rig.step(cheap), io.Send)
+        seen = rig.wait(0.24)
+        sent = {action.request for action in of(seen, io.Send)}
+        assert (cheap.request in sent) is not busy
+
+
 def test_a_request_larger_than_the_room_is_paced():
     """Incident i48321c: with twelve hosts, 'idle nodes get bookings at once' kept nodes full."""
     rig = Rig()
