--- a/mallowbeam/net/admin.py
+++ b/mallowbeam/net/admin.py
@@ -85,6 +85,7 @@
     """The door's server, None where the configuration names no address; raises OSError."""
     if gateway.config.admin is None:
         return None
-    server = Server(gateway.config.admin, Admin(gateway), ADMIN_SOCKETS, Caller)
+    # Guards the operators: a second process with this address would answer for the first now and then.
+    server = Server(gateway.config.admin, Admin(gateway), ADMIN_SOCKETS, Caller, shared=False)
     server.last_answers()                      # one call a connection
     return server
--- a/mallowbeam/net/http.py
+++ b/mallowbeam/net/http.py
@@ -113,7 +113,7 @@
     def wants_continue(self) -> bool:
         """Whether the client waits for a word before it sends the body of a request; true once for each."""
         part = self.part
-        if part is None or self.in_head or part.body:
+        if part is None or self.in_head or part.body or part.version == "1.0":  # an old client knows no 1xx
             return False
         if (part.get(b"expect") or b"").lower() != b"100-continue":
             return False
--- a/mallowbeam/net/server.py
+++ b/mallowbeam/net/server.py
@@ -303,11 +303,12 @@
     """One listening address and the front behind it."""
 
     def __init__(self, address: tuple[str, int], front: Front, most: int,
-                 connection: type = Connection, name: str = "", handed: socket.socket | None = None) -> None:
+                 connection: type = Connection, name: str = "", handed: socket.socket | None = None,
+                 shared: bool = True) -> None:
         self.front, self.closing, self.name = front, False, name
         self.whole = self.most = most          # connections that may be held at once: in all, and now
         self.connection = connection
-        self.sock = handed or bound(address)
+        self.sock = handed or bound(address, shared)
         self.address = self.sock.getsockname()
         self.connections: set[Connection] = set()
         self.crowded = Sparse("all connections are busy")
@@ -400,11 +401,11 @@
                                return_when=asyncio.FIRST_COMPLETED)
 
 
-def bound(address: tuple[str, int]) -> socket.socket:
-    """A socket bound to an address; another process of this gateway may listen there too."""
+def bound(address: tuple[str, int], shared: bool) -> socket.socket:
+    """A socket bound to an address, shared or not with another process of this gateway."""
     sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, shared)
     try:
         sock.bind(address)
     except BaseException:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -10,6 +10,7 @@
 import threading
 import urllib.error
 import urllib.request
+from contextlib import suppress
 
 import pytest
 import uvloop
@@ -195,6 +196,16 @@
     upgrade("c1 send GET /healthz\nc1 expect 200", "", check)
 
 
+def speak(old: socket.socket, says: bytes) -> None:
+    """Say something to the first that comes, who may have gone by then."""
+
+    def run() -> None:
+        with old.accept()[0] as sock, suppress(OSError):
+            sock.sendall(says)
+
+    threading.Thread(target=run, daemon=True).start()
+
+
 def test_another_user_s_process_is_not_taken_over_from(monkeypatch):
     """Guards a folder that others can write to."""
     config = configs.decode(json.loads((EXAMPLE / "config.json").read_text()), {})
@@ -202,9 +213,8 @@
         old.bind(path)
         old.listen(1)
         monkeypatch.setattr(handover.os, "getuid", lambda: 987654)
-        threading.Thread(target=lambda: old.accept()[0].sendall(
-            b'{"doors": []}\n{"state": {"version": 1, "discovery": "127.0.0.1:1", "list": '
-            b'{"revision": 1, "complete": true, "members": []}}}\n'), daemon=True).start()
+        speak(old, b'{"doors": []}\n{"state": {"version": 1, "discovery": "127.0.0.1:1", "list": '
+                   b'{"revision": 1, "complete": true, "members": []}}}\n')
         assert handover.take_over(config) is None
 
 
@@ -219,7 +229,7 @@
         assert handover.take_over(config) is None  # a stale file
         old.listen(1)
         if says:
-            threading.Thread(target=lambda: old.accept()[0].sendall(says), daemon=True).start()
+            speak(old, says)
         assert handover.take_over(config) is None
 
 
@@ -256,3 +266,13 @@
             assert second.wait(PATIENCE) == 0
             for process in (first, second):
                 assert "Traceback" not in process.stderr.read()
+
+
+def test_a_second_process_with_the_same_door_for_operators_does_not_start(tmp_path, monkeypatch):
+    """Guards the operators: calls meant for one process would reach the other, now and then."""
+    monkeypatch.setenv("BALANCER_ADMIN_ADDR", f"127.0.0.1:{free_port()}")
+    with program(tmp_path, {}) as (_, address):
+        connect(address).close()
+        with program(tmp_path, {}) as (second, _):
+            _, text = second.communicate(timeout=PATIENCE)
+        assert second.returncode == 2 and text.startswith("mallowbeam: cannot listen")
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -180,6 +180,17 @@
     """)
 
 
+def test_an_old_client_gets_no_interim_answer():
+    play(f"""
+        c1 send raw '{ZERO}expect: 100-continue{NL}content-length: 2{NL}{NL}'
+        wait 0.05
+        c1 send raw 'ab'
+        n0 expect PUT
+        n0 send 200 body=x
+        c1 expect 200 x
+    """)
+
+
 def test_an_upload_that_stalls_is_given_up_and_one_that_is_slow_is_not(monkeypatch):
     """Guards both: a client may send at 64 kB a second, one that stops must not hold a node's connection."""
     monkeypatch.setattr(server, "STALLED", 0.3)
