Serve on after SIGTERM for clients that keep their connection, up to the longest deadline

Logs: lame duck 0.5 s, each answer closing its connection, then 1 s of lingering, and the next start 2.2 s after SIGTERM however soon the process ended (lingering 0.2 s instead of 1 s moved the exit from 1.5 to 0.7 s and the start not at all). So serving on costs nothing; what comes in has only the time that is left.

--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -26,7 +26,9 @@
 from mallowbeam.net.stream import Stream
 from mallowbeam.net.upstream import Broken, Link, NoRoom, Pool, Spoilt, Unsent
 
-LAME_DUCK = 0.5             # seconds after SIGTERM in which new connections are still taken
+LAME_DUCK = 0.5             # seconds after SIGTERM in which all goes on as before, at least
+STAY = 3.5                  # seconds after SIGTERM by which all is answered, at the latest
+LEAVE = 0.5                 # and the last of them, in which nothing new is taken
 SWEEP = 0.2                 # seconds between looks at what has been idle or stalled
 SILENT = 10.0               # seconds without a byte after which a streamed answer has broken off
 MAX_ANSWER = 4 * 1024 * 1024  # bytes of an answer that is not passed on in pieces
@@ -123,6 +125,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.timer_at = NEVER
         self.stopping, self.handed_over = asyncio.Event(), asyncio.Event()
+        self.leave_at = NEVER                  # when all must be answered
         self.sister: Sister | None = None      # the other process of this gateway, while there are two
         self.no_room = Sparse("no room for a connection to a node")
         self.spoilt = Sparse("a node's answer can't be read")
@@ -159,15 +162,17 @@
         sweeper = asyncio.create_task(self._sweep([*servers, *([admin] if admin else [])]))
         await self._any(self.stopping, self.handed_over)
         self._enter(Phase.HANDED_OVER if self.handed_over.is_set() else Phase.LAME_DUCK)
-        for server in servers:
-            server.last_answers()
         if handover is not None:
             handover.task.cancel()
         if self.handed_over.is_set():
+            for server in servers:
+                server.last_answers()
             await self._hand_over()
         else:
-            await asyncio.sleep(LAME_DUCK)
+            await self._lame_duck()
         self._enter(Phase.DRAINING)
+        for server in servers:
+            server.last_answers()
         await asyncio.gather(*(server.drain() for server in servers))
         sweeper.cancel()
         self._enter(Phase.STOPPED)
@@ -180,6 +185,16 @@
         for wait in waits:
             wait.cancel()
 
+    async def _lame_duck(self) -> None:
+        """Serve on for a while: clients whose connections stay open need not find this gateway gone.
+
+        Guards the one final answer: what still comes in has only the time that is left before the end.
+        """
+        longest = max(cls.deadline for cls in self.config.settings.classes.values())
+        stay = min(STAY, longest + LAME_DUCK)
+        self.leave_at = self.now() + stay
+        await asyncio.sleep(max(LAME_DUCK, stay - LEAVE))
+
     async def _hand_over(self) -> None:
         """Let the new process take what comes, until nothing is left here or SIGTERM has come."""
         for server in self.servers:
@@ -305,7 +320,8 @@
 
     async def submit(self, call: Call) -> Answer:
         """Get a call its one answer; cancelled when its client leaves."""
-        expires = float(call.fields["expires_in"])
+        expires = min(float(call.fields["expires_in"]), max(MARGIN, self.leave_at - self.now()))
+        call.fields["expires_in"] = expires
         exchange = self.exchanges[call.id] = Exchange(call, self.now() + expires)
         self._tell("taken", call.id)
         try:
