--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -301,8 +301,8 @@
 
     @property
     def ready(self) -> bool:
-        """Whether clients should be sent here."""
-        return self.phase is Phase.SERVING
+        """Whether clients should be sent here; no from the very signal on."""
+        return self.phase is Phase.SERVING and not self.stopping.is_set() and not self.handed_over.is_set()
 
     def _enter(self, phase: Phase) -> None:
         self.phase = phase
