--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -320,8 +320,7 @@
 
     async def submit(self, call: Call) -> Answer:
         """Get a call its one answer; cancelled when its client leaves."""
-        expires = min(float(call.fields["expires_in"]), max(MARGIN, self.leave_at - self.now()))
-        call.fields["expires_in"] = expires
+        call.fields["expires_in"] = expires = self._left(call)
         exchange = self.exchanges[call.id] = Exchange(call, self.now() + expires)
         self._tell("taken", call.id)
         try:
@@ -337,6 +336,10 @@
             del self.exchanges[call.id]
             self._over(call.id)
 
+    def _left(self, call: Call) -> float:
+        """Seconds that a call may take from now on: its own, up to the end of this process."""
+        return min(float(call.fields["expires_in"]), max(MARGIN, self.leave_at - self.now()))
+
     def _apply(self, orders: Orders) -> None:
         """Do what the module wants done, and come back when it wants to be called."""
         for tried in orders.tries:
@@ -468,7 +471,7 @@
             raise Unsent("the client's body broke off")
         if call.length is None:
             await link.write(b"", True)
-        left = float(call.fields["expires_in"])
+        left = self._left(call)
         exchange.deadline = self.now() + left
         self._apply(self.facade.uploading(self.now(), tried, left))
         return True
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -426,18 +426,19 @@
     """)
 
 
-def test_what_comes_while_leaving_is_answered_before_the_end(monkeypatch):
+def test_what_comes_while_leaving_has_only_the_time_that_is_left(monkeypatch):
     """Guards the one final answer: SIGKILL follows, and what it finds unanswered is lost."""
-    monkeypatch.setattr(gateway, "STAY", 0.6)
+    monkeypatch.setattr(gateway, "STAY", 1.0)
     monkeypatch.setattr(gateway, "LEAVE", 0.1)
-    play("""
-        g close
-        wait 0.3
-        c1 send write deadline=2000
-        n0 expect PUT
-        c1 expect 502
-        g expect end
-    """)
+
+    async def run() -> None:
+        async with World() as world:
+            await world.play("g close\nwait 0.05\nc1 send write deadline=2000\nn0 expect PUT")
+            exchange, = world.gateway.exchanges.values()
+            assert exchange.deadline < world.gateway.leave_at + 0.1
+            await world.play("n0 send 200 body=x\nc1 expect 200\ng expect end")
+
+    uvloop.run(run())
 
 
 def test_clients_beyond_the_descriptors_wait_and_are_served():
