Reread: one place for last answers, list kinds, HEAD and what is held whole

Behaviour stays as it is. drain() itself marks the last answers, so run() has no loops for that; a list says its own kind in one place; HEAD is cut in the server alone, where the object front did it again for errors; 64 KiB had two names; the figures no longer end in a line break that the door took off; the tests share one way to hold up connections.

--- a/mallowbeam/facade.py
+++ b/mallowbeam/facade.py
@@ -105,15 +105,11 @@
 
     def by_hand(self, now: float, node: str, out: bool) -> Orders | None:
         """An operator takes a node out, or calls it back; None for a node that nobody has."""
-        if not self.listed_or_out(node):
+        known = self._scheduler.nodes.get(node)
+        if (known is None or known.state is GONE) and node not in self._scheduler.banned:
             return None
         return self._step(now, io.ByHand(node, out))
 
-    def listed_or_out(self, node: str) -> bool:
-        """Whether there is such a node: listed, or out by hand."""
-        known = self._scheduler.nodes.get(node)
-        return known is not None and known.state is not GONE or node in self._scheduler.banned
-
     def sent_beside(self, now: float, volume: str, plan: str, hosts: int, node: str, units: int,
                     drawn: int) -> Orders:
         """Another process of this host has sent to a node."""
--- a/mallowbeam/fronts/objects.py
+++ b/mallowbeam/fronts/objects.py
@@ -264,11 +264,11 @@
             streamed=lambda status: request.method == b"GET" and status in (200, 206) and not request.upload)
 
     def _error(self, error: Error, message: Message, request_id: str, close: bool) -> Reply:
-        """An S3 error; a HEAD has no body."""
+        """An S3 error."""
         body = error_body(error.code, message.target, request_id)
         headers = [(b"content-type", b"application/xml"), (b"x-amz-request-id", request_id.encode())]
         head = write_head(ERRORS[error.code][0], headers + error.headers, len(body), close)
-        return Reply(ERRORS[error.code][0], head if message.method == b"HEAD" else head + body)
+        return Reply(ERRORS[error.code][0], head + body)
 
     def _whole(self, request: Request, answer: Answer, request_id: str, close: bool) -> Reply:
         """A node's answer that was read whole; what names an upload is put in the client's terms."""
--- a/mallowbeam/fronts/platform.py
+++ b/mallowbeam/fronts/platform.py
@@ -8,9 +8,9 @@
 from mallowbeam.interface import Repeat
 from mallowbeam.net.gateway import Answer, Call, Gateway, Kind, length_of, read_deadline, time_left
 from mallowbeam.net.health import page
-from mallowbeam.net.http import TOKEN, Budget, Channel, Message, write_head
+from mallowbeam.net.http import MAX_BODY, TOKEN, Budget, Channel, Message, write_head
 from mallowbeam.net.server import Reply, plain
-from mallowbeam.net.stream import MOST, WHOLE, Stream, copy
+from mallowbeam.net.stream import MOST, Stream, copy
 
 TARGET = re.compile(rb"/([^/?]+)/([0-9a-f]{16})/([0-9a-f]{16})(?:\?[\x21-\x7e]{0,1024})?\Z")
 REQUEST_ID = re.compile(rb"[0-9a-f]{16}\Z")
@@ -34,7 +34,7 @@
 class Platform:
     """Turns the platform's requests into calls and answers back."""
 
-    max_body, whole = MOST, WHOLE
+    max_body, whole = MOST, MAX_BODY
 
     def __init__(self, gateway: Gateway) -> None:
         self.gateway, self.budget = gateway, Budget(min(HELD, gateway.config.memory // 8))
@@ -102,7 +102,7 @@
                 hosts_of_volume=hosts, key=path[3].decode(), is_retry=headers.get(b"x-retry") == b"1",
                 is_write=request.method == b"PUT"),
             request.method, request.target, [h for h in request.headers if h[0] in PASSED_ON],
-            request.body, streamed=(200).__eq__, standstill=cls.aim * STANDSTILL, hold=WHOLE, most=MOST,
+            request.body, streamed=(200).__eq__, standstill=cls.aim * STANDSTILL, hold=MAX_BODY, most=MOST,
             upload=request.stream, length=request.length)
 
     @staticmethod
--- a/mallowbeam/net/admin.py
+++ b/mallowbeam/net/admin.py
@@ -54,8 +54,7 @@
             "pending": sum(server.pending for server in gateway.servers),
             "members": gateway.facade.nodes_listed,
             "members_unavailable": gateway.facade.nodes_avoided})
-        return plain(200, text.removesuffix("\n"), True)
-
+        return plain(200, text, True)
 
     def _by_hand(self, request: Message, out: bool) -> Reply:
         """Take a node out, or let it serve again: both hold from this yes on."""
@@ -67,7 +66,6 @@
         return plain(200, "out" if out else "back", True)
 
 
-
 class Caller(Connection):
     """An operator's connection."""
 
--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -164,15 +164,8 @@
         self._enter(Phase.HANDED_OVER if self.handed_over.is_set() else Phase.LAME_DUCK)
         if handover is not None:
             handover.task.cancel()
-        if self.handed_over.is_set():
-            for server in servers:
-                server.last_answers()
-            await self._hand_over()
-        else:
-            await self._lame_duck()
+        await (self._hand_over() if self.handed_over.is_set() else self._lame_duck())
         self._enter(Phase.DRAINING)
-        for server in servers:
-            server.last_answers()
         await asyncio.gather(*(server.drain() for server in servers))
         sweeper.cancel()
         self._enter(Phase.STOPPED)
@@ -197,24 +190,21 @@
 
     async def _hand_over(self) -> None:
         """Let the new process take what comes, until nothing is left here or SIGTERM has come."""
+        for server in self.servers:
+            server.last_answers()
         for server in self.servers:
             await server.shut()
         self.watch.pause()                     # what the new one hears it tells
         if self.sister is None:                # gone in this very moment
             self.watch.begin()
         while not self.stopping.is_set() and any(server.connections for server in self.servers):
-            self._count_clients()
+            self._tell("clients", sum(len(server.connections) for server in self.servers))
             with suppress(TimeoutError):
                 async with asyncio.timeout(LAME_DUCK / 5):
                     await self.stopping.wait()
         if self.stopping.is_set():             # idle connections have a moment for their next request
             await asyncio.sleep(LAME_DUCK)
 
-    def _count_clients(self) -> None:
-        """Tell the new process how many of the clients' connections are still held here."""
-        if self.sister is not None:
-            self.sister.tell("clients", sum(len(server.connections) for server in self.servers))
-
     def _await_next(self) -> Handover | None:
         """Wait for the next process; without a place to meet the two would share the address only."""
         try:
@@ -256,7 +246,7 @@
         """
         if self.watch.revision is None or listing.revision > self.watch.revision:
             self.watch.revision = listing.revision
-            self._listing(listing, io.ListKind.FULL if listing.complete else io.ListKind.CHANGES)
+            self._listing(listing)
 
     def _tell(self, kind: str, value: object) -> None:
         """Tell the other process, where there is one."""
@@ -526,7 +516,7 @@
             self._apply(self.facade.listed(self.now(), io.ListKind.FAILED))
         else:
             self._tell("list", write_listing(*listing))
-            self._listing(listing, io.ListKind.FULL if listing.complete else io.ListKind.CHANGES)
+            self._listing(listing)
 
     def by_hand(self, node: str, out: bool, told: bool = False) -> bool:
         """An operator takes a node out, or lets it serve again; False for one that nobody has.
@@ -544,7 +534,9 @@
         self._apply(orders)
         return True
 
-    def _listing(self, listing: Listing, kind: io.ListKind) -> None:
+    def _listing(self, listing: Listing, kind: io.ListKind | None = None) -> None:
+        """Take in a list; what kind it is it says itself, unless it is an old one."""
+        kind = kind or (io.ListKind.FULL if listing.complete else io.ListKind.CHANGES)
         told = {entry.node for entry in listing.entries}
         for node, address in list(self.addresses.items()):
             # Not up, not listed any more, or elsewhere: no idle connection there is of use.
--- a/mallowbeam/net/http.py
+++ b/mallowbeam/net/http.py
@@ -17,7 +17,7 @@
 CHUNK = 16 * 1024           # bytes read at once: what one connection may hold beyond its messages
 BULK = 32 * 1024            # the same while a large body passes through
 MAX_HEAD = 16 * 1024        # bytes of start line and headers
-MAX_BODY = 64 * 1024        # bytes of body, where a front does not say otherwise
+MAX_BODY = 64 * 1024        # bytes of a body that are held whole, where a front does not say otherwise
 MAX_QUIET = MAX_HEAD        # bytes without a whole head, a piece of body or an end: trailers, chunk marks
 HOP_BY_HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade",
                         b"transfer-encoding", b"content-length", b"expect", b"host"))
--- a/mallowbeam/net/metrics.py
+++ b/mallowbeam/net/metrics.py
@@ -33,4 +33,4 @@
                  for lane, counts in self.requests.items() for result, count in counts.items()]
         lines.append(f"{PREFIX}upstream_requests {self.upstream_requests}")
         lines += [f"{PREFIX}{name} {value}" for name, value in gauges.items()]
-        return "\n".join(lines) + "\n"
+        return "\n".join(lines)
--- a/mallowbeam/net/server.py
+++ b/mallowbeam/net/server.py
@@ -390,6 +390,7 @@
 
     async def drain(self) -> None:
         """Take no new connection, let go of idle ones, and wait for what is held."""
+        self.last_answers()
         await self.shut()
         began = time.monotonic()
         while self.connections:
--- a/mallowbeam/net/stream.py
+++ b/mallowbeam/net/stream.py
@@ -8,7 +8,6 @@
 from mallowbeam.net.http import Channel
 
 HELD_CHUNKS = 2             # pieces that wait for a slow taker: many bodies at once stay within memory
-WHOLE = 64 * 1024           # bytes of a body that are held whole, where a front does not say otherwise
 MOST = 40 * 1024 * 1024     # bytes of a body that passes through the platform's front, at most
 
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -223,6 +223,17 @@
             task.cancel()
         await asyncio.gather(*others, return_exceptions=True)
 
+    def hold_connecting(self) -> asyncio.Event:
+        """Connections to nodes come up only once the event is set."""
+        gate, take = asyncio.Event(), self.gateway.pool.take
+
+        async def slow(address: str):
+            await gate.wait()
+            return await take(address)
+
+        self.gateway.pool.take = slow
+        return gate
+
     def party(self, name: str) -> Party:
         """A party by its name; clients come into being when first named."""
         if name not in self.parties:
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -144,13 +144,7 @@
 
     async def run() -> None:
         async with World() as world:
-            gate, take = asyncio.Event(), world.gateway.pool.take
-
-            async def slow(address: str):
-                await gate.wait()
-                return await take(address)
-
-            world.gateway.pool.take = slow
+            gate = world.hold_connecting()
             await world.play("c1 send read\nwait 0.05")
             await world.play("q1 send PUT /_storage-nodes/detach body=n0\nq1 expect 200")
             gate.set()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -561,13 +561,7 @@
 
     async def run() -> None:
         async with World() as world:
-            gate, take = asyncio.Event(), world.gateway.pool.take
-
-            async def slow(address: str):
-                await gate.wait()
-                return await take(address)
-
-            world.gateway.pool.take = slow
+            gate = world.hold_connecting()
             await world.play(f"""
                 c1 send read
                 d expect GET since=1
