Write-back buffer: a thin path from the object front through a synced log to the nodes

Need: a write waited for its node, and so for each of its pauses; billing wants quicker words without losing one.

Off on the platform: nothing of it is imported there.

--- a/mallowbeam/__main__.py
+++ b/mallowbeam/__main__.py
@@ -46,7 +46,9 @@
         if objects:
             gateway.pool.max_body = max(gateway.pool.max_body, objects.max_body)
             room //= 2
-            servers.append(Server(objects.listen, Objects(gateway, objects), room, name="objects",
+            buffered = fronts.get("buffer", {}).get("folder") is not None
+            front = open_buffered(gateway, fronts, legacy) if buffered else Objects(gateway, objects)
+            servers.append(Server(objects.listen, front, room, name="objects",
                                   handed=handed.pop("objects", None)))
         servers.append(Server(config.listen, Platform(gateway), room, name="platform",
                               handed=handed.pop("platform", None)))
@@ -55,6 +57,24 @@
     return servers
 
 
+def open_buffered(gateway: Gateway, fronts: dict, legacy: Legacy | None):
+    """The object front with the write-back buffer behind it; raises `BadConfig`."""
+    try:
+        from mallowbeam.fronts.buffered import BufferedObjects, read_buffer_settings
+    except ImportError as error:
+        raise BadConfig(f"the buffer needs {error.name}: install the extra `buffer`") from None
+    from mallowbeam.fronts.objects import read_object_settings
+    objects = read_object_settings(fronts["objects"], gateway)
+    settings = read_buffer_settings(fronts["buffer"], objects, gateway)
+    return BufferedObjects(gateway, objects, settings, legacy is not None)
+
+
+def any_on(fronts: dict) -> bool:
+    """Whether the operators' file turns anything on: if not, nothing need be loaded to check it."""
+    return any(not isinstance(section, dict) or section.get("listen") is not None
+               or section.get("folder") is not None for section in fronts.values())
+
+
 async def serve(config: Config, fronts: dict) -> None:
     """Run a gateway with its fronts until it is told to stop."""
     legacy = take_over(config)
@@ -72,12 +92,26 @@
 
 
 def main() -> int:
-    """Exit status: 0 after a planned stop, 2 where the configuration can't be used."""
+    """The gateway, or the sub-command that the arguments name."""
+    if len(sys.argv) > 1:
+        from mallowbeam.cli.app import app
+        app()
+    return run()
+
+
+def run(log_format: str = "text") -> int:
+    """Run the gateway; 0 after a planned stop, 2 where the configuration can't be used."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the gateway listens for it
     logger.remove()
-    logger.add(sys.stderr, format=LOG_FORMAT, level="INFO", backtrace=False, diagnose=False)
+    if log_format == "json":                   # one object a line, with the fields that a line was given
+        logger.add(sys.stderr, serialize=True, level="INFO", backtrace=False, diagnose=False)
+    else:
+        logger.add(sys.stderr, format=LOG_FORMAT, level="INFO", backtrace=False, diagnose=False)
     try:
         fronts = read_file(os.environ.get("MALLOWBEAM_FRONTS") or str(FRONTS))
+        if any_on(fronts):
+            from mallowbeam.operators import check
+            check(fronts)
         uvloop.run(serve(read_config(os.environ), fronts))
     except BadConfig as error:
         print(f"mallowbeam: {error}", file=sys.stderr)
--- /dev/null
+++ b/mallowbeam/cli/app.py
@@ -0,0 +1,34 @@
+"""The sub-commands of `mallowbeam`; each group in a module of its own."""
+
+from __future__ import annotations
+
+import os
+from typing import Annotated
+
+import typer
+
+from mallowbeam.cli import buffer, config, lab
+
+app = typer.Typer(
+    no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
+    help="A storage gateway.  `python -m mallowbeam` without a sub-command is the gateway itself.")
+app.add_typer(config.app, name="config")
+app.add_typer(buffer.app, name="buffer")
+app.add_typer(lab.app, name="lab")
+
+
+@app.command()
+def serve(
+    balancer: Annotated[str | None, typer.Option(help="the platform's configuration")] = None,
+    fronts: Annotated[str | None, typer.Option(help="the operators' file")] = None,
+    log_format: Annotated[str, typer.Option(help="text or json")] = "text",
+) -> None:
+    """Run the gateway, as `python -m mallowbeam` does."""
+    from mallowbeam.__main__ import run
+    if log_format not in ("text", "json"):
+        raise typer.BadParameter("text or json", param_hint="--log-format")
+    if balancer is not None:
+        os.environ["BALANCER_CONFIG"] = balancer
+    if fronts is not None:
+        os.environ["MALLOWBEAM_FRONTS"] = fronts
+    raise typer.Exit(run(log_format))
--- /dev/null
+++ b/mallowbeam/cli/config.py
@@ -0,0 +1,57 @@
+"""`mallowbeam config`: the two files checked without starting, and the operators' file's schema."""
+
+from __future__ import annotations
+
+import json
+import os
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from mallowbeam.net.config import BadConfig, read_config, read_file
+
+app = typer.Typer(no_args_is_help=True, help="Check the configuration; print the operators' file's schema.")
+DEFAULT = Path(__file__).parent.parent.parent / "deploy" / "fronts.json"
+
+
+@app.command()
+def check(
+    fronts: Annotated[Path, typer.Argument(help="the operators' file")] = DEFAULT,
+    balancer: Annotated[Path | None, typer.Option(help="the platform's configuration beside it")] = None,
+) -> None:
+    """Check every section, those that are off too; with --balancer also what the two files must agree on."""
+    from mallowbeam import operators
+    try:
+        raw = read_file(str(fronts))
+        operators.check(raw)
+        if balancer is not None:
+            agree(raw, balancer)
+    except BadConfig as error:
+        typer.echo(f"mallowbeam: {error}", err=True)
+        raise typer.Exit(2) from None
+    typer.echo(f"{fronts}: good")
+
+
+def agree(raw: dict[str, object], balancer: Path) -> None:
+    """Build the gateway and its fronts without listening; raises `BadConfig`."""
+    from mallowbeam.fronts.objects import read_object_settings
+    from mallowbeam.net.gateway import Gateway
+    config = read_config({**os.environ, "BALANCER_CONFIG": str(balancer)})
+    gateway = Gateway(config)
+    objects, buffer = raw.get("objects"), raw.get("buffer")
+    if isinstance(objects, dict) and objects.get("listen") is not None:
+        settings = read_object_settings(objects, gateway)
+        if isinstance(buffer, dict) and buffer.get("folder") is not None:
+            from mallowbeam.buffer.service import probe
+            from mallowbeam.fronts.buffered import read_buffer_settings
+            why = probe(read_buffer_settings(buffer, settings, gateway), wait=True)
+            if why is not None:
+                raise BadConfig(why)
+
+
+@app.command()
+def schema() -> None:
+    """Print the JSON Schema of the operators' file."""
+    from mallowbeam import operators
+    typer.echo(json.dumps(operators.schema(), indent=2))
--- /dev/null
+++ b/mallowbeam/fronts/buffered.py
@@ -0,0 +1,449 @@
+"""The object front with the write-back buffer behind it, for the buckets that the operators' file names.
+
+A plain PUT or DELETE of such a bucket is acknowledged once it is durable in this gateway's folder; reads see
+it from then on.  What the buffer can't stand for (conditions on a node's state, multipart completions,
+headers that ask a node for more than to keep them) goes to the node as ever, once nothing buffered stands
+before it.
+This front is also the buffer's way to the nodes: its calls pass the same decisions as a client's.
+"""
+
+from __future__ import annotations
+
+import base64
+import hashlib
+import math
+import re
+import secrets
+import time
+from collections.abc import Callable, Mapping
+from email.utils import formatdate
+from zlib import crc32
+
+from crc32c import crc32c
+
+from mallowbeam.buffer.core import Entry, Limits, Offer, Outcome
+from mallowbeam.buffer.log import Failed
+from mallowbeam.buffer.records import Write
+from mallowbeam.buffer.service import PIECE, Buffer, Looked, Phase, Sent, Settings, Upload, probe
+from mallowbeam.buffer.store import Doubtful, NotTaken
+from mallowbeam.fronts.conditions import read_status, write_allowed
+from mallowbeam.fronts.objects import (
+    Error,
+    Objects,
+    ObjectSettings,
+    Request,
+    cut_here,
+    range_of,
+    slow_down,
+)
+from mallowbeam.interface import Repeat
+from mallowbeam.net.config import BadConfig
+from mallowbeam.net.gateway import Call, Gateway, Kind, read_deadline, time_left
+from mallowbeam.net.http import HOP_BY_HOP, TOKEN, Channel, Headers, Message, write_head
+from mallowbeam.net.server import Reply
+
+BARRIER = b"x-mallowbeam-barrier"             # on a write: `sync` or `through`
+BARRIER_ID = b"x-mallowbeam-barrier-id"       # on an answer: the barrier's number
+DURABLE = (b"x-mallowbeam-durable", b"buffer")
+BARRIER_CALL = re.compile(rb"/([a-z0-9][a-z0-9.-]{1,61}[a-z0-9])/?\?barrier=([a-z]+|\d{1,18})\Z")
+MOST_MS = 86_400_000
+# What a node is asked to keep with an object, and what concerns this hop only: writes with other headers of
+# S3's are not taken in, since only a node can say what they come to.
+KEPT = frozenset((b"content-type", b"content-encoding", b"content-language", b"content-disposition",
+                  b"cache-control", b"expires"))
+DIGESTS: dict[bytes, Callable[[bytes], bytes]] = {
+    b"x-amz-checksum-crc32": lambda data: crc32(data).to_bytes(4, "big"),
+    b"x-amz-checksum-crc32c": lambda data: crc32c(data).to_bytes(4, "big"),
+    b"x-amz-checksum-sha1": lambda data: hashlib.sha1(data, usedforsecurity=False).digest(),
+    b"x-amz-checksum-sha256": lambda data: hashlib.sha256(data).digest(),
+}
+UNTOUCHED = frozenset((b"x-amz-date", b"x-amz-content-sha256", b"x-amz-sdk-checksum-algorithm",
+                       b"x-amz-user-agent", b"x-amz-security-token", b"x-amz-checksum-algorithm"))
+
+
+def read_buffer_settings(raw: Mapping[str, object], objects: ObjectSettings, gateway: Gateway) -> Settings:
+    """The buffer's settings from its section of the operators' file; raises `BadConfig`."""
+    from mallowbeam.operators import BufferSection, convert
+    section = convert(BufferSection, raw, "buffer")
+    assert section.folder is not None
+    known = gateway.config.settings
+    cls = known.classes[objects.write_class]
+    if section.cache_bytes + section.flush_bytes > gateway.config.memory // 4:
+        raise BadConfig("buffer: cache_bytes and flush_bytes together are over a quarter of the memory")
+    if objects.max_body > section.max_bytes // 4:
+        raise BadConfig("buffer.max_bytes: must hold at least four of the largest bodies")
+    limits = Limits(
+        max_bytes=section.max_bytes, max_records=section.max_records, max_age=section.max_age_s,
+        in_flight=section.in_flight, per_shard=section.per_shard, flush_bytes=section.flush_bytes,
+        repeat_share=section.repeat_share, deadline=cls.deadline, shards=known.shards,
+        keyed=cls.repeat is not Repeat.UNSAFE, sole_writer=section.sole_writer,
+        window=cls.repeat_window if cls.repeat is Repeat.KEYED else None)
+    return Settings(section.folder, frozenset(section.buckets), limits, section.segment_bytes,
+                    section.cache_bytes)
+
+
+class BufferedObjects(Objects):
+    """The object front, buffering."""
+
+    def __init__(self, gateway: Gateway, settings: ObjectSettings, buffer: Settings, handed: bool) -> None:
+        super().__init__(gateway, settings)
+        why = probe(buffer, handed)
+        if why is not None:
+            raise BadConfig(why)
+        self.whole = min(settings.max_body, PIECE)  # larger bodies come in pieces
+        self.buffer = Buffer(buffer, self, handed)
+        gateway.parts.append(self.buffer)
+
+    # --- calls of clients -----------------------------------------------------------------------
+
+    async def handle(self, message: Message, closing: Callable[[], bool]) -> Reply:
+        """One call to its one answer."""
+        request_id = secrets.token_hex(8)
+        try:
+            if call := BARRIER_CALL.match(message.target):
+                return await self._barrier_call(message, call[1].decode(), call[2], request_id, closing)
+            request = Request(message, self.settings, self.gateway.config.settings.shards)
+            if request.bucket not in self.buffer.settings.buckets:
+                await self._collect(message)
+                return await self.pass_on(request, request_id, closing)
+            if self.buffer.phase is not Phase.OPEN:
+                raise slow_down()              # what it holds is not known here
+            if request.reads and not request.upload:
+                return await self._read(request, request_id, closing)
+            if request.method in (b"PUT", b"DELETE") and not request.upload:
+                return await self._write(request, request_id, closing)
+            if request.upload and request.method == b"POST":  # an upload becomes an object
+                await self._stand_clear(request)
+            await self._collect(message)
+            return await self.pass_on(request, request_id, closing)
+        except Error as error:
+            return self.error(error, message, request_id, closing())
+
+    def _deadline(self, request: Request) -> float:
+        """Seconds that a write may take, by its class and its client."""
+        cls = self.gateway.config.settings.classes[self.settings.write_class]
+        wait = request.headers.get(b"x-deadline-ms")
+        deadline = cls.deadline if wait is None else read_deadline(wait, MOST_MS)
+        if deadline is None:
+            raise Error("InvalidArgument")
+        return time_left(deadline)
+
+    async def _collect(self, message: Message) -> None:
+        """Hold a large body whole after all: its node has it from memory."""
+        if message.stream is None:
+            return
+        budget = self.budget
+        taken, body = 0, bytearray()
+        try:
+            while (piece := await message.stream.get()) is not None:
+                budget.used += len(piece)
+                taken += len(piece)
+                if budget.used > budget.most:
+                    raise slow_down()
+                body += piece
+        finally:
+            budget.used -= taken               # from here on one attempt holds it, as before
+        if message.stream.broken:
+            raise Error("IncompleteBody")
+        message.body = body
+
+    async def _stand_clear(self, request: Request) -> None:
+        """Wait until nothing buffered stands before a direct write; refuse at once where that takes long."""
+        buffer = self.buffer
+        if not buffer.core.ordered(request.bucket, request.path):
+            return
+        if buffer.core.blocked(request.bucket) is not None or self._seconds(len(buffer.core.keys)) > 1.0:
+            raise slow_down()
+        if not await buffer.clear(request.bucket, request.path, min(1.0, self._deadline(request))):
+            raise slow_down()
+
+    def _seconds(self, writes: int) -> float:
+        """How long so many writes may take to reach the nodes, by what is on its way at once and answers."""
+        core = self.buffer.core
+        cls = self.gateway.config.settings.classes[self.settings.write_class]
+        return writes / max(1, core.allowed(self.buffer.clock(), 0)) * cls.aim
+
+    # --- writes ---------------------------------------------------------------------------------
+
+    async def _write(self, request: Request, request_id: str, closing: Callable[[], bool]) -> Reply:
+        """A PUT or DELETE: taken in, or sent to its node where it can't be."""
+        message, buffer = request.message, self.buffer
+        barrier = request.headers.get(BARRIER)
+        if barrier not in (None, b"sync", b"through"):
+            raise Error("InvalidArgument")
+        conditional = b"if-match" in request.headers or b"if-none-match" in request.headers
+        known = self._standing(request) if conditional else None
+        offer = buffer.offer(request.bucket, request.path, max(message.came, message.length or 0))
+        if known is not None and offer is Offer.TAKE:
+            await self._settled_here(known)
+            if not write_allowed(request.headers, known.etag if known.method == "PUT" else None):
+                raise Error("PreconditionFailed")
+        if offer is Offer.SLOW or known is not None and offer is not Offer.TAKE:
+            raise slow_down()
+        if offer is Offer.DIRECT or conditional and known is None or not self._bufferable(request):
+            if barrier is not None:            # a barrier that nothing durable stands for is none
+                raise slow_down()
+            await self._stand_clear(request)
+            await self._collect(message)
+            return await self.pass_on(request, request_id, closing)
+        try:
+            entry = await self._take(request, request_id)
+            lsn = await buffer.barrier(request.bucket) if barrier is not None else None
+        except NotTaken:
+            raise slow_down() from None
+        except Doubtful:
+            raise Error("InternalError") from None
+        if lsn is not None and barrier == b"through":
+            await self._through(request.bucket, lsn, self._deadline(request))
+        headers = [(b"x-amz-request-id", request_id.encode()), DURABLE]
+        if lsn is not None:
+            headers.append((BARRIER_ID, b"%d" % lsn))
+        if request.method == b"DELETE":
+            return Reply(204, write_head(204, headers, None, closing()))
+        headers.append((b"etag", entry.etag.encode()))
+        return Reply(200, write_head(200, headers, 0, closing()))
+
+    def _standing(self, request: Request) -> Entry | None:
+        """The last write of that name taken in, durable or about to be."""
+        chain = self.buffer.core.keys.get((request.bucket, request.path))
+        return chain[-1] if chain else None
+
+    async def _settled_here(self, entry: Entry) -> None:
+        """Wait until a write has come through the log: a condition must not rest on what may yet fail."""
+        durable = self.buffer.newest(entry.bucket, entry.name)
+        if durable is not entry:
+            raise slow_down()                  # it is being synced at this very moment
+
+    @staticmethod
+    def _bufferable(request: Request) -> bool:
+        """Whether nothing but keeping the bytes and their description is asked of the node."""
+        for name, value in request.message.headers:
+            if name == b"content-encoding" and b"aws-chunked" in value.lower():
+                return False
+            if name == b"x-amz-content-sha256" and value.startswith(b"STREAMING-"):
+                return False
+            if (name.startswith(b"x-amz-") and name not in UNTOUCHED and name not in DIGESTS
+                    and not name.startswith(b"x-amz-meta-")):
+                return False
+        return True
+
+    async def _take(self, request: Request, request_id: str) -> Entry:
+        """Bring a write into the log: its body whole or in pieces, checked against what its client says."""
+        message, buffer = request.message, self.buffer
+        token = request.headers.get(b"idempotency-key", request_id.encode())
+        if not TOKEN.match(token):
+            raise Error("InvalidArgument")
+        kept = [header for header in message.headers
+                if header[0] in KEPT or header[0].startswith(b"x-amz-meta-")]
+        write = Write(request.method.decode(), request.bucket, request.path, request.place, kept, token, "",
+                      0, time.time())
+        if request.method == b"DELETE":
+            return await buffer.put(write, b"")
+        digest = hashlib.md5(usedforsecurity=False)
+        if message.stream is None:
+            body = bytes(message.body)
+            digest.update(body)
+            verify(request.headers, body, digest.digest())
+            write.etag, write.size = f'"{digest.hexdigest()}"', len(body)
+            return await buffer.put(write, body)
+        return await self._take_pieces(request, write)
+
+    async def _take_pieces(self, request: Request, write: Write) -> Entry:
+        """A large body, a piece at a time; only the checksums that go along with pieces can be checked."""
+        stream, buffer, upload = request.message.stream, self.buffer, Upload()
+        digest, sums = hashlib.md5(usedforsecurity=False), Sums(request.headers)
+        assert stream is not None
+        try:
+            while (piece := await stream.get()) is not None:
+                digest.update(piece)
+                sums.update(piece)
+                if upload.size + len(piece) > self.max_body:
+                    raise Error("EntityTooLarge")
+                await buffer.add(upload, piece)
+            if stream.broken:
+                raise Error("IncompleteBody")
+            sums.check(digest.digest())
+            write.etag = f'"{digest.hexdigest()}"'
+            return await buffer.finish(upload, write)
+        finally:
+            buffer.drop(upload)
+
+    # --- barriers -------------------------------------------------------------------------------
+
+    async def _barrier_call(self, message: Message, bucket: str, what: bytes, request_id: str,
+                            closing: Callable[[], bool]) -> Reply:
+        """`POST /b?barrier=sync|through` sets one, `GET /b?barrier=N` tells whether it has passed."""
+        buffer = self.buffer
+        if bucket not in buffer.settings.buckets:
+            raise Error("NotImplemented")
+        if buffer.phase is not Phase.OPEN:
+            raise slow_down()
+        headers = [(b"x-amz-request-id", request_id.encode())]
+        if message.method == b"GET" and what.isdigit():
+            lsn = int(what)
+            if lsn > buffer.store.lsn:
+                raise Error("NoSuchBarrier")
+            if buffer.core.before(lsn) is not None:
+                raise slow_down(self._seconds(buffer.core.before(lsn) or 0))
+            return Reply(200, write_head(200, headers, 0, closing()))
+        if message.method != b"POST":
+            raise Error("MethodNotAllowed")
+        if what not in (b"sync", b"through"):
+            raise Error("InvalidArgument")
+        try:
+            lsn = await buffer.barrier(bucket)
+        except NotTaken:
+            raise slow_down() from None
+        except Doubtful:
+            raise Error("InternalError") from None
+        headers.append((BARRIER_ID, b"%d" % lsn))
+        if what == b"through":
+            cls = self.gateway.config.settings.classes[self.settings.write_class]
+            wait = message.get(b"x-deadline-ms")
+            deadline = cls.deadline if wait is None else read_deadline(wait, MOST_MS)
+            if deadline is None:
+                raise Error("InvalidArgument")
+            await self._through(bucket, lsn, time_left(deadline))
+        return Reply(200, write_head(200, headers, 0, closing()))
+
+    async def _through(self, bucket: str, lsn: int, seconds: float) -> None:
+        """Wait for a barrier; where it won't pass in time that is said at once, with its number for later."""
+        before = self.buffer.core.before(lsn) or 0
+        expected = self._seconds(before)
+        held = self.buffer.core.blocked(bucket) is not None
+        if held or expected > seconds or not await self.buffer.through(lsn, seconds):
+            raise Error("SlowDown", [(b"retry-after", b"%d" % max(1, math.ceil(expected))),
+                                     (BARRIER_ID, b"%d" % lsn)])
+
+    # --- reads ----------------------------------------------------------------------------------
+
+    async def _read(self, request: Request, request_id: str, closing: Callable[[], bool]) -> Reply:
+        """A GET or HEAD: from here while the key is buffered, else from its node."""
+        entry = self.buffer.newest(request.bucket, request.path)
+        if entry is None:
+            return await self.pass_on(request, request_id, closing)
+        if entry.method == "DELETE":
+            raise Error("NoSuchKey")
+        try:
+            write, whole = await self.buffer.words(entry)
+        except (Failed, ValueError):
+            raise Error("InternalError") from None
+        headers: Headers = [*write.headers, (b"etag", write.etag.encode()), (b"accept-ranges", b"bytes"),
+                            (b"last-modified", formatdate(write.at, usegmt=True).encode()),
+                            (b"x-amz-request-id", request_id.encode())]
+        status = read_status(request.headers, write.etag, write.at)
+        if status == 412:
+            raise Error("PreconditionFailed")
+        if status == 304:
+            return Reply(304, write_head(304, headers, None, closing()))
+        start, end = 0, write.size
+        asked = request.headers.get(b"range")
+        if asked and request.headers.get(b"if-range", write.etag.encode()) == write.etag.encode():
+            if piece := cut_here(asked, write.size):
+                (start, end), status = piece, 206
+                headers.append(range_of(start, end, write.size))
+        if request.method == b"HEAD" or not write.pieces:
+            head = write_head(status, headers, end - start, closing())
+            return Reply(status, head + whole[start:end])
+
+        async def stream(channel: Channel) -> bool:
+            await channel.send(write_head(status, headers, end - start, closing()))
+            try:
+                async for part in self.buffer.body(write, whole, start, end):
+                    await channel.send(part)
+            except Failed:
+                return False                   # the client can tell that it is not whole
+            return True
+
+        return Reply(status, write=stream)
+
+    # --- the buffer's way to the nodes ----------------------------------------------------------
+
+    def direct(self) -> int:
+        """Calls that the gateway holds, the buffer's own among them."""
+        return len(self.gateway.exchanges)
+
+    def may_send(self) -> bool:
+        """Whether the gateway begins new work."""
+        return self.gateway.begins
+
+    def _buffer_call(self, write: Write, method: bytes, body: bytes, expires: float,
+                     headers: Headers) -> Call:
+        """A call of the buffer's own, as the module and a node see it."""
+        known, settings = self.gateway.config.settings, self.settings
+        cls = settings.read_class if method == b"HEAD" else settings.write_class
+        request_id = secrets.token_hex(8)
+        fields = self.fields(cls, expires, write.bucket, write.place % known.shards, f"{write.place:016x}",
+                             max(1, math.ceil(len(body) / settings.unit_bytes)), method != b"HEAD")
+        passed = [header for header in headers if header[0] not in HOP_BY_HOP]
+        return Call(request_id, fields, method, write.target,
+                    [*passed, (b"x-request-id", request_id.encode())], body,
+                    final=lambda status: 200 <= status < 500)
+
+    async def send(self, write: Write, body: bytes, expires: float, seen: str | None) -> Sent:
+        """One attempt at storing a write; see `service.Sender`."""
+        headers = [*write.headers, (b"idempotency-key", write.token)]
+        if seen:
+            headers.append((b"if-match", seen.encode()))
+        elif seen == "" and write.method == "PUT":
+            headers.append((b"if-none-match", b"*"))
+        answer = await self.gateway.submit(
+            self._buffer_call(write, write.method.encode(), body, expires, headers))
+        status = answer.status
+        if answer.kind is Kind.REFUSED:
+            return Sent(Outcome.REFUSED, answer.retry_after or 0.0)
+        if answer.kind is Kind.FAILED or status in (408, 429):
+            return Sent(Outcome.UNKNOWN)
+        if 200 <= status < 300 or status == 404 and write.method == "DELETE":
+            return Sent(Outcome.STORED)
+        return Sent(Outcome.DECLINED, reason=f"its node answers {status}" + (
+            ": another version has come there since" if status == 412 else ""))
+
+    async def look(self, write: Write, expires: float) -> Looked:
+        """Which version the node has; see `service.Sender`."""
+        answer = await self.gateway.submit(self._buffer_call(write, b"HEAD", b"", expires, []))
+        if answer.kind is not Kind.SERVED or answer.status not in (200, 404):
+            return Looked(False)
+        etag = next((value for name, value in answer.headers if name == b"etag"), b"")
+        return Looked(True, etag.decode("latin-1") if answer.status == 200 else None)
+
+
+class Sums:
+    """The checksums that a client sends ahead of a body, checked as it comes; raises `Error`."""
+
+    def __init__(self, headers: Mapping[bytes, bytes]) -> None:
+        self.headers = headers
+        self.running = dict.fromkeys(
+            {b"x-amz-checksum-crc32", b"x-amz-checksum-crc32c"} & headers.keys(), 0)
+        self.hashes = {name: getattr(hashlib, name.rpartition(b"-")[2].decode())(usedforsecurity=False)
+                       for name in (b"x-amz-checksum-sha1", b"x-amz-checksum-sha256") if name in headers}
+        told = headers.get(b"x-amz-content-sha256", b"")
+        self.whole = hashlib.sha256() if len(told) == 64 else None
+
+    def update(self, data: bytes | bytearray) -> None:
+        """More of the body."""
+        for name, value in self.running.items():
+            self.running[name] = (crc32 if name.endswith(b"crc32") else crc32c)(data, value)
+        for digest in self.hashes.values():
+            digest.update(data)
+        if self.whole is not None:
+            self.whole.update(data)
+
+    def check(self, md5: bytes) -> None:
+        """The body is whole: does it match?"""
+        found = {name: value.to_bytes(4, "big") for name, value in self.running.items()}
+        found |= {name: digest.digest() for name, digest in self.hashes.items()}
+        found |= {b"content-md5": md5} if b"content-md5" in self.headers else {}
+        for name, value in found.items():
+            if base64.b64encode(value) != self.headers[name].strip():
+                raise Error("BadDigest")
+        told = self.headers.get(b"x-amz-content-sha256")
+        if self.whole is not None and self.whole.hexdigest().encode() != told:
+            raise Error("XAmzContentSHA256Mismatch")
+
+
+def verify(headers: Mapping[bytes, bytes], body: bytes, md5: bytes) -> None:
+    """Check a body held whole against what its client says of it; raises `Error`."""
+    sums = Sums(headers)
+    sums.update(body)
+    sums.check(md5)
--- a/mallowbeam/fronts/objects.py
+++ b/mallowbeam/fronts/objects.py
@@ -46,6 +46,9 @@
     "InvalidRequest": (400, "Invalid request."),
     "EntityTooLarge": (413, "Your proposed upload exceeds the maximum allowed size."),
     "InternalError": (500, "We encountered an internal error. Please try again."),
+    "BadDigest": (400, "The digest you specified did not match what we received."),
+    "IncompleteBody": (400, "You did not provide the number of bytes specified by Content-Length."),
+    "XAmzContentSHA256Mismatch": (400, "The provided x-amz-content-sha256 does not match what we received."),
     "InvalidArgument": (400, "Invalid argument."),
     "InvalidBucketName": (400, "The specified bucket is not valid."),
     "InvalidRange": (416, "The requested range is not satisfiable."),
@@ -53,6 +56,7 @@
     "MethodNotAllowed": (405, "The specified method is not allowed against this resource."),
     "MissingContentLength": (411, "You must provide the Content-Length HTTP header."),
     "NoSuchKey": (404, "The specified key does not exist."),
+    "NoSuchBarrier": (404, "There is no barrier of that number."),
     "NoSuchUpload": (404, "The specified multipart upload does not exist."),
     "NotImplemented": (501, "A header or query you provided implies functionality that is not implemented."),
     "PreconditionFailed": (412, "At least one of the preconditions you specified did not hold."),
@@ -152,12 +156,12 @@
             raise Error("NotImplemented")      # calls on buckets: what a bucket holds is spread over nodes
         if len(name) > MOST_KEY:
             raise Error("KeyTooLongError")
-        place = crc32(bucket + b"/" + name)
-        self.bucket, self.key = bucket.decode(), f"{place:016x}"
+        self.path, self.place = path, crc32(bucket + b"/" + name)
+        self.bucket, self.key = bucket.decode(), f"{self.place:016x}"
         self.query = dict(parse_qsl(raw_query.decode("latin-1"), keep_blank_values=True))
         self.target = message.target
         self.upload: str | None = None         # the id that the client knows
-        self.shard = place % shards
+        self.shard = self.place % shards
         if "uploadId" in self.query:
             self.upload = self.query["uploadId"]
             self.shard, inner = unpack_upload(self.upload)
@@ -168,7 +172,7 @@
             self.target = path + b"?" + b"&".join(pairs)
         self._check()
         self.reads = self.method in (b"GET", b"HEAD")
-        size = span(self.headers.get(b"range")) if self.reads else len(message.body)
+        size = span(self.headers.get(b"range")) if self.reads else max(message.came, message.length or 0)
         self.units = max(1, math.ceil((size or 0) / settings.unit_bytes))
 
     @property
@@ -197,6 +201,11 @@
             raise Error("MissingContentLength")
 
 
+def slow_down(seconds: float | None = None) -> Error:
+    """A refusal; clients of S3 read whole seconds."""
+    return Error("SlowDown", [(b"retry-after", b"%d" % max(1, math.ceil(seconds or 0)))])
+
+
 class Objects:
     """Turns S3 calls into the gateway's calls and answers back."""
 
@@ -210,18 +219,21 @@
         request_id = secrets.token_hex(8)
         try:
             request = Request(message, self.settings, self.gateway.config.settings.shards)
-            call = self._call(request, request_id)
-            answer = await self.gateway.submit(call)
-            if answer.kind is Kind.REFUSED:
-                after = max(1, math.ceil(answer.retry_after or 0))  # whole seconds, as clients of S3 read it
-                raise Error("SlowDown", [(b"retry-after", b"%d" % after)])
-            if answer.kind is Kind.FAILED:
-                raise Error("InternalError")
-            if answer.stream is not None:
-                return self._streamed(request, answer, answer.stream, request_id, closing)
-            return self._whole(request, answer, request_id, closing())
+            return await self.pass_on(request, request_id, closing)
         except Error as error:
-            return self._error(error, message, request_id, closing())
+            return self.error(error, message, request_id, closing())
+
+    async def pass_on(self, request: Request, request_id: str, closing: Callable[[], bool]) -> Reply:
+        """A call to its home node; raises `Error`."""
+        call = self._call(request, request_id)
+        answer = await self.gateway.submit(call)
+        if answer.kind is Kind.REFUSED:
+            raise slow_down(answer.retry_after)
+        if answer.kind is Kind.FAILED:
+            raise Error("InternalError")
+        if answer.stream is not None:
+            return self._streamed(request, answer, answer.stream, request_id, closing)
+        return self._whole(request, answer, request_id, closing())
 
     def complain(self, status: int, text: str) -> Reply:
         """The answer to what breaks HTTP or a bound."""
@@ -254,16 +266,23 @@
         passed.append((b"x-request-id", request_id.encode()))
         if not request.reads:
             passed.append((b"idempotency-key", token))
-        fields = dict(
-            cls=cls.name, expires_in=time_left(deadline), shard=request.shard,
-            units=min(request.units, known.units_top), volume=request.bucket, key=request.key,
-            plan=settings.plans.get(request.bucket, settings.plan), is_write=not request.reads)
+        fields = self.fields(cls.name, time_left(deadline), request.bucket, request.shard, request.key,
+                             request.units, not request.reads)
         return Call(
             request_id, fields, request.method, request.target, passed, request.message.body,
             final=lambda status: 200 <= status < 500,
             streamed=lambda status: request.method == b"GET" and status in (200, 206) and not request.upload)
 
-    def _error(self, error: Error, message: Message, request_id: str, close: bool) -> Reply:
+    def fields(self, cls: str, expires: float, bucket: str, shard: int, key: str, units: int,
+               writes: bool) -> dict[str, object]:
+        """What the module is told of a call."""
+        settings = self.settings
+        return dict(cls=cls, expires_in=expires, shard=shard, key=key, volume=bucket, is_write=writes,
+                    units=min(units, self.gateway.config.settings.units_top),
+                    plan=settings.plans.get(bucket, settings.plan))
+
+    @staticmethod
+    def error(error: Error, message: Message, request_id: str, close: bool) -> Reply:
         """An S3 error."""
         body = error_body(error.code, message.target, request_id)
         headers = [(b"content-type", b"application/xml"), (b"x-amz-request-id", request_id.encode())]
--- /dev/null
+++ b/mallowbeam/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Trials and measurements, on stand-ins and on files; nothing here is loaded by a gateway."""
--- a/mallowbeam/net/admin.py
+++ b/mallowbeam/net/admin.py
@@ -53,7 +53,8 @@
         text = gateway.metrics.write({
             "pending": sum(server.pending for server in gateway.servers),
             "members": gateway.facade.nodes_listed,
-            "members_unavailable": gateway.facade.nodes_avoided})
+            "members_unavailable": gateway.facade.nodes_avoided,
+            **{name: value for part in gateway.parts for name, value in part.gauges().items()}})
         return plain(200, text, True)
 
     def _by_hand(self, request: Message, out: bool) -> Reply:
--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -11,6 +11,7 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Protocol
 
 from loguru import logger
 
@@ -91,6 +92,22 @@
     length: int | None = None                  # and its length, None where it comes in chunks
 
 
+class Part(Protocol):
+    """A subsystem that lives as long as the gateway."""
+
+    def start(self) -> None:
+        """The gateway is about to serve."""
+
+    async def hand_over(self) -> None:
+        """A new process takes what comes: let go of what only one can have."""
+
+    async def stop(self) -> None:
+        """Everything is answered: end, with nothing lost."""
+
+    def gauges(self) -> Mapping[str, int]:
+        """Figures to be shown at the operators' door."""
+
+
 class Exchange:
     """A call that has no answer yet, and its attempts."""
 
@@ -122,6 +139,7 @@
         self.exchanges: dict[str, Exchange] = {}
         self.tasks: dict[tuple[str, int], asyncio.Task] = {}
         self.servers: list[Server] = []        # the clients' doors
+        self.parts: list[Part] = []            # the subsystems that are on
         self.timer: asyncio.TimerHandle | None = None
         self.timer_at = NEVER
         self.stopping, self.handed_over = asyncio.Event(), asyncio.Event()
@@ -153,6 +171,8 @@
             self.deal(0)
         if not self.config.settings.discovery_on_request:
             self.watch.begin()
+        for part in self.parts:
+            part.start()
         for server in servers:
             server.start()
         self._enter(Phase.SERVING)
@@ -167,6 +187,7 @@
         await (self._hand_over() if self.handed_over.is_set() else self._lame_duck())
         self._enter(Phase.DRAINING)
         await asyncio.gather(*(server.drain() for server in servers))
+        await asyncio.gather(*(part.stop() for part in self.parts))
         sweeper.cancel()
         self._enter(Phase.STOPPED)
 
@@ -194,6 +215,7 @@
             server.last_answers()
         for server in self.servers:
             await server.shut()
+        await asyncio.gather(*(part.hand_over() for part in self.parts))
         self.watch.pause()                     # what the new one hears it tells
         if self.sister is None:                # gone in this very moment
             self.watch.begin()
@@ -294,6 +316,11 @@
         """Whether clients should be sent here; no from the very signal on."""
         return self.phase is Phase.SERVING and not self.stopping.is_set() and not self.handed_over.is_set()
 
+    @property
+    def begins(self) -> bool:
+        """Whether work of the gateway's own may begin."""
+        return self.phase in (Phase.SERVING, Phase.LAME_DUCK) and self.now() < self.leave_at - LEAVE
+
     def _enter(self, phase: Phase) -> None:
         self.phase = phase
         logger.info("phase {}: {} requests held, {} nodes known", phase.value, len(self.exchanges),
--- /dev/null
+++ b/mallowbeam/operators.py
@@ -0,0 +1,113 @@
+"""The operators' file: all that the platform's configuration does not hold, a section for each subsystem.
+
+JSON, checked against typed structs.  Only what is turned on is checked at a start (`mallowbeam config check`
+checks all), so that a start with everything off loads none of this.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from typing import Annotated, Any, TypeVar
+
+import msgspec
+from msgspec import Meta
+
+from mallowbeam.net.config import BadConfig
+
+MIB = 1 << 20
+Size = Annotated[int, Meta(ge=1)]
+Name = Annotated[str, Meta(min_length=1)]
+Address = Annotated[str, Meta(pattern=r"^.+:\d{1,5}$", description="host:port")]
+AT = re.compile(r"(.*) - at `\$?\.?(.*)`\Z", re.DOTALL)
+T = TypeVar("T")
+
+
+class Section(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """A section; an unknown key is an error."""
+
+
+class Classes(Section, forbid_unknown_fields=True, frozen=True):
+    """Which of the platform's classes stand for the object API's calls."""
+
+    read: Name
+    write: Name
+
+
+class ObjectsSection(Section, forbid_unknown_fields=True, frozen=True):
+    """The object API; off without `listen`."""
+
+    classes: Classes
+    plan: Name
+    unit_bytes: Size
+    max_body_bytes: Size
+    held_bytes: Size
+    listen: Address | None = None
+    plans: dict[str, str] = {}
+
+
+class ListenSection(Section, forbid_unknown_fields=True, frozen=True):
+    """A front that only listens; off without `listen`."""
+
+    listen: Address | None = None
+
+
+class BufferSection(Section, forbid_unknown_fields=True, frozen=True):
+    """The write-back buffer; off without `folder`.  At any bound: direct writes, or SlowDown."""
+
+    folder: Name | None = None
+    buckets: list[Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{1,61}[a-z0-9]$")]] = []
+    max_bytes: Annotated[int, Meta(ge=4 * MIB, description="of the folder's segments")] = 256 * MIB
+    max_records: Annotated[int, Meta(ge=1, le=10_000_000)] = 200_000
+    max_age_s: Annotated[float, Meta(gt=0, le=86_400)] = 300.0
+    segment_bytes: Annotated[int, Meta(ge=MIB, le=1024 * MIB)] = 16 * MIB
+    cache_bytes: Annotated[int, Meta(ge=0)] = 8 * MIB
+    flush_bytes: Annotated[int, Meta(ge=1)] = 16 * MIB
+    in_flight: Annotated[int, Meta(ge=1, le=1024)] = 32
+    per_shard: Annotated[int, Meta(ge=1, le=1024)] = 8
+    repeat_share: Annotated[float, Meta(ge=0, le=1)] = 0.1
+    sole_writer: bool = True
+
+
+class Operators(Section, forbid_unknown_fields=True, frozen=True):
+    """The whole file."""
+
+    objects: ObjectsSection | None = None
+    health: ListenSection | None = None
+    agent_check: ListenSection | None = None
+    buffer: BufferSection | None = None
+
+
+def convert(kind: type[T], raw: object, path: str = "") -> T:
+    """A section of the file, typed; raises `BadConfig` with the place in it."""
+    try:
+        return msgspec.convert(raw, kind)
+    except msgspec.ValidationError as error:
+        raise BadConfig(worded(str(error), path)) from None
+
+
+def worded(text: str, path: str = "") -> str:
+    """msgspec's words as `place: what is wrong`."""
+    match = AT.match(text)
+    text, inner = match.groups() if match else (text, "")
+    place = ".".join(part for part in (path, inner) if part)
+    return f"{place or 'the file'}: {text[:1].lower()}{text[1:]}"
+
+
+def check(raw: Mapping[str, Any]) -> Operators:
+    """The whole file, typed, and what its sections must agree on; raises `BadConfig`."""
+    operators = convert(Operators, raw)
+    buffer, objects = operators.buffer, operators.objects
+    if buffer is not None and buffer.folder is not None:
+        if objects is None or objects.listen is None:
+            raise BadConfig("buffer.folder: the buffer stands behind the object API, which is off")
+        if not buffer.buckets:
+            raise BadConfig("buffer.buckets: must name at least one bucket")
+        if buffer.max_bytes < 4 * buffer.segment_bytes:
+            raise BadConfig("buffer.segment_bytes: must be at most a quarter of max_bytes")
+    return operators
+
+
+def schema() -> dict[str, Any]:
+    """The file's JSON Schema."""
+    return msgspec.json.schema(Operators)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -170,8 +170,10 @@
     """A gateway between scripted parties; `servers` are addresses of nodes that are no scripted ones."""
 
     def __init__(self, nodes: int = 1, servers: list[str] | None = None, sockets: int = 1024,
-                 before: World | None = None, meet: bool = False, **settings: dict) -> None:
+                 before: World | None = None, meet: bool = False, buffer: dict | None = None,
+                 **settings: dict) -> None:
         self.nodes, self.servers, self.sockets, self.settings = nodes, servers, sockets, settings
+        self.buffer = buffer                   # the write-back buffer's section, where it is on
         self.before, self.meet = before, meet  # the process before this one; whether to hand over to a next
         self.parties: dict[str, Party] = {}
 
@@ -184,8 +186,10 @@
             self.parties.pop("q1", None)       # each has a door of its own
             legacy = await asyncio.to_thread(take_over, self.config)
         fronts = json.loads((EXAMPLE / "fronts.json").read_text())
-        for front in fronts.values():
-            front["listen"] = "127.0.0.1:0"
+        for name in ("objects", "health", "agent_check"):
+            fronts[name]["listen"] = "127.0.0.1:0"
+        if self.buffer:
+            fronts["buffer"] = self.buffer
         self.gateway = Gateway(legacy.config(self.config) if legacy else self.config)
         servers = open_servers(self.gateway, fronts, legacy)
         self.health, self.agent, self.objects, self.platform = (s.address for s in servers)
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import importlib.util
 import re
-import threading
 from collections.abc import Iterator
 from zlib import crc32
 
@@ -13,14 +11,12 @@
 import uvloop
 from hypothesis import given
 from hypothesis import strategies as st
-from scenario import EXAMPLE, World, play
+from scenario import World, play
 
 from mallowbeam.fronts.objects import Error, pack_upload, unpack_upload
 from mallowbeam.fronts.ranges import Unsatisfiable, cut
-
-spec = importlib.util.spec_from_file_location("toy", EXAMPLE / "toy.py")
-toy = importlib.util.module_from_spec(spec)
-spec.loader.exec_module(toy)
+from mallowbeam.standins.faults import Rule, Turns
+from mallowbeam.standins.node import ObjectNode
 
 BODY = "0123456789"
 
@@ -28,17 +24,14 @@
 @pytest.fixture
 def nodes() -> Iterator[list]:
     """Two stand-in object servers; the second leaves ranges to the gateway."""
-    servers = [toy.Node(("127.0.0.1", 0), ignores_ranges=i == 1) for i in range(2)]
-    for server in servers:
-        threading.Thread(target=server.serve_forever, args=(0.01,), daemon=True).start()
+    servers = [ObjectNode(ignores_ranges=i == 1) for i in range(2)]
     yield servers
     for server in servers:
-        server.shutdown()
-        server.server_close()
+        server.close()
 
 
 def addresses(nodes: list) -> list[str]:
-    return ["{}:{}".format(*server.server_address) for server in nodes]
+    return [server.host_port for server in nodes]
 
 
 def key_at(shard: int) -> str:
@@ -373,61 +366,16 @@
         assert list(range(start, end)) == wanted != []
 
 
-class Unsteady(toy.Handler):
-    """A stand-in that errs, by turns, in each way that a node can."""
-
-    ways = ("well", "turned away", "well", "error", "cut short", "well", "reset unread", "reset after",
-            "still")
-
-    def answer(self) -> None:
-        with self.server.store.lock:
-            self.server.turn += 1
-            way = self.ways[self.server.turn % len(self.ways)]
-        if way == "reset unread":
-            return self.reset()
-        if way in ("turned away", "error"):
-            self.rfile.read(int(self.headers.get("Content-Length") or 0))
-            self.send_response(503 if way == "turned away" else 500)
-            self.send_header("Content-Length", "0")
-            if way == "turned away":
-                self.send_header("X-Not-Run", "1")
-            self.end_headers()
-            return
-        if way == "still":
-            self.server.halt.wait(1.0)
-            return self.reset()
-        if way != "well":
-            self.wfile = Short(self.wfile, 40 if way == "cut short" else 0)
-        super().answer()
-        if way != "well":
-            self.reset()
-
-    do_GET = do_HEAD = do_PUT = do_POST = do_DELETE = answer
-
-    def reset(self) -> None:
-        """End the connection with nothing more."""
-        self.close_connection = True
-        self.connection.close()
-
-
-class Short:
-    """A file that takes in only the first bytes."""
-
-    def __init__(self, file, room: int) -> None:
-        self.file, self.room = file, room
-
-    def write(self, data: bytes) -> int:
-        self.file.write(data[:self.room])
-        self.room -= len(data[:self.room])
-        return len(data)
-
-    def __getattr__(self, name: str):
-        return getattr(self.file, name)
+def unsteady() -> Turns:
+    """By turns, each way in which a node can err."""
+    stall = Rule("stall", seconds=1.0)
+    return Turns([None, Rule("refuse"), None, Rule("error"), Rule("answer-cut"), None, Rule("cut"),
+                  Rule("run-cut"), stall])
 
 
 def test_whatever_nodes_do_each_call_gets_one_answer_and_no_part_runs_twice(nodes):
     for node in nodes:
-        node.RequestHandlerClass, node.turn, node.halt = Unsteady, 0, threading.Event()
+        node.script = unsteady()
 
     async def call(world: World, method: str, path: str, body: bytes = b"") -> int:
         reader, writer = await asyncio.open_connection(*world.objects)
@@ -448,8 +396,6 @@
             return await asyncio.gather(*calls)
 
     statuses = uvloop.run(run())
-    for node in nodes:
-        node.halt.set()
     assert set(statuses) <= {200, 404, 500, 503} and 200 in statuses and {500, 503} & set(statuses)
     writes = [run for run in runs(nodes) if run.startswith("PUT")]
     assert len(writes) == len(set(writes)) >= statuses[:60].count(200) > 0
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -80,8 +80,8 @@
     ({"listen": "nowhere"}, None, "nowhere"), ({"listen": "192.0.2.1:80"}, None, "listen"),
     ({"settings": None}, None, "malformed"), ({"discovery": "x"}, None, "address"),
     ({"limits": {"sockets": 63}}, None, "sockets"), ({"limits": {"memory_mb": 0}}, None, "memory"),
-    ({}, "{", "fronts.json"), ({}, '{"health": {"listen": "x"}}', "fronts file"),
-    ({}, '{"objects": {"listen": "127.0.0.1:1"}}', "object front"), ({}, '{"objects": 3}', "fronts file")])
+    ({}, "{", "fronts.json"), ({}, '{"health": {"listen": "x"}}', "health.listen"),
+    ({}, '{"objects": {"listen": "127.0.0.1:1"}}', "objects: "), ({}, '{"objects": 3}', "objects: expected")])
 def test_a_bad_configuration_ends_it_with_one_plain_line(tmp_path, change, fronts, word):
     with program(tmp_path, change, fronts=fronts) as (process, _):
         _, text = process.communicate(timeout=PATIENCE)
