--- a/mallowbeam/buffer/core.py
+++ b/mallowbeam/buffer/core.py
@@ -330,7 +330,7 @@
         for older in list(self.keys[entry.key]):
             if older is entry:
                 break
-            if older.group is entry.group and older.state is State.READY and older.doubt is None:
+            if older.group is entry.group and older.state is State.READY:
                 self.counts.absorbed += 1
                 self._over(older)
         self._queue(entry, now)
--- a/mallowbeam/buffer/log.py
+++ b/mallowbeam/buffer/log.py
@@ -112,7 +112,9 @@
             raise Newer(f"it is of version {told['version']}, this program reads {VERSION}")
         return bytes.fromhex(told["id"])
     except (ValueError, KeyError, TypeError):
-        raise Newer(f"{FOLDER} can't be read") from None
+        if numbers(disk):
+            raise Newer(f"{FOLDER} can't be read") from None
+        return None                            # the power went while it was being made
     finally:
         file.close()
 
@@ -120,6 +122,8 @@
 def make_folder(disk: Disk) -> bytes:
     """Begin an empty folder."""
     owner = os.urandom(16)
+    if FOLDER in disk.names():
+        disk.remove(FOLDER)
     file = disk.open(FOLDER, new=True)
     text = json.dumps({"format": "mallowbeam-buffer", "version": VERSION, "id": owner.hex()})
     file.write([text.encode() + b"\n"], 0)
