--- a/mallowbeam/buffer/service.py
+++ b/mallowbeam/buffer/service.py
@@ -237,7 +237,7 @@
         while log is None:
             await asyncio.sleep(LOCK_AGAIN)
             log, found, state = await loop.run_in_executor(None, self._read)
-        self.apart = log.settle(found)
+        self.apart = await loop.run_in_executor(None, log.settle, found)
         for apart in self.apart:
             if apart.acknowledged:
                 logger.error("buffer: {} bytes of segment {} at {} are damaged and held acknowledged "
--- a/mallowbeam/cli/lab.py
+++ b/mallowbeam/cli/lab.py
@@ -2,18 +2,30 @@
 
 from __future__ import annotations
 
+import sys
 import tempfile
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Annotated
 
 import typer
 from rich.console import Console
+from rich.progress import Progress
 from rich.table import Table
 
 app = typer.Typer(no_args_is_help=True, help="Trials and measurements on stand-ins.")
 AsJson = Annotated[bool, typer.Option("--json", help="print JSON, for scripts")]
 
 
+@contextmanager
+def bar(what: str, total: int) -> Iterator[Callable[[int], None]]:
+    """A bar for long work, on standard error and only where that is a terminal."""
+    with Progress(console=Console(stderr=True), disable=not sys.stderr.isatty(), transient=True) as progress:
+        task = progress.add_task(what, total=total)
+        yield lambda count: progress.advance(task, count)
+
+
 @app.command()
 def stores(
     seconds: Annotated[float, typer.Option(help="of each load")] = 3.0,
@@ -33,3 +45,45 @@
         table.add_row(row.store, str(row.writers), f"{row.acks_per_s:,.0f}", str(row.p50_ms), str(row.p99_ms),
                       str(row.batch), str(row.written_per_taken), str(row.recover_s), f"{row.records:,}")
     Console().print(table)
+
+
+@app.command("crash-buffer")
+def crash_buffer(
+    runs: Annotated[int, typer.Option(help="gateways killed")] = 2000,
+    lanes: Annotated[int, typer.Option(help="gateways at a time")] = 6,
+    seed: Annotated[int, typer.Option()] = 1,
+    folder: Annotated[Path | None, typer.Option(help="for its files; kept where something is wrong")] = None,
+    as_json: AsJson = False,
+) -> None:
+    """Kill gateways with a write-back buffer under load, then look for what was acknowledged."""
+    import asyncio
+    import json
+    import shutil
+
+    from mallowbeam.lab import crash as trial
+    place = Path(tempfile.mkdtemp(dir=folder))
+
+    async def run() -> tuple[dict[str, int], list[str]]:
+        told: asyncio.Queue[int] = asyncio.Queue()
+        with bar("gateways killed", runs) as advance:
+            work = asyncio.create_task(trial.crash(place, runs, lanes, seed, told))
+            while not work.done():
+                await asyncio.wait([work], timeout=0.2)
+                while not told.empty():
+                    advance(told.get_nowait())
+            return work.result()
+
+    counts, wrong = asyncio.run(run())
+    if as_json:
+        typer.echo(json.dumps({"seed": seed, "counts": counts, "wrong": wrong}))
+    else:
+        table = Table(show_header=False, box=None)
+        for name, count in sorted(counts.items()):
+            table.add_row(name, f"{count:,}")
+        Console().print(table)
+        for text in wrong[:20]:
+            typer.echo(text)
+        typer.echo(f"seed {seed}: " + (f"{len(wrong)} WRONG, see {place}" if wrong else "nothing wrong"))
+    if not wrong:
+        shutil.rmtree(place)
+    raise typer.Exit(1 if wrong else 0)
--- a/tests/test_buffer_log.py
+++ b/tests/test_buffer_log.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mallowbeam.buffer.log import Apart, DiskFull, Failed, Found, Item, Log, name_of
+from mallowbeam.buffer.log import Apart, DiskFull, Failed, Found, Item, Log, name_of, walk
 from mallowbeam.buffer.records import (
     RECORD,
     SEGMENT,
@@ -343,6 +343,35 @@
         pass
 
 
+def test_a_marker_across_two_reads_is_found_behind_damaged_bytes():
+    """More than a megabyte of it, so that the scan does not hold all at once."""
+    marker = 0x51A7C0DE
+    good = b"".join(frame(marker, Kind.PIECE, 1, 0, [b"behind"]))
+    for extra in range(4):
+        data = b"j" * ((2 << 20) + extra) + good
+        parts = iter([data[at:at + (1 << 20)] for at in range(0, len(data), 1 << 20)])
+        bad, record = scan(parts, 1, marker, 0)
+        assert isinstance(bad, Bad) and bad.length == len(data) - len(good) and not bad.blank
+        assert isinstance(record, Record) and record.payload == b"behind"
+
+
+def test_a_torn_end_is_cut_off_so_that_later_records_do_not_make_it_damage():
+    disk = SimDisk()
+    log, *_ = opened(disk)
+    log.commit([write(1)])
+    torn = name_of(log.number)
+    log.file.write([b"torn" * 50], log.at)
+    log.close()
+    log, stands, apart, _ = opened(disk)
+    assert set(stands) == {1} and [a.acknowledged for a in apart] == [False]
+    log.commit([write(5)])
+    log.commit([write(6)])
+    log.close()
+    found = Found()
+    assert [r.lsn for r in walk(disk, log.owner, found)] == [1, 5, 6] and found.bad == []
+    assert not disk.files[torn].now.endswith(b"torn")
+
+
 def test_a_large_log_is_read_through_in_little_memory():
     import tracemalloc
     disk = SimDisk()
