Buffer: operators' pages, command line tests, trials of acknowledgement and recovery

Need: who runs it must see what it holds, and empty it without a gateway.

Change: buffer show, verify, export, drain under test; config check and schema; logs as JSON lines; operating, on-call, object API pages; example/buffered.json; lab ack-buffer and recover-buffer.

--- a/mallowbeam/buffer/service.py
+++ b/mallowbeam/buffer/service.py
@@ -237,7 +237,7 @@
         while log is None:
             await asyncio.sleep(LOCK_AGAIN)
             log, found, state = await loop.run_in_executor(None, self._read)
-        self.apart = await loop.run_in_executor(None, log.settle, found)
+        self.apart = await loop.run_in_executor(None, self._come_up, log, found, state)
         for apart in self.apart:
             if apart.acknowledged:
                 logger.error("buffer: {} bytes of segment {} at {} are damaged and held acknowledged "
@@ -250,8 +250,6 @@
         if found.missing:
             logger.error("buffer: segments {} are missing: what they held is lost", found.missing)
         self.store = Store(log, found.last, self._broken, self.core.on_disk)
-        self.core.on_disk(dict(log.sizes), log.number)
-        state.build(self.core, self.clock(), self.boot)
         self.phase = Phase.OPEN
         self.opened.set()
         logger.info("buffer open: {} writes to flush, {} held, {} bytes read in {:.2f} s",
@@ -272,6 +270,13 @@
             return None, Found(), Replay()
         return log, found, replay(log, found, time.time(), self.clock())
 
+    def _come_up(self, log: Log, found: Found, state: Replay) -> list[Apart]:
+        """Make the folder and the core ready, in a thread: until the phase changes nobody else has them."""
+        apart = log.settle(found)
+        state.build(self.core, self.clock(), self.boot)
+        self.core.on_disk(dict(log.sizes), log.number)
+        return apart
+
     async def hand_over(self) -> None:
         """Another process takes the folder: end what is on its way, then let go."""
         await self.stop()
@@ -311,13 +316,16 @@
 
     def gauges(self) -> dict[str, int]:
         """Figures for the operators' door."""
+        if self.phase is Phase.OPENING:        # a thread has the core
+            return {"buffer_opening": 1}
         core, counts = self.core, self.core.counts
-        return {"buffer_records": len(core.entries), "buffer_bytes": core.bytes, "buffer_held": core.held,
+        return {"buffer_opening": 0, "buffer_records": len(core.entries), "buffer_bytes": core.bytes,
+                "buffer_held": core.held,
                 "buffer_age_seconds": int(core.age(self.clock())), "buffer_taken": counts.taken,
                 "buffer_stored": counts.stored, "buffer_absorbed": counts.absorbed,
                 "buffer_repeats": counts.repeats, "buffer_read_back": counts.read_back,
                 "buffer_refused": counts.refused, "buffer_moved": counts.moved,
-                "buffer_syncs": self.store.log.synced if self.phase is not Phase.OPENING else 0}
+                "buffer_syncs": self.store.log.synced}
 
     # --- taking in ------------------------------------------------------------------------------
 
--- a/mallowbeam/cli/lab.py
+++ b/mallowbeam/cli/lab.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import json
 import sys
 import tempfile
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
+from dataclasses import asdict
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import typer
 from rich.console import Console
@@ -26,6 +28,18 @@
         yield lambda count: progress.advance(task, count)
 
 
+def rows(results: Sequence[Any], as_json: bool) -> None:
+    """Results of one kind, a row each."""
+    dicts = [asdict(result) for result in results]
+    if as_json:
+        return typer.echo(json.dumps(dicts, indent=1))
+    table = Table(*(name.replace("_", " ") for name in dicts[0]))
+    for values in dicts:
+        table.add_row(*(f"{value:,}" if isinstance(value, int | float) else str(value)
+                        for value in values.values()))
+    Console().print(table)
+
+
 @app.command()
 def stores(
     seconds: Annotated[float, typer.Option(help="of each load")] = 3.0,
@@ -37,14 +51,7 @@
     from mallowbeam.lab import stores as trial
     with tempfile.TemporaryDirectory(dir=folder) as place:
         results = trial.compare(Path(place), seconds, rounds)
-    if as_json:
-        return typer.echo(trial.as_json(results))
-    table = Table("store", "writers", "acks/s", "p50 ms", "p99 ms", "batch", "written/taken", "recover s",
-                  "records")
-    for row in results:
-        table.add_row(row.store, str(row.writers), f"{row.acks_per_s:,.0f}", str(row.p50_ms), str(row.p99_ms),
-                      str(row.batch), str(row.written_per_taken), str(row.recover_s), f"{row.records:,}")
-    Console().print(table)
+    rows(results, as_json)
 
 
 @app.command("crash-buffer")
@@ -57,7 +64,6 @@
 ) -> None:
     """Kill gateways with a write-back buffer under load, then look for what was acknowledged."""
     import asyncio
-    import json
     import shutil
 
     from mallowbeam.lab import crash as trial
@@ -87,3 +93,36 @@
     if not wrong:
         shutil.rmtree(place)
     raise typer.Exit(1 if wrong else 0)
+
+
+@app.command("ack-buffer")
+def ack_buffer(
+    rate: Annotated[float, typer.Option(help="writes a second")] = 200.0,
+    seconds: Annotated[float, typer.Option(help="of each load")] = 10.0,
+    rounds: Annotated[int, typer.Option()] = 3,
+    as_json: AsJson = False,
+) -> None:
+    """Times to a write's acknowledgement, buffered against direct, with and without pauses of the nodes."""
+    import asyncio
+
+    from mallowbeam.lab import ack as trial
+    with tempfile.TemporaryDirectory() as place:
+        results = asyncio.run(trial.measure(Path(place) / "rig", rate, seconds, rounds))
+    rows(results, as_json)
+
+
+@app.command("recover-buffer")
+def recover_buffer(
+    records: Annotated[int, typer.Option(help="writes in the folder")] = 1_000_000,
+    size: Annotated[int, typer.Option(help="bytes of each")] = 1024,
+    settled: Annotated[float, typer.Option(help="share of them that later records settle")] = 0.0,
+    rounds: Annotated[int, typer.Option()] = 1,
+    as_json: AsJson = False,
+) -> None:
+    """How long a folder takes to come up, against reading its files alone, and memory while it does."""
+    from mallowbeam.lab import recover as trial
+    results = []
+    for _ in range(rounds):
+        with tempfile.TemporaryDirectory() as place:
+            results.append(trial.measure(Path(place) / "folder", records, size, settled))
+    rows(results, as_json)
--- a/mallowbeam/lab/stores.py
+++ b/mallowbeam/lab/stores.py
@@ -7,13 +7,12 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import os
 import sqlite3
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Protocol
 
@@ -227,7 +226,3 @@
         results.append(measure("log", folder / f"alone-{turn}", 64, seconds, alone=True))
     return results
 
-
-def as_json(results: list[Result]) -> str:
-    """The results, for scripts."""
-    return json.dumps([asdict(result) for result in results], indent=1)
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,172 @@
+"""The command line: configuration checked, a buffer's folder shown, verified, exported and drained."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from scenario import EXAMPLE
+
+from mallowbeam.buffer.disk import RealDisk
+from mallowbeam.buffer.log import Item, Log
+from mallowbeam.buffer.records import Held, Kind, Write, pack
+from mallowbeam.lab.rig import Rig
+from mallowbeam.net.config import BadConfig
+from mallowbeam.operators import check, schema
+from mallowbeam.standins.node import ObjectNode
+
+ROOT = EXAMPLE.parent
+
+
+def mallowbeam(*args: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run([sys.executable, "-m", "mallowbeam", *args], cwd=ROOT, capture_output=True,
+                          text=True, timeout=60, env={**os.environ, "COLUMNS": "200"})
+
+
+def operators(**buffer) -> dict:
+    raw = json.loads((EXAMPLE / "fronts.json").read_text())
+    raw["buffer"] = {"folder": "/tmp", "buckets": ["plates"], **buffer}
+    return raw
+
+
+@pytest.mark.parametrize("change, words", [
+    ({"max_bytes": 1000}, r"buffer\.max_bytes: expected `int` >= 4194304"),
+    ({"max_bytes": "1 MiB"}, r"buffer\.max_bytes: expected `int`, got `str`"),
+    ({"buckets": ["UPPER"]}, r"buffer\.buckets\[.*\]: expected `str` matching"),
+    ({"buckets": []}, r"buffer\.buckets: must name"),
+    ({"color": 1}, r"buffer: object contains unknown field `color`"),
+    ({"repeat_share": 2}, r"buffer\.repeat_share: expected `float` <= 1"),
+    ({"max_bytes": 8 << 20}, r"buffer\.segment_bytes: must be at most a quarter")])
+def test_a_wrong_setting_is_one_line_with_its_place(change, words):
+    with pytest.raises(BadConfig, match=words) as error:
+        check(operators(**change))
+    assert "\n" not in str(error.value)
+
+
+def test_a_buffer_needs_the_front_that_it_stands_behind():
+    raw = operators()
+    raw["objects"]["listen"] = None
+    with pytest.raises(BadConfig, match="object API, which is off"):
+        check(raw)
+
+
+def test_the_files_in_the_repository_are_good_and_the_schema_names_every_section():
+    for path in (EXAMPLE / "fronts.json", EXAMPLE / "buffered.json", ROOT / "deploy" / "fronts.json"):
+        done = mallowbeam("config", "check", str(path))
+        assert (done.returncode, done.stderr) == (0, "")
+    done = mallowbeam("config", "check", str(EXAMPLE / "fronts.json"), "--balancer",
+                      str(EXAMPLE / "config.json"))
+    assert done.returncode == 0, done.stderr
+    told = json.loads(mallowbeam("config", "schema").stdout)
+    assert told == schema() and set(told["$defs"]["Operators"]["properties"]) == {
+        "objects", "health", "agent_check", "buffer"}
+
+
+def test_a_bad_file_ends_the_check_with_status_2(tmp_path):
+    path = tmp_path / "fronts.json"
+    path.write_text(json.dumps(operators(max_age_s=-1)))
+    done = mallowbeam("config", "check", str(path))
+    assert done.returncode == 2
+    assert done.stderr == "mallowbeam: buffer.max_age_s: expected `float` > 0.0\n"
+
+
+def folder_with(path: Path, *bodies: bytes, hold: int | None = None) -> str:
+    path.mkdir()
+    log = Log(RealDisk(str(path)), 1 << 20)
+    log.settle(log.open())
+    for lsn, body in enumerate(bodies, 1):
+        write = Write("PUT", "plates", b"/plates/k%d" % lsn, lsn, [], b"t%d" % lsn, '"e"', len(body), 1.0)
+        log.commit([Item(Kind.WRITE, lsn, pack(Kind.WRITE, write, body))])
+    if hold is not None:
+        log.commit([Item(Kind.HELD, 99, pack(Kind.HELD, Held(hold, "its node answers 403")))])
+    log.close()
+    return str(path)
+
+
+def test_a_folder_is_shown_verified_and_exported(tmp_path):
+    folder = folder_with(tmp_path / "b", b"one", b"two", hold=2)
+    told = json.loads(mallowbeam("buffer", "show", folder, "--json").stdout)
+    assert (told["writes"], told["buckets"], told["whole"]) == (2, {"plates": 2}, True)
+    assert told["held"][0]["reason"] == "its node answers 403"
+    assert "its node answers 403" in mallowbeam("buffer", "show", folder).stdout
+    assert mallowbeam("buffer", "verify", folder).returncode == 0
+    done = mallowbeam("buffer", "export", folder, str(tmp_path / "out"), "--json")
+    assert json.loads(done.stdout)["writes"] == 2
+    index = json.loads((tmp_path / "out" / "index.json").read_text())
+    assert [(tmp_path / "out" / entry["file"]).read_bytes() for entry in index] == [b"one", b"two"]
+    assert mallowbeam("buffer", "export", folder, str(tmp_path / "out")).returncode == 2
+
+
+def test_damage_is_found_by_verify_and_named(tmp_path):
+    folder = Path(folder_with(tmp_path / "b", b"x" * 100, b"y" * 100, b"z"))
+    segment = next(folder.glob("segment-*"))
+    data = bytearray(segment.read_bytes())
+    data[data.index(b"xxxx")] ^= 1
+    segment.write_bytes(data)
+    done = mallowbeam("buffer", "verify", str(folder), "--json")
+    told = json.loads(done.stdout)
+    assert done.returncode == 1 and not told["whole"] and told["writes"] == 2
+    assert [bad["kind"] for bad in told["damage"]] == ["damaged"]
+
+
+@pytest.mark.parametrize("command", [["show"], ["verify"], ["export"]])
+def test_what_is_no_folder_of_ours_is_one_line(tmp_path, command):
+    (tmp_path / "folder.json").write_text('{"format": "else", "version": 1, "id": ""}')
+    more = [str(tmp_path / "out")] if command == ["export"] else []
+    done = mallowbeam("buffer", *command, str(tmp_path), *more)
+    assert done.returncode == 2 and done.stderr.count("\n") == 1 and "no buffer" in done.stderr
+
+
+def test_drain_brings_a_folder_to_the_nodes_and_lets_go_what_was_held(tmp_path):
+    node = ObjectNode()
+    rig = Rig(tmp_path / "rig", [node], buffer={"buckets": ["plates"], "max_bytes": 16 << 20,
+                                                "segment_bytes": 1 << 20})
+    try:
+        rig.store.rmdir()
+        folder_with(rig.store, b"one", b"two", b"three", hold=2)
+        args = ["buffer", "drain", "--fronts", str(rig.folder / "fronts.json"), "--balancer",
+                str(rig.folder / "config.json"), "--seconds", "20", "--json"]
+        done = mallowbeam(*args)
+        assert (done.returncode, json.loads(done.stdout)) == (1, {"left": 1, "held": 1}), done.stderr
+        done = mallowbeam(*args, "--send-held", "2")
+        assert (done.returncode, json.loads(done.stdout)) == (0, {"left": 0, "held": 0}), done.stderr
+        assert {path: stored.body for path, stored in node.store.objects.items()} == {
+            "/plates/k1": b"one", "/plates/k2": b"two", "/plates/k3": b"three"}
+        assert json.loads(mallowbeam("buffer", "show", str(rig.store), "--json").stdout)["writes"] == 0
+    finally:
+        rig.close()
+
+
+def test_the_gateway_alone_loads_nothing_of_it_all():
+    """Off costs nothing: neither the command line nor the buffer, nor what they need, is imported."""
+    code = ("import sys, mallowbeam.__main__\n"
+            "bad = [m for m in sys.modules if m.split('.')[0] in ('typer', 'click', 'rich', 'msgspec', "
+            "'crc32c', 'lmdb', 'pydantic') or m.startswith(('mallowbeam.buffer', 'mallowbeam.cli', "
+            "'mallowbeam.lab', 'mallowbeam.standins', 'mallowbeam.operators', 'mallowbeam.fronts.objects', "
+            "'mallowbeam.fronts.buffered'))]\n"
+            "assert not bad, bad")
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
+    assert done.returncode == 0, done.stderr
+
+
+def test_logs_come_as_json_lines_where_asked(tmp_path):
+    done = mallowbeam("serve", "--log-format", "yaml")
+    assert done.returncode == 2 and "text or json" in done.stderr
+    rig = Rig(tmp_path / "rig", [ObjectNode()], buffer={"buckets": ["plates"]})
+    env = {**os.environ, "TMPDIR": str(rig.folder), "BALANCER_CONFIG": str(rig.folder / "config.json"),
+           "MALLOWBEAM_FRONTS": str(rig.folder / "fronts.json")}
+    process = subprocess.Popen([sys.executable, "-m", "mallowbeam", "serve", "--log-format", "json"],
+                               cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True)
+    try:
+        lines = [json.loads(process.stderr.readline())["record"] for _ in range(2)]
+        assert {line["level"]["name"] for line in lines} == {"INFO"}
+        assert any(line["message"].startswith("buffer open") for line in lines)
+    finally:
+        process.kill()
+        process.wait(10)
+        process.stderr.close()
+        rig.close()
