Buffer: a key's next write waits until the log knows that the one before is settled

Cause: a write settled in memory left its key at once, while the record of that was synced up to 50 ms later. A crash in between brought it back, and had a direct write (or, where that record failed, a later buffered one) been acknowledged meanwhile, reading back found a foreign version and replaced it.

Change: a key counts as ordered until its last settled write is durable as such.

--- a/mallowbeam/buffer/core.py
+++ b/mallowbeam/buffer/core.py
@@ -261,6 +261,7 @@
         self._ages: deque[Entry] = deque()
         self._settling: list[int] = []
         self._leaving: dict[int, Entry] = {}   # over, but the log may not have that yet
+        self._unsettled: dict[tuple[str, bytes], int] = {}  # how many of those, by key
         self._crowded: set[int] = set()        # shards with parked writes
         self._moving: set[int] = set()
         self._removing: set[int] = set()
@@ -291,7 +292,8 @@
 
     def ordered(self, bucket: str, name: bytes) -> bool:
         """Whether something here must be on the nodes before a direct write of that name may go."""
-        return (bucket, name) in self.keys or len(self.groups.get(bucket, ())) > 1
+        return ((bucket, name) in self.keys or (bucket, name) in self._unsettled
+                or len(self.groups.get(bucket, ())) > 1)
 
     def offer(self, now: float, bucket: str, name: bytes, size: int) -> Offer:
         """What becomes of a write of `size` bytes in the log."""
@@ -644,8 +646,13 @@
                 self._crowded.discard(number)
 
     def _may_go(self, entry: Entry) -> bool:
-        """Whether a write is next: first of its key, in the first group of its bucket, and not held."""
+        """Whether a write is next: first of its key, in the first group of its bucket, and not held.
+
+        Guards the key's order over a crash: before the log knows that the one before it is settled, none
+        goes out, or that one would come back and replace it.
+        """
         return (entry.state in (State.READY, State.DOUBTFUL) and self.keys[entry.key][0] is entry
+                and entry.key not in self._unsettled
                 and self.groups[entry.bucket][0] is entry.group)
 
     def _queue(self, entry: Entry, due: float) -> None:
@@ -661,6 +668,7 @@
         self._drop(entry)
         self._settling.append(entry.lsn)
         self._leaving[entry.lsn] = entry
+        self._unsettled[entry.key] = self._unsettled.get(entry.key, 0) + 1
 
     def _drop(self, entry: Entry) -> None:
         """A write is here no more; what waited for it may go."""
@@ -678,6 +686,11 @@
         """The log has it that writes are settled: their segments need not stay for them."""
         for lsn in lsns:
             entry = self._leaving.pop(lsn)
+            self._unsettled[entry.key] -= 1
+            if not self._unsettled[entry.key]:
+                del self._unsettled[entry.key]
+                if chain := self.keys.get(entry.key):
+                    self._queue(chain[0], chain[0].due)
             for segment in entry.segments:
                 self._release(segment, entry.cost)
 
--- a/mallowbeam/buffer/log.py
+++ b/mallowbeam/buffer/log.py
@@ -145,7 +145,10 @@
     known = numbers(disk)
     found.missing = sorted(set(range(known[0], known[-1])) - set(known)) if known else []
     for number in known:
-        file = disk.open(name_of(number))
+        try:
+            file = disk.open(name_of(number))
+        except FileNotFoundError:              # its owner has just taken it away: all in it is settled
+            continue
         try:
             size = found.segments[number] = file.size()
             marker = read_head(file.read(SEGMENT.size, 0), owner, number)
--- a/mallowbeam/buffer/service.py
+++ b/mallowbeam/buffer/service.py
@@ -17,6 +17,7 @@
 from enum import Enum
 from typing import Any, NamedTuple, Protocol
 
+import msgspec
 from loguru import logger
 
 from mallowbeam.buffer import core as decisions
@@ -42,6 +43,7 @@
 
 PIECE = 256 * 1024          # bytes of a body that stand in one record: larger ones come in pieces
 LATER = 0.05                # seconds for which word of what is settled waits for company
+MOST_SETTLED = 4096         # writes that one record settles
 LOCK_AGAIN = 0.02           # seconds between looks at a folder that the process before this one still has
 LEAVE = 1.0                 # seconds that writes on their way have to end when the folder is handed over
 LOOK = 0.02                 # seconds between looks while there is something to send and no room for it
@@ -385,12 +387,11 @@
         self.core.pin(waiting.item.segment)
         upload.pieces.append((waiting.item.segment, waiting.item.offset, size))
 
-    async def finish(self, upload: Upload, write: Write) -> Entry:
-        """The body is whole: the write is durable once this comes back."""
+    async def complete(self, upload: Upload, write: Write) -> None:
+        """The body is whole and in the log; `put` makes a write of it."""
         if upload.rest:
             await self._piece(upload, len(upload.rest))
-        write.pieces, write.size = upload.pieces, upload.size
-        return await self.put(write, b"")
+        write.pieces, write.size = list(upload.pieces), upload.size
 
     def drop(self, upload: Upload) -> None:
         """The body's pieces need not stay for its own sake: it is a write now, or nothing."""
@@ -595,8 +596,8 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        if self._settling:
-            lsns, self._settling = self._settling, []
+        while self._settling:
+            lsns, self._settling = self._settling[:MOST_SETTLED], self._settling[MOST_SETTLED:]
             waiting = self.store.append(Kind.DONE, self.store.next_lsn(), pack(Kind.DONE, Done(lsns)))
             self._spawn(self._settled(lsns, waiting.done))
 
@@ -645,10 +646,9 @@
             async for piece in self.body(write, b"", 0, write.size if write.pieces else 0):
                 if piece:
                     await self.add(upload, piece)
-            if upload.rest:
-                await self._piece(upload, len(upload.rest))
-            write = Write(write.method, write.bucket, write.target, write.place, write.headers, write.token,
-                          write.etag, write.size, write.at, list(upload.pieces))
+            write = msgspec.structs.replace(write)
+            if write.pieces:
+                await self.complete(upload, write)
             if entry.state is decisions.State.OVER:
                 return
             intent = None if entry.intent is None else (
--- a/mallowbeam/buffer/store.py
+++ b/mallowbeam/buffer/store.py
@@ -12,6 +12,8 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 
+from loguru import logger
+
 from mallowbeam.buffer.log import DiskFull, Failed, Item, Log, mark
 from mallowbeam.buffer.records import Done, Kind, Record, pack
 
@@ -53,7 +55,9 @@
         self._closing = False
         self._gone: list[int] = []             # segments to be removed once nobody reads them
         self.batches = self.items = 0
+        self._over = False
         self._task = asyncio.create_task(self._run())
+        self._task.add_done_callback(self._ended)
 
     def next_lsn(self) -> int:
         """The number of the next record."""
@@ -66,10 +70,21 @@
         The queue is bounded by who offers: the core counts what is on its way to the disk.
         """
         waiting = Waiting(Item(kind, lsn, parts))
+        if self._over:
+            fail(waiting, NotTaken("the log is closed"))
+            return waiting
         self._queue.append(waiting)
         self._more.set()
         return waiting
 
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        """Nothing is committed any more: whoever waits is told, and nobody waits for ever."""
+        self._over = True
+        if not task.cancelled() and (error := task.exception()) is not None:
+            logger.opt(exception=error).error("the buffer's log failed unforeseen")
+            self._broken("a fault in the log", [])
+        self._refuse()
+
     # --- committing -----------------------------------------------------------------------------
 
     async def _run(self) -> None:
--- a/mallowbeam/fronts/buffered.py
+++ b/mallowbeam/fronts/buffered.py
@@ -38,7 +38,7 @@
 )
 from mallowbeam.interface import Repeat
 from mallowbeam.net.config import BadConfig
-from mallowbeam.net.gateway import Call, Gateway, Kind, read_deadline, time_left
+from mallowbeam.net.gateway import Call, Gateway, Kind
 from mallowbeam.net.http import HOP_BY_HOP, TOKEN, Channel, Headers, Message, write_head
 from mallowbeam.net.server import Reply
 
@@ -46,7 +46,6 @@
 BARRIER_ID = b"x-mallowbeam-barrier-id"       # on an answer: the barrier's number
 DURABLE = (b"x-mallowbeam-durable", b"buffer")
 BARRIER_CALL = re.compile(rb"/([a-z0-9][a-z0-9.-]{1,61}[a-z0-9])/?\?barrier=([a-z]+|\d{1,18})\Z")
-MOST_MS = 86_400_000
 # What a node is asked to keep with an object, and what concerns this hop only: writes with other headers of
 # S3's are not taken in, since only a node can say what they come to.
 KEPT = frozenset((b"content-type", b"content-encoding", b"content-language", b"content-disposition",
@@ -104,8 +103,7 @@
                 return await self._barrier_call(message, call[1].decode(), call[2], request_id, closing)
             request = Request(message, self.settings, self.gateway.config.settings.shards)
             if request.bucket not in self.buffer.settings.buckets:
-                await self._collect(message)
-                return await self.pass_on(request, request_id, closing)
+                return await self._direct(request, request_id, closing)
             if self.buffer.phase is not Phase.OPEN:
                 raise slow_down()              # what it holds is not known here
             if request.reads and not request.upload:
@@ -114,38 +112,32 @@
                 return await self._write(request, request_id, closing)
             if request.upload and request.method == b"POST":  # an upload becomes an object
                 await self._stand_clear(request)
-            await self._collect(message)
-            return await self.pass_on(request, request_id, closing)
+            return await self._direct(request, request_id, closing)
         except Error as error:
             return self.error(error, message, request_id, closing())
 
-    def _deadline(self, request: Request) -> float:
-        """Seconds that a write may take, by its class and its client."""
-        cls = self.gateway.config.settings.classes[self.settings.write_class]
-        wait = request.headers.get(b"x-deadline-ms")
-        deadline = cls.deadline if wait is None else read_deadline(wait, MOST_MS)
-        if deadline is None:
-            raise Error("InvalidArgument")
-        return time_left(deadline)
+    def _deadline(self, message: Message) -> float:
+        """Seconds that a write or barrier may take, by its client or its class."""
+        return self.seconds(self.settings.write_class, message.get(b"x-deadline-ms"))
 
-    async def _collect(self, message: Message) -> None:
-        """Hold a large body whole after all: its node has it from memory."""
-        if message.stream is None:
-            return
-        budget = self.budget
-        taken, body = 0, bytearray()
+    async def _direct(self, request: Request, request_id: str, closing: Callable[[], bool]) -> Reply:
+        """A call straight to its node; a large body is held whole after all, within the budget."""
+        message, budget, body, taken = request.message, self.budget, bytearray(), 0
         try:
-            while (piece := await message.stream.get()) is not None:
-                budget.used += len(piece)
-                taken += len(piece)
-                if budget.used > budget.most:
-                    raise slow_down()
-                body += piece
+            if message.stream is not None:
+                while (piece := await message.stream.get()) is not None:
+                    budget.used += len(piece)
+                    taken += len(piece)
+                    if budget.used > budget.most:
+                        raise slow_down()
+                    body += piece
+                if message.stream.broken:
+                    raise Error("IncompleteBody")
+                message.body = body
+                request.units = max(1, math.ceil(len(body) / self.settings.unit_bytes))
+            return await self.pass_on(request, request_id, closing)
         finally:
-            budget.used -= taken               # from here on one attempt holds it, as before
-        if message.stream.broken:
-            raise Error("IncompleteBody")
-        message.body = body
+            budget.used -= taken
 
     async def _stand_clear(self, request: Request) -> None:
         """Wait until nothing buffered stands before a direct write; refuse at once where that takes long."""
@@ -154,7 +146,7 @@
             return
         if buffer.core.blocked(request.bucket) is not None or self._seconds(len(buffer.core.keys)) > 1.0:
             raise slow_down()
-        if not await buffer.clear(request.bucket, request.path, min(1.0, self._deadline(request))):
+        if not await buffer.clear(request.bucket, request.path, min(1.0, self._deadline(request.message))):
             raise slow_down()
 
     def _seconds(self, writes: int) -> float:
@@ -175,26 +167,26 @@
         known = self._standing(request) if conditional else None
         offer = buffer.offer(request.bucket, request.path, max(message.came, message.length or 0))
         if known is not None and offer is Offer.TAKE:
-            await self._settled_here(known)
-            if not write_allowed(request.headers, known.etag if known.method == "PUT" else None):
-                raise Error("PreconditionFailed")
+            self._check(request)
         if offer is Offer.SLOW or known is not None and offer is not Offer.TAKE:
             raise slow_down()
         if offer is Offer.DIRECT or conditional and known is None or not self._bufferable(request):
             if barrier is not None:            # a barrier that nothing durable stands for is none
                 raise slow_down()
             await self._stand_clear(request)
-            await self._collect(message)
-            return await self.pass_on(request, request_id, closing)
+            return await self._direct(request, request_id, closing)
         try:
-            entry = await self._take(request, request_id)
-            lsn = await buffer.barrier(request.bucket) if barrier is not None else None
+            entry = await self._take(request, request_id, known is not None)
         except NotTaken:
             raise slow_down() from None
         except Doubtful:
             raise Error("InternalError") from None
+        try:
+            lsn = await buffer.barrier(request.bucket) if barrier is not None else None
+        except (NotTaken, Doubtful):           # the write stands, so this is no refusal
+            raise Error("InternalError") from None
         if lsn is not None and barrier == b"through":
-            await self._through(request.bucket, lsn, self._deadline(request))
+            await self._through(request.bucket, lsn, self._deadline(request.message))
         headers = [(b"x-amz-request-id", request_id.encode()), DURABLE]
         if lsn is not None:
             headers.append((BARRIER_ID, b"%d" % lsn))
@@ -208,11 +200,13 @@
         chain = self.buffer.core.keys.get((request.bucket, request.path))
         return chain[-1] if chain else None
 
-    async def _settled_here(self, entry: Entry) -> None:
-        """Wait until a write has come through the log: a condition must not rest on what may yet fail."""
-        durable = self.buffer.newest(entry.bucket, entry.name)
-        if durable is not entry:
-            raise slow_down()                  # it is being synced at this very moment
+    def _check(self, request: Request) -> None:
+        """Whether a write's conditions hold against what is buffered of its key; raises `Error`."""
+        known = self._standing(request)
+        if known is None or self.buffer.newest(request.bucket, request.path) is not known:
+            raise slow_down()                  # it has just gone to its node, or may yet fail to be durable
+        if not write_allowed(request.headers, known.etag if known.method == "PUT" else None):
+            raise Error("PreconditionFailed")
 
     @staticmethod
     def _bufferable(request: Request) -> bool:
@@ -227,7 +221,7 @@
                 return False
         return True
 
-    async def _take(self, request: Request, request_id: str) -> Entry:
+    async def _take(self, request: Request, request_id: str, conditional: bool) -> Entry:
         """Bring a write into the log: its body whole or in pieces, checked against what its client says."""
         message, buffer = request.message, self.buffer
         token = request.headers.get(b"idempotency-key", request_id.encode())
@@ -246,9 +240,9 @@
             verify(request.headers, body, digest.digest())
             write.etag, write.size = f'"{digest.hexdigest()}"', len(body)
             return await buffer.put(write, body)
-        return await self._take_pieces(request, write)
+        return await self._take_pieces(request, write, conditional)
 
-    async def _take_pieces(self, request: Request, write: Write) -> Entry:
+    async def _take_pieces(self, request: Request, write: Write, conditional: bool) -> Entry:
         """A large body, a piece at a time; only the checksums that go along with pieces can be checked."""
         stream, buffer, upload = request.message.stream, self.buffer, Upload()
         digest, sums = hashlib.md5(usedforsecurity=False), Sums(request.headers)
@@ -264,7 +258,10 @@
                 raise Error("IncompleteBody")
             sums.check(digest.digest())
             write.etag = f'"{digest.hexdigest()}"'
-            return await buffer.finish(upload, write)
+            await buffer.complete(upload, write)
+            if conditional:                    # other writes may have come while the body did
+                self._check(request)
+            return await buffer.put(write, b"")
         finally:
             buffer.drop(upload)
 
@@ -298,12 +295,7 @@
             raise Error("InternalError") from None
         headers.append((BARRIER_ID, b"%d" % lsn))
         if what == b"through":
-            cls = self.gateway.config.settings.classes[self.settings.write_class]
-            wait = message.get(b"x-deadline-ms")
-            deadline = cls.deadline if wait is None else read_deadline(wait, MOST_MS)
-            if deadline is None:
-                raise Error("InvalidArgument")
-            await self._through(bucket, lsn, time_left(deadline))
+            await self._through(bucket, lsn, self._deadline(message))
         return Reply(200, write_head(200, headers, 0, closing()))
 
     async def _through(self, bucket: str, lsn: int, seconds: float) -> None:
--- a/mallowbeam/fronts/objects.py
+++ b/mallowbeam/fronts/objects.py
@@ -156,7 +156,9 @@
             raise Error("NotImplemented")      # calls on buckets: what a bucket holds is spread over nodes
         if len(name) > MOST_KEY:
             raise Error("KeyTooLongError")
-        self.path, self.place = path, crc32(bucket + b"/" + name)
+        self.place = crc32(bucket + b"/" + name)
+        # One spelling for each name, as S3 has it (the canonical URI of Signature V4).
+        self.path = b"/" + bucket + b"/" + quote(name, safe="/-._~").encode()
         self.bucket, self.key = bucket.decode(), f"{self.place:016x}"
         self.query = dict(parse_qsl(raw_query.decode("latin-1"), keep_blank_values=True))
         self.target = message.target
@@ -254,10 +256,7 @@
         """What goes to the module and to a node."""
         settings, known, headers = self.settings, self.gateway.config.settings, request.headers
         cls = known.classes[settings.read_class if request.reads else settings.write_class]
-        wait = headers.get(b"x-deadline-ms")
-        deadline = cls.deadline if wait is None else read_deadline(wait, MOST_MS)
-        if deadline is None:
-            raise Error("InvalidArgument")
+        seconds = self.seconds(cls.name, headers.get(b"x-deadline-ms"))
         passed = [header for header in request.message.headers if header[0] not in OWN_REQUEST]
         # A client's own key is kept, so that its own repeat is dropped too; else every attempt shares ours.
         token = headers.get(b"idempotency-key", request_id.encode())
@@ -266,13 +265,21 @@
         passed.append((b"x-request-id", request_id.encode()))
         if not request.reads:
             passed.append((b"idempotency-key", token))
-        fields = self.fields(cls.name, time_left(deadline), request.bucket, request.shard, request.key,
+        fields = self.fields(cls.name, seconds, request.bucket, request.shard, request.key,
                              request.units, not request.reads)
         return Call(
             request_id, fields, request.method, request.target, passed, request.message.body,
             final=lambda status: 200 <= status < 500,
             streamed=lambda status: request.method == b"GET" and status in (200, 206) and not request.upload)
 
+    def seconds(self, cls: str, asked: bytes | None) -> float:
+        """What a call of that class may take here, by its client's word or its class; raises `Error`."""
+        known = self.gateway.config.settings.classes[cls].deadline
+        deadline = known if asked is None else read_deadline(asked, MOST_MS)
+        if deadline is None:
+            raise Error("InvalidArgument")
+        return time_left(deadline)
+
     def fields(self, cls: str, expires: float, bucket: str, shard: int, key: str, units: int,
                writes: bool) -> dict[str, object]:
         """What the module is told of a call."""
--- a/mallowbeam/standins/node.py
+++ b/mallowbeam/standins/node.py
@@ -14,7 +14,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs, unquote, urlsplit
 from xml.etree import ElementTree
 
 import httptools
@@ -113,7 +113,9 @@
 
     def _run(self, method: str, target: str, headers: dict[str, str], body: bytes) -> Answer:
         url = urlsplit(target)
-        path = "/" + url.path.split("/", 2)[2] if "x-extent" in headers else url.path  # less the class
+        path = unquote(url.path)               # however its name is spelled, it is one object
+        if "x-extent" in headers:              # the platform's: less the class
+            path = "/" + path.split("/", 2)[2]
         query = {name: values[0] for name, values in parse_qs(url.query, keep_blank_values=True).items()}
         objects = self.store.objects
         if "uploadId" in query:
--- a/tests/test_buffer_core.py
+++ b/tests/test_buffer_core.py
@@ -80,6 +80,17 @@
         self.pending.append(("barrier", self.lsn, bucket))
         return self.lsn
 
+    def direct(self, bucket: str, name: bytes, method: str = "PUT") -> bool:
+        """A write past the buffer, acknowledged by its node; False where its order forbids that."""
+        if self.core.ordered(bucket, name):
+            return False
+        self.lsn += 1
+        entry = self.entry(self.lsn, bucket, name, method, self.now)
+        self.methods[self.lsn] = method
+        self.durable.setdefault(entry.key, []).append(self.lsn)
+        assert self.nodes.run(self.now, entry, None)
+        return True
+
     # what the shell and the disk do
 
     def keep(self, record: tuple) -> int:
@@ -312,6 +323,10 @@
     def put(self, key: int, bucket: str, method: str) -> None:
         self.world.offer(bucket, b"%d" % key, method)
 
+    @rule(key=st.integers(0, 4), bucket=st.sampled_from("ab"))
+    def put_direct(self, key: int, bucket: str) -> None:
+        self.world.direct(bucket, b"%d" % key)
+
     @rule(bucket=st.sampled_from("ab"))
     def set_barrier(self, bucket: str) -> None:
         if len(self.world.core.barriers) < 8:
@@ -615,3 +630,36 @@
     world.plan()
     world.look(lsn, True)
     assert not world.core.entries
+
+
+def test_a_write_past_the_buffer_waits_until_the_log_knows_that_the_one_before_is_settled():
+    """Else a crash would bring the settled one back, and it would replace what was acknowledged since."""
+    world = World()
+    lsn = world.offer("a", b"k")
+    world.commit()
+    sent(world)
+    world.answer(lsn, "stored")
+    assert not world.core.entries
+    assert not world.direct("a", b"k")
+    world.commit()
+    assert world.direct("a", b"k")
+    world.crash(0, True, [False])
+    world.drain()
+
+
+def test_a_later_write_waits_until_the_log_knows_that_an_absorbed_one_is():
+    """Else the absorbed one, never sent, would come back behind it."""
+    world = World()
+    world.offer("a", b"k")
+    world.commit()
+    later = world.offer("a", b"k")
+    world.commit()
+    done = world.pending
+    assert done and done[0][0] == "done"
+    world.pending = []                         # the disk did not take that word
+    world.plan()
+    assert not world.pending and not world.sends
+    world.core.not_settled(done[0][1])
+    world.do()
+    world.commit()
+    assert sent(world) == [later]
--- a/tests/test_buffer_front.py
+++ b/tests/test_buffer_front.py
@@ -200,6 +200,43 @@
     assert read_status(headers, '"a"', 1_700_000_000.4) == status
 
 
+def test_one_name_is_one_key_however_it_is_spelled(nodes, tmp_path):
+    async def play() -> None:
+        async with Buffered(nodes, tmp_path) as world:
+            hold(nodes, 0.4)
+            await world.play("""
+                o1 send PUT /plates/a~b%2Bc body=one
+                o1 expect 200
+                o1 send PUT /plates/%61%7Eb+c body=two
+                o1 expect 200
+                o1 send GET /plates/a~b+c
+                o1 expect 200 two
+            """)
+            await world.flushed()
+        assert [stored.body for node in nodes for stored in node.store.objects.values()] == [b"two"]
+
+    run(play())
+
+
+def test_a_condition_on_a_large_body_is_looked_at_again_when_the_body_is_whole(nodes, tmp_path):
+    tag = hashlib.md5(b"one").hexdigest().encode()
+
+    async def play() -> None:
+        async with Buffered(nodes, tmp_path) as world:
+            world.buffer_part.sender = Still(world.buffer_part.sender)
+            await world.play("o1 send PUT /plates/a body=one\no1 expect 200")
+            reader, writer = await asyncio.open_connection(*world.objects)
+            writer.write(b"PUT /plates/a HTTP/1.1\r\nhost: x\r\nif-match: \"" + tag
+                         + b"\"\r\ncontent-length: 600000\r\n\r\n" + bytes(500_000))
+            await asyncio.sleep(0.1)
+            await world.play("o1 send PUT /plates/a body=two\no1 expect 200")
+            writer.write(bytes(100_000))
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 412")
+            await world.play("o1 send GET /plates/a\no1 expect 200 two")
+
+    run(play())
+
+
 def test_a_large_body_comes_in_pieces_and_reads_back_by_ranges(nodes, tmp_path):
     body = bytes(range(256)) * 4096 + b"end"
 
