Handover meets the gateway through a stated protocol: no circle any more

Need: net/gateway and net/handover imported each other (the latter for its types); the house has arrows that go down. Change: handover states what it meets as Host and Door; the state to hand over is the gateway's own word.

--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -270,6 +270,13 @@
             self.watch.revision = listing.revision
             self._listing(listing)
 
+    def legacy(self) -> Mapping[str, object]:
+        """All that a new process needs to go on where this one stands."""
+        return {"discovery": self.watch.address,
+                "list": write_listing(self.watch.revision or 0, True, self.facade.entries(self.now()),
+                                      self.addresses),
+                "ids": list(self.exchanges), **self.facade.state(self.now())}
+
     def _tell(self, kind: str, value: object) -> None:
         """Tell the other process, where there is one."""
         if self.sister is not None:
--- a/mallowbeam/net/handover.py
+++ b/mallowbeam/net/handover.py
@@ -16,16 +16,13 @@
 from collections.abc import Mapping
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING
+from typing import Protocol
 from zlib import crc32
 
 from loguru import logger
 
 from mallowbeam.net.config import Config
-from mallowbeam.net.discovery import read_listing, write_listing
-
-if TYPE_CHECKING:
-    from mallowbeam.net.gateway import Gateway
+from mallowbeam.net.discovery import Listing, read_listing
 
 PATIENCE = 1.0              # seconds for the old process to hand over: a wedged one holds up no start
 VERSION = 1                 # of what is said here: an old process that speaks another hands over nothing
@@ -33,6 +30,43 @@
 MOST_SAID = 4 * 1024 * 1024  # bytes of one line, and of lines that wait to be read
 
 
+class Door(Protocol):
+    """A listening socket that is handed over."""
+
+    name: str
+    sock: socket.socket
+
+
+class Host(Protocol):
+    """One of the two processes, as their talk meets it."""
+
+    config: Config
+    servers: list[Door]
+    sister: Sister | None
+    handed_over: asyncio.Event
+
+    def deal(self, beside: int) -> None:
+        """The other holds so many connections of clients."""
+
+    def alone(self) -> None:
+        """The other is gone."""
+
+    def sent_beside(self, sent: list) -> None:
+        """The other has sent something."""
+
+    def told_beside(self, listing: Listing) -> None:
+        """The other has heard from discovery."""
+
+    def moved(self, address: str) -> None:
+        """Discovery is elsewhere."""
+
+    def by_hand(self, node: str, out: bool, told: bool = False) -> bool:
+        """An operator took a node out, or called it back, at the other."""
+
+    def legacy(self) -> Mapping[str, object]:
+        """All that a new process needs to go on where this one stands."""
+
+
 @dataclass(slots=True)
 class Legacy:
     """What a new process has from the old one: the line to it, its listening sockets and its state."""
@@ -99,7 +133,7 @@
 class Sister:
     """The other process of this gateway, for as long as there are two."""
 
-    def __init__(self, sock: socket.socket, gateway: Gateway, heard: bytes = b"") -> None:
+    def __init__(self, sock: socket.socket, gateway: Host, heard: bytes = b"") -> None:
         sock.setblocking(False)
         self.sock, self.gateway = sock, gateway
         self.ids: set[str] = set()             # requests that it holds
@@ -170,7 +204,7 @@
 class Handover:
     """Waits for a new process and hands over to it."""
 
-    def __init__(self, gateway: Gateway) -> None:
+    def __init__(self, gateway: Host) -> None:
         self.gateway = gateway
         self.sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         with place(gateway.config) as path:
@@ -200,12 +234,4 @@
                     continue
                 gateway.sister = Sister(sock, gateway)
                 gateway.deal(0)
-                gateway.sister.tell("state", state_of(gateway))
-
-
-def state_of(gateway: Gateway) -> Mapping[str, object]:
-    """All that a new process needs to go on where this one stands."""
-    return {"version": VERSION, "discovery": gateway.watch.address,
-            "list": write_listing(gateway.watch.revision or 0, True, gateway.facade.entries(gateway.now()),
-                                  gateway.addresses),
-            "ids": list(gateway.exchanges), **gateway.facade.state(gateway.now())}
+                gateway.sister.tell("state", {"version": VERSION, **gateway.legacy()})
