Object front: a package by concern; aws-chunked bodies and checksums, checked on the way in

Need: a plain put_object of a current client was answered 500, for its body comes as aws-chunked with a checksum in a trailer; and what a client says of a body went unchecked.

Change: fronts/objects/ (calls, errors, settings, uploads, bodies, ranges, conditions, front, buffered). bodies takes the framing off wherever the bytes are cut, and checks Content-MD5, CRC32, CRC32C, SHA1, SHA256 and the stated length before a node has the body, or before the buffer's word; chunk signatures are read and not checked. The stand-in answers a PUT without a body, as S3 does (boto3 takes any other for an error).

--- a/mallowbeam/__main__.py
+++ b/mallowbeam/__main__.py
@@ -35,7 +35,8 @@
         objects = None
         if fronts.get("objects", {}).get("listen") is not None:
             # Loaded only where it is on: a start is short, as each second of it loses requests.
-            from mallowbeam.fronts.objects import Objects, read_object_settings
+            from mallowbeam.fronts.objects.front import Objects
+            from mallowbeam.fronts.objects.settings import read_object_settings
             objects = read_object_settings(fronts["objects"], gateway)
         for name, front, connection in (("health", Health(gateway), Connection),
                                         ("agent_check", gateway, AgentConnection)):
@@ -60,10 +61,10 @@
 def open_buffered(gateway: Gateway, fronts: dict, legacy: Legacy | None):
     """The object front with the write-back buffer behind it; raises `BadConfig`."""
     try:
-        from mallowbeam.fronts.buffered import BufferedObjects, read_buffer_settings
+        from mallowbeam.fronts.objects.buffered import BufferedObjects, read_buffer_settings
     except ImportError as error:
         raise BadConfig(f"the buffer needs {error.name}: install the extra `buffer`") from None
-    from mallowbeam.fronts.objects import read_object_settings
+    from mallowbeam.fronts.objects.settings import read_object_settings
     objects = read_object_settings(fronts["objects"], gateway)
     settings = read_buffer_settings(fronts["buffer"], objects, gateway)
     return BufferedObjects(gateway, objects, settings, legacy is not None)
--- a/mallowbeam/buffer/service.py
+++ b/mallowbeam/buffer/service.py
@@ -369,7 +369,7 @@
                 done.set_result(None)
         self._stir.set()
 
-    async def add(self, upload: Upload, data: bytes | bytearray) -> None:
+    async def add(self, upload: Upload, data: bytes | bytearray | memoryview) -> None:
         """Take in more of a large body, a piece at a time; raises `NotTaken` or `Doubtful`."""
         upload.rest += data
         upload.size += len(data)
--- a/mallowbeam/cli/config.py
+++ b/mallowbeam/cli/config.py
@@ -35,7 +35,7 @@
 
 def agree(raw: dict[str, object], balancer: Path) -> None:
     """Build the gateway and its fronts without listening; raises `BadConfig`."""
-    from mallowbeam.fronts.objects import read_object_settings
+    from mallowbeam.fronts.objects.settings import read_object_settings
     from mallowbeam.net.gateway import Gateway
     config = read_config({**os.environ, "BALANCER_CONFIG": str(balancer)})
     gateway = Gateway(config)
@@ -44,7 +44,7 @@
         settings = read_object_settings(objects, gateway)
         if isinstance(buffer, dict) and buffer.get("folder") is not None:
             from mallowbeam.buffer.service import probe
-            from mallowbeam.fronts.buffered import read_buffer_settings
+            from mallowbeam.fronts.objects.buffered import read_buffer_settings
             why = probe(read_buffer_settings(buffer, settings, gateway), wait=True)
             if why is not None:
                 raise BadConfig(why)
--- /dev/null
+++ b/mallowbeam/fronts/objects/bodies.py
@@ -0,0 +1,189 @@
+"""A body on its way in: `aws-chunked` taken apart, digests counted while it passes, checked at its end.
+
+No I/O.  Sources: Amazon S3 API reference, "Signature calculations: transferring payload in multiple chunks"
+(the framing, with and without signatures and trailers) and "Checking object integrity".  Chunk signatures are
+read and not checked: this front knows no keys yet.
+"""
+
+from __future__ import annotations
+
+import base64
+import hashlib
+import re
+from collections.abc import Mapping
+from typing import Any
+from zlib import crc32
+
+from mallowbeam.fronts.objects.errors import Error
+from mallowbeam.net.http import Headers, Message
+
+SUM = b"x-amz-checksum-"
+HASHES = {SUM + b"sha1": hashlib.sha1, SUM + b"sha256": hashlib.sha256}
+KNOWN = frozenset({SUM + b"crc32", SUM + b"crc32c", *HASHES})
+CHUNK = re.compile(rb"([0-9a-fA-F]{1,8})(;chunk-signature=[0-9a-f]{64})?\Z")
+TRAILER = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]{1,64}):[ \t]*([\x21-\x7e]{0,256})[ \t]*\Z")
+MOST_LINE = 512             # bytes of a chunk's head or a trailer
+MOST_TRAILERS = 8
+# Of the framing alone: what a node gets is the bare body.
+FRAMING = frozenset((b"x-amz-decoded-content-length", b"x-amz-trailer", b"content-length",
+                     b"transfer-encoding"))
+
+
+def chunked(headers: Mapping[bytes, bytes]) -> bool:
+    """Whether a body is framed as `aws-chunked`."""
+    return (headers.get(b"x-amz-content-sha256", b"").startswith(b"STREAMING-")
+            or b"aws-chunked" in headers.get(b"content-encoding", b"").lower())
+
+
+class Chunks:
+    """Takes the framing off; raises `Error` for what breaks it."""
+
+    def __init__(self) -> None:
+        self.rest = bytearray()                # of a line that has not come whole
+        self.left = 0                          # bytes of a chunk still to come, with its CRLF
+        self.last = self.over = False          # the empty chunk has come; and the line that ends it all
+        self.trailers: dict[bytes, bytes] = {}
+
+    def feed(self, data: bytes | bytearray) -> list[memoryview]:
+        """The body's bytes in what has come, in pieces."""
+        view, at, out = memoryview(data), 0, []
+        while at < len(view):
+            if self.left > 2:
+                piece = view[at:at + self.left - 2]
+                out.append(piece)
+                self.left -= len(piece)
+                at += len(piece)
+                continue
+            end = bytes(view[at:at + MOST_LINE]).find(b"\n")
+            part = bytes(view[at:at + MOST_LINE] if end < 0 else view[at:at + end + 1])
+            self.rest += part
+            at += len(part)
+            if len(self.rest) > MOST_LINE:
+                raise Error("InvalidRequest")
+            if end >= 0:
+                line = bytes(self.rest)
+                self.rest.clear()
+                self._line(line)
+        return out
+
+    def _line(self, line: bytes) -> None:
+        if not line.endswith(b"\r\n") or self.over:
+            raise Error("InvalidRequest")
+        line = line[:-2]
+        if self.left:                          # the CRLF behind a chunk
+            if line:
+                raise Error("InvalidRequest")
+            self.left = 0
+        elif not self.last:
+            match = CHUNK.match(line)
+            if match is None:
+                raise Error("InvalidRequest")
+            size = int(match[1], 16)
+            self.left = size + 2 if size else 0
+            self.last = not size
+        elif not line:
+            self.over = True
+        else:
+            trailer = TRAILER.match(line)
+            if trailer is None or len(self.trailers) >= MOST_TRAILERS:
+                raise Error("InvalidRequest")
+            self.trailers[trailer[1].lower()] = trailer[2]
+
+    def end(self) -> None:
+        """Nothing more comes: was it all?  Some clients leave out the last empty line."""
+        if not self.last or self.left or self.rest:
+            raise Error("IncompleteBody")
+
+
+class Body:
+    """What a client says of a body, counted along as it comes."""
+
+    def __init__(self, headers: Mapping[bytes, bytes]) -> None:
+        self.headers, self.size = headers, 0
+        self.chunks = Chunks() if chunked(headers) else None
+        told = headers.get(b"x-amz-decoded-content-length")
+        if told is not None and (not told.isdigit() or len(told) > 15):
+            raise Error("InvalidArgument")
+        self.stated = int(told) if told is not None and self.chunks is not None else None
+        named = {name.strip().lower() for name in headers.get(b"x-amz-trailer", b"").split(b",")}
+        asked = {name for name in headers if name.startswith(SUM)} | named
+        # One that is not known here goes unchecked to its node, but not one that only a trailer tells.
+        self.sums: dict[bytes, int] = dict.fromkeys(asked & {SUM + b"crc32", SUM + b"crc32c"}, 0)
+        self.hashes: dict[bytes, Any] = {name: HASHES[name](usedforsecurity=False)
+                                         for name in asked & HASHES.keys()}
+        if {name for name in named if name.startswith(SUM)} - KNOWN:
+            raise Error("NotImplemented")
+        self.md5 = hashlib.md5(usedforsecurity=False)
+        whole = headers.get(b"x-amz-content-sha256", b"")
+        self.sha256 = hashlib.sha256() if re.fullmatch(rb"[0-9a-f]{64}", whole) else None
+
+    def feed(self, data: bytes | bytearray) -> list[memoryview]:
+        """The body's bytes in what has come; raises `Error`."""
+        pieces = [memoryview(data)] if self.chunks is None else self.chunks.feed(data)
+        for piece in pieces:
+            self.size += len(piece)
+            self.md5.update(piece)
+            for name, value in self.sums.items():
+                self.sums[name] = crc32(piece, value) if name == SUM + b"crc32" else castagnoli(piece, value)
+            for digest in self.hashes.values():
+                digest.update(piece)
+            if self.sha256 is not None:
+                self.sha256.update(piece)
+        if self.stated is not None and self.size > self.stated:
+            raise Error("IncompleteBody")
+        return pieces
+
+    def end(self) -> None:
+        """The body is whole: does it match all that was said of it?  Raises `Error`."""
+        told = dict(self.headers)
+        if self.chunks is not None:
+            self.chunks.end()
+            told |= self.chunks.trailers
+        if self.stated is not None and self.size != self.stated:
+            raise Error("IncompleteBody")
+        found = {name: value.to_bytes(4, "big") for name, value in self.sums.items()}
+        found |= {name: digest.digest() for name, digest in self.hashes.items()}
+        if b"content-md5" in told:
+            found[b"content-md5"] = self.md5.digest()
+        for name, value in found.items():
+            if told.get(name, b"").strip() != base64.b64encode(value):
+                raise Error("BadDigest")
+        if self.sha256 is not None and self.sha256.hexdigest().encode() != told[b"x-amz-content-sha256"]:
+            raise Error("XAmzContentSHA256Mismatch")
+
+    @property
+    def etag(self) -> str:
+        """S3's ETag of an object put whole."""
+        return f'"{self.md5.hexdigest()}"'
+
+
+def castagnoli(data: memoryview, value: int) -> int:
+    """CRC-32C, carried on."""
+    from crc32c import crc32c  # only where a client uses it
+    return crc32c(data, value)
+
+
+def unwrap(message: Message, headers: Mapping[bytes, bytes]) -> None:
+    """Check a body held whole and take its framing off, its headers' too; raises `Error`."""
+    body = Body(headers)
+    pieces = body.feed(message.body)
+    body.end()
+    if body.chunks is not None:
+        message.body = bytearray().join(pieces)
+        message.headers = bare(message.headers)
+        message.headers += [(name, value) for name, value in body.chunks.trailers.items() if name in KNOWN]
+
+
+def bare(headers: Headers) -> Headers:
+    """The headers of a body whose framing was taken off."""
+    kept = []
+    for name, value in headers:
+        if name == b"content-encoding":
+            others = [part.strip() for part in value.split(b",") if part.strip().lower() != b"aws-chunked"]
+            if not others:
+                continue
+            value = b",".join(others)
+        elif name in FRAMING or name == b"x-amz-content-sha256":
+            continue
+        kept.append((name, value))
+    return kept
--- a/mallowbeam/fronts/buffered.py
+++ b/mallowbeam/fronts/objects/buffered.py
@@ -9,33 +9,24 @@
 
 from __future__ import annotations
 
-import base64
-import hashlib
 import math
 import re
 import secrets
 import time
 from collections.abc import Callable, Mapping
 from email.utils import formatdate
-from zlib import crc32
-
-from crc32c import crc32c
 
 from mallowbeam.buffer.core import Entry, Limits, Offer, Outcome
 from mallowbeam.buffer.log import Failed
 from mallowbeam.buffer.records import Write
 from mallowbeam.buffer.service import PIECE, Buffer, Looked, Phase, Sent, Settings, Upload, probe
 from mallowbeam.buffer.store import Doubtful, NotTaken
-from mallowbeam.fronts.conditions import read_status, write_allowed
-from mallowbeam.fronts.objects import (
-    Error,
-    Objects,
-    ObjectSettings,
-    Request,
-    cut_here,
-    range_of,
-    slow_down,
-)
+from mallowbeam.fronts.objects.bodies import KNOWN, Body, bare
+from mallowbeam.fronts.objects.calls import Request
+from mallowbeam.fronts.objects.conditions import read_status, write_allowed
+from mallowbeam.fronts.objects.errors import Error, slow_down
+from mallowbeam.fronts.objects.front import Objects, cut_here, range_of
+from mallowbeam.fronts.objects.settings import ObjectSettings
 from mallowbeam.interface import Repeat
 from mallowbeam.net.config import BadConfig
 from mallowbeam.net.gateway import Call, Gateway, Kind
@@ -50,14 +41,9 @@
 # S3's are not taken in, since only a node can say what they come to.
 KEPT = frozenset((b"content-type", b"content-encoding", b"content-language", b"content-disposition",
                   b"cache-control", b"expires"))
-DIGESTS: dict[bytes, Callable[[bytes], bytes]] = {
-    b"x-amz-checksum-crc32": lambda data: crc32(data).to_bytes(4, "big"),
-    b"x-amz-checksum-crc32c": lambda data: crc32c(data).to_bytes(4, "big"),
-    b"x-amz-checksum-sha1": lambda data: hashlib.sha1(data, usedforsecurity=False).digest(),
-    b"x-amz-checksum-sha256": lambda data: hashlib.sha256(data).digest(),
-}
 UNTOUCHED = frozenset((b"x-amz-date", b"x-amz-content-sha256", b"x-amz-sdk-checksum-algorithm",
-                       b"x-amz-user-agent", b"x-amz-security-token", b"x-amz-checksum-algorithm"))
+                       b"x-amz-user-agent", b"x-amz-security-token", b"x-amz-checksum-algorithm",
+                       b"x-amz-trailer", b"x-amz-decoded-content-length"))
 
 
 def read_buffer_settings(raw: Mapping[str, object], objects: ObjectSettings, gateway: Gateway) -> Settings:
@@ -134,7 +120,6 @@
                 if message.stream.broken:
                     raise Error("IncompleteBody")
                 message.body = body
-                request.units = max(1, math.ceil(len(body) / self.settings.unit_bytes))
             return await self.pass_on(request, request_id, closing)
         finally:
             budget.used -= taken
@@ -211,15 +196,8 @@
     @staticmethod
     def _bufferable(request: Request) -> bool:
         """Whether nothing but keeping the bytes and their description is asked of the node."""
-        for name, value in request.message.headers:
-            if name == b"content-encoding" and b"aws-chunked" in value.lower():
-                return False
-            if name == b"x-amz-content-sha256" and value.startswith(b"STREAMING-"):
-                return False
-            if (name.startswith(b"x-amz-") and name not in UNTOUCHED and name not in DIGESTS
-                    and not name.startswith(b"x-amz-meta-")):
-                return False
-        return True
+        return all(not name.startswith(b"x-amz-") or name in UNTOUCHED or name in KNOWN
+                   or name.startswith(b"x-amz-meta-") for name, _ in request.message.headers)
 
     async def _take(self, request: Request, request_id: str, conditional: bool) -> Entry:
         """Bring a write into the log: its body whole or in pieces, checked against what its client says."""
@@ -227,37 +205,34 @@
         token = request.headers.get(b"idempotency-key", request_id.encode())
         if not TOKEN.match(token):
             raise Error("InvalidArgument")
-        kept = [header for header in message.headers
+        kept = [header for header in bare(message.headers)
                 if header[0] in KEPT or header[0].startswith(b"x-amz-meta-")]
         write = Write(request.method.decode(), request.bucket, request.path, request.place, kept, token, "",
                       0, time.time())
         if request.method == b"DELETE":
             return await buffer.put(write, b"")
-        digest = hashlib.md5(usedforsecurity=False)
+        body = Body(request.headers)
         if message.stream is None:
-            body = bytes(message.body)
-            digest.update(body)
-            verify(request.headers, body, digest.digest())
-            write.etag, write.size = f'"{digest.hexdigest()}"', len(body)
-            return await buffer.put(write, body)
-        return await self._take_pieces(request, write, conditional)
-
-    async def _take_pieces(self, request: Request, write: Write, conditional: bool) -> Entry:
-        """A large body, a piece at a time; only the checksums that go along with pieces can be checked."""
+            data = b"".join(body.feed(message.body))
+            body.end()
+            write.etag, write.size = body.etag, len(data)
+            return await buffer.put(write, data)
+        return await self._take_pieces(request, write, body, conditional)
+
+    async def _take_pieces(self, request: Request, write: Write, body: Body, conditional: bool) -> Entry:
+        """A large body, a piece at a time."""
         stream, buffer, upload = request.message.stream, self.buffer, Upload()
-        digest, sums = hashlib.md5(usedforsecurity=False), Sums(request.headers)
         assert stream is not None
         try:
             while (piece := await stream.get()) is not None:
-                digest.update(piece)
-                sums.update(piece)
-                if upload.size + len(piece) > self.max_body:
-                    raise Error("EntityTooLarge")
-                await buffer.add(upload, piece)
+                for data in body.feed(piece):
+                    if upload.size + len(data) > self.max_body:
+                        raise Error("EntityTooLarge")
+                    await buffer.add(upload, data)
             if stream.broken:
                 raise Error("IncompleteBody")
-            sums.check(digest.digest())
-            write.etag = f'"{digest.hexdigest()}"'
+            body.end()
+            write.etag = body.etag
             await buffer.complete(upload, write)
             if conditional:                    # other writes may have come while the body did
                 self._check(request)
@@ -398,44 +373,3 @@
             return Looked(False)
         etag = next((value for name, value in answer.headers if name == b"etag"), b"")
         return Looked(True, etag.decode("latin-1") if answer.status == 200 else None)
-
-
-class Sums:
-    """The checksums that a client sends ahead of a body, checked as it comes; raises `Error`."""
-
-    def __init__(self, headers: Mapping[bytes, bytes]) -> None:
-        self.headers = headers
-        self.running = dict.fromkeys(
-            {b"x-amz-checksum-crc32", b"x-amz-checksum-crc32c"} & headers.keys(), 0)
-        self.hashes = {name: getattr(hashlib, name.rpartition(b"-")[2].decode())(usedforsecurity=False)
-                       for name in (b"x-amz-checksum-sha1", b"x-amz-checksum-sha256") if name in headers}
-        told = headers.get(b"x-amz-content-sha256", b"")
-        self.whole = hashlib.sha256() if len(told) == 64 else None
-
-    def update(self, data: bytes | bytearray) -> None:
-        """More of the body."""
-        for name, value in self.running.items():
-            self.running[name] = (crc32 if name.endswith(b"crc32") else crc32c)(data, value)
-        for digest in self.hashes.values():
-            digest.update(data)
-        if self.whole is not None:
-            self.whole.update(data)
-
-    def check(self, md5: bytes) -> None:
-        """The body is whole: does it match?"""
-        found = {name: value.to_bytes(4, "big") for name, value in self.running.items()}
-        found |= {name: digest.digest() for name, digest in self.hashes.items()}
-        found |= {b"content-md5": md5} if b"content-md5" in self.headers else {}
-        for name, value in found.items():
-            if base64.b64encode(value) != self.headers[name].strip():
-                raise Error("BadDigest")
-        told = self.headers.get(b"x-amz-content-sha256")
-        if self.whole is not None and self.whole.hexdigest().encode() != told:
-            raise Error("XAmzContentSHA256Mismatch")
-
-
-def verify(headers: Mapping[bytes, bytes], body: bytes, md5: bytes) -> None:
-    """Check a body held whole against what its client says of it; raises `Error`."""
-    sums = Sums(headers)
-    sums.update(body)
-    sums.check(md5)
--- /dev/null
+++ b/mallowbeam/fronts/objects/calls.py
@@ -0,0 +1,89 @@
+"""One call of a client, taken apart: its name, its place, its upload, and whether it is offered at all."""
+
+from __future__ import annotations
+
+import math
+import re
+from collections.abc import Mapping
+from urllib.parse import parse_qsl, quote, unquote_to_bytes
+from zlib import crc32
+
+from mallowbeam.fronts.objects.errors import Error
+from mallowbeam.fronts.objects.ranges import span
+from mallowbeam.fronts.objects.settings import ObjectSettings
+from mallowbeam.fronts.objects.uploads import unpack_upload
+from mallowbeam.net.http import Message
+
+MOST_PARTS = 10_000
+MOST_KEY = 1024             # bytes of an object's name
+BUCKET = re.compile(r"[a-z0-9][a-z0-9.-]{1,61}[a-z0-9]\Z")
+# The calls offered, by method, and the query that each may have (x-id: some clients name the operation).
+QUERIES = {b"GET": {"uploadId", "max-parts", "part-number-marker", "x-id"}, b"HEAD": set(),
+           b"PUT": {"partNumber", "uploadId", "x-id"}, b"DELETE": {"uploadId", "x-id"},
+           b"POST": {"uploads", "uploadId", "x-id"}}
+
+
+class Request:
+    """One call of a client, taken apart; raises `Error` for what S3 would turn down."""
+
+    def __init__(self, message: Message, settings: ObjectSettings, shards: int) -> None:
+        self.message, self.method = message, message.method
+        self.headers: Mapping[bytes, bytes] = dict(reversed(message.headers))
+        path, _, raw_query = message.target.partition(b"?")
+        bucket, _, key = path[1:].partition(b"/")
+        name = unquote_to_bytes(key)
+        if not path.startswith(b"/") or not BUCKET.match(bucket.decode("latin-1")):
+            raise Error("InvalidBucketName")
+        if not key:
+            raise Error("NotImplemented")      # calls on buckets: what a bucket holds is spread over nodes
+        if len(name) > MOST_KEY:
+            raise Error("KeyTooLongError")
+        self.place = crc32(bucket + b"/" + name)
+        # One spelling for each name, as S3 has it (the canonical URI of Signature V4).
+        self.path = b"/" + bucket + b"/" + quote(name, safe="/-._~").encode()
+        self.bucket, self.key = bucket.decode(), f"{self.place:016x}"
+        self.query = dict(parse_qsl(raw_query.decode("latin-1"), keep_blank_values=True))
+        self.target = message.target
+        self.upload: str | None = None         # the id that the client knows
+        self.shard = self.place % shards
+        if "uploadId" in self.query:
+            self.upload = self.query["uploadId"]
+            self.shard, inner = unpack_upload(self.upload)
+            if self.shard >= shards:
+                raise Error("NoSuchUpload")
+            pairs = [pair for pair in raw_query.split(b"&") if pair.partition(b"=")[0] != b"uploadId"]
+            pairs.append(b"uploadId=" + quote(inner, safe="").encode())
+            self.target = path + b"?" + b"&".join(pairs)
+        self._check()
+        self.reads = self.method in (b"GET", b"HEAD")
+        size = span(self.headers.get(b"range")) if self.reads else max(message.came, message.length or 0)
+        self.measure(size or 0, settings)
+
+    def measure(self, size: int, settings: ObjectSettings) -> None:
+        """How many units so many bytes count as."""
+        self.units = max(1, math.ceil(size / settings.unit_bytes))
+
+    @property
+    def initiates(self) -> bool:
+        """Whether the call begins an upload."""
+        return self.method == b"POST" and "uploads" in self.query
+
+    def _check(self) -> None:
+        """Allow the calls that this front knows, and turn down the others rather than guess."""
+        query, method = self.query, self.method
+        part, upload = query.get("partNumber"), self.upload
+        if method not in QUERIES:
+            raise Error("MethodNotAllowed")
+        if b"x-amz-copy-source" in self.headers:
+            raise Error("NotImplemented")
+        if set(query) - QUERIES[method]:
+            raise Error("NotImplemented")
+        if part is not None and not (part.isascii() and part.isdigit() and len(part) < 6
+                                     and 1 <= int(part) <= MOST_PARTS):
+            raise Error("InvalidArgument")
+        if method == b"PUT" and (part is None) != (upload is None):
+            raise Error("InvalidArgument")
+        if method == b"POST" and ("uploads" in query) == (upload is not None):
+            raise Error("InvalidArgument")
+        if method == b"PUT" and not {b"content-length", b"transfer-encoding"} & set(self.headers):
+            raise Error("MissingContentLength")
--- /dev/null
+++ b/mallowbeam/fronts/objects/errors.py
@@ -0,0 +1,54 @@
+"""S3's errors: codes, statuses, words, and the document that tells them."""
+
+from __future__ import annotations
+
+import math
+from xml.sax.saxutils import escape
+
+from mallowbeam.net.http import Headers
+
+# S3's error codes: status and words.  The first of a status stands for it where no closer code is known.
+ERRORS = {
+    "InvalidRequest": (400, "Invalid request."),
+    "EntityTooLarge": (413, "Your proposed upload exceeds the maximum allowed size."),
+    "InternalError": (500, "We encountered an internal error. Please try again."),
+    "BadDigest": (400, "The digest you specified did not match what we received."),
+    "IncompleteBody": (400, "You did not provide the number of bytes specified by Content-Length."),
+    "XAmzContentSHA256Mismatch": (400, "The provided x-amz-content-sha256 does not match what we received."),
+    "InvalidArgument": (400, "Invalid argument."),
+    "InvalidBucketName": (400, "The specified bucket is not valid."),
+    "InvalidRange": (416, "The requested range is not satisfiable."),
+    "KeyTooLongError": (400, "Your key is too long."),
+    "MethodNotAllowed": (405, "The specified method is not allowed against this resource."),
+    "MissingContentLength": (411, "You must provide the Content-Length HTTP header."),
+    "NoSuchKey": (404, "The specified key does not exist."),
+    "NoSuchBarrier": (404, "There is no barrier of that number."),
+    "NoSuchUpload": (404, "The specified multipart upload does not exist."),
+    "NotImplemented": (501, "A header or query you provided implies functionality that is not implemented."),
+    "PreconditionFailed": (412, "At least one of the preconditions you specified did not hold."),
+    "RequestHeaderSectionTooLarge": (431, "Your request header section exceeds the maximum allowed size."),
+    "RequestTimeout": (408, "Your request was not read within the timeout period."),
+    "SlowDown": (503, "Please reduce your request rate."),
+}
+CODE_OF = {status: code for code, (status, _) in reversed(ERRORS.items())}
+
+
+class Error(Exception):
+    """An S3 error that the gateway itself answers with."""
+
+    def __init__(self, code: str, headers: Headers | None = None) -> None:
+        super().__init__(code)
+        self.code, self.headers = code, headers or []
+
+
+def error_body(code: str, target: bytes, request_id: str) -> bytes:
+    """S3's error document."""
+    resource = escape(target.partition(b"?")[0].decode("latin-1"))
+    return (f'<?xml version="1.0" encoding="UTF-8"?>\n<Error><Code>{code}</Code><Message>{ERRORS[code][1]}'
+            f"</Message><Resource>{resource}</Resource><RequestId>{escape(request_id)}</RequestId>"
+            "</Error>").encode()
+
+
+def slow_down(seconds: float | None = None) -> Error:
+    """A refusal; clients of S3 read whole seconds."""
+    return Error("SlowDown", [(b"retry-after", b"%d" % max(1, math.ceil(seconds or 0)))])
--- /dev/null
+++ b/mallowbeam/fronts/objects/front.py
@@ -0,0 +1,189 @@
+"""An object API over HTTP by S3's conventions: objects, byte ranges and multipart uploads.
+
+An object's home is the shard that its name hashes to.  An upload id given to a client carries the shard and
+the node's own upload id, so that any gateway, a restarted one too, finds the upload again.  Every call goes
+through the gateway's decisions like any other request; only the words of S3 are added here.
+"""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Callable
+
+from mallowbeam.fronts.objects.bodies import unwrap
+from mallowbeam.fronts.objects.calls import Request
+from mallowbeam.fronts.objects.errors import CODE_OF, ERRORS, Error, error_body, slow_down
+from mallowbeam.fronts.objects.ranges import Unsatisfiable, cut
+from mallowbeam.fronts.objects.settings import ObjectSettings
+from mallowbeam.fronts.objects.uploads import rename_upload
+from mallowbeam.net.gateway import Answer, Call, Gateway, Kind, length_of, read_deadline, time_left
+from mallowbeam.net.http import HOP_BY_HOP, TOKEN, Budget, Channel, Headers, Message, write_head
+from mallowbeam.net.server import Reply
+from mallowbeam.net.stream import Stream, copy
+
+MOST_MS = 86_400_000        # a deadline of over a day is senseless
+# What concerns one connection, or the talk between gateway and node, is not passed on.
+OWN_REQUEST = HOP_BY_HOP | {b"x-deadline-ms", b"x-request-id", b"idempotency-key"}
+OWN_ANSWER = HOP_BY_HOP | {b"x-meter", b"x-delta", b"x-load", b"x-not-run", b"x-amz-request-id"}
+
+
+class Objects:
+    """Turns S3 calls into the gateway's calls and answers back."""
+
+    def __init__(self, gateway: Gateway, settings: ObjectSettings) -> None:
+        self.gateway, self.settings = gateway, settings
+        self.max_body = self.whole = settings.max_body
+        self.budget = Budget(settings.held)
+
+    async def handle(self, message: Message, closing: Callable[[], bool]) -> Reply:
+        """One call to its one answer."""
+        request_id = secrets.token_hex(8)
+        try:
+            request = Request(message, self.settings, self.gateway.config.settings.shards)
+            return await self.pass_on(request, request_id, closing)
+        except Error as error:
+            return self.error(error, message, request_id, closing())
+
+    async def pass_on(self, request: Request, request_id: str, closing: Callable[[], bool]) -> Reply:
+        """A call to its home node; raises `Error`."""
+        if request.method in (b"PUT", b"POST"):
+            unwrap(request.message, request.headers)
+            request.measure(len(request.message.body), self.settings)
+        call = self._call(request, request_id)
+        answer = await self.gateway.submit(call)
+        if answer.kind is Kind.REFUSED:
+            raise slow_down(answer.retry_after)
+        if answer.kind is Kind.FAILED:
+            raise Error("InternalError")
+        if answer.stream is not None:
+            return self._streamed(request, answer, answer.stream, request_id, closing)
+        return self._whole(request, answer, request_id, closing())
+
+    def complain(self, status: int, text: str) -> Reply:
+        """The answer to what breaks HTTP or a bound."""
+        code = CODE_OF.get(status, "InvalidRequest")
+        headers = [(b"content-type", b"application/xml")]
+        if code == "SlowDown":
+            headers.append((b"retry-after", b"1"))
+        body = error_body(code, b"", "")
+        return Reply(ERRORS[code][0], write_head(ERRORS[code][0], headers, len(body), True) + body)
+
+    def ended(self, request: Message, status: int, whole: bool) -> None:
+        """A call is over: reads and writes count for the classes that stand for them."""
+        settings = self.settings
+        lane = settings.read_class if request.method in (b"GET", b"HEAD") else settings.write_class
+        self.gateway.metrics.ended(lane, status, whole)
+
+    def _call(self, request: Request, request_id: str) -> Call:
+        """What goes to the module and to a node."""
+        settings, known, headers = self.settings, self.gateway.config.settings, request.headers
+        cls = known.classes[settings.read_class if request.reads else settings.write_class]
+        seconds = self.seconds(cls.name, headers.get(b"x-deadline-ms"))
+        passed = [header for header in request.message.headers if header[0] not in OWN_REQUEST]
+        # A client's own key is kept, so that its own repeat is dropped too; else every attempt shares ours.
+        token = headers.get(b"idempotency-key", request_id.encode())
+        if not TOKEN.match(token):
+            raise Error("InvalidArgument")
+        passed.append((b"x-request-id", request_id.encode()))
+        if not request.reads:
+            passed.append((b"idempotency-key", token))
+        fields = self.fields(cls.name, seconds, request.bucket, request.shard, request.key,
+                             request.units, not request.reads)
+        return Call(
+            request_id, fields, request.method, request.target, passed, request.message.body,
+            final=lambda status: 200 <= status < 500,
+            streamed=lambda status: request.method == b"GET" and status in (200, 206) and not request.upload)
+
+    def seconds(self, cls: str, asked: bytes | None) -> float:
+        """What a call of that class may take here, by its client's word or its class; raises `Error`."""
+        known = self.gateway.config.settings.classes[cls].deadline
+        deadline = known if asked is None else read_deadline(asked, MOST_MS)
+        if deadline is None:
+            raise Error("InvalidArgument")
+        return time_left(deadline)
+
+    def fields(self, cls: str, expires: float, bucket: str, shard: int, key: str, units: int,
+               writes: bool) -> dict[str, object]:
+        """What the module is told of a call."""
+        settings = self.settings
+        return dict(cls=cls, expires_in=expires, shard=shard, key=key, volume=bucket, is_write=writes,
+                    units=min(units, self.gateway.config.settings.units_top),
+                    plan=settings.plans.get(bucket, settings.plan))
+
+    @staticmethod
+    def error(error: Error, message: Message, request_id: str, close: bool) -> Reply:
+        """An S3 error."""
+        body = error_body(error.code, message.target, request_id)
+        headers = [(b"content-type", b"application/xml"), (b"x-amz-request-id", request_id.encode())]
+        head = write_head(ERRORS[error.code][0], headers + error.headers, len(body), close)
+        return Reply(ERRORS[error.code][0], head + body)
+
+    def _whole(self, request: Request, answer: Answer, request_id: str, close: bool) -> Reply:
+        """A node's answer that was read whole; what names an upload is put in the client's terms."""
+        headers, body = passed_on(answer, request_id), answer.body
+        if request.method == b"HEAD":
+            length = length_of(answer.headers)
+            if answer.status == 200 and length is not None and (asked := request.headers.get(b"range")):
+                if piece := cut_here(asked, length):
+                    headers.append(range_of(*piece, length))
+                    return Reply(206, write_head(206, headers, piece[1] - piece[0], close))
+            return Reply(answer.status, write_head(answer.status, headers, length, close))
+        if answer.status >= 400 and not body:
+            code = CODE_OF.get(answer.status, "InvalidRequest")
+            if code == "NoSuchKey" and request.upload:
+                code = "NoSuchUpload"
+            body = error_body(code, request.message.target, request_id)
+            headers.append((b"content-type", b"application/xml"))
+        elif answer.status == 200 and (request.initiates or request.upload and request.method == b"GET"):
+            body = rename_upload(bytes(body), request.upload, request.shard)
+        size = None if answer.status in (204, 304) else len(body)
+        return Reply(answer.status, write_head(answer.status, headers, size, close) + body)
+
+    def _streamed(self, request: Request, answer: Answer, stream: Stream, request_id: str,
+                  closing: Callable[[], bool]) -> Reply:
+        """A body that is passed on as it comes, cut here where the node left the range to us."""
+        headers, status, length = passed_on(answer, request_id), answer.status, length_of(answer.headers)
+        start, end = 0, length
+        asked = request.headers.get(b"range")
+        if status == 200 and length is not None and asked and b"if-range" not in request.headers:
+            try:
+                piece = cut_here(asked, length)
+            except Error:
+                stream.close()
+                raise
+            if piece:
+                start, end = piece
+                status = 206
+                headers.append(range_of(start, end, length))
+        size = None if end is None else end - start
+
+        async def write(channel: Channel) -> bool:
+            # Guards against an attempt that would wait for ever for a client that has gone.
+            chunked = size is None and request.message.version != "1.0"
+            try:
+                await channel.send(write_head(status, headers, size, closing(), chunked))
+                return await copy(stream, channel, start, size, chunked)
+            finally:
+                stream.close()
+
+        return Reply(status, write=write)
+
+
+def passed_on(answer: Answer, request_id: str) -> Headers:
+    """The headers of a node's answer that the client gets."""
+    headers = [header for header in answer.headers if header[0] not in OWN_ANSWER]
+    headers.append((b"x-amz-request-id", request_id.encode()))
+    return headers
+
+
+def range_of(start: int, end: int, length: int) -> tuple[bytes, bytes]:
+    """The header that says which part of the object a 206 holds."""
+    return b"content-range", b"bytes %d-%d/%d" % (start, end - 1, length)
+
+
+def cut_here(asked: bytes, length: int) -> tuple[int, int] | None:
+    """The piece asked of an object whose node left the range to us; raises `Error` outside it."""
+    try:
+        return cut(asked, length)
+    except Unsatisfiable:
+        raise Error("InvalidRange", [(b"content-range", b"bytes */%d" % length)]) from None
--- a/mallowbeam/fronts/ranges.py
+++ b/mallowbeam/fronts/objects/ranges.py
@@ -32,6 +32,7 @@
         return None
     first, last = asked
     if first is None:                          # the last so many bytes
+        assert last is not None
         if last == 0 or length == 0:
             raise Unsatisfiable
         return max(0, length - last), length
--- /dev/null
+++ b/mallowbeam/fronts/objects/settings.py
@@ -0,0 +1,47 @@
+"""What the operators' file says of the object front."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from mallowbeam.net.config import BadConfig, read_address
+from mallowbeam.net.gateway import Gateway
+
+
+@dataclass(slots=True, frozen=True)
+class ObjectSettings:
+    """What the file under deploy/ says of this front."""
+
+    listen: tuple[str, int]
+    read_class: str
+    write_class: str
+    plan: str
+    plans: dict[str, str]                      # of single buckets
+    unit_bytes: int
+    max_body: int
+    held: int
+
+
+def read_object_settings(raw: dict[str, Any], gateway: Gateway) -> ObjectSettings:
+    """The front's settings; raises `BadConfig`."""
+    try:
+        classes = raw["classes"]
+        settings = ObjectSettings(
+            read_address(raw["listen"]), classes["read"], classes["write"], raw["plan"],
+            dict(raw.get("plans", {})), int(raw["unit_bytes"]), int(raw["max_body_bytes"]),
+            int(raw["held_bytes"]))
+    except (KeyError, TypeError, ValueError) as error:
+        raise BadConfig(f"the object front's settings are malformed: {error}") from None
+    known = gateway.config.settings
+    for name in (settings.read_class, settings.write_class):
+        if name not in known.classes:
+            raise BadConfig(f"the object front names an unknown class: {name}")
+    for name in (settings.plan, *settings.plans.values()):
+        if name not in known.plans:
+            raise BadConfig(f"the object front names an unknown plan: {name}")
+    if settings.held > gateway.config.memory // 2:
+        raise BadConfig("the object front may hold more than half of the memory")
+    if settings.unit_bytes < 1 or settings.max_body < 1 or settings.held < settings.max_body:
+        raise BadConfig("the object front's sizes are senseless")
+    return settings
--- /dev/null
+++ b/mallowbeam/fronts/objects/uploads.py
@@ -0,0 +1,43 @@
+"""Multipart uploads: the id that a client gets, and the node's own behind it."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from xml.etree.ElementTree import ParseError, register_namespace, tostring
+
+from defusedxml import DefusedXmlException
+from defusedxml.ElementTree import fromstring
+
+from mallowbeam.fronts.objects.errors import Error
+
+register_namespace("", "http://s3.amazonaws.com/doc/2006-03-01/")
+
+
+def pack_upload(shard: int, inner: str) -> str:
+    """The upload id that a client gets: where the upload lives, and what the node calls it."""
+    return f"1.{shard}." + base64.urlsafe_b64encode(inner.encode()).decode().rstrip("=")
+
+
+def unpack_upload(outer: str) -> tuple[int, str]:
+    """Shard and the node's upload id; raises `Error`."""
+    version, _, rest = outer.partition(".")
+    shard, _, text = rest.partition(".")
+    try:
+        if version != "1" or not shard.isascii() or not shard.isdigit() or len(shard) > 9 or not text:
+            raise ValueError
+        inner = base64.b64decode(text + "=" * (-len(text) % 4), altchars=b"-_", validate=True)
+        return int(shard), inner.decode()
+    except (ValueError, binascii.Error):
+        raise Error("NoSuchUpload") from None
+
+
+def rename_upload(body: bytes, known: str | None, shard: int) -> bytes:
+    """A node's document with the client's upload id in the place of the node's; raises `Error`."""
+    try:
+        root = fromstring(body)
+        element = next(e for e in root.iter() if e.tag.rpartition("}")[2] == "UploadId")
+    except (ParseError, DefusedXmlException, StopIteration):
+        raise Error("InternalError") from None
+    element.text = known or pack_upload(shard, element.text or "")
+    return bytes(tostring(root, encoding="UTF-8", xml_declaration=True))
--- a/mallowbeam/standins/node.py
+++ b/mallowbeam/standins/node.py
@@ -133,7 +133,7 @@
             kept = {name: value for name, value in headers.items()
                     if name in KEPT or name.startswith("x-amz-meta-")}
             stored = objects[path] = Stored(body, etag_of(body), kept)
-            return 200, {"ETag": stored.etag}, b"stored"
+            return 200, {"ETag": stored.etag}, b"stored" if "x-extent" in headers else b""
         if method == "DELETE":
             objects.pop(path, None)
             return 204, {}, b""
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -13,8 +13,9 @@
 from hypothesis import strategies as st
 from scenario import World, play
 
-from mallowbeam.fronts.objects import Error, pack_upload, unpack_upload
-from mallowbeam.fronts.ranges import Unsatisfiable, cut
+from mallowbeam.fronts.objects.errors import Error
+from mallowbeam.fronts.objects.ranges import Unsatisfiable, cut
+from mallowbeam.fronts.objects.uploads import pack_upload, unpack_upload
 from mallowbeam.standins.faults import Rule, Turns
 from mallowbeam.standins.node import ObjectNode
 
