--- a/mallowbeam/buffer/inspect.py
+++ b/mallowbeam/buffer/inspect.py
@@ -103,7 +103,11 @@
         log, found, now = Tally(disk, told), Found(), boot_clock()
         state = replay(log, found, time.time(), now)
         report = Report(folder, len(numbers(disk)), sum(found.segments.values()), log.kinds, found.last)
-        report.barriers, report.missing = len(state.barriers), found.missing
+        report.missing = found.missing
+        firsts: dict[str, int] = {}            # by bucket: the first write still here
+        for lsn, known in state.writes.items():
+            firsts[known.entry.bucket] = min(lsn, firsts.get(known.entry.bucket, lsn))
+        report.barriers = sum(firsts.get(bucket, lsn) < lsn for lsn, (bucket, _) in state.barriers.items())
         report.apart = [name for name in disk.names() if name.startswith("apart-")]
         for bad in found.bad:
             kind = "blank" if bad.blank else "damaged" if bad.after < found.durable else "torn"
--- a/example/toy.py
+++ b/mallowbeam/standins/__main__.py
@@ -1,4 +1,4 @@
-"""Two toy storage nodes and a toy discovery for trying mallowbeam: the project's stand-ins."""
+"""The storage nodes and the discovery that a configuration names, as stand-ins, for trying mallowbeam."""
 
 from __future__ import annotations
 
@@ -14,8 +14,8 @@
 def main() -> None:
     """Serve the nodes and the discovery that a configuration names, until interrupted."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("config", nargs="?", default=Path(__file__).with_name("config.json"))
-    config = json.loads(Path(parser.parse_args().config).read_text())
+    parser.add_argument("config", type=Path, help="a configuration as the platform writes it")
+    config = json.loads(parser.parse_args().config.read_text())
 
     def address(text: str) -> tuple[str, int]:
         host, _, port = text.rpartition(":")
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -4,8 +4,10 @@
 
 import json
 import os
+import socket
 import subprocess
 import sys
+import urllib.request
 from pathlib import Path
 
 import pytest
@@ -13,7 +15,7 @@
 
 from mallowbeam.buffer.disk import RealDisk
 from mallowbeam.buffer.log import Item, Log
-from mallowbeam.buffer.records import Held, Kind, Write, pack
+from mallowbeam.buffer.records import Barrier, Held, Kind, Write, pack
 from mallowbeam.lab.rig import Rig
 from mallowbeam.net.config import BadConfig
 from mallowbeam.operators import check, schema
@@ -81,6 +83,8 @@
     for lsn, body in enumerate(bodies, 1):
         write = Write("PUT", "plates", b"/plates/k%d" % lsn, lsn, [], b"t%d" % lsn, '"e"', len(body), 1.0)
         log.commit([Item(Kind.WRITE, lsn, pack(Kind.WRITE, write, body))])
+    for lsn, bucket in ((97, "plates"), (98, "other")):  # one that waits, and one that nothing is before
+        log.commit([Item(Kind.BARRIER, lsn, pack(Kind.BARRIER, Barrier(bucket)))])
     if hold is not None:
         log.commit([Item(Kind.HELD, 99, pack(Kind.HELD, Held(hold, "its node answers 403")))])
     log.close()
@@ -91,6 +95,7 @@
     folder = folder_with(tmp_path / "b", b"one", b"two", hold=2)
     told = json.loads(mallowbeam("buffer", "show", folder, "--json").stdout)
     assert (told["writes"], told["buckets"], told["whole"]) == (2, {"plates": 2}, True)
+    assert told["barriers"] == 1
     assert told["held"][0]["reason"] == "its node answers 403"
     assert "its node answers 403" in mallowbeam("buffer", "show", folder).stdout
     assert mallowbeam("buffer", "verify", folder).returncode == 0
@@ -170,3 +175,28 @@
         process.wait(10)
         process.stderr.close()
         rig.close()
+
+
+def test_the_stand_ins_of_a_configuration_come_up_and_answer(tmp_path):
+    """As a newcomer starts them; the ports are the kernel's."""
+    config = json.loads((EXAMPLE / "config.json").read_text())
+    held = []
+    for thing in [*config["known"]["members"], config]:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(("127.0.0.1", 0))
+        held.append(sock)
+        thing["host_port" if "host_port" in thing else "discovery"] = "{}:{}".format(*sock.getsockname())
+    (tmp_path / "config.json").write_text(json.dumps(config))
+    for sock in held:
+        sock.close()
+    process = subprocess.Popen([sys.executable, "-m", "mallowbeam.standins", str(tmp_path / "config.json")],
+                               cwd=ROOT, stdout=subprocess.PIPE, text=True)
+    try:
+        assert "2 nodes and discovery are up" in process.stdout.readline()
+        with urllib.request.urlopen(f"http://{config['discovery']}/v1/servers", timeout=10) as answer:
+            assert json.load(answer)["members"] == config["known"]["members"]
+    finally:
+        process.kill()
+        process.wait(10)
+        process.stdout.close()
