Object API: Signature V4 and rights by key, in a file that changes in service

Need: the front was open to whoever reached it, and could be put before nobody.

Change: fronts/objects/signatures.py checks headers, presigned URLs and the chain of chunk signatures, without I/O; access.py holds keys and grants and reads their file again when it has changed. A front without keys has to say so ("authentication": "off"). Nodes get no signature.

--- a/mallowbeam/fronts/objects/bodies.py
+++ b/mallowbeam/fronts/objects/bodies.py
@@ -2,7 +2,7 @@
 
 No I/O.  Sources: Amazon S3 API reference, "Signature calculations: transferring payload in multiple chunks"
 (the framing, with and without signatures and trailers) and "Checking object integrity".  Chunk signatures are
-read and not checked: this front knows no keys yet.
+checked where the front knows keys.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 from zlib import crc32
 
 from mallowbeam.fronts.objects.errors import Error
+from mallowbeam.fronts.objects.signatures import ChunkSignatures
 from mallowbeam.net.http import Headers, Message
 
 SUM = b"x-amz-checksum-"
@@ -38,7 +39,10 @@
 class Chunks:
     """Takes the framing off; raises `Error` for what breaks it."""
 
-    def __init__(self) -> None:
+    def __init__(self, signatures: ChunkSignatures | None = None) -> None:
+        self.signatures, self.told = signatures, ""  # the chain, and what the chunk that comes says
+        self.digest = hashlib.sha256()         # of that chunk, where it is signed
+        self.signed = b""                      # the trailers as they are signed
         self.rest = bytearray()                # of a line that has not come whole
         self.left = 0                          # bytes of a chunk still to come, with its CRLF
         self.last = self.over = False          # the empty chunk has come; and the line that ends it all
@@ -51,6 +55,8 @@
             if self.left > 2:
                 piece = view[at:at + self.left - 2]
                 out.append(piece)
+                if self.signatures is not None:
+                    self.digest.update(piece)
                 self.left -= len(piece)
                 at += len(piece)
                 continue
@@ -74,6 +80,7 @@
             if line:
                 raise Error("InvalidRequest")
             self.left = 0
+            self._check_chunk()
         elif not self.last:
             match = CHUNK.match(line)
             if match is None:
@@ -81,26 +88,43 @@
             size = int(match[1], 16)
             self.left = size + 2 if size else 0
             self.last = not size
+            self.told = (match[2] or b"").partition(b"=")[2].decode()
+            if self.last:
+                self._check_chunk()
         elif not line:
             self.over = True
         else:
             trailer = TRAILER.match(line)
             if trailer is None or len(self.trailers) >= MOST_TRAILERS:
                 raise Error("InvalidRequest")
-            self.trailers[trailer[1].lower()] = trailer[2]
+            name = trailer[1].lower()
+            if name == b"x-amz-trailer-signature":
+                if self.signatures is not None:
+                    self.signatures.trailers(self.signed, trailer[2].decode())
+                    self.signed = b""
+            else:
+                self.signed += b"%b:%b\n" % (name, trailer[2])
+            self.trailers[name] = trailer[2]
+
+    def _check_chunk(self) -> None:
+        if self.signatures is not None:
+            self.signatures.chunk(self.digest.hexdigest(), self.told)
+            self.digest = hashlib.sha256()
 
     def end(self) -> None:
         """Nothing more comes: was it all?  Some clients leave out the last empty line."""
         if not self.last or self.left or self.rest:
             raise Error("IncompleteBody")
+        if self.signatures is not None and self.signed:
+            raise Error("SignatureDoesNotMatch")  # trailers that nothing signs
 
 
 class Body:
     """What a client says of a body, counted along as it comes."""
 
-    def __init__(self, headers: Mapping[bytes, bytes]) -> None:
+    def __init__(self, headers: Mapping[bytes, bytes], signatures: ChunkSignatures | None = None) -> None:
         self.headers, self.size = headers, 0
-        self.chunks = Chunks() if chunked(headers) else None
+        self.chunks = Chunks(signatures) if chunked(headers) else None
         told = headers.get(b"x-amz-decoded-content-length")
         if told is not None and (not told.isdigit() or len(told) > 15):
             raise Error("InvalidArgument")
@@ -163,9 +187,9 @@
     return crc32c(data, value)
 
 
-def unwrap(message: Message, headers: Mapping[bytes, bytes]) -> None:
+def unwrap(message: Message, headers: Mapping[bytes, bytes], signatures: ChunkSignatures | None) -> None:
     """Check a body held whole and take its framing off, its headers' too; raises `Error`."""
-    body = Body(headers)
+    body = Body(headers, signatures)
     pieces = body.feed(message.body)
     body.end()
     if body.chunks is not None:
--- a/mallowbeam/fronts/objects/buffered.py
+++ b/mallowbeam/fronts/objects/buffered.py
@@ -87,7 +87,7 @@
         try:
             if call := BARRIER_CALL.match(message.target):
                 return await self._barrier_call(message, call[1].decode(), call[2], request_id, closing)
-            request = Request(message, self.settings, self.gateway.config.settings.shards)
+            request = self.read(message)
             if request.bucket not in self.buffer.settings.buckets:
                 return await self._direct(request, request_id, closing)
             if self.buffer.phase is not Phase.OPEN:
@@ -211,7 +211,7 @@
                       0, time.time())
         if request.method == b"DELETE":
             return await buffer.put(write, b"")
-        body = Body(request.headers)
+        body = Body(request.headers, request.signatures)
         if message.stream is None:
             data = b"".join(body.feed(message.body))
             body.end()
@@ -246,6 +246,9 @@
                             closing: Callable[[], bool]) -> Reply:
         """`POST /b?barrier=sync|through` sets one, `GET /b?barrier=N` tells whether it has passed."""
         buffer = self.buffer
+        found = self.identify(message, dict(reversed(message.headers)), {})
+        if found is not None and self.access is not None:
+            self.access.check(found[1], message.method, bucket, b"")
         if bucket not in buffer.settings.buckets:
             raise Error("NotImplemented")
         if buffer.phase is not Phase.OPEN:
--- a/mallowbeam/fronts/objects/calls.py
+++ b/mallowbeam/fronts/objects/calls.py
@@ -11,6 +11,7 @@
 from mallowbeam.fronts.objects.errors import Error
 from mallowbeam.fronts.objects.ranges import span
 from mallowbeam.fronts.objects.settings import ObjectSettings
+from mallowbeam.fronts.objects.signatures import ChunkSignatures
 from mallowbeam.fronts.objects.uploads import unpack_upload
 from mallowbeam.net.http import Message
 
@@ -21,6 +22,8 @@
 QUERIES = {b"GET": {"uploadId", "max-parts", "part-number-marker", "x-id"}, b"HEAD": set(),
            b"PUT": {"partNumber", "uploadId", "x-id"}, b"DELETE": {"uploadId", "x-id"},
            b"POST": {"uploads", "uploadId", "x-id"}}
+SIGNED = frozenset(f"X-Amz-{name}" for name in (
+    "Algorithm", "Credential", "Date", "Expires", "SignedHeaders", "Signature", "Security-Token"))
 
 
 class Request:
@@ -43,7 +46,10 @@
         self.path = b"/" + bucket + b"/" + quote(name, safe="/-._~").encode()
         self.bucket, self.key = bucket.decode(), f"{self.place:016x}"
         self.query = dict(parse_qsl(raw_query.decode("latin-1"), keep_blank_values=True))
-        self.target = message.target
+        self.signatures: ChunkSignatures | None = None  # of its body's chunks, where they are signed
+        # A signature ends here; an upload's id is the node's own there.
+        pairs = [pair for pair in raw_query.split(b"&") if pair
+                 and pair.partition(b"=")[0].decode("latin-1") not in (*SIGNED, "uploadId")]
         self.upload: str | None = None         # the id that the client knows
         self.shard = self.place % shards
         if "uploadId" in self.query:
@@ -51,9 +57,8 @@
             self.shard, inner = unpack_upload(self.upload)
             if self.shard >= shards:
                 raise Error("NoSuchUpload")
-            pairs = [pair for pair in raw_query.split(b"&") if pair.partition(b"=")[0] != b"uploadId"]
             pairs.append(b"uploadId=" + quote(inner, safe="").encode())
-            self.target = path + b"?" + b"&".join(pairs)
+        self.target = path + (b"?" + b"&".join(pairs) if pairs else b"")
         self._check()
         self.reads = self.method in (b"GET", b"HEAD")
         size = span(self.headers.get(b"range")) if self.reads else max(message.came, message.length or 0)
@@ -76,7 +81,7 @@
             raise Error("MethodNotAllowed")
         if b"x-amz-copy-source" in self.headers:
             raise Error("NotImplemented")
-        if set(query) - QUERIES[method]:
+        if set(query) - QUERIES[method] - SIGNED:
             raise Error("NotImplemented")
         if part is not None and not (part.isascii() and part.isdigit() and len(part) < 6
                                      and 1 <= int(part) <= MOST_PARTS):
--- a/mallowbeam/fronts/objects/front.py
+++ b/mallowbeam/fronts/objects/front.py
@@ -8,13 +8,18 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from urllib.parse import unquote_to_bytes
 
+from mallowbeam.fronts.objects.access import Access, Key
 from mallowbeam.fronts.objects.bodies import unwrap
 from mallowbeam.fronts.objects.calls import Request
 from mallowbeam.fronts.objects.errors import CODE_OF, ERRORS, Error, error_body, slow_down
 from mallowbeam.fronts.objects.ranges import Unsatisfiable, cut
 from mallowbeam.fronts.objects.settings import ObjectSettings
+from mallowbeam.fronts.objects.signatures import CHUNKED, ChunkSignatures, Claim, read_claim, verify
 from mallowbeam.fronts.objects.uploads import rename_upload
 from mallowbeam.net.gateway import Answer, Call, Gateway, Kind, length_of, read_deadline, time_left
 from mallowbeam.net.http import HOP_BY_HOP, TOKEN, Budget, Channel, Headers, Message, write_head
@@ -34,20 +39,50 @@
         self.gateway, self.settings = gateway, settings
         self.max_body = self.whole = settings.max_body
         self.budget = Budget(settings.held)
+        self.access: Access | None = None
+        if settings.keys is not None:
+            self.access = Access(Path(settings.keys))
+            self.access.open()
 
     async def handle(self, message: Message, closing: Callable[[], bool]) -> Reply:
         """One call to its one answer."""
         request_id = secrets.token_hex(8)
         try:
-            request = Request(message, self.settings, self.gateway.config.settings.shards)
+            request = self.read(message)
             return await self.pass_on(request, request_id, closing)
         except Error as error:
             return self.error(error, message, request_id, closing())
 
+    def read(self, message: Message) -> Request:
+        """A call taken apart, by one who may make it; raises `Error`."""
+        request = Request(message, self.settings, self.gateway.config.settings.shards)
+        if (found := self.identify(message, request.headers, request.query)) is not None:
+            claim, identity = found
+            name = unquote_to_bytes(request.path.split(b"/", 2)[2])
+            assert self.access is not None
+            self.access.check(identity, message.method, request.bucket, name)
+            if claim.payload.startswith(CHUNKED):
+                request.signatures = ChunkSignatures(claim, identity.secret)
+        return request
+
+    def identify(self, message: Message, headers: Mapping[bytes, bytes],
+                 query: Mapping[str, str]) -> tuple[Claim, Key] | None:
+        """Who makes a call, proven; None where nobody need say.  Raises `Error`."""
+        if self.access is None:
+            return None
+        self.access.look(time.monotonic())
+        claim = read_claim(headers, query)
+        if claim is None:
+            raise Error("AccessDenied")
+        key = self.access.keys.get(claim.key)
+        verify(message, claim, key.secret if key is not None else None, time.time())
+        assert key is not None
+        return claim, key
+
     async def pass_on(self, request: Request, request_id: str, closing: Callable[[], bool]) -> Reply:
         """A call to its home node; raises `Error`."""
         if request.method in (b"PUT", b"POST"):
-            unwrap(request.message, request.headers)
+            unwrap(request.message, request.headers, request.signatures)
             request.measure(len(request.message.body), self.settings)
         call = self._call(request, request_id)
         answer = await self.gateway.submit(call)
@@ -79,7 +114,8 @@
         settings, known, headers = self.settings, self.gateway.config.settings, request.headers
         cls = known.classes[settings.read_class if request.reads else settings.write_class]
         seconds = self.seconds(cls.name, headers.get(b"x-deadline-ms"))
-        passed = [header for header in request.message.headers if header[0] not in OWN_REQUEST]
+        drop = OWN_REQUEST if self.access is None else OWN_REQUEST | {b"authorization"}  # it ends here
+        passed = [header for header in request.message.headers if header[0] not in drop]
         # A client's own key is kept, so that its own repeat is dropped too; else every attempt shares ours.
         token = headers.get(b"idempotency-key", request_id.encode())
         if not TOKEN.match(token):
--- a/mallowbeam/fronts/objects/settings.py
+++ b/mallowbeam/fronts/objects/settings.py
@@ -21,6 +21,7 @@
     unit_bytes: int
     max_body: int
     held: int
+    keys: str | None = None                    # the file of those who may call; None: whoever reaches it
 
 
 def read_object_settings(raw: dict[str, Any], gateway: Gateway) -> ObjectSettings:
@@ -30,7 +31,7 @@
         settings = ObjectSettings(
             read_address(raw["listen"]), classes["read"], classes["write"], raw["plan"],
             dict(raw.get("plans", {})), int(raw["unit_bytes"]), int(raw["max_body_bytes"]),
-            int(raw["held_bytes"]))
+            int(raw["held_bytes"]), raw.get("keys"))
     except (KeyError, TypeError, ValueError) as error:
         raise BadConfig(f"the object front's settings are malformed: {error}") from None
     known = gateway.config.settings
@@ -42,6 +43,8 @@
             raise BadConfig(f"the object front names an unknown plan: {name}")
     if settings.held > gateway.config.memory // 2:
         raise BadConfig("the object front may hold more than half of the memory")
+    if (settings.keys is None) != (raw.get("authentication") == "off"):
+        raise BadConfig('objects.keys: name the file of keys, or say "authentication": "off"')
     if settings.unit_bytes < 1 or settings.max_body < 1 or settings.held < settings.max_body:
         raise BadConfig("the object front's sizes are senseless")
     return settings
--- a/mallowbeam/lab/rig.py
+++ b/mallowbeam/lab/rig.py
@@ -108,8 +108,8 @@
                   "known": {"revision": 1, "complete": True, "members": members}, "settings": settings}
         fronts = {"objects": {
             "listen": f"127.0.0.1:{self.ports[1]}", "classes": {"read": "read", "write": "new-write"},
-            "plan": "silver", "plans": {}, "unit_bytes": 1048576, "max_body_bytes": 2097152,
-            "held_bytes": 16777216}}
+            "plan": "silver", "plans": {}, "authentication": "off", "unit_bytes": 1048576,
+            "max_body_bytes": 2097152, "held_bytes": 16777216}}
         if self.buffer:
             fronts["buffer"] = {"folder": str(self.store), **self.buffer}
         (self.folder / "config.json").write_text(json.dumps(config))
--- a/mallowbeam/operators.py
+++ b/mallowbeam/operators.py
@@ -8,7 +8,7 @@
 
 import re
 from collections.abc import Mapping
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any, Literal, TypeVar
 
 import msgspec
 from msgspec import Meta
@@ -44,6 +44,8 @@
     held_bytes: Size
     listen: Address | None = None
     plans: dict[str, str] = {}
+    keys: Name | None = None
+    authentication: Literal["off"] | None = None
 
 
 class ListenSection(Section, forbid_unknown_fields=True, frozen=True):
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -171,8 +171,9 @@
 
     def __init__(self, nodes: int = 1, servers: list[str] | None = None, sockets: int = 1024,
                  before: World | None = None, meet: bool = False, buffer: dict | None = None,
-                 **settings: dict) -> None:
+                 keys: str | None = None, **settings: dict) -> None:
         self.nodes, self.servers, self.sockets, self.settings = nodes, servers, sockets, settings
+        self.keys = keys                       # the file of those who may call the object front
         self.buffer = buffer                   # the write-back buffer's section, where it is on
         self.before, self.meet = before, meet  # the process before this one; whether to hand over to a next
         self.parties: dict[str, Party] = {}
@@ -186,6 +187,8 @@
             self.parties.pop("q1", None)       # each has a door of its own
             legacy = await asyncio.to_thread(take_over, self.config)
         fronts = json.loads((EXAMPLE / "fronts.json").read_text())
+        fronts["objects"].update({"authentication": "off", "keys": None} if self.keys is None
+                                 else {"keys": self.keys})
         for name in ("objects", "health", "agent_check"):
             fronts[name]["listen"] = "127.0.0.1:0"
         if self.buffer:
