Object API: names and prefixes that are no UTF-8 are refused, and never end in a traceback

Cause: a prefix with a byte that is no UTF-8 could not be written into the listing's document, which ended the call with a trace and 500. Change: such names and prefixes get 400; a listing that meets an old one shows what it can. Measured: three cases more in the table of what is turned down.

--- a/mallowbeam/fronts/objects/calls.py
+++ b/mallowbeam/fronts/objects/calls.py
@@ -44,6 +44,10 @@
             raise Error("NotImplemented")      # calls on buckets: what a bucket holds is spread over nodes
         if len(name) > MOST_KEY:
             raise Error("KeyTooLongError")
+        try:
+            name.decode()                      # S3's names are UTF-8
+        except UnicodeDecodeError:
+            raise Error("InvalidURI") from None
         self.place = crc32(bucket + b"/" + name)
         # One spelling for each name, as S3 has it (the canonical URI of Signature V4).
         self.path = b"/" + bucket + b"/" + quote(name, safe="/-._~").encode()
--- a/mallowbeam/fronts/objects/errors.py
+++ b/mallowbeam/fronts/objects/errors.py
@@ -24,6 +24,7 @@
     "SignatureDoesNotMatch": (403, "The request signature that we calculated does not match yours."),
     "InvalidBucketName": (400, "The specified bucket is not valid."),
     "InvalidRange": (416, "The requested range is not satisfiable."),
+    "InvalidURI": (400, "Couldn't parse the specified URI."),
     "KeyTooLongError": (400, "Your key is too long."),
     "MethodNotAllowed": (405, "The specified method is not allowed against this resource."),
     "MissingContentLength": (411, "You must provide the Content-Length HTTP header."),
--- a/mallowbeam/fronts/objects/listings.py
+++ b/mallowbeam/fronts/objects/listings.py
@@ -90,6 +90,10 @@
             after = open_token(token, bucket, prefix, delimiter)
         else:
             after = query.get("start-after" if second else "marker", "")
+        try:
+            (prefix + delimiter + after).encode()
+        except UnicodeEncodeError:             # names are UTF-8
+            raise Error("InvalidArgument") from None
         names = ("continuation-token", "start-after") if second else ("marker",)
         return cls(bucket, prefix, delimiter, after, min(MOST_KEYS, int(most)), second,
                    "encoding-type" in query, tuple((name, query[name]) for name in names if name in query))
@@ -227,8 +231,8 @@
 
 
 def put(parent: Element, tag: str, text: str) -> None:
-    """One element with text."""
-    SubElement(parent, tag).text = text
+    """One element with text; of a name that is no UTF-8, from before that was asked, what can be shown."""
+    SubElement(parent, tag).text = text.encode("utf-8", "replace").decode()
 
 
 def rolled(item: Item, query: Query) -> Item:
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -283,7 +283,10 @@
 
 
 @pytest.mark.parametrize(("line", "expected"), [
-    ("GET /", "400 InvalidBucketName"), ("GET /UPPER/a", "400 InvalidBucketName"), ("PUT /plates", "501"),
+    ("GET /", "400 InvalidBucketName"), ("GET /UPPER/a", "400 InvalidBucketName"),
+    ("GET /plates/%FF", "400 InvalidURI"), ("GET /plates?prefix=%FF", "400 InvalidArgument"),
+    ("GET /plates?list-type=2&prefix=%80", "400 InvalidArgument"),
+    ("PUT /plates", "501"),
     ("GET /plates/a?acl", "501 NotImplemented"), ("PATCH /plates/a", "405 MethodNotAllowed"),
     ("PUT /plates/a x-amz-copy-source:/b/c", "501"), ("PUT /plates/a?partNumber=1", "400 InvalidArgument"),
     ("PUT /plates/a?partNumber=0&uploadId=1.0.eA", "400 InvalidArgument"),
