Object API: DeleteObjects, a call like any other for each name and a word for each

Need: clients delete in batches; there was no such call.

Change: fronts/objects/batches.py reads and writes the documents; the front sends 16 names at a time through the same way as single deletes (buffered buckets take them in), within one deadline, given up with its client. Bombs, over 1,000 names, over 2 MiB: MalformedXML. A large body's hold within the budget has one place now.

--- a/mallowbeam/fronts/objects/buffered.py
+++ b/mallowbeam/fronts/objects/buffered.py
@@ -94,42 +94,33 @@
                 if bucket in self.buffer.settings.buckets and self.buffer.phase is not Phase.OPEN:
                     raise slow_down()
                 return await self.on_bucket(message, bucket, call[2] or b"", request_id, closing)
-            request = self.read(message)
-            if request.bucket not in self.buffer.settings.buckets:
-                return await self._direct(request, request_id, closing)
-            if self.buffer.phase is not Phase.OPEN:
-                raise slow_down()              # what it holds is not known here
-            if request.reads and not request.upload:
-                return await self._read(request, request_id, closing)
-            if request.method in (b"PUT", b"DELETE") and not request.upload:
-                return await self._write(request, request_id, closing)
-            if request.upload and request.method == b"POST":  # an upload becomes an object
-                await self._stand_clear(request)
-            return await self._direct(request, request_id, closing)
+            return await self.serve(self.read(message), request_id, closing)
         except Error as error:
             return self.error(error, message, request_id, closing())
 
+    async def serve(self, request: Request, request_id: str, closing: Callable[[], bool]) -> Reply:
+        """A call on an object: from here, into the buffer, or to its node."""
+        if request.bucket not in self.buffer.settings.buckets:
+            return await self._direct(request, request_id, closing)
+        if self.buffer.phase is not Phase.OPEN:
+            raise slow_down()                  # what it holds is not known here
+        if request.reads and not request.upload:
+            return await self._read(request, request_id, closing)
+        if request.method in (b"PUT", b"DELETE") and not request.upload:
+            return await self._write(request, request_id, closing)
+        if request.upload and request.method == b"POST":  # an upload becomes an object
+            await self._stand_clear(request)
+        return await self._direct(request, request_id, closing)
+
     def _deadline(self, message: Message) -> float:
         """Seconds that a write or barrier may take, by its client or its class."""
         return self.seconds(self.settings.write_class, message.get(b"x-deadline-ms"))
 
     async def _direct(self, request: Request, request_id: str, closing: Callable[[], bool]) -> Reply:
-        """A call straight to its node; a large body is held whole after all, within the budget."""
-        message, budget, body, taken = request.message, self.budget, bytearray(), 0
-        try:
-            if message.stream is not None:
-                while (piece := await message.stream.get()) is not None:
-                    budget.used += len(piece)
-                    taken += len(piece)
-                    if budget.used > budget.most:
-                        raise slow_down()
-                    body += piece
-                if message.stream.broken:
-                    raise Error("IncompleteBody")
-                message.body = body
+        """A call straight to its node; a large body is held whole after all."""
+        with self.held(request.message) as collected:
+            await collected
             return await self.pass_on(request, request_id, closing)
-        finally:
-            budget.used -= taken
 
     async def _stand_clear(self, request: Request) -> None:
         """Wait until nothing buffered stands before a direct write; refuse at once where that takes long."""
--- a/mallowbeam/fronts/objects/errors.py
+++ b/mallowbeam/fronts/objects/errors.py
@@ -26,6 +26,7 @@
     "InvalidRange": (416, "The requested range is not satisfiable."),
     "InvalidURI": (400, "Couldn't parse the specified URI."),
     "KeyTooLongError": (400, "Your key is too long."),
+    "MalformedXML": (400, "The XML that you provided is not well-formed or not what this call takes."),
     "MethodNotAllowed": (405, "The specified method is not allowed against this resource."),
     "MissingContentLength": (411, "You must provide the Content-Length HTTP header."),
     "NoSuchKey": (404, "The specified key does not exist."),
--- a/mallowbeam/fronts/objects/front.py
+++ b/mallowbeam/fronts/objects/front.py
@@ -10,12 +10,14 @@
 import asyncio
 import secrets
 import time
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Iterator, Mapping
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any, TypeVar
-from urllib.parse import parse_qsl, unquote_to_bytes
+from urllib.parse import parse_qsl, quote, unquote_to_bytes
 from zlib import crc32
 
+from mallowbeam.fronts.objects import batches
 from mallowbeam.fronts.objects.access import Access, Key, may
 from mallowbeam.fronts.objects.bodies import unwrap
 from mallowbeam.fronts.objects.calls import BUCKET_CALL, LISTING, SIGNED, Request
@@ -31,6 +33,7 @@
 from mallowbeam.net.stream import Stream, copy
 
 T = TypeVar("T")
+AT_ONCE = 16                # names of one batch that are on their way
 MOST_MS = 86_400_000        # a deadline of over a day is senseless
 # What concerns one connection, or the talk between gateway and node, is not passed on.
 OWN_REQUEST = HOP_BY_HOP | {b"x-deadline-ms", b"x-request-id", b"idempotency-key"}
@@ -55,11 +58,39 @@
         try:
             if call := BUCKET_CALL.match(message.target):
                 return await self.on_bucket(message, call[1].decode(), call[2] or b"", request_id, closing)
-            request = self.read(message)
-            return await self.pass_on(request, request_id, closing)
+            return await self.serve(self.read(message), request_id, closing)
         except Error as error:
             return self.error(error, message, request_id, closing())
 
+    async def serve(self, request: Request, request_id: str, closing: Callable[[], bool]) -> Reply:
+        """A call on an object; raises `Error`."""
+        return await self.pass_on(request, request_id, closing)
+
+    @contextmanager
+    def held(self, message: Message) -> Iterator[Coroutine[Any, Any, None]]:
+        """A large body to be held whole, within the budget for as long as this lasts; await what it gives."""
+        taken = 0
+
+        async def collect() -> None:
+            nonlocal taken
+            if message.stream is None:
+                return
+            body = bytearray()
+            while (piece := await message.stream.get()) is not None:
+                self.budget.used += len(piece)
+                taken += len(piece)
+                if self.budget.used > self.budget.most:
+                    raise slow_down()
+                body += piece
+            if message.stream.broken:
+                raise Error("IncompleteBody")
+            message.body = body
+
+        try:
+            yield collect()
+        finally:
+            self.budget.used -= taken
+
     def read(self, message: Message) -> Request:
         """A call taken apart, by one who may make it; raises `Error`."""
         request = Request(message, self.settings, self.gateway.config.settings.shards)
@@ -76,21 +107,66 @@
         """A call on a bucket as a whole: its listing."""
         query = dict(parse_qsl(raw.decode("latin-1"), keep_blank_values=True, errors="surrogateescape"))
         headers = dict(reversed(message.headers))
-        if (found := self.identify(message, headers, query)) is not None:
+        found = self.identify(message, headers, query)
+        many = message.method == b"POST" and set(query) - SIGNED - {"x-id"} == {"delete"}
+        cls = self.settings.write_class if many else self.settings.read_class
+        until = self.gateway.now() + self.seconds(cls, headers.get(b"x-deadline-ms"))
+        if many:
+            return await self._delete_many(message, bucket, found, until, request_id, closing)
+        if found is not None:
             self.may(found[1], "list", bucket, query.get("prefix", "").encode("utf-8", "surrogateescape"))
         if message.method != b"GET" or set(query) - LISTING - SIGNED:
             raise Error("NotImplemented")
         asked = Query.read(bucket, query)
         merge = Merge(asked, self.gateway.config.settings.shards, self.overlay(bucket))
-        until = self.gateway.now() + self.seconds(self.settings.read_class, headers.get(b"x-deadline-ms"))
         while asks := merge.needs():
             left = until - self.gateway.now()
             parts = await gather(*(self._part(asked, ask, left) for ask in asks))
             for ask, part in zip(asks, parts, strict=True):
                 merge.feed(ask.shard, *part)
-        body = merge.page()
+        return self._document(merge.page(), request_id, closing())
+
+    @staticmethod
+    def _document(body: bytes, request_id: str, close: bool) -> Reply:
+        """A document of this front's own."""
         told = [(b"content-type", b"application/xml"), (b"x-amz-request-id", request_id.encode())]
-        return Reply(200, write_head(200, told, len(body), closing()) + body)
+        return Reply(200, write_head(200, told, len(body), close) + body)
+
+    async def _delete_many(self, message: Message, bucket: str, found: tuple[Claim, Key] | None, until: float,
+                           request_id: str, closing: Callable[[], bool]) -> Reply:
+        """DeleteObjects: each name a call like any other, a few at a time, all within one deadline."""
+        headers = dict(reversed(message.headers))
+        signatures = None
+        if found is not None and found[0].payload.startswith(CHUNKED):
+            signatures = ChunkSignatures(found[0], found[1].secret)
+        with self.held(message) as collected:
+            await collected
+            unwrap(message, headers, signatures)
+        names, quiet = batches.read(bytes(message.body))
+        results: dict[str, str | None] = dict.fromkeys(names)
+        turns = asyncio.Semaphore(AT_ONCE)
+
+        async def one(name: str) -> None:
+            async with turns:
+                try:
+                    left = until - self.gateway.now()
+                    if left <= 0:
+                        raise slow_down()
+                    single = Message()
+                    single.method, single.whole = b"DELETE", True
+                    single.target = b"/%b/%b" % (bucket.encode(), quote(name, safe="/-._~").encode())
+                    single.headers = [(b"x-deadline-ms", b"%d" % max(1, int(left * 1000)))]
+                    request = Request(single, self.settings, self.gateway.config.settings.shards)
+                    if found is not None:
+                        self.may(found[1], "write", bucket, name.encode())
+                    reply = await self.serve(request, secrets.token_hex(8), closing)
+                    if reply.status not in (204, 404):
+                        raise Error(CODE_OF.get(reply.status, "InternalError"))
+                except Error as error:
+                    results[name] = error.code
+
+        await gather(*(one(name) for name in names))
+        return self._document(batches.write(results, quiet), request_id, closing())
 
     async def _part(self, query: Query, ask: Ask, seconds: float) -> tuple[list[Item], str, bool]:
         """One node's next names, as a call like any other: a unit, and the time that the whole has left."""
