Tests of the buffer: nothing rests on how fast the machine is

Cause: three tests counted on 0.3 to 0.6 s being enough, or on a barrier's word coming within 2 s. Change: the flush is kept still and let go by hand; the barrier that can't pass has an hour, so that waiting for it would fail the test.

--- a/tests/test_buffer_front.py
+++ b/tests/test_buffer_front.py
@@ -56,6 +56,15 @@
     def buffer_part(self):
         return self.gateway.parts[0]
 
+    def keep_still(self) -> None:
+        """Nothing goes to the nodes until `go_on`."""
+        self.buffer_part.sender = Still(self.buffer_part.sender)
+
+    def go_on(self) -> None:
+        """What is buffered goes out again."""
+        self.buffer_part.sender = self.buffer_part.sender.real
+        self.buffer_part.stir()
+
     async def flushed(self) -> None:
         async with asyncio.timeout(15):
             while self.buffer_part.core.entries:
@@ -143,7 +152,7 @@
 
     async def play() -> None:
         async with Buffered(nodes, tmp_path) as world:
-            hold(nodes, 0.6)
+            world.keep_still()
             await world.play(f"""
                 o1 send PUT /plates/a body=one
                 o1 expect 200
@@ -162,6 +171,7 @@
                 o1 send PUT /plates/a body=three if-none-match:*
                 o1 expect 200 x-mallowbeam-durable
             """)
+            world.go_on()
             await world.flushed()
             await world.play("""
                 o1 send PUT /plates/a body=four if-none-match:*
@@ -216,7 +226,7 @@
 
     async def play() -> None:
         async with Buffered(nodes, tmp_path) as world:
-            world.buffer_part.sender = Still(world.buffer_part.sender)
+            world.keep_still()
             await world.play("o1 send PUT /plates/a body=one\no1 expect 200")
             reader, writer = await asyncio.open_connection(*world.objects)
             writer.write(b"PUT /plates/a HTTP/1.1\r\nhost: x\r\nif-match: \"" + tag
@@ -327,7 +337,7 @@
 def test_barriers_by_call_and_by_header(nodes, tmp_path):
     async def play() -> None:
         async with Buffered(nodes, tmp_path) as world:
-            hold(nodes, 0.3)
+            world.keep_still()
             await world.play("""
                 o1 send PUT /plates/a body=1 x-mallowbeam-barrier:sync
                 o1 expect 200 'x-mallowbeam-barrier-id: \\d'
@@ -338,6 +348,9 @@
             await world.play(f"""
                 o1 send GET /plates?barrier={number}
                 o1 expect 503 SlowDown retry-after
+            """)
+            world.go_on()
+            await world.play(f"""
                 o1 send POST /plates?barrier=through
                 o1 expect 200 x-mallowbeam-barrier-id
                 o1 send GET /plates?barrier={number}
@@ -372,12 +385,10 @@
             async with asyncio.timeout(10):
                 while not world.buffer_part.core.held:
                     await asyncio.sleep(0.01)
-            began = asyncio.get_running_loop().time()
             await world.play("""
-                o1 send POST /plates?barrier=through
+                o1 send POST /plates?barrier=through x-deadline-ms:3600000
                 o1 expect 503 SlowDown retry-after x-mallowbeam-barrier-id
             """)
-            assert asyncio.get_running_loop().time() - began < 2.0  # the deadline is 2.5 s
             assert world.buffer_part.gauges()["buffer_held"] == 1
 
     run(play())
@@ -388,7 +399,7 @@
     async def first() -> None:
         async with Buffered(nodes, tmp_path) as world:
             hold(nodes, 3600)
-            world.buffer_part.sender = Still(world.buffer_part.sender)
+            world.keep_still()
             await world.play("""
                 o1 send PUT /plates/a body=before
                 o1 expect 200
@@ -401,7 +412,7 @@
     async def second() -> None:
         async with Buffered(nodes, tmp_path) as world:
             assert len(world.buffer_part.core.entries) == 2 and len(world.buffer_part.core.barriers) == 1
-            world.buffer_part.sender = Still(world.buffer_part.sender)
+            world.keep_still()
 
     async def third() -> None:
         async with Buffered(nodes, tmp_path) as world:
@@ -483,7 +494,7 @@
 def test_a_full_buffer_writes_direct_and_refuses_what_would_lose_its_order(nodes, tmp_path):
     async def play() -> None:
         async with Buffered(nodes, tmp_path, change={"max_records": 2}) as world:
-            world.buffer_part.sender = Still(world.buffer_part.sender)
+            world.keep_still()
             await world.play("""
                 o1 send PUT /plates/a body=1
                 o1 expect 200 x-mallowbeam-durable
@@ -529,7 +540,7 @@
 
     async def play() -> None:
         async with Buffered(nodes, tmp_path, disk) as world:
-            world.buffer_part.sender = Still(world.buffer_part.sender)
+            world.keep_still()
             await world.play("o1 send PUT /plates/a body=kept\no1 expect 200")
             disk.faults = [Fault(call, errno.EIO, "segment-")]
             await world.play("""
@@ -547,7 +558,7 @@
             async with Buffered(nodes, tmp_path, left) as world:  # noqa: B023
                 core = world.buffer_part.core
                 assert [e.name for e in core.entries.values()] == [b"/plates/a", b"/plates/c"]
-                world.buffer_part.sender = Still(world.buffer_part.sender)
+                world.keep_still()
 
         run(again())
 
@@ -628,7 +639,7 @@
     """What the old process acknowledged the new one serves and flushes; the old one says SlowDown."""
     async def play() -> None:
         async with Buffered(nodes, tmp_path, meet=True) as old:
-            old.buffer_part.sender = Still(old.buffer_part.sender)
+            old.keep_still()
             await old.play("o1 send PUT /plates/a body=kept\no1 expect 200 x-mallowbeam-durable")
             new = Buffered(nodes, tmp_path, before=old)
             async with new:
