Reread: calls on buckets in one shape, one way in for both fronts; listings read the buffer in slices

Cause: a bucket call went through three functions with the same seven arguments, was taken apart twice, and the buffered front repeated the way in for it, for barriers and for the folder's phase; the chain of chunk signatures was begun in two places; a body held whole was a coroutine handed out of a context. A listing of a buffered bucket looked at all buffered names in one go on the loop. Change: BucketCall, one on_bucket that the buffered front extends, require() for rights, held() as an async context; buffered names are looked at 2,000 at a time. Answers stay as they were.

--- a/mallowbeam/buffer/core.py
+++ b/mallowbeam/buffer/core.py
@@ -351,11 +351,6 @@
                 return entry
         return None
 
-    def standing(self, bucket: str) -> list[Entry]:
-        """The last durable write of each name of a bucket that is still here."""
-        return [entry for key in self.keys if key[0] == bucket
-                and (entry := self.newest_of(*key)) is not None]
-
     # --- barriers -------------------------------------------------------------------------------
 
     def barrier(self, lsn: int, bucket: str) -> None:
--- a/mallowbeam/fronts/objects/access.py
+++ b/mallowbeam/fronts/objects/access.py
@@ -16,6 +16,7 @@
 from loguru import logger
 from msgspec import Meta
 
+from mallowbeam.fronts.objects.errors import Error
 from mallowbeam.net.config import BadConfig
 
 MOST_FILE = 4 << 20         # bytes of the file
@@ -62,6 +63,12 @@
                for grant in key.allow)
 
 
+def require(key: Key | None, what: str, bucket: str, name: bytes) -> None:
+    """Raises `Error` where a key may not do that; None is a caller who need not say who he is."""
+    if key is not None and not may(key, what, bucket, name):
+        raise Error("AccessDenied")
+
+
 @dataclass(slots=True)
 class Access:
     """The keys as the file has them now."""
--- a/mallowbeam/fronts/objects/buffered.py
+++ b/mallowbeam/fronts/objects/buffered.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import re
 import secrets
@@ -22,12 +23,13 @@
 from mallowbeam.buffer.records import Write
 from mallowbeam.buffer.service import PIECE, Buffer, Looked, Phase, Sent, Settings, Upload, probe
 from mallowbeam.buffer.store import Doubtful, NotTaken
+from mallowbeam.fronts.objects.access import require
 from mallowbeam.fronts.objects.bodies import KNOWN, Body, bare
-from mallowbeam.fronts.objects.calls import BUCKET_CALL, Request
+from mallowbeam.fronts.objects.calls import Request
 from mallowbeam.fronts.objects.conditions import read_status, write_allowed
 from mallowbeam.fronts.objects.errors import Error, slow_down
-from mallowbeam.fronts.objects.front import Objects, cut_here, range_of
-from mallowbeam.fronts.objects.listings import Item
+from mallowbeam.fronts.objects.front import BucketCall, Objects, cut_here, range_of
+from mallowbeam.fronts.objects.listings import Item, Query
 from mallowbeam.fronts.objects.settings import ObjectSettings
 from mallowbeam.interface import Repeat
 from mallowbeam.net.config import BadConfig
@@ -38,8 +40,9 @@
 
 BARRIER = b"x-mallowbeam-barrier"             # on a write: `sync` or `through`
 BARRIER_ID = b"x-mallowbeam-barrier-id"       # on an answer: the barrier's number
+SLICE = 2000                # buffered names looked at in one go
 DURABLE = (b"x-mallowbeam-durable", b"buffer")
-BARRIER_CALL = re.compile(rb"/([a-z0-9][a-z0-9.-]{1,61}[a-z0-9])/?\?barrier=([a-z]+|\d{1,18})\Z")
+NUMBER = re.compile(r"[0-9]{1,18}\Z")
 # What a node is asked to keep with an object, and what concerns this hop only: writes with other headers of
 # S3's are not taken in, since only a node can say what they come to.
 KEPT = frozenset((b"content-type", b"content-encoding", b"content-language", b"content-disposition",
@@ -83,27 +86,21 @@
 
     # --- calls of clients -----------------------------------------------------------------------
 
-    async def handle(self, message: Message, closing: Callable[[], bool]) -> Reply:
-        """One call to its one answer."""
-        request_id = secrets.token_hex(8)
-        try:
-            if call := BARRIER_CALL.match(message.target):
-                return await self._barrier_call(message, call[1].decode(), call[2], request_id, closing)
-            if call := BUCKET_CALL.match(message.target):
-                bucket = call[1].decode()
-                if bucket in self.buffer.settings.buckets and self.buffer.phase is not Phase.OPEN:
-                    raise slow_down()
-                return await self.on_bucket(message, bucket, call[2] or b"", request_id, closing)
-            return await self.serve(self.read(message), request_id, closing)
-        except Error as error:
-            return self.error(error, message, request_id, closing())
+    async def on_bucket(self, call: BucketCall) -> Reply:
+        """A call on a bucket: a barrier of a buffered one, or what the front offers for any."""
+        if call.bucket in self.buffer.settings.buckets:
+            if self.buffer.phase is not Phase.OPEN:
+                raise slow_down()              # what it holds is not known here
+            if "barrier" in call.query:
+                return await self._barrier_call(call)
+        return await super().on_bucket(call)
 
     async def serve(self, request: Request, request_id: str, closing: Callable[[], bool]) -> Reply:
         """A call on an object: from here, into the buffer, or to its node."""
         if request.bucket not in self.buffer.settings.buckets:
             return await self._direct(request, request_id, closing)
         if self.buffer.phase is not Phase.OPEN:
-            raise slow_down()                  # what it holds is not known here
+            raise slow_down()
         if request.reads and not request.upload:
             return await self._read(request, request_id, closing)
         if request.method in (b"PUT", b"DELETE") and not request.upload:
@@ -118,8 +115,7 @@
 
     async def _direct(self, request: Request, request_id: str, closing: Callable[[], bool]) -> Reply:
         """A call straight to its node; a large body is held whole after all."""
-        with self.held(request.message) as collected:
-            await collected
+        async with self.held(request.message):
             return await self.pass_on(request, request_id, closing)
 
     async def _stand_clear(self, request: Request) -> None:
@@ -240,28 +236,21 @@
 
     # --- barriers -------------------------------------------------------------------------------
 
-    async def _barrier_call(self, message: Message, bucket: str, what: bytes, request_id: str,
-                            closing: Callable[[], bool]) -> Reply:
+    async def _barrier_call(self, call: BucketCall) -> Reply:
         """`POST /b?barrier=sync|through` sets one, `GET /b?barrier=N` tells whether it has passed."""
-        buffer = self.buffer
-        found = self.identify(message, dict(reversed(message.headers)), {})
-        if found is not None:
-            self.may(found[1], "read" if message.method == b"GET" else "write", bucket, b"")
-        if bucket not in buffer.settings.buckets:
-            raise Error("NotImplemented")
-        if buffer.phase is not Phase.OPEN:
-            raise slow_down()
-        headers = [(b"x-amz-request-id", request_id.encode())]
-        if message.method == b"GET" and what.isdigit():
+        buffer, message, bucket, what = self.buffer, call.message, call.bucket, call.query["barrier"]
+        require(call.key, "read" if message.method == b"GET" else "write", bucket, b"")
+        headers = [(b"x-amz-request-id", call.request_id.encode())]
+        if message.method == b"GET" and NUMBER.match(what):
             lsn = int(what)
             if lsn > buffer.store.lsn:
                 raise Error("NoSuchBarrier")
             if buffer.core.before(lsn) is not None:
                 raise slow_down(self._seconds(buffer.core.before(lsn) or 0))
-            return Reply(200, write_head(200, headers, 0, closing()))
+            return Reply(200, write_head(200, headers, 0, call.closing()))
         if message.method != b"POST":
             raise Error("MethodNotAllowed")
-        if what not in (b"sync", b"through"):
+        if what not in ("sync", "through"):
             raise Error("InvalidArgument")
         try:
             lsn = await buffer.barrier(bucket)
@@ -270,9 +259,9 @@
         except Doubtful:
             raise Error("InternalError") from None
         headers.append((BARRIER_ID, b"%d" % lsn))
-        if what == b"through":
+        if what == "through":
             await self._through(bucket, lsn, self._deadline(message))
-        return Reply(200, write_head(200, headers, 0, closing()))
+        return Reply(200, write_head(200, headers, 0, call.closing()))
 
     async def _through(self, bucket: str, lsn: int, seconds: float) -> None:
         """Wait for a barrier; where it won't pass in time that is said at once, with its number for later."""
@@ -325,16 +314,25 @@
 
         return Reply(status, write=stream)
 
-    def overlay(self, bucket: str) -> dict[str, Item | None]:
-        """What is buffered of a bucket: the nodes do not have it yet, or still have what is deleted here."""
-        if bucket not in self.buffer.settings.buckets:
-            return {}
+    async def overlay(self, query: Query) -> dict[str, Item | None]:
+        """What is buffered of a listing: the nodes do not have it yet, or still have what is deleted here.
+
+        Read in slices, so that a full buffer holds up no other call: what goes to its node meanwhile is
+        listed there, and what comes meanwhile may be listed or not, as with any listing.
+        """
         laid: dict[str, Item | None] = {}
-        for entry in self.buffer.core.standing(bucket):
-            name = unquote(entry.name.split(b"/", 2)[2].decode(), errors="surrogateescape")
-            modified = time.strftime("%Y-%m-%dT%H:%M:%S.000Z", time.gmtime(
-                time.time() - self.buffer.clock() + entry.at))
-            laid[name] = Item(name, entry.size, entry.etag, modified) if entry.method == "PUT" else None
+        if query.bucket not in self.buffer.settings.buckets:
+            return laid
+        now, core = time.time() - self.buffer.clock(), self.buffer.core
+        for turn, (bucket, path) in enumerate(list(core.keys)):
+            if turn % SLICE == SLICE - 1:
+                await asyncio.sleep(0)
+            if bucket != query.bucket or (entry := core.newest_of(bucket, path)) is None:
+                continue
+            name = unquote(path.split(b"/", 2)[2].decode())
+            if name.startswith(query.prefix):
+                modified = time.strftime("%Y-%m-%dT%H:%M:%S.000Z", time.gmtime(now + entry.at))
+                laid[name] = Item(name, entry.size, entry.etag, modified) if entry.method == "PUT" else None
         return laid
 
     # --- the buffer's way to the nodes ----------------------------------------------------------
--- a/mallowbeam/fronts/objects/front.py
+++ b/mallowbeam/fronts/objects/front.py
@@ -8,24 +8,25 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import secrets
 import time
-from collections.abc import Callable, Coroutine, Iterator, Mapping
-from contextlib import contextmanager
+from collections.abc import AsyncIterator, Callable, Coroutine, Mapping
+from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Any, NamedTuple, TypeVar
 from urllib.parse import parse_qsl, quote, unquote_to_bytes
 from zlib import crc32
 
 from mallowbeam.fronts.objects import batches
-from mallowbeam.fronts.objects.access import Access, Key, may
+from mallowbeam.fronts.objects.access import Access, Key, require
 from mallowbeam.fronts.objects.bodies import unwrap
 from mallowbeam.fronts.objects.calls import BUCKET_CALL, LISTING, SIGNED, Request
 from mallowbeam.fronts.objects.errors import CODE_OF, ERRORS, Error, error_body, slow_down
 from mallowbeam.fronts.objects.listings import Ask, Item, Merge, Query, read_part, target
 from mallowbeam.fronts.objects.ranges import Unsatisfiable, cut
 from mallowbeam.fronts.objects.settings import ObjectSettings
-from mallowbeam.fronts.objects.signatures import CHUNKED, ChunkSignatures, Claim, read_claim, verify
+from mallowbeam.fronts.objects.signatures import CHUNKED, ChunkSignatures, read_claim, verify
 from mallowbeam.fronts.objects.uploads import rename_upload
 from mallowbeam.net.gateway import Answer, Call, Gateway, Kind, length_of, read_deadline, time_left
 from mallowbeam.net.http import HOP_BY_HOP, TOKEN, Budget, Channel, Headers, Message, write_head
@@ -40,6 +41,19 @@
 OWN_ANSWER = HOP_BY_HOP | {b"x-meter", b"x-delta", b"x-load", b"x-not-run", b"x-amz-request-id"}
 
 
+class BucketCall(NamedTuple):
+    """One call on a bucket as a whole."""
+
+    message: Message
+    bucket: str
+    query: Mapping[str, str]
+    headers: Mapping[bytes, bytes]
+    key: Key | None                            # who makes it, None where nobody need say
+    signatures: ChunkSignatures | None
+    request_id: str
+    closing: Callable[[], bool]
+
+
 class Objects:
     """Turns S3 calls into the gateway's calls and answers back."""
 
@@ -56,8 +70,8 @@
         """One call to its one answer."""
         request_id = secrets.token_hex(8)
         try:
-            if call := BUCKET_CALL.match(message.target):
-                return await self.on_bucket(message, call[1].decode(), call[2] or b"", request_id, closing)
+            if match := BUCKET_CALL.match(message.target):
+                return await self.on_bucket(self.read_bucket(message, match, request_id, closing))
             return await self.serve(self.read(message), request_id, closing)
         except Error as error:
             return self.error(error, message, request_id, closing())
@@ -66,83 +80,77 @@
         """A call on an object; raises `Error`."""
         return await self.pass_on(request, request_id, closing)
 
-    @contextmanager
-    def held(self, message: Message) -> Iterator[Coroutine[Any, Any, None]]:
-        """A large body to be held whole, within the budget for as long as this lasts; await what it gives."""
-        taken = 0
-
-        async def collect() -> None:
-            nonlocal taken
-            if message.stream is None:
-                return
-            body = bytearray()
-            while (piece := await message.stream.get()) is not None:
-                self.budget.used += len(piece)
-                taken += len(piece)
-                if self.budget.used > self.budget.most:
-                    raise slow_down()
-                body += piece
-            if message.stream.broken:
-                raise Error("IncompleteBody")
-            message.body = body
-
+    @asynccontextmanager
+    async def held(self, message: Message) -> AsyncIterator[None]:
+        """A large body is held whole, within the budget, for as long as this lasts; raises `Error`."""
+        taken, body = 0, bytearray()
         try:
-            yield collect()
+            if message.stream is not None:
+                while (piece := await message.stream.get()) is not None:
+                    self.budget.used += len(piece)
+                    taken += len(piece)
+                    if self.budget.used > self.budget.most:
+                        raise slow_down()
+                    body += piece
+                if message.stream.broken:
+                    raise Error("IncompleteBody")
+                message.body = body
+            yield
         finally:
             self.budget.used -= taken
 
+    def read_bucket(self, message: Message, match: re.Match[bytes], request_id: str,
+                    closing: Callable[[], bool]) -> BucketCall:
+        """A call on a bucket taken apart, by one who is who he says; raises `Error`."""
+        query = dict(parse_qsl((match[2] or b"").decode("latin-1"), keep_blank_values=True,
+                               errors="surrogateescape"))
+        headers = dict(reversed(message.headers))
+        return BucketCall(message, match[1].decode(), query, headers, *self.identify(message, headers, query),
+                          request_id, closing)
+
     def read(self, message: Message) -> Request:
         """A call taken apart, by one who may make it; raises `Error`."""
         request = Request(message, self.settings, self.gateway.config.settings.shards)
-        if (found := self.identify(message, request.headers, request.query)) is not None:
-            claim, identity = found
-            name = unquote_to_bytes(request.path.split(b"/", 2)[2])
-            self.may(identity, "read" if request.reads else "write", request.bucket, name)
-            if claim.payload.startswith(CHUNKED):
-                request.signatures = ChunkSignatures(claim, identity.secret)
+        key, request.signatures = self.identify(message, request.headers, request.query)
+        name = unquote_to_bytes(request.path.split(b"/", 2)[2])
+        require(key, "read" if request.reads else "write", request.bucket, name)
         return request
 
-    async def on_bucket(self, message: Message, bucket: str, raw: bytes, request_id: str,
-                        closing: Callable[[], bool]) -> Reply:
-        """A call on a bucket as a whole: its listing."""
-        query = dict(parse_qsl(raw.decode("latin-1"), keep_blank_values=True, errors="surrogateescape"))
-        headers = dict(reversed(message.headers))
-        found = self.identify(message, headers, query)
-        many = message.method == b"POST" and set(query) - SIGNED - {"x-id"} == {"delete"}
-        cls = self.settings.write_class if many else self.settings.read_class
-        until = self.gateway.now() + self.seconds(cls, headers.get(b"x-deadline-ms"))
-        if many:
-            return await self._delete_many(message, bucket, found, until, request_id, closing)
-        if found is not None:
-            self.may(found[1], "list", bucket, query.get("prefix", "").encode("utf-8", "surrogateescape"))
-        if message.method != b"GET" or set(query) - LISTING - SIGNED:
+    async def on_bucket(self, call: BucketCall) -> Reply:
+        """A call on a bucket as a whole: its listing, or many deletes; raises `Error`."""
+        asked = set(call.query) - SIGNED
+        if call.message.method == b"POST" and asked - {"x-id"} == {"delete"}:
+            return await self._delete_many(call)
+        prefix = call.query.get("prefix", "").encode("utf-8", "surrogateescape")
+        require(call.key, "list", call.bucket, prefix)
+        if call.message.method != b"GET" or asked - LISTING:
             raise Error("NotImplemented")
-        asked = Query.read(bucket, query)
-        merge = Merge(asked, self.gateway.config.settings.shards, self.overlay(bucket))
+        query = Query.read(call.bucket, call.query)
+        until = self._until(call, self.settings.read_class)
+        merge = Merge(query, self.gateway.config.settings.shards, await self.overlay(query))
         while asks := merge.needs():
             left = until - self.gateway.now()
-            parts = await gather(*(self._part(asked, ask, left) for ask in asks))
+            parts = await gather(*(self._part(query, ask, left) for ask in asks))
             for ask, part in zip(asks, parts, strict=True):
                 merge.feed(ask.shard, *part)
-        return self._document(merge.page(), request_id, closing())
+        return self._document(merge.page(), call)
+
+    def _until(self, call: BucketCall, cls: str) -> float:
+        """When a call of that class must be over."""
+        return self.gateway.now() + self.seconds(cls, call.headers.get(b"x-deadline-ms"))
 
     @staticmethod
-    def _document(body: bytes, request_id: str, close: bool) -> Reply:
+    def _document(body: bytes, call: BucketCall) -> Reply:
         """A document of this front's own."""
-        told = [(b"content-type", b"application/xml"), (b"x-amz-request-id", request_id.encode())]
-        return Reply(200, write_head(200, told, len(body), close) + body)
+        told = [(b"content-type", b"application/xml"), (b"x-amz-request-id", call.request_id.encode())]
+        return Reply(200, write_head(200, told, len(body), call.closing()) + body)
 
-    async def _delete_many(self, message: Message, bucket: str, found: tuple[Claim, Key] | None, until: float,
-                           request_id: str, closing: Callable[[], bool]) -> Reply:
+    async def _delete_many(self, call: BucketCall) -> Reply:
         """DeleteObjects: each name a call like any other, a few at a time, all within one deadline."""
-        headers = dict(reversed(message.headers))
-        signatures = None
-        if found is not None and found[0].payload.startswith(CHUNKED):
-            signatures = ChunkSignatures(found[0], found[1].secret)
-        with self.held(message) as collected:
-            await collected
-            unwrap(message, headers, signatures)
-        names, quiet = batches.read(bytes(message.body))
+        until = self._until(call, self.settings.write_class)
+        async with self.held(call.message):
+            unwrap(call.message, call.headers, call.signatures)
+        names, quiet = batches.read(bytes(call.message.body))
         results: dict[str, str | None] = dict.fromkeys(names)
         turns = asyncio.Semaphore(AT_ONCE)
 
@@ -154,19 +162,18 @@
                         raise slow_down()
                     single = Message()
                     single.method, single.whole = b"DELETE", True
-                    single.target = b"/%b/%b" % (bucket.encode(), quote(name, safe="/-._~").encode())
+                    single.target = b"/%b/%b" % (call.bucket.encode(), quote(name, safe="/-._~").encode())
                     single.headers = [(b"x-deadline-ms", b"%d" % max(1, int(left * 1000)))]
                     request = Request(single, self.settings, self.gateway.config.settings.shards)
-                    if found is not None:
-                        self.may(found[1], "write", bucket, name.encode())
-                    reply = await self.serve(request, secrets.token_hex(8), closing)
+                    require(call.key, "write", call.bucket, name.encode())
+                    reply = await self.serve(request, secrets.token_hex(8), call.closing)
                     if reply.status not in (204, 404):
                         raise Error(CODE_OF.get(reply.status, "InternalError"))
                 except Error as error:
                     results[name] = error.code
 
         await gather(*(one(name) for name in names))
-        return self._document(batches.write(results, quiet), request_id, closing())
+        return self._document(batches.write(results, quiet), call)
 
     async def _part(self, query: Query, ask: Ask, seconds: float) -> tuple[list[Item], str, bool]:
         """One node's next names, as a call like any other: a unit, and the time that the whole has left."""
@@ -184,20 +191,15 @@
             raise Error("InternalError")
         return read_part(bytes(answer.body))
 
-    def overlay(self, bucket: str) -> dict[str, Item | None]:
-        """Names that are other than the nodes have them, None for one that is not there."""
+    async def overlay(self, query: Query) -> dict[str, Item | None]:
+        """Names of a listing that are other than the nodes have them, None for one that is not there."""
         return {}
 
-    def may(self, key: Key, what: str, bucket: str, name: bytes) -> None:
-        """Raises `Error` where a key may not do that."""
-        if not may(key, what, bucket, name):
-            raise Error("AccessDenied")
-
     def identify(self, message: Message, headers: Mapping[bytes, bytes],
-                 query: Mapping[str, str]) -> tuple[Claim, Key] | None:
-        """Who makes a call, proven; None where nobody need say.  Raises `Error`."""
+                 query: Mapping[str, str]) -> tuple[Key | None, ChunkSignatures | None]:
+        """Who makes a call, proven, and what its chunks rest on; None where none need say; raises `Error`."""
         if self.access is None:
-            return None
+            return None, None
         self.access.look(time.monotonic())
         claim = read_claim(headers, query)
         if claim is None:
@@ -205,7 +207,7 @@
         key = self.access.keys.get(claim.key)
         verify(message, claim, key.secret if key is not None else None, time.time())
         assert key is not None
-        return claim, key
+        return key, ChunkSignatures(claim, key.secret) if claim.payload.startswith(CHUNKED) else None
 
     async def pass_on(self, request: Request, request_id: str, closing: Callable[[], bool]) -> Reply:
         """A call to its home node; raises `Error`."""
