Tests: six guards of the buffer that no test missed, and a node replaced through discovery

Cause: 20 guards of front, service, store and core were taken out one at a time; six of them went unnoticed: a direct write behind a buffered one, the conditions tied to a version read back, a body that outgrows the buffer on its way in, the bound of bodies at hand, and words that end writes on a full disk. A node replaced by another at another address had no test on sockets.

--- a/tests/test_buffer_front.py
+++ b/tests/test_buffer_front.py
@@ -7,6 +7,7 @@
 import errno
 import hashlib
 import json
+from dataclasses import replace
 from zlib import crc32
 
 import pytest
@@ -14,12 +15,15 @@
 from crc32c import crc32c
 from scenario import World
 
+from mallowbeam.buffer.core import Outcome
 from mallowbeam.buffer.disk import RealDisk
-from mallowbeam.buffer.log import Found
-from mallowbeam.buffer.records import Kind, Record, Write
-from mallowbeam.buffer.service import known
+from mallowbeam.buffer.log import Found, Log
+from mallowbeam.buffer.records import Done, Kind, Record, Write, pack
+from mallowbeam.buffer.service import Sent, known
+from mallowbeam.buffer.store import NotTaken, Store
 from mallowbeam.fronts.objects.conditions import read_status, write_allowed
 from mallowbeam.net.config import BadConfig
+from mallowbeam.standins.discovery import member
 from mallowbeam.standins.disk import Fault, SimDisk
 from mallowbeam.standins.faults import Rule
 from mallowbeam.standins.node import ObjectNode
@@ -700,3 +704,121 @@
     (tmp_path / "folder.json").write_text(json.dumps({"format": "mallowbeam-buffer", "version": 9, "id": ""}))
     with pytest.raises(BadConfig, match=r"buffer\.folder: .* version 9"):
         run(start(tmp_path))
+
+
+def test_a_direct_write_is_refused_while_its_key_cannot_be_cleared(nodes, tmp_path):
+    """Else the buffered one, taken in before it, would replace it."""
+    async def play() -> None:
+        async with Buffered(nodes, tmp_path) as world:
+            world.keep_still()
+            await world.play("""
+                o1 send PUT /plates/a body=first
+                o1 expect 200 x-mallowbeam-durable
+                o1 send PUT /plates/a body=second x-amz-tagging:a=b
+                o1 expect 503 SlowDown
+                o1 send PUT /plates/b body=other x-amz-tagging:a=b
+                o1 expect 200
+            """)
+
+    run(play())
+    assert writes(nodes) == ["PUT /plates/b"]
+
+
+@pytest.mark.parametrize("there, seen, outcome", [
+    ("", "", Outcome.STORED), ("other", "", Outcome.DECLINED), ("other", "seen", Outcome.STORED),
+    ("", "seen", Outcome.DECLINED), ("newer", "seen", Outcome.DECLINED), ("newer", None, Outcome.STORED)])
+def test_what_follows_a_reading_back_is_tied_to_what_was_seen(nodes, tmp_path, there, seen, outcome):
+    """`seen` is the version of `other`, "" for none: whoever wrote since must not be replaced."""
+    other = f'"{hashlib.md5(b"other").hexdigest()}"'
+
+    async def play() -> Sent:
+        async with Buffered(nodes, tmp_path) as world:
+            if there:
+                await world.play(f"o1 send PUT /plates/a body={there} x-amz-tagging:a=b\no1 expect 200")
+            write = Write("PUT", "plates", b"/plates/a", crc32(b"plates/a"), [], b"token", '"e"', 4, 0.0)
+            return await world.buffer_part.sender.send(write, b"mine", 2.0, other if seen else seen)
+
+    assert run(play()).outcome is outcome
+    body = next(stored.body for node in nodes for stored in node.store.objects.values()) if there else b"mine"
+    if outcome is Outcome.STORED:
+        assert b"mine" in [stored.body for node in nodes for stored in node.store.objects.values()]
+    elif there:
+        assert body == there.encode()
+
+
+def test_a_body_that_outgrows_the_buffer_on_its_way_in_is_refused_and_leaves_nothing(nodes, tmp_path):
+    """Its length is not told, so that it is found out only on the way."""
+    async def play() -> None:
+        async with Buffered(nodes, tmp_path) as world:
+            core = world.buffer_part.core
+            core.limits = replace(core.limits, max_bytes=core.bytes + 600_000)
+            reader, writer = await asyncio.open_connection(*world.objects)
+            writer.write(b"PUT /plates/a HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n")
+            for _ in range(20):
+                writer.write(b"%x\r\n%b\r\n" % (100_000, bytes(100_000)))
+            writer.write(b"0\r\n\r\n")
+            async with asyncio.timeout(10):
+                assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 503")
+            assert not core.entries and not any(core.live.values()) and core.bytes <= core.limits.max_bytes
+
+    run(play())
+
+
+def test_bodies_at_hand_keep_within_their_bound_and_others_are_read_again(nodes, tmp_path):
+    async def play() -> None:
+        async with Buffered(nodes, tmp_path, change={"cache_bytes": 300_000}) as world:
+            world.keep_still()
+            for i in range(10):
+                await world.play(f"o1 send PUT /plates/k{i} fill=100000\no1 expect 200 x-mallowbeam-durable")
+                assert world.buffer_part._cached <= 300_000
+            assert len(world.buffer_part._cache) < 4
+            await world.play("o1 send GET /plates/k0 range:bytes=99999-\no1 expect 206 '\\n\\nx$'")
+
+    run(play())
+
+
+def test_words_that_end_writes_are_synced_though_the_disk_has_no_room_for_new_ones():
+    """Both in one batch: the new one is turned away, the other makes room, from what was kept back for it."""
+    disk = SimDisk()
+    log = Log(disk, 1 << 20)
+    log.settle(log.open())
+
+    async def play() -> None:
+        store = Store(log, 0, lambda *_: None, lambda *_: None)
+        disk.room = disk.used()
+        words = Write("PUT", "plates", b"/plates/a", 1, [], b"t", '"e"', 9000, 0.0)
+        new = store.append(Kind.WRITE, store.next_lsn(), pack(Kind.WRITE, words, bytes(9000)))
+        end = store.append(Kind.DONE, store.next_lsn(), pack(Kind.DONE, Done([1])))
+        with pytest.raises(NotTaken):
+            await new.done
+        await end.done
+        await store.close()
+
+    run(play())
+
+
+def test_writes_for_a_node_that_is_replaced_go_to_the_one_that_discovery_names(nodes, tmp_path):
+    """Another machine, another address, the same shard: told by discovery while the buffer holds writes."""
+    new = ObjectNode()
+
+    async def play() -> None:
+        async with Buffered(nodes, tmp_path) as world:
+            world.keep_still()
+            for key in keys_at(0, 3):
+                await world.play(f"o1 send PUT /plates/{key} body={key}\no1 expect 200 x-mallowbeam-durable")
+            members = [member("n0", nodes[0].host_port, 0, "draining"), member("n9", new.host_port, 0),
+                       member("n1", nodes[1].host_port, 1)]
+            body = json.dumps({"revision": 7, "complete": True, "members": members})
+            await world.play(f"d expect GET\nd send 200 'body={body}'")
+            async with asyncio.timeout(10):
+                while "n9" not in world.gateway.addresses:
+                    await asyncio.sleep(0.01)
+            world.go_on()
+            await world.flushed()
+
+    try:
+        run(play())
+        assert set(new.store.objects) == {f"/plates/{key}" for key in keys_at(0, 3)}
+        assert not nodes[0].store.history
+    finally:
+        new.close()
