A failed call to discovery is repeated at intervals that the whole fleet's calls fit

Of the 28 gateways killed at 13 s none had a list again; until the end they sent to drained and replaced nodes (720 turned away and 551 not reached per 2 s).

Cause: control.py, _on_list, FAILED: every gateway asked again 0.25 to 1.5 s after a failure, whatever the fleet's size. 40 of them are 30 calls a second at a service that turns away whoever has waited 2 s, so each waited in vain and made the others wait.

Change: the interval doubles from 0.5 s up to hosts / 5 s (8 s for 40 hosts, 1 s for 5 or fewer as before), each jittered by half. Test: 40 modules against a queue that serves 8 calls a second with 2 s of patience; it fails without the change (nobody else is told within 25 s).

--- a/mallowbeam/control.py
+++ b/mallowbeam/control.py
@@ -33,7 +33,7 @@
 ACTIVE = 2.0            # seconds for which a volume counts in the sharing of a node after its last request
 STUCK = 5.0             # times the expected time after which an attempt passed over by later ones is given up
 FORGET = 30.0           # seconds after which what a volume has drawn says nothing any more
-WATCH_AGAIN = 0.5       # seconds to the first repeat of a failed call to discovery; later ones twice that
+WATCH_AGAIN, FLEET_CALLS = 0.5, 5.0  # seconds to a failed call's repeat; calls a second by all hosts, then
 PRICE_LASTS = 2.0       # seconds: surges come and go within seconds, and so must what they make slots worth
 PRICE_STEP = 0.5        # how far one request without a slot moves a node's price towards its worth
 CROWD = 0.3             # of the dearest unit: what one must be worth where waiting takes up the aim
@@ -324,11 +324,12 @@
 
     def _on_list(self, event: io.NodesListed) -> None:
         if event.kind is io.ListKind.FAILED:
-            # Guards against losing sight of the nodes: ask again, spaced out and jittered so that hosts
-            # which lost discovery together do not return together.
+            # Guards discovery, which takes calls in turn: hosts that come back sooner than it can serve all
+            # of them wait until each gives up, and nobody is told anything.  Alone, a host soon asks again.
             self.watch_failures += 1
-            wait = WATCH_AGAIN * min(self.watch_failures, 2) * (0.5 + self.random.random())
-            self._at(self.now + min(wait, (self.settings.ask_every or wait) / 2), "")
+            wait = min(WATCH_AGAIN * 2.0 ** min(self.watch_failures - 1, 10),
+                       max(2 * WATCH_AGAIN, self.settings.hosts / FLEET_CALLS)) * (0.5 + self.random.random())
+            self._at(self.now + min(wait, self.settings.ask_every or wait), "")
             return
         self.watch_failures = 0
         named = {entry.node for entry in event.entries}
@@ -525,8 +526,7 @@
             return self._end(request)
         if not request.asked:
             volume.refill(self.now)
-            wait = volume.limit_wait(request.units + volume.pending)
-            if wait > 0:
+            if (wait := volume.limit_wait(request.units + volume.pending)) > 0:
                 return self._end(request, retry_after=wait)
             request.asked = True
             volume.pending += request.units
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -437,7 +437,7 @@
 def test_discovery_is_asked_again_within_seconds_however_often_it_failed():
     """Guards drains: they count as told a few seconds later, whether word of them came or not."""
     rig = Rig(discovery_on_request=True)
-    for _ in range(8):
+    for _ in range(2000):                      # no overflow either, however long discovery is down
         rig.step(io.NodesListed(io.ListKind.FAILED))
         assert of(rig.wait(1.5), io.Watch)
 
@@ -687,3 +687,44 @@
     seen = rig.step(rig.ended(send, io.Outcome.ASTRAY), after=0.01)
     assert of(seen, io.Refuse) and not of(seen, io.Send)
     assert rig.host.nodes["n0"].window == window and rig.host.nodes["n0"].held <= rig.now
+
+
+class OneQueue:
+    """Discovery as one service: calls in turn, `rate` a second, and whoever has waited 2 s is turned away.
+
+    Work on a call is not undone by its caller's patience, as in any queue whose clients give up.
+    """
+
+    PATIENCE, ROOM = 2.0, 40
+
+    def __init__(self, rate: float) -> None:
+        self.work, self.free_at, self.ends = 1.0 / rate, 0.0, []
+
+    def call(self, now: float) -> tuple[float, bool]:
+        """When a call that comes now ends, and whether it was served."""
+        self.ends = [end for end in self.ends if end > now]
+        if len(self.ends) >= self.ROOM:
+            return now, False
+        self.free_at = max(self.free_at, now) + self.work
+        self.ends.append(self.free_at)
+        return min(self.free_at, now + self.PATIENCE), self.free_at <= now + self.PATIENCE
+
+
+@pytest.mark.parametrize(("hosts", "rate", "within"), [(40, 8.0, 25.0), (4, 8.0, 1.0)])
+def test_a_fleet_that_asks_discovery_at_one_instant_is_told_in_the_end(hosts, rate, within):
+    """Guards against hosts that ask again sooner than discovery can serve all: none was told in 25 s."""
+    rigs = [Rig(discovery_on_request=True, ask_every=10.0, hosts=hosts, seed=seed) for seed in range(hosts)]
+    service, told, now = OneQueue(rate), set(), 0.0
+    due = [(0.0, n, None) for n in range(hosts)]  # when, which host, how its call ended (None: it begins)
+    while due and now < within:
+        now, n, served = due.pop(due.index(min(due, key=lambda entry: entry[:2])))
+        if served is None:
+            end, good = service.call(now)
+            due.append((end, n, good))
+        elif served:
+            told.add(n)
+        else:
+            rigs[n].step(io.NodesListed(io.ListKind.FAILED), after=100.0 + now - rigs[n].now)
+            assert of(rigs[n].wait(rigs[n].timer - rigs[n].now), io.Watch)
+            due.append((rigs[n].now - 100.0, n, None))
+    assert len(told) == hosts
