Cold nodes take part of what comes beyond reserves; a listed start ends a node's suspicion

Cause: control.py, _cold_bars. What a cold node always bears, dealt over 40 hosts, is 0.2 units each, less than any request; beside it only a part of what is inside reserves went, a seventh of what is asked. And _on_list: a start told by the list chilled the node but left it suspect, so that only a trickle went, which has to pass _cold_bars as well.

Change: a part of every tier goes, by key as before (0.5 of what tips a node for reserves, 0.35 beyond), and one host's beyond reserves is bounded by a quarter of what the node always bears, as surges come through one to three hosts. A start that the list tells ends the suspicion.

--- a/mallowbeam/control.py
+++ b/mallowbeam/control.py
@@ -41,8 +41,8 @@
 BREAKS = 6              # broken connections in a row after which a node counts as ended: on some days one
 REFUSAL = 3             # in five breaks; a connection refused or never up, as after an end, counts for more
 FAULTY = 0.3            # share of errors from which a node counts as failing: single ones are all in a day
-COLD_PART = 0.4         # of the units that tip a cold node: replacements may be slower, demand uneven
-EVEN_PART = 0.5         # of what a cold node always bears, over all hosts, is dealt out evenly among them
+COLD_PART = (0.5, 0.35, 0.35)  # of the units that tip a cold node, by tier; replacements may be slower
+SURGE_PART, EVEN_PART = 0.25, 0.5  # of what it always bears: one host's most beyond reserves; all evenly
 WARM_ENOUGH = 2.0       # times its full capacity: a node that tips only beyond that is open to all units
 CAPACITY_DEALT = 0.9    # of a node's power is dealt out by weight (the users' terms)
 EPS = 2e-6              # seconds: a clock that counts in microseconds may round a timer down
@@ -351,6 +351,7 @@
                     since = self.now           # a machine that joins unexplained is a replacement, so cold
                 if since is not None and (fresh or since != node.since):
                     self._chill(node, since)
+                    self._alive(node)          # it runs: what fell silent did so before
                 node.since = since
             self._admit(node)
 
@@ -691,24 +692,22 @@
     def _cold_bars(self, node: Node, request: Request) -> bool:
         """Whether a request must not go to a node because that is cold.
 
-        Each host sends a part of what it has inside reserves: reserves fit a node, so the same part of them
-        at every host is that part of what the node can do.  No history is needed, so a lead that moves or a
-        new life of a host changes nothing.  Which requests, the key says: a client's repeats fare alike.
-        Beyond that each host may use its even part of half of what such a node always bears.
+        Each host sends a part of each tier, the key says which: repeats fare alike, and a lead that moves or
+        a new life of a host changes nothing.  Reserves fit a node, and so does a part of them at every host;
+        what is beyond comes in surges, through few hosts, so one host's is bounded besides.
         """
         if self.now >= node.cold_until:
             return False
         s = self.settings                      # the ramp is taken at the middle of the rule's window
         age = max(0.0, self.now - node.cold_from - s.fall_window / 2)
         ramp = min(1.0, s.cold_start + (1.0 - s.cold_start) * age / max(s.cold_time, 1e-9))
-        if ramp * (s.fall_multiple or 0.0) >= WARM_ENOUGH:
-            return False
-        part = COLD_PART * (s.fall_multiple or 0.0) * ramp
-        if request.tier == 0 and crc32((request.key or request.id).encode()) < part * 2 ** 32:
-            return False
+        tips = (s.fall_multiple or 0.0) * ramp
         node.cold_sent = [sent for sent in node.cold_sent if sent[0] > self.now - s.fall_window]
-        bears = EVEN_PART * (s.cold_units or 0.0) / max(1, s.hosts) * ramp / max(s.cold_start, 1e-9)
-        return sum(units for _, units in node.cold_sent) + request.units > bears
+        sent = sum((units for _, units in node.cold_sent), request.units)
+        bears = (s.cold_units or 0.0) * ramp / max(s.cold_start, 1e-9)
+        dealt = crc32((request.key or request.id).encode()) < COLD_PART[request.tier] * tips * 2 ** 32
+        return tips < WARM_ENOUGH and sent > EVEN_PART * bears / max(1, s.hosts) and not (
+            dealt and (request.tier == 0 or sent <= SURGE_PART * bears))
 
     def _budget_left(self) -> bool:
         """Whether one more attempt beyond a request's first stays within the budget."""
