--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -761,7 +761,7 @@
 def test_a_fleet_that_asks_discovery_at_one_instant_is_told_in_the_end(hosts, rate, within):
     """Guards against hosts that ask again sooner than discovery can serve all.
 
-    At an interval of a second none but the first was told in 25 s; doubled from half a second, it took 18.6 s.
+    At an interval of a second none but the first was told in 25 s; doubled from 0.5 s, it took 18.6 s.
     """
     rigs = [Rig(discovery_on_request=True, ask_every=10.0, hosts=hosts, seed=seed) for seed in range(hosts)]
     service, told, now = OneQueue(rate), set(), 0.0
