Reread: a list is written out for the other process only where there is one

net/gateway.py, _told, wrote each word from discovery out as JSON's values for a sister process and then found that there was none: 79 us for a list of 60 nodes (500 times), on the loop, at each change. Found by reading; what is told to a sister is as before (tests of the handover, the platform and the program pass).

--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -549,7 +549,8 @@
         if listing is None:
             self._apply(self.facade.listed(self.now(), io.ListKind.FAILED))
         else:
-            self._tell("list", write_listing(*listing))
+            if self.sister is not None:        # else a whole list is written out for nobody
+                self.sister.tell("list", write_listing(*listing))
             self._listing(listing)
 
     def by_hand(self, node: str, out: bool, told: bool = False) -> bool:
