A request's units leave its volume's limit only once a node may have its last byte

A probe that logged every draw, attempt and outcome on limited volumes (not landed) showed: the module's own draws, summed over all gateways of each of 355 volumes through one store of 48 units at 12 a second, never went below -7.99; no volume came through more gateways than its hosts said, and no hosts count changed (ruled out). The volume that broke (one gateway) had first attempts at 12.96 s and 13.03 s that ended NO_CONNECTION after 0.25 s and went again. PROTOCOL takes units when a request's last byte first reaches a node, so the platform took them 0.25 s after the module drew them, with the store full: the module's part refilled meanwhile into room the real store did not have, and stood some 2 units above it at its floor of -8. Counting at the first attempt not unsent gives -9.96 there (5 times); counting every attempt, 78 times. Lines at fault: Scheduler._send drew at tries == 0, and nothing gave units back when no node had them.

Change: Settings.limit_at_arrival (set by the real gateway's configuration; the simulator keeps its rule of the first PLACE not N).

--- a/mallowbeam/control.py
+++ b/mallowbeam/control.py
@@ -50,6 +50,7 @@
 ALIVE = (io.Outcome.OK, io.Outcome.ERROR, io.Outcome.REJECTED, io.Outcome.ASTRAY)
 NEVER_RAN = (io.Outcome.REJECTED, io.Outcome.ASTRAY, io.Outcome.NO_CONNECTION, io.Outcome.NOT_SENT)
 MAY_STILL_RUN = (io.Outcome.TIMEOUT, io.Outcome.RESET, io.Outcome.CANCELLED)
+UNSENT = (io.Outcome.NO_CONNECTION, io.Outcome.NOT_SENT)  # on sockets: its last byte never left
 
 
 class Request:
@@ -65,16 +66,16 @@
         self.tries = 0                         # attempts so far, as the wire numbers them
         self.out: dict[int, Attempt] = {}
         self.ran: list[tuple[Node, float]] = []  # attempts that may have run: where, and when sent
-        self.done = self.late = self.asked = self.priced = False
+        self.done = self.late = self.asked = self.priced = self.drawn = False  # drawn: from its limit
         self.tier = 2                          # 0 inside reserve, 1 inside share, 2 spare
 
 
 class Attempt:
     """One attempt that is out."""
 
-    def __init__(self, request: Request, number: int, node: Node, now: float) -> None:
+    def __init__(self, request: Request, number: int, node: Node, now: float, coming: int) -> None:
         self.request, self.number, self.node, self.sent_at = request, number, node, now
-        self.stuck, self.coming = False, 0     # passed over and given up; units whose body still comes
+        self.stuck, self.coming = False, coming  # passed over and given up; units no node may have yet
 
 
 class Volume:
@@ -133,8 +134,7 @@
         """Let answers fade with time, so that few a second weigh as they should: recent or not at all."""
         now = self.sched.now
         if now > self.fresh_at:
-            self.weight *= exp((self.fresh_at - now) / MEMORY)
-            self.fresh_at = now
+            self.weight, self.fresh_at = self.weight * exp((self.fresh_at - now) / MEMORY), now
             self.n_latency = (self.weight * self.mean + PRIOR * self.sched.prior) / (self.weight + PRIOR)
 
     def measure(self, units: int, latency: float, at_least: bool) -> float:
@@ -171,8 +171,7 @@
 
     def bid(self, now: float, worth: float = 0.0) -> float:
         """The price of a unit here, moved by what found no slot and forgotten within seconds."""
-        self.price *= exp((self.price_at - now) / PRICE_LASTS)
-        self.price_at = now
+        self.price, self.price_at = self.price * exp((self.price_at - now) / PRICE_LASTS), now
         if worth > self.price:
             self.price += PRICE_STEP * (worth - self.price)
         return self.price
@@ -205,8 +204,7 @@
         self.rests: dict[str, float] = {}      # ordered keys: when an attempt that may still run is settled
         self.taken, self.extras = deque(), deque()  # times of requests taken, and of further attempts
         self.timers: list[tuple[float, int, object]] = []
-        self.timer_set = float("inf")
-        self.seq = self.watch_failures = 0
+        self.timer_set, self.seq, self.watch_failures = float("inf"), 0, 0
         self.touched: dict[str, Node] = {}
         self.actions: list[io.Action] = []
         if settings.discovery_on_request:
@@ -232,8 +230,7 @@
 
     def _survey(self) -> None:
         """Once a second: the usual latency and the lowest, from the nodes that answered of late."""
-        passed = self.now - self.surveyed
-        if passed < 1.0:
+        if (passed := self.now - self.surveyed) < 1.0:
             return
         self.surveyed = self.now
         self._tidy()
@@ -285,8 +282,7 @@
 
     def _on_request(self, event: io.RequestArrived) -> None:
         cls = self.settings.classes.get(event.cls) or io.RequestClass(event.cls, aim=event.expires_in)
-        hosts = max(1, event.hosts_of_volume or self.settings.hosts)
-        volume = self._volume(event.volume, event.plan, hosts)
+        volume = self._volume(event.volume, event.plan, max(1, event.hosts_of_volume or self.settings.hosts))
         self.seq += 1
         # A client's further try has less time left than a first one, and its aim runs from the first.  Guards
         # against an odd client, whose hours would make all others late: none waits longer than its class.
@@ -331,8 +327,7 @@
             wait = min(max(WATCH_AGAIN, most / 4) * 2.0 ** min(self.watch_failures - 1, 2), most)
             self._at(self.now + min(wait * (0.5 + self.random.random()), self.settings.ask_every or 1e9), "")
             return
-        self.watch_failures = 0
-        named = {entry.node for entry in event.entries}
+        self.watch_failures, named = 0, {entry.node for entry in event.entries}
         if event.kind is not io.ListKind.CHANGES:
             for node in self.nodes.values():
                 if node.id not in named:
@@ -432,6 +427,9 @@
             return
         node, outcome, worked = attempt.node, event.outcome, self._idle(attempt)
         request.volume.coming -= attempt.coming
+        if attempt.coming and outcome in UNSENT and request.tries == attempt.number + 1:  # no node has it
+            request.drawn, request.volume.limit_level = False, request.volume.limit_level + attempt.coming
+            request.volume.pending += attempt.coming
         self.touched[node.id] = node
         if event.elsewhere:
             request.volume.reserve_level = max(-request.volume.reserve_top,
@@ -570,9 +568,8 @@
         """
         now, settings = self.now, self.settings
         if now - node.weights_at > ACTIVE / 4:
-            node.weights_at = now
             node.shares = {v: known for v, known in node.shares.items() if now - known[2] <= ACTIVE}
-            node.weights = sum(v.plan.weight for v in node.shares)
+            node.weights_at, node.weights = now, sum(v.plan.weight for v in node.shares)
         power = CAPACITY_DEALT * node.window / max(node.n_latency, 1e-3) / max(node.weights, 1e-9)
         left: dict[Volume, list[float]] = {}
         for request in sorted((entry[2] for entry in node.queue), key=lambda r: -r.cls.worth):
@@ -748,21 +745,24 @@
                 or self._cold_bars(node, request)
                 or request.tries and not self._budget_left()):
             return False
-        if request.tries:
-            self.extras.append(self.now)
-        else:
+        if not request.drawn:
             request.volume.refill(self.now)
             if request.volume.limit_wait(request.units) > 0:
                 return False
             request.volume.limit_level -= request.units
             request.volume.pending -= request.units
-            if request.tier == 0:
-                request.volume.reserve_level -= request.units
-            elif request.tier == 1 and request.volume in node.shares:
-                node.shares[request.volume][0] -= request.units
+        if request.tries:
+            self.extras.append(self.now)
+        elif request.tier == 0:
+            request.volume.reserve_level -= request.units
+        elif request.tier == 1 and request.volume in node.shares:
+            node.shares[request.volume][0] -= request.units
         if self.now < node.cold_until:
             node.cold_sent.append((self.now, request.units))
-        attempt = Attempt(request, request.tries, node, self.now)
+        # Guards a limit counted at a node's last byte: kept from filling a full store, given back if unsent.
+        coming = request.units * (self.settings.limit_at_arrival and not request.drawn)
+        attempt, request.drawn = Attempt(request, request.tries, node, self.now, coming), True
+        request.volume.coming += coming
         request.out[request.tries] = node.out[(request.id, request.tries)] = attempt
         request.tries += 1
         node.out_units += request.units
@@ -793,7 +793,7 @@
         if self.settings.may_cancel:
             for attempt in request.out.values():
                 self.actions.append(io.Cancel(request.id, attempt.number))
-        if request.asked and not request.tries:  # never sent, so what its booking spoke for is given back
+        if request.asked and not request.drawn:  # never sent, so what its booking spoke for is given back
             request.volume.pending -= request.units
         self._forget(request)
 
--- a/mallowbeam/interface.py
+++ b/mallowbeam/interface.py
@@ -123,6 +123,10 @@
     budget_floor: float | None = None
     budget_share: float = 0.0
     budget_window: float = 0.0
+    # Where a request's units leave its volume's limit: at its first attempt that is not N (the simulator's
+    # rule), or when its last byte first reaches a node (PROTOCOL, on sockets), so that an attempt whose
+    # connection never came up takes nothing.
+    limit_at_arrival: bool = False
 
 
 # --- events -----------------------------------------------------------------------------------
--- a/mallowbeam/net/config.py
+++ b/mallowbeam/net/config.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from mallowbeam import interface as io
 from mallowbeam.net.discovery import Listing, read_listing
@@ -86,7 +86,7 @@
     def seconds(path: str) -> float | None:
         return opt(flat.get(path, "-"))
 
-    settings = read_settings(int(str(raw.get("seed", "0")), 16), flat)
+    settings = replace(read_settings(int(str(raw.get("seed", "0")), 16), flat), limit_at_arrival=True)
     if not settings.classes:
         raise ValueError("no classes in the settings")
     discovery = str(env.get("BALANCER_DISCOVERY") or raw["discovery"])
