Reread: the test's stand-in store is given its start time, not set by hand after

Need: the store of the platform in the limit test was built with a clock of 0 and then had it overwritten; it now takes its start time.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -306,8 +306,8 @@
 class Store:
     """A volume's one store as the platform keeps it: it takes a request's units when a node first has it."""
 
-    def __init__(self, plan: io.Plan) -> None:
-        self.plan, self.level, self.at, self.least = plan, plan.limit_burst, 0.0, plan.limit_burst
+    def __init__(self, plan: io.Plan, now: float) -> None:
+        self.plan, self.level, self.at, self.least = plan, plan.limit_burst, now, plan.limit_burst
 
     def take(self, now: float, units: int) -> None:
         self.level = min(self.plan.limit_burst, self.level + (now - self.at) * self.plan.limit) - units
@@ -317,9 +317,8 @@
 def test_a_first_attempt_whose_connection_never_came_up_takes_nothing_from_the_limit():
     """Day split+mass: units drawn at a full store 0.25 s before any node had them took it past the slack."""
     rig = Rig(nodes=2, limit_at_arrival=True)
-    store = Store(rig.settings.plans["basic"])
     rig.wait(5.0)                              # the host's part stands full, as the platform's store does
-    store.at = rig.now
+    store = Store(rig.settings.plans["basic"], rig.now)
     first = of(rig.step(rig.request(plan="basic", volume="b", units=8, shard=None)), io.Send)[0]
     again = of(rig.step(rig.ended(first, io.Outcome.NO_CONNECTION), after=0.3), io.Send)
     assert again, "sent again at once to the other node"
