Tests: a bronze limit across 200 module instances while a fifth of the nodes is cut off

The checker takes a request's units at its first attempt that reached a node, and fails past the slack.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import random
 from heapq import heappop, heappush
+from itertools import count
 
 import pytest
 from conftest import Rig, of
@@ -331,6 +333,64 @@
     assert store.least >= -rig.settings.plans["basic"].limit_slack
 
 
+def test_a_limit_holds_across_200_hosts_while_a_fifth_of_them_is_cut_off():
+    """Day split+mass at 200 gateways: what all hosts of a volume send stays within its one store.
+
+    Each volume comes through one to three hosts in bursts; for 6 s a fifth of the nodes is cut off (attempts
+    there end unsent after the connect time, and go again elsewhere); a fifth of the hosts had their list 2 s
+    late; answers are lost after the node ran and connections reset under requests, which are sent again.  The
+    store counts as the platform does: a request's units go at its first attempt that reached a node.
+    """
+    bronze = io.Plan("bronze", limit=12, limit_burst=48, limit_slack=8, price=0.8)
+    draw = random.Random(23)
+    cut = set(draw.sample(range(200), 40))
+    rigs = [Rig(nodes=0 if n in cut else 10, now=0.0, hosts=200, seed=n, limit_at_arrival=True,
+                plans={"bronze": bronze}) for n in range(200)]
+    volumes = {f"v{v}": draw.sample(range(200), draw.choice((1, 2, 3))) for v in range(60)}
+    stores = {name: Store(bronze, 0.0) for name in volumes}
+    due: list[tuple[float, int, int, object]] = []  # when, order, which host, what comes
+    order = count()
+    for second in range(20):                   # each second some volumes are quiet, some surge
+        for name, hosts in volumes.items():
+            for _ in range(draw.choice((0, 1, 3, 8, 30))):
+                heappush(due, (second + draw.random(), next(order), draw.choice(hosts), name))
+    listed = io.NodesListed(io.ListKind.CACHED, 1, [io.NodeEntry(f"n{i}", shard=i) for i in range(10)])
+    for n in cut:
+        heappush(due, (2.0, next(order), n, listed))  # the list comes 2 s late
+    counted: set[str] = set()
+    asked: dict[str, tuple[str, int]] = {}     # each request's volume and units
+    tries: dict[tuple[int, str], int] = {}
+    while due:
+        now, _, n, what = heappop(due)
+        rig = rigs[n]
+        rig.now = now
+        if what == "timer":
+            if rig.timer is None or rig.timer > now:
+                continue
+            rig.timer, event = None, io.TimerFired(0)
+        elif isinstance(what, io.Event):
+            event = what
+        else:
+            event = rig.request(request=f"q{next(order)}", plan="bronze", volume=str(what), shard=None,
+                                hosts_of_volume=len(volumes[str(what)]), units=draw.randint(1, 4))
+            asked[event.request] = (event.volume, event.units)
+        for send in of(rig.step(event), io.Send):
+            number = tries[n, send.request] = tries.get((n, send.request), -1) + 1
+            if 6.0 <= now < 12.0 and send.node in ("n0", "n1"):
+                outcome, after = io.Outcome.NO_CONNECTION, 0.25
+            else:
+                outcome, after = draw.choices([(io.Outcome.OK, 0.05), (io.Outcome.TIMEOUT, 0.3), (
+                    io.Outcome.RESET, 0.02), (io.Outcome.NO_CONNECTION, 0.25)], weights=(80, 8, 7, 5))[0]
+            if outcome is not io.Outcome.NO_CONNECTION and send.request not in counted:
+                counted.add(send.request)
+                stores[asked[send.request][0]].take(now, asked[send.request][1])
+            heappush(due, (now + after, next(order), n, rig.ended(send, outcome, number, after)))
+        if rig.timer is not None:
+            heappush(due, (rig.timer, next(order), n, "timer"))
+    assert len(counted) > 3000
+    assert min(store.least for store in stores.values()) >= -bronze.limit_slack
+
+
 # --- discovery ---------------------------------------------------------------------------------
 
 
