--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -16,7 +16,7 @@
 
 
 def checkout(tmp_path: Path) -> Path:
-    """A root with the build script, a package to compile and no requirements, so that pip needs no network."""
+    """A root with the build script, a package to compile and no requirements: pip needs no network."""
     (tmp_path / "deploy").mkdir()
     shutil.copy(ROOT / "deploy" / "build.sh", tmp_path / "deploy" / "build.sh")
     (tmp_path / "mallowbeam").mkdir()
@@ -30,12 +30,13 @@
 
 
 def usable(root: Path) -> bool:
-    return subprocess.run([root / ".venv/bin/python", "-m", "pip", "--version"], capture_output=True).returncode == 0
+    pip = subprocess.run([root / ".venv/bin/python", "-m", "pip", "--version"], capture_output=True)
+    return pip.returncode == 0
 
 
 def test_a_half_made_venv_is_remade(tmp_path: Path) -> None:
     root = checkout(tmp_path)
-    (root / ".venv" / "bin").mkdir(parents=True)  # as a build that was cut off after its first folder leaves it
+    (root / ".venv" / "bin").mkdir(parents=True)  # as a build cut off after its first folder leaves it
     assert build(root).wait() == 0
     assert usable(root)
     assert list((root / "mallowbeam" / "__pycache__").glob("__init__.*.pyc"))
