--- /dev/null
+++ b/tests/test_deployments.py
@@ -0,0 +1,192 @@
+"""Both kinds of deployment, each with settings of its shape, kept to the rules by many module instances.
+
+`example/config.json` is shaped like the first deployment (one host, probes, Retry-After, four tries);
+`example/records.json` like the second (four hosts, pushed lists, no Retry-After, three tries, a limited plan
+whose volumes come through several hosts).  A checker reads the history of a day and names each broken rule.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+from dataclasses import replace
+from heapq import heappop, heappush
+from itertools import count
+
+import pytest
+from scenario import EXAMPLE
+
+from mallowbeam import interface as io
+from mallowbeam.control import MAY_STILL_RUN, Scheduler
+from mallowbeam.settings import flatten, read_settings
+
+MAY_HAVE_RUN = (*MAY_STILL_RUN, io.Outcome.ERROR)
+
+
+def shaped(name: str) -> io.Settings:
+    raw = json.loads((EXAMPLE / name).read_text())
+    return replace(read_settings(7, flatten(raw["settings"])), limit_at_arrival=True)
+
+
+class Checker:
+    """The rules over a recorded history: what each request got, where and when it was sent."""
+
+    def __init__(self, settings: io.Settings) -> None:
+        self.settings, self.broken = settings, []
+        self.finals: dict[str, int] = {}
+        self.out: dict[str, int] = {}           # attempts out, by request
+        self.sends: dict[str, list[tuple[float, str]]] = {}
+        self.ran: dict[str, bool] = {}          # whether an attempt may have run
+        self.draining: dict[tuple[int, str], float] = {}  # when each host was told that a node drains
+        self.levels: dict[str, list[float]] = {}  # a volume's store: level, at
+        self.counted: set[str] = set()
+
+    def arrived(self, event: io.RequestArrived) -> None:
+        self.finals[event.request], self.out[event.request], self.sends[event.request] = 0, 0, []
+
+    def drains(self, host: int, node: str, now: float) -> None:
+        self.draining.setdefault((host, node), now)
+
+    def sent(self, now: float, cls: io.RequestClass, request: str, node: str, host: int = 0) -> None:
+        if self.out[request]:
+            self.broken.append(f"{request}: a second attempt while one is out")
+        if self.finals[request]:
+            self.broken.append(f"{request}: sent after its final answer")
+        if now > self.draining.get((host, node), now) + self.settings.drain_grace:
+            self.broken.append(f"{request}: new work for {node} after it was told to drain")
+        if len(self.sends[request]) >= (self.settings.max_attempts or 99):
+            self.broken.append(f"{request}: more attempts than allowed")
+        if self.ran.get(request) and cls.repeat is io.Repeat.UNSAFE:
+            self.broken.append(f"{request}: an unsafe request repeated after it may have run")
+        if self.ran.get(request) and cls.repeat is io.Repeat.KEYED and (
+                now - self.sends[request][0][0] > cls.repeat_window or self.sends[request][0][1] != node):
+            self.broken.append(f"{request}: a keyed repeat outside its node's window")
+        self.out[request] += 1
+        self.sends[request].append((now, node))
+
+    def reached(self, now: float, plan: io.Plan, volume: str, request: str, units: int) -> None:
+        """The platform's one store of a volume: units go at the first attempt that reached a node."""
+        if not plan.limit or request in self.counted:
+            return
+        self.counted.add(request)
+        level, at = self.levels.get(volume, [plan.limit_burst, now])
+        level = min(plan.limit_burst, level + (now - at) * plan.limit) - units
+        self.levels[volume] = [level, now]
+        if level < -max(plan.limit_slack, 0.1 * plan.limit_burst, self.settings.units_top):
+            self.broken.append(f"{volume}: over its limit by {-level:.1f} units")
+
+    def ended(self, request: str, outcome: io.Outcome) -> None:
+        self.out[request] -= 1
+        self.ran[request] = self.ran.get(request, False) or outcome in MAY_HAVE_RUN
+        if outcome is io.Outcome.OK:
+            self.answered(request)
+
+    def answered(self, request: str) -> None:
+        self.finals[request] += 1
+        if self.finals[request] > 1:
+            self.broken.append(f"{request}: a second final answer")
+
+    def close(self) -> list[str]:
+        return self.broken + [f"{r}: no final answer" for r, n in self.finals.items() if n == 0]
+
+
+def day(settings: io.Settings, seed: int, checker: Checker, hosts: int = 4, nodes: int = 10) -> int:
+    """A day of 20 s at `hosts` instances; one node drains at 5 s.  Returns the requests taken."""
+    draw = random.Random(seed)
+    entries = [io.NodeEntry(f"n{i}", shard=i, zone=str(i % 3)) for i in range(nodes)]
+    rigs = [Scheduler(replace(settings, hosts=hosts, host_index=n, seed=seed + n), 0.0) for n in range(hosts)]
+    due: list[tuple[float, int, int, object]] = []
+    order = count()
+    timers: list[float | None] = [None] * hosts
+    plans, classes = list(settings.plans.values()), list(settings.classes.values())
+    volumes = {f"v{v}": (draw.choice(plans), draw.sample(range(hosts), draw.randint(1, min(3, hosts))))
+               for v in range(12)}
+    for n in range(hosts):
+        heappush(due, (0.0, next(order), n, io.NodesListed(io.ListKind.FULL, 1, entries)))
+        draining = [replace(entries[3], state=io.NodeState.DRAINING)]
+        heappush(due, (5.0 + draw.random(), next(order), n, io.NodesListed(io.ListKind.CHANGES, 2, draining)))
+    for second in range(20):
+        for name, (_, through) in volumes.items():
+            for _ in range(draw.choice((0, 2, 5, 20))):
+                heappush(due, (0.1 + second + draw.random(), next(order), draw.choice(through), name))
+    asked: dict[str, io.RequestArrived] = {}
+    while due:
+        now, _, n, what = heappop(due)
+        if what == "timer":
+            if timers[n] is None or timers[n] > now:
+                continue
+            timers[n], event = None, io.TimerFired(0)
+        elif isinstance(what, tuple):
+            event = what[1]
+            checker.ended(event.request, event.outcome)
+        elif isinstance(what, io.Event):
+            event = what
+            if isinstance(event, io.NodesListed) and event.kind is io.ListKind.CHANGES:
+                checker.drains(n, event.entries[0].node, now)
+        else:
+            plan, through = volumes[str(what)]
+            cls = draw.choice(classes)
+            event = io.RequestArrived(
+                request=f"q{next(order)}", cls=cls.name, shard=draw.randrange(nodes),
+                units=draw.randint(1, 8), volume=str(what), plan=plan.name, hosts_of_volume=len(through),
+                key=f"{draw.getrandbits(64):016x}", expires_in=cls.deadline)
+            asked[event.request] = event
+            checker.arrived(event)
+        for action in rigs[n].step(now, [event]):
+            if isinstance(action, io.SetTimer):
+                timers[n] = action.at if timers[n] is None or timers[n] <= now else min(timers[n], action.at)
+            elif isinstance(action, io.Refuse | io.Fail):
+                checker.answered(action.request)
+            elif isinstance(action, io.Send):
+                request = asked[action.request]
+                cls = settings.classes[request.cls]
+                checker.sent(now, cls, action.request, action.node, n)
+                number = len(checker.sends[action.request]) - 1
+                outcome, after = draw.choices([(io.Outcome.OK, 0.05), (io.Outcome.TIMEOUT, 0.4), (
+                    io.Outcome.RESET, 0.02), (io.Outcome.NO_CONNECTION, 0.25), (io.Outcome.ERROR, 0.03)],
+                    weights=(84, 5, 4, 4, 3))[0]
+                if outcome is not io.Outcome.NO_CONNECTION:
+                    checker.reached(now, settings.plans[request.plan], request.volume, request.request,
+                                    request.units)
+                ended = io.AttemptEnded(action.request, number, action.node, outcome, after,
+                                        finished=outcome is io.Outcome.OK)
+                heappush(due, (now + after, next(order), n, ("end", ended)))
+        if timers[n] is not None:
+            heappush(due, (timers[n], next(order), n, "timer"))
+    return len(asked)
+
+
+@pytest.mark.parametrize("name", ["config.json", "records.json"])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_each_deployment_keeps_the_rules_across_its_hosts(name, seed):
+    settings = shaped(name)
+    checker = Checker(settings)
+    taken = day(settings, seed, checker)
+    assert taken > 1000
+    assert checker.close() == []
+    assert len(checker.counted) > 100, "enough of a limited plan reached a node for the limit to be tried"
+
+
+def test_the_checker_names_each_broken_rule():
+    """A history with each rule broken once is caught: the checker can fail."""
+    settings = shaped("records.json")
+    fetch, store = settings.classes["fetch"], settings.classes["store"]
+    checker = Checker(settings)
+    for request in ("a", "b", "c", "d", "e"):
+        checker.arrived(io.RequestArrived(request, "fetch", expires_in=2.0))
+    checker.sent(0.0, fetch, "a", "n0")
+    checker.sent(0.0, fetch, "a", "n0")          # two at once
+    checker.drains(0, "n1", 1.0)
+    checker.sent(1.3, fetch, "b", "n1")           # after the drain's grace
+    checker.sent(0.0, store, "c", "n2")
+    checker.ended("c", io.Outcome.TIMEOUT)
+    checker.sent(3.5, store, "c", "n2")           # a keyed repeat after its window
+    checker.answered("d")
+    checker.answered("d")                         # twice
+    plain = settings.plans["plain"]
+    for i in range(40):
+        checker.reached(0.0, plain, "v", f"x{i}", 8)  # all at once, far over the store
+    said = [line.split(": ")[1] for line in checker.close()]
+    assert said[:4] == ["a second attempt while one is out", "new work for n1 after it was told to drain",
+                        "a keyed repeat outside its node's window", "a second final answer"]
+    assert "over its limit" in said[4] and said.count("no final answer") == 4
