Reread: the deployments' test reads settings by the gateway's reader and counts by Store

tests/test_deployments.py rebuilt net/config.decode's line (read_settings over flatten, then limit_at_arrival) and kept its own copy of the platform's limit store beside test_control's Store. It now takes the settings by read_config, as the gateway does, so example/records.json is also checked as a whole configuration, and Store moves to conftest for both tests.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -84,6 +84,17 @@
                                finished=outcome is io.Outcome.OK)
 
 
+class Store:
+    """A volume's one store as the platform keeps it: it takes a request's units when a node first has it."""
+
+    def __init__(self, plan: io.Plan, now: float) -> None:
+        self.plan, self.level, self.at, self.least = plan, plan.limit_burst, now, plan.limit_burst
+
+    def take(self, now: float, units: int) -> None:
+        self.level = min(self.plan.limit_burst, self.level + (now - self.at) * self.plan.limit) - units
+        self.at, self.least = now, min(self.least, self.level)
+
+
 def of(actions: list[io.Action], kind: type) -> list:
     """The actions of one kind."""
     return [a for a in actions if isinstance(a, kind)]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -7,7 +7,7 @@
 from itertools import count
 
 import pytest
-from conftest import Rig, of
+from conftest import Rig, Store, of
 
 from mallowbeam import interface as io
 
@@ -305,17 +305,6 @@
     assert 0.7 * 60 < sent <= 10 * 6.0, "10 units a second, for 6 s, from nothing"
 
 
-class Store:
-    """A volume's one store as the platform keeps it: it takes a request's units when a node first has it."""
-
-    def __init__(self, plan: io.Plan, now: float) -> None:
-        self.plan, self.level, self.at, self.least = plan, plan.limit_burst, now, plan.limit_burst
-
-    def take(self, now: float, units: int) -> None:
-        self.level = min(self.plan.limit_burst, self.level + (now - self.at) * self.plan.limit) - units
-        self.at, self.least = now, min(self.least, self.level)
-
-
 def test_a_first_attempt_whose_connection_never_came_up_takes_nothing_from_the_limit():
     """Day split+mass: units drawn at a full store 0.25 s before any node had them took it past the slack."""
     rig = Rig(nodes=2, limit_at_arrival=True)
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -7,25 +7,25 @@
 
 from __future__ import annotations
 
-import json
 import random
 from dataclasses import replace
 from heapq import heappop, heappush
 from itertools import count
 
 import pytest
+from conftest import Store
 from scenario import EXAMPLE
 
 from mallowbeam import interface as io
 from mallowbeam.control import MAY_STILL_RUN, Scheduler
-from mallowbeam.settings import flatten, read_settings
+from mallowbeam.net.config import read_config
 
 MAY_HAVE_RUN = (*MAY_STILL_RUN, io.Outcome.ERROR)
 
 
 def shaped(name: str) -> io.Settings:
-    raw = json.loads((EXAMPLE / name).read_text())
-    return replace(read_settings(7, flatten(raw["settings"])), limit_at_arrival=True)
+    """The settings of an example configuration, as the gateway reads them."""
+    return read_config({"BALANCER_CONFIG": str(EXAMPLE / name)}).settings
 
 
 class Checker:
@@ -38,7 +38,7 @@
         self.sends: dict[str, list[tuple[float, str]]] = {}
         self.ran: dict[str, bool] = {}          # whether an attempt may have run
         self.draining: dict[tuple[int, str], float] = {}  # when each host was told that a node drains
-        self.levels: dict[str, list[float]] = {}  # a volume's store: level, at
+        self.stores: dict[str, Store] = {}
         self.counted: set[str] = set()
 
     def arrived(self, event: io.RequestArrived) -> None:
@@ -69,11 +69,10 @@
         if not plan.limit or request in self.counted:
             return
         self.counted.add(request)
-        level, at = self.levels.get(volume, [plan.limit_burst, now])
-        level = min(plan.limit_burst, level + (now - at) * plan.limit) - units
-        self.levels[volume] = [level, now]
-        if level < -max(plan.limit_slack, 0.1 * plan.limit_burst, self.settings.units_top):
-            self.broken.append(f"{volume}: over its limit by {-level:.1f} units")
+        store = self.stores.setdefault(volume, Store(plan, now))
+        store.take(now, units)
+        if store.level < -max(plan.limit_slack, 0.1 * plan.limit_burst, self.settings.units_top):
+            self.broken.append(f"{volume}: over its limit by {-store.level:.1f} units")
 
     def ended(self, request: str, outcome: io.Outcome) -> None:
         self.out[request] -= 1
