Limits: half of a part of a store is left to the class worth most, late volumes start filled

At fault: Scheduler._book asked Volume.limit_wait for every class alike, so scarce units went to whoever came first; Scheduler._volume set a new store's start to now past 30 s of a life, so each volume first seen then, or forgotten and seen again, began at its bottom though nothing had been drawn.

--- a/mallowbeam/control.py
+++ b/mallowbeam/control.py
@@ -35,6 +35,7 @@
 FORGET = 30.0           # seconds after which what a volume has drawn says nothing any more
 WATCH_AGAIN, FLEET_CALLS = 0.5, 5.0  # seconds to a failed call's repeat; calls a second by all hosts, then
 PRICE_LASTS = 2.0       # seconds: surges come and go within seconds, and so must what they make slots worth
+KEPT = 0.5              # of a limit's store: left to the dearest that it refused in PRICE_LASTS
 PRICE_STEP = 0.5        # how far one request without a slot moves a node's price towards its worth
 CROWD = 0.3             # of the dearest unit: what one must be worth where waiting takes up the aim
 UNTOLD = 3.0            # seconds by which lists run late: so long a node not reached is taken for cold
@@ -86,6 +87,7 @@
         # Guards the limit across hosts and restarts: only this host's part of the store is ever drawn, and as
         # an earlier life may have spent all of it a moment before this one, that starts at the bottom.
         self.limit_level, self.at = -plan.limit_slack / hosts, since  # nothing was drawn here after that
+        self.dear, self.dear_at = 0.0, since   # what the limit refused: a unit's worth, and when
         self.pending = self.coming = 0         # units booked and not sent; and those whose body still comes
         self.reserve_level = self.reserve_top = plan.reserve + settings.units_top if plan.reserve else 0.0
 
@@ -96,11 +98,16 @@
                                self.limit_level + passed * self.plan.limit / self.hosts)
         self.reserve_level = min(self.reserve_top, self.reserve_level + passed * self.plan.reserve)
 
-    def limit_wait(self, units: int) -> float:
-        """Seconds until the limit bears so many units more; refill first."""
+    def limit_wait(self, units: int, worth: float = 0.0) -> float:
+        """Seconds until the limit bears so many units more; cheap ones leave a part of it; refill first."""
         if self.plan.limit <= 0:
             return 0.0
-        missing = units + 1e-6 - self.plan.limit_slack / self.hosts - self.limit_level
+        # First come would spend what is scarce on the cheap.  Harm: the dear may not come, and some is left.
+        dearer = 0 < worth < self.dear and self.at < self.dear_at + PRICE_LASTS
+        kept = KEPT * self.plan.limit_burst * dearer
+        missing = units + 1e-6 + (kept - self.plan.limit_slack) / self.hosts - self.limit_level
+        if missing > 0 and worth and not dearer:
+            self.dear, self.dear_at = worth, self.at
         return max(0.0, missing * self.hosts / self.plan.limit)
 
 
@@ -138,10 +145,7 @@
             self.n_latency = (self.weight * self.mean + PRIOR * self.sched.prior) / (self.weight + PRIOR)
 
     def measure(self, units: int, latency: float, at_least: bool) -> float:
-        """Take in one answer; return its latency as if the request had been of the usual size.
-
-        One that was given up on tells a lower bound only, so it never makes a node look faster.
-        """
+        """Take in one answer; return its latency for the usual size.  One given up on is a lower bound."""
         self.refresh()
         usual = max(latency - self.sched.slope * (units - self.sched.settings.usual_units), 0.2 * latency)
         if at_least and usual <= self.n_latency:
@@ -244,13 +248,10 @@
             self.slope = self.floor / self.settings.usual_units
 
     def _tidy(self) -> None:
-        """Guards memory: forget ids that may never come back, and timers of requests that are over.
-
-        No rule gets looser: a volume's limit store begins at its bottom, a node's start is told by the list.
-        """
+        """Guards memory: forget ids that may never come back, and timers of requests that are over."""
         now = self.now
         self.volumes = {name: volume for name, volume in self.volumes.items()
-                        if volume.pending or now - volume.at <= FORGET}
+                        if volume.pending or volume.coming or now - volume.at <= FORGET}
         self.nodes = {name: node for name, node in self.nodes.items()
                       if node.state is not io.NodeState.GONE or node.out or now <= node.cold_until}
         if len(self.timers) > 2 * (len(self.requests) + len(self.nodes)) + 1000:
@@ -304,7 +305,7 @@
         volume = self.volumes.get((name, plan))
         if volume is None:
             known = self.settings.plans.get(plan) or io.Plan(plan)
-            since = self.now if self.now - self.born > FORGET else self.born
+            since = max(self.born, self.now - FORGET)  # it filled all that time: nothing was drawn here
             volume = self.volumes[name, plan] = Volume(known, hosts, self.settings, since)
         # Guards the limit against one client that names another plan or fewer hosts for the same volume.
         volume.hosts = max(volume.hosts, hosts)
@@ -369,10 +370,7 @@
             node.cold_from, node.cold_until = since, since + (lasts or self.settings.cold_time or 0.0)
 
     def _admit(self, node: Node) -> None:
-        """Let new work to a node that is listed as ready and not out by hand.
-
-        To any other nothing new goes from this very moment, and what waited is booked anew.
-        """
+        """Let new work to a node listed as ready and not out by hand; book anew what waits at another."""
         node.open = node.state is io.NodeState.READY and node.id not in self.banned
         self.open = [known for known in self.nodes.values() if known.open]
         if not node.open:
@@ -525,7 +523,7 @@
             return self._end(request)
         if not request.asked:
             volume.refill(self.now)
-            if (wait := volume.limit_wait(request.units + volume.pending)) > 0:
+            if (wait := volume.limit_wait(request.units + volume.pending, request.base)) > 0:
                 return self._end(request, retry_after=wait)
             request.asked = True
             volume.pending += request.units
@@ -538,10 +536,9 @@
         It is held against CHOICES others, hashed too: work stays the same in a large fleet, and hosts that
         see the same idle node do not all turn to it.
         """
-        nodes = [node for node in self.open if request.shard is None or request.shard == node.shard]
-        if request.ran and request.cls.repeat is not io.Repeat.SAFE:
-            # Guards against a booking where it may never be sent: it would be held there to its deadline.
-            nodes = [node for node in nodes if self._may_repeat(request, node)]
+        # Guards against a booking where it may never be sent: it would be held there to its deadline.
+        nodes = [node for node in self.open if request.shard in (None, node.shard)
+                 and (not request.ran or self._may_repeat(request, node))]
         key = crc32((request.key or request.id).encode())
         best, least = None, 0.0
         for turn in range(min(CHOICES + 1, len(nodes))):
