Runs on the same data go to their node together, beyond its room by two largest requests

Seen: on the second deployment programs send up to five requests in a row for one piece of data, and a node does the ones that follow for 29 to 53% of the work.

At fault: the loop of Scheduler._send_due took bookings by aim and broke off where the room at the node was full, so that a run was cut there and other requests came between its parts, each paying for a seek again.

Change: bookings on the same data go one behind the other, first those on what was sent there last; those that follow need no slot of the cycle and may exceed the room by two largest requests, a bound that holds however long a run is.

--- a/mallowbeam/control.py
+++ b/mallowbeam/control.py
@@ -29,6 +29,7 @@
 CLIP = 3.0              # a sample counts as at most this many times the mean: one pause can't poison it
 SILENT = 1.5            # cycles without an answer while work is out: pauses are shorter, hung nodes longer
 CHOICES, HOLE = 6, 1.25  # other nodes looked at for a new object; how much later the hashed one may be
+RUN = 2                 # largest requests: what may be out beyond the room behind one of the same data
 LOOK = 0.1              # of a cycle: how often a node with work waiting or out is looked at again
 ACTIVE = 2.0            # seconds for which a volume counts in the sharing of a node after its last request
 STUCK = 5.0             # times the expected time after which an attempt passed over by later ones is given up
@@ -61,7 +62,7 @@
                  seq: int, spent: float) -> None:
         self.id, self.cls, self.volume, self.units = event.request, cls, volume, max(1, event.units)
         self.shard, self.key, self.seq = event.shard, event.key, seq
-        self.deadline = now + event.expires_in
+        self.data, self.deadline = event.key or event.request, now + event.expires_in
         self.aim_at = min(now + cls.aim - spent, self.deadline)
         self.base = self.density = cls.worth * volume.plan.price  # a unit's worth: in full, and now
         self.tries = 0                         # attempts so far, as the wire numbers them
@@ -126,7 +127,7 @@
         self.n_out = sched.settings.usual_units
         self.window = float(sched.settings.units_top)  # units that may be out at once
         self.last_answer = self.held = sched.now  # held: nothing goes before this time
-        self.sent_at = self.wake = -1e9
+        self.sent_at, self.wake, self.last = -1e9, -1e9, ""  # last: the data of what was sent there last
         self.suspect = False                   # silent or not reached
         self.answered = -1e9                   # when the latest sent of those that it answered went out
         self.breaks = 0                        # connections broken or refused since the last answer
@@ -464,11 +465,7 @@
         self._forget(request)
 
     def _free_stuck(self, node: Node) -> None:
-        """Give up on attempts that the node has passed over for long, as long as another can meet the aim.
-
-        Guards against connections that fall silent while their node lives: it takes requests in turn, so one
-        that stays out far beyond the time of its size, with later ones answered, is not coming back.
-        """
+        """Give up attempts long passed over while another can meet the aim: their connection fell silent."""
         for attempt in node.out.values():
             request = attempt.request
             if attempt.sent_at >= node.answered:
@@ -539,7 +536,7 @@
         # Guards against a booking where it may never be sent: it would be held there to its deadline.
         nodes = [node for node in self.open if request.shard in (None, node.shard)
                  and (not request.ran or self._may_repeat(request, node))]
-        key = crc32((request.key or request.id).encode())
+        key = crc32(request.data.encode())
         best, least = None, 0.0
         for turn in range(min(CHOICES + 1, len(nodes))):
             node = nodes[(key + turn * (1 + key % 7)) % len(nodes)]
@@ -587,9 +584,8 @@
     def _price(self, node: Node) -> float:
         """What a unit must be worth to take room at a node now.
 
-        What found no slot here asks for its own worth.  Latency above the lowest measured is work of other
-        hosts in front: as it takes up the aim, first spare, then share, then cheap reserved units are left
-        out, at every host alike.
+        What found no slot here asks for its own worth.  Latency above the lowest is work of others in front:
+        as it takes up the aim, first spare, then share, then cheap reserved units are left out.
         """
         node.refresh()
         waiting = max(node.n_latency, node.silence()) - self.floor
@@ -668,16 +664,19 @@
         if node.suspect or self.now < node.held:
             return
         price = self._price(node)
-        for request in order:
+        # What follows on the same data costs a node a part of its work: it goes at once, behind its first.
+        turns = {request.data: turn for turn, request in reversed(list(enumerate(order)))}
+        for request in sorted(order, key=lambda r: -1 if r.data == node.last else turns[r.data]):
+            room = node.window + (RUN * self.settings.units_top if request.data == node.last else 0)
             # Room left for dearer units that is still empty at a request's last chance is of use to nobody.
             last = self.now + node.serve_time(request.units) + 2 * LOOK * self.cycle > request.aim_at
             if request.density * (request.cls.late_worth if request.late else 1.0) < price and (
                     node.out_units or request.late or not last):
                 continue
-            if node.out_units + request.units > node.window and (
+            if node.out_units + request.units > room and (
                     node.out_units or self.now - node.sent_at < request.units / node.window * node.n_latency):
                 break
-            if node.cycle_used and node.cycle_used + request.units > slots:
+            if request.data != node.last and node.cycle_used and node.cycle_used + request.units > slots:
                 break
             self._send(request, node)
 
@@ -700,7 +699,7 @@
         node.cold_sent = [sent for sent in node.cold_sent if sent[0] > self.now - s.fall_window]
         sent = sum((units for _, units in node.cold_sent), request.units)
         bears = (s.cold_units or 0.0) * ramp / max(s.cold_start, 1e-9)
-        dealt = crc32((request.key or request.id).encode()) < COLD_PART[request.tier] * tips * 2 ** 32
+        dealt = crc32(request.data.encode()) < COLD_PART[request.tier] * tips * 2 ** 32
         return sent > EVEN_PART * bears / max(1, s.hosts) and not (
             dealt and (request.tier == 0 or sent <= SURGE_PART * bears))
 
@@ -764,7 +763,7 @@
         request.tries += 1
         node.out_units += request.units
         node.cycle_used += request.units
-        node.sent_at = self.now
+        node.sent_at, node.last = self.now, request.data
         node.n_out += SMOOTH * (node.out_units - node.n_out)
         # Guards against work of many times the usual size, and against queues filled by others: past its aim
         # an attempt gives way.  Harm: an answer about to come, worth a little, is lost.
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -285,6 +285,30 @@
     assert extras == 2
 
 
+# --- runs on the same data ----------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("keys", "most"), [("k", 8 + 2 * 8), (None, 8)])
+def test_what_follows_on_the_same_data_goes_at_once_within_a_bound(keys, most):
+    """Lindores' reads come in runs of up to five, and a node does the ones that follow for half the work."""
+    rig = Rig()
+    out = 0
+    for _ in range(12):
+        came = rig.request(units=4, **({"key": keys} if keys else {}))
+        out += sum(4 for _ in of(rig.step(came), io.Send))
+    assert out == most
+
+
+def test_requests_on_the_same_data_wait_and_go_together():
+    """They lay in turn of their aims, so that another's between two of them made the node seek twice."""
+    rig = Rig()
+    sends = of(rig.step(rig.request(units=8)), io.Send)
+    for key in ("a", "b", "a", "b", "a", "b"):
+        assert not of(rig.step(rig.request(units=2, key=key)), io.Send)
+    order = [send.request for send in of(rig.step(rig.ended(sends[0])), io.Send)]
+    assert order == ["r2", "r4", "r6", "r3", "r5", "r7"]
+
+
 # --- limits ------------------------------------------------------------------------------------
 
 
