Tests: cold boxes not pushed over, on both kinds of deployment, across all hosts

Change: one node is gone at 7 s and back, cold, at 8 s, told to each host at a time of its own; the checker adds all hosts' units there over the rule's window against what the node bears at that moment (1.3 times what every node bears). The checker is shown to name it.

--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 from dataclasses import replace
 from heapq import heappop, heappush
 from itertools import count
@@ -20,6 +21,7 @@
 from mallowbeam.control import MAY_STILL_RUN, Scheduler
 from mallowbeam.net.config import read_config
 
+SPARE = 1.3             # a usual node bears this many times what every node bears cold
 MAY_HAVE_RUN = (*MAY_STILL_RUN, io.Outcome.ERROR)
 
 
@@ -40,6 +42,7 @@
         self.draining: dict[tuple[int, str], float] = {}  # when each host was told that a node drains
         self.stores: dict[str, Store] = {}
         self.counted: set[str] = set()
+        self.cold: dict[str, tuple[float, deque[tuple[float, int]]]] = {}  # by node: its start, units of late
 
     def arrived(self, event: io.RequestArrived) -> None:
         self.finals[event.request], self.out[event.request], self.sends[event.request] = 0, 0, []
@@ -74,6 +77,22 @@
         if store.level < -max(plan.limit_slack, 0.1 * plan.limit_burst, self.settings.units_top):
             self.broken.append(f"{volume}: over its limit by {-store.level:.1f} units")
 
+    def starts(self, node: str, now: float) -> None:
+        self.cold[node] = (now, deque())
+
+    def worked(self, now: float, node: str, units: int) -> None:
+        """All hosts' units at a node that has just started, against what it can do at that moment."""
+        s = self.settings
+        if node not in self.cold or not 0 <= now - self.cold[node][0] < s.cold_time:
+            return
+        since, units_of_late = self.cold[node]
+        units_of_late.append((now, units))
+        while units_of_late[0][0] <= now - s.fall_window:
+            units_of_late.popleft()
+        part = s.cold_start + (1.0 - s.cold_start) * (now - since) / s.cold_time
+        if (sent := sum(n for _, n in units_of_late)) > SPARE * s.cold_units * part / s.cold_start:
+            self.broken.append(f"{node}: pushed over cold by {sent} units")
+
     def ended(self, request: str, outcome: io.Outcome) -> None:
         self.out[request] -= 1
         self.ran[request] = self.ran.get(request, False) or outcome in MAY_HAVE_RUN
@@ -90,7 +109,10 @@
 
 
 def day(settings: io.Settings, seed: int, checker: Checker, hosts: int = 4, nodes: int = 10) -> int:
-    """A day of 20 s at `hosts` instances; one node drains at 5 s.  Returns the requests taken."""
+    """A day of 20 s at `hosts` instances; returns the requests taken.
+
+    One node drains at 5 s; one is gone at 7 s and back, cold, at 8 s, with a double part of the traffic.
+    """
     draw = random.Random(seed)
     entries = [io.NodeEntry(f"n{i}", shard=i, zone=str(i % 3)) for i in range(nodes)]
     rigs = [Scheduler(replace(settings, hosts=hosts, host_index=n, seed=seed + n), 0.0) for n in range(hosts)]
@@ -103,7 +125,12 @@
     for n in range(hosts):
         heappush(due, (0.0, next(order), n, io.NodesListed(io.ListKind.FULL, 1, entries)))
         draining = [replace(entries[3], state=io.NodeState.DRAINING)]
-        heappush(due, (5.0 + draw.random(), next(order), n, io.NodesListed(io.ListKind.CHANGES, 2, draining)))
+        gone = [replace(entries[6], state=io.NodeState.GONE)]
+        back = [replace(entries[6], since=8.0)]
+        for told, changed in ((5.0, draining), (7.0, gone), (8.0, back)):
+            heappush(due, (told + 0.9 * draw.random(), next(order), n,
+                           io.NodesListed(io.ListKind.CHANGES, int(told), changed)))
+    checker.starts("n6", 8.0)
     for second in range(20):
         for name, (_, through) in volumes.items():
             for _ in range(draw.choice((0, 2, 5, 20))):
@@ -120,13 +147,13 @@
             checker.ended(event.request, event.outcome)
         elif isinstance(what, io.Event):
             event = what
-            if isinstance(event, io.NodesListed) and event.kind is io.ListKind.CHANGES:
+            if isinstance(event, io.NodesListed) and event.entries[0].state is io.NodeState.DRAINING:
                 checker.drains(n, event.entries[0].node, now)
         else:
             plan, through = volumes[str(what)]
             cls = draw.choice(classes)
             event = io.RequestArrived(
-                request=f"q{next(order)}", cls=cls.name, shard=draw.randrange(nodes),
+                request=f"q{next(order)}", cls=cls.name, shard=draw.choice((*range(nodes), *[6] * 1)),
                 units=draw.randint(1, 8), volume=str(what), plan=plan.name, hosts_of_volume=len(through),
                 key=f"{draw.getrandbits(64):016x}", expires_in=cls.deadline)
             asked[event.request] = event
@@ -145,6 +172,7 @@
                     io.Outcome.RESET, 0.02), (io.Outcome.NO_CONNECTION, 0.25), (io.Outcome.ERROR, 0.03)],
                     weights=(84, 5, 4, 4, 3))[0]
                 if outcome is not io.Outcome.NO_CONNECTION:
+                    checker.worked(now, action.node, request.units)
                     checker.reached(now, settings.plans[request.plan], request.volume, request.request,
                                     request.units)
                 ended = io.AttemptEnded(action.request, number, action.node, outcome, after,
@@ -185,7 +213,11 @@
     plain = settings.plans["plain"]
     for i in range(40):
         checker.reached(0.0, plain, "v", f"x{i}", 8)  # all at once, far over the store
+    checker.starts("n3", 0.0)
+    for i in range(20):
+        checker.worked(0.1 * i, "n3", 8)          # 160 units where some 80 tip it over
     said = [line.split(": ")[1] for line in checker.close()]
     assert said[:4] == ["a second attempt while one is out", "new work for n1 after it was told to drain",
                         "a keyed repeat outside its node's window", "a second final answer"]
+    assert "pushed over cold" in " ".join(said)
     assert "over its limit" in said[4] and said.count("no final answer") == 4
