Fleet policy: a change is committed by a majority and takes hold on all gateways or none

Change: mallowbeam/fleet, off in run and not imported there: a core without I/O (what takes hold here, whether this gateway may serve), an adapter to Raft (pysyncobj), a part of the gateway with the page /policy. What a gateway serves under is proven by marks of its own that come out of the log, so that no clock is compared with another's. The gateway gets gates: where one is shut, what comes is refused at once. mallowbeam/lab/faults starts five gateways with a proxy on each link, kills, stops, cuts and slows them from a seed, records a history, and checkers read it. So far a policy names drains; plans come next.

--- a/mallowbeam/__main__.py
+++ b/mallowbeam/__main__.py
@@ -38,6 +38,9 @@
             from mallowbeam.fronts.objects.front import Objects
             from mallowbeam.fronts.objects.settings import read_object_settings
             objects = read_object_settings(fronts["objects"], gateway)
+        if fronts.get("policy", {}).get("folder") is not None:
+            servers.append(open_fleet(gateway, fronts["policy"]))
+            room -= WATCHER_CONNECTIONS
         for name, front, connection in (("health", Health(gateway), Connection),
                                         ("agent_check", gateway, AgentConnection)):
             if listen := fronts.get(name, {}).get("listen"):
@@ -58,6 +61,16 @@
     return servers
 
 
+def open_fleet(gateway: Gateway, section: dict) -> Server:
+    """The fleet's policy; raises `BadConfig`."""
+    try:
+        from mallowbeam.fleet.service import open_policy
+        from mallowbeam.operators import PolicySection, convert
+    except ImportError as error:
+        raise BadConfig(f"the fleet's policy needs {error.name}: install the extra `fleet`") from None
+    return open_policy(gateway, convert(PolicySection, section, "policy"), WATCHER_CONNECTIONS)
+
+
 def open_buffered(gateway: Gateway, fronts: dict, legacy: Legacy | None):
     """The object front with the write-back buffer behind it; raises `BadConfig`."""
     try:
--- a/mallowbeam/cli/app.py
+++ b/mallowbeam/cli/app.py
@@ -7,7 +7,7 @@
 
 import typer
 
-from mallowbeam.cli import buffer, config, lab
+from mallowbeam.cli import buffer, config, lab, policy
 
 app = typer.Typer(
     no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
@@ -15,6 +15,7 @@
 app.add_typer(config.app, name="config")
 app.add_typer(buffer.app, name="buffer")
 app.add_typer(lab.app, name="lab")
+app.add_typer(policy.app, name="policy")
 
 
 @app.command()
--- a/mallowbeam/cli/lab.py
+++ b/mallowbeam/cli/lab.py
@@ -54,6 +54,33 @@
     rows(results, as_json)
 
 
+@app.command()
+def faults(
+    runs: Annotated[int, typer.Option(help="trials, a seed each")] = 200,
+    seed: Annotated[int, typer.Option(help="of the first")] = 1,
+    lanes: Annotated[int, typer.Option(help="trials at a time, five gateways each")] = 3,
+    as_json: AsJson = False,
+) -> None:
+    """Policy changes while gateways are killed, stopped and cut off; exit status 1 if a checker objects."""
+    from concurrent.futures import ThreadPoolExecutor
+
+    from mallowbeam.lab.faults import trial
+    results = []
+    with bar("trials", runs) as step, ThreadPoolExecutor(lanes) as pool:
+        for result in pool.map(trial.run, range(seed, seed + runs)):
+            results.append(result)
+            step(1)
+    took = sorted(seconds for result in results for seconds in result.took_hold)
+    wrong = [f"seed {result.seed}: {line}" for result in results for line in result.wrong]
+    rows([trial.Summary(runs, sum(r.pushed for r in results), sum(r.committed for r in results),
+                        sum(r.unknown for r in results), sum(r.looks for r in results),
+                        trial.quantile(took, 0.5), trial.quantile(took, 0.99), len(wrong))], as_json)
+    for line in wrong:
+        typer.echo(line, err=True)
+    if wrong:
+        raise typer.Exit(1)
+
+
 @app.command("crash-buffer")
 def crash_buffer(
     runs: Annotated[int, typer.Option(help="gateways killed")] = 2000,
--- a/mallowbeam/facade.py
+++ b/mallowbeam/facade.py
@@ -103,10 +103,10 @@
         """Word from discovery, a failure included."""
         return self._step(now, io.NodesListed(kind, version, entries or []))
 
-    def by_hand(self, now: float, node: str, out: bool) -> Orders | None:
-        """An operator takes a node out, or calls it back; None for a node that nobody has."""
+    def by_hand(self, now: float, node: str, out: bool, listed: bool = True) -> Orders | None:
+        """An operator takes a node out, or calls it back; None for one not listed, if it must be."""
         known = self._scheduler.nodes.get(node)
-        if (known is None or known.state is GONE) and node not in self._scheduler.banned:
+        if listed and (known is None or known.state is GONE) and node not in self._scheduler.banned:
             return None
         return self._step(now, io.ByHand(node, out))
 
--- /dev/null
+++ b/mallowbeam/lab/faults/fleet.py
@@ -0,0 +1,212 @@
+"""N gateway processes with a policy log, the links between them, and the faults that can be laid on them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+from mallowbeam.lab.faults.history import Fault, History, Pushed, Seen
+from mallowbeam.lab.faults.links import Link
+from mallowbeam.lab.rig import EXAMPLE, ROOT, ask, hold_port
+from mallowbeam.standins.discovery import Discovery, member
+from mallowbeam.standins.node import ObjectNode
+
+BEAT, LEASE = 0.1, 1.5      # seconds, of the gateways here
+ASK_S = 1.0                 # seconds after which a gateway that says nothing is not waited for
+PUSH_S = 5.0
+
+
+class Fleet:
+    """The processes of one trial.  Use as `async with`; everything ends with it."""
+
+    def __init__(self, folder: Path, size: int = 5, nodes: int = 2, when_stale: str = "refuse") -> None:
+        self.when_stale = when_stale
+        self.folder, self.names = folder, [f"g{i}" for i in range(size)]
+        self.history, self.began = History(), time.monotonic()
+        self.nodes = [ObjectNode() for _ in range(nodes)]
+        self.members = [member(f"n{i}", node.host_port, i) for i, node in enumerate(self.nodes)]
+        self.discovery = Discovery(self.members)
+        self.held, self.ports = [], dict[str, tuple[int, int, int]]()  # by gateway: clients, page, log
+        for name in self.names:
+            pairs = [hold_port(), hold_port(), hold_port(socket.SO_REUSEADDR)]
+            self.held += [sock for sock, _ in pairs]
+            self.ports[name] = (pairs[0][1], pairs[1][1], pairs[2][1])
+        self.links: dict[tuple[str, str], Link] = {}  # by who dials and who is dialled
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.stopped: set[str] = set()
+
+    async def __aenter__(self) -> Fleet:
+        """All up."""
+        for near in self.names:
+            for far in self.names:
+                if near != far:
+                    link = self.links[near, far] = Link(self.ports[far][2])
+                    await link.start()
+        for name in self.names:
+            self._write(name)
+            self.start(name)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """All down."""
+        for name in list(self.processes):
+            self.kill(name)
+        for link in self.links.values():
+            await link.close()
+        for server in (*self.nodes, self.discovery):
+            server.close()
+        for sock in self.held:
+            sock.close()
+
+    def now(self) -> float:
+        """Seconds from the trial's start."""
+        return time.monotonic() - self.began
+
+    def _write(self, name: str) -> None:
+        """A gateway's two files."""
+        clients, page, _ = self.ports[name]
+        settings = json.loads(EXAMPLE.read_text())["settings"]
+        settings["FamilyInfo"]["SlotsTotal"] = len(self.nodes)
+        config = {"name": name, "listen": f"127.0.0.1:{clients}", "seed": "5eed",
+                  "discovery": self.discovery.host_port,
+                  "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                  "known": {"revision": 1, "complete": True, "members": self.members}, "settings": settings}
+        fronts = {"policy": {
+            "folder": str(self.folder / name / "log"), "name": name, "listen": f"127.0.0.1:{page}",
+            "members": {other: f"127.0.0.1:{ports[2]}" for other, ports in self.ports.items()},
+            "dial": {far: f"127.0.0.1:{link.port}"
+                     for (near, far), link in self.links.items() if near == name},
+            "beat_s": BEAT, "lease_s": LEASE, "when_stale": self.when_stale}}
+        place = self.folder / name
+        place.mkdir(parents=True, exist_ok=True)
+        (place / "config.json").write_text(json.dumps(config))
+        (place / "fronts.json").write_text(json.dumps(fronts))
+
+    # --- faults -----------------------------------------------------------------------------------
+
+    def _fault(self, what: str, *gateways: str) -> None:
+        self.history.add(Fault(self.now(), what, gateways))
+
+    def start(self, name: str) -> None:
+        """Start a gateway, with what its earlier lives left on disk."""
+        place = self.folder / name
+        env = {**os.environ, "BALANCER_CONFIG": str(place / "config.json"), "TMPDIR": str(place),
+               "MALLOWBEAM_FRONTS": str(place / "fronts.json"), "PYTHONPATH": str(ROOT)}
+        with open(place / "log.txt", "ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "mallowbeam", "serve", "--log-format", "json"], env=env, cwd=ROOT,
+                stdout=log, stderr=log)
+        self._fault("start", name)
+
+    def kill(self, name: str) -> None:
+        """SIGKILL."""
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait(20)
+        self.stopped.discard(name)
+        self._fault("kill", name)
+
+    def stop(self, name: str) -> None:
+        """SIGSTOP: a process that is slow without end, its connections open."""
+        self.processes[name].send_signal(signal.SIGSTOP)
+        self.stopped.add(name)
+        self._fault("stop", name)
+
+    def go(self, name: str) -> None:
+        """SIGCONT."""
+        self.processes[name].send_signal(signal.SIGCONT)
+        self.stopped.discard(name)
+        self._fault("go", name)
+
+    def part(self, some: Iterable[str]) -> None:
+        """Cut all links between these gateways and the others."""
+        inside = set(some)
+        for (near, far), link in self.links.items():
+            if (near in inside) != (far in inside):
+                link.sever()
+        self._fault("cut", *sorted(inside))
+
+    def slow(self, some: Iterable[str], seconds: float) -> None:
+        """Make every piece on these gateways' links late."""
+        inside = set(some)
+        for (near, far), link in self.links.items():
+            if near in inside or far in inside:
+                link.delay = seconds
+        self._fault("slow", *sorted(inside))
+
+    def heal(self) -> None:
+        """All links whole and quick, all gateways up and running."""
+        for link in self.links.values():
+            link.delay = 0.0
+            link.heal()
+        for name in list(self.stopped):
+            self.go(name)
+        for name in self.names:
+            if name not in self.processes:
+                self.start(name)
+        self._fault("heal")
+
+    # --- what is asked ----------------------------------------------------------------------------
+
+    async def look(self, name: str) -> Seen | None:
+        """A gateway's own word, recorded; None where it says nothing."""
+        asked = self.now()
+        if name not in self.processes or name in self.stopped:
+            return None
+        try:
+            async with asyncio.timeout(ASK_S):
+                told: dict[str, Any] = json.loads((await ask(self.ports[name][1], "GET", "/policy")).body)
+        except (OSError, EOFError, TimeoutError, ValueError):
+            return None
+        seen = Seen(self.now(), asked, name, told["phase"], told["serves"], told["version"],
+                    json.dumps(told["policy"], separators=(",", ":"), sort_keys=True), told["leader"])
+        self.history.add(seen)
+        return seen
+
+    async def look_all(self) -> dict[str, Seen]:
+        """Every gateway's word."""
+        found = await asyncio.gather(*(self.look(name) for name in self.names))
+        return {seen.gateway: seen for seen in found if seen is not None}
+
+    async def push(self, via: str, base: int, drains: list[str]) -> Pushed:
+        """Push a policy at one gateway; recorded with what the pusher is told."""
+        began, body = self.now(), json.dumps({"drains": sorted(drains)}, separators=(",", ":"))
+        version, why = 0, "unknown"
+        with suppress(OSError, EOFError, TimeoutError, ValueError):
+            async with asyncio.timeout(PUSH_S):
+                answer = await ask(self.ports[via][1], "PUT", "/policy", body.encode(),
+                                   {"If-Match": f'"{base}"'})
+                if answer.status in (200, 412, 503, 504):
+                    told = json.loads(answer.body)
+                    version, why = told["version"], told["why"]
+        pushed = Pushed(self.now(), began, via, base, body, version, why)
+        self.history.add(pushed)
+        return pushed
+
+    async def until(self, holds: Any, seconds: float = 30.0) -> dict[str, Seen]:
+        """Look until `holds` of what was seen; raises TimeoutError with what was seen last."""
+        end = self.now() + seconds
+        while True:
+            seen = await self.look_all()
+            if holds(seen):
+                return seen
+            if self.now() > end:
+                raise TimeoutError(f"after {seconds} s: {seen}")
+            await asyncio.sleep(0.03)
+
+    async def settled(self, version: int = 0, names: Iterable[str] | None = None) -> dict[str, Seen]:
+        """Wait until these gateways (all) serve one version, at least this one."""
+        wanted = set(names or self.names)
+        return await self.until(lambda seen: wanted <= set(seen) and all(
+            seen[name].serves and seen[name].version >= version for name in wanted)
+            and len({seen[name].version for name in wanted}) == 1)
--- /dev/null
+++ b/mallowbeam/lab/faults/trial.py
@@ -0,0 +1,109 @@
+"""Trials from a seed: changes of policy while gateways are killed, stopped and cut off."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+from mallowbeam.lab.faults.fleet import LEASE, Fleet
+from mallowbeam.lab.faults.history import check
+
+STEPS = 8                   # faults and changes of one trial
+NODES = ("n0", "n1", "n7", "n9")
+
+
+@dataclass(slots=True)
+class Result:
+    """What came of one trial; times in seconds."""
+
+    seed: int
+    pushed: int                                # changes proposed
+    committed: int                             # and told to be committed
+    unknown: int                               # and whose end their pusher was not told
+    looks: int                                 # words of gateways that the checkers read
+    took_hold: list[float]                     # from a push's beginning until every gateway up has it
+    wrong: list[str]
+
+
+@dataclass(slots=True)
+class Summary:
+    """Many trials together; times in seconds."""
+
+    trials: int
+    pushed: int
+    committed: int
+    unknown: int
+    looks: int
+    took_p50: float
+    took_p99: float
+    wrong: int
+
+
+def quantile(ordered: list[float], part: float) -> float:
+    """The value below which this part of a sorted list lies; 0 of an empty one."""
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))] if ordered else 0.0
+
+
+async def play(seed: int, folder: Path) -> Result:
+    """One trial."""
+    draw = random.Random(seed)
+    took: list[float] = []
+    async with Fleet(folder) as fleet:
+        await fleet.settled()
+        for _ in range(STEPS):
+            await _fault(fleet, draw)
+            base = max((seen.version for seen in (await fleet.look_all()).values()), default=0)
+            up = [name for name in fleet.names if name in fleet.processes and name not in fleet.stopped]
+            drains = draw.sample(NODES, draw.randint(0, 3))
+            push = asyncio.create_task(fleet.push(draw.choice(up), base, drains))
+            if draw.random() < 0.3:            # a fault in the middle of the change
+                await asyncio.sleep(draw.random() * 0.1)
+                await _fault(fleet, draw)
+            while not push.done():
+                await asyncio.gather(fleet.look_all(), asyncio.sleep(0.03))
+            for _ in range(draw.randint(0, 10)):
+                await asyncio.gather(fleet.look_all(), asyncio.sleep(0.05))
+            if draw.random() < 0.5:
+                fleet.heal()
+        fleet.heal()
+        newest = max((p.version for p in fleet.history.pushed()), default=0)
+        await fleet.settled(newest)
+        for _ in range(2):                     # and in peace: how long until a change is everywhere
+            base = (await fleet.look(fleet.names[0])).version  # type: ignore[union-attr]
+            pushed = await fleet.push(draw.choice(fleet.names), base, draw.sample(NODES, 2))
+            seen = await fleet.settled(max(pushed.version, base))
+            if pushed.version:
+                took.append(max(s.at for s in seen.values()) - pushed.began)
+        pushes = list(fleet.history.pushed())
+        return Result(seed, len(pushes), sum(p.version > 0 for p in pushes),
+                      sum(p.why == "unknown" for p in pushes), sum(1 for _ in fleet.history.seen()), took,
+                      check(fleet.history, set(fleet.names), LEASE))
+
+
+async def _fault(fleet: Fleet, draw: random.Random) -> None:
+    """One fault, such that a majority may be lost, and never all."""
+    up = [name for name in fleet.names if name in fleet.processes and name not in fleet.stopped]
+    kind = draw.choice(("kill", "kill", "stop", "part", "slow", "leader", "start"))
+    if kind == "start" or len(up) <= 2:
+        return fleet.heal()
+    if kind == "leader":
+        seen = await fleet.look(draw.choice(up))
+        if seen is not None and seen.leader in up:
+            fleet.kill(str(seen.leader))
+    elif kind == "kill":
+        fleet.kill(draw.choice(up))
+    elif kind == "stop":
+        fleet.stop(draw.choice(up))
+    elif kind == "part":
+        fleet.part(draw.sample(fleet.names, draw.randint(1, 2)))
+    else:
+        fleet.slow(draw.sample(fleet.names, 2), draw.choice((0.02, 0.1, 0.3)))
+
+
+def run(seed: int) -> Result:
+    """One trial in a folder of its own, which goes with it."""
+    with tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(play(seed, Path(folder)))
--- a/mallowbeam/lab/rig.py
+++ b/mallowbeam/lab/rig.py
@@ -20,10 +20,13 @@
 EXAMPLE = ROOT / "example" / "config.json"  # the platform's settings here are the example's
 
 
-def hold_port() -> tuple[socket.socket, int]:
-    """A port from the kernel, kept for a process that shares it: held, and never listened on here."""
+def hold_port(option: int = socket.SO_REUSEPORT) -> tuple[socket.socket, int]:
+    """A port from the kernel, kept for a process that shares it: held, and never listened on here.
+
+    `option` is the one that this process sets: SO_REUSEPORT, or SO_REUSEADDR.
+    """
     sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    sock.setsockopt(socket.SOL_SOCKET, option, 1)
     sock.bind(("127.0.0.1", 0))
     return sock, sock.getsockname()[1]
 
@@ -38,9 +41,9 @@
 
 
 async def ask(port: int, method: str, target: str, body: bytes = b"",
-              headers: dict[str, str] | None = None) -> Answered:
+              headers: dict[str, str] | None = None, host: str = "127.0.0.1") -> Answered:
     """One call on a connection of its own; raises OSError or EOFError where no whole answer came."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    reader, writer = await asyncio.open_connection(host, port)
     try:
         lines = [f"{method} {target} HTTP/1.1", "host: x", "connection: close",
                  f"content-length: {len(body)}", *(f"{n}: {v}" for n, v in (headers or {}).items())]
--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -35,6 +35,8 @@
 MAX_ANSWER = 4 * 1024 * 1024  # bytes of an answer that is not passed on in pieces
 MARGIN = 0.01               # seconds kept of a client's deadline for the way in and the way back
 
+GATED = 1.0                 # seconds that a client refused at a shut gate is asked to stay away
+
 MOST_DIGITS = 9             # of a figure that a node tells
 
 Outcome = io.Outcome
@@ -140,6 +142,7 @@
         self.tasks: dict[tuple[str, int], asyncio.Task] = {}
         self.servers: list[Server] = []        # the clients' doors
         self.parts: list[Part] = []            # the subsystems that are on
+        self.gates: list[Callable[[], bool]] = []  # what must hold for it to serve, where they say so
         self.timer: asyncio.TimerHandle | None = None
         self.timer_at = NEVER
         self.stopping, self.handed_over = asyncio.Event(), asyncio.Event()
@@ -321,7 +324,13 @@
     @property
     def ready(self) -> bool:
         """Whether clients should be sent here; no from the very signal on."""
-        return self.phase is Phase.SERVING and not self.stopping.is_set() and not self.handed_over.is_set()
+        return (self.phase is Phase.SERVING and not self.stopping.is_set() and not self.handed_over.is_set()
+                and self.open)
+
+    @property
+    def open(self) -> bool:
+        """Whether all gates are: else what comes is refused at once."""
+        return all(gate() for gate in self.gates)
 
     @property
     def begins(self) -> bool:
@@ -344,6 +353,8 @@
 
     async def submit(self, call: Call) -> Answer:
         """Get a call its one answer; cancelled when its client leaves."""
+        if not self.open:
+            return Answer(Kind.REFUSED, retry_after=GATED)
         call.fields["expires_in"] = expires = self._left(call)
         exchange = self.exchanges[call.id] = Exchange(call, self.now() + expires)
         self._tell("taken", call.id)
@@ -553,12 +564,12 @@
                 self.sister.tell("list", write_listing(*listing))
             self._listing(listing)
 
-    def by_hand(self, node: str, out: bool, told: bool = False) -> bool:
+    def by_hand(self, node: str, out: bool, told: bool = False, listed: bool = True) -> bool:
         """An operator takes a node out, or lets it serve again; False for one that nobody has.
 
-        `told` if the other process heard of it.
+        `told` if the other process heard of it; not `listed` if it counts for a node that is yet to come.
         """
-        orders = self.facade.by_hand(self.now(), node, out)
+        orders = self.facade.by_hand(self.now(), node, out, listed)
         if orders is None:
             return False
         logger.info("storage node {} {} by hand", node, "out" if out else "back")
--- a/mallowbeam/operators.py
+++ b/mallowbeam/operators.py
@@ -71,6 +71,19 @@
     sole_writer: bool = True
 
 
+class PolicySection(Section, forbid_unknown_fields=True, frozen=True):
+    """The fleet's policy log; off without `folder`."""
+
+    folder: Name | None = None
+    name: Name | None = None
+    listen: Address | None = None
+    members: dict[str, Address] = {}
+    dial: dict[str, Address] = {}
+    beat_s: Annotated[float, Meta(ge=0.05, le=10)] = 0.25
+    lease_s: Annotated[float, Meta(ge=0.2, le=60)] = 2.0
+    when_stale: Literal["refuse", "serve"] = "refuse"
+
+
 class Operators(Section, forbid_unknown_fields=True, frozen=True):
     """The whole file."""
 
@@ -78,6 +91,7 @@
     health: ListenSection | None = None
     agent_check: ListenSection | None = None
     buffer: BufferSection | None = None
+    policy: PolicySection | None = None
 
 
 def convert(kind: type[T], raw: object, path: str = "") -> T:
@@ -107,6 +121,13 @@
             raise BadConfig("buffer.buckets: must name at least one bucket")
         if buffer.max_bytes < 4 * buffer.segment_bytes:
             raise BadConfig("buffer.segment_bytes: must be at most a quarter of max_bytes")
+    if (policy := operators.policy) is not None and policy.folder is not None:
+        if policy.listen is None:
+            raise BadConfig("policy.listen: must be an address, where the policy is pushed and shown")
+        if policy.name not in policy.members:
+            raise BadConfig("policy.name: must be among the members")
+        if policy.lease_s < 2 * policy.beat_s:
+            raise BadConfig("policy.lease_s: must be at least two beats")
     return operators
 
 
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,290 @@
+"""The fleet's policy: the core against a model log, the checkers on wrong histories, whole processes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mallowbeam.fleet.policy import MOST_MARKS, Apply, Change, Entered, Mark, OutOfOrder, Phase, PolicyCore
+from mallowbeam.lab.faults.fleet import LEASE, Fleet
+from mallowbeam.lab.faults.history import Fault, History, Pushed, Seen, check
+
+ONE, TWO = '{"drains":["n0"]}', '{"drains":["n1"]}'
+
+
+def core(**changes) -> PolicyCore:
+    return PolicyCore(**(dict(lease=1.0, beat=0.2) | changes))
+
+
+# --- the core -------------------------------------------------------------------------------------
+
+
+def test_nothing_is_served_or_applied_until_a_mark_has_come_back():
+    """Guards a restart: what the log told so far may be old, and a newer change may be on its way."""
+    policy = core()
+    assert policy.tick(10.0) == [Mark(1)] and not policy.serves(10.0)
+    assert policy.committed(Change(1, ONE)) == [] and policy.committed(Change(2, TWO)) == []
+    assert policy.change == Change() and not policy.serves(10.1)
+    assert policy.marked(1, 10.1) == [Apply(Change(2, TWO), Change()), Entered(Phase.CURRENT)]
+    assert policy.serves(10.1)
+
+
+def test_the_lease_runs_from_when_the_mark_was_put_in():
+    """Guards against a late answer: that the log spoke at 10.9 proves what it held at 10.0 and no more."""
+    policy = core()
+    policy.tick(10.0)
+    policy.marked(1, 10.9)
+    assert policy.serves(11.0) and not policy.serves(11.001)
+
+
+def test_a_mark_that_comes_back_after_its_lease_lets_nobody_serve():
+    policy = core()
+    policy.tick(10.0)
+    assert policy.marked(1, 11.1) == [] and policy.phase is Phase.LEARNING and not policy.serves(11.1)
+
+
+def test_one_that_stood_still_does_not_serve_before_its_first_tick():
+    """Guards against SIGSTOP: its phase says current until a tick, and what came meanwhile is read first."""
+    policy = core()
+    policy.tick(10.0)
+    policy.marked(1, 10.05)
+    assert policy.phase is Phase.CURRENT and not policy.serves(60.0)
+    assert Entered(Phase.STALE) in policy.tick(60.0) and policy.change == Change()
+
+
+@pytest.mark.parametrize("refuses", [True, False])
+def test_what_is_stale_keeps_the_last_policy_and_serves_only_where_told_to(refuses):
+    policy = core(refuses_stale=refuses)
+    policy.tick(10.0)
+    policy.committed(Change(1, ONE))
+    policy.marked(1, 10.0)
+    policy.tick(20.0)
+    assert policy.phase is Phase.STALE and policy.change == Change(1, ONE)
+    assert policy.serves(20.0) is not refuses
+
+
+def test_marks_of_another_life_and_overtaken_ones_prove_nothing():
+    policy = core()
+    for n in range(3):
+        policy.tick(10.0 + n)
+    assert policy.marked(99, 12.0) == []
+    policy.marked(3, 12.1)
+    assert policy.known_at == 12.0 and policy.marked(1, 12.2) == [] and policy.known_at == 12.0
+
+
+def test_marks_on_their_way_are_bounded():
+    policy = core()
+    for n in range(10 * MOST_MARKS):
+        policy.tick(float(n))
+    assert len(policy.marks) == MOST_MARKS
+
+
+@pytest.mark.parametrize("change", [Change(1, ONE), Change(2, ONE)])
+def test_a_log_that_goes_back_or_names_two_policies_alike_is_refused(change):
+    policy = core()
+    policy.tick(0.0)
+    policy.marked(1, 0.0)
+    policy.committed(Change(2, TWO))
+    with pytest.raises(OutOfOrder):
+        policy.committed(change)
+    assert policy.change == Change(2, TWO)
+
+
+class Model:
+    """One log, and gateways that hear of it late, in order, or from the start after a restart."""
+
+    def __init__(self, seed: int, make: Callable[..., PolicyCore], size: int = 4) -> None:
+        self.draw, self.make, self.now = random.Random(seed), make, 0.0
+        self.log: list[tuple[str, int, int]] = []  # a change, or a gateway's mark by life and number
+        self.cores = [make(lease=1.0, beat=0.2) for _ in range(size)]
+        self.heard, self.lives = [0] * size, [0] * size
+        self.history, self.version = History(), 0
+
+    def step(self) -> None:
+        self.now += self.draw.random() * 0.15
+        n = self.draw.randrange(len(self.cores))
+        what = self.draw.choices(("tick", "hear", "push", "restart", "sleep"), (8, 8, 1, 0.3, 0.2))[0]
+        if what == "tick":
+            for action in self.cores[n].tick(self.now):
+                if isinstance(action, Mark) and self.draw.random() < 0.8:  # else there was no leader
+                    self.log.append((f"{n} {self.lives[n]}", action.number, 0))
+        elif what == "hear":
+            for whose, number, version in self.log[self.heard[n]:self.heard[n] + self.draw.randint(1, 30)]:
+                self.heard[n] += 1
+                if not whose:
+                    self.cores[n].committed(Change(version, f'{{"drains":["n{version}"]}}'))
+                elif whose == f"{n} {self.lives[n]}":
+                    self.cores[n].marked(number, self.now)
+        elif what == "push":
+            self.version += 1
+            self.log.append(("", 0, self.version))
+            body = f'{{"drains":["n{self.version}"]}}'
+            self.history.add(Pushed(self.now, self.now, "g", self.version - 1, body, self.version, ""))
+        elif what == "restart":
+            self.cores[n], self.heard[n] = self.make(lease=1.0, beat=0.2), 0
+            self.lives[n] += 1
+        else:
+            self.now += 2.0
+        for i, policy in enumerate(self.cores):
+            self.history.add(Seen(self.now, self.now, f"g{i}", policy.phase.value, policy.serves(self.now),
+                                  policy.change.version, policy.change.body))
+
+    def wrong(self) -> list[str]:
+        return [line for line in check(self.history, set(), 1.0) if "at the end" not in line]
+
+
+@given(st.integers(0, 10_000))
+def test_the_core_keeps_to_the_log_whatever_the_order_of_events(seed):
+    model = Model(seed, PolicyCore)
+    for _ in range(300):
+        model.step()
+    assert model.wrong() == []
+
+
+class NeverStale(PolicyCore):
+    """Broken on purpose: it serves without end once it has learned."""
+
+    def serves(self, now: float) -> bool:
+        return self.phase is not Phase.LEARNING
+
+
+class Hasty(PolicyCore):
+    """Broken on purpose: it serves from its start, under whatever the log has told so far."""
+
+    def serves(self, now: float) -> bool:
+        return True
+
+
+class FromWhenHeard(PolicyCore):
+    """Broken on purpose: its lease runs from when a mark came back."""
+
+    def marked(self, number: int, now: float) -> list:
+        if number in self.marks:
+            self.marks[number] = now
+        return super().marked(number, now)
+
+
+@pytest.mark.parametrize("broken", [NeverStale, Hasty, FromWhenHeard])
+def test_the_checkers_catch_a_broken_core(broken):
+    found = []
+    for seed in range(40):
+        model = Model(seed, broken)
+        for _ in range(300):
+            model.step()
+        found += model.wrong()
+    assert found
+
+
+# --- the checkers ---------------------------------------------------------------------------------
+
+
+def seen(at: float, name: str, version: int, body: str, serves: bool = True) -> Seen:
+    return Seen(at, at, name, "current", serves, version, body)
+
+
+TOLD = Pushed(1.0, 0.9, "a", 0, ONE, 1, "")
+
+
+@pytest.mark.parametrize(("events", "said"), [
+    ([TOLD, seen(1.1, "a", 1, ONE), seen(1.1, "b", 1, ONE)], None),
+    ([Pushed(1.0, 0.9, "a", 0, TWO, 0, "no leader"), TOLD, seen(1.1, "a", 1, TWO), seen(1.2, "b", 1, TWO)],
+     "a policy that was refused"),
+    ([TOLD, seen(1.1, "a", 2, TWO), seen(1.1, "b", 1, ONE)], "nobody pushed"),
+    ([TOLD, Pushed(1.2, 1.1, "b", 0, TWO, 1, ""), seen(1.3, "a", 1, ONE)], "told to two pushes"),
+    ([TOLD, Pushed(1.2, 1.1, "b", 1, TWO, 0, "unknown"), seen(1.3, "a", 1, TWO)],
+     "another policy as version 1"),
+    ([TOLD, seen(1.1, "a", 1, ONE), seen(1.2, "a", 0, "{}")], "serves version 0 after 1"),
+    ([TOLD, seen(9.0, "a", 0, "{}")], "told over"),
+    ([TOLD, seen(1.1, "a", 1, ONE), seen(1.1, "b", 0, "{}")], "at the end there are versions"),
+    ([TOLD, seen(1.1, "a", 1, ONE), seen(1.1, "b", 1, ONE, False)], "does not serve at the end"),
+    ([TOLD, seen(1.1, "a", 1, ONE)], "b was never seen"),
+])
+def test_the_checkers_name_what_is_wrong(events, said):
+    wrong = check(History([*events, Fault(9.9, "heal", ())]), {"a", "b"}, LEASE)
+    assert (wrong == []) if said is None else any(said in line for line in wrong), wrong
+
+
+# --- whole processes ------------------------------------------------------------------------------
+
+
+def played(folder: Path, trial: Callable[[Fleet], Awaitable[None]], **changes) -> list[str]:
+    """A trial on five gateways; what the checkers say of it."""
+    async def play() -> list[str]:
+        async with Fleet(folder, **changes) as fleet:
+            await fleet.settled()
+            await trial(fleet)
+            fleet.heal()
+            await fleet.settled(max((p.version for p in fleet.history.pushed()), default=0))
+            return check(fleet.history, set(fleet.names), LEASE)
+    return asyncio.run(play())
+
+
+def test_a_change_while_one_and_then_two_are_down(tmp_path):
+    async def trial(fleet: Fleet) -> None:
+        fleet.kill("g0")
+        await fleet.settled(names=fleet.names[1:])
+        assert (await fleet.push("g1", 0, ["n0"])).version == 1
+        fleet.kill("g2")
+        await fleet.settled(1, ("g1", "g3", "g4"))
+        assert (await fleet.push("g3", 1, ["n1", "n9"])).version == 2
+        fleet.heal()
+        back = await fleet.until(lambda seen: seen.get("g0") is not None and seen["g0"].serves)
+        assert back["g0"].version == 2, "it served nothing before it had learned"
+    assert played(tmp_path, trial) == []
+
+
+def test_the_leader_is_killed_in_the_middle_of_a_change(tmp_path):
+    async def trial(fleet: Fleet) -> None:
+        for base, wait in enumerate((0.0, 0.02, 0.06)):
+            seen = await fleet.settled()
+            leader = str(seen["g0"].leader)
+            via = next(name for name in fleet.names if name != leader)
+            push = asyncio.create_task(fleet.push(via, seen["g0"].version, [f"n{base}"]))
+            await asyncio.sleep(wait)
+            fleet.kill(leader)
+            while not push.done():
+                await asyncio.gather(fleet.look_all(), asyncio.sleep(0.03))
+            fleet.heal()
+        assert len(list(fleet.history.pushed())) == 3
+    assert played(tmp_path, trial) == []
+
+
+def test_one_cut_off_during_a_change_refuses_and_learns_when_healed(tmp_path):
+    async def trial(fleet: Fleet) -> None:
+        fleet.part(["g4"])
+        assert (await fleet.push("g4", 0, ["n1"])).version == 0, "a minority commits nothing"
+        others = await fleet.settled(names=fleet.names[:4])
+        assert (await fleet.push("g0", others["g0"].version, ["n0"])).version
+        cut = await fleet.until(lambda seen: "g4" in seen and not seen["g4"].serves)
+        assert cut["g4"].phase == "stale" and cut["g4"].version == 0, "the last committed one stays in force"
+    assert played(tmp_path, trial) == []
+
+
+def test_one_that_stood_still_through_a_change_serves_under_it_or_not_at_all(tmp_path):
+    async def trial(fleet: Fleet) -> None:
+        fleet.stop("g3")
+        await fleet.settled(names=("g0", "g1", "g2", "g4"))
+        assert (await fleet.push("g0", 0, ["n0"])).version == 1
+        end = fleet.now() + LEASE + 0.2
+        await fleet.until(lambda seen: fleet.now() > end)
+        fleet.go("g3")
+        for _ in range(20):
+            await fleet.look("g3")
+    assert played(tmp_path, trial) == []
+
+
+def test_the_checkers_catch_gateways_that_serve_on_when_cut_off(tmp_path):
+    """A checker that can't fail proves nothing: `when_stale` at `serve` gives up just what it looks for."""
+    async def trial(fleet: Fleet) -> None:
+        fleet.part(["g4"])
+        others = await fleet.settled(names=fleet.names[:4])
+        assert (await fleet.push("g0", others["g0"].version, ["n0"])).version
+        end = fleet.now() + LEASE + 0.2
+        await fleet.until(lambda seen: fleet.now() > end)
+    assert any("g4 serves version 0" in line for line in played(tmp_path, trial, when_stale="serve"))
