--- a/mallowbeam/lab/faults/fleet.py
+++ b/mallowbeam/lab/faults/fleet.py
@@ -201,9 +201,22 @@
             if holds(seen):
                 return seen
             if self.now() > end:
-                raise TimeoutError(f"after {seconds} s: {seen}")
+                raise TimeoutError(f"after {seconds} s: {self.state(seen)}")
             await asyncio.sleep(0.03)
 
+    def state(self, seen: dict[str, Seen]) -> str:
+        """Each gateway in a word, for what went wrong: what it says, or how it ended and its log's last line."""
+        said = []
+        for name in self.names:
+            if name in seen:
+                said.append(f"{name} {seen[name].phase} {seen[name].version} led by {seen[name].leader}")
+            else:
+                process = self.processes.get(name)
+                ended = "down" if process is None else process.poll()
+                lines = (self.folder / name / "log.txt").read_text().splitlines()
+                said.append(f"{name} says nothing, ended {ended}: {lines[-1][:300] if lines else ''}")
+        return "; ".join(said)
+
     async def settled(self, version: int = 0, names: Iterable[str] | None = None) -> dict[str, Seen]:
         """Wait until these gateways (all) serve one version, at least this one."""
         wanted = set(names or self.names)
--- a/mallowbeam/lab/faults/trial.py
+++ b/mallowbeam/lab/faults/trial.py
@@ -70,8 +70,12 @@
                 fleet.heal()
         fleet.heal()
         newest = max((p.version for p in fleet.history.pushed()), default=0)
-        await fleet.settled(newest)
-        for _ in range(2):                     # and in peace: how long until a change is everywhere
+        restless = ""
+        try:
+            await fleet.settled(newest)
+        except TimeoutError as error:
+            restless = f"not at rest {error}"
+        for _ in range(0 if restless else 2):                     # and in peace: how long until a change is everywhere
             base = (await fleet.look(fleet.names[0])).version  # type: ignore[union-attr]
             pushed = await fleet.push(draw.choice(fleet.names), base, draw.sample(NODES, 2))
             seen = await fleet.settled(max(pushed.version, base))
@@ -80,7 +84,7 @@
         pushes = list(fleet.history.pushed())
         return Result(seed, len(pushes), sum(p.version > 0 for p in pushes),
                       sum(p.why == "unknown" for p in pushes), sum(1 for _ in fleet.history.seen()), took,
-                      check(fleet.history, set(fleet.names), LEASE))
+                      [*([restless] if restless else []), *check(fleet.history, set(fleet.names), LEASE)])
 
 
 async def _fault(fleet: Fleet, draw: random.Random) -> None:
