--- a/mallowbeam/lab/faults/fleet.py
+++ b/mallowbeam/lab/faults/fleet.py
@@ -205,7 +205,7 @@
             await asyncio.sleep(0.03)
 
     def state(self, seen: dict[str, Seen]) -> str:
-        """Each gateway in a word, for what went wrong: what it says, or how it ended and its log's last line."""
+        """Each gateway in a word, for what went wrong: what it says, or how it ended and its last line."""
         said = []
         for name in self.names:
             if name in seen:
--- a/mallowbeam/lab/faults/trial.py
+++ b/mallowbeam/lab/faults/trial.py
@@ -75,7 +75,7 @@
             await fleet.settled(newest)
         except TimeoutError as error:
             restless = f"not at rest {error}"
-        for _ in range(0 if restless else 2):                     # and in peace: how long until a change is everywhere
+        for _ in range(0 if restless else 2):  # and in peace: how long until a change is everywhere
             base = (await fleet.look(fleet.names[0])).version  # type: ignore[union-attr]
             pushed = await fleet.push(draw.choice(fleet.names), base, draw.sample(NODES, 2))
             seen = await fleet.settled(max(pushed.version, base))
