Program: the start of a gateway lives in program.py, and the circle with the command line is gone

Change: run, serve and what opens listeners and subsystems move to mallowbeam/program.py as they are; __main__ chooses between it and the sub-commands. A test says that a start with everything off loads neither the fleet nor its engine.

--- a/mallowbeam/cli/app.py
+++ b/mallowbeam/cli/app.py
@@ -25,7 +25,7 @@
     log_format: Annotated[str, typer.Option(help="text or json")] = "text",
 ) -> None:
     """Run the gateway, as `python -m mallowbeam` does."""
-    from mallowbeam.__main__ import run
+    from mallowbeam.program import run
     if log_format not in ("text", "json"):
         raise typer.BadParameter("text or json", param_hint="--log-format")
     if balancer is not None:
--- a/mallowbeam/cli/buffer.py
+++ b/mallowbeam/cli/buffer.py
@@ -141,9 +141,9 @@
 async def drained(fronts: Path, balancer: Path, seconds: float, send: list[int],
                   drop: list[int]) -> tuple[int, int]:
     """Run a gateway without doors until its buffer is empty; how many writes are left, and how many held."""
-    from mallowbeam.__main__ import open_buffered
     from mallowbeam.net.config import read_config, read_file
     from mallowbeam.net.gateway import Gateway
+    from mallowbeam.program import open_buffered
     config = read_config({**os.environ, "BALANCER_CONFIG": str(balancer)})
     gateway = Gateway(config)
     front = open_buffered(gateway, read_file(str(fronts)), None)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -28,12 +28,12 @@
 
 import uvloop
 
-from mallowbeam.__main__ import open_servers
 from mallowbeam.net import config as configs
 from mallowbeam.net.admin import open_admin
 from mallowbeam.net.gateway import Gateway
 from mallowbeam.net.handover import take_over
 from mallowbeam.net.http import REASONS, Framer, Message
+from mallowbeam.program import open_servers
 
 EXAMPLE = Path(__file__).parent.parent / "example"
 PATIENCE = 10.0             # seconds until what is expected counts as missing
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -150,8 +150,9 @@
     """Off costs nothing: neither the command line nor the buffer, nor what they need, is imported."""
     code = ("import sys, mallowbeam.__main__\n"
             "bad = [m for m in sys.modules if m.split('.')[0] in ('typer', 'click', 'rich', 'msgspec', "
-            "'crc32c', 'lmdb', 'pydantic') or m.startswith(('mallowbeam.buffer', 'mallowbeam.cli', "
-            "'mallowbeam.lab', 'mallowbeam.standins', 'mallowbeam.operators', "
+            "'crc32c', 'lmdb', 'pydantic', 'pysyncobj') or m.startswith(('mallowbeam.buffer', "
+            "'mallowbeam.cli', 'mallowbeam.fleet', 'mallowbeam.lab', 'mallowbeam.standins', "
+            "'mallowbeam.operators', "
             "'mallowbeam.fronts.objects'))]\n"
             "assert not bad, bad")
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
