--- a/mallowbeam/fleet/agreement.py
+++ b/mallowbeam/fleet/agreement.py
@@ -45,7 +45,7 @@
         self.version, self.body = 0, "{}"
 
     @replicated  # type: ignore[untyped-decorator]
-    def change(self, base: int, body: str, by: str) -> int:
+    def change(self, base: int, body: str) -> int:
         """A new policy, if `base` is still the newest: its version, or 0 where another came first."""
         if base != self.version:
             return 0
@@ -103,7 +103,7 @@
                 return done(version or 0, "" if version else "another change came first")
             unsent = error in (FAIL_REASON.MISSING_LEADER, FAIL_REASON.QUEUE_FULL, FAIL_REASON.REQUEST_DENIED)
             return done(0, "no leader" if unsent else "unknown")
-        self.ledger.change(base, body, self.name, callback=ended)
+        self.ledger.change(base, body, callback=ended)
 
     def leader(self) -> str | None:
         """Which member leads, as far as is known here."""
