Reread: the policy's lock, the tools' client and the trials' gateways use one piece each

Change: hold() calls RealDisk; net/ask.py is the one client; rig.write_files and rig.launch serve both; Fleet.up; Told carries the number alone; _changes and _in_peace, both under the one objection. Tests keep their assertions.

--- a/mallowbeam/cli/policy.py
+++ b/mallowbeam/cli/policy.py
@@ -11,18 +11,19 @@
 from rich.console import Console
 from rich.table import Table
 
+from mallowbeam.net.ask import ask
+
 app = typer.Typer(no_args_is_help=True, help="The policy of the whole fleet: everywhere or nowhere.")
 At = Annotated[list[str], typer.Option("--at", help="a gateway's policy page, host:port; may be given often")]
 
 
 async def _ask(address: str, method: str, body: bytes = b"", base: int = 0) -> tuple[int, dict[str, Any]]:
     """One call at a gateway's page; (0, {"why": ...}) where it can't be reached."""
-    from mallowbeam.lab.rig import ask
+    host, port = address.rsplit(":", 1)
     try:
         async with asyncio.timeout(5.0):
-            answer = await ask(int(address.rsplit(":", 1)[1]), method, "/policy", body,
-                               {"If-Match": f'"{base}"'} if method == "PUT" else None,
-                               address.rsplit(":", 1)[0])
+            answer = await ask(int(port), method, "/policy", body,
+                               {"If-Match": f'"{base}"'} if method == "PUT" else None, host)
         told = json.loads(answer.body) if answer.body[:1] == b"{" else {"why": answer.body.decode()}
         return answer.status, told
     except (OSError, EOFError, TimeoutError, ValueError) as error:
--- a/mallowbeam/fleet/agreement.py
+++ b/mallowbeam/fleet/agreement.py
@@ -15,7 +15,7 @@
 
 from mallowbeam.fleet.policy import Change
 
-Told = Callable[[Change, str, int], None]
+Told = Callable[[Change, int], None]        # the newest, and the number of a mark of one's own, or 0
 
 
 class Member(TCPNode):  # type: ignore[misc]
@@ -50,16 +50,16 @@
         if base != self.version:
             return 0
         self.version, self.body = base + 1, body
-        AFTER[id(self)]("", 0)
+        AFTER[id(self)]("", "", 0)
         return self.version
 
     @replicated  # type: ignore[untyped-decorator]
     def mark(self, name: str, life: str, number: int) -> None:
         """A member's proof that it has heard all before this."""
-        AFTER[id(self)](f"{name} {life}", number)
+        AFTER[id(self)](name, life, number)
 
 
-AFTER: dict[int, Callable[[str, int], None]] = {}  # by ledger: no part of its snapshot
+AFTER: dict[int, Callable[[str, str, int], None]] = {}  # by ledger: no part of its snapshot
 
 
 class Agreement:
@@ -83,10 +83,10 @@
             fullDumpFile=str(folder / "snapshot"), logCompactionMinEntries=2000, logCompactionMinTime=30,
             useFork=False), consumers=[self.ledger])
 
-    def _after(self, whose: str, number: int) -> None:
+    def _after(self, name: str, life: str, number: int) -> None:
         """An entry is committed; runs in the engine's thread."""
-        own = number if whose == f"{self.name} {self.life}" else 0
-        self.told(Change(self.ledger.version, self.ledger.body), self.name if own else "", own)
+        own = (name, life) == (self.name, self.life)
+        self.told(Change(self.ledger.version, self.ledger.body), number if own else 0)
 
     def mark(self, number: int) -> None:
         """Put a mark in; it is lost without a word where there is no leader."""
--- a/mallowbeam/fleet/service.py
+++ b/mallowbeam/fleet/service.py
@@ -7,10 +7,8 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
 import hashlib
 import json
-import os
 import time
 from collections.abc import Callable, Mapping
 from contextlib import suppress
@@ -19,6 +17,7 @@
 import msgspec
 from loguru import logger
 
+from mallowbeam.buffer.disk import Locked, RealDisk
 from mallowbeam.fleet.agreement import Agreement
 from mallowbeam.fleet.policy import Action, Apply, Change, Entered, Mark, OutOfOrder, PolicyCore
 from mallowbeam.net.config import BadConfig, read_address
@@ -47,22 +46,18 @@
     return json.dumps({"drains": sorted(set(policy.drains))}, separators=(",", ":"), sort_keys=True)
 
 
-def hold(folder: Path) -> int:
+def hold(folder: Path) -> RealDisk:
     """The folder for this process alone, made if it is not there; raises `BadConfig`.
 
     Guards the journal: two processes that write one would each undo what the other has promised the fleet.
     """
-    fd = -1
     try:
         folder.mkdir(parents=True, exist_ok=True)
-        fd = os.open(folder / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-        fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
-    except OSError as error:
-        if fd >= 0:
-            os.close(fd)
-        why = "in use by another process" if isinstance(error, BlockingIOError) else error.strerror
-        raise BadConfig(f"policy.folder: {folder}: {why}") from None
-    return fd
+        disk = RealDisk(str(folder))
+        disk.lock()
+    except (OSError, Locked) as error:
+        raise BadConfig(f"policy.folder: {error}") from None
+    return disk
 
 
 def digest(change: Change) -> str:
@@ -82,7 +77,7 @@
         self.agreement: Agreement | None = None
         assert section.folder is not None
         self.folder = Path(section.folder)
-        self.lock = hold(self.folder)          # until this process ends, however it ends
+        self.disk = hold(self.folder)          # until this process ends, however it ends
         self.beating: asyncio.Task[None] | None = None
         self.loop: asyncio.AbstractEventLoop | None = None
         gateway.parts.append(self)
@@ -124,19 +119,19 @@
             self._do(self.core.tick(time.monotonic()))
             await asyncio.sleep(self.section.beat_s / 2)
 
-    def _told(self, change: Change, own: str, number: int) -> None:
+    def _told(self, change: Change, mark: int) -> None:
         """The log has committed something; in its thread."""
         assert self.loop is not None
         with suppress(RuntimeError):           # the loop is closed: the gateway has ended
-            self.loop.call_soon_threadsafe(self._learn, change, own, number)
+            self.loop.call_soon_threadsafe(self._learn, change, mark)
 
-    def _learn(self, change: Change, own: str, number: int) -> None:
+    def _learn(self, change: Change, mark: int) -> None:
         try:
             self._do(self.core.committed(change))
         except OutOfOrder as error:
             return logger.error("policy: {}", error)
-        if own:
-            self._do(self.core.marked(number, time.monotonic()))
+        if mark:
+            self._do(self.core.marked(mark, time.monotonic()))
 
     def _do(self, actions: list[Action]) -> None:
         for action in actions:
--- a/mallowbeam/lab/faults/fleet.py
+++ b/mallowbeam/lab/faults/fleet.py
@@ -4,11 +4,9 @@
 
 import asyncio
 import json
-import os
 import signal
 import socket
 import subprocess
-import sys
 import time
 from collections.abc import Iterable
 from contextlib import suppress
@@ -17,7 +15,8 @@
 
 from mallowbeam.lab.faults.history import Fault, History, Pushed, Seen
 from mallowbeam.lab.faults.links import Link
-from mallowbeam.lab.rig import EXAMPLE, ROOT, ask, hold_port
+from mallowbeam.lab.rig import hold_port, launch, write_files
+from mallowbeam.net.ask import ask
 from mallowbeam.standins.discovery import Discovery, member
 from mallowbeam.standins.node import ObjectNode
 
@@ -34,8 +33,7 @@
         self.folder, self.names = folder, [f"g{i}" for i in range(size)]
         self.history, self.began = History(), time.monotonic()
         self.nodes = [ObjectNode() for _ in range(nodes)]
-        self.members = [member(f"n{i}", node.host_port, i) for i, node in enumerate(self.nodes)]
-        self.discovery = Discovery(self.members)
+        self.discovery = Discovery([member(f"n{i}", node.host_port, i) for i, node in enumerate(self.nodes)])
         self.held, self.ports = [], dict[str, tuple[int, int, int]]()  # by gateway: clients, page, log
         for name in self.names:
             pairs = [hold_port(), hold_port(), hold_port(socket.SO_REUSEADDR)]
@@ -72,25 +70,21 @@
         """Seconds from the trial's start."""
         return time.monotonic() - self.began
 
+    @property
+    def up(self) -> list[str]:
+        """The gateways that run, those cut off among them."""
+        return [name for name in self.names if name in self.processes and name not in self.stopped]
+
     def _write(self, name: str) -> None:
         """A gateway's two files."""
         clients, page, _ = self.ports[name]
-        settings = json.loads(EXAMPLE.read_text())["settings"]
-        settings["FamilyInfo"]["SlotsTotal"] = len(self.nodes)
-        config = {"name": name, "listen": f"127.0.0.1:{clients}", "seed": "5eed",
-                  "discovery": self.discovery.host_port,
-                  "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-                  "known": {"revision": 1, "complete": True, "members": self.members}, "settings": settings}
         fronts = {"policy": {
             "folder": str(self.folder / name / "log"), "name": name, "listen": f"127.0.0.1:{page}",
             "members": {other: f"127.0.0.1:{ports[2]}" for other, ports in self.ports.items()},
             "dial": {far: f"127.0.0.1:{link.port}"
                      for (near, far), link in self.links.items() if near == name},
             "beat_s": BEAT, "lease_s": LEASE, "when_stale": self.when_stale}}
-        place = self.folder / name
-        place.mkdir(parents=True, exist_ok=True)
-        (place / "config.json").write_text(json.dumps(config))
-        (place / "fronts.json").write_text(json.dumps(fronts))
+        write_files(self.folder / name, name, clients, self.discovery, fronts)
 
     # --- faults -----------------------------------------------------------------------------------
 
@@ -100,12 +94,8 @@
     def start(self, name: str) -> None:
         """Start a gateway, with what its earlier lives left on disk."""
         place = self.folder / name
-        env = {**os.environ, "BALANCER_CONFIG": str(place / "config.json"), "TMPDIR": str(place),
-               "MALLOWBEAM_FRONTS": str(place / "fronts.json"), "PYTHONPATH": str(ROOT)}
         with open(place / "log.txt", "ab") as log:
-            self.processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "mallowbeam", "serve", "--log-format", "json"], env=env, cwd=ROOT,
-                stdout=log, stderr=log)
+            self.processes[name] = launch(place, log, "serve", "--log-format", "json")
         self._fault("start", name)
 
     def kill(self, name: str) -> None:
@@ -161,7 +151,7 @@
     async def look(self, name: str) -> Seen | None:
         """A gateway's own word, recorded; None where it says nothing."""
         asked = self.now()
-        if name not in self.processes or name in self.stopped:
+        if name not in self.up:
             return None
         try:
             async with asyncio.timeout(ASK_S):
--- a/mallowbeam/lab/faults/trial.py
+++ b/mallowbeam/lab/faults/trial.py
@@ -48,48 +48,54 @@
 
 
 async def play(seed: int, folder: Path) -> Result:
-    """One trial."""
+    """One trial; what does not come to rest is among what is wrong."""
     draw = random.Random(seed)
     took: list[float] = []
+    wrong: list[str] = []
     async with Fleet(folder) as fleet:
-        await fleet.settled()
-        for _ in range(STEPS):
-            await _fault(fleet, draw)
-            base = max((seen.version for seen in (await fleet.look_all()).values()), default=0)
-            up = [name for name in fleet.names if name in fleet.processes and name not in fleet.stopped]
-            drains = draw.sample(NODES, draw.randint(0, 3))
-            push = asyncio.create_task(fleet.push(draw.choice(up), base, drains))
-            if draw.random() < 0.3:            # a fault in the middle of the change
-                await asyncio.sleep(draw.random() * 0.1)
-                await _fault(fleet, draw)
-            while not push.done():
-                await asyncio.gather(fleet.look_all(), asyncio.sleep(0.03))
-            for _ in range(draw.randint(0, 10)):
-                await asyncio.gather(fleet.look_all(), asyncio.sleep(0.05))
-            if draw.random() < 0.5:
-                fleet.heal()
-        fleet.heal()
-        newest = max((p.version for p in fleet.history.pushed()), default=0)
-        restless = ""
         try:
-            await fleet.settled(newest)
+            await fleet.settled()
+            await _changes(fleet, draw)
+            took += [await _in_peace(fleet, draw) for _ in range(2)]
         except TimeoutError as error:
-            restless = f"not at rest {error}"
-        for _ in range(0 if restless else 2):  # and in peace: how long until a change is everywhere
-            base = (await fleet.look(fleet.names[0])).version  # type: ignore[union-attr]
-            pushed = await fleet.push(draw.choice(fleet.names), base, draw.sample(NODES, 2))
-            seen = await fleet.settled(max(pushed.version, base))
-            if pushed.version:
-                took.append(max(s.at for s in seen.values()) - pushed.began)
+            wrong.append(f"not at rest {error}")
         pushes = list(fleet.history.pushed())
         return Result(seed, len(pushes), sum(p.version > 0 for p in pushes),
                       sum(p.why == "unknown" for p in pushes), sum(1 for _ in fleet.history.seen()), took,
-                      [*([restless] if restless else []), *check(fleet.history, set(fleet.names), LEASE)])
+                      wrong + check(fleet.history, set(fleet.names), LEASE))
+
+
+async def _changes(fleet: Fleet, draw: random.Random) -> None:
+    """Changes of policy among faults, until all are healed and agree."""
+    for _ in range(STEPS):
+        await _fault(fleet, draw)
+        base = max((seen.version for seen in (await fleet.look_all()).values()), default=0)
+        drains = draw.sample(NODES, draw.randint(0, 3))
+        push = asyncio.create_task(fleet.push(draw.choice(fleet.up), base, drains))
+        if draw.random() < 0.3:                # a fault in the middle of the change
+            await asyncio.sleep(draw.random() * 0.1)
+            await _fault(fleet, draw)
+        while not push.done():
+            await asyncio.gather(fleet.look_all(), asyncio.sleep(0.03))
+        for _ in range(draw.randint(0, 10)):
+            await asyncio.gather(fleet.look_all(), asyncio.sleep(0.05))
+        if draw.random() < 0.5:
+            fleet.heal()
+    fleet.heal()
+    await fleet.settled(max((p.version for p in fleet.history.pushed()), default=0))
+
+
+async def _in_peace(fleet: Fleet, draw: random.Random) -> float:
+    """A change without a fault: seconds from its push until the last gateway has it in force."""
+    version = await fleet.change(draw.choice(fleet.names), draw.sample(NODES, 2))
+    seen = await fleet.settled(version)
+    began = next(p.began for p in fleet.history.pushed() if p.version == version)
+    return max(s.at for s in seen.values()) - began
 
 
 async def _fault(fleet: Fleet, draw: random.Random) -> None:
     """One fault, such that a majority may be lost, and never all."""
-    up = [name for name in fleet.names if name in fleet.processes and name not in fleet.stopped]
+    up = fleet.up
     kind = draw.choice(("kill", "kill", "stop", "part", "slow", "leader", "start"))
     if kind == "start" or len(up) <= 2:
         return fleet.heal()
--- a/mallowbeam/lab/rig.py
+++ b/mallowbeam/lab/rig.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from typing import IO, Any
 
+from mallowbeam.net.ask import ask
 from mallowbeam.standins.discovery import Discovery, member
 from mallowbeam.standins.node import ObjectNode
 
@@ -31,35 +32,24 @@
     return sock, sock.getsockname()[1]
 
 
-@dataclass(slots=True)
-class Answered:
-    """One answer as a client reads it."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-
-async def ask(port: int, method: str, target: str, body: bytes = b"",
-              headers: dict[str, str] | None = None, host: str = "127.0.0.1") -> Answered:
-    """One call on a connection of its own; raises OSError or EOFError where no whole answer came."""
-    reader, writer = await asyncio.open_connection(host, port)
-    try:
-        lines = [f"{method} {target} HTTP/1.1", "host: x", "connection: close",
-                 f"content-length: {len(body)}", *(f"{n}: {v}" for n, v in (headers or {}).items())]
-        writer.write("\r\n".join([*lines, "", ""]).encode() + body)
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-        status = int(head[0].split()[1])
-        told = {name.lower(): value.strip()
-                for name, _, value in (line.partition(":") for line in head[1:-2])}
-        data = b""
-        if method != "HEAD" and status not in (204, 304):
-            data = await reader.readexactly(int(told.get("content-length", "0")))
-        if await reader.read():
-            raise AssertionError("a second answer")
-        return Answered(status, told, data)
-    finally:
-        writer.close()
+def write_files(folder: Path, name: str, port: int, discovery: Discovery, fronts: dict[str, Any]) -> None:
+    """A gateway's two files: the platform's, with the example's settings and what is listed, and `fronts`."""
+    settings = json.loads(EXAMPLE.read_text())["settings"]
+    settings["FamilyInfo"]["SlotsTotal"] = len(discovery.members)
+    config = {"name": name, "listen": f"127.0.0.1:{port}", "seed": "5eed", "discovery": discovery.host_port,
+              "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+              "known": {"revision": 1, "complete": True, "members": discovery.members}, "settings": settings}
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / "config.json").write_text(json.dumps(config))
+    (folder / "fronts.json").write_text(json.dumps(fronts))
+
+
+def launch(folder: Path, log: IO[bytes], *arguments: str) -> subprocess.Popen[bytes]:
+    """Start a gateway on the two files in its folder."""
+    env = {**os.environ, "BALANCER_CONFIG": str(folder / "config.json"), "TMPDIR": str(folder),
+           "MALLOWBEAM_FRONTS": str(folder / "fronts.json"), "PYTHONPATH": str(ROOT)}
+    return subprocess.Popen([sys.executable, "-m", "mallowbeam", *arguments], env=env, cwd=ROOT,
+                            stdout=log, stderr=log)
 
 
 @dataclass
@@ -83,20 +73,13 @@
         self.store.mkdir(parents=True)
         members = [member(f"n{i}", node.host_port, i) for i, node in enumerate(self.nodes)]
         self.discovery = Discovery(members)
-        settings = json.loads(EXAMPLE.read_text())["settings"]
-        settings["FamilyInfo"]["SlotsTotal"] = len(self.nodes)
-        config = {"name": "lab", "listen": f"127.0.0.1:{self.ports[0]}", "seed": "5eed",
-                  "discovery": self.discovery.host_port,
-                  "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-                  "known": {"revision": 1, "complete": True, "members": members}, "settings": settings}
         fronts = {"objects": {
             "listen": f"127.0.0.1:{self.ports[1]}", "classes": {"read": "read", "write": "new-write"},
             "plan": "silver", "plans": {}, "authentication": "off", "unit_bytes": 1048576,
             "max_body_bytes": 2097152, "held_bytes": 16777216}}
         if self.buffer:
             fronts["buffer"] = {"folder": str(self.store), **self.buffer}
-        (self.folder / "config.json").write_text(json.dumps(config))
-        (self.folder / "fronts.json").write_text(json.dumps(fronts))
+        write_files(self.folder, "lab", self.ports[0], self.discovery, fronts)
 
     @property
     def port(self) -> int:
@@ -106,11 +89,7 @@
     def start(self) -> None:
         """Start the gateway."""
         self.log = open(self.folder / "log.txt", "ab")  # noqa: SIM115 (closed by `end`)
-        env = {**os.environ, "BALANCER_CONFIG": str(self.folder / "config.json"),
-               "MALLOWBEAM_FRONTS": str(self.folder / "fronts.json"), "TMPDIR": str(self.folder),
-               "PYTHONPATH": str(ROOT)}
-        self.process = subprocess.Popen([sys.executable, "-m", "mallowbeam"], env=env, cwd=ROOT,
-                                        stdout=self.log, stderr=self.log)
+        self.process = launch(self.folder, self.log)
 
     async def ready(self, seconds: float = 20.0) -> None:
         """Wait until the object front answers, and the buffer, where it is on."""
--- a/tests/test_buffer_crash.py
+++ b/tests/test_buffer_crash.py
@@ -6,7 +6,7 @@
 import random
 
 from mallowbeam.lab.crash import Lane, crash, lane
-from mallowbeam.lab.rig import Answered
+from mallowbeam.net.ask import Answered
 from mallowbeam.standins.node import Run, Stored
 
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import random
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -218,8 +217,8 @@
     held = hold(tmp_path / "log")
     with pytest.raises(BadConfig, match="in use by another process"):
         hold(tmp_path / "log")
-    os.close(held)
-    os.close(hold(tmp_path / "log"))
+    held.close()
+    hold(tmp_path / "log").close()
     (tmp_path / "file").write_text("")
     with pytest.raises(BadConfig, match="policy.folder"):
         hold(tmp_path / "file" / "log")
