Tests: the properties' referee knows that a request turned away as astray has never run

Change: the referee counts ASTRAY among what never ran; the three events are an example that is always played.

--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from conftest import Rig, of
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from mallowbeam import interface as io
 
 LIMITED, BURST, SLACK = 20.0, 32.0, 8.0
+NEVER_RAN = (io.Outcome.REJECTED, io.Outcome.ASTRAY, io.Outcome.NO_CONNECTION, io.Outcome.NOT_SENT)
 CLASSES = ("read", "log", "keyed", "ordered")
 MOVE = st.one_of(
     st.tuples(st.just("ask"), st.sampled_from(CLASSES), st.integers(-1, 2), st.integers(1, 8),
@@ -89,6 +90,7 @@
 
 
 @given(st.lists(MOVE, max_size=120))
+@example([("ask", "read", 0, 1, "basic"), ("ask", "log", 0, 1, "gold"), ("end", io.Outcome.ASTRAY, 0)])
 def test_rules_hold_whatever_comes(moves):
     rig = Rig(nodes=3, cold_units=24.0, cold_start=0.2, cold_time=10.0, fall_multiple=2.0, fall_window=2.0,
               hosts=2, budget_floor=3.0, budget_share=0.1, budget_window=5.0, order_settle=0.1)
@@ -115,7 +117,7 @@
             (request, number), node = sorted(referee.out.items())[move[2] % len(referee.out)]
             del referee.out[(request, number)]
             outcome = move[1]
-            if outcome not in (io.Outcome.REJECTED, io.Outcome.NO_CONNECTION, io.Outcome.NOT_SENT):
+            if outcome not in NEVER_RAN:
                 referee.ran.setdefault(request, []).append(
                     next(t for t, _, r, _ in referee.sent if r == request))
             served = outcome is io.Outcome.OK and request not in referee.over
