--- /dev/null
+++ b/mallowbeam/fleet/maintenance/__init__.py
@@ -0,0 +1,1 @@
+"""Machines out for work: the order, the steps, the constraints."""
--- /dev/null
+++ b/mallowbeam/fleet/shares/__init__.py
@@ -0,0 +1,1 @@
+"""Tenants' demand, weighted max-min over several bottlenecks, what each gateway gets."""
