net/gateway and net/server split by concern: calls, attempts, beside, front, connection

Change: net/calls.py has what fronts and subsystems meet the gateway through, net/attempts.py one attempt from its connection to its outcome, net/beside.py the two processes of one gateway; net/gateway.py keeps state, phases, calls and the list. net/front.py has what a server meets a front through, net/connection.py one client's connection; net/server.py the listener. Moves only: the gateway's parts are mixed in, so that no call goes a longer way. tests/test_platform.py is split likewise: test_connections, test_phases, test_nodes_listed.

--- a/mallowbeam/fronts/objects/buffered.py
+++ b/mallowbeam/fronts/objects/buffered.py
@@ -32,10 +32,11 @@
 from mallowbeam.fronts.objects.listings import Item, Query
 from mallowbeam.fronts.objects.settings import ObjectSettings
 from mallowbeam.interface import Repeat
+from mallowbeam.net.calls import Call, Kind
 from mallowbeam.net.config import BadConfig
-from mallowbeam.net.gateway import Call, Gateway, Kind
+from mallowbeam.net.front import Reply
+from mallowbeam.net.gateway import Gateway
 from mallowbeam.net.http import HOP_BY_HOP, TOKEN, Channel, Headers, Message, write_head
-from mallowbeam.net.server import Reply
 from mallowbeam.operators import BufferSection, convert
 
 BARRIER = b"x-mallowbeam-barrier"             # on a write: `sync` or `through`
--- a/mallowbeam/fronts/objects/front.py
+++ b/mallowbeam/fronts/objects/front.py
@@ -28,9 +28,10 @@
 from mallowbeam.fronts.objects.settings import ObjectSettings
 from mallowbeam.fronts.objects.signatures import CHUNKED, ChunkSignatures, read_claim, verify
 from mallowbeam.fronts.objects.uploads import rename_upload
-from mallowbeam.net.gateway import Answer, Call, Gateway, Kind, length_of, read_deadline, time_left
+from mallowbeam.net.calls import Answer, Call, Kind, length_of, read_deadline, time_left
+from mallowbeam.net.front import Reply
+from mallowbeam.net.gateway import Gateway
 from mallowbeam.net.http import HOP_BY_HOP, TOKEN, Budget, Channel, Headers, Message, write_head
-from mallowbeam.net.server import Reply
 from mallowbeam.net.stream import Stream, copy
 
 T = TypeVar("T")
--- a/mallowbeam/fronts/platform.py
+++ b/mallowbeam/fronts/platform.py
@@ -6,10 +6,11 @@
 from collections.abc import Callable
 
 from mallowbeam.interface import Repeat
-from mallowbeam.net.gateway import Answer, Call, Gateway, Kind, length_of, read_deadline, time_left
+from mallowbeam.net.calls import Answer, Call, Kind, length_of, read_deadline, time_left
+from mallowbeam.net.front import Reply, plain
+from mallowbeam.net.gateway import Gateway
 from mallowbeam.net.health import page
 from mallowbeam.net.http import MAX_BODY, TOKEN, Budget, Channel, Message, write_head
-from mallowbeam.net.server import Reply, plain
 from mallowbeam.net.stream import MOST, Stream, copy
 
 TARGET = re.compile(rb"/([^/?]+)/([0-9a-f]{16})/([0-9a-f]{16})(?:\?[\x21-\x7e]{0,1024})?\Z")
--- /dev/null
+++ b/mallowbeam/net/front.py
@@ -0,0 +1,43 @@
+"""What a server meets a front through: each whole request goes in, and one `Reply` comes back."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple, Protocol
+
+from mallowbeam.net.http import Budget, Channel, Message, write_head
+
+
+class Reply(NamedTuple):
+    """An answer: its status, and its bytes or what writes them as they come (False: it broke off)."""
+
+    status: int
+    data: bytes = b""
+    write: Callable[[Channel], Awaitable[bool]] | None = None
+
+
+class Front(Protocol):
+    """What speaks a protocol to clients."""
+
+    max_body: int
+    whole: int                                 # bytes of a body up to which it is held whole
+    budget: Budget | None
+
+    async def handle(self, request: Message, closing: Callable[[], bool]) -> Reply:
+        """The answer to a request.
+
+        `closing`, asked when the answer is known, tells whether the connection is closed after it.
+        """
+
+    def complain(self, status: int, text: str) -> Reply:
+        """The answer to what breaks HTTP or a bound; the connection is closed after it."""
+
+    def ended(self, request: Message, status: int, whole: bool) -> None:
+        """A request's answer has gone out, or broken off: the one place where requests are counted."""
+
+
+def plain(status: int, text: str, close: bool, headers: list[tuple[bytes, bytes]] | None = None) -> Reply:
+    """A whole answer with a line of text."""
+    body = text.encode() + b"\n"
+    head = write_head(status, [(b"content-type", b"text/plain"), *(headers or [])], len(body), close)
+    return Reply(status, head + body)
--- a/mallowbeam/net/health.py
+++ b/mallowbeam/net/health.py
@@ -10,9 +10,12 @@
 import socket
 from collections.abc import Callable
 
-from mallowbeam.net.gateway import Gateway, Phase
+from mallowbeam.net.calls import Phase
+from mallowbeam.net.connection import LINGER
+from mallowbeam.net.front import Reply, plain
+from mallowbeam.net.gateway import Gateway
 from mallowbeam.net.http import Message, write_head
-from mallowbeam.net.server import LINGER, Reply, Server, plain
+from mallowbeam.net.server import Server
 
 
 def page(gateway: Gateway, path: bytes, close: bool) -> Reply | None:
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -8,7 +8,7 @@
 import uvloop
 from scenario import EXAMPLE, World, play
 
-from mallowbeam.net import gateway, server
+from mallowbeam.net import connection, gateway
 from mallowbeam.net.metrics import Metrics
 
 
@@ -100,7 +100,7 @@
 
 def test_half_sent_calls_do_not_keep_others_out(monkeypatch):
     """Guards the door: callers that never finish a call made everyone behind them wait for their time-out."""
-    monkeypatch.setattr(server, "STALLED", 60.0)
+    monkeypatch.setattr(connection, "STALLED", 60.0)
     monkeypatch.setattr(gateway, "SWEEP", 0.05)
 
     async def run() -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -19,7 +19,7 @@
 
 from mallowbeam.net import config as configs
 from mallowbeam.net import handover
-from mallowbeam.net.gateway import Phase
+from mallowbeam.net.calls import Phase
 
 COLD = dict(Guarantees={"Cold": 17.0, "Fall": 3.0, "StartCapacity": 0.18, "TipMultiple": 4.0})
 
--- /dev/null
+++ b/tests/test_nodes_listed.py
@@ -0,0 +1,100 @@
+"""The list of nodes, on loopback sockets: the watch on discovery, and nodes that drain or are gone."""
+
+from __future__ import annotations
+
+import pytest
+import uvloop
+from scenario import World, play
+
+from mallowbeam.net import discovery
+
+
+def test_draining_nodes_get_nothing_new_and_the_watch_goes_on():
+    drained = ('{"revision":2,"complete":false,"members":[{"id":"n0","host_port":"$n0","cell":0,'
+               '"phase":"draining"}]}')
+    play(f"""
+        d expect GET 'since=1&timeout_ms='
+        d send 200 'body={drained}'
+        d expect GET 'since=2&timeout_ms='
+        c1 send write shard=-1
+        n1 expect PUT
+        n1 send 200 body=x
+        c1 expect 200
+        c1 send read shard=0
+        c1 expect 503
+        n0 expect nothing
+    """, nodes=2)
+
+
+@pytest.mark.parametrize("failure", ["d send 503", "d close", "d send 200 body=nonsense",
+                                     "d send 200 'body={\"revision\":1,\"complete\":true,\"members\":[{}]}'"])
+def test_a_failed_watch_is_begun_again(failure):
+    play(f"""
+        d expect GET since=1
+        {failure}
+        d expect GET since=1
+    """)
+
+
+def test_a_watch_that_never_answers_is_given_up_and_begun_again(monkeypatch):
+    """Guards against a discovery cut off without a word: the connection stays open and silent."""
+    monkeypatch.setattr(discovery, "WAIT", 0.1)
+    monkeypatch.setattr(discovery, "OVERDUE", 0.1)
+    play("""
+        d expect GET 'since=1&timeout_ms=100'
+        d expect end
+        d expect GET since=1
+    """)
+
+
+DRAINED = '{"revision":2,"complete":false,"members":[{"id":"n0","cell":0,"phase":"draining"}]}'
+
+
+def test_a_node_that_drains_while_a_connection_comes_up_gets_nothing():
+    """Guards the rule on draining where connecting takes longer than the grace."""
+
+    async def run() -> None:
+        async with World() as world:
+            gate = world.hold_connecting()
+            await world.play(f"""
+                c1 send read
+                d expect GET since=1
+                d send 200 'body={DRAINED}'
+                d expect GET since=2
+            """)
+            gate.set()
+            await world.play("c1 expect 503\nn0 expect nothing")
+
+    uvloop.run(run())
+
+
+def test_idle_connections_to_a_node_that_is_listed_no_more_are_closed():
+    play("""
+        c1 send read
+        n0 expect GET
+        n0 send 200 body=x
+        c1 expect 200
+        d expect GET since=1
+        d send 200 'body={"revision":2,"complete":true,"members":[]}'
+        n0 expect end
+    """)
+
+
+def test_a_fault_with_one_list_does_not_end_the_watch():
+    async def run() -> None:
+        async with World() as world:
+            told, faults = world.gateway.watch.told, iter([RuntimeError("once")])
+
+            def faulty(listing) -> None:
+                for fault in faults:
+                    raise fault
+                told(listing)
+
+            world.gateway.watch.told = faulty
+            await world.play(f"""
+                d expect GET since=1
+                d send 200 'body={DRAINED}'
+                d expect GET since=2
+            """)
+
+    uvloop.run(run())
--- /dev/null
+++ b/tests/test_phases.py
@@ -0,0 +1,119 @@
+"""The program's phases, on loopback sockets: the planned stop, and what balancers are told meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+
+import uvloop
+from scenario import World, play
+
+from mallowbeam.net import gateway
+
+
+def test_told_to_stop_it_serves_on_for_clients_that_keep_their_connection():
+    """Guards them: closed at once, they found their gateway gone for as long as a restart takes."""
+    play("""
+        c1 send GET /healthz
+        c1 expect 200
+        g close
+        wait 0.05
+        c2 send GET /healthz
+        c2 expect 503
+        c1 send read
+        n0 expect GET
+        n0 send 200 body=late
+        c1 expect 200 late
+        c1 send GET /healthz
+        c1 expect 503
+    """)
+
+
+def test_a_planned_stop_answers_what_is_held_and_closes_connections(monkeypatch):
+    monkeypatch.setattr(gateway, "STAY", 0.0)
+    monkeypatch.setattr(gateway, "LAME_DUCK", 0.02)
+    play("""
+        c1 send read
+        n0 expect GET
+        c2 send GET /healthz
+        c2 expect 200
+        g close
+        wait 0.1
+        n0 send 200 body=held
+        c1 expect 200 held 'connection: close'
+        g expect end
+        c2 expect end
+    """)
+
+
+def test_what_comes_while_leaving_has_only_the_time_that_is_left(monkeypatch):
+    """Guards the one final answer: SIGKILL follows, and what it finds unanswered is lost."""
+    monkeypatch.setattr(gateway, "STAY", 1.0)
+    monkeypatch.setattr(gateway, "LEAVE", 0.1)
+
+    async def run() -> None:
+        async with World() as world:
+            await world.play("g close\nwait 0.05\nc1 send write deadline=2000\nn0 expect PUT")
+            exchange, = world.gateway.exchanges.values()
+            assert exchange.deadline < world.gateway.leave_at + 0.1
+            await world.play("n0 send 200 body=x\nc1 expect 200\ng expect end")
+
+    uvloop.run(run())
+
+
+def test_a_request_that_never_comes_in_whole_does_not_hold_up_a_planned_stop(monkeypatch):
+    monkeypatch.setattr(gateway, "STAY", 0.6)
+    play("""
+        c1 send raw 'GET / HTTP/1.1\\r\\n'
+        wait 0.05
+        g close
+        g expect end
+        c1 expect end
+    """)
+
+
+def test_health_pages_and_the_agent_line_tell_the_true_state():
+    gone = '{"revision":2,"complete":true,"members":[]}'
+    play(f"""
+        h1 send GET /status
+        h1 expect 200 '"nodes_open": 1'
+        h1 send GET /livez
+        h1 expect 200
+        h1 send GET /other
+        h1 expect 404
+        h1 send POST /status
+        h1 expect 405
+        d expect GET since
+        d send 200 'body={gone}'
+        d expect GET since=2
+        h1 send GET /status
+        h1 expect 200 '"nodes_open": 0'
+    """)
+
+
+def test_the_agent_line_follows_the_phase_and_the_nodes():
+    """HAProxy reads one line up to its end: ready with a weight, down without nodes, drain when leaving."""
+
+    async def run() -> list[str]:
+        lines = []
+
+        async def ask(world: World) -> None:
+            reader, writer = await asyncio.open_connection(*world.agent)
+            lines.append((await reader.read()).decode())
+            writer.close()
+
+        async with World() as world:
+            await ask(world)
+            await world.play("""
+                d expect GET since
+                d send 200 'body={"revision":2,"complete":true,"members":[]}'
+                d expect GET since=2
+            """)
+            await ask(world)
+            await world.play("g close\nwait 0.05")
+            await ask(world)
+        return lines
+
+    ready, down, leaving = uvloop.run(run())
+    assert re.fullmatch(r"up ready \d+%\n", ready)
+    assert down.startswith("down ") and leaving == "up drain\n"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,19 +1,11 @@
-"""The platform's front and the path behind it, on loopback sockets."""
+"""The platform's front and the path behind it, on loopback sockets: requests in, nodes' answers back."""
 
 from __future__ import annotations
 
-import asyncio
-import re
-
 import pytest
 import uvloop
 from scenario import World, play
 
-from mallowbeam.net import discovery, gateway, server
-
-PLAIN = ("GET /read/00000000000000aa/0000000000000001 HTTP/1.1\\r\\nhost: x\\r\\nx-class: read\\r\\n"
-         "x-storage-class: silver\\r\\nx-deadline-ms: 900\\r\\nx-extent: units=1,shard=0,hosts=1\\r\\n"
-         "x-request-id: 00000000000000f{}\\r\\n\\r\\n")
 READ = "GET /read/00000000000000aa/0000000000000001"
 
 
@@ -97,7 +89,11 @@
 
 
 LONG = "9" * 5000
+
+
 NL = "\\r\\n"
+
+
 OK = f"HTTP/1.1 200 OK{NL}"
 
 
@@ -198,17 +194,6 @@
     uvloop.run(run())
 
 
-def test_whole_requests_before_noise_are_answered_first():
-    play(f"""
-        c1 send raw '{PLAIN.format(1)}\\x00\\x01noise'
-        n0 expect GET 0f1
-        n0 send 200 body=one
-        c1 expect 200 one
-        c1 expect 400
-        c1 expect end
-    """)
-
-
 def test_an_id_whose_answer_is_not_out_yet_is_turned_down():
     """Guards the one final answer: the module forgets a request before its client has the answer."""
 
@@ -259,23 +244,6 @@
     """)
 
 
-@pytest.mark.parametrize(("raw", "status"), [
-    ("GET / HTTP/1.1\\r\\nhost x\\r\\n\\r\\n", 400), ("NONSENSE\\r\\n\\r\\n", 400),
-    ("GET / HTTP/1.1\\r\\nhost: x\\r\\nx: " + "y" * 20000 + "\\r\\n\\r\\n", 431),
-    ("GET / HTTP/1.1\\r\\nhost: x\\r\\nx: " + "y" * 20000, 431),
-    ("GET /" + "y" * 20000 + " HTTP/1.1\\r\\nhost: x\\r\\n\\r\\n", 431),
-    ("PUT / HTTP/1.1\\r\\nhost: x\\r\\ncontent-length: 60000000\\r\\n\\r\\n", 413),
-    ("PUT / HTTP/1.1\\r\\nhost: x\\r\\ncontent-length: 1\\r\\ncontent-length: 2\\r\\n\\r\\n", 400),
-    ("GET / HTTP/1.1\\r\\nhost: x\\r\\nupgrade: h2c\\r\\nconnection: upgrade\\r\\n\\r\\n", 400)])
-def test_what_breaks_http_or_a_bound_gets_its_status_and_a_close(raw, status):
-    play(f"""
-        c1 send raw '{raw}'
-        c1 expect {status}
-        c1 expect end
-        n0 expect nothing
-    """)
-
-
 def test_only_what_the_protocol_names_is_passed_on():
     """Guards nodes: they close on what they can't read, whatever else waits on that connection."""
 
@@ -341,333 +309,6 @@
     uvloop.run(run())
 
 
-def test_pipelined_requests_are_answered_in_turn():
-    play(f"""
-        c1 send raw '{PLAIN.format(1)}{PLAIN.format(2)}'
-        n0 expect GET 0f1
-        n0 send 200 body=one
-        c1 expect 200 one
-        n0 expect GET 0f2
-        n0 send 200 body=two
-        c1 expect 200 two
-    """)
-
-
-def test_draining_nodes_get_nothing_new_and_the_watch_goes_on():
-    drained = ('{"revision":2,"complete":false,"members":[{"id":"n0","host_port":"$n0","cell":0,'
-               '"phase":"draining"}]}')
-    play(f"""
-        d expect GET 'since=1&timeout_ms='
-        d send 200 'body={drained}'
-        d expect GET 'since=2&timeout_ms='
-        c1 send write shard=-1
-        n1 expect PUT
-        n1 send 200 body=x
-        c1 expect 200
-        c1 send read shard=0
-        c1 expect 503
-        n0 expect nothing
-    """, nodes=2)
-
-
-@pytest.mark.parametrize("failure", ["d send 503", "d close", "d send 200 body=nonsense",
-                                     "d send 200 'body={\"revision\":1,\"complete\":true,\"members\":[{}]}'"])
-def test_a_failed_watch_is_begun_again(failure):
-    play(f"""
-        d expect GET since=1
-        {failure}
-        d expect GET since=1
-    """)
-
-
-def test_a_watch_that_never_answers_is_given_up_and_begun_again(monkeypatch):
-    """Guards against a discovery cut off without a word: the connection stays open and silent."""
-    monkeypatch.setattr(discovery, "WAIT", 0.1)
-    monkeypatch.setattr(discovery, "OVERDUE", 0.1)
-    play("""
-        d expect GET 'since=1&timeout_ms=100'
-        d expect end
-        d expect GET since=1
-    """)
-
-
-def test_told_to_stop_it_serves_on_for_clients_that_keep_their_connection():
-    """Guards them: closed at once, they found their gateway gone for as long as a restart takes."""
-    play("""
-        c1 send GET /healthz
-        c1 expect 200
-        g close
-        wait 0.05
-        c2 send GET /healthz
-        c2 expect 503
-        c1 send read
-        n0 expect GET
-        n0 send 200 body=late
-        c1 expect 200 late
-        c1 send GET /healthz
-        c1 expect 503
-    """)
-
-
-def test_a_planned_stop_answers_what_is_held_and_closes_connections(monkeypatch):
-    monkeypatch.setattr(gateway, "STAY", 0.0)
-    monkeypatch.setattr(gateway, "LAME_DUCK", 0.02)
-    play("""
-        c1 send read
-        n0 expect GET
-        c2 send GET /healthz
-        c2 expect 200
-        g close
-        wait 0.1
-        n0 send 200 body=held
-        c1 expect 200 held 'connection: close'
-        g expect end
-        c2 expect end
-    """)
-
-
-def test_what_comes_while_leaving_has_only_the_time_that_is_left(monkeypatch):
-    """Guards the one final answer: SIGKILL follows, and what it finds unanswered is lost."""
-    monkeypatch.setattr(gateway, "STAY", 1.0)
-    monkeypatch.setattr(gateway, "LEAVE", 0.1)
-
-    async def run() -> None:
-        async with World() as world:
-            await world.play("g close\nwait 0.05\nc1 send write deadline=2000\nn0 expect PUT")
-            exchange, = world.gateway.exchanges.values()
-            assert exchange.deadline < world.gateway.leave_at + 0.1
-            await world.play("n0 send 200 body=x\nc1 expect 200\ng expect end")
-
-    uvloop.run(run())
-
-
-def test_clients_beyond_the_descriptors_wait_and_are_served():
-    """Guards against a crash when descriptors run out: idle connections make room."""
-    lines = "".join(f"c{i} send GET /healthz\nc{i} expect 200\n" for i in range(60))
-    play(lines, sockets=120)
-
-
-def test_clients_beyond_the_last_busy_connection_are_refused_at_once():
-    """Guards the one final answer: what waits in the backlog is taken, and was lost at its deadline."""
-
-    async def run() -> None:
-        async with World(sockets=120) as world:
-            room = world.gateway.servers[-1].most - world.gateway.servers[-1].spare
-            world.gateway.submit = lambda call: asyncio.Event().wait()
-            await world.play("".join(f"c{i} send read\n" for i in range(room)) + "wait 0.1")
-            await world.play("".join(f"""
-                c{i} send read
-                c{i} expect 503 retry-after 'connection: close'
-                c{i} expect end
-            """ for i in range(room, room + 9)))
-
-    uvloop.run(run())
-
-
-def test_those_that_have_been_answered_make_room_before_those_that_have_not(monkeypatch):
-    """Guards first requests: clients that connected a moment ago lost theirs to those that came after."""
-    monkeypatch.setattr(server, "FRESH", 0.0)
-
-    async def run() -> None:
-        async with World(sockets=120) as world:
-            here = world.gateway.servers[-1]
-            first = [await asyncio.open_connection(*world.platform)]
-            await world.play("".join(f"c{i} send GET /healthz\nc{i} expect 200\n"
-                                     for i in range(here.most - here.spare + 5)))
-            await world.play("wait 0.05")
-            assert any(not c.answered for c in here.connections)
-            first[0][1].write(b"GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n")
-            assert (await first[0][0].read(12)).endswith(b"200")
-
-    uvloop.run(run())
-
-
-def test_a_connection_that_has_just_come_or_holds_an_unread_request_is_not_let_go():
-    """Guards requests that are taken but not read: closed to make room, their connections lost them."""
-
-    async def run() -> None:
-        async with World(sockets=120) as world:
-            await world.play("c1 send GET /healthz\nc1 expect 200")
-            connection, = world.gateway.servers[-1].connections
-            assert connection.spare
-            world.parties["c1"].raw("GET /healthz")
-            while not connection.channel.stale():  # the loop has not read it yet
-                await asyncio.sleep(0)
-                if not connection.idle:
-                    break
-            assert not connection.spare
-            _, writer = await asyncio.open_connection(*world.platform)
-            while len(world.gateway.servers[-1].connections) < 2:
-                await asyncio.sleep(0)
-            fresh, = world.gateway.servers[-1].connections - {connection}
-            assert fresh.idle and not fresh.spare
-            writer.close()
-
-    uvloop.run(run())
-
-
-def test_health_pages_and_the_agent_line_tell_the_true_state():
-    gone = '{"revision":2,"complete":true,"members":[]}'
-    play(f"""
-        h1 send GET /status
-        h1 expect 200 '"nodes_open": 1'
-        h1 send GET /livez
-        h1 expect 200
-        h1 send GET /other
-        h1 expect 404
-        h1 send POST /status
-        h1 expect 405
-        d expect GET since
-        d send 200 'body={gone}'
-        d expect GET since=2
-        h1 send GET /status
-        h1 expect 200 '"nodes_open": 0'
-    """)
-
-
-def test_the_agent_line_follows_the_phase_and_the_nodes():
-    """HAProxy reads one line up to its end: ready with a weight, down without nodes, drain when leaving."""
-
-    async def run() -> list[str]:
-        lines = []
-
-        async def ask(world: World) -> None:
-            reader, writer = await asyncio.open_connection(*world.agent)
-            lines.append((await reader.read()).decode())
-            writer.close()
-
-        async with World() as world:
-            await ask(world)
-            await world.play("""
-                d expect GET since
-                d send 200 'body={"revision":2,"complete":true,"members":[]}'
-                d expect GET since=2
-            """)
-            await ask(world)
-            await world.play("g close\nwait 0.05")
-            await ask(world)
-        return lines
-
-    ready, down, leaving = uvloop.run(run())
-    assert re.fullmatch(r"up ready \d+%\n", ready)
-    assert down.startswith("down ") and leaving == "up drain\n"
-
-
-DRAINED = '{"revision":2,"complete":false,"members":[{"id":"n0","cell":0,"phase":"draining"}]}'
-
-
-def test_a_node_that_drains_while_a_connection_comes_up_gets_nothing():
-    """Guards the rule on draining where connecting takes longer than the grace."""
-
-    async def run() -> None:
-        async with World() as world:
-            gate = world.hold_connecting()
-            await world.play(f"""
-                c1 send read
-                d expect GET since=1
-                d send 200 'body={DRAINED}'
-                d expect GET since=2
-            """)
-            gate.set()
-            await world.play("c1 expect 503\nn0 expect nothing")
-
-    uvloop.run(run())
-
-
-def test_idle_connections_to_a_node_that_is_listed_no_more_are_closed():
-    play("""
-        c1 send read
-        n0 expect GET
-        n0 send 200 body=x
-        c1 expect 200
-        d expect GET since=1
-        d send 200 'body={"revision":2,"complete":true,"members":[]}'
-        n0 expect end
-    """)
-
-
-def test_a_fault_with_one_list_does_not_end_the_watch():
-    async def run() -> None:
-        async with World() as world:
-            told, faults = world.gateway.watch.told, iter([RuntimeError("once")])
-
-            def faulty(listing) -> None:
-                for fault in faults:
-                    raise fault
-                told(listing)
-
-            world.gateway.watch.told = faulty
-            await world.play(f"""
-                d expect GET since=1
-                d send 200 'body={DRAINED}'
-                d expect GET since=2
-            """)
-
-    uvloop.run(run())
-
-
-@pytest.mark.parametrize("front", ["c", "o"])
-def test_a_client_that_stalls_inside_a_request_gets_408_and_a_close(monkeypatch, front):
-    """Guards against requests that come in a trickle, or never: each held its connection for 10 s or more."""
-    monkeypatch.setattr(server, "STALLED", 0.2)
-    monkeypatch.setattr(gateway, "SWEEP", 0.05)
-    drip = f"{front}2 send raw x\nwait 0.1\n"
-    play(f"""
-        {front}1 send raw 'GET / HTTP/1.1{NL}host: x{NL}'
-        {front}1 expect 408
-        {front}1 expect end
-        {front}2 send PUT /plates/a content-length:5
-        {drip * 5}
-        {front}2 expect 408
-        {front}2 expect end
-        n0 expect nothing
-    """)
-
-
-@pytest.mark.parametrize("front", ["c", "o"])
-def test_a_client_that_says_nothing_is_closed_long_before_one_that_has_been_answered(monkeypatch, front):
-    """Guards the descriptors: connections opened by the hundred lay there for two minutes."""
-    monkeypatch.setattr(server, "STALLED", 0.2)
-    monkeypatch.setattr(gateway, "SWEEP", 0.05)
-    play(f"""
-        {front}1 send GET /_/other
-        {front}1 expect 400
-        {front}2 send raw ''
-        {front}2 expect end
-        {front}1 send GET /_/other
-        {front}1 expect 400
-    """)
-
-
-@pytest.mark.parametrize("front", ["c", "o"])
-def test_what_follows_a_request_that_is_too_large_is_read_for_a_while_only(monkeypatch, front):
-    """Guards the core: a client that sends 60 MB at full speed was read for as long as it went on."""
-    monkeypatch.setattr(server, "LINGER", 60.0)
-
-    async def run() -> None:
-        async with World() as world:
-            await world.play(f"{front}1 send raw 'PUT /a/b HTTP/1.1{NL}content-length: 60000000{NL}{NL}'\n"
-                             f"{front}1 expect 413")
-            writer = world.parties[f"{front}1"].writer
-            with pytest.raises(ConnectionError):
-                for _ in range(512):           # 32 MB: far more than the sockets hold between them
-                    writer.write(b"x" * 65536)
-                    await writer.drain()
-
-    uvloop.run(run())
-
-
-def test_a_request_that_never_comes_in_whole_does_not_hold_up_a_planned_stop(monkeypatch):
-    monkeypatch.setattr(gateway, "STAY", 0.6)
-    play("""
-        c1 send raw 'GET / HTTP/1.1\\r\\n'
-        wait 0.05
-        g close
-        g expect end
-        c1 expect end
-    """)
-
-
 def test_a_fault_in_the_module_is_still_one_answer(monkeypatch):
     """Guards the client: whatever goes wrong here, it gets a failure, and the next request is served."""
 
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -9,7 +9,7 @@
 from scenario import PATIENCE, World, play
 
 from mallowbeam.fronts import platform
-from mallowbeam.net import gateway, server
+from mallowbeam.net import connection, gateway
 from mallowbeam.net.stream import HELD_CHUNKS, Stream
 
 NL = "\\r\\n"
@@ -193,7 +193,7 @@
 
 def test_an_upload_that_stalls_is_given_up_and_one_that_is_slow_is_not(monkeypatch):
     """Guards both: a client may send at 64 kB a second, one that stops must not hold a node's connection."""
-    monkeypatch.setattr(server, "STALLED", 0.3)
+    monkeypatch.setattr(connection, "STALLED", 0.3)
     monkeypatch.setattr(gateway, "SWEEP", 0.05)
     drip = "c1 send raw '' fill=20000\nwait 0.1\n"
     play(f"""
