--- /dev/null
+++ b/mallowbeam/control/booking.py
@@ -0,0 +1,180 @@
+"""Where and when a request goes: its node, its value there, its place in the node's cycles."""
+
+from bisect import insort
+from heapq import heappop, heappush
+from zlib import crc32
+
+from mallowbeam import interface as io
+from mallowbeam.control.nodes import M_EXTRA, M_MOST, Node
+from mallowbeam.control.requests import Request, Volume
+
+SILENT = 1.5            # cycles without an answer while work is out: pauses are shorter, hung nodes longer
+CHOICES, HOLE = 6, 1.25  # other nodes looked at for a new object; how much later the hashed one may be
+RUN = 2                 # largest requests: what may be out beyond the room behind one of the same data
+LOOK = 0.1              # of a cycle: how often a node with work waiting or out is looked at again
+ACTIVE = 2.0            # seconds for which a volume counts in the sharing of a node after its last request
+CROWD = 0.3             # of the dearest unit: what one must be worth where waiting takes up the aim
+CAPACITY_DEALT = 0.9    # of a node's power is dealt out by weight (the users' terms)
+EPS = 2e-6              # seconds: a clock that counts in microseconds may round a timer down
+
+
+class Booking:
+    """The Scheduler's part that books requests and lays them out."""
+
+    def _book(self, request: Request) -> None:
+        """Book a request at its node, or refuse it at once."""
+        if request.done or request.out:
+            return
+        node, volume = self._choose(request), request.volume
+        if node is None:
+            return self._end(request)
+        if not request.asked:
+            if (wait := volume.limit_wait(self.now, request.units + volume.pending, request.worth())) > 0:
+                return self._end(request, retry_after=wait)
+            request.asked = True
+            volume.pending += request.units
+        insort(node.queue, (request.aim_at, request.seq, request))
+        self.touched[node.id] = node
+
+    def _choose(self, request: Request) -> Node | None:
+        """The open node that holds the shard; for a new object the one hashed, unless a hole is earlier.
+
+        It is held against CHOICES others, hashed too: work stays the same in a large fleet, and hosts that
+        see the same idle node do not all turn to it.
+        """
+        # Guards against a booking where it may never be sent: it would be held there to its deadline.
+        nodes = [node for node in self.open if request.shard in (None, node.shard)
+                 and (not request.ran or self._may_repeat(request, node))]
+        key = crc32(request.data.encode())
+        best, least = None, 0.0
+        for turn in range(min(CHOICES + 1, len(nodes))):
+            node = nodes[(key + turn * (1 + key % 7)) % len(nodes)]
+            finish = self._finish(node, request.units)
+            if best is None or finish * HOLE < least:
+                best, least = node, finish
+        return best
+
+    def _finish(self, node: Node, units: int) -> float:
+        """Seconds until a request booked last at a node would be answered."""
+        if node.suspect or self.now < node.cold_until:
+            return 60.0 + node.silence()
+        ahead = sum(entry[2].units for entry in node.queue) + node.out_units + units - node.window
+        # Guards new objects against a node that fails them at once, and so always seems to have a hole.
+        return (max(0.0, ahead) * node.slot() + node.serve_time(units)
+                + (10 * self.cycle if node.fails else 0.0))
+
+    def _value(self, node: Node) -> None:
+        """What each booking's units are worth now: inside the reserve, inside the share by weight, or spare.
+
+        Worked out anew at each layout, so that in a volume the classes worth most take what is due first.
+        """
+        now, settings, top = self.now, self.settings, float(self.settings.units_top)
+        if now - node.weights_at > ACTIVE / 4:
+            node.shares = {volume: share for volume, share in node.shares.items() if now - share[1] <= ACTIVE}
+            node.weights_at, node.weights = now, sum(volume.plan.weight for volume in node.shares)
+        power = CAPACITY_DEALT * node.window / max(node.n_latency, 1e-3) / max(node.weights, 1e-9)
+        left: dict[Volume, list[float]] = {}
+        for request in sorted((entry[2] for entry in node.queue), key=lambda r: -r.cls.worth):
+            volume = request.volume
+            if volume not in left:
+                volume.refill(now)
+                rate, share = power * volume.plan.weight, node.shares.setdefault(volume, [top, now])
+                share[:] = min(max(rate, top), share[0] + rate * (now - share[1])), now
+                left[volume] = [volume.reserve_level, share[0], float("inf")]
+            levels = left[volume]
+            request.tier = next(tier for tier in range(3) if levels[tier] >= request.units / 2)
+            levels[request.tier] -= request.units
+            worth = (1.0, settings.share_worth, settings.spare_worth)[request.tier]
+            request.density = request.worth() * worth
+
+    def _price(self, node: Node) -> float:
+        """What a unit must be worth to take room at a node now: what found no slot asks for its own worth.
+
+        As work of others in front (latency above the lowest) takes up the aim, the cheap are left out first.
+        """
+        node.refresh()
+        waiting = max(node.n_latency, node.silence()) - self.floor
+        part = min(1.0, max(0.0, waiting) / max(self.cycle - self.floor, self.cycle / 4))
+        return max(node.bid(self.now), CROWD * self.top * part ** 2)
+
+    def _run_node(self, node: Node) -> None:
+        if node.open and node.silence() > SILENT * self.cycle:
+            self._suspect(node)
+        if self.settings.may_cancel:
+            self._free_stuck(node)
+        node.queue = [entry for entry in node.queue if not entry[2].done]
+        if node.queue:
+            order, refused = self._layout(node)
+            self._send_due(node, order)
+            for request in [request for request in refused if not request.out]:
+                self._end(request)
+            node.queue = [entry for entry in node.queue if not entry[2].done and not entry[2].out]
+        if (node.queue or node.out) and node.wake <= self.now + EPS:
+            node.wake = self.now + LOOK * self.cycle
+            self._at(node.wake, node)          # one pending wake a node, however often it is looked at
+
+    def _layout(self, node: Node) -> tuple[list[Request], list[Request]]:
+        """Order of the bookings: those that meet their aims, then late ones; and those without a slot.
+
+        Each is laid into the earliest hole.  One that would miss its aim there pushes the bookings due the
+        least, among those before it, to later holes; one that no hole finishes by its deadline is refused.
+        """
+        self._value(node)
+        now, slot, room = self.now, node.slot(), node.window - node.out_units
+        queue = [entry[2] for entry in node.queue]
+        refused = [request for request in queue if self._cold_bars(node, request)]
+        queue = [request for request in queue if request not in refused] if refused else queue
+        heap: list[tuple[float, int, Request]] = []
+        total = 0
+        for request in queue:
+            request.late, time = False, node.serve_time(request.units)
+            heappush(heap, (request.density, -request.seq, request))
+            total += request.units
+            while heap and now + max(0.0, total - room) * slot + time > request.aim_at:
+                victim = heappop(heap)[2]
+                victim.late = True
+                total -= victim.units
+                if now + time < victim.aim_at and not victim.priced:
+                    victim.priced = True       # lost to others, not to its own size
+                    node.bid(now, victim.density)
+                if victim is request:
+                    break
+        order, price = [request for request in queue if not request.late], self._price(node)
+        late = [request for request in queue if request.late]
+        for request in sorted(late, key=lambda r: (-r.density * r.cls.late_worth, r.seq)):
+            end = now + max(0.0, total + request.units - room) * slot + node.serve_time(request.units)
+            if end > request.deadline or node.suspect or request.density * request.cls.late_worth < price:
+                refused.append(request)
+            else:
+                total += request.units
+                order.append(request)
+        if node.suspect and not order:
+            order = sorted(refused, key=lambda r: (r.cls.repeat is io.Repeat.UNSAFE, r.units, r.seq))
+        return order, refused
+
+    def _send_due(self, node: Node, order: list[Request]) -> None:
+        """Send bookings whose cycle is the present one, as long as there is room out there."""
+        if self.now - node.cycle_at >= self.cycle:
+            node.cycle_at, node.cycle_used = self.now, 0
+        # The m of the paper: slots that a cycle holds by measured slot time, within the floor and the most.
+        slots = int(min(M_MOST, max(self.settings.units_top + M_EXTRA, self.cycle / node.slot())))
+        if node.suspect and self.now >= node.held and order and self._send(order[0], node):
+            node.held = self.now + self.cycle
+        if node.suspect or self.now < node.held:
+            return
+        price = self._price(node)
+        # What follows on the same data costs a node a part of its work: it goes at once, behind its first.
+        turns = {request.data: turn for turn, request in reversed(list(enumerate(order)))}
+        for request in sorted(order, key=lambda r: -1 if r.data == node.last else turns[r.data]):
+            room = node.window + (RUN * self.settings.units_top if request.data == node.last else 0)
+            # Room left for dearer units that is still empty at a request's last chance is of use to nobody.
+            last = self.now + node.serve_time(request.units) + 2 * LOOK * self.cycle > request.aim_at
+            if request.density * (request.cls.late_worth if request.late else 1.0) < price and (
+                    node.out_units or request.late or not last):
+                continue
+            if node.out_units + request.units > room and (
+                    node.out_units or self.now - node.sent_at < request.units / node.window * node.n_latency):
+                break
+            if request.data != node.last and node.cycle_used and node.cycle_used + request.units > slots:
+                break
+            self._send(request, node)
--- /dev/null
+++ b/mallowbeam/control/nodes.py
@@ -0,0 +1,204 @@
+"""Storage nodes: which take new work, by lists, operators and answers, and what is learned of them."""
+
+from math import exp
+from zlib import crc32
+
+from mallowbeam import interface as io
+from mallowbeam.control.requests import PRICE_LASTS, Attempt, Request, Volume
+
+MEMORY, PRIOR = 1.0, 0.5  # seconds for which an answer says much; what all nodes' latency counts, in answers
+CLIP = 3.0              # a sample counts as at most this many times the mean: one pause can't poison it
+PRICE_STEP = 0.5        # how far one request without a slot moves a node's price towards its worth
+TARGET = 0.35           # of the cycle: the latency steered to; the rest is for waiting here, still movable
+GROW, SHRINK = 0.7, 0.3  # units that a round trip under target adds to the room; share that twice it takes
+M_EXTRA, M_MOST = 4, 32  # a cycle has room for the largest request and this more, and no more than M_MOST
+WATCH_AGAIN, FLEET_CALLS = 0.5, 5.0  # seconds to a failed call's repeat; calls a second by all hosts, then
+UNTOLD = 3.0            # seconds by which lists run late: so long a node not reached is taken for cold
+BREAKS, REFUSAL = 6, 3  # broken connections in a row after which a node has ended; one refused counts 3
+COLD_PART = (0.5, 0.35, 0.35)  # of the units that tip a cold node, by tier; replacements may be slower
+SURGE_PART, EVEN_PART = 0.25, 0.5  # of what it always bears: one host's most beyond reserves; all evenly
+WARM_ENOUGH = 2.0       # times its full capacity: a node that tips only beyond that is open to all units
+
+
+class Node:
+    """A storage node as this host sees it: bookings, slot time and health."""
+
+    def __init__(self, entry: io.NodeEntry, sched) -> None:
+        self.id, self.shard, self.zone, self.since = entry.node, entry.shard, entry.zone, entry.since
+        self.state, self.open = entry.state, False  # as listed; whether new work may go there
+        self.queue: list[tuple[float, int, Request]] = []  # bookings not sent, by aim
+        self.out: dict[tuple[str, int], Attempt] = {}  # what it is at work on, in the order sent
+        self.sched, self.out_units = sched, 0
+        self.mean = self.n_latency = sched.prior  # answers of late, for the usual size; and with the prior
+        self.weight, self.fresh_at = 0.0, sched.now  # how many answers of late that mean stands on
+        self.n_out = sched.settings.usual_units
+        self.window = float(sched.settings.units_top)  # units that may be out at once
+        self.last_answer = self.held = sched.now  # held: nothing goes before this time
+        self.sent_at, self.wake, self.last = -1e9, -1e9, ""  # last: the data of what was sent there last
+        self.answered = -1e9                   # when the latest sent of those that it answered went out
+        self.suspect, self.breaks = False, 0   # silent or not reached; connections broken since an answer
+        self.faults, self.fails = 0.0, False   # share of its answers of late that were errors; too many
+        self.cold_from = self.cold_until = -1e9  # its start, as told or presumed, and when it is warm
+        self.cold_sent: list[tuple[float, int]] = []  # when units went there while cold, and how many
+        self.cycle_at, self.cycle_used = sched.now, 0
+        self.shares: dict[Volume, list[float]] = {}  # share level, filled at, last request
+        self.weights, self.weights_at, self.price, self.price_at = 0.0, -1e9, 0.0, sched.now
+
+    def refresh(self) -> None:
+        """Let answers fade with time, so that few a second weigh as they should: recent or not at all."""
+        now = self.sched.now
+        if now > self.fresh_at:
+            self.weight, self.fresh_at = self.weight * exp((self.fresh_at - now) / MEMORY), now
+            self.n_latency = (self.weight * self.mean + PRIOR * self.sched.prior) / (self.weight + PRIOR)
+
+    def measure(self, units: int, latency: float, at_least: bool) -> float:
+        """Take in one answer; return its latency for the usual size.  One given up on is a lower bound."""
+        self.refresh()
+        usual = max(latency - self.sched.slope * (units - self.sched.settings.usual_units), 0.2 * latency)
+        if at_least and usual <= self.n_latency:
+            return self.n_latency
+        self.mean += (min(usual, CLIP * self.n_latency) - self.mean) / (self.weight + 1.0)
+        self.weight += 1.0
+        self.n_latency = (self.weight * self.mean + PRIOR * self.sched.prior) / (self.weight + PRIOR)
+        return usual
+
+    def silence(self) -> float:
+        """How long two attempts are overdue, or one, which may be costly, for a cycle more."""
+        two = list(self.out.values())[:2]
+        if not two:
+            return 0.0
+        due = two[-1].sent_at + self.sched.slope * two[-1].request.units + self.sched.cycle * (len(two) < 2)
+        return max(0.0, self.sched.now - max(self.last_answer, due))
+
+    def serve_time(self, units: int) -> float:
+        """Expected latency of a request of this size sent now."""
+        self.refresh()
+        base = self.n_latency - self.sched.slope * self.sched.settings.usual_units
+        return max(base, self.silence()) + self.sched.slope * units
+
+    def bid(self, now: float, worth: float = 0.0) -> float:
+        """The price of a unit here, moved by what found no slot and forgotten within seconds."""
+        self.price, self.price_at = self.price * exp((self.price_at - now) / PRICE_LASTS), now
+        self.price += PRICE_STEP * max(0.0, worth - self.price)
+        return self.price
+
+    def slot(self) -> float:
+        """Measured slot time: the node's smoothed latency over this host's units out there."""
+        return self.n_latency / max(1.0, self.n_out, self.out_units)
+
+
+class Health:
+    """The Scheduler's part that opens, closes and paces nodes."""
+
+    def _on_list(self, event: io.NodesListed) -> None:
+        if event.kind is io.ListKind.FAILED:
+            # Guards discovery, which takes calls in turn: hosts that come back sooner than it can serve all
+            # of them wait until each gives up, and nobody is told anything.  Alone, a host soon asks again.
+            self.watch_failures += 1
+            most = max(2 * WATCH_AGAIN, self.settings.hosts / FLEET_CALLS)
+            wait = min(max(WATCH_AGAIN, most / 4) * 2.0 ** min(self.watch_failures - 1, 2), most)
+            self._at(self.now + min(wait * (0.5 + self.random.random()), self.settings.ask_every or 1e9), "")
+            return
+        self.watch_failures, entries = 0, event.entries
+        if event.kind is not io.ListKind.CHANGES:  # what a whole list leaves out is gone
+            named = {entry.node for entry in entries}
+            missing = [io.NodeEntry(name, io.NodeState.GONE) for name in self.nodes if name not in named]
+            entries = missing + entries
+        for entry in entries:
+            node, since = self.nodes.get(entry.node), entry.since
+            if (fresh := node is None) and entry.state is io.NodeState.GONE:
+                continue
+            if fresh:
+                node = self.nodes[entry.node] = Node(entry, self)
+            node.state = entry.state
+            if node.state is io.NodeState.READY:
+                if fresh and since is None and event.kind is io.ListKind.CHANGES:
+                    since = self.now           # a machine that joins unexplained is a replacement, so cold
+                if since is not None and (fresh or since != node.since):
+                    self._chill(node, since)
+                    self._alive(node)          # it runs: what fell silent did so before
+                node.since = since
+            self._admit(node)
+
+    def _on_hand(self, event: io.ByHand) -> None:
+        """Out by hand, or back: one call back lifts all that stands, and the node was restarted meanwhile."""
+        banned = self.banned.pop(event.node, None)
+        if event.out:
+            self.banned[event.node] = banned or event.since or self.now
+        if node := self.nodes.get(event.node):
+            if banned is not None and not event.out:
+                if (node.since or 0.0) < banned:  # no list has told of a start: the latest is presumed
+                    self._chill(node, self.now)
+                node.suspect = True            # what was known of it is forgotten, as with a first answer
+                self._alive(node)
+            self._admit(node)
+
+    def _chill(self, node: Node, since: float, lasts: float | None = None) -> None:
+        if self.settings.fall_window is not None:
+            node.cold_from, node.cold_until = since, since + (lasts or self.settings.cold_time or 0.0)
+
+    def _admit(self, node: Node) -> None:
+        """Let new work to a node listed as ready and not out by hand; book anew what waits at another."""
+        node.open = node.state is io.NodeState.READY and node.id not in self.banned
+        self.open = [known for known in self.nodes.values() if known.open]
+        if not node.open:
+            self._rebook(node, lambda request: True)
+        self.touched[node.id] = node
+
+    def _rebook(self, node: Node, wanted) -> None:
+        moved = [entry[2] for entry in node.queue if wanted(entry[2])]
+        node.queue = [entry for entry in node.queue if not wanted(entry[2])]
+        for request in moved:
+            self._book(request)
+
+    def _alive(self, node: Node) -> None:
+        """An answer came; what the silence before it seemed to tell is forgotten."""
+        node.last_answer, node.breaks = self.now, 0
+        if node.suspect:
+            node.suspect, node.weight, node.held = False, 0.0, self.now
+            self.touched[node.id] = node
+
+    def _broke(self, node: Node, weight: int) -> None:
+        """A connection broke or was refused: a node that ends breaks all of them, one that lives answers."""
+        node.breaks += weight
+        if node.breaks >= BREAKS:
+            self._suspect(node)
+            if node.cold_until < self.now + UNTOLD:  # it may be back, and cold, before any list says so
+                self._chill(node, self.now, UNTOLD)
+
+    def _suspect(self, node: Node) -> None:
+        """No answers, or no connection: only a trickle goes there until one comes."""
+        if not node.suspect:
+            node.suspect = True
+            self._rebook(node, lambda request: request.shard is None)
+            self.touched[node.id] = node
+
+    def _learn(self, node: Node, units: int, latency: float, at_least: bool) -> None:
+        """Steer the units out at a node so that answers take TARGET of a cycle."""
+        usual = node.measure(units, latency, at_least)
+        over = usual / (self.floor + TARGET * max(0.0, self.cycle - self.floor)) - 1.0
+        if over > 0:
+            node.window = max(1.0, node.window - SHRINK * units * min(1.0, over))
+        elif node.queue or node.out_units + units > 0.7 * node.window:
+            node.window = min(float(M_MOST), node.window + GROW * units / node.window)
+
+    def _cold_bars(self, node: Node, request: Request) -> bool:
+        """Whether a request must not go to a node because that is cold.
+
+        Each host sends a part of each tier, the key says which: repeats fare alike, and a lead that moves or
+        a new life of a host changes nothing.  Reserves fit a node, and so does a part of them at every host;
+        what is beyond surges through few hosts, so one's is bounded; its even part is free of all this.
+        """
+        if self.now >= node.cold_until:
+            return False
+        s = self.settings                      # the ramp is taken at the middle of the rule's window
+        age = max(0.0, self.now - node.cold_from - s.fall_window / 2)
+        ramp = min(1.0, s.cold_start + (1.0 - s.cold_start) * age / max(s.cold_time, 1e-9))
+        if (tips := (s.fall_multiple or 0.0) * ramp) >= WARM_ENOUGH:
+            return False
+        node.cold_sent = [sent for sent in node.cold_sent if sent[0] > self.now - s.fall_window]
+        sent = sum((units for _, units in node.cold_sent), request.units)
+        bears = (s.cold_units or 0.0) * ramp / max(s.cold_start, 1e-9)
+        dealt = crc32(request.data.encode()) < COLD_PART[request.tier] * tips * 2 ** 32
+        return sent > EVEN_PART * bears / max(1, s.hosts) and not (
+            dealt and (request.tier == 0 or sent <= SURGE_PART * bears))
--- /dev/null
+++ b/mallowbeam/control/requests.py
@@ -0,0 +1,67 @@
+"""What asks: requests, their attempts, and the volumes whose reserves and limits they draw from."""
+
+from mallowbeam import interface as io
+
+PRICE_LASTS = 2.0       # seconds: surges come and go within seconds, and so must what they make slots worth
+KEPT = 0.5              # of a limit's store: left to the dearest that it refused in PRICE_LASTS
+
+
+class Volume:
+    """What one volume has drawn through this host, against its reserve and its limit."""
+
+    def __init__(self, plan: io.Plan, hosts: int, settings: io.Settings, since: float) -> None:
+        self.plan, self.hosts = plan, hosts
+        # Guards the limit across hosts and restarts: only this host's part of the store is ever drawn, and as
+        # an earlier life may have spent all of it a moment before this one, that starts at the bottom.
+        self.limit_level, self.at = -plan.limit_slack / hosts, since  # nothing was drawn here after that
+        self.dear, self.dear_at = 0.0, since   # what the limit refused: a unit's worth, and when
+        self.pending = self.coming = 0         # units booked and not sent; and those whose body still comes
+        self.reserve_level = self.reserve_top = plan.reserve + settings.units_top if plan.reserve else 0.0
+
+    def refill(self, now: float) -> None:
+        """Let both stores fill up to now; the reserve counts whole, less what is told of other hosts."""
+        passed, self.at = now - self.at, now
+        self.limit_level = min(self.plan.limit_burst / self.hosts - self.coming,
+                               self.limit_level + passed * self.plan.limit / self.hosts)
+        self.reserve_level = min(self.reserve_top, self.reserve_level + passed * self.plan.reserve)
+
+    def limit_wait(self, now: float, units: int, worth: float = 0.0) -> float:
+        """Seconds until the limit bears so many units more; cheap ones leave a part of it."""
+        self.refill(now)
+        if self.plan.limit <= 0:
+            return 0.0
+        # First come would spend what is scarce on the cheap.  Harm: the dear may not come, and some is left.
+        dearer = 0 < worth < self.dear and self.at < self.dear_at + PRICE_LASTS
+        kept = KEPT * self.plan.limit_burst * dearer
+        missing = units + 1e-6 + (kept - self.plan.limit_slack) / self.hosts - self.limit_level
+        if missing > 0 and worth and not dearer:
+            self.dear, self.dear_at = worth, self.at
+        return max(0.0, missing * self.hosts / self.plan.limit)
+
+
+class Request:
+    """A request this host has taken."""
+
+    def __init__(self, event: io.RequestArrived, cls: io.RequestClass, volume: Volume, now: float,
+                 seq: int, spent: float) -> None:
+        self.id, self.cls, self.volume, self.units = event.request, cls, volume, max(1, event.units)
+        self.shard, self.key, self.seq = event.shard, event.key if cls.ordered else None, seq
+        self.data, self.deadline = event.key or event.request, now + event.expires_in
+        self.aim_at = min(now + cls.aim - spent, self.deadline)
+        self.density, self.tier = 0.0, 2       # a unit's worth now; 0 inside reserve, 1 inside share, 2 spare
+        self.tries = 0                         # attempts so far, as the wire numbers them
+        self.out: dict[int, Attempt] = {}
+        self.ran: list[tuple] = []             # attempts that may have run: at which node, and when sent
+        self.done = self.late = self.asked = self.priced = self.drawn = False  # drawn: from its limit
+
+    def worth(self) -> float:
+        """A unit's worth in full."""
+        return self.cls.worth * self.volume.plan.price
+
+
+class Attempt:
+    """One attempt that is out."""
+
+    def __init__(self, request: Request, number: int, node, now: float, coming: int) -> None:
+        self.request, self.number, self.node, self.sent_at = request, number, node, now
+        self.stuck, self.coming = False, coming  # passed over and given up; units no node may have yet
--- /dev/null
+++ b/mallowbeam/control/sending.py
@@ -0,0 +1,206 @@
+"""Every attempt's way: what may be sent at all, what came of it, and how a request ends."""
+
+from mallowbeam import interface as io
+from mallowbeam.control.nodes import REFUSAL, SHRINK, Node
+from mallowbeam.control.requests import Attempt, Request
+
+SMOOTH, FAULTY = 0.1, 0.3  # weight of one answer in a node's share of errors; the share that fails a node
+STUCK = 5.0             # times the expected time after which an attempt passed over by later ones is given up
+MAY_STILL_RUN = (io.Outcome.TIMEOUT, io.Outcome.RESET, io.Outcome.CANCELLED)
+UNSENT = (io.Outcome.NO_CONNECTION, io.Outcome.NOT_SENT)  # on sockets: its last byte never left
+NEVER_RAN = (*UNSENT, io.Outcome.REJECTED, io.Outcome.ASTRAY)
+
+
+class Sending:
+    """The Scheduler's part that sends, hears of attempts and ends requests."""
+
+    def _budget_left(self) -> bool:
+        s = self.settings
+        if s.budget_floor is None:
+            return True
+        for log in (self.taken, self.extras):
+            while log and log[0] <= self.now - s.budget_window + (s.tick if log is self.taken else -s.tick):
+                log.popleft()
+        return len(self.extras) + 1 <= s.budget_floor + s.budget_share * len(self.taken)
+
+    def _may_repeat(self, request: Request, node: Node | None = None) -> bool:
+        """Whether another attempt can have no second effect; without a node, whether any could."""
+        cls = request.cls
+        if not request.ran or cls.repeat is io.Repeat.SAFE:
+            return True
+        first, sent_at = request.ran[0]
+        if cls.repeat is io.Repeat.UNSAFE or self.now > sent_at + cls.repeat_window - self.settings.tick:
+            return False
+        return node is None or cls.scope is io.Scope.ALL or (
+            node.zone == first.zone if cls.scope is io.Scope.ZONE else node.shard == first.shard)
+
+    def _has_turn(self, request: Request) -> bool:
+        """Order by key: only the oldest that is not over, and only once the key has rested."""
+        return not request.key or self.chains[request.key][0] is request and (
+            request.tries > 0 or self.rests.get(request.key, 0.0) <= self.now)
+
+    def _send(self, request: Request, node: Node) -> bool:
+        """The one way out to a node.  Every rule on sending is checked here."""
+        if (request.done or request.out or not node.open or request.deadline <= self.now
+                or request.shard not in (None, node.shard) or request.tries >= self.most_tries
+                or not self._may_repeat(request, node) or not self._has_turn(request)
+                or self._cold_bars(node, request) or request.tries and not self._budget_left()):
+            return False
+        if not request.drawn:
+            if request.volume.limit_wait(self.now, request.units) > 0:
+                return False
+            request.volume.limit_level -= request.units
+            request.volume.pending -= request.units
+        if request.tries:
+            self.extras.append(self.now)
+        elif request.tier == 0:
+            request.volume.reserve_level -= request.units
+        elif request.tier == 1 and request.volume in node.shares:
+            node.shares[request.volume][0] -= request.units
+        if self.now < node.cold_until:
+            node.cold_sent.append((self.now, request.units))
+        # Guards a limit counted at a node's last byte: kept from filling a full store, given back if unsent.
+        coming = request.units * (self.settings.limit_at_arrival and not request.drawn)
+        attempt, request.drawn = Attempt(request, request.tries, node, self.now, coming), True
+        request.volume.coming += coming
+        request.out[request.tries] = node.out[(request.id, request.tries)] = attempt
+        request.tries += 1
+        node.out_units += request.units
+        node.cycle_used += request.units
+        node.sent_at, node.last = self.now, request.data
+        node.n_out += SMOOTH * (node.out_units - node.n_out)
+        # Guards against work of many times the usual size, and against queues filled by others: past its aim
+        # an attempt gives way.  Harm: an answer about to come, worth a little, is lost.
+        until = request.aim_at if self.now < request.aim_at else request.deadline
+        self.actions.append(io.Send(request.id, node.id, until - self.now))
+        return True
+
+    def _on_stream(self, event: io.StreamStarted) -> None:
+        """An answer has begun: its node is done with it, and what is left is passing it on."""
+        if request := self.requests.get(event.request):
+            node, request.done = request.out[event.attempt].node, True
+            self._idle(request.out[event.attempt])
+            self._alive(node)
+            self._learn(node, request.units, event.latency, False)
+
+    def _on_upload(self, event: io.Upload) -> None:
+        """A large body passes through: until its last byte is out no time runs, and it goes out only once."""
+        request = self.requests.get(event.request)
+        if (attempt := request.out.get(event.attempt) if request else None) is None:
+            return
+        self._idle(attempt)
+        request.volume.coming -= attempt.coming  # drawn when sent, but the limit counts from the last byte
+        attempt.coming = request.units if event.left is None else 0
+        request.volume.coming += attempt.coming
+        request.tries, request.deadline = self.most_tries, float("inf")
+        if event.left is not None:
+            attempt.sent_at, request.deadline = self.now, self.now + event.left
+            self._at(request.deadline - self.settings.tick, request)
+            attempt.node.out[request.id, event.attempt] = attempt
+            attempt.node.out_units += request.units
+
+    def _idle(self, attempt: Attempt) -> bool:
+        """Take an attempt off its node's work, unless that is over or has not begun; tell which."""
+        worked = attempt.node.out.pop((attempt.request.id, attempt.number), None) is not None
+        attempt.node.out_units -= attempt.request.units * worked
+        return worked
+
+    def _on_gone(self, event: io.ClientGone) -> None:
+        if request := self.requests.get(event.request):
+            self._end(request, owed=False)
+
+    def _on_ended(self, event: io.AttemptEnded) -> None:
+        request = self.requests.get(event.request)
+        attempt = request.out.pop(event.attempt, None) if request else None
+        if attempt is None:
+            return
+        node, outcome, worked = attempt.node, event.outcome, self._idle(attempt)
+        request.volume.coming -= attempt.coming
+        if attempt.coming and outcome in UNSENT and request.tries == attempt.number + 1:  # no node has it
+            request.drawn, request.volume.limit_level = False, request.volume.limit_level + attempt.coming
+            request.volume.pending += attempt.coming
+        self.touched[node.id] = node
+        if event.elsewhere:
+            request.volume.reserve_level = max(-request.volume.reserve_top,
+                                               request.volume.reserve_level - event.elsewhere)
+        if outcome not in MAY_STILL_RUN + UNSENT:
+            self._alive(node)
+            node.answered, failed = max(node.answered, attempt.sent_at), outcome is io.Outcome.ERROR
+            node.faults += SMOOTH * (failed - node.faults)
+            node.fails = node.faults > FAULTY
+            if failed and node.fails and attempt.sent_at >= node.cycle_at:
+                node.cycle_used -= request.units  # no slot: what is sent again must not use up the cycle
+        if outcome in (io.Outcome.OK, io.Outcome.TIMEOUT, io.Outcome.CANCELLED):
+            # Silence is no slot time: what is given up on at a silent node teaches nothing.
+            if worked and (outcome is io.Outcome.OK or not node.suspect and not attempt.stuck):
+                self._learn(node, request.units, self.now - attempt.sent_at, outcome is not io.Outcome.OK)
+        elif outcome is io.Outcome.REJECTED:
+            # Guards against a full queue, whoever filled it: fewer out there, and a pause of a round trip.
+            if self.now >= node.held:
+                node.window = max(1.0, node.window * (1.0 - SHRINK))
+            node.held = self.now + node.n_latency
+        elif outcome in (io.Outcome.NO_CONNECTION, io.Outcome.RESET):
+            self._broke(node, REFUSAL if outcome is io.Outcome.NO_CONNECTION else 1)
+        if outcome not in NEVER_RAN:
+            request.ran.append((node, attempt.sent_at))
+        if outcome in MAY_STILL_RUN and request.key:
+            self.rests[request.key] = self.now + self.settings.order_settle
+        again = outcome is io.Outcome.RESET or attempt.stuck
+        if (event.finished or outcome in MAY_STILL_RUN and not again or outcome is io.Outcome.ASTRAY or not
+                self._may_repeat(request) or request.tries >= self.most_tries):  # it would wait in vain
+            self._end(request, owed=not event.finished)
+        else:
+            self._book(request)
+        self._forget(request)
+
+    def _free_stuck(self, node: Node) -> None:
+        """Give up attempts long passed over while another can meet the aim: their connection fell silent."""
+        for attempt in node.out.values():
+            request = attempt.request
+            if attempt.sent_at >= node.answered:
+                break
+            time = node.serve_time(request.units)
+            if (not attempt.stuck and not request.done
+                    and request.cls.repeat is not io.Repeat.UNSAFE and not request.tries >= self.most_tries
+                    and self.now - attempt.sent_at > STUCK * time and self.now + time < request.aim_at):
+                attempt.stuck = True
+                self.actions.append(io.Cancel(request.id, attempt.number))
+
+    def _end(self, request: Request, owed: bool = True, retry_after: float | None = None) -> None:
+        """The one way a request ends: refused where that is a true promise, else failed."""
+        if request.done:
+            return
+        request.done, cls = True, request.cls
+        harmless = cls.repeat is io.Repeat.SAFE or cls.repeat is io.Repeat.KEYED and cls.scope is io.Scope.ALL
+        if owed and (harmless or not (request.ran or request.out)):
+            wait = min(retry_after or self.cycle, self.settings.max_retry_after)
+            self.actions.append(io.Refuse(request.id, wait if self.settings.retry_after else None))
+        elif owed:
+            self.actions.append(io.Fail(request.id))
+        if self.settings.may_cancel:
+            for attempt in request.out.values():
+                self.actions.append(io.Cancel(request.id, attempt.number))
+        if request.asked and not request.drawn:  # never sent, so what its booking spoke for is given back
+            request.volume.pending -= request.units
+        self._forget(request)
+
+    def _forget(self, request: Request) -> None:
+        if request.done and not request.out:
+            self.requests.pop(request.id, None)
+            if request.key:
+                self._advance(request.key)
+
+    def _advance(self, key: str) -> None:
+        """Give the turn of an ordered key to the oldest request that is not over."""
+        chain, rest = self.chains.get(key), self.rests.get(key, 0.0)
+        while chain and chain[0].done and not chain[0].out:
+            chain.popleft()
+        if chain and not chain[0].asked and not chain[0].done:
+            if rest > self.now:
+                self._at(rest, key)
+            else:
+                self._book(chain[0])
+        elif chain is not None and not chain:
+            del self.chains[key]
+            if rest <= self.now:
+                self.rests.pop(key, None)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -28,6 +28,8 @@
     io.Plan("basic", rate=2, reserve=0, weight=1, price=0.7, limit=20, limit_burst=32, limit_slack=8),
 ]
 
+COLD = dict(cold_units=24.0, cold_start=0.2, cold_time=10.0, fall_multiple=2.0, fall_window=2.0, hosts=112)
+
 
 def make_settings(**changes) -> io.Settings:
     """Settings of a small deployment; keyword arguments replace single ones."""
@@ -100,6 +102,11 @@
     return [a for a in actions if isinstance(a, kind)]
 
 
+def fill(rig: Rig, **fields) -> list[io.Send]:
+    """Requests until the node's room is taken; returns what went out."""
+    return of(rig.step(*[rig.request(**fields) for _ in range(12)]), io.Send)
+
+
 @pytest.fixture
 def nodes() -> Iterator[list[ObjectNode]]:
     """Two stand-in storage nodes."""
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -18,7 +18,8 @@
 from scenario import EXAMPLE
 
 from mallowbeam import interface as io
-from mallowbeam.control import MAY_STILL_RUN, Scheduler
+from mallowbeam.control import Scheduler
+from mallowbeam.control.sending import MAY_STILL_RUN
 from mallowbeam.net.config import read_config
 
 SPARE = 1.3             # a usual node bears this many times what every node bears cold
--- /dev/null
+++ b/tests/test_replayed.py
@@ -0,0 +1,30 @@
+"""The decisions stay the same: a recorded run of some hundred events ends in the actions it had before."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from hashlib import sha256
+
+from replayed import FILE, load, record, replay, store
+
+from mallowbeam import interface as io
+
+
+def test_a_recorded_run_gives_the_actions_that_it_gave():
+    run, digest = load(FILE.read_bytes())
+    assert sum(len(events) for _, events in run[1]) > 300
+    assert sha256(replay(run, digits=4)).hexdigest() == digest
+
+
+def test_one_event_told_otherwise_is_noticed():
+    """The digest can fail: another size of one request changes it."""
+    (settings, steps), digest = load(FILE.read_bytes())
+    at = next(n for n, (_, came) in enumerate(steps) if any(isinstance(e, io.RequestArrived) for e in came))
+    steps[at] = (steps[at][0], [replace(event, units=event.units % 8 + 1)
+                                if isinstance(event, io.RequestArrived) else event for event in steps[at][1]])
+    assert sha256(replay((settings, steps), digits=4)).hexdigest() != digest
+
+
+def test_what_is_packed_comes_back_whole():
+    run = record(3, 60)
+    assert load(store(run))[0] == run
