--- a/tests/test_nodes_listed.py
+++ b/tests/test_nodes_listed.py
@@ -7,7 +7,6 @@
 from scenario import World, play
 
 
-
 def test_draining_nodes_get_nothing_new_and_the_watch_goes_on():
     drained = ('{"revision":2,"complete":false,"members":[{"id":"n0","host_port":"$n0","cell":0,'
                '"phase":"draining"}]}')
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -10,7 +10,7 @@
 import uvloop
 from conftest import Rig, of
 from scenario import World, play
-from test_control import OneQueue
+from test_control_nodes import OneQueue
 
 from mallowbeam import interface as io
 from mallowbeam.net import discovery
