--- a/mallowbeam/net/attempts.py
+++ b/mallowbeam/net/attempts.py
@@ -120,6 +120,12 @@
             return (Outcome.ERROR if written else Outcome.NOT_SENT), None
         except Broken:
             return (Outcome.RESET if written else Outcome.NOT_SENT), None
+        except Exception as error:
+            if link is not None:               # it may have run
+                raise
+            # Guards a write that never left: before there is a connection nothing can have run.
+            logger.opt(exception=error).error("an attempt failed unforeseen")
+            return Outcome.NOT_SENT, None
         finally:
             if link is not None and not kept:
                 self.pool.drop(link)
--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from contextlib import suppress
 
 from loguru import logger
@@ -101,9 +101,11 @@
         await (self._hand_over() if self.handed_over.is_set() else self._lame_duck())
         self._enter(Phase.DRAINING)
         await asyncio.gather(*(server.drain() for server in servers))
-        await asyncio.gather(*(part.stop() for part in self.parts))
+        faults = await self._each(part.stop() for part in self.parts)
         sweeper.cancel()
         self._enter(Phase.STOPPED)
+        if faults:                             # the program's end tells of it too
+            raise faults[0]
 
     @staticmethod
     async def _any(*events: asyncio.Event) -> None:
@@ -113,6 +115,18 @@
         for wait in waits:
             wait.cancel()
 
+    @staticmethod
+    async def _each(parts: Iterable[Awaitable[None]]) -> list[BaseException]:
+        """Wait for all parts; the faults of those that failed.
+
+        Guards what is held: a part's fault ends neither the calls in hand nor the other parts' own work.
+        """
+        ended = await asyncio.gather(*parts, return_exceptions=True)
+        faults = [fault for fault in ended if isinstance(fault, BaseException)]
+        for fault in faults:
+            logger.opt(exception=fault).error("a part failed unforeseen")
+        return faults
+
     async def _lame_duck(self) -> None:
         """Serve on for a while: clients whose connections stay open need not find this gateway gone.
 
@@ -129,7 +143,7 @@
             server.last_answers()
         for server in self.servers:
             await server.shut()
-        await asyncio.gather(*(part.hand_over() for part in self.parts))
+        await self._each(part.hand_over() for part in self.parts)
         self.watch.pause()                     # what the new one hears it tells
         if self.sister is None:                # gone in this very moment
             self.watch.begin()
--- a/mallowbeam/net/server.py
+++ b/mallowbeam/net/server.py
@@ -10,6 +10,8 @@
 import time
 from collections.abc import Iterable
 
+from loguru import logger
+
 from mallowbeam.net.connection import LINGER, Connection
 from mallowbeam.net.front import Front
 from mallowbeam.net.front import Reply as Reply  # for the fleet's page, which has them from here
@@ -61,10 +63,14 @@
         while True:
             try:
                 sock, _ = await loop.sock_accept(self.sock)
-                over = not self._make_room()
-                if over:
-                    self.crowded(f"{len(self.connections)} of {self.most}")
-                self.connections.add(self.connection(self, sock, over))
+                try:
+                    over = not self._make_room()
+                    if over:
+                        self.crowded(f"{len(self.connections)} of {self.most}")
+                    self.connections.add(self.connection(self, sock, over))
+                except BaseException:
+                    sock.close()
+                    raise
                 while len(self.connections) > self.most:
                     # Guards those that wait to be accepted: what has had its last answer goes first.
                     self._let_go(self.connections)
@@ -74,6 +80,9 @@
                 # Guards against descriptors running out: those held go on, new clients wait in the backlog.
                 cannot_accept(error)
                 await asyncio.sleep(NO_DESCRIPTORS)
+            except Exception as error:
+                # Guards the listener: a fault with one connection must not leave all later ones unheard.
+                logger.opt(exception=error).error("a connection failed unforeseen")
 
     def _make_room(self) -> bool:
         """Whether there is room for one more request, if need be that of a connection which may be closed."""
@@ -98,7 +107,12 @@
         """Look for connections that are idle or stalled for too long."""
         now = time.monotonic()
         for connection in list(self.connections):
-            connection.sweep(now)
+            try:
+                connection.sweep(now)
+            except Exception as error:
+                # Guards the others: a fault with one must not end the look at all of them.
+                logger.opt(exception=error).error("a connection failed unforeseen")
+                connection.task.cancel()
 
     def last_answers(self) -> None:
         """From now on every answer closes its connection."""
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,58 @@
+"""Who may import whom: no circles anywhere, and `net/` knows nothing that stands on it."""
+
+from __future__ import annotations
+
+import ast
+from graphlib import CycleError, TopologicalSorter
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+BELOW_NET = {"mallowbeam", "mallowbeam.control", "mallowbeam.facade", "mallowbeam.interface",
+             "mallowbeam.settings", "mallowbeam.errors"}
+
+
+def name_of(path: Path) -> str:
+    """A file's name as a module."""
+    return ".".join(path.relative_to(ROOT).with_suffix("").parts).removesuffix(".__init__")
+
+
+MODULES = {name_of(path): ast.parse(path.read_text()) for path in (ROOT / "mallowbeam").rglob("*.py")}
+
+
+def imported(tree: ast.AST) -> set[str]:
+    """The project's modules that a file imports, late ones and those for types alone included."""
+    found = set()
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Import):
+            found |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            found |= {f"{node.module}.{alias.name}" if f"{node.module}.{alias.name}" in MODULES
+                      else node.module for alias in node.names}
+    return found & MODULES.keys()
+
+
+def check(graph: dict[str, set[str]]) -> None:
+    """Raise an error that names a circle, if there is one."""
+    try:
+        TopologicalSorter(graph).prepare()
+    except CycleError as error:
+        raise AssertionError(" -> ".join(error.args[1])) from None
+
+
+def test_no_module_imports_itself_by_way_of_others():
+    graph = {name: imported(tree) for name, tree in MODULES.items()}
+    assert "mallowbeam.net.handover" in graph["mallowbeam.net.gateway"]
+    check(graph)
+
+
+def test_a_circle_is_found():
+    with pytest.raises(AssertionError, match="a -> b -> a|b -> a -> b"):
+        check({"a": {"b"}, "b": {"a"}})
+
+
+@pytest.mark.parametrize("name", sorted(name for name in MODULES if name.startswith("mallowbeam.net.")))
+def test_net_imports_only_what_is_below_it(name):
+    assert {other for other in imported(MODULES[name])
+            if not other.startswith("mallowbeam.net")} <= BELOW_NET
--- /dev/null
+++ b/tests/test_uploads.py
@@ -0,0 +1,74 @@
+"""Parts of uploads at nodes that misbehave, and the ids that say where an upload lives."""
+
+from __future__ import annotations
+
+import uvloop
+from hypothesis import given
+from hypothesis import strategies as st
+from scenario import World, play
+
+from mallowbeam.fronts.objects.errors import Error
+from mallowbeam.fronts.objects.uploads import pack_upload, unpack_upload
+
+PART = f"PUT /plates/a?partNumber=1&uploadId={pack_upload(0, 'up/1 x')}"
+
+
+def test_a_node_that_stands_still_mid_upload_costs_one_answer_and_no_second_part():
+    """The part may have run: its class is keyed within a shard, so it fails, once, and is not sent again."""
+    play(f"""
+        o1 send {PART} body=part x-deadline-ms:300
+        n0 expect 'PUT /plates/a.partNumber=1&uploadId=up%2F1%20x' idempotency-key '\\n\\npart$'
+        n0 wait
+        o1 expect 500 '<Code>InternalError<'
+        wait 0.2
+        n0 expect nothing
+        o1 expect nothing
+    """)
+
+
+def test_a_part_that_a_node_never_took_in_is_answered_once():
+    """The node stops reading before the part's last byte: one answer, at the deadline, and no other try."""
+    play(f"""
+        o1 send GET /plates/a
+        n0 expect GET
+        n0 wait
+        n0 send 200 body=x
+        o1 expect 200
+        o1 send {PART} x-deadline-ms:400 fill=8388608
+        o1 expect 500 InternalError
+        n0 expect nothing
+        o1 expect nothing
+    """)
+
+
+def test_a_part_turned_away_unrun_is_sent_again_under_the_same_key():
+    async def run() -> list:
+        async with World() as world:
+            await world.play(f"""
+                o1 send {PART} body=part
+                n0 expect PUT
+                n0 send 503 x-not-run:1
+                n0 expect PUT
+                n0 send 200 etag:e
+                o1 expect 200 etag
+                n0 expect nothing
+            """)
+            return world.parties["n0"].seen
+
+    first, second = uvloop.run(run())
+    assert first.get(b"idempotency-key") == second.get(b"idempotency-key") is not None
+
+
+@given(st.integers(0, 10 ** 9 - 1), st.text(min_size=1, max_size=60).filter(lambda t: t.isprintable()))
+def test_an_upload_id_comes_back_as_it_was(shard, inner):
+    assert unpack_upload(pack_upload(shard, inner)) == (shard, inner)
+
+
+@given(st.text(max_size=40))
+def test_a_strange_upload_id_is_no_such_upload(text):
+    try:
+        shard, inner = unpack_upload(text)
+    except Error as error:
+        assert error.code == "NoSuchUpload"
+    else:
+        assert text.startswith(f"1.{shard}.") or text.startswith("1.0")
