Plans in service: one event replaces a plan or a volume's allotment, levels carry over

The fleet is to change limits, reserves, weights and parts while gateways run; until now plans held from start to end. PlanChanged (facade: planned) puts all volumes of a plan, one volume, or one volume at one shard on new figures and this host's part. Levels are refilled under the old plan and clipped to the new top; a grown burst or slack fills up first, debt stays, a plan that gets a limit begins at the bottom, as does a volume not known yet. Waiting bookings stay. An allotment with its plan's figures and no part is taken back; at most 20,000 are held.

--- a/mallowbeam/control/booking.py
+++ b/mallowbeam/control/booking.py
@@ -8,10 +8,9 @@
 from mallowbeam.control.nodes import M_EXTRA, M_MOST, Node
 from mallowbeam.control.requests import Request, Volume
 
-SILENT = 1.5            # cycles without an answer while work is out: pauses are shorter, hung nodes longer
-CHOICES, HOLE = 6, 1.25  # other nodes looked at for a new object; how much later the hashed one may be
+CHOICES, HOLE = 6, 1.25  # other nodes, hashed too, lest all turn to one; how much later the first may be
 RUN = 2                 # largest requests: what may be out beyond the room behind one of the same data
-LOOK = 0.1              # of a cycle: how often a node with work waiting or out is looked at again
+LOOK, SILENT = 0.1, 1.5  # cycles: how often a node at work is looked at; without an answer, as when it hangs
 ACTIVE = 2.0            # seconds for which a volume counts in the sharing of a node after its last request
 CROWD = 0.3             # of the dearest unit: what one must be worth where waiting takes up the aim
 CAPACITY_DEALT = 0.9    # of a node's power is dealt out by weight (the users' terms)
@@ -22,14 +21,14 @@
     """The Scheduler's part that books requests and lays them out."""
 
     def _book(self, request: Request) -> None:
-        """Book a request at its node, or refuse it at once."""
         if request.done or request.out:
             return
         node, volume = self._choose(request), request.volume
         if node is None:
             return self._end(request)
         if not request.asked:
-            if (wait := volume.limit_wait(self.now, request.units + volume.pending, request.worth())) > 0:
+            worth = request.cls.worth * volume.plan.price
+            if (wait := volume.limit_wait(self.now, request.units + volume.pending, worth)) > 0:
                 return self._end(request, retry_after=wait)
             request.asked = True
             volume.pending += request.units
@@ -37,11 +36,7 @@
         self.touched[node.id] = node
 
     def _choose(self, request: Request) -> Node | None:
-        """The open node that holds the shard; for a new object the one hashed, unless a hole is earlier.
-
-        It is held against CHOICES others, hashed too: work stays the same in a large fleet, and hosts that
-        see the same idle node do not all turn to it.
-        """
+        """The open node that holds the shard; for a new object the one hashed, unless a hole is earlier."""
         # Guards against a booking where it may never be sent: it would be held there to its deadline.
         nodes = [node for node in self.open if request.shard in (None, node.shard)
                  and (not request.ran or self._may_repeat(request, node))]
@@ -64,16 +59,13 @@
                 + (10 * self.cycle if node.fails else 0.0))
 
     def _value(self, node: Node) -> None:
-        """What each booking's units are worth now: inside the reserve, inside the share by weight, or spare.
-
-        Worked out anew at each layout, so that in a volume the classes worth most take what is due first.
-        """
+        """What each booking's units are worth now: inside the reserve, the share by weight, or spare."""
         now, settings, top = self.now, self.settings, float(self.settings.units_top)
         if now - node.weights_at > ACTIVE / 4:
             node.shares = {volume: share for volume, share in node.shares.items() if now - share[1] <= ACTIVE}
             node.weights_at, node.weights = now, sum(volume.plan.weight for volume in node.shares)
         power = CAPACITY_DEALT * node.window / max(node.n_latency, 1e-3) / max(node.weights, 1e-9)
-        left: dict[Volume, list[float]] = {}
+        left: dict[Volume, list[float]] = {}   # anew each time: the classes worth most take what is due first
         for request in sorted((entry[2] for entry in node.queue), key=lambda r: -r.cls.worth):
             volume = request.volume
             if volume not in left:
@@ -85,7 +77,7 @@
             request.tier = next(tier for tier in range(3) if levels[tier] >= request.units / 2)
             levels[request.tier] -= request.units
             worth = (1.0, settings.share_worth, settings.spare_worth)[request.tier]
-            request.density = request.worth() * worth
+            request.density = request.cls.worth * volume.plan.price * worth
 
     def _price(self, node: Node) -> float:
         """What a unit must be worth to take room at a node now: what found no slot asks for its own worth.
@@ -114,18 +106,15 @@
             self._at(node.wake, node)          # one pending wake a node, however often it is looked at
 
     def _layout(self, node: Node) -> tuple[list[Request], list[Request]]:
-        """Order of the bookings: those that meet their aims, then late ones; and those without a slot.
-
-        Each is laid into the earliest hole.  One that would miss its aim there pushes the bookings due the
-        least, among those before it, to later holes; one that no hole finishes by its deadline is refused.
-        """
+        """Order of the bookings: those that meet their aims, then late ones; and those without a slot."""
+        # Each is laid into the earliest hole.  One that would miss its aim there pushes the bookings due the
+        # least, among those before it, to later holes; one that no hole finishes by its deadline is refused.
         self._value(node)
         now, slot, room = self.now, node.slot(), node.window - node.out_units
         queue = [entry[2] for entry in node.queue]
         refused = [request for request in queue if self._cold_bars(node, request)]
         queue = [request for request in queue if request not in refused] if refused else queue
-        heap: list[tuple[float, int, Request]] = []
-        total = 0
+        heap, total = [], 0                    # of those that meet their aims: the one due the least first
         for request in queue:
             request.late, time = False, node.serve_time(request.units)
             heappush(heap, (request.density, -request.seq, request))
@@ -153,7 +142,6 @@
         return order, refused
 
     def _send_due(self, node: Node, order: list[Request]) -> None:
-        """Send bookings whose cycle is the present one, as long as there is room out there."""
         if self.now - node.cycle_at >= self.cycle:
             node.cycle_at, node.cycle_used = self.now, 0
         # The m of the paper: slots that a cycle holds by measured slot time, within the floor and the most.
--- a/mallowbeam/control/nodes.py
+++ b/mallowbeam/control/nodes.py
@@ -31,7 +31,7 @@
         self.sched, self.out_units = sched, 0
         self.mean = self.n_latency = sched.prior  # answers of late, for the usual size; and with the prior
         self.weight, self.fresh_at = 0.0, sched.now  # how many answers of late that mean stands on
-        self.n_out = sched.settings.usual_units
+        self.n_out, self.cycle_at, self.cycle_used = sched.settings.usual_units, sched.now, 0
         self.window = float(sched.settings.units_top)  # units that may be out at once
         self.last_answer = self.held = sched.now  # held: nothing goes before this time
         self.sent_at, self.wake, self.last = -1e9, -1e9, ""  # last: the data of what was sent there last
@@ -40,7 +40,6 @@
         self.faults, self.fails = 0.0, False   # share of its answers of late that were errors; too many
         self.cold_from = self.cold_until = -1e9  # its start, as told or presumed, and when it is warm
         self.cold_sent: list[tuple[float, int]] = []  # when units went there while cold, and how many
-        self.cycle_at, self.cycle_used = sched.now, 0
         self.shares: dict[Volume, list[float]] = {}  # share level, filled at, last request
         self.weights, self.weights_at, self.price, self.price_at = 0.0, -1e9, 0.0, sched.now
 
@@ -51,16 +50,22 @@
             self.weight, self.fresh_at = self.weight * exp((self.fresh_at - now) / MEMORY), now
             self.n_latency = (self.weight * self.mean + PRIOR * self.sched.prior) / (self.weight + PRIOR)
 
-    def measure(self, units: int, latency: float, at_least: bool) -> float:
-        """Take in one answer; return its latency for the usual size.  One given up on is a lower bound."""
+    def learn(self, units: int, latency: float, at_least: bool) -> None:
+        """Steer the units out here so that answers, or lower bounds on them, take TARGET of a cycle."""
         self.refresh()
-        usual = max(latency - self.sched.slope * (units - self.sched.settings.usual_units), 0.2 * latency)
+        sched = self.sched
+        usual = max(latency - sched.slope * (units - sched.settings.usual_units), 0.2 * latency)
         if at_least and usual <= self.n_latency:
-            return self.n_latency
-        self.mean += (min(usual, CLIP * self.n_latency) - self.mean) / (self.weight + 1.0)
-        self.weight += 1.0
-        self.n_latency = (self.weight * self.mean + PRIOR * self.sched.prior) / (self.weight + PRIOR)
-        return usual
+            usual = self.n_latency
+        else:
+            self.mean += (min(usual, CLIP * self.n_latency) - self.mean) / (self.weight + 1.0)
+            self.weight += 1.0
+            self.n_latency = (self.weight * self.mean + PRIOR * sched.prior) / (self.weight + PRIOR)
+        over = usual / (sched.floor + TARGET * max(0.0, sched.cycle - sched.floor)) - 1.0
+        if over > 0:
+            self.window = max(1.0, self.window - SHRINK * units * min(1.0, over))
+        elif self.queue or self.out_units + units > 0.7 * self.window:
+            self.window = min(float(M_MOST), self.window + GROW * units / self.window)
 
     def silence(self) -> float:
         """How long two attempts are overdue, or one, which may be costly, for a cycle more."""
@@ -138,7 +143,6 @@
             node.cold_from, node.cold_until = since, since + (lasts or self.settings.cold_time or 0.0)
 
     def _admit(self, node: Node) -> None:
-        """Let new work to a node listed as ready and not out by hand; book anew what waits at another."""
         node.open = node.state is io.NodeState.READY and node.id not in self.banned
         self.open = [known for known in self.nodes.values() if known.open]
         if not node.open:
@@ -173,20 +177,10 @@
             self._rebook(node, lambda request: request.shard is None)
             self.touched[node.id] = node
 
-    def _learn(self, node: Node, units: int, latency: float, at_least: bool) -> None:
-        """Steer the units out at a node so that answers take TARGET of a cycle."""
-        usual = node.measure(units, latency, at_least)
-        over = usual / (self.floor + TARGET * max(0.0, self.cycle - self.floor)) - 1.0
-        if over > 0:
-            node.window = max(1.0, node.window - SHRINK * units * min(1.0, over))
-        elif node.queue or node.out_units + units > 0.7 * node.window:
-            node.window = min(float(M_MOST), node.window + GROW * units / node.window)
-
     def _cold_bars(self, node: Node, request: Request) -> bool:
         """Whether a request must not go to a node because that is cold.
 
-        Each host sends a part of each tier, the key says which: repeats fare alike, and a lead that moves or
-        a new life of a host changes nothing.  Reserves fit a node, and so does a part of them at every host;
+        Each host sends a part of each tier, told by key, so that repeats fare alike.  Reserves fit a node;
         what is beyond surges through few hosts, so one's is bounded; its even part is free of all this.
         """
         if self.now >= node.cold_until:
--- a/mallowbeam/control/requests.py
+++ b/mallowbeam/control/requests.py
@@ -9,20 +9,35 @@
 class Volume:
     """What one volume has drawn through this host, against its reserve and its limit."""
 
-    def __init__(self, plan: io.Plan, hosts: int, settings: io.Settings, since: float) -> None:
-        self.plan, self.hosts = plan, hosts
-        # Guards the limit across hosts and restarts: only this host's part of the store is ever drawn, and as
-        # an earlier life may have spent all of it a moment before this one, that starts at the bottom.
-        self.limit_level, self.at = -plan.limit_slack / hosts, since  # nothing was drawn here after that
+    def __init__(self, name: tuple, hosts: int, units_top: int, since: float) -> None:
+        self.name, self.hosts, self.units_top, self.at = name, hosts, units_top, since
+        self.plan, self.part, self.limit_level = io.Plan(""), None, 0.0
         self.dear, self.dear_at = 0.0, since   # what the limit refused: a unit's worth, and when
         self.pending = self.coming = 0         # units booked and not sent; and those whose body still comes
-        self.reserve_level = self.reserve_top = plan.reserve + settings.units_top if plan.reserve else 0.0
+        self.reserve_level = self.reserve_top = 0.0
+
+    def parts(self) -> float:
+        """How many parts as large as this host's the limit has."""
+        return self.hosts if self.part is None else 1.0 / max(self.part, 1e-9)
+
+    def change(self, plan: io.Plan, part: float | None, now: float) -> None:
+        """Put it on a plan: what was drawn under the one before stays drawn, and what has grown fills up."""
+        self.refill(now)
+        before, slack = self.plan, self.plan.limit_slack / self.parts()
+        self.plan, self.part = plan, part
+        # Guards the limit across hosts, restarts and changes: only this host's part of the store is drawn,
+        # and as others may have spent what it now gains a moment ago, that starts at the bottom.
+        bottom = -plan.limit_slack / self.parts()
+        level = self.limit_level + min(0.0, bottom + slack)
+        self.limit_level = level if before.limit > 0 else bottom - self.coming
+        self.reserve_top = plan.reserve + self.units_top if plan.reserve else 0.0
+        self.refill(now)
 
     def refill(self, now: float) -> None:
         """Let both stores fill up to now; the reserve counts whole, less what is told of other hosts."""
         passed, self.at = now - self.at, now
-        self.limit_level = min(self.plan.limit_burst / self.hosts - self.coming,
-                               self.limit_level + passed * self.plan.limit / self.hosts)
+        self.limit_level = min(self.plan.limit_burst / self.parts() - self.coming,
+                               self.limit_level + passed * self.plan.limit / self.parts())
         self.reserve_level = min(self.reserve_top, self.reserve_level + passed * self.plan.reserve)
 
     def limit_wait(self, now: float, units: int, worth: float = 0.0) -> float:
@@ -33,10 +48,10 @@
         # First come would spend what is scarce on the cheap.  Harm: the dear may not come, and some is left.
         dearer = 0 < worth < self.dear and self.at < self.dear_at + PRICE_LASTS
         kept = KEPT * self.plan.limit_burst * dearer
-        missing = units + 1e-6 + (kept - self.plan.limit_slack) / self.hosts - self.limit_level
+        missing = units + 1e-6 + (kept - self.plan.limit_slack) / self.parts() - self.limit_level
         if missing > 0 and worth and not dearer:
             self.dear, self.dear_at = worth, self.at
-        return max(0.0, missing * self.hosts / self.plan.limit)
+        return max(0.0, missing * self.parts() / self.plan.limit)
 
 
 class Request:
@@ -54,10 +69,6 @@
         self.ran: list[tuple] = []             # attempts that may have run: at which node, and when sent
         self.done = self.late = self.asked = self.priced = self.drawn = False  # drawn: from its limit
 
-    def worth(self) -> float:
-        """A unit's worth in full."""
-        return self.cls.worth * self.volume.plan.price
-
 
 class Attempt:
     """One attempt that is out."""
--- a/mallowbeam/control/scheduler.py
+++ b/mallowbeam/control/scheduler.py
@@ -11,7 +11,6 @@
 from mallowbeam.control.requests import Request, Volume
 from mallowbeam.control.sending import Sending
 
-# A cycle lasts as long as the tightest aim: what is out at a node then comes back within one.
 FIRST_SLOT = 1 / 20     # of the aim, a unit, before anything was measured (design page)
 CREEP = 0.01            # a second: how fast the lowest measured latency may be forgotten, for a slower day
 FORGET = 30.0           # seconds after which what a volume has drawn says nothing any more
@@ -23,28 +22,27 @@
     def __init__(self, settings: io.Settings, now: float) -> None:
         self.settings, self.now = settings, now
         self.random = random.Random(settings.seed)
+        # A cycle lasts as long as the tightest aim: what is out at a node then comes back within one.
         self.cycle = min((c.aim for c in settings.classes.values()), default=0.3)
         self.slope = self.cycle * FIRST_SLOT   # latency a further unit of a request costs, at any node
         self.prior = self.floor = 2 * settings.usual_units * self.slope  # usual and lowest latency
         self.surveyed = self.born = now
-        self.top = max((c.worth for c in settings.classes.values()), default=1.0) * max(
-            (p.price for p in settings.plans.values()), default=1.0)  # a unit's worth, at the most
-        self.nodes: dict[str, Node] = {}
+        self.dearest = max((c.worth for c in settings.classes.values()), default=1.0)
+        self.top = self.dearest * max((p.price for p in settings.plans.values()), default=1.0)  # of a unit
+        self.plans = {("", name): (plan, None) for name, plan in settings.plans.items()}  # by volume; parts
+        self.changed: dict[tuple, float] = {}  # and when, as long as that matters
+        self.nodes, self.requests = {}, {}     # by id
         self.open: list[Node] = []             # where new work may go
         self.banned: dict[str, float] = {}     # out by hand, and since when: whatever discovery says
-        self.requests: dict[str, Request] = {}
         self.most_tries = settings.max_attempts or float("inf")
-        self.volumes: dict[tuple[str, str], Volume] = {}  # by name and plan
+        self.volumes: dict[tuple, Volume] = {}  # by name and plan, and shard where it has an allotment there
         self.full_time: dict[str, float] = {}  # class: the longest time that a try came with
         self.chains: dict[str, deque[Request]] = {}  # ordered keys: requests in the order taken
         self.rests: dict[str, float] = {}      # ordered keys: when an attempt that may still run is settled
         self.taken, self.extras = deque(), deque()  # times of requests taken, and of further attempts
-        self.timers: list[tuple[float, int, object]] = []
         self.timer_set, self.seq, self.watch_failures = float("inf"), 0, 0
-        self.touched: dict[str, Node] = {}
-        self.actions: list[io.Action] = []
-        if settings.discovery_on_request:
-            self.actions.append(io.Watch(True))
+        self.timers, self.touched = [], {}     # what is due, by time; nodes to be looked at in this step
+        self.actions: list[io.Action] = [io.Watch(True)] if settings.discovery_on_request else []
 
     def step(self, now: float, events: list[io.Event]) -> list[io.Action]:
         """Take in what happened up to `now`; return what to do."""
@@ -56,18 +54,25 @@
         while self.touched:
             self._run_node(self.touched.popitem()[1])
         if self.timers and self.timers[0][0] < self.timer_set:
-            self.timer_set = self.timers[0][0]
-            self.seq += 1
+            self.timer_set, self.seq = self.timers[0][0], self.seq + 1
             self.actions.append(io.SetTimer(max(self.timer_set, now), self.seq))
         actions, self.actions = self.actions, []
         return actions
 
     def _survey(self) -> None:
-        """Once a second: the usual latency and the lowest, from the nodes that answered of late."""
+        """Once a second: what is forgotten; the usual and the lowest latency, from recent answers."""
         if (passed := self.now - self.surveyed) < 1.0:
             return
         self.surveyed = self.now
-        self._tidy()
+        # Guards memory: forget ids that may never come back, and timers of requests that are over.
+        self.changed = {name: at for name, at in self.changed.items() if self.now - at <= FORGET}
+        self.volumes = {name: volume for name, volume in self.volumes.items()
+                        if volume.pending or volume.coming or self.now - volume.at <= FORGET}
+        self.nodes = {name: node for name, node in self.nodes.items()
+                      if node.state is not io.NodeState.GONE or node.out or self.now <= node.cold_until}
+        if len(self.timers) > 2 * (len(self.requests) + len(self.nodes)) + 1000:
+            self.timers = [entry for entry in self.timers if not getattr(entry[2], "done", False)]
+            heapify(self.timers)
         known = sorted(node.mean for node in self.nodes.values()
                        if not node.suspect and node.weight * exp((node.fresh_at - self.now) / MEMORY) > 0.1)
         # With few answers the median fades to the lowest: one that stood would shut every node for good.
@@ -77,17 +82,6 @@
             self.floor = min(self.floor * (1.0 + CREEP * passed), known[len(known) // 4])
             self.slope = self.floor / self.settings.usual_units
 
-    def _tidy(self) -> None:
-        """Guards memory: forget ids that may never come back, and timers of requests that are over."""
-        now = self.now
-        self.volumes = {name: volume for name, volume in self.volumes.items()
-                        if volume.pending or volume.coming or now - volume.at <= FORGET}
-        self.nodes = {name: node for name, node in self.nodes.items()
-                      if node.state is not io.NodeState.GONE or node.out or now <= node.cold_until}
-        if len(self.timers) > 2 * (len(self.requests) + len(self.nodes)) + 1000:
-            self.timers = [entry for entry in self.timers if not getattr(entry[2], "done", False)]
-            heapify(self.timers)
-
     def _at(self, when: float, what: Node | Request | str) -> None:
         """Come back to a node, a request, a key or (empty text) discovery at some time."""
         self.seq += 1
@@ -113,7 +107,8 @@
 
     def _on_request(self, event: io.RequestArrived) -> None:
         cls = self.settings.classes.get(event.cls) or io.RequestClass(event.cls, aim=event.expires_in)
-        volume = self._volume(event.volume, event.plan, max(1, event.hosts_of_volume or self.settings.hosts))
+        hosts = max(1, event.hosts_of_volume or self.settings.hosts)
+        volume = self._volume(event.volume, event.plan, hosts, event.shard)
         self.seq += 1
         # A client's further try has less time left than a first one, and its aim runs from the first.  Guards
         # against an odd client, whose hours would make all others late: none waits longer than its class.
@@ -130,28 +125,53 @@
         else:
             self._book(request)
 
-    def _volume(self, name: str, plan: str, hosts: int) -> Volume:
-        volume = self.volumes.get((name, plan))
-        if volume is None:
-            known = self.settings.plans.get(plan) or io.Plan(plan)
-            since = max(self.born, self.now - FORGET)  # it filled all that time: nothing was drawn here
-            volume = self.volumes[name, plan] = Volume(known, hosts, self.settings, since)
+    def _on_plan(self, event: io.PlanChanged) -> None:
+        """A plan holds from now on; an allotment with its plan's figures and no part is none any more."""
+        plan, part, whole = event.plan, event.part, ("", event.plan.name)
+        name = (event.volume, plan.name) if event.shard is None else (event.volume, plan.name, event.shard)
+        self.plans[name], self.changed[name] = (plan, part), self.now
+        if event.volume and part is None and plan == self.plans.get(whole, (None,))[0]:
+            del self.plans[name]
+            plan, part = self.plans[whole]
+        if not event.volume:
+            self.top = self.dearest * max(owed[0].price for each, owed in self.plans.items() if not each[0])
+        for each in [name] if event.volume else [each for each in self.volumes if each[1] == plan.name]:
+            if each in self.volumes and (each == name or each not in self.plans):
+                self.volumes[each].change(plan, part, self.now)
+        for request in self.requests.values():  # what waits for a shard is counted where that now belongs
+            old, units = request.volume, request.units * request.asked
+            if old.name[:2] == name[:2] and request.shard == event.shard and not request.drawn:
+                request.volume = self._volume(*name[:2], old.hosts, event.shard)
+                old.pending -= units
+                request.volume.pending += units
+        if event.shard is not None and name not in self.plans and (apart := self.volumes.pop(name, None)):
+            self._volume(*name[:2], apart.hosts).limit_level += min(0.0, apart.limit_level)
+
+    def _volume(self, name: str, plan: str, hosts: int, shard: int | None = None) -> Volume:
+        key, whole = (name, plan, shard) if (name, plan, shard) in self.plans else (name, plan), ("", plan)
+        if (volume := self.volumes.get(key)) is None:  # it filled all that time: nothing was drawn here
+            since = max(self.now - FORGET, *(self.changed.get(each, self.born) for each in (key, whole)))
+            volume = self.volumes[key] = Volume(key, hosts, self.settings.units_top, since)
+            volume.change(*self.plans.get(key, self.plans.get(whole, (io.Plan(plan), None))), since)
+            volume.reserve_level = volume.reserve_top
         # Guards the limit against one client that names another plan or fewer hosts for the same volume.
         volume.hosts = max(volume.hosts, hosts)
         return volume
 
     def _on_beside(self, event: io.SentBeside) -> None:
         """Counts what the other process of this host has sent, from the level that it handed over."""
-        volume = self._volume(event.volume, event.plan, event.hosts)
+        node = self.nodes.get(event.node)
+        volume = self._volume(event.volume, event.plan, event.hosts, node.shard if node else None)
         volume.refill(self.now)
         volume.limit_level = (volume.limit_level if event.level is None else event.level) - event.drawn
-        if event.node in self.nodes and self.now < self.nodes[event.node].cold_until:
-            self.nodes[event.node].cold_sent.append((self.now, event.units))
+        if node and self.now < node.cold_until:
+            node.cold_sent.append((self.now, event.units))
 
 
 HANDLERS = {
     io.RequestArrived: Scheduler._on_request, io.ClientGone: Scheduler._on_gone,
     io.AttemptEnded: Scheduler._on_ended, io.StreamStarted: Scheduler._on_stream,
     io.Upload: Scheduler._on_upload, io.SentBeside: Scheduler._on_beside,
-    io.NodesListed: Scheduler._on_list, io.ByHand: Scheduler._on_hand, io.TimerFired: Scheduler._on_timer,
+    io.NodesListed: Scheduler._on_list, io.ByHand: Scheduler._on_hand, io.PlanChanged: Scheduler._on_plan,
+    io.TimerFired: Scheduler._on_timer,
 }
--- a/mallowbeam/control/sending.py
+++ b/mallowbeam/control/sending.py
@@ -34,16 +34,14 @@
         return node is None or cls.scope is io.Scope.ALL or (
             node.zone == first.zone if cls.scope is io.Scope.ZONE else node.shard == first.shard)
 
-    def _has_turn(self, request: Request) -> bool:
-        """Order by key: only the oldest that is not over, and only once the key has rested."""
-        return not request.key or self.chains[request.key][0] is request and (
-            request.tries > 0 or self.rests.get(request.key, 0.0) <= self.now)
-
     def _send(self, request: Request, node: Node) -> bool:
         """The one way out to a node.  Every rule on sending is checked here."""
+        # Order by key: only the oldest that is not over, and only once the key has rested.
+        turn = not (chain := self.chains.get(request.key)) or chain[0] is request and (
+            request.tries > 0 or self.rests.get(request.key, 0.0) <= self.now)
         if (request.done or request.out or not node.open or request.deadline <= self.now
                 or request.shard not in (None, node.shard) or request.tries >= self.most_tries
-                or not self._may_repeat(request, node) or not self._has_turn(request)
+                or not self._may_repeat(request, node) or not turn
                 or self._cold_bars(node, request) or request.tries and not self._budget_left()):
             return False
         if not request.drawn:
@@ -81,7 +79,7 @@
             node, request.done = request.out[event.attempt].node, True
             self._idle(request.out[event.attempt])
             self._alive(node)
-            self._learn(node, request.units, event.latency, False)
+            node.learn(request.units, event.latency, False)
 
     def _on_upload(self, event: io.Upload) -> None:
         """A large body passes through: until its last byte is out no time runs, and it goes out only once."""
@@ -115,14 +113,12 @@
         if attempt is None:
             return
         node, outcome, worked = attempt.node, event.outcome, self._idle(attempt)
-        request.volume.coming -= attempt.coming
+        self.touched[node.id], volume = node, request.volume
+        volume.coming -= attempt.coming
         if attempt.coming and outcome in UNSENT and request.tries == attempt.number + 1:  # no node has it
-            request.drawn, request.volume.limit_level = False, request.volume.limit_level + attempt.coming
-            request.volume.pending += attempt.coming
-        self.touched[node.id] = node
-        if event.elsewhere:
-            request.volume.reserve_level = max(-request.volume.reserve_top,
-                                               request.volume.reserve_level - event.elsewhere)
+            request.drawn, volume.limit_level = False, volume.limit_level + attempt.coming
+            volume.pending += attempt.coming
+        volume.reserve_level = max(-volume.reserve_top, volume.reserve_level - event.elsewhere)
         if outcome not in MAY_STILL_RUN + UNSENT:
             self._alive(node)
             node.answered, failed = max(node.answered, attempt.sent_at), outcome is io.Outcome.ERROR
@@ -133,7 +129,7 @@
         if outcome in (io.Outcome.OK, io.Outcome.TIMEOUT, io.Outcome.CANCELLED):
             # Silence is no slot time: what is given up on at a silent node teaches nothing.
             if worked and (outcome is io.Outcome.OK or not node.suspect and not attempt.stuck):
-                self._learn(node, request.units, self.now - attempt.sent_at, outcome is not io.Outcome.OK)
+                node.learn(request.units, self.now - attempt.sent_at, outcome is not io.Outcome.OK)
         elif outcome is io.Outcome.REJECTED:
             # Guards against a full queue, whoever filled it: fewer out there, and a pause of a round trip.
             if self.now >= node.held:
@@ -178,8 +174,7 @@
         elif owed:
             self.actions.append(io.Fail(request.id))
         if self.settings.may_cancel:
-            for attempt in request.out.values():
-                self.actions.append(io.Cancel(request.id, attempt.number))
+            self.actions += [io.Cancel(request.id, number) for number in request.out]
         if request.asked and not request.drawn:  # never sent, so what its booking spoke for is given back
             request.volume.pending -= request.units
         self._forget(request)
--- a/mallowbeam/facade.py
+++ b/mallowbeam/facade.py
@@ -6,14 +6,28 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from typing import NamedTuple
 
 from mallowbeam import interface as io
 from mallowbeam.control import Scheduler
+from mallowbeam.errors import MallowbeamError
 
 NEVER = float("inf")
 GONE = io.NodeState.GONE
+MOST_ALLOTMENTS = 20_000  # plans and allotments held at once, some 10 MB: a new one past that is refused
+
+
+class BadPlan(MallowbeamError):
+    """A plan or an allotment that the module can't hold to."""
+
+    remedy = "Give figures of 0 or more, a part from 0 to 1, and a volume with each shard."
+
+
+class TooManyAllotments(MallowbeamError):
+    """More allotments than a gateway keeps."""
+
+    remedy = "Take back allotments that are not needed (their plan's own figures, no part)."
 
 
 class Try(NamedTuple):
@@ -115,6 +129,23 @@
         """Another process of this host has sent to a node."""
         return self._step(now, io.SentBeside(volume, plan, hosts, node, units, drawn))
 
+    def planned(self, now: float, plan: io.Plan, volume: str = "", shard: int | None = None,
+                part: float | None = None) -> Orders:
+        """From now on this plan holds, for all volumes on it or as one's allotment: `interface.PlanChanged`.
+
+        Raises `BadPlan`, or `TooManyAllotments` for a new one past MOST_ALLOTMENTS; nothing has changed then.
+        """
+        figures = (plan.reserve, plan.weight, plan.price, plan.limit, plan.limit_burst, plan.limit_slack)
+        if not all(0 <= value < NEVER for value in figures) or not 0 <= (part or 0.0) <= 1:
+            raise BadPlan("a figure is below 0, or the part is not from 0 to 1", f"plan {plan.name}")
+        if shard is not None and not volume:
+            raise BadPlan("an allotment at a shard names no volume", f"plan {plan.name}")
+        known = self._scheduler.plans
+        name = (volume, plan.name) if shard is None else (volume, plan.name, shard)
+        if name not in known and len(known) >= MOST_ALLOTMENTS:
+            raise TooManyAllotments(f"{MOST_ALLOTMENTS} are held already", f"volume {volume}")
+        return self._step(now, io.PlanChanged(plan, volume, shard, part))
+
     def entries(self, now: float) -> list[io.NodeEntry]:
         """The list as it stands here; a node held cold counts from the start told or presumed."""
         return [io.NodeEntry(node.id, node.state, node.shard, node.zone,
@@ -122,11 +153,18 @@
                 for node in self._scheduler.nodes.values() if node.state is not GONE]
 
     def state(self, now: float) -> dict[str, object]:
-        """What another process of this host must know to decide as this one would, in plain values."""
-        volumes = [(*key, volume) for key, volume in self._scheduler.volumes.items() if volume.plan.limit > 0]
+        """What another process of this host must know to decide as this one would, in plain values.
+
+        An allotment at one shard is told of, but not the level of its store: that starts at the bottom.
+        """
+        volumes = [(*key, volume) for key, volume in self._scheduler.volumes.items()
+                   if volume.plan.limit > 0 and len(key) == 2]
         for *_, volume in volumes:
             volume.refill(now)
-        return {"out": self._scheduler.banned,
+        plans = [[name[0], asdict(plan), name[2] if len(name) > 2 else None, part]
+                 for name, (plan, part) in self._scheduler.plans.items()
+                 if name[0] or part is not None or plan != self._scheduler.settings.plans.get(name[1])]
+        return {"out": self._scheduler.banned, "plans": plans,
                 "stores": [[name, plan, v.hosts, v.limit_level] for name, plan, v in volumes],
                 "cold": [[node.id, sum(units for _, units in node.cold_sent)]
                          for node in self._scheduler.nodes.values() if node.cold_sent]}
@@ -135,6 +173,8 @@
         """Take in the state of the process before this one, once the list is known."""
         for node, since in state["out"].items():
             self._step(now, io.ByHand(node, True, since))
+        for volume, figures, shard, part in state.get("plans", ()):
+            self._step(now, io.PlanChanged(io.Plan(**figures), volume, shard, part))
         for volume, plan, hosts, level in state["stores"]:
             self._step(now, io.SentBeside(volume, plan, hosts, level=level))
         for node, units in state["cold"]:
--- a/mallowbeam/interface.py
+++ b/mallowbeam/interface.py
@@ -196,6 +196,20 @@
     level: float | None = None
 
 
+@dataclass(slots=True)
+class PlanChanged:
+    """From now on this plan holds: for all volumes on it, for one, or for what one has at one shard.
+
+    `part` is this host's part of the plan's limit and slack (None: one of the volume's hosts, as before).  An
+    allotment of a volume that has its plan's own figures and no part is taken back by that.
+    """
+
+    plan: Plan
+    volume: str = ""                           # empty: all on the plan of this name, and those to come
+    shard: int | None = None                   # with a volume: its requests for this shard, counted apart
+    part: float | None = None
+
+
 @dataclass(slots=True)
 class AttemptEnded:
     """The single outcome of an attempt.
@@ -269,8 +283,8 @@
     payload: bytes
 
 
-Event = (RequestArrived | NodesListed | ByHand | SentBeside | AttemptEnded | StreamStarted | Upload
-         | ClientGone | TimerFired | ProbeEnded | PeerMessage)
+Event = (RequestArrived | NodesListed | ByHand | SentBeside | PlanChanged | AttemptEnded | StreamStarted
+         | Upload | ClientGone | TimerFired | ProbeEnded | PeerMessage)
 
 
 # --- actions ----------------------------------------------------------------------------------
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -96,6 +96,11 @@
         self.level = min(self.plan.limit_burst, self.level + (now - self.at) * self.plan.limit) - units
         self.at, self.least = now, min(self.least, self.level)
 
+    def change(self, now: float, plan: io.Plan) -> None:
+        """The platform puts the volume on another plan: nothing is filled up by that."""
+        self.take(now, 0)
+        self.plan, self.level = plan, min(self.level, plan.limit_burst)
+
 
 def of(actions: list[io.Action], kind: type) -> list:
     """The actions of one kind."""
