--- a/mallowbeam/cli/policy.py
+++ b/mallowbeam/cli/policy.py
@@ -7,27 +7,30 @@
 from pathlib import Path
 from typing import Annotated, Any
 
+import httpx
 import typer
 from rich.console import Console
 from rich.table import Table
 
-from mallowbeam.net.ask import ask
+from mallowbeam.errors import MallowbeamError
 
 app = typer.Typer(no_args_is_help=True, help="The policy of the whole fleet: everywhere or nowhere.")
 At = Annotated[list[str], typer.Option("--at", help="a gateway's policy page, host:port; may be given often")]
 
 
+ASK_S = 5.0                 # seconds that a gateway is waited for; longer than it waits for a push's end
+
+
 async def _ask(address: str, method: str, body: bytes = b"", base: int = 0) -> tuple[int, dict[str, Any]]:
-    """One call at a gateway's page; (0, {"why": ...}) where it can't be reached."""
-    host, port = address.rsplit(":", 1)
+    """One call at a gateway's page; (0, {"what": ...}) where it can't be reached."""
     try:
-        async with asyncio.timeout(5.0):
-            answer = await ask(int(port), method, "/policy", body,
-                               {"If-Match": f'"{base}"'} if method == "PUT" else None, host)
-        told = json.loads(answer.body) if answer.body[:1] == b"{" else {"why": answer.body.decode()}
-        return answer.status, told
-    except (OSError, EOFError, TimeoutError, ValueError) as error:
-        return 0, {"why": str(error) or "no answer"}
+        async with asyncio.timeout(ASK_S), httpx.AsyncClient(trust_env=False, timeout=None) as client:
+            headers = {"If-Match": f'"{base}"'} if method == "PUT" else {}
+            answer = await client.request(method, f"http://{address}/policy", content=body, headers=headers)
+        told = answer.json()
+        return answer.status_code, told if isinstance(told, dict) else {"what": "not a policy page"}
+    except (httpx.HTTPError, httpx.InvalidURL, TimeoutError, ValueError) as error:
+        return 0, {"what": str(error) or "no answer"}
 
 
 @app.command()
@@ -46,7 +49,7 @@
         table = Table("at", "name", "phase", "serves", "version", "digest", "leader")
         for address, (status, told) in zip(at, answers, strict=True):
             table.add_row(address, *(str(told.get(key, "")) for key in (
-                "name", "phase", "serves", "version", "digest", "leader")) if status else ("", told["why"]))
+                "name", "phase", "serves", "version", "digest", "leader")) if status else ("", told["what"]))
         Console().print(table)
     same = {(told.get("version"), told.get("digest")) for _, told in answers}
     if len(same) > 1 or not all(told.get("serves") for _, told in answers):
@@ -61,7 +64,7 @@
 ) -> None:
     """Push a policy through one gateway; exit status 1 if refused, 3 if it may yet be committed."""
     async def through() -> tuple[int, dict[str, Any]]:
-        status, told = 0, dict[str, Any](why="no gateway named")
+        status, told = 0, dict[str, Any](what="no gateway named")
         for address in at:
             status, shown = await _ask(address, "GET")
             if not status or not shown.get("serves"):
@@ -76,5 +79,6 @@
     status, told = asyncio.run(through())
     if status == 200:
         return typer.echo(f"version {told['version']} is committed")
-    typer.echo(f"mallowbeam: {told.get('why') or 'refused'}", err=True)
+    error = MallowbeamError(*(str(told.get(key) or "") for key in ("what", "where", "remedy")))
+    typer.echo(f"mallowbeam: {error.line or 'refused'}", err=True)
     raise typer.Exit(3 if status == 504 else 1)
--- a/mallowbeam/facade.py
+++ b/mallowbeam/facade.py
@@ -145,6 +145,11 @@
         known = self._scheduler.nodes.get(node)
         return known is not None and known.open
 
+    def out(self, node: str) -> int:
+        """How many attempts are out at a node."""
+        known = self._scheduler.nodes.get(node)
+        return len(known.out) if known is not None else 0
+
     def tick(self, now: float) -> Orders:
         """Time has passed; does nothing before `wake`, since the module counts on its own last timer."""
         if now < self.wake:
--- a/mallowbeam/fleet/agreement.py
+++ b/mallowbeam/fleet/agreement.py
@@ -1,21 +1,71 @@
 """The one adapter to the agreement engine, Raft by pysyncobj; the cores never see it.
 
-The engine runs in a thread of its own.  What it commits is told by `told`, called in that thread with the
-ledger's whole state, so that entries, a snapshot and a log read after a restart all look alike.
+The engine runs in a thread of its own.  What it commits is told by `told`, called in that thread once for
+each entry, in order, with immutable values: a policy (`Change`), topics' entries and states (`Committed`), the
+number of a mark of one's own (`Proof`).  At the start, and after a snapshot, the states are told whole.
+
+Three calls are replicated.  Their names and order of arguments are the journal's format (`docs/formats/`):
+the engine numbers calls by their sorted names, so a new one must sort behind the others or be of a new `ver`.
+
+A call must do the same on every member, and must not raise: the engine would try the entry again for ever.
+What goes wrong here and not everywhere is told as `Broken`; from then on this member takes in nothing and
+writes no snapshot, and its service leaves the fleet.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from pysyncobj import FAIL_REASON, SyncObj, SyncObjConf, SyncObjConsumer, replicated
 from pysyncobj.node import TCPNode
 
+from mallowbeam.errors import MallowbeamError
+from mallowbeam.fleet.errors import (
+    EndUnknown,
+    FleetError,
+    LogUnusable,
+    NoLeader,
+    Overtaken,
+    PolicyRefused,
+    QueueFull,
+)
+from mallowbeam.fleet.log import Committed, Log, Refusal
 from mallowbeam.fleet.policy import Change
+from mallowbeam.fleet.policy_text import read_policy
+
+MOST_HOSTED = 1024          # members whose topics are remembered; the operators' file names fewer
+SNAPSHOT = 2                # its format; 1 held version and body alone
+UNSENT = {FAIL_REASON.MISSING_LEADER: NoLeader, FAIL_REASON.REQUEST_DENIED: NoLeader,
+          FAIL_REASON.QUEUE_FULL: QueueFull}   # why nothing was put in; else its end is not known
+
+
+@dataclass(frozen=True, slots=True)
+class Proof:
+    """A mark of this member's own came out of the log."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Hosted:
+    """Which topics a member hosts, as its marks say; told when it is heard first and when it changes."""
+
+    name: str
+    topics: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """This member has lost the thread: its states are not the fleet's any more."""
+
+    error: MallowbeamError
 
-Told = Callable[[Change, int], None]        # the newest, and the number of a mark of one's own, or 0
+
+Heard = Change | Committed | Proof | Hosted | Broken
+Told = Callable[[tuple[Heard, ...]], None]  # what one entry, or a snapshot, has to say
 
 
 class Member(TCPNode):  # type: ignore[misc]
@@ -38,28 +88,104 @@
 
 
 class Ledger(SyncObjConsumer):  # type: ignore[misc]
-    """The replicated state, the newest committed policy: all members run the same calls in the same order."""
+    """The replicated state: the newest committed policy, and the log's topics.
+
+    All members run the same calls in the same order.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, log: Log, name: str, life: str, told: Told) -> None:
         super().__init__()
         self.version, self.body = 0, "{}"
+        self.log, self.own, self.told = log, (name, life), told
+        self.hosted: dict[str, str] = {}       # by member, as its marks say: no part of the states
+        self.broken: MallowbeamError | None = None
+        self._tell(Change(), *log.whole())
+
+    @property
+    def topics(self) -> tuple[str, ...]:
+        """The topics hosted here, sorted."""
+        return tuple(sorted(self.log.by_name))
 
     @replicated  # type: ignore[untyped-decorator]
-    def change(self, base: int, body: str) -> int:
-        """A new policy, if `base` is still the newest: its version, or 0 where another came first."""
+    def change(self, base: int, body: str, topics: tuple[str, ...] = ()) -> int | Refusal | None:
+        """A new policy, if `base` is still the newest and no topic refuses it.
+
+        Hands back its version, 0 where another came first, a topic's refusal, or None where this member can't
+        tell what became of it on the others.  `topics` are those that
+        judge it, as the pusher hosts them: so what came of it does not hang on who replays it.
+        """
+        if self.broken is not None:
+            return None
         if base != self.version:
             return 0
+        try:
+            if missing := sorted(set(topics) - set(self.log.by_name)):
+                raise LogUnusable(f"a policy was judged by {', '.join(missing)}, off here", "sections")
+            try:
+                policy = read_policy(body)
+            except MallowbeamError as error:   # of another program's pusher; the same text for all
+                return Refusal(error.what, error.where, error.cure)
+            heard = self.log.push(policy, topics)
+        except Exception as error:             # noqa: BLE001 (of this place: see the head)
+            self._break(error)
+            return None
+        if isinstance(heard, Refusal):
+            return heard
         self.version, self.body = base + 1, body
-        AFTER[id(self)]("", "", 0)
+        self._tell(Change(self.version, self.body), *heard)
         return self.version
 
     @replicated  # type: ignore[untyped-decorator]
-    def mark(self, name: str, life: str, number: int) -> None:
-        """A member's proof that it has heard all before this."""
-        AFTER[id(self)](name, life, number)
-
+    def mark(self, name: str, life: str, number: int, topics: str = "") -> None:
+        """A member's proof that it has heard all before this; `topics` that it hosts, with commas."""
+        heard: list[Heard] = []
+        if (name in self.hosted or len(self.hosted) < MOST_HOSTED) and self.hosted.get(name) != topics:
+            self.hosted[name] = topics
+            heard.append(Hosted(name, tuple(filter(None, topics.split(",")))))
+        if (name, life) == self.own:
+            heard.append(Proof(number))
+        self._tell(*heard)
 
-AFTER: dict[int, Callable[[str, str, int], None]] = {}  # by ledger: no part of its snapshot
+    @replicated  # type: ignore[untyped-decorator]
+    def put(self, body: bytes) -> None:
+        """A topic's entry, as `Log.encode` writes it."""
+        if self.broken is None:
+            try:
+                told = self.log.apply(body)
+            except Exception as error:         # noqa: BLE001 (of this place: see the head)
+                return self._break(error)
+            if told is not None:
+                self._tell(told)
+
+    def _tell(self, *heard: Heard) -> None:
+        if heard and self.broken is None:
+            self.told(heard)
+
+    def _break(self, error: Exception) -> None:
+        """This member can't go on; told once."""
+        if not isinstance(error, MallowbeamError):
+            error = LogUnusable(f"{type(error).__name__}: {error}", "the log")
+        self._tell(Broken(error))
+        self.broken = error
+
+    # --- snapshots: called by the engine in place of its own, which takes all attributes -------------
+
+    def _serialize(self) -> dict[str, Any]:
+        """The states, and nothing that is this process's."""
+        if self.broken is not None:            # an older snapshot that is right stays
+            raise LogUnusable("no snapshot of states that are not the fleet's", "snapshot")
+        return {"format": SNAPSHOT, "version": self.version, "body": self.body, "log": self.log.dump()}
+
+    def _deserialize(self, data: Mapping[str, Any]) -> None:
+        """Take in a snapshot; one that can't be read breaks this member, not the engine."""
+        try:
+            if (version := data.get("format", 1)) > SNAPSHOT:
+                raise LogUnusable(f"a snapshot of format {version}, newer than {SNAPSHOT}", "snapshot")
+            heard = self.log.load(data["log"]) if version > 1 else []
+            self.version, self.body = data["version"], data["body"]
+            self._tell(Change(self.version, self.body), *heard)
+        except Exception as error:             # noqa: BLE001 (the engine would swallow it and go on)
+            self._break(error)
 
 
 class Agreement:
@@ -71,9 +197,9 @@
     """
 
     def __init__(self, name: str, life: str, members: Mapping[str, str], folder: Path, told: Told,
-                 dial: Mapping[str, str] | None = None) -> None:
-        self.name, self.life, self.told, self.ledger, self.members = name, life, told, Ledger(), members
-        AFTER[id(self.ledger)] = self._after
+                 dial: Mapping[str, str] | None = None, log: Log | None = None) -> None:
+        self.name, self.life, self.members = name, life, members
+        self.ledger = Ledger(log or Log(()), name, life, told)
         others = [Member(address, (dial or {}).get(other))
                   for other, address in members.items() if other != name]
         self.engine = SyncObj(Member(members[name]), others, SyncObjConf(
@@ -83,27 +209,29 @@
             fullDumpFile=str(folder / "snapshot"), logCompactionMinEntries=2000, logCompactionMinTime=30,
             useFork=False), consumers=[self.ledger])
 
-    def _after(self, name: str, life: str, number: int) -> None:
-        """An entry is committed; runs in the engine's thread."""
-        own = (name, life) == (self.name, self.life)
-        self.told(Change(self.ledger.version, self.ledger.body), number if own else 0)
-
     def mark(self, number: int) -> None:
         """Put a mark in; it is lost without a word where there is no leader."""
-        self.ledger.mark(self.name, self.life, number)
+        self.ledger.mark(self.name, self.life, number, ",".join(self.ledger.topics))
+
+    def put(self, body: bytes) -> None:
+        """Put an entry in; it is lost without a word where there is no leader or the queue is full."""
+        self.ledger.put(body)
 
-    def push(self, base: int, body: str, done: Callable[[int, str], None]) -> None:
+    def push(self, base: int, body: str, done: Callable[[int | FleetError], None]) -> None:
         """Propose a policy after version `base`.
 
-        `done` is called in the engine's thread with the new version, or 0 and why.  "unknown" says that it
-        may yet be committed: what became of it, the log tells.
+        `done` is called in the engine's thread with the new version, or why there is none.  `EndUnknown` says
+        that it may yet be committed: what became of it, the log tells.
         """
-        def ended(version: int | None, error: Any) -> None:
-            if error == FAIL_REASON.SUCCESS:
-                return done(version or 0, "" if version else "another change came first")
-            unsent = error in (FAIL_REASON.MISSING_LEADER, FAIL_REASON.QUEUE_FULL, FAIL_REASON.REQUEST_DENIED)
-            return done(0, "no leader" if unsent else "unknown")
-        self.ledger.change(base, body, callback=ended)
+        def ended(told: int | Refusal | None, error: Any) -> None:
+            if error in UNSENT:
+                return done(UNSENT[error]("nothing was put in"))
+            if error != FAIL_REASON.SUCCESS or told is None:
+                return done(EndUnknown("its end is not known"))
+            if isinstance(told, Refusal):
+                return done(PolicyRefused(told.what, told.where, told.remedy))
+            return done(told or Overtaken("another change came first", f"version {base}"))
+        self.ledger.change(base, body, self.ledger.topics, callback=ended)
 
     def leader(self) -> str | None:
         """Which member leads, as far as is known here."""
@@ -113,5 +241,4 @@
 
     def close(self) -> None:
         """Leave; the journal stays."""
-        AFTER.pop(id(self.ledger), None)
         self.engine.destroy()
--- /dev/null
+++ b/mallowbeam/fleet/hands.py
@@ -0,0 +1,102 @@
+"""The service's hands for one subsystem: `subsystem.Hands` over the gateway.  Decides nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from mallowbeam.fleet.log import Entry
+from mallowbeam.interface import NodeEntry, Plan
+from mallowbeam.net.gateway import Gateway
+
+
+class Drains:
+    """Who wants which node out here: a node goes in again when nobody does any more."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        self.gateway, self.by_node = gateway, dict[str, set[str]]()
+
+    def want(self, who: str, node: str, out: bool) -> None:
+        """One that may take nodes out (the policy, a subsystem) wants this one out, or not any more."""
+        wanting = self.by_node.setdefault(node, set())
+        before = bool(wanting)
+        (wanting.add if out else wanting.discard)(who)
+        if not wanting:
+            del self.by_node[node]
+        if before != bool(wanting):
+            self.gateway.by_hand(node, out, listed=False)
+
+
+class Plans:
+    """Plans' figures on the way to the module, which takes them by the facade's one call."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        self.gateway = gateway
+
+    @property
+    def settings(self) -> Mapping[str, Plan]:
+        """As the platform's settings have them."""
+        plans: Mapping[str, Plan] = self.gateway.config.settings.plans
+        return plans
+
+    def planned(self, plan: Plan, volume: str = "") -> bool:
+        """Let these figures hold; False where this gateway's module can't take them."""
+        call = getattr(self.gateway.facade, "planned", None)
+        if call is None:
+            return False
+        orders = call(self.gateway.now(), plan, volume) if volume else call(self.gateway.now(), plan)
+        if orders is not None:
+            self.gateway._apply(orders)
+        return True
+
+
+class GatewayHands:
+    """One subsystem's hands; `put` takes an entry of its topic's into the log."""
+
+    def __init__(self, name: str, me: str, members: tuple[str, ...], gateway: Gateway, drains: Drains,
+                 plans: Plans, put: Callable[[str, Entry], bool], leads: Callable[[], bool]) -> None:
+        self.name, self.me, self.members = name, me, members
+        self.leader, self.is_open = leads, True
+        self._gateway, self._drains, self._plans, self._put = gateway, drains, plans, put
+        gateway.gates.append(lambda: self.is_open)
+
+    def propose(self, entry: Entry) -> bool:
+        """Put an entry in; False where it is dropped at once."""
+        return self._put(self.name, entry)
+
+    def drain(self, node: str, out: bool) -> None:
+        """Take a node out here, or want it out no more."""
+        self._drains.want(self.name, node, out)
+
+    def planned(self, plan: Plan, volume: str = "") -> bool:
+        """A plan's figures, or one volume's, from now on."""
+        return self._plans.planned(plan, volume)
+
+    def settings_plans(self) -> Mapping[str, Plan]:
+        """The plans of the platform's settings, by name."""
+        return self._plans.settings
+
+    def nodes(self) -> list[NodeEntry]:
+        """The nodes as they are listed here."""
+        entries: list[NodeEntry] = self._gateway.facade.entries(self._gateway.now())
+        return entries
+
+    def out(self, node: str) -> int:
+        """How many attempts this gateway has out at a node."""
+        return self._gateway.facade.out(node)
+
+    def held(self) -> int:
+        """How many requests this gateway holds unanswered."""
+        return len(self._gateway.exchanges)
+
+    def gate(self, is_open: bool) -> None:
+        """Open or shut this gateway's door for new requests on this subsystem's account."""
+        self.is_open = is_open
+
+    def stop(self) -> None:
+        """Stop this gateway as SIGTERM would."""
+        self._gateway.stop()
+
+    def gateway(self) -> Any:
+        """The gateway itself."""
+        return self._gateway
--- a/mallowbeam/fleet/log.py
+++ b/mallowbeam/fleet/log.py
@@ -7,20 +7,29 @@
 same refusal.
 
 A policy pushed is offered to every topic (`pushed`) before it takes hold: one refusal refuses it whole.
+
+What a topic raises unforeseen counts as a refusal too.  That is the same on every member: `apply` and
+`pushed` are given equal values and look at nothing else, so they raise alike or nowhere.  What comes of the
+place and not of the values (`LOCAL`: memory or stack is out, a call to the system failed) is let through, for
+that member alone has then lost the thread; it must leave, not go on with states of its own.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
+from functools import partial
 from typing import Any, ClassVar, Protocol
 
 import msgspec
+from loguru import logger
 
 from mallowbeam.errors import MallowbeamError
 
 FORMAT = 1                  # of an entry's bytes; a newer one is passed over by all alike
-MOST_ENTRY = 64 * 1024      # bytes of one entry
+MOST_ENTRY = 64 * 1024      # bytes of one entry; a longer one is passed over
+MOST_MISSED = 16            # names of topics not hosted here that are remembered
+LOCAL = (MemoryError, RecursionError, OSError)  # raised by the place, not by what an entry says
 
 State = Any                 # a frozen msgspec.Struct of the topic's own
 States = Mapping[str, State]  # by topic; all of them as they stand before this entry
@@ -36,6 +45,13 @@
     remedy = "ask for less at once: fewer machines, tenants or rules in one push"
 
 
+class BadSnapshot(MallowbeamError):
+    """A snapshot of the states that this program can't take in."""
+
+    remedy = ("run the version that wrote it, with the same sections on; or stop the gateway, move its "
+              "folder away, and start it: it learns all from the others")
+
+
 @dataclass(frozen=True, slots=True)
 class Refusal:
     """Why an entry changed nothing: what is wrong, where in it, and what to change."""
@@ -81,6 +97,7 @@
         self.topics, self.index = topics, 0
         self.by_name = {topic.name: topic for topic in topics}
         self.states: dict[str, State] = {topic.name: topic.start() for topic in topics}
+        self.missed: set[str] = set()          # topics that had entries here and were not hosted
 
     def encode(self, topic: str, by: str, entry: Entry) -> bytes:
         """An entry's bytes; raises `EntryTooLarge`."""
@@ -92,24 +109,47 @@
     def apply(self, body: bytes) -> Committed | None:
         """Take in the next committed entry; None for one that this program does not know."""
         self.index += 1
+        if len(body) > MOST_ENTRY:
+            return None
         try:
             version, name, by, raw = msgspec.msgpack.decode(body, type=tuple[int, str, str, msgspec.Raw])
-            if version != FORMAT or (topic := self.by_name.get(name)) is None:
+            if version != FORMAT:
+                return None
+            if (topic := self.by_name.get(name)) is None:
+                self._miss(name)
                 return None
             entry = msgspec.msgpack.decode(raw, type=topic.entries)
         except (msgspec.ValidationError, msgspec.DecodeError):
             return None
-        after = topic.apply(self.states, self.index, by, entry)
+        after = self._judged(name, lambda: topic.apply(self.states, self.index, by, entry))
         if isinstance(after, Refusal):
             return Committed(self.index, name, by, entry, self.states[name], after)
         self.states[name] = after
         return Committed(self.index, name, by, entry, after)
 
-    def push(self, policy: Any) -> list[Committed] | Refusal:
-        """A policy takes hold for all topics, or is refused by one of them and for all."""
+    def _miss(self, name: str) -> None:
+        """An entry of a topic that is off here."""
+        if len(self.missed) < MOST_MISSED:
+            self.missed.add(name[:64])
+
+    def _judged(self, name: str, judge: Callable[[], State | Refusal]) -> State | Refusal:
+        """What a topic makes of it; what it raises is a refusal, the same on every member (see above)."""
+        try:
+            return judge()
+        except LOCAL:
+            raise
+        except Exception as error:             # noqa: BLE001 (whatever it is)
+            logger.opt(exception=error).error("fleet log: topic {} failed at entry {}", name, self.index)
+            return Refusal(f"{name} failed: {type(error).__name__}", name,
+                           "report it with the log's line; what was asked for has not taken hold")
+
+    def push(self, policy: Any, names: Collection[str] | None = None) -> list[Committed] | Refusal:
+        """A policy takes hold for all topics (or these), or is refused by one of them and for all."""
         after: dict[str, State] = {}
         for topic in self.topics:
-            told = topic.pushed(self.states, self.index, policy)
+            if names is not None and topic.name not in names:
+                continue
+            told = self._judged(topic.name, partial(topic.pushed, self.states, self.index, policy))
             if isinstance(told, Refusal):
                 return told
             after[topic.name] = told
@@ -118,12 +158,29 @@
 
     def dump(self) -> bytes:
         """All of it for a snapshot."""
-        return msgspec.msgpack.encode((FORMAT, self.index, self.states))
+        return msgspec.msgpack.encode((FORMAT, self.index, self.states, sorted(self.missed)))
 
     def load(self, body: bytes) -> list[Committed]:
-        """Take in a snapshot whole; topics that it does not know start anew."""
-        _, self.index, states = msgspec.msgpack.decode(body, type=tuple[int, int, dict[str, msgspec.Raw]])
-        for topic in self.topics:
-            if topic.name in states:
-                self.states[topic.name] = msgspec.msgpack.decode(states[topic.name], type=topic.state)
+        """Take in a snapshot whole; topics that it does not know start anew.
+
+        Raises `BadSnapshot` where a state can't be read, or where one hosted here was not hosted when its
+        entries came, so that its state is not known: nothing is taken in then.
+        """
+        try:
+            version, index, raw, missed = msgspec.msgpack.decode(
+                body, type=tuple[int, int, dict[str, msgspec.Raw], list[str]])
+            if version != FORMAT:
+                raise BadSnapshot(f"format {version}, not {FORMAT}", "snapshot")
+            states = {topic.name: msgspec.msgpack.decode(raw[topic.name], type=topic.state)
+                      if topic.name in raw else topic.start() for topic in self.topics}
+        except (msgspec.ValidationError, msgspec.DecodeError) as error:
+            raise BadSnapshot(str(error), "snapshot") from None
+        if lost := sorted(set(missed) & set(self.by_name)):
+            raise BadSnapshot(f"{', '.join(lost)} was off here when it had entries", "snapshot")
+        self.index, self.states = index, states
+        self.missed = set(missed) | set(raw).difference(self.by_name)
+        return self.whole()
+
+    def whole(self) -> list[Committed]:
+        """All states as they stand."""
         return [Committed(self.index, name, "", None, state) for name, state in self.states.items()]
--- a/mallowbeam/fleet/service.py
+++ b/mallowbeam/fleet/service.py
@@ -1,7 +1,8 @@
-"""The fleet's policy in one gateway: the core, the log and the gateway joined.  Decides nothing.
+"""The fleet's log, the cores and the gateway joined in one gateway: I/O, and no decisions.
 
-A change reaches the gateway on its loop, whole: drains by the same way as an operator's call at the door.
-The page that it serves (`/policy`) takes a push and shows what is in force.
+What the log commits reaches the gateway on its loop, in order and one entry a turn: a policy whole, to the
+policy's core and from there to drains and plans; a topic's entry to its subsystem.  The subsystems that the
+operators' file turns on are loaded here and nowhere else (`subsystem.py`).
 """
 
 from __future__ import annotations
@@ -10,40 +11,29 @@
 import hashlib
 import json
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from contextlib import suppress
+from importlib import import_module
 from pathlib import Path
+from typing import Any
 
-import msgspec
 from loguru import logger
 
 from mallowbeam.buffer.disk import Locked, RealDisk
-from mallowbeam.fleet.agreement import Agreement
+from mallowbeam.errors import MallowbeamError
+from mallowbeam.fleet.agreement import Agreement, Broken, Heard, Hosted, Proof
+from mallowbeam.fleet.errors import BadPolicy, EndUnknown, FleetError, LogUnusable, NoLeader, NotAlike
+from mallowbeam.fleet.hands import Drains, GatewayHands, Plans
+from mallowbeam.fleet.log import Committed, Entry, Log
 from mallowbeam.fleet.policy import Action, Apply, Change, Entered, Mark, OutOfOrder, PolicyCore
-from mallowbeam.net.config import BadConfig, read_address
+from mallowbeam.fleet.policy_text import Policy, canonical, check_sections, read_policy
+from mallowbeam.fleet.subsystem import Subsystem
+from mallowbeam.net.config import BadConfig
 from mallowbeam.net.gateway import Gateway
-from mallowbeam.net.http import Budget, Message, write_head
-from mallowbeam.net.server import Reply, Server, plain
 from mallowbeam.operators import PolicySection
 
-MOST = 65536                # bytes of a policy
 PUSH_S = 3.0                # seconds that a push is waited for before its end is called unknown
-
-
-class Policy(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """What a policy says: the nodes that are drained, by their ids in discovery."""
-
-    drains: list[str] = []
-
-
-def read_policy(text: bytes | str) -> Policy:
-    """A policy's text, checked; raises `msgspec.ValidationError` or `msgspec.DecodeError`."""
-    return msgspec.json.decode(text, type=Policy)
-
-
-def canonical(policy: Policy) -> str:
-    """One text for one policy, so that equal ones have equal digests."""
-    return json.dumps({"drains": sorted(set(policy.drains))}, separators=(",", ":"), sort_keys=True)
+POLICY = "policy"           # under this name the policy wants nodes out, beside the subsystems
 
 
 def hold(folder: Path) -> RealDisk:
@@ -65,24 +55,39 @@
     return hashlib.sha256(change.body.encode()).hexdigest()[:12]
 
 
-class PolicyService:
-    """A part of the gateway, and the front of the page `/policy`."""
+class FleetService:
+    """A part of the gateway."""
 
-    max_body, whole = MOST, 0
-    budget: Budget | None = None
-
-    def __init__(self, gateway: Gateway, section: PolicySection) -> None:
-        self.gateway, self.section = gateway, section
+    def __init__(self, gateway: Gateway, section: PolicySection,
+                 sections: Mapping[str, Any] | None = None) -> None:
+        assert section.folder is not None and section.name is not None
+        self.gateway, self.section, self.me = gateway, section, section.name
         self.core = PolicyCore(section.lease_s, section.beat_s, section.when_stale == "refuse")
+        self.drains, self.plans = Drains(gateway), Plans(gateway)
         self.agreement: Agreement | None = None
-        assert section.folder is not None
+        self.failed: MallowbeamError | None = None  # why this member takes nothing in any more
+        self.hosted: dict[str, tuple[str, ...]] = {}  # by member: its subsystems, as its marks say
+        self.leading: str | None = None        # as of the last beat
+        self.counts = {"proposed": 0, "dropped": 0, "refused": 0, "faults": 0}
         self.folder = Path(section.folder)
         self.disk = hold(self.folder)          # until this process ends, however it ends
         self.beating: asyncio.Task[None] | None = None
+        self.leaving: asyncio.Task[None] | None = None
         self.loop: asyncio.AbstractEventLoop | None = None
+        self.subsystems: dict[str, Subsystem] = {name: self._open(name, own)
+                                                 for name, own in (sections or {}).items()}
+        self.log = Log([part.topic for part in self.subsystems.values()])
         gateway.parts.append(self)
         gateway.gates.append(self.serves)
 
+    def _open(self, name: str, section: Any) -> Subsystem:
+        """Load a subsystem that is on."""
+        hands = GatewayHands(name, self.me, tuple(sorted(self.section.members)), self.gateway, self.drains,
+                             self.plans, self._put, lambda: self.leading == self.me)
+        part: Subsystem = import_module(f"mallowbeam.fleet.{name}.part").open_part(hands, section)
+        assert part.topic.name == name
+        return part
+
     def serves(self) -> bool:
         """Whether requests may be taken now."""
         return self.core.serves(time.monotonic())
@@ -92,10 +97,8 @@
     def start(self) -> None:
         """Join the fleet's log; until a mark has come back nothing is served."""
         self.loop = asyncio.get_running_loop()
-        s = self.section
-        assert s.name is not None
-        life = f"{time.time_ns():x}"
-        self.agreement = Agreement(s.name, life, s.members, self.folder, self._told, s.dial)
+        s, life = self.section, f"{time.time_ns():x}"
+        self.agreement = Agreement(self.me, life, s.members, self.folder, self._told, s.dial, self.log)
         self.beating = asyncio.create_task(self._beat())
 
     async def hand_over(self) -> None:
@@ -106,9 +109,12 @@
         """Leave the log."""
         if self.beating is not None:
             self.beating.cancel()
-        if self.agreement is not None:
-            await asyncio.to_thread(self.agreement.close)
-            self.agreement = None
+        await self._leave()
+
+    async def _leave(self) -> None:
+        agreement, self.agreement, self.leading = self.agreement, None, None
+        if agreement is not None:
+            await asyncio.to_thread(agreement.close)
 
     def gauges(self) -> Mapping[str, int]:
         """The version in force, and whether it is known to be the newest."""
@@ -116,22 +122,68 @@
 
     async def _beat(self) -> None:
         while True:
-            self._do(self.core.tick(time.monotonic()))
+            now = time.monotonic()
+            self.leading = self.agreement.leader() if self.agreement else None
+            self._do(self.core.tick(now))
+            for name in self.subsystems:
+                self._call(name, "tick", now)
             await asyncio.sleep(self.section.beat_s / 2)
 
-    def _told(self, change: Change, mark: int) -> None:
+    def _call(self, name: str, method: str, *given: object) -> None:
+        """One call of a subsystem.
+
+        Guards the policy's marks and the other subsystems: what one raises is logged and stays its own.
+        """
+        try:
+            getattr(self.subsystems[name], method)(*given)
+        except Exception as error:             # noqa: BLE001 (whatever it is)
+            self.counts["faults"] += 1
+            logger.opt(exception=error).error("fleet: {} failed in {}", name, method)
+
+    # --- what the log tells -----------------------------------------------------------------------
+
+    def _told(self, heard: tuple[Heard, ...]) -> None:
         """The log has committed something; in its thread."""
         assert self.loop is not None
         with suppress(RuntimeError):           # the loop is closed: the gateway has ended
-            self.loop.call_soon_threadsafe(self._learn, change, mark)
-
-    def _learn(self, change: Change, mark: int) -> None:
-        try:
-            self._do(self.core.committed(change))
-        except OutOfOrder as error:
-            return logger.error("policy: {}", error)
-        if mark:
-            self._do(self.core.marked(mark, time.monotonic()))
+            self.loop.call_soon_threadsafe(self._learn, heard)
+
+    def _learn(self, heard: tuple[Heard, ...]) -> None:
+        now = time.monotonic()
+        for told in heard:
+            if self.failed is not None:
+                return
+            match told:
+                case Change():
+                    try:
+                        self._do(self.core.committed(told))
+                    except OutOfOrder as error:
+                        self._fail(LogUnusable(str(error), "policy"))
+                case Committed():
+                    self.counts["refused"] += told.refusal is not None
+                    self._call(told.topic, "committed", told, now)
+                case Proof(number):
+                    before = self.core.known_at
+                    self._do(self.core.marked(number, now))
+                    if self.core.known_at > before:
+                        for name in self.subsystems:
+                            self._call(name, "proven", self.core.known_at, now)
+                case Hosted(name, topics):
+                    self.hosted[name] = topics
+                    if topics != tuple(sorted(self.subsystems)):
+                        logger.error("fleet: {}", self._unlike(name))
+                case Broken(error):
+                    self._fail(error)
+
+    def _fail(self, error: MallowbeamError) -> None:
+        """Leave the fleet: its lease runs out, and it serves no longer than the policy lets it."""
+        self.failed = error
+        logger.error("fleet: {}", error.line)
+        self.leaving = asyncio.create_task(self._leave())
+
+    def _unlike(self, name: str) -> NotAlike:
+        return NotAlike(f"{name} runs with {', '.join(self.hosted[name]) or 'no subsystem'}, {self.me} with "
+                        f"{', '.join(self.subsystems) or 'none'}", "sections")
 
     def _do(self, actions: list[Action]) -> None:
         for action in actions:
@@ -149,78 +201,92 @@
         """Let a policy take hold, whole, in one turn of the loop."""
         now, was = read_policy(change.body), read_policy(before.body)
         for node in set(was.drains) - set(now.drains):
-            self.gateway.by_hand(node, False, listed=False)
+            self.drains.want(POLICY, node, False)
         for node in now.drains:
-            self.gateway.by_hand(node, True, listed=False)
+            self.drains.want(POLICY, node, True)
+        self._plan(now, was)
         logger.bind(policy="applied", version=change.version, digest=digest(change)).info(
             "policy applied: version {} ({})", change.version, digest(change))
 
-    # --- its page ---------------------------------------------------------------------------------
-
-    async def handle(self, request: Message, closing: Callable[[], bool]) -> Reply:
-        """GET shows, PUT pushes a policy after the version that `If-Match` names."""
-        if request.target != b"/policy":
-            return plain(404, "no such page", closing())
-        if request.method == b"GET":
-            return self._page(200, self.shown(), closing())
-        if request.method != b"PUT":
-            return plain(405, "GET or PUT", closing(), [(b"allow", b"GET, PUT")])
-        base = dict(request.headers).get(b"if-match", b"").strip(b'"')
-        if not base.isdigit() or len(base) > 12:
-            return plain(428, "If-Match must name the version that this follows", closing())
-        try:
-            body = canonical(read_policy(bytes(request.body)))
-        except (msgspec.ValidationError, msgspec.DecodeError, UnicodeDecodeError) as error:
-            return plain(400, str(error), closing())
-        version, why = await self._push(int(base), body)
-        status = 200 if version else {"another change came first": 412, "no leader": 503}.get(why, 504)
-        return self._page(status, {"version": version, "why": why}, closing())
-
-    def shown(self) -> dict[str, object]:
-        """What is in force here, and how sure that is."""
-        core = self.core
-        self._do(core.tick(time.monotonic()))  # told as the clock has it, not the last tick
-        return {"name": self.section.name, "phase": core.phase.value, "serves": self.serves(),
-                "leader": self.agreement.leader() if self.agreement else None,
-                "version": core.change.version, "digest": digest(core.change),
-                "policy": json.loads(core.change.body)}
-
-    async def _push(self, base: int, body: str) -> tuple[int, str]:
+    def _plan(self, now: Policy, was: Policy) -> None:
+        """Plans that the policy changes; those it names no more are as the platform's settings say."""
+        texts, settings = {plan.name: plan for plan in now.plans}, self.plans.settings
+        for name in sorted({*texts, *(plan.name for plan in was.plans)}):
+            if (base := settings.get(name)) is None:
+                logger.error("policy: plan {} is not among the platform's", name)
+            elif not self.plans.planned(texts[name].over(base) if name in texts else base):
+                logger.error("policy: plan {} can't take hold while the gateway runs", name)
+
+    # --- what is put in ---------------------------------------------------------------------------
+
+    def _put(self, topic: str, entry: Entry) -> bool:
+        """A subsystem's proposal; dropped where nobody leads, as it would be on the way."""
+        if self.agreement is None or self.leading is None:
+            self.counts["dropped"] += 1
+            return False
+        self.agreement.put(self.log.encode(topic, self.me, entry))
+        self.counts["proposed"] += 1
+        return True
+
+    async def push(self, base: int, text: bytes) -> int:
+        """Push a policy after version `base`: its version; raises a `FleetError`."""
+        policy = read_policy(text)
+        check_sections(policy, tuple(self.subsystems))
+        if unknown := sorted({plan.name for plan in policy.plans} - set(self.plans.settings)):
+            raise BadPolicy(f"no plan {unknown[0]} in the platform's settings", "plans")
+        read_policy(body := canonical(policy))  # as the log will: its bound holds for this spelling
+        if unlike := next((name for name, topics in self.hosted.items() if name in self.section.members
+                           and topics != tuple(sorted(self.subsystems))), None):
+            raise self._unlike(unlike)
+        if self.failed is not None:
+            raise LogUnusable(self.failed.what, self.failed.where)
+        if self.agreement is None:
+            raise NoLeader("this gateway has left the log")
         loop = asyncio.get_running_loop()
-        ended: asyncio.Future[tuple[int, str]] = loop.create_future()
+        ended: asyncio.Future[int | FleetError] = loop.create_future()
 
-        def settle(version: int, why: str) -> None:
+        def settle(told: int | FleetError) -> None:
             if not ended.done():
-                ended.set_result((version, why))
+                ended.set_result(told)
 
-        def told(version: int, why: str) -> None:
+        def done(told: int | FleetError) -> None:
             with suppress(RuntimeError):       # the loop is closed
-                loop.call_soon_threadsafe(settle, version, why)
+                loop.call_soon_threadsafe(settle, told)
 
-        if self.agreement is None:
-            return 0, "no leader"
-        self.agreement.push(base, body, told)
+        self.agreement.push(base, body, done)
         try:
             async with asyncio.timeout(PUSH_S):
-                return await ended
+                told = await ended
         except TimeoutError:
-            return 0, "unknown"
+            raise EndUnknown(f"no word of it in {PUSH_S:.0f} s") from None
+        if isinstance(told, FleetError):
+            raise told
+        return told
 
-    @staticmethod
-    def _page(status: int, told: dict[str, object], close: bool) -> Reply:
-        body = json.dumps(told).encode()
-        head = write_head(status, [(b"content-type", b"application/json")], len(body), close)
-        return Reply(status, head + body)
+    # --- what the pages show ----------------------------------------------------------------------
 
-    def complain(self, status: int, text: str) -> Reply:
-        """The answer to what breaks HTTP or a bound."""
-        return plain(status, text, True)
-
-    def ended(self, request: Message, status: int, whole: bool) -> None:
-        """Its calls are not among the figures."""
-
-
-def open_policy(gateway: Gateway, section: PolicySection, connections: int) -> Server:
-    """The part, and the listener of its page; raises `BadConfig`."""
-    assert section.listen is not None
-    return Server(read_address(section.listen), PolicyService(gateway, section), connections, name="policy")
+    def shown(self) -> dict[str, object]:
+        """What is in force here, and how sure that is."""
+        core = self.core
+        self._do(core.tick(time.monotonic()))  # told as the clock has it, not the last tick
+        return {"name": self.me, "phase": core.phase.value, "serves": self.serves(),
+                "leader": self.agreement.leader() if self.agreement else None,
+                "version": core.change.version, "digest": digest(core.change),
+                "policy": json.loads(core.change.body),
+                "failed": self.failed.told() if self.failed else None}
+
+    def fleet(self) -> dict[str, object]:
+        """Members and subsystems."""
+        return {"name": self.me, "members": sorted(self.section.members), "leader": self.leading,
+                "index": self.log.index, "hosted": self.hosted,
+                "subsystems": {name: part.shown() for name, part in self.subsystems.items()}}
+
+    def figures(self) -> dict[str, Mapping[str, float]]:
+        """Figures by subsystem; the log's own under no name."""
+        now = time.monotonic()
+        own = {"policy_version": float(self.core.change.version), "policy_serves": float(self.serves()),
+               "log_index": float(self.log.index), "leads": float(self.leading == self.me),
+               "failed": float(self.failed is not None),
+               "proof_age_seconds": now - self.core.known_at,
+               **{f"entries_{name}": float(count) for name, count in self.counts.items()}}
+        return {"": own, **{name: part.gauges() for name, part in self.subsystems.items()}}
--- /dev/null
+++ b/mallowbeam/fleet/subsystem.py
@@ -0,0 +1,85 @@
+"""What a subsystem of the fleet is to the service, and what the service's hands do for it.
+
+A subsystem is one of the sections `maintenance`, `shares` and `pools` of the operators' file.  Where one is
+on, the service imports `mallowbeam.fleet.<name>.part` and calls its `open_part(hands, section)`, which hands
+back a `Subsystem`.  Its topic's name is the section's.  All of its methods are called on the gateway's loop.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any, Protocol
+
+from mallowbeam.fleet.log import Committed, Entry, Topic
+from mallowbeam.interface import NodeEntry, Plan
+
+
+class Subsystem(Protocol):
+    """One subsystem in one gateway: its core, and the acts that its actions name."""
+
+    topic: Topic
+
+    def committed(self, told: Committed, now: float) -> None:
+        """The log has told this topic an entry, or its state whole (`told.entry` None); now: steady clock."""
+
+    def proven(self, put_in: float, now: float) -> None:
+        """A mark of this gateway's own came back: all committed before it was put in is known here."""
+
+    def tick(self, now: float) -> None:
+        """Time has passed: each half beat."""
+
+    def shown(self) -> dict[str, object]:
+        """What the page `/fleet` tells of it."""
+
+    def gauges(self) -> Mapping[str, float]:
+        """Its figures for `/fleet/metrics`, named without the subsystem's name."""
+
+
+class Hands(Protocol):
+    """What a subsystem may do and see; each call at once and on the loop."""
+
+    me: str                                    # this member's name
+    members: tuple[str, ...]                   # all members' names, sorted
+
+    def propose(self, entry: Entry) -> bool:
+        """Put an entry of its topic into the log: fire and forget; False where it is dropped at once.
+
+        It is dropped where there is no leader, so cores propose again.  Raises `EntryTooLarge`.
+        """
+
+    def leader(self) -> bool:
+        """Whether this member leads the log, as far as it knows."""
+
+    def drain(self, node: str, out: bool) -> None:
+        """Take a node out of service here or call it back; out while anybody still wants it out."""
+
+    def planned(self, plan: Plan, volume: str = "") -> bool:
+        """A plan's figures, or one volume's, from now on; False where the module can't take them."""
+
+    def settings_plans(self) -> Mapping[str, Plan]:
+        """The plans of the platform's settings, by name."""
+
+    def nodes(self) -> list[NodeEntry]:
+        """The nodes as they are listed here."""
+
+    def out(self, node: str) -> int:
+        """How many attempts this gateway has out at a node."""
+
+    def held(self) -> int:
+        """How many requests this gateway holds unanswered."""
+
+    def gate(self, is_open: bool) -> None:
+        """Open or shut this gateway's door for new requests on this subsystem's account."""
+
+    def stop(self) -> None:
+        """Stop this gateway as SIGTERM would."""
+
+    def gateway(self) -> Any:
+        """The gateway itself, for what has no call here yet; a reason to add one."""
+
+
+class OpenPart(Protocol):
+    """`open_part` of a subsystem's module `part`."""
+
+    def __call__(self, hands: Hands, section: Any) -> Subsystem:
+        """The subsystem on these hands; `section` is its part of the operators' file."""
--- a/mallowbeam/net/ask.py
+++ b/mallowbeam/lab/ask.py
@@ -1,4 +1,8 @@
-"""One call over HTTP on a connection of its own, for tools: trials and the command line."""
+"""One call over HTTP on a connection of its own, read to its end, for the buffer's trials.
+
+They look for a second answer on the wire, which a client made for use (httpx) drops without a word where it
+comes with the first one's last bytes; so this one reads raw.  All other tools use httpx.
+"""
 
 from __future__ import annotations
 
--- a/mallowbeam/lab/crash.py
+++ b/mallowbeam/lab/crash.py
@@ -16,8 +16,8 @@
 from pathlib import Path
 
 from mallowbeam.buffer import inspect
+from mallowbeam.lab.ask import ask
 from mallowbeam.lab.rig import Rig
-from mallowbeam.net.ask import ask
 from mallowbeam.standins.faults import Rule
 from mallowbeam.standins.node import ObjectNode
 
--- a/mallowbeam/lab/faults/fleet.py
+++ b/mallowbeam/lab/faults/fleet.py
@@ -13,10 +13,11 @@
 from pathlib import Path
 from typing import Any
 
+import httpx
+
 from mallowbeam.lab.faults.history import Fault, History, Pushed, Seen
 from mallowbeam.lab.faults.links import Link
 from mallowbeam.lab.rig import hold_port, launch, write_files
-from mallowbeam.net.ask import ask
 from mallowbeam.standins.discovery import Discovery, member
 from mallowbeam.standins.node import ObjectNode
 
@@ -42,6 +43,9 @@
         self.links: dict[tuple[str, str], Link] = {}  # by who dials and who is dialled
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.stopped: set[str] = set()
+        # A connection for each call: one kept over a SIGKILL would be a fault of the trial's own.
+        self.client = httpx.AsyncClient(trust_env=False, verify=False, timeout=None,
+                                        limits=httpx.Limits(max_keepalive_connections=0))
 
     async def __aenter__(self) -> Fleet:
         """All up."""
@@ -59,6 +63,7 @@
         """All down."""
         for name in list(self.processes):
             self.kill(name)
+        await self.client.aclose()
         for link in self.links.values():
             await link.close()
         for server in (*self.nodes, self.discovery):
@@ -146,6 +151,10 @@
                 self.start(name)
         self._fault("heal")
 
+    def page(self, name: str, page: str = "/policy") -> str:
+        """A page of a gateway's policy listener."""
+        return f"http://127.0.0.1:{self.ports[name][1]}{page}"
+
     # --- what is asked ----------------------------------------------------------------------------
 
     async def look(self, name: str) -> Seen | None:
@@ -155,8 +164,8 @@
             return None
         try:
             async with asyncio.timeout(ASK_S):
-                told: dict[str, Any] = json.loads((await ask(self.ports[name][1], "GET", "/policy")).body)
-        except (OSError, EOFError, TimeoutError, ValueError):
+                told: dict[str, Any] = (await self.client.get(self.page(name))).json()
+        except (httpx.HTTPError, TimeoutError, ValueError):
             return None
         seen = Seen(self.now(), asked, name, told["phase"], told["serves"], told["version"],
                     json.dumps(told["policy"], separators=(",", ":"), sort_keys=True), told["leader"])
@@ -172,13 +181,13 @@
         """Push a policy at one gateway; recorded with what the pusher is told."""
         began, body = self.now(), json.dumps({"drains": sorted(drains)}, separators=(",", ":"))
         version, why = 0, "unknown"
-        with suppress(OSError, EOFError, TimeoutError, ValueError):
+        with suppress(httpx.HTTPError, TimeoutError, ValueError):
             async with asyncio.timeout(PUSH_S):
-                answer = await ask(self.ports[via][1], "PUT", "/policy", body.encode(),
-                                   {"If-Match": f'"{base}"'})
-                if answer.status in (200, 412, 503, 504):
-                    told = json.loads(answer.body)
-                    version, why = told["version"], told["why"]
+                answer = await self.client.put(self.page(via), content=body.encode(),
+                                               headers={"If-Match": f'"{base}"'})
+                told = answer.json()
+                version = told.get("version", 0)
+                why = "unknown" if answer.status_code == 504 else told.get("what", "")
         pushed = Pushed(self.now(), began, via, base, body, version, why)
         self.history.add(pushed)
         return pushed
--- a/mallowbeam/lab/rig.py
+++ b/mallowbeam/lab/rig.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import IO, Any
 
-from mallowbeam.net.ask import ask
+from mallowbeam.lab.ask import ask
 from mallowbeam.standins.discovery import Discovery, member
 from mallowbeam.standins.node import ObjectNode
 
--- a/mallowbeam/operators.py
+++ b/mallowbeam/operators.py
@@ -84,6 +84,29 @@
     when_stale: Literal["refuse", "serve"] = "refuse"
 
 
+class SubsystemSection(Section, forbid_unknown_fields=True, frozen=True):
+    """A subsystem on the fleet's log; off without `on`, and the same on all members."""
+
+    on: bool = False
+
+
+class MaintenanceSection(SubsystemSection, forbid_unknown_fields=True, frozen=True):
+    """Machines out for work, in an order that the gateways settle."""
+
+
+class SharesSection(SubsystemSection, forbid_unknown_fields=True, frozen=True):
+    """Tenants' fair shares across gateways."""
+
+
+class PoolsSection(SubsystemSection, forbid_unknown_fields=True, frozen=True):
+    """Connection budgets by the pool language."""
+
+
+# Those that stand on the fleet's log, by section; each is loaded only where it is on.
+SUBSYSTEMS: dict[str, type[SubsystemSection]] = {
+    "maintenance": MaintenanceSection, "shares": SharesSection, "pools": PoolsSection}
+
+
 class Operators(Section, forbid_unknown_fields=True, frozen=True):
     """The whole file."""
 
@@ -92,6 +115,9 @@
     agent_check: ListenSection | None = None
     buffer: BufferSection | None = None
     policy: PolicySection | None = None
+    maintenance: MaintenanceSection | None = None
+    shares: SharesSection | None = None
+    pools: PoolsSection | None = None
 
 
 def convert(kind: type[T], raw: object, path: str = "") -> T:
@@ -128,6 +154,10 @@
             raise BadConfig("policy.name: must be among the members")
         if policy.lease_s < 2 * policy.beat_s:
             raise BadConfig("policy.lease_s: must be at least two beats")
+    for name in SUBSYSTEMS:
+        section: SubsystemSection | None = getattr(operators, name)
+        if section is not None and section.on and (policy is None or policy.folder is None):
+            raise BadConfig(f"{name}.on: it stands on the fleet's log, and policy.folder is off")
     return operators
 
 
--- a/mallowbeam/program.py
+++ b/mallowbeam/program.py
@@ -39,7 +39,7 @@
             from mallowbeam.fronts.objects.settings import read_object_settings
             objects = read_object_settings(fronts["objects"], gateway)
         if fronts.get("policy", {}).get("folder") is not None:
-            servers.append(open_fleet(gateway, fronts["policy"]))
+            servers.append(open_fleet(gateway, fronts))
             room -= WATCHER_CONNECTIONS
         for name, front, connection in (("health", Health(gateway), Connection),
                                         ("agent_check", gateway, AgentConnection)):
@@ -61,14 +61,17 @@
     return servers
 
 
-def open_fleet(gateway: Gateway, section: dict) -> Server:
-    """The fleet's policy; raises `BadConfig`."""
+def open_fleet(gateway: Gateway, fronts: dict) -> Server:
+    """The fleet's log, with the subsystems that are on; raises `BadConfig`."""
     try:
-        from mallowbeam.fleet.service import open_policy
-        from mallowbeam.operators import PolicySection, convert
+        from mallowbeam.fleet.page import open_policy
+        from mallowbeam.operators import SUBSYSTEMS, PolicySection, convert
+        sections = {name: convert(kind, fronts[name], name) for name, kind in SUBSYSTEMS.items()
+                    if fronts.get(name, {}).get("on")}
+        return open_policy(gateway, convert(PolicySection, fronts["policy"], "policy"), WATCHER_CONNECTIONS,
+                           sections)
     except ImportError as error:
         raise BadConfig(f"the fleet's policy needs {error.name}: install the extra `fleet`") from None
-    return open_policy(gateway, convert(PolicySection, section, "policy"), WATCHER_CONNECTIONS)
 
 
 def open_buffered(gateway: Gateway, fronts: dict, legacy: Legacy | None):
@@ -86,7 +89,7 @@
 def any_on(fronts: dict) -> bool:
     """Whether the operators' file turns anything on: if not, nothing need be loaded to check it."""
     return any(not isinstance(section, dict) or section.get("listen") is not None
-               or section.get("folder") is not None for section in fronts.values())
+               or section.get("folder") is not None or section.get("on") for section in fronts.values())
 
 
 async def serve(config: Config, fronts: dict) -> None:
--- a/tests/test_buffer_crash.py
+++ b/tests/test_buffer_crash.py
@@ -5,8 +5,8 @@
 import asyncio
 import random
 
+from mallowbeam.lab.ask import Answered
 from mallowbeam.lab.crash import Lane, crash, lane
-from mallowbeam.net.ask import Answered
 from mallowbeam.standins.node import Run, Stored
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -65,7 +65,7 @@
     assert done.returncode == 0, done.stderr
     told = json.loads(mallowbeam("config", "schema").stdout)
     assert told == schema() and set(told["$defs"]["Operators"]["properties"]) == {
-        "objects", "health", "agent_check", "buffer", "policy"}
+        "objects", "health", "agent_check", "buffer", "policy", "maintenance", "shares", "pools"}
 
 
 def test_a_bad_file_ends_the_check_with_status_2(tmp_path):
