--- a/mallowbeam/fleet/agreement.py
+++ b/mallowbeam/fleet/agreement.py
@@ -1,8 +1,8 @@
 """The one adapter to the agreement engine, Raft by pysyncobj; the cores never see it.
 
 The engine runs in a thread of its own.  What it commits is told by `told`, called in that thread once for
-each entry, in order, with immutable values: a policy (`Change`), topics' entries and states (`Committed`), the
-number of a mark of one's own (`Proof`).  At the start, and after a snapshot, the states are told whole.
+each entry, in order, with immutable values: a policy (`Change`), topics' entries and states (`Committed`),
+the number of a mark of one's own (`Proof`).  At the start, and after a snapshot, all states are told whole.
 
 Three calls are replicated.  Their names and order of arguments are the journal's format (`docs/formats/`):
 the engine numbers calls by their sorted names, so a new one must sort behind the others or be of a new `ver`.
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -98,6 +99,7 @@
         self.version, self.body = 0, "{}"
         self.log, self.own, self.told = log, (name, life), told
         self.hosted: dict[str, str] = {}       # by member, as its marks say: no part of the states
+        self.heard: dict[str, float] = {}      # and when its newest came out here, by this process's clock
         self.broken: MallowbeamError | None = None
         self._tell(Change(), *log.whole())
 
@@ -139,9 +141,11 @@
     def mark(self, name: str, life: str, number: int, topics: str = "") -> None:
         """A member's proof that it has heard all before this; `topics` that it hosts, with commas."""
         heard: list[Heard] = []
-        if (name in self.hosted or len(self.hosted) < MOST_HOSTED) and self.hosted.get(name) != topics:
-            self.hosted[name] = topics
-            heard.append(Hosted(name, tuple(filter(None, topics.split(",")))))
+        if name in self.hosted or len(self.hosted) < MOST_HOSTED:
+            self.heard[name] = time.monotonic()
+            if self.hosted.get(name) != topics:
+                self.hosted[name] = topics
+                heard.append(Hosted(name, tuple(filter(None, topics.split(",")))))
         if (name, life) == self.own:
             heard.append(Proof(number))
         self._tell(*heard)
@@ -233,6 +237,10 @@
             return done(told or Overtaken("another change came first", f"version {base}"))
         self.ledger.change(base, body, self.ledger.topics, callback=ended)
 
+    def silent(self, name: str) -> float:
+        """For how many seconds no mark of that member has come out of the log here."""
+        return time.monotonic() - self.ledger.heard.get(name, float("-inf"))
+
     def leader(self) -> str | None:
         """Which member leads, as far as is known here."""
         node = self.engine.getStatus()["leader"]
--- a/mallowbeam/fleet/service.py
+++ b/mallowbeam/fleet/service.py
@@ -235,13 +235,14 @@
         if unknown := sorted({plan.name for plan in policy.plans} - set(self.plans.settings)):
             raise BadPolicy(f"no plan {unknown[0]} in the platform's settings", "plans")
         read_policy(body := canonical(policy))  # as the log will: its bound holds for this spelling
-        if unlike := next((name for name, topics in self.hosted.items() if name in self.section.members
-                           and topics != tuple(sorted(self.subsystems))), None):
-            raise self._unlike(unlike)
         if self.failed is not None:
             raise LogUnusable(self.failed.what, self.failed.where)
         if self.agreement is None:
             raise NoLeader("this gateway has left the log")
+        for name, topics in self.hosted.items():  # one that is down leaves when it comes back: see change()
+            if (topics != tuple(sorted(self.subsystems)) and name in self.section.members
+                    and self.agreement.silent(name) < self.section.lease_s):
+                raise self._unlike(name)
         loop = asyncio.get_running_loop()
         ended: asyncio.Future[int | FleetError] = loop.create_future()
 
--- /dev/null
+++ b/tests/test_fleet_log.py
@@ -0,0 +1,190 @@
+"""The fleet's log without its engine: entries, refusals, snapshots; and the ledger's calls on one member."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from topics import Add, Adder, Broken, Change, Fail, Sum, Told, make_log
+
+from mallowbeam.fleet.agreement import Ledger
+from mallowbeam.fleet.errors import LogUnusable
+from mallowbeam.fleet.log import FORMAT, MOST_ENTRY, BadSnapshot, Entry, EntryTooLarge, Log, Refusal
+from mallowbeam.fleet.policy_text import Policy
+
+
+def body(*parts: object) -> bytes:
+    return msgspec.msgpack.encode(parts)
+
+
+class Stranger(Entry, frozen=True, tag="stranger"):
+    text: str = ""
+
+
+# --- the log --------------------------------------------------------------------------------------
+
+
+def test_an_entry_changes_its_topic_alone_and_is_told_with_the_state_after_it():
+    log = make_log()
+    told = log.apply(log.encode("shares", "g1", Add(3)))
+    assert (told.index, told.topic, told.by, told.entry, told.state) == (1, "shares", "g1", Add(3), Sum(3, "g1"))
+    assert log.states == {"shares": Sum(3, "g1"), "pools": Sum()}
+
+
+@pytest.mark.parametrize("unknown", [
+    body(FORMAT + 1, "shares", "g1", Add(3)), body(FORMAT, "elsewhere", "g1", Add(3)),
+    body(FORMAT, "shares", "g1", Stranger()), body(FORMAT, "shares"), b"\xc1", b"",
+    body(FORMAT, "shares", "g1", {"kind": "add", "amount": 1, "new": 2}),
+    body(FORMAT, "shares", "g1" * MOST_ENTRY, Add(3))])
+def test_what_is_not_known_or_too_long_is_passed_over_and_counted(unknown):
+    """Guards equal indices: a member that does not know an entry still counts it, as the others do."""
+    log = make_log()
+    assert log.apply(unknown) is None and log.index == 1
+    assert log.states == make_log().states
+
+
+def test_an_entry_beyond_its_bound_is_not_put_in():
+    with pytest.raises(EntryTooLarge, match="at most 65536") as caught:
+        make_log().encode("shares", "g1", Stranger("x" * MOST_ENTRY))
+    assert caught.value.cure
+
+
+def test_what_a_topic_raises_is_a_refusal():
+    log = make_log()
+    told = log.apply(log.encode("shares", "g1", Fail()))
+    assert "ZeroDivisionError" in told.refusal.what and told.state == Sum()
+
+
+def test_what_comes_of_this_place_is_no_refusal():
+    """Guards the states: out of memory here, the others have taken the entry in."""
+    class Full(Adder):
+        def apply(self, *_: object) -> Sum:
+            raise MemoryError
+    log = Log([Full("shares")])
+    with pytest.raises(MemoryError):
+        log.apply(log.encode("shares", "g1", Add(1)))
+
+
+def test_one_topics_refusal_refuses_a_policy_whole():
+    log = make_log()
+    log.apply(log.encode("pools", "g1", Add(50)))
+    told = log.push(Policy(shares={"most": 7}, pools={"most": 10}))
+    assert isinstance(told, Refusal) and told.where == "pools.most" and "50" in told.remedy
+    assert log.states["shares"].most == 100
+    assert [told.state.most for told in log.push(Policy(shares={"most": 7}, pools={"most": 60}))] == [7, 60]
+
+
+@given(st.lists(st.one_of(st.binary(max_size=40), st.builds(
+    lambda topic, by, amount: body(FORMAT, topic, by, Add(amount)),
+    st.sampled_from(["shares", "pools", "none"]), st.text(max_size=3), st.integers(-5, 60)))))
+def test_two_members_agree_on_any_bytes_also_over_a_snapshot(bodies):
+    one, two = make_log(), make_log()
+    for entry in bodies:
+        one.apply(entry)
+        two.apply(entry)
+        fresh = make_log()
+        assert fresh.load(two.dump()) == two.whole()
+        two = fresh
+    assert (one.index, one.states, one.missed) == (two.index, two.states, two.missed)
+
+
+def test_a_topic_that_was_off_when_it_had_entries_is_not_made_up():
+    """Guards a section turned on later: that member's state would not be the others'."""
+    off = make_log("shares")
+    off.apply(make_log().encode("pools", "g1", Add(1)))
+    assert off.missed == {"pools"}
+    on = make_log()
+    with pytest.raises(BadSnapshot, match="pools was off here"):
+        on.load(off.dump())
+    assert make_log("shares").load(off.dump())
+    never = make_log("shares")
+    assert on.load(never.dump()) and on.states["pools"] == Sum(), "no entry was missed: it starts anew"
+
+
+@pytest.mark.parametrize("bad", [b"", body(FORMAT + 1, 1, {}, []), body(FORMAT, 1, {"shares": [1]}, [])])
+def test_a_snapshot_that_cannot_be_read_changes_nothing(bad):
+    log = make_log()
+    log.apply(log.encode("shares", "g1", Add(1)))
+    with pytest.raises(BadSnapshot):
+        log.load(bad)
+    assert log.index == 1 and log.states["shares"].total == 1
+
+
+# --- the ledger's calls, as the engine makes them -------------------------------------------------
+
+
+class Direct:
+    """One member's ledger without an engine."""
+
+    def __init__(self, *topics: str) -> None:
+        self.told = Told()
+        self.ledger = Ledger(make_log(*topics), "g0", "life", self.told)
+
+    def __getattr__(self, name: str):
+        return lambda *given: getattr(self.ledger, name)(*given, _doApply=True)
+
+
+def test_the_states_come_whole_at_the_start():
+    assert Direct().told.heard[0] == Change() and set(Direct().told.states()) == {"shares", "pools"}
+
+
+def test_the_engine_numbers_the_calls_as_journals_on_disk_do():
+    """Guards journals: the engine finds a call by its place among the sorted names; see docs/formats."""
+    assert sorted(name for name in dir(Ledger) if name.endswith("_v0")) == ["change_v0", "mark_v0", "put_v0"]
+
+
+def test_calls_of_journals_from_before_topics_still_do_what_they_did():
+    member = Direct()
+    assert member.change(0, '{"drains":["n0"]}') == 1 and member.change(0, "{}") == 0
+    member.mark("g0", "life", 7)
+    assert member.told.heard[-1].number == 7
+
+
+def test_a_policy_is_judged_by_the_topics_that_its_pusher_named():
+    """Guards a replay: turned on since, a topic must not refuse what was committed without it."""
+    member = Direct()
+    member.put(member.ledger.log.encode("pools", "g1", Add(50)))
+    text = '{"pools":{"most":10}}'
+    assert member.change(0, text, ("shares",)) == 1
+    assert member.change(1, text, ("pools", "shares")).where == "pools.most" and member.ledger.version == 1
+
+
+def test_a_text_that_is_no_policy_is_refused_and_not_raised():
+    refusal = Direct().change(0, '{"new": 1}', ())
+    assert isinstance(refusal, Refusal) and "new" in refusal.what
+
+
+@pytest.mark.parametrize("breaks", [
+    lambda member: member.change(0, "{}", ("maintenance",)),
+    lambda member: member.ledger._deserialize({"format": 3}),
+    lambda member: member.ledger._deserialize({"format": 2, "version": 1, "body": "{}", "log": b"\xc1"}),
+    lambda member: member.put(7)])
+def test_a_member_that_lost_the_thread_says_so_once_takes_nothing_in_and_writes_no_snapshot(breaks):
+    member = Direct()
+    breaks(member)
+    assert len(member.told.of(Broken)) == 1
+    heard = list(member.told.heard)
+    assert member.change(0, "{}", ()) is None, "what became of it on the others is not known here"
+    member.put(member.ledger.log.encode("pools", "g1", Add(50)))
+    member.mark("g0", "life", 7)
+    assert member.told.heard == heard and member.ledger.log.states["pools"] == Sum()
+    with pytest.raises(LogUnusable):
+        member.ledger._serialize()
+
+
+def test_a_snapshot_holds_the_states_and_nothing_of_the_process():
+    member, other = Direct(), Direct()
+    member.put(member.ledger.log.encode("pools", "g1", Add(50)))
+    member.change(0, '{"drains":["n0"]}', ("pools", "shares"))
+    data = member.ledger._serialize()
+    assert set(data) == {"format", "version", "body", "log"}
+    other.ledger._deserialize(data)
+    assert other.told.states()["pools"] == Sum(50, "g1")
+    assert other.told.of(Change)[-1] == Change(1, '{"drains":["n0"]}')
+
+
+def test_a_snapshot_from_before_topics_is_taken_in():
+    member = Direct()
+    member.ledger._deserialize({"version": 4, "body": '{"drains":["n0"]}'})
+    assert member.told.heard[-1] == Change(4, '{"drains":["n0"]}') and not member.told.of(Broken)
