--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -16,9 +16,10 @@
 from mallowbeam.buffer.disk import RealDisk
 from mallowbeam.buffer.log import Item, Log
 from mallowbeam.buffer.records import Barrier, Held, Kind, Write, pack
-from mallowbeam.lab.rig import Rig
+from mallowbeam.lab.rig import Rig, hold_port, write_files
 from mallowbeam.net.config import BadConfig
 from mallowbeam.operators import check, schema
+from mallowbeam.standins.discovery import Discovery
 from mallowbeam.standins.node import ObjectNode
 
 ROOT = EXAMPLE.parent
@@ -146,16 +147,27 @@
         rig.close()
 
 
-def test_the_gateway_alone_loads_nothing_of_it_all():
+def test_the_gateway_alone_loads_nothing_of_it_all(tmp_path):
     """Off costs nothing: neither the command line nor the buffer, nor what they need, is imported."""
     code = ("import sys, mallowbeam.__main__\n"
+            "async def run(*_, **__): pass\n"
+            "from mallowbeam import program\n"
+            "program.Gateway.run = run\n"         # with its doors made, all that is on has been loaded
+            "assert program.run() == 0\n"
             "bad = [m for m in sys.modules if m.split('.')[0] in ('typer', 'click', 'rich', 'msgspec', "
-            "'crc32c', 'lmdb', 'pydantic', 'pysyncobj') or m.startswith(('mallowbeam.buffer', "
+            "'crc32c', 'lmdb', 'pydantic', 'pysyncobj', 'httpx', 'prometheus_client', 'lark') "
+            "or m.startswith(('mallowbeam.buffer', "
             "'mallowbeam.cli', 'mallowbeam.fleet', 'mallowbeam.lab', 'mallowbeam.standins', "
             "'mallowbeam.operators', "
             "'mallowbeam.fronts.objects'))]\n"
             "assert not bad, bad")
-    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
+    env = {**os.environ, "BALANCER_CONFIG": str(tmp_path / "config.json"), "TMPDIR": str(tmp_path)}
+    env.pop("MALLOWBEAM_FRONTS", None)
+    discovery, (sock, port) = Discovery([]), hold_port()
+    write_files(tmp_path, "alone", port, discovery, {})
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, env=env, capture_output=True, text=True)
+    discovery.close()
+    sock.close()
     assert done.returncode == 0, done.stderr
 
 
--- a/tests/test_fleet_log.py
+++ b/tests/test_fleet_log.py
@@ -10,7 +10,16 @@
 
 from mallowbeam.fleet.agreement import Ledger
 from mallowbeam.fleet.errors import LogUnusable
-from mallowbeam.fleet.log import FORMAT, MOST_ENTRY, BadSnapshot, Entry, EntryTooLarge, Log, Refusal
+from mallowbeam.fleet.log import (
+    FORMAT,
+    MOST_ENTRY,
+    BadSnapshot,
+    Committed,
+    Entry,
+    EntryTooLarge,
+    Log,
+    Refusal,
+)
 from mallowbeam.fleet.policy_text import Policy
 
 
@@ -28,7 +37,7 @@
 def test_an_entry_changes_its_topic_alone_and_is_told_with_the_state_after_it():
     log = make_log()
     told = log.apply(log.encode("shares", "g1", Add(3)))
-    assert (told.index, told.topic, told.by, told.entry, told.state) == (1, "shares", "g1", Add(3), Sum(3, "g1"))
+    assert told == Committed(1, "shares", "g1", Add(3), Sum(3, "g1"))
     assert log.states == {"shares": Sum(3, "g1"), "pools": Sum()}
 
 
--- /dev/null
+++ b/tests/test_fleet_service.py
@@ -0,0 +1,266 @@
+"""The fleet's service and pages in this process: a fleet of one, a gateway that records what it is told."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import sys
+from collections.abc import Awaitable, Callable
+from types import ModuleType, SimpleNamespace
+
+import pytest
+from topics import Add, Adder, Change, Fail
+
+from mallowbeam import interface as io
+from mallowbeam.fleet import errors as fleet_errors
+from mallowbeam.fleet.agreement import Broken, Hosted
+from mallowbeam.fleet.errors import BadPolicy, LogUnusable, NoLeader
+from mallowbeam.fleet.hands import GatewayHands
+from mallowbeam.fleet.page import FleetPages
+from mallowbeam.fleet.policy_text import MOST_DEPTH, canonical, check_sections, owns, read_policy
+from mallowbeam.fleet.service import FleetService
+from mallowbeam.lab.rig import hold_port
+from mallowbeam.net.http import Message
+from mallowbeam.operators import PolicySection, SharesSection
+
+SILVER, GOLD = io.Plan("silver", rate=5, price=0.5), io.Plan("gold", reserve=10, weight=2)
+
+
+class Recorder:
+    """A gateway that records."""
+
+    def __init__(self) -> None:
+        self.parts, self.gates, self.hands, self.plans = [], [], [], []
+        self.exchanges = {}
+        self.config = SimpleNamespace(settings=SimpleNamespace(plans={"silver": SILVER, "gold": GOLD}))
+        self.facade = SimpleNamespace(planned=lambda now, plan: self.plans.append(plan))
+
+    def now(self) -> float:
+        return 0.0
+
+    def by_hand(self, node: str, out: bool, listed: bool = True) -> bool:
+        self.hands.append((node, out))
+        return True
+
+
+class Part:
+    """A subsystem that records what it is told, and may be made to fail."""
+
+    def __init__(self, hands: GatewayHands, section: object) -> None:
+        self.topic, self.hands, self.section = Adder("shares"), hands, section
+        self.told, self.proofs, self.fails = [], [], False
+
+    def committed(self, told, now: float) -> None:
+        self.told.append(told)
+        assert not self.fails
+
+    def proven(self, put_in: float, now: float) -> None:
+        assert put_in <= now
+        self.proofs.append(put_in)
+
+    def tick(self, now: float) -> None:
+        assert not self.fails
+
+    def shown(self) -> dict[str, object]:
+        return {"total": self.told[-1].state.total}
+
+    def gauges(self) -> dict[str, float]:
+        return {"total": float(self.told[-1].state.total), "odd-name": 1.0}
+
+
+class World:
+    """The service, its part and its pages."""
+
+    def __init__(self, folder, monkeypatch) -> None:
+        module = ModuleType("mallowbeam.fleet.shares.part")
+        module.open_part = Part
+        monkeypatch.setitem(sys.modules, module.__name__, module)
+        self.sock, port = hold_port(socket.SO_REUSEADDR)
+        self.gateway = Recorder()
+        section = PolicySection(folder=str(folder / "log"), name="g0", listen="127.0.0.1:1",
+                                members={"g0": f"127.0.0.1:{port}"}, beat_s=0.05, lease_s=20.0)
+        self.service = FleetService(self.gateway, section, {"shares": SharesSection(on=True)})
+        self.part: Part = self.service.subsystems["shares"]
+        self.pages = FleetPages(self.service)
+
+    async def until(self, holds: Callable[[], object]) -> None:
+        async with asyncio.timeout(30):
+            while not holds():
+                await asyncio.sleep(0.01)
+
+    async def ask(self, method: str, target: str, body: bytes = b"", base: object = None):
+        message = Message()
+        message.method, message.target, message.body = method.encode(), target.encode(), bytearray(body)
+        if base is not None:
+            message.headers = [(b"if-match", f'"{base}"'.encode())]
+        reply = await self.pages.handle(message, lambda: False)
+        head, _, told = reply.data.partition(b"\r\n\r\n")
+        return reply.status, told if b"text/plain" in head else json.loads(told)
+
+    async def push(self, base: int, policy: object):
+        return await self.ask("PUT", "/policy", json.dumps(policy).encode(), base)
+
+
+@pytest.fixture
+def play(tmp_path, monkeypatch):
+    def played(scene: Callable[[World], Awaitable[None]]) -> None:
+        async def run() -> None:
+            world = World(tmp_path, monkeypatch)
+            world.service.start()
+            try:
+                await world.until(lambda: world.service.serves() and world.service.leading)
+                await scene(world)
+            finally:
+                await world.service.stop()
+                world.service.disk.close()
+                world.sock.close()
+        asyncio.run(run())
+    return played
+
+
+def test_a_subsystem_is_told_states_proofs_and_entries_and_its_failures_stay_its_own(play):
+    async def scene(world: World) -> None:
+        part = world.part
+        assert part.told[0].entry is None and part.section == SharesSection(on=True)
+        await world.until(lambda: len(part.proofs) > 1)
+        assert part.hands.leader() and part.hands.members == ("g0",) and part.hands.propose(Add(5))
+        await world.until(lambda: part.told[-1].entry == Add(5))
+        part.fails = True
+        assert part.hands.propose(Fail())
+        proofs = len(part.proofs)
+        await world.until(lambda: part.told[-1].refusal and len(part.proofs) > proofs + 2)
+        assert world.service.counts["faults"] > 0 and world.service.counts["refused"] == 1
+        status, told = await world.ask("GET", "/fleet")
+        assert status == 200 and told["subsystems"] == {"shares": {"total": 5}}
+        status, text = await world.ask("GET", "/fleet/metrics")
+        assert b"mallowbeam_fleet_shares_total 5.0\n" in text and b"fleet_shares_odd_name 1.0\n" in text
+        assert b"mallowbeam_fleet_policy_serves 1.0\n" in text and b"process_" not in text
+    play(scene)
+
+
+def test_what_is_proposed_without_a_leader_is_dropped_at_once(play):
+    async def scene(world: World) -> None:
+        await world.service.stop()
+        assert not world.part.hands.propose(Add(1)) and world.service.counts["dropped"] == 1
+        assert (await world.push(0, {}))[1]["error"] == "NoLeader"
+    play(scene)
+
+
+def test_plans_of_a_policy_take_hold_and_go_with_it(play):
+    async def scene(world: World) -> None:
+        plans = world.gateway.plans
+        assert (await world.push(0, {"plans": [{"name": "silver", "limit": 9, "weight": 3}]}))[0] == 200
+        assert plans == [io.Plan("silver", rate=5, price=0.5, limit=9, weight=3)]
+        assert (await world.push(1, {"plans": [{"name": "gold", "reserve": 0}]}))[0] == 200
+        assert plans[1:] == [io.Plan("gold", reserve=0, weight=2), SILVER]
+        assert (await world.push(2, {}))[0] == 200
+        assert plans[3:] == [GOLD]
+    play(scene)
+
+
+def test_a_node_that_two_want_out_is_in_again_when_neither_does(play):
+    async def scene(world: World) -> None:
+        hands, told = world.part.hands, world.gateway.hands
+        hands.drain("n1", True)
+        await world.push(0, {"drains": ["n1", "n2"]})
+        hands.drain("n1", False)
+        assert told == [("n1", True), ("n2", True)]
+        await world.push(1, {})
+        assert sorted(told[2:]) == [("n1", False), ("n2", False)]
+        hands.gate(False)
+        assert not all(gate() for gate in world.gateway.gates)
+    play(scene)
+
+
+def test_every_refusal_is_json_with_what_where_and_remedy(play):
+    async def scene(world: World) -> None:
+        await world.until(lambda: world.part.hands.propose(Add(50)))
+        await world.until(lambda: world.part.told[-1].entry == Add(50))
+        swells = json.dumps({"drains": ["é" * 200 + str(i) for i in range(60)]}, ensure_ascii=False).encode()
+        calls = [
+            (await world.ask("GET", "/nothing"), 404, "NoSuchPage", "/nothing"),
+            (await world.ask("DELETE", "/policy"), 405, "NotByThisMethod", "/policy"),
+            (await world.ask("PUT", "/policy", b"{}"), 428, "NoBase", "If-Match"),
+            (await world.push(0, {"drains": [1]}), 400, "BadPolicy", "drains[0]"),
+            (await world.ask("PUT", "/policy", b"\xff", 0), 400, "BadPolicy", ""),
+            (await world.ask("PUT", "/policy", swells, 0), 400, "BadPolicy", ""),
+            (await world.push(0, {"pools": {}}), 400, "BadPolicy", "pools"),
+            (await world.push(0, {"plans": [{"name": "tin"}]}), 400, "BadPolicy", "plans"),
+            (await world.push(0, {"shares": {"most": 40}}), 409, "PolicyRefused", "shares.most"),
+            (await world.push(3, {}), 412, "Overtaken", "version 3")]
+        for (status, told), wanted, name, where in calls:
+            assert (status, told["error"], told["where"]) == (wanted, name, where), told
+            assert told["what"] and told["remedy"]
+        assert (await world.ask("GET", "/policy"))[1]["version"] == 0
+    play(scene)
+
+
+def test_a_member_with_other_sections_stops_pushes_while_it_is_heard_of(play):
+    async def scene(world: World) -> None:
+        world.service.section.members["g1"] = "127.0.0.1:2"
+        world.service._learn((Hosted("g1", ()),))
+        world.service.agreement.ledger.heard["g1"] = float("inf")
+        status, told = await world.push(0, {})
+        assert (status, told["error"]) == (409, "NotAlike") and "g1" in told["what"]
+        del world.service.agreement.ledger.heard["g1"]
+        assert (await world.push(0, {}))[0] == 200
+    play(scene)
+
+
+@pytest.mark.parametrize("heard", [Broken(LogUnusable("newer", "snapshot")), Change(0, '{"drains":["n9"]}')])
+def test_one_that_lost_the_thread_leaves_and_says_why(play, heard):
+    async def scene(world: World) -> None:
+        world.service._learn((heard,))
+        await world.until(lambda: world.service.leaving.done())
+        assert world.service.agreement is None
+        assert (await world.ask("GET", "/policy"))[1]["failed"]["error"] == "LogUnusable"
+        assert (await world.push(0, {}))[1]["error"] == "LogUnusable" and world.gateway.hands == []
+        proofs = len(world.part.proofs)
+        world.service._learn((Change(1, '{"drains":["n1"]}'),))
+        assert world.gateway.hands == [] and len(world.part.proofs) == proofs
+    play(scene)
+
+
+# --- the text, the errors -------------------------------------------------------------------------
+
+
+def test_equal_policies_have_one_spelling():
+    one = read_policy('{"plans": [{"name": "b", "limit": 1}, {"name": "a"}], "drains": ["y", "x", "x"],'
+                      ' "shares": {"b": 1, "a": {"d": 1, "c": 2}}}')
+    two = read_policy('{"shares": {"a": {"c": 2, "d": 1}, "b": 1}, "drains": ["x", "y"],'
+                      ' "plans": [{"name": "a"}, {"limit": 1.0, "name": "b"}]}')
+    assert canonical(one) == canonical(two) and read_policy(canonical(one)) == read_policy(canonical(two))
+    assert canonical(read_policy("{}")) == '{"drains":[]}', "as ever"
+
+
+@pytest.mark.parametrize(("text", "said"), [
+    ('{"plans": [{"name": "a"}, {"name": "a"}]}', "twice"),
+    ('{"plans": [{"name": "a", "weight": 0}]}', "weight"),
+    ('{"shares": ' + '{"a":' * MOST_DEPTH + "[1]" + "}" * MOST_DEPTH + "}", "levels"),
+    ('{"shares": ' + '{"a":' * 5000 + "1" + "}" * 5000 + "}", ""),
+    ('{"drains": ["' + "x" * 70_000 + '"]}', "at most 65536")])
+def test_a_policy_that_can_not_be_is_refused_with_a_remedy(text, said):
+    with pytest.raises(BadPolicy) as caught:
+        read_policy(text)
+    assert said in str(caught.value) and caught.value.cure
+
+
+def test_a_section_is_checked_against_the_type_that_its_package_states(monkeypatch):
+    monkeypatch.setattr("mallowbeam.fleet.policy_text._TYPES", {})
+    owns("shares", SharesSection)
+    with pytest.raises(BadPolicy) as caught:
+        check_sections(read_policy('{"shares": {"on": 7}}'), ("shares",))
+    assert caught.value.where == "shares.on"
+    with pytest.raises(ValueError, match="lanes"):
+        owns("lanes", SharesSection)
+
+
+def test_each_error_of_the_fleet_has_a_status_and_a_remedy():
+    kinds = [kind for kind in vars(fleet_errors).values() if isinstance(kind, type)
+             and issubclass(kind, fleet_errors.FleetError) and kind is not fleet_errors.FleetError]
+    assert NoLeader in kinds
+    for kind in kinds:
+        told = kind("what", "where").told()
+        assert told == {"error": kind.__name__, "what": "what", "where": "where", "remedy": kind.remedy}
+        assert kind.remedy and 400 <= kind.status < 600
