Tests: short names for the log's cases

Need: Test ids held bodies of 64 KiB and unreadable bytes.

Change: The cases of the log's tests have short names.

Measured: Ids only; the cases are the same.

--- a/tests/test_fleet_log.py
+++ b/tests/test_fleet_log.py
@@ -45,7 +45,8 @@
     body(FORMAT + 1, "shares", "g1", Add(3)), body(FORMAT, "elsewhere", "g1", Add(3)),
     body(FORMAT, "shares", "g1", Stranger()), body(FORMAT, "shares"), b"\xc1", b"",
     body(FORMAT, "shares", "g1", {"kind": "add", "amount": 1, "new": 2}),
-    body(FORMAT, "shares", "g1" * MOST_ENTRY, Add(3))])
+    body(FORMAT, "shares", "g1" * MOST_ENTRY, Add(3))], ids=[
+        "newer", "topic", "kind", "short", "no type", "empty", "field", "long"])
 def test_what_is_not_known_or_too_long_is_passed_over_and_counted(unknown):
     """Guards equal indices: a member that does not know an entry still counts it, as the others do."""
     log = make_log()
--- a/tests/test_fleet_service.py
+++ b/tests/test_fleet_service.py
@@ -239,7 +239,8 @@
     ('{"plans": [{"name": "a", "weight": 0}]}', "weight"),
     ('{"shares": ' + '{"a":' * MOST_DEPTH + "[1]" + "}" * MOST_DEPTH + "}", "levels"),
     ('{"shares": ' + '{"a":' * 5000 + "1" + "}" * 5000 + "}", ""),
-    ('{"drains": ["' + "x" * 70_000 + '"]}', "at most 65536")])
+    ('{"drains": ["' + "x" * 70_000 + '"]}', "at most 65536")],
+    ids=["twice", "weightless", "deep", "deeper than a stack", "long"])
 def test_a_policy_that_can_not_be_is_refused_with_a_remedy(text, said):
     with pytest.raises(BadPolicy) as caught:
         read_policy(text)
