--- a/mallowbeam/fleet/agreement.py
+++ b/mallowbeam/fleet/agreement.py
@@ -8,7 +8,8 @@
 the engine numbers calls by their sorted names, so a new one must sort behind the others or be of a new `ver`.
 
 A call must do the same on every member, and must not raise: the engine would try the entry again for ever.
-What goes wrong here and not everywhere is told as `Broken`; from then on this member takes in nothing and
+What goes wrong by what was put in (any exception but those of `log.LOCAL`) does so everywhere and changes
+nothing.  What goes wrong by this place is told as `Broken`; from then on this member takes in nothing and
 writes no snapshot, and its service leaves the fleet.
 """
 
@@ -20,6 +21,7 @@
 from pathlib import Path
 from typing import Any
 
+from loguru import logger
 from pysyncobj import FAIL_REASON, SyncObj, SyncObjConf, SyncObjConsumer, replicated
 from pysyncobj.node import TCPNode
 
@@ -33,7 +35,7 @@
     PolicyRefused,
     QueueFull,
 )
-from mallowbeam.fleet.log import Committed, Log, Refusal
+from mallowbeam.fleet.log import LOCAL, Committed, Log, Refusal
 from mallowbeam.fleet.policy import Change
 from mallowbeam.fleet.policy_text import read_policy
 
@@ -128,9 +130,11 @@
             except MallowbeamError as error:   # of another program's pusher; the same text for all
                 return Refusal(error.what, error.where, error.cure)
             heard = self.log.push(policy, topics)
-        except Exception as error:             # noqa: BLE001 (of this place: see the head)
+        except (LogUnusable, *LOCAL) as error:
             self._break(error)
             return None
+        except Exception as error:             # noqa: BLE001 (of what was put in: see the head)
+            return self._alike(error)
         if isinstance(heard, Refusal):
             return heard
         self.version, self.body = base + 1, body
@@ -156,10 +160,18 @@
         if self.broken is None:
             try:
                 told = self.log.apply(body)
-            except Exception as error:         # noqa: BLE001 (of this place: see the head)
-                return self._break(error)
-            if told is not None:
-                self._tell(told)
+                if told is not None:
+                    self._tell(told)
+            except LOCAL as error:
+                self._break(error)
+            except Exception as error:         # noqa: BLE001 (of what was put in: see the head)
+                self._alike(error)
+
+    @staticmethod
+    def _alike(error: Exception) -> Refusal:
+        """What was put in is at fault, for every member: logged, and refused."""
+        logger.opt(exception=error).error("fleet log: a call failed, here as on every member")
+        return Refusal(f"the log failed: {type(error).__name__}", "", "report it with the log's line")
 
     def _tell(self, *heard: Heard) -> None:
         if heard and self.broken is None:
--- a/tests/test_fleet_service.py
+++ b/tests/test_fleet_service.py
@@ -11,8 +11,10 @@
 
 import pytest
 from topics import Add, Adder, Change, Fail
+from typer.testing import CliRunner
 
 from mallowbeam import interface as io
+from mallowbeam.cli.policy import app
 from mallowbeam.fleet import errors as fleet_errors
 from mallowbeam.fleet.agreement import Broken, Hosted
 from mallowbeam.fleet.errors import BadPolicy, LogUnusable, NoLeader
@@ -141,8 +143,10 @@
 
 def test_what_is_proposed_without_a_leader_is_dropped_at_once(play):
     async def scene(world: World) -> None:
-        await world.service.stop()
+        world.service.leading = None
         assert not world.part.hands.propose(Add(1)) and world.service.counts["dropped"] == 1
+        await world.service.stop()
+        assert not world.part.hands.propose(Add(1)) and world.service.counts["dropped"] == 2
         assert (await world.push(0, {}))[1]["error"] == "NoLeader"
     play(scene)
 
@@ -193,6 +197,8 @@
             assert (status, told["error"], told["where"]) == (wanted, name, where), told
             assert told["what"] and told["remedy"]
         assert (await world.ask("GET", "/policy"))[1]["version"] == 0
+        told = json.loads(world.pages.complain(413, "too long").data.partition(b"\r\n\r\n")[2])
+        assert told["error"] == "Unreadable" and told["remedy"]
     play(scene)
 
 
@@ -222,6 +228,21 @@
     play(scene)
 
 
+@pytest.mark.parametrize(("answer", "code", "said"), [
+    ((200, {"version": 3}), 0, "version 3 is committed"),
+    ((409, {"what": "less than there is", "where": "pools.most", "remedy": "allow 50"}), 1,
+     "pools.most: less than there is (allow 50)"),
+    ((504, {"what": "no word", "where": "", "remedy": "look"}), 3, "no word (look)"),
+    ((0, {"what": "no answer"}), 3, "no answer")])
+def test_the_command_line_says_what_where_and_what_to_do(monkeypatch, tmp_path, answer, code, said):
+    async def told(address: str, method: str, *_: object):
+        return (200, {"serves": True, "version": 2}) if method == "GET" else answer
+    monkeypatch.setattr("mallowbeam.cli.policy._ask", told)
+    (tmp_path / "p.json").write_text("{}")
+    done = CliRunner().invoke(app, ["push", str(tmp_path / "p.json"), "--at", "h:1"])
+    assert done.exit_code == code and said in done.output
+
+
 # --- the text, the errors -------------------------------------------------------------------------
 
 
