--- a/mallowbeam/cli/lab.py
+++ b/mallowbeam/cli/lab.py
@@ -70,11 +70,8 @@
         for result in pool.map(trial.run, range(seed, seed + runs)):
             results.append(result)
             step(1)
-    took = sorted(seconds for result in results for seconds in result.took_hold)
-    wrong = [f"seed {result.seed}: {line}" for result in results for line in result.wrong]
-    rows([trial.Summary(runs, sum(r.pushed for r in results), sum(r.committed for r in results),
-                        sum(r.unknown for r in results), sum(r.looks for r in results),
-                        trial.quantile(took, 0.5), trial.quantile(took, 0.99), len(wrong))], as_json)
+    wrong = [f"seed {r.seed}: {line}" for r in results for line in (*r.wrong, *r.look_at)]
+    rows([trial.summary(results)], as_json)
     for line in wrong:
         typer.echo(line, err=True)
     if wrong:
--- a/mallowbeam/fleet/agreement.py
+++ b/mallowbeam/fleet/agreement.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -14,7 +15,9 @@
 from pysyncobj.node import TCPNode
 
 from mallowbeam.fleet.policy import Change
+from mallowbeam.fleet.wire import Wire
 
+ONE_SEND = 1 << 18          # bytes of entries in a message; more than any entry, as pieces can't be checked
 Told = Callable[[Change, int], None]        # the newest, and the number of a mark of one's own, or 0
 
 
@@ -80,8 +83,19 @@
             autoTickPeriod=0.02, raftMinTimeout=0.4, raftMaxTimeout=0.9, appendEntriesPeriod=0.1,
             connectionRetryTime=0.2, connectionTimeout=1.5, leaderFallbackTimeout=1.0,
             commandsWaitLeader=False, commandsQueueSize=1000, journalFile=str(folder / "journal"),
+            appendEntriesBatchSizeBytes=ONE_SEND,
             fullDumpFile=str(folder / "snapshot"), logCompactionMinEntries=2000, logCompactionMinTime=30,
-            useFork=False), consumers=[self.ledger])
+            useFork=False), consumers=[self.ledger], transportClass=self._wired)
+
+    def _wired(self, engine: Any, own: Any, others: Any) -> Wire:
+        self.wire = Wire(engine, own, others)
+        return self.wire
+
+    def shown(self) -> dict[str, object]:
+        """The engine as it stands: term, vote, ends of the log, links; empty where it won't stand still."""
+        with suppress(RuntimeError, IndexError):  # it changed while it was read
+            return self.wire.shown({address: name for name, address in self.members.items()})
+        return {}
 
     def _after(self, name: str, life: str, number: int) -> None:
         """An entry is committed; runs in the engine's thread."""
--- a/mallowbeam/fleet/service.py
+++ b/mallowbeam/fleet/service.py
@@ -183,7 +183,8 @@
         return {"name": self.section.name, "phase": core.phase.value, "serves": self.serves(),
                 "leader": self.agreement.leader() if self.agreement else None,
                 "version": core.change.version, "digest": digest(core.change),
-                "policy": json.loads(core.change.body)}
+                "policy": json.loads(core.change.body),
+                "engine": self.agreement.shown() if self.agreement else None}
 
     async def _push(self, base: int, body: str) -> tuple[int, str]:
         loop = asyncio.get_running_loop()
--- a/mallowbeam/lab/faults/fleet.py
+++ b/mallowbeam/lab/faults/fleet.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from typing import Any
 
+from mallowbeam.lab.faults.diagnosis import Diagnosis
 from mallowbeam.lab.faults.history import Fault, History, Pushed, Seen
 from mallowbeam.lab.faults.links import Link
 from mallowbeam.lab.rig import hold_port, launch, write_files
@@ -32,6 +33,7 @@
         self.when_stale = when_stale
         self.folder, self.names = folder, [f"g{i}" for i in range(size)]
         self.history, self.began = History(), time.monotonic()
+        self.diagnosis = Diagnosis()
         self.nodes = [ObjectNode() for _ in range(nodes)]
         self.discovery = Discovery([member(f"n{i}", node.host_port, i) for i, node in enumerate(self.nodes)])
         self.held, self.ports = [], dict[str, tuple[int, int, int]]()  # by gateway: clients, page, log
@@ -161,6 +163,7 @@
         seen = Seen(self.now(), asked, name, told["phase"], told["serves"], told["version"],
                     json.dumps(told["policy"], separators=(",", ":"), sort_keys=True), told["leader"])
         self.history.add(seen)
+        self.diagnosis.add(self.now(), name, told.get("engine") or {})
         return seen
 
     async def look_all(self) -> dict[str, Seen]:
--- a/mallowbeam/lab/faults/trial.py
+++ b/mallowbeam/lab/faults/trial.py
@@ -5,13 +5,16 @@
 import asyncio
 import random
 import tempfile
+from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
+from mallowbeam.lab.faults.diagnosis import replay
 from mallowbeam.lab.faults.fleet import LEASE, Fleet
 from mallowbeam.lab.faults.history import check
 
 STEPS = 8                   # faults and changes of one trial
+REST_S = 30.0               # seconds that a healed fleet is waited for; told for one that was not at rest
 NODES = ("n0", "n1", "n7", "n9")
 
 
@@ -25,7 +28,9 @@
     unknown: int                               # and whose end their pusher was not told
     looks: int                                 # words of gateways that the checkers read
     took_hold: list[float]                     # from a push's beginning until every gateway up has it
+    rest: float                                # from the last heal until all serve one version
     wrong: list[str]
+    look_at: list[str]                         # where it did not come to rest: engines by second, links
 
 
 @dataclass(slots=True)
@@ -39,9 +44,23 @@
     looks: int
     took_p50: float
     took_p99: float
+    rest_p50: float
+    rest_p99: float
+    rest_max: float
     wrong: int
 
 
+def summary(results: Sequence[Result]) -> Summary:
+    """All trials in one."""
+    took = sorted(seconds for result in results for seconds in result.took_hold)
+    rest = sorted(result.rest for result in results)
+    return Summary(len(results), sum(r.pushed for r in results), sum(r.committed for r in results),
+                   sum(r.unknown for r in results), sum(r.looks for r in results),
+                   quantile(took, 0.5), quantile(took, 0.99),
+                   quantile(rest, 0.5), quantile(rest, 0.99), max(rest, default=0.0),
+                   sum(len(r.wrong) for r in results))
+
+
 def quantile(ordered: list[float], part: float) -> float:
     """The value below which this part of a sorted list lies; 0 of an empty one."""
     return ordered[min(len(ordered) - 1, int(part * len(ordered)))] if ordered else 0.0
@@ -52,21 +71,28 @@
     draw = random.Random(seed)
     took: list[float] = []
     wrong: list[str] = []
+    look_at: list[str] = []
+    healed: list[float] = []
     async with Fleet(folder) as fleet:
         try:
             await fleet.settled()
             await _changes(fleet, draw)
+            healed.append(fleet.now())
+            await fleet.settled(max((p.version for p in fleet.history.pushed()), default=0))
+            healed.append(fleet.now())
             took += [await _in_peace(fleet, draw) for _ in range(2)]
         except TimeoutError as error:
             wrong.append(f"not at rest {error}")
+            look_at = [*fleet.diagnosis.lines(fleet.names), f"again: {replay(seed)}"]
         pushes = list(fleet.history.pushed())
         return Result(seed, len(pushes), sum(p.version > 0 for p in pushes),
                       sum(p.why == "unknown" for p in pushes), sum(1 for _ in fleet.history.seen()), took,
-                      wrong + check(fleet.history, set(fleet.names), LEASE))
+                      healed[1] - healed[0] if len(healed) == 2 else REST_S,
+                      wrong + check(fleet.history, set(fleet.names), LEASE), look_at)
 
 
 async def _changes(fleet: Fleet, draw: random.Random) -> None:
-    """Changes of policy among faults, until all are healed and agree."""
+    """Changes of policy among faults, until all are healed."""
     for _ in range(STEPS):
         await _fault(fleet, draw)
         base = max((seen.version for seen in (await fleet.look_all()).values()), default=0)
@@ -82,7 +108,6 @@
         if draw.random() < 0.5:
             fleet.heal()
     fleet.heal()
-    await fleet.settled(max((p.version for p in fleet.history.pushed()), default=0))
 
 
 async def _in_peace(fleet: Fleet, draw: random.Random) -> float:
