--- a/mallowbeam/fleet/agreement.py
+++ b/mallowbeam/fleet/agreement.py
@@ -17,6 +17,7 @@
 
 import time
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -38,8 +39,10 @@
 from mallowbeam.fleet.log import LOCAL, Committed, Log, Refusal
 from mallowbeam.fleet.policy import Change
 from mallowbeam.fleet.policy_text import read_policy
+from mallowbeam.fleet.wire import Wire
 
 MOST_HOSTED = 1024          # members whose topics are remembered; the operators' file names fewer
+ONE_SEND = 1 << 18          # bytes of entries in a message; more than any entry, as pieces can't be checked
 SNAPSHOT = 2                # its format; 1 held version and body alone
 UNSENT = {FAIL_REASON.MISSING_LEADER: NoLeader, FAIL_REASON.REQUEST_DENIED: NoLeader,
           FAIL_REASON.QUEUE_FULL: QueueFull}   # why nothing was put in; else its end is not known
@@ -222,8 +225,19 @@
             autoTickPeriod=0.02, raftMinTimeout=0.4, raftMaxTimeout=0.9, appendEntriesPeriod=0.1,
             connectionRetryTime=0.2, connectionTimeout=1.5, leaderFallbackTimeout=1.0,
             commandsWaitLeader=False, commandsQueueSize=1000, journalFile=str(folder / "journal"),
+            appendEntriesBatchSizeBytes=ONE_SEND,
             fullDumpFile=str(folder / "snapshot"), logCompactionMinEntries=2000, logCompactionMinTime=30,
-            useFork=False), consumers=[self.ledger])
+            useFork=False), consumers=[self.ledger], transportClass=self._wired)
+
+    def _wired(self, engine: Any, own: Any, others: Any) -> Wire:
+        self.wire = Wire(engine, own, others)
+        return self.wire
+
+    def shown(self) -> dict[str, object]:
+        """The engine as it stands: term, vote, ends of the log, links; empty where it won't stand still."""
+        with suppress(RuntimeError, IndexError):  # it changed while it was read
+            return self.wire.shown({address: name for name, address in self.members.items()})
+        return {}
 
     def mark(self, number: int) -> None:
         """Put a mark in; it is lost without a word where there is no leader."""
--- a/mallowbeam/fleet/service.py
+++ b/mallowbeam/fleet/service.py
@@ -274,7 +274,8 @@
                 "leader": self.agreement.leader() if self.agreement else None,
                 "version": core.change.version, "digest": digest(core.change),
                 "policy": json.loads(core.change.body),
-                "failed": self.failed.told() if self.failed else None}
+                "failed": self.failed.told() if self.failed else None,
+                "engine": self.agreement.shown() if self.agreement else None}
 
     def fleet(self) -> dict[str, object]:
         """Members and subsystems."""
