Fleet's service: plans reach the facade as it takes them, one refused leaves the rest

Need: The facade takes plans by volume, shard and part, and may refuse; a refused plan would have ended the policy's application half way.

Change: hands.planned hands all of it on; a refusal is one error line, and the rest of the policy holds.

--- a/mallowbeam/fleet/hands.py
+++ b/mallowbeam/fleet/hands.py
@@ -39,14 +39,16 @@
         plans: Mapping[str, Plan] = self.gateway.config.settings.plans
         return plans
 
-    def planned(self, plan: Plan, volume: str = "") -> bool:
-        """Let these figures hold; False where this gateway's module can't take them."""
+    def planned(self, plan: Plan, volume: str = "", shard: int | None = None,
+                part: float | None = None) -> bool:
+        """Let these figures hold; False where this gateway's module can't take them at all.
+
+        Raises the facade's `MallowbeamError` where it refuses them; nothing has changed then.
+        """
         call = getattr(self.gateway.facade, "planned", None)
         if call is None:
             return False
-        orders = call(self.gateway.now(), plan, volume) if volume else call(self.gateway.now(), plan)
-        if orders is not None:
-            self.gateway._apply(orders)
+        self.gateway._apply(call(self.gateway.now(), plan, volume, shard, part))
         return True
 
 
@@ -68,9 +70,10 @@
         """Take a node out here, or want it out no more."""
         self._drains.want(self.name, node, out)
 
-    def planned(self, plan: Plan, volume: str = "") -> bool:
-        """A plan's figures, or one volume's, from now on."""
-        return self._plans.planned(plan, volume)
+    def planned(self, plan: Plan, volume: str = "", shard: int | None = None,
+                part: float | None = None) -> bool:
+        """A plan's figures, or one volume's allotment, from now on."""
+        return self._plans.planned(plan, volume, shard, part)
 
     def settings_plans(self) -> Mapping[str, Plan]:
         """The plans of the platform's settings, by name."""
--- a/mallowbeam/fleet/service.py
+++ b/mallowbeam/fleet/service.py
@@ -214,8 +214,12 @@
         for name in sorted({*texts, *(plan.name for plan in was.plans)}):
             if (base := settings.get(name)) is None:
                 logger.error("policy: plan {} is not among the platform's", name)
-            elif not self.plans.planned(texts[name].over(base) if name in texts else base):
-                logger.error("policy: plan {} can't take hold while the gateway runs", name)
+                continue
+            try:
+                if not self.plans.planned(texts[name].over(base) if name in texts else base):
+                    logger.error("policy: plan {} can't take hold while the gateway runs", name)
+            except MallowbeamError as error:   # the rest of the policy holds all the same
+                logger.error("policy: {}", error.line)
 
     # --- what is put in ---------------------------------------------------------------------------
 
--- a/mallowbeam/fleet/subsystem.py
+++ b/mallowbeam/fleet/subsystem.py
@@ -53,8 +53,12 @@
     def drain(self, node: str, out: bool) -> None:
         """Take a node out of service here or call it back; out while anybody still wants it out."""
 
-    def planned(self, plan: Plan, volume: str = "") -> bool:
-        """A plan's figures, or one volume's, from now on; False where the module can't take them."""
+    def planned(self, plan: Plan, volume: str = "", shard: int | None = None,
+                part: float | None = None) -> bool:
+        """A plan's figures, or one volume's allotment, from now on, as `facade.planned` takes them.
+
+        False where this gateway's module has no such call; raises its `MallowbeamError` where it refuses.
+        """
 
     def settings_plans(self) -> Mapping[str, Plan]:
         """The plans of the platform's settings, by name."""
--- a/tests/test_fleet_service.py
+++ b/tests/test_fleet_service.py
@@ -36,7 +36,15 @@
         self.parts, self.gates, self.hands, self.plans = [], [], [], []
         self.exchanges = {}
         self.config = SimpleNamespace(settings=SimpleNamespace(plans={"silver": SILVER, "gold": GOLD}))
-        self.facade = SimpleNamespace(planned=lambda now, plan: self.plans.append(plan))
+        self.facade = SimpleNamespace(planned=self.planned)
+
+    def planned(self, now: float, plan: io.Plan, *_: object) -> None:
+        if plan.limit == 13:
+            raise BadPolicy("refused by the module")
+        self.plans.append(plan)
+
+    def _apply(self, orders: object) -> None:
+        assert orders is None
 
     def now(self) -> float:
         return 0.0
@@ -160,6 +168,9 @@
         assert plans[1:] == [io.Plan("gold", reserve=0, weight=2), SILVER]
         assert (await world.push(2, {}))[0] == 200
         assert plans[3:] == [GOLD]
+        both = {"drains": ["n1"], "plans": [{"name": "gold", "limit": 13}, {"name": "silver", "limit": 1}]}
+        assert (await world.push(3, both))[0] == 200
+        assert [plan.name for plan in plans[4:]] == ["silver"] and world.gateway.hands == [("n1", True)]
     play(scene)
 
 
