--- a/mallowbeam/fleet/handover.py
+++ b/mallowbeam/fleet/handover.py
@@ -141,7 +141,7 @@
     def usable(self, resource: Resource, now: float) -> N:
         """What may be used here now; new connections are opened only while fewer are out."""
         floor = self.floor(resource, self.me)
-        if now < self.begun + self.linger:
+        if now <= self.begun + self.linger:
             return floor * 0                   # Guards what an earlier life may still hold at a silent node.
         if not self.live(now):
             return floor
@@ -299,7 +299,7 @@
 
     def _due(self, now: float) -> list[Release]:
         """The release to be put in now, if one is."""
-        if not self.owed or now < self.begun + self.linger:
+        if not self.owed or now <= self.begun + self.linger:
             return []
         fits = self.epoch
         for resource, amount in self.out.items() if self.out else ():
