--- a/mallowbeam/lab/faults/model.py
+++ b/mallowbeam/lab/faults/model.py
@@ -41,6 +41,7 @@
     drift: float = 0.5
     linger: float = 0.0
     rates: tuple[float, ...] = (1.0, 1.5, 1.0)
+    lives: int = 2                             # restarts of each at most
     counted: bool = False                      # whole connections that stay out until they are closed
     kind: type[Handover[Any]] = Handover
     names: tuple[str, ...] = GATEWAYS
@@ -103,7 +104,7 @@
         """Changed no more: its key says all that decides what it will do."""
         v = self.view
         opened = tuple((name, rows[0][0]) for name, rows in sorted(v.open.items()))
-        self.key = (self.life > 0, self.at, v.epoch, v.gone, v.known_at, v.begun, opened, tuple(v.owed),
+        self.key = (self.life, self.at, v.epoch, v.gone, v.known_at, v.begun, opened, tuple(v.owed),
                     v.put[0], tuple(sorted(v.rel.items())), tuple(sorted(v.heard.items())),
                     tuple(sorted(self.out.items())))
         return self
@@ -168,7 +169,7 @@
                 can.append(f"mark {name}")
             if any(self.now(number) > at + seat.view.wait for at, _ in seat.view.heard.values()):
                 can.append(f"tick {name}")
-            if seat.life < 2:
+            if seat.life < self.script.lives:
                 can.append(f"restart {name}")
             now = self.now(number)
             if any(amount > seat.view.usable(resource, now) for resource, amount in seat.out.items()):
@@ -325,17 +326,18 @@
     seen = {hash(begin.key)}                   # 64 bits of each: two alike are not to be feared
     layer: list[tuple[World[N], tuple[Any, ...]]] = [(begin, ())]
     for last in range(depth - 1, -1, -1):
-        below = []
+        below: list[tuple[World[N], tuple[Any, ...]]] = []
         for world, trace in layer:
             for choice in world.choices():
                 then = world.after(choice)
+                trail: tuple[Any, ...] = (trace, choice)
                 if (key := hash(then.key)) in seen:
                     continue
                 seen.add(key)
                 if wrong := then.wrong():
-                    return Found(len(seen), wrong, (*after, *_unrolled((trace, choice))))
+                    return Found(len(seen), wrong, (*after, *_unrolled(trail)))
                 if last:
-                    below.append((then, (trace, choice)))
+                    below.append((then, trail))
                 if len(seen) >= most:
                     return Found(len(seen))
         layer = below
@@ -367,3 +369,13 @@
         trace, step = trace
         steps.append(step)
     return tuple(reversed(steps))
+
+
+TEN = {"t1": 10, "t2": 10}
+SHIFTS: Sequence[tuple[Rows[int], Mapping[str, int]]] = (
+    ({"t1": {"a": 8}, "t2": {"b": 8}}, TEN), ({"t1": {"b": 8}, "t2": {"c": 8}}, TEN),
+    ({"t1": {"c": 5}, "t2": {"a": 8}}, {"t1": 7, "t2": 10}),
+    ({"t1": {"a": 5}, "t2": {"b": 8}}, {"t1": 7, "t2": 10}))
+SHARES = Script(SHIFTS, 1)                     # two tenants' units move on in each epoch
+COUNTED = Script(SHIFTS, 1, counted=True)
+LINGERS = Script(SHIFTS, 1, counted=True, linger=1.0)
--- /dev/null
+++ b/tests/test_handover_core.py
@@ -0,0 +1,198 @@
+"""Shrink before grow: the replicated state's functions, and one gateway's view, by hand."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mallowbeam.errors import MallowbeamError
+from mallowbeam.fleet.handed import (
+    MOST_OPEN,
+    BadTarget,
+    FloorsTooHigh,
+    Handed,
+    Target,
+    TooManyOpen,
+    next_epoch,
+    release,
+)
+from mallowbeam.fleet.handover import Handover, Release
+
+NAMES = ("a", "b", "c")
+
+
+def floor(resource, holder):
+    return 1
+
+
+def ten(resource):
+    return 10
+
+
+def opened(*epochs, handed=None):
+    handed = handed or Handed[int](holders=NAMES)
+    for rows in epochs:
+        handed = next_epoch(handed, rows, floor, ten)
+    return handed
+
+
+def view(me, handed, **settings):
+    core = Handover.resume(handed, 0.0, me, floor, 4.0, **settings)
+    core.proven(0.0)
+    return core
+
+
+# --- the replicated side --------------------------------------------------------------------------
+
+def test_an_epoch_names_who_owes_and_is_settled_once_they_released():
+    handed = opened({"x": {"a": 8}}, {"x": {"b": 7, "c": 2}})
+    assert (handed.epoch, handed.settled, handed.owing) == (2, 1, {"a": 2})
+    assert release(handed, "b", 2).settled == 1
+    assert release(handed, "a", 1).settled == 1
+    done = release(handed, "a", 2)
+    assert (done.settled, done.open, done.rows) == (2, (), {"x": {"b": 7, "c": 2}})
+    assert release(done, "a", 2) is done and release(done, "a", 3) is done and release(done, "who", 1) is done
+
+
+def test_epochs_are_settled_in_their_order():
+    handed = opened({"x": {"a": 8}, "y": {"b": 8}}, {"y": {"b": 8}}, {})
+    assert handed.owing == {"a": 2, "b": 3}
+    assert release(handed, "b", 3).settled == 1            # a still owes the one before it
+    assert release(release(handed, "b", 3), "a", 2).settled == 3
+    assert release(release(handed, "b", 3), "a", 2).rows == {}
+
+
+def test_what_changes_nothing_opens_no_epoch_and_gains_alone_settle_at_once():
+    handed = opened({"x": {"a": 4}})
+    assert next_epoch(handed, {"x": {"a": 4}}, floor, ten) is handed
+    assert next_epoch(handed, {}, floor, ten, whole=False) is handed
+    more = opened({"x": {"a": 5, "b": 4}}, handed=handed)
+    assert (more.settled, more.open) == (2, ())
+    assert next_epoch(more, {"y": {"c": 2}}, floor, ten, whole=False).amounts["x"] == {"a": 5, "b": 4}
+
+
+@pytest.mark.parametrize("rows, capacity, kind", [
+    ({"x": {"a": 9}}, 10, BadTarget),                      # with the two floors it is 11
+    ({"x": {"a": 0}}, 10, BadTarget),
+    ({"x": {"d": 2}}, 10, BadTarget),
+    ({"x": {"a": float("nan")}}, 10, BadTarget),
+    ({"x": {}}, 2, FloorsTooHigh),
+])
+def test_a_target_that_must_not_be_is_refused_with_a_remedy(rows, capacity, kind):
+    with pytest.raises(kind) as told:
+        next_epoch(Handed(holders=NAMES), rows, floor, lambda resource: capacity)
+    assert isinstance(told.value, MallowbeamError) and told.value.where == "x" and told.value.cure
+
+
+def test_a_capacity_that_fell_is_checked_for_rows_that_did_not_change():
+    with pytest.raises(BadTarget):
+        next_epoch(opened({"x": {"a": 8}}), {"x": {"a": 8}}, floor, lambda resource: 9)
+
+
+def test_at_the_bound_the_next_epoch_is_refused_until_a_release():
+    handed = opened(*({"x": {"abc"[n % 3]: 8}} for n in range(MOST_OPEN + 1)))
+    assert len(handed.open) == MOST_OPEN
+    with pytest.raises(TooManyOpen) as told:
+        opened({"x": {"a": 2}}, handed=handed)
+    assert "a" in told.value.where
+    assert opened({"x": {"a": 2}}, handed=release(handed, "a", 5)).epoch == handed.epoch + 1
+
+
+@given(st.lists(st.tuples(st.sampled_from(NAMES), st.integers(1, 9)), max_size=30), st.data())
+def test_what_is_kept_is_bounded_and_reads_back(moves, data):
+    handed = Handed[int](holders=NAMES)
+    for who, epoch in moves:
+        rows = {name: {data.draw(st.sampled_from(NAMES)): data.draw(st.integers(1, 8))} for name in "xy"}
+        try:
+            handed = next_epoch(handed, rows, floor, ten)
+        except TooManyOpen:
+            assert len(handed.open) == MOST_OPEN
+        handed = release(handed, who, epoch)
+        assert len(handed.open) <= MOST_OPEN and len(handed.rows) <= 2
+        assert not handed.open or handed.owing
+        assert msgspec.msgpack.decode(msgspec.msgpack.encode(handed), type=Handed[int]) == handed
+
+
+# --- one gateway's view ---------------------------------------------------------------------------
+
+def test_a_loser_has_less_at_once_and_a_grower_waits_for_it():
+    before = opened({"x": {"a": 8}})
+    loser, grower = view("a", before), view("b", before)
+    target = Target(2, {"x": {"b": 8}})
+    assert loser.agreed(target, 1.0) == [Release(2)] and loser.usable("x", 1.0) == 1
+    assert grower.agreed(target, 1.0) == [] and grower.usable("x", 1.0) == 1
+    assert grower.shown(1.0)["x"].waits == ("a",) and grower.shown(1.0)["x"].target == 8
+    grower.released("a", 1, 1.1)
+    grower.released("c", 2, 1.1)
+    assert grower.usable("x", 1.1) == 1
+    grower.released("a", 2, 1.2)
+    assert grower.usable("x", 1.2) == 8 and grower.shown(1.2)["x"].waits == () and not grower.open
+    assert grower.released("a", 2, 1.3) == [] and grower.agreed(target, 1.3) == []
+
+
+def test_a_grower_waits_for_lease_and_drift_from_when_it_heard():
+    grower = view("b", opened({"x": {"a": 8}}))
+    grower.agreed(Target(2, {"x": {"b": 8}}), 3.0)
+    grower.proven(6.0)
+    grower.tick(7.4)
+    assert grower.usable("x", 7.4) == 1
+    grower.tick(7.41)
+    assert grower.usable("x", 7.41) == 8 and grower.heard == {}
+    assert grower.lapsed(opened({"x": {"a": 8}}, {"x": {"b": 8}})) == {"a": 2}
+
+
+def test_by_the_clock_alone_an_old_allotment_becomes_the_floor():
+    holder = view("a", opened({"x": {"a": 8}}))
+    assert (holder.usable("x", 4.0), holder.usable("x", 4.01), holder.most("x", 4.01)) == (8, 1, 1)
+    fresh = Handover.resume(opened({"x": {"a": 8}}), 9.0, "a", floor, 4.0, begun=9.0)
+    assert fresh.usable("x", 9.1) == 1
+    fresh.proven(9.1)
+    assert fresh.usable("x", 9.2) == 8 and fresh.usable("unknown", 9.2) == 1
+
+
+def test_a_release_waits_until_what_is_out_fits_and_is_put_in_again_if_lost():
+    loser = view("a", opened({"x": {"a": 8}}))
+    loser.using("x", 6, 0.5)
+    loser.proven(1.0)
+    assert loser.agreed(Target(2, {"x": {"a": 5, "b": 4}}), 1.5) == []
+    assert loser.agreed(Target(3, {"x": {"a": 3, "b": 6}}), 1.6) == []
+    assert (loser.usable("x", 1.6), loser.most("x", 1.6)) == (3, 8)
+    loser.proven(3.0)
+    assert loser.using("x", 5, 2.0) == [Release(2)]        # the older one fits already
+    assert loser.most("x", 5.0) == 5 and loser.most("x", 5.01) == 3
+    assert loser.using("x", 3, 2.1) == [Release(3)]
+    assert loser.tick(2.2) == [] and loser.tick(2.7) == [Release(3)]
+    assert loser.released("a", 3, 2.8) == [] and loser.tick(9.0) == []
+
+
+def test_a_new_life_uses_and_says_nothing_while_its_dead_one_may_linger():
+    handed = opened({"x": {"a": 8}}, {"x": {"b": 8}})
+    fresh = Handover.resume(handed, 10.0, "a", floor, 4.0, 10.0, 0.1, 2.0)
+    fresh.proven(10.0)
+    assert fresh.usable("x", 12.2) == 0 and fresh.tick(12.2) == [] and fresh.most("x", 12.2) == 0
+    assert fresh.usable("x", 12.3) == 1 and fresh.tick(12.3) == [Release(2)]
+
+
+def test_a_state_that_passed_epochs_over_is_taken_in_whole():
+    first = opened({"x": {"a": 8}})
+    away = view("c", first)
+    handed = release(opened({"x": {"b": 8}}, {"x": {"c": 8}}, handed=first), "a", 2)
+    handed = opened({"x": {"c": 7}}, {"x": {"a": 6}}, handed=release(handed, "b", 3))
+    assert away.follow(handed, 1.0) == [Release(5)]        # it knows of 3 as settled, 4 and 5 as open
+    assert (away.usable("x", 1.0), away.epoch) == (1, 5)
+    assert away.follow(handed, 1.1) == [] and away.follow(release(handed, "c", 5), 1.2) == []
+    assert not away.open
+
+
+def test_what_is_settled_is_kept_once_and_what_did_not_change_is_not_looked_at():
+    grower = view("b", opened({f"r{n}": {"a": 8} for n in range(50)}))
+    for epoch in range(2, 40):
+        grower.agreed(Target(epoch, {"r1": {"ab"[epoch % 2]: 8}}), epoch * 0.1)
+        grower.released("a", epoch, epoch * 0.1)
+        grower.released("b", epoch, epoch * 0.1)
+        assert list(grower.open) in ([], ["r1"]) and not any(grower.waiting.values())
+    grower.agreed(Target(40, {"r1": {}, "r2": {"a": 8}}), 4.0)
+    grower.tick(100.0)
+    assert "r1" not in grower.rows and not grower.heard and not grower.mine
