--- a/mallowbeam/fleet/handed.py
+++ b/mallowbeam/fleet/handed.py
@@ -122,8 +122,6 @@
         raise TooManyOpen(f"{MOST_OPEN} epochs are open", ", ".join(sorted(handed.owing)))
     losers = {holder for name, row in rows.items() for holder, had in before.get(name, {}).items()
               if row.get(holder, floor(name, holder)) < had}
-    losers |= {holder for name, row in rows.items() for holder, has in row.items()
-               if has < before.get(name, {}).get(holder, floor(name, holder))}
     opened = Opened(handed.epoch + 1, rows, tuple(sorted(losers)))
     return _settle(msgspec.structs.replace(handed, epoch=opened.epoch, open=(*handed.open, opened)))
 
--- a/mallowbeam/fleet/handover.py
+++ b/mallowbeam/fleet/handover.py
@@ -32,7 +32,9 @@
 holders may use is within the capacity of one epoch m; from `lease` (plus `linger` for what the other side
 still sees) after the commit of an epoch e on, m is e or a later one.  So where a capacity falls the sum
 follows within the lease at the latest, and as soon as everybody has heard in peace.  Not promised: what a
-process that is stopped between asking `usable` and acting does with the one action it had decided on.
+process that is stopped between asking `usable` and acting does with the one action it had decided on; and a
+stopped process closes no connection: what it had out stays for as long as the node keeps it, and is counted
+only as far as `linger` covers that.
 
 Whole connections can't be taken back at once.  `usable` is for new ones.  `using` says what is out, and
 closed ones too while the other side may still see them; a release waits until it fits.  `most` is what may be
@@ -72,9 +74,9 @@
 class Handover(Generic[N]):
     """One gateway's view of many resources.
 
-    `floor` is the same everywhere and for good.  `lease` and `linger` are seconds; `begun` is when this life
-    began, on the clock that `now` is of.  `again` is after how many seconds a release not seen in the log is
-    put in once more.
+    `floor` is the same everywhere and for good: one that is cut off could not hear of a lower one.
+    `lease` and `linger` are seconds; `begun` is when this life began, on the clock that `now` is of.
+    `again` is after how many seconds a release not seen in the log is put in once more.
     """
 
     def __init__(self, me: Holder, holders: Sequence[Holder], floor: Floor[N], lease: float,
--- a/tests/test_handover_core.py
+++ b/tests/test_handover_core.py
@@ -135,7 +135,9 @@
 def test_a_grower_waits_for_lease_and_drift_from_when_it_heard():
     grower = view("b", opened({"x": {"a": 8}}))
     grower.agreed(Target(2, {"x": {"b": 8}}), 3.0)
+    grower.agreed(Target(2, {"x": {"b": 8}}), 5.0)         # told twice: counted from the first time
     grower.proven(6.0)
+    grower.proven(1.0)
     grower.tick(7.4)
     assert grower.usable("x", 7.4) == 1
     grower.tick(7.41)
@@ -196,3 +198,46 @@
     grower.agreed(Target(40, {"r1": {}, "r2": {"a": 8}}), 4.0)
     grower.tick(100.0)
     assert "r1" not in grower.rows and not grower.heard and not grower.mine
+
+
+def test_a_grower_waits_for_what_a_dead_holder_leaves_too():
+    grower = view("b", opened({"x": {"a": 8}}), linger=2.0)
+    grower.agreed(Target(2, {"x": {"b": 8}}), 1.0)
+    grower.proven(7.0)
+    grower.tick(7.6)
+    assert grower.usable("x", 7.6) == 1
+    grower.tick(7.61)
+    assert grower.usable("x", 7.61) == 8
+
+
+def test_past_its_lease_it_closes_down_to_the_floor_while_others_move():
+    holder = view("a", opened({"x": {"a": 4, "b": 4}}))
+    holder.agreed(Target(2, {"x": {"a": 4, "c": 4}}), 1.0)
+    assert (holder.most("x", 4.0), holder.most("x", 4.01)) == (4, 1)
+
+
+def test_late_and_repeated_releases_take_nothing_back():
+    grower = view("b", opened({"x": {"a": 8}}))
+    grower.released("a", 3, 0.5)
+    grower.released("a", 2, 0.6)
+    grower.agreed(Target(3, {"x": {"b": 8}}), 1.0)
+    assert grower.usable("x", 1.0) == 8
+    assert view("a", release(opened({"x": {"a": 8}, "y": {"b": 3}}, {"y": {"a": 3}}, {"x": {"b": 8}}), "a", 3)
+                ).tick(1.0) == []
+
+
+def test_a_state_taken_in_whole_keeps_the_clocks_of_the_epochs_known():
+    first = opened({"x": {"a": 8}, "y": {"b": 8}})
+    second = opened({"x": {"c": 8}, "y": {"b": 8}}, handed=first)
+    away = view("c", first)
+    away.follow(second, 1.0)
+    away._restore(second, 5.0)
+    away.proven(5.0)
+    away.tick(5.41)
+    assert away.usable("x", 5.41) == 8
+
+
+def test_one_that_released_says_it_no_more_in_its_next_life():
+    handed = opened({"x": {"a": 8}, "y": {"b": 8}}, {"x": {"c": 8}, "y": {"c": 8}})
+    assert view("a", handed).tick(1.0) == [Release(2)]
+    assert view("a", release(handed, "a", 2)).tick(1.0) == []
