--- /dev/null
+++ b/tests/test_maintenance_walks.py
@@ -0,0 +1,221 @@
+"""Maintenance in simulated time: random walks, and the hard cases by name."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mallowbeam.fleet.maintenance.state import Back
+from mallowbeam.lab.faults import orderly as o
+from mallowbeam.lab.faults.walk import Walk
+from mallowbeam.lab.faults.walks import judge, play
+
+
+def request(*machines, id="a", **changes):
+    return {"id": id, "machines": list(machines), "time_s": 60.0} | changes
+
+
+def begun(*requests, seed=5, **kinds):
+    walk = Walk(seed, **kinds)
+    walk.run(4.0)
+    walk.insist("g2", list(requests))
+    return walk
+
+
+def steps(walk, machine):
+    return [e.step for e in walk.history if isinstance(e, o.Moved) and e.machine == machine]
+
+
+def until(walk, machine, step, seconds=60.0):
+    assert walk.run(seconds, lambda: machine in walk.state.items and walk.state.items[machine].step == step)
+
+
+def ends_well(walk, *requests, step="done"):
+    assert walk.rest()
+    assert judge(walk, list(requests)) == []
+    assert {item.step for item in walk.state.items.values()} == {step}
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_walks_with_faults(seed):
+    assert play(seed).wrong == []
+
+
+@settings(max_examples=8)
+@given(seed=st.integers(10_000, 10_000_000))
+def test_any_order_of_delays_restarts_and_leaders(seed):
+    assert play(seed).wrong == []
+
+
+@pytest.mark.parametrize("step", ["proposed", "agreed", "draining", "empty", "out", "back", "warming"])
+def test_leader_killed_after_each_step(step):
+    asked = request("n0", "n1")
+    walk = Walk(11)
+
+    def kill(machine, now):
+        if now == step and walk.leader is not None:
+            name = walk.leader
+            walk.kill(name)
+            walk.later(4.0, lambda: walk.start(name))
+    walk.hooks.append(kill)
+    walk.run(4.0)
+    walk.insist("g1", [asked])
+    ends_well(walk, asked)
+    assert sum(isinstance(e, o.Down) and e.down and e.machine in walk.members for e in walk.history)
+
+
+def test_gateway_down_while_a_step_was_agreed_learns_before_it_serves():
+    asked = request("n0")
+    walk = Walk(6)
+    walk.run(4.0)
+    walk.kill("g3")
+    walk.insist("g2", [asked])
+    until(walk, "n0", "out")
+    walk.start("g3")
+    assert walk.run(20.0, lambda: walk.gateways["g3"].serves())
+    assert "n0" in walk.gateways["g3"].drained or walk.state.items["n0"].step != "out"
+    ends_well(walk, asked)
+
+
+def test_stopped_gateway_with_work_out_refuses_by_itself_when_it_wakes():
+    asked = request("n0")
+    walk = begun(asked)
+    walk.works["n0"] = 8.0
+    assert walk.run(20.0, lambda: walk.state.items["n0"].step in ("agreed", "draining")
+                    and any(node == "n0" for _, node in walk.gateways["g3"].work))
+    walk.stop("g3")
+    until(walk, "n0", "out")
+    assert "g3" in walk.state.gone             # its lease has run out, and no sooner
+    assert "n0" not in walk.gateways["g3"].drained
+    walk.go("g3")
+    assert not walk.gateways["g3"].serves()    # before it has heard anything
+    ends_well(walk, asked)
+
+
+def test_operator_on_the_small_side_of_a_partition():
+    asked = request("n0")
+    walk = Walk(7)
+    walk.run(4.0)
+    walk.part(["g3", "g4"])
+    walk.run(3.0)
+    assert not walk.push("g3", [asked])
+    walk.run(5.0)
+    assert not walk.state.items
+    walk.insist("g1", [asked])                 # the large side goes on by itself
+    until(walk, "n0", "out")
+    walk.part(())
+    ends_well(walk, asked)
+
+
+def test_machine_that_dies_by_itself_pauses_the_order():
+    asked = request("n0", "n1", at_once=3, at_once_zone=1)
+    walk = begun(asked)
+    walk.works["n0"] = 20.0
+    walk.fail("n4")                            # n1's only neighbour in its zone
+    until(walk, "n0", "out")
+    walk.run(8.0)
+    assert walk.state.items["n1"].step == "proposed"
+    assert "n4 is not there in zone 'b'" in walk.gateways["g0"].core.machine.order.choose(walk.state).why
+    walk.mend("n4")
+    ends_well(walk, asked)
+
+
+def test_machine_on_its_way_out_is_called_back_when_another_dies():
+    asked = request("n1", at_once=2, at_once_zone=2)
+    walk = begun(asked)
+    for one in walk.gateways.values():
+        one.work.append((walk.now + 7.0, "n1"))  # long work holds it at draining
+    until(walk, "n1", "draining")
+    walk.fail("n4")
+    until(walk, "n1", "proposed")
+    assert "zone 'b' would keep 0.00" in walk.state.items["n1"].why
+    walk.mend("n4")
+    ends_well(walk, asked)
+
+
+@pytest.mark.parametrize("then", ["go on", "stop"])
+def test_machine_that_never_empties(then):
+    asked = request("n0", "n1", time_s=6.0, on_time_up=then)
+    walk = begun(asked)
+    walk.gateways["g2"].work.append((1e9, "n0"))
+    walk.gateways["g2"].work.append((1e9, "n1"))
+    walk.run(30.0)
+    first, second = sorted(walk.state.items.values(), key=lambda item: item.began or 1e9)
+    assert first.step == "failed" and "g2 has not said" in first.why
+    assert second.step == ("failed" if then == "go on" else "proposed")
+    assert all(first.machine not in one.drained for one in walk.gateways.values())
+    if then == "stop":
+        assert "time is up" in walk.state.stopped["a"]
+    assert judge(walk, [asked]) == []
+
+
+@pytest.mark.parametrize("then", ["go on", "stop"])
+def test_machine_that_never_comes_back(then):
+    asked = request("n0", "n1", time_s=10.0, on_time_up=then)
+    walk = begun(asked)
+    walk.works["n0"] = walk.works["n1"] = -1
+    until(walk, "n0", "lost") if "n0" in walk.state.order[0].machine else until(walk, "n1", "lost")
+    lost = next(item for item in walk.state.items.values() if item.step == "lost")
+    other = "n1" if lost.machine == "n0" else "n0"
+    assert lost.why == "time is up: it never came back"
+    walk.works[other] = 1.0
+    walk.run(20.0)
+    assert walk.state.items[other].step == ("done" if then == "go on" else "proposed")
+    assert all(lost.machine in one.drained for one in walk.gateways.values())
+    for _ in range(3):
+        walk.propose(walk.gateways["g0"], Back(lost.machine))
+        walk.run(0.5)
+    assert walk.rest()
+    assert walk.state.items[lost.machine].step == "done"
+    assert judge(walk, [asked]) == []
+
+
+def test_two_requests_that_overlap_are_one_order():
+    one = request("n0", "n1", at_once=3, at_once_zone=1)
+    two = request("n1", "n2", "n3", id="b", at_once=2, at_once_zone=1)
+    walk = begun(one, two)
+    ends_well(walk, one, two)
+    assert steps(walk, "n1").count("out") == 1
+    assert walk.state.items["n1"].asked == ("a", "b")
+
+
+def test_abort_in_the_middle():
+    asked = request("n0", "n1", "n2", at_once=2, at_once_zone=1)
+    walk = begun(asked)
+    assert walk.run(60.0, lambda: any(item.step == "out" for item in walk.state.items.values()))
+    out = [name for name, item in walk.state.items.items() if item.step == "out"]
+    walk.insist("g4", [])
+    rest = [name for name in ("n0", "n1", "n2") if name not in out]
+    assert walk.rest()
+    assert all("out" not in steps(walk, name) for name in rest)
+    assert steps(walk, out[0])[-3:] == ["back", "warming", "aborted"]
+    assert not any(one.drained for one in walk.gateways.values())
+    assert judge(walk, [asked]) == []
+
+
+def test_gateways_restarted_one_after_the_other_through_their_own_order():
+    asked = request("g0", "g1", "g2", "g3", "g4")
+    walk = begun(asked)
+    lives = {name: one.life for name, one in walk.gateways.items()}
+    ends_well(walk, asked)
+    assert all(one.life != lives[name] for name, one in walk.gateways.items())
+
+
+def test_gateway_is_not_let_go_while_others_are_down():
+    asked = request("g0", at_once=5, at_once_zone=5)
+    walk = begun(asked)
+    walk.kill("g3")
+    walk.kill("g4")
+    walk.run(15.0)
+    assert "out" not in steps(walk, "g0") or judge(walk, [asked]) == []
+    assert walk.state.items["g0"].step == "proposed"
+    assert "3 of 5 gateways would not be there" in walk.state.items["g0"].why + (
+        walk.gateways["g1"].core.machine.order.choose(walk.state).why)
+    ends_well(walk, asked)
+
+
+def test_the_cold_bound_is_shared_out_once():
+    walk = begun(request("n0"))
+    until(walk, "n0", "warming")
+    assert sum(walk.state.items["n0"].warm.values()) == pytest.approx(1.0)
