Tests: checkers of maintenance against what is broken on purpose (in work)

Need: The checkers of maintenance had not been shown able to fail.

Change: Machines, cores and gateways broken on purpose, each caught by its own checker; in work at this point.

--- a/mallowbeam/lab/faults/walk.py
+++ b/mallowbeam/lab/faults/walk.py
@@ -106,7 +106,7 @@
         if self.serves():
             for to in rng.sample(sorted(walk.nodes), 2):
                 if to not in self.drained and self.view[to]:
-                    end = now + rng.uniform(0.01, WORK_S)
+                    end = now + rng.uniform(0.01, walk.work_s)
                     self.work.append((end, to))
                     self.in_hand.append(end)
                     walk.add(Arrival(now, self.name, to, end))
@@ -165,8 +165,10 @@
 
     def __init__(self, seed: int, gateways: int = 5, nodes: int = 6, zones: int = 3, loss: float = 0.05,
                  topic: Callable[[tuple[str, ...]], Maintenance] = Maintenance,
-                 gateway: type[Gateway] = Gateway, times: c.Times = TIMES) -> None:
+                 gateway: type[Gateway] = Gateway, times: c.Times = TIMES,
+                 work_s: float = WORK_S) -> None:
         self.rng, self.now, self.loss, self.times = random.Random(seed), 0.0, loss, times
+        self.work_s = work_s
         self.members = tuple(f"g{i}" for i in range(gateways))
         self.nodes = {f"n{i}": Node("abc"[i % zones], i // zones) for i in range(nodes)}
         self.zone_of = {name: "xyz"[i % 3] for i, name in enumerate(self.members)}
--- /dev/null
+++ b/tests/test_maintenance_broken.py
@@ -0,0 +1,270 @@
+"""Each checker of maintenance catches machines, cores and gateways that are broken on purpose."""
+
+from __future__ import annotations
+
+import dataclasses
+import zlib
+
+import pytest
+
+from mallowbeam.fleet.maintenance import core as c
+from mallowbeam.fleet.maintenance import order as r
+from mallowbeam.fleet.maintenance import state as s
+from mallowbeam.fleet.maintenance.machine import Maintenance
+from mallowbeam.lab.faults import orderly as o
+from mallowbeam.lab.faults.walk import Gateway, Walk
+from mallowbeam.lab.faults.walks import places
+
+
+def without(*limits):
+    """A machine that knows all limits but these."""
+    return lambda members: Maintenance(members, tuple(x for x in r.LIMITS if x not in limits))
+
+
+class NeverAgain(Maintenance):
+    """Looks at the limits when it agrees, and not again."""
+
+    def hindered(self, now, item, to, view=None):
+        if (item.step, to) in (("agreed", "draining"), ("empty", "out")):
+            return self._unsaid(now, item, "empty") if to == "out" else ""
+        return "no" if to == "proposed" else super().hindered(now, item, to, view)
+
+
+class Unasked(Maintenance):
+    """Believes that all is empty."""
+
+    def _unsaid(self, now, item, what):
+        return ""
+
+
+class FirstWord(Maintenance):
+    """One gateway's word is enough."""
+
+    def _unsaid(self, now, item, what):
+        said = [x for x in now.reports.values() if item.machine in (x.empty if what == "empty" else x.warm)]
+        return "" if said else "nobody has said so"
+
+
+def blind(members):
+    """Takes what is down for up."""
+    def up(limit):
+        return lambda view, machine, rule: limit(dataclasses.replace(view, down=frozenset()), machine, rule)
+    return Maintenance(members, tuple(up(limit) for limit in r.LIMITS))
+
+
+class Own:
+    """Replicas that differ: each one gets a number of its own."""
+
+    count = 0
+
+    @classmethod
+    def number(cls):
+        cls.count += 1
+        return cls.count
+
+
+class OwnOrder(Maintenance):
+    """Each replica has an order of its own."""
+
+    def __init__(self, members):
+        super().__init__(members)
+        salt = Own.number()
+
+        class Mixed(r.Order):
+            def waiting(self, state, view):
+                return sorted(super().waiting(state, view),
+                              key=lambda item: zlib.crc32(f"{item.machine}{salt}".encode()))
+        self.order = Mixed(self.members)
+
+
+class Forgetful(Maintenance):
+    """Some replicas pass over an entry now and then."""
+
+    def __init__(self, members):
+        super().__init__(members)
+        self.odd = Own.number() % 3 == 0
+
+    def apply(self, states, index, by, entry):
+        if self.odd and isinstance(entry, s.Move) and entry.to == "draining":
+            return states[self.name]
+        return super().apply(states, index, by, entry)
+
+
+class Local(Maintenance):
+    """The choice rests on what this replica saw of late, not on what is agreed."""
+
+    def __init__(self, members):
+        super().__init__(members)
+        self.salt = Own.number()
+
+    def apply(self, states, index, by, entry):
+        if isinstance(entry, s.Report) and (index + self.salt) % 2:
+            return states[self.name]
+        return super().apply(states, index, by, entry)
+
+
+class Deaf(Gateway):
+    """Goes on sending to what is drained."""
+
+    def do(self, actions):
+        super().do(actions)
+        self.drained = set()
+
+
+class Gateless(Gateway):
+    """Serves whatever its lease says."""
+
+    def serves(self):
+        return not self.refuses
+
+
+class Hasty(c.MaintenanceCore):
+    """Says empty at once, whatever is out."""
+
+    def _empty(self, now):
+        return [name for name, item in self.state.items.items() if item.step in ("draining", "empty")]
+
+
+class HastyGateway(Gateway):
+    core_type = Hasty
+
+
+class Early(c.MaintenanceCore):
+    """Takes a gateway for gone that it has not heard of for a moment."""
+
+    def _due(self, now):
+        self.proven, was = now + 9.0, self.proven
+        found = super()._due(now)
+        self.proven = was
+        return found
+
+
+class EarlyGateway(Gateway):
+    core_type = Early
+
+
+def trial(topic=Maintenance, gateway=Gateway, quiet=True, work_s=0.6, **changes):
+    """A walk where each rule matters: what is down, who is stopped with work out."""
+    asked = {"id": "a", "machines": ["n0", "n1", "n3", "n4", "g1", "g2"], "at_once": 2, "time_s": 60.0}
+    asked |= changes
+    walk = Walk(3, topic=topic, gateway=gateway, work_s=work_s)
+    walk.works = dict.fromkeys(asked["machines"], 6.0)
+    walk.run(4.0)
+    walk.insist("g0", [asked])
+    if not quiet:
+        for number, (name, machine) in enumerate((("g3", "n4"), ("g4", "n3"), ("g3", "n0"))):
+            walk.later(2.0 + 9 * number, lambda m=machine: walk.fail(m))
+            walk.later(8.0 + 9 * number, lambda m=machine: walk.mend(m))
+            walk.later(3.0 + 9 * number, lambda n=name: walk.stop(n))
+            walk.later(9.0 + 9 * number, lambda n=name: walk.go(n))
+    walk.run(60.0)
+    return walk, [asked]
+
+
+QUICK = c.Times(lease=2.0, report=0.1, soon=0.05, again=0.3, rank=0.1)
+WIDE = {"at_once": 9, "at_once_zone": 9, "zone_floor": 0.0, "sole_data": True}
+
+BROKEN = [
+    (o.too_many, without(r.in_all), Gateway, {}),
+    (o.too_many, without(r.in_zone), Gateway, {"zone_floor": 0.0, "at_once": 9, "sole_data": True}),
+    (o.too_many, without(r.in_all, r.in_zone), Gateway, {}),
+    (o.too_many, NeverAgain, Gateway, {"quiet": False}),
+    (o.below_floor, without(r.zone_capacity), Gateway, WIDE | {"zone_floor": 0.5}),
+    (o.below_floor, without(r.shard_capacity), Gateway, WIDE | {"shard_floor": 0.6}),
+    (o.below_floor, blind, Gateway, WIDE | {"zone_floor": 0.5, "quiet": False}),
+    (o.together, without(r.apart), Gateway, WIDE | {"repeats": "zone"}),
+    (o.together, without(r.apart), Gateway, WIDE | {"repeats": "shard"}),
+    (o.together, without(r.apart), Gateway, WIDE | {"repeats": "all"}),
+    (o.orders_differ, OwnOrder, Gateway, {}),
+    (o.orders_differ, Forgetful, Gateway, {}),
+    (o.orders_differ, Local, Gateway, {}),
+    (o.sent_to_drained, Maintenance, Deaf, {}),
+    (o.sent_to_drained, Maintenance, HastyGateway, {"work_s": 6.0}),
+    (o.sent_to_drained, Unasked, Gateway, {"work_s": 6.0}),
+    (o.sent_to_drained, FirstWord, Gateway, {"work_s": 6.0}),
+    (o.without_quorum, without(r.majority), Gateway, WIDE),
+    (o.without_quorum, blind, Gateway, WIDE),
+    (o.without_quorum, NeverAgain, Gateway, WIDE),
+]
+
+
+def crowd(topic, gateway, changes):
+    """Gateways that are asked for all at once, two of them down already."""
+    asked = {"id": "a", "machines": ["g0", "g1", "g2"], "time_s": 90.0} | changes
+    walk = Walk(5, topic=topic, gateway=gateway)
+    walk.works = dict.fromkeys(walk.members, 9.0)
+    walk.run(4.0)
+    walk.insist("g0", [asked])
+    for one in walk.gateways.values():
+        one.in_hand.append(walk.now + 8.0)     # the first is held at draining while others die
+    walk.kill("g3")
+    walk.kill("g4")
+    walk.run(40.0)
+    return walk, [asked]
+
+
+def wrong(checker, topic, gateway, changes):
+    changes = dict(changes)
+    if checker is o.without_quorum:
+        walk, asked = crowd(topic, gateway, changes)
+        return checker(walk.history, places(walk))
+    walk, asked = trial(topic, gateway, **changes)
+    if checker in (o.too_many, o.below_floor, o.together):
+        return checker(walk.history, places(walk), asked)
+    return checker(walk.history)
+
+
+@pytest.mark.parametrize("checker, topic, gateway, changes", BROKEN)
+def test_a_checker_catches_what_is_broken_and_nothing_else(checker, topic, gateway, changes):
+    assert wrong(checker, topic, gateway, changes)
+    assert not wrong(checker, Maintenance, Gateway, changes)
+
+
+def test_a_floor_that_is_not_looked_at_again():
+    def run(topic):
+        asked = {"id": "a", "machines": ["n1"], "at_once": 2, "at_once_zone": 2, "time_s": 60.0}
+        walk = Walk(5, topic=topic)
+        walk.run(4.0)
+        walk.insist("g2", [asked])
+        for one in walk.gateways.values():
+            one.work.append((walk.now + 9.0, "n1"))
+        walk.run(3.0)
+        walk.fail("n4")
+        walk.run(20.0)
+        return o.below_floor(walk.history, places(walk), [asked])
+    assert run(NeverAgain) and not run(Maintenance)
+
+
+@pytest.mark.parametrize("gateway", [Gateless, EarlyGateway])
+def test_a_stopped_gateway_that_wakes(gateway):
+    """Its gate alone keeps it from what went out meanwhile; `Gone` before the lease's end is too soon."""
+    def run(kind):
+        found = []
+        for seed in range(3):
+            walk = Walk(seed, gateway=kind, times=QUICK, loss=0.0)
+            walk.works = {"n0": 12.0}
+            walk.run(4.0)
+            walk.insist("g0", [{"id": "a", "machines": ["n0"], "time_s": 60.0}])
+            walk.run(20.0, lambda w=walk: w.state.items["n0"].step == "agreed")
+            walk.gateways["g3"].view = dict.fromkeys(walk.nodes, True)
+            walk.stop("g3")
+            walk.run(30.0, lambda w=walk: w.state.items["n0"].step == "out")
+            walk.go("g3")
+            walk.part(["g3"])                  # it hears nothing for a while
+            walk.run(3.0)
+            found += o.sent_to_drained(walk.history)
+        return found
+    assert run(gateway) and not run(Gateway)
+
+
+def test_what_never_ends_is_caught():
+    class Silent(c.MaintenanceCore):
+        def _due(self, now):
+            return []
+
+    class Lazy(Gateway):
+        core_type = Silent
+    walk = Walk(1, gateway=Lazy)
+    walk.run(4.0)
+    walk.insist("g0", [{"id": "a", "machines": ["n0"]}])
+    assert not walk.rest(30.0) and o.unended(walk.history)
--- a/tests/test_maintenance_machine.py
+++ b/tests/test_maintenance_machine.py
@@ -120,7 +120,7 @@
     for started, seen_down in ((0, True), (7, False)):
         log = fleet(told=nodes(n0=s.NodeFacts("a", 0, started=5)))
         draining(log)
-        for number, name in enumerate(MEMBERS):
+        for name in MEMBERS:
             put(log, name, s.Report("l", 2, log.index, "z", nodes(n0=s.NodeFacts("a", 0, started=5)), ["n0"]))
         put(log, "g0", s.Move("n0", "empty", 2))
         put(log, "g0", s.Move("n0", "out", 3))
