--- a/mallowbeam/fleet/maintenance/core.py
+++ b/mallowbeam/fleet/maintenance/core.py
@@ -122,6 +122,7 @@
         self.last: dict[str, float] = {name: now for name in members}  # when each was last heard of
         self.timed: dict[tuple[str, int], float] = {}  # by machine and `began`: when that was heard
         self.wanted: dict[bytes, list[float]] = {}  # by entry: wanted since, proposed last
+        self.said_back: set[str] = set()
         self.reported, self.was = float("-inf"), s.Report("", 0, 0, "", {})
         self.looked: tuple[Maintained, list[Entry]] | None = None
 
@@ -135,6 +136,10 @@
         """A mark of this gateway's own came back: all committed before it was put in is known here."""
         self.known = max(self.known, put_in)
 
+    def back(self, machine: str) -> None:
+        """An operator said here that the work at a machine is done; proposed until the log has it."""
+        self.said_back.add(machine)
+
     def serves(self, now: float) -> bool:
         """Whether the others can still count on this gateway's word; by the clock."""
         return not self.state.active or now <= max(self.proven, self.base) + self.times.lease
@@ -254,6 +259,10 @@
         if self.looked is None or self.looked[0] is not self.state:
             self.looked = (self.state, self.machine.due(self.state))
         found = list(self.looked[1])
+        items = self.state.items
+        self.said_back = {name for name in self.said_back
+                          if name in items and items[name].step in ("out", "lost")}
+        found += [s.Back(name) for name in sorted(self.said_back)]
         span = self.times.lease * self.times.drift
         for name, at in self.last.items():
             # Guards a member that is only slow: it counts as gone by what this one has proven to have heard.
--- /dev/null
+++ b/mallowbeam/fleet/maintenance/part.py
@@ -0,0 +1,113 @@
+"""Maintenance joined to its gateway: what the core says is done, what is seen here is told to it.
+
+The door is shut by the clock at each request (`serves`), not by a tick: a process that stood still refuses
+before it has heard anything.  An operator's word that a machine is back (`PUT /fleet/maintenance/back?NAME`)
+is kept here until the log has it.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Mapping
+
+from loguru import logger
+
+from mallowbeam.fleet.errors import BadPolicy
+from mallowbeam.fleet.log import Committed
+from mallowbeam.fleet.maintenance import core as c
+from mallowbeam.fleet.maintenance.machine import Maintenance, shown
+from mallowbeam.fleet.maintenance.state import AWAY, OVER, NodeFacts, Section
+from mallowbeam.fleet.policy_text import owns
+from mallowbeam.fleet.subsystem import Hands
+from mallowbeam.interface import NodeState
+from mallowbeam.operators import MaintenanceSection
+
+owns("maintenance", Section)
+
+
+class NotOut(BadPolicy):
+    """Said to be back, and not out."""
+
+    status = 409
+    remedy = "see at /fleet which machines are out, and say so of one of them"
+
+
+class MaintenancePart:
+    """The subsystem; `allotments` are asked to give up what this gateway holds, and say whether they have."""
+
+    def __init__(self, hands: Hands, section: MaintenanceSection) -> None:
+        self.hands = hands
+        self.topic = Maintenance(hands.members)
+        now = time.monotonic()
+        self.core = c.MaintenanceCore(hands.me, f"{time.time_ns():x}", hands.members, now, c.Times(
+            lease=section.lease_s, report=section.report_s, warm=section.warm_s))
+        self.allotments: list[Callable[[bool], bool]] = []
+        self.warmers: list[Callable[[str, float], None]] = []
+        self.down = False                      # it has been told to step down
+        hands.gateway().gates.append(lambda: self.core.serves(time.monotonic()))
+
+    def committed(self, told: Committed, now: float) -> None:
+        """The log's next entry."""
+        self._do(self.core.committed(told, now))
+
+    def proven(self, put_in: float, now: float) -> None:
+        """A mark came back."""
+        self.core.mark(put_in)
+
+    def tick(self, now: float) -> None:
+        """What the gateway sees now, and what is due."""
+        hands = self.hands
+        nodes = {entry.node: NodeFacts(entry.zone, entry.shard, entry.weight, entry.state is NodeState.READY,
+                                       hands.out(entry.node)) for entry in hands.nodes()}
+        gave_up = self.down and all([give(True) for give in self.allotments])
+        self.core.reports(c.Local(nodes, hands.held(), gave_up, hands.me if hands.leader() else None))
+        self._do(self.core.tick(now))
+
+    def asked(self, act: str, what: str) -> dict[str, object]:
+        """An operator's word at the page; raises a `FleetError`."""
+        item = self.core.state.items.get(what)
+        if act != "back" or item is None or item.step not in ("out", "lost"):
+            step = item.step if item else "no machine of a request"
+            raise NotOut(f"{what!r} is {step}", f"maintenance/{act}")
+        self.core.back(what)
+        return {"machine": what, "step": item.step, "told": "back"}
+
+    def shown(self) -> dict[str, object]:
+        """Steps, order and reasons."""
+        return shown(self.topic, self.core.state) | {"counted": self.core.serves(time.monotonic())}
+
+    def gauges(self) -> Mapping[str, float]:
+        """How many machines are where."""
+        items = self.core.state.items.values()
+        return {"waiting": sum(item.step == "proposed" for item in items),
+                "away": sum(item.step in AWAY for item in items),
+                "lost": sum(item.step == "lost" for item in items),
+                "over": sum(item.step in OVER for item in items)}
+
+    def _do(self, actions: list[c.Action]) -> None:
+        for action in actions:
+            match action:
+                case c.Propose(entry):
+                    self.hands.propose(entry)
+                case c.Drain(node):
+                    self.hands.drain(node, True)
+                case c.Undrain(back):
+                    self.hands.drain(back, False)
+                case c.Warm(cold, share):
+                    for warm in self.warmers:
+                        warm(cold, share)
+                case c.StepDown(refuse):
+                    self.down = True
+                    self.hands.gate(not refuse)
+                case c.StepUp():
+                    self.down = False
+                    for give in self.allotments:
+                        give(False)
+                    self.hands.gate(True)
+                case c.Note(text):
+                    logger.bind(maintenance="step").info("maintenance: {}", text)
+
+
+def open_part(hands: Hands, section: MaintenanceSection) -> MaintenancePart:
+    """The subsystem on these hands."""
+    return MaintenancePart(hands, section)
--- a/mallowbeam/fleet/page.py
+++ b/mallowbeam/fleet/page.py
@@ -4,6 +4,7 @@
     PUT  /policy          push a policy after the version that If-Match names
     GET  /fleet           members and subsystems
     GET  /fleet/metrics   the figures, in Prometheus's text exposition
+    PUT  /fleet/maintenance/back?NAME   the work at this machine is done
 
 JSON but for the figures; an error is answered by its status and `MallowbeamError.told()`: what, where, and
 what an operator can do.
@@ -13,6 +14,7 @@
 
 from collections.abc import Callable, Mapping
 from typing import Any
+from urllib.parse import unquote
 
 import msgspec
 
@@ -27,6 +29,7 @@
 from mallowbeam.net.server import Reply, Server
 from mallowbeam.operators import PolicySection
 
+BACK = "/fleet/maintenance/back"
 MOST_DIGITS = 12            # of a version in If-Match
 ALLOWED = {b"/policy": b"GET, PUT", b"/fleet": b"GET", b"/fleet/metrics": b"GET"}
 
@@ -46,10 +49,16 @@
             return await self._answer(request, closing)
         except MallowbeamError as error:
             status = error.status if isinstance(error, FleetError) else 500
-            headers = [(b"allow", ALLOWED[request.target])] if isinstance(error, NotByThisMethod) else []
+            allowed = ALLOWED.get(request.target, b"PUT")
+            headers = [(b"allow", allowed)] if isinstance(error, NotByThisMethod) else []
             return page(status, error.told(), closing(), headers)
 
     async def _answer(self, request: Message, closing: Callable[[], bool]) -> Reply:
+        act, _, what = request.target.decode("latin-1").partition("?")
+        if act == BACK and (part := self.service.subsystems.get("maintenance")) is not None:
+            if request.method != b"PUT":
+                raise NotByThisMethod("not by this method", act)
+            return page(202, getattr(part, "asked")("back", unquote(what)), closing())  # noqa: B009
         if request.target not in ALLOWED:
             raise NoSuchPage("no such page", request.target.decode("latin-1"))
         if request.target == b"/policy" and request.method == b"PUT":
--- a/mallowbeam/lab/faults/orderly.py
+++ b/mallowbeam/lab/faults/orderly.py
@@ -12,6 +12,7 @@
 
 TOLD_S = 0.25               # seconds after which a drain that was told holds
 SURE_S = 4.0                # seconds after which all know of a machine that is down: reports and a lease
+CAUGHT_UP_S = 2.0           # seconds before the end by which all have read all
 AWAY = ("agreed", "draining", "empty", "out", "back", "warming")
 
 
@@ -162,7 +163,7 @@
 
 
 def orders_differ(history: History) -> list[str]:
-    """Every gateway in every life reads the same steps at the same places of the log."""
+    """Every gateway in every life reads the same steps at the same places of the log, and misses none."""
     wrong: list[str] = []
     first: dict[int, tuple[str, frozenset[tuple[str, str]]]] = {}
     read: dict[tuple[str, int, float], set[tuple[str, str]]] = {}
@@ -175,6 +176,12 @@
         by, other = first.setdefault(index, (gateway, frozenset(steps)))
         if other != steps:
             wrong.append(f"place {index}: {by} reads {sorted(other)}, {gateway} {sorted(steps)}")
+    committed = {e.index: e.at for e in history if isinstance(e, Moved)}
+    ends = [e.at for e in history if isinstance(e, Ended)]
+    for name in {gateway for gateway, *_ in read}:
+        missed = {index for index, at in committed.items() if ends and at < ends[-1] - CAUGHT_UP_S} - {
+            index for gateway, index, _ in read if gateway == name}
+        wrong += [f"place {index}: {name} never read it" for index in sorted(missed)]
     return wrong
 
 
--- a/mallowbeam/lab/faults/walk.py
+++ b/mallowbeam/lab/faults/walk.py
@@ -70,7 +70,7 @@
         self.log = Log([walk.topic()])
         self.core = self.core_type(self.name, self.life, walk.members, walk.now, walk.times)
         self.core.machine = walk.topic()
-        self.gate = PolicyCore(LEASE, BEAT)
+        self.gate = PolicyCore(walk.times.lease, BEAT)
         self.drained: set[str] = set()
         self.refuses = self.given = False
         self.work: list[tuple[float, str]] = []  # until when, at which node
--- a/mallowbeam/operators.py
+++ b/mallowbeam/operators.py
@@ -91,7 +91,15 @@
 
 
 class MaintenanceSection(SubsystemSection, forbid_unknown_fields=True, frozen=True):
-    """Machines out for work, in an order that the gateways settle."""
+    """Machines out for work, in an order that the gateways settle; seconds, the same on all members.
+
+    `lease_s` is how long the others count on a gateway's last report while machines are on their way, and
+    how long it serves by that report; `warm_s` how long a machine that is back is cold.
+    """
+
+    lease_s: Annotated[float, Meta(ge=0.5, le=60)] = 2.0
+    report_s: Annotated[float, Meta(ge=0.05, le=20)] = 0.5
+    warm_s: Annotated[float, Meta(ge=0, le=600)] = 5.0
 
 
 class SharesSection(SubsystemSection, forbid_unknown_fields=True, frozen=True):
@@ -158,6 +166,10 @@
         section: SubsystemSection | None = getattr(operators, name)
         if section is not None and section.on and (policy is None or policy.folder is None):
             raise BadConfig(f"{name}.on: it stands on the fleet's log, and policy.folder is off")
+    maintenance = operators.maintenance
+    if maintenance is not None and maintenance.on and policy is not None:
+        if maintenance.lease_s < max(policy.lease_s, 2 * maintenance.report_s):
+            raise BadConfig("maintenance.lease_s: must be at least policy.lease_s, and two reports")
     return operators
 
 
