--- a/mallowbeam/fleet/maintenance/core.py
+++ b/mallowbeam/fleet/maintenance/core.py
@@ -116,6 +116,7 @@
         self.drained: dict[str, float] = {}    # by machine: when that was done here
         self.warming: dict[str, float] = {}
         self.stepped: tuple[bool, float] | None = None  # whether it refuses too, and since when
+        self.confirmed = 0                     # the newest own report that came back
         self.number, self.sent = 0, dict[int, float]()  # own reports on their way, and when put in
         self.proven = float("-inf")            # when the newest that came back was put in
         self.known = self.base = float("-inf")  # the newest mark's put-in, and that before it was asked
@@ -150,6 +151,7 @@
         if isinstance(told.entry, s.Report) and told.by in self.last:
             self.last[told.by] = now
         if isinstance(told.entry, s.Report) and (told.by, told.entry.life) == (self.name, self.life):
+            self.confirmed = max(self.confirmed, told.entry.number)
             put_in = self.sent.pop(told.entry.number, None)
             if put_in is not None:
                 self.proven = max(self.proven, put_in)
@@ -244,7 +246,8 @@
         news = s.Report(self.life, 0, 0, self.local.zone, nodes, self._empty(now), warm, self.local.gave_up)
         calm = {name: msgspec.structs.replace(facts, work=0, load=0.0) for name, facts in nodes.items()}
         key = msgspec.structs.replace(news, nodes=calm)
-        period = self.times.report if self.state.active else self.times.idle
+        period = self.times.report if self.state.active else (
+            self.times.idle if self.confirmed == self.number else self.times.again)
         if now < self.reported + (period if key == self.was else self.times.soon):
             return
         self.number, self.reported, self.was = self.number + 1, now, key
--- a/mallowbeam/fleet/page.py
+++ b/mallowbeam/fleet/page.py
@@ -37,7 +37,7 @@
 class FleetPages:
     """The front."""
 
-    max_body, whole = MOST, 0
+    max_body = whole = MOST                    # held whole: a push may come in pieces
     budget: Budget | None = None
 
     def __init__(self, service: FleetService) -> None:
--- a/mallowbeam/lab/faults/fleet.py
+++ b/mallowbeam/lab/faults/fleet.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 from contextlib import suppress
 from pathlib import Path
-from typing import Any
+from typing import Any, Self
 
 import httpx
 
@@ -47,7 +47,7 @@
         self.client = httpx.AsyncClient(trust_env=False, verify=False, timeout=None,
                                         limits=httpx.Limits(max_keepalive_connections=0))
 
-    async def __aenter__(self) -> Fleet:
+    async def __aenter__(self) -> Self:
         """All up."""
         for near in self.names:
             for far in self.names:
@@ -88,9 +88,13 @@
             "members": {other: f"127.0.0.1:{ports[2]}" for other, ports in self.ports.items()},
             "dial": {far: f"127.0.0.1:{link.port}"
                      for (near, far), link in self.links.items() if near == name},
-            "beat_s": BEAT, "lease_s": LEASE, "when_stale": self.when_stale}}
+            "beat_s": BEAT, "lease_s": LEASE, "when_stale": self.when_stale}} | self.sections()
         write_files(self.folder / name, name, clients, self.discovery, fronts)
 
+    def sections(self) -> dict[str, Any]:
+        """The sections of subsystems that are on, of each gateway's operators' file."""
+        return {}
+
     # --- faults -----------------------------------------------------------------------------------
 
     def _fault(self, what: str, *gateways: str) -> None:
--- a/mallowbeam/lab/faults/walk.py
+++ b/mallowbeam/lab/faults/walk.py
@@ -18,7 +18,7 @@
 from mallowbeam.fleet.maintenance import state as s
 from mallowbeam.fleet.maintenance.machine import Maintenance
 from mallowbeam.fleet.policy import Mark, PolicyCore
-from mallowbeam.lab.faults.orderly import Arrival, Down, Ended, Event, Moved, Read, Told
+from mallowbeam.lab.faults.orderly import Arrival, Asked, Down, Ended, Event, Moved, Read, Told
 
 TICK = 0.05                 # simulated seconds of one step
 LEASE, BEAT = 2.0, 0.25     # of the gate
@@ -250,6 +250,9 @@
                 told = self.reference.push(item.policy)
                 if isinstance(told, Refusal):
                     self.refusals.append(told)
+                else:
+                    ids = tuple(request["id"] for request in item.policy["maintenance"]["requests"])
+                    self.add(Asked(self.now, ids))
             else:
                 self.reference.apply(item.body)
             for machine, step in changed(before, self.state):
