Shares: demand in steps of one percent, a meter by windows

Need: A demand that flickers by less than its measure's own noise moved an epoch.

Change: Rates are told in steps of one percent, and the meter counts in windows.

--- a/mallowbeam/fleet/shares/core.py
+++ b/mallowbeam/fleet/shares/core.py
@@ -17,6 +17,7 @@
 from bisect import bisect_left
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 from mallowbeam.fleet.handed import Release
 from mallowbeam.fleet.handover import Handover
@@ -26,6 +27,7 @@
 from mallowbeam.fleet.shares.packed import pack
 from mallowbeam.fleet.shares.topic import MOST_FLOWS, Close, Demand, Gone, Released, SharesState, targets
 
+T = TypeVar("T")
 MOST_ROWS = 4000            # of one report, some 16 KiB; the others go with the next one
 
 
@@ -87,6 +89,7 @@
     spoke: float = float("-inf")
     number: int = -1
     stale: bool = True                         # what may be served has to be looked at again
+    later: bool = False                        # the same, at the next tick
     live: bool = False                         # whether the allotments told rest on the lease
 
     def __post_init__(self) -> None:
@@ -139,11 +142,19 @@
             self.heard[told.by] = now
         if self.state.roll != before.roll:
             self._renumbered(before)
-        releases = self._released(self.handover.follow(self.state.handed, now))
-        if self.state.number != self.number:
+        handed, releases = self.state.handed, []
+        if isinstance(told.entry, Released) and handed.epoch == self.handover.epoch:
+            holder = told.entry.holder or told.by
+            releases = self.handover.released(holder, handed.released.get(holder, 0), now)
+            self.later = True                  # what may grow by it does so at the next tick, for all at once
+        elif handed is not before.handed:
+            releases = self.handover.follow(handed, now)
+            self.stale = True
+        if self.state.number != self.number or self.state.roll != before.roll:
             self.number, self.closed, self.mine = self.state.number, now, targets(self.state, self.me)
-        self.stale = True
-        return self._allots(now) + releases    # what falls has fallen before the word of it goes out
+            self.stale = True
+        # What falls has fallen before the word of it goes out.
+        return self._allots(now) + self._released(releases)
 
     def tick(self, now: float) -> list[Action]:
         """Time has passed."""
@@ -155,7 +166,9 @@
         self.ticked = now
         gone = self.handover.gone
         actions = self._released(self.handover.tick(now))
-        self.stale = self.stale or gone != self.handover.gone or self.handover.live(now) != self.live
+        self.stale = (self.stale or self.later or gone != self.handover.gone
+                      or self.handover.live(now) != self.live)
+        self.later = False
         if self.state.setup.nodes:
             actions += self._report(now) + self._told_lost(now) + self._close(now)
         return self._allots(now) + actions
@@ -223,7 +236,7 @@
             return []
         self.stale, self.live = False, self.handover.live(now)
         state, usable = self.state, self.handover.usable
-        new = divide(state, self.mine, [flow for flow in (*self.meter.counts, *self.meter.levels)],
+        new = divide(state, self.mine, self.meter.seen(),
                      lambda resource: usable(resource, now))
         before, self.told = self.told, new
         count = len(state.nodes)
@@ -234,13 +247,12 @@
         """Flows have new numbers: what is kept by them is carried over."""
         count = len(before.nodes)
 
-        def moved(rows: Mapping[int, float]) -> dict[int, float]:
+        def moved(rows: Mapping[int, T]) -> dict[int, T]:
             names = {flow: self.flow(before.tenants[flow // count], before.nodes[flow % count])
                      for flow in rows}
             return {new: rows[flow] for flow, new in names.items() if new is not None}
-        self.meter = Meter(MOST_FLOWS, moved(self.meter.counts), moved(self.meter.levels))
-        self.told = {flow: int(rate) for flow, rate in moved(self.told).items()}
-        self.mine = {flow: int(rate) for flow, rate in moved(self.mine).items()}
+        self.meter = Meter(MOST_FLOWS, moved(self.meter.counts), moved(self.meter.past))
+        self.told, self.mine = moved(self.told), moved(self.mine)
 
     def shown(self, now: float) -> dict[str, object]:
         """For the page: where it stands, who is waited for, and what may be served here."""
--- a/mallowbeam/fleet/shares/meter.py
+++ b/mallowbeam/fleet/shares/meter.py
@@ -1,9 +1,8 @@
 """What comes in at one gateway, and when that is worth a word to the fleet.
 
-Units are counted by flow in windows.  A level follows a window that is higher at once and goes half the way
-down to one that is lower.  What is told is the level with some headroom, rounded up; a new word is due when
-the level is above what was told, or when it has stayed well below for some windows in a row: a flicker
-within the band changes nothing.
+Units are counted by flow in windows.  A window above what was told is told at once, with a little headroom.
+Less is told after the highest of `SHORT` windows has been well below, or the highest of `LONG` ones a little
+below: what flickers faster than that, or within the band, changes nothing.
 """
 
 from __future__ import annotations
@@ -13,10 +12,9 @@
 
 from mallowbeam.fleet.shares.packed import STEPS, code
 
-HEADROOM = 1.1              # told over measured, so that a small rise needs no epoch
-BAND = 0.7                  # of what is told: below it a level is well below
-FALLS = 3                   # windows in a row, before less is told
-SMALL = 10                  # milli-units a second: below it nothing is asked
+HEADROOM = 1.01             # told over measured: with the rounding up, 2% at most
+SHORT, WELL = 3, 0.7        # windows, and the part of what was told that is well below
+LONG, BAND = 8, 0.96        # windows, and what is a little below
 
 
 @dataclass(slots=True)
@@ -25,8 +23,7 @@
 
     most: int
     counts: dict[int, float] = field(default_factory=dict)
-    levels: dict[int, float] = field(default_factory=dict)    # milli-units a second
-    falls: dict[int, int] = field(default_factory=dict)
+    past: dict[int, tuple[float, ...]] = field(default_factory=dict)  # milli-units a second, the newest first
 
     def came(self, flow: int, units: float) -> bool:
         """Units were asked for; whether the flow is new here."""
@@ -36,28 +33,30 @@
         if len(self.counts) >= self.most:
             return False
         self.counts[flow] = units
-        return flow not in self.levels
+        return flow not in self.past
+
+    def seen(self) -> list[int]:
+        """The flows that were asked for of late."""
+        return [*self.counts, *self.past]
 
     def window(self, seconds: float, told: Mapping[int, int]) -> dict[int, int]:
         """A window is over: the codes by flow of what should be told anew."""
-        for flow in self.levels.keys() | self.counts.keys():
-            rate = self.counts.get(flow, 0.0) * 1000 / seconds
-            had = self.levels.get(flow, 0.0)
-            level = max(rate, (rate + had) / 2)
-            if level < SMALL and not rate:
-                self.levels.pop(flow, None)
+        for flow in self.past.keys() | self.counts.keys():
+            past = (self.counts.get(flow, 0.0) * 1000 / seconds, *self.past.get(flow, ())[:LONG - 1])
+            if any(past):
+                self.past[flow] = past
             else:
-                self.levels[flow] = level
+                del self.past[flow]
         self.counts.clear()
         rows: dict[int, int] = {}
-        for flow in self.levels.keys() | told.keys():
-            level, said = self.levels.get(flow, 0.0), told.get(flow, 0)
-            if level > said:
-                rows[flow] = code(int(level * HEADROOM))
-            elif level * HEADROOM < said * BAND:
-                self.falls[flow] = falls = self.falls.get(flow, 0) + 1
-                if falls < FALLS:
+        for flow in self.past.keys() | told.keys():
+            past, said = self.past.get(flow, (0.0,)), told.get(flow, 0)
+            level = max(past[:SHORT])
+            if past[0] <= said and level >= said * WELL:
+                level = max(past)
+                if len(past) < LONG or level >= said * BAND:
                     continue
-                rows[flow] = code(int(level * HEADROOM)) if level >= SMALL else 0
-            self.falls.pop(flow, None)
+            elif past[0] <= said and len(past) < SHORT and past != (0.0,):
+                continue
+            rows[flow] = code(int(level * HEADROOM))
         return {flow: new for flow, new in rows.items() if STEPS[new] != told.get(flow, 0)}
--- a/mallowbeam/fleet/shares/packed.py
+++ b/mallowbeam/fleet/shares/packed.py
@@ -1,29 +1,32 @@
-"""Demand as it goes through the log: a byte for a rate, and flows by the distance from the one before.
+"""Demand as it goes through the log: two bytes for a rate, and flows by the distance from the one before.
 
-A rate is rounded up to the next of 255 steps, an eighth of an octave apart, from a milli-unit to some four
-million units a second; zero is a step of its own.  Steps are whole numbers by one rule, so they are the same
-on every machine.
+A rate is rounded up to the next step, a 64th of an octave (1.1%) apart, from a milli-unit to a million units
+a second; zero is a step of its own.  Steps are whole numbers by one rule, the same on every machine.
 """
 
 from __future__ import annotations
 
 from bisect import bisect_left
 from collections.abc import Mapping
+from math import isqrt
 
-EIGHTHS = (65536, 71468, 77936, 84990, 92682, 101070, 110218, 120194)  # 2 ** (i / 8), in 65,536ths
+ONE = 1 << 60               # fixed point, while the steps are made
 
 
 def _steps() -> tuple[int, ...]:
-    steps = [0]
-    at = 0
-    while len(steps) < 256:
-        if (step := EIGHTHS[at % 8] << at // 8 >> 16) > steps[-1]:
+    root = 2 * ONE
+    for _ in range(6):
+        root = isqrt(root * ONE)               # 2 ** (1 / 64)
+    steps, at = [0], ONE
+    while steps[-1] < MOST_STEP:
+        if (step := -(-at // ONE)) > steps[-1]:
             steps.append(step)
-        at += 1
+        at = at * root // ONE
     return tuple(steps)
 
 
-STEPS = _steps()            # milli-units a second, by code
+MOST_STEP = 10 ** 9         # milli-units a second
+STEPS = _steps()            # the same, by code
 
 
 class BadRows(ValueError):
@@ -32,7 +35,7 @@
 
 def code(rate: int) -> int:
     """The step at or above a rate; what is above the highest counts as the highest."""
-    return min(bisect_left(STEPS, rate), 255)
+    return min(bisect_left(STEPS, rate), len(STEPS) - 1)
 
 
 def pack(rows: Mapping[int, int]) -> bytes:
@@ -43,7 +46,7 @@
         while gap > 127:
             out.append(gap & 127 | 128)
             gap >>= 7
-        out += bytes((gap, rows[flow]))
+        out += bytes((gap, rows[flow] & 255, rows[flow] >> 8))
     return bytes(out)
 
 
@@ -62,10 +65,12 @@
                 raise BadRows("a gap too wide")
             continue
         flow += gap + 1
-        if at == last or flow >= flows:
-            raise BadRows("cut short" if at == last else "a flow that is not there")
-        rows[flow] = body[at]
-        at, gap, shift = at + 1, 0, 0
+        if at + 1 >= last or flow >= flows:
+            raise BadRows("cut short" if at + 1 >= last else "a flow that is not there")
+        rows[flow] = step = body[at] | body[at + 1] << 8
+        if step >= len(STEPS):
+            raise BadRows("a step that is not there")
+        at, gap, shift = at + 2, 0, 0
     if shift:
         raise BadRows("cut short")
     return rows
--- a/mallowbeam/lab/shares.py
+++ b/mallowbeam/lab/shares.py
@@ -1,4 +1,4 @@
-"""What an epoch of shares costs: the cores' and machine's own code, a made-up fleet; `python -m mallowbeam.lab.shares`.
+"""What an epoch of shares costs, by core and machine themselves: `python -m mallowbeam.lab.shares [dense]`.
 
 A tenant has its data on few nodes and is served by some of the gateways; `churn` of all flows change between
 two epochs.  Told are the processor's milliseconds that one gateway spends on the epoch, by step, and the
@@ -91,6 +91,7 @@
             body = log.encode("shares", name, Released(log.states["shares"].handed.epoch))
             size += len(body)
             apply(body, now)
+        core.tick(now)
         spent[3] = time.process_time() - began
         return size, [part * 1000 for part in spent]
 
@@ -108,7 +109,8 @@
 
 def main() -> None:
     """The figures of the design note."""
-    for spread, places, churn in ((10, 4, 0.1), (10, 4, 0.25), (40, 4, 0.1)) if len(sys.argv) < 2 else ((200, 4, 0.1),):
+    sparse, dense = ((10, 4, 0.1), (10, 4, 0.25), (40, 4, 0.1)), ((200, 4, 0.02),)
+    for spread, places, churn in dense if "dense" in sys.argv else sparse:
         cost = measure(200, 1000, 200, spread, places, churn)
         print(f"200 x 1,000 x 200, each tenant at {spread} gateways and {places} nodes ({cost.flows} flows), "
               f"{churn:.0%} changed: {cost.whole_ms:.1f} ms (reports {cost.reports_ms:.1f}, close "
--- a/tests/test_shares_fair.py
+++ b/tests/test_shares_fair.py
@@ -18,8 +18,9 @@
 def networks(draw, tenants=5, nodes=4):
     t, n = draw(st.integers(1, tenants)), draw(st.integers(1, nodes))
     z = draw(st.integers(1, 2))
+    zones = st.integers(0, z - 1)
     net = Network(
-        draw(st.lists(RATES, min_size=n, max_size=n)), draw(st.lists(st.integers(0, z - 1), min_size=n, max_size=n)),
+        draw(st.lists(RATES, min_size=n, max_size=n)), draw(st.lists(zones, min_size=n, max_size=n)),
         draw(st.lists(st.none() | RATES, min_size=z, max_size=z)),
         draw(st.lists(st.sampled_from([500, 1000, 2000, 3500]), min_size=t, max_size=t)),
         draw(st.lists(st.sampled_from([0, 0, 20_000, 90_000]), min_size=t, max_size=t)),
