--- a/mallowbeam/fleet/shares/topic.py
+++ b/mallowbeam/fleet/shares/topic.py
@@ -55,7 +55,7 @@
     tenants: dict[str, Share] = {}
     nodes: dict[str, Node] = {}
     zones: dict[str, int] = {}
-    probe: int = 20         # thousandths of each capacity and limit set aside as floors, over all gateways
+    probe: int = 10         # thousandths of each capacity and limit set aside as floors, over all gateways
 
 
 class Demand(Entry, frozen=True):
