Shares: rows trimmed by what floors take

Need: Leaving floors out of the filling took up to three turns of it.

Change: Rows are lowered in proportion by what the floors of those without work take, a hundredth at most, in place of filling again.

--- a/mallowbeam/fleet/shares/rows.py
+++ b/mallowbeam/fleet/shares/rows.py
@@ -62,9 +62,14 @@
     return rows
 
 
-def total(row: Mapping[str, int], floor: int, gateways: int) -> int:
-    """What a row grants in all, the floors of those who are not named in it too."""
-    return sum(row.values()) + floor * (gateways - len(row))
+def trim(row: dict[str, int], most: int, floor: int, gateways: int) -> dict[str, int]:
+    """The row, lowered in proportion until it fits together with the floors of those who are not named in it.
+
+    What is lost is at most what is set aside for those, a hundredth as a rule; floors alone always fit.
+    """
+    while (whole := sum(row.values())) > (room := max(0, most - floor * (gateways - len(row)))):
+        row = {gateway: lower for gateway, sum_ in row.items() if (lower := sum_ * room // whole) > floor}
+    return row
 
 
 def open_epoch(handed: Handed[int], amounts: Rows, floors: Mapping[str, int]) -> Handed[int]:
--- a/mallowbeam/fleet/shares/topic.py
+++ b/mallowbeam/fleet/shares/topic.py
@@ -26,12 +26,11 @@
 from mallowbeam.fleet.log import Entry, Refusal
 from mallowbeam.fleet.shares.fair import MILLI, MOST_WEIGHT, Network, allot
 from mallowbeam.fleet.shares.packed import STEPS, BadRows, unpack
-from mallowbeam.fleet.shares.rows import Places, Rows, grant, open_epoch, total
+from mallowbeam.fleet.shares.rows import Places, grant, open_epoch, trim
 
 MOST_TENANTS = 10_000       # in a set-up; a push beyond is refused
 MOST_NODES = 2_000
 MOST_RATE = 10 ** 9         # milli-units a second of one capacity, reserve or limit
-TURNS = 3                   # of the filling, before all floors are left out of it
 MOST_FLOWS = 16_000         # of one gateway; a report beyond is refused, and what is new goes by the probe
 
 
@@ -110,7 +109,6 @@
     dirty: int = 0                             # 1: an epoch is due; 2: at once
     number: int = 0                            # of the newest close
     rates: dict[int, int] = {}                 # of it, by flow
-    spare: dict[str, int] = {}                 # of it, by resource: what the filling had to hand out
     asked: dict[str, dict[int, int]] = {}      # the picture of it
     asked_total: dict[int, int] = {}
 
@@ -119,32 +117,24 @@
         """Each node's zone."""
         return tuple(self.setup.nodes[name].zone for name in self.nodes)
 
-    def capacity(self, resource: str) -> int:
-        """What a resource holds now; never under its floors, which stay set aside."""
+    def capacity(self, resource: str) -> int | None:
+        """What a resource holds now; None where it has no bound."""
         kind, name = resource.split(":", 1)
         if kind == "n":
-            node = self.setup.nodes.get(name)
-            most = 0 if node is None or name in self.gone else node.capacity
-        elif kind == "z":
-            most = self.setup.zones.get(name, MOST_RATE * MOST_NODES)
-        else:
-            share = self.setup.tenants.get(name)
-            most = MOST_RATE * MOST_NODES if share is None or share.limit is None else share.limit
-        return max(most, self.floors.get(resource, 0) * len(self.handed.holders))
-
-    def network(self, spare: Mapping[str, int]) -> Network:
-        """What the filling may hand out: of each resource what is spare."""
-        setup = self.setup
-        zones = sorted({node.zone for node in setup.nodes.values()})
+            return 0 if name in self.gone else self.setup.nodes[name].capacity
+        if kind == "z":
+            return self.setup.zones.get(name)
+        return self.setup.tenants[name].limit
+
+    def network(self) -> Network:
+        """What the filling goes by."""
+        zones = sorted(set(self.zones))
         place = {zone: at for at, zone in enumerate(zones)}
-        shares = [setup.tenants[name] for name in self.tenants]
+        shares = [self.setup.tenants[name] for name in self.tenants]
         return Network(
-            [spare[f"n:{name}"] for name in self.nodes],
-            [place[setup.nodes[name].zone] for name in self.nodes],
-            [spare[f"z:{zone}"] if zone in setup.zones else None for zone in zones],
-            [share.weight for share in shares], [share.reserve for share in shares],
-            [None if share.limit is None else spare[f"t:{name}"]
-             for name, share in zip(self.tenants, shares, strict=True)])
+            [self.capacity(f"n:{name}") or 0 for name in self.nodes], [place[zone] for zone in self.zones],
+            [self.setup.zones.get(zone) for zone in zones], [share.weight for share in shares],
+            [share.reserve for share in shares], [share.limit for share in shares])
 
 
 class SharesTopic:
@@ -233,13 +223,18 @@
         quiet = sorted({*entry.quiet} & {*self.gateways})
         if quiet:
             state = _silenced(state, tuple(quiet))
-        rates, rows, spare = _settled(state)
+        rates = allot(state.network(), state.total)
+        places = Places(state.tenants, state.nodes, state.zones)
+        rows = grant(places, state.floors, rates, state.total, state.demand)
+        for name, row in rows.items():
+            if (most := state.capacity(name)) is not None:
+                rows[name] = trim(row, most, state.floors.get(name, 0), len(self.gateways))
         try:
             handed = open_epoch(state.handed, rows, state.floors)
         except (BadTarget, TooManyOpen) as error:
             return Refusal(error.what, error.where, error.cure)
         return msgspec.structs.replace(state, handed=handed, number=entry.number, dirty=0, rates=rates,
-                                       spare=spare, asked=state.demand, asked_total=state.total)
+                                       asked=state.demand, asked_total=state.total)
 
 
 def targets(state: SharesState, gateway: str) -> dict[int, int]:
@@ -249,37 +244,6 @@
             for flow, asked in state.asked.get(gateway, {}).items()}
 
 
-def _settled(state: SharesState) -> tuple[dict[int, int], Rows, dict[str, int]]:
-    """Rates, rows that fit every resource, and what was spare.
-
-    A gateway's floor is part of its sum where that is higher, so what the floors take depends on the rates.
-    The filling starts from what was spare at the last close, is done again with what the rows show, and at
-    the last without all floors, which always fits.
-    """
-    gateways, resources = len(state.handed.holders), [
-        *(f"n:{name}" for name in state.nodes), *(f"z:{zone}" for zone in sorted(set(state.zones))),
-        *(f"t:{name}" for name in state.tenants if state.setup.tenants[name].limit is not None)]
-    most = {name: state.capacity(name) for name in resources}
-    least = {name: most[name] - gateways * state.floors.get(name, 0) for name in resources}
-    spare = {name: min(max(state.spare.get(name, 0), least[name]), most[name]) for name in resources}
-    places = Places(state.tenants, state.nodes, state.zones)
-    for turn in range(TURNS + 1):
-        if turn == TURNS:
-            spare = least
-        rates = allot(state.network(spare), state.total)
-        rows = grant(places, state.floors, rates, state.total, state.demand)
-        change: dict[str, int] = {}
-        for name in resources:
-            left = most[name] - total(rows.get(name, {}), state.floors.get(name, 0), gateways)
-            # Spare of what is not full may stay: nobody waits for it.
-            if left < 0 or (not turn and left > most[name] // 500 and spare[name] < most[name]):
-                change[name] = min(max(spare[name] + left, least[name]), most[name])
-        if not change or turn == TURNS:
-            break
-        spare = {**spare, **change}
-    return rates, rows, spare
-
-
 def _floors(setup: Setup, before: Mapping[str, int], gateways: int) -> dict[str, int]:
     """The floors of each gateway: those of before stay for good; raises `BadSetup`."""
     if len(setup.tenants) > MOST_TENANTS or len(setup.nodes) > MOST_NODES:
