Shares: releases taken in together, each resource looked at once

Need: Each of 200 releases looked at every resource that waited for its holder.

Change: The handover gathers what releases touch and looks once at each resource; the shares' core follows the log's state once a tick.

--- a/mallowbeam/fleet/handover.py
+++ b/mallowbeam/fleet/handover.py
@@ -92,6 +92,7 @@
         self.mine: dict[Resource, N] = {}                           # what may be used of those
         self.waits: dict[Resource, frozenset[Holder]] = {}          # whom those wait for
         self.waiting: dict[Holder, set[Resource]] = {}              # the same by holder
+        self.touched: set[Resource] = set()    # by releases, and not looked at yet
         self.rel: dict[Holder, int] = {}
         self.heard: dict[int, tuple[float, float]] = {}             # by epoch: when, and under which proof
         self.owed: list[int] = []              # epochs in which something fell here, not released yet
@@ -119,6 +120,7 @@
                 self._hear(opened.epoch, opened.rows, now)
         for holder, epoch in handed.released.items():
             self._release(holder, epoch, now)
+        self._settle_touched(now)
         return self._due(now)
 
     def agreed(self, target: Target[N], now: float) -> list[Release]:
@@ -130,6 +132,7 @@
     def released(self, holder: Holder, epoch: int, now: float) -> list[Release]:
         """A holder's release was committed; late and repeated ones change nothing."""
         self._release(holder, epoch, now)
+        self._settle_touched(now)
         return self._due(now)
 
     def proven(self, put_in: float) -> None:
@@ -228,7 +231,12 @@
         self.rel[holder] = epoch
         if holder == self.me:
             self.owed = [owed for owed in self.owed if owed > epoch]
-        for resource in list(self.waiting.get(holder, ())):
+        self.touched |= self.waiting.get(holder, set())
+
+    def _settle_touched(self, now: float) -> None:
+        """Look once at each resource that waited for any of the releases just taken in."""
+        touched, self.touched = self.touched, set()
+        for resource in touched & self.open.keys():
             self._settle(resource, now)
 
     def _restore(self, handed: Handed[N], now: float) -> None:
--- a/mallowbeam/fleet/shares/core.py
+++ b/mallowbeam/fleet/shares/core.py
@@ -144,8 +144,6 @@
             self._renumbered(before)
         handed, releases = self.state.handed, []
         if isinstance(told.entry, Released) and handed.epoch == self.handover.epoch:
-            holder = told.entry.holder or told.by
-            releases = self.handover.released(holder, handed.released.get(holder, 0), now)
             self.later = True                  # what may grow by it does so at the next tick, for all at once
         elif handed is not before.handed:
             releases = self.handover.follow(handed, now)
@@ -165,7 +163,11 @@
             self.closed = max(self.closed, now - t.epoch)
         self.ticked = now
         gone = self.handover.gone
-        actions = self._released(self.handover.tick(now))
+        if self.later:
+            actions = self._released(self.handover.follow(self.state.handed, now))
+        else:
+            actions = []
+        actions += self._released(self.handover.tick(now))
         self.stale = (self.stale or self.later or gone != self.handover.gone
                       or self.handover.live(now) != self.live)
         self.later = False
--- a/mallowbeam/fleet/shares/rows.py
+++ b/mallowbeam/fleet/shares/rows.py
@@ -35,19 +35,14 @@
     of_tenant: list[dict[str, int]] = [{} for _ in tenants]
     at_zone: dict[str, dict[str, int]] = {}
     for gateway in sorted(demand):
-        by_node, by_tenant = [0] * count, [0] * len(tenants)
         for flow, asked in demand[gateway].items():
             if flow in cut:
                 rate, whole = cut[flow]
                 asked = rate * asked // whole
-            by_node[flow % count] += asked
-            by_tenant[flow // count] += asked
-        for node, sum_ in enumerate(by_node):
-            if sum_:
-                at_node[node][gateway] = sum_
-        for tenant, sum_ in enumerate(by_tenant):
-            if sum_:
-                of_tenant[tenant][gateway] = sum_
+            row = at_node[flow % count]
+            row[gateway] = row.get(gateway, 0) + asked
+            row = of_tenant[flow // count]
+            row[gateway] = row.get(gateway, 0) + asked
     for zone, row in zip(places.zones, at_node, strict=True):
         here = at_zone.setdefault(zone, {})
         for gateway, sum_ in row.items():
