--- a/mallowbeam/fleet/shares/core.py
+++ b/mallowbeam/fleet/shares/core.py
@@ -56,7 +56,7 @@
     """Seconds, the same on every gateway."""
 
     epoch: float = 1.0                         # at least between two epochs
-    window: float = 0.5                        # of counting; a report goes at most once in it
+    window: float = 0.3                        # of counting; a report goes at most once in it
     patience: int = 2                          # epochs that others wait for the leader's word
     quiet: float = 5.0                         # without a word, after which a gateway asks for nothing
     beat: float = 1.5                          # between words of one that has nothing to tell
@@ -189,6 +189,7 @@
         self.windowed = now
         said = self.state.demand.get(self.me, {})
         rows = self.meter.window(seconds, said)
+        self.stale = True                      # what is lent within this gateway follows what is asked for
         if not rows and now < self.spoke + self.times.beat and self.me not in self.state.quiet:
             return []
         self.spoke = now
@@ -238,7 +239,7 @@
             return []
         self.stale, self.live = False, self.handover.live(now)
         state, usable = self.state, self.handover.usable
-        new = divide(state, self.mine, self.meter.seen(),
+        new = divide(state, self.mine, self.meter.wants(),
                      lambda resource: usable(resource, now))
         before, self.told = self.told, new
         count = len(state.nodes)
--- a/mallowbeam/fleet/shares/divide.py
+++ b/mallowbeam/fleet/shares/divide.py
@@ -2,21 +2,25 @@
 
 Each flow has its target.  Where what may be used of a node, a zone or a tenant's limit is less than the
 targets there, the flows are scaled down together, so all sums fit.  Where flows that have no target yet were
-asked for, the floor is theirs in equal parts, or half of what there is where that is less.
+asked for, the floor is kept for them, or half of what there is where that is less.
+
+What one flow does not ask for now is lent within this gateway to those that are short, in proportion to what
+they lack; a `BACK`th of its target stays with it, so that it is heard at once when it asks again.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 
 from mallowbeam.fleet.shares.topic import SharesState
 
+BACK = 10                   # of a target that is lent, the part that stays
 Usable = Callable[[str], int]
 
 
-def divide(state: SharesState, targets: Mapping[int, int], seen: Iterable[int],
+def divide(state: SharesState, targets: Mapping[int, int], wants: Mapping[int, int],
            usable: Usable) -> dict[int, int]:
-    """Rates by flow, whose sums fit what is usable; `seen` are flows that were asked for here."""
+    """Rates by flow, whose sums fit what is usable; `wants` is what is asked for here now, new flows too."""
     if not (count := len(state.nodes)):
         return {}
     setup, floors = state.setup, state.floors
@@ -35,7 +39,7 @@
             told.append((2, tenant, "t:" + state.tenants[tenant]))
         return told
 
-    links = {flow: places(flow) for flow in {*targets, *seen}}
+    links = {flow: places(flow) for flow in {*targets, *wants}}
     for told in links.values():
         for kind, place, name in told:
             if place not in has[kind]:
@@ -64,21 +68,28 @@
                     if of == kind and place in short:
                         most, total = short[place]
                         rates[flow] = rate * most // total
-    if newer:
-        _newcomers(rates, newer, links, has)
+    _lend(rates, wants, links, has)
     return rates
 
 
-def _newcomers(rates: dict[int, int], newer: list[int], links: Mapping[int, list[tuple[int, int, str]]],
-               has: list[dict[int, int]]) -> None:
-    """Give what is over to those without a target, in equal parts of each place's rest."""
-    left = [dict(places) for places in has]
-    many: list[dict[int, int]] = [{}, {}, {}]
-    for flow, rate in rates.items():
+def _lend(rates: dict[int, int], wants: Mapping[int, int], links: Mapping[int, list[tuple[int, int, str]]],
+          has: list[dict[int, int]]) -> None:
+    """Let those that are short have what the others at their places do not ask for, and what is over."""
+    lack = {flow: want - rates.get(flow, 0) for flow, want in wants.items() if want > rates.get(flow, 0)}
+    needs: list[dict[int, int]] = [{}, {}, {}]
+    for flow, short in lack.items():
         for kind, place, _ in links[flow]:
+            needs[kind][place] = needs[kind].get(place, 0) + short
+    left = [{place: has[kind][place] for place in needs[kind]} for kind in range(3)]
+    kept: dict[int, int] = {}
+    for flow, rate in rates.items():
+        here = [(kind, place) for kind, place, _ in links[flow] if place in needs[kind]]
+        if here and flow not in lack:
+            kept[flow] = rate = min(rate, max(wants.get(flow, 0), rate // BACK))
+        for kind, place in here:
             left[kind][place] -= rate
-    for flow in newer:
-        for kind, place, _ in links[flow]:
-            many[kind][place] = many[kind].get(place, 0) + 1
-    for flow in newer:
-        rates[flow] = max(0, min(left[kind][place] // many[kind][place] for kind, place, _ in links[flow]))
+    rates.update(kept)
+    for flow in sorted(lack):
+        short = lack[flow]
+        rates[flow] = rates.get(flow, 0) + max(0, min(
+            short, *(short * left[kind][place] // needs[kind][place] for kind, place, _ in links[flow])))
--- a/mallowbeam/fleet/shares/meter.py
+++ b/mallowbeam/fleet/shares/meter.py
@@ -14,7 +14,8 @@
 
 HEADROOM = 1.003            # told over measured: with the rounding up, 0.6% at most
 SHORT, WELL = 3, 0.7        # windows, and the part of what was told that is well below
-LONG, BAND = 8, 0.96        # windows, and what is a little below
+FIRST = 1000                # milli-units a second, until the first window is over
+LONG, BAND = 12, 0.96       # windows, and what is a little below
 
 
 @dataclass(slots=True)
@@ -35,9 +36,10 @@
         self.counts[flow] = units
         return flow not in self.past
 
-    def seen(self) -> list[int]:
-        """The flows that were asked for of late."""
-        return [*self.counts, *self.past]
+    def wants(self) -> dict[int, int]:
+        """What is asked for now, by flow, in milli-units a second; a new one by `FIRST`."""
+        known = {flow: int(max(past[:2]) * HEADROOM) for flow, past in self.past.items()}
+        return {**dict.fromkeys(self.counts, FIRST), **known}
 
     def window(self, seconds: float, told: Mapping[int, int]) -> dict[int, int]:
         """A window is over: the codes by flow of what should be told anew."""
