--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -9,6 +9,7 @@
 import uvloop
 from scenario import World
 
+from mallowbeam.interface import Outcome
 from mallowbeam.net import gateway
 
 
@@ -52,6 +53,13 @@
     async def run() -> None:
         async with World() as world:
             world.gateway.pool.take = once(world.gateway.pool.take)
+            report, outcomes = world.gateway.facade.report, []
+
+            def reported(now, tried, outcome, *rest):
+                outcomes.append(outcome)
+                return report(now, tried, outcome, *rest)
+
+            world.gateway.facade.report = reported
             await world.play("""
                 c1 send write deadline=900
                 n0 expect PUT
@@ -59,7 +67,7 @@
                 c1 expect 200 stored
                 n0 expect nothing
             """)
-            assert not world.gateway.tasks and not world.gateway.facade.knows("0000000400000001")
+            assert outcomes == [Outcome.NOT_SENT, Outcome.OK] and not world.gateway.tasks
 
     uvloop.run(run())
 
