--- a/mallowbeam/fleet/page.py
+++ b/mallowbeam/fleet/page.py
@@ -34,7 +34,7 @@
 class FleetPages:
     """The front."""
 
-    max_body, whole = MOST, 0
+    max_body = whole = MOST                    # a push is read to its end, in however many pieces it comes
     budget: Budget | None = None
 
     def __init__(self, service: FleetService) -> None:
--- a/tests/test_fleet_service.py
+++ b/tests/test_fleet_service.py
@@ -23,7 +23,9 @@
 from mallowbeam.fleet.policy_text import MOST_DEPTH, canonical, check_sections, owns, read_policy
 from mallowbeam.fleet.service import FleetService
 from mallowbeam.lab.rig import hold_port
+from mallowbeam.net.config import read_address
 from mallowbeam.net.http import Message
+from mallowbeam.net.server import Server
 from mallowbeam.operators import PolicySection, SharesSection
 
 SILVER, GOLD = io.Plan("silver", rate=5, price=0.5), io.Plan("gold", reserve=10, weight=2)
@@ -213,6 +215,25 @@
     play(scene)
 
 
+def test_a_push_may_come_in_pieces(play):
+    """Guards pushes by any client: httpx sends head and body apart."""
+    async def scene(world: World) -> None:
+        sock, port = hold_port()
+        server = Server(read_address(f"127.0.0.1:{port}"), world.pages, 8, name="policy")
+        server.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        head = (b'PUT /policy HTTP/1.1\r\nhost: x\r\nif-match: "0"\r\n'
+                b"content-length: 2\r\nconnection: close\r\n\r\n")
+        for piece in (head, b"{", b"}"):
+            writer.write(piece)
+            await asyncio.sleep(0.05)          # so that it goes out; nothing hangs on how long
+        assert (await reader.read()).endswith(b'{"version":1}')
+        writer.close()
+        await server.drain()
+        sock.close()
+    play(scene)
+
+
 def test_a_member_with_other_sections_stops_pushes_while_it_is_heard_of(play):
     async def scene(world: World) -> None:
         world.service.section.members["g1"] = "127.0.0.1:2"
