Faults: a cut link tells no ends either; engines' turns in the diagnosis

Need: The harness's link let an end through a cut, which no network does; nothing told whether an engine had stood still.

Change: A link passes an end on as late as all else and not through a cut; the engine's last turn and its longest wait are shown.

--- a/mallowbeam/fleet/wire.py
+++ b/mallowbeam/fleet/wire.py
@@ -46,6 +46,7 @@
         self.since: dict[Node, float] = {}     # when a link came up or went down
         self.waiting: dict[TcpConnection, float] = {}  # callers that have not said who they are
         self.pinged = 0.0
+        self.ticked, self.slowest = 0.0, 0.0   # the last tick, and the longest wait for one in seconds
         self.went_back = 0                     # answers that asked for older entries
         super().__init__(engine, own, others)
 
@@ -96,6 +97,8 @@
     def _onTick(self) -> None:
         super()._onTick()
         now = time.monotonic()
+        self.slowest = max(self.slowest, now - (self.ticked or now))
+        self.ticked = now
         if now < self.pinged + PING_S:
             return
         self.pinged, limit = now, now - self._syncObj.conf.connectionTimeout
@@ -180,6 +183,7 @@
             "leader": names.get(leader.id) if leader else None,
             "log_end": end[1], "log_end_term": end[2], "committed": status["commit_idx"],
             "applied": status["last_applied"], "went_back": self.went_back,
+            "tick_s": round(now - (self.ticked or now), 2), "slowest_tick_s": round(self.slowest, 2),
             "links": {names[node.id]: {
                 "state": STATES[conn.state], "dialled": "here" if self._shouldConnect(node) else "there",
                 "for_s": round(now - self.since.get(node, now), 1),
--- a/mallowbeam/lab/faults/links.py
+++ b/mallowbeam/lab/faults/links.py
@@ -72,6 +72,9 @@
                 await self.whole.wait()
                 writer.write(data)
                 await writer.drain()
+        if self.delay:                         # an end is told as late as all else, and not through a cut
+            await asyncio.sleep(self.delay)
+        await self.whole.wait()
 
     async def close(self) -> None:
         """End it and all that goes through it."""
