Tests: the gateway's core of maintenance by itself

Need: The gateway's core of maintenance was tested through walks only.

Change: Its reports, leases, proposals and ranks by hand.

Measured: The tests pass; 19 guards of machine and core taken out one by one each make a test fail, two of them after a test was added.

--- /dev/null
+++ b/tests/test_maintenance_core.py
@@ -0,0 +1,174 @@
+"""One gateway's core: what it says and when, leases, ranks, and what an operator tells it."""
+
+from __future__ import annotations
+
+import pytest
+
+from mallowbeam.fleet.log import Log
+from mallowbeam.fleet.maintenance import core as c
+from mallowbeam.fleet.maintenance import state as s
+from mallowbeam.fleet.maintenance.machine import Maintenance
+
+MEMBERS = ("g0", "g1", "g2")
+NODES = {f"n{i}": s.NodeFacts("ab"[i % 2], i // 2) for i in range(4)}
+
+
+class Rig:
+    """A core on a log of its own; it hears at once what is put in, and may be kept from it."""
+
+    def __init__(self, name="g1", now=100.0, known=99.5):
+        self.log = Log([Maintenance(MEMBERS)])
+        self.core = c.MaintenanceCore(name, "l", MEMBERS, now)
+        self.core.mark(known)
+        self.core.reports(c.Local(NODES))
+        self.name, self.now, self.did = name, now, []
+        for by in MEMBERS:
+            self.put(by, s.Report("l" if by != name else "old", 1, 0, "z", NODES))
+
+    def put(self, by, entry):
+        told = self.log.apply(self.log.encode("maintenance", by, entry))
+        self.did += self.core.committed(told, self.now)
+        return told
+
+    def push(self, *machines, **changes):
+        asked = {"id": "a", "machines": list(machines)} | changes
+        for told in self.log.push({"drains": [], "maintenance": {"requests": [asked]}}):
+            self.did += self.core.committed(told, self.now)
+
+    def wait(self, seconds, lost=False):
+        """Let time pass; what the core proposes is put in, or lost, and handed back."""
+        self.now += seconds
+        found = self.core.tick(self.now)
+        entries = [action.entry for action in found if isinstance(action, c.Propose)]
+        self.did += [action for action in found if not isinstance(action, c.Propose)]
+        for entry in [] if lost else entries:
+            self.put(self.name, entry)
+        return entries
+
+    def step(self, machine):
+        item = self.log.states["maintenance"].items[machine]
+        return item.step
+
+    def draining(self, machine="n0"):
+        self.push(machine)
+        self.put("g0", s.Next(0))
+        if machine.startswith("g"):
+            self.put(machine, s.Report("l", 5, self.log.index, "z", NODES, gave_up=True))
+        self.put("g0", s.Move(machine, "draining", 1))
+        assert self.step(machine) == "draining"
+
+
+def reports(entries):
+    return [entry for entry in entries if isinstance(entry, s.Report)]
+
+
+def test_a_report_that_is_lost_is_made_again_and_one_that_came_back_is_not():
+    rig = Rig()
+    assert reports(rig.wait(0.1, lost=True))
+    assert not reports(rig.wait(0.5))
+    assert reports(rig.wait(1.0))              # again, and this one comes back
+    assert not reports(rig.wait(5.0))
+    assert reports(rig.wait(30.0))
+
+
+def test_serves_by_its_reports_lease_while_machines_are_on_their_way():
+    rig = Rig(known=99.0)
+    assert rig.core.serves(1e6)                # nothing is asked for
+    rig.push("n0")
+    assert rig.core.serves(101.0) and not rig.core.serves(101.1)  # by the mark before it was asked
+    rig.wait(0.5)
+    assert rig.core.serves(102.5) and not rig.core.serves(102.6)
+
+
+def test_gone_only_once_it_has_proven_to_have_heard_all():
+    rig = Rig()
+    rig.now += 50.0                            # nothing was asked for: nobody had to say anything
+    rig.push("n0")
+    assert not [e for e in rig.wait(1.0) if isinstance(e, s.Gone)]
+    rig.put("g0", s.Report("l", 2, 0, "z", NODES))
+    for _ in range(4):                         # its own reports are lost: it may have missed the others'
+        assert not [e for e in rig.wait(1.0, lost=True) if isinstance(e, s.Gone)]
+    found = []
+    for _ in range(6):
+        rig.put("g0", s.Report("l", 3 + rig.log.index, 0, "z", NODES))
+        found += [e for e in rig.wait(0.6) if isinstance(e, s.Gone)]
+    assert {e.gateway for e in found} == {"g2"}
+
+
+@pytest.mark.parametrize("leader, waits", [("g1", 0.0), ("g0", 0.5), ("g2", 1.0)])
+def test_the_leader_proposes_first_and_others_by_their_rank(leader, waits):
+    rig = Rig()
+    rig.core.reports(c.Local(NODES, leader=leader))
+    rig.push("n0")
+    spent = 0.0
+    while not any(isinstance(e, s.Next) for e in rig.wait(0.1, lost=True)):
+        spent += 0.1
+        assert spent < 3.0
+    assert spent == pytest.approx(waits, abs=0.11)
+
+
+def test_empty_is_said_after_a_moment_and_with_nothing_out():
+    rig = Rig()
+    rig.draining()
+    assert c.Drain("n0") in rig.did and not rig.core.may_send("n0")
+    assert not any("n0" in e.empty for e in reports(rig.wait(0.2)))
+    busy = NODES | {"n0": s.NodeFacts("a", 0, work=1)}
+    rig.core.reports(c.Local(busy))
+    assert not any("n0" in e.empty for e in reports(rig.wait(0.5)))
+    rig.core.reports(c.Local(NODES))
+    assert any("n0" in e.empty for e in reports(rig.wait(0.2)))
+
+
+def test_a_gateway_gives_up_then_refuses_then_says_that_it_holds_nothing():
+    rig = Rig()
+    rig.push("g1")
+    rig.put("g0", s.Next(0))
+    assert rig.did[-1] == c.StepDown(False)
+    rig.core.reports(c.Local(NODES, in_hand=2, gave_up=True))
+    rig.wait(0.2)
+    rig.put("g0", s.Move("g1", "draining", 1))
+    assert rig.step("g1") == "draining" and c.StepDown(True) in rig.did
+    assert not any("g1" in e.empty for e in reports(rig.wait(0.6)))
+    rig.core.reports(c.Local(NODES, in_hand=0, gave_up=True))
+    assert any("g1" in e.empty for e in reports(rig.wait(0.6)))
+    rig.push("n0")                             # taken back before it was out
+    assert c.StepUp() in rig.did
+
+
+def test_time_is_counted_from_agreement_by_its_own_clock():
+    rig = Rig()
+    rig.push("n0", time_s=5.0)
+    rig.now += 60.0                            # waiting is not counted
+    rig.put("g0", s.Next(0))
+    assert not [e for e in rig.wait(4.0, lost=True) if isinstance(e, s.TimeUp)]
+    rig.wait(1.5, lost=True)
+    assert [e for e in rig.wait(1.0, lost=True) if isinstance(e, s.TimeUp)]
+
+
+def test_an_operators_word_is_proposed_until_the_log_has_it():
+    rig = Rig()
+    rig.draining()
+    for by in MEMBERS:
+        rig.put(by, s.Report("l", 50, rig.log.index, "z", NODES, ["n0"]))
+    rig.put("g0", s.Move("n0", "empty", 2))
+    rig.put("g0", s.Move("n0", "out", 3))
+    rig.core.back("n0")
+    said = [rig.wait(0.5, lost=True) for _ in range(10)]
+    assert sum(s.Back("n0") in entries for entries in said) > 2
+    rig.wait(1.0)
+    assert rig.step("n0") != "out"
+    assert not any(isinstance(e, s.Back) for _ in range(5) for e in rig.wait(0.5, lost=True))
+
+
+def test_a_machine_that_is_back_gets_this_gateways_share_before_it_serves():
+    rig = Rig()
+    rig.draining()
+    for by in MEMBERS:
+        rig.put(by, s.Report("l", 50, rig.log.index, "z", NODES, ["n0"]))
+    for turn, to in ((2, "empty"), (3, "out")):
+        rig.put("g0", s.Move("n0", to, turn))
+    rig.put("g0", s.Back("n0"))
+    assert not rig.core.may_send("n0")
+    rig.put("g0", s.Move("n0", "warming", 5))
+    warm = c.Warm("n0", pytest.approx(1 / 3))
+    assert rig.did.index(warm) < rig.did.index(c.Undrain("n0"))
