--- a/mallowbeam/fleet/shares/rows.py
+++ b/mallowbeam/fleet/shares/rows.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
+from operator import mul
 
 import msgspec
 
@@ -26,49 +27,54 @@
 
 
 def ratios(rates: Mapping[int, int], sums: Mapping[int, int]) -> dict[int, float]:
-    """By flow that does not get all it asks for: the part that it gets.
+    """By flow: the part that it gets of what it asks for.
 
     A gateway's part is its demand times this, rounded down.  The products' error is far under a milli-unit,
     so whole parts never add up to more than the rate; IEEE doubles are the same on every machine.
     """
-    return {flow: rate / whole for flow, rate in rates.items() if rate < (whole := sums[flow])}
+    return {flow: rate / sums[flow] for flow, rate in rates.items()}
 
 
 def grant(places: Places, floors: Mapping[str, int], rates: Mapping[int, int], sums: Mapping[int, int],
           demand: Mapping[str, Mapping[int, int]]) -> Rows:
-    """Each gateway's sums, by resource; who is not named has its floor, as its sum is no more."""
-    tenants, nodes = places.tenants, places.nodes
-    count = len(nodes)
-    cut = ratios(rates, sums).get
-    at_node: list[dict[str, int]] = [{} for _ in nodes]
-    of_tenant: list[dict[str, int]] = [{} for _ in tenants]
-    at_zone: dict[str, dict[str, int]] = {}
+    """Each gateway's sums, by resource; who is not named has its floor, as its sum is no more.
+
+    Each gateway's flows are in order, so that a tenant's come together.
+    """
+    count, zones = len(places.nodes), sorted(set(places.zones))
+    zone_of = [zones.index(zone) for zone in places.zones]
+    at_node, node_floors = _empty("n:", places.nodes, floors)
+    at_zone, zone_floors = _empty("z:", zones, floors)
+    of_tenant, tenant_floors = _empty("t:", places.tenants, floors)
+    part = ratios(rates, sums).__getitem__
     for gateway in sorted(demand):
-        by_node: dict[int, int] = {}
-        by_tenant: dict[int, int] = {}
-        node_has, tenant_has = by_node.get, by_tenant.get
-        for flow, asked in demand[gateway].items():
-            if (ratio := cut(flow)) is not None:
-                asked = int(asked * ratio)
-            tenant, node = flow // count, flow % count
-            by_node[node] = node_has(node, 0) + asked
-            by_tenant[tenant] = tenant_has(tenant, 0) + asked
-        for node, sum_ in by_node.items():
-            at_node[node][gateway] = sum_
-        for tenant, sum_ in by_tenant.items():
-            of_tenant[tenant][gateway] = sum_
-    for zone, row in zip(places.zones, at_node, strict=True):
-        here = at_zone.setdefault(zone, {})
-        for gateway, sum_ in row.items():
-            here[gateway] = here.get(gateway, 0) + sum_
-    rows: Rows = {}
-    for prefix, names, sums_of in (("n:", nodes, at_node), ("t:", tenants, of_tenant),
-                                   ("z:", list(at_zone), list(at_zone.values()))):
-        for name, row in zip(names, sums_of, strict=True):
-            if row:
-                floor = floors.get(prefix + name, 0)
-                rows[prefix + name] = {gateway: sum_ for gateway, sum_ in row.items() if sum_ > floor}
-    return rows
+        rows = demand[gateway]
+        by_node, by_zone, before, sum_ = [0] * count, [0] * len(zones), -1, 0
+        for flow, has in zip(rows, map(int, map(mul, rows.values(), map(part, rows))), strict=True):
+            by_node[flow % count] += has
+            if (tenant := flow // count) != before:
+                if sum_ > tenant_floors[before]:
+                    of_tenant[before][gateway] = sum_
+                before, sum_ = tenant, 0
+            sum_ += has
+        if rows and sum_ > tenant_floors[before]:
+            of_tenant[before][gateway] = sum_
+        for row, sum_, floor, zone in zip(at_node, by_node, node_floors, zone_of, strict=True):
+            if sum_:
+                by_zone[zone] += sum_
+                if sum_ > floor:
+                    row[gateway] = sum_
+        for row, sum_, floor in zip(at_zone, by_zone, zone_floors, strict=True):
+            if sum_ > floor:
+                row[gateway] = sum_
+    named = (*(f"n:{name}" for name in places.nodes), *(f"z:{name}" for name in zones),
+             *(f"t:{name}" for name in places.tenants))
+    return {name: row for name, row in zip(named, (*at_node, *at_zone, *of_tenant), strict=True) if row}
+
+
+def _empty(prefix: str, names: Sequence[str],
+           floors: Mapping[str, int]) -> tuple[list[dict[str, int]], list[int]]:
+    return [{} for _ in names], [floors.get(prefix + name, 0) for name in names]
 
 
 def trim(row: dict[str, int], most: int, floor: int, gateways: int) -> dict[str, int]:
--- a/mallowbeam/fleet/shares/topic.py
+++ b/mallowbeam/fleet/shares/topic.py
@@ -208,6 +208,8 @@
         quiet = tuple(name for name in state.quiet if name != by)
         if after == before:
             return state if quiet == state.quiet else msgspec.structs.replace(state, quiet=quiet)
+        if after.keys() != before.keys():
+            after = dict(sorted(after.items()))
         total = dict(state.total)
         for flow in before.keys() | after.keys() if entry.whole else told:
             if sum_ := total.get(flow, 0) + after.get(flow, 0) - before.get(flow, 0):
@@ -240,8 +242,7 @@
 def targets(state: SharesState, gateway: str) -> dict[int, int]:
     """What the newest close grants this gateway, by flow."""
     cut = ratios(state.rates, state.asked_total)
-    return {flow: int(asked * cut[flow]) if flow in cut else asked
-            for flow, asked in state.asked.get(gateway, {}).items()}
+    return {flow: int(asked * cut[flow]) for flow, asked in state.asked.get(gateway, {}).items()}
 
 
 def _floors(setup: Setup, before: Mapping[str, int], gateways: int) -> dict[str, int]:
--- a/tests/test_shares_fair.py
+++ b/tests/test_shares_fair.py
@@ -112,9 +112,9 @@
 
 @given(st.integers(0, 10**9), st.lists(st.integers(1, 10**7), min_size=1, max_size=60))
 def test_parts_of_a_rate_never_add_up_to_more(rate, asked):
-    ratio = ratios({0: rate}, {0: sum(asked)}).get(0)
-    parts = asked if ratio is None else [int(part * ratio) for part in asked]
-    assert rate - len(asked) <= sum(parts) <= rate or parts == asked
+    rate = min(rate, sum(asked))
+    ratio = ratios({0: rate}, {0: sum(asked)})[0]
+    assert rate - len(asked) <= sum(int(part * ratio) for part in asked) <= rate
 
 
 def test_the_oracle_tells_a_filling_that_forgets_limits_weights_or_reserves():
--- a/tests/test_shares_topic.py
+++ b/tests/test_shares_topic.py
@@ -13,6 +13,7 @@
 from mallowbeam.fleet.shares.meter import LONG, Meter
 from mallowbeam.fleet.shares.packed import STEPS, BadRows, code, pack, unpack
 from mallowbeam.fleet.shares.rows import trim
+from mallowbeam.fleet.shares.service import Shares
 from mallowbeam.fleet.shares.topic import (
     Close,
     Demand,
@@ -158,3 +159,19 @@
     put(it, "g1", Close(1))
     state = it.states["shares"]
     assert msgspec.msgpack.decode(msgspec.msgpack.encode(state), type=type(state)) == state
+
+
+def test_the_service_hands_on_what_the_core_returns():
+    it, entries, allotted = log(), [], {}
+    part = Shares("g0", NAMES, it.states["shares"], 0.0, entries.append,
+                  lambda tenant, node, rate, of: allotted.update({(tenant, node): rate}))
+    part.proven(0.0, 0.0)
+    for at in range(1, 30):
+        part.observed("a", "plan", "n0", 2.0, at / 10)
+        part.proven(at / 10, at / 10)
+        part.tick(at / 10, leads=True)
+        while entries:
+            part.committed(put(it, "g0", entries.pop(0)), at / 10)
+    assert allotted["a", "n0"] == pytest.approx(20, rel=0.1) and part.shown(3.0)["live"]
+    part.node("n0", True, 3.0)
+    assert entries == [Gone("n0", True)]
