--- a/mallowbeam/fleet/shares/topic.py
+++ b/mallowbeam/fleet/shares/topic.py
@@ -26,7 +26,7 @@
 from mallowbeam.fleet.log import Entry, Refusal
 from mallowbeam.fleet.shares.fair import MILLI, MOST_WEIGHT, Network, allot
 from mallowbeam.fleet.shares.packed import STEPS, BadRows, unpack
-from mallowbeam.fleet.shares.rows import Places, grant, open_epoch, trim
+from mallowbeam.fleet.shares.rows import Places, grant, open_epoch, ratios, trim
 
 MOST_TENANTS = 10_000       # in a set-up; a push beyond is refused
 MOST_NODES = 2_000
@@ -208,6 +208,8 @@
         quiet = tuple(name for name in state.quiet if name != by)
         if after == before:
             return state if quiet == state.quiet else msgspec.structs.replace(state, quiet=quiet)
+        if after.keys() != before.keys():
+            after = dict(sorted(after.items()))
         total = dict(state.total)
         for flow in before.keys() | after.keys() if entry.whole else told:
             if sum_ := total.get(flow, 0) + after.get(flow, 0) - before.get(flow, 0):
@@ -239,9 +241,8 @@
 
 def targets(state: SharesState, gateway: str) -> dict[int, int]:
     """What the newest close grants this gateway, by flow."""
-    rates, total = state.rates, state.asked_total
-    return {flow: asked if (rate := rates[flow]) >= (whole := total[flow]) else rate * asked // whole
-            for flow, asked in state.asked.get(gateway, {}).items()}
+    cut = ratios(state.rates, state.asked_total)
+    return {flow: int(asked * cut[flow]) for flow, asked in state.asked.get(gateway, {}).items()}
 
 
 def _floors(setup: Setup, before: Mapping[str, int], gateways: int) -> dict[str, int]:
