--- a/mallowbeam/fleet/agreement.py
+++ b/mallowbeam/fleet/agreement.py
@@ -14,6 +14,7 @@
 from pysyncobj import FAIL_REASON, SyncObj, SyncObjConf, SyncObjConsumer, replicated
 from pysyncobj.node import TCPNode
 
+from mallowbeam.fleet.journal import begin_at_snapshot, cut_whole
 from mallowbeam.fleet.policy import Change
 from mallowbeam.fleet.wire import Wire
 
@@ -79,6 +80,7 @@
         AFTER[id(self.ledger)] = self._after
         others = [Member(address, (dial or {}).get(other))
                   for other, address in members.items() if other != name]
+        begin_at_snapshot(folder / "journal", folder / "snapshot")
         self.engine = SyncObj(Member(members[name]), others, SyncObjConf(
             autoTickPeriod=0.02, raftMinTimeout=0.4, raftMaxTimeout=0.9, appendEntriesPeriod=0.1,
             connectionRetryTime=0.2, connectionTimeout=1.5, leaderFallbackTimeout=1.0,
@@ -86,6 +88,7 @@
             appendEntriesBatchSizeBytes=ONE_SEND,
             fullDumpFile=str(folder / "snapshot"), logCompactionMinEntries=2000, logCompactionMinTime=30,
             useFork=False), consumers=[self.ledger], transportClass=self._wired)
+        cut_whole(self.engine, folder / "journal")  # long before its first cut
 
     def _wired(self, engine: Any, own: Any, others: Any) -> Wire:
         self.wire = Wire(engine, own, others)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -274,6 +274,41 @@
     assert asked("b") == ["127.0.0.1:2"] and asked("c") == []
 
 
+# --- the journal ----------------------------------------------------------------------------------
+
+
+def ends(folder: Path) -> tuple[int, int]:
+    """The first and the last index that are on disk."""
+    journal = FileJournal(str(folder / "journal"))
+    found = (journal[0][1], journal[-1][1])
+    journal._destroy()
+    return found
+
+
+def test_a_journal_is_cut_whole_and_one_cut_short_by_a_kill_loses_no_acknowledged_entry(tmp_path):
+    """Guards the majority: the engine would clear a journal that begins before its snapshot, tail and all."""
+    with members("a") as (up, start):
+        start("a", log_of(tmp_path / "a", [0, *[1] * 20]))
+        until(lambda: up["a"].shown().get("applied", 0) > 20)
+        journal_file = tmp_path / "a" / "journal"
+        old, number = journal_file.read_bytes(), journal_file.stat().st_ino
+        up["a"].engine.forceLogCompaction()
+        until(lambda: ends(tmp_path / "a")[0] > 1)
+        assert journal_file.stat().st_ino != number, "another file took its name, whole"
+    first, _ = ends(tmp_path / "a")
+    journal_file.write_bytes(old)              # as it was before the cut
+    journal = FileJournal(str(journal_file))
+    last = journal[-1][1] + 3
+    for index in range(last - 2, last + 1):
+        journal.add(NOTHING, index, 2)         # and what was acknowledged since
+    journal._destroy()
+    with members("a") as (up, start):
+        start("a", tmp_path / "a")
+        until(lambda: up["a"].shown().get("committed", 0) > last)
+        held = {index: term for _, index, term in up["a"].wire._log}
+        assert min(held) == first and held[last] == 2, "it begins at the snapshot and kept what came after"
+
+
 # --- what to look at ------------------------------------------------------------------------------
 
 
