Tests: an order that misses a step is caught; duplicates by their turn

Need: The checker of the order passed over a step that some gateway never read; duplicates of an earlier turn were untested.

--- a/tests/test_maintenance_machine.py
+++ b/tests/test_maintenance_machine.py
@@ -94,6 +94,19 @@
     assert put(log, "g0", s.Move("n0", "draining", 1)).refusal is None
     assert put(log, "g1", s.Move("n0", "draining", 1)).refusal is not None
     assert put(log, "g1", s.Move("n0", "out", 2)).refusal is not None
+    put(log, "g0", s.TimeUp("n0", 4))
+    assert state(log).items["n0"].step == "failed"
+
+
+def test_an_entry_meant_for_an_earlier_turn_is_a_duplicate():
+    log = fleet()
+    push(log, ask("n0", "n3", at_once=2))
+    put(log, "g0", s.Next(0))
+    assert put(log, "g1", s.Next(0)).refusal is not None  # though another could go
+    assert [item.step for item in state(log).items.values()] == ["agreed", "proposed"]
+    assert put(log, "g1", s.Move("n0", "draining", 0)).refusal is not None
+    assert put(log, "g1", s.TimeUp("n0", 1)).refusal is not None
+    assert put(log, "g1", s.Next(1)).refusal is None
 
 
 def empty(log, *names, number, heard=None):
