Maintenance: a machine is let go on every gateway's word given after it was empty

Change: `out` wants each gateway's word anew, after `empty`; a look at the order is made at most each 0.2 s while only reports come.

--- a/mallowbeam/fleet/maintenance/core.py
+++ b/mallowbeam/fleet/maintenance/core.py
@@ -39,6 +39,7 @@
     idle: float = 30.0                         # the same while none are
     soon: float = 0.1                          # between reports where there is news
     again: float = 1.0                         # after which a proposal counts as lost
+    look: float = 0.2                          # between looks at the order while only reports come in
     rank: float = 0.5                          # by which each member waits for the one before it
     warm: float = 5.0                          # for which a machine that is back is cold
 
@@ -125,7 +126,7 @@
         self.wanted: dict[bytes, list[float]] = {}  # by entry: wanted since, proposed last
         self.said_back: set[str] = set()
         self.reported, self.was = float("-inf"), s.Report("", 0, 0, "", {})
-        self.looked: tuple[Maintained, list[Entry]] | None = None
+        self.looked: tuple[Maintained, float, list[Entry]] | None = None  # which state, when, what is due
 
     # --- what comes in ----------------------------------------------------------------------------
 
@@ -259,9 +260,12 @@
     # --- what it proposes -------------------------------------------------------------------------
 
     def _due(self, now: float) -> list[Entry]:
-        if self.looked is None or self.looked[0] is not self.state:
-            self.looked = (self.state, self.machine.due(self.state))
-        found = list(self.looked[1])
+        state, looked = self.state, self.looked
+        if looked is None or looked[0] is not state and (
+                looked[0].items is not state.items or looked[0].gone != state.gone
+                or now >= looked[1] + self.times.look):
+            looked = self.looked = (state, now, self.machine.due(state))
+        found = list(looked[2])
         items = self.state.items
         self.said_back = {name for name in self.said_back
                           if name in items and items[name].step in ("out", "lost")}
--- a/mallowbeam/fleet/maintenance/machine.py
+++ b/mallowbeam/fleet/maintenance/machine.py
@@ -5,8 +5,10 @@
 for: every gateway's core reads it, and proposes what is in it.
 
 `empty` wants the word of *every* gateway whose lease may still run: a report put in after it has heard of
-`draining` that names the machine as empty.  `Gone` takes a gateway out of that count; its next report puts it
-back, and an `empty` machine where it has work out goes back to `draining`.
+`draining` that names the machine as empty.  `out` wants each one's word anew, after `empty`: one that has
+died meanwhile has none, so it is known as gone before this machine is let go as well.  `Gone` takes a gateway
+out of that count; its next report puts it back, and an `empty` machine where it has work out goes back to
+`draining`.
 """
 
 from __future__ import annotations
@@ -99,18 +101,16 @@
             case ("agreed" | "draining" | "empty"), "proposed":
                 return ""
             case ("out" | "lost"), "back":
-                return "" if self._up_again(now, item) else "it has not been seen down and up again"
+                return "" if self._up_again(now, item, view) else "it has not been seen down and up again"
             case "back", "warming":
                 return ""
             case "warming", "done":
                 return self._unsaid(now, item, "warm")
-            case "empty", "draining":
-                return "" if self._unsaid(now, item, "empty") else "it is empty"
         return f"no step leads from {item.step} to {to}"
 
     def _unsaid(self, now: Maintained, item: Item, what: str) -> str:
         """Which live gateway has not yet said so since it heard of `draining` or `warming`."""
-        since = item.drained if what == "empty" else item.at
+        since = item.drained if item.step == "draining" else item.at
         for name in self.members:
             report = now.reports.get(name)
             if name in now.gone:
@@ -120,11 +120,11 @@
                 return f"{name} has not said that {item.machine} is {what}"
         return ""
 
-    def _up_again(self, now: Maintained, item: Item) -> bool:
+    def _up_again(self, now: Maintained, item: Item, view: Picture | None) -> bool:
         if item.gateway:
             report = now.reports.get(item.machine)
             return report is not None and item.machine not in now.gone and report.life != item.life
-        facts = picture(now, self.members).nodes.get(item.machine)
+        facts = (view or picture(now, self.members)).nodes.get(item.machine)
         return facts is not None and facts.up and (
             item.seen_down or bool(item.started) and facts.started not in (0, item.started))
 
@@ -147,7 +147,7 @@
         if recalls:                            # one at a time, the last begun first: that may be enough
             last = max(recalls, key=lambda item: (item.began, item.machine))
             found.append(s.Move(last.machine, "proposed", last.turn))
-        elif self.order.choose(now).machine is not None:
+        elif self.order.choose(now, view).machine is not None:
             found.append(s.Next(now.turn))
         return found
 
--- a/mallowbeam/fleet/maintenance/order.py
+++ b/mallowbeam/fleet/maintenance/order.py
@@ -11,6 +11,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field, replace
+from typing import TypeVar
 
 from mallowbeam.fleet.maintenance.state import AWAY, Item, Maintained, NodeFacts, Request
 
@@ -44,6 +45,7 @@
         return replace(self, away=self.away - {machine}, down=self.down - {machine})
 
 
+T = TypeVar("T", int, tuple[str, int, float])
 Limit = Callable[[Picture, str, Request], str]
 
 
@@ -66,15 +68,19 @@
 
 
 def _joined(told: list[NodeFacts]) -> NodeFacts:
-    places = Counter((facts.zone, facts.shard, facts.weight) for facts in told)
-    most = max(places.values())
-    zone, shard, weight = min(place for place, count in places.items() if count == most)
-    starts = Counter(facts.started for facts in told)
-    most = max(starts.values())
-    return NodeFacts(zone, shard, weight, sum(facts.up for facts in told) * 2 > len(told),
-                     sum(facts.work for facts in told), max(facts.load for facts in told),
-                     any(facts.sole for facts in told),
-                     min(start for start, count in starts.items() if count == most))
+    zone, shard, weight = _most([(facts.zone, facts.shard, facts.weight) for facts in told])
+    return NodeFacts(zone, shard, weight, sum([facts.up for facts in told]) * 2 > len(told),
+                     sum([facts.work for facts in told]), max([facts.load for facts in told]),
+                     True in [facts.sole for facts in told], _most([facts.started for facts in told]))
+
+
+def _most(told: list[T]) -> T:
+    """What most say; of several the least, so that all gateways take the same."""
+    if len(values := set(told)) == 1:
+        return told[0]
+    counts = Counter(told)
+    most = max(counts.values())
+    return min(value for value in values if counts[value] == most)
 
 
 # --- limits: why a machine may not go now, or "" ---------------------------------------------------
@@ -212,9 +218,9 @@
             key=lambda item: (item.gateway, view.zones.get(item.machine, "") not in begun,
                               _work(view, item.machine), round(_load(view, item.machine), 2), item.machine))
 
-    def choose(self, state: Maintained) -> Choice:
+    def choose(self, state: Maintained, view: Picture | None = None) -> Choice:
         """The next machine, the same on every gateway that has read as far."""
-        view = picture(state, self.members)
+        view = view or picture(state, self.members)
         passed: list[str] = []
         for item in (waiting := self.waiting(state, view)):
             if why := self.hinders(state, item, view):
