Tests: maintenance joined to a gateway, and the page's word that a machine is back

Need: The part of maintenance and its page were untested.

Change: Tests with a gateway and the real page: drains, back, the door by the clock, allotments.

--- a/mallowbeam/fleet/maintenance/part.py
+++ b/mallowbeam/fleet/maintenance/part.py
@@ -12,7 +12,7 @@
 
 from loguru import logger
 
-from mallowbeam.fleet.errors import BadPolicy
+from mallowbeam.fleet.errors import FleetError
 from mallowbeam.fleet.log import Committed
 from mallowbeam.fleet.maintenance import core as c
 from mallowbeam.fleet.maintenance.machine import Maintenance, shown
@@ -25,7 +25,7 @@
 owns("maintenance", Section)
 
 
-class NotOut(BadPolicy):
+class NotOut(FleetError):
     """Said to be back, and not out."""
 
     status = 409
--- /dev/null
+++ b/tests/test_maintenance_part.py
@@ -0,0 +1,134 @@
+"""Maintenance joined to a gateway: what its hands are asked to do, its gate, and the page's word `back`."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from mallowbeam.fleet.log import Log
+from mallowbeam.fleet.maintenance import state as s
+from mallowbeam.fleet.maintenance.part import NotOut, open_part
+from mallowbeam.fleet.page import FleetPages
+from mallowbeam.interface import NodeEntry, NodeState
+from mallowbeam.net.http import Message
+from mallowbeam.operators import MaintenanceSection
+
+
+class Hands:
+    """Hands that record; what is proposed is put in by the test."""
+
+    me, members = "g0", ("g0", "g1", "g2")
+
+    def __init__(self):
+        self.proposed, self.drained, self.opened, self.work, self.gates = [], set(), True, 0, []
+
+    def propose(self, entry):
+        self.proposed.append(entry)
+        return True
+
+    def leader(self):
+        return True
+
+    def drain(self, node, out):
+        (self.drained.add if out else self.drained.discard)(node)
+
+    def nodes(self):
+        return [NodeEntry(f"n{i}", NodeState.READY, 0, "ab"[i % 2]) for i in range(4)]
+
+    def out(self, node):
+        return self.work
+
+    def held(self):
+        return 0
+
+    def gate(self, is_open):
+        self.opened = is_open
+
+    def gateway(self):
+        return self
+
+
+@pytest.fixture
+def rig():
+    hands = Hands()
+    part = open_part(hands, MaintenanceSection(on=True))
+    log = Log([part.topic])
+
+    def put(by, entry):
+        told = log.apply(log.encode("maintenance", by, entry))
+        assert told.refusal is None
+        part.committed(told, 100.0)
+
+    def push(*machines):
+        asked = [{"id": "a", "machines": list(machines), "at_once": 2}] if machines else []
+        for told in log.push({"drains": [], "maintenance": {"requests": asked}}):
+            part.committed(told, 100.0)
+
+    def say():
+        """All gateways' words."""
+        for number, by in enumerate(hands.members):
+            put(by, s.Report(f"l{log.index}", number, log.index, "z", {
+                entry.node: s.NodeFacts(entry.zone) for entry in hands.nodes()}, ["n0", "g0"], ["n0"], True))
+
+    part.tick(99.0)
+    say()
+    return SimpleNamespace(hands=hands, part=part, put=put, push=push, say=say, log=log)
+
+
+def go(rig, machine, *steps):
+    for step in steps:
+        rig.say()
+        rig.put("g1", s.Move(machine, step, rig.part.core.state.items[machine].turn))
+
+
+def test_a_node_is_drained_and_called_back_by_an_operators_word_at_the_page(rig):
+    rig.push("n0")
+    rig.put("g0", s.Next(0))
+    go(rig, "n0", "draining")
+    assert rig.hands.drained == {"n0"}
+    pages = FleetPages(SimpleNamespace(subsystems={"maintenance": rig.part}, figures=dict))
+
+    def ask(method, target):
+        request = Message()
+        request.method, request.target = method, target
+        return asyncio.run(pages.handle(request, lambda: False)).status
+    assert ask(b"PUT", b"/fleet/maintenance/back?n0") == 409
+    go(rig, "n0", "empty", "out")
+    assert ask(b"GET", b"/fleet/maintenance/back?n0") == 405
+    assert ask(b"PUT", b"/fleet/maintenance/back?n0") == 202
+    rig.part.tick(101.0)
+    assert s.Back("n0") in rig.hands.proposed
+    rig.put("g0", s.Back("n0"))
+    with pytest.raises(NotOut):
+        rig.part.asked("back", "n0")
+    warmed = []
+    rig.part.warmers.append(lambda node, share: warmed.append((node, round(share, 2))))
+    go(rig, "n0", "warming")
+    assert rig.hands.drained == set() and warmed == [("n0", 0.33)]
+    assert rig.part.gauges()["away"] == 1
+
+
+def test_a_gateway_gives_up_its_allotments_then_shuts_its_door(rig):
+    held = [True]
+    rig.part.allotments.append(lambda out: not held[0])
+    rig.push("g0")
+    rig.put("g1", s.Next(0))
+    rig.part.tick(100.0)
+    assert rig.hands.opened and not rig.hands.proposed[-1].gave_up
+    held.clear()
+    held.append(False)
+    rig.part.tick(101.0)
+    assert any(getattr(entry, "gave_up", False) for entry in rig.hands.proposed)
+    go(rig, "g0", "draining")
+    assert not rig.hands.opened
+    rig.push()
+    assert rig.hands.opened
+
+
+def test_the_door_is_shut_by_the_clock_once_no_report_comes_back(rig):
+    assert rig.hands.gates[0]()
+    rig.push("n0")
+    assert not rig.hands.gates[0]()            # no mark and no report of its own has come back yet
+    assert rig.part.shown()["counted"] is False
