--- a/mallowbeam/lab/sharesim.py
+++ b/mallowbeam/lab/sharesim.py
@@ -67,7 +67,7 @@
         self.demand: Demands = {}
         self.bounds: dict[str, list[tuple[float, float]]] = {}     # by resource: since when, how much
         self.worst = 0.0                       # the highest part of a bound that was in use
-        self.closes, self.refused, self.worth = 0, 0, 0.0
+        self.worth, self.pushed = 0.0, False
         self.members = {name: self._member(name, 0) for name in self.names}
         self.push(setup)
 
@@ -79,9 +79,13 @@
     # --- what befalls it --------------------------------------------------------------------------
 
     def push(self, setup: Setup) -> None:
-        """A policy is committed."""
-        self.entries.append((self.now, Push(setup)))
-        self.setup = setup
+        """A policy is committed, if there is a majority; its bounds count from the close that follows."""
+        if any(map(self.connected, self.names)):
+            self.entries.append((self.now, Push(setup)))
+            self.setup, self.pushed = setup, True
+
+    def _bounds(self, setup: Setup) -> None:
+        self.pushed = False
         for name, node in setup.nodes.items():
             self.bound(f"n:{name}", node.capacity / 1000)
         for zone, most in setup.zones.items():
@@ -223,6 +227,8 @@
         return told
 
     def _check(self) -> None:
+        if self.pushed and (state := self.state).setup == self.setup and state.dirty < 2:
+            self._bounds(self.setup)
         for resource, used in self.used().items():
             if resource in self.bounds:
                 allowed = self.allowed(resource)
