Pools: tests for the three guards that none had failed for

Need: Of 41 variants broken on purpose three in check.py and lend.py were not noticed.

Change: A test for each.

--- a/tests/test_pools_check.py
+++ b/tests/test_pools_check.py
@@ -27,7 +27,7 @@
     (PoolName, 'no tenant is named "w"', 'tenants all: lend 5% to name "w";',
      'tenants all: lend 5% to name "v1";'),
     (PoolName, "define the class above",
-     'class "a" is class "b"; class "b" is all; tenants class "a": weight 2;',
+     'class "z" is all; class "a" is class "b"; class "b" is all; tenants class "a": weight 2;',
      'class "b" is all; class "a" is class "b"; tenants class "a": weight 2;'),
     (PoolName, 'no class is named "a"', 'class "a" is class "a";', 'class "a" is all;'),
     (PoolName, 'no zone is named "z"', 'budget 9 for nodes all when zone "z" is out;',
@@ -63,6 +63,8 @@
     (PoolOvercommitted, "floors of tenants add up to 4",
      "budget 9 for nodes all; tenants all: floor 1;",
      "budget 20 for nodes all; gateways all: floor 4; tenants all: floor 1;"),
+    (PoolOvercommitted, "floors of tenants add up to 4", "budget 9 for nodes all; tenants all: floor 1;",
+     'budget 9 for nodes zone "b", "c"; tenants all at nodes zone "a": floor 1;'),
     (PoolOvercommitted, "where the gateway is sure of 0",
      'budget 9 for nodes all; share gateways name "g1", "g2": in turns floor 2; tenants name "v1": floor 1;',
      'budget 9 for nodes all; share gateways name "g1", "g2": in turns floor 2;'
--- a/tests/test_pools_lend.py
+++ b/tests/test_pools_lend.py
@@ -79,6 +79,17 @@
     assert made.keep("n", "a") and made.keep("n", "a")
 
 
+def test_a_borrower_that_gives_back_takes_no_new_loan():
+    made = lending({"a": 2, "b": 2, "c": 2})
+    made.opened("n", "c")
+    assert open_all(made, "a") == 5 and made.want("n", "b", 9.0)[0] is Want.WAIT
+    made.waited("n", "b")                      # b gave up, and c has closed its own: all of theirs is idle
+    made.closed("n", "c", busy=True)
+    assert not made.may_open("n", "a")
+    made.closed("n", "a", busy=True)           # given back
+    assert made.may_open("n", "a")
+
+
 def test_an_idle_connection_changes_accounts():
     made = lending({"a": 1, "b": 1, "c": 0}, b=offer(to={"a"}))
     made.opened("n", "b")
