--- a/mallowbeam/control/scheduler.py
+++ b/mallowbeam/control/scheduler.py
@@ -135,6 +135,9 @@
             plan, part = self.plans[whole]
         if not event.volume:
             self.top = self.dearest * max(owed[0].price for each, owed in self.plans.items() if not each[0])
+        if event.shard is not None and name not in self.plans and (apart := self.volumes.pop(name, None)):
+            apart.refill(self.now)
+            self._volume(*name[:2], apart.hosts).limit_level += min(0.0, apart.limit_level)  # still owed
         for each in [name] if event.volume else [each for each in self.volumes if each[1] == plan.name]:
             if each in self.volumes and (each == name or each not in self.plans):
                 self.volumes[each].change(plan, part, self.now)
@@ -144,8 +147,6 @@
                 request.volume = self._volume(*name[:2], old.hosts, event.shard)
                 old.pending -= units
                 request.volume.pending += units
-        if event.shard is not None and name not in self.plans and (apart := self.volumes.pop(name, None)):
-            self._volume(*name[:2], apart.hosts).limit_level += min(0.0, apart.limit_level)
 
     def _volume(self, name: str, plan: str, hosts: int, shard: int | None = None) -> Volume:
         key, whole = (name, plan, shard) if (name, plan, shard) in self.plans else (name, plan), ("", plan)
