--- a/mallowbeam/control/nodes.py
+++ b/mallowbeam/control/nodes.py
@@ -12,7 +12,8 @@
 TARGET = 0.35           # of the cycle: the latency steered to; the rest is for waiting here, still movable
 GROW, SHRINK = 0.7, 0.3  # units that a round trip under target adds to the room; share that twice it takes
 M_EXTRA, M_MOST = 4, 32  # a cycle has room for the largest request and this more, and no more than M_MOST
-WATCH_AGAIN, FLEET_CALLS = 0.5, 5.0  # seconds to a failed call's repeat; calls a second by all hosts, then
+WATCH_AGAIN, AGENT_AGAIN = 0.5, 0.05  # seconds to a failed call's repeat; and at this host's own agent
+FLEET_CALLS = 5.0       # calls a second by all hosts, where calls fail
 UNTOLD = 3.0            # seconds by which lists run late: so long a node not reached is taken for cold
 BREAKS, REFUSAL = 6, 3  # broken connections in a row after which a node has ended; one refused counts 3
 COLD_PART = (0.5, 0.35, 0.35)  # of the units that tip a cold node, by tier; replacements may be slower
@@ -96,25 +97,26 @@
     """The Scheduler's part that opens, closes and paces nodes."""
 
     def _on_list(self, event: io.NodesListed) -> None:
-        if event.kind is io.ListKind.FAILED:
+        if event.kind in (io.ListKind.FAILED, io.ListKind.SILENT):
             # Guards discovery, which takes calls in turn: hosts that come back sooner than it can serve all
-            # of them wait until each gives up, and nobody is told anything.  Alone, a host soon asks again.
+            # of them wait until each gives up, and nobody is told anything.  Alone, a host soon asks again,
+            # and one whose watch broke without a word, at once: what that missed soon counts as told.
             self.watch_failures += 1
             most = max(2 * WATCH_AGAIN, self.settings.hosts / FLEET_CALLS)
             wait = min(max(WATCH_AGAIN, most / 4) * 2.0 ** min(self.watch_failures - 1, 2), most)
-            self._at(self.now + min(wait * (0.5 + self.random.random()), self.settings.ask_every or 1e9), "")
-            return
+            wait = min(wait * (0.5 + self.random.random()), self.settings.ask_every or 1e9)
+            wait *= event.kind is io.ListKind.FAILED or self.watch_failures > 1
+            return self._at(self.now + (wait if self.settings.discovery_on_request else AGENT_AGAIN), "")
         self.watch_failures, entries = 0, event.entries
         if event.kind is not io.ListKind.CHANGES:  # what a whole list leaves out is gone
             named = {entry.node for entry in entries}
             missing = [io.NodeEntry(name, io.NodeState.GONE) for name in self.nodes if name not in named]
             entries = missing + entries
         for entry in entries:
-            node, since = self.nodes.get(entry.node), entry.since
-            if (fresh := node is None) and entry.state is io.NodeState.GONE:
+            fresh, since = entry.node not in self.nodes, entry.since
+            if fresh and entry.state is io.NodeState.GONE:
                 continue
-            if fresh:
-                node = self.nodes[entry.node] = Node(entry, self)
+            node = self.nodes[entry.node] = Node(entry, self) if fresh else self.nodes[entry.node]
             node.state = entry.state
             if node.state is io.NodeState.READY:
                 if fresh and since is None and event.kind is io.ListKind.CHANGES:
