--- a/mallowbeam/control/nodes.py
+++ b/mallowbeam/control/nodes.py
@@ -113,11 +113,10 @@
             missing = [io.NodeEntry(name, io.NodeState.GONE) for name in self.nodes if name not in named]
             entries = missing + entries
         for entry in entries:
-            node, since = self.nodes.get(entry.node), entry.since
-            if (fresh := node is None) and entry.state is io.NodeState.GONE:
+            fresh, since = entry.node not in self.nodes, entry.since
+            if fresh and entry.state is io.NodeState.GONE:
                 continue
-            if fresh:
-                node = self.nodes[entry.node] = Node(entry, self)
+            node = self.nodes[entry.node] = Node(entry, self) if fresh else self.nodes[entry.node]
             node.state = entry.state
             if node.state is io.NodeState.READY:
                 if fresh and since is None and event.kind is io.ListKind.CHANGES:
