--- a/mallowbeam/cli/lab.py
+++ b/mallowbeam/cli/lab.py
@@ -70,11 +70,11 @@
         for result in pool.map(trial.run, range(seed, seed + runs)):
             results.append(result)
             step(1)
-    wrong = [f"seed {r.seed}: {line}" for r in results for line in (*r.wrong, *r.look_at)]
     rows([trial.summary(results)], as_json)
-    for line in wrong:
-        typer.echo(line, err=True)
-    if wrong:
+    for result in results:
+        for line in (*result.wrong, *result.look_at):
+            typer.echo(f"seed {result.seed}: {line}", err=True)
+    if any(result.wrong for result in results):
         raise typer.Exit(1)
 
 
