--- a/mallowbeam/lab/faults/trial.py
+++ b/mallowbeam/lab/faults/trial.py
@@ -15,7 +15,7 @@
 
 STEPS = 8                   # faults and changes of one trial
 REST_S = 30.0               # seconds that a healed fleet is waited for, and told where it found no rest
-LATE_S = 10.0               # seconds after the last heal beyond which a trial is late and says what to look at
+LATE_S = 10.0               # seconds from the last heal to rest, beyond which a trial says what to look at
 NODES = ("n0", "n1", "n7", "n9")
 
 
@@ -32,7 +32,7 @@
     rest: float                                # from the last heal until all serve one version
     agree: float                               # the part of it after all gateways' pages answered
     wrong: list[str]
-    look_at: list[str]                         # where it was late: engines by second, links, the command again
+    look_at: list[str]                         # where it was late: engines by second, links
 
 
 @dataclass(slots=True)
@@ -97,9 +97,10 @@
             wrong.append(f"not at rest {error}")
             look_at = [*fleet.diagnosis.lines(fleet.names), f"again: {replay(seed)}"]
         pushes = list(fleet.history.pushed())
+        rest, agree = [healed[2] - began for began in healed[:2]] if len(healed) == 3 else [REST_S] * 2
         return Result(seed, len(pushes), sum(p.version > 0 for p in pushes),
                       sum(p.why == "unknown" for p in pushes), sum(1 for _ in fleet.history.seen()), took,
-                      *((healed[2] - healed[0], healed[2] - healed[1]) if len(healed) == 3 else 2 * (REST_S,)),
+                      rest, agree,
                       wrong + check(fleet.history, set(fleet.names), LEASE), look_at)
 
 
