Tests: checkers against what is down and taken for up; a node may come back elsewhere

Need: Two variants of the checkers were caught by luck of the drawn faults; a stand-in whose port was taken meanwhile ended the trial.

Change: Each variant has a walk of its own in which its rule matters; the node comes back at another port.

--- a/mallowbeam/lab/faults/maintenance.py
+++ b/mallowbeam/lab/faults/maintenance.py
@@ -142,7 +142,11 @@
             self.phases[machine] = "removed"
             self.discovery.tell(self.listed())
             await asyncio.sleep(WORK_S)
-            node.listen()
+            try:
+                node.listen()
+            except OSError:                    # its port is somebody's by now: it comes back elsewhere
+                node.address = ("127.0.0.1", 0)
+                node.listen()
             self.record.worked.append((began, time.monotonic(), machine))
             self.phases[machine] = "up"
             self.discovery.tell(self.listed())
--- a/tests/test_maintenance_broken.py
+++ b/tests/test_maintenance_broken.py
@@ -147,8 +147,8 @@
     core_type = Early
 
 
-def trial(topic=Maintenance, gateway=Gateway, quiet=True, work_s=0.6, **changes):
-    """A walk where each rule matters: what is down, who is stopped with work out."""
+def trial(topic=Maintenance, gateway=Gateway, work_s=0.6, **changes):
+    """A walk where each rule matters."""
     asked = {"id": "a", "machines": ["n0", "n1", "n3", "n4", "g1", "g2"], "at_once": 2, "time_s": 60.0}
     asked |= changes
     Own.count = 0
@@ -156,12 +156,6 @@
     walk.works = dict.fromkeys(asked["machines"], 6.0)
     walk.run(4.0)
     walk.insist("g0", [asked])
-    if not quiet:
-        for number, (name, machine) in enumerate((("g3", "n4"), ("g4", "n3"), ("g3", "n0"))):
-            walk.later(2.0 + 9 * number, lambda m=machine: walk.fail(m))
-            walk.later(8.0 + 9 * number, lambda m=machine: walk.mend(m))
-            walk.later(3.0 + 9 * number, lambda n=name: walk.stop(n))
-            walk.later(9.0 + 9 * number, lambda n=name: walk.go(n))
     walk.run(40.0)
     walk.add(o.Ended(walk.now, True))
     return walk, [asked]
@@ -174,10 +168,8 @@
     (o.too_many, without(r.in_all), Gateway, {}),
     (o.too_many, without(r.in_zone), Gateway, {"zone_floor": 0.0, "at_once": 9, "sole_data": True}),
     (o.too_many, without(r.in_all, r.in_zone), Gateway, {}),
-    (o.too_many, NeverAgain, Gateway, {"quiet": False}),
     (o.below_floor, without(r.zone_capacity), Gateway, WIDE | {"zone_floor": 0.5}),
     (o.below_floor, without(r.shard_capacity), Gateway, WIDE | {"shard_floor": 0.6}),
-    (o.below_floor, blind, Gateway, WIDE | {"zone_floor": 0.5, "quiet": False}),
     (o.together, without(r.apart), Gateway, WIDE | {"repeats": "zone"}),
     (o.together, without(r.apart), Gateway, WIDE | {"repeats": "shard"}),
     (o.together, without(r.apart), Gateway, WIDE | {"repeats": "all"}),
@@ -202,7 +194,7 @@
     walk.run(4.0)
     walk.insist("g0", [asked])
     for one in walk.gateways.values():
-        one.in_hand.append(walk.now + 8.0)     # the first is held at draining while others die
+        one.in_hand.append(walk.now + 12.0)    # the first is held at draining while others die
     walk.kill("g3")
     walk.kill("g4")
     walk.run(40.0)
@@ -232,18 +224,35 @@
     return wrong(checker, Maintenance, Gateway, dict(changes))
 
 
-def test_a_floor_that_is_not_looked_at_again():
+@pytest.mark.parametrize("checker, at_once", [(o.below_floor, 9), (o.too_many, 1)])
+def test_what_is_down_is_taken_for_up(checker, at_once):
     def run(topic):
-        asked = {"id": "a", "machines": ["n1"], "at_once": 2, "at_once_zone": 2, "time_s": 60.0}
+        asked = {"id": "a", "machines": ["n1"], "at_once": at_once, "at_once_zone": 9, "sole_data": True,
+                 "zone_floor": 0.5 if at_once > 1 else 0.0}
+        walk = Walk(5, topic=topic)
+        walk.run(4.0)
+        walk.fail("n4")
+        walk.run(8.0)
+        walk.insist("g2", [asked])
+        walk.run(15.0)
+        return checker(walk.history, places(walk), [asked])
+    assert run(blind) and not run(Maintenance)
+
+
+@pytest.mark.parametrize("checker, at_once", [(o.below_floor, 9), (o.too_many, 1)])
+def test_limits_that_are_not_looked_at_again(checker, at_once):
+    def run(topic):
+        asked = {"id": "a", "machines": ["n1"], "at_once": at_once, "at_once_zone": 9, "time_s": 60.0,
+                 "zone_floor": 0.5 if at_once > 1 else 0.0, "sole_data": True}
         walk = Walk(5, topic=topic)
         walk.run(4.0)
         walk.insist("g2", [asked])
         for one in walk.gateways.values():
-            one.work.append((walk.now + 9.0, "n1"))
+            one.work.append((walk.now + 15.0, "n1"))
         walk.run(3.0)
         walk.fail("n4")
         walk.run(20.0)
-        return o.below_floor(walk.history, places(walk), [asked])
+        return checker(walk.history, places(walk), [asked])
     assert run(NeverAgain) and not run(Maintenance)
 
 
