Maintenance judged by what clients and nodes saw: checkers, open load, faults from a seed

The first trial of maintenance asked nodes only while they were worked at, and asked clients nothing.

--- a/mallowbeam/cli/lab.py
+++ b/mallowbeam/cli/lab.py
@@ -59,12 +59,15 @@
     runs: Annotated[int, typer.Option(help="trials, a seed each")] = 200,
     seed: Annotated[int, typer.Option(help="of the first")] = 1,
     lanes: Annotated[int, typer.Option(help="trials at a time, five gateways each")] = 3,
+    kind: Annotated[str, typer.Option(help="policy, or maintenance")] = "policy",
     as_json: AsJson = False,
 ) -> None:
-    """Policy changes while gateways are killed, stopped and cut off; exit status 1 if a checker objects."""
+    """A fleet's changes or machines out, under faults from a seed; exit status 1 if a checker objects."""
     from concurrent.futures import ThreadPoolExecutor
-
-    from mallowbeam.lab.faults import trial
+    from importlib import import_module
+    if kind not in (kinds := {"policy": "trial", "maintenance": "work"}):
+        raise typer.BadParameter(" or ".join(kinds), param_hint="--kind")
+    trial = import_module(f"mallowbeam.lab.faults.{kinds[kind]}")
     results = []
     with bar("trials", runs) as step, ThreadPoolExecutor(lanes) as pool:
         for result in pool.map(trial.run, range(seed, seed + runs)):
--- /dev/null
+++ b/mallowbeam/lab/faults/broken.py
@@ -0,0 +1,42 @@
+"""Gateways broken on purpose, so that checkers can be shown able to fail: `python -m ... HOW serve`.
+
+`deaf`: a gateway that hears of a drain, says so, and goes on sending.  `hasty`: gateways for which no limit
+holds, not on machines at once, not on capacity, not on the majority; all gateways must have it, as they would
+part otherwise.  Nothing of the program knows this module.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+
+from mallowbeam.fleet.maintenance import core, order, part
+
+
+def deaf() -> None:
+    """Drains are told, and not done."""
+    done = part.MaintenancePart._do
+
+    def _do(self: part.MaintenancePart, actions: list[core.Action]) -> None:
+        done(self, [action for action in actions if not isinstance(action, core.Drain)])
+
+    part.MaintenancePart._do = _do  # type: ignore[method-assign]
+
+
+def hasty() -> None:
+    """Any machine may go at any time."""
+    made = order.Order.__init__
+
+    def __init__(self: order.Order, members: tuple[str, ...], limits: object = ()) -> None:
+        made(self, members, ())
+
+    order.Order.__init__ = __init__  # type: ignore[method-assign]
+
+
+HOW: dict[str, Callable[[], None]] = {"deaf": deaf, "hasty": hasty}
+
+
+if __name__ == "__main__":
+    HOW[sys.argv.pop(1)]()
+    from mallowbeam.__main__ import main
+    sys.exit(main())
--- a/mallowbeam/lab/faults/diagnosis.py
+++ b/mallowbeam/lab/faults/diagnosis.py
@@ -50,6 +50,7 @@
                          for far, link in sorted(e["links"].items()))
 
 
-def replay(seed: int) -> str:
+def replay(seed: int, kind: str = "") -> str:
     """The command that plays one seed again; faults are the same, their moments about the same."""
-    return f"python -m mallowbeam lab faults --runs 1 --seed {seed} --lanes 1"
+    return (f"python -m mallowbeam lab faults --runs 1 --seed {seed} --lanes 1"
+            + (f" --kind {kind}" if kind else ""))
--- a/mallowbeam/lab/faults/fleet.py
+++ b/mallowbeam/lab/faults/fleet.py
@@ -45,6 +45,7 @@
         self.links: dict[tuple[str, str], Link] = {}  # by who dials and who is dialled
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.stopped: set[str] = set()
+        self.broken: dict[str, str] = {}       # by gateway: how it is broken on purpose (`broken.py`)
         # A connection for each call: one kept over a SIGKILL would be a fault of the trial's own.
         self.client = httpx.AsyncClient(trust_env=False, verify=False, timeout=None,
                                         limits=httpx.Limits(max_keepalive_connections=0))
@@ -106,7 +107,9 @@
         """Start a gateway, with what its earlier lives left on disk."""
         place = self.folder / name
         with open(place / "log.txt", "ab") as log:
-            self.processes[name] = launch(place, log, "serve", "--log-format", "json")
+            how = [self.broken[name]] if name in self.broken else []
+            self.processes[name] = launch(place, log, *how, "serve", "--log-format", "json",
+                                          module="mallowbeam.lab.faults.broken" if how else "mallowbeam")
         self._fault("start", name)
 
     def kill(self, name: str) -> None:
--- a/mallowbeam/lab/faults/maintenance.py
+++ b/mallowbeam/lab/faults/maintenance.py
@@ -62,14 +62,24 @@
         self.rng, self.record = random.Random(seed), Record()
         self.phases: dict[str, str] = {}
         for number in range(NODES):
-            node = Recorded(delay=DELAY_S)
-            node.name, node.record = f"n{number}", self.record
-            self.nodes.append(node)
-            self.phases[node.name] = "up"
+            self.nodes.append(self.node(f"n{number}"))
+            self.phases[f"n{number}"] = "up"
         self.discovery.members = self.listed()
         self.busy: set[str] = set()
         self.tasks: list[asyncio.Task[None]] = []
 
+    def node(self, name: str) -> ObjectNode:
+        """A node of the trial."""
+        node = Recorded(delay=DELAY_S)
+        node.name, node.record = name, self.record
+        return node
+
+    def looked(self, told: dict[str, Any]) -> None:
+        """A gateway's page was read."""
+
+    def laid(self, what: str, *machines: str) -> None:
+        """Something begins or ends at these machines that is no gateway's fault."""
+
     def listed(self) -> list[dict[str, object]]:
         """The list as discovery has it."""
         return [member(f"n{i}", node.host_port, i // len(ZONES), self.phases[f"n{i}"],
@@ -115,6 +125,7 @@
         for told in pages:
             if told is None or "maintenance" not in told.get("subsystems", {}):
                 continue
+            self.looked(told)
             part = told["subsystems"]["maintenance"]
             order = [f"{turn['index']} {turn['machine']}" for turn in part["order"]]
             self.record.orders.setdefault(told["name"], []).append(order)
@@ -138,10 +149,12 @@
         began = time.monotonic()
         if machine in self.phases:
             node = self.nodes[int(machine[1:])]
+            self.laid("work", machine)
             node.call(node.die)
             self.phases[machine] = "removed"
             self.discovery.tell(self.listed())
             await asyncio.sleep(WORK_S)
+            self.laid("done", machine)
             node.listen()
             self.record.worked.append((began, time.monotonic(), machine))
             self.phases[machine] = "up"
@@ -149,6 +162,7 @@
         else:
             self.record.disturbed.add(machine)
             process = self.processes[machine]
+            self.laid("work", machine)
             process.send_signal(signal.SIGTERM)
             for _ in range(200):
                 if process.poll() is not None:
@@ -157,6 +171,7 @@
             self.kill(machine)
             await asyncio.sleep(WORK_S)
             self.record.worked.append((began, time.monotonic(), machine))
+            self.laid("done", machine)
             self.start(machine)
 
     # --- load and faults --------------------------------------------------------------------------
--- a/mallowbeam/lab/rig.py
+++ b/mallowbeam/lab/rig.py
@@ -44,11 +44,12 @@
     (folder / "fronts.json").write_text(json.dumps(fronts))
 
 
-def launch(folder: Path, log: IO[bytes], *arguments: str) -> subprocess.Popen[bytes]:
-    """Start a gateway on the two files in its folder."""
+def launch(folder: Path, log: IO[bytes], *arguments: str,
+           module: str = "mallowbeam") -> subprocess.Popen[bytes]:
+    """Start a gateway, or what stands for one, on the two files in its folder."""
     env = {**os.environ, "BALANCER_CONFIG": str(folder / "config.json"), "TMPDIR": str(folder),
            "MALLOWBEAM_FRONTS": str(folder / "fronts.json"), "PYTHONPATH": str(ROOT)}
-    return subprocess.Popen([sys.executable, "-m", "mallowbeam", *arguments], env=env, cwd=ROOT,
+    return subprocess.Popen([sys.executable, "-m", module, *arguments], env=env, cwd=ROOT,
                             stdout=log, stderr=log)
 
 
