--- a/mallowbeam/lab/faults/broken.py
+++ b/mallowbeam/lab/faults/broken.py
@@ -2,7 +2,7 @@
 
 `deaf`: a gateway that hears of a drain, says so, and goes on sending.  `hasty`: gateways for which no limit
 holds, not on machines at once, not on capacity, not on the majority; all gateways must have it, as they would
-part otherwise.  Nothing of the program knows this module.
+part otherwise.  `deaf+hasty` is both.  Nothing of the program knows this module.
 """
 
 from __future__ import annotations
@@ -37,6 +37,7 @@
 
 
 if __name__ == "__main__":
-    HOW[sys.argv.pop(1)]()
+    for how in sys.argv.pop(1).split("+"):
+        HOW[how]()
     from mallowbeam.__main__ import main
     sys.exit(main())
