Shares: joined to the gateway: calls counted, allotments held by the module

The shares' core stood on no gateway. Its part counts each call before the module decides on it, lets allotments reach the module by shard under the plan in force, and takes them back when shares leave the policy; the policy's section is typed, and the operators' section has its times. handed.settle is public.

--- a/mallowbeam/fleet/handed.py
+++ b/mallowbeam/fleet/handed.py
@@ -123,14 +123,14 @@
     losers = {holder for name, row in rows.items() for holder, had in before.get(name, {}).items()
               if row.get(holder, floor(name, holder)) < had}
     opened = Opened(handed.epoch + 1, rows, tuple(sorted(losers)))
-    return _settle(msgspec.structs.replace(handed, epoch=opened.epoch, open=(*handed.open, opened)))
+    return settle(msgspec.structs.replace(handed, epoch=opened.epoch, open=(*handed.open, opened)))
 
 
 def release(handed: Handed[N], holder: Holder, epoch: int) -> Handed[N]:
     """This holder has released that epoch, or its lease is surely over; others change nothing."""
     if holder not in handed.holders or not handed.released.get(holder, 0) < epoch <= handed.epoch:
         return handed
-    return _settle(msgspec.structs.replace(handed, released={**handed.released, holder: epoch}))
+    return settle(msgspec.structs.replace(handed, released={**handed.released, holder: epoch}))
 
 
 def _check(handed: Handed[N], name: Resource, row: Mapping[Holder, N], floor: Floor[N], least: N,
@@ -148,7 +148,7 @@
         raise BadTarget(f"{total} granted in all, capacity {capacity}", name)
 
 
-def _settle(handed: Handed[N]) -> Handed[N]:
+def settle(handed: Handed[N]) -> Handed[N]:
     """Fold the oldest epochs into the rows as far as nobody owes them."""
     done = 0
     for opened in handed.open:
--- a/mallowbeam/fleet/hands.py
+++ b/mallowbeam/fleet/hands.py
@@ -8,6 +8,7 @@
 from mallowbeam.fleet.log import Entry
 from mallowbeam.interface import NodeEntry, Plan
 from mallowbeam.net.gateway import Gateway
+from mallowbeam.net.log import Sparse
 
 
 class Drains:
@@ -32,6 +33,7 @@
 
     def __init__(self, gateway: Gateway) -> None:
         self.gateway = gateway
+        self.pushed: dict[str, Plan] = {}      # whole plans that were changed since the start
 
     @property
     def settings(self) -> Mapping[str, Plan]:
@@ -49,8 +51,14 @@
         if call is None:
             return False
         self.gateway._apply(call(self.gateway.now(), plan, volume, shard, part))
+        if not volume:
+            self.pushed[plan.name] = plan
         return True
 
+    def plan(self, name: str) -> Plan | None:
+        """A plan as it is in force; None for one that nobody has."""
+        return self.pushed.get(name) or self.settings.get(name)
+
 
 class GatewayHands:
     """One subsystem's hands; `put` takes an entry of its topic's into the log."""
@@ -79,6 +87,21 @@
         """The plans of the platform's settings, by name."""
         return self._plans.settings
 
+    def plan(self, name: str) -> Plan | None:
+        """A plan as it is in force, with what the policy says of it."""
+        return self._plans.plan(name)
+
+    def observe(self, observer: Callable[[Mapping[str, object]], None]) -> None:
+        """Tell of each call before the module decides on it; what the observer raises is logged."""
+        failed = Sparse(f"fleet: {self.name} failed at a call")
+
+        def told(fields: Mapping[str, object]) -> None:
+            try:
+                observer(fields)
+            except Exception as error:         # noqa: BLE001 (Guards the call: it is decided on all the same)
+                failed(repr(error))
+        self._gateway.observers.append(told)
+
     def nodes(self) -> list[NodeEntry]:
         """The nodes as they are listed here."""
         entries: list[NodeEntry] = self._gateway.facade.entries(self._gateway.now())
--- a/mallowbeam/fleet/shares/rows.py
+++ b/mallowbeam/fleet/shares/rows.py
@@ -11,8 +11,7 @@
 
 import msgspec
 
-from mallowbeam.fleet.handed import MOST_OPEN, Handed, Opened, TooManyOpen
-from mallowbeam.fleet.handed import _settle as settle
+from mallowbeam.fleet.handed import MOST_OPEN, Handed, Opened, TooManyOpen, settle
 
 Rows = dict[str, dict[str, int]]
 
--- a/mallowbeam/fleet/shares/service.py
+++ b/mallowbeam/fleet/shares/service.py
@@ -13,7 +13,7 @@
 from mallowbeam.fleet.shares.core import Action, Allot, Propose, SharesCore, Times
 from mallowbeam.fleet.shares.topic import SharesState
 
-Proposes = Callable[[Entry], None]
+Proposes = Callable[[Entry], object]
 Allotted = Callable[[str, str, float, float], None]  # tenant, node, units a second, our part of them
 
 
--- a/mallowbeam/fleet/shares/topic.py
+++ b/mallowbeam/fleet/shares/topic.py
@@ -22,8 +22,10 @@
 import msgspec
 
 from mallowbeam.errors import MallowbeamError
+from mallowbeam.fleet.errors import BadPolicy
 from mallowbeam.fleet.handed import BadTarget, Handed, TooManyOpen, release
 from mallowbeam.fleet.log import Entry, Refusal
+from mallowbeam.fleet.policy_text import section_of
 from mallowbeam.fleet.shares.fair import MILLI, MOST_WEIGHT, Network, allot
 from mallowbeam.fleet.shares.packed import STEPS, BadRows, unpack
 from mallowbeam.fleet.shares.rows import Places, grant, open_epoch, ratios, trim
@@ -174,14 +176,16 @@
         return Refusal("no such entry")
 
     def pushed(self, states: Mapping[str, Any], index: int, policy: Any) -> SharesState | Refusal:
-        """The next state as this policy's shares take hold; one without them leaves all as it is."""
+        """The next state as this policy's shares take hold; one without them shares nothing any more."""
         state: SharesState = states[self.name]
-        setup: Setup | None = getattr(policy, "shares", None)
-        if setup is None or setup == state.setup:
-            return state
+        setup = getattr(policy, "shares", None)
         try:
+            if not isinstance(setup, Setup):
+                setup = (section_of(policy, self.name, Setup) if setup is not None else None) or Setup()
+            if setup == state.setup:
+                return state
             floors = _floors(setup, state.floors, len(self.gateways))
-        except BadSetup as error:
+        except (BadSetup, BadPolicy) as error:
             return Refusal(error.what, error.where, error.cure)
         after = msgspec.structs.replace(state, setup=setup, floors=floors, dirty=2)
         tenants, nodes = tuple(sorted(setup.tenants)), tuple(sorted(setup.nodes))
--- a/mallowbeam/fleet/subsystem.py
+++ b/mallowbeam/fleet/subsystem.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
 from mallowbeam.fleet.log import Committed, Entry, Topic
@@ -63,6 +63,12 @@
     def settings_plans(self) -> Mapping[str, Plan]:
         """The plans of the platform's settings, by name."""
 
+    def plan(self, name: str) -> Plan | None:
+        """A plan as it is in force, with what the policy says of it."""
+
+    def observe(self, observer: Callable[[Mapping[str, object]], None]) -> None:
+        """Tell of each call before the module decides on it: its fields, as `RequestArrived` names them."""
+
     def nodes(self) -> list[NodeEntry]:
         """The nodes as they are listed here."""
 
--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -55,6 +55,7 @@
         self.servers: list[Server] = []        # the clients' doors
         self.parts: list[Part] = []            # the subsystems that are on
         self.gates: list[Callable[[], bool]] = []  # what must hold for it to serve, where they say so
+        self.observers: list[Callable[[Mapping[str, object]], None]] = []  # told of a call before the module
         self.timer: asyncio.TimerHandle | None = None
         self.timer_at = NEVER
         self.stopping, self.handed_over = asyncio.Event(), asyncio.Event()
@@ -219,6 +220,9 @@
         exchange = self.exchanges[call.id] = Exchange(call, self.now() + expires)
         self._tell("taken", call.id)
         try:
+            if self.observers:
+                for observe in self.observers:
+                    observe(call.fields)
             self._apply(self.facade.pick(self.now(), call.id, **call.fields))
             return await exchange.answer
         except asyncio.CancelledError:
--- a/mallowbeam/operators.py
+++ b/mallowbeam/operators.py
@@ -103,7 +103,16 @@
 
 
 class SharesSection(SubsystemSection, forbid_unknown_fields=True, frozen=True):
-    """Tenants' fair shares across gateways."""
+    """Tenants' fair shares across gateways; seconds, the same on all members.
+
+    An epoch takes `epoch_s` at least, demand is counted in windows of `window_s`, and a gateway that is not
+    heard of for `quiet_s` asks for nothing.  `lease_s` is how long one that is cut off keeps its share.
+    """
+
+    epoch_s: Annotated[float, Meta(ge=0.1, le=60)] = 1.0
+    window_s: Annotated[float, Meta(ge=0.05, le=10)] = 0.3
+    lease_s: Annotated[float, Meta(ge=0.5, le=60)] = 3.0
+    quiet_s: Annotated[float, Meta(ge=1, le=300)] = 5.0
 
 
 class PoolsSection(SubsystemSection, forbid_unknown_fields=True, frozen=True):
@@ -170,6 +179,14 @@
     if maintenance is not None and maintenance.on and policy is not None:
         if maintenance.lease_s < max(policy.lease_s, 2 * maintenance.report_s):
             raise BadConfig("maintenance.lease_s: must be at least policy.lease_s, and two reports")
+    shares = operators.shares
+    if shares is not None and shares.on and policy is not None:
+        if shares.lease_s < policy.lease_s:
+            raise BadConfig("shares.lease_s: must be at least policy.lease_s")
+        if shares.quiet_s < shares.lease_s:
+            raise BadConfig("shares.quiet_s: must be at least shares.lease_s")
+        if shares.window_s > shares.epoch_s:
+            raise BadConfig("shares.window_s: must be at most shares.epoch_s")
     return operators
 
 
--- /dev/null
+++ b/tests/test_shares_part.py
@@ -0,0 +1,217 @@
+"""Shares joined to gateways: several parts on one log in memory, hands that record what they are told."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+
+from mallowbeam.facade import Facade, TooManyAllotments
+from mallowbeam.fleet.log import Log, Refusal
+from mallowbeam.fleet.policy_text import check_sections, read_policy
+from mallowbeam.fleet.shares.part import open_part
+from mallowbeam.interface import NodeEntry, NodeState, Plan, RequestClass, Settings
+from mallowbeam.operators import SharesSection, check
+
+NAMES = ("g0", "g1", "g2")
+GOLD, TIN = Plan("gold", weight=3.0), Plan("tin", limit=5.0, limit_burst=9.0)
+SHARES = {"tenants": {"a": {"weight": 2000}, "b": {}}, "nodes": {"n0": {"capacity": 30_000}}}
+
+
+class Hands:
+    """One gateway's; what is proposed is kept until the test commits it."""
+
+    members = NAMES
+
+    def __init__(self, me):
+        self.me, self.put, self.held, self.told, self.full = me, [], {}, None, False
+        self.listed = [NodeEntry("n0", NodeState.READY, 4), NodeEntry("n1", NodeState.READY, 5)]
+        self.plans = {plan.name: plan for plan in (GOLD, TIN)}
+
+    def propose(self, entry):
+        self.put.append(entry)
+        return True
+
+    def leader(self):
+        return self.me == "g0"
+
+    def plan(self, name):
+        return self.plans.get(name)
+
+    def observe(self, observer):
+        self.told = observer
+
+    def nodes(self):
+        return self.listed
+
+    def planned(self, plan, volume="", shard=None, part=None):
+        if self.full:
+            raise TooManyAllotments("full", volume)
+        self.held[volume, plan.name, shard] = plan, part
+        if part is None and plan == self.plans[plan.name]:
+            del self.held[volume, plan.name, shard]
+        return True
+
+    def gateway(self):
+        return SimpleNamespace(config=SimpleNamespace(settings=Settings(units_top=8)))
+
+
+class Fleet:
+    """Three parts and the log; time in steps of 0.1 s."""
+
+    def __init__(self):
+        self.hands = {name: Hands(name) for name in NAMES}
+        self.parts = {name: open_part(self.hands[name], SharesSection(on=True)) for name in NAMES}
+        self.now = max(part.now for part in self.parts.values())
+        self.log, self.asks = Log([self.parts["g0"].topic]), {}
+        self.push(SHARES)
+
+    def push(self, shares):
+        told = self.log.push(read_policy(b'{"drains":[]}').__class__(shares=shares))
+        if isinstance(told, Refusal):
+            return told
+        for part in self.parts.values():
+            part.committed(told[0], self.now)
+        return None
+
+    def run(self, seconds):
+        for _ in range(round(seconds * 10)):
+            self.now += 0.1
+            for name, part in self.parts.items():
+                part.proven(self.now - 0.05, self.now)
+                for (gateway, volume, plan, shard), rate in self.asks.items():
+                    if gateway == name:
+                        part.observed({"volume": volume, "plan": plan, "shard": shard,
+                                       "units": rate / 10}, self.now)
+                part.tick(self.now)
+            for name, hands in self.hands.items():
+                put, hands.put = hands.put, []
+                for entry in put:
+                    told = self.log.apply(self.log.encode("shares", name, entry))
+                    for part in self.parts.values():
+                        part.committed(told, self.now)
+        return self
+
+    def limit(self, volume):
+        return sum(plan.limit * part for hands in self.hands.values()
+                   for (name, *_), (plan, part) in hands.held.items() if name == volume)
+
+
+@pytest.fixture
+def fleet():
+    it = Fleet()
+    it.asks = {("g0", "a", "gold", 4): 40.0, ("g1", "b", "gold", 4): 30.0, ("g2", "b", "gold", 4): 10.0}
+    return it.run(5)
+
+
+def test_a_tenant_of_twice_the_weight_is_allotted_twice_as_much(fleet):
+    assert fleet.limit("a") == pytest.approx(20, rel=0.03)
+    assert fleet.limit("b") == pytest.approx(10, rel=0.03)
+    (plan, part), = fleet.hands["g0"].held.values()
+    assert (plan.weight, part, plan.limit_burst) == (3.0, 1.0, 8 + plan.limit)  # else its own
+    assert set(fleet.hands["g0"].held) == {("a", "gold", 4)}
+    assert fleet.limit("a") + fleet.limit("b") <= 30
+
+
+def test_who_asks_for_what_is_not_shared_is_left_alone(fleet):
+    fleet.asks = {("g0", "c", "gold", 4): 10.0, ("g0", "a", "gold", 5): 10.0}
+    before = dict(fleet.hands["g0"].held)
+    fleet.run(0.1)
+    assert fleet.hands["g0"].held.keys() == before.keys()
+
+
+def test_a_rate_of_nothing_bars_and_is_not_without_a_limit(fleet):
+    fleet.asks.pop(("g0", "a", "gold", 4))
+    fleet.run(8)
+    assert fleet.hands["g0"].held["a", "gold", 4][1] == 0.0
+    fleet.parts["g0"].observed({"volume": "a", "plan": "gold", "shard": 4, "units": 1}, fleet.now)
+    plan, part = fleet.hands["g0"].held["a", "gold", 4]
+    assert part == 1.0 and 0 < plan.limit <= 0.1  # its floor, before that call is decided on
+
+
+def test_allotments_are_taken_back_when_shares_go_out_of_the_policy(fleet):
+    assert fleet.push(None) is None
+    assert all(not hands.held for hands in fleet.hands.values())
+    fleet.run(2)
+    assert all(not hands.held for hands in fleet.hands.values())
+    fleet.push(SHARES)
+    assert fleet.run(5).limit("a") == pytest.approx(20, rel=0.03)
+
+
+def test_a_tenant_under_two_plans_has_no_more_than_its_share(fleet):
+    fleet.asks["g0", "a", "tin", 4] = 40.0
+    fleet.run(5)
+    assert {key[1] for key in fleet.hands["g0"].held} == {"gold", "tin"}
+    assert fleet.limit("a") == pytest.approx(20, rel=0.03)
+    fleet.asks.pop(("g0", "a", "gold", 4))
+    fleet.run(20)
+    assert {key[1] for key in fleet.hands["g0"].held} == {"tin"}
+    fleet.parts["g0"].observed({"volume": "a", "plan": "made up", "shard": 4}, fleet.now)
+    assert {key[1] for key in fleet.hands["g0"].held} == {"tin"}
+
+
+def test_new_objects_have_their_part_of_the_rate(fleet):
+    fleet.asks["g0", "a", "gold", None] = 40.0
+    fleet.run(6)
+    held = fleet.hands["g0"].held
+    assert held["a", "gold", None][0].limit == pytest.approx(held["a", "gold", 4][0].limit, rel=0.2)
+    assert fleet.limit("a") == pytest.approx(20, rel=0.03)
+
+
+def test_a_plan_that_a_policy_changes_changes_what_rests_on_it(fleet):
+    fleet.hands["g0"].plans["gold"] = Plan("gold", weight=7.0)
+    fleet.run(0.1)
+    assert fleet.hands["g0"].held["a", "gold", 4][0].weight == 7.0
+
+
+def test_what_the_module_refuses_is_asked_for_again(fleet):
+    fleet.hands["g0"].full = True
+    fleet.asks["g0", "b", "gold", 4] = 10.0
+    fleet.run(2)
+    assert ("b", "gold", 4) not in fleet.hands["g0"].held and fleet.parts["g0"].gauges()["refused"] > 0
+    fleet.hands["g0"].full = False
+    fleet.asks["g0", "b", "gold", 4] = 20.0
+    fleet.run(3)
+    assert ("b", "gold", 4) in fleet.hands["g0"].held
+
+
+def test_a_node_no_longer_listed_is_told_and_an_empty_list_is_not(fleet):
+    fleet.hands["g0"].listed = []
+    fleet.run(1)
+    assert not fleet.log.states["shares"].gone
+    fleet.hands["g0"].listed = [NodeEntry("n1", NodeState.READY, 5)]
+    fleet.run(1)
+    assert set(fleet.log.states["shares"].gone) == {"n0"}
+
+
+def test_the_store_lets_the_largest_call_pass():
+    settings = Settings(units_top=8, plans={"gold": GOLD}, hosts=1, classes={"read": RequestClass("read")})
+    part, facade = Fleet().parts["g0"], Facade(settings, 0.0)
+    part.hands.planned = lambda plan, *more: bool(facade.planned(0.0, plan, *more)) or True
+    part.shards, part.at = {"n0": 4}, {4: ["n0"]}
+    part.observed({"volume": "a", "plan": "gold", "shard": 4, "units": 8}, 0.0)
+    part._allotted("a", "n0", 1.0, 1.0)
+    facade.tick(0.0)
+    volume = facade._scheduler._volume("a", "gold", 1, 4)
+    assert volume.limit_wait(0.0, 8) == pytest.approx(8, rel=0.01)
+    assert volume.limit_wait(8.1, 8) == 0
+
+
+@pytest.mark.parametrize("wrong", [{"nodes": {"n0": {}}}, {"tenants": {"a": {"weight": 0}}}, {"zone": {}}])
+def test_a_policy_that_can_not_hold_is_refused(wrong):
+    it = Fleet()
+    before = it.log.states["shares"]
+    assert isinstance(it.push(wrong), Refusal) and it.log.states["shares"] == before
+
+
+def test_a_push_names_the_place_of_what_is_wrong():
+    policy = read_policy(b'{"drains": [], "shares": {"nodes": {"n0": {"capacity": "many"}}}}')
+    with pytest.raises(Exception, match="int") as told:
+        check_sections(policy, ("shares",))
+    assert "shares.nodes" in str(told.value.where)
+
+
+def test_a_section_whose_times_do_not_agree_is_refused():
+    policy = {"folder": "x", "name": "g0", "listen": "h:1", "members": {"g0": "h:2"}, "lease_s": 4.0}
+    with pytest.raises(Exception, match=r"shares\.lease_s"):
+        check({"policy": policy, "shares": {"on": True}})
