--- a/tests/test_shares_part.py
+++ b/tests/test_shares_part.py
@@ -7,10 +7,12 @@
 import pytest
 
 from mallowbeam.facade import Facade, TooManyAllotments
+from mallowbeam.fleet.hands import GatewayHands
 from mallowbeam.fleet.log import Log, Refusal
 from mallowbeam.fleet.policy_text import check_sections, read_policy
 from mallowbeam.fleet.shares.part import open_part
 from mallowbeam.interface import NodeEntry, NodeState, Plan, RequestClass, Settings
+from mallowbeam.net.config import BadConfig
 from mallowbeam.operators import SharesSection, check
 
 NAMES = ("g0", "g1", "g2")
@@ -123,7 +125,8 @@
 def test_a_rate_of_nothing_bars_and_is_not_without_a_limit(fleet):
     fleet.asks.pop(("g0", "a", "gold", 4))
     fleet.run(8)
-    assert fleet.hands["g0"].held["a", "gold", 4][1] == 0.0
+    plan, part = fleet.hands["g0"].held["a", "gold", 4]
+    assert part == 0.0 and plan.limit > 0      # to the module a limit of 0 is none
     fleet.parts["g0"].observed({"volume": "a", "plan": "gold", "shard": 4, "units": 1}, fleet.now)
     plan, part = fleet.hands["g0"].held["a", "gold", 4]
     assert part == 1.0 and 0 < plan.limit <= 0.1  # its floor, before that call is decided on
@@ -147,7 +150,14 @@
     fleet.run(20)
     assert {key[1] for key in fleet.hands["g0"].held} == {"tin"}
     fleet.parts["g0"].observed({"volume": "a", "plan": "made up", "shard": 4}, fleet.now)
-    assert {key[1] for key in fleet.hands["g0"].held} == {"tin"}
+    assert fleet.run(1).limit("a") == pytest.approx(20, rel=0.03)
+
+
+def test_plans_of_one_tenant_are_bounded(fleet):
+    for number in range(8):
+        fleet.hands["g0"].plans[f"p{number}"] = Plan(f"p{number}")
+        fleet.parts["g0"].observed({"volume": "a", "plan": f"p{number}", "shard": 4}, fleet.now)
+    assert {key[1] for key in fleet.hands["g0"].held} == {"gold", "p0", "p1", "p2"}
 
 
 def test_new_objects_have_their_part_of_the_rate(fleet):
@@ -201,7 +211,9 @@
 def test_a_policy_that_can_not_hold_is_refused(wrong):
     it = Fleet()
     before = it.log.states["shares"]
-    assert isinstance(it.push(wrong), Refusal) and it.log.states["shares"] == before
+    refusal = it.push(wrong)
+    assert isinstance(refusal, Refusal) and "failed" not in refusal.what
+    assert it.log.states["shares"] == before
 
 
 def test_a_push_names_the_place_of_what_is_wrong():
@@ -211,7 +223,18 @@
     assert "shares.nodes" in str(told.value.where)
 
 
-def test_a_section_whose_times_do_not_agree_is_refused():
+@pytest.mark.parametrize(("name", "times"), [
+    ("lease_s", {}), ("quiet_s", {"lease_s": 6.0}), ("window_s", {"lease_s": 4.0, "epoch_s": 0.2})])
+def test_a_section_whose_times_do_not_agree_is_refused(name, times):
     policy = {"folder": "x", "name": "g0", "listen": "h:1", "members": {"g0": "h:2"}, "lease_s": 4.0}
-    with pytest.raises(Exception, match=r"shares\.lease_s"):
-        check({"policy": policy, "shares": {"on": True}})
+    with pytest.raises(BadConfig, match=rf"shares\.{name}"):
+        check({"policy": policy, "shares": {"on": True, **times}})
+
+
+def test_what_an_observer_raises_stays_off_the_call():
+    gateway, seen = SimpleNamespace(observers=[], gates=[]), []
+    hands = GatewayHands("shares", "g0", NAMES, gateway, None, None, None, None)
+    hands.observe(lambda fields: seen.append(fields["volume"]))
+    gateway.observers[0]({"volume": "a"})
+    gateway.observers[0]({})                   # a KeyError: logged
+    assert seen == ["a"]
