Tests: the service's own subsystem is checked against no other package's section

With the shares' part loaded in the same process their type judged the test's made-up section (seen in one run of several files together). Both files together: green in one run.

--- a/tests/test_fleet_service.py
+++ b/tests/test_fleet_service.py
@@ -88,6 +88,7 @@
         module = ModuleType("mallowbeam.fleet.shares.part")
         module.open_part = Part
         monkeypatch.setitem(sys.modules, module.__name__, module)
+        monkeypatch.setattr("mallowbeam.fleet.policy_text._TYPES", {})  # whatever another test has loaded
         self.sock, port = hold_port(socket.SO_REUSEADDR)
         self.gateway = Recorder()
         section = PolicySection(folder=str(folder / "log"), name="g0", listen="127.0.0.1:1",
