--- a/mallowbeam/fleet/agreement.py
+++ b/mallowbeam/fleet/agreement.py
@@ -36,6 +36,7 @@
     PolicyRefused,
     QueueFull,
 )
+from mallowbeam.fleet.journal import begin_at_snapshot, cut_whole
 from mallowbeam.fleet.log import LOCAL, Committed, Log, Refusal
 from mallowbeam.fleet.policy import Change
 from mallowbeam.fleet.policy_text import read_policy
@@ -221,6 +222,7 @@
         self.ledger = Ledger(log or Log(()), name, life, told)
         others = [Member(address, (dial or {}).get(other))
                   for other, address in members.items() if other != name]
+        begin_at_snapshot(folder / "journal", folder / "snapshot")
         self.engine = SyncObj(Member(members[name]), others, SyncObjConf(
             autoTickPeriod=0.02, raftMinTimeout=0.4, raftMaxTimeout=0.9, appendEntriesPeriod=0.1,
             connectionRetryTime=0.2, connectionTimeout=1.5, leaderFallbackTimeout=1.0,
@@ -228,6 +230,7 @@
             appendEntriesBatchSizeBytes=ONE_SEND,
             fullDumpFile=str(folder / "snapshot"), logCompactionMinEntries=2000, logCompactionMinTime=30,
             useFork=False), consumers=[self.ledger], transportClass=self._wired)
+        cut_whole(self.engine, folder / "journal")  # long before its first cut
 
     def _wired(self, engine: Any, own: Any, others: Any) -> Wire:
         self.wire = Wire(engine, own, others)
--- a/tests/test_maintenance_machine.py
+++ b/tests/test_maintenance_machine.py
@@ -94,6 +94,19 @@
     assert put(log, "g0", s.Move("n0", "draining", 1)).refusal is None
     assert put(log, "g1", s.Move("n0", "draining", 1)).refusal is not None
     assert put(log, "g1", s.Move("n0", "out", 2)).refusal is not None
+    put(log, "g0", s.TimeUp("n0", 4))
+    assert state(log).items["n0"].step == "failed"
+
+
+def test_an_entry_meant_for_an_earlier_turn_is_a_duplicate():
+    log = fleet()
+    push(log, ask("n0", "n3", at_once=2))
+    put(log, "g0", s.Next(0))
+    assert put(log, "g1", s.Next(0)).refusal is not None  # though another could go
+    assert [item.step for item in state(log).items.values()] == ["agreed", "proposed"]
+    assert put(log, "g1", s.Move("n0", "draining", 0)).refusal is not None
+    assert put(log, "g1", s.TimeUp("n0", 1)).refusal is not None
+    assert put(log, "g1", s.Next(1)).refusal is None
 
 
 def empty(log, *names, number, heard=None):
@@ -128,9 +141,12 @@
         for name in MEMBERS:
             put(log, name, s.Report("l", 2, log.index, "z", nodes(n0=s.NodeFacts("a", 0, started=5)), ["n0"]))
         put(log, "g0", s.Move("n0", "empty", 2))
-        put(log, "g0", s.Move("n0", "out", 3))
+        assert "g0 has not said" in put(log, "g0", s.Move("n0", "out", 3)).refusal.what  # since then
+        for name in MEMBERS:
+            put(log, name, s.Report("l", 3, log.index, "z", nodes(n0=s.NodeFacts("a", 0, started=5)), ["n0"]))
+        assert put(log, "g0", s.Move("n0", "out", 3)).refusal is None
         assert put(log, "g0", s.Move("n0", "back", 4)).refusal is not None
-        number = 3
+        number = 4
         for up, start in ((False, 0), (True, started or 5)) if seen_down else ((True, started),):
             for name in MEMBERS:
                 facts = nodes(n0=s.NodeFacts("a", 0, up=up, started=start))
