Reread: two checkers of the walks share how nodes let go are found

Found by reading the whole change for what stands twice: below_floor and together went through the history by the same lines.

--- a/mallowbeam/lab/faults/orderly.py
+++ b/mallowbeam/lab/faults/orderly.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -150,15 +150,20 @@
     return wrong
 
 
+def _let_go(history: History, places: Mapping[str, Place], times: _Times) -> Iterator[Moved]:
+    """Each storage node as it begins to drain or goes out, with the times as of then."""
+    for event in history:
+        times.take(event)
+        if isinstance(event, Moved) and event.step in ("draining", "out") and (
+                not places[event.machine].gateway):
+            yield event
+
+
 def below_floor(history: History, places: Mapping[str, Place],
                 requests: Iterable[Mapping[str, Any]]) -> list[str]:
     """No machine is let go where its zone or shard keeps too little, those dead by themselves counted."""
     wrong, times, asked = [], _Times(), list(requests)
-    for event in history:
-        times.take(event)
-        if not isinstance(event, Moved) or event.step not in ("draining", "out") or (
-                places[event.machine].gateway):
-            continue
+    for event in _let_go(history, places, times):
         away = times.away()
         lost = {name for name, step in times.step.items() if step == "lost"}
         gone = away | lost | (times.surely_down(event.at) if event.step == "out" else set())
@@ -251,11 +256,7 @@
              requests: Iterable[Mapping[str, Any]]) -> list[str]:
     """Nodes that share repeats are not let go together."""
     wrong, times, asked = [], _Times(), list(requests)
-    for event in history:
-        times.take(event)
-        if not isinstance(event, Moved) or event.step not in ("draining", "out") or (
-                places[event.machine].gateway):
-            continue
+    for event in _let_go(history, places, times):
         away = times.away()
         for what in {request["repeats"] for request in times.binding(asked) if request.get("repeats")}:
             near = {name for name in away if not places[name].gateway and (
