The buffer's service split by concern, and its tests of front and log with it

Change: moves only. service.py keeps coming and going; intake.py takes in and reads again, flush.py does what the core wants, reopen.py puts together what stood before, terms.py holds the settings and the way to the nodes. Tests: front, order and bounds on buffered.py; log and format on logged.py. Callers name the new homes; no name is exported twice.

--- a/mallowbeam/buffer/inspect.py
+++ b/mallowbeam/buffer/inspect.py
@@ -18,7 +18,7 @@
 from mallowbeam.buffer.disk import RealDisk
 from mallowbeam.buffer.log import Found, Log, folder_id, name_of, numbers, walk
 from mallowbeam.buffer.records import Moved, Newer, Record, Write, unpack
-from mallowbeam.buffer.service import boot_clock, replay
+from mallowbeam.buffer.reopen import boot_clock, replay
 
 
 class Tally(Log):
--- a/mallowbeam/cli/config.py
+++ b/mallowbeam/cli/config.py
@@ -43,7 +43,7 @@
     if isinstance(objects, dict) and objects.get("listen") is not None:
         settings = read_object_settings(objects, gateway)
         if isinstance(buffer, dict) and buffer.get("folder") is not None:
-            from mallowbeam.buffer.service import probe
+            from mallowbeam.buffer.reopen import probe
             from mallowbeam.fronts.objects.buffered import read_buffer_settings
             why = probe(read_buffer_settings(buffer, settings, gateway), wait=True)
             if why is not None:
--- a/mallowbeam/fronts/objects/buffered.py
+++ b/mallowbeam/fronts/objects/buffered.py
@@ -20,9 +20,12 @@
 
 from mallowbeam.buffer.core import Entry, Limits, Offer, Outcome
 from mallowbeam.buffer.errors import Failed
+from mallowbeam.buffer.intake import PIECE
 from mallowbeam.buffer.records import Write
-from mallowbeam.buffer.service import PIECE, Buffer, Looked, Phase, Sent, Settings, Upload, probe
+from mallowbeam.buffer.reopen import probe
+from mallowbeam.buffer.service import Buffer
 from mallowbeam.buffer.store import Doubtful, NotTaken
+from mallowbeam.buffer.terms import Looked, Phase, Sent, Settings, Upload
 from mallowbeam.fronts.objects.access import require
 from mallowbeam.fronts.objects.bodies import KNOWN, Body, bare
 from mallowbeam.fronts.objects.calls import Request
--- a/mallowbeam/lab/recover.py
+++ b/mallowbeam/lab/recover.py
@@ -15,7 +15,7 @@
 from mallowbeam.buffer.disk import RealDisk
 from mallowbeam.buffer.log import Found, Item, Log, name_of, numbers
 from mallowbeam.buffer.records import Done, Kind, Write, pack
-from mallowbeam.buffer.service import boot_clock, no_collection, replay
+from mallowbeam.buffer.reopen import boot_clock, no_collection, replay
 
 BATCH = 2000
 SEGMENT = 64 << 20
--- /dev/null
+++ b/tests/buffered.py
@@ -0,0 +1,91 @@
+"""A world with the write-back buffer in it, shared by the tests of the buffered object front."""
+
+from __future__ import annotations
+
+import asyncio
+from zlib import crc32
+
+import uvloop
+from scenario import World
+
+from mallowbeam.standins.disk import SimDisk
+from mallowbeam.standins.node import ObjectNode
+
+
+def keys_at(shard: int, count: int) -> list[str]:
+    """Keys of the bucket whose home is that shard of two."""
+    return [f"k{i}" for i in range(99) if crc32(f"plates/k{i}".encode()) % 2 == shard][:count]
+
+
+class Buffered(World):
+    """A world whose bucket `plates` is buffered, in a folder or on a disk of a stand-in."""
+
+    def __init__(self, nodes: list[ObjectNode], folder, disk: SimDisk | None = None,
+                 change: dict | None = None, **rest) -> None:
+        section = {"folder": str(folder), "buckets": ["plates"], "max_bytes": 32 << 20,
+                   "segment_bytes": 1 << 20}
+        super().__init__(servers=[node.host_port for node in nodes], buffer=section | (change or {}), **rest)
+        self.disk = disk
+
+    async def __aenter__(self) -> Buffered:
+        await super().__aenter__()
+        if self.disk is not None:              # opened in a task that has not run yet
+            self.buffer_part.disk = self.disk
+        async with asyncio.timeout(10):
+            await self.buffer_part.opened.wait()
+        return self
+
+    async def __aexit__(self, *what: object) -> None:
+        await super().__aexit__(*what)
+        self.buffer_part.store.log.disk.unlock()  # as the end of a process would
+
+    @property
+    def buffer_part(self):
+        return self.gateway.parts[0]
+
+    def keep_still(self) -> None:
+        """Nothing goes to the nodes until `go_on`."""
+        self.buffer_part.sender = Still(self.buffer_part.sender)
+
+    def go_on(self) -> None:
+        """What is buffered goes out again."""
+        self.buffer_part.sender = self.buffer_part.sender.real
+        self.buffer_part.stir()
+
+    async def flushed(self) -> None:
+        async with asyncio.timeout(15):
+            while self.buffer_part.core.entries:
+                await asyncio.sleep(0.01)
+
+    async def leave(self) -> None:
+        """A planned end."""
+        self.gateway.stop()
+        self.gateway.leave_at = 0.0            # at once
+        await self.buffer_part.stop()
+
+
+def run(coroutine) -> object:
+    return uvloop.run(coroutine)
+
+
+def writes(nodes: list[ObjectNode]) -> list[str]:
+    return [run for node in nodes for run in node.store.runs if not run.startswith(("GET", "HEAD"))]
+
+
+def hold(nodes: list[ObjectNode], seconds: float = 30.0) -> None:
+    """Nodes that stand still: what is buffered stays buffered."""
+    for node in nodes:
+        node.stand_still(seconds)
+
+
+class Still:
+    """A way to the nodes on which nothing moves."""
+
+    def __init__(self, real) -> None:
+        self.real = real
+
+    def may_send(self) -> bool:
+        return False
+
+    def __getattr__(self, name: str):
+        return getattr(self.real, name)
--- /dev/null
+++ b/tests/logged.py
@@ -0,0 +1,116 @@
+"""Logs on a simulated disk, a workload for them and its judge, shared by the tests of the buffer's log."""
+
+from __future__ import annotations
+
+import random
+
+from mallowbeam.buffer.log import Apart, Found, Item, Log
+from mallowbeam.buffer.records import (
+    Done,
+    Kind,
+    Write,
+    pack,
+    unpack,
+)
+from mallowbeam.buffer.reopen import replay
+from mallowbeam.standins.disk import PowerCut, SimDisk
+
+SMALL = 4096                # bytes of a segment: a workload crosses many
+
+
+def body(lsn: int) -> bytes:
+    return random.Random(lsn).randbytes(1 + lsn * 211 % 1700)
+
+
+def write(lsn: int, data: bytes | None = None) -> Item:
+    data = body(lsn) if data is None else data
+    words = Write("PUT", "b", b"/b/%d" % lsn, lsn, [(b"content-type", b"x")], b"t", '"e"', len(data), 1.0)
+    return Item(Kind.WRITE, lsn, pack(Kind.WRITE, words, data))
+
+
+def done(lsn: int, *lsns: int) -> Item:
+    return Item(Kind.DONE, lsn, pack(Kind.DONE, Done(list(lsns))))
+
+
+def opened(disk: SimDisk) -> tuple[Log, dict[int, bytes], list[Apart], Found]:
+    """A log come up on a disk: what stands, by lsn, and what was set apart."""
+    log = Log(disk, SMALL)
+    found = log.open()
+    state = replay(log, found, 2.0, 2.0)
+    apart = log.settle(found)
+    stands = {}
+    for lsn, known in state.writes.items():
+        record = log.read(*known.where)
+        stands[lsn] = bytes(unpack(record.kind, record.payload)[1])
+    return log, stands, apart, found
+
+
+class Work:
+    """A workload of batches, and what of it was acknowledged: it can be run on any disk, from any point."""
+
+    def __init__(self, first: int = 1, batches: int = 24) -> None:
+        self.first, self.batches = first, batches
+        self.acked: set[int] = set()
+        self.over: set[int] = set()            # DONE was acknowledged
+        self.maybe_over: set[int] = set()
+        self.offered: set[int] = set()
+
+    def __call__(self, disk: SimDisk) -> None:
+        log, _, _, found = opened(disk)
+        lsn = max(self.first, log.durable + 1)
+        segments: dict[int, set[int]] = {number: {0} for number in found.segments}  # others' stay
+        for batch in range(self.batches):
+            items = [write(lsn + i) for i in range(1 + batch * 7 % 5)]
+            lsn += len(items)
+            lsns = [item.lsn for item in items]
+            ends = sorted(self.acked - self.over)[:2] if batch % 3 == 2 else []
+            if ends:
+                items.append(done(lsn, *ends))
+                lsn += 1
+            self.offered |= set(lsns)
+            self.maybe_over |= set(ends)
+            log.commit(items)
+            self.acked |= set(lsns)
+            self.over |= set(ends)
+            for item in items:
+                if item.kind is Kind.WRITE:
+                    segments.setdefault(item.segment, set()).add(item.lsn)
+            if batch % 6 == 5:                 # the oldest that nothing needs go, as the core has it
+                free = []
+                for number in sorted(log.sizes):
+                    if number == log.number or segments.get(number, set()) - self.over:
+                        break
+                    free.append(number)
+                if free:
+                    log.remove(free)
+        log.close()
+
+
+def run(work: Work, disk: SimDisk, cut: int | None) -> SimDisk:
+    disk.cut_at = None if cut is None else disk.ops + cut
+    try:
+        work(disk)
+    except PowerCut:
+        pass
+    return disk
+
+
+def judge(works: list[Work], stands: dict[int, bytes], apart: list[Apart]) -> None:
+    """All that was acknowledged and not ended stands with its bytes; nothing stands that nobody offered."""
+    offered = set().union(*(work.offered for work in works))
+    ended = set().union(*(work.maybe_over for work in works))
+    for work in works:
+        missing = work.acked - ended - set(stands)
+        assert not missing, f"acknowledged and lost: {sorted(missing)}"
+    assert set(stands) <= offered
+    assert not set(stands) & set().union(*(work.over for work in works)), "what was over came back"
+    for lsn, data in stands.items():
+        assert data == body(lsn)
+    assert not any(a.acknowledged for a in apart), "a power cut was taken for damage"
+
+
+def filled(batches: int = 6) -> tuple[SimDisk, Work]:
+    work = Work(batches=batches)
+    disk = run(work, SimDisk(), None)
+    disk.locked = False
+    return disk, work
--- /dev/null
+++ b/tests/test_buffer_format.py
@@ -0,0 +1,147 @@
+"""The buffer's files as read: what is refused, what a scan gives back, what a torn or damaged end costs."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from logged import SMALL, filled, opened, write
+
+from mallowbeam.buffer.log import Found, Item, Log, name_of, walk
+from mallowbeam.buffer.records import (
+    RECORD,
+    SEGMENT,
+    Bad,
+    Done,
+    Intent,
+    Kind,
+    Newer,
+    Record,
+    frame,
+    pack,
+    scan,
+    unpack,
+)
+from mallowbeam.standins.disk import SimDisk
+
+
+@pytest.mark.parametrize("change, words", [
+    ({"version": 2}, "version 2"), ({"format": "else"}, "no buffer"), (None, "can't be read")])
+def test_what_is_not_ours_or_newer_is_refused(change, words):
+    disk, _ = filled(2)
+    told = json.loads(disk.files["folder.json"].now)
+    disk.files["folder.json"].now[:] = b"{" if change is None else json.dumps(told | change).encode()
+    with pytest.raises(Newer, match=words):
+        Log(disk, SMALL).open()
+
+
+def test_segments_without_their_folder_file_or_of_another_folder_are_refused():
+    disk, _ = filled(2)
+    del disk.files["folder.json"]
+    with pytest.raises(Newer, match=r"no folder\.json"):
+        Log(disk, SMALL).open()
+    disk, other = filled(2)[0], filled(2)[0]
+    name = next(n for n in disk.names() if n.startswith("segment-"))
+    disk.files[name] = other.files[name]
+    with pytest.raises(Newer, match="another folder"):
+        opened(disk)
+
+
+def test_bytes_that_a_client_stores_never_pass_for_records():
+    """A body that holds a whole copy of the log, behind a record that was damaged, is searched through."""
+    disk = SimDisk()
+    log, *_ = opened(disk)
+    log.commit([write(1)])
+    forged = b"".join(frame(12345, Kind.DONE, 99, 0, pack(Kind.DONE, Done([1, 2]))))
+    log.commit([write(2, forged * 3)])
+    log.commit([write(3)])
+    log.close()
+    name = name_of(log.number)
+    disk.flip(name, len(disk.files[name].now) - log.at + SEGMENT.size + RECORD.size + 2)
+    _, stands, *_ = opened(disk)
+    assert 3 in stands and 99 not in stands
+
+
+@given(st.lists(st.one_of(
+    st.tuples(st.just("record"), st.binary(max_size=300)),
+    st.tuples(st.just("junk"), st.binary(max_size=300)),
+    st.tuples(st.just("zeros"), st.integers(0, 300))), max_size=12), st.integers(1, 64))
+def test_a_scan_gives_back_every_record_and_accounts_for_every_byte(things, chunk):
+    marker, data, wanted = 0x51A7C0DE, b"", []
+    for lsn, (kind, value) in enumerate(things, 1):
+        if kind == "record":
+            wanted.append((lsn, value))
+            data += b"".join(frame(marker, Kind.PIECE, lsn, 0, [value]))
+        else:
+            data += value if kind == "junk" else bytes(value)
+    parts = iter([data[at:at + chunk] for at in range(0, len(data), chunk)])
+    found = list(scan(parts, 1, marker, 0))
+    assert [(r.lsn, bytes(r.payload)) for r in found if isinstance(r, Record)] == wanted
+    at = SEGMENT.size
+    for thing in found:
+        assert thing.offset == at
+        at = thing.end if isinstance(thing, Record) else thing.offset + thing.length
+        if isinstance(thing, Bad):
+            piece = data[thing.offset - SEGMENT.size:][:thing.length]
+            assert thing.blank == (not any(piece))
+    assert at == SEGMENT.size + len(data)
+
+
+@given(st.binary(max_size=200), st.sampled_from([kind for kind in Kind if kind is not Kind.PIECE]))
+def test_words_that_cannot_be_read_are_a_value_error(data, kind):
+    try:
+        unpack(kind, data)
+    except ValueError:
+        pass
+
+
+def test_a_marker_across_two_reads_is_found_behind_damaged_bytes():
+    """More than a megabyte of it, so that the scan does not hold all at once."""
+    marker = 0x51A7C0DE
+    good = b"".join(frame(marker, Kind.PIECE, 1, 0, [b"behind"]))
+    for short in range(-1, 5):                 # bytes of the marker that come before the second read ends
+        data = b"j" * ((2 << 20) - short) + good
+        parts = iter([data[at:at + (1 << 20)] for at in range(0, len(data), 1 << 20)])
+        bad, record = scan(parts, 1, marker, 0)
+        assert isinstance(bad, Bad) and bad.length == len(data) - len(good) and not bad.blank
+        assert isinstance(record, Record) and record.payload == b"behind"
+
+
+def test_a_torn_end_is_cut_off_so_that_later_records_do_not_make_it_damage():
+    disk = SimDisk()
+    log, *_ = opened(disk)
+    log.commit([write(1)])
+    torn = name_of(log.number)
+    log.file.write([b"torn" * 50], log.at)
+    log.close()
+    log, stands, apart, _ = opened(disk)
+    assert set(stands) == {1} and [a.acknowledged for a in apart] == [False]
+    log.commit([write(5)])
+    log.commit([write(6)])
+    log.close()
+    found = Found()
+    assert [r.lsn for r in walk(disk, log.owner, found)] == [1, 5, 6] and found.bad == []
+    assert not disk.files[torn].now.endswith(b"torn")
+
+
+def test_a_large_log_is_read_through_in_little_memory():
+    import tracemalloc
+    disk = SimDisk()
+    log = Log(disk, 64 << 20)
+    log.settle(log.open())
+    for first in range(0, 4000, 100):
+        log.commit([Item(Kind.PIECE, first + i + 1, [bytes(4096)]) for i in range(100)])
+    found = Found()
+    tracemalloc.start()
+    count = sum(1 for _ in log.records(found))
+    peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    assert count == 4000 and peak < 6 << 20 and sum(found.segments.values()) > 4000 * 4096
+
+
+def test_an_intent_is_read_back_with_its_clock():
+    words = Intent([1, 2], b"boot", 12.5, 3)
+    parts = pack(Kind.INTENT, words)
+    assert unpack(Kind.INTENT, b"".join(parts))[0] == words
--- a/tests/test_buffer_log.py
+++ b/tests/test_buffer_log.py
@@ -4,124 +4,20 @@
 
 import errno
 import json
-import random
 
 import pytest
-from hypothesis import given
-from hypothesis import strategies as st
+from logged import Work, body, done, filled, judge, opened, run, write
 
 from mallowbeam.buffer.errors import DiskFull, Failed
-from mallowbeam.buffer.log import Apart, Found, Item, Log, name_of, walk
+from mallowbeam.buffer.log import Found, Item, name_of, walk
 from mallowbeam.buffer.records import (
     RECORD,
     SEGMENT,
-    Bad,
     Done,
-    Intent,
     Kind,
-    Newer,
-    Record,
-    Write,
-    frame,
     pack,
-    scan,
-    unpack,
 )
-from mallowbeam.buffer.service import replay
-from mallowbeam.standins.disk import Fault, PowerCut, SimDisk
-
-SMALL = 4096                # bytes of a segment: a workload crosses many
-
-
-def body(lsn: int) -> bytes:
-    return random.Random(lsn).randbytes(1 + lsn * 211 % 1700)
-
-
-def write(lsn: int, data: bytes | None = None) -> Item:
-    data = body(lsn) if data is None else data
-    words = Write("PUT", "b", b"/b/%d" % lsn, lsn, [(b"content-type", b"x")], b"t", '"e"', len(data), 1.0)
-    return Item(Kind.WRITE, lsn, pack(Kind.WRITE, words, data))
-
-
-def done(lsn: int, *lsns: int) -> Item:
-    return Item(Kind.DONE, lsn, pack(Kind.DONE, Done(list(lsns))))
-
-
-def opened(disk: SimDisk) -> tuple[Log, dict[int, bytes], list[Apart], Found]:
-    """A log come up on a disk: what stands, by lsn, and what was set apart."""
-    log = Log(disk, SMALL)
-    found = log.open()
-    state = replay(log, found, 2.0, 2.0)
-    apart = log.settle(found)
-    stands = {}
-    for lsn, known in state.writes.items():
-        record = log.read(*known.where)
-        stands[lsn] = bytes(unpack(record.kind, record.payload)[1])
-    return log, stands, apart, found
-
-
-class Work:
-    """A workload of batches, and what of it was acknowledged: it can be run on any disk, from any point."""
-
-    def __init__(self, first: int = 1, batches: int = 24) -> None:
-        self.first, self.batches = first, batches
-        self.acked: set[int] = set()
-        self.over: set[int] = set()            # DONE was acknowledged
-        self.maybe_over: set[int] = set()
-        self.offered: set[int] = set()
-
-    def __call__(self, disk: SimDisk) -> None:
-        log, _, _, found = opened(disk)
-        lsn = max(self.first, log.durable + 1)
-        segments: dict[int, set[int]] = {number: {0} for number in found.segments}  # others' stay
-        for batch in range(self.batches):
-            items = [write(lsn + i) for i in range(1 + batch * 7 % 5)]
-            lsn += len(items)
-            lsns = [item.lsn for item in items]
-            ends = sorted(self.acked - self.over)[:2] if batch % 3 == 2 else []
-            if ends:
-                items.append(done(lsn, *ends))
-                lsn += 1
-            self.offered |= set(lsns)
-            self.maybe_over |= set(ends)
-            log.commit(items)
-            self.acked |= set(lsns)
-            self.over |= set(ends)
-            for item in items:
-                if item.kind is Kind.WRITE:
-                    segments.setdefault(item.segment, set()).add(item.lsn)
-            if batch % 6 == 5:                 # the oldest that nothing needs go, as the core has it
-                free = []
-                for number in sorted(log.sizes):
-                    if number == log.number or segments.get(number, set()) - self.over:
-                        break
-                    free.append(number)
-                if free:
-                    log.remove(free)
-        log.close()
-
-
-def run(work: Work, disk: SimDisk, cut: int | None) -> SimDisk:
-    disk.cut_at = None if cut is None else disk.ops + cut
-    try:
-        work(disk)
-    except PowerCut:
-        pass
-    return disk
-
-
-def judge(works: list[Work], stands: dict[int, bytes], apart: list[Apart]) -> None:
-    """All that was acknowledged and not ended stands with its bytes; nothing stands that nobody offered."""
-    offered = set().union(*(work.offered for work in works))
-    ended = set().union(*(work.maybe_over for work in works))
-    for work in works:
-        missing = work.acked - ended - set(stands)
-        assert not missing, f"acknowledged and lost: {sorted(missing)}"
-    assert set(stands) <= offered
-    assert not set(stands) & set().union(*(work.over for work in works)), "what was over came back"
-    for lsn, data in stands.items():
-        assert data == body(lsn)
-    assert not any(a.acknowledged for a in apart), "a power cut was taken for damage"
+from mallowbeam.standins.disk import Fault, SimDisk
 
 
 def test_the_power_goes_at_every_write_and_sync_of_a_workload():
@@ -174,13 +70,6 @@
     assert caught
 
 
-def filled(batches: int = 6) -> tuple[SimDisk, Work]:
-    work = Work(batches=batches)
-    disk = run(work, SimDisk(), None)
-    disk.locked = False
-    return disk, work
-
-
 def test_every_flipped_bit_is_named_and_costs_no_other_record():
     """Damage to what is known to be acknowledged is an error with its place; its neighbours still stand."""
     disk, work = filled()
@@ -286,123 +175,3 @@
             log.commit([write(1)])
         assert disk.names() == names
     log.commit([write(2)])
-
-
-@pytest.mark.parametrize("change, words", [
-    ({"version": 2}, "version 2"), ({"format": "else"}, "no buffer"), (None, "can't be read")])
-def test_what_is_not_ours_or_newer_is_refused(change, words):
-    disk, _ = filled(2)
-    told = json.loads(disk.files["folder.json"].now)
-    disk.files["folder.json"].now[:] = b"{" if change is None else json.dumps(told | change).encode()
-    with pytest.raises(Newer, match=words):
-        Log(disk, SMALL).open()
-
-
-def test_segments_without_their_folder_file_or_of_another_folder_are_refused():
-    disk, _ = filled(2)
-    del disk.files["folder.json"]
-    with pytest.raises(Newer, match=r"no folder\.json"):
-        Log(disk, SMALL).open()
-    disk, other = filled(2)[0], filled(2)[0]
-    name = next(n for n in disk.names() if n.startswith("segment-"))
-    disk.files[name] = other.files[name]
-    with pytest.raises(Newer, match="another folder"):
-        opened(disk)
-
-
-def test_bytes_that_a_client_stores_never_pass_for_records():
-    """A body that holds a whole copy of the log, behind a record that was damaged, is searched through."""
-    disk = SimDisk()
-    log, *_ = opened(disk)
-    log.commit([write(1)])
-    forged = b"".join(frame(12345, Kind.DONE, 99, 0, pack(Kind.DONE, Done([1, 2]))))
-    log.commit([write(2, forged * 3)])
-    log.commit([write(3)])
-    log.close()
-    name = name_of(log.number)
-    disk.flip(name, len(disk.files[name].now) - log.at + SEGMENT.size + RECORD.size + 2)
-    _, stands, *_ = opened(disk)
-    assert 3 in stands and 99 not in stands
-
-
-@given(st.lists(st.one_of(
-    st.tuples(st.just("record"), st.binary(max_size=300)),
-    st.tuples(st.just("junk"), st.binary(max_size=300)),
-    st.tuples(st.just("zeros"), st.integers(0, 300))), max_size=12), st.integers(1, 64))
-def test_a_scan_gives_back_every_record_and_accounts_for_every_byte(things, chunk):
-    marker, data, wanted = 0x51A7C0DE, b"", []
-    for lsn, (kind, value) in enumerate(things, 1):
-        if kind == "record":
-            wanted.append((lsn, value))
-            data += b"".join(frame(marker, Kind.PIECE, lsn, 0, [value]))
-        else:
-            data += value if kind == "junk" else bytes(value)
-    parts = iter([data[at:at + chunk] for at in range(0, len(data), chunk)])
-    found = list(scan(parts, 1, marker, 0))
-    assert [(r.lsn, bytes(r.payload)) for r in found if isinstance(r, Record)] == wanted
-    at = SEGMENT.size
-    for thing in found:
-        assert thing.offset == at
-        at = thing.end if isinstance(thing, Record) else thing.offset + thing.length
-        if isinstance(thing, Bad):
-            piece = data[thing.offset - SEGMENT.size:][:thing.length]
-            assert thing.blank == (not any(piece))
-    assert at == SEGMENT.size + len(data)
-
-
-@given(st.binary(max_size=200), st.sampled_from([kind for kind in Kind if kind is not Kind.PIECE]))
-def test_words_that_cannot_be_read_are_a_value_error(data, kind):
-    try:
-        unpack(kind, data)
-    except ValueError:
-        pass
-
-
-def test_a_marker_across_two_reads_is_found_behind_damaged_bytes():
-    """More than a megabyte of it, so that the scan does not hold all at once."""
-    marker = 0x51A7C0DE
-    good = b"".join(frame(marker, Kind.PIECE, 1, 0, [b"behind"]))
-    for short in range(-1, 5):                 # bytes of the marker that come before the second read ends
-        data = b"j" * ((2 << 20) - short) + good
-        parts = iter([data[at:at + (1 << 20)] for at in range(0, len(data), 1 << 20)])
-        bad, record = scan(parts, 1, marker, 0)
-        assert isinstance(bad, Bad) and bad.length == len(data) - len(good) and not bad.blank
-        assert isinstance(record, Record) and record.payload == b"behind"
-
-
-def test_a_torn_end_is_cut_off_so_that_later_records_do_not_make_it_damage():
-    disk = SimDisk()
-    log, *_ = opened(disk)
-    log.commit([write(1)])
-    torn = name_of(log.number)
-    log.file.write([b"torn" * 50], log.at)
-    log.close()
-    log, stands, apart, _ = opened(disk)
-    assert set(stands) == {1} and [a.acknowledged for a in apart] == [False]
-    log.commit([write(5)])
-    log.commit([write(6)])
-    log.close()
-    found = Found()
-    assert [r.lsn for r in walk(disk, log.owner, found)] == [1, 5, 6] and found.bad == []
-    assert not disk.files[torn].now.endswith(b"torn")
-
-
-def test_a_large_log_is_read_through_in_little_memory():
-    import tracemalloc
-    disk = SimDisk()
-    log = Log(disk, 64 << 20)
-    log.settle(log.open())
-    for first in range(0, 4000, 100):
-        log.commit([Item(Kind.PIECE, first + i + 1, [bytes(4096)]) for i in range(100)])
-    found = Found()
-    tracemalloc.start()
-    count = sum(1 for _ in log.records(found))
-    peak = tracemalloc.get_traced_memory()[1]
-    tracemalloc.stop()
-    assert count == 4000 and peak < 6 << 20 and sum(found.segments.values()) > 4000 * 4096
-
-
-def test_an_intent_is_read_back_with_its_clock():
-    words = Intent([1, 2], b"boot", 12.5, 3)
-    parts = pack(Kind.INTENT, words)
-    assert unpack(Kind.INTENT, b"".join(parts))[0] == words
