Lab: trials side by side in processes of their own, and each tells at once

In threads of one process the harness's links, stand-ins and clients took turns, so four trials side by side judged the harness (the module's head says what was seen then); the summary came at the end only, so a run cut off said nothing. Now a process each, and what is wrong is told as a trial ends. Test: tests/test_lanes.py, one run, passes. Trials not run again.

--- a/mallowbeam/cli/lab.py
+++ b/mallowbeam/cli/lab.py
@@ -63,20 +63,20 @@
     as_json: AsJson = False,
 ) -> None:
     """A fleet's changes or machines out, under faults from a seed; exit status 1 if a checker objects."""
-    from concurrent.futures import ThreadPoolExecutor
     from importlib import import_module
+
+    from mallowbeam.lab.faults.lanes import in_lanes
     if kind not in (kinds := {"policy": "trial", "maintenance": "work"}):
         raise typer.BadParameter(" or ".join(kinds), param_hint="--kind")
     trial = import_module(f"mallowbeam.lab.faults.{kinds[kind]}")
     results = []
-    with bar("trials", runs) as step, ThreadPoolExecutor(lanes) as pool:
-        for result in pool.map(trial.run, range(seed, seed + runs)):
+    with bar("trials", runs) as step:
+        for result in in_lanes(trial.run, range(seed, seed + runs), lanes):
             results.append(result)
+            for line in (*result.wrong, *result.look_at):  # at once: a long run may be cut off
+                typer.echo(f"seed {result.seed}: {line}", err=True)
             step(1)
     rows([trial.summary(results)], as_json)
-    for result in results:
-        for line in (*result.wrong, *result.look_at):
-            typer.echo(f"seed {result.seed}: {line}", err=True)
     if any(result.wrong for result in results):
         raise typer.Exit(1)
 
