One question to the module before an attempt's first byte; what the kernel took counts as sent

Lines: net/attempts.py looked only at the address and at Facade.takes after pool.take, which may come back 1.5 s after the decision; the window of a keyed repeat, the deadline, the client's leaving (without may_cancel) and a node's new start were not looked at. Now Scheduler.may_begin is asked once, with what _send asks (_forbidden); a turned down attempt is NOT_SENT, gives back limit, reserve and cold units, and its connection is kept.

Channel.send writes by itself, so a cancel strikes only before the kernel has the last byte (Link.written); a client's time told to a node is what is left at the write, not at the decision. A connection rests 20 ms after an answer, as a second answer may be late.

--- a/mallowbeam/control/nodes.py
+++ b/mallowbeam/control/nodes.py
@@ -40,7 +40,7 @@
         self.suspect, self.breaks = False, 0   # silent or not reached; connections broken since an answer
         self.faults, self.fails = 0.0, False   # share of its answers of late that were errors; too many
         self.cold_from = self.cold_until = -1e9  # its start, as told or presumed, and when it is warm
-        self.cold_sent: list[tuple[float, int]] = []  # when units went there while cold, and how many
+        self.cold_sent: list[list[float]] = []  # when units went there while cold, and how many
         self.shares: dict[Volume, list[float]] = {}  # share level, filled at, last request
         self.weights, self.weights_at, self.price, self.price_at = 0.0, -1e9, 0.0, sched.now
 
--- a/mallowbeam/control/requests.py
+++ b/mallowbeam/control/requests.py
@@ -76,3 +76,4 @@
     def __init__(self, request: Request, number: int, node, now: float, coming: int) -> None:
         self.request, self.number, self.node, self.sent_at = request, number, node, now
         self.stuck, self.coming = False, coming  # passed over and given up; units no node may have yet
+        self.until, self.cold_from, self.cold = now, node.cold_from, [now, request.units]
--- a/mallowbeam/control/scheduler.py
+++ b/mallowbeam/control/scheduler.py
@@ -166,7 +166,7 @@
         volume.refill(self.now)
         volume.limit_level = (volume.limit_level if event.level is None else event.level) - event.drawn
         if node and self.now < node.cold_until:
-            node.cold_sent.append((self.now, event.units))
+            node.cold_sent.append([self.now, event.units])
 
 
 HANDLERS = {
--- a/mallowbeam/control/sending.py
+++ b/mallowbeam/control/sending.py
@@ -34,15 +34,32 @@
         return node is None or cls.scope is io.Scope.ALL or (
             node.zone == first.zone if cls.scope is io.Scope.ZONE else node.shard == first.shard)
 
+    def _forbidden(self, request: Request, node: Node) -> bool:
+        """What forbids an attempt both when it is decided and when it begins."""
+        return (request.done or not node.open or request.deadline <= self.now
+                or not self._may_repeat(request, node))
+
+    def may_begin(self, now: float, name: str, number: int) -> bool:
+        """Whether an attempt's first byte may go out now: the last look, on sockets, its connection being up.
+
+        Guards what changed meanwhile: client, verdict, list, time, and a node's start, for which it is booked anew.
+        """
+        self.now, request = now, self.requests.get(name)
+        attempt = request.out.get(number) if request else None
+        if (attempt is None or attempt.until <= now or attempt.cold_from != attempt.node.cold_from
+                or self._forbidden(request, attempt.node)):
+            return False
+        attempt.cold[0] = now                  # what counts at a cold node is when it comes there
+        return True
+
     def _send(self, request: Request, node: Node) -> bool:
         """The one way out to a node.  Every rule on sending is checked here."""
         # Order by key: only the oldest that is not over, and only once the key has rested.
         turn = not (chain := self.chains.get(request.key)) or chain[0] is request and (
             request.tries > 0 or self.rests.get(request.key, 0.0) <= self.now)
-        if (request.done or request.out or not node.open or request.deadline <= self.now
-                or request.shard not in (None, node.shard) or request.tries >= self.most_tries
-                or not self._may_repeat(request, node) or not turn
-                or self._cold_bars(node, request) or request.tries and not self._budget_left()):
+        if (self._forbidden(request, node) or request.out or request.shard not in (None, node.shard)
+                or request.tries >= self.most_tries or not turn or self._cold_bars(node, request)
+                or request.tries and not self._budget_left()):
             return False
         if not request.drawn:
             if request.volume.limit_wait(self.now, request.units) > 0:
@@ -55,8 +72,6 @@
             request.volume.reserve_level -= request.units
         elif request.tier == 1 and request.volume in node.shares:
             node.shares[request.volume][0] -= request.units
-        if self.now < node.cold_until:
-            node.cold_sent.append((self.now, request.units))
         # Guards a limit counted at a node's last byte: kept from filling a full store, given back if unsent.
         coming = request.units * (self.settings.limit_at_arrival and not request.drawn)
         attempt, request.drawn = Attempt(request, request.tries, node, self.now, coming), True
@@ -66,11 +81,13 @@
         node.out_units += request.units
         node.cycle_used += request.units
         node.sent_at, node.last = self.now, request.data
+        if self.now < node.cold_until:
+            node.cold_sent.append(attempt.cold)
         node.n_out += SMOOTH * (node.out_units - node.n_out)
         # Guards against work of many times the usual size, and against queues filled by others: past its aim
         # an attempt gives way.  Harm: an answer about to come, worth a little, is lost.
-        until = request.aim_at if self.now < request.aim_at else request.deadline
-        self.actions.append(io.Send(request.id, node.id, until - self.now))
+        attempt.until = request.aim_at if self.now < request.aim_at else request.deadline
+        self.actions.append(io.Send(request.id, node.id, attempt.until - self.now))
         return True
 
     def _on_stream(self, event: io.StreamStarted) -> None:
@@ -115,9 +132,12 @@
         node, outcome, worked = attempt.node, event.outcome, self._idle(attempt)
         self.touched[node.id], volume = node, request.volume
         volume.coming -= attempt.coming
-        if attempt.coming and outcome in UNSENT and request.tries == attempt.number + 1:  # no node has it
-            request.drawn, volume.limit_level = False, volume.limit_level + attempt.coming
-            volume.pending += attempt.coming
+        if outcome in UNSENT:                  # no node has it: it is charged to nothing
+            attempt.cold[1] = 0
+            volume.reserve_level += request.units * (not attempt.number and request.tier == 0)
+            if attempt.coming and request.tries == attempt.number + 1:
+                request.drawn, volume.limit_level = False, volume.limit_level + attempt.coming
+                volume.pending += attempt.coming
         volume.reserve_level = max(-volume.reserve_top, volume.reserve_level - event.elsewhere)
         if outcome not in MAY_STILL_RUN + UNSENT:
             self._alive(node)
--- a/mallowbeam/facade.py
+++ b/mallowbeam/facade.py
@@ -98,6 +98,10 @@
         return self._step(now, io.AttemptEnded(tried.request, tried.number, tried.node, outcome, latency,
                                                tried.request not in self._attempts, used, elsewhere))
 
+    def may_begin(self, now: float, tried: Try) -> bool:
+        """Whether an attempt's first byte may go out now, its connection being up; asked once, just before."""
+        return self._scheduler.may_begin(now, tried.request, tried.number)
+
     def begun(self, now: float, tried: Try, latency: float) -> Orders:
         """A streamed answer has begun: the request is over but for the rest of this attempt."""
         self._attempts.pop(tried.request, None)
--- a/mallowbeam/net/attempts.py
+++ b/mallowbeam/net/attempts.py
@@ -68,30 +68,32 @@
     async def _attempt(self, tried: Try, exchange: Exchange,
                        started: float) -> tuple[Outcome, Message | None]:
         """One attempt: connect, write, read; the outcome says whether it can have run."""
-        call, link, written, kept = exchange.call, None, False, False
+        call, link, kept = exchange.call, None, False
         left = exchange.deadline - started
-        timeout = min(left, tried.timeout) if tried.timeout else left
         address = self.addresses.get(tried.node, "")
-        waits = timeout if call.upload is None else float(call.fields["expires_in"])
-        headers = [(b"host", address.encode()), *call.headers,
-                   (b"x-deadline-ms", b"%d" % max(1, round(waits * 1000)))]
         try:
-            async with asyncio.timeout(timeout) as limit:
+            async with asyncio.timeout(min(left, tried.timeout) if tried.timeout else left) as limit:
                 link = await self.pool.take(address)
-                # Guards the rule on draining: the list may have changed while the connection came up, or an
-                # operator taken the node out.
-                if self.addresses.get(tried.node) != address or not self.facade.takes(tried.node):
+                # The one look before the first byte: since it was decided the connection had to come up.
+                if self.addresses.get(tried.node) != address:
                     return Outcome.NOT_SENT, None
+                if not self.facade.may_begin(self.now(), tried):
+                    kept = self.pool.keep(link)
+                    return Outcome.NOT_SENT, None
+                loop = asyncio.get_running_loop()
+                waits = (limit.when() - loop.time() if call.upload is None
+                         else float(call.fields["expires_in"]))
+                headers = [(b"host", address.encode()), *call.headers,
+                           (b"x-deadline-ms", b"%d" % max(1, round(waits * 1000)))]
                 if call.upload is None:
                     await link.request(write_request(call.method, call.target, headers, len(call.body)),
                                        call.body, bodiless=call.method == b"HEAD")
-                    written = True
                 else:
                     limit.reschedule(None)     # the client's time counts from its last byte
-                    written = await self._upload(tried, exchange, link, headers)
-                    timeout = exchange.deadline - self.now() if written else MARGIN
-                    limit.reschedule(asyncio.get_running_loop().time() + timeout)
-                self.metrics.upstream_requests += written
+                    await self._upload(tried, exchange, link, headers)
+                    limit.reschedule(loop.time() + (
+                        exchange.deadline - self.now() if link.written else MARGIN))
+                self.metrics.upstream_requests += link.written
                 answer = await link.head()
                 if call.final(answer.status) and call.streamed(answer.status) and await link.exceeds(
                         answer, call.hold, call.most, call.standstill):
@@ -100,14 +102,17 @@
                 else:
                     await link.body(answer, call.standstill)
             outcome = self._outcome(call, answer)
-            if written:
-                self.pool.put(link, answer)
-                kept = True
+            if link.written:
+                kept = self.pool.put(link, answer)
             elif outcome not in NOT_RUN.values():
                 outcome = Outcome.NOT_SENT     # said before the request was whole
             return outcome, answer
+        except asyncio.CancelledError:
+            if link is not None and link.written:
+                raise
+            return Outcome.NOT_SENT, None
         except TimeoutError:
-            return (Outcome.TIMEOUT if written else Outcome.NOT_SENT), None
+            return self._unless(link, Outcome.TIMEOUT), None
         except NoRoom as error:
             self.no_room(error)
             return Outcome.NOT_SENT, None
@@ -117,9 +122,9 @@
         except Spoilt as error:
             # Guards a node that lives against being taken for a dead one: it has run this and answers others.
             self.spoilt(error)
-            return (Outcome.ERROR if written else Outcome.NOT_SENT), None
+            return self._unless(link, Outcome.ERROR), None
         except Broken:
-            return (Outcome.RESET if written else Outcome.NOT_SENT), None
+            return self._unless(link, Outcome.RESET), None
         except Exception as error:
             if link is not None:               # it may have run
                 raise
@@ -130,6 +135,11 @@
             if link is not None and not kept:
                 self.pool.drop(link)
 
+    @staticmethod
+    def _unless(link: Link | None, outcome: Outcome) -> Outcome:
+        """How an attempt ended that has no answer: it never ran, unless its last byte may have left."""
+        return outcome if link is not None and link.written else Outcome.NOT_SENT
+
     @staticmethod
     def _outcome(call: Call, answer: Message) -> Outcome:
         if call.final(answer.status):
@@ -138,28 +148,27 @@
             return NOT_RUN[answer.status]
         return Outcome.ERROR
 
-    async def _upload(self, tried: Try, exchange: Exchange, link: Link, headers: Headers) -> bool:
-        """Pass a body on to the node as its client sends it; False if the node answers before its end.
+    async def _upload(self, tried: Try, exchange: Exchange, link: Link, headers: Headers) -> None:
+        """Pass a body on to the node as its client sends it, up to its end or until the node answers.
 
         Once it has begun it can't be sent again, and until its last byte is out no time of it runs.
         """
         call = exchange.call
         head = write_request(call.method, call.target, headers, call.length, chunked=call.length is None)
         self._apply(self.facade.uploading(self.now(), tried, None))
-        await link.request(head)
+        await link.request(head, follows=call.length)
         while (piece := await call.upload.get()) is not None:
             if link.channel.stale():
-                return False
+                return
             async with asyncio.timeout(SILENT):
-                await link.write(piece, call.length is None)
+                await link.write(piece)
         if call.upload.broken:
             raise Unsent("the client's body broke off")
         if call.length is None:
-            await link.write(b"", True)
+            await link.write(b"")
         left = self._left(call)
         exchange.deadline = self.now() + left
         self._apply(self.facade.uploading(self.now(), tried, left))
-        return True
 
     async def _pass_on(self, tried: Try, exchange: Exchange, link: Link, answer: Message,
                        started: float) -> None:
--- a/mallowbeam/net/http.py
+++ b/mallowbeam/net/http.py
@@ -198,6 +198,7 @@
         self.loop = asyncio.get_running_loop()
         self.buffer = memoryview(bytearray(CHUNK))
         self.moved = time.monotonic()          # when bytes last went in or out
+        self.unsent = 0                        # bytes of the last write that the kernel has not taken yet
 
     async def receive(self) -> bool:
         """Read once and take it in; False at the end of the stream."""
@@ -208,10 +209,31 @@
         return count > 0
 
     async def send(self, data: bytes) -> None:
-        """Write all of it."""
-        await self.loop.sock_sendall(self.sock, data)
+        """Write all of it.
+
+        Guards what counts as sent: a cancel can strike only while the kernel has not taken the last byte.
+        """
+        view = memoryview(data)
+        self.unsent = len(view)
+        while True:
+            try:
+                self.unsent -= self.sock.send(view[len(view) - self.unsent:])
+            except (BlockingIOError, InterruptedError):
+                pass
+            if not self.unsent:
+                break
+            await self._writable()
         self.moved = time.monotonic()
 
+    async def _writable(self) -> None:
+        """Wait until the kernel takes more."""
+        ready = self.loop.create_future()
+        self.loop.add_writer(self.sock, lambda: ready.done() or ready.set_result(None))
+        try:
+            await ready
+        finally:
+            self.loop.remove_writer(self.sock)
+
     def widen(self) -> None:
         """Read more at once from now on: a large body passes through."""
         if len(self.buffer) < BULK:
--- a/mallowbeam/net/upstream.py
+++ b/mallowbeam/net/upstream.py
@@ -9,12 +9,14 @@
 import asyncio
 import socket
 import time
+from bisect import bisect_right
 
 from mallowbeam.errors import MallowbeamError
 from mallowbeam.net.http import CHUNK, Budget, Channel, Framer, Message
 
 RETIRE = 0.8                # of the nodes' idle limit: a connection idle for longer is not used again
 MAX_IDLE_EACH = 32          # idle connections kept to one node
+REST = 0.02                 # seconds after an answer before the next request: a second answer shows by then
 MOST_INTERIM = 16           # interim answers (1xx) in front of one answer
 
 
@@ -47,25 +49,37 @@
 
     def __init__(self, channel: Channel, address: str) -> None:
         self.channel, self.address, self.idle_since = channel, address, 0.0
+        self.written = False                   # the request's last byte is the kernel's: it may run
+        self.left: int | None = 0              # bytes of its body that are not written; None: comes in chunks
 
-    async def request(self, head: bytes, body: bytes | bytearray = b"", bodiless: bool = False) -> None:
-        """Write a request; `bodiless` if its answer has no body.  Raises `Unsent`."""
+    async def request(self, head: bytes, body: bytes | bytearray = b"", bodiless: bool = False,
+                      follows: int | None = 0) -> None:
+        """Write a request; `bodiless` if its answer has no body.  Raises `Unsent`.
+
+        `follows` tells how many bytes of its body come by `write`, None where they come in chunks.
+        """
         self.channel.framer.bodiless = bodiless
-        try:
-            if len(body) > CHUNK:              # a large body is not copied
-                await self.channel.send(head)
-                await self.channel.send(body)
-            else:
-                await self.channel.send(head + body)
-        except OSError as error:
-            raise Unsent(str(error)) from None
+        self.written, self.left = False, follows
+        if len(body) > CHUNK:                  # a large body is not copied
+            await self._send(head, False)
+            await self._send(body, True)
+        else:
+            await self._send(head + body, follows == 0)
 
-    async def write(self, piece: bytes | bytearray, chunked: bool) -> None:
+    async def write(self, piece: bytes | bytearray) -> None:
         """Write a piece of a request's body; in chunks, an empty one is its end.  Raises `Unsent`."""
+        if self.left is None:
+            return await self._send(b"%x\r\n%b\r\n" % (len(piece), piece), not piece)
+        self.left -= len(piece)
+        await self._send(piece, self.left <= 0)
+
+    async def _send(self, data: bytes | bytearray, last: bool) -> None:
+        """Write; `last` if the request ends with it.  Between the last byte and `written` nothing can strike."""
         try:
-            await self.channel.send(b"%x\r\n%b\r\n" % (len(piece), piece) if chunked else piece)
+            await self.channel.send(data)
         except OSError as error:
             raise Unsent(str(error)) from None
+        self.written = last
 
     async def exceeds(self, answer: Message, hold: int, most: int | None, standstill: float) -> bool:
         """Whether an answer is larger than what is held whole, as any is where nothing is.
@@ -174,17 +188,23 @@
                  max_body: int, budget: Budget) -> None:
         self.whole = self.most = most          # connections in all, and how many of them may be open now
         self.max_body, self.budget = max_body, budget
-        self.keep = (idle_limit or 10.0) * RETIRE
+        self.lasts = (idle_limit or 10.0) * RETIRE  # seconds that a connection may lie idle
         self.connect_timeout = connect_timeout or 1.0
         self.idle: dict[str, list[Link]] = {}
         self.count = 0                         # connections open or being opened
 
     async def take(self, address: str) -> Link:
-        """An idle connection that is still good, or a new one."""
-        idle = self.idle.get(address, [])
-        while idle:
-            link = idle.pop()
-            if time.monotonic() - link.idle_since < self.keep and not link.channel.stale():
+        """An idle connection that is still good, or a new one.
+
+        Guards an answer against being taken for another request's: one that is late behind the answer before
+        it would be read as the next one's, so a connection rests first.
+        """
+        idle, now = self.idle.get(address, []), time.monotonic()
+        rested = bisect_right(idle, now - REST, key=lambda link: link.idle_since)
+        while rested:
+            rested -= 1
+            link = idle.pop(rested)
+            if now - link.idle_since < self.lasts and not link.channel.stale():
                 return link
             self.drop(link)
         if self.count >= self.most and not self._evict():
@@ -196,15 +216,20 @@
             self.count -= 1
             raise
 
-    def put(self, link: Link, answer: Message) -> None:
-        """Keep a connection whose answer was read whole, or close it."""
+    def put(self, link: Link, answer: Message) -> bool:
+        """Keep a connection whose answer was read whole; False if it is of no further use."""
+        return link.reusable(answer) and self.keep(link)
+
+    def keep(self, link: Link) -> bool:
+        """Keep a connection on which nothing is out; False if there are enough."""
         idle = self.idle.setdefault(link.address, [])
-        if not link.reusable(answer) or len(idle) >= MAX_IDLE_EACH:
-            return self.drop(link)
+        if len(idle) >= MAX_IDLE_EACH:
+            return False
         link.channel.framer.release()
         link.channel.narrow()
-        link.idle_since = time.monotonic()
+        link.written, link.idle_since = False, time.monotonic()
         idle.append(link)
+        return True
 
     def drop(self, link: Link) -> None:
         """Close a connection that was taken."""
@@ -220,7 +245,7 @@
 
     def sweep(self) -> None:
         """Close what has been idle for too long, oldest first in each list."""
-        limit = time.monotonic() - self.keep
+        limit = time.monotonic() - self.lasts
         for address, idle in list(self.idle.items()):
             while idle and idle[0].idle_since < limit:
                 self.drop(idle.pop(0))
