Tests: between the decision and the first byte, and what counts as written, each crossing forced

Connections to nodes are held while the client leaves, a verdict falls, a window closes, time runs out, a list tells of a drain or a start; the last write is held once and a cancel or the timer strikes in the step in which the other side has all of it. World takes changes of classes and plans by name, and tells when a connection is held.

--- a/mallowbeam/control/sending.py
+++ b/mallowbeam/control/sending.py
@@ -42,7 +42,7 @@
     def may_begin(self, now: float, name: str, number: int) -> bool:
         """Whether an attempt's first byte may go out now: the last look, on sockets, its connection being up.
 
-        Guards what changed meanwhile: client, verdict, list, time, and a node's start, for which it is booked anew.
+        Guards what changed meanwhile: client, verdict, list, time, and a node's start (it is booked anew).
         """
         self.now, request = now, self.requests.get(name)
         attempt = request.out.get(number) if request else None
--- a/mallowbeam/facade.py
+++ b/mallowbeam/facade.py
@@ -99,7 +99,7 @@
                                                tried.request not in self._attempts, used, elsewhere))
 
     def may_begin(self, now: float, tried: Try) -> bool:
-        """Whether an attempt's first byte may go out now, its connection being up; asked once, just before."""
+        """Whether an attempt's first byte may go out, its connection being up; asked once, just before."""
         return self._scheduler.may_begin(now, tried.request, tried.number)
 
     def begun(self, now: float, tried: Try, latency: float) -> Orders:
--- a/mallowbeam/net/upstream.py
+++ b/mallowbeam/net/upstream.py
@@ -9,7 +9,7 @@
 import asyncio
 import socket
 import time
-from bisect import bisect_right
+from bisect import bisect_right, insort
 
 from mallowbeam.errors import MallowbeamError
 from mallowbeam.net.http import CHUNK, Budget, Channel, Framer, Message
@@ -74,7 +74,7 @@
         await self._send(piece, self.left <= 0)
 
     async def _send(self, data: bytes | bytearray, last: bool) -> None:
-        """Write; `last` if the request ends with it.  Between the last byte and `written` nothing can strike."""
+        """Write; `last` if the request ends with it.  From its last byte to `written` nothing can strike."""
         try:
             await self.channel.send(data)
         except OSError as error:
@@ -217,18 +217,18 @@
             raise
 
     def put(self, link: Link, answer: Message) -> bool:
-        """Keep a connection whose answer was read whole; False if it is of no further use."""
-        return link.reusable(answer) and self.keep(link)
+        """Keep a connection whose answer was read whole, once it has rested; False if it is of no use."""
+        return link.reusable(answer) and self.keep(link, time.monotonic())
 
-    def keep(self, link: Link) -> bool:
-        """Keep a connection on which nothing is out; False if there are enough."""
+    def keep(self, link: Link, since: float | None = None) -> bool:
+        """Keep a connection on which nothing is out, idle `since` or unused; False if there are enough."""
         idle = self.idle.setdefault(link.address, [])
         if len(idle) >= MAX_IDLE_EACH:
             return False
         link.channel.framer.release()
         link.channel.narrow()
-        link.written, link.idle_since = False, time.monotonic()
-        idle.append(link)
+        link.written, link.idle_since = False, time.monotonic() - REST if since is None else since
+        insort(idle, link, key=lambda link: link.idle_since)
         return True
 
     def drop(self, link: Link) -> None:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -212,7 +212,9 @@
         addresses = self.servers or [self.parties[f"n{i}"].address for i in range(self.nodes)]
         raw = json.loads((EXAMPLE / "config.json").read_text())
         for name, values in self.settings.items():
-            raw["settings"][name].update(values)
+            part = raw["settings"][name]       # of classes and plans, which are lists, those named change
+            for place in [part] if isinstance(part, dict) else part:
+                place.update(values if place is part else values.get(place["Name"], {}))
         raw["settings"]["FamilyInfo"]["SlotsTotal"] = len(addresses)
         if self.pushed:
             raw["settings"]["Discovery"] = "pushed"
@@ -236,8 +238,10 @@
     def hold_connecting(self) -> asyncio.Event:
         """Connections to nodes come up only once the event is set."""
         gate, take = asyncio.Event(), self.gateway.pool.take
+        self.held = asyncio.Event()            # one has come to the gate
 
         async def slow(address: str):
+            self.held.set()
             await gate.wait()
             return await take(address)
 
--- /dev/null
+++ b/tests/test_begins.py
@@ -0,0 +1,165 @@
+"""Between the decision to send and the first byte: a connection may come up late, and much may end meanwhile.
+
+Each crossing is forced: connections to nodes are held while the thing happens, then let go.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+import uvloop
+from conftest import COLD, Rig, of
+from scenario import World
+
+from mallowbeam import interface as io
+
+SHORT = {"new-write": {"Window": 0.3}}
+
+
+async def quiet(world: World) -> None:
+    """Until no attempt is out."""
+    async with asyncio.timeout(5):
+        while world.gateway.tasks:
+            await asyncio.sleep(0)
+
+
+def turned_down(before: str, meanwhile, after: str, reached: int = 0, **world: object) -> None:
+    """Play `before`, hold connections; while one is held `meanwhile` happens; nothing more reaches a node."""
+
+    async def run() -> None:
+        async with World(**world) as here:
+            if isinstance(before, tuple):
+                await here.play(before[0])
+            gate = here.hold_connecting()
+            await here.play(before[-1] if isinstance(before, tuple) else before)
+            await meanwhile(here)
+            gate.set()
+            await quiet(here)
+            await here.play(after)
+            assert here.gateway.metrics.upstream_requests == reached
+            here.gateway.pool.sweep()
+            assert here.gateway.pool.count == sum(map(len, here.gateway.pool.idle.values()))
+
+    uvloop.run(run())
+
+
+def later(seconds: float):
+    """The gateway's clock moves on while the connection comes up."""
+
+    async def pass_by(world: World) -> None:
+        async with asyncio.timeout(5):
+            await world.held.wait()
+        world.gateway.epoch += seconds
+
+    return pass_by
+
+
+def test_a_keyed_repeat_whose_window_has_closed_meanwhile_is_not_sent():
+    """Seen on zone+brink: a write was sent again outside its window, as its connection came up late."""
+    turned_down((
+        "c1 send write\nn0 expect PUT", "n0 close"), later(0.35), "c1 expect 502\nn0 expect nothing",
+        reached=1, Classes=SHORT)
+
+
+def test_what_has_no_time_left_is_refused_and_not_sent():
+    turned_down("c1 send read", later(1.6), "c1 expect 503\nn0 expect nothing")
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+def test_a_client_that_left_meanwhile_has_nothing_sent(cancel):
+    """Guards it also where attempts may not be cancelled: there the connection comes up all the same."""
+
+    async def leave(world: World) -> None:
+        await later(0.0)(world)
+        await world.play("c1 close")
+        async with asyncio.timeout(5):
+            while world.gateway.exchanges:
+                await asyncio.sleep(0)
+
+    turned_down("c1 send read", leave, "n0 expect nothing", Ceilings={"Cancel": cancel})
+
+
+def test_a_verdict_that_came_meanwhile_ends_it():
+    async def verdict(world: World) -> None:
+        await later(0.0)(world)
+        world.gateway.epoch += 1.6             # the module's own timer is due
+        world.gateway.facade.wake = 0.0
+        world.gateway._wake()
+
+    turned_down("c1 send write deadline=1500", verdict, "c1 expect 502\nn0 expect nothing",
+                Ceilings={"Cancel": False})
+
+
+def test_a_node_that_started_meanwhile_gets_it_as_a_cold_one_on_the_same_connection():
+    async def run() -> None:
+        async with World() as world:
+            gate = world.hold_connecting()
+            await world.play("c1 send read")
+            started = {"id": "n0", "cell": 0, "phase": "up", "host_port": world.parties["n0"].address,
+                       "up_since_ms": round(world.gateway.now() * 1000)}
+            told = json.dumps({"revision": 2, "complete": False, "members": [started]})
+            await world.play(f"d expect GET since=1\nd send 200 'body={told}'\nd expect GET since=2")
+            gate.set()
+            await world.play("n0 expect GET\nn0 send 200 body=x\nc1 expect 200 x")
+            node = world.gateway.facade._scheduler.nodes["n0"]
+            assert [units for _, units in node.cold_sent if units] == [1]
+            assert world.gateway.pool.count == 1 and world.gateway.metrics.upstream_requests == 1
+
+    uvloop.run(run())
+
+
+def test_the_time_that_a_node_is_told_is_what_is_left_when_the_request_is_written():
+    """Guards the node against work that nobody waits for: the connection took a part of the time."""
+
+    async def run() -> None:
+        async with World() as world:
+            gate = world.hold_connecting()
+            await world.play("c1 send read deadline=280\nwait 0.1")
+            gate.set()
+            await world.play("n0 expect GET\nn0 send 200 body=x\nc1 expect 200")
+            told = int(world.parties["n0"].seen[0].get(b"x-deadline-ms"))
+            assert 0 < told <= 180
+
+    uvloop.run(run())
+
+
+# --- the module alone: what an attempt that never began is charged ---------------------------------------
+
+
+def test_what_never_began_is_charged_to_nothing():
+    rig = Rig(limit_at_arrival=True, **(COLD | {"hosts": 1, "cold_units": 100.0}))
+    rig.wait(2.0)                              # the limit's store fills
+    rig.step(io.NodesListed(io.ListKind.CHANGES, 2, [io.NodeEntry("n0", shard=0, zone="a", since=rig.now)]))
+    for plan in ("basic", "gold"):
+        send = of(rig.step(rig.request(plan=plan, units=2)), io.Send)[0]
+        volume, node = rig.host.volumes["v", plan], rig.host.nodes["n0"]
+        held = sum(units for _, units in node.cold_sent)
+        limit, reserve = volume.limit_level, volume.reserve_level
+        rig.step(io.ClientGone(send.request))
+        assert not rig.host.may_begin(rig.now, send.request, 0)
+        rig.step(rig.ended(send, io.Outcome.NOT_SENT))
+        assert sum(units for _, units in node.cold_sent) == held - 2
+        assert (volume.limit_level, volume.reserve_level) == (limit + 2, reserve + 2 * (plan == "gold"))
+
+
+def test_units_count_at_a_cold_node_from_when_they_come_there():
+    """Guards the node: what was decided over a second and comes up at one instant, comes at one instant."""
+    rig = Rig(limit_at_arrival=True, **(COLD | {"hosts": 1}))
+    rig.step(io.NodesListed(io.ListKind.CHANGES, 2, [io.NodeEntry("n0", shard=0, zone="a", since=rig.now)]))
+    send = of(rig.step(rig.request(units=2)), io.Send)[0]
+    assert rig.host.may_begin(rig.now + 0.2, send.request, 0)
+    assert rig.host.nodes["n0"].cold_sent == [[rig.now + 0.2, 2]]
+
+
+@pytest.mark.parametrize(("listed", "goes"), [
+    ([], True), ([io.NodeEntry("n0", io.NodeState.DRAINING)], False),
+    ([io.NodeEntry("n0", io.NodeState.GONE)], False),
+    ([io.NodeEntry("n0", shard=0, zone="a", since=100.0)], False)])
+def test_what_the_list_said_meanwhile_counts(listed, goes):
+    rig = Rig(limit_at_arrival=True, **COLD)
+    send = of(rig.step(rig.request(units=1)), io.Send)[0]
+    if listed:
+        rig.step(io.NodesListed(io.ListKind.CHANGES, 2, listed))
+    assert rig.host.may_begin(rig.now, send.request, 0) is goes
--- /dev/null
+++ b/tests/test_written.py
@@ -0,0 +1,167 @@
+"""What counts as sent: whether the kernel may have a request's last byte, whatever strikes in that instant.
+
+The crossing is forced: the last write is held once, and in the step in which the other side has all of it,
+before the writing task goes on, the blow falls.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+import pytest
+import uvloop
+from scenario import World
+
+from mallowbeam.net import attempts
+from mallowbeam.net.http import CHUNK, Channel, Framer
+from mallowbeam.net.upstream import Link, Unsent
+
+BODY = b"b" * 200
+
+
+class Held(socket.socket):
+    """A socket that can't write once, just before the last bytes of what it is told to write in all."""
+
+    whole, written, holds = 0, 0, True
+
+    def send(self, data, *flags) -> int:
+        if self.holds and self.written + len(data) >= self.whole:
+            self.holds = False
+            raise BlockingIOError
+        count = super().send(data, *flags)
+        self.written += count
+        return count
+
+
+async def struck(link: Link, peer: socket.socket, whole: int, write, strike: Callable[[asyncio.Task], object],
+                 at: int | None = None) -> asyncio.Task:
+    """Write; once the peer has `at` bytes (all, unless told), strike, before the writing task goes on."""
+    link.channel.sock.whole = whole
+    task, got, at = asyncio.create_task(write()), 0, whole if at is None else at
+    peer.setblocking(False)
+    async with asyncio.timeout(5):
+        while got < at or link.channel.sock.holds:
+            try:
+                got += len(peer.recv(65536))
+            except BlockingIOError:
+                await asyncio.sleep(0)
+    strike(task)
+    await asyncio.wait([task])
+    return task
+
+
+def pair() -> tuple[Link, socket.socket]:
+    """A link to a node whose last write is held, and the node's side of it."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        ours = socket.create_connection(listener.getsockname())
+        peer = listener.accept()[0]
+    return Link(Channel(Held(fileno=ours.detach()), Framer(answers=True)), ""), peer
+
+
+WRITES = {
+    "whole": (b"head" + BODY, lambda link: link.request(b"head", BODY)),
+    "large": (b"head" + b"b" * (CHUNK + 1), lambda link: link.request(b"head", b"b" * (CHUNK + 1))),
+    "pieces": (b"head" + BODY, lambda link: pieces(link, len(BODY))),
+    "chunks": (b"head" + b"64\r\n" + BODY[:100] + b"\r\n64\r\n" + BODY[100:] + b"\r\n0\r\n\r\n",
+               lambda link: pieces(link, None)),
+}
+
+
+async def pieces(link: Link, length: int | None) -> None:
+    """A body as `Attempts` passes one on."""
+    await link.request(b"head", follows=length)
+    await link.write(BODY[:100])
+    await link.write(BODY[100:])
+    if length is None:
+        await link.write(b"")
+
+
+@pytest.mark.parametrize("how", WRITES)
+def test_a_blow_after_the_last_byte_finds_it_written(how):
+    async def run() -> None:
+        link, peer = pair()
+        data, write = WRITES[how]
+        task = await struck(link, peer, len(data), lambda: write(link), asyncio.Task.cancel)
+        assert link.written and link.channel.unsent == 0 and not task.cancelled()
+        peer.close()
+
+    uvloop.run(run())
+
+
+@pytest.mark.parametrize("how", WRITES)
+def test_a_blow_before_the_last_byte_finds_it_unwritten(how):
+    """The last write never leaves: its socket stays held."""
+
+    async def run() -> None:
+        link, peer = pair()
+        data, write = WRITES[how]
+        last = {"whole": len(data), "large": CHUNK + 1, "pieces": 100, "chunks": 5}[how]
+        link._writable = link.channel._writable = asyncio.Event().wait
+        task = await struck(link, peer, len(data), lambda: write(link), lambda task: None
+                            if task.done() else task.cancel(), len(data) - last)
+        while not task.done():
+            task.cancel()
+            await asyncio.sleep(0)
+        assert not link.written and link.channel.unsent == last
+        peer.close()
+
+    uvloop.run(run())
+
+
+def test_a_connection_that_breaks_under_the_write_was_not_written():
+    async def run() -> None:
+        link, peer = pair()
+        link.channel.sock.holds = False
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        peer.close()
+        with pytest.raises(Unsent):
+            for _ in range(3):                 # the first write may still be taken
+                await link.request(b"head", b"b" * CHUNK)
+        assert not link.written
+
+    uvloop.run(run())
+
+
+def test_a_request_whose_time_ran_out_as_it_was_written_is_not_sent_again(monkeypatch):
+    """Guards a write against a second run: the timer strikes between its last byte and its task's next step."""
+
+    async def run() -> None:
+        limits, timeout = [], asyncio.timeout
+        with socket.create_server(("127.0.0.1", 0)) as node:
+            node.setblocking(False)
+            async with World(servers=["{}:{}".format(*node.getsockname())]) as world:
+                take = world.gateway.pool.take
+
+                async def held(address: str) -> Link:
+                    link = await take(address)
+                    link.channel.sock = Held(fileno=link.channel.sock.detach())
+                    return link
+
+                def recorded(seconds: float) -> asyncio.Timeout:
+                    limits.append(timeout(seconds))
+                    return limits[-1]
+
+                world.gateway.pool.take = held
+                monkeypatch.setattr(attempts.asyncio, "timeout", recorded)
+                await world.play("c1 send write body=" + "b" * 200)
+                got, peer = b"", None
+                async with timeout(5):
+                    while not got.endswith(b"b" * 200):
+                        try:
+                            peer = peer or node.accept()[0]
+                            peer.setblocking(False)
+                            got += peer.recv(65536)
+                        except BlockingIOError:
+                            await asyncio.sleep(0)
+                task = next(iter(world.gateway.tasks.values()))
+                limit = next(limit for limit in limits if limit._task is task and limit._state.name == "ENTERED")
+                limit._on_timeout()            # in the step in which the node has all of it
+                monkeypatch.setattr(attempts.asyncio, "timeout", timeout)
+                await world.play("c1 expect 502")
+                with pytest.raises(BlockingIOError):
+                    node.accept()              # nobody came with it again
+                peer.close()
+
+    uvloop.run(run())
