--- a/mallowbeam/control/booking.py
+++ b/mallowbeam/control/booking.py
@@ -80,10 +80,7 @@
             request.density = request.cls.worth * volume.plan.price * worth
 
     def _price(self, node: Node) -> float:
-        """What a unit must be worth to take room at a node now: what found no slot asks for its own worth.
-
-        As work of others in front (latency above the lowest) takes up the aim, the cheap are left out first.
-        """
+        """What a unit must be worth to go there now: bids, and as others' work takes up the aim, more."""
         node.refresh()
         waiting = max(node.n_latency, node.silence()) - self.floor
         part = min(1.0, max(0.0, waiting) / max(self.cycle - self.floor, self.cycle / 4))
@@ -107,8 +104,7 @@
 
     def _layout(self, node: Node) -> tuple[list[Request], list[Request]]:
         """Order of the bookings: those that meet their aims, then late ones; and those without a slot."""
-        # Each is laid into the earliest hole.  One that would miss its aim there pushes the bookings due the
-        # least, among those before it, to later holes; one that no hole finishes by its deadline is refused.
+        # Laid into the earliest hole; for one that would miss its aim there those due the least go later.
         self._value(node)
         now, slot, room = self.now, node.slot(), node.window - node.out_units
         queue = [entry[2] for entry in node.queue]
--- a/mallowbeam/control/scheduler.py
+++ b/mallowbeam/control/scheduler.py
@@ -110,8 +110,7 @@
         hosts = max(1, event.hosts_of_volume or self.settings.hosts)
         volume = self._volume(event.volume, event.plan, hosts, event.shard)
         self.seq += 1
-        # A client's further try has less time left than a first one, and its aim runs from the first.  Guards
-        # against an odd client, whose hours would make all others late: none waits longer than its class.
+        # A further try has less time left: its aim runs from the first.  None waits longer than its class.
         expires = min(event.expires_in, cls.deadline)
         full = self.full_time[cls.name] = max(self.full_time.get(cls.name, 0.0), expires)
         request = Request(event, cls, volume, self.now, self.seq, full - expires)
--- a/mallowbeam/control/sending.py
+++ b/mallowbeam/control/sending.py
@@ -40,10 +40,7 @@
                 or not self._may_repeat(request, node))
 
     def may_begin(self, now: float, name: str, number: int) -> bool:
-        """Whether an attempt's first byte may go out now: the last look, on sockets, its connection being up.
-
-        Guards what changed meanwhile: client, verdict, list, time, and a node's start (it is booked anew).
-        """
+        """Whether an attempt's first byte may go out, its connection being up: the last look, on sockets."""
         self.now, request = now, self.requests.get(name)
         attempt = request.out.get(number) if request else None
         if (attempt is None or attempt.until <= now or attempt.cold_from != attempt.node.cold_from
@@ -72,7 +69,7 @@
             request.volume.reserve_level -= request.units
         elif request.tier == 1 and request.volume in node.shares:
             node.shares[request.volume][0] -= request.units
-        # Guards a limit counted at a node's last byte: kept from filling a full store, given back if unsent.
+        # Counted by the limit at its last byte: kept from filling a full store, and given back if unsent.
         coming = request.units * (self.settings.limit_at_arrival and not request.drawn)
         attempt, request.drawn = Attempt(request, request.tries, node, self.now, coming), True
         request.volume.coming += coming
@@ -84,8 +81,7 @@
         if self.now < node.cold_until:
             node.cold_sent.append(attempt.cold)
         node.n_out += SMOOTH * (node.out_units - node.n_out)
-        # Guards against work of many times the usual size, and against queues filled by others: past its aim
-        # an attempt gives way.  Harm: an answer about to come, worth a little, is lost.
+        # Guards against queues and outsize work: past its aim it gives way.  Harm: a late answer is lost.
         attempt.until = request.aim_at if self.now < request.aim_at else request.deadline
         self.actions.append(io.Send(request.id, node.id, attempt.until - self.now))
         return True
--- a/tests/test_written.py
+++ b/tests/test_written.py
@@ -125,7 +125,7 @@
 
 
 def test_a_request_whose_time_ran_out_as_it_was_written_is_not_sent_again(monkeypatch):
-    """Guards a write against a second run: the timer strikes between its last byte and its task's next step."""
+    """Guards a write's one run: the timer strikes between its last byte and its task's next step."""
 
     async def run() -> None:
         limits, timeout = [], asyncio.timeout
@@ -156,7 +156,7 @@
                         except BlockingIOError:
                             await asyncio.sleep(0)
                 task = next(iter(world.gateway.tasks.values()))
-                limit = next(limit for limit in limits if limit._task is task and limit._state.name == "ENTERED")
+                limit = next(at for at in limits if at._task is task and at._state.name == "ENTERED")
                 limit._on_timeout()            # in the step in which the node has all of it
                 monkeypatch.setattr(attempts.asyncio, "timeout", timeout)
                 await world.play("c1 expect 502")
