A connection to a node is looked at just before the first byte, and only there

Seen by a test that writes between Pool.take's look and the write: half of an earlier answer ('content-length: 5', 'str') and the first two bytes of the real one were served as 200. The look stood in Pool.take, some steps before the write (net/upstream.py). Now Attempts._ready takes a connection, asks the module, looks for bytes or an end, and goes on to the next one; a system call less than two looks. An address that is none raises Unsent, not ValueError.

--- a/mallowbeam/control/requests.py
+++ b/mallowbeam/control/requests.py
@@ -25,7 +25,7 @@
         self.refill(now)
         before, slack = self.plan, self.plan.limit_slack / self.parts()
         self.plan, self.part = plan, part
-        # Guards the limit: others may just have spent what this host's part gains, so it starts at the bottom.
+        # Guards the limit: what its part gains here others may just have spent, so it starts at the bottom.
         bottom = -plan.limit_slack / self.parts()
         level = self.limit_level + min(0.0, bottom + slack)
         self.limit_level = level if before.limit > 0 else bottom - self.coming
--- a/mallowbeam/net/attempts.py
+++ b/mallowbeam/net/attempts.py
@@ -73,14 +73,9 @@
         address = self.addresses.get(tried.node, "")
         try:
             async with asyncio.timeout(min(left, tried.timeout) if tried.timeout else left) as limit:
-                link = await self.pool.take(address)
-                # The one look before the first byte: since it was decided the connection had to come up.
-                if self.addresses.get(tried.node) != address:
-                    return Outcome.NOT_SENT, None
-                if not self.facade.may_begin(self.now(), tried):
-                    kept = self.pool.keep(link)
-                    return Outcome.NOT_SENT, None
                 loop = asyncio.get_running_loop()
+                if (link := await self._ready(tried, address)) is None:
+                    return Outcome.NOT_SENT, None
                 waits = (limit.when() - loop.time() if call.upload is None
                          else float(call.fields["expires_in"]))
                 headers = [(b"host", address.encode()), *call.headers,
@@ -135,6 +130,29 @@
             if link is not None and not kept:
                 self.pool.drop(link)
 
+    async def _ready(self, tried: Try, address: str) -> Link | None:
+        """A connection on which the attempt begins in this very step, or None if it must not begin.
+
+        The one look before a first byte: since the decision a connection had to come up.  What has come on it
+        unasked, up to now, would be read as this request's answer.
+        """
+        while True:
+            link, kept = await self.pool.take(address), False
+            try:
+                if self.addresses.get(tried.node) != address:
+                    return None
+                if not self.facade.may_begin(self.now(), tried):
+                    kept = self.pool.keep(link)
+                    return None
+                if not link.channel.stale():
+                    kept = True
+                    return link
+                if not link.idle_since:        # a new one: the node lives, and takes nothing on it
+                    return None
+            finally:
+                if not kept:
+                    self.pool.drop(link)
+
     @staticmethod
     def _unless(link: Link | None, outcome: Outcome) -> Outcome:
         """How an attempt ended that has no answer: it never ran, unless its last byte may have left."""
--- a/mallowbeam/net/upstream.py
+++ b/mallowbeam/net/upstream.py
@@ -173,7 +173,7 @@
         async with asyncio.timeout(timeout):
             await asyncio.get_running_loop().sock_connect(sock, (host.strip("[]"), int(port)))
         return Link(Channel(sock, Framer(answers=True, max_body=max_body, budget=budget)), address)
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:  # or the address is none
         sock.close()
         raise Unsent(str(error) or "the connection never came up") from None
     except BaseException:
@@ -194,7 +194,7 @@
         self.count = 0                         # connections open or being opened
 
     async def take(self, address: str) -> Link:
-        """An idle connection that is still good, or a new one.
+        """An idle connection, or a new one; whether it is still good is looked at just before the write.
 
         Guards an answer against being taken for another request's: one that is late behind the answer before
         it would be read as the next one's, so a connection rests first.
@@ -204,7 +204,7 @@
         while rested:
             rested -= 1
             link = idle.pop(rested)
-            if now - link.idle_since < self.lasts and not link.channel.stale():
+            if now - link.idle_since < self.lasts:
                 return link
             self.drop(link)
         if self.count >= self.most and not self._evict():
