Clients' connections: one orderly end for all, and clients that leave behind unread bytes

While more than PIPELINED requests were ready, a body's taker was slow, or bad input waited for the answer before it, nothing was read, so an end or a reset behind it went unseen.

Now: `Stage` (open, last, lingering, closed) names how far a connection is. Bytes are read and fed in one step, so that a peek in the step of the shutdown sees all that is not taken in. What lies there is answered first; else our side is shut, what comes up to the client's end is read and dropped (256 KiB, 1 s; 0.05 s where told to leave), and only then the socket is closed, in `_close` alone. A connection that ends by our choice answers all that has come in whole, for a second at most; only the last answer says `close`. While nothing is read the client is looked for every 0.04 s (poll for RDHUP: it tells of an end behind unread bytes), and once more before a request that waited is handed on. An end of a client's sending counts as before as its leaving.

Ruled out: that Linux takes away what a client has received: there a FIN before the reset reads as an end; so the test of what follows a closing request asks instead that no socket is closed over unread bytes.

--- a/mallowbeam/net/admin.py
+++ b/mallowbeam/net/admin.py
@@ -81,6 +81,10 @@
         """
         return self.busy is None and not self.channel.stale()
 
+    def closes(self, request: Message) -> bool:
+        """Always: every answer of this door says so."""
+        return True
+
 
 def open_admin(gateway: Gateway) -> Server | None:
     """The door's server, None where the configuration names no address; raises OSError."""
--- a/mallowbeam/net/connection.py
+++ b/mallowbeam/net/connection.py
@@ -1,7 +1,9 @@
 """One client's connection: its requests in, their answers out, and how long either may take.
 
-A front is called with each whole request and returns the one answer; a client that closes its connection
-cancels that call.  While a request is answered the next ones are read, up to a bound.
+A front is called with each whole request and returns the one answer; a client that ends or resets its
+connection has gone, which cancels that call and drops what waits behind it.  While a request is answered the
+next ones are read, up to a bound; beyond it the client's end is looked for now and then.  All ways to end a
+connection meet in `_hang_up` (`net/closing.py` says why); from outside there is only `leave`.
 """
 
 from __future__ import annotations
@@ -9,10 +11,12 @@
 import asyncio
 import socket
 import time
+from collections.abc import Awaitable
 from typing import Protocol
 
 from loguru import logger
 
+from mallowbeam.net.closing import Stage, drop, gone, reset_at_close, shut
 from mallowbeam.net.front import Front
 from mallowbeam.net.http import BadMessage, Channel, Framer, Message
 from mallowbeam.net.stream import Stream
@@ -23,7 +27,9 @@
 UNREAD = 10.0               # seconds without a byte after which an answer has stopped going out
 IDLE = 10.0                 # seconds that a connection may lie idle after an answer
 LINGER = 1.0                # seconds given to a client to read the last answer before the close
-LINGER_BYTES = 256 * 1024   # and what is read of it meanwhile, at most, where it breaks HTTP or a bound
+LINGER_LEAST = 0.05         # and where it was told to leave, or sends without end
+LINGER_BYTES = 256 * 1024   # and what is read of it meanwhile, at most
+LOOK = 0.04                 # seconds between looks, while nothing is read, whether the client is still there
 FRESH = 1.0                 # seconds in which a client that has just come begins, where room is short
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -49,11 +55,22 @@
         self.request: Message | None = None    # the one that is being answered
         self.taking: Message | None = None     # the same, while its body passes through
         self.blocked = False                   # nothing is read: the body's taker is slow
-        self.writing = self.closing = self.answered = False
-        self.leaving = False                   # being closed to make room
+        self.writing = self.answered = False
+        self.stage = Stage.OPEN
+        self.leaving = False                   # told to leave: nothing more can be hurried
+        self.ends_by = 0.0                     # until when what waits is answered before it ends
+        self.shut_at = 0.0                     # when our side ended
+        self.cut: asyncio.TimerHandle | None = None
+        self.held = False                      # nothing is read, but the client is looked for
+        self.looks: asyncio.TimerHandle | None = None
         self.room = asyncio.Event()
         self.task = asyncio.create_task(self._run())
 
+    @property
+    def closing(self) -> bool:
+        """Whether it is about to end, or has ended."""
+        return self.stage is not Stage.OPEN
+
     @property
     def idle(self) -> bool:
         """Whether nothing is coming in, held or going out."""
@@ -71,54 +88,102 @@
         Guards requests on their way in: a client that has just come is about to send one, and one that lies
         unread in the socket is taken and would be lost with it.
         """
-        if self.closing:                       # it has had its last answer
-            return True
+        if self.closing:                       # perhaps it has had its last answer
+            return self.stage is not Stage.LAST
         return (self.idle and (self.answered or time.monotonic() - self.since > FRESH)
                 and not self.channel.stale())
 
     async def _run(self) -> None:
-        framer = self.channel.framer
         try:
-            while await self.channel.receive() and not self.closing:
-                if framer.part is not self.part:
-                    self.part = framer.part
-                    if self.answered:          # the first request has its time from the connection's start
-                        self.since = time.monotonic()
-                self._pump()
-                if framer.fault is not None:
-                    raise framer.fault
-                if self.busy is None and framer.wants_continue():
-                    await self.channel.send(CONTINUE)
-                await self._pass_on()
-                while len(framer.ready) > PIPELINED:
-                    self.room.clear()
-                    await self.room.wait()
-            if self.closing and self.taking is not None:
-                await self._read_out(self.taking.length or self.server.front.max_body)
-        except BadMessage as error:
-            if self.taking is not None:        # what is passed on of it can't be finished
-                self.taking.stream.break_off()
-            await self._last_word(error.status, str(error))
+            await self._take()
         except (OSError, asyncio.CancelledError):
             pass
         except Exception as error:
             logger.opt(exception=error).error("a connection failed unforeseen")
         finally:
-            if self.busy is not None:
-                self.busy.cancel()
-                await asyncio.gather(self.busy, return_exceptions=True)
-            if self.taking is not None:
-                self.taking.stream.close()
-            framer.release()
-            self.channel.close()
-            self.server.connections.discard(self)
+            await self._close()
+
+    async def _take(self) -> None:
+        """Take requests in, until the client's end or ours."""
+        framer = self.channel.framer
+        while await self._receive():
+            if framer.part is not self.part:
+                self.part = framer.part
+                if self.answered:              # the first request has its time from the connection's start
+                    self.since = time.monotonic()
+            self._pump()
+            if framer.fault is not None:
+                return await self._last_word(framer.fault)
+            if self.busy is None and framer.wants_continue():
+                await self.channel.send(CONTINUE)
+            await self._pass_on()
+            while len(framer.ready) > PIPELINED:
+                self.room.clear()
+                await self._unread(self.room.wait())
+
+    async def _receive(self) -> bool:
+        """Read once and take it in, in one step; False at the client's end, and once our side has ended."""
+        channel = self.channel
+        while self.stage is not Stage.LINGERING:
+            count = await channel.read()
+            if self.stage is Stage.LINGERING:  # ended meanwhile: this is not sent on
+                break
+            if count:
+                channel.framer.feed(channel.buffer[:count])
+            return count > 0
+        await self._read_out()
+        return False
+
+    async def _read_out(self) -> None:
+        """Read on and drop it up to the client's end, so that the last answer is not lost with it."""
+        most = LINGER_BYTES
+        if self.taking is not None:            # refused before its end
+            most = max(most, self.taking.length or self.server.front.max_body)
+        while most > 0:
+            if not (count := await self.channel.read()):
+                return
+            most -= count
+        await asyncio.sleep(LINGER_LEAST)      # a flood: it has this long to read our answer
+
+    async def _unread(self, wait: Awaitable[object]) -> None:
+        """Wait while nothing is read, and look now and then whether the client is still there."""
+        self.held = True
+        self._look()
+        try:
+            await wait
+        finally:
+            self.held = False
+            self.looks.cancel()
+
+    def _look(self) -> None:
+        """Guards nodes against requests of a client that has left behind bytes which are not read."""
+        if gone(self.channel.sock):
+            self.task.cancel()
+        self.looks = self.channel.loop.call_later(LOOK, self._look)
+
+    async def _close(self) -> None:
+        """The one place in which the socket is closed, and what still depends on it is ended."""
+        self.stage = Stage.CLOSED
+        if self.cut is not None:
+            self.cut.cancel()
+        if self.busy is not None:
+            self.busy.cancel()
+            await asyncio.gather(self.busy, return_exceptions=True)
+        if self.taking is not None:
+            self.taking.stream.close()
+        self.channel.framer.release()
+        drop(self.channel.sock, self.channel.buffer, LINGER_BYTES)
+        self.channel.close()
+        self.server.connections.discard(self)
 
     def _pump(self) -> None:
         """Begin to answer the next request that is whole, or too large to be held, unless one is answered."""
         framer = self.channel.framer
-        if self.busy is not None or self.closing:
+        if self.busy is not None or self.stage in (Stage.LINGERING, Stage.CLOSED):
             return
-        if framer.ready:
+        if self.held and gone(self.channel.sock):
+            self.task.cancel()                 # nothing of it is sent on
+        elif framer.ready:
             request = framer.ready.popleft()
         elif framer.holds_more_than(self.server.front.whole):
             request = self.taking = framer.part
@@ -144,20 +209,26 @@
         if piece := request.take():
             self.channel.framer.release()
             began, self.blocked = time.monotonic(), True
-            await request.stream.put(piece)
+            if request.stream.full:
+                await self._unread(request.stream.put(piece))
+            else:
+                await request.stream.put(piece)
             self.since += time.monotonic() - began
             self.blocked = False
         if request.whole:
             self.taking = None
             self.channel.narrow()
-            await request.stream.put(None)
+            if request.stream.full:
+                await self._unread(request.stream.put(None))
+            else:
+                await request.stream.put(None)
 
     async def _answer(self, request: Message) -> None:
         """One request, from its last byte in to its answer's last byte out."""
         try:
             self.request = request
             whole = await self._write(request)
-            close = self._closes(request)
+            close = self.closes(request)
         except OSError:
             whole = close = False
         except Exception as error:
@@ -169,8 +240,10 @@
             request.stream.close()
         if self.channel.framer.empty:
             self.channel.framer.release()
+        if self.stage is Stage.CLOSED:         # the client has gone
+            return
         if not whole:
-            self.task.cancel()
+            self._break_off(request)
         elif close:
             self._hang_up()
         else:
@@ -185,7 +258,7 @@
                 reply = self.server.front.complain(503, "too many connections")
             else:
                 reply = await self.server.front.handle(
-                    request, lambda: self._closes(request))
+                    request, lambda: self.closes(request))
         except Exception as error:
             # Guards the client against a fault of ours: it still gets its one answer.
             logger.opt(exception=error).error("a request failed unforeseen")
@@ -202,47 +275,92 @@
             self.server.front.ended(request, reply.status, whole)
         return whole
 
-    def _closes(self, request: Message) -> bool:
-        """Whether the connection is closed after the answer to a request: its body may still be coming."""
-        return self.server.closing or not request.keep_alive or not request.whole
+    def closes(self, request: Message) -> bool:
+        """Whether the connection ends after the answer to a request; a yes stands.
+
+        Guards requests that have come in whole behind it: where the end is ours they are answered first, for
+        a while.
+        """
+        if not request.keep_alive or not request.whole:  # its body may still be coming
+            return True
+        if not self.server.closing and self.stage is Stage.OPEN:
+            return False
+        now = time.monotonic()
+        self.ends_by = self.ends_by or now + LINGER
+        request.keep_alive = bool(self.channel.framer.ready) and now < self.ends_by
+        return not request.keep_alive
 
     def leave(self) -> None:
-        """Close the connection now."""
-        self.closing = self.leaving = True
-        self.task.cancel()
+        """Begin the orderly end, without waiting; again and again is as good as once.
 
-    def _hang_up(self) -> None:
-        """End our side; the client has a moment to read before the socket is closed."""
-        self.closing = True
-        try:
-            self.channel.sock.shutdown(socket.SHUT_WR)
-        except OSError:
-            pass
-        asyncio.get_running_loop().call_later(LINGER, self.task.cancel)
+        What is being answered, and what has come in whole, is answered first; where our side has ended
+        already, the client's time to end its own is cut short.
+        """
+        if self.stage is Stage.LINGERING:
+            self._end_by(self.shut_at + LINGER_LEAST)
+        elif self.stage is not Stage.CLOSED:
+            if self.busy is not None or self.writing or not self._rests():
+                self.stage = Stage.LAST
+            elif self.channel.framer.empty:
+                self._hang_up(LINGER_LEAST)
+            else:
+                self._refuse(LINGER_LEAST)
+        self.leaving = True
 
-    async def _last_word(self, status: int, text: str) -> None:
-        """Answer what breaks HTTP once the request before it has its answer, then read until the close.
+    def _rests(self) -> bool:
+        """Whether nothing lies unread: asked in the very step in which our side ends by our own choice.
 
-        Guards against a reset that would take the answer away: what the client still sends is read, not kept.
+        Guards a request that is taken but not read: a close over it would lose it.
         """
+        return self.channel.peek() is None
+
+    def _hang_up(self, linger: float | None = None) -> None:
+        """End our side; the client has `linger` seconds to read and to end its own before the close."""
+        self.stage, self.shut_at = Stage.LINGERING, time.monotonic()
+        self.channel.framer.ready.clear()      # behind the last answer nothing is taken
+        shut(self.channel.sock)
+        self._end_by(self.shut_at + (LINGER if linger is None else linger))
+        self.leaving = False                   # that may be cut short
+        self.room.set()
+
+    def _end_by(self, when: float) -> None:
+        """Close it by then; an earlier time stands."""
+        loop = self.channel.loop
+        at = loop.time() + when - time.monotonic()
+        if self.cut is None or at < self.cut.when():
+            if self.cut is not None:
+                self.cut.cancel()
+            self.cut = loop.call_at(at, self.task.cancel)
+
+    def _break_off(self, request: Message) -> None:
+        """End after an answer that is not whole: in order where its framing shows that, else by a reset."""
+        if request.until_close:
+            reset_at_close(self.channel.sock)
+            self.task.cancel()
+        else:
+            self._hang_up()
+
+    async def _last_word(self, fault: BadMessage) -> None:
+        """Answer what breaks HTTP once the request before it has its answer, then end in order."""
+        if self.taking is not None:            # what is passed on of it can't be finished
+            self.taking.stream.break_off()
         while self.busy is not None:           # whole requests before it have their answers first
-            await asyncio.wait([self.busy])
-        if self.closing:
-            return
-        self.closing, channel = True, self.channel
-        try:
+            await self._unread(asyncio.wait([self.busy]))
+        if self.stage is not Stage.LINGERING:
+            self.stage, self.writing = Stage.LAST, True
             async with asyncio.timeout(LINGER):
-                await channel.send(self._complaint(status, text))
-                channel.sock.shutdown(socket.SHUT_WR)
-                await self._read_out(LINGER_BYTES)
-        except (OSError, TimeoutError):
-            pass
+                await self.channel.send(self._complaint(fault.status, str(fault)))
+            self.writing = False
+            self._hang_up()
+        await self._read_out()
 
-    async def _read_out(self, most: int) -> None:
-        """Read on and drop it, so that the last answer is not lost with what is still unread."""
-        channel = self.channel
-        while most > 0 and (count := await channel.loop.sock_recv_into(channel.sock, channel.buffer)):
-            most -= count
+    def _refuse(self, linger: float | None = None) -> None:
+        """Answer a request that did not come in time; best effort: its client may not read either."""
+        try:
+            self.channel.sock.send(self._complaint(408, "the request did not come in time"))
+        except OSError:
+            pass
+        self._hang_up(linger)
 
     def _complaint(self, status: int, text: str) -> bytes:
         """The last word on a request that does not come in whole; it counts if its head has."""
@@ -252,22 +370,21 @@
         return self.server.front.complain(status, text).data
 
     def sweep(self, now: float) -> None:
-        """Close a connection that has been idle or stalled for too long."""
+        """End a connection that has been idle or stalled for too long."""
+        if self.stage in (Stage.LINGERING, Stage.CLOSED):
+            return                             # that has its time
         if self.writing:
             if now - self.channel.moved > UNREAD:
+                reset_at_close(self.channel.sock)  # it reads nothing, and must not take this for an end
                 self.task.cancel()
         elif self.idle:
-            if now - self.since > (IDLE if self.answered else STALLED):
-                self.task.cancel()
-        elif self.taking is not None and not self.closing:
+            if now - self.since > (IDLE if self.answered else STALLED) and self._rests():
+                self._hang_up()
+        elif self.taking is not None:
             if not self.blocked and now - self.since > self._patience():
                 self.taking.stream.break_off()  # its taker ends it, and that is answered
-        elif self.busy is None and not self.closing and now - self.since > self._patience():
-            try:                               # best effort: a stalled client may not read either
-                self.channel.sock.send(self._complaint(408, "the request did not come in time"))
-            except OSError:
-                pass
-            self.task.cancel()
+        elif self.busy is None and now - self.since > self._patience() and self._rests():
+            self._refuse()
 
     def _patience(self) -> float:
         """Seconds that the request which is coming in may take, by what came: a trickle is no upload."""
--- a/mallowbeam/net/health.py
+++ b/mallowbeam/net/health.py
@@ -99,3 +99,6 @@
 
     def sweep(self, now: float) -> None:
         """Nothing to do: a check ends by itself."""
+
+    def leave(self) -> None:
+        """Nothing to do: its end has begun, and has its time."""
--- a/mallowbeam/net/http.py
+++ b/mallowbeam/net/http.py
@@ -198,6 +198,7 @@
         self.loop = asyncio.get_running_loop()
         self.buffer = memoryview(bytearray(CHUNK))
         self.moved = time.monotonic()          # when bytes last went in or out
+        self.drained = False                   # the last `read` took all that was there
 
     async def receive(self) -> bool:
         """Read once and take it in; False at the end of the stream."""
@@ -222,21 +223,52 @@
         if len(self.buffer) > CHUNK:
             self.buffer = memoryview(bytearray(CHUNK))
 
-    def stale(self) -> bool:
-        """Whether the other side has closed this idle connection or said something unasked."""
+    async def read(self) -> int:
+        """Bytes read into `buffer`, 0 at the end of the stream; raises OSError.
+
+        Guards the step between a read and what is done with it: what is not here yet lies in the socket, and
+        `peek` tells of it, up to the very step in which it is returned.
+        """
+        while True:
+            if self.drained:
+                waiter = self.loop.create_future()
+                self.loop.add_reader(self.sock, _wake, waiter)
+                try:
+                    await waiter
+                finally:
+                    self.loop.remove_reader(self.sock)
+            try:
+                count = self.sock.recv_into(self.buffer)
+            except BlockingIOError:
+                self.drained = True
+                continue
+            self.drained = count < len(self.buffer)
+            self.moved = time.monotonic()
+            return count
+
+    def peek(self) -> bool | None:
+        """What lies unread: True for bytes, False for the other side's end or its reset, None for nothing."""
         try:
-            self.sock.recv(1, socket.MSG_PEEK)
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
         except BlockingIOError:
-            return False
+            return None
         except OSError:
-            return True
-        return True
+            return False
+
+    def stale(self) -> bool:
+        """Whether the other side has closed this idle connection or said something unasked."""
+        return self.peek() is not None
 
     def close(self) -> None:
         """Close the socket; no call may be waiting on it."""
         self.sock.close()
 
 
+def _wake(waiter: asyncio.Future[None]) -> None:
+    if not waiter.done():
+        waiter.set_result(None)
+
+
 def write_request(method: bytes, target: bytes, headers: Headers, length: int | None = 0,
                   chunked: bool = False) -> bytes:
     """A request's start line and headers."""
--- a/mallowbeam/net/stream.py
+++ b/mallowbeam/net/stream.py
@@ -20,6 +20,11 @@
         self._closed, self._wanted = closed, wanted  # told once: no more is wanted; the first piece is
         self.broken = self.over = False
 
+    @property
+    def full(self) -> bool:
+        """Whether the next piece would wait."""
+        return not self.over and self._pieces.full()
+
     async def put(self, piece: bytearray | None) -> None:
         """Hand in a piece, or None at the end; waits while the taker is slow."""
         if not self.over:
--- /dev/null
+++ b/tests/raw.py
@@ -0,0 +1,88 @@
+"""A client on a bare socket: what it says is in the gateway's buffer when the call returns."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable
+
+from scenario import PATIENCE, World
+
+from mallowbeam.net.connection import Connection
+
+HEALTH = b"GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n"
+
+
+def request(number: int, *headers: str, method: str = "GET", cls: str = "read",
+            version: str = "1.1") -> bytes:
+    """A request of the platform, its id ending in a number."""
+    lines = [f"{method} /{cls}/00000000000000aa/0000000000000001 HTTP/{version}", "host: x",
+             f"x-class: {cls}", "x-storage-class: silver", "x-deadline-ms: 1100",
+             "x-extent: units=1,shard=0,hosts=1",
+             f"x-request-id: {number:016x}", *headers]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+class Raw:
+    """One client."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.sock = socket.create_connection(address)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock.setblocking(False)
+        self.loop = asyncio.get_running_loop()
+        self.got = b""
+
+    def say(self, data: bytes) -> None:
+        """Send all of it now, in this step of the loop."""
+        assert self.sock.send(data) == len(data)
+
+    async def read(self, until: bytes | None = None) -> bytes:
+        """All up to the end, or up to some bytes; raises ConnectionResetError."""
+        async with asyncio.timeout(PATIENCE):
+            while until is None or until not in self.got:
+                data = await self.loop.sock_recv(self.sock, 65536)
+                if not data:
+                    assert until is None, f"the end came before {until!r}: {self.got!r}"
+                    break
+                self.got += data
+        return self.got
+
+    def end(self) -> None:
+        """End its sending."""
+        self.sock.shutdown(socket.SHUT_WR)
+
+    def leave(self, reset: bool = False) -> None:
+        """Close the connection, in order or by a reset."""
+        if reset:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.sock.close()
+
+
+async def until(true: Callable[[], object]) -> None:
+    """Wait for something that comes by itself."""
+    async with asyncio.timeout(PATIENCE):
+        while not true():
+            await asyncio.sleep(0.001)
+
+
+async def come(world: World, first: bytes = HEALTH) -> tuple[Raw, Connection]:
+    """A client that rests after an answer (or has said what is given), and the gateway's side of it."""
+    here = world.gateway.servers[-1]
+    before, client = set(here.connections), Raw(world.platform)
+    await until(lambda: here.connections - before)
+    connection, = here.connections - before
+    client.say(first)
+    if first is HEALTH:
+        await client.read(until=b"serving\n")
+        await until(lambda: connection.idle and connection.answered)
+        client.got = b""
+    return client, connection
+
+
+def arrive(client: Raw, connection: Connection, data: bytes) -> None:
+    """Bytes come in, and lie unread in the gateway's socket when this returns."""
+    client.say(data)
+    while connection.channel.peek() is None:
+        pass
--- /dev/null
+++ b/tests/test_clients_gone.py
@@ -0,0 +1,123 @@
+"""Clients that leave while a request of theirs is held or waits, on loopback sockets; nothing is sent on."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+import uvloop
+from raw import Raw, arrive, come, request, until
+from scenario import World
+
+from mallowbeam.net import connection as connections
+from mallowbeam.net.connection import PIPELINED
+
+MANY = 200                  # more than what is read ahead
+WAYS = {"close": Raw.leave, "reset": lambda client: client.leave(reset=True), "half": Raw.end}
+
+
+async def nothing_more(world: World) -> None:
+    """The call in hand is cancelled, its attempt given up, and no other one has come to the node."""
+    await until(lambda: not world.gateway.exchanges and not world.gateway.tasks)
+    await until(lambda: not world.gateway.servers[-1].connections)
+    await world.play("n0 expect end\nn0 expect nothing")
+
+
+def test_the_look_comes_often_enough():
+    """What begins 0.1 s after its client left is a break: the look has half of that."""
+    assert connections.LOOK <= 0.05
+
+
+@pytest.mark.parametrize("way", WAYS)
+@pytest.mark.parametrize("count", [1, MANY])
+def test_a_client_that_sends_much_at_once_and_goes_is_noticed(way, count):
+    """Guards nodes: behind unread requests neither an end nor a reset was seen, and all were sent on."""
+
+    async def run() -> None:
+        async with World() as world:
+            client, here = await come(world, b"".join(request(i) for i in range(1, count + 1)))
+            await world.play("n0 expect GET")
+            if count > 1:
+                await until(lambda: len(here.channel.framer.ready) > PIPELINED)
+            WAYS[way](client)
+            await nothing_more(world)
+            if way == "half":                  # an end of its sending counts as one of the connection
+                assert await client.read() == b""
+
+    uvloop.run(run())
+
+
+def test_a_request_whose_client_has_just_left_is_not_handed_on(monkeypatch):
+    """The crossing between two looks: the answer before it comes in the very moment its client leaves."""
+
+    async def run() -> None:
+        async with World() as world:
+            client, here = await come(world, b"".join(request(i) for i in range(1, MANY)))
+            await world.play("n0 expect GET")
+            await until(lambda: here.held)
+            here.looks.cancel()                # no look comes now
+            client.leave()
+            await world.play("n0 send 200 body=one")
+            await until(lambda: not world.gateway.servers[-1].connections)
+            await world.play("n0 expect nothing")
+            assert not world.gateway.exchanges
+
+    uvloop.run(run())
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_a_client_that_leaves_behind_what_breaks_http_is_noticed(way):
+    """Garbage behind good requests: nothing was read until these were answered."""
+
+    async def run() -> None:
+        async with World() as world:
+            client, here = await come(world, request(1) + request(2) + b"\x00garbage\r\n\r\n")
+            await world.play("n0 expect GET")
+            await until(lambda: here.channel.framer.fault is not None)
+            arrive(client, here, b"x" * 50_000)
+            WAYS[way](client)
+            await nothing_more(world)
+
+    uvloop.run(run())
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_a_client_that_leaves_while_its_bodys_taker_is_slow_is_noticed(way):
+    """Nothing is read while the node takes nothing: the attempt held its connection up to a time-out."""
+
+    async def run() -> None:
+        async with World() as world:
+            head = request(1, "content-length: 30000000", "idempotency-key: k", method="PUT", cls="new-write")
+            client, here = await come(world, b"")
+            world.parties["n0"].still = True   # it reads nothing
+            client.say(head)
+            while not here.held:               # the gateway's and the kernel's buffers are full
+                try:
+                    client.sock.send(b"x" * 65536)
+                except BlockingIOError:
+                    pass
+                await asyncio.sleep(0)
+            WAYS[way](client)
+            await until(lambda: not world.gateway.exchanges and not world.gateway.tasks)
+            await until(lambda: not world.gateway.servers[-1].connections)
+            assert world.gateway.pool.count == 0
+
+    uvloop.run(run())
+
+
+def test_a_client_that_only_waits_stays():
+    """The look takes no one for gone who is there: all that waits is answered."""
+
+    async def run() -> None:
+        async with World() as world:
+            client, here = await come(world, b"".join(request(i) for i in range(1, 9)))
+            await world.play("n0 expect GET")
+            await until(lambda: here.held)
+            looks = here.looks
+            await until(lambda: here.looks is not looks)  # one look has passed
+            await world.play("n0 send 200 body=one" + "\nn0 expect GET\nn0 send 200 body=more" * 7)
+            await until(lambda: here.idle and here.answered)
+            client.end()
+            assert (await client.read()).count(b"HTTP/1.1 200") == 8
+
+    uvloop.run(run())
--- /dev/null
+++ b/tests/test_closing.py
@@ -0,0 +1,297 @@
+"""The end of a client's connection, on loopback sockets: what crosses it, and what it owes."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+
+import pytest
+import uvloop
+from raw import arrive, come, request, until
+from scenario import World
+
+from mallowbeam.net import connection as connections
+from mallowbeam.net.closing import Stage
+from mallowbeam.net.connection import Connection
+from mallowbeam.net.http import Channel
+
+LATER = 60.0                # seconds after which anything idle or stalled has been so for too long
+
+
+def sweep(here: Connection) -> None:
+    here.sweep(time.monotonic() + LATER)
+
+
+WAYS = {"sweep": sweep, "leave": Connection.leave}
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_a_request_that_lies_unread_when_its_connection_is_ended_is_answered(way):
+    """Guards the one answer: the socket was closed over the request, which nobody had read."""
+
+    async def run() -> None:
+        async with World() as world:
+            client, here = await come(world)
+            arrive(client, here, request(1))
+            WAYS[way](here)
+            await world.play("n0 expect GET\nn0 send 200 body=one")
+            got = await client.read(until=b"one")
+            assert got.startswith(b"HTTP/1.1 200") and (b"connection: close" in got) == (way == "leave")
+            if way == "leave":
+                assert await client.read() == got
+
+    uvloop.run(run())
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_part_of_a_request_that_lies_unread_has_its_time(way):
+    """Guards a slow writer: half a line that came in the instant of the end was closed over."""
+
+    async def run() -> None:
+        async with World() as world:
+            client, here = await come(world)
+            arrive(client, here, request(1)[:20])
+            WAYS[way](here)
+            await until(lambda: here.part is not None)
+            client.say(request(1)[20:])
+            await world.play("n0 expect GET\nn0 send 200 body=one")
+            await client.read(until=b"one")
+            client, here = await come(world)
+            arrive(client, here, request(2)[:20])
+            WAYS[way](here)
+            await until(lambda: here.part is not None)
+            sweep(here)                        # and its time is over
+            assert (await client.read()).startswith(b"HTTP/1.1 408")
+
+    uvloop.run(run())
+
+
+class Crossing:
+    """Does something once, right before our side is shut or the socket closed, whichever comes first."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.act, self.shuts, self.over = None, 0, 0
+        shutdown, close = socket.socket.shutdown, Channel.close
+
+        def shut(sock: socket.socket, how: int) -> None:
+            self.shuts += 1
+            self._cross()
+            shutdown(sock, how)
+
+        def closed(channel: Channel) -> None:
+            self._cross()
+            self.over += channel.peek() is True  # closed over unread bytes
+            close(channel)
+
+        monkeypatch.setattr(socket.socket, "shutdown", shut)
+        monkeypatch.setattr(Channel, "close", closed)
+
+    def _cross(self) -> None:
+        act, self.act = self.act, None
+        if act is not None:
+            act()
+
+
+@pytest.mark.parametrize("count", [1, 300])
+@pytest.mark.parametrize("way", WAYS)
+def test_requests_that_cross_the_end_meet_an_orderly_end_and_go_nowhere(monkeypatch, way, count):
+    """The client rests until the gateway ends it and sends between the look and the shutdown."""
+    crossing = Crossing(monkeypatch)
+
+    async def run() -> None:
+        async with World() as world:
+            client, here = await come(world)
+            crossing.act = lambda: arrive(client, here, b"".join(request(i) for i in range(count)))
+            WAYS[way](here)
+            assert await client.read() == b""  # an end, and no reset
+            client.say(request(999))           # and once more, after it
+            client.leave()
+            await until(lambda: here.task.done())
+            await world.play("n0 expect nothing")
+            assert not world.gateway.exchanges and crossing.act is None
+
+    uvloop.run(run())
+
+
+def test_requests_that_cross_the_last_answer_do_not_take_it_away(monkeypatch):
+    crossing = Crossing(monkeypatch)
+
+    async def run() -> None:
+        async with World() as world:
+            client, here = await come(world, request(1, "connection: close"))
+            await world.play("n0 expect GET")
+            crossing.act = lambda: arrive(client, here, b"".join(request(i) for i in range(2, 300)))
+            await world.play("n0 send 200 body=one")
+            await until(lambda: crossing.act is None)
+            client.say(request(999))
+            assert (await client.read()).endswith(b"one")
+            client.leave()
+            await until(lambda: here.task.done())
+            await world.play("n0 expect nothing")
+
+    uvloop.run(run())
+
+
+@pytest.mark.parametrize("behind", [
+    b"".join(request(i) for i in range(2, 400)), b"x" * 100_000,
+    request(2, "content-length: 90000", method="PUT", cls="new-write") + b"x" * 90_000],
+    ids=["pipeline", "garbage", "upload"])
+def test_what_follows_a_request_that_closes_is_read_and_dropped(monkeypatch, behind):
+    """Guards the last answer: the reader stopped at the first bytes, and the close over the rest reset it."""
+    crossing = Crossing(monkeypatch)
+
+    async def run() -> None:
+        async with World() as world:
+            client, here = await come(world, b"")
+            client.say(request(1, "connection: close") + behind)
+            await world.play("n0 expect GET\nn0 send 200 body=one")
+            # The client reads only once the gateway has read all, or closed.
+            await until(lambda: here.task.done() or here.closing and here.channel.peek() is None)
+            got = await client.read()
+            assert got.startswith(b"HTTP/1.1 200") and b"\r\n\r\none" in got and got.count(b"HTTP/1.1") == 1
+            client.leave()
+            await until(lambda: here.task.done())
+            await world.play("n0 expect nothing")
+            assert not crossing.over
+
+    uvloop.run(run())
+
+
+def test_a_flood_behind_the_last_answer_is_read_within_a_bound_and_then_rests(monkeypatch):
+    """Guards both: the core against a client that sends for ever, and the answer against the close."""
+    monkeypatch.setattr(connections, "LINGER", LATER)
+
+    async def run() -> None:
+        async with World() as world:
+            client, here = await come(world, request(1, "connection: close"))
+            await world.play("n0 expect GET\nn0 send 200 body=one")
+            await until(lambda: here.stage is Stage.LINGERING)
+            with pytest.raises(ConnectionError):
+                while True:                    # far more than the sockets hold between them
+                    await client.loop.sock_sendall(client.sock, b"x" * 65536)
+
+    uvloop.run(run())
+
+
+def test_leaving_twice_is_as_good_as_once(monkeypatch):
+    crossing = Crossing(monkeypatch)
+
+    async def run() -> None:
+        async with World() as world:
+            client, here = await come(world)
+            for _ in range(3):
+                here.leave()
+            assert here.leaving and here.closing and here.stage is Stage.LINGERING
+            await client.read()
+            await until(lambda: here.task.done())  # LINGER_LEAST, where its client does not end it
+            here.leave()
+            assert here.stage is Stage.CLOSED and crossing.shuts == 1
+            assert here not in world.gateway.servers[-1].connections
+
+    uvloop.run(run())
+
+
+def test_a_connection_that_leaves_answers_all_that_has_come_in_whole():
+    """Guards what stands in line: the first answer that said `close` lost those behind it."""
+
+    async def run() -> None:
+        async with World() as world:
+            client, here = await come(world, b"".join(request(i) for i in range(1, 6)))
+            await world.play("n0 expect GET")
+            here.leave()
+            here.leave()
+            assert not here.spare and here.pending == 5
+            await world.play("n0 send 200 body=one" + "\nn0 expect GET\nn0 send 200 body=more" * 4)
+            got = await client.read()
+            assert got.count(b"HTTP/1.1 200") == 5
+            assert b"connection: close" in got.rpartition(b"HTTP/1.1")[2]
+            assert got.count(b"connection: close") == 1
+
+    uvloop.run(run())
+
+
+def test_an_answer_that_is_being_written_when_its_connection_leaves_goes_out_whole():
+    async def run() -> None:
+        async with World() as world:
+            client, here = await come(world, request(1))
+            await world.play("n0 expect GET\nn0 send 200 fill=3000000")
+            await client.read(until=b"\r\n\r\n")
+            here.leave()
+            assert here.writing and here.stage is Stage.LAST
+            got = await client.read()
+            assert len(got.partition(b"\r\n\r\n")[2]) == 3_000_000
+
+    uvloop.run(run())
+
+
+def test_a_client_that_reads_nothing_is_reset(monkeypatch):
+    """Guards against a part that looks whole: where only the end of a connection marks that of a body."""
+
+    async def run() -> None:
+        async with World() as world:
+            client, here = await come(world, request(1, version="1.0"))
+            await world.play("n0 expect GET\nn0 send raw 'HTTP/1.1 200 OK\\r\\n\\r\\n' fill=9000000")
+            await until(lambda: here.writing)
+            sweep(here)
+            with pytest.raises(ConnectionResetError):
+                await client.read()
+
+    uvloop.run(run())
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_an_upload_whose_connection_is_ended_is_answered(way):
+    """It stalls: its node gets no more, its client the answer; one that goes on gets its node's."""
+
+    async def run() -> None:
+        async with World() as world:
+            head = request(1, "content-length: 300000", "idempotency-key: k", method="PUT", cls="new-write")
+            client, here = await come(world, head + b"x" * 100_000)
+            await until(lambda: here.taking is not None and here.taking.came == 100_000 and not here.blocked)
+            WAYS[way](here)
+            if way == "leave":
+                client.say(b"x" * 200_000)
+                await world.play("n0 expect PUT\nn0 send 200 body=stored")
+            got = await client.read()
+            assert got.startswith(b"HTTP/1.1 200" if way == "leave" else b"HTTP/1.1 503")
+
+    uvloop.run(run())
+
+
+def test_a_client_that_never_ends_its_side_is_closed_when_its_time_is_over(monkeypatch):
+    monkeypatch.setattr(connections, "LINGER", 0.05)
+
+    async def run() -> None:
+        async with World() as world:
+            client, here = await come(world)
+            sweep(here)
+            await asyncio.wait_for(here.task, 5)
+            assert await client.read() == b""
+            for raw in (b"NONSENSE\r\n\r\n", request(1)[:30]):
+                client, here = await come(world, raw)
+                await until(lambda: here.part is not None or here.closing)  # noqa: B023
+                sweep(here)
+                await asyncio.wait_for(here.task, 5)
+                assert (await client.read()).startswith(b"HTTP/1.1 4")
+            assert not world.gateway.servers[-1].connections
+
+    uvloop.run(run())
+
+
+def test_where_room_is_short_a_lingering_connection_is_cut_short(monkeypatch):
+    monkeypatch.setattr(connections, "LINGER", LATER)
+    monkeypatch.setattr(connections, "LINGER_LEAST", 0.0)
+
+    async def run() -> None:
+        async with World() as world:
+            client, here = await come(world)
+            sweep(here)
+            assert here.spare and not here.leaving
+            here.leave()
+            arrive(client, here, request(1))   # it is read, so that this is no reset
+            await asyncio.wait_for(here.task, 5)
+            assert await client.read() == b""
+            await world.play("n0 expect nothing")
+
+    uvloop.run(run())
