--- a/mallowbeam/fronts/objects/front.py
+++ b/mallowbeam/fronts/objects/front.py
@@ -31,7 +31,7 @@
 from mallowbeam.net.calls import Answer, Call, Kind, length_of, read_deadline, time_left
 from mallowbeam.net.front import Reply
 from mallowbeam.net.gateway import Gateway
-from mallowbeam.net.http import HOP_BY_HOP, TOKEN, Budget, Channel, Headers, Message, write_head
+from mallowbeam.net.http import HOP_BY_HOP, TOKEN, Budget, Channel, Headers, Message, in_chunks, write_head
 from mallowbeam.net.stream import Stream, copy
 
 T = TypeVar("T")
@@ -336,7 +336,7 @@
 
         async def write(channel: Channel) -> bool:
             # Guards against an attempt that would wait for ever for a client that has gone.
-            chunked = size is None and request.message.version != "1.0"
+            chunked = in_chunks(request.message, size)
             try:
                 await channel.send(write_head(status, headers, size, closing(), chunked))
                 return await copy(stream, channel, start, size, chunked)
--- a/mallowbeam/fronts/platform.py
+++ b/mallowbeam/fronts/platform.py
@@ -11,7 +11,7 @@
 from mallowbeam.net.front import Reply, plain
 from mallowbeam.net.gateway import Gateway
 from mallowbeam.net.health import page
-from mallowbeam.net.http import MAX_BODY, TOKEN, Budget, Channel, Message, write_head
+from mallowbeam.net.http import MAX_BODY, TOKEN, Budget, Channel, Message, in_chunks, write_head
 from mallowbeam.net.stream import MOST, Stream, copy
 
 TARGET = re.compile(rb"/([^/?]+)/([0-9a-f]{16})/([0-9a-f]{16})(?:\?[\x21-\x7e]{0,1024})?\Z")
@@ -53,7 +53,7 @@
             return plain(400, str(error), closing())
         answer = await self.gateway.submit(call)
         if answer.stream is not None:
-            return self.streamed(answer, answer.stream, request.version, closing)
+            return self.streamed(answer, answer.stream, request, closing)
         return self.write(answer, closing())
 
     def complain(self, status: int, text: str) -> Reply:
@@ -110,10 +110,10 @@
             upload=request.stream, length=request.length)
 
     @staticmethod
-    def streamed(answer: Answer, stream: Stream, version: str, closing: Callable[[], bool]) -> Reply:
+    def streamed(answer: Answer, stream: Stream, request: Message, closing: Callable[[], bool]) -> Reply:
         """A large answer, passed on as it comes."""
         size = length_of(answer.headers)
-        chunked = size is None and version != "1.0"
+        chunked = in_chunks(request, size)
 
         async def write(channel: Channel) -> bool:
             try:
--- a/mallowbeam/net/http.py
+++ b/mallowbeam/net/http.py
@@ -52,7 +52,7 @@
         self.body, self.length = bytearray(), None  # what is held of it, and the length stated
         self.came, self.stream = 0, None       # bytes of it so far; where it goes, if not held whole
         self.keep_alive, self.whole, self.version = True, False, "1.1"
-        self.until_close = False               # its end is the end of the connection
+        self.until_close = False               # its end (a request's: its answer's) is the connection's
 
     def get(self, name: bytes) -> bytes | None:
         """The first header of that name."""
@@ -144,6 +144,8 @@
         if sum(len(name) + len(value) for name, value in part.headers) + len(part.target) > MAX_HEAD:
             self._fail(431, "header too large")
         length = part.get(b"content-length")
+        if length is not None and not length.isdigit():
+            self._fail(400, "content-length is no number")
         part.length = None if length is None else int(length)
         # Answers are bounded by what is kept of them: a streamed one may be of any length.
         if part.length is not None and part.length > self.max_body and not self.answers:
@@ -281,6 +283,16 @@
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
+def in_chunks(request: Message, length: int | None) -> bool:
+    """Whether the body of the answer to a request goes out in chunks: if no length is known before its end.
+
+    A client of HTTP/1.0 knows none; the end of the connection tells it that of the body, and only that.
+    """
+    if length is None and request.version == "1.0":
+        request.until_close, request.keep_alive = True, False
+    return length is None and not request.until_close
+
+
 def write_head(status: int, headers: Headers, length: int | None, close: bool,
                chunked: bool = True) -> bytes:
     """An answer's start line and headers; a body without a length comes in chunks, or ends with the close."""
--- a/mallowbeam/net/stream.py
+++ b/mallowbeam/net/stream.py
@@ -56,17 +56,15 @@
 
 
 async def copy(stream: Stream, channel: Channel, skip: int, size: int | None, chunked: bool) -> bool:
-    """Write a stream's bytes from `skip` on: `size` of them, or all to its end.
-
-    False where the connection must end with it: it broke off, or only that marks its end.
-    """
+    """Write a stream's bytes from `skip` on: `size` of them, or all to its end; False if it broke off."""
     left = size
     while left is None or left > 0:
         piece = await stream.get()
         if piece is None:
-            if stream.broken or not chunked:
+            if stream.broken or left is not None:
                 return False
-            await channel.send(b"0\r\n\r\n")
+            if chunked:
+                await channel.send(b"0\r\n\r\n")
             return True
         skipped = min(skip, len(piece))
         skip -= skipped
