A client's socket stays watched between its requests

Each read added a reader to the loop and took it away; it stays now, and is taken away only where something lies there that nobody waits for (a client that is held).

--- a/mallowbeam/net/http.py
+++ b/mallowbeam/net/http.py
@@ -201,6 +201,8 @@
         self.buffer = memoryview(bytearray(CHUNK))
         self.moved = time.monotonic()          # when bytes last went in or out
         self.drained = False                   # the last `read` took all that was there
+        self.watched = False                   # the loop tells when there is more,
+        self.waiter: asyncio.Future[None] | None = None  # and who waits for that
 
     async def receive(self) -> bool:
         """Read once and take it in; False at the end of the stream."""
@@ -233,12 +235,11 @@
         """
         while True:
             if self.drained:
-                waiter = self.loop.create_future()
-                self.loop.add_reader(self.sock, _wake, waiter)
-                try:
-                    await waiter
-                finally:
-                    self.loop.remove_reader(self.sock)
+                self.waiter = self.loop.create_future()
+                if not self.watched:
+                    self.watched = True
+                    self.loop.add_reader(self.sock, self._readable)
+                await self.waiter
             try:
                 count = self.sock.recv_into(self.buffer)
             except BlockingIOError:
@@ -248,6 +249,19 @@
             self.moved = time.monotonic()
             return count
 
+    def _readable(self) -> None:
+        """Something lies there: wake who waits for it; if no one does, it is not watched for now."""
+        waiter, self.waiter = self.waiter, None
+        if waiter is None or waiter.done():
+            self._unwatch()
+        else:
+            waiter.set_result(None)
+
+    def _unwatch(self) -> None:
+        if self.watched:
+            self.watched = False
+            self.loop.remove_reader(self.sock)
+
     def peek(self) -> bool | None:
         """What lies unread: True for bytes, False for the other side's end or its reset, None for nothing."""
         try:
@@ -263,14 +277,10 @@
 
     def close(self) -> None:
         """Close the socket; no call may be waiting on it."""
+        self._unwatch()
         self.sock.close()
 
 
-def _wake(waiter: asyncio.Future[None]) -> None:
-    if not waiter.done():
-        waiter.set_result(None)
-
-
 def write_request(method: bytes, target: bytes, headers: Headers, length: int | None = 0,
                   chunked: bool = False) -> bytes:
     """A request's start line and headers."""
