Clients are read ahead as bytes, so that their end is seen by the reader itself

Seen: the look by `poll` (RDHUP) is told of an end only where the kernel has all bytes before it, and needs a call that not every host of the process may know. The end is then the reader's to see; `poll` stays for a client that is at this bound or whose body's taker is slow. How a connection ends is a part of its own now (`net/closing.py`), with its times; `tests/test_connections.py` patches LINGER there, and is otherwise as it was.

Tests: tests/test_clients_gone.py, with the look switched off where bytes are read ahead, and with nothing read ahead; hundreds of requests at once, large and small bodies among them and noise behind, are answered in turn.

--- a/mallowbeam/net/closing.py
+++ b/mallowbeam/net/closing.py
@@ -8,11 +8,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import select
 import socket
 import struct
+import time
+from collections.abc import Callable
 from enum import Enum
 
+from mallowbeam.net.ahead import Ahead
+from mallowbeam.net.http import Channel, Message
+
+LINGER = 1.0                # seconds given to a client to read the last answer before the close
+LINGER_LEAST = 0.05         # and where it was told to leave, or sends without end
+LINGER_BYTES = 256 * 1024   # and what is read of it meanwhile, at most
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: on, for no time
 
 
@@ -58,3 +67,88 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
     except OSError:
         pass
+
+
+class Ending:
+    """How a client's connection ends.  A part of `Connection`, which makes what is named here."""
+
+    channel: Channel
+    ahead: Ahead
+    task: asyncio.Task[None]
+    busy: asyncio.Task[None] | None            # what answers, while a request is held
+    taking: Message | None                     # a request whose body passes through
+    writing: bool                              # an answer is going out
+    room: asyncio.Event
+    _refuse: Callable[[float], None]           # answer a request that did not come in time, and end
+
+    stage = Stage.OPEN
+    leaving = False                            # told to leave: nothing more can be hurried
+    shut_at = 0.0                              # when our side ended
+    cut: asyncio.TimerHandle | None = None     # until when the client may end its own
+
+    @property
+    def closing(self) -> bool:
+        """Whether it is about to end, or has ended."""
+        return self.stage is not Stage.OPEN
+
+    def leave(self) -> None:
+        """Begin the orderly end, without waiting; again and again is as good as once.
+
+        What is being answered, and what has come in whole, is answered first; where our side has ended
+        already, the client's time to end its own is cut short.
+        """
+        if self.stage is Stage.LINGERING:
+            self._end_by(self.shut_at + LINGER_LEAST)
+        elif self.stage is not Stage.CLOSED:
+            if self.busy is not None or self.writing or not self._rests():
+                self.stage = Stage.LAST
+            elif self.channel.framer.empty:
+                self._hang_up(LINGER_LEAST)
+            else:
+                self._refuse(LINGER_LEAST)
+        self.leaving = True
+
+    def _rests(self) -> bool:
+        """Whether nothing lies unread: asked in the very step in which our side ends by our own choice.
+
+        Guards a request that is taken but not read: a close over it would lose it.
+        """
+        return self.channel.peek() is None
+
+    def _hang_up(self, linger: float | None = None) -> None:
+        """End our side; the client has `linger` seconds to read and to end its own before the close."""
+        self.stage, self.shut_at = Stage.LINGERING, time.monotonic()
+        self.channel.framer.ready.clear()      # behind the last answer nothing is taken
+        self.ahead.drop()
+        shut(self.channel.sock)
+        self._end_by(self.shut_at + (LINGER if linger is None else linger))
+        self.leaving = False                   # that may be cut short
+        self.room.set()
+
+    def _end_by(self, when: float) -> None:
+        """Close it by then; an earlier time stands."""
+        loop = self.channel.loop
+        at = loop.time() + when - time.monotonic()
+        if self.cut is None or at < self.cut.when():
+            if self.cut is not None:
+                self.cut.cancel()
+            self.cut = loop.call_at(at, self.task.cancel)
+
+    def _break_off(self, request: Message) -> None:
+        """End after an answer that is not whole: in order where its framing shows that, else by a reset."""
+        if request.until_close:
+            reset_at_close(self.channel.sock)
+            self.task.cancel()
+        else:
+            self._hang_up()
+
+    async def _read_out(self) -> None:
+        """Read on and drop it up to the client's end, so that the last answer is not lost with it."""
+        most = LINGER_BYTES
+        if self.taking is not None:            # refused before its end
+            most = max(most, self.taking.length or self.channel.framer.max_body)
+        while most > 0:
+            if (count := await self.channel.read()) == 0:
+                return
+            most -= count or 0
+        await asyncio.sleep(LINGER_LEAST)      # a flood: it has this long to read our answer
--- a/mallowbeam/net/connection.py
+++ b/mallowbeam/net/connection.py
@@ -2,8 +2,8 @@
 
 A front is called with each whole request and returns the one answer; a client that ends or resets its
 connection has gone, which cancels that call and drops what waits behind it.  While a request is answered the
-next ones are read, up to a bound; beyond it the client's end is looked for now and then.  All ways to end a
-connection meet in `_hang_up` (`net/closing.py` says why); from outside there is only `leave`.
+next ones are read ahead, up to a bound; past it the client's end is looked for now and then.  How it ends,
+and the one way in which others end it (`leave`), is the matter of `net/closing.py`.
 """
 
 from __future__ import annotations
@@ -16,7 +16,8 @@
 
 from loguru import logger
 
-from mallowbeam.net.closing import Stage, drop, gone, reset_at_close, shut
+from mallowbeam.net.ahead import Ahead
+from mallowbeam.net.closing import LINGER, LINGER_BYTES, Ending, Stage, drop, gone, reset_at_close
 from mallowbeam.net.front import Front
 from mallowbeam.net.http import BadMessage, Channel, Framer, Message
 from mallowbeam.net.stream import Stream
@@ -26,9 +27,6 @@
 SLOWEST = 48 * 1024         # bytes of a body that are worth a second more
 UNREAD = 10.0               # seconds without a byte after which an answer has stopped going out
 IDLE = 10.0                 # seconds that a connection may lie idle after an answer
-LINGER = 1.0                # seconds given to a client to read the last answer before the close
-LINGER_LEAST = 0.05         # and where it was told to leave, or sends without end
-LINGER_BYTES = 256 * 1024   # and what is read of it meanwhile, at most
 LOOK = 0.04                 # seconds between looks, while nothing is read, whether the client is still there
 FRESH = 1.0                 # seconds in which a client that has just come begins, where room is short
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -42,13 +40,14 @@
     connections: set[Connection]               # those that are open; one takes itself out at its end
 
 
-class Connection:
+class Connection(Ending):
     """One client's connection: a task that reads, and while a request is held one that answers."""
 
     def __init__(self, server: Owner, sock: socket.socket, over: bool = False) -> None:
         self.server, front = server, server.front
         self.over = over                       # no room for it: its request is refused at once
         self.channel = Channel(sock, Framer(answers=False, max_body=front.max_body, budget=front.budget))
+        self.ahead = Ahead(front.budget)       # read, and not parsed yet
         self.part: Message | None = None       # the request that is coming in
         self.since = time.monotonic()          # when that began, or the last answer went out
         self.busy: asyncio.Task | None = None
@@ -56,21 +55,12 @@
         self.taking: Message | None = None     # the same, while its body passes through
         self.blocked = False                   # nothing is read: the body's taker is slow
         self.writing = self.answered = False
-        self.stage = Stage.OPEN
-        self.leaving = False                   # told to leave: nothing more can be hurried
         self.ends_by = 0.0                     # until when what waits is answered before it ends
-        self.shut_at = 0.0                     # when our side ended
-        self.cut: asyncio.TimerHandle | None = None
         self.held = False                      # nothing is read, but the client is looked for
         self.looks: asyncio.TimerHandle | None = None
         self.room = asyncio.Event()
         self.task = asyncio.create_task(self._run())
 
-    @property
-    def closing(self) -> bool:
-        """Whether it is about to end, or has ended."""
-        return self.stage is not Stage.OPEN
-
     @property
     def idle(self) -> bool:
         """Whether nothing is coming in, held or going out."""
@@ -117,34 +107,31 @@
             if self.busy is None and framer.wants_continue():
                 await self.channel.send(CONTINUE)
             await self._pass_on()
-            while len(framer.ready) > PIPELINED:
-                self.room.clear()
-                await self._unread(self.room.wait())
 
     async def _receive(self) -> bool:
-        """Read once and take it in, in one step; False at the client's end, and once our side has ended."""
-        channel = self.channel
+        """Take in what came next, in the step of its read; False at the client's end and after ours."""
+        channel, framer = self.channel, self.channel.framer
         while self.stage is not Stage.LINGERING:
+            waits = len(framer.ready) > PIPELINED
+            if self.ahead and not waits:
+                framer.feed(memoryview(self.ahead.take()))
+                return True
+            if waits and self.ahead.full:
+                self.room.clear()
+                await self._unread(self.room.wait())
+                continue
             count = await channel.read()
-            if self.stage is Stage.LINGERING:  # ended meanwhile: this is not sent on
-                break
-            if count:
-                channel.framer.feed(channel.buffer[:count])
-            return count > 0
+            if count is None or self.stage is Stage.LINGERING:  # ended meanwhile: this is not sent on
+                continue
+            if not count:
+                return False
+            if not waits and not self.ahead:
+                framer.feed(channel.buffer[:count])
+                return True
+            self.ahead.put(channel.buffer[:count])
         await self._read_out()
         return False
 
-    async def _read_out(self) -> None:
-        """Read on and drop it up to the client's end, so that the last answer is not lost with it."""
-        most = LINGER_BYTES
-        if self.taking is not None:            # refused before its end
-            most = max(most, self.taking.length or self.server.front.max_body)
-        while most > 0:
-            if not (count := await self.channel.read()):
-                return
-            most -= count
-        await asyncio.sleep(LINGER_LEAST)      # a flood: it has this long to read our answer
-
     async def _unread(self, wait: Awaitable[object]) -> None:
         """Wait while nothing is read, and look now and then whether the client is still there."""
         self.held = True
@@ -171,6 +158,7 @@
             await asyncio.gather(self.busy, return_exceptions=True)
         if self.taking is not None:
             self.taking.stream.close()
+        self.ahead.drop()
         self.channel.framer.release()
         drop(self.channel.sock, self.channel.buffer, LINGER_BYTES)
         self.channel.close()
@@ -249,6 +237,8 @@
         else:
             self._pump()
             self.room.set()
+        if self.ahead or self.channel.framer.fault is not None:
+            self.channel.wake()
 
     async def _write(self, request: Message) -> bool:
         """Write the front's answer to a request; False if it broke off."""
@@ -290,62 +280,18 @@
         request.keep_alive = bool(self.channel.framer.ready) and now < self.ends_by
         return not request.keep_alive
 
-    def leave(self) -> None:
-        """Begin the orderly end, without waiting; again and again is as good as once.
-
-        What is being answered, and what has come in whole, is answered first; where our side has ended
-        already, the client's time to end its own is cut short.
-        """
-        if self.stage is Stage.LINGERING:
-            self._end_by(self.shut_at + LINGER_LEAST)
-        elif self.stage is not Stage.CLOSED:
-            if self.busy is not None or self.writing or not self._rests():
-                self.stage = Stage.LAST
-            elif self.channel.framer.empty:
-                self._hang_up(LINGER_LEAST)
-            else:
-                self._refuse(LINGER_LEAST)
-        self.leaving = True
-
-    def _rests(self) -> bool:
-        """Whether nothing lies unread: asked in the very step in which our side ends by our own choice.
-
-        Guards a request that is taken but not read: a close over it would lose it.
-        """
-        return self.channel.peek() is None
-
-    def _hang_up(self, linger: float | None = None) -> None:
-        """End our side; the client has `linger` seconds to read and to end its own before the close."""
-        self.stage, self.shut_at = Stage.LINGERING, time.monotonic()
-        self.channel.framer.ready.clear()      # behind the last answer nothing is taken
-        shut(self.channel.sock)
-        self._end_by(self.shut_at + (LINGER if linger is None else linger))
-        self.leaving = False                   # that may be cut short
-        self.room.set()
-
-    def _end_by(self, when: float) -> None:
-        """Close it by then; an earlier time stands."""
-        loop = self.channel.loop
-        at = loop.time() + when - time.monotonic()
-        if self.cut is None or at < self.cut.when():
-            if self.cut is not None:
-                self.cut.cancel()
-            self.cut = loop.call_at(at, self.task.cancel)
-
-    def _break_off(self, request: Message) -> None:
-        """End after an answer that is not whole: in order where its framing shows that, else by a reset."""
-        if request.until_close:
-            reset_at_close(self.channel.sock)
-            self.task.cancel()
-        else:
-            self._hang_up()
-
     async def _last_word(self, fault: BadMessage) -> None:
         """Answer what breaks HTTP once the request before it has its answer, then end in order."""
         if self.taking is not None:            # what is passed on of it can't be finished
             self.taking.stream.break_off()
+        most = LINGER_BYTES
         while self.busy is not None:           # whole requests before it have their answers first
-            await self._unread(asyncio.wait([self.busy]))
+            if most <= 0:
+                await self._unread(asyncio.wait([self.busy]))
+            elif (count := await self.channel.read()) == 0:
+                return
+            else:
+                most -= count or 0
         if self.stage is not Stage.LINGERING:
             self.stage, self.writing = Stage.LAST, True
             async with asyncio.timeout(LINGER):
--- a/mallowbeam/net/http.py
+++ b/mallowbeam/net/http.py
@@ -227,27 +227,31 @@
         if len(self.buffer) > CHUNK:
             self.buffer = memoryview(bytearray(CHUNK))
 
-    async def read(self) -> int:
-        """Bytes read into `buffer`, 0 at the end of the stream; raises OSError.
+    async def read(self) -> int | None:
+        """Wait, then read into `buffer`: the bytes, 0 at the end, None where nothing came; raises OSError.
 
         Guards the step between a read and what is done with it: what is not here yet lies in the socket, and
         `peek` tells of it, up to the very step in which it is returned.
         """
-        while True:
-            if self.drained:
-                self.waiter = self.loop.create_future()
-                if not self.watched:
-                    self.watched = True
-                    self.loop.add_reader(self.sock, self._readable)
-                await self.waiter
-            try:
-                count = self.sock.recv_into(self.buffer)
-            except BlockingIOError:
-                self.drained = True
-                continue
-            self.drained = count < len(self.buffer)
-            self.moved = time.monotonic()
-            return count
+        if self.drained:
+            self.waiter = self.loop.create_future()
+            if not self.watched:
+                self.watched = True
+                self.loop.add_reader(self.sock, self._readable)
+            await self.waiter
+        try:
+            count = self.sock.recv_into(self.buffer)
+        except BlockingIOError:
+            self.drained = True
+            return None
+        self.drained = count < len(self.buffer)
+        self.moved = time.monotonic()
+        return count
+
+    def wake(self) -> None:
+        """Let `read` return at once, with nothing if nothing came."""
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
 
     def _readable(self) -> None:
         """Something lies there: wake who waits for it; if no one does, it is not watched for now."""
--- a/tests/test_clients_gone.py
+++ b/tests/test_clients_gone.py
@@ -9,6 +9,7 @@
 from raw import Raw, arrive, come, request, until
 from scenario import World
 
+from mallowbeam.net import ahead
 from mallowbeam.net import connection as connections
 from mallowbeam.net.connection import PIPELINED
 
@@ -28,10 +29,19 @@
     assert connections.LOOK <= 0.05
 
 
+@pytest.fixture(params=[0, ahead.MOST], ids=["none", "much"])
+def read_ahead(monkeypatch: pytest.MonkeyPatch, request: pytest.FixtureRequest) -> int:
+    """How much is read ahead: past it the client's end has to be looked for."""
+    monkeypatch.setattr(ahead, "MOST", request.param)
+    return request.param
+
+
 @pytest.mark.parametrize("way", WAYS)
 @pytest.mark.parametrize("count", [1, MANY])
-def test_a_client_that_sends_much_at_once_and_goes_is_noticed(way, count):
+def test_a_client_that_sends_much_at_once_and_goes_is_noticed(monkeypatch, read_ahead, way, count):
     """Guards nodes: behind unread requests neither an end nor a reset was seen, and all were sent on."""
+    if read_ahead:
+        monkeypatch.setattr(connections, "gone", lambda sock: False)  # the reader sees it by itself
 
     async def run() -> None:
         async with World() as world:
@@ -49,6 +59,7 @@
 
 def test_a_request_whose_client_has_just_left_is_not_handed_on(monkeypatch):
     """The crossing between two looks: the answer before it comes in the very moment its client leaves."""
+    monkeypatch.setattr(ahead, "MOST", 0)
 
     async def run() -> None:
         async with World() as world:
@@ -105,8 +116,9 @@
     uvloop.run(run())
 
 
-def test_a_client_that_only_waits_stays():
+def test_a_client_that_only_waits_stays(monkeypatch):
     """The look takes no one for gone who is there: all that waits is answered."""
+    monkeypatch.setattr(ahead, "MOST", 0)
 
     async def run() -> None:
         async with World() as world:
@@ -121,3 +133,33 @@
             assert (await client.read()).count(b"HTTP/1.1 200") == 8
 
     uvloop.run(run())
+
+
+def test_what_is_read_ahead_is_answered_in_turn(read_ahead):
+    """Hundreds at once, a body that passes through and one that is held among them, noise at the end."""
+
+    async def run() -> None:
+        async with World() as world:
+            large = ["idempotency-key: k", "content-length: 100000"]
+            small = ["idempotency-key: k", "content-length: 5"]
+            parts = [request(i) for i in range(1, 150)]
+            parts[5:5] = [request(901, *large, method="PUT", cls="new-write") + b"x" * 100_000]
+            parts[40:40] = [request(902, *small, method="PUT", cls="new-write") + b"hello"]
+            client, here = await come(world, b"")
+            data = b"".join(parts) + b"NOISE\r\n\r\n"
+            sending = asyncio.create_task(client.loop.sock_sendall(client.sock, data))
+            for turn in range(len(parts)):
+                method = "PUT" if turn in (5, 40) else "GET"
+                await world.play(f"n0 expect {method}\nn0 send 200 body={turn}.")
+            got = await client.read()
+            await sending
+            answers = [int(part.rpartition(b"\n")[2]) for part in got.split(b".HTTP")[:-1]]
+            assert answers == [*range(len(parts))]
+            assert got.count(b"HTTP/1.1 200") == len(parts) and got.count(b"HTTP/1.1 400") == 1
+            seen = world.parties["n0"].seen
+            assert len(seen[5].body) == 100_000 and seen[40].body == b"hello"
+            client.leave()
+            await until(lambda: here.task.done())
+            assert world.gateway.servers[-1].front.budget.used == 0
+
+    uvloop.run(run())
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -11,7 +11,7 @@
 from raw import Raw, arrive, come, request, until
 from scenario import World
 
-from mallowbeam.net import connection as connections
+from mallowbeam.net import closing
 from mallowbeam.net.closing import Stage, reset_at_close
 from mallowbeam.net.connection import Connection
 from mallowbeam.net.http import Channel
@@ -160,7 +160,7 @@
 
 def test_a_flood_behind_the_last_answer_is_read_within_a_bound_and_then_rests(monkeypatch):
     """Guards both: the core against a client that sends for ever, and the answer against the close."""
-    monkeypatch.setattr(connections, "LINGER", LATER)
+    monkeypatch.setattr(closing, "LINGER", LATER)
 
     async def run() -> None:
         async with World() as world:
@@ -260,7 +260,7 @@
 
 
 def test_a_client_that_never_ends_its_side_is_closed_when_its_time_is_over(monkeypatch):
-    monkeypatch.setattr(connections, "LINGER", 0.05)
+    monkeypatch.setattr(closing, "LINGER", 0.05)
 
     async def run() -> None:
         async with World() as world:
@@ -280,8 +280,8 @@
 
 
 def test_where_room_is_short_a_lingering_connection_is_cut_short(monkeypatch):
-    monkeypatch.setattr(connections, "LINGER", LATER)
-    monkeypatch.setattr(connections, "LINGER_LEAST", 0.0)
+    monkeypatch.setattr(closing, "LINGER", LATER)
+    monkeypatch.setattr(closing, "LINGER_LEAST", 0.0)
 
     async def run() -> None:
         async with World() as world:
@@ -338,3 +338,18 @@
             assert not got.endswith(b"\r\n0\r\n\r\n") and got.count(b"x" * 1000) < 150
 
     uvloop.run(run())
+
+
+def test_an_agent_check_has_its_line_and_an_orderly_end():
+    async def run() -> None:
+        async with World() as world:
+            server = next(s for s in world.gateway.servers if s.address == world.agent)
+            client = Raw(world.agent)
+            client.say(b"check\n" * 100)
+            await until(lambda: server.connections)
+            for here in server.connections:
+                here.leave()
+            assert (await client.read()).startswith(b"up ready")
+            client.leave()
+
+    uvloop.run(run())
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -8,7 +8,7 @@
 import uvloop
 from scenario import World, play
 
-from mallowbeam.net import connection, gateway
+from mallowbeam.net import closing, connection, gateway
 
 PLAIN = ("GET /read/00000000000000aa/0000000000000001 HTTP/1.1\\r\\nhost: x\\r\\nx-class: read\\r\\n"
          "x-storage-class: silver\\r\\nx-deadline-ms: 900\\r\\nx-extent: units=1,shard=0,hosts=1\\r\\n"
@@ -157,7 +157,7 @@
 @pytest.mark.parametrize("front", ["c", "o"])
 def test_what_follows_a_request_that_is_too_large_is_read_for_a_while_only(monkeypatch, front):
     """Guards the core: a client that sends 60 MB at full speed was read for as long as it went on."""
-    monkeypatch.setattr(connection, "LINGER", 60.0)
+    monkeypatch.setattr(closing, "LINGER", 60.0)
 
     async def run() -> None:
         async with World() as world:
