--- a/mallowbeam/net/health.py
+++ b/mallowbeam/net/health.py
@@ -74,7 +74,7 @@
 class AgentConnection:
     """One agent check: the line is written, then the connection ends."""
 
-    spare = closing = leaving = answered = False
+    idle = spare = closing = leaving = answered = False
     pending = 0
     busy, since = None, 0.0
 
--- a/mallowbeam/net/http.py
+++ b/mallowbeam/net/http.py
@@ -200,7 +200,6 @@
         self.loop = asyncio.get_running_loop()
         self.buffer = memoryview(bytearray(CHUNK))
         self.moved = time.monotonic()          # when bytes last went in or out
-        self.drained = False                   # the last `read` took all that was there
         self.watched = False                   # the loop tells when there is more,
         self.waiter: asyncio.Future[None] | None = None  # and who waits for that
 
@@ -233,18 +232,15 @@
         Guards the step between a read and what is done with it: what is not here yet lies in the socket, and
         `peek` tells of it, up to the very step in which it is returned.
         """
-        if self.drained:
-            self.waiter = self.loop.create_future()
-            if not self.watched:
-                self.watched = True
-                self.loop.add_reader(self.sock, self._readable)
-            await self.waiter
+        self.waiter = self.loop.create_future()
+        if not self.watched:
+            self.watched = True
+            self.loop.add_reader(self.sock, self._readable)
+        await self.waiter                      # also where there is more: others have their turn first
         try:
             count = self.sock.recv_into(self.buffer)
         except BlockingIOError:
-            self.drained = True
             return None
-        self.drained = count < len(self.buffer)
         self.moved = time.monotonic()
         return count
 
