--- a/mallowbeam/net/health.py
+++ b/mallowbeam/net/health.py
@@ -74,7 +74,7 @@
 class AgentConnection:
     """One agent check: the line is written, then the connection ends."""
 
-    spare = closing = leaving = answered = False
+    idle = spare = closing = leaving = answered = False
     pending = 0
     busy, since = None, 0.0
 
@@ -99,3 +99,6 @@
 
     def sweep(self, now: float) -> None:
         """Nothing to do: a check ends by itself."""
+
+    def leave(self) -> None:
+        """Nothing to do: its end has begun, and has its time."""
--- a/mallowbeam/net/http.py
+++ b/mallowbeam/net/http.py
@@ -52,7 +52,7 @@
         self.body, self.length = bytearray(), None  # what is held of it, and the length stated
         self.came, self.stream = 0, None       # bytes of it so far; where it goes, if not held whole
         self.keep_alive, self.whole, self.version = True, False, "1.1"
-        self.until_close = False               # its end is the end of the connection
+        self.until_close = False               # its end (a request's: its answer's) is the connection's
 
     def get(self, name: bytes) -> bytes | None:
         """The first header of that name."""
@@ -144,6 +144,8 @@
         if sum(len(name) + len(value) for name, value in part.headers) + len(part.target) > MAX_HEAD:
             self._fail(431, "header too large")
         length = part.get(b"content-length")
+        if length is not None and not length.isdigit():
+            self._fail(400, "content-length is no number")
         part.length = None if length is None else int(length)
         # Answers are bounded by what is kept of them: a streamed one may be of any length.
         if part.length is not None and part.length > self.max_body and not self.answers:
@@ -199,6 +201,8 @@
         self.buffer = memoryview(bytearray(CHUNK))
         self.moved = time.monotonic()          # when bytes last went in or out
         self.unsent = 0                        # bytes of the last write that the kernel has not taken yet
+        self.watched = False                   # the loop tells when there is more,
+        self.waiter: asyncio.Future[None] | None = None  # and who waits for that
 
     async def receive(self) -> bool:
         """Read once and take it in; False at the end of the stream."""
@@ -244,18 +248,58 @@
         if len(self.buffer) > CHUNK:
             self.buffer = memoryview(bytearray(CHUNK))
 
-    def stale(self) -> bool:
-        """Whether the other side has closed this idle connection or said something unasked."""
+    async def read(self) -> int | None:
+        """Wait, then read into `buffer`: the bytes, 0 at the end, None where nothing came; raises OSError.
+
+        Guards the step between a read and what is done with it: what is not here yet lies in the socket, and
+        `peek` tells of it, up to the very step in which it is returned.
+        """
+        self.waiter = self.loop.create_future()
+        if not self.watched:
+            self.watched = True
+            self.loop.add_reader(self.sock, self._readable)
+        await self.waiter                      # also where there is more: others have their turn first
         try:
-            self.sock.recv(1, socket.MSG_PEEK)
+            count = self.sock.recv_into(self.buffer)
         except BlockingIOError:
-            return False
+            return None
+        self.moved = time.monotonic()
+        return count
+
+    def wake(self) -> None:
+        """Let `read` return at once, with nothing if nothing came."""
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
+
+    def _readable(self) -> None:
+        """Something lies there: wake who waits for it; if no one does, it is not watched for now."""
+        waiter, self.waiter = self.waiter, None
+        if waiter is None or waiter.done():
+            self._unwatch()
+        else:
+            waiter.set_result(None)
+
+    def _unwatch(self) -> None:
+        if self.watched:
+            self.watched = False
+            self.loop.remove_reader(self.sock)
+
+    def peek(self) -> bool | None:
+        """What lies unread: True for bytes, False for the other side's end or its reset, None for nothing."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except BlockingIOError:
+            return None
         except OSError:
-            return True
-        return True
+            return False
+
+    def stale(self) -> bool:
+        """Whether the other side has closed this idle connection or said something unasked."""
+        return self.peek() is not None
 
     def close(self) -> None:
         """Close the socket; no call may be waiting on it."""
+        self._unwatch()
         self.sock.close()
 
 
@@ -271,6 +315,16 @@
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
+def in_chunks(request: Message, length: int | None) -> bool:
+    """Whether the body of the answer to a request goes out in chunks: if no length is known before its end.
+
+    A client of HTTP/1.0 knows none; the end of the connection tells it that of the body, and only that.
+    """
+    if length is None and request.version == "1.0":
+        request.until_close, request.keep_alive = True, False
+    return length is None and not request.until_close
+
+
 def write_head(status: int, headers: Headers, length: int | None, close: bool,
                chunked: bool = True) -> bytes:
     """An answer's start line and headers; a body without a length comes in chunks, or ends with the close."""
