Listeners: the accept queue is taken in at the end, and no accepted socket is lost

Lines at fault: server.py, `_accept` (await of `sock_accept`) and `shut`; gateway.py, `run`, which never drained the operators' door.

Mend: the acceptor waits for readability only; accept and connection are one step, 16 at most in a row. `shut` takes in the queue and closes the listener in the step in which accept(2) found it empty: what is left is the time between two system calls. Waiting for room there has a bound (`within`). In an upgrade the queue stays with the listener, which is the new process's. `drain` ends connections by `leave()` alone, over a copy of the set, not those that have had their last answer, and not over a request that lies unread. A new client's first request has up to the time at which all must be answered, not a second whatever the deadlines are. SIGTERM during an upgrade bounds what comes like any other. ECONNABORTED and its like no longer pause the listener for 50 ms.

Ruled out: a reset of the queue by `shutdown(SHUT_RD)` or `listen(0)` instead, as on Linux the first resets the queue itself and the second still admits one (both run here).

--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -20,6 +20,7 @@
 from mallowbeam.net.beside import Beside
 from mallowbeam.net.calls import MARGIN, Answer, Call, Exchange, Kind, Part, Phase
 from mallowbeam.net.config import BadConfig, Config, read_again
+from mallowbeam.net.connection import LINGER
 from mallowbeam.net.discovery import Listing, Watch, write_listing
 from mallowbeam.net.handover import Handover, Legacy, Sister
 from mallowbeam.net.http import Budget
@@ -102,8 +103,10 @@
             handover.task.cancel()
         await (self._hand_over() if self.handed_over.is_set() else self._lame_duck())
         self._enter(Phase.DRAINING)
-        await asyncio.gather(*(server.drain() for server in servers))
+        await asyncio.gather(*(server.drain(self._rest()) for server in servers))
         faults = await self._each(part.stop() for part in self.parts)
+        if admin is not None:                  # the operators' calls have their answers too
+            await admin.drain(self._rest())
         sweeper.cancel()
         self._enter(Phase.STOPPED)
         if faults:                             # the program's end tells of it too
@@ -134,17 +137,24 @@
 
         Guards the one final answer: what still comes in has only the time that is left before the end.
         """
+        self._leave()
+        await asyncio.sleep(max(LAME_DUCK, self.leave_at - self.now() - LEAVE))
+
+    def _leave(self) -> None:
+        """SIGTERM has come: from now on what comes has only the time that is left before the end."""
         longest = max(cls.deadline for cls in self.config.settings.classes.values())
-        stay = min(STAY, longest + LAME_DUCK)
-        self.leave_at = self.now() + stay
-        await asyncio.sleep(max(LAME_DUCK, stay - LEAVE))
+        self.leave_at = self.now() + min(STAY, longest + LAME_DUCK)
+
+    def _rest(self) -> float:
+        """Seconds that a client still has to finish what it has begun to send."""
+        return max(0.0, min(LINGER, self.leave_at - self.now()))
 
     async def _hand_over(self) -> None:
         """Let the new process take what comes, until nothing is left here or SIGTERM has come."""
         for server in self.servers:
             server.last_answers()
         for server in self.servers:
-            await server.shut()
+            await server.shut()                # its accept queue is the new process's
         await self._each(part.hand_over() for part in self.parts)
         self.watch.pause()                     # what the new one hears it tells
         if self.sister is None:                # gone in this very moment
@@ -155,6 +165,7 @@
                 async with asyncio.timeout(LAME_DUCK / 5):
                     await self.stopping.wait()
         if self.stopping.is_set():             # idle connections have a moment for their next request
+            self._leave()
             await asyncio.sleep(LAME_DUCK)
 
     def _await_next(self) -> Handover | None:
--- a/mallowbeam/net/server.py
+++ b/mallowbeam/net/server.py
@@ -1,14 +1,19 @@
 """The clients' side: a listening socket, how many connections it holds, and which of them make room.
 
-Each connection is a task of its own (`net/connection.py`) that calls the front behind this server.
+Each connection is a task of its own (`net/connection.py`) that calls the front behind this server.  What the
+kernel has taken for the listener lies in its accept queue and is owed an answer like any other: it is taken
+from there and becomes a connection in one step, so that a cancel between the two loses none, and the listener
+is closed in the step in which its queue was found empty.
 """
 
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 import time
 from collections.abc import Iterable
+from contextlib import suppress
 
 from loguru import logger
 
@@ -20,7 +25,11 @@
 
 BACKLOG = 512
 SPARE = 8                   # one in so many connections is kept for refusing those beyond the others
+AT_ONCE = 16                # connections accepted in one step of the loop, at most
 NO_DESCRIPTORS = 0.05       # seconds without accepting after descriptors ran out
+# What accept(2) says of the one connection that it was about to hand over, not of the listener.
+GONE = frozenset((errno.ECONNABORTED, errno.EPROTO, errno.EPERM, errno.ENETDOWN, errno.ENOPROTOOPT,
+                  errno.EHOSTDOWN, errno.ENONET, errno.EHOSTUNREACH, errno.EOPNOTSUPP, errno.ENETUNREACH))
 
 
 class Server:
@@ -35,7 +44,7 @@
         self.sock = handed or bound(address, shared)
         self.address = self.sock.getsockname()
         self.connections: set[Connection] = set()
-        self.crowded = Sparse("all connections are busy")
+        self.crowded, self.cannot_accept = Sparse("all connections are busy"), Sparse("cannot accept")
         self.acceptor: asyncio.Task | None = None
 
     @property
@@ -59,30 +68,49 @@
         self.acceptor = asyncio.create_task(self._accept())
 
     async def _accept(self) -> None:
-        loop, cannot_accept = asyncio.get_running_loop(), Sparse("cannot accept")
         while True:
+            await self._knocked()
+            await self._take_in()
+
+    async def _knocked(self) -> None:
+        """Wait until there is something in the accept queue; it stays there, so a cancel loses nothing."""
+        loop, knocked = asyncio.get_running_loop(), asyncio.Event()
+        loop.add_reader(self.sock, knocked.set)
+        try:
+            await knocked.wait()
+        finally:
+            loop.remove_reader(self.sock)
+
+    async def _take_in(self) -> bool:
+        """Take in what lies in the accept queue, up to AT_ONCE of it; whether it was found empty at the end.
+
+        Guards against an accepted socket without an owner: nothing is awaited before it is a connection.
+        """
+        for _ in range(AT_ONCE):
             try:
-                sock, _ = await loop.sock_accept(self.sock)
-                try:
-                    over = not self._make_room()
-                    if over:
-                        self.crowded(f"{len(self.connections)} of {self.most}")
-                    self.connections.add(self.connection(self, sock, over))
-                except BaseException:
-                    sock.close()
-                    raise
-                while len(self.connections) > self.most:
-                    # Guards those that wait to be accepted: what has had its last answer goes first.
-                    self._let_go(self.connections)
-                    await asyncio.wait([c.task for c in self.connections],
-                                       return_when=asyncio.FIRST_COMPLETED)
+                sock, _ = self.sock.accept()
+            except BlockingIOError:
+                return True
             except OSError as error:
-                # Guards against descriptors running out: those held go on, new clients wait in the backlog.
-                cannot_accept(error)
-                await asyncio.sleep(NO_DESCRIPTORS)
+                if error.errno not in GONE:
+                    self.cannot_accept(error)
+                    # Guards against descriptors running out: those held go on, new clients wait in the queue.
+                    await asyncio.sleep(NO_DESCRIPTORS)
+                continue
+            try:
+                over = not self._make_room()
+                if over:
+                    self.crowded(f"{len(self.connections)} of {self.most}")
+                self.connections.add(self.connection(self, sock, over))
             except Exception as error:
                 # Guards the listener: a fault with one connection must not leave all later ones unheard.
+                sock.close()
                 logger.opt(exception=error).error("a connection failed unforeseen")
+            while len(self.connections) > self.most:
+                # Guards those that wait to be accepted: what has had its last answer goes first.
+                self._let_go(self.connections)
+                await asyncio.wait([c.task for c in self.connections], return_when=asyncio.FIRST_COMPLETED)
+        return False
 
     def _make_room(self) -> bool:
         """Whether there is room for one more request, if need be that of a connection which may be closed."""
@@ -112,31 +140,52 @@
             except Exception as error:
                 # Guards the others: a fault with one must not end the look at all of them.
                 logger.opt(exception=error).error("a connection failed unforeseen")
-                connection.task.cancel()
+                connection.leave()
 
     def last_answers(self) -> None:
         """From now on every answer closes its connection."""
         self.closing = True
 
-    async def shut(self) -> None:
-        """Take no new connection."""
+    async def shut(self, within: float | None = None) -> None:
+        """Take no new connection.
+
+        What lies in the accept queue is taken in first, for at most `within` seconds where there is no room
+        for it at once; with None it stays there, for the next process that has this listener.
+        """
         self.acceptor.cancel()
         await asyncio.gather(self.acceptor, return_exceptions=True)
-        self.sock.close()
-
-    async def drain(self) -> None:
-        """Take no new connection, let go of idle ones, and wait for what is held."""
+        if self.sock.fileno() < 0:             # shut before
+            return
+        if within is not None:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(within):  # strikes where there is no room, and nowhere else
+                    while not await self._take_in():
+                        pass
+        self.sock.close()                      # in the step in which the queue was found empty
+
+    async def drain(self, within: float = LINGER) -> None:
+        """Take no new connection, let go of idle ones, and wait for what is held.
+
+        A request that has not come in whole was never taken; its client has `within` seconds to finish it.
+        """
         self.last_answers()
-        await self.shut()
-        began = time.monotonic()
+        end = time.monotonic() + within
+        await self.shut(within)
         while self.connections:
-            for connection in self.connections:
-                # A request that has not come in whole was never taken; its client has a moment to finish it.
-                if connection.spare or connection.busy is None and time.monotonic() - began > LINGER:
-                    connection.task.cancel()
+            for connection in list(self.connections):
+                if connection.closing:         # it has had its last answer, and a moment to read it
+                    continue
+                if connection.spare or time.monotonic() > end and self._nothing_taken(connection):
+                    connection.leave()
             await asyncio.wait([c.task for c in self.connections], timeout=LINGER / 10,
                                return_when=asyncio.FIRST_COMPLETED)
 
+    @staticmethod
+    def _nothing_taken(connection: Connection) -> bool:
+        """Whether no request is held there, nor lies unread in the socket; an agent check ends by itself."""
+        return (isinstance(connection, Connection) and connection.busy is None
+                and not connection.channel.stale())
+
 
 def bound(address: tuple[str, int], shared: bool) -> socket.socket:
     """A socket bound to an address, shared or not with another process of this gateway."""
--- a/tests/test_phases.py
+++ b/tests/test_phases.py
@@ -3,12 +3,39 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import re
+import socket
 
 import uvloop
-from scenario import World, play
+from scenario import EXAMPLE, PATIENCE, World, play
 
+from mallowbeam.net import config as configs
 from mallowbeam.net import gateway
+from mallowbeam.net.calls import Phase
+from mallowbeam.net.gateway import Gateway
+from mallowbeam.program import open_servers
+
+HEALTHZ = b"GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n"
+
+
+def knock(address: tuple[str, int], data: bytes) -> socket.socket:
+    """A connection with its request, made without a step of the loop: it lies in the accept queue."""
+    sock = socket.create_connection(address, timeout=PATIENCE)
+    sock.sendall(data)
+    return sock
+
+
+def at(monkeypatch, phase: Phase, hook) -> None:
+    """Call a hook in the very step in which a gateway enters a phase."""
+    enter = Gateway._enter
+
+    def entered(self: Gateway, to: Phase) -> None:
+        enter(self, to)
+        if to is phase:
+            hook()
+
+    monkeypatch.setattr(Gateway, "_enter", entered)
 
 
 def test_told_to_stop_it_serves_on_for_clients_that_keep_their_connection():
@@ -72,6 +99,97 @@
     """)
 
 
+def test_what_comes_as_the_doors_are_shut_is_answered(monkeypatch):
+    """The crossing: they lie in the accept queues of both doors in the step in which draining begins."""
+    monkeypatch.setattr(gateway, "STAY", 0.0)
+    monkeypatch.setattr(gateway, "LAME_DUCK", 0.02)
+
+    async def run() -> None:
+        async with World() as world:
+            socks: list[socket.socket] = []
+            at(monkeypatch, Phase.DRAINING, lambda: socks.extend(
+                knock(address, HEALTHZ) for address in [world.platform] * 20 + [world.objects] * 5))
+            await world.play("g close\ng expect end")
+            assert len(socks) == 25
+            for sock in socks:                 # all is out by the gateway's end
+                sock.setblocking(False)
+                with sock:
+                    assert re.match(rb"HTTP/1.1 [45]", sock.recv(4096))
+
+    uvloop.run(run())
+
+
+def test_an_operators_call_in_the_last_moment_is_answered(monkeypatch):
+    """The crossing: it lies in the door's accept queue as the last part has stopped."""
+    monkeypatch.setattr(gateway, "STAY", 0.0)
+    monkeypatch.setattr(gateway, "LAME_DUCK", 0.02)
+
+    class Last:
+        async def stop(self) -> None:
+            calls.append(knock(world.admin, b"GET /_ready HTTP/1.1\r\nhost: x\r\n\r\n"))
+
+    calls: list[socket.socket] = []
+    world = World()
+
+    async def run() -> None:
+        async with world:
+            world.gateway.parts.append(Last())
+            await world.play("g close\ng expect end")
+            calls[0].setblocking(False)
+            with calls[0]:
+                assert calls[0].recv(4096).endswith(b"draining\n")
+
+    uvloop.run(run())
+
+
+def test_a_client_that_connects_and_sends_nothing_finds_an_end(monkeypatch):
+    monkeypatch.setattr(gateway, "STAY", 0.6)
+    play("""
+        c1 send raw ''
+        g close
+        c1 expect end
+        g expect end
+    """)
+
+
+def test_told_to_stop_before_it_is_ready_and_again_it_never_is_and_ends(monkeypatch):
+    """The crossing: SIGTERM, twice, before the first listener; who comes is told to go elsewhere."""
+    monkeypatch.setattr(gateway, "STAY", 0.0)
+
+    async def run() -> None:
+        world = World()
+        config = configs.decode(await world.configuration(), {})
+        here = Gateway(config)
+        servers = open_servers(here, json.loads((EXAMPLE / "fronts.json").read_text()) | {"objects": {}})
+        here.stop()
+        here.stop()
+        socks: list[socket.socket] = []
+        at(monkeypatch, Phase.SERVING, lambda: socks.append(knock(servers[-1].address, HEALTHZ)))
+        async with asyncio.timeout(PATIENCE):
+            await here.run(servers)
+        with socks[0] as sock:
+            assert sock.recv(4096).startswith(b"HTTP/1.1 503")
+        for party in world.parties.values():
+            party.server.close()
+
+    uvloop.run(run())
+
+
+def test_told_to_stop_again_while_it_leaves_changes_nothing(monkeypatch):
+    monkeypatch.setattr(gateway, "STAY", 0.6)
+    play("""
+        c1 send read
+        n0 expect GET
+        g close
+        wait 0.01
+        g close
+        n0 send 200 body=held
+        c1 expect 200 held
+        g close
+        g expect end
+    """)
+
+
 def test_health_pages_and_the_agent_line_tell_the_true_state():
     gone = '{"revision":2,"complete":true,"members":[]}'
     play(f"""
