Descriptors: the lower of the configured and the machine's limit counts

Where the machine allows fewer (`ulimit -n`), idle clients took what was meant for nodes and for discovery: with 100 descriptors and 1024 configured, 71 and more were held by clients and the program, and accepting ran into EMFILE. Lines at fault: config.py, `decode` (sockets), and the 24 of the program's own, in which each further front's listener and its one connection over were not counted (by the count 26 with all four listeners on and a move of discovery during an upgrade).

Mend: `read_config` hands the soft RLIMIT_NOFILE in, the lower of both is dealt out, with one warning line; it is not raised, and never goes under LEAST_SOCKETS. Each further front takes FRONT_SOCKETS from the clients' part.

Ruled out: that within the configured limit clients can take discovery's, a node's or a listener's descriptor: counted at rest and in a crowd (tests/test_descriptors.py passes there on the old code too).

The count for fronts has no test that fails without it.

--- a/mallowbeam/net/config.py
+++ b/mallowbeam/net/config.py
@@ -3,17 +3,24 @@
 from __future__ import annotations
 
 import json
+import resource
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
+from loguru import logger
+
 from mallowbeam import interface as io
 from mallowbeam.errors import MallowbeamError
 from mallowbeam.net.discovery import Listing, read_listing
 from mallowbeam.settings import flatten, opt, read_settings
 
-# Guards against a crash over the limit on sockets: the program itself holds some 16 descriptors, each further
-# front two, and each listener may hold one more than its share while it lets another go.
+# Descriptors that are never given to clients or nodes.  Guards against a crash over the limit on sockets, and
+# against clients that fill them: discovery's call and each listener's accept always find one.  Counted at
+# rest: 3 of stdio, 9 of the loop and its signals, the listener, the place to meet the next process, and
+# discovery's call.  For a moment more: the call that a move of discovery replaces, the other process, a file
+# that is read, the connection that makes another one go.  The rest is in hand.
 OWN_SOCKETS = 24
+FRONT_SOCKETS = 2           # each further front: its listener, and the connection that makes another one go
 ADMIN_SOCKETS = 16          # connections at the operators' door, where there is one
 NODE_SHARE = 0.4            # of the rest: connections to nodes; the others are for clients
 LEAST_SOCKETS = 64
@@ -70,20 +77,29 @@
         raise BadConfig("BALANCER_CONFIG is not set")
     raw = read_file(path)
     try:
-        return decode(raw, env)
+        return decode(raw, env, descriptors())
     except KeyError as error:
         raise BadConfig(f"{path} lacks {error}, or has an unknown word there") from None
     except (ValueError, TypeError, AttributeError, OverflowError, RecursionError) as error:
         raise BadConfig(f"{path} is malformed: {error}") from None
 
 
+def descriptors() -> int | None:
+    """How many descriptors this process may open, None if there is no limit; it is gone by, never raised."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return None if soft == resource.RLIM_INFINITY else soft
+
+
 def read_again(env: Mapping[str, str]) -> Config:
     """The configuration at a reload: discovery's address in the file goes before the environment's of old."""
     return read_config({name: value for name, value in env.items() if name != "BALANCER_DISCOVERY"})
 
 
-def decode(raw: dict, env: Mapping[str, str]) -> Config:
-    """The configuration's few values; the environment goes before the file."""
+def decode(raw: dict, env: Mapping[str, str], most: int | None = None) -> Config:
+    """The configuration's few values; the environment goes before the file.
+
+    `most` is how many descriptors the machine allows: the lower of the two limits counts.
+    """
     flat = flatten(raw["settings"])
 
     def seconds(path: str) -> float | None:
@@ -97,6 +113,9 @@
     sockets = int(raw.get("limits", {}).get("sockets", 1024))
     if sockets < LEAST_SOCKETS:
         raise ValueError(f"fewer than {LEAST_SOCKETS} sockets")
+    if most is not None and most < sockets:
+        logger.warning("limits.sockets is {}, but this process may open only {} descriptors", sockets, most)
+        sockets = max(LEAST_SOCKETS, most)
     memory = int(raw.get("limits", {}).get("memory_mb", 192)) * 1024 * 1024
     if memory <= 0:
         raise ValueError("no memory")
--- a/mallowbeam/program.py
+++ b/mallowbeam/program.py
@@ -13,7 +13,7 @@
 
 from mallowbeam.fronts.platform import Platform
 from mallowbeam.net.admin import open_admin
-from mallowbeam.net.config import BadConfig, Config, read_address, read_config, read_file
+from mallowbeam.net.config import FRONT_SOCKETS, BadConfig, Config, read_address, read_config, read_file
 from mallowbeam.net.connection import Connection
 from mallowbeam.net.gateway import Gateway
 from mallowbeam.net.handover import Legacy, take_over
@@ -41,16 +41,16 @@
             objects = read_object_settings(fronts["objects"], gateway)
         if fronts.get("policy", {}).get("folder") is not None:
             servers.append(open_fleet(gateway, fronts))
-            room -= WATCHER_CONNECTIONS
+            room -= WATCHER_CONNECTIONS + FRONT_SOCKETS
         for name, front, connection in (("health", Health(gateway), Connection),
                                         ("agent_check", gateway, AgentConnection)):
             if listen := fronts.get(name, {}).get("listen"):
                 servers.append(Server(read_address(listen), front, WATCHER_CONNECTIONS, connection, name,
                                       handed.pop(name, None)))
-                room -= WATCHER_CONNECTIONS
+                room -= WATCHER_CONNECTIONS + FRONT_SOCKETS
         if objects:
             gateway.pool.max_body = max(gateway.pool.max_body, objects.max_body)
-            room //= 2
+            room = (room - FRONT_SOCKETS) // 2
             buffered = fronts.get("buffer", {}).get("folder") is not None
             front = open_buffered(gateway, fronts, legacy) if buffered else Objects(gateway, objects)
             servers.append(Server(objects.listen, front, room, name="objects",
