Start: a SIGHUP before the gateway listens for it neither ends the program nor is lost

Seen: while the program is loaded (most of a start) SIGHUP had its default action and ended it, status -1; after that it was ignored, so that one which came while the configuration was read left the gateway at the old address of discovery for good. Lines at fault: __main__.py, the import of the program before anything else, and program.py, `SIG_IGN` in `run`.

Mend: a file of its own sets a handler before the imports and keeps what comes; the gateway reloads once it serves. What is left is the interpreter's own start and the package's `__init__`.

Tests, all on processes with the crossing forced (a hook on the import; a configuration that is a FIFO): SIGHUP while loading and while the file is read, both seen failing on the old code. SIGTERM there ends it at once, with nothing taken (passed before too). Changed: test_a_start_loads_only_what_is_on now imports the program too, which __main__ no longer does at once; what it asks is the same.

--- a/mallowbeam/__main__.py
+++ b/mallowbeam/__main__.py
@@ -4,7 +4,7 @@
 
 import sys
 
-from mallowbeam.program import run
+from mallowbeam.hangups import hold_hangups
 
 
 def main() -> int:
@@ -12,7 +12,9 @@
     if len(sys.argv) > 1:
         from mallowbeam.cli.app import app
         app()
-    return run()
+    hangups = hold_hangups()                   # before the imports, the longest part of a start
+    from mallowbeam.program import run
+    return run(hangups=hangups)
 
 
 if __name__ == "__main__":
--- a/mallowbeam/program.py
+++ b/mallowbeam/program.py
@@ -6,12 +6,14 @@
 import os
 import signal
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 
 import uvloop
 from loguru import logger
 
 from mallowbeam.fronts.platform import Platform
+from mallowbeam.hangups import hold_hangups
 from mallowbeam.net.admin import open_admin
 from mallowbeam.net.config import FRONT_SOCKETS, BadConfig, Config, read_address, read_config, read_file
 from mallowbeam.net.connection import Connection
@@ -93,8 +95,8 @@
                or section.get("folder") is not None or section.get("on") for section in fronts.values())
 
 
-async def serve(config: Config, fronts: dict) -> None:
-    """Run a gateway with its fronts until it is told to stop."""
+async def serve(config: Config, fronts: dict, hangups: Sequence[int] = ()) -> None:
+    """Run a gateway with its fronts until it is told to stop; `hangups` came before it listened for them."""
     legacy = take_over(config)
     gateway = Gateway(legacy.config(config) if legacy else config)
     asyncio.get_running_loop().set_exception_handler(lambda _, context: logger.opt(
@@ -102,6 +104,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, gateway.stop)
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, gateway.reload, os.environ)
+    if hangups:                                # its turn comes once the gateway serves
+        asyncio.get_running_loop().call_soon(gateway.reload, os.environ)
     try:
         admin, servers = open_admin(gateway), open_servers(gateway, fronts, legacy)
     except OSError as error:
@@ -109,9 +113,12 @@
     await gateway.run(servers, admin, legacy, meet=True)
 
 
-def run(log_format: str = "text") -> int:
-    """Run the gateway; 0 after a planned stop, 2 where the configuration can't be used."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the gateway listens for it
+def run(log_format: str = "text", hangups: Sequence[int] | None = None) -> int:
+    """Run the gateway; 0 after a planned stop, 2 where the configuration can't be used.
+
+    `hangups` are the SIGHUPs kept since before this file was loaded, where they were.
+    """
+    hangups = hold_hangups() if hangups is None else hangups
     logger.remove()
     if log_format == "json":                   # one object a line, with the fields that a line was given
         logger.add(sys.stderr, serialize=True, level="INFO", backtrace=False, diagnose=False)
@@ -122,7 +129,7 @@
         if any_on(fronts):
             from mallowbeam.operators import check
             check(fronts)
-        uvloop.run(serve(read_config(os.environ), fronts))
+        uvloop.run(serve(read_config(os.environ), fronts, hangups))
     except BadConfig as error:
         print(f"mallowbeam: {error.line}", file=sys.stderr)
         return 2
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -12,7 +12,7 @@
 import threading
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from pathlib import Path
 
 import pytest
@@ -91,7 +91,8 @@
 
 def test_a_start_loads_only_what_is_on():
     """Guards the return of many at once: each second without a gateway loses its requests."""
-    run = subprocess.run([sys.executable, "-c", "import sys, mallowbeam.__main__; print(*sys.modules)"],
+    run = subprocess.run([sys.executable, "-c",
+                          "import sys, mallowbeam.__main__, mallowbeam.program; print(*sys.modules)"],
                          capture_output=True, text=True, check=True)
     assert not {"mallowbeam.fronts.objects", "xml.sax", "urllib.request"} & set(run.stdout.split())
 
@@ -173,6 +174,63 @@
                 assert process.wait(PATIENCE) == 0
 
 
+@contextmanager
+def starting(tmp_path: Path, raw: dict) -> Iterator:
+    """The program, held in the middle of its start: it waits for its file until the last is called."""
+    path = tmp_path / "config.json"
+    os.mkfifo(path)
+    process = subprocess.Popen([sys.executable, "-m", "mallowbeam"], stderr=subprocess.PIPE, text=True,
+                               env={**os.environ, "BALANCER_CONFIG": str(path)})
+    watchdog = threading.Timer(PATIENCE, process.kill)
+    watchdog.start()
+    file = open(path, "w")                     # it has come so far
+    try:
+        yield process, path, lambda: (file.write(json.dumps(raw)), file.close())
+    finally:
+        watchdog.cancel()
+        process.kill()
+        process.communicate()
+
+
+def test_a_sighup_in_the_middle_of_the_start_is_not_lost(tmp_path):
+    """The crossing: the file that says where discovery is now replaces one that is being read."""
+    old, new = socket.create_server(("127.0.0.1", 0)), socket.create_server(("127.0.0.1", 0))
+    raws = [json.loads((EXAMPLE / "config.json").read_text()) | {
+                "listen": f"127.0.0.1:{free_port()}", "discovery": "{}:{}".format(*sock.getsockname())}
+            for sock in (old, new)]
+    with old, new, starting(tmp_path, raws[0]) as (process, path, go_on):
+        (tmp_path / "new").write_text(json.dumps(raws[1]))
+        (tmp_path / "new").rename(path)
+        process.send_signal(signal.SIGHUP)
+        go_on()
+        new.settimeout(PATIENCE)
+        with new.accept()[0] as moved:
+            assert moved.recv(4096).startswith(b"GET /v1/servers")
+
+
+def test_a_sighup_while_the_program_is_loaded_does_not_end_it():
+    """The crossing: it comes with the first import of the gateway's own files."""
+    code = ("import os, runpy, signal, sys\n"
+            "class Crossing:\n"
+            "    def find_spec(name, *_):\n"
+            "        if name == 'mallowbeam.program': os.kill(os.getpid(), signal.SIGHUP)\n"
+            "sys.meta_path.insert(0, Crossing)\n"
+            "runpy.run_module('mallowbeam', run_name='__main__')\n")
+    env = {name: value for name, value in os.environ.items() if not name.startswith("BALANCER")}
+    run = subprocess.run([sys.executable, "-c", code], env=env, capture_output=True, text=True, check=False)
+    assert run.returncode == 2 and "BALANCER_CONFIG is not set" in run.stderr
+
+
+def test_a_sigterm_in_the_middle_of_the_start_ends_it_at_once(tmp_path):
+    """Nothing was taken, and nothing is owed: it never listens."""
+    raw = json.loads((EXAMPLE / "config.json").read_text()) | {"listen": f"127.0.0.1:{free_port()}"}
+    with starting(tmp_path, raw) as (process, _, go_on):
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(PATIENCE) == -signal.SIGTERM
+        with suppress(BrokenPipeError):
+            go_on()
+
+
 def test_at_a_reload_the_file_names_discovery_before_the_environment(tmp_path):
     raw = json.loads((EXAMPLE / "config.json").read_text()) | {"discovery": "127.0.0.1:2"}
     (tmp_path / "config.json").write_text(json.dumps(raw))
