--- a/mallowbeam/cli/lab.py
+++ b/mallowbeam/cli/lab.py
@@ -54,6 +54,17 @@
     rows(results, as_json)
 
 
+@app.command()
+def starts(
+    count: Annotated[int, typer.Option(help="gateways started at once")] = 40,
+    hosts: Annotated[int, typer.Option(help="storage nodes in each one's list")] = 200,
+    as_json: AsJson = False,
+) -> None:
+    """From exec to ready, many at once, while discovery turns every caller away; the slowest last."""
+    from mallowbeam.lab import starts as trial
+    rows(trial.run(count, hosts), as_json)
+
+
 @app.command()
 def faults(
     runs: Annotated[int, typer.Option(help="trials, a seed each")] = 200,
