--- a/tests/test_accepting.py
+++ b/tests/test_accepting.py
@@ -26,10 +26,11 @@
     max_body, whole, budget = 0, 0, None
 
     def __init__(self) -> None:
-        self.held = asyncio.Event()
+        self.held, self.count = asyncio.Event(), 0
         self.held.set()
 
     async def handle(self, request: Message, closing: Callable[[], bool]) -> Reply:
+        self.count += 1
         await self.held.wait()
         return plain(200, "here", closing())
 
@@ -174,6 +175,27 @@
     scene(play)
 
 
+def test_a_queue_that_is_handed_over_is_answered_once_by_either():
+    """The crossing: the old process shuts in the instant of its accept, and the new one has the rest."""
+
+    async def play(server: Server) -> None:
+        new, shuts = Server(server.address, Pages(), 64, handed=server.sock.dup()), []
+        server.sock.after = lambda: shuts or shuts.append(asyncio.ensure_future(server.shut()))
+        server.start()
+        socks = [knock(server) for _ in range(40)]
+        while server.sock.fileno() >= 0:
+            await asyncio.sleep(0)
+        new.start()
+        got = asyncio.create_task(answers(socks))
+        while new.front.count + server.front.count < 40:
+            await asyncio.sleep(0)
+        await asyncio.gather(server.drain(), new.drain())
+        assert await got == [b"HTTP/1.1 200"] * 40
+        assert server.front.count and new.front.count and server.front.count + new.front.count == 40
+
+    scene(play)
+
+
 def test_a_connection_opened_in_the_step_of_the_last_answers_gets_one_and_a_close():
     async def play(server: Server) -> None:
         server.start()
