--- a/mallowbeam/net/server.py
+++ b/mallowbeam/net/server.py
@@ -102,6 +102,8 @@
                 if over:
                     self.crowded(f"{len(self.connections)} of {self.most}")
                 self.connections.add(self.connection(self, sock, over))
+            except OSError:                    # its client has gone
+                sock.close()
             except Exception as error:
                 # Guards the listener: a fault with one connection must not leave all later ones unheard.
                 sock.close()
--- a/mallowbeam/program.py
+++ b/mallowbeam/program.py
@@ -61,6 +61,8 @@
                               handed=handed.pop("platform", None)))
     except (ValueError, AttributeError) as error:
         raise BadConfig(f"the fronts file is malformed: {error}") from None
+    for door in handed.values():               # of a front that is off now: who knocks there would wait
+        door.close()
     return servers
 
 
--- a/tests/test_accepting.py
+++ b/tests/test_accepting.py
@@ -9,6 +9,7 @@
 
 import pytest
 import uvloop
+from loguru import logger
 
 from mallowbeam.net import server as servers
 from mallowbeam.net.front import Reply, plain
@@ -260,6 +261,27 @@
     scene(play)
 
 
+def test_one_that_has_gone_right_after_its_accept_is_no_fault():
+    """Guards the log and the others: the socket of a client that has gone may refuse whatever it is asked."""
+
+    async def play(server: Server) -> None:
+        def gone(*_: object) -> None:
+            server.connection = whole
+            raise OSError(errno.EINVAL, "invalid argument")
+
+        whole, server.connection = server.connection, gone
+        server.start()
+        with knock(server):
+            assert await answers([knock(server, LAST)]) == [b"HTTP/1.1 200"]
+        await server.drain()
+
+    lines: list[str] = []
+    sink = logger.add(lines.append, level="WARNING")
+    scene(play)
+    logger.remove(sink)
+    assert not lines
+
+
 @pytest.mark.parametrize("number", [errno.EMFILE, errno.ENFILE])
 def test_without_descriptors_those_held_go_on_and_what_waits_is_answered_at_the_end(number):
     async def play(server: Server) -> None:
--- a/tests/test_phases.py
+++ b/tests/test_phases.py
@@ -6,6 +6,7 @@
 import json
 import re
 import socket
+import tempfile
 
 import uvloop
 from scenario import EXAMPLE, PATIENCE, World, play
@@ -14,6 +15,7 @@
 from mallowbeam.net import gateway
 from mallowbeam.net.calls import Phase
 from mallowbeam.net.gateway import Gateway
+from mallowbeam.net.handover import Legacy
 from mallowbeam.program import open_servers
 
 HEALTHZ = b"GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n"
@@ -190,6 +192,45 @@
     """)
 
 
+def test_told_to_stop_while_it_hands_over_it_leaves_in_its_time(monkeypatch, tmp_path):
+    """The crossing: SIGTERM with a request held, after the next process has said yes."""
+    monkeypatch.setattr(tempfile, "tempdir", str(tmp_path))
+    monkeypatch.setattr(gateway, "STAY", 1.0)
+
+    async def run() -> None:
+        async with World(meet=True) as old:
+            await old.play("c1 send read deadline=1000\nn0 expect GET")
+            async with World(before=old) as new:
+                while old.gateway.phase is not Phase.HANDED_OVER:
+                    await asyncio.sleep(0)
+                old.gateway.stop()
+                async with asyncio.timeout(PATIENCE):
+                    while old.gateway.leave_at > old.gateway.now() + gateway.STAY:
+                        await asyncio.sleep(0)
+                await new.play("n0 send 200 body=held\nc1 expect 200 held")
+                await old.play("g expect end")
+
+    uvloop.run(run())
+
+
+def test_a_door_of_a_front_that_is_off_now_is_closed():
+    """Guards who knocks there: a listener that was handed over and that nobody serves lets them wait."""
+
+    async def run() -> None:
+        world = World()
+        config = configs.decode(await world.configuration(), {})
+        door = socket.create_server(("127.0.0.1", 0))
+        link, _ = socket.socketpair()
+        with link, door:
+            servers = open_servers(Gateway(config), {}, Legacy(link, {"health": door}, {}, b""))
+            assert door.fileno() < 0 and [server.name for server in servers] == ["platform"]
+        servers[0].sock.close()
+        for party in world.parties.values():
+            party.server.close()
+
+    uvloop.run(run())
+
+
 def test_health_pages_and_the_agent_line_tell_the_true_state():
     gone = '{"revision":2,"complete":true,"members":[]}'
     play(f"""
