--- a/mallowbeam/net/connection.py
+++ b/mallowbeam/net/connection.py
@@ -169,9 +169,10 @@
         framer = self.channel.framer
         if self.busy is not None or self.stage in (Stage.LINGERING, Stage.CLOSED):
             return
-        if self.held and gone(self.channel.sock):
+        if self._left():
             self.task.cancel()                 # nothing of it is sent on
-        elif framer.ready:
+            return
+        if framer.ready:
             request = framer.ready.popleft()
         elif framer.holds_more_than(self.server.front.whole):
             request = self.taking = framer.part
@@ -181,6 +182,14 @@
             return
         self.busy = asyncio.create_task(self._answer(request))
 
+    def _left(self) -> bool:
+        """Whether the client of a request that had to wait is no longer there.
+
+        Guards nodes: a new connection may have lain in the accept queue, and its client has come and gone.
+        """
+        return (self.held and gone(self.channel.sock)
+                or not self.answered and self.channel.peek() is False)
+
     def _wanted(self) -> None:
         """The first piece of a large body is asked for: a client that waits for a word gets it."""
         if self.channel.framer.wants_continue():
--- a/mallowbeam/program.py
+++ b/mallowbeam/program.py
@@ -6,14 +6,16 @@
 import os
 import signal
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 
 import uvloop
 from loguru import logger
 
 from mallowbeam.fronts.platform import Platform
+from mallowbeam.hangups import hold_hangups
 from mallowbeam.net.admin import open_admin
-from mallowbeam.net.config import BadConfig, Config, read_address, read_config, read_file
+from mallowbeam.net.config import FRONT_SOCKETS, BadConfig, Config, read_address, read_config, read_file
 from mallowbeam.net.connection import Connection
 from mallowbeam.net.gateway import Gateway
 from mallowbeam.net.handover import Legacy, take_over
@@ -41,16 +43,16 @@
             objects = read_object_settings(fronts["objects"], gateway)
         if fronts.get("policy", {}).get("folder") is not None:
             servers.append(open_fleet(gateway, fronts))
-            room -= WATCHER_CONNECTIONS
+            room -= WATCHER_CONNECTIONS + FRONT_SOCKETS
         for name, front, connection in (("health", Health(gateway), Connection),
                                         ("agent_check", gateway, AgentConnection)):
             if listen := fronts.get(name, {}).get("listen"):
                 servers.append(Server(read_address(listen), front, WATCHER_CONNECTIONS, connection, name,
                                       handed.pop(name, None)))
-                room -= WATCHER_CONNECTIONS
+                room -= WATCHER_CONNECTIONS + FRONT_SOCKETS
         if objects:
             gateway.pool.max_body = max(gateway.pool.max_body, objects.max_body)
-            room //= 2
+            room = (room - FRONT_SOCKETS) // 2
             buffered = fronts.get("buffer", {}).get("folder") is not None
             front = open_buffered(gateway, fronts, legacy) if buffered else Objects(gateway, objects)
             servers.append(Server(objects.listen, front, room, name="objects",
@@ -59,6 +61,8 @@
                               handed=handed.pop("platform", None)))
     except (ValueError, AttributeError) as error:
         raise BadConfig(f"the fronts file is malformed: {error}") from None
+    for door in handed.values():               # of a front that is off now: who knocks there would wait
+        door.close()
     return servers
 
 
@@ -93,8 +97,8 @@
                or section.get("folder") is not None or section.get("on") for section in fronts.values())
 
 
-async def serve(config: Config, fronts: dict) -> None:
-    """Run a gateway with its fronts until it is told to stop."""
+async def serve(config: Config, fronts: dict, hangups: Sequence[int] = ()) -> None:
+    """Run a gateway with its fronts until it is told to stop; `hangups` came before it listened for them."""
     legacy = take_over(config)
     gateway = Gateway(legacy.config(config) if legacy else config)
     asyncio.get_running_loop().set_exception_handler(lambda _, context: logger.opt(
@@ -102,6 +106,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, gateway.stop)
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, gateway.reload, os.environ)
+    if hangups:                                # its turn comes once the gateway serves
+        asyncio.get_running_loop().call_soon(gateway.reload, os.environ)
     try:
         admin, servers = open_admin(gateway), open_servers(gateway, fronts, legacy)
     except OSError as error:
@@ -109,9 +115,12 @@
     await gateway.run(servers, admin, legacy, meet=True)
 
 
-def run(log_format: str = "text") -> int:
-    """Run the gateway; 0 after a planned stop, 2 where the configuration can't be used."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the gateway listens for it
+def run(log_format: str = "text", hangups: Sequence[int] | None = None) -> int:
+    """Run the gateway; 0 after a planned stop, 2 where the configuration can't be used.
+
+    `hangups` are the SIGHUPs kept since before this file was loaded, where they were.
+    """
+    hangups = hold_hangups() if hangups is None else hangups
     logger.remove()
     if log_format == "json":                   # one object a line, with the fields that a line was given
         logger.add(sys.stderr, serialize=True, level="INFO", backtrace=False, diagnose=False)
@@ -122,7 +131,7 @@
         if any_on(fronts):
             from mallowbeam.operators import check
             check(fronts)
-        uvloop.run(serve(read_config(os.environ), fronts))
+        uvloop.run(serve(read_config(os.environ), fronts, hangups))
     except BadConfig as error:
         print(f"mallowbeam: {error.line}", file=sys.stderr)
         return 2
