A connection told to leave over a part of a request ends without a word

test_a_request_that_never_comes_in_whole_does_not_hold_up_a_planned_stop asks for a bare end; the two branches joined gave 408 before it, which a client would count as a failure where the bare end lets it send again.

--- a/mallowbeam/net/closing.py
+++ b/mallowbeam/net/closing.py
@@ -13,7 +13,6 @@
 import socket
 import struct
 import time
-from collections.abc import Callable
 from enum import Enum
 
 from mallowbeam.net.ahead import Ahead
@@ -79,7 +78,6 @@
     taking: Message | None                     # a request whose body passes through
     writing: bool                              # an answer is going out
     room: asyncio.Event
-    _refuse: Callable[[float], None]           # answer a request that did not come in time, and end
 
     stage = Stage.OPEN
     leaving = False                            # told to leave: nothing more can be hurried
@@ -102,10 +100,8 @@
         elif self.stage is not Stage.CLOSED:
             if self.busy is not None or self.writing or not self._rests():
                 self.stage = Stage.LAST
-            elif self.channel.framer.empty:
+            else:                              # what has not come in whole was never taken
                 self._hang_up(LINGER_LEAST)
-            else:
-                self._refuse(LINGER_LEAST)
         self.leaving = True
 
     def _rests(self) -> bool:
