A request that waits for its turn on its connection has only the time that is left to it

Found in reading (net/connection.py, fronts/platform.py): X-Deadline-Ms counts from a request's last byte (PROTOCOL), and was counted from its turn, so one behind others on its connection (clients that send many at once) was sent on, and answered, past its time. Each message now keeps when its last byte was read, also where its bytes were read ahead of their turn; a piece read ahead counts 128 bytes besides, or a trickle would hold a hundred times its bound. Tests: tests/test_waiting.py (21 behind a held one whose time is over: 503 and nothing sent).

--- a/mallowbeam/fronts/platform.py
+++ b/mallowbeam/fronts/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import time
 from collections.abc import Callable
 
 from mallowbeam.errors import MallowbeamError
@@ -96,12 +97,14 @@
         extent = EXTENT.match(headers.get(b"x-extent", b""))
         if extent is None:
             raise BadRequest("X-Extent is missing or malformed")
+        # Guards the client's time, which counts from its request's last byte: it may have waited for its turn.
+        waited = time.monotonic() - request.at if request.at else 0.0
         units, shard, hosts = (int(part) for part in extent.groups())
         if not 1 <= units <= settings.units_top or shard < -1 or not 1 <= hosts <= settings.hosts:
             raise BadRequest("X-Extent is senseless")
         return Call(
             request_id.decode(), dict(
-                cls=cls.name, expires_in=time_left(min(deadline, cls.deadline)),
+                cls=cls.name, expires_in=time_left(min(deadline, cls.deadline) - waited),
                 shard=None if shard < 0 else shard, units=units, volume=path[2].decode(), plan=plan.name,
                 hosts_of_volume=hosts, key=path[3].decode(), is_retry=headers.get(b"x-retry") == b"1",
                 is_write=request.method == b"PUT"),
--- a/mallowbeam/net/ahead.py
+++ b/mallowbeam/net/ahead.py
@@ -2,43 +2,47 @@
 
 from __future__ import annotations
 
-from mallowbeam.net.http import CHUNK, Budget
+from collections import deque
+
+from mallowbeam.net.http import Budget
 
 MOST = 64 * 1024            # bytes that one client may have here
+PIECE = 128                 # bytes that each piece counts for besides: a trickle must not hold more
 
 
 class Ahead:
     """Bytes that wait to be parsed, within a bound of their own and the connections' common one."""
 
     def __init__(self, budget: Budget | None) -> None:
-        self.bytes, self.budget = bytearray(), budget
+        self.pieces: deque[tuple[float, bytes]] = deque()  # with when each was read
+        self.held, self.budget = 0, budget     # bytes in all
 
     def __bool__(self) -> bool:
         """Whether something waits."""
-        return bool(self.bytes)
+        return bool(self.pieces)
 
     @property
     def full(self) -> bool:
         """Whether nothing more may be read: the rest stays with its client."""
-        return len(self.bytes) >= MOST or self.budget is not None and self.budget.used >= self.budget.most
+        return self.held >= MOST or self.budget is not None and self.budget.used >= self.budget.most
 
-    def put(self, data: memoryview) -> None:
-        """Keep what was read."""
-        self.bytes += data
-        self._charge(len(data))
+    def put(self, data: memoryview, at: float) -> None:
+        """Keep what was read at a time."""
+        self.pieces.append((at, bytes(data)))
+        self._charge(len(data) + PIECE)
 
-    def take(self) -> bytes:
-        """The next of it, at most what is read at once."""
-        data = bytes(self.bytes[:CHUNK])
-        del self.bytes[:CHUNK]
-        self._charge(-len(data))
-        return data
+    def take(self) -> tuple[float, bytes]:
+        """When the next piece was read, and the piece."""
+        at, data = self.pieces.popleft()
+        self._charge(-len(data) - PIECE)
+        return at, data
 
     def drop(self) -> None:
         """Forget it."""
-        self._charge(-len(self.bytes))
-        self.bytes.clear()
+        self._charge(-self.held)
+        self.pieces.clear()
 
     def _charge(self, count: int) -> None:
+        self.held += count
         if self.budget is not None:
             self.budget.used += count
--- a/mallowbeam/net/connection.py
+++ b/mallowbeam/net/connection.py
@@ -114,7 +114,8 @@
         while self.stage is not Stage.LINGERING:
             waits = len(framer.ready) > PIPELINED
             if self.ahead and not waits:
-                framer.feed(memoryview(self.ahead.take()))
+                framer.read_at, data = self.ahead.take()
+                framer.feed(memoryview(data))
                 return True
             if waits and self.ahead.full:
                 self.room.clear()
@@ -126,9 +127,10 @@
             if not count:
                 return False
             if not waits and not self.ahead:
+                framer.read_at = channel.moved
                 framer.feed(channel.buffer[:count])
                 return True
-            self.ahead.put(channel.buffer[:count])
+            self.ahead.put(channel.buffer[:count], channel.moved)
         await self._read_out()
         return False
 
--- a/mallowbeam/net/http.py
+++ b/mallowbeam/net/http.py
@@ -44,7 +44,7 @@
     """A request or an answer."""
 
     __slots__ = ("method", "target", "status", "headers", "body", "keep_alive", "whole", "until_close",
-                 "version", "length", "came", "stream")
+                 "version", "length", "came", "stream", "at")
 
     def __init__(self) -> None:
         self.method, self.target, self.status = b"", b"", 0
@@ -52,6 +52,7 @@
         self.body, self.length = bytearray(), None  # what is held of it, and the length stated
         self.came, self.stream = 0, None       # bytes of it so far; where it goes, if not held whole
         self.keep_alive, self.whole, self.version = True, False, "1.1"
+        self.at = 0.0                          # when its last byte was read, by the steady clock
         self.until_close = False               # its end (a request's: its answer's) is the connection's
 
     def get(self, name: bytes) -> bytes | None:
@@ -86,6 +87,7 @@
         self.part: Message | None = None       # the one that is coming in
         self.in_head, self.quiet = False, 0
         self.bodiless = False                  # the next answer is to a HEAD
+        self.read_at = 0.0                     # when what is fed was read
         self.fault: BadMessage | None = None   # what came after the messages in `ready` is of no use
 
     def feed(self, data: memoryview) -> None:
@@ -184,7 +186,7 @@
             self.charged = 0
 
     def on_message_complete(self) -> None:  # noqa: D102
-        self.part.whole, self.quiet = True, 0
+        self.part.whole, self.quiet, self.part.at = True, 0, self.read_at
         if self.part.stream is None:           # else it is being answered already
             self.ready.append(self.part)
         self.part = None
--- /dev/null
+++ b/tests/test_waiting.py
@@ -0,0 +1,61 @@
+"""Requests that wait for their turn on one connection: a client's time counts from its request's last byte."""
+
+from __future__ import annotations
+
+import uvloop
+from raw import come, request, until
+from scenario import World
+
+from mallowbeam.net.ahead import MOST, PIECE, Ahead
+from mallowbeam.net.connection import PIPELINED
+from mallowbeam.net.http import Budget
+
+PIPE = PIPELINED + 20
+
+
+def test_what_has_waited_out_its_time_is_refused_and_not_sent():
+    """The crossing is forced: those behind a held request were read so long ago."""
+
+    async def run() -> None:
+        async with World() as world:
+            client, here = await come(world, b"".join(request(i) for i in range(1, PIPE + 1)))
+            await world.play("n0 expect GET")
+            await until(lambda: len(here.channel.framer.ready) + len(here.ahead.pieces) > PIPELINED)
+            for waiting in here.channel.framer.ready:
+                waiting.at -= 60.0
+            here.ahead.pieces = type(here.ahead.pieces)((at - 60.0, data) for at, data in here.ahead.pieces)
+            here.channel.framer.read_at -= 60.0
+            await world.play("n0 send 200 body=one")
+            answers: list[bytes] = []
+            while len(answers) < PIPE:
+                await client.read(until=b"\r\n\r\n")
+                head, _, client.got = client.got.partition(b"\r\n\r\n")
+                answers.append(head.rpartition(b"HTTP/1.1 ")[2][:3])
+            assert answers == [b"200"] + [b"503"] * (PIPE - 1)
+            await world.play("n0 expect nothing")
+            assert world.gateway.metrics.upstream_requests == 1
+
+    uvloop.run(run())
+
+
+def test_what_has_not_waited_has_its_whole_time():
+    async def run() -> None:
+        async with World() as world:
+            _, here = await come(world, request(1))
+            await world.play("n0 expect GET")
+            assert 0.2 < float(world.parties["n0"].seen[0].get(b"x-deadline-ms")) / 1000 <= 0.3
+            assert here.request.at <= here.channel.moved
+
+    uvloop.run(run())
+
+
+def test_pieces_read_ahead_keep_when_they_were_read_and_are_bounded_however_small():
+    """Guards memory against a trickle: a byte a read would hold a hundred times its size."""
+    budget = Budget(1 << 30)
+    ahead = Ahead(budget)
+    while not ahead.full:
+        ahead.put(memoryview(b"x"), float(len(ahead.pieces)))
+    assert len(ahead.pieces) <= MOST / PIECE + 1 and budget.used == ahead.held
+    assert [ahead.take() for _ in range(2)] == [(0.0, b"x"), (1.0, b"x")]
+    ahead.drop()
+    assert budget.used == ahead.held == 0 and not ahead
