--- a/mallowbeam/fronts/platform.py
+++ b/mallowbeam/fronts/platform.py
@@ -97,7 +97,7 @@
         extent = EXTENT.match(headers.get(b"x-extent", b""))
         if extent is None:
             raise BadRequest("X-Extent is missing or malformed")
-        # Guards the client's time, which counts from its request's last byte: it may have waited for its turn.
+        # Guards the client's time: it counts from its request's last byte, which may have waited here.
         waited = time.monotonic() - request.at if request.at else 0.0
         units, shard, hosts = (int(part) for part in extent.groups())
         if not 1 <= units <= settings.units_top or shard < -1 or not 1 <= hosts <= settings.hosts:
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -1,4 +1,4 @@
-"""Requests that wait for their turn on one connection: a client's time counts from its request's last byte."""
+"""Requests that wait for their turn on one connection: their time counts from their last byte."""
 
 from __future__ import annotations
 
