A connection that is told to leave inside a request ends without a word

Such a request was never taken, and its client sends it again elsewhere, while a 4xx would have failed it: `leave` ends our side alone. One that stalls still gets 408.

Test: tests/test_closing.py, `test_part_of_a_request_gets_an_orderly_end_...`. Docs: who counts as gone.

--- a/mallowbeam/net/closing.py
+++ b/mallowbeam/net/closing.py
@@ -13,7 +13,6 @@
 import socket
 import struct
 import time
-from collections.abc import Callable
 from enum import Enum
 
 from mallowbeam.net.ahead import Ahead
@@ -79,7 +78,6 @@
     taking: Message | None                     # a request whose body passes through
     writing: bool                              # an answer is going out
     room: asyncio.Event
-    _refuse: Callable[[float], None]           # answer a request that did not come in time, and end
 
     stage = Stage.OPEN
     leaving = False                            # told to leave: nothing more can be hurried
@@ -94,18 +92,17 @@
     def leave(self) -> None:
         """Begin the orderly end, without waiting; again and again is as good as once.
 
-        What is being answered, and what has come in whole, is answered first; where our side has ended
-        already, the client's time to end its own is cut short.
+        What is being answered, and what has come in whole, is answered first; part of a request was never
+        taken, and its client sends it again elsewhere.  Where our side has ended already, the time that its
+        client has to end its own is cut short.
         """
         if self.stage is Stage.LINGERING:
             self._end_by(self.shut_at + LINGER_LEAST)
         elif self.stage is not Stage.CLOSED:
             if self.busy is not None or self.writing or not self._rests():
                 self.stage = Stage.LAST
-            elif self.channel.framer.empty:
-                self._hang_up(LINGER_LEAST)
             else:
-                self._refuse(LINGER_LEAST)
+                self._hang_up(LINGER_LEAST)
         self.leaving = True
 
     def _rests(self) -> bool:
--- a/mallowbeam/net/connection.py
+++ b/mallowbeam/net/connection.py
@@ -313,13 +313,13 @@
             self._hang_up()
         await self._read_out()
 
-    def _refuse(self, linger: float | None = None) -> None:
+    def _refuse(self) -> None:
         """Answer a request that did not come in time; best effort: its client may not read either."""
         try:
             self.channel.sock.send(self._complaint(408, "the request did not come in time"))
         except OSError:
             pass
-        self._hang_up(linger)
+        self._hang_up()
 
     def _complaint(self, status: int, text: str) -> bytes:
         """The last word on a request that does not come in whole; it counts if its head has."""
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -212,6 +212,23 @@
     uvloop.run(run())
 
 
+def test_part_of_a_request_gets_an_orderly_end_without_a_word_where_its_connection_leaves():
+    """It was never taken: its client sends it again elsewhere, while a 4xx would have failed it."""
+
+    async def run() -> None:
+        async with World() as world:
+            client, here = await come(world, request(1)[:40])
+            await until(lambda: here.part is not None)
+            here.leave()
+            client.say(request(1)[40:])        # it crosses the end
+            assert await client.read() == b""
+            client.leave()
+            await until(lambda: here.task.done())
+            await world.play("n0 expect nothing")
+
+    uvloop.run(run())
+
+
 def test_an_answer_that_is_being_written_when_its_connection_leaves_goes_out_whole():
     async def run() -> None:
         async with World() as world:
