--- a/mallowbeam/net/closing.py
+++ b/mallowbeam/net/closing.py
@@ -92,15 +92,16 @@
     def leave(self) -> None:
         """Begin the orderly end, without waiting; again and again is as good as once.
 
-        What is being answered, and what has come in whole, is answered first; where our side has ended
-        already, the client's time to end its own is cut short.
+        What is being answered, and what has come in whole, is answered first; part of a request was never
+        taken, and its client sends it again elsewhere.  Where our side has ended already, the time that its
+        client has to end its own is cut short.
         """
         if self.stage is Stage.LINGERING:
             self._end_by(self.shut_at + LINGER_LEAST)
         elif self.stage is not Stage.CLOSED:
             if self.busy is not None or self.writing or not self._rests():
                 self.stage = Stage.LAST
-            else:                              # what has not come in whole was never taken
+            else:
                 self._hang_up(LINGER_LEAST)
         self.leaving = True
 
