Start: too few sockets for the fronts that are on is told, and no door is left without room

Seen by the count: 64 sockets, the operators' door, the health page and the agent check left the platform's listener under no connection at all: it took connections, and refused or held every one (program.py, open_servers). Now the start ends with one line, status 2. Test: a row of test_a_bad_configuration_ends_it_with_one_plain_line; without the mend the program starts and the row waits in vain.

--- a/mallowbeam/program.py
+++ b/mallowbeam/program.py
@@ -24,6 +24,7 @@
 
 LOG_FORMAT = "{time:YYYY-MM-DD HH:mm:ss.SSS} {level} {message}"
 FRONTS = Path(__file__).parent.parent / "deploy" / "fronts.json"  # the fronts beside the platform's
+LEAST_ROOM = 2              # connections for each front's clients: one is served, one refuses those beyond
 WATCHER_CONNECTIONS = 8     # of the clients' connections, for each listener that only balancers ask
 
 
@@ -57,6 +58,8 @@
             front = open_buffered(gateway, fronts, legacy) if buffered else Objects(gateway, objects)
             servers.append(Server(objects.listen, front, room, name="objects",
                                   handed=handed.pop("objects", None)))
+        if room < LEAST_ROOM:
+            raise BadConfig("limits.sockets leaves no connection for clients beside the fronts that are on")
         servers.append(Server(config.listen, Platform(gateway), room, name="platform",
                               handed=handed.pop("platform", None)))
     except (ValueError, AttributeError) as error:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -79,7 +79,10 @@
     ({"settings": {}}, None, "classes"), ({"known": {"members": 3}}, None, "malformed"),
     ({"listen": "nowhere"}, None, "nowhere"), ({"listen": "192.0.2.1:80"}, None, "listen"),
     ({"settings": None}, None, "malformed"), ({"discovery": "x"}, None, "address"),
-    ({"limits": {"sockets": 63}}, None, "sockets"), ({"limits": {"memory_mb": 0}}, None, "memory"),
+    ({"limits": {"sockets": 63}}, None, "sockets"),
+    ({"limits": {"sockets": 64}, "admin_addr": "127.0.0.1:0"},
+     '{"health": {"listen": "127.0.0.1:0"}, "agent_check": {"listen": "127.0.0.1:0"}}', "limits.sockets"),
+    ({"limits": {"memory_mb": 0}}, None, "memory"),
     ({}, "{", "fronts.json"), ({}, '{"health": {"listen": "x"}}', "health.listen"),
     ({}, '{"objects": {"listen": "127.0.0.1:1"}}', "objects: "), ({}, '{"objects": 3}', "objects: expected")])
 def test_a_bad_configuration_ends_it_with_one_plain_line(tmp_path, change, fronts, word):
