Drain: the moment for what has not come in whole is bounded where it is given

One rule at one place: `Server.drain` takes the smaller of its moment and the time that is left; the gateway hands in only the latter. No change in what happens; tests as before.

--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -20,7 +20,6 @@
 from mallowbeam.net.beside import Beside
 from mallowbeam.net.calls import MARGIN, Answer, Call, Exchange, Kind, Part, Phase
 from mallowbeam.net.config import BadConfig, Config, read_again
-from mallowbeam.net.connection import LINGER
 from mallowbeam.net.discovery import Listing, Watch, write_listing
 from mallowbeam.net.handover import Handover, Legacy, Sister
 from mallowbeam.net.http import Budget
@@ -146,8 +145,8 @@
         self.leave_at = self.now() + min(STAY, longest + LAME_DUCK)
 
     def _rest(self) -> float:
-        """Seconds that a client still has to finish what it has begun to send."""
-        return max(0.0, min(LINGER, self.leave_at - self.now()))
+        """Seconds up to the time at which all is to be answered."""
+        return max(0.0, self.leave_at - self.now())
 
     async def _hand_over(self) -> None:
         """Let the new process take what comes, until nothing is left here or SIGTERM has come."""
--- a/mallowbeam/net/server.py
+++ b/mallowbeam/net/server.py
@@ -168,9 +168,11 @@
     async def drain(self, within: float = LINGER) -> None:
         """Take no new connection, let go of idle ones, and wait for what is held.
 
-        A request that has not come in whole was never taken; its client has `within` seconds to finish it.
+        A request that has not come in whole was never taken; its client has a moment to finish it, at most
+        `within` seconds.
         """
         self.last_answers()
+        within = min(within, LINGER)
         end = time.monotonic() + within
         await self.shut(within)
         while self.connections:
