A failed call to discovery is repeated within 2.5 s at any size of the fleet

What discovery has counts as told 6 s after it could be reached, whatever call failed. At fault: `_on_list` in control/nodes.py (hosts / FLEET_CALLS, up to 40 s and half as much again, cut by AskEvery only) and, for lone hosts, `Watch._times`/`_call`, whose next call after silence waited 2 to 4 s for news again and 3 s for a whole list, a connection of up to 1 s on top.

Now: the longest draw is 2.5 s (1 s for five hosts or fewer), the first failure draws over all of it, later ones from 0.7 of it; the first call after a failure waits for next to no news and has 1.5 s, its connection included. The bound stands at the constants: 5.0 s, 5.4 s after an open watch that fell silent.

Ruled out: a draw over the whole time at each failure (a shorter mean interval, so more calls).

Lists are read in net/listing.py: typed errors, refused whole (its tests follow). The watch keeps the revision of before until a list was taken in, and asks for the whole list where that failed midway: gone on from the revision of a list that raised, the drain in it was never told again.

--- a/mallowbeam/control/nodes.py
+++ b/mallowbeam/control/nodes.py
@@ -12,8 +12,8 @@
 TARGET = 0.35           # of the cycle: the latency steered to; the rest is for waiting here, still movable
 GROW, SHRINK = 0.7, 0.3  # units that a round trip under target adds to the room; share that twice it takes
 M_EXTRA, M_MOST = 4, 32  # a cycle has room for the largest request and this more, and no more than M_MOST
-WATCH_AGAIN, AGENT_AGAIN = 0.5, 0.05  # seconds to a failed call's repeat; and at this host's own agent
-FLEET_CALLS = 5.0       # calls a second by all hosts, where calls fail
+WATCH_AGAIN, AGENT_AGAIN = 1.0, 0.05  # seconds to a failed call's repeat: most for few; at its agent
+MOST_AGAIN, FLEET_CALLS = 2.5, 5.0  # the most in any fleet (`net/discovery.py`); calls a second by all hosts
 UNTOLD = 3.0            # seconds by which lists run late: so long a node not reached is taken for cold
 BREAKS, REFUSAL = 6, 3  # broken connections in a row after which a node has ended; one refused counts 3
 COLD_PART = (0.5, 0.35, 0.35)  # of the units that tip a cold node, by tier; replacements may be slower
@@ -98,13 +98,13 @@
 
     def _on_list(self, event: io.NodesListed) -> None:
         if event.kind in (io.ListKind.FAILED, io.ListKind.SILENT):
-            # Guards discovery, which takes calls in turn: hosts that come back sooner than it can serve all
-            # of them wait until each gives up, and nobody is told anything.  Alone, a host soon asks again,
-            # and one whose watch broke without a word, at once: what that missed soon counts as told.
+            # Guards discovery at its return, which takes calls in turn: a fleet's are drawn apart, the first
+            # over the whole time and later ones, apart by then, near its end.  None may come later, as what
+            # it has counts as told soon; a host whose watch broke without a word asks at once.
             self.watch_failures += 1
-            most = max(2 * WATCH_AGAIN, self.settings.hosts / FLEET_CALLS)
-            wait = min(max(WATCH_AGAIN, most / 4) * 2.0 ** min(self.watch_failures - 1, 2), most)
-            wait = min(wait * (0.5 + self.random.random()), self.settings.ask_every or 1e9)
+            most = min(max(WATCH_AGAIN, self.settings.hosts / FLEET_CALLS), MOST_AGAIN)
+            wait = most * (1.0 - self.random.random() * (1.0 if self.watch_failures == 1 else 0.3))
+            wait = min(wait, self.settings.ask_every or wait)
             wait *= event.kind is io.ListKind.FAILED or self.watch_failures > 1
             return self._at(self.now + (wait if self.settings.discovery_on_request else AGENT_AGAIN), "")
         self.watch_failures, entries = 0, event.entries
--- a/mallowbeam/net/beside.py
+++ b/mallowbeam/net/beside.py
@@ -13,8 +13,9 @@
 from mallowbeam.facade import Facade, Orders
 from mallowbeam.net.calls import Exchange, Phase
 from mallowbeam.net.config import Config
-from mallowbeam.net.discovery import Listing, Watch, write_listing
+from mallowbeam.net.discovery import Watch
 from mallowbeam.net.handover import Sister
+from mallowbeam.net.listing import Listing, write_listing
 from mallowbeam.net.server import Server
 from mallowbeam.net.upstream import Pool
 
@@ -54,24 +55,20 @@
         self.sister = None
         self.deal(0)
         if self.handed_over.is_set() and self.phase is not Phase.STOPPED:
-            self.watch.begin()                 # nobody tells what discovery says any more
+            self.watch.resume()                # nobody tells what discovery says any more
 
     def sent_beside(self, sent: list) -> None:
         """The other process has sent something that counts here too."""
         self._apply(self.facade.sent_beside(self.now(), *sent))
 
-    def told_beside(self, listing: Listing) -> None:
-        """The other process has heard from discovery.
-
-        Guards against going back: a list that is no newer than what is known here changes nothing.
-        """
-        if self.watch.revision is None or listing.revision > self.watch.revision:
-            self.watch.revision = listing.revision
+    def told_beside(self, listing: Listing, address: str | None = None) -> None:
+        """The other process has heard from discovery at an address, which an older version doesn't tell."""
+        if self.watch.beside(listing, address or self.watch.address):
             self._listing(listing)
 
     def legacy(self) -> Mapping[str, object]:
         """All that a new process needs to go on where this one stands."""
-        return {"discovery": self.watch.address,
+        return {"discovery": self.watch.address, "whole": self.watch.revision is None,
                 "list": write_listing(self.watch.revision or 0, True, self.facade.entries(self.now()),
                                       self.addresses),
                 "ids": list(self.exchanges), **self.facade.state(self.now())}
@@ -97,5 +94,3 @@
     def moved(self, address: str) -> None:
         """Discovery is elsewhere from now on, as SIGHUP here or at the other process says."""
         self.watch.move(address)
-        if self.handed_over.is_set() and self.sister is not None:
-            self.watch.pause()                 # the new process watches for both
--- a/mallowbeam/net/config.py
+++ b/mallowbeam/net/config.py
@@ -8,7 +8,7 @@
 
 from mallowbeam import interface as io
 from mallowbeam.errors import MallowbeamError
-from mallowbeam.net.discovery import Listing, read_listing
+from mallowbeam.net.listing import Listing, read_listing
 from mallowbeam.settings import flatten, opt, read_settings
 
 # Guards against a crash over the limit on sockets: the program itself holds some 16 descriptors, each further
--- a/mallowbeam/net/discovery.py
+++ b/mallowbeam/net/discovery.py
@@ -7,67 +7,39 @@
 
 How long a call waits decides how soon silence shows.  Asked for, the waits are drawn apart, as every gateway
 is answered at the same moment and would find the silence, and ask, at the same moment too.  Pushed, the
-address is an agent on this machine that answers at no cost: short waits, and shorter ones after silence,
-since what the agent gets when it is back counts at once.
+address is an agent on this machine that answers at no cost, and what it gets when it is back counts at once.
+The first call after a failure waits for next to no news: it may be out in vain while discovery comes back.
 """
 
 from __future__ import annotations
 
 import asyncio
-import json
 import random
-from collections.abc import Callable, Mapping
-from typing import NamedTuple
+from collections.abc import Callable
 
 from loguru import logger
 
 from mallowbeam import interface as io
 from mallowbeam.errors import MallowbeamError
 from mallowbeam.net.http import Message, write_request
+from mallowbeam.net.listing import BadListing, Listing, decode_listing
 from mallowbeam.net.log import Sparse
 from mallowbeam.net.upstream import Broken, Link, Unsent, connect
 
+# What discovery has, and could be asked for, counts as told 6 s later, whatever call failed.  In the worst
+# phase it is back just after a call began that still runs into its time-out; then comes the module's longest
+# draw (MOST_AGAIN in `control/nodes.py`), then the next call, which is answered or turned away after a second
+# in discovery's queue: ANSWER + 2.5 + 1.0 = 5.0 s.  Where the first was an open watch that fell silent, the
+# module asks at once: WAITS[1] + OVERDUE + 1.0 = 5.4 s.  At an agent: AGENT_RETRY + AGENT_OVERDUE + 0.05 s.
 WAITS = (2.0, 4.0)          # seconds that one call may wait for news, drawn: silence counts for 6 s only
 OVERDUE = 0.4               # seconds past its wait after which a call has fallen silent
-ANSWER = 3.0                # seconds that a call for the whole list may take: discovery turns away sooner
-AGENT_WAIT, AGENT_RETRY = 1.0, 0.1  # seconds that a call to the agent waits, and after silence
+ANSWER = 1.5                # seconds for a call that waits for no news, with its connection, queue and answer
+NO_WAIT = 0.1               # seconds for news in the first call after a failure
+AGENT_WAIT, AGENT_RETRY = 1.0, 0.1  # seconds that a call to the agent waits, and after a failure
 AGENT_OVERDUE = 0.1         # with the latter, within the time that is granted for a drain
 CONNECT_TIMEOUT = 1.0
 MAX_LIST = 1024 * 1024      # bytes of a list
-STATES = {"up": io.NodeState.READY, "draining": io.NodeState.DRAINING, "removed": io.NodeState.GONE}
-
-
-class Listing(NamedTuple):
-    """A list of nodes, or of changes to it, decoded; `addresses` of those that are up, by node id."""
-
-    revision: int
-    complete: bool
-    entries: list[io.NodeEntry]
-    addresses: dict[str, str]
-
-
-def read_listing(raw: dict) -> Listing:
-    """Discovery's JSON, once into the few values used; raises ValueError, KeyError or TypeError."""
-    entries, addresses = [], {}
-    for member in raw["members"]:
-        state = STATES[member["phase"]]
-        entries.append(io.NodeEntry(
-            node=str(member["id"]), state=state, shard=int(member.get("cell", 0)),
-            zone=str(member.get("locality", "")), since=member.get("up_since_ms", 0) / 1000.0 or None,
-            machine=str(member.get("flavor", "")), weight=float(member.get("size", 1.0))))
-        if state is io.NodeState.READY:
-            addresses[str(member["id"])] = str(member["host_port"])
-    return Listing(int(raw["revision"]), bool(raw["complete"]), entries, addresses)
-
-
-def write_listing(revision: int, complete: bool, entries: list[io.NodeEntry],
-                  addresses: Mapping[str, str]) -> dict:
-    """A list in discovery's JSON, as `read_listing` reads it."""
-    phases = {state: phase for phase, state in STATES.items()}
-    return {"revision": revision, "complete": complete, "members": [
-        {"id": e.node, "host_port": addresses.get(e.node, ""), "locality": e.zone, "flavor": e.machine,
-         "cell": e.shard, "phase": phases[e.state], "size": e.weight,
-         "up_since_ms": round((e.since or 0.0) * 1000)} for e in entries]}
+LOST = 1.0                  # seconds to the next call where the module could not be told of a failure
 
 
 class Silent(MallowbeamError):
@@ -86,47 +58,72 @@
                  pushed: bool = False, draw: Callable[[], float] = random.random) -> None:
         self.address, self.told, self.pushed, self.draw = address, told, pushed, draw
         self.revision: int | None = revision   # None: ask for the whole list first
-        self.silent = False                    # the last call fell silent
+        self.anew = False                      # the last call failed or fell silent
+        self.paused = False                    # the other process of this gateway watches for both
         self.failed, self.fell_silent = Sparse("discovery call failed"), Sparse("discovery fell silent")
         self.task: asyncio.Task | None = None
 
     def begin(self) -> None:
-        """Start watching, unless a watch goes on."""
-        if self.task is None or self.task.done():
+        """Start watching, unless a watch goes on or it is another process's matter."""
+        if not self.paused and (self.task is None or self.task.done()):
             self.task = asyncio.create_task(self._run())
 
     def pause(self) -> None:
-        """Watch no more, until told to begin again."""
-        if self.task is not None:
-            self.task.cancel()
-            self.task = None
+        """Watch no more until `resume`, whatever the module asks for: a failed call's repeat may be due."""
+        self.paused = True
+        self._give_up()
+
+    def resume(self) -> None:
+        """Watch again."""
+        self.paused = False
+        self.begin()
 
     def move(self, address: str) -> None:
-        """Watch at another address from now on."""
+        """Watch at another address from now on, unless paused."""
         if address == self.address:
             return
         # Guards against changes missed between the two: what is at the new address may count its lists anew.
         self.address, self.revision = address, None
-        self.pause()
+        self._give_up()
         self.begin()
 
+    def beside(self, listing: Listing, address: str) -> bool:
+        """Whether a list that the other process heard at an address is news here; if so it counts as known.
+
+        Guards against going back: neither a list that is no newer nor one of an address left counts.
+        """
+        if address != self.address or self.revision is not None and listing.revision <= self.revision:
+            return False
+        if listing.complete or self.revision is not None:  # changes alone are no list to go on from
+            self.revision = listing.revision
+        return True
+
+    def _give_up(self) -> None:
+        """End the call in flight; a cancelled task tells nobody anything."""
+        if self.task is not None:
+            self.task.cancel()
+            self.task = None
+
     async def _run(self) -> None:
         link, ended = None, io.ListKind.FAILED
         try:
             while True:
-                if link is None:
-                    link = await connect(self.address, CONNECT_TIMEOUT, MAX_LIST)
-                answer = await self._call(link)
-                listing = read_listing(json.loads(answer.body))
-                self.revision, self.silent = listing.revision, False
-                self.told(listing)
+                asked, (wait, most) = self.revision, self._times()
+                try:
+                    async with asyncio.timeout(most):
+                        if link is None:
+                            link = await connect(self.address, CONNECT_TIMEOUT, MAX_LIST)
+                        answer = await self._call(link, wait)
+                except TimeoutError:
+                    raise Silent("neither answered nor ended") from None
+                self._take(decode_listing(answer.body), asked)
                 if not link.reusable(answer):
                     link.close()
                     link = None
         except Silent:
-            ended, self.silent = io.ListKind.SILENT, True
+            ended = io.ListKind.SILENT
             self.fell_silent("asked anew")
-        except (Unsent, Broken, TimeoutError, ValueError, KeyError, TypeError) as error:
+        except (Unsent, Broken, ValueError) as error:  # no good list, or an address that is none
             self.failed(str(error) or type(error).__name__)
         except Exception as error:
             # Guards the watch itself: a fault with one list must not end the sight of all later ones.
@@ -134,31 +131,47 @@
         finally:
             if link is not None:
                 link.close()
-        self.task = None
-        self.told(ended)
+        self.task, self.anew = None, True
+        try:
+            self.told(ended)
+        except Exception as error:             # the module, which says when to go on, may not have heard
+            logger.opt(exception=error).error("a list failed unforeseen")
+            asyncio.get_running_loop().call_later(LOST, self.begin)
+
+    def _take(self, listing: Listing, asked: int | None) -> None:
+        """Take in the answer to a call that asked for what is newer than `asked`, or for the whole list."""
+        self.anew = False
+        if self.revision is not None and asked != self.revision and listing.revision <= self.revision:
+            return                             # the other process has told of it, or of more, meanwhile
+        if not listing.complete:
+            if asked is None:
+                raise BadListing("changes, where the whole list was asked for")
+            if listing.revision < asked:       # it counts anew: what it leaves out is not known
+                self.revision = None
+                return
+        # Guards the drains of a list that fails midway: it is not known, nor what of it was taken in.
+        self.revision = None
+        self.told(listing)
+        self.revision = listing.revision
 
     def _times(self) -> tuple[float, float]:
         """How long the next call may wait for news, and after how long it has fallen silent."""
         if self.pushed:
-            wait = AGENT_RETRY if self.silent else AGENT_WAIT
+            wait = AGENT_RETRY if self.anew else AGENT_WAIT
             return wait, wait + AGENT_OVERDUE
+        if self.anew or self.revision is None:
+            return NO_WAIT, ANSWER
         wait = WAITS[0] + (WAITS[1] - WAITS[0]) * self.draw()
         return wait, wait + OVERDUE
 
-    async def _call(self, link: Link) -> Message:
-        """One long poll, or one call for the whole list, over a kept connection; raises `Silent`."""
-        target, (wait, silent) = b"/v1/servers", self._times()
+    async def _call(self, link: Link, wait: float) -> Message:
+        """One long poll, or one call for the whole list, on a connection; raises `Unsent`, `Broken`."""
+        target = b"/v1/servers"
         if self.revision is not None:
             target += b"?since=%d&timeout_ms=%d" % (self.revision, wait * 1000)
-        elif not self.pushed:
-            silent = ANSWER
-        try:
-            async with asyncio.timeout(silent):
-                await link.request(write_request(b"GET", target, [(b"host", self.address.encode())]))
-                answer = await link.head()
-                await link.body(answer)
-        except TimeoutError:
-            raise Silent("neither answered nor ended") from None
+        await link.request(write_request(b"GET", target, [(b"host", self.address.encode())]))
+        answer = await link.head()
+        await link.body(answer)
         if answer.status != 200:
             raise Broken(f"status {answer.status}")
         return answer
--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -20,9 +20,10 @@
 from mallowbeam.net.beside import Beside
 from mallowbeam.net.calls import MARGIN, Answer, Call, Exchange, Kind, Part, Phase
 from mallowbeam.net.config import BadConfig, Config, read_again
-from mallowbeam.net.discovery import Listing, Watch, write_listing
+from mallowbeam.net.discovery import Watch
 from mallowbeam.net.handover import Handover, Legacy, Sister
 from mallowbeam.net.http import Budget
+from mallowbeam.net.listing import Listing, write_listing
 from mallowbeam.net.log import Sparse
 from mallowbeam.net.metrics import Metrics
 from mallowbeam.net.server import Server
@@ -82,9 +83,11 @@
         self._listing(self.config.known, io.ListKind.CACHED)
         if legacy is not None:
             self.facade.inherit(self.now(), legacy.state)
-            self.sister = Sister(legacy.sock, self, legacy.rest)
+            self.sister = Sister(legacy.sock, self, legacy.rest, leads=True)
             self.sister.ids.update(legacy.state["ids"])
             self.deal(0)
+            if legacy.state.get("whole"):      # the old process moved, and heard nothing there yet
+                self.watch.revision = None
         if not self.config.settings.discovery_on_request:
             self.watch.begin()
         for part in self.parts:
@@ -146,9 +149,8 @@
         for server in self.servers:
             await server.shut()
         await self._each(part.hand_over() for part in self.parts)
-        self.watch.pause()                     # what the new one hears it tells
-        if self.sister is None:                # gone in this very moment
-            self.watch.begin()
+        if self.sister is not None:            # else it is gone in this very moment
+            self.watch.pause()                 # what the new one hears it tells
         while not self.stopping.is_set() and any(server.connections for server in self.servers):
             self._tell("clients", sum(len(server.connections) for server in self.servers))
             with suppress(TimeoutError):
@@ -274,7 +276,7 @@
             self._apply(self.facade.listed(self.now(), listing))
         else:
             if self.sister is not None:        # else a whole list is written out for nobody
-                self.sister.tell("list", write_listing(*listing))
+                self.sister.tell("list", write_listing(*listing) | {"discovery": self.watch.address})
             self._listing(listing)
 
     def by_hand(self, node: str, out: bool, told: bool = False, listed: bool = True) -> bool:
--- a/mallowbeam/net/handover.py
+++ b/mallowbeam/net/handover.py
@@ -22,7 +22,7 @@
 from loguru import logger
 
 from mallowbeam.net.config import Config
-from mallowbeam.net.discovery import Listing, read_listing
+from mallowbeam.net.listing import Listing, read_listing
 
 PATIENCE = 1.0              # seconds for the old process to hand over: a wedged one holds up no start
 VERSION = 1                 # of what is said here: an old process that speaks another hands over nothing
@@ -54,8 +54,8 @@
     def sent_beside(self, sent: list) -> None:
         """The other has sent something."""
 
-    def told_beside(self, listing: Listing) -> None:
-        """The other has heard from discovery."""
+    def told_beside(self, listing: Listing, address: str | None = None) -> None:
+        """The other has heard from discovery at an address."""
 
     def moved(self, address: str) -> None:
         """Discovery is elsewhere."""
@@ -131,14 +131,19 @@
 
 
 class Sister:
-    """The other process of this gateway, for as long as there are two."""
+    """The other process of this gateway, for as long as there are two.
 
-    def __init__(self, sock: socket.socket, gateway: Host, heard: bytes = b"") -> None:
+    `leads` says that this process is the new one, which has the last word on where discovery is.
+    """
+
+    def __init__(self, sock: socket.socket, gateway: Host, heard: bytes = b"", leads: bool = False) -> None:
         sock.setblocking(False)
-        self.sock, self.gateway = sock, gateway
+        self.sock, self.gateway, self.leads = sock, gateway, leads
         self.ids: set[str] = set()             # requests that it holds
         self.out, self.more = bytearray(), asyncio.Event()
         self.tasks = [asyncio.create_task(self._write()), asyncio.create_task(self._read(heard))]
+        # Guards the next upgrade: a task that is cancelled before its first step runs nothing of its own.
+        self.tasks[1].add_done_callback(self._ended)
 
     def tell(self, kind: str, value: object) -> None:
         """Say something; bounded, as a sister that reads no more is taken for gone."""
@@ -175,10 +180,11 @@
             pass
         except Exception as error:
             logger.opt(exception=error).error("the sister process can't be understood")
-        finally:
-            self.tasks[0].cancel()
-            self.sock.close()
-            self.gateway.alone()
+
+    def _ended(self, _: asyncio.Task) -> None:
+        self.tasks[0].cancel()
+        self.sock.close()
+        self.gateway.alone()
 
     def _hear(self, kind: str, value) -> None:
         gateway = self.gateway
@@ -190,9 +196,11 @@
             case "over":
                 self.ids.discard(value)
             case "list":
-                gateway.told_beside(read_listing(value))
+                gateway.told_beside(read_listing(value), value.get("discovery"))
             case "discovery":
                 gateway.moved(value)
+                if self.leads:                 # Guards two reloads that cross: both end at one address
+                    self.tell("discovery", value)
             case "hand":
                 gateway.by_hand(*value, told=True)
             case "clients":
--- /dev/null
+++ b/mallowbeam/net/listing.py
@@ -0,0 +1,143 @@
+"""Lists of nodes in discovery's JSON: decoded once into the few values used, or refused whole.
+
+One bad member spoils its list.  A list taken in by halves might lack the very drain that it was written for,
+and the revision that it carries would say that all of it is known; refused whole, it is asked for again
+within seconds, and what was known before stays in force meanwhile.
+"""
+
+from __future__ import annotations
+
+import json
+import re
+import socket
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from mallowbeam import interface as io
+from mallowbeam.errors import MallowbeamError
+
+STATES = {"up": io.NodeState.READY, "draining": io.NodeState.DRAINING, "removed": io.NodeState.GONE}
+MOST_TEXT = 256             # characters of an id, an address, a zone or a kind of machine
+MOST_NUMBER = 2 ** 53       # of a revision, a cell, a time in milliseconds or a size
+NAME = re.compile(r"([A-Za-z0-9_-]{1,63}\.)*[A-Za-z0-9_-]{1,63}\.?")
+PORT = re.compile(r"[0-9]{1,5}")
+REQUIRED = object()
+
+
+class BadListing(MallowbeamError, ValueError):
+    """A list of nodes that can't be read: nothing of it was taken in."""
+
+    remedy = "look at what discovery answers; the list known before stays in force until a good one comes"
+
+
+class Listing(NamedTuple):
+    """A list of nodes, or of changes to it, decoded; `addresses` of those that are up, by node id."""
+
+    revision: int
+    complete: bool
+    entries: list[io.NodeEntry]
+    addresses: dict[str, str]
+
+
+def decode_listing(body: bytes | bytearray) -> Listing:
+    """A list from the bytes of an answer; raises `BadListing`."""
+    try:
+        raw = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise BadListing(f"no JSON: {error}") from None
+    return read_listing(raw)
+
+
+def read_listing(raw: object) -> Listing:
+    """Discovery's JSON, once into the few values used; raises `BadListing`.
+
+    In a list of changes the last word on a node counts; a whole list names each once.
+    """
+    top = _Fields(raw, "the list")
+    revision, complete = top.whole("revision"), top.of(bool, "complete")
+    entries: dict[str, io.NodeEntry] = {}
+    addresses: dict[str, str] = {}
+    for number, member in enumerate(top.of(list, "members")):
+        fields = _Fields(member, f"members[{number}]")
+        node, state = fields.text("id"), STATES.get(fields.text("phase"))
+        if not node or state is None:
+            raise BadListing("an id without a character" if state else "an unknown phase", fields.where)
+        if complete and node in entries:
+            raise BadListing("the id stands there twice", fields.where)
+        entries.pop(node, None)
+        addresses.pop(node, None)
+        entries[node] = io.NodeEntry(
+            node=node, state=state, shard=fields.whole("cell", 0), zone=fields.text("locality", ""),
+            since=fields.number("up_since_ms", 0) / 1000.0 or None, machine=fields.text("flavor", ""),
+            weight=fields.number("size", 1.0))
+        if state is io.NodeState.READY:
+            addresses[node] = address = fields.text("host_port")
+            if not can_be_connected(address):
+                raise BadListing(f"no address to connect to: {address!r}", fields.where)
+    return Listing(revision, complete, list(entries.values()), addresses)
+
+
+def write_listing(revision: int, complete: bool, entries: list[io.NodeEntry],
+                  addresses: Mapping[str, str]) -> dict:
+    """A list in discovery's JSON, as `read_listing` reads it."""
+    phases = {state: phase for phase, state in STATES.items()}
+    return {"revision": revision, "complete": complete, "members": [
+        {"id": e.node, "host_port": addresses.get(e.node, ""), "locality": e.zone, "flavor": e.machine,
+         "cell": e.shard, "phase": phases[e.state], "size": e.weight,
+         "up_since_ms": round((e.since or 0.0) * 1000)} for e in entries]}
+
+
+def can_be_connected(address: str) -> bool:
+    """Whether this is a host, by name or address, and a port that a socket can be led to.
+
+    Guards attempts: past this point an address is only ever refused, silent or answered.
+    """
+    host, _, port = address.rpartition(":")
+    if not PORT.fullmatch(port) or not 0 < int(port) < 65536:
+        return False
+    if ":" not in host:
+        return NAME.fullmatch(host) is not None and len(host) < 254
+    try:
+        socket.inet_pton(socket.AF_INET6, host.removeprefix("[").removesuffix("]"))
+    except OSError:
+        return False
+    return True
+
+
+class _Fields:
+    """The fields of one JSON object, each of its type and within bounds; all raise `BadListing`."""
+
+    def __init__(self, raw: object, where: str) -> None:
+        if not isinstance(raw, dict):
+            raise BadListing("no JSON object", where)
+        self.raw, self.where = raw, where
+
+    def of(self, kind: type, name: str, default: object = REQUIRED):
+        """A value of exactly that type (true is no number)."""
+        value = self.raw.get(name, default)
+        if value is REQUIRED:
+            raise BadListing(f"no {name}", self.where)
+        if type(value) is not kind:
+            raise BadListing(f"{name} is a {type(value).__name__}, not a {kind.__name__}", self.where)
+        return value
+
+    def text(self, name: str, default: object = REQUIRED) -> str:
+        """Text that can stand in a line of a log."""
+        value = self.of(str, name, default)
+        if len(value) > MOST_TEXT or not value.isprintable():
+            raise BadListing(f"{name} can't be shown: {value[:40]!r}", self.where)
+        return value
+
+    def whole(self, name: str, default: object = REQUIRED) -> int:
+        """A whole number from 0 up."""
+        return self._bounded(name, self.of(int, name, default))
+
+    def number(self, name: str, default: float) -> float:
+        """A number from 0 up."""
+        value = self.raw.get(name, default)
+        return self._bounded(name, value if type(value) is int else self.of(float, name, default))
+
+    def _bounded(self, name: str, value):
+        if not 0 <= value <= MOST_NUMBER:      # nor not-a-number, nor one without end
+            raise BadListing(f"{name} is out of range", self.where)
+        return value
