A list of nodes is read whole or refused with one typed error

Among those taken in: "complete":"false" (the list counted as whole, all others as gone), up_since_ms NaN (a node cold for ever), addresses without a port or with port 99999 (ValueError or OverflowError in `upstream.connect`, a trace in the attempt), ids that no log or page can write. At fault: `read_listing`, which converted instead of checking.

Now net/listing.py checks each field's type and bounds and raises `BadListing` (also a ValueError, so that the configuration's known list stays one plain BadConfig). One bad member spoils its list: half of it might lack the drain that it was written for. An address is checked here, so that an attempt only ever meets one that can be refused, silent or answered. In changes the last word on a node counts (an address of a node that drains in the end was kept before); a whole list names each once. Null stands for a zone or a kind of machine that is not there. Changes where the whole list was asked for are a failed call; changes that end before what was asked for mean that discovery counts anew, and the whole list is asked for.

--- a/mallowbeam/net/listing.py
+++ b/mallowbeam/net/listing.py
@@ -21,6 +21,7 @@
 MOST_NUMBER = 2 ** 53       # of a revision, a cell, a time in milliseconds or a size
 NAME = re.compile(r"([A-Za-z0-9_-]{1,63}\.)*[A-Za-z0-9_-]{1,63}\.?")
 PORT = re.compile(r"[0-9]{1,5}")
+KINDS = {bool: "true or false", int: "a whole number", float: "a number", str: "text", list: "a list"}
 REQUIRED = object()
 
 
@@ -67,7 +68,7 @@
         entries.pop(node, None)
         addresses.pop(node, None)
         entries[node] = io.NodeEntry(
-            node=node, state=state, shard=fields.whole("cell", 0), zone=fields.text("locality", ""),
+            node=node, state=state, shard=fields.whole("cell", 0, -1), zone=fields.text("locality", ""),
             since=fields.number("up_since_ms", 0) / 1000.0 or None, machine=fields.text("flavor", ""),
             weight=fields.number("size", 1.0))
         if state is io.NodeState.READY:
@@ -118,26 +119,26 @@
         if value is REQUIRED:
             raise BadListing(f"no {name}", self.where)
         if type(value) is not kind:
-            raise BadListing(f"{name} is a {type(value).__name__}, not a {kind.__name__}", self.where)
+            raise BadListing(f"{name} is not {KINDS[kind]}", self.where)
         return value
 
     def text(self, name: str, default: object = REQUIRED) -> str:
-        """Text that can stand in a line of a log."""
-        value = self.of(str, name, default)
+        """Text that can stand in a line of a log; what need not be there may be null."""
+        value = self.of(str, name, default) if default is REQUIRED or self.raw.get(name) is not None else default
         if len(value) > MOST_TEXT or not value.isprintable():
             raise BadListing(f"{name} can't be shown: {value[:40]!r}", self.where)
         return value
 
-    def whole(self, name: str, default: object = REQUIRED) -> int:
-        """A whole number from 0 up."""
-        return self._bounded(name, self.of(int, name, default))
+    def whole(self, name: str, default: object = REQUIRED, least: int = 0) -> int:
+        """A whole number."""
+        return self._bounded(name, self.of(int, name, default), least)
 
     def number(self, name: str, default: float) -> float:
         """A number from 0 up."""
         value = self.raw.get(name, default)
         return self._bounded(name, value if type(value) is int else self.of(float, name, default))
 
-    def _bounded(self, name: str, value):
-        if not 0 <= value <= MOST_NUMBER:      # nor not-a-number, nor one without end
+    def _bounded(self, name: str, value, least: int = 0):
+        if not least <= value <= MOST_NUMBER:  # not-a-number is neither
             raise BadListing(f"{name} is out of range", self.where)
         return value
--- /dev/null
+++ b/tests/test_lists_bad.py
@@ -0,0 +1,234 @@
+"""Lists that can't be read: refused whole, with one plain line, and asked for again; what was known stays."""
+
+from __future__ import annotations
+
+import copy
+import json
+import math
+from itertools import chain
+
+import pytest
+import uvloop
+from hypothesis import given
+from hypothesis import strategies as st
+from loguru import logger
+from scenario import EXAMPLE, World, play
+
+from mallowbeam import interface as io
+from mallowbeam.control import nodes
+from mallowbeam.net import discovery, log
+from mallowbeam.net.config import BadConfig, read_config
+from mallowbeam.net.listing import (
+    BadListing,
+    can_be_connected,
+    decode_listing,
+    read_listing,
+    write_listing,
+)
+from mallowbeam.net.upstream import Unsent, connect
+
+MEMBER = {"id": "n0", "host_port": "127.0.0.1:9", "locality": "a", "flavor": "m", "cell": 0, "phase": "up",
+          "size": 1.0, "up_since_ms": 0}
+GOOD = {"revision": 2, "complete": True, "members": [MEMBER]}
+GONE = object()             # a field that is missing
+
+WRONG_TOP = [("revision", value) for value in (GONE, "2", None, True, 2.5, -1, 10 ** 30, [])] + [
+    ("complete", value) for value in (GONE, None, 1, "false", [])] + [
+    ("members", value) for value in (GONE, None, {}, "", 7, [None], [7], [[]], ["n0"], [{}] * 100_000)]
+WRONG_MEMBER = [("id", value) for value in (GONE, None, 7, "", [], "a\nb", "\ud800", "x" * 257)] + [
+    ("phase", value) for value in (GONE, None, "", "UP", "gone", 1, [])] + [
+    ("up_since_ms", value) for value in ("0", None, True, -1, math.nan, math.inf, -math.inf, 1e300, 10 ** 400,
+                                         [], {})] + [
+    ("cell", value) for value in ("0", None, True, 0.5, -2, 10 ** 30, [])] + [
+    ("size", value) for value in ("1", None, False, -1.0, math.nan, math.inf, [])] + [
+    ("locality", value) for value in (7, True, "a\r\nb", [])] + [
+    ("flavor", value) for value in (7, 0.0, {})] + [
+    ("host_port", value) for value in (
+        GONE, None, 7, [], "", ":", "9", "127.0.0.1", "127.0.0.1:", ":80", "127.0.0.1:0", "127.0.0.1:99999",
+        "127.0.0.1:-1", "127.0.0.1:x", "127.0.0.1: 9", "127.0.0.1:\u00b2", "127.0.0.1:1e3", "a b:80",
+        "a..b:80", ".:80", "a/b:80", "http://a:80", "\u00e9:80", "x" * 64 + ":80", "::g:80", "[::1:x]:80",
+        "[]:80", "a:b:80", "a\u0000b:80")]
+
+
+def without(raw: dict, name: str, value: object) -> dict:
+    return {key: old for key, old in raw.items() if key != name} if value is GONE else raw | {name: value}
+
+
+BAD = ([without(GOOD, *wrong) for wrong in WRONG_TOP]
+       + [GOOD | {"members": [MEMBER | {"id": "n1"}, without(MEMBER, *wrong)]} for wrong in WRONG_MEMBER]
+       + [GOOD | {"members": [MEMBER, MEMBER | {"phase": "draining"}]}, [], [GOOD], None, "list", 7])
+GARBAGE = [b"", b"nonsense", b"{", b"[" * 100_000, b'{"a":' * 100_000, b"\xff\xfe", b"\x00" * 50, b"{}",
+           json.dumps(GOOD).encode()[:-1], json.dumps(GOOD).encode() + b"}", b"9" * 5000,
+           b'{"revision":1e999,"complete":true,"members":[]}', json.dumps(GOOD).encode("utf-16") + b"x"]
+BODIES = GARBAGE + [json.dumps(raw).encode() for raw in BAD]
+
+
+@pytest.mark.parametrize("body", BODIES, ids=range(len(BODIES)))
+def test_a_list_that_can_t_be_read_is_one_typed_error_with_a_remedy(body):
+    with pytest.raises(BadListing) as told:
+        decode_listing(body)
+    assert told.value.cure and len(told.value.line) < 400 and "\n" not in told.value.line
+
+
+def test_good_lists_are_read_in_every_form_that_the_page_allows():
+    """Fields beyond those named, whole numbers or decimals, names, IPv6, no address where none counts."""
+    fine = [MEMBER | {"up_since_ms": 1.5e12, "size": 1, "more": [{}]}, MEMBER | {"host_port": "[::1]:80"},
+            MEMBER | {"host_port": "node-1.local:80"}, MEMBER | {"host_port": "::1:80"},
+            {"id": "n0", "phase": "removed"}, {"id": "n0", "phase": "draining"},
+            {"id": "n0", "phase": "up", "host_port": "a:1", "locality": None, "flavor": None, "cell": -1}]
+    for member in fine:
+        listing = decode_listing(json.dumps(GOOD | {"members": [member], "more": None}, indent=3).encode())
+        assert listing.entries[0].node == "n0" and set(listing.addresses) <= {"n0"}
+        assert read_listing(write_listing(*listing)) == listing
+
+
+def test_the_last_word_on_a_node_counts_in_a_list_of_changes():
+    """Changes are told in their order; a node that drains in the end has no address to send to."""
+    up, drains = MEMBER, MEMBER | {"phase": "draining"}
+    for order, open_now in (([up, drains], False), ([drains, up], True)):
+        listing = read_listing({"revision": 3, "complete": False, "members": order})
+        assert [entry.state is io.NodeState.READY for entry in listing.entries] == [open_now]
+        assert ("n0" in listing.addresses) is open_now
+
+
+JSON = st.recursive(st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+                    lambda some: st.lists(some, max_size=3)
+                    | st.dictionaries(st.text(max_size=3), some, max_size=3), max_leaves=6)
+
+
+@given(st.data())
+def test_a_field_of_any_value_is_either_used_safely_or_refused(data):
+    raw = copy.deepcopy(GOOD)
+    place = data.draw(st.sampled_from([raw, raw["members"][0]]))
+    place[data.draw(st.sampled_from(sorted(place)))] = data.draw(JSON)
+    try:
+        listing = decode_listing(json.dumps(raw).encode())
+    except BadListing:
+        return
+    assert all(can_be_connected(address) for address in listing.addresses.values())
+    assert all(math.isfinite(number) and number >= 0
+               for entry in listing.entries for number in (entry.since or 0, entry.weight))
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1:1", "localhost:1", "[::1]:1", "::1:1"])
+def test_an_address_that_passes_leads_to_a_connection_or_to_unsent(address):
+    assert can_be_connected(address)
+    with pytest.raises(Unsent):
+        uvloop.run(connect(address, 5.0, 1024))
+
+
+def soon(monkeypatch) -> None:
+    """Failed calls are repeated within a few milliseconds."""
+    monkeypatch.setattr(nodes, "WATCH_AGAIN", 0.005)
+    monkeypatch.setattr(nodes, "MOST_AGAIN", 0.005)
+
+
+def test_bad_lists_are_failed_calls_and_the_list_known_before_stays_whole(monkeypatch):
+    """Over sockets, one after the other: asked again each time, one warning, no trace, and it serves."""
+    soon(monkeypatch)
+    monkeypatch.setattr(log, "APART", 1e9)
+    lines: list[str] = []
+    number = logger.add(lines.append, level="DEBUG")
+
+    async def run() -> None:
+        async with World() as world:
+            d = world.parties["d"]
+            for body in BODIES:
+                await d.expect(["GET", "since=1&"])
+                d.writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b" % (len(body), body))
+            await world.play("""
+                d expect GET since=1&
+                c1 send read
+                n0 expect GET
+                n0 send 200 body=served
+                c1 expect 200 served
+                d send 200 'body={"revision":9,"complete":true,"members":[]}'
+                d expect GET since=9&
+            """)
+
+    try:
+        uvloop.run(run())
+    finally:
+        logger.remove(number)
+    warned = [line for line in lines if "WARNING" in line or "ERROR" in line]
+    assert len(warned) == 1 and "discovery call failed" in warned[0]
+    assert not [line for line in lines if "Traceback" in line]
+
+
+@pytest.mark.parametrize("answer", [
+    "d send 404", "d send 400 body={}", "d send 204", "d send 302 location:http://127.0.0.1:1/",
+    "d send raw 'HTTP/1.1 200 OK\\r\\ncontent-length: x\\r\\n\\r\\n'", "d send raw 'SSH-2.0-x\\r\\n\\r\\n'",
+    "d send raw 'HTTP/1.1 200 OK\\r\\ncontent-length: 2\\r\\ncontent-length: 3\\r\\n\\r\\n{}'",
+    "d send 200 'body={\"revision\":4,\"complete\":false,\"members\":[]}'"])
+def test_an_answer_for_the_whole_list_that_is_none_is_a_failed_call(monkeypatch, answer):
+    """Among them: changes alone, where the whole list was asked for."""
+    soon(monkeypatch)
+
+    async def run() -> None:
+        async with World() as here:
+            await here.play("d expect GET since=1")
+            here.gateway.watch.address = "elsewhere"
+            here.gateway.moved(here.parties["d"].address)
+            await here.play(rf"""
+                d expect 'GET /v1/servers\n'
+                {answer}
+                d expect 'GET /v1/servers\n'
+                d send 200 'body={{"revision":3,"complete":true,"members":[]}}'
+                d expect GET since=3
+            """)
+
+    uvloop.run(run())
+
+
+def test_a_discovery_that_counts_anew_is_asked_for_the_whole_list():
+    """Guards the nodes that changes alone leave out, where a restarted discovery begins anew."""
+    play(r"""
+        d expect GET since=1
+        d send 200 'body={"revision":50,"complete":true,"members":[{"id":"n0","cell":0,"phase":"draining"}]}'
+        d expect GET since=50
+        d send 200 'body={"revision":3,"complete":false,"members":[]}'
+        d expect 'GET /v1/servers\n'
+        d send 200 'body={"revision":3,"complete":true,"members":[]}'
+        d expect GET since=3
+    """)
+
+
+def test_a_connection_that_closes_with_each_answer_goes_on_on_new_ones():
+    asked = "".join(f"""
+        d expect GET since={n}&
+        d send 200 connection:close 'body={{"revision":{n + 1},"complete":false,"members":[]}}'
+        d expect end
+    """ for n in range(1, 6))
+    play(asked + "d expect GET since=6&")
+
+
+@pytest.mark.parametrize("wrong", list(chain(WRONG_TOP[:5], WRONG_MEMBER[::4])), ids=str)
+def test_a_known_list_that_can_t_be_read_is_one_plain_bad_config(tmp_path, wrong):
+    raw = json.loads((EXAMPLE / "config.json").read_text())
+    where = raw["known"]["members"][0] if wrong in WRONG_MEMBER else raw["known"]
+    for key in [key for key in where if key == wrong[0]]:
+        del where[key]
+    if wrong[1] is not GONE:
+        where[wrong[0]] = wrong[1]
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(raw))
+    with pytest.raises(BadConfig) as told:
+        read_config({"BALANCER_CONFIG": str(file)})
+    assert str(file) in told.value.line and "\n" not in told.value.line
+
+
+def test_a_list_of_twenty_thousand_nodes_fits_the_bound_and_one_byte_beyond_it_is_not_read(monkeypatch):
+    """Guards memory, and the loop: what is decoded at once has a bound."""
+    members = [{"id": f"n{n}", "phase": "draining"} for n in range(20_000)]
+    body = json.dumps(GOOD | {"members": members})
+    assert len(body) < discovery.MAX_LIST and len(decode_listing(body.encode()).entries) == 20_000
+    small = json.dumps(GOOD | {"revision": 7, "members": []})
+    soon(monkeypatch)
+    monkeypatch.setattr(discovery, "MAX_LIST", len(small))
+    play(f"""
+        d expect GET since=1
+        d send 200 'body={small} '
+        d expect GET since=1
+        d send 200 'body={small}'
+        d expect GET since=7
+    """)
