--- a/mallowbeam/net/listing.py
+++ b/mallowbeam/net/listing.py
@@ -124,7 +124,9 @@
 
     def text(self, name: str, default: object = REQUIRED) -> str:
         """Text that can stand in a line of a log; what need not be there may be null."""
-        value = self.of(str, name, default) if default is REQUIRED or self.raw.get(name) is not None else default
+        if default is not REQUIRED and self.raw.get(name) is None:
+            return str(default)
+        value = self.of(str, name)
         if len(value) > MOST_TEXT or not value.isprintable():
             raise BadListing(f"{name} can't be shown: {value[:40]!r}", self.where)
         return value
