--- a/mallowbeam/net/config.py
+++ b/mallowbeam/net/config.py
@@ -11,7 +11,7 @@
 
 from mallowbeam import interface as io
 from mallowbeam.errors import MallowbeamError
-from mallowbeam.net.discovery import Listing, read_listing
+from mallowbeam.net.listing import Listing, read_listing
 from mallowbeam.settings import flatten, opt, read_settings
 
 # Descriptors that are never given to clients or nodes.  Guards against a crash over the limit on sockets, and
