--- a/mallowbeam/control/nodes.py
+++ b/mallowbeam/control/nodes.py
@@ -98,9 +98,8 @@
 
     def _on_list(self, event: io.NodesListed) -> None:
         if event.kind in (io.ListKind.FAILED, io.ListKind.SILENT):
-            # Guards discovery at its return, which takes calls in turn: a fleet's are drawn apart, the first
-            # over the whole time and later ones, apart by then, near its end.  None may come later, as what
-            # it has counts as told soon; a host whose watch broke without a word asks at once.
+            # Guards discovery at its return: calls are drawn apart, the first over all of the time that what
+            # it has may stay untold, later ones near its end.  Where a watch fell silent it is asked at once.
             self.watch_failures += 1
             most = min(max(WATCH_AGAIN, self.settings.hosts / FLEET_CALLS), MOST_AGAIN)
             wait = most * (1.0 - self.random.random() * (1.0 if self.watch_failures == 1 else 0.3))
