--- a/mallowbeam/net/server.py
+++ b/mallowbeam/net/server.py
@@ -12,8 +12,8 @@
 import errno
 import socket
 import time
-from collections.abc import Iterable
 from contextlib import suppress
+from heapq import heapify, heappop
 
 from loguru import logger
 
@@ -110,24 +110,30 @@
                 logger.opt(exception=error).error("a connection failed unforeseen")
             while len(self.connections) > self.most:
                 # Guards those that wait to be accepted: what has had its last answer goes first.
-                self._let_go(self.connections)
-                await asyncio.wait([c.task for c in self.connections], return_when=asyncio.FIRST_COMPLETED)
+                self._let_go()
+                ending = [c.task for c in self.connections if c.closing] or [c.task for c in self.connections]
+                await asyncio.wait(ending, return_when=asyncio.FIRST_COMPLETED)
         return False
 
     def _make_room(self) -> bool:
         """Whether there is room for one more request, if need be that of a connection which may be closed."""
-        open_ones = [c for c in self.connections if not c.closing]
-        return len(open_ones) < self.most - self.spare or self._let_go(open_ones)
+        room = self.most - self.spare
+        if len(self.connections) < room:       # the usual case, without a look at any
+            return True
+        return sum(not c.closing for c in self.connections) < room or self._let_go(ending=False)
 
-    @staticmethod
-    def _let_go(among: Iterable[Connection]) -> bool:
+    def _let_go(self, ending: bool = True) -> bool:
         """Close one that may be closed: hung up first, then the longest idle; False if there is none.
 
         Guards first requests: a client whose connection closes after an answer only sends again, while one
-        that has had nothing yet may be about to send, and that request would fail.
+        that has had nothing yet may be about to send, and that request would fail.  Where clients come in
+        crowds this is most of the work: only those in question are put in order, as far as needed.
         """
-        staying = (c for c in among if not c.leaving)
-        for connection in sorted(staying, key=lambda c: (not c.closing, not c.answered, c.since)):
+        among = [(not closing, not c.answered, c.since, id(c), c) for c in self.connections
+                 if not c.leaving and (ending if (closing := c.closing) else c.busy is None)]
+        heapify(among)
+        while among:
+            connection = heappop(among)[-1]
             if connection.spare:
                 connection.leave()
                 return True
