--- a/tests/test_lists_bad.py
+++ b/tests/test_lists_bad.py
@@ -202,7 +202,8 @@
     play(asked + "d expect GET since=6&")
 
 
-@pytest.mark.parametrize("wrong", list(chain(WRONG_TOP[:5], WRONG_MEMBER[::4])), ids=str)
+@pytest.mark.parametrize("wrong", list(chain(WRONG_TOP[:5], WRONG_MEMBER[::4])),
+                         ids=lambda wrong: f"{wrong[0]}: {'missing' if wrong[1] is GONE else wrong[1]}")
 def test_a_known_list_that_can_t_be_read_is_one_plain_bad_config(tmp_path, wrong):
     raw = json.loads((EXAMPLE / "config.json").read_text())
     where = raw["known"]["members"][0] if wrong in WRONG_MEMBER else raw["known"]
