--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -18,6 +18,7 @@
 import pytest
 from scenario import EXAMPLE, free_port
 
+from mallowbeam.lab import starts
 from mallowbeam.net.config import read_again, read_config
 from mallowbeam.settings import flatten, read_pairs, read_settings
 
@@ -92,6 +93,12 @@
     assert text.startswith("mallowbeam: ") and word in text and text.count("\n") == 1
 
 
+def test_a_start_waits_for_no_answer_of_discovery():
+    """Guards the return of many at once: it turns them all away, and each is ready from its own list."""
+    first, = starts.run(count=1, hosts=3)
+    assert first.ready_s < starts.PATIENCE and first.cpu_s > 0 and first.peak_kb > 0
+
+
 def test_a_start_loads_only_what_is_on():
     """Guards the return of many at once: each second without a gateway loses its requests."""
     run = subprocess.run([sys.executable, "-c",
