--- a/mallowbeam/control/nodes.py
+++ b/mallowbeam/control/nodes.py
@@ -103,7 +103,7 @@
             # it has counts as told soon; a host whose watch broke without a word asks at once.
             self.watch_failures += 1
             most = min(max(WATCH_AGAIN, self.settings.hosts / FLEET_CALLS), MOST_AGAIN)
-            wait = most * (1.0 - self.random.random() * (1.0 if self.watch_failures == 1 else 0.3))
+            wait = most * (1.0 - self.random.random() * (1.0 if self.watch_failures == 1 else 0.2))
             wait = min(wait, self.settings.ask_every or wait)
             wait *= event.kind is io.ListKind.FAILED or self.watch_failures > 1
             return self._at(self.now + (wait if self.settings.discovery_on_request else AGENT_AGAIN), "")
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -49,7 +49,7 @@
     rig.step(io.NodesListed(io.ListKind.SILENT))
     ask(rig)
     rig.step(io.NodesListed(io.ListKind.SILENT))
-    assert 0.7 * MOST_AGAIN <= ask(rig) <= MOST_AGAIN + 0.001
+    assert 0.8 * MOST_AGAIN <= ask(rig) <= MOST_AGAIN + 0.001
     rig.step(io.NodesListed(io.ListKind.CHANGES, 2))
     rig.step(io.NodesListed(io.ListKind.SILENT))
     assert ask(rig) == 0.0
--- a/tests/test_watch_failing.py
+++ b/tests/test_watch_failing.py
@@ -63,7 +63,7 @@
         rig = Rig(discovery_on_request=True, ask_every=10.0, hosts=hosts, seed=seed)
         for failures in range(6):
             rig.step(io.NodesListed(io.ListKind.FAILED if seed % 2 or failures == 0 else io.ListKind.SILENT))
-            least = 0.0 if failures == 0 else 0.7 * min(hosts, 12.5) / 12.5
+            least = 0.0 if failures == 0 else 0.8 * min(max(1.0, hosts / 5), 2.5)
             assert least < ask(rig) <= (1.0 if hosts < 6 else nodes.MOST_AGAIN) + 0.001
 
 
