--- a/mallowbeam/control/sending.py
+++ b/mallowbeam/control/sending.py
@@ -34,8 +34,7 @@
         return node is None or cls.scope is io.Scope.ALL or (
             node.zone == first.zone if cls.scope is io.Scope.ZONE else node.shard == first.shard)
 
-    def _forbidden(self, request: Request, node: Node) -> bool:
-        """What forbids an attempt both when it is decided and when it begins."""
+    def _forbidden(self, request: Request, node: Node) -> bool:  # when it is decided, and when it begins
         return (request.done or not node.open or request.deadline <= self.now
                 or not self._may_repeat(request, node))
 
@@ -43,11 +42,11 @@
         """Whether an attempt's first byte may go out, its connection being up: the last look, on sockets."""
         self.now, request = now, self.requests.get(name)
         attempt = request.out.get(number) if request else None
-        if (attempt is None or attempt.until <= now or attempt.cold_from != attempt.node.cold_from
-                or self._forbidden(request, attempt.node)):
-            return False
-        attempt.cold[0] = now                  # what counts at a cold node is when it comes there
-        return True
+        begins = (attempt is not None and now < attempt.until and not self._forbidden(request, attempt.node)
+                  and attempt.cold_from == attempt.node.cold_from)
+        if begins:
+            attempt.cold[0] = now              # what counts at a cold node is when it comes there
+        return begins
 
     def _send(self, request: Request, node: Node) -> bool:
         """The one way out to a node.  Every rule on sending is checked here."""
