Cold nodes: each host divides its share by what the whole fleet asks for

At fault: _cold_bars dealt a part of what is asked (COLD_PART by key, SURGE_PART through each host), so the sum grew with the demand and with the hosts; reserves had no bound, a tiered request's further attempts were dealt again, and past WARM_ENOUGH nothing held at all. Now a host reads the demand off its own traffic and divides by it; one host's share is bounded for all tiers, a reserve's share is split over its volume's hosts, further attempts have no share by key. Existing tests of cold nodes unchanged.

--- a/mallowbeam/control/booking.py
+++ b/mallowbeam/control/booking.py
@@ -2,6 +2,7 @@
 
 from bisect import insort
 from heapq import heappop, heappush
+from math import exp
 from zlib import crc32
 
 from mallowbeam import interface as io
@@ -20,6 +21,8 @@
 class Booking:
     """The Scheduler's part that books requests and lays them out."""
 
+    asked, asked_at = 0.0, 0.0                 # units booked here within about a cold node's window, and when
+
     def _book(self, request: Request) -> None:
         if request.done or request.out:
             return
@@ -31,6 +34,8 @@
             if (wait := volume.limit_wait(self.now, request.units + volume.pending, worth)) > 0:
                 return self._end(request, retry_after=wait)
             request.asked = True
+            faded = exp((self.asked_at - self.now) / (self.settings.fall_window or 1.0))
+            self.asked, self.asked_at = self.asked * faded + request.units, self.now
             volume.pending += request.units
         insort(node.queue, (request.aim_at, request.seq, request))
         self.touched[node.id] = node
@@ -80,10 +85,8 @@
             request.density = request.cls.worth * volume.plan.price * worth
 
     def _price(self, node: Node) -> float:
-        """What a unit must be worth to take room at a node now: what found no slot asks for its own worth.
-
-        As work of others in front (latency above the lowest) takes up the aim, the cheap are left out first.
-        """
+        """What a unit must be worth to take room at a node: what found no slot asks for its worth."""
+        # As work of others in front (latency above the lowest) takes up the aim, the cheap are left out.
         node.refresh()
         waiting = max(node.n_latency, node.silence()) - self.floor
         part = min(1.0, max(0.0, waiting) / max(self.cycle - self.floor, self.cycle / 4))
@@ -111,9 +114,8 @@
         # least, among those before it, to later holes; one that no hole finishes by its deadline is refused.
         self._value(node)
         now, slot, room = self.now, node.slot(), node.window - node.out_units
-        queue = [entry[2] for entry in node.queue]
-        refused = [request for request in queue if self._cold_bars(node, request)]
-        queue = [request for request in queue if request not in refused] if refused else queue
+        refused = [entry[2] for entry in node.queue if self._cold_bars(node, entry[2])]
+        queue = [entry[2] for entry in node.queue if entry[2] not in refused]
         heap, total = [], 0                    # of those that meet their aims: the one due the least first
         for request in queue:
             request.late, time = False, node.serve_time(request.units)
--- a/mallowbeam/control/nodes.py
+++ b/mallowbeam/control/nodes.py
@@ -16,9 +16,10 @@
 FLEET_CALLS = 5.0       # calls a second by all hosts, where calls fail
 UNTOLD = 3.0            # seconds by which lists run late: so long a node not reached is taken for cold
 BREAKS, REFUSAL = 6, 3  # broken connections in a row after which a node has ended; one refused counts 3
-COLD_PART = (0.5, 0.35, 0.35)  # of the units that tip a cold node, by tier; replacements may be slower
-SURGE_PART, EVEN_PART = 0.25, 0.5  # of what it always bears: one host's most beyond reserves; all evenly
-WARM_ENOUGH = 2.0       # times its full capacity: a node that tips only beyond that is open to all units
+EVEN_PART, LOAD_PART = 0.5, 0.4  # of what a cold node bears: dealt out over hosts, or over what they ask
+COLD_PART = (0.25, 0.04, 0.04)  # of what is asked, in what tips it: by tier, whatever the load
+MOST_PART, SURGE_PART = 0.5, 0.2  # the same, at most; and of what it bears, through one host
+
 
 
 class Node:
@@ -141,8 +142,8 @@
             self._admit(node)
 
     def _chill(self, node: Node, since: float, lasts: float | None = None) -> None:
-        if self.settings.fall_window is not None:
-            node.cold_from, node.cold_until = since, since + (lasts or self.settings.cold_time or 0.0)
+        if self.settings.fall_window and self.settings.cold_time:
+            node.cold_from, node.cold_until = since, since + (lasts or self.settings.cold_time)
 
     def _admit(self, node: Node) -> None:
         node.open = node.state is io.NodeState.READY and node.id not in self.banned
@@ -180,21 +181,22 @@
             self.touched[node.id] = node
 
     def _cold_bars(self, node: Node, request: Request) -> bool:
-        """Whether a request must not go to a node because that is cold.
-
-        Each host sends a part of each tier, told by key, so that repeats fare alike.  Reserves fit a node;
-        what is beyond surges through few hosts, so one's is bounded; its even part is free of all this.
-        """
+        """Whether a request must not go to a node because that is cold."""
+        # A host's even part may go, and a share told by key, so that repeats fare alike: by what all ask,
+        # as this host's own traffic tells, and a little whatever that is.  Surges come through few hosts.
         if self.now >= node.cold_until:
             return False
         s = self.settings                      # the ramp is taken at the middle of the rule's window
         age = max(0.0, self.now - node.cold_from - s.fall_window / 2)
-        ramp = min(1.0, s.cold_start + (1.0 - s.cold_start) * age / max(s.cold_time, 1e-9))
-        if (tips := (s.fall_multiple or 0.0) * ramp) >= WARM_ENOUGH:
-            return False
+        ramp = min(1.0, s.cold_start + (1.0 - s.cold_start) * age / s.cold_time)
+        tips, bears = (s.fall_multiple or 0.0) * ramp, (s.cold_units or 0.0) * ramp / max(s.cold_start, 1e-9)
         node.cold_sent = [sent for sent in node.cold_sent if sent[0] > self.now - s.fall_window]
         sent = sum((units for _, units in node.cold_sent), request.units)
-        bears = (s.cold_units or 0.0) * ramp / max(s.cold_start, 1e-9)
-        dealt = crc32(request.data.encode()) < COLD_PART[request.tier] * tips * 2 ** 32
-        return sent > EVEN_PART * bears / max(1, s.hosts) and not (
-            dealt and (request.tier == 0 or sent <= SURGE_PART * bears))
+        even = EVEN_PART * bears / max(1, s.hosts)
+        share = COLD_PART[request.tier] * tips / (1 if request.tier else request.volume.hosts)
+        if even < request.units:
+            heard = 1.0 - exp((self.born - self.now) / s.fall_window)
+            share += LOAD_PART * bears * max(1, s.shards) * heard / (self.asked * max(1, s.hosts))
+        dealt = crc32(request.data.encode()) < min(share, MOST_PART * tips) * 2 ** 32
+        return sent > even and (not dealt or request.tries > 0
+                                or sent > max(SURGE_PART * bears, min(request.units, bears)))
--- /dev/null
+++ b/tests/cold_fleet.py
@@ -0,0 +1,259 @@
+"""A fleet of module instances before nodes that start cold, on drawn settings, and the platform's count.
+
+`PYTHONPATH=. python tests/cold_fleet.py SECONDS [SEED]` plays draws for so long and says how many nodes fell.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+
+from mallowbeam import Scheduler
+from mallowbeam import interface as io
+
+HOSTS = (1, 2, 5, 12, 20, 30, 40, 112, 200)
+FAULTS = (io.Outcome.REJECTED, io.Outcome.RESET, io.Outcome.ERROR, io.Outcome.NO_CONNECTION,
+          io.Outcome.TIMEOUT)
+
+
+@dataclass
+class Cold:
+    """A node that has started, as the platform counts what comes to it."""
+
+    settings: io.Settings
+    since: float
+    came: deque[tuple[float, int, bool]] = field(default_factory=deque)
+    units: int = 0
+    told: int = 0                              # of them from hosts that had been told of its start
+    worst: float = 0.0                         # of what it bears with the slack: the most in any window
+    total: int = 0
+    last: float = 0.0                          # when it was looked at last, or started anew
+    down: bool = False
+    fell: bool = False                         # over two thirds of it from hosts that had been told
+
+    def bears(self, now: float) -> float:
+        """Requests of mean work that the settings allow in the window that ends now."""
+        s = self.settings
+        age = max(0.0, now - self.since - s.fall_window / 2)
+        ramp = min(1.0, s.cold_start + (1.0 - s.cold_start) * age / max(s.cold_time, 1e-9))
+        return s.cold_units * ramp / s.cold_start / s.usual_units
+
+    def used(self) -> float:
+        """What came while it was cold, of what it could do by the settings (as far as it was played)."""
+        s = self.settings
+        full = s.cold_units / (s.fall_multiple * s.cold_start * s.fall_window)
+        lasts = min(self.last - self.since, s.cold_time)
+        return self.total / full / lasts / (s.cold_start + (1 - s.cold_start) * lasts / s.cold_time / 2)
+
+    def come(self, now: float, units: int, told: bool) -> None:
+        """Work arrives, whatever becomes of it."""
+        if self.down or now >= self.since + self.settings.cold_time:
+            return
+        self.came.append((now, units, told))
+        self.units, self.told, self.total = self.units + units, self.told + units * told, self.total + units
+        self.last = now
+        while self.came[0][0] <= now - self.settings.fall_window:
+            _, gone, was_told = self.came.popleft()
+            self.units, self.told = self.units - gone, self.told - gone * was_told
+        n = self.bears(now)
+        part = self.units / self.settings.usual_units / (n + 2 * n ** 0.5 + 2)
+        self.down = part > 1
+        if 3 * self.told > 2 * self.units:
+            self.worst, self.fell = max(self.worst, part), self.down
+
+
+class Fleet:
+    """Hosts, nodes, volumes with their hosts, and the time between them: drawn whole from one seed.
+
+    What is given replaces what is drawn: a setting, or another of the names in `drawn`.
+    """
+
+    def __init__(self, seed: int, module: Callable = Scheduler, **given) -> None:
+        draw = self.draw = random.Random(seed)
+        self.module, self.now, self.seq = module, 1000.0, 0
+        drawn = dict(
+            cold_units=draw.choice((4.0, 14.0, 24.0, 76.0, 76.0, 200.0)), cold_start=draw.uniform(0.1, 0.5),
+            cold_time=draw.choice((1.0, 4.0, 10.0, 17.0)), fall_multiple=draw.uniform(2.0, 5.0),
+            fall_window=draw.choice((0.5, 2.0, 3.0, 6.0)), hosts=draw.choice(HOSTS),
+            units_top=draw.choice((1, 2, 4, 8, 8, 20)), shards=draw.choice((1, 3, 6)),
+            max_attempts=draw.choice((None, 2, 4)),
+            demand=draw.choice((0.3, 1.0, 2.0, 4.0, 8.0)),   # times what a node can do by the settings
+            reserved=draw.choice((0.0, 0.3, 0.8)),  # of what a node can do: inside reserves
+            faulty=draw.choice((0.0, 0.0, 0.1, 0.4)),   # of attempts: how many end badly
+            late=draw.choice((0.0, 0.0, 0.3)),      # of connections: how many come up 1.5 s late
+            burst=draw.choice((1.0, 1.0, 1.5, 2.5)),    # times the traffic, for 3 s, from the start or later
+            spread=draw.random() < 0.5,             # any host for any volume; some get several times the mean
+            told_late=draw.random() < 0.5, restarts=draw.random() < 0.3, again=draw.random() < 0.2,
+            hot=draw.random() < 0.3,                # half of all asks for one volume, through its few hosts
+            keys=draw.choice((60, 10 ** 9, 10 ** 9)), only=None, lasts=12.0,
+            known=draw.choice((0.2, 3.0))) | given  # seconds of traffic that the hosts have seen before
+        settings = {name: drawn.pop(name) for name in list(drawn) if hasattr(io.Settings, name)}
+        self.__dict__ |= drawn
+        top, hosts = settings["units_top"], settings["hosts"]
+        self.sizes = [max(1, round(top * draw.random() ** 2)) for _ in range(400)]
+        usual = sum(self.sizes) / len(self.sizes)
+        s = settings
+        full = s["cold_units"] / (s["fall_multiple"] * s["cold_start"] * s["fall_window"])
+        if full / usual * self.demand * s["shards"] > 600:  # keep a draw short
+            s["shards"] = 1
+        count = s["shards"]
+        self.volumes = [(
+            f"v{n}", [draw.randrange(hosts) for _ in range(draw.randint(1, 4))],
+            [draw.randrange(count) for _ in range(draw.randint(1, 4))],
+            draw.choice(("gold", "silver", "silver")), draw.choice((0.3, 1.0, 1.0, 1.0, 3.0)))
+            for n in range(draw.randint(4, 10) * count)]
+        reserve = self.reserved * full * count / len(self.volumes)
+        plans = {"gold": io.Plan("gold", reserve=reserve, weight=2, price=1.5), "silver": io.Plan("silver")}
+        classes = [io.RequestClass("read", 3, 0.3, 1.2, 0.2, io.Repeat.SAFE),
+                   io.RequestClass("log", 2, 0.4, 2.0, 0.1, io.Repeat.UNSAFE)]
+        self.settings = io.Settings(
+            tick=0.002, classes={c.name: c for c in classes}, plans=plans, usual_units=usual, share_worth=0.3,
+            spare_worth=0.05, may_cancel=True, retry_after=True, max_retry_after=1.0, drain_grace=0.25,
+            limit_at_arrival=True, **settings)
+        self.rate = full * self.demand * count / usual
+        self.node_names = [f"n{n}" for n in range(count)]
+        self.starts: dict[str, float] = {}
+        self.colds: dict[str, Cold] = {}
+        self.all_colds: list[Cold] = []
+        self.events: list[tuple[float, int, Callable]] = []
+        self.instances = [self._host(n) for n in range(hosts)]
+        self.lives = [0] * hosts
+        self.tries: dict[tuple[int, str], int] = {}
+        self.units: dict[str, int] = {}
+        self.told: list[dict[str, float]] = [{} for _ in range(hosts)]
+        self.weights = [draw.choice((0.3, 1.0, 1.0, 4.0)) for _ in range(hosts)]
+
+    def _host(self, number: int) -> Scheduler:
+        host = self.module(self.settings, self.now)
+        host.step(self.now, [io.NodesListed(io.ListKind.CACHED, 1, [
+            io.NodeEntry(name, shard=n, since=self.starts.get(name))
+            for n, name in enumerate(self.node_names)])])
+        return host
+
+    def at(self, when: float, what: Callable) -> None:
+        """Do something at some time."""
+        self.seq += 1
+        heappush(self.events, (when, self.seq, what))
+
+    def step(self, number: int, event: io.Event) -> None:
+        """One event at one host, and all that follows from it."""
+        for action in self.instances[number].step(self.now, [event]):
+            if isinstance(action, io.SetTimer):
+                self.at(action.at, lambda life=self.lives[number]: life == self.lives[number] and self.step(
+                    number, io.TimerFired(0)))
+            elif isinstance(action, io.Send):
+                self.sent(number, action)
+
+    def sent(self, number: int, send: io.Send) -> None:
+        """An attempt begins now, or when its connection comes up late; its outcome follows."""
+        draw, life = self.draw, self.lives[number]
+        attempt = self.tries[number, send.request] = self.tries.get((number, send.request), -1) + 1
+        delay = 1.5 if draw.random() < self.late else 0.0
+        outcome = draw.choice(FAULTS) if draw.random() < self.faulty else io.Outcome.OK
+        units, begun = self.units[send.request], self.now
+
+        def ended() -> None:
+            if life == self.lives[number]:
+                self.step(number, io.AttemptEnded(
+                    send.request, attempt, send.node, outcome, self.now - begun, outcome is io.Outcome.OK))
+
+        def comes() -> None:
+            nonlocal outcome
+            if life != self.lives[number]:
+                return
+            if not self.instances[number].may_begin(self.now, send.request, attempt):
+                outcome = io.Outcome.NOT_SENT
+            elif outcome is not io.Outcome.NO_CONNECTION and (cold := self.colds.get(send.node)):
+                cold.come(self.now, units, self.told[number].get(send.node) == cold.since)
+            self.at(self.now + draw.uniform(0.02, 0.3), ended)
+        if delay:
+            self.at(self.now + delay, comes)
+        else:
+            comes()
+
+    def arrive(self) -> None:
+        """A client asks, at a host of its volume; the next one comes after a while."""
+        draw, hosts = self.draw, self.settings.hosts
+        hot = self.hot and draw.random() < 0.5
+        name, through, shards, plan, _ = self.volumes[0] if hot else draw.choices(self.volumes, self.heats)[0]
+        # One host leads a volume; where it has several, the others get a part.
+        number, of = through[0] if draw.random() < 0.6 else draw.choice(through), len(set(through))
+        if self.spread:
+            number, of = draw.choices(range(hosts), self.weights)[0], hosts
+        number = number if self.only is None else self.only
+        self.seq += 1
+        request = f"r{self.seq}"
+        self.units[request] = draw.choice(self.sizes)
+        self.step(number, io.RequestArrived(
+            request, draw.choice(("read", "read", "log")), draw.choice((0.5, 1.2)), draw.choice(shards),
+            self.units[request], name, plan, of, f"{draw.randrange(self.keys):016x}"))
+        surge = self.burst if self.burst_at <= self.now < self.burst_at + 3.0 else 1.0
+        self.at(self.now + draw.expovariate(self.rate * surge), self.arrive)
+
+    def start(self, name: str) -> None:
+        """A node has started; each host is told at once, late, or last."""
+        since = self.starts[name] = self.now
+        self.colds[name] = cold = Cold(self.settings, since)
+        self.all_colds.append(cold)
+        for number in range(self.settings.hosts):
+            late = self.draw.choice((0.0, 0.0, 0.0, 1.0, 5.0)) if self.told_late else 0.0
+            self.at(self.now + late, lambda number=number: self.tell(number, name, since))
+
+    def tell(self, number: int, name: str, since: float) -> None:
+        """A host hears of a start, unless another has followed."""
+        if self.starts[name] == since and self.told[number].get(name) != since:
+            self.told[number][name] = since
+            self.step(number, io.NodesListed(io.ListKind.CHANGES, 2, [
+                io.NodeEntry(name, shard=self.node_names.index(name), since=since)]))
+
+    def restart(self, number: int) -> None:
+        """A host comes back that knows nothing of what it has sent; its list tells of all starts."""
+        self.lives[number] += 1
+        self.told[number] = dict(self.starts)
+        self.instances[number] = self._host(number)
+
+    def play(self) -> list[Cold]:
+        """The draw from its start to its end; the nodes that were cold."""
+        draw, begin = self.draw, self.now + self.known
+        self.heats = [volume[4] for volume in self.volumes]
+        self.burst_at = begin + draw.choice((0.0, 2.0))
+        self.at(self.now, self.arrive)
+        for name in draw.sample(self.node_names, draw.randint(1, len(self.node_names))):
+            self.at(begin + draw.choice((0.0, 0.0, 1.0)), lambda name=name: self.start(name))
+        if self.again:
+            self.at(begin + self.settings.fall_window / 2, lambda: self.start(self.node_names[0]))
+        for number in range(self.settings.hosts if self.restarts else 0):
+            if draw.random() < 0.7:
+                self.at(begin + draw.uniform(0.3, 4.0), lambda number=number: self.restart(number))
+        while self.events[0][0] < begin + self.lasts:
+            self.now, _, what = heappop(self.events)
+            what()
+        return self.all_colds
+
+
+def main(seconds: float, seed: int = 0) -> None:
+    """See the module's docstring."""
+    until, draws, bad, colds, worst, used = time.monotonic() + seconds, 0, [], 0, [], []
+    while time.monotonic() < until:
+        fleet = Fleet(seed + draws)
+        nodes = fleet.play()
+        colds += len(nodes)
+        worst.append((max((cold.worst for cold in nodes), default=0.0), seed + draws))
+        used += [cold.used() for cold in nodes if fleet.demand >= 1 and cold.last - cold.since > 2.0]
+        if any(cold.fell for cold in nodes):
+            bad.append(seed + draws)
+        draws += 1
+    print(f"{draws} draws, {colds} cold nodes; falls in {len(bad)} draws: {bad[:40]}")
+    used.sort()
+    print("units, of those that a node could have done while cold:",
+          [round(used[len(used) * part // 10], 2) for part in range(10)], round(sum(used) / len(used), 2))
+    print("worst:", [(round(part, 2), at) for part, at in sorted(worst, reverse=True)[:12]])
+
+
+if __name__ == "__main__":
+    main(float(sys.argv[1]), *map(int, sys.argv[2:]))
