Limits: a request that its store can never bear keeps nothing from the cheaper ones

Seen by settings whose limit is under one request's units: limit_wait marked the refused request as dear, and all cheaper ones had half of the store for 2 s, over and over. test_what_a_limit_never_bears_keeps_nothing_from_the_others: 3 of 7 sent before.

--- a/mallowbeam/control/requests.py
+++ b/mallowbeam/control/requests.py
@@ -46,10 +46,10 @@
         if self.plan.limit <= 0:
             return 0.0
         # First come would spend what is scarce on the cheap.  Harm: the dear may not come, and some is left.
-        dearer = 0 < worth < self.dear and self.at < self.dear_at + PRICE_LASTS
-        kept = KEPT * self.plan.limit_burst * dearer
-        missing = units + 1e-6 + (kept - self.plan.limit_slack) / self.parts() - self.limit_level
-        if missing > 0 and worth and not dearer:
+        plan, dearer = self.plan, 0 < worth < self.dear and self.at < self.dear_at + PRICE_LASTS
+        kept = KEPT * plan.limit_burst * dearer - plan.limit_slack
+        missing = units + 1e-6 + kept / self.parts() - self.limit_level
+        if missing > 0 < worth and not dearer and units * self.parts() <= plan.limit_burst + plan.limit_slack:
             self.dear, self.dear_at = worth, self.at
         return max(0.0, missing * self.parts() / self.plan.limit)
 
--- /dev/null
+++ b/tests/test_drawn_settings.py
@@ -0,0 +1,229 @@
+"""Settings of any customer: instances are driven through drawn ones, and the rules checked from outside."""
+
+from __future__ import annotations
+
+import random
+from heapq import heappop, heappush
+
+import pytest
+from conftest import COLD, Rig, Store, make_settings, of
+
+from mallowbeam import Scheduler
+from mallowbeam import interface as io
+
+MAY_RUN = (io.Outcome.OK, io.Outcome.ERROR, io.Outcome.TIMEOUT, io.Outcome.RESET, io.Outcome.CANCELLED)
+SLACK = 0.008                                  # seconds past the deadline in which an answer still counts
+
+
+def draw_settings(draw: random.Random) -> io.Settings:
+    """Any customer's: short and long times, rules that are there or not, tight limits, odd sizes."""
+    top, hosts = draw.choice((1, 1, 2, 8, 40)), draw.choice((1, 1, 3, 200))
+    classes, plans = {}, {}
+    for name in "abc"[:draw.choice((1, 1, 2, 3))]:
+        deadline = draw.choice((0.2, 0.2, 1.0, 8.0))
+        classes[name] = io.RequestClass(
+            name, draw.uniform(0.1, 5.0), deadline * draw.choice((0.25, 0.5, 1.0)), deadline,
+            draw.choice((0.0, 0.2)), draw.choice(list(io.Repeat)), draw.choice(list(io.Scope)),
+            draw.choice((0.0, 0.3, 2.0)), ordered=draw.random() < 0.2)
+    for name in draw.choice(((), ("p",), ("p", "q"))):
+        limit = draw.choice((0.0, 2.0, 40.0))
+        burst, slack = top * draw.choice((0.5, 1.0, 2.0 * hosts)), draw.choice((0.0, 0.5 * top, 8.0))
+        plans[name] = io.Plan(name, 5.0, draw.choice((0.0, 20.0)), draw.choice((0.5, 2.0)), 1.0, limit,
+                              *((burst, slack) if limit else ()))
+    cold = dict(cold_units=draw.choice((1.0, 24.0)), cold_start=draw.choice((0.1, 0.5)),
+                cold_time=draw.choice((0.0, 0.5, 10.0)), fall_multiple=draw.choice((1.5, 4.0)),
+                fall_window=draw.choice((0.3, 3.0)))
+    budget = dict(budget_floor=2.0, budget_share=0.1, budget_window=draw.choice((0.3, 5.0)))
+    return make_settings(
+        seed=draw.getrandbits(32), hosts=hosts, zone="", tick=draw.choice((0.0, 0.002)), classes=classes,
+        plans=plans, usual_units=(1 + top) / 2, units_top=top, may_cancel=draw.random() < 0.5,
+        max_attempts=draw.choice((None, 1, 4)), retry_after=draw.random() < 0.5,
+        max_retry_after=draw.choice((0.0, 0.1, 2.0)), drain_grace=draw.choice((0.0, 0.25, None)),
+        discovery_on_request=draw.random() < 0.5, ask_every=draw.choice((None, 0.3)),
+        order_settle=draw.choice((0.0, 0.3)), limit_at_arrival=draw.random() < 0.5,
+        **(cold if draw.random() < 0.6 else {}), **(budget if draw.random() < 0.3 else {}))
+
+
+class Service:
+    """One instance on drawn settings, its clients and nodes, and the rules."""
+
+    def __init__(self, seed: int) -> None:
+        draw = self.draw = random.Random(seed)
+        self.settings, self.now, self.seq = draw_settings(draw), 100.0, 0
+        self.host = Scheduler(self.settings, self.now)
+        self.nodes = {f"n{i}": (i % 3, "ab"[i % 2] if draw.random() < 0.8 else "") for i in range(4)}
+        self.closed: set[str] = set()
+        self.events: list = []
+        self.asked: dict[str, io.RequestArrived] = {}
+        self.until: dict[str, float] = {}
+        self.over: dict[str, str] = {}
+        self.tries: dict[str, int] = {}
+        self.out: dict[tuple[str, int], str] = {}
+        self.began: dict[tuple[str, int], float] = {}
+        self.ran: dict[str, list[tuple[str, float]]] = {}
+        self.stores: dict[str, Store] = {}
+        self.drawn: set[str] = set()
+        self.served, self.faulty = 0, draw.choice((0.0, 0.1, 0.5))
+        self.latency = draw.choice((0.005, 0.05, 0.5))
+        self.step(io.NodesListed(io.ListKind.CACHED, 1, [self.entry(name) for name in self.nodes]))
+
+    def entry(self, name: str, state: io.NodeState = io.NodeState.READY,
+              since: float | None = None) -> io.NodeEntry:
+        return io.NodeEntry(name, state, self.nodes[name][0], self.nodes[name][1], since)
+
+    def at(self, when: float, what) -> None:
+        self.seq += 1
+        heappush(self.events, (when, self.seq, what))
+
+    def step(self, event: io.Event) -> None:
+        for action in self.host.step(self.now, [event]):
+            if isinstance(action, io.SetTimer):
+                self.at(action.at, lambda: self.step(io.TimerFired(0)))
+            elif isinstance(action, io.Send):
+                self.sent(action)
+            elif isinstance(action, io.Cancel) and (action.request, action.attempt) in self.out:
+                assert self.settings.may_cancel
+                self.at(self.now, lambda a=action: self.ended(a.request, a.attempt, io.Outcome.CANCELLED))
+            elif isinstance(action, io.Refuse | io.Fail):
+                self.said(action)
+
+    def said(self, action: io.Refuse | io.Fail) -> None:
+        name = action.request
+        assert name not in self.over, "two final answers"
+        assert self.now <= self.until[name] + SLACK, "answered too late"
+        self.over[name] = type(action).__name__
+        if isinstance(action, io.Refuse):
+            assert (action.retry_after is None) is not self.settings.retry_after
+            assert 0 <= (action.retry_after or 0.0) <= self.settings.max_retry_after
+            cls = self.settings.classes[self.asked[name].cls]
+            may_have_run = name in self.ran or any(known == name for known, _ in self.out)
+            assert (not may_have_run or cls.repeat is io.Repeat.SAFE
+                    or cls.repeat is io.Repeat.KEYED and cls.scope is io.Scope.ALL), "an untrue refusal"
+
+    def sent(self, send: io.Send) -> None:
+        name, request = send.request, self.asked[send.request]
+        number = self.tries[name] = self.tries.get(name, -1) + 1
+        cls, node = self.settings.classes[request.cls], self.nodes[send.node]
+        assert name not in self.over and send.node not in self.closed, "over, or a closed node"
+        assert self.now < self.until[name] and 0 < send.timeout <= self.until[name] - self.now + 1e-9
+        assert number < (self.settings.max_attempts or 1e9) and all(known != name for known, _ in self.out)
+        assert request.shard in (None, node[0])
+        if name in self.ran:
+            assert cls.repeat is not io.Repeat.UNSAFE, "an unsafe request again"
+            if cls.repeat is io.Repeat.KEYED:
+                first, began = self.ran[name][0]
+                assert self.now <= began + cls.repeat_window, "a keyed request past its window"
+                group = {"all": slice(0), "zone": slice(1, 2), "shard": slice(1)}[cls.scope.value]
+                assert self.nodes[first][group] == node[group], "a keyed request outside its group"
+        self.out[name, number], self.began[name, number] = send.node, self.now
+        outcome = io.Outcome.OK if self.draw.random() >= self.faulty else self.draw.choice(list(io.Outcome))
+        after = self.draw.expovariate(1 / self.latency)
+        if after > send.timeout:
+            after, outcome = send.timeout, io.Outcome.TIMEOUT
+        unsent = outcome in (io.Outcome.NOT_SENT, io.Outcome.NO_CONNECTION)
+        if self.settings.limit_at_arrival and not unsent:
+            self.draws(name)                   # its last byte is there at once
+        elif not self.settings.limit_at_arrival and outcome is not io.Outcome.NOT_SENT:
+            self.draws(name)
+        self.at(self.now + after, lambda: self.ended(name, number, outcome))
+
+    def draws(self, name: str) -> None:
+        """This host's part of the store, as the platform counts it."""
+        request = self.asked[name]
+        plan = self.settings.plans.get(request.plan)
+        if plan is None or plan.limit <= 0 or name in self.drawn:
+            return
+        self.drawn.add(name)
+        part = io.Plan("", limit=plan.limit / request.hosts_of_volume,
+                       limit_burst=plan.limit_burst / request.hosts_of_volume)
+        store = self.stores.setdefault(request.volume, Store(part, 100.0))
+        store.take(self.now, request.units)
+        assert store.level >= -plan.limit_slack / request.hosts_of_volume - 1e-3, "past its limit"
+
+    def ended(self, name: str, number: int, outcome: io.Outcome) -> None:
+        if (node := self.out.pop((name, number), None)) is None:
+            return
+        if outcome in MAY_RUN:
+            self.ran.setdefault(name, []).append((node, self.began[name, number]))
+        if outcome is io.Outcome.OK and name not in self.over:
+            self.over[name] = "OK"
+            self.served += 1
+        self.step(io.AttemptEnded(name, number, node, outcome, self.now - self.began[name, number],
+                                  name in self.over))
+
+    def arrive(self) -> None:
+        draw, s = self.draw, self.settings
+        self.seq += 1
+        name, cls = f"r{self.seq}", draw.choice(list(s.classes.values()))
+        plan = draw.choice([*s.plans, "none"])
+        lasts = cls.deadline * draw.choice((1.0, 1.0, 0.3, 0.001))
+        self.asked[name] = request = io.RequestArrived(
+            name, cls.name, lasts, draw.choice((None, 0, 1, 2)), draw.randint(1, s.units_top),
+            f"{plan}{draw.randrange(2)}", plan, s.hosts if s.hosts < 200 else 2,
+            draw.choice((f"k{draw.randrange(5)}", f"{self.seq:016x}", None)))
+        self.until[name] = self.now + lasts
+        self.step(request)
+        if draw.random() < 0.05:
+            self.at(self.now + draw.random() * lasts, lambda: self.gone(name))
+
+    def gone(self, name: str) -> None:
+        if name not in self.over:
+            self.over[name] = "gone"
+        self.step(io.ClientGone(name))
+
+    def list(self) -> None:
+        draw, name = self.draw, self.draw.choice(list(self.nodes))
+        if draw.random() < 0.2:
+            return self.step(io.NodesListed(draw.choice((io.ListKind.FAILED, io.ListKind.SILENT))))
+        state = draw.choice((io.NodeState.READY, io.NodeState.READY, *io.NodeState))
+        (self.closed.discard if state is io.NodeState.READY else self.closed.add)(name)
+        self.step(io.NodesListed(io.ListKind.CHANGES, 2, [
+            self.entry(name, state, draw.choice((None, self.now)))]))
+        return None
+
+    def play(self, requests: int) -> None:
+        """All of it, until nothing is left to do; then nothing may be held."""
+        draw, when = self.draw, self.now
+        pace = draw.choice((0.002, 0.02, 0.1))
+        for _ in range(requests):
+            when += draw.expovariate(1 / pace)
+            self.at(when, self.arrive)
+            if draw.random() < 0.03:
+                self.at(when, self.list)
+        self.at(when + 60.0, lambda: None)
+        while self.events and self.events[0][0] <= when + 60.0:
+            self.now, _, what = heappop(self.events)
+            what()
+        assert set(self.over) == set(self.asked), "a request without its final answer"
+
+
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_any_customers_settings(seed):
+    service = Service(seed)
+    service.play(150)
+    host = service.host
+    assert not host.requests and not host.chains and not service.out
+    assert all(not node.out and not node.out_units and not node.queue for node in host.nodes.values())
+    assert all(not volume.pending and not volume.coming for volume in host.volumes.values())
+
+
+def test_what_a_limit_never_bears_keeps_nothing_from_the_others():
+    """Guards the cheap: half of the store was left to a dearer request that is larger than the store."""
+    plan = io.Plan("p", limit=1.0, limit_burst=8.0)
+    rig = Rig(plans={"p": plan})
+    rig.wait(60.0)                             # the store is full
+    assert of(rig.step(rig.request("read", units=9, plan="p")), io.Refuse)
+    sent = sum(len(of(rig.step(rig.request("log", units=1, plan="p")), io.Send)) for _ in range(8))
+    assert sent == 7                           # all but what rounding may take
+
+
+@pytest.mark.parametrize("cold_time", [0.0, None])
+def test_where_no_node_is_ever_cold_none_is_presumed_to_be(cold_time):
+    """Guards a node that lost its connections: without any such time it was held for cold, or it raised."""
+    rig = Rig(**COLD | dict(cold_time=cold_time, cold_units=1.0, hosts=200))
+    for _ in range(2):
+        rig.step(rig.ended(of(rig.step(rig.request(units=1)), io.Send)[0], io.Outcome.NO_CONNECTION))
+    assert rig.host.nodes["n0"].suspect        # so it gets a trickle
+    assert of(rig.step(rig.request(plan="silver", units=8), after=0.3), io.Send)
