--- a/mallowbeam/control/nodes.py
+++ b/mallowbeam/control/nodes.py
@@ -47,8 +47,7 @@
 
     def refresh(self) -> None:
         """Let answers fade with time, so that few a second weigh as they should: recent or not at all."""
-        now = self.sched.now
-        if now > self.fresh_at:
+        if (now := self.sched.now) > self.fresh_at:
             self.weight, self.fresh_at = self.weight * exp((self.fresh_at - now) / MEMORY), now
             self.n_latency = (self.weight * self.mean + PRIOR * self.sched.prior) / (self.weight + PRIOR)
 
@@ -71,8 +70,7 @@
 
     def silence(self) -> float:
         """How long two attempts are overdue, or one, which may be costly, for a cycle more."""
-        two = list(self.out.values())[:2]
-        if not two:
+        if not (two := list(self.out.values())[:2]):
             return 0.0
         due = two[-1].sent_at + self.sched.slope * two[-1].request.units + self.sched.cycle * (len(two) < 2)
         return max(0.0, self.sched.now - max(self.last_answer, due))
@@ -111,8 +109,7 @@
         self.watch_failures, entries = 0, event.entries
         if event.kind is not io.ListKind.CHANGES:  # what a whole list leaves out is gone
             named = {entry.node for entry in entries}
-            missing = [io.NodeEntry(name, io.NodeState.GONE) for name in self.nodes if name not in named]
-            entries = missing + entries
+            entries = [io.NodeEntry(n, io.NodeState.GONE) for n in self.nodes if n not in named] + entries
         for entry in entries:
             fresh, since = entry.node not in self.nodes, entry.since
             if fresh and entry.state is io.NodeState.GONE:
