--- a/mallowbeam/control/booking.py
+++ b/mallowbeam/control/booking.py
@@ -85,8 +85,7 @@
             request.density = request.cls.worth * volume.plan.price * worth
 
     def _price(self, node: Node) -> float:
-        """What a unit must be worth to take room at a node: what found no slot asks for its worth."""
-        # As work of others in front (latency above the lowest) takes up the aim, the cheap are left out.
+        """What a unit must be worth to go there now: bids, and as others' work takes up the aim, more."""
         node.refresh()
         waiting = max(node.n_latency, node.silence()) - self.floor
         part = min(1.0, max(0.0, waiting) / max(self.cycle - self.floor, self.cycle / 4))
--- a/mallowbeam/control/nodes.py
+++ b/mallowbeam/control/nodes.py
@@ -176,9 +176,7 @@
             self.touched[node.id] = node
 
     def _cold_bars(self, node: Node, request: Request) -> bool:
-        """Whether a request must not go to a node because that is cold."""
-        # A host's even part may go, and a share told by key, so that repeats fare alike: by what all ask,
-        # as this host's own traffic tells, and a little whatever that is.  Surges come through few hosts.
+        """Whether a node is too cold for it: past a host's even part a share may go, by key and what all ask."""
         if self.now >= node.cold_until:
             return False
         s = self.settings                      # the ramp is taken at the middle of the rule's window
