The module under drawn settings: a loop, two leaks and a first guess in units mended

A charge whose connection comes up later than fall_window since its decision was pruned before it counted (may_begin): it is charged anew at its first byte. A node's answer stood still after 10 ms where the aim is 0.05 s (fronts/platform.py): 50 ms at least.

--- a/mallowbeam/control/booking.py
+++ b/mallowbeam/control/booking.py
@@ -7,7 +7,7 @@
 
 from mallowbeam import interface as io
 from mallowbeam.control.nodes import M_EXTRA, M_MOST, Node
-from mallowbeam.control.requests import Request, Volume
+from mallowbeam.control.requests import EPS, Request, Volume
 
 CHOICES, HOLE = 6, 1.25  # other nodes, hashed too, lest all turn to one; how much later the first may be
 RUN = 2                 # largest requests: what may be out beyond the room behind one of the same data
@@ -15,7 +15,6 @@
 ACTIVE = 2.0            # seconds for which a volume counts in the sharing of a node after its last request
 CROWD = 0.3             # of the dearest unit: what one must be worth where waiting takes up the aim
 CAPACITY_DEALT = 0.9    # of a node's power is dealt out by weight (the users' terms)
-EPS = 2e-6              # seconds: a clock that counts in microseconds may round a timer down
 
 
 class Booking:
@@ -108,8 +107,7 @@
             self._at(node.wake, node)          # one pending wake a node, however often it is looked at
 
     def _layout(self, node: Node) -> tuple[list[Request], list[Request]]:
-        """Order of the bookings: those that meet their aims, then late ones; and those without a slot."""
-        # Laid into the earliest hole; for one that would miss its aim there those due the least go later.
+        """Order of bookings: in their aims (those due the least give way), then late; and those without slot."""
         self._value(node)
         now, slot, room = self.now, node.slot(), node.window - node.out_units
         refused = [entry[2] for entry in node.queue if self._cold_bars(node, entry[2])]
@@ -151,7 +149,6 @@
         if node.suspect or self.now < node.held:
             return
         price = self._price(node)
-        # What follows on the same data costs a node a part of its work: it goes at once, behind its first.
         turns = {request.data: turn for turn, request in reversed(list(enumerate(order)))}
         for request in sorted(order, key=lambda r: -1 if r.data == node.last else turns[r.data]):
             room = node.window + (RUN * self.settings.units_top if request.data == node.last else 0)
--- a/mallowbeam/control/nodes.py
+++ b/mallowbeam/control/nodes.py
@@ -176,7 +176,7 @@
             self.touched[node.id] = node
 
     def _cold_bars(self, node: Node, request: Request) -> bool:
-        """Whether a node is too cold for it: past its even part a host sends a share, by key and what all ask."""
+        """Whether a node is too cold for it: past its even part a host sends a part, by key and demand."""
         if self.now >= node.cold_until:
             return False
         s = self.settings                      # the ramp is taken at the middle of the rule's window
--- a/mallowbeam/control/requests.py
+++ b/mallowbeam/control/requests.py
@@ -3,6 +3,7 @@
 from mallowbeam import interface as io
 
 PRICE_LASTS = 2.0       # seconds: surges come and go within seconds, and so must what they make slots worth
+EPS = 2e-6              # seconds: a clock that counts in microseconds may round a timer down
 KEPT = 0.5              # of a limit's store: left to the dearest that it refused in PRICE_LASTS
 
 
--- a/mallowbeam/control/scheduler.py
+++ b/mallowbeam/control/scheduler.py
@@ -6,12 +6,12 @@
 from math import exp
 
 from mallowbeam import interface as io
-from mallowbeam.control.booking import EPS, Booking
+from mallowbeam.control.booking import Booking
 from mallowbeam.control.nodes import MEMORY, Health, Node
-from mallowbeam.control.requests import Request, Volume
+from mallowbeam.control.requests import EPS, Request, Volume
 from mallowbeam.control.sending import Sending
 
-FIRST_SLOT = 1 / 20     # of the aim, a unit, before anything was measured (design page)
+FIRST_SLOT, FIRST_MOST = 1 / 20, 0.3  # of the cycle, a unit and a usual request, before anything was measured
 CREEP = 0.01            # a second: how fast the lowest measured latency may be forgotten, for a slower day
 FORGET = 30.0           # seconds after which what a volume has drawn says nothing any more
 
@@ -24,8 +24,9 @@
         self.random = random.Random(settings.seed)
         # A cycle lasts as long as the tightest aim: what is out at a node then comes back within one.
         self.cycle = min((c.aim for c in settings.classes.values()), default=0.3)
-        self.slope = self.cycle * FIRST_SLOT   # latency a further unit of a request costs, at any node
-        self.prior = self.floor = 2 * settings.usual_units * self.slope  # usual and lowest latency
+        # Usual and lowest latency; latency that a further unit of a request costs, at any node.
+        self.prior = self.floor = self.cycle * min(2 * settings.usual_units * FIRST_SLOT, FIRST_MOST)
+        self.slope = self.floor / settings.usual_units / 2
         self.surveyed = self.born = now
         self.dearest = max((c.worth for c in settings.classes.values()), default=1.0)
         self.top = self.dearest * max((p.price for p in settings.plans.values()), default=1.0)  # of a unit
@@ -65,6 +66,8 @@
             return
         self.surveyed = self.now
         # Guards memory: forget ids that may never come back, and timers of requests that are over.
+        self._budget_left()                    # drops what is past its window
+        self.rests = {key: until for key, until in self.rests.items() if until > self.now}
         self.changed = {name: at for name, at in self.changed.items() if self.now - at <= FORGET}
         self.volumes = {name: volume for name, volume in self.volumes.items()
                         if volume.pending or volume.coming or self.now - volume.at <= FORGET}
--- a/mallowbeam/control/sending.py
+++ b/mallowbeam/control/sending.py
@@ -2,7 +2,7 @@
 
 from mallowbeam import interface as io
 from mallowbeam.control.nodes import REFUSAL, SHRINK, Node
-from mallowbeam.control.requests import Attempt, Request
+from mallowbeam.control.requests import EPS, Attempt, Request
 
 SMOOTH, FAULTY = 0.1, 0.3  # weight of one answer in a node's share of errors; the share that fails a node
 STUCK = 5.0             # times the expected time after which an attempt passed over by later ones is given up
@@ -44,8 +44,9 @@
         attempt = request.out.get(number) if request else None
         begins = (attempt is not None and now < attempt.until and not self._forbidden(request, attempt.node)
                   and attempt.cold_from == attempt.node.cold_from)
-        if begins:
-            attempt.cold[0] = now              # what counts at a cold node is when it comes there
+        if begins and now < attempt.node.cold_until:  # what counts at a cold node is when it comes there
+            attempt.cold[1], attempt.cold = 0, [now, request.units]
+            attempt.node.cold_sent.append(attempt.cold)
         return begins
 
     def _send(self, request: Request, node: Node) -> bool:
@@ -206,11 +207,9 @@
         while chain and chain[0].done and not chain[0].out:
             chain.popleft()
         if chain and not chain[0].asked and not chain[0].done:
-            if rest > self.now:
+            if rest > self.now + EPS:          # else the timer due now would be set again, for ever
                 self._at(rest, key)
             else:
                 self._book(chain[0])
         elif chain is not None and not chain:
             del self.chains[key]
-            if rest <= self.now:
-                self.rests.pop(key, None)
--- a/mallowbeam/fronts/platform.py
+++ b/mallowbeam/fronts/platform.py
@@ -20,7 +20,7 @@
 EXTENT = re.compile(rb"units=(\d{1,9}),shard=(-?\d{1,9}),hosts=(\d{1,9})\Z")
 HELD = 24 * 1024 * 1024     # bytes of bodies held at once, over all connections: memory is bounded
 MOST_MS = 3_600_000         # a deadline of over an hour is senseless
-STANDSTILL = 0.2            # of the aim: nodes write their small answers in one go
+STANDSTILL, LEAST = 0.2, 0.05  # of the aim, and seconds: nodes write their small answers in one go
 FAILED = 502                # what a client is told of a failure: neither 429 nor 503, which would refuse
 REFUSED = 503
 RETRY_AFTER = [(b"retry-after", b"0.3")]  # with a refusal that the module has no part in
@@ -109,8 +109,8 @@
                 hosts_of_volume=hosts, key=path[3].decode(), is_retry=headers.get(b"x-retry") == b"1",
                 is_write=request.method == b"PUT"),
             request.method, request.target, [h for h in request.headers if h[0] in PASSED_ON],
-            request.body, streamed=(200).__eq__, standstill=cls.aim * STANDSTILL, hold=MAX_BODY, most=MOST,
-            upload=request.stream, length=request.length)
+            request.body, streamed=(200).__eq__, standstill=max(LEAST, cls.aim * STANDSTILL), hold=MAX_BODY,
+            most=MOST, upload=request.stream, length=request.length)
 
     @staticmethod
     def streamed(answer: Answer, stream: Stream, request: Message, closing: Callable[[], bool]) -> Reply:
--- a/tests/test_drawn_settings.py
+++ b/tests/test_drawn_settings.py
@@ -227,3 +227,37 @@
         rig.step(rig.ended(of(rig.step(rig.request(units=1)), io.Send)[0], io.Outcome.NO_CONNECTION))
     assert rig.host.nodes["n0"].suspect        # so it gets a trickle
     assert of(rig.step(rig.request(plan="silver", units=8), after=0.3), io.Send)
+
+
+@pytest.mark.parametrize("units", [1, 20, 200])
+def test_a_service_whose_requests_count_many_units_is_used(units):
+    """Guards against a first guess in units: twenty seemed to take longer than the deadline."""
+    cls = io.RequestClass("only", aim=1.0, deadline=1.0)
+    rig = Rig(classes={"only": cls}, usual_units=units, units_top=2 * units)
+    assert of(rig.step(rig.request("only", units=2 * units)), io.Send)
+
+
+def test_a_timer_a_microsecond_early_does_not_spin(monkeypatch):
+    """Guards the loop: a rest that ended within the clock's rounding set the timer that was due again."""
+    rig = Rig(order_settle=0.3)
+    first = of(rig.step(rig.request("ordered", key="k")), io.Send)[0]
+    rig.step(rig.ended(first, io.Outcome.TIMEOUT), rig.request("ordered", key="k"))
+    seen = []
+    at = rig.host._at
+    monkeypatch.setattr(rig.host, "_at", lambda *what: at(*what) if len(seen) < 100 else pytest.fail("spins"))
+    monkeypatch.setattr(rig.host, "_advance", lambda key, advance=rig.host._advance: (
+        seen.append(key), advance(key)))
+    rig.wait(0.3 - 1e-6)
+    rig.timer = None                           # it fires now, rounded down
+    rig.step(io.TimerFired(0))
+    assert of(rig.wait(0.2), io.Send)
+
+
+def test_nothing_is_kept_of_keys_and_budgets_that_rest():
+    """Guards memory: each key's rest, and the time of each request taken, stayed for good."""
+    rig = Rig(order_settle=0.3, budget_floor=2.0, budget_window=1.0)
+    for _ in range(20):
+        for send in of(rig.step(rig.request("ordered")), io.Send):
+            rig.step(rig.ended(send, io.Outcome.TIMEOUT))
+    rig.step(after=5.0)
+    assert not rig.host.rests and not rig.host.taken
