--- a/mallowbeam/control/booking.py
+++ b/mallowbeam/control/booking.py
@@ -107,7 +107,7 @@
             self._at(node.wake, node)          # one pending wake a node, however often it is looked at
 
     def _layout(self, node: Node) -> tuple[list[Request], list[Request]]:
-        """Order of bookings: in their aims (those due the least give way), then late; and those without slot."""
+        """Order of bookings: in their aims (the least due give way), then late; and those without a slot."""
         self._value(node)
         now, slot, room = self.now, node.slot(), node.window - node.out_units
         refused = [entry[2] for entry in node.queue if self._cold_bars(node, entry[2])]
