--- a/mallowbeam/control/nodes.py
+++ b/mallowbeam/control/nodes.py
@@ -16,7 +16,7 @@
 MOST_AGAIN, FLEET_CALLS = 2.5, 5.0  # the most in any fleet (`net/discovery.py`); calls a second by all hosts
 UNTOLD = 3.0            # seconds by which lists run late: so long a node not reached is taken for cold
 BREAKS, REFUSAL = 6, 3  # broken connections in a row after which a node has ended; one refused counts 3
-EVEN_PART, LOAD_PART = 0.5, 0.4  # of what a cold node bears: dealt out over hosts, or over what they ask
+EVEN_PART, LOAD_PART = 0.5, 0.7  # of what a cold node bears: dealt out over hosts, or over what they ask
 COLD_PART = (0.35, 0.04, 0.04)  # of what is asked, in what tips it: by tier, whatever the load
 MOST_PART, SURGE_PART = 0.5, 0.2  # the same, at most; and of what it bears, through one host
 
