--- /dev/null
+++ b/mallowbeam/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Raft without I/O: elections, replication, membership changes, reads."""
--- a/mallowbeam/fleet/page.py
+++ b/mallowbeam/fleet/page.py
@@ -23,10 +23,10 @@
 from mallowbeam.fleet.metrics import CONTENT_TYPE, FleetMetrics
 from mallowbeam.fleet.policy_text import MOST
 from mallowbeam.fleet.service import FleetService
+from mallowbeam.http.framing import Budget, Headers, Message, write_head
+from mallowbeam.http.server import Reply, Server
 from mallowbeam.net.config import read_address
 from mallowbeam.net.gateway import Gateway
-from mallowbeam.net.http import Budget, Headers, Message, write_head
-from mallowbeam.net.server import Reply, Server
 from mallowbeam.operators import PolicySection
 
 BACK = "/fleet/maintenance/back"
--- a/mallowbeam/fleet/pools/lend.py
+++ b/mallowbeam/fleet/pools/lend.py
@@ -32,7 +32,7 @@
 
 
 class Budgets(Protocol):
-    """What `net/upstream.Pool` asks and tells, where budgets are set; all of it waits for nothing."""
+    """What `http/client.Pool` asks and tells, where budgets are set; all of it waits for nothing."""
 
     def may_open(self, node: str, tenant: str) -> bool:
         """Whether a new connection may be opened now; the caller says `opened` before anything else."""
--- a/mallowbeam/fronts/objects/bodies.py
+++ b/mallowbeam/fronts/objects/bodies.py
@@ -16,7 +16,7 @@
 
 from mallowbeam.fronts.objects.errors import Error
 from mallowbeam.fronts.objects.signatures import ChunkSignatures
-from mallowbeam.net.http import Headers, Message
+from mallowbeam.http.framing import Headers, Message
 
 SUM = b"x-amz-checksum-"
 HASHES = {SUM + b"sha1": hashlib.sha1, SUM + b"sha256": hashlib.sha256}
--- a/mallowbeam/fronts/objects/buffered.py
+++ b/mallowbeam/fronts/objects/buffered.py
@@ -34,12 +34,12 @@
 from mallowbeam.fronts.objects.front import BucketCall, Objects, cut_here, range_of
 from mallowbeam.fronts.objects.listings import Item, Query
 from mallowbeam.fronts.objects.settings import ObjectSettings
+from mallowbeam.http.framing import HOP_BY_HOP, TOKEN, Channel, Headers, Message, write_head
+from mallowbeam.http.front import Reply
 from mallowbeam.interface import Repeat
 from mallowbeam.net.calls import Call, Kind
 from mallowbeam.net.config import BadConfig
-from mallowbeam.net.front import Reply
 from mallowbeam.net.gateway import Gateway
-from mallowbeam.net.http import HOP_BY_HOP, TOKEN, Channel, Headers, Message, write_head
 from mallowbeam.operators import BufferSection, convert
 
 BARRIER = b"x-mallowbeam-barrier"             # on a write: `sync` or `through`
--- a/mallowbeam/fronts/objects/calls.py
+++ b/mallowbeam/fronts/objects/calls.py
@@ -13,7 +13,7 @@
 from mallowbeam.fronts.objects.settings import ObjectSettings
 from mallowbeam.fronts.objects.signatures import ChunkSignatures
 from mallowbeam.fronts.objects.uploads import unpack_upload
-from mallowbeam.net.http import Message
+from mallowbeam.http.framing import Message
 
 MOST_PARTS = 10_000
 MOST_KEY = 1024             # bytes of an object's name
--- a/mallowbeam/fronts/objects/errors.py
+++ b/mallowbeam/fronts/objects/errors.py
@@ -6,7 +6,7 @@
 from xml.sax.saxutils import escape
 
 from mallowbeam.errors import MallowbeamError
-from mallowbeam.net.http import Headers
+from mallowbeam.http.framing import Headers
 
 # S3's error codes: status and words.  The first of a status stands for it where no closer code is known.
 ERRORS = {
--- a/mallowbeam/fronts/objects/front.py
+++ b/mallowbeam/fronts/objects/front.py
@@ -28,11 +28,20 @@
 from mallowbeam.fronts.objects.settings import ObjectSettings
 from mallowbeam.fronts.objects.signatures import CHUNKED, ChunkSignatures, read_claim, verify
 from mallowbeam.fronts.objects.uploads import rename_upload
+from mallowbeam.http.framing import (
+    HOP_BY_HOP,
+    TOKEN,
+    Budget,
+    Channel,
+    Headers,
+    Message,
+    in_chunks,
+    write_head,
+)
+from mallowbeam.http.front import Reply
+from mallowbeam.http.stream import Stream, copy
 from mallowbeam.net.calls import Answer, Call, Kind, length_of, read_deadline, time_left
-from mallowbeam.net.front import Reply
 from mallowbeam.net.gateway import Gateway
-from mallowbeam.net.http import HOP_BY_HOP, TOKEN, Budget, Channel, Headers, Message, in_chunks, write_head
-from mallowbeam.net.stream import Stream, copy
 
 T = TypeVar("T")
 IN_THREAD = 256 * 1024      # bytes of a body from which on its digests would hold up other calls
--- a/mallowbeam/fronts/objects/signatures.py
+++ b/mallowbeam/fronts/objects/signatures.py
@@ -17,7 +17,7 @@
 from urllib.parse import quote, unquote_to_bytes
 
 from mallowbeam.fronts.objects.errors import Error
-from mallowbeam.net.http import Headers, Message
+from mallowbeam.http.framing import Headers, Message
 
 ALGORITHM = "AWS4-HMAC-SHA256"
 SKEW = 900                  # seconds by which a client's clock may be off
--- a/mallowbeam/fronts/platform.py
+++ b/mallowbeam/fronts/platform.py
@@ -7,13 +7,13 @@
 from collections.abc import Callable
 
 from mallowbeam.errors import MallowbeamError
+from mallowbeam.http.framing import MAX_BODY, TOKEN, Budget, Channel, Message, in_chunks, write_head
+from mallowbeam.http.front import Reply, plain
+from mallowbeam.http.stream import MOST, Stream, copy
 from mallowbeam.interface import Repeat
 from mallowbeam.net.calls import Answer, Call, Kind, length_of, read_deadline, time_left
-from mallowbeam.net.front import Reply, plain
 from mallowbeam.net.gateway import Gateway
 from mallowbeam.net.health import page
-from mallowbeam.net.http import MAX_BODY, TOKEN, Budget, Channel, Message, in_chunks, write_head
-from mallowbeam.net.stream import MOST, Stream, copy
 
 TARGET = re.compile(rb"/([^/?]+)/([0-9a-f]{16})/([0-9a-f]{16})(?:\?[\x21-\x7e]{0,1024})?\Z")
 REQUEST_ID = re.compile(rb"[0-9a-f]{16}\Z")
--- /dev/null
+++ b/mallowbeam/health/__init__.py
@@ -0,0 +1,1 @@
+"""What a gateway learns of instances from its own exchanges."""
--- a/mallowbeam/net/ahead.py
+++ b/mallowbeam/http/ahead.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 
-from mallowbeam.net.http import Budget
+from mallowbeam.http.framing import Budget
 
 MOST = 64 * 1024            # bytes that one client may have here
 PIECE = 128                 # bytes that each piece counts for besides: a trickle must not hold more
--- a/mallowbeam/net/upstream.py
+++ b/mallowbeam/http/client.py
@@ -12,7 +12,7 @@
 from bisect import bisect_right, insort
 
 from mallowbeam.errors import MallowbeamError
-from mallowbeam.net.http import CHUNK, Budget, Channel, Framer, Message
+from mallowbeam.http.framing import CHUNK, Budget, Channel, Framer, Message
 
 RETIRE = 0.8                # of the nodes' idle limit: a connection idle for longer is not used again
 MAX_IDLE_EACH = 32          # idle connections kept to one node
--- a/mallowbeam/net/closing.py
+++ b/mallowbeam/http/closing.py
@@ -15,8 +15,8 @@
 import time
 from enum import Enum
 
-from mallowbeam.net.ahead import Ahead
-from mallowbeam.net.http import Channel, Message
+from mallowbeam.http.ahead import Ahead
+from mallowbeam.http.framing import Channel, Message
 
 LINGER = 1.0                # seconds given to a client to read the last answer before the close
 LINGER_LEAST = 0.05         # and where it was told to leave, or sends without end
--- a/mallowbeam/net/connection.py
+++ b/mallowbeam/http/connection.py
@@ -3,7 +3,7 @@
 A front is called with each whole request and returns the one answer; a client that ends or resets its
 connection has gone, which cancels that call and drops what waits behind it.  While a request is answered the
 next ones are read ahead, up to a bound; past it the client's end is looked for now and then.  How it ends,
-and the one way in which others end it (`leave`), is the matter of `net/closing.py`.
+and the one way in which others end it (`leave`), is the matter of `http/closing.py`.
 """
 
 from __future__ import annotations
@@ -14,13 +14,12 @@
 from collections.abc import Awaitable
 from typing import Protocol
 
-from loguru import logger
-
-from mallowbeam.net.ahead import Ahead
-from mallowbeam.net.closing import LINGER, LINGER_BYTES, Ending, Stage, drop, gone, reset_at_close
-from mallowbeam.net.front import Front
-from mallowbeam.net.http import BadMessage, Channel, Framer, Message
-from mallowbeam.net.stream import Stream
+from mallowbeam.http.ahead import Ahead
+from mallowbeam.http.closing import LINGER, LINGER_BYTES, Ending, Stage, drop, gone, reset_at_close
+from mallowbeam.http.framing import BadMessage, Channel, Framer, Message
+from mallowbeam.http.front import Front
+from mallowbeam.http.reporting import logger
+from mallowbeam.http.stream import Stream
 
 PIPELINED = 2               # whole requests that may wait behind the one being answered
 STALLED = 2.5               # seconds in which a request must come in, on a new connection from its start on
@@ -89,7 +88,7 @@
         except (OSError, asyncio.CancelledError):
             pass
         except Exception as error:
-            logger.opt(exception=error).error("a connection failed unforeseen")
+            logger.error("a connection failed unforeseen", exc_info=error)
         finally:
             await self._close()
 
@@ -234,7 +233,7 @@
         except OSError:
             whole = close = False
         except Exception as error:
-            logger.opt(exception=error).error("a request failed unforeseen")
+            logger.error("a request failed unforeseen", exc_info=error)
             whole, close = False, True
         self.writing, self.busy, self.since, self.answered = False, None, time.monotonic(), True
         self.request = None
@@ -265,7 +264,7 @@
                     request, lambda: self.closes(request))
         except Exception as error:
             # Guards the client against a fault of ours: it still gets its one answer.
-            logger.opt(exception=error).error("a request failed unforeseen")
+            logger.error("a request failed unforeseen", exc_info=error)
             reply = self.server.front.complain(500, "internal error")
             request.keep_alive = False
         self.channel.moved, self.writing, whole = time.monotonic(), True, False
--- a/mallowbeam/net/front.py
+++ b/mallowbeam/http/front.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple, Protocol
 
-from mallowbeam.net.http import Budget, Channel, Message, write_head
+from mallowbeam.http.framing import Budget, Channel, Message, write_head
 
 
 class Reply(NamedTuple):
--- a/mallowbeam/net/server.py
+++ b/mallowbeam/http/server.py
@@ -1,6 +1,6 @@
 """The clients' side: a listening socket, how many connections it holds, and which of them make room.
 
-Each connection is a task of its own (`net/connection.py`) that calls the front behind this server.  What the
+Each connection is a task of its own (`http/connection.py`) that calls the front behind this server.  What the
 kernel has taken for the listener lies in its accept queue and is owed an answer like any other: it is taken
 from there and becomes a connection in one step, so that a cancel between the two loses none, and the listener
 is closed in the step in which its queue was found empty.
@@ -15,13 +15,11 @@
 from contextlib import suppress
 from heapq import heapify, heappop
 
-from loguru import logger
-
-from mallowbeam.net.connection import LINGER, Connection
-from mallowbeam.net.front import Front
-from mallowbeam.net.front import Reply as Reply  # for the fleet's page, which has them from here
-from mallowbeam.net.front import plain as plain
-from mallowbeam.net.log import Sparse
+from mallowbeam.http.connection import LINGER, Connection
+from mallowbeam.http.front import Front
+from mallowbeam.http.front import Reply as Reply  # for the fleet's page, which has them from here
+from mallowbeam.http.front import plain as plain
+from mallowbeam.http.reporting import Sparse, logger
 
 BACKLOG = 512
 SPARE = 8                   # one in so many connections is kept for refusing those beyond the others
@@ -107,7 +105,7 @@
             except Exception as error:
                 # Guards the listener: a fault with one connection must not leave all later ones unheard.
                 sock.close()
-                logger.opt(exception=error).error("a connection failed unforeseen")
+                logger.error("a connection failed unforeseen", exc_info=error)
             while len(self.connections) > self.most:
                 # Guards those that wait to be accepted: what has had its last answer goes first.
                 self._let_go()
@@ -147,7 +145,7 @@
                 connection.sweep(now)
             except Exception as error:
                 # Guards the others: a fault with one must not end the look at all of them.
-                logger.opt(exception=error).error("a connection failed unforeseen")
+                logger.error("a connection failed unforeseen", exc_info=error)
                 connection.leave()
 
     def last_answers(self) -> None:
--- a/mallowbeam/net/stream.py
+++ b/mallowbeam/http/stream.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from mallowbeam.net.http import Channel
+from mallowbeam.http.framing import Channel
 
 HELD_CHUNKS = 2             # pieces that wait for a slow taker: many bodies at once stay within memory
 MOST = 40 * 1024 * 1024     # bytes of a body that passes through the platform's front, at most
--- a/mallowbeam/net/admin.py
+++ b/mallowbeam/net/admin.py
@@ -8,12 +8,12 @@
 import re
 from collections.abc import Callable
 
+from mallowbeam.http.connection import Connection
+from mallowbeam.http.framing import Message
+from mallowbeam.http.front import Reply, plain
+from mallowbeam.http.server import Server
 from mallowbeam.net.config import ADMIN_SOCKETS
-from mallowbeam.net.connection import Connection
-from mallowbeam.net.front import Reply, plain
 from mallowbeam.net.gateway import Gateway
-from mallowbeam.net.http import Message
-from mallowbeam.net.server import Server
 
 ID = re.compile(r"[\x21-\x7e]+\Z")
 MAX_ID = 256                # bytes of a body: no id is longer
--- a/mallowbeam/net/attempts.py
+++ b/mallowbeam/net/attempts.py
@@ -14,14 +14,14 @@
 
 from mallowbeam import interface as io
 from mallowbeam.facade import Facade, Orders, Try
+from mallowbeam.http.client import Broken, Link, NoRoom, Pool, Spoilt, Unsent
+from mallowbeam.http.framing import Headers, Message, write_request
+from mallowbeam.http.stream import Stream
 from mallowbeam.net.calls import MARGIN, SILENT, Answer, Call, Exchange, Kind
 from mallowbeam.net.config import Config
 from mallowbeam.net.handover import Sister
-from mallowbeam.net.http import Headers, Message, write_request
 from mallowbeam.net.log import Sparse
 from mallowbeam.net.metrics import Metrics
-from mallowbeam.net.stream import Stream
-from mallowbeam.net.upstream import Broken, Link, NoRoom, Pool, Spoilt, Unsent
 
 MOST_DIGITS = 9             # of a figure that a node tells
 
--- a/mallowbeam/net/beside.py
+++ b/mallowbeam/net/beside.py
@@ -11,13 +11,13 @@
 from collections.abc import Callable, Mapping
 
 from mallowbeam.facade import Facade, Orders
+from mallowbeam.http.client import Pool
+from mallowbeam.http.server import Server
 from mallowbeam.net.calls import Exchange, Phase
 from mallowbeam.net.config import Config
 from mallowbeam.net.discovery import Watch
 from mallowbeam.net.handover import Sister
 from mallowbeam.net.listing import Listing, write_listing
-from mallowbeam.net.server import Server
-from mallowbeam.net.upstream import Pool
 
 
 class Beside:
--- a/mallowbeam/net/calls.py
+++ b/mallowbeam/net/calls.py
@@ -11,8 +11,8 @@
 from enum import Enum
 from typing import Protocol
 
-from mallowbeam.net.http import Headers
-from mallowbeam.net.stream import Stream
+from mallowbeam.http.framing import Headers
+from mallowbeam.http.stream import Stream
 
 SILENT = 10.0               # seconds without a byte after which a streamed answer has broken off
 MARGIN = 0.01               # seconds kept of a client's deadline for the way in and the way back
--- a/mallowbeam/net/gateway.py
+++ b/mallowbeam/net/gateway.py
@@ -16,18 +16,18 @@
 
 from mallowbeam import interface as io
 from mallowbeam.facade import NEVER, Facade, Orders, Verdict
+from mallowbeam.http.client import Pool
+from mallowbeam.http.framing import Budget
+from mallowbeam.http.server import Server
 from mallowbeam.net.attempts import Attempts
 from mallowbeam.net.beside import Beside
 from mallowbeam.net.calls import MARGIN, Answer, Call, Exchange, Kind, Part, Phase
 from mallowbeam.net.config import BadConfig, Config, read_again
 from mallowbeam.net.discovery import Watch
 from mallowbeam.net.handover import Handover, Legacy, Sister
-from mallowbeam.net.http import Budget
 from mallowbeam.net.listing import Listing, write_listing
 from mallowbeam.net.log import Sparse
 from mallowbeam.net.metrics import Metrics
-from mallowbeam.net.server import Server
-from mallowbeam.net.upstream import Pool
 
 LAME_DUCK = 0.5             # seconds after SIGTERM in which all goes on as before, at least
 STAY = 3.5                  # seconds after SIGTERM by which all is answered, at the latest
--- a/mallowbeam/net/health.py
+++ b/mallowbeam/net/health.py
@@ -10,12 +10,12 @@
 import socket
 from collections.abc import Callable
 
+from mallowbeam.http.connection import LINGER
+from mallowbeam.http.framing import Message, write_head
+from mallowbeam.http.front import Reply, plain
+from mallowbeam.http.server import Server
 from mallowbeam.net.calls import Phase
-from mallowbeam.net.connection import LINGER
-from mallowbeam.net.front import Reply, plain
 from mallowbeam.net.gateway import Gateway
-from mallowbeam.net.http import Message, write_head
-from mallowbeam.net.server import Server
 
 
 def page(gateway: Gateway, path: bytes, close: bool) -> Reply | None:
--- a/mallowbeam/net/log.py
+++ b/mallowbeam/net/log.py
@@ -1,24 +1,23 @@
-"""Warnings that may come with every request, kept to a line now and then."""
+"""This program's log: what the shared HTTP parts report goes out through loguru, as all else does."""
 
 from __future__ import annotations
 
-import time
+import logging
 
 from loguru import logger
 
-APART = 5.0                 # seconds between two lines of one kind
+from mallowbeam.http import reporting
+from mallowbeam.http.reporting import APART as APART
+from mallowbeam.http.reporting import Sparse as Sparse
 
 
-class Sparse:
-    """One kind of warning: a line at most every APART seconds, with the count of those left out."""
+class Forward(logging.Handler):
+    """Hands each record on to loguru, with its level and its exception."""
 
-    def __init__(self, text: str) -> None:
-        self.text, self.after, self.left_out = text, float("-inf"), 0
+    def emit(self, record: logging.LogRecord) -> None:
+        """Put one record out."""
+        error = record.exc_info[1] if record.exc_info else None
+        logger.opt(exception=error).log(record.levelname, "{}", record.getMessage())
 
-    def __call__(self, detail: object) -> None:
-        """Write the warning, or count it."""
-        if time.monotonic() < self.after:
-            self.left_out += 1
-            return
-        logger.warning("{}: {} ({} more like it before)", self.text, detail, self.left_out)
-        self.after, self.left_out = time.monotonic() + APART, 0
+
+reporting.logger.addHandler(Forward())
--- /dev/null
+++ b/mallowbeam/pairing/__init__.py
@@ -0,0 +1,1 @@
+"""Which instance reads a prompt and which decodes; prefix affinity; handles."""
--- /dev/null
+++ b/mallowbeam/processes/__init__.py
@@ -0,0 +1,1 @@
+"""What every role starts with: settings, logging, signals, error codes."""
--- a/mallowbeam/program.py
+++ b/mallowbeam/program.py
@@ -14,13 +14,13 @@
 
 from mallowbeam.fronts.platform import Platform
 from mallowbeam.hangups import hold_hangups
+from mallowbeam.http.connection import Connection
+from mallowbeam.http.server import Server
 from mallowbeam.net.admin import open_admin
 from mallowbeam.net.config import FRONT_SOCKETS, BadConfig, Config, read_address, read_config, read_file
-from mallowbeam.net.connection import Connection
 from mallowbeam.net.gateway import Gateway
 from mallowbeam.net.handover import Legacy, take_over
 from mallowbeam.net.health import AgentConnection, Health
-from mallowbeam.net.server import Server
 
 LOG_FORMAT = "{time:YYYY-MM-DD HH:mm:ss.SSS} {level} {message}"
 FRONTS = Path(__file__).parent.parent / "deploy" / "fronts.json"  # the fronts beside the platform's
--- /dev/null
+++ b/mallowbeam/registry/__init__.py
@@ -0,0 +1,1 @@
+"""Instances from their heartbeats: incarnations, drains, expiry, gossip among members."""
--- /dev/null
+++ b/mallowbeam/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between our own processes: protobuf, frames, links, time-outs."""
--- /dev/null
+++ b/mallowbeam/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""The cycle mechanism, shared by the gateway in service and the router fleet."""
--- /dev/null
+++ b/mallowbeam/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Events of a stream passed on and resumed."""
--- a/tests/raw.py
+++ b/tests/raw.py
@@ -9,7 +9,7 @@
 
 from scenario import PATIENCE, World
 
-from mallowbeam.net.connection import Connection
+from mallowbeam.http.connection import Connection
 
 HEALTH = b"GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n"
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -28,11 +28,11 @@
 
 import uvloop
 
+from mallowbeam.http.framing import REASONS, Framer, Message
 from mallowbeam.net import config as configs
 from mallowbeam.net.admin import open_admin
 from mallowbeam.net.gateway import Gateway
 from mallowbeam.net.handover import take_over
-from mallowbeam.net.http import REASONS, Framer, Message
 from mallowbeam.program import open_servers
 
 EXAMPLE = Path(__file__).parent.parent / "example"
--- a/tests/simulated.py
+++ b/tests/simulated.py
@@ -15,10 +15,10 @@
 from pathlib import Path
 
 from mallowbeam import interface as io
+from mallowbeam.http.client import Link, Unsent
+from mallowbeam.http.framing import Framer
 from mallowbeam.net import config as configs
 from mallowbeam.net.gateway import Gateway
-from mallowbeam.net.http import Framer
-from mallowbeam.net.upstream import Link, Unsent
 
 EXAMPLE = Path(__file__).parent.parent / "example"
 QUEUE = 1.0                 # seconds that a call waits in discovery's queue before it is turned away, at most
--- a/tests/test_accepting.py
+++ b/tests/test_accepting.py
@@ -11,10 +11,10 @@
 import uvloop
 from loguru import logger
 
-from mallowbeam.net import server as servers
-from mallowbeam.net.front import Reply, plain
-from mallowbeam.net.http import Message
-from mallowbeam.net.server import Server
+from mallowbeam.http import server as servers
+from mallowbeam.http.framing import Message
+from mallowbeam.http.front import Reply, plain
+from mallowbeam.http.server import Server
 
 PATIENCE = 10.0             # seconds until what is expected counts as missing
 REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -22,8 +22,8 @@
 from mallowbeam.fronts.objects.access import Access, may, read_keys
 from mallowbeam.fronts.objects.errors import Error
 from mallowbeam.fronts.objects.signatures import canonical, in_time, query_claim, read_claim, verify
+from mallowbeam.http.framing import Message
 from mallowbeam.net.config import BadConfig
-from mallowbeam.net.http import Message
 
 ID, SECRET = "mallowbeam-example", "mallowbeam-example-secret"
 NOW = 1_796_083_200.0       # 2026-12-01T00:00:00Z
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -8,7 +8,8 @@
 import uvloop
 from scenario import EXAMPLE, World, play
 
-from mallowbeam.net import connection, gateway
+from mallowbeam.http import connection
+from mallowbeam.net import gateway
 from mallowbeam.net.metrics import Metrics
 
 
--- a/tests/test_clients_gone.py
+++ b/tests/test_clients_gone.py
@@ -9,9 +9,9 @@
 from raw import PATIENT, Raw, arrive, come, request, until
 from scenario import World
 
-from mallowbeam.net import ahead
-from mallowbeam.net import connection as connections
-from mallowbeam.net.connection import PIPELINED
+from mallowbeam.http import ahead
+from mallowbeam.http import connection as connections
+from mallowbeam.http.connection import PIPELINED
 
 MANY = 200                  # more than what is read ahead
 WAYS = {"close": Raw.leave, "reset": lambda client: client.leave(reset=True), "half": Raw.end}
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -11,11 +11,11 @@
 from raw import Raw, arrive, come, request, until
 from scenario import World
 
-from mallowbeam.net import closing
-from mallowbeam.net import connection as connections
-from mallowbeam.net.closing import Stage
-from mallowbeam.net.connection import Connection
-from mallowbeam.net.http import Channel
+from mallowbeam.http import closing
+from mallowbeam.http import connection as connections
+from mallowbeam.http.closing import Stage
+from mallowbeam.http.connection import Connection
+from mallowbeam.http.framing import Channel
 
 LATER = 60.0                # seconds after which anything idle or stalled has been so for too long
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -8,7 +8,8 @@
 import uvloop
 from scenario import World, play
 
-from mallowbeam.net import closing, connection, gateway
+from mallowbeam.http import closing, connection
+from mallowbeam.net import gateway
 
 PLAIN = ("GET /read/00000000000000aa/0000000000000001 HTTP/1.1\\r\\nhost: x\\r\\nx-class: read\\r\\n"
          "x-storage-class: silver\\r\\nx-deadline-ms: 900\\r\\nx-extent: units=1,shard=0,hosts=1\\r\\n"
--- a/tests/test_fleet_service.py
+++ b/tests/test_fleet_service.py
@@ -22,10 +22,10 @@
 from mallowbeam.fleet.page import FleetPages
 from mallowbeam.fleet.policy_text import MOST_DEPTH, canonical, check_sections, owns, read_policy
 from mallowbeam.fleet.service import FleetService
+from mallowbeam.http.framing import Message
+from mallowbeam.http.server import Server
 from mallowbeam.lab.rig import hold_port
 from mallowbeam.net.config import read_address
-from mallowbeam.net.http import Message
-from mallowbeam.net.server import Server
 from mallowbeam.operators import PolicySection, SharesSection
 
 SILVER, GOLD = io.Plan("silver", rate=5, price=0.5), io.Plan("gold", reserve=10, weight=2)
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -11,8 +11,8 @@
 from raw import HEALTH, Raw, arrive, come, request, until
 from scenario import World
 
-from mallowbeam.net import connection as connections
-from mallowbeam.net.http import CHUNK, MAX_QUIET
+from mallowbeam.http import connection as connections
+from mallowbeam.http.framing import CHUNK, MAX_QUIET
 
 PUT = {"method": "PUT", "cls": "new-write"}
 KEY = "idempotency-key: k"
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -1,4 +1,4 @@
-"""Who may import whom: no circles anywhere, and `net/` knows nothing that stands on it."""
+"""Who may import whom: no circles anywhere; `net/` knows nothing that stands on it, `http/` only the errors."""
 
 from __future__ import annotations
 
@@ -55,4 +55,10 @@
 @pytest.mark.parametrize("name", sorted(name for name in MODULES if name.startswith("mallowbeam.net.")))
 def test_net_imports_only_what_is_below_it(name):
     assert {other for other in imported(MODULES[name])
-            if not other.startswith("mallowbeam.net")} <= BELOW_NET
+            if not other.startswith(("mallowbeam.net", "mallowbeam.http"))} <= BELOW_NET
+
+
+@pytest.mark.parametrize("name", sorted(name for name in MODULES if name.startswith("mallowbeam.http.")))
+def test_http_imports_only_the_errors_below_it(name):
+    assert {other for other in imported(MODULES[name])
+            if not other.startswith("mallowbeam.http")} <= {"mallowbeam", "mallowbeam.errors"}
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -10,9 +10,9 @@
 import uvloop
 from scenario import World
 
-from mallowbeam.net import upstream
-from mallowbeam.net.http import Budget
-from mallowbeam.net.upstream import NoRoom, Pool, Unsent
+from mallowbeam.http import client as upstream
+from mallowbeam.http.client import NoRoom, Pool, Unsent
+from mallowbeam.http.framing import Budget
 
 RESET = (socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
 HEAD = "HTTP/1.1 200 OK\\r\\n"
--- a/tests/test_lists_bad.py
+++ b/tests/test_lists_bad.py
@@ -15,7 +15,9 @@
 
 from mallowbeam import interface as io
 from mallowbeam.control import nodes
-from mallowbeam.net import discovery, log
+from mallowbeam.http.client import Unsent, connect
+from mallowbeam.http import reporting
+from mallowbeam.net import discovery
 from mallowbeam.net.config import BadConfig, read_config
 from mallowbeam.net.listing import (
     BadListing,
@@ -24,7 +26,6 @@
     read_listing,
     write_listing,
 )
-from mallowbeam.net.upstream import Unsent, connect
 
 MEMBER = {"id": "n0", "host_port": "127.0.0.1:9", "locality": "a", "flavor": "m", "cell": 0, "phase": "up",
           "size": 1.0, "up_since_ms": 0}
@@ -125,7 +126,7 @@
 def test_bad_lists_are_failed_calls_and_the_list_known_before_stays_whole(monkeypatch):
     """Over sockets, one after the other: asked again each time, one warning, no trace, and it serves."""
     soon(monkeypatch)
-    monkeypatch.setattr(log, "APART", 1e9)
+    monkeypatch.setattr(reporting, "APART", 1e9)
     lines: list[str] = []
     number = logger.add(lines.append, level="DEBUG")
 
--- a/tests/test_maintenance_part.py
+++ b/tests/test_maintenance_part.py
@@ -11,8 +11,8 @@
 from mallowbeam.fleet.maintenance import state as s
 from mallowbeam.fleet.maintenance.part import NotOut, open_part
 from mallowbeam.fleet.page import FleetPages
+from mallowbeam.http.framing import Message
 from mallowbeam.interface import NodeEntry, NodeState
-from mallowbeam.net.http import Message
 from mallowbeam.operators import MaintenanceSection
 
 
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -9,8 +9,9 @@
 from scenario import PATIENCE, World, play
 
 from mallowbeam.fronts import platform
-from mallowbeam.net import connection, gateway
-from mallowbeam.net.stream import HELD_CHUNKS, Stream
+from mallowbeam.http import connection
+from mallowbeam.http.stream import HELD_CHUNKS, Stream
+from mallowbeam.net import gateway
 
 NL = "\\r\\n"
 WRITE = "/new-write/00000000000000aa/0000000000000001"
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -6,9 +6,9 @@
 from raw import come, request, until
 from scenario import World
 
-from mallowbeam.net.ahead import MOST, PIECE, Ahead
-from mallowbeam.net.connection import PIPELINED
-from mallowbeam.net.http import Budget
+from mallowbeam.http.ahead import MOST, PIECE, Ahead
+from mallowbeam.http.connection import PIPELINED
+from mallowbeam.http.framing import Budget
 
 PIPE = PIPELINED + 20
 
--- a/tests/test_written.py
+++ b/tests/test_written.py
@@ -14,9 +14,9 @@
 import uvloop
 from scenario import World
 
+from mallowbeam.http.client import Link, Unsent
+from mallowbeam.http.framing import CHUNK, Channel, Framer
 from mallowbeam.net import attempts
-from mallowbeam.net.http import CHUNK, Channel, Framer
-from mallowbeam.net.upstream import Link, Unsent
 
 BODY = b"b" * 200
 
