--- a/tests/test_lists_bad.py
+++ b/tests/test_lists_bad.py
@@ -15,8 +15,8 @@
 
 from mallowbeam import interface as io
 from mallowbeam.control import nodes
-from mallowbeam.http.client import Unsent, connect
 from mallowbeam.http import reporting
+from mallowbeam.http.client import Unsent, connect
 from mallowbeam.net import discovery
 from mallowbeam.net.config import BadConfig, read_config
 from mallowbeam.net.listing import (
