--- a/mallowbeam/consensus/interface.py
+++ b/mallowbeam/consensus/interface.py
@@ -1,6 +1,6 @@
 """What goes into the Raft core and what comes out of it.
 
-The host (``control_plane``) drives one :class:`~mallowbeam.consensus.node.RaftNode`: it hands in ticks, messages
+The host (``control_plane``) drives one :class:`RaftNode`: it hands in ticks, messages
 and proposals with the steady clock's time in seconds, then calls ``output()`` and does what it says, in this order:
 
 1. send ``Output.send`` at once;
