--- /dev/null
+++ b/mallowbeam/configuration/errors.py
@@ -0,0 +1,94 @@
+"""Errors of the operator's configuration: each class has a stable code and the HTTP status of its answer.
+
+`where` is the path inside the document at which the error lies, such as ``routes[3].timeout_ms``.
+"""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+from mallowbeam.errors import MallowbeamError
+
+
+class ConfigurationError(MallowbeamError):
+    """A configuration that cannot be taken; nothing of it comes into force."""
+
+    code: ClassVar[str] = "CONFIG"
+    status: ClassVar[int] = 400
+    step: ClassVar[str] = "parse_configuration"
+    remedy = "mend the document at the path given and send it again"
+
+    def told(self) -> dict[str, str]:
+        """What, where, the code and the step, for a JSON answer."""
+        return {**super().told(), "code": self.code, "step": self.step}
+
+
+class UnreadableConfiguration(ConfigurationError):
+    """The body is no JSON document, or one that cannot be kept exactly (a key twice, an infinite number)."""
+
+    code = "CONFIG_UNREADABLE"
+    remedy = "send the whole document as JSON in UTF-8"
+
+
+class InvalidField(ConfigurationError):
+    """A field is missing, of another type, or out of its range."""
+
+    code = "CONFIG_FIELD"
+
+
+class ConfigurationTooLarge(ConfigurationError):
+    """The body is longer than a member takes."""
+
+    code = "CONFIG_TOO_LARGE"
+    status = 413
+    remedy = "remove routes that are no longer used"
+
+
+class UnknownBackend(ConfigurationError):
+    """A route names a service that the document does not hold."""
+
+    code = "CONFIG_UNKNOWN_BACKEND"
+    status = 422
+
+
+class DuplicateBackend(ConfigurationError):
+    """Two services have the same name."""
+
+    code = "CONFIG_DUPLICATE_BACKEND"
+    status = 422
+
+
+class SamePlace(ConfigurationError):
+    """Two routes have the same host and path prefix."""
+
+    code = "CONFIG_SAME_PLACE"
+    status = 422
+
+
+class NoWeight(ConfigurationError):
+    """The weights of a route sum to 0."""
+
+    code = "CONFIG_NO_WEIGHT"
+    status = 422
+
+
+class NoTimeout(ConfigurationError):
+    """A route has no time-out, or one of 0."""
+
+    code = "CONFIG_NO_TIMEOUT"
+    status = 422
+
+
+class SharedKey(ConfigurationError):
+    """Two tenants have the same key."""
+
+    code = "CONFIG_SHARED_KEY"
+    status = 422
+
+
+class UpdateMismatch(MallowbeamError):
+    """A change builds on another revision than the one held; the whole configuration has to be asked for."""
+
+    code: ClassVar[str] = "CONFIG_UPDATE_BASE"
+    step: ClassVar[str] = "apply_update"
+    remedy = "none needed: the gateway asks for the whole configuration"
