Configuration: parse at the cost of what changed

Entries are known again by their canonical JSON, so a document with thousands of routes costs a schema load only for the routes that differ. Nesting is bounded, so that a document taken by one member is read by all others, and numbers of any size are cut instead of failing.

--- a/mallowbeam/configuration/changes.py
+++ b/mallowbeam/configuration/changes.py
@@ -6,6 +6,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator, Mapping
+from typing import TypeVar
+
 from mallowbeam.configuration.errors import UpdateMismatch
 from mallowbeam.configuration.model import (
     Backend,
@@ -17,6 +20,8 @@
 )
 from mallowbeam.rpc import messages_pb2 as messages
 
+Value = TypeVar("Value", Route, Backend)
+
 
 def to_update(configuration: Configuration) -> messages.ConfigurationUpdate:
     """The whole configuration as a message."""
@@ -34,18 +39,22 @@
     return messages.ConfigurationUpdate(
         revision=new.revision,
         based_on=old.revision,
-        routes=[encode_route(route) for place, route in new.routes.items() if old.routes.get(place) != route],
-        backends=[
-            encode_backend(backend)
-            for name, backend in new.backends.items()
-            if old.backends.get(name) != backend
-        ],
+        routes=[encode_route(route) for route in changed_values(old.routes, new.routes)],
+        backends=[encode_backend(backend) for backend in changed_values(old.backends, new.backends)],
         removed_routes=[place for place in old.routes if place not in new.routes],
         removed_backends=[name for name in old.backends if name not in new.backends],
         limits=encode_limits(new.limits) if new.limits != old.limits else None,
     )
 
 
+def changed_values(old: Mapping[str, Value], new: Mapping[str, Value]) -> Iterator[Value]:
+    """Values of `new` that `old` lacks or has otherwise; what is the same object is not compared."""
+    for key, value in new.items():
+        known = old.get(key)
+        if known is not value and known != value:
+            yield value
+
+
 def apply_update(held: Configuration | None, update: messages.ConfigurationUpdate) -> Configuration:
     """The configuration after an update; `held` itself if the update is no newer.
 
@@ -69,7 +78,7 @@
         revision=update.revision,
         routes={route.place: route for route in routes},
         backends={backend.name: backend for backend in backends},
-        limits=decode_limits(update.limits),
+        limits=decode_limits(update.limits) if update.HasField("limits") else ClientLimits(),
     )
 
 
--- a/mallowbeam/configuration/parsing.py
+++ b/mallowbeam/configuration/parsing.py
@@ -8,23 +8,26 @@
 
 import hashlib
 import json
+from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Generic, TypeVar
 
 from marshmallow import Schema, ValidationError
 
 from mallowbeam.configuration.checks import backends_by_name, check_tenant_keys, routes_by_place
 from mallowbeam.configuration.errors import ConfigurationTooLarge, InvalidField, UnreadableConfiguration
-from mallowbeam.configuration.model import ClientLimits, Configuration, Route
-from mallowbeam.configuration.schemas import DocumentSchema, RouteSchema
+from mallowbeam.configuration.model import Backend, ClientLimits, Configuration, Route
+from mallowbeam.configuration.schemas import BackendSchema, DocumentSchema, RouteSchema
 
 MOST_BODY_BYTES = 8 * 1024 * 1024  # of one body; a longer one is refused with 413
+MOST_NESTING = 100  # levels inside an entry; far from the interpreter's bound, wherever a member parses from
 DIGEST_BYTES = 16
 
-DOCUMENT_SCHEMA = DocumentSchema()
-ROUTE_SCHEMA = RouteSchema()
+ENTRY_LISTS = ("routes", "backends")
 ENCODER = json.JSONEncoder(sort_keys=True, separators=(",", ":"), allow_nan=False)
 
+Entry = TypeVar("Entry", Route, Backend)
+
 
 @dataclass(frozen=True, slots=True)
 class ParsedConfiguration:
@@ -35,12 +38,46 @@
     digest: bytes                              # BLAKE2b of `canonical`, 16 bytes
 
 
+class EntryReader(Generic[Entry]):
+    """Reads the entries of one list; those that were in the last valid document are not read again."""
+
+    def __init__(self, schema: Schema, name: str) -> None:
+        self._schema = schema
+        self._name = name
+        self._known: dict[str, Entry] = {}     # by canonical JSON
+
+    def read(self, entries: list[Any], texts: list[str]) -> list[Entry]:
+        """The entries as objects; `texts` is their canonical JSON. Raises a `ConfigurationError`."""
+        found: list[Entry] = []
+        for position, text in enumerate(texts):
+            entry = self._known.get(text)
+            if entry is None:
+                entry = self._load(entries[position], position)
+            found.append(entry)
+        return found
+
+    def keep(self, texts: list[str], entries: list[Entry]) -> None:
+        """Remember these entries in place of those before."""
+        self._known = dict(zip(texts, entries, strict=True))
+
+    def _load(self, value: Any, position: int) -> Entry:
+        where = f"{self._name}[{position}]"
+        check_nesting(value, where)
+        entry: Entry = load(self._schema, value, where)
+        return entry
+
+
 class ConfigurationParser:
-    """Parses configurations one after another; routes that are as in the last one are not read again."""
+    """Parses configurations one after another, at the cost of what differs from the last valid one.
+
+    What it holds is bounded by one document. It belongs to one thread.
+    """
 
     def __init__(self, most_bytes: int = MOST_BODY_BYTES) -> None:
         self._most_bytes = most_bytes
-        self._routes: dict[str, Route] = {}    # by canonical JSON, of the last valid document
+        self._routes: EntryReader[Route] = EntryReader(RouteSchema(), "routes")
+        self._backends: EntryReader[Backend] = EntryReader(BackendSchema(), "backends")
+        self._document_schema = DocumentSchema()
         self._last: ParsedConfiguration | None = None
 
     def parse(self, body: bytes) -> ParsedConfiguration:
@@ -48,31 +85,39 @@
         if len(body) > self._most_bytes:
             raise ConfigurationTooLarge(f"{len(body)} bytes; {self._most_bytes} are allowed")
         document = read_document(body)
-        fields = load(DOCUMENT_SCHEMA, document, "")
-        texts = [encode(route) for route in document["routes"]]
-        canonical = canonical_document(document, texts)
-        digest = digest_of(canonical)
+        route_entries = entries_of(document, "routes")
+        backend_entries = entries_of(document, "backends")
+        route_texts = [encode(entry) for entry in route_entries]
+        backend_texts = [encode(entry) for entry in backend_entries]
+        canonical = canonical_document(document, {"routes": route_texts, "backends": backend_texts})
+        known = self.recall(digest_of(canonical))
+        if known is not None:
+            return known
+        routes = self._routes.read(route_entries, route_texts)
+        backends = self._backends.read(backend_entries, backend_texts)
+        configuration = self._configuration(document, routes, backends)
+        self._routes.keep(route_texts, routes)
+        self._backends.keep(backend_texts, backends)
+        self._last = ParsedConfiguration(configuration, canonical, digest_of(canonical))
+        return self._last
+
+    def recall(self, digest: bytes) -> ParsedConfiguration | None:
+        """The last valid configuration, if this is its digest."""
         if self._last is not None and self._last.digest == digest:
             return self._last
-        routes = self._load_routes(document["routes"], texts)
-        backends = backends_by_name(fields["backends"])
-        by_place = routes_by_place(routes, backends)
-        check_tenant_keys(document)
+        return None
+
+    def _configuration(
+        self, document: dict[str, Any], routes: list[Route], backends: list[Backend]
+    ) -> Configuration:
+        rest = {name: value for name, value in document.items() if name not in ENTRY_LISTS}
+        check_nesting(rest, "")
+        fields = load(self._document_schema, rest, "")
+        check_tenant_keys(rest)
+        by_name = backends_by_name(backends)
+        by_place = routes_by_place(routes, by_name)
         limits = fields.get("limits") or ClientLimits()
-        configuration = Configuration(fields["revision"], by_place, backends, limits)
-        self._routes = dict(zip(texts, routes, strict=True))
-        self._last = ParsedConfiguration(configuration, canonical, digest)
-        return self._last
-
-    def _load_routes(self, entries: list[Any], texts: list[str]) -> list[Route]:
-        known = self._routes
-        routes: list[Route] = []
-        for position, text in enumerate(texts):
-            route = known.get(text)
-            if route is None:
-                route = load(ROUTE_SCHEMA, entries[position], f"routes[{position}]")
-            routes.append(route)
-        return routes
+        return Configuration(fields["revision"], by_place, by_name, limits)
 
 
 def parse_configuration(body: bytes, most_bytes: int = MOST_BODY_BYTES) -> ParsedConfiguration:
@@ -117,11 +162,36 @@
         raise UnreadableConfiguration(f"cannot be kept as it is: {error}") from None
 
 
-def canonical_document(document: dict[str, Any], routes: list[str]) -> bytes:
-    """Canonical JSON of a document whose routes are encoded already."""
+def entries_of(document: dict[str, Any], name: str) -> list[Any]:
+    """One of the document's lists; raises `InvalidField`."""
+    entries = document.get(name)
+    if not isinstance(entries, list):
+        raise InvalidField("must be a list" if name in document else "is missing", name)
+    return entries
+
+
+def check_nesting(value: Any, where: str) -> None:
+    """Raise `UnreadableConfiguration` for lists and objects nested deeper than `MOST_NESTING`."""
+    level = [value]
+    for _ in range(MOST_NESTING):
+        level = [child for parent in level for child in children_of(parent) if isinstance(child, dict | list)]
+        if not level:
+            return
+    raise UnreadableConfiguration(f"nested deeper than {MOST_NESTING} levels", where)
+
+
+def children_of(value: Any) -> Iterable[Any]:
+    """What is directly inside a JSON value."""
+    if isinstance(value, dict):
+        return value.values()
+    return value if isinstance(value, list) else ()
+
+
+def canonical_document(document: dict[str, Any], encoded: dict[str, list[str]]) -> bytes:
+    """Canonical JSON of a document whose lists of entries are encoded already."""
     parts = []
     for key in sorted(document):
-        text = f"[{','.join(routes)}]" if key == "routes" else encode(document[key])
+        text = f"[{','.join(encoded[key])}]" if key in encoded else encode(document[key])
         parts.append(f"{encode(key)}:{text}")
     return f"{{{','.join(parts)}}}".encode("ascii")
 
--- a/mallowbeam/configuration/schemas.py
+++ b/mallowbeam/configuration/schemas.py
@@ -29,7 +29,7 @@
     """A finite number that is not negative; raises `ValidationError`."""
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise ValidationError("must be a number")
-    if not math.isfinite(value):
+    if isinstance(value, float) and not math.isfinite(value):
         raise ValidationError("must be finite")
     if value < 0:
         raise ValidationError("must not be negative")
@@ -89,14 +89,14 @@
     """A number that may have a fraction."""
 
     def _deserialize(self, value: Any, attr: str | None, data: Any, **options: Any) -> float:
-        return float(number_of(value))
+        return float(min(number_of(value), MOST_UINT64))
 
 
 class Weight(fields.Field[float]):
     """A share; whole numbers stay as they are."""
 
     def _deserialize(self, value: Any, attr: str | None, data: Any, **options: Any) -> float:
-        return number_of(value)
+        return min(number_of(value), MOST_UINT64)
 
 
 class Revision(fields.Field[int]):
@@ -243,9 +243,7 @@
 
 
 class DocumentSchema(LenientSchema):
-    """The document around the routes, which are loaded one by one."""
+    """The document without its routes and services, which are loaded one by one."""
 
     revision = Revision(required=True)
-    routes = fields.List(fields.Raw(), required=True)
-    backends = fields.List(fields.Nested(BackendSchema), required=True)
     limits = fields.Nested(ClientLimitsSchema, allow_none=True)
--- a/mallowbeam/configuration/versions.py
+++ b/mallowbeam/configuration/versions.py
@@ -41,12 +41,14 @@
 class ConfigurationVersions:
     """The current configuration and the digests of those that were taken."""
 
-    def __init__(self, taken_kept: int = TAKEN_KEPT) -> None:
+    def __init__(self, parser: ConfigurationParser | None = None, taken_kept: int = TAKEN_KEPT) -> None:
+        """`parser` may be the one that the member's API uses, so that nothing is parsed twice."""
+        self._parser = parser if parser is not None else ConfigurationParser()
         self._taken_kept = taken_kept
         self._revision = 0
         self._body = b""                       # zlib of the canonical JSON
         self._taken: dict[bytes, int] = {}     # revisions by digest, oldest first
-        self._parser = ConfigurationParser()
+        self._digest = b""                     # of the current configuration
         self._current: Configuration | None = None
 
     @property
@@ -64,6 +66,7 @@
             return REVISION_NOT_ABOVE
         self._revision = command.revision
         self._body = command.body
+        self._digest = command.digest
         self._current = None
         self._remember(command.digest, command.revision)
         return DONE
@@ -75,7 +78,8 @@
     def current(self) -> Configuration | None:
         """The current configuration, parsed when first asked for; None if none was taken yet."""
         if self._current is None and self._body:
-            self._current = self._parser.parse(self.current_body()).configuration
+            known = self._parser.recall(self._digest) or self._parser.parse(self.current_body())
+            self._current = known.configuration
         return self._current
 
     def save(self, state: ReplicatedState) -> None:
@@ -92,6 +96,7 @@
         self._revision = state.revision
         self._body = state.body
         self._taken = {taken.digest: taken.revision for taken in state.taken}
+        self._digest = state.taken[-1].digest if state.taken else b""
         self._current = None
 
     def _remember(self, digest: bytes, revision: int) -> None:
