--- /dev/null
+++ b/mallowbeam/feed/candidates.py
@@ -0,0 +1,95 @@
+"""The members that a gateway may follow, and which of them it tries next."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from random import Random
+
+from mallowbeam.feed.limits import BACKOFF_JITTER, BACKOFF_LEAST_S, BACKOFF_MOST_S, MOST_MEMBERS, UNFIT_KEPT_S
+
+
+@dataclass(slots=True)
+class Candidate:
+    """What is known of one member. Times are in seconds of the steady clock."""
+
+    failures: int = 0                          # in a row
+    not_before: float = 0.0                    # no attempt until then
+    unfit_until: float = 0.0                   # out of touch or behind when last seen
+    current_at: float = -math.inf              # when its state was current, as far as it is known
+
+    def fit(self, now: float) -> bool:
+        """Whether nothing speaks against it."""
+        return now >= self.unfit_until
+
+
+class Candidates:
+    """Members learnt from heartbeats, with the seeds as a fallback."""
+
+    def __init__(self, seeds: Iterable[str], random: Random) -> None:
+        self._seeds = tuple(dict.fromkeys(seeds))
+        self._members: tuple[str, ...] = ()
+        self._random = random
+        self._known: dict[str, Candidate] = {address: Candidate() for address in self._seeds}
+
+    def learn(self, members: Iterable[str]) -> None:
+        """Replace the list of members; what is known of those that stay is kept."""
+        self._members = tuple(dict.fromkeys(members))[:MOST_MEMBERS]
+        addresses = dict.fromkeys(self._members + self._seeds)
+        self._known = {address: self._known.get(address, Candidate()) for address in addresses}
+
+    def get(self, address: str) -> Candidate:
+        """The record of one member."""
+        found = self._known.get(address)
+        return found if found is not None else Candidate()
+
+    def failed(self, address: str, now: float) -> None:
+        """Back off from a member that could not be reached or ended its feed."""
+        candidate = self.get(address)
+        backoff = min(BACKOFF_LEAST_S * 2**min(candidate.failures, 16), BACKOFF_MOST_S)
+        candidate.failures += 1
+        candidate.not_before = now + backoff * (1 - BACKOFF_JITTER * self._random.random())
+
+    def served(self, address: str) -> None:
+        """Note that a member sends frames."""
+        self.get(address).failures = 0
+
+    def unfit(self, address: str, now: float) -> None:
+        """Leave a member aside while others are fit."""
+        self.get(address).unfit_until = now + UNFIT_KEPT_S
+
+    def choose(self, now: float) -> str | None:
+        """The member to try now; None: all are backed off from.
+
+        Fit members come first, in random order; then fit seeds that are no members any more; then, where all are
+        unfit, the one whose state is freshest.
+        """
+        ready = [address for address in self._order() if self._known[address].not_before <= now]
+        members = [address for address in ready if address in self._members and self._known[address].fit(now)]
+        if members:
+            return self._random.choice(members)
+        fit = [address for address in ready if self._known[address].fit(now)]
+        if fit:
+            return self._random.choice(fit)
+        if not ready:
+            return None
+        return max(ready, key=lambda address: (self._known[address].current_at, self._random.random()))
+
+    def next_ready(self) -> float:
+        """When the first backoff ends."""
+        return min((candidate.not_before for candidate in self._known.values()), default=math.inf)
+
+    def better_than(self, address: str, now: float) -> bool:
+        """Whether another member is worth a try in the place of one that is unfit."""
+        own = self.get(address).current_at
+        for other, candidate in self._known.items():
+            if other == address or candidate.not_before > now:
+                continue
+            if candidate.fit(now) or candidate.current_at > own:
+                return True
+        return False
+
+    def _order(self) -> tuple[str, ...]:
+        """Every address once."""
+        return tuple(self._known)
--- /dev/null
+++ b/mallowbeam/feed/publisher.py
@@ -0,0 +1,135 @@
+"""The member's end of the feed: which frame goes to which subscriber.
+
+Every subscriber has a cursor: what it holds of the configuration and of the instance table. Subscribers with the
+same cursor get one and the same frame, which is built and encoded once, so that a change costs as many frames as
+there are different cursors (in the common case one), not as many as there are subscribers.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from typing import NamedTuple, Protocol
+
+from mallowbeam.feed.limits import HEARTBEAT_INTERVAL_S
+from mallowbeam.registry.table import InstanceTable
+from mallowbeam.rpc.framing import encode_frame
+from mallowbeam.rpc.messages_pb2 import ConfigurationUpdate, FeedFrame, FeedHello
+
+NO_TABLE = -1                                  # version of a subscriber that has not got the table
+
+
+class ConfigurationSource(Protocol):
+    """The current configuration, as the publisher needs it."""
+
+    @property
+    def revision(self) -> int:
+        """Revision of the current configuration; 0: none."""
+
+    def update_since(self, revision: int) -> ConfigurationUpdate | None:
+        """What leads from `revision` to the current one, whole where that can't be told; None: nothing newer."""
+
+
+@dataclass(frozen=True, slots=True)
+class MemberStatus:
+    """What the host knows beside the two tables."""
+
+    leader_silence_ms: int                     # since this member's state was known to be current
+    gateways: int                              # in the whole fleet
+    members: tuple[str, ...]                   # peer addresses of all members
+
+
+@dataclass(frozen=True, slots=True)
+class FeedBatch:
+    """One frame, encoded once, and everyone to whom it goes."""
+
+    frame: FeedFrame
+    encoded: bytes                             # with its length in front, as it goes onto the connection
+    subscribers: tuple[int, ...]
+
+
+class _Cursor(NamedTuple):
+    """What a subscriber holds once its last frame has arrived."""
+
+    revision: int
+    version: int
+    complete: bool                             # the table was complete when it was last sent whole
+    members: tuple[str, ...]
+
+
+class FeedPublisher:
+    """Cursors of all subscribers of one member. Times are in seconds of the steady clock."""
+
+    def __init__(self, configuration: ConfigurationSource, table: InstanceTable) -> None:
+        self._configuration = configuration
+        self._table = table
+        self._cursors: dict[int, _Cursor] = {}
+        self._heartbeat_at = 0.0
+
+    def __len__(self) -> int:
+        """How many gateways are subscribed."""
+        return len(self._cursors)
+
+    def subscribe(self, subscriber: int, hello: FeedHello, now: float) -> None:
+        """Take a gateway in; its first frame comes with the next `frames()`, which the host calls at once."""
+        self._cursors[subscriber] = _Cursor(hello.configuration_revision, NO_TABLE, False, ())
+
+    def unsubscribe(self, subscriber: int) -> None:
+        """Forget a gateway whose connection is over."""
+        self._cursors.pop(subscriber, None)
+
+    def frames_at(self) -> float:
+        """When `frames()` is due at the latest."""
+        return self._heartbeat_at
+
+    def frames(self, now: float, status: MemberStatus, busy: Collection[int] = ()) -> list[FeedBatch]:
+        """What has to go out now: changes and first frames at once, else a heartbeat when it is due.
+
+        Subscribers in `busy` read too slowly: they get nothing now, and all changes in one frame later.
+        """
+        due = now >= self._heartbeat_at
+        if due:
+            self._heartbeat_at = now + HEARTBEAT_INTERVAL_S
+        complete = self._table.complete(now)
+        groups: dict[_Cursor, list[int]] = {}
+        for subscriber, cursor in self._cursors.items():
+            if subscriber not in busy:
+                groups.setdefault(cursor, []).append(subscriber)
+        batches: list[FeedBatch] = []
+        for cursor, subscribers in groups.items():
+            after = self._after(cursor, complete, status)
+            if after == cursor and not due:
+                continue
+            frame = self._frame(cursor, after, complete, status)
+            batches.append(FeedBatch(frame, encode_frame(frame), tuple(subscribers)))
+            for subscriber in subscribers:
+                self._cursors[subscriber] = after
+        return batches
+
+    def _after(self, cursor: _Cursor, complete: bool, status: MemberStatus) -> _Cursor:
+        """Where a subscriber stands once it has all that there is."""
+        return _Cursor(
+            revision=max(cursor.revision, self._configuration.revision),
+            version=self._table.version,
+            complete=cursor.complete or complete,
+            members=status.members,
+        )
+
+    def _frame(self, cursor: _Cursor, after: _Cursor, complete: bool, status: MemberStatus) -> FeedFrame:
+        """The frame that leads from one cursor to the other."""
+        frame = FeedFrame()
+        frame.heartbeat.leader_silence_ms = status.leader_silence_ms
+        frame.heartbeat.gateways = status.gateways
+        frame.heartbeat.table_complete = complete
+        if cursor.members != after.members:
+            frame.heartbeat.members.extend(after.members)
+        if cursor.revision != after.revision:
+            update = self._configuration.update_since(cursor.revision)
+            if update is not None:
+                frame.configuration.CopyFrom(update)
+        newly_complete = after.complete and not cursor.complete
+        if newly_complete or cursor.version == NO_TABLE:
+            frame.instances.CopyFrom(self._table.changes_since(NO_TABLE))
+        elif cursor.version != after.version:
+            frame.instances.CopyFrom(self._table.changes_since(cursor.version))
+        return frame
--- /dev/null
+++ b/mallowbeam/registry/rows.py
@@ -0,0 +1,44 @@
+"""One entry of the instance table."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from mallowbeam.rpc.messages_pb2 import ENDED, Instance
+
+UNHEARD = -1                                   # sequence of an instance of which no heartbeat is known
+
+
+@dataclass(slots=True)
+class Row:
+    """What a member knows of one instance. Times are in seconds of the steady clock."""
+
+    instance: Instance                         # owned by the table; its sequence is set where it is handed out
+    sequence: int                              # highest that any member heard
+    heard_at: float                            # when that was
+    ended_at: float | None = None
+    superseded: bool = False                   # ended because another id took its address
+    returned_heartbeats: int = 0               # heard since it was superseded
+
+    @property
+    def live(self) -> bool:
+        """Whether the instance has not ended."""
+        return self.instance.state != ENDED
+
+    def snapshot(self) -> Instance:
+        """The instance with its newest sequence; whoever takes it copies it."""
+        if self.sequence > 0:
+            self.instance.sequence = self.sequence
+        return self.instance
+
+
+def same_for_gateways(one: Instance, other: Instance) -> bool:
+    """Whether the two differ in nothing that gateways decide by: their sequence and warm-up are left out."""
+    return (one.state == other.state
+            and one.address == other.address
+            and one.stage == other.stage
+            and one.slots == other.slots
+            and one.backend == other.backend
+            and one.zone == other.zone
+            and one.revision == other.revision
+            and one.models == other.models)
--- /dev/null
+++ b/mallowbeam/registry/table.py
@@ -0,0 +1,340 @@
+"""The table of instances that every member keeps: soft state from heartbeats, its own and those of other members.
+
+An instance beats at one member, which passes it on to the others in batches. Every member works out expiry and the
+use of addresses by itself. Three ends differ:
+
+* *retired*: the instance said that it leaves (draining, then gone). Permanent for its id.
+* *expired*: no member heard it for some intervals. It comes back with a heartbeat of a higher sequence.
+* *superseded*: another id was heard at its address. It comes back only by RETURN_HEARTBEATS further heartbeats, so
+  that one heartbeat which was long under way neither brings a dead instance back nor ends a live one for good.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from mallowbeam.registry.changes import ChangeLog
+from mallowbeam.registry.limits import (
+    COMPLETE_INTERVALS,
+    COMPLETE_MARGIN_S,
+    ENDED_KEPT_S,
+    EXPIRE_INTERVALS,
+    GOSSIP_INTERVAL_S,
+    RETIRED_SEQUENCE,
+    RETURN_HEARTBEATS,
+    URGENT_INTERVAL_S,
+    WHOLE_RETRY_S,
+)
+from mallowbeam.registry.retirements import Retirements
+from mallowbeam.registry.rows import UNHEARD, Row, same_for_gateways
+from mallowbeam.rpc.messages_pb2 import (
+    DONE,
+    DRAINING,
+    DRAINS,
+    ENDED,
+    GONE,
+    READY,
+    HeartbeatSeen,
+    Instance,
+    InstancesUpdate,
+    InstanceState,
+    RegistryGossip,
+    RetireInstance,
+    RetirementKind,
+)
+
+MOST_AGE_MS = 2**32 - 1
+
+
+class Heard(Enum):
+    """What a heartbeat brought."""
+
+    CHANGED = "changed"                        # gateways must learn of it
+    SAME = "same"                              # renewed
+    STALE = "stale"                            # its sequence is not above what is known
+    RETIRED = "retired"                        # the instance is gone: its id never comes back
+
+
+class InstanceTable:
+    """One member's table. All times are in seconds of the steady clock."""
+
+    def __init__(self, heartbeat_interval_s: float, started_at: float,
+                 expire_intervals: float = EXPIRE_INTERVALS) -> None:
+        self._expire_after_s = heartbeat_interval_s * expire_intervals
+        self._complete_after_s = heartbeat_interval_s * COMPLETE_INTERVALS + COMPLETE_MARGIN_S
+        self._rows: dict[str, Row] = {}
+        self._by_address: dict[str, str] = {}  # the id that holds each address
+        self._retired = Retirements()
+        self._changes = ChangeLog()
+        self._hearing_since = started_at       # in touch with the other members without a break
+        self._complete_at = started_at + self._complete_after_s
+        self._to_tell: dict[str, None] = {}    # changed here since the last batch
+        self._to_renew: dict[str, None] = {}   # heard here since the last batch
+        self._gossip_sent_at = started_at
+        self._whole_asked_at = started_at - WHOLE_RETRY_S
+        self._details_missing = False          # a heartbeat was passed on of an instance that is not known here
+        self.urgent = False                    # there is news that the other members should get at once
+
+    # ------------------------------------------------------------ what came in
+
+    def heard(self, instance: Instance, now: float) -> Heard:
+        """Take a heartbeat that the instance sent to this member. The table keeps the message."""
+        if self._retired.kind(instance.id) == GONE:
+            return Heard.RETIRED
+        draining = instance.state == DRAINS and self.retire(instance.id, DRAINING, now, announce=True)
+        row = self._rows.get(instance.id)
+        if row is not None and instance.sequence <= row.sequence:
+            return Heard.CHANGED if draining else Heard.STALE
+        new = row is None or row.sequence == UNHEARD
+        changed = self._take(instance, now) or draining
+        self._to_renew[instance.id] = None
+        if changed:
+            self._to_tell[instance.id] = None
+            self.urgent = True
+        return Heard.CHANGED if changed or new else Heard.SAME
+
+    def retire(self, id: str, kind: RetirementKind, now: float, announce: bool = False) -> bool:
+        """Take a retirement; True where it was news.
+
+        With `announce`, the other members are told at once: for a call that has just come in. What comes from the
+        log is applied by each member itself.
+        """
+        if self._retired.apply(RetireInstance(id=id, kind=kind)) != DONE:
+            return False
+        row = self._rows.get(id)
+        if row is None:
+            row = self._rows[id] = Row(Instance(id=id), UNHEARD, now)
+        if kind == GONE:
+            self._end(row, now)
+            row.sequence = RETIRED_SEQUENCE
+        elif row.live:
+            row.instance.state = DRAINS
+        self._changes.note(id)
+        if announce:
+            self._to_tell[id] = None
+            self.urgent = True
+        return True
+
+    def merge(self, gossip: RegistryGossip, now: float) -> bool:
+        """Take what another member passed on; True where gateways must learn of something."""
+        before = self._changes.version
+        ages = {seen.id: seen.age_ms / 1000 for seen in gossip.seen}
+        for instance in gossip.changed:
+            self._merge_instance(instance, now - ages.get(instance.id, 0.0), now)
+        for seen in gossip.seen:
+            self._merge_seen(seen, now)
+        if gossip.whole:
+            self._complete_at = min(self._complete_at, now)
+            self._details_missing = False
+        return self._changes.version != before
+
+    def out_of_touch(self, now: float) -> None:
+        """Say that this member can't hear enough of the others: nothing expires, and the table is not complete.
+
+        To be called again and again while that lasts.
+        """
+        self._hearing_since = now
+        self._complete_at = now + self._complete_after_s
+
+    # ------------------------------------------------------------ time
+
+    def expire(self, now: float) -> list[str]:
+        """End what no member has heard for too long; their ids. Also forgets what ended long ago."""
+        ended: list[str] = []
+        forgotten: list[str] = []
+        latest = now - self._expire_after_s
+        blind = self._hearing_since > latest
+        for id, row in self._rows.items():
+            if row.ended_at is not None:
+                if now - row.ended_at > ENDED_KEPT_S:
+                    forgotten.append(id)
+            elif not blind and row.heard_at < latest:
+                ended.append(id)
+        for id in ended:
+            self._end(self._rows[id], now)
+            self._changes.note(id)
+        for id in forgotten:
+            del self._rows[id]
+            self._changes.forget(id)
+        return ended
+
+    def complete(self, now: float) -> bool:
+        """Whether this member has heard of all instances: by time, or from a member that had."""
+        return now >= self._complete_at
+
+    # ------------------------------------------------------------ what gateways learn
+
+    @property
+    def version(self) -> int:
+        """Rises with each change that gateways must learn."""
+        return self._changes.version
+
+    def changes_since(self, version: int) -> InstancesUpdate:
+        """What changed after `version`; the whole table where that can't be told (such as for version -1)."""
+        ids = self._changes.since(version)
+        if ids is None:
+            return InstancesUpdate(whole=True, instances=(row.snapshot() for row in self._rows.values()))
+        return InstancesUpdate(instances=(self._rows[id].snapshot() for id in ids))
+
+    def get(self, id: str) -> Instance | None:
+        """A copy of what is known of an instance."""
+        row = self._rows.get(id)
+        if row is None:
+            return None
+        copy = Instance()
+        copy.CopyFrom(row.snapshot())
+        return copy
+
+    def live_ids(self) -> list[str]:
+        """Ids of the instances that have not ended."""
+        return [id for id, row in self._rows.items() if row.live]
+
+    # ------------------------------------------------------------ what the other members learn
+
+    def gossip_at(self) -> float:
+        """When the next batch is due."""
+        return self._gossip_sent_at + (URGENT_INTERVAL_S if self.urgent else GOSSIP_INTERVAL_S)
+
+    def gossip(self, now: float, gateways: int = 0) -> RegistryGossip:
+        """What changed or was heard here since the last batch, for all other members."""
+        batch = RegistryGossip(gateways=gateways)
+        for id in self._to_tell:
+            row = self._rows.get(id)
+            if row is not None and (row.live or row.sequence == RETIRED_SEQUENCE):
+                batch.changed.append(row.snapshot())
+        for id in self._to_renew:
+            row = self._rows.get(id)
+            if row is not None and row.live:
+                batch.seen.append(_seen(row, now))
+        self._to_tell.clear()
+        self._to_renew.clear()
+        self.urgent = False
+        self._gossip_sent_at = now
+        return batch
+
+    def whole(self, now: float, gateways: int = 0) -> RegistryGossip:
+        """All that is known, for a member that asked; marked as whole only where it is complete."""
+        batch = RegistryGossip(gateways=gateways, whole=self.complete(now))
+        for row in self._rows.values():
+            if row.sequence == RETIRED_SEQUENCE:
+                batch.changed.append(row.snapshot())
+            elif row.live:
+                batch.changed.append(row.snapshot())
+                if row.sequence != UNHEARD:
+                    batch.seen.append(_seen(row, now))
+        return batch
+
+    def ask_whole(self, now: float, links_missing: bool = False) -> bool:
+        """Whether to ask one other member, drawn at random, for its whole table now.
+
+        True at most every WHOLE_RETRY_S, while the table is not complete, details are missing, or this member has
+        no link to some other (`links_missing`): then it hears of that one's instances through a third.
+        """
+        wanted = links_missing or self._details_missing or not self.complete(now)
+        if not wanted or now - self._whole_asked_at < WHOLE_RETRY_S:
+            return False
+        self._whole_asked_at = now
+        return True
+
+    # ------------------------------------------------------------ rows
+
+    def _merge_instance(self, instance: Instance, heard_at: float, now: float) -> None:
+        """Take one instance as another member knows it."""
+        if instance.state == ENDED:
+            self.retire(instance.id, GONE, now)
+            return
+        if instance.state == DRAINS:
+            self.retire(instance.id, DRAINING, now)
+        if not instance.address or self._retired.kind(instance.id) == GONE:
+            return
+        row = self._rows.get(instance.id)
+        if row is not None and instance.sequence <= row.sequence:
+            return
+        copy = Instance()
+        copy.CopyFrom(instance)
+        self._take(copy, heard_at)
+
+    def _merge_seen(self, seen: HeartbeatSeen, now: float) -> None:
+        """Take a heartbeat that another member heard."""
+        row = self._rows.get(seen.id)
+        if row is None or row.sequence == UNHEARD:
+            self._details_missing |= self._retired.kind(seen.id) != GONE
+        elif seen.sequence > row.sequence and self._renew(row, seen.sequence, now - seen.age_ms / 1000):
+            self._changes.note(seen.id)
+
+    def _take(self, instance: Instance, heard_at: float) -> bool:
+        """Put a heartbeat with a higher sequence into the table; True where gateways must learn of it."""
+        row = self._rows.get(instance.id)
+        if row is None:
+            row = self._rows[instance.id] = Row(instance, UNHEARD, heard_at)
+            changed = True
+        else:
+            changed = False
+        held = row.instance
+        ended = row.ended_at is not None
+        changed |= self._renew(row, instance.sequence, heard_at)
+        instance.state = held.state if ended and row.ended_at is not None else self._state(instance.id)
+        changed |= not same_for_gateways(held, instance)
+        if held.address != instance.address and self._by_address.get(held.address) == instance.id:
+            del self._by_address[held.address]
+        row.instance = instance
+        if changed:
+            self._changes.note(instance.id)
+        if row.live:
+            self._claim_address(row)
+        return changed
+
+    def _state(self, id: str) -> InstanceState:
+        """The state of a live instance."""
+        return READY if self._retired.kind(id) is None else DRAINS
+
+    def _renew(self, row: Row, sequence: int, heard_at: float) -> bool:
+        """Note a higher sequence; True where it brought back an instance that had ended."""
+        row.sequence = sequence
+        row.heard_at = max(row.heard_at, heard_at)
+        if row.ended_at is None:
+            return False
+        if row.superseded:
+            row.returned_heartbeats += 1
+            if row.returned_heartbeats < RETURN_HEARTBEATS:
+                return False
+        row.ended_at = None
+        row.superseded = False
+        row.returned_heartbeats = 0
+        row.instance.state = self._state(row.instance.id)
+        self._claim_address(row)
+        return True
+
+    def _claim_address(self, row: Row) -> None:
+        """Let the instance that was heard last hold its address; the other one has ended."""
+        address, id = row.instance.address, row.instance.id
+        holder_id = self._by_address.get(address)
+        if holder_id == id or not address:
+            return
+        holder = self._rows.get(holder_id) if holder_id is not None else None
+        if holder is not None and holder.live and holder.heard_at > row.heard_at:
+            self._supersede(row)
+            return
+        if holder is not None and holder.live:
+            self._supersede(holder)
+        self._by_address[address] = id
+
+    def _supersede(self, row: Row) -> None:
+        """End an instance whose address another one has."""
+        self._end(row, row.heard_at)
+        row.superseded = True
+        self._changes.note(row.instance.id)
+
+    def _end(self, row: Row, now: float) -> None:
+        """Mark an instance as ended and free its address."""
+        row.instance.state = ENDED
+        row.ended_at = now
+        row.returned_heartbeats = 0
+        if self._by_address.get(row.instance.address) == row.instance.id:
+            del self._by_address[row.instance.address]
+
+
+def _seen(row: Row, now: float) -> HeartbeatSeen:
+    """The last heartbeat of an instance with its age."""
+    age_ms = min(max(0, round((now - row.heard_at) * 1000)), MOST_AGE_MS)
+    return HeartbeatSeen(id=row.instance.id, sequence=row.sequence, age_ms=age_ms)
