Registry and feed: members out of reach are left aside, a stalled member ends nothing

Cause: a gateway cut off with one member would leave it each second for others that it can't reach; a member that stood still would have ended every instance before it read what had come in.

--- a/mallowbeam/feed/candidates.py
+++ b/mallowbeam/feed/candidates.py
@@ -7,7 +7,14 @@
 from dataclasses import dataclass
 from random import Random
 
-from mallowbeam.feed.limits import BACKOFF_JITTER, BACKOFF_LEAST_S, BACKOFF_MOST_S, MOST_MEMBERS, UNFIT_KEPT_S
+from mallowbeam.feed.limits import (
+    BACKOFF_JITTER,
+    BACKOFF_LEAST_S,
+    BACKOFF_MOST_S,
+    MOST_MEMBERS,
+    UNFIT_LEAST_S,
+    UNFIT_MOST_S,
+)
 
 
 @dataclass(slots=True)
@@ -16,7 +23,8 @@
 
     failures: int = 0                          # in a row
     not_before: float = 0.0                    # no attempt until then
-    unfit_until: float = 0.0                   # out of touch or behind when last seen
+    unfit_until: float = 0.0                   # out of reach, out of touch or behind when last seen
+    unfit_times: int = 0                       # in a row
     current_at: float = -math.inf              # when its state was current, as far as it is known
 
     def fit(self, now: float) -> bool:
@@ -50,22 +58,34 @@
         backoff = min(BACKOFF_LEAST_S * 2**min(candidate.failures, 16), BACKOFF_MOST_S)
         candidate.failures += 1
         candidate.not_before = now + backoff * (1 - BACKOFF_JITTER * self._random.random())
+        self.unfit(address, now)
 
-    def served(self, address: str) -> None:
-        """Note that a member sends frames."""
-        self.get(address).failures = 0
+    def served(self, address: str, current_at: float) -> None:
+        """Note that a member sends frames, and when its state was current."""
+        candidate = self.get(address)
+        candidate.failures = 0
+        candidate.current_at = current_at
+
+    def fit(self, address: str) -> None:
+        """Note that nothing speaks against a member any more."""
+        candidate = self.get(address)
+        candidate.unfit_until = 0.0
+        candidate.unfit_times = 0
 
     def unfit(self, address: str, now: float) -> None:
-        """Leave a member aside while others are fit."""
-        self.get(address).unfit_until = now + UNFIT_KEPT_S
+        """Leave a member aside while others are fit, for longer each time; nothing new while that lasts."""
+        candidate = self.get(address)
+        if candidate.fit(now):
+            candidate.unfit_until = now + min(UNFIT_LEAST_S * 2**min(candidate.unfit_times, 16), UNFIT_MOST_S)
+            candidate.unfit_times += 1
 
     def choose(self, now: float) -> str | None:
         """The member to try now; None: all are backed off from.
 
-        Fit members come first, in random order; then fit seeds that are no members any more; then, where all are
-        unfit, the one whose state is freshest.
+        Fit members come first, in random order; then fit seeds that are no members any more; then, where all
+        are unfit, the one whose state is freshest among those that could be reached.
         """
-        ready = [address for address in self._order() if self._known[address].not_before <= now]
+        ready = [address for address, candidate in self._known.items() if candidate.not_before <= now]
         members = [address for address in ready if address in self._members and self._known[address].fit(now)]
         if members:
             return self._random.choice(members)
@@ -74,7 +94,7 @@
             return self._random.choice(fit)
         if not ready:
             return None
-        return max(ready, key=lambda address: (self._known[address].current_at, self._random.random()))
+        return max(ready, key=self._freshness)
 
     def next_ready(self) -> float:
         """When the first backoff ends."""
@@ -86,10 +106,11 @@
         for other, candidate in self._known.items():
             if other == address or candidate.not_before > now:
                 continue
-            if candidate.fit(now) or candidate.current_at > own:
+            if candidate.fit(now) or (not candidate.failures and candidate.current_at > own):
                 return True
         return False
 
-    def _order(self) -> tuple[str, ...]:
-        """Every address once."""
-        return tuple(self._known)
+    def _freshness(self, address: str) -> tuple[bool, float, float]:
+        """Order of unfit members: reachable ones first, then by the age of their state, then at random."""
+        candidate = self._known[address]
+        return not candidate.failures, candidate.current_at, self._random.random()
--- a/mallowbeam/feed/instances.py
+++ b/mallowbeam/feed/instances.py
@@ -23,8 +23,8 @@
 class InstanceCopy:
     """Instances by id, and what is known for good of those that left.
 
-    A draining instance never becomes ready again, a deleted one never comes back, and one that ended otherwise comes
-    back only with a higher sequence than it had at its end.
+    A draining instance never becomes ready again, a deleted one never comes back, and one that ended
+    otherwise comes back only with a higher sequence than it had at its end.
     """
 
     def __init__(self) -> None:
@@ -62,14 +62,19 @@
             ended.append(instance.id)
 
     def _take(self, instance: Instance, changed: list[Instance], newest: bool) -> None:
-        """Take an instance that has not ended; `newest`: the sender's word counts also against a higher sequence."""
+        """Take an instance that has not ended.
+
+        `newest`: the sender's word counts also against a higher sequence that is held.
+        """
         ended_at = self._ended_at.get(instance.id)
         if ended_at is not None and instance.sequence <= ended_at:
             return
         held = self.held.get(instance.id)
         if instance.state == DRAINS:
             _remember(self._draining, instance.id, None)
-        if held is not None and not newest and instance.sequence < held.sequence:
+        if not instance.address or (held is not None and not newest and instance.sequence < held.sequence):
+            if held is None:                   # all that is known of it is that it drains
+                return
             instance = held
         copy = Instance()
         copy.CopyFrom(instance)
--- a/mallowbeam/feed/publisher.py
+++ b/mallowbeam/feed/publisher.py
@@ -1,8 +1,8 @@
 """The member's end of the feed: which frame goes to which subscriber.
 
-Every subscriber has a cursor: what it holds of the configuration and of the instance table. Subscribers with the
-same cursor get one and the same frame, which is built and encoded once, so that a change costs as many frames as
-there are different cursors (in the common case one), not as many as there are subscribers.
+Every subscriber has a cursor: what it holds of the configuration and of the instance table. Subscribers with
+the same cursor get one and the same frame, which is built and encoded once, so that a change costs as many
+frames as there are different cursors (in the common case one), not as many as there are subscribers.
 """
 
 from __future__ import annotations
@@ -17,6 +17,7 @@
 from mallowbeam.rpc.messages_pb2 import ConfigurationUpdate, FeedFrame, FeedHello
 
 NO_TABLE = -1                                  # version of a subscriber that has not got the table
+NO_MEMBERS = -1                                # likewise, the list of members
 
 
 class ConfigurationSource(Protocol):
@@ -27,7 +28,10 @@
         """Revision of the current configuration; 0: none."""
 
     def update_since(self, revision: int) -> ConfigurationUpdate | None:
-        """What leads from `revision` to the current one, whole where that can't be told; None: nothing newer."""
+        """What leads from `revision` to the current one; None: nothing newer.
+
+        Whole where the difference can't be told.
+        """
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +58,7 @@
     revision: int
     version: int
     complete: bool                             # the table was complete when it was last sent whole
-    members: tuple[str, ...]
+    members: int                               # which list of members
 
 
 class FeedPublisher:
@@ -65,6 +69,8 @@
         self._table = table
         self._cursors: dict[int, _Cursor] = {}
         self._heartbeat_at = 0.0
+        self._members: tuple[str, ...] = ()
+        self._members_version = 0              # rises with each change of the list of members
 
     def __len__(self) -> int:
         """How many gateways are subscribed."""
@@ -72,7 +78,7 @@
 
     def subscribe(self, subscriber: int, hello: FeedHello, now: float) -> None:
         """Take a gateway in; its first frame comes with the next `frames()`, which the host calls at once."""
-        self._cursors[subscriber] = _Cursor(hello.configuration_revision, NO_TABLE, False, ())
+        self._cursors[subscriber] = _Cursor(hello.configuration_revision, NO_TABLE, False, NO_MEMBERS)
 
     def unsubscribe(self, subscriber: int) -> None:
         """Forget a gateway whose connection is over."""
@@ -90,6 +96,9 @@
         due = now >= self._heartbeat_at
         if due:
             self._heartbeat_at = now + HEARTBEAT_INTERVAL_S
+        if status.members != self._members:
+            self._members = status.members
+            self._members_version += 1
         complete = self._table.complete(now)
         groups: dict[_Cursor, list[int]] = {}
         for subscriber, cursor in self._cursors.items():
@@ -97,22 +106,24 @@
                 groups.setdefault(cursor, []).append(subscriber)
         batches: list[FeedBatch] = []
         for cursor, subscribers in groups.items():
-            after = self._after(cursor, complete, status)
+            after = self._after(cursor, complete)
             if after == cursor and not due:
                 continue
             frame = self._frame(cursor, after, complete, status)
+            if frame.instances.whole:
+                after = after._replace(complete=complete)
             batches.append(FeedBatch(frame, encode_frame(frame), tuple(subscribers)))
             for subscriber in subscribers:
                 self._cursors[subscriber] = after
         return batches
 
-    def _after(self, cursor: _Cursor, complete: bool, status: MemberStatus) -> _Cursor:
+    def _after(self, cursor: _Cursor, complete: bool) -> _Cursor:
         """Where a subscriber stands once it has all that there is."""
         return _Cursor(
             revision=max(cursor.revision, self._configuration.revision),
             version=self._table.version,
             complete=cursor.complete or complete,
-            members=status.members,
+            members=self._members_version,
         )
 
     def _frame(self, cursor: _Cursor, after: _Cursor, complete: bool, status: MemberStatus) -> FeedFrame:
@@ -122,7 +133,7 @@
         frame.heartbeat.gateways = status.gateways
         frame.heartbeat.table_complete = complete
         if cursor.members != after.members:
-            frame.heartbeat.members.extend(after.members)
+            frame.heartbeat.members.extend(status.members)
         if cursor.revision != after.revision:
             update = self._configuration.update_since(cursor.revision)
             if update is not None:
--- a/mallowbeam/feed/subscriber.py
+++ b/mallowbeam/feed/subscriber.py
@@ -71,7 +71,8 @@
     since: float
     open: bool = False
     heard_at: float = 0.0
-    unfit: bool = False                        # the member is out of touch or behind
+    out_of_touch: bool = False                 # by the member's last heartbeat
+    behind: bool = False                       # the member sent an older configuration than is held
     broken: bool = False                       # its changes don't fit what is held: needs a new start
 
 
@@ -114,10 +115,13 @@
     def ready(self, now: float) -> bool:
         """Whether requests can be served; once true it stays so, also without a feed."""
         if not self._was_ready and self.configuration_revision > 0:
-            waited = self._first_frame_at is not None and now - self._first_frame_at > READY_WITHOUT_COMPLETE_S
-            self._was_ready = self._table_complete or (waited and bool(self._copy.held))
+            self._was_ready = self._table_complete or (bool(self._copy.held) and self._waited(now))
         return self._was_ready
 
+    def _waited(self, now: float) -> bool:
+        """Whether a table that is not complete will do."""
+        return self._first_frame_at is not None and now - self._first_frame_at > READY_WITHOUT_COMPLETE_S
+
     def hello(self) -> FeedHello:
         """The first message on a new connection."""
         return FeedHello(gateway=self._gateway, incarnation=self._incarnation, zone=self._zone,
@@ -135,7 +139,8 @@
         if now - link.heard_at > MOST_SILENCE_S:
             self._candidates.failed(link.address, now)
             return self._give_up(link)
-        if link.broken or (link.unfit and self._candidates.better_than(link.address, now)):
+        unfit = link.out_of_touch or link.behind
+        if link.broken or (unfit and self._candidates.better_than(link.address, now)):
             return self._give_up(link)
         return Wait(link.heard_at + MOST_SILENCE_S)
 
@@ -175,7 +180,6 @@
         link.heard_at = now
         if self._first_frame_at is None:
             self._first_frame_at = now
-        self._candidates.served(link.address)
         if frame.HasField("heartbeat"):
             self._take_heartbeat(link, frame.heartbeat, now)
         configuration = None
@@ -189,14 +193,15 @@
     def _take_heartbeat(self, link: _Link, heartbeat: FeedHeartbeat, now: float) -> None:
         """Judge the member by its silence, and learn the fleet's size and members."""
         silence_ms = heartbeat.leader_silence_ms
-        candidate = self._candidates.get(link.address)
-        candidate.current_at = now - silence_ms / 1000
+        self._candidates.served(link.address, now - silence_ms / 1000)
         if heartbeat.members:
             self._candidates.learn(heartbeat.members)
-        link.unfit = silence_ms > MOST_LEADER_SILENCE_MS
-        if link.unfit:
+        link.out_of_touch = silence_ms > MOST_LEADER_SILENCE_MS
+        if link.out_of_touch:
             self._candidates.unfit(link.address, now)
-        if not link.unfit or heartbeat.gateways > self.gateways:
+        elif not link.behind:
+            self._candidates.fit(link.address)
+        if not link.out_of_touch or heartbeat.gateways > self.gateways:
             self._count(heartbeat.gateways, now)
 
     def _count(self, gateways: int, now: float) -> None:
@@ -206,11 +211,12 @@
             self._counts.pop()
         self._counts.append((now, gateways))
 
-    def _take_configuration(self, link: _Link, update: ConfigurationUpdate, now: float) -> Configuration | None:
-        """Apply an update that leads to a newer revision; any other one speaks against the member."""
+    def _take_configuration(self, link: _Link, update: ConfigurationUpdate,
+                            now: float) -> Configuration | None:
+        """Apply an update that leads to a newer revision; any older one speaks against the member."""
         if update.revision <= self.configuration_revision:
             if update.revision < self.configuration_revision:
-                link.unfit = True
+                link.behind = True
                 self._candidates.unfit(link.address, now)
             return None
         if not update.whole and update.based_on != self.configuration_revision:
--- a/mallowbeam/registry/changes.py
+++ b/mallowbeam/registry/changes.py
@@ -18,7 +18,7 @@
         self._last[id] = self.version
 
     def forget(self, id: str) -> None:
-        """Drop an entry that the table no longer holds; whoever has not seen its end needs the whole table."""
+        """Drop an entry that is no longer held; whoever has not seen its end needs the whole table."""
         self._forgotten = max(self._forgotten, self._last.pop(id, 0))
 
     def since(self, version: int) -> list[str] | None:
--- a/mallowbeam/registry/errors.py
+++ b/mallowbeam/registry/errors.py
@@ -10,7 +10,7 @@
 class HeartbeatError(MallowbeamError):
     """A heartbeat that can't be read; `code` is stable, `where` names the field or part."""
 
-    remedy: ClassVar[str] = "look at what the named server sends as its heartbeat; the call is answered with 400"
+    remedy: ClassVar[str] = "look at what the server sends as its heartbeat; the call is answered with 400"
 
     TOO_LARGE: ClassVar[str] = "HEARTBEAT_TOO_LARGE"
     NOT_JSON: ClassVar[str] = "HEARTBEAT_NOT_JSON"
--- a/mallowbeam/registry/leases.py
+++ b/mallowbeam/registry/leases.py
@@ -1,8 +1,8 @@
 """Leases with fencing tokens, replicated through the log.
 
-The log has no time, so a lease does not lapse here: whoever wants one from another holder waits out the lease time
-by its own steady clock before it proposes. The token rises with each new holder, over all subjects, so that what an
-earlier holder still sends is known as late.
+The log has no time, so a lease does not lapse here: whoever wants one from another holder waits out the lease
+time by its own steady clock before it proposes. The token rises with each new holder, over all subjects, so
+that what an earlier holder still sends is known as late.
 """
 
 from __future__ import annotations
@@ -45,7 +45,7 @@
         return copy
 
     def apply(self, command: AcquireLease) -> LeaseGrant:
-        """Give the lease: DONE with a higher token to a new holder, ALREADY_DONE with its own to the present one."""
+        """Give the lease: a new holder gets a higher token (DONE), the present one its own (ALREADY_DONE)."""
         if not command.subject or not command.holder:
             return LeaseGrant(REFUSED, 0)
         held = self._leases.get(command.subject)
--- a/mallowbeam/registry/limits.py
+++ b/mallowbeam/registry/limits.py
@@ -11,7 +11,8 @@
 EXPIRE_INTERVALS = 3.5            # heartbeat intervals without a heartbeat after which an instance has ended
 COMPLETE_INTERVALS = 2.0          # heartbeat intervals after which a member has heard from all instances
 COMPLETE_MARGIN_S = 0.2           # beyond those, for heartbeats under way
-ENDED_KEPT_S = 30.0               # how long an ended instance stays in the table, so that changes can tell of it
+ENDED_KEPT_S = 30.0               # how long an ended instance stays in the table, for changes to tell of it
+STALLED_S = 1.0                   # a member that has not run for this long has not heard what it should have
 RETURN_HEARTBEATS = 2             # heartbeats by which an instance wins back an address that another id took
 
 GOSSIP_INTERVAL_S = 0.3           # between two batches to the other members
--- a/mallowbeam/registry/parse.py
+++ b/mallowbeam/registry/parse.py
@@ -1,7 +1,7 @@
 """Heartbeats as they come over the wire, read into `Instance` messages.
 
-Unknown fields are skipped. `backend`, `address`, `state` and `sequence` are required; other fields have defaults,
-but where one is present it must have the right type and keep its bound.
+Unknown fields are skipped. `backend`, `address`, `state` and `sequence` are required; other fields have
+defaults, but where one is present it must have the right type and keep its bound.
 """
 
 from __future__ import annotations
@@ -139,5 +139,6 @@
     """One model: its name and the revision of its weights."""
     if not isinstance(entry, dict):
         raise _bad(where.rstrip("."), "not a JSON object")
-    return Model(name=_text(entry, "name", required=True, where=where),
-                 revision=_whole_number(entry, "revision", least=0, most=MOST_SEQUENCE, default=0, where=where))
+    name = _text(entry, "name", required=True, where=where)
+    revision = _whole_number(entry, "revision", least=0, most=MOST_SEQUENCE, default=0, where=where)
+    return Model(name=name, revision=revision)
--- a/mallowbeam/registry/rows.py
+++ b/mallowbeam/registry/rows.py
@@ -13,7 +13,7 @@
 class Row:
     """What a member knows of one instance. Times are in seconds of the steady clock."""
 
-    instance: Instance                         # owned by the table; its sequence is set where it is handed out
+    instance: Instance                         # owned by the table; its own sequence may be older
     sequence: int                              # highest that any member heard
     heard_at: float                            # when that was
     ended_at: float | None = None
--- a/mallowbeam/registry/table.py
+++ b/mallowbeam/registry/table.py
@@ -1,12 +1,13 @@
-"""The table of instances that every member keeps: soft state from heartbeats, its own and those of other members.
+"""The table of instances that every member keeps: soft state from heartbeats, its own and other members'.
 
-An instance beats at one member, which passes it on to the others in batches. Every member works out expiry and the
-use of addresses by itself. Three ends differ:
+An instance sends its heartbeats to one member, which passes them on to the others in batches. Every member
+works out expiry and the use of addresses by itself. Three ends differ:
 
 * *retired*: the instance said that it leaves (draining, then gone). Permanent for its id.
 * *expired*: no member heard it for some intervals. It comes back with a heartbeat of a higher sequence.
-* *superseded*: another id was heard at its address. It comes back only by RETURN_HEARTBEATS further heartbeats, so
-  that one heartbeat which was long under way neither brings a dead instance back nor ends a live one for good.
+* *superseded*: another id was heard at its address. It comes back only by RETURN_HEARTBEATS further
+  heartbeats, so that one heartbeat which was long under way neither brings a dead instance back nor ends a
+  live one for good.
 """
 
 from __future__ import annotations
@@ -22,6 +23,7 @@
     GOSSIP_INTERVAL_S,
     RETIRED_SEQUENCE,
     RETURN_HEARTBEATS,
+    STALLED_S,
     URGENT_INTERVAL_S,
     WHOLE_RETRY_S,
 )
@@ -36,8 +38,8 @@
     READY,
     HeartbeatSeen,
     Instance,
-    InstancesUpdate,
     InstanceState,
+    InstancesUpdate,
     RegistryGossip,
     RetireInstance,
     RetirementKind,
@@ -68,11 +70,12 @@
         self._changes = ChangeLog()
         self._hearing_since = started_at       # in touch with the other members without a break
         self._complete_at = started_at + self._complete_after_s
+        self._ran_at = started_at              # the last call of `expire`
         self._to_tell: dict[str, None] = {}    # changed here since the last batch
         self._to_renew: dict[str, None] = {}   # heard here since the last batch
         self._gossip_sent_at = started_at
         self._whole_asked_at = started_at - WHOLE_RETRY_S
-        self._details_missing = False          # a heartbeat was passed on of an instance that is not known here
+        self._details_missing = False          # a heartbeat was passed on of an unknown instance
         self.urgent = False                    # there is news that the other members should get at once
 
     # ------------------------------------------------------------ what came in
@@ -96,8 +99,8 @@
     def retire(self, id: str, kind: RetirementKind, now: float, announce: bool = False) -> bool:
         """Take a retirement; True where it was news.
 
-        With `announce`, the other members are told at once: for a call that has just come in. What comes from the
-        log is applied by each member itself.
+        With `announce`, the other members are told at once: for a call that has just come in. What comes from
+        the log is applied by each member itself.
         """
         if self._retired.apply(RetireInstance(id=id, kind=kind)) != DONE:
             return False
@@ -129,7 +132,7 @@
         return self._changes.version != before
 
     def out_of_touch(self, now: float) -> None:
-        """Say that this member can't hear enough of the others: nothing expires, and the table is not complete.
+        """Say that this member can't hear enough of the others: nothing expires, the table is not complete.
 
         To be called again and again while that lasts.
         """
@@ -139,7 +142,14 @@
     # ------------------------------------------------------------ time
 
     def expire(self, now: float) -> list[str]:
-        """End what no member has heard for too long; their ids. Also forgets what ended long ago."""
+        """End what no member has heard for too long; their ids. Also forgets what ended long ago.
+
+        To be called several times in STALLED_S: a longer pause means that this process stood still, and what
+        has come in meanwhile may still wait to be read.
+        """
+        if now - self._ran_at > STALLED_S:
+            self.out_of_touch(now)
+        self._ran_at = now
         ended: list[str] = []
         forgotten: list[str] = []
         latest = now - self._expire_after_s
@@ -204,7 +214,7 @@
                 batch.changed.append(row.snapshot())
         for id in self._to_renew:
             row = self._rows.get(id)
-            if row is not None and row.live:
+            if row is not None and row.sequence != RETIRED_SEQUENCE:
                 batch.seen.append(_seen(row, now))
         self._to_tell.clear()
         self._to_renew.clear()
@@ -227,8 +237,8 @@
     def ask_whole(self, now: float, links_missing: bool = False) -> bool:
         """Whether to ask one other member, drawn at random, for its whole table now.
 
-        True at most every WHOLE_RETRY_S, while the table is not complete, details are missing, or this member has
-        no link to some other (`links_missing`): then it hears of that one's instances through a third.
+        True at most every WHOLE_RETRY_S, while the table is not complete, details are missing, or this member
+        has no link to some other (`links_missing`): then it hears of that one's instances through a third.
         """
         wanted = links_missing or self._details_missing or not self.complete(now)
         if not wanted or now - self._whole_asked_at < WHOLE_RETRY_S:
