Registry: details lost on a link are asked for again

Cause: a heartbeat passed on raises the sequence; details with an equal sequence were then skipped for good. Change: a row knows from which heartbeat its details are; link_lost() asks another member for its whole table.

--- a/mallowbeam/registry/rows.py
+++ b/mallowbeam/registry/rows.py
@@ -16,6 +16,7 @@
     instance: Instance                         # owned by the table; its own sequence may be older
     sequence: int                              # highest that any member heard
     heard_at: float                            # when that was
+    details: int = UNHEARD                     # sequence of the heartbeat that `instance` was taken from
     ended_at: float | None = None
     superseded: bool = False                   # ended because another id took its address
     returned_heartbeats: int = 0               # heard since it was superseded
@@ -25,11 +26,12 @@
         """Whether the instance has not ended."""
         return self.instance.state != ENDED
 
-    def snapshot(self) -> Instance:
-        """The instance with its newest sequence; whoever takes it copies it."""
-        if self.sequence > 0:
-            self.instance.sequence = self.sequence
-        return self.instance
+    def for_gateways(self) -> Instance:
+        """A copy with the highest sequence that is known, so that an end counts against every earlier word."""
+        copy = Instance()
+        copy.CopyFrom(self.instance)
+        copy.sequence = max(self.sequence, 0)
+        return copy
 
 
 def same_for_gateways(one: Instance, other: Instance) -> bool:
--- a/mallowbeam/registry/table.py
+++ b/mallowbeam/registry/table.py
@@ -60,23 +60,17 @@
 class InstanceTable:
     """One member's table. All times are in seconds of the steady clock."""
 
-    def __init__(self, heartbeat_interval_s: float, started_at: float,
-                 expire_intervals: float = EXPIRE_INTERVALS) -> None:
-        self._expire_after_s = heartbeat_interval_s * expire_intervals
-        self._complete_after_s = heartbeat_interval_s * COMPLETE_INTERVALS + COMPLETE_MARGIN_S
-        self._rows: dict[str, Row] = {}
-        self._by_address: dict[str, str] = {}  # the id that holds each address
-        self._retired = Retirements()
-        self._changes = ChangeLog()
-        self._hearing_since = started_at       # in touch with the other members without a break
-        self._complete_at = started_at + self._complete_after_s
-        self._ran_at = started_at              # the last call of `expire`
-        self._to_tell: dict[str, None] = {}    # changed here since the last batch
-        self._to_renew: dict[str, None] = {}   # heard here since the last batch
-        self._gossip_sent_at = started_at
-        self._whole_asked_at = started_at - WHOLE_RETRY_S
-        self._details_missing = False          # a heartbeat was passed on of an unknown instance
-        self.urgent = False                    # there is news that the other members should get at once
+    def __init__(self, heartbeat_interval_s: float, started_at: float, expire_intervals: float =
+    EXPIRE_INTERVALS) -> None: self._expire_after_s = heartbeat_interval_s * expire_intervals
+    self._complete_after_s = heartbeat_interval_s * COMPLETE_INTERVALS + COMPLETE_MARGIN_S self._rows:
+    dict[str, Row] = {} self._by_address: dict[str, str] = {}  # the id that holds each address self._retired
+    = Retirements() self._changes = ChangeLog() self._hearing_since = started_at       # in touch with the
+    other members without a break self._complete_at = started_at + self._complete_after_s self._ran_at =
+    started_at              # the last call of `expire` self._to_tell: dict[str, None] = {}    # changed here
+    since the last batch self._to_renew: dict[str, None] = {}   # heard here since the last batch
+    self._gossip_sent_at = started_at self._whole_asked_at = started_at - WHOLE_RETRY_S self._details_missing
+    = False          # some may not have come, such as those of an instance that is heard self.urgent = False
+    # there is news that the other members should get at once
 
     # ------------------------------------------------------------ what came in
 
@@ -109,7 +103,7 @@
             row = self._rows[id] = Row(Instance(id=id), UNHEARD, now)
         if kind == GONE:
             self._end(row, now)
-            row.sequence = RETIRED_SEQUENCE
+            row.sequence = row.details = row.instance.sequence = RETIRED_SEQUENCE
         elif row.live:
             row.instance.state = DRAINS
         self._changes.note(id)
@@ -131,6 +125,10 @@
             self._details_missing = False
         return self._changes.version != before
 
+    def link_lost(self) -> None:
+        """Say that a link to another member ended: what was under way on it may be lost, and is asked for again."""
+        self._details_missing = True
+
     def out_of_touch(self, now: float) -> None:
         """Say that this member can't hear enough of the others: nothing expires, the table is not complete.
 
@@ -183,17 +181,13 @@
         """What changed after `version`; the whole table where that can't be told (such as for version -1)."""
         ids = self._changes.since(version)
         if ids is None:
-            return InstancesUpdate(whole=True, instances=(row.snapshot() for row in self._rows.values()))
-        return InstancesUpdate(instances=(self._rows[id].snapshot() for id in ids))
+            return InstancesUpdate(whole=True, instances=(row.for_gateways() for row in self._rows.values()))
+        return InstancesUpdate(instances=(self._rows[id].for_gateways() for id in ids))
 
     def get(self, id: str) -> Instance | None:
         """A copy of what is known of an instance."""
         row = self._rows.get(id)
-        if row is None:
-            return None
-        copy = Instance()
-        copy.CopyFrom(row.snapshot())
-        return copy
+        return None if row is None else row.for_gateways()
 
     def live_ids(self) -> list[str]:
         """Ids of the instances that have not ended."""
@@ -211,7 +205,7 @@
         for id in self._to_tell:
             row = self._rows.get(id)
             if row is not None and (row.live or row.sequence == RETIRED_SEQUENCE):
-                batch.changed.append(row.snapshot())
+                batch.changed.append(row.instance)
         for id in self._to_renew:
             row = self._rows.get(id)
             if row is not None and row.sequence != RETIRED_SEQUENCE:
@@ -227,9 +221,9 @@
         batch = RegistryGossip(gateways=gateways, whole=self.complete(now))
         for row in self._rows.values():
             if row.sequence == RETIRED_SEQUENCE:
-                batch.changed.append(row.snapshot())
+                batch.changed.append(row.instance)
             elif row.live:
-                batch.changed.append(row.snapshot())
+                batch.changed.append(row.instance)
                 if row.sequence != UNHEARD:
                     batch.seen.append(_seen(row, now))
         return batch
@@ -237,8 +231,9 @@
     def ask_whole(self, now: float, links_missing: bool = False) -> bool:
         """Whether to ask one other member, drawn at random, for its whole table now.
 
-        True at most every WHOLE_RETRY_S, while the table is not complete, details are missing, or this member
-        has no link to some other (`links_missing`): then it hears of that one's instances through a third.
+        True at most every WHOLE_RETRY_S, while the table is not complete, details may be missing, or this
+        member has no link to some other (`links_missing`): then it hears of that one's instances through a
+        third.
         """
         wanted = links_missing or self._details_missing or not self.complete(now)
         if not wanted or now - self._whole_asked_at < WHOLE_RETRY_S:
@@ -258,7 +253,7 @@
         if not instance.address or self._retired.kind(instance.id) == GONE:
             return
         row = self._rows.get(instance.id)
-        if row is not None and instance.sequence <= row.sequence:
+        if row is not None and instance.sequence <= row.details:
             return
         copy = Instance()
         copy.CopyFrom(instance)
@@ -273,7 +268,7 @@
             self._changes.note(seen.id)
 
     def _take(self, instance: Instance, heard_at: float) -> bool:
-        """Put a heartbeat with a higher sequence into the table; True where gateways must learn of it."""
+        """Put an instance with newer details into the table; True where gateways must learn of it."""
         row = self._rows.get(instance.id)
         if row is None:
             row = self._rows[instance.id] = Row(instance, UNHEARD, heard_at)
@@ -282,12 +277,14 @@
             changed = False
         held = row.instance
         ended = row.ended_at is not None
-        changed |= self._renew(row, instance.sequence, heard_at)
+        if instance.sequence > row.sequence:
+            changed |= self._renew(row, instance.sequence, heard_at)
         instance.state = held.state if ended and row.ended_at is not None else self._state(instance.id)
         changed |= not same_for_gateways(held, instance)
         if held.address != instance.address and self._by_address.get(held.address) == instance.id:
             del self._by_address[held.address]
         row.instance = instance
+        row.details = instance.sequence
         if changed:
             self._changes.note(instance.id)
         if row.live:
