--- a/mallowbeam/__main__.py
+++ b/mallowbeam/__main__.py
@@ -1,4 +1,7 @@
-"""Starts one real gateway, or a sub-command: `python -m mallowbeam`."""
+"""Starts one process: a role of the router fleet, the gateway in service, or a sub-command.
+
+Each way loads what it needs and nothing else: a start costs processor time while requests wait.
+"""
 
 from __future__ import annotations
 
@@ -8,11 +11,20 @@
 
 
 def main() -> int:
-    """The gateway, or the sub-command that the arguments name."""
-    if len(sys.argv) > 1:
+    """What the first argument names; without one, the gateway in service."""
+    name = sys.argv[1] if len(sys.argv) > 1 else ""
+    if name == "data-plane":
+        hold_hangups()                         # before the imports, the longest part of a start
+        from mallowbeam.data_plane.role import main as run_data_plane
+        return run_data_plane()
+    if name == "control-plane":
+        hold_hangups()
+        from mallowbeam.control_plane.role import main as run_control_plane
+        return run_control_plane()
+    if name:
         from mallowbeam.cli.app import app
         app()
-    hangups = hold_hangups()                   # before the imports, the longest part of a start
+    hangups = hold_hangups()
     from mallowbeam.program import run
     return run(hangups=hangups)
 
--- /dev/null
+++ b/mallowbeam/processes/errors.py
@@ -0,0 +1,41 @@
+"""The table of error codes: every :class:`MallowbeamError` of the router fleet has one that stays the same.
+
+A class states its code as ``code``; one that stands for several states all of them as ``codes``.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from mallowbeam.errors import MallowbeamError
+
+
+def error_types() -> Iterator[type[MallowbeamError]]:
+    """All loaded error types below the base, each once."""
+    seen: set[type[MallowbeamError]] = set()
+    left: list[type[MallowbeamError]] = [MallowbeamError]
+    while left:
+        for kind in left.pop().__subclasses__():
+            if kind not in seen:
+                seen.add(kind)
+                left.append(kind)
+                yield kind
+
+
+def codes_of(kind: type[MallowbeamError]) -> tuple[str, ...]:
+    """The codes that a class itself states; those it inherits are its base's."""
+    own = vars(kind)
+    code = own.get("code")
+    codes = tuple(own.get("codes", ()))
+    return (code, *codes) if isinstance(code, str) and code else codes
+
+
+def code_table() -> dict[str, type[MallowbeamError]]:
+    """Error types by code, of all modules loaded so far; raises ValueError where two types share a code."""
+    table: dict[str, type[MallowbeamError]] = {}
+    for kind in error_types():
+        for code in codes_of(kind):
+            if code in table:
+                raise ValueError(f"{code}: {table[code].__name__} and {kind.__name__}")
+            table[code] = kind
+    return table
--- /dev/null
+++ b/mallowbeam/processes/settings.py
@@ -0,0 +1,290 @@
+"""The settings file of a process: read once at the start, and again when it changes.
+
+Unknown keys are skipped. Keys that a process can't do without must be there; all others have the defaults
+that the dataclasses state. Times carry their unit in the name (``_ms``, ``_s``).
+"""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, field, fields
+from pathlib import Path
+from types import MappingProxyType
+from typing import ClassVar, TypeVar
+
+from mallowbeam.errors import MallowbeamError
+
+SETTINGS_VARIABLE = "MALLOWBEAM_NODE_FILE"
+DEFAULT_PATH = "/etc/mallowbeam/settings.toml"
+HIGHEST_PORT = 65535
+DEFAULT_HEARTBEAT_MS = 1200.0
+
+
+_Figures = TypeVar("_Figures", "Limits", "FaultTolerance", "Bounds")
+
+
+class SettingsError(MallowbeamError):
+    """The settings file of a process can't be used."""
+
+    remedy = "mend the settings file that is named; a running process keeps the settings it has"
+
+
+class SettingsUnreadable(SettingsError):
+    """The settings file can't be opened, or is no TOML."""
+
+    code: ClassVar[str] = "SETTINGS_UNREADABLE"
+    remedy = "look at the path in MALLOWBEAM_NODE_FILE, its mode and its TOML syntax"
+
+
+class SettingsField(SettingsError):
+    """A key of the settings file is missing or has a wrong value; ``where`` is its path."""
+
+    code: ClassVar[str] = "SETTINGS_FIELD"
+    remedy = "correct the key that is named in the settings file"
+
+
+@dataclass(frozen=True, slots=True)
+class BindAddresses:
+    """Addresses (IP:PORT) of the listeners, None where the role has no such listener."""
+
+    front: str | None = None
+    readiness: str | None = None
+    control: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What the process may use of its machine."""
+
+    cpu_share: float = 1.0                     # of one core
+    cores: int = 1
+    memory_mb: float = 300.0
+    max_fds: int = 1024
+    link_mbps: float = 1000.0
+    disk_mb: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class FaultTolerance:
+    """How many of one kind may be lost at one time."""
+
+    machines: int = 0
+    zones: int = 0
+    regions: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """The figures that the process has to keep to."""
+
+    seed_lag_s: float = 3.0
+    reuse_after_s: float = 2.0
+    contact_ms: float = 3000.0
+    ack_ms: float = 4000.0
+    catch_up_s: float = 4.0
+    drain_ms: float = 2000.0
+    grace_s: float = 8.0
+    loss_slack_ms: float = 200.0
+    config_ms: float = 2000.0
+    rollback_slack_ms: float = 250.0
+    max_skew_ms: float = 5000.0
+    retry_budget_ratio: float = 0.2
+    budget_window_s: float = 10.0
+    min_retries: float = 54.0
+    recovery_s: float = 12.0
+    transit_ms: float = 120.0
+    again_s: float = 6.2
+    fenced: bool = True
+    lease_ms: float = 3000.0
+    thaw_ms: float = 300.0
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """The settings of one process."""
+
+    node_name: str
+    role: str
+    machine_class: str
+    ip: str
+    zone: str
+    region: str
+    port_range: tuple[int, int]                # first and last port for traffic between processes
+    serves: tuple[str, ...] = ()
+    seeds: tuple[str, ...] = ()                # control addresses, IP:PORT
+    bootstrap: bool = False
+    counts_for_quorum: bool = False
+    data_dir: str | None = None
+    discovery: str = ""
+    entry: str = ""
+    heartbeat_ms: float = DEFAULT_HEARTBEAT_MS               # between two heartbeats of an instance
+    contracts: frozenset[str] = frozenset()
+    zones: Mapping[str, str] = field(default_factory=lambda: MappingProxyType({}))  # zone to region
+    bind_addresses: BindAddresses = BindAddresses()
+    limits: Limits = Limits()
+    fault_tolerance: FaultTolerance = FaultTolerance()
+    bounds: Bounds = Bounds()
+
+    @property
+    def peer_address(self) -> str:
+        """IP:PORT of the listener for other processes of the fleet."""
+        return f"{self.ip}:{self.port_range[0]}"
+
+
+def settings_path() -> str:
+    """Where the settings file is."""
+    return os.environ.get(SETTINGS_VARIABLE) or DEFAULT_PATH
+
+
+def read_settings(path: str) -> NodeSettings:
+    """Read a settings file; raises :class:`SettingsError`."""
+    try:
+        table = tomllib.loads(Path(path).read_bytes().decode())
+    except (OSError, ValueError) as error:     # UnicodeDecodeError and TOMLDecodeError are ValueErrors
+        raise SettingsUnreadable(str(error), path) from None
+    return parse_settings(table)
+
+
+def parse_settings(table: Mapping[str, object]) -> NodeSettings:
+    """Check a settings table; raises :class:`SettingsField`."""
+    top = _Section(table, "")
+    return NodeSettings(
+        node_name=top.text("node_name"),
+        role=top.text("role"),
+        machine_class=top.text("machine_class"),
+        ip=top.text("ip"),
+        zone=top.text("zone"),
+        region=top.text("region"),
+        port_range=top.ports("port_range"),
+        serves=top.texts("serves"),
+        seeds=top.addresses("seeds"),
+        bootstrap=top.truth("bootstrap", False),
+        counts_for_quorum=top.truth("counts_for_quorum", False),
+        data_dir=top.text("data_dir", "") or None,
+        discovery=top.text("discovery", ""),
+        entry=top.text("entry", ""),
+        heartbeat_ms=top.number("heartbeat_ms", DEFAULT_HEARTBEAT_MS),
+        contracts=frozenset(top.texts("contracts")),
+        zones=top.section("zones").text_map(),
+        bind_addresses=_bind_addresses(top.section("bind_addresses")),
+        limits=_figures(top.section("limits"), Limits()),
+        fault_tolerance=_figures(top.section("fault_tolerance"), FaultTolerance()),
+        bounds=_figures(top.section("bounds"), Bounds()),
+    )
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Cut IP:PORT into its parts; raises ValueError."""
+    host, colon, port = address.rpartition(":")
+    if not colon or not host or not port.isascii() or not port.isdigit() or not 0 < int(port) <= HIGHEST_PORT:
+        raise ValueError(f"no IP:PORT: {address!r}")
+    return host, int(port)
+
+
+def _bind_addresses(section: _Section) -> BindAddresses:
+    """Read the listeners' addresses."""
+    return BindAddresses(section.address("front"), section.address("readiness"), section.address("control"))
+
+
+def _figures(section: _Section, defaults: _Figures) -> _Figures:
+    """Read a section of numbers and truth values; each keeps the type of its default."""
+    values: dict[str, object] = {}
+    for one in fields(defaults):
+        default = getattr(defaults, one.name)
+        if isinstance(default, bool):
+            values[one.name] = section.truth(one.name, default)
+        elif isinstance(default, int):
+            values[one.name] = section.integer(one.name, default)
+        else:
+            values[one.name] = section.number(one.name, default)
+    return type(defaults)(**values)  # type: ignore[arg-type]
+
+
+class _Section:
+    """A table of the file, with the path that names it in errors."""
+
+    def __init__(self, table: Mapping[str, object], path: str) -> None:
+        self._table, self._path = table, path
+
+    def text(self, key: str, default: str | None = None) -> str:
+        """A text; a key without default must be there and must not be empty."""
+        value = self._table.get(key, default)
+        if value is None:
+            raise self._wrong(key, "is missing")
+        if not isinstance(value, str):
+            raise self._wrong(key, "must be a text")
+        if default is None and not value:
+            raise self._wrong(key, "must not be empty")
+        return value
+
+    def texts(self, key: str) -> tuple[str, ...]:
+        """A list of texts, empty where it is missing."""
+        value = self._table.get(key, [])
+        if not isinstance(value, list) or not all(isinstance(item, str) for item in value):
+            raise self._wrong(key, "must be a list of texts")
+        return tuple(value)
+
+    def number(self, key: str, default: float) -> float:
+        """A number that is not negative."""
+        value = self._table.get(key, default)
+        if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < float("inf"):
+            raise self._wrong(key, "must be a number, 0 or above")
+        return float(value)
+
+    def integer(self, key: str, default: int) -> int:
+        """A whole number that is not negative."""
+        value = self.number(key, default)
+        if value != int(value):
+            raise self._wrong(key, "must be a whole number")
+        return int(value)
+
+    def truth(self, key: str, default: bool) -> bool:
+        """A truth value."""
+        value = self._table.get(key, default)
+        if not isinstance(value, bool):
+            raise self._wrong(key, "must be true or false")
+        return value
+
+    def address(self, key: str) -> str | None:
+        """An address IP:PORT, None where it is missing or empty."""
+        value = self.text(key, "")
+        return self._checked_address(key, value) if value else None
+
+    def addresses(self, key: str) -> tuple[str, ...]:
+        """A list of addresses, empty where it is missing."""
+        return tuple(self._checked_address(key, value) for value in self.texts(key))
+
+    def ports(self, key: str) -> tuple[int, int]:
+        """A first and a last port."""
+        value = self._table.get(key)
+        if value is None:
+            raise self._wrong(key, "is missing")
+        if not isinstance(value, list) or len(value) != 2 or not all(type(port) is int for port in value):
+            raise self._wrong(key, "must be a list of two ports")
+        first, last = value
+        if not 0 < first <= last <= HIGHEST_PORT:
+            raise self._wrong(key, "must be two rising ports, 1 to 65535")
+        return first, last
+
+    def section(self, key: str) -> _Section:
+        """A table below, empty where it is missing."""
+        value = self._table.get(key, {})
+        if not isinstance(value, dict):
+            raise self._wrong(key, "must be a table")
+        return _Section(value, f"{self._path}{key}.")
+
+    def text_map(self) -> Mapping[str, str]:
+        """The whole table as texts by key."""
+        return MappingProxyType({key: self.text(key, "") for key in self._table})
+
+    def _checked_address(self, key: str, value: str) -> str:
+        try:
+            split_address(value)
+        except ValueError:
+            raise self._wrong(key, "must be IP:PORT") from None
+        return value
+
+    def _wrong(self, key: str, what: str) -> SettingsField:
+        return SettingsField(what, f"{self._path}{key}")
