--- /dev/null
+++ b/tests/test_processes_errors.py
@@ -0,0 +1,77 @@
+"""Error codes: each stands for one type, and the page for who is on call has a row for each."""
+
+from __future__ import annotations
+
+import pkgutil
+import unittest
+from importlib import import_module
+from pathlib import Path
+
+import mallowbeam
+from mallowbeam.errors import MallowbeamError
+from mallowbeam.processes.errors import code_table, codes_of, error_types
+
+PAGE = Path(__file__).parent.parent / "docs" / "on-call.md"
+SECTION = "## The router fleet"
+NEW_PARTS = ("admission", "cli.system", "configuration", "consensus", "control_plane", "data_plane", "feed",
+             "health", "pairing", "processes", "registry", "rpc", "scheduling", "simulation", "streams")
+CODE = r"^[A-Z][A-Z0-9]*(_[A-Z0-9]+)*$"
+
+
+def in_new_parts(module: str) -> bool:
+    return any(module.removeprefix("mallowbeam.").startswith(part) for part in NEW_PARTS)
+
+
+def load_new_parts() -> None:
+    for module in pkgutil.walk_packages(mallowbeam.__path__, "mallowbeam."):
+        if in_new_parts(module.name):
+            import_module(module.name)
+
+
+def fleet_section() -> list[str]:
+    _, _, behind = PAGE.read_text().partition(SECTION + "\n")
+    return behind.partition("\n## ")[0].splitlines()
+
+
+class Codes(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        load_new_parts()
+
+    def test_each_code_has_one_type_and_the_usual_form(self):
+        for code in code_table():              # raises where two types share one
+            self.assertRegex(code, CODE)
+
+    def test_each_error_of_the_new_parts_has_a_code(self):
+        without = [kind.__name__ for kind in error_types() if in_new_parts(kind.__module__)
+                   and not any(codes_of(one) for one in kind.__mro__ if issubclass(one, MallowbeamError))
+                   and not kind.__subclasses__()]
+        self.assertEqual(without, [])
+
+    def test_each_code_has_a_row_on_the_page(self):
+        rows = fleet_section()
+        missing = [code for code, kind in code_table().items() if in_new_parts(kind.__module__)
+                   and not any(f"| `{kind.__name__}` | `{code}` |" in row for row in rows)]
+        self.assertEqual(missing, [])
+
+    def test_codes_of_a_class_are_its_own(self):
+        class One(MallowbeamError):
+            code = "ONE"
+            remedy = "none"
+
+        class Two(One):
+            codes = ("TWO_A", "TWO_B")
+
+        self.assertEqual((codes_of(One), codes_of(Two)), (("ONE",), ("TWO_A", "TWO_B")))
+
+    def test_a_shared_code_is_refused(self):
+        first = type("First", (MallowbeamError,), {"code": "SHARED_BY_TWO", "remedy": "none"})
+        second = type("Second", (MallowbeamError,), {"code": "SHARED_BY_TWO", "remedy": "none"})
+        with self.assertRaisesRegex(ValueError, "SHARED_BY_TWO"):
+            code_table()
+        first.code, second.code = "SHARED_FIRST", "SHARED_SECOND"
+        code_table()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_processes_main.py
@@ -0,0 +1,50 @@
+"""`python -m mallowbeam`: each first argument loads its own part and no other."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import textwrap
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+MOST_S = 30.0
+PROGRAM = textwrap.dedent("""
+    import signal, sys, types
+    def stand_in(name, code):
+        module = types.ModuleType(name)
+        module.main = lambda: (print(name, callable(signal.getsignal(signal.SIGHUP))), code)[1]
+        sys.modules[name] = module
+    stand_in("mallowbeam.data_plane.role", 3)
+    stand_in("mallowbeam.control_plane.role", 4)
+    sys.argv = ["mallowbeam", {argument!r}]
+    from mallowbeam.__main__ import main
+    code = main()
+    loaded = {{name.split(".")[0] for name in sys.modules}}
+    print(sorted(loaded & {{"typer", "loguru", "defopt", "rich", "marshmallow", "lmdb", "httpx"}}))
+    print("mallowbeam.program" in sys.modules)
+    sys.exit(code)
+""")
+
+
+class Dispatch(unittest.TestCase):
+    def run_main(self, argument: str) -> subprocess.CompletedProcess[str]:
+        environment = {**os.environ, "PYTHONDONTWRITEBYTECODE": "1"}
+        program = PROGRAM.format(argument=argument)
+        return subprocess.run([sys.executable, "-c", program], cwd=ROOT, env=environment, capture_output=True,
+                              text=True, timeout=MOST_S)
+
+    def test_each_role_is_loaded_alone_with_hangups_held(self):
+        for argument, module, code in (("data-plane", "mallowbeam.data_plane.role", 3),
+                                       ("control-plane", "mallowbeam.control_plane.role", 4)):
+            with self.subTest(argument):
+                ended = self.run_main(argument)
+                self.assertEqual(ended.stderr, "")
+                self.assertEqual(ended.stdout.splitlines(), [f"{module} True", "[]", "False"])
+                self.assertEqual(ended.returncode, code)
+
+
+if __name__ == "__main__":
+    unittest.main()
