Planner: admission by cycles over pairing by rendezvous hashing

Cause: the data plane needs, for each request, its instances, its cycle or a refusal at once, decided without I/O.

--- /dev/null
+++ b/mallowbeam/admission/messages.py
@@ -0,0 +1,86 @@
+"""What the planner is asked and what it answers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from mallowbeam.pairing.instances import Engine
+from mallowbeam.pairing.kept_parts import PromptPart
+
+__all__ = ["Engine", "Outcome", "Plan", "PlanRequest", "PromptPart", "Refusal", "RefusalReason"]
+
+
+@dataclass(frozen=True, slots=True)
+class PlanRequest:
+    """A request as admission and pairing see it; all times in seconds."""
+
+    request_id: str
+    backend: str
+    """The service that its route leads to."""
+    engine: Engine | None
+    """The service's engine as configured; None for a service that is no model server."""
+    prompt_parts: tuple[PromptPart, ...] = ()
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+    """The most that may be generated."""
+    priority: int = 0
+    target_latency_s: float = 1.0
+    time_left_s: float = 10.0
+    """Until the client's deadline or the route's time-out, whichever is first."""
+    zone: str = ""
+    """The gateway's zone."""
+    excluded: frozenset[str] = frozenset()
+    """Instances that must not be chosen, such as those tried before."""
+    resumed: bool = False
+    """It continues an answer that has begun: it is not refused while any instance may take it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """The request is taken."""
+
+    booking: int
+    """Names it in all later calls."""
+    prefill_instance: str | None
+    """Reads the prompt first; None where the decode instance reads it."""
+    decode_instance: str
+    start_in_s: float
+    """When it is to be sent: 0 is at once."""
+    units: int
+    """Slots that it took."""
+    expected_first_token_s: float
+
+
+class RefusalReason(Enum):
+    """Why a request was refused."""
+
+    NO_INSTANCE = "no_instance"
+    """No instance may take it."""
+    NO_CYCLE = "no_cycle"
+    """No cycle finishes it in its time."""
+    NO_ROOM = "no_room"
+    """All places or the memory of the instances are taken by this gateway's own requests."""
+    TOO_LARGE = "too_large"
+    """It is larger than an instance's memory."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """The request is refused at once; it has not run."""
+
+    retry_after_s: float
+    reason: RefusalReason
+
+
+class Outcome(Enum):
+    """How a booking ended."""
+
+    COMPLETED = "completed"
+    """The whole answer came."""
+    REJECTED = "rejected"
+    """The instance answered that it did not run it."""
+    FAILED = "failed"
+    """The exchange broke, or its time ran out."""
+    CANCELLED = "cancelled"
+    """The client gave it up, or it was never sent."""
--- /dev/null
+++ b/mallowbeam/admission/settings.py
@@ -0,0 +1,40 @@
+"""Settings of admission, each with its effect."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from mallowbeam.pairing.settings import PairingSettings
+from mallowbeam.scheduling.slot_time import SlotTimeSettings
+
+
+@dataclass(frozen=True, slots=True)
+class PlannerSettings:
+    """What decides whether and when a request is sent."""
+
+    cycle_s: float = 0.5
+    """Length of a cycle; m is its floor over a node's slot time."""
+    tokens_per_unit: int = 1_024
+    """Prompt tokens to be read that take one slot."""
+    most_units: int = 24
+    """The most slots that one request takes, however long its prompt."""
+    measured_wait_s: float = 0.25
+    """Seen waiting at a node without which its estimates refuse nothing."""
+    measured_units: int = 8
+    """Units of this gateway at a node from which its estimates are believed without seen waiting."""
+    answer_token_s: float = 0.004
+    """Time for a generated token, kept free before the deadline."""
+    answer_share: float = 0.5
+    """The share of the most tokens that an answer is expected to have."""
+    silence_s: float = 2.0
+    """Clients wait at least so long for a first token."""
+    silence_targets: float = 4.0
+    """Clients wait at least so many target latencies for a first token."""
+    least_retry_after_s: float = 0.1
+    """The soonest that a refused client is told to come back."""
+    retry_after_share: float = 0.3
+    """The latest that it is told to come back, as a share of its time left."""
+    pairing: PairingSettings = field(default_factory=PairingSettings)
+    """Settings of the choice of instances."""
+    slot_time: SlotTimeSettings = field(default_factory=SlotTimeSettings)
+    """How slot times are smoothed."""
--- /dev/null
+++ b/mallowbeam/pairing/instances.py
@@ -0,0 +1,235 @@
+"""What one gateway knows of the instances: its own work there, their measured pace, the parts they keep."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from typing import Protocol
+
+from mallowbeam.pairing.hashing import Ring
+from mallowbeam.pairing.kept_parts import KeptParts
+from mallowbeam.pairing.settings import PairingSettings
+from mallowbeam.scheduling.cycles import CycleBook
+from mallowbeam.scheduling.slot_time import FadingMean, SlotTimer, SlotTimeSettings
+
+PREFILL = "prefill"
+DECODE = "decode"
+DEFAULT_KV_CAPACITY = 200_000
+TOKENS_UNIT = 1_000.0   # weight of a pace sample: thousands of tokens
+CLIP = 4.0              # a pace sample counts as at most so many times slower or faster than the present pace
+
+
+class Engine(Protocol):
+    """What the operator's configuration says of a model server (`messages.Engine` and its model alike)."""
+
+    @property
+    def slots(self) -> int:
+        """Requests that run at once."""
+
+    @property
+    def kv_capacity(self) -> int:
+        """Tokens that the memory holds."""
+
+    @property
+    def kv_token_bytes(self) -> int:
+        """Bytes of memory for each token."""
+
+    @property
+    def link_mbps(self) -> float:
+        """Rate of moves of memory, in Mbit/s."""
+
+
+class ModelVersion(Protocol):
+    """A model that an instance has loaded."""
+
+    @property
+    def name(self) -> str:
+        """Its name."""
+
+    @property
+    def revision(self) -> int:
+        """The version of its weights."""
+
+
+class InstanceEntry(Protocol):
+    """An instance as the feed tells of it (`messages.Instance`)."""
+
+    id: str
+    backend: str
+    zone: str
+    slots: int
+    stage: str
+
+    @property
+    def state(self) -> int:
+        """READY, DRAINS or ENDED, by the numbers of `messages.InstanceState`."""
+
+    @property
+    def models(self) -> Iterable[ModelVersion]:
+        """What it has loaded."""
+
+
+class InstanceBook:
+    """One instance: what this gateway has there, and what it measured."""
+
+    __slots__ = ("id", "backend", "zone", "slots", "stage", "ready", "versions", "settings",
+                 "timer", "cycles", "kept", "reading", "read_tokens", "places", "memory",
+                 "seconds_per_token", "delay", "join", "rejected_until")
+
+    def __init__(self, entry: InstanceEntry, settings: PairingSettings, slot_time: SlotTimeSettings,
+                 cycle_s: float, kv_capacity: int) -> None:
+        self.id, self.backend, self.zone = entry.id, entry.backend, entry.zone
+        self.slots, self.stage, self.ready = max(1, entry.slots), entry.stage, False
+        self.versions: tuple[tuple[str, int], ...] = ()
+        self.settings = settings
+        self.timer = SlotTimer(slot_time)
+        self.cycles = CycleBook(cycle_s)
+        self.kept = KeptParts(kv_capacity)
+        self.reading: dict[int, int] = {}       # tokens that bookings have still to be read here
+        self.read_tokens = 0
+        self.places = 0                         # bookings that hold or will take a place
+        self.memory = 0                         # tokens of memory that they need
+        self.seconds_per_token = FadingMean(settings.pace_memory_s)
+        self.delay = FadingMean(settings.delay_memory_s)
+        self.join = FadingMean(settings.delay_memory_s)
+        self.rejected_until = float("-inf")
+
+    @property
+    def idle(self) -> bool:
+        """Whether this gateway has nothing to be done there, as far as it knows."""
+        return self.timer.idle and not self.reading
+
+    def token_s(self, now: float) -> float:
+        """Seconds to read a token, as measured of late."""
+        settings = self.settings
+        prefill = self.stage == PREFILL
+        first = 1.0 / (settings.prefill_tokens_per_s if prefill else settings.decode_tokens_per_s)
+        return self.seconds_per_token.value(first, settings.pace_prior_tokens / TOKENS_UNIT, now)
+
+    def wait_s(self, now: float) -> float:
+        """Seconds until what this gateway has there is read, with what others' work added of late."""
+        own = self.read_tokens * self.token_s(now)
+        age = self.timer.oldest_age(now)
+        overdue = max(0.0, age - own - self.settings.overhead_s) if self.reading else 0.0
+        progress = min(age, own / 2)
+        return max(0.0, own - progress) + max(0.0, self.delay.value(0.0, 0.5, now)) + overdue
+
+    def measured_wait_s(self, now: float) -> float:
+        """The part of `wait_s` that was seen rather than estimated."""
+        age = self.timer.oldest_age(now)
+        return max(self.delay.value(0.0, 0.5, now), age if self.reading else 0.0, 0.0)
+
+    def read_started(self, booking: int, tokens: int) -> None:
+        """A booking will have tokens read here."""
+        self.reading[booking] = tokens
+        self.read_tokens += tokens
+
+    def read_ended(self, booking: int) -> int:
+        """They were read, or will not be; how many there were."""
+        tokens = self.reading.pop(booking, 0)
+        self.read_tokens -= tokens
+        return tokens
+
+    def learn_read(self, tokens: int, ahead: int, elapsed_s: float, now: float) -> None:
+        """Reading took `elapsed_s` for these tokens and those of this gateway that were ahead of them."""
+        present = self.token_s(now)
+        total = tokens + ahead
+        expected = self.settings.overhead_s + total * present
+        self.delay.add(max(-self.settings.overhead_s, elapsed_s - expected), now)
+        if total > 0:
+            sample = max(0.0, elapsed_s - self.settings.overhead_s) / total
+            sample = min(CLIP * present, max(present / CLIP, sample))
+            self.seconds_per_token.add(sample, now, total / TOKENS_UNIT)
+
+    def join_s(self, gateways: int, now: float) -> float:
+        """Seconds until a request that was read elsewhere, and whose memory is here, has its first token."""
+        settings = self.settings
+        running = self.places * gateways
+        crowd = running / self.slots
+        return (self.join.value(settings.join_s, 1.0, now) + running * settings.running_s
+                + settings.crowd_s * crowd * min(crowd, 4.0))
+
+    def learn_join(self, elapsed_s: float, move_s: float, now: float) -> None:
+        """The first token came `elapsed_s` after the hand-over, of which the move was to take `move_s`."""
+        self.join.add(max(0.0, elapsed_s - move_s), now)
+
+    def take_place(self, tokens: int) -> None:
+        """A booking holds a place and memory here."""
+        self.places += 1
+        self.memory += tokens
+
+    def leave_place(self, tokens: int) -> None:
+        """It holds them no longer."""
+        self.places -= 1
+        self.memory -= tokens
+
+    def has_room(self, tokens: int) -> bool:
+        """Whether this gateway's own bookings alone leave a place and memory."""
+        return self.places < self.slots and (not self.places or self.memory + tokens <= self.kept.capacity)
+
+
+class InstanceTable:
+    """All instances by service, stage and zone, with their rings."""
+
+    def __init__(self, settings: PairingSettings, slot_time: SlotTimeSettings, cycle_s: float) -> None:
+        self.settings, self.slot_time, self.cycle_s = settings, slot_time, cycle_s
+        self.books: dict[str, InstanceBook] = {}
+        self.rings: dict[tuple[str, str, str], Ring] = {}   # service, stage, zone; zone "" is all of them
+        self.capacities: dict[str, int] = {}
+        self.ejected: frozenset[str] = frozenset()
+
+    def update(self, entry: InstanceEntry, ready: bool) -> None:
+        """Take in what is told of an instance."""
+        book = self.books.get(entry.id)
+        if book is None:
+            capacity = self.capacities.get(entry.backend, DEFAULT_KV_CAPACITY)
+            book = InstanceBook(entry, self.settings, self.slot_time, self.cycle_s, capacity)
+            self.books[entry.id] = book
+        self._leave_rings(book)
+        versions = tuple((model.name, model.revision) for model in entry.models)
+        if versions != book.versions:
+            book.versions = versions
+            book.kept.clear()
+        if entry.stage != book.stage:
+            book.stage = entry.stage
+            book.seconds_per_token = FadingMean(self.settings.pace_memory_s)
+        book.zone, book.slots, book.ready = entry.zone, max(1, entry.slots), ready
+        if ready:
+            self._join_rings(book)
+
+    def remove(self, instance_id: str) -> None:
+        """An instance has ended; bookings there keep their numbers, and end without effect."""
+        if book := self.books.pop(instance_id, None):
+            self._leave_rings(book)
+
+    def set_capacity(self, backend: str, kv_capacity: int) -> None:
+        """The memory of a service's instances, in tokens."""
+        if kv_capacity <= 0 or self.capacities.get(backend) == kv_capacity:
+            return
+        self.capacities[backend] = kv_capacity
+        for book in self.books.values():
+            if book.backend == backend:
+                book.kept.resize(kv_capacity)
+
+    def ranked(self, backend: str, stage: str, zone: str, key: int,
+               excluded: frozenset[str]) -> Iterator[InstanceBook]:
+        """Instances that may get work, in rendezvous order of a key; zone "" stands for all zones."""
+        ring = self.rings.get((backend, stage, zone))
+        if ring is None:
+            return
+        for name in ring.ranked(key):
+            if name not in excluded and name not in self.ejected:
+                yield self.books[name]
+
+    def total_slots(self, backend: str) -> int:
+        """Places of all instances of a service that are ready."""
+        return sum(self.books[name].slots for stage in (PREFILL, DECODE, "")
+                   for name in self.rings.get((backend, stage, ""), ()))
+
+    def _join_rings(self, book: InstanceBook) -> None:
+        for zone in ("", book.zone):
+            self.rings.setdefault((book.backend, book.stage, zone), Ring()).add(book.id)
+
+    def _leave_rings(self, book: InstanceBook) -> None:
+        for zone in ("", book.zone):
+            if ring := self.rings.get((book.backend, book.stage, zone)):
+                ring.remove(book.id)
--- /dev/null
+++ b/mallowbeam/pairing/settings.py
@@ -0,0 +1,58 @@
+"""Settings of pairing, each with its effect."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class PairingSettings:
+    """What the choice of instances goes by.
+
+    Losses are shares of a request's worth: 0.1 is a tenth of it.
+    """
+
+    read_choices: int = 3
+    """Prefill instances weighed for one request, in rendezvous order of its shared parts."""
+    decode_choices: int = 2
+    """Decode instances weighed by rendezvous order, in the whole service and in the reader's zone each."""
+    spread_choices: int = 2
+    """Decode instances weighed besides, drawn anew for each request and gateway."""
+    prefill_tokens_per_s: float = 40_000.0
+    """Reading pace of a prefill instance before it is measured."""
+    decode_tokens_per_s: float = 20_000.0
+    """Reading pace of a decode instance, between its tokens, before it is measured."""
+    pace_prior_tokens: float = 8_000.0
+    """Tokens that the first pace counts as against measured ones."""
+    pace_memory_s: float = 8.0
+    """Seconds in which a measured pace loses its weight to 1/e."""
+    delay_memory_s: float = 1.0
+    """Seconds in which a measured delay by others' work loses its weight to 1/e."""
+    overhead_s: float = 0.018
+    """What reading takes besides the tokens: way there and back, and the engine's first step."""
+    join_s: float = 0.015
+    """From the end of reading to the first token at another instance, without the move of memory."""
+    running_s: float = 0.0001
+    """What each running request adds to a decode step."""
+    crowd_s: float = 0.08
+    """What a decode instance with all places taken adds to the first token; by the square of its load."""
+    move_setup_s: float = 0.004
+    """What a move of memory takes besides its bytes."""
+    zone_move_factor: float = 2.0
+    """How many times longer a move between zones takes."""
+    move_loss_per_gb: float = 0.15
+    """Loss by moving a gigabyte of memory within a zone."""
+    zone_move_loss_factor: float = 3.0
+    """How many times more a move between zones loses."""
+    reread_loss_per_1000: float = 0.02
+    """Loss by reading a thousand shared tokens again away from where they are kept."""
+    late_loss: float = 0.5
+    """Loss by a first token at twice its target latency; half of it at the target, less by the cube below."""
+    zone_loss: float = 0.01
+    """Loss by sending a request to an instance in another zone than the gateway's."""
+    session_entries: int = 20_000
+    """Last parts whose instance is remembered; past it the oldest are forgotten, and are read again."""
+    own_part_share: float = 0.125
+    """The most of an instance's memory that one request's own part is charged with."""
+    rejected_s: float = 0.5
+    """How long an instance that rejected a request is passed over while others take work."""
--- /dev/null
+++ b/mallowbeam/scheduling/slot_time.py
@@ -0,0 +1,118 @@
+"""Slot time: how long one unit of work takes a node, measured from the answers that this process sees.
+
+A node's slot time is its smoothed unit latency over the count of units out there: with `n` units out and a
+latency of `t` seconds, a unit ends every `t / n` seconds.  Before anything is measured, the caller's first
+slot time holds.  Nothing here reads a clock; times are seconds of any steady clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from math import exp
+
+
+def slot_time(latency_s: float, *units_out: float) -> float:
+    """Seconds per unit at a node whose units take `latency_s` while the larger of `units_out` are out."""
+    return latency_s / max(1.0, *units_out)
+
+
+def blend(weight: float, mean: float, prior_weight: float, prior: float) -> float:
+    """Mean of measured values, which count `weight`, and a prior, which counts `prior_weight`."""
+    return (weight * mean + prior_weight * prior) / (weight + prior_weight)
+
+
+class FadingMean:
+    """A mean whose samples lose weight with time: recent ones count, old ones are forgotten."""
+
+    __slots__ = ("memory_s", "mean", "weight", "at")
+
+    def __init__(self, memory_s: float) -> None:
+        """Start without samples; a sample's weight falls to 1/e in `memory_s` seconds."""
+        self.memory_s, self.mean, self.weight, self.at = memory_s, 0.0, 0.0, 0.0
+
+    def fade(self, now: float) -> None:
+        """Bring the weight of what was seen up to `now`."""
+        if now > self.at:
+            self.weight *= exp((self.at - now) / self.memory_s)
+            self.at = now
+
+    def add(self, value: float, now: float, weight: float = 1.0) -> None:
+        """Take in a sample."""
+        self.fade(now)
+        self.weight += weight
+        self.mean += (value - self.mean) * weight / self.weight
+
+    def value(self, prior: float, prior_weight: float, now: float) -> float:
+        """The mean as of `now`, drawn towards `prior` as samples age."""
+        self.fade(now)
+        return blend(self.weight, self.mean, prior_weight, prior)
+
+
+@dataclass(frozen=True, slots=True)
+class SlotTimeSettings:
+    """How latencies are smoothed."""
+
+    memory_s: float = 2.0
+    """Seconds in which a sample's weight falls to 1/e."""
+    prior_weight: float = 0.5
+    """Samples that the first slot time counts as."""
+    clip: float = 3.0
+    """A sample counts as at most this many times the present mean: one pause cannot poison it."""
+    first_share: float = 0.05
+    """The first slot time, before any measurement, as a share of the class's target latency."""
+
+
+class SlotTimer:
+    """The slot time of one node, from the units that this process has out there."""
+
+    __slots__ = ("settings", "latency", "out_mean", "out", "units_out")
+
+    def __init__(self, settings: SlotTimeSettings) -> None:
+        self.settings = settings
+        self.latency = FadingMean(settings.memory_s)
+        self.out_mean = FadingMean(settings.memory_s)
+        self.out: dict[int, tuple[float, int]] = {}   # by booking: when it was sent, and its units
+        self.units_out = 0
+
+    @property
+    def idle(self) -> bool:
+        """Whether this process has nothing out at the node."""
+        return not self.out
+
+    def sent(self, booking: int, units: int, now: float) -> None:
+        """A booking's units were sent to the node."""
+        if booking not in self.out:
+            self.out[booking] = (now, units)
+            self.units_out += units
+
+    def done(self, booking: int, now: float, measured: bool = True) -> float | None:
+        """A booking's units ended; their latency in seconds, or None where they were not out."""
+        entry = self.out.pop(booking, None)
+        if entry is None:
+            return None
+        sent_at, units = entry
+        latency = max(0.0, now - sent_at)
+        if measured:
+            self._learn(latency, now)
+        self.units_out -= units
+        return latency
+
+    def _learn(self, latency: float, now: float) -> None:
+        present = self.latency.mean if self.latency.weight > 0 else latency
+        self.latency.add(min(latency, self.settings.clip * present), now)
+        self.out_mean.add(float(self.units_out), now)
+
+    def oldest_age(self, now: float) -> float:
+        """Seconds since the oldest of what is out was sent; 0 at an idle node."""
+        if not self.out:
+            return 0.0
+        sent_at, _ = next(iter(self.out.values()))
+        return max(0.0, now - sent_at)
+
+    def slot_s(self, target_latency_s: float, now: float) -> float:
+        """Seconds per unit: smoothed latency, or what the oldest has waited by now, over the units out."""
+        settings = self.settings
+        first = settings.first_share * target_latency_s
+        out = self.out_mean.value(1.0, settings.prior_weight, now)
+        latency = self.latency.value(first * max(1.0, out), settings.prior_weight, now)
+        return slot_time(max(latency, self.oldest_age(now)), out, self.units_out)
