--- a/mallowbeam/rpc/connection.py
+++ b/mallowbeam/rpc/connection.py
@@ -64,12 +64,16 @@
 
     def send(self, message: Message) -> bool:
         """Queue a message; False where the connection is over or its peer reads too slowly."""
+        return self.send_encoded(encode_frame(message))
+
+    def send_encoded(self, frame: bytes) -> bool:
+        """Queue a frame that `encode_frame` made, perhaps for many connections; as `send` otherwise."""
         if self._transport is None or self._transport.is_closing():
             return False
         if self._transport.get_write_buffer_size() > MOST_UNSENT:
             self.abort()
             return False
-        self._transport.write(encode_frame(message))
+        self._transport.write(frame)
         return True
 
     @property
