--- /dev/null
+++ b/mallowbeam/control_plane/link_listener.py
@@ -0,0 +1,118 @@
+"""The listener that members and gateways connect to, and what becomes of each frame that comes in."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from google.protobuf.message import DecodeError
+
+from mallowbeam.control_plane.peer_links import PeerLinks
+from mallowbeam.processes.logs import get_logger
+from mallowbeam.rpc.connection import FrameConnection
+from mallowbeam.rpc.messages_pb2 import (
+    GatewayFrame,
+    JoinRequest,
+    JoinResponse,
+    LinkFrame,
+    PeerFrame,
+    ProposeRequest,
+    ProposeResponse,
+    RaftMessage,
+    ReadIndexRequest,
+    ReadIndexResponse,
+    RegistryGossip,
+)
+
+log = get_logger("mallowbeam.links")
+
+
+class PeerHandler(Protocol):
+    """Takes what other members send. `sender` is a member's id."""
+
+    def raft(self, sender: int, message: RaftMessage) -> None:
+        """A message of consensus."""
+
+    def registry(self, sender: int, gossip: RegistryGossip) -> None:
+        """News of instances."""
+
+    def join(self, connection: FrameConnection, request: JoinRequest) -> None:
+        """A process asks to become a member; the answer goes back on its connection."""
+
+    def propose(self, sender: int, request: ProposeRequest) -> None:
+        """A command for the leader."""
+
+    def propose_response(self, response: ProposeResponse) -> None:
+        """What became of a command that was passed to the leader."""
+
+    def read_index(self, sender: int, request: ReadIndexRequest) -> None:
+        """A read for the leader to confirm."""
+
+    def read_index_response(self, response: ReadIndexResponse) -> None:
+        """What the leader said to a read."""
+
+
+class FeedHandler(Protocol):
+    """Takes what gateways send."""
+
+    def gateway_frame(self, connection: FrameConnection, frame: GatewayFrame) -> None:
+        """A frame of a gateway; the first one subscribes it."""
+
+    def gateway_closed(self, connection: FrameConnection) -> None:
+        """A connection is over, perhaps that of a gateway."""
+
+
+class LinkListener:
+    """Tells frames of members from those of gateways and hands each to its handler."""
+
+    def __init__(self, links: PeerLinks, peers: PeerHandler, feeds: FeedHandler) -> None:
+        self._links, self._peers, self._feeds = links, peers, feeds
+        self._peer_calls: dict[str, Callable[[FrameConnection, PeerFrame], None]] = {
+            "raft": lambda _, frame: peers.raft(frame.sender, frame.raft),
+            "registry": lambda _, frame: peers.registry(frame.sender, frame.registry),
+            "join": lambda connection, frame: peers.join(connection, frame.join),
+            "propose": lambda _, frame: peers.propose(frame.sender, frame.propose),
+            "propose_response": lambda _, frame: peers.propose_response(frame.propose_response),
+            "read_index": lambda _, frame: peers.read_index(frame.sender, frame.read_index),
+            "read_index_response": lambda _, frame: peers.read_index_response(frame.read_index_response),
+        }
+
+    def received(self, connection: FrameConnection, body: bytes) -> None:
+        """One frame; what can't be read ends the connection."""
+        try:
+            frame = LinkFrame.FromString(body)
+        except DecodeError:
+            log.warning("unreadable frame from %s", connection.peer)
+            connection.abort()
+            return
+        kind = frame.WhichOneof("body")
+        if kind == "peer":
+            self._peer_frame(connection, frame.peer)
+        elif kind == "gateway":
+            self._feeds.gateway_frame(connection, frame.gateway)
+
+    def opened(self, connection: FrameConnection) -> None:
+        """A connection is about to be made; its first frame tells whose it is."""
+
+    def closed(self, connection: FrameConnection) -> None:
+        """A connection is over."""
+        self._links.forget(connection)
+        self._feeds.gateway_closed(connection)
+
+    def _peer_frame(self, connection: FrameConnection, frame: PeerFrame) -> None:
+        """Hand on a frame of a member, unless it is meant for another identity at this address."""
+        own = self._links.own.id
+        if frame.recipient not in (0, own) or frame.sender == own:
+            return
+        kind = frame.WhichOneof("body")
+        if frame.HasField("sender_member") and kind != "join":
+            self._links.introduce(connection, frame.sender_member)
+        self._links.heard(frame.sender)
+        call = self._peer_calls.get(kind or "")
+        if call is not None:
+            call(connection, frame)
+
+
+def join_answer(own: int, response: JoinResponse) -> LinkFrame:
+    """The frame that answers a join request on the connection on which it came."""
+    return LinkFrame(peer=PeerFrame(sender=own, join_response=response))
