--- /dev/null
+++ b/mallowbeam/control_plane/commands.py
@@ -0,0 +1,279 @@
+"""Commands and linearizable reads: taken at any member, decided by the leader.
+
+All commands may be repeated: what was taken is known again. So a command whose leader is lost on the way is proposed
+again to the next one, as long as its caller's time lasts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TypeVar
+
+from mallowbeam.consensus.errors import ConsensusError
+from mallowbeam.control_plane.answers import NothingProposedError, OutcomeUnknownError
+from mallowbeam.control_plane.peer_links import PeerLinks
+from mallowbeam.control_plane.raft_driver import RaftDriver
+from mallowbeam.control_plane.state_machine import Outcome
+from mallowbeam.control_plane.waiting import ProposalLost, ReadRefused
+from mallowbeam.rpc.messages_pb2 import (
+    APPLIED,
+    NOT_LEADER,
+    UNKNOWN,
+    Command,
+    PeerFrame,
+    ProposeRequest,
+    ProposeResponse,
+    ProposeStatus,
+    ReadIndexRequest,
+    ReadIndexResponse,
+)
+
+PATIENCE = 0.9                 # seconds from a call's coming in to its answer; callers wait for one
+NO_LEADER_PATIENCE = 0.7       # seconds without any leader after which a call is turned away
+LEAST_WAIT = 0.001
+RETRY_PAUSE = 0.03             # seconds before a leader that did not take a call is asked again
+
+Answer = TypeVar("Answer")
+
+
+class NotTaken(ConsensusError):
+    """The member that was asked did not take the call: it is not the leader, or can't be reached."""
+
+    code = "CONSENSUS_NOT_TAKEN"
+    remedy = "ask the leader"
+
+
+class Commands:
+    """Passes commands and reads to the leader, and answers those that other members pass on."""
+
+    def __init__(self, driver: RaftDriver, links: PeerLinks) -> None:
+        self._driver, self._links = driver, links
+        self._loop = asyncio.get_running_loop()
+        self._last_id = 0
+        self._proposals: dict[int, asyncio.Future[Outcome]] = {}
+        self._reads: dict[int, asyncio.Future[int]] = {}
+
+    # ------------------------------------------------------------ for callers
+
+    async def submit(self, command: Command, since: float) -> Outcome:
+        """Have a command applied; `since` is the steady time at which the call came in.
+
+        Raises NothingProposedError, or OutcomeUnknownError where it may yet be applied.
+        """
+        attempts = _Attempts(since)
+        payload = command.SerializeToString()
+        while attempts.go_on(self._driver.leader_id):
+            attempt = self._propose_to_leader(command, payload)
+            if attempt is None:
+                await self._leadership_change(attempts.left_without_leader())
+                continue
+            try:
+                outcome = await self._until_change(attempt, attempts.left())
+            except NotTaken:
+                await self._leadership_change(min(RETRY_PAUSE, attempts.left()))
+                continue
+            except ConsensusError:             # lost with its leader's term
+                attempts.proposed = True
+                continue
+            if outcome is not None:
+                return outcome
+            attempts.proposed = True
+        if attempts.proposed:
+            raise OutcomeUnknownError("the leader did not answer in time")
+        raise NothingProposedError("no leader was found in time")
+
+    async def read_barrier(self, since: float) -> None:
+        """Wait until this member's state is as new as the moment of the call; raises NothingProposedError."""
+        attempts = _Attempts(since)
+        while attempts.go_on(self._driver.leader_id):
+            attempt = self._read_at_leader()
+            if attempt is None:
+                await self._leadership_change(attempts.left_without_leader())
+                continue
+            try:
+                index = await self._until_change(attempt, attempts.left())
+            except ConsensusError:
+                await self._leadership_change(min(RETRY_PAUSE, attempts.left()))
+                continue
+            if index is not None and await self._applied(index, attempts.left()):
+                return
+        raise NothingProposedError("no leader confirmed the read in time")
+
+    # ------------------------------------------------------------ from other members
+
+    def propose(self, sender: int, request: ProposeRequest) -> None:
+        """A member passes on a command: propose it here, and answer once it is applied."""
+        answer = self._driver.propose(request.command.SerializeToString())
+        answer.add_done_callback(lambda done: self._answer_proposal(sender, request.id, done))
+
+    def propose_response(self, response: ProposeResponse) -> None:
+        """The leader's answer to a command that was passed on."""
+        answer = self._proposals.pop(response.id, None)
+        if answer is None or answer.done():
+            return
+        if response.status == APPLIED:
+            answer.set_result(Outcome(response.result, response.index, response.token))
+        elif response.status == NOT_LEADER:
+            answer.set_exception(NotTaken("not the leader", step="propose"))
+        else:
+            answer.set_exception(ProposalLost("lost with the leader's term", step="propose"))
+
+    def read_index(self, sender: int, request: ReadIndexRequest) -> None:
+        """A member asks for a read index."""
+        answer = self._driver.read_index()
+        answer.add_done_callback(lambda done: self._answer_read(sender, request.id, done))
+
+    def read_index_response(self, response: ReadIndexResponse) -> None:
+        """The leader's answer to a read."""
+        answer = self._reads.pop(response.id, None)
+        if answer is None or answer.done():
+            return
+        if response.confirmed:
+            answer.set_result(response.index)
+        else:
+            answer.set_exception(ReadRefused("not confirmed", step="read"))
+
+    def _answer_proposal(self, sender: int, request_id: int, done: asyncio.Future[Outcome]) -> None:
+        response = ProposeResponse(id=request_id)
+        if done.cancelled():
+            return
+        error = done.exception()
+        if error is None:
+            outcome = done.result()
+            response.status, response.result = APPLIED, outcome.result
+            response.index, response.token = outcome.index, outcome.token
+        else:
+            response.status = _status_of(error)
+        self._links.send(sender, PeerFrame(propose_response=response))
+
+    def _answer_read(self, sender: int, request_id: int, done: asyncio.Future[int]) -> None:
+        if done.cancelled():
+            return
+        response = ReadIndexResponse(id=request_id)
+        if done.exception() is None:
+            response.confirmed, response.index = True, done.result()
+        self._links.send(sender, PeerFrame(read_index_response=response))
+
+    # ------------------------------------------------------------ attempts
+
+    def _propose_to_leader(self, command: Command, payload: bytes) -> asyncio.Future[Outcome] | None:
+        """One attempt at the leader that is known; None without one."""
+        leader = self._driver.leader_id
+        if leader is None:
+            return None
+        if leader == self._links.own.id:
+            return _not_taken_as_such(self._driver.propose(payload))
+        request_id = self._next_id()
+        frame = PeerFrame(propose=ProposeRequest(id=request_id, command=command))
+        return self._ask(leader, frame, request_id, self._proposals)
+
+    def _read_at_leader(self) -> asyncio.Future[int] | None:
+        leader = self._driver.leader_id
+        if leader is None:
+            return None
+        if leader == self._links.own.id:
+            return self._driver.read_index()
+        request_id = self._next_id()
+        frame = PeerFrame(read_index=ReadIndexRequest(id=request_id))
+        return self._ask(leader, frame, request_id, self._reads)
+
+    def _ask(self, leader: int, frame: PeerFrame, request_id: int,
+             waiting: dict[int, asyncio.Future[Answer]]) -> asyncio.Future[Answer]:
+        """Send a request to the leader; its answer's future, forgotten once it is over."""
+        answer: asyncio.Future[Answer] = self._loop.create_future()
+        if not self._links.send(leader, frame):
+            answer.set_exception(NotTaken("the leader can't be reached", step="send", peer=leader))
+            return answer
+        waiting[request_id] = answer
+        answer.add_done_callback(lambda _: waiting.pop(request_id, None))
+        return answer
+
+    def _next_id(self) -> int:
+        self._last_id += 1
+        return self._last_id
+
+    async def _until_change(self, attempt: asyncio.Future[Answer], timeout: float) -> Answer | None:
+        """An attempt's answer; None where another leader or the end of the time came first."""
+        change = self._driver.leadership_changes.next()
+        try:
+            await asyncio.wait((attempt, change), timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            change.cancel()
+            if not attempt.done():
+                attempt.cancel()
+        return None if attempt.cancelled() else attempt.result()
+
+    async def _leadership_change(self, timeout: float) -> None:
+        """Wait for another leader."""
+        change = self._driver.leadership_changes.next()
+        try:
+            await asyncio.wait((change,), timeout=timeout)
+        finally:
+            change.cancel()
+
+    async def _applied(self, index: int, timeout: float) -> bool:
+        """Wait until an index is applied here; False where the time ends before."""
+        answer = self._driver.wait_applied(index)
+        await asyncio.wait((answer,), timeout=timeout)
+        if not answer.done():
+            answer.cancel()
+            return False
+        return True
+
+
+class _Attempts:
+    """How long a call's attempts may go on."""
+
+    def __init__(self, since: float) -> None:
+        self._deadline = since + PATIENCE
+        self._without_leader_until = since + NO_LEADER_PATIENCE
+        self.proposed = False                  # what became of it is not known
+        self._first = True
+
+    def left(self) -> float:
+        """Seconds until the call has to be answered."""
+        return max(LEAST_WAIT, self._deadline - time.monotonic())
+
+    def left_without_leader(self) -> float:
+        """Seconds that may be spent on waiting for a leader."""
+        end = self._deadline if self.proposed else self._without_leader_until
+        return max(LEAST_WAIT, end - time.monotonic())
+
+    def go_on(self, leader: int | None) -> bool:
+        """Whether there is time for one more attempt."""
+        now = time.monotonic()
+        first, self._first = self._first, False
+        if first:
+            return True
+        if now >= self._deadline:
+            return False
+        return leader is not None or self.proposed or now < self._without_leader_until
+
+
+def _status_of(error: BaseException) -> ProposeStatus:
+    """What to tell of a proposal that failed."""
+    if isinstance(error, ProposalLost):
+        return UNKNOWN
+    return NOT_LEADER                          # refused by the core: nothing was proposed
+
+
+def _not_taken_as_such(answer: asyncio.Future[Outcome]) -> asyncio.Future[Outcome]:
+    """A proposal's future that tells a refusal of this member's core as `NotTaken`."""
+    translated: asyncio.Future[Outcome] = answer.get_loop().create_future()
+
+    def done(original: asyncio.Future[Outcome]) -> None:
+        if translated.done() or original.cancelled():
+            return
+        error = original.exception()
+        if error is None:
+            translated.set_result(original.result())
+        elif isinstance(error, ProposalLost):
+            translated.set_exception(error)
+        else:
+            translated.set_exception(NotTaken(str(error), step="propose"))
+
+    answer.add_done_callback(done)
+    return translated
+
+
--- /dev/null
+++ b/mallowbeam/control_plane/state_machine.py
@@ -0,0 +1,120 @@
+"""What the replicated log does to a member's state: configurations, retirements and leases.
+
+Every member applies the same commands in the same order and reaches the same state.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mallowbeam.configuration.changes import difference, to_update
+from mallowbeam.configuration.model import Configuration
+from mallowbeam.configuration.parsing import ConfigurationParser
+from mallowbeam.configuration.versions import ConfigurationVersions
+from mallowbeam.registry.leases import Leases
+from mallowbeam.registry.retirements import Retirements
+from mallowbeam.rpc.messages_pb2 import (
+    DONE,
+    REFUSED,
+    Command,
+    CommandResult,
+    ConfigurationUpdate,
+    ReplicatedState,
+    RetireInstance,
+)
+
+RECENT_CONFIGURATIONS = 4      # earlier configurations to which a difference can be told
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What came of a command that was applied."""
+
+    result: CommandResult
+    index: int = 0             # log index at which it was applied
+    token: int = 0             # a lease's fencing token
+
+
+class ReplicatedStateMachine:
+    """The state that the log leads to."""
+
+    def __init__(self, parser: ConfigurationParser, retired: Callable[[RetireInstance], None]) -> None:
+        """`retired` is told of each retirement that is news; after a snapshot, of all that it holds."""
+        self.configurations = ConfigurationVersions(parser)
+        self.retirements = Retirements()
+        self.leases = Leases()
+        self._retired = retired
+
+    def apply(self, index: int, payload: bytes) -> Outcome:
+        """Apply one committed command."""
+        command = Command.FromString(payload)
+        match command.WhichOneof("body"):
+            case "put_configuration":
+                return Outcome(self.configurations.apply(command.put_configuration), index)
+            case "retire_instance":
+                return Outcome(self._retire(command.retire_instance), index)
+            case "acquire_lease":
+                grant = self.leases.apply(command.acquire_lease)
+                return Outcome(grant.result, index, grant.token)
+        return Outcome(REFUSED, index)         # of a later version of the program
+
+    def _retire(self, retirement: RetireInstance) -> CommandResult:
+        result = self.retirements.apply(retirement)
+        if result == DONE:
+            self._retired(retirement)
+        return result
+
+    def save(self) -> bytes:
+        """The whole state, as it goes into a snapshot."""
+        state = ReplicatedState()
+        self.configurations.save(state)
+        self.retirements.save(state)
+        self.leases.save(state)
+        return state.SerializeToString()
+
+    def restore(self, saved: bytes) -> None:
+        """Replace the whole state by that of a snapshot."""
+        state = ReplicatedState.FromString(saved)
+        self.configurations.restore(state)
+        self.retirements.restore(state)
+        self.leases.restore(state)
+        for retirement in state.retired:
+            self._retired(retirement)
+
+
+class ConfigurationFeed:
+    """Tells subscribers what leads to the current configuration; each update is made once for all of them."""
+
+    def __init__(self, versions: ConfigurationVersions) -> None:
+        self._versions = versions
+        self._recent: dict[int, Configuration] = {}        # by revision, oldest first
+        self._updates: dict[int, ConfigurationUpdate] = {}  # to the current one, by the revision held
+        self._updates_to = 0
+
+    @property
+    def revision(self) -> int:
+        """Revision of the current configuration; 0: none."""
+        return self._versions.revision
+
+    def update_since(self, revision: int) -> ConfigurationUpdate | None:
+        """What leads from `revision` to the current one, whole where the difference is not known; None: nothing."""
+        current = self._versions.current()
+        if current is None or revision >= current.revision:
+            return None
+        self._note(current)
+        update = self._updates.get(revision)
+        if update is None:
+            held = self._recent.get(revision)
+            update = difference(held, current) if held is not None else to_update(current)
+            self._updates[revision] = update
+        return update
+
+    def _note(self, current: Configuration) -> None:
+        if self._updates_to == current.revision:
+            return
+        self._updates_to = current.revision
+        self._updates.clear()
+        self._recent[current.revision] = current
+        while len(self._recent) > RECENT_CONFIGURATIONS:
+            del self._recent[next(iter(self._recent))]
