--- /dev/null
+++ b/mallowbeam/consensus/follower.py
@@ -0,0 +1,70 @@
+"""A follower's part of replication: appends and snapshots of the term's leader."""
+
+from __future__ import annotations
+
+from mallowbeam.consensus.state import MemberState
+from mallowbeam.rpc.messages_pb2 import AppendRequest, AppendResponse, RaftMessage, Snapshot, SnapshotRequest
+
+
+class Follower:
+    """Answers a leader. An answer claims only what is durable."""
+
+    def __init__(self, state: MemberState) -> None:
+        self._state = state
+
+    def append(self, leader: int, request: AppendRequest) -> None:
+        """Take entries, or refuse them with a hint where the leader is to look next."""
+        state = self._state
+        state.heard_leader(leader)
+        previous = request.previous_index
+        if state.log.blank and previous == 0 or not state.log.matches(previous, request.previous_term):
+            hint = state.log.conflict_hint(previous, state.commit_index)
+            self._answer(leader, success=False, hint_index=hint, round_number=request.round)
+            return
+        dropped = state.log.merge(request.entries)
+        if dropped is not None:
+            state.persistence.entries_dropped(dropped)
+        last = previous + len(request.entries)
+        state.commit_to(min(request.commit, last))
+        if state.commit_index >= request.commit:
+            state.current_at = state.now
+        self._confirm(leader, last, request.round, waits=bool(request.entries))
+
+    def _confirm(self, leader: int, last: int, round_number: int, waits: bool) -> None:
+        """Answer that the log is equal up to `last`: at once where that is durable, or nothing was added."""
+        persistence = self._state.persistence
+        durable = persistence.durable_index
+        if waits and last > durable:
+            response = AppendResponse(term=self._state.term, success=True, match_index=last,
+                                      round=round_number)
+            persistence.send_after_write(leader, RaftMessage(append_response=response))
+            return
+        self._answer(leader, success=True, match_index=min(last, durable), round_number=round_number)
+
+    def snapshot(self, leader: int, request: SnapshotRequest) -> None:
+        """Install a snapshot, unless the log already holds all of it."""
+        state = self._state
+        state.heard_leader(leader)
+        snapshot = request.snapshot
+        if snapshot.index <= state.commit_index and not state.log.blank:
+            self._confirm(leader, state.commit_index, request.round, waits=True)
+        elif not state.log.blank and state.log.term_at(snapshot.index) == snapshot.term:
+            state.commit_to(snapshot.index)
+            self._confirm(leader, snapshot.index, request.round, waits=True)
+        else:
+            self._install(snapshot)
+            self._confirm(leader, snapshot.index, request.round, waits=True)
+
+    def _install(self, snapshot: Snapshot) -> None:
+        state = self._state
+        state.log.install(snapshot)
+        state.persistence.put_installed(snapshot)
+        state.commit_index = snapshot.index
+        state.handed_index = snapshot.index
+        state.install = snapshot
+
+    def _answer(self, leader: int, *, success: bool, round_number: int, match_index: int = 0,
+                hint_index: int = 0) -> None:
+        response = AppendResponse(term=self._state.term, success=success, match_index=match_index,
+                                  hint_index=hint_index, round=round_number)
+        self._state.persistence.answer(leader, RaftMessage(append_response=response))
--- a/mallowbeam/consensus/interface.py
+++ b/mallowbeam/consensus/interface.py
@@ -1,12 +1,17 @@
 """What goes into the Raft core and what comes out of it.
 
-The host (``control_plane``) drives one :class:`~mallowbeam.consensus.node.RaftNode`: it hands in ticks, messages
-and proposals with the steady clock's time in seconds, then calls ``output()`` and does what it says, in this order:
+The host (``control_plane``) drives one :class:`~mallowbeam.consensus.node.RaftNode`: it hands in ticks,
+messages and proposals with the steady clock's time in seconds, then calls ``output()`` and does what it says,
+in this order:
 
 1. send ``Output.send`` at once;
 2. hand ``Output.write`` to storage; writes are made durable in the order in which they were handed over;
 3. once a write is durable, send its ``Write.then_send`` and call ``RaftNode.written(ticket, now)``;
 4. install ``Output.install``, then apply ``Output.committed`` in order; answer ``Output.reads``.
+
+Entries may be committed, and so applied, before this member's own storage has written them: a majority has.
+A write with neither hard state, entries nor snapshot is there for its ``then_send``'s place in the order.
+At the start the host installs ``Restored.snapshot`` itself; committed entries behind it come by ``output()``.
 """
 
 from __future__ import annotations
@@ -34,7 +39,12 @@
     election_most: float = 0.8
     stalled_write: float = 0.8                 # a leader whose own write takes longer steps down
     entries_per_message: int = 64
-    bytes_per_message: int = 1 << 20
+    bytes_per_message: int = 1 << 20           # one entry that is larger goes alone
+    messages_in_flight: int = 16               # appends to one follower that are not yet answered
+    uncommitted_entries: int = 4096            # proposals beyond it are refused
+    pending_reads: int = 4096                  # reads beyond it are refused (not confirmed)
+    trailing_entries: int = 1024               # kept in memory before a snapshot, for slow followers
+    snapshot_retry: float = 3.0                # a snapshot that is not answered is sent again
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +52,8 @@
     """What storage found: the state from which a member starts again."""
 
     hard_state: HardState
-    snapshot: Snapshot                         # always there: the first one holds the first membership
+    snapshot: Snapshot                         # a founder's first one holds the first membership,
+                                               # a joiner's is empty
     entries: tuple[Entry, ...] = ()            # behind the snapshot, without a gap
 
 
@@ -56,24 +67,44 @@
 
 @dataclass(frozen=True, slots=True)
 class Write:
-    """One durable step. Entries replace all that storage holds at their first index and behind it."""
+    """One durable step: first the snapshot, then entries, which replace all at their first index and behind.
+
+    A snapshot drops the entries it covers. It drops those behind it too, unless storage holds an entry with
+    the snapshot's index and term: without it, the snapshot is a leader's, in place of a log that differs.
+    """
 
     ticket: int                                # rises with each write
     hard_state: HardState | None = None
     entries: tuple[Entry, ...] = ()
-    snapshot: Snapshot | None = None           # entries up to its index may be dropped
+    snapshot: Snapshot | None = None
     then_send: tuple[Send, ...] = ()           # only once the write is durable
 
 
 @dataclass(frozen=True, slots=True)
 class ReadResult:
-    """A linearizable read: once ``index`` is applied, state may be read; refused where ``confirmed`` is False."""
+    """A linearizable read: state may be read once ``index`` is applied; refused unless ``confirmed``."""
 
     read_id: int
     confirmed: bool
     index: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Proposal:
+    """Where a proposal stands in the log: it takes effect once that entry, of that term, is committed."""
+
+    index: int
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class MemberProgress:
+    """What a leader knows of a member."""
+
+    match_index: int                           # last index known to be equal and durable there
+    silence: float                             # seconds since it was last heard of
+
+
 @dataclass(slots=True)
 class Output:
     """What the host is to do."""
--- /dev/null
+++ b/mallowbeam/consensus/progress.py
@@ -0,0 +1,80 @@
+"""What a leader knows of one other member, and what it may send to it next."""
+
+from __future__ import annotations
+
+from collections import deque
+from enum import Enum
+
+
+class Mode(Enum):
+    """How entries go to a member."""
+
+    PROBE = "probe"                            # one message at a time, until the logs are known to meet
+    REPLICATE = "replicate"                    # a stream of messages without waiting for answers
+    SNAPSHOT = "snapshot"                      # a snapshot is under way; no entries
+
+
+class Progress:
+    """A leader's view of one other member."""
+
+    def __init__(self, next_index: int, now: float) -> None:
+        self.mode = Mode.PROBE
+        self.match_index = 0                   # known to be equal and durable there
+        self.next_index = next_index           # the next entry to send
+        self.commit_told = 0                   # the highest commit index sent
+        self.acknowledged_round = 0
+        self.last_heard = now
+        self.probe_sent = False
+        self.snapshot_index = 0                # of the snapshot under way
+        self.snapshot_sent = now
+        self._in_flight: deque[int] = deque()  # last index of each append that is not answered
+
+    def may_send(self, messages_in_flight: int) -> bool:
+        """Whether entries may be sent now."""
+        if self.mode is Mode.PROBE:
+            return not self.probe_sent
+        return self.mode is Mode.REPLICATE and len(self._in_flight) < messages_in_flight
+
+    def entries_sent(self, last_index: int) -> None:
+        """Note that entries up to `last_index` were sent."""
+        if self.mode is Mode.PROBE:
+            self.probe_sent = True
+        else:
+            self.next_index = last_index + 1
+            self._in_flight.append(last_index)
+
+    def begin_snapshot(self, index: int, now: float) -> None:
+        """Note that a snapshot was sent."""
+        self.mode = Mode.SNAPSHOT
+        self.snapshot_index = index
+        self.snapshot_sent = now
+        self._in_flight.clear()
+
+    def heard(self, round_number: int, now: float) -> None:
+        """Note an answer, whatever it says."""
+        self.last_heard = now
+        self.acknowledged_round = max(self.acknowledged_round, round_number)
+
+    def matched(self, index: int) -> bool:
+        """Note that the logs are equal up to `index`; whether that is more than was known."""
+        advanced = index > self.match_index
+        self.match_index = max(self.match_index, index)
+        self.next_index = max(self.next_index, self.match_index + 1)
+        while self._in_flight and self._in_flight[0] <= self.match_index:
+            self._in_flight.popleft()
+        if self.mode is Mode.SNAPSHOT and self.match_index < self.snapshot_index:
+            return advanced
+        self.mode = Mode.REPLICATE
+        self.probe_sent = False
+        return advanced
+
+    def rejected(self, hint_index: int) -> None:
+        """Back off after a refusal; one that tells nothing new is left to the next heartbeat."""
+        if self.mode is Mode.SNAPSHOT or hint_index + 1 >= self.next_index:
+            return
+        next_index = max(self.match_index, hint_index) + 1
+        probe_again = next_index < self.next_index or self.mode is Mode.REPLICATE
+        self.next_index = next_index
+        self.mode = Mode.PROBE
+        self.probe_sent = not probe_again
+        self._in_flight.clear()
--- /dev/null
+++ b/mallowbeam/consensus/replication.py
@@ -0,0 +1,82 @@
+"""A leader's messages to one member: heartbeats, entries, snapshots."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from mallowbeam.consensus.progress import Mode, Progress
+from mallowbeam.consensus.state import MemberState
+from mallowbeam.rpc.messages_pb2 import AppendRequest, Entry, RaftMessage, SnapshotRequest
+
+
+class Replicator:
+    """Sends to members what their progress asks for."""
+
+    def __init__(self, state: MemberState) -> None:
+        self._state = state
+
+    def heartbeat(self, member_id: int, progress: Progress, round_number: int) -> None:
+        """An append without entries at the next index: one that was lost before it shows by the refusal."""
+        previous = progress.next_index - 1
+        if progress.mode is Mode.SNAPSHOT or self._state.log.term_at(previous) is None:
+            previous = 0                       # matches any log that has heard of a membership
+        self._append(member_id, progress, previous, (), round_number)
+        progress.probe_sent = progress.mode is Mode.PROBE
+
+    def replicate(self, member_id: int, progress: Progress, round_number: int) -> None:
+        """Send entries as far as they may go, a snapshot where they are gone, and the commit index."""
+        log = self._state.log
+        if self._needs_snapshot(progress):
+            self._snapshot(member_id, progress, round_number)
+        if self._lacks_entries(progress):
+            return
+        while progress.next_index <= log.last_index and self._may_send(progress):
+            first = progress.next_index
+            entries = log.batch(first, self._state.settings.entries_per_message,
+                                self._state.settings.bytes_per_message)
+            self._append(member_id, progress, first - 1, entries, round_number)
+            progress.entries_sent(first - 1 + len(entries))
+        if progress.mode is Mode.REPLICATE and progress.commit_told < self._state.commit_index:
+            self._append(member_id, progress, progress.next_index - 1, (), round_number)
+
+    def _may_send(self, progress: Progress) -> bool:
+        return progress.may_send(self._state.settings.messages_in_flight)
+
+    def _needs_snapshot(self, progress: Progress) -> bool:
+        """Whether a snapshot is due: the log lacks the entry before the next one, and none is under way."""
+        state = self._state
+        if progress.mode is Mode.SNAPSHOT:
+            late = state.now - progress.snapshot_sent >= state.settings.snapshot_retry
+            return late and self._in_touch(progress)
+        return self._lacks_entries(progress) and self._in_touch(progress)
+
+    def _lacks_entries(self, progress: Progress) -> bool:
+        return progress.next_index - 1 < self._state.log.base_index
+
+    def _in_touch(self, progress: Progress) -> bool:
+        return self._state.now - progress.last_heard < self._state.settings.election_most
+
+    def _snapshot(self, member_id: int, progress: Progress, round_number: int) -> None:
+        state = self._state
+        snapshot = state.log.snapshot
+        request = SnapshotRequest(term=state.term, snapshot=snapshot, round=round_number)
+        state.persistence.send_now(member_id, RaftMessage(snapshot_request=request))
+        progress.begin_snapshot(snapshot.index, state.now)
+
+    def _append(self, member_id: int, progress: Progress, previous: int, entries: Sequence[Entry],
+                round_number: int) -> None:
+        state = self._state
+        previous_term = state.log.term_at(previous) or 0
+        request = AppendRequest(term=state.term, previous_index=previous, previous_term=previous_term,
+                                entries=entries, commit=state.commit_index, round=round_number)
+        state.persistence.send_now(member_id, RaftMessage(append_request=request))
+        progress.commit_told = state.commit_index
+
+    def rejected(self, member_id: int, progress: Progress, hint_index: int) -> None:
+        """Take a refusal. One at the very start of the log is a joiner's: it lacks the first membership."""
+        log = self._state.log
+        at_start = progress.mode is not Mode.SNAPSHOT and progress.next_index - 1 <= log.base_index == 0
+        if at_start and hint_index == 0:
+            self._snapshot(member_id, progress, progress.acknowledged_round)
+        else:
+            progress.rejected(hint_index)
