--- /dev/null
+++ b/mallowbeam/control_plane/first_start.py
@@ -0,0 +1,61 @@
+"""How a member comes to its identity and first state: a pure core.
+
+The seeds of the system's first start derive their ids from their addresses, so that all of them write the same first
+membership without a word. Every other member draws an id and starts with an empty snapshot: it learns of the
+membership from the leader that takes it in.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+
+from mallowbeam.rpc.messages_pb2 import Member, Membership, Snapshot
+
+ID_BYTES = 8
+FIRST_INDEX = 1                # of the seeds' snapshot; a joiner's is 0, so that it is sent a whole one
+FIRST_TERM = 1
+
+
+@dataclass(frozen=True, slots=True)
+class FirstState:
+    """What a member writes to an empty store."""
+
+    identity: int
+    snapshot: Snapshot
+
+
+def peer_address(control: str, port: int) -> str:
+    """The address of a member's link listener: ports are the same on all machines."""
+    host, _, _ = control.rpartition(":")
+    return f"{host}:{port}"
+
+
+def derived_identity(control: str) -> int:
+    """The id of a seed, from its control address."""
+    digest = hashlib.blake2b(control.encode(), digest_size=ID_BYTES).digest()
+    return int.from_bytes(digest, "big") or 1
+
+
+def drawn_identity(random: Random) -> int:
+    """The id of a disk that was empty."""
+    return random.randrange(1, 1 << (8 * ID_BYTES))
+
+
+def first_state(control: str, seeds: Sequence[str], bootstrap: bool, port: int, random: Random) -> FirstState:
+    """The first state of a member with an empty store; `port` is that of all link listeners."""
+    if bootstrap and control in seeds:
+        return FirstState(derived_identity(control), founders_snapshot(seeds, port))
+    return FirstState(drawn_identity(random), Snapshot())
+
+
+def founders_snapshot(seeds: Sequence[str], port: int) -> Snapshot:
+    """The first snapshot of the seeds: one voter for each of them, and no state."""
+    members = [
+        Member(id=derived_identity(seed), address=peer_address(seed, port), control=seed, voter=True)
+        for seed in sorted(set(seeds))
+    ]
+    membership = Membership(members=members, target_voters=len(members))
+    return Snapshot(index=FIRST_INDEX, term=FIRST_TERM, membership=membership)
--- /dev/null
+++ b/mallowbeam/control_plane/instances.py
@@ -0,0 +1,107 @@
+"""Instances: their heartbeats and ends as callers bring them, what other members pass on, expiry.
+
+What is soft is known here and passed on at once; only a retirement goes through the log before it is acknowledged.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from random import Random
+
+from mallowbeam.control_plane.commands import Commands
+from mallowbeam.control_plane.peer_links import PeerLinks
+from mallowbeam.registry.census import GatewayCensus
+from mallowbeam.registry.retirements import Retirements
+from mallowbeam.registry.table import InstanceTable
+from mallowbeam.rpc.messages_pb2 import (
+    DRAINING,
+    DRAINS,
+    GONE,
+    Command,
+    Instance,
+    PeerFrame,
+    RegistryGossip,
+    RetireInstance,
+    RetirementKind,
+)
+
+OUT_OF_TOUCH = 1.0             # seconds unheard after which another member is out of touch
+
+
+class Instances:
+    """Joins the table with the log and the other members."""
+
+    def __init__(self, table: InstanceTable, retirements: Retirements, commands: Commands, links: PeerLinks,
+                 changed: Callable[[], None], random: Random) -> None:
+        """`changed` is called when gateways must learn of something."""
+        self._table, self._retirements, self._commands = table, retirements, commands
+        self._links, self._changed, self._random = links, changed, random
+        self.census = GatewayCensus()
+
+    # ------------------------------------------------------------ calls
+
+    async def heartbeat(self, instance: Instance, since: float) -> None:
+        """Take a heartbeat; returns once it may be acknowledged, raises as `Commands.submit`."""
+        draining = instance.state == DRAINS
+        before = self._table.version
+        self._table.heard(instance, time.monotonic())
+        self._tell(before)
+        if draining and self._retirements.kind(instance.id) is None:
+            await self._retire(instance.id, DRAINING, since)
+
+    async def delete(self, id: str, since: float) -> None:
+        """An instance has ended; returns once that may be acknowledged, raises as `Commands.submit`."""
+        self.retired(RetireInstance(id=id, kind=GONE), announce=True)
+        if self._retirements.kind(id) != GONE:
+            await self._retire(id, GONE, since)
+
+    async def _retire(self, id: str, kind: RetirementKind, since: float) -> None:
+        await self._commands.submit(Command(retire_instance=RetireInstance(id=id, kind=kind)), since)
+
+    # ------------------------------------------------------------ from the log and from other members
+
+    def retired(self, retirement: RetireInstance, announce: bool = False) -> None:
+        """A retirement, from the log or, with `announce`, from a call."""
+        before = self._table.version
+        self._table.retire(retirement.id, retirement.kind, time.monotonic(), announce)
+        self._tell(before)
+
+    def gossip(self, sender: int, gossip: RegistryGossip) -> None:
+        """What another member passes on."""
+        now = time.monotonic()
+        self.census.heard(sender, gossip.gateways, now)
+        if gossip.wants_whole:
+            self._links.send(sender, PeerFrame(registry=self._table.whole(now, gossip.gateways)))
+        before = self._table.version
+        self._table.merge(gossip, now)
+        self._tell(before)
+
+    # ------------------------------------------------------------ time
+
+    def look(self, members: list[int], silence: float) -> None:
+        """To be called several times a second; `members` are the others, `silence` that of the leader's word."""
+        now = time.monotonic()
+        if silence > OUT_OF_TOUCH:
+            self._table.out_of_touch(now)
+        before = self._table.version
+        self._table.expire(now)
+        self._tell(before)
+        missing = [member for member in members if (self._links.silence(member) or 0.0) > OUT_OF_TOUCH]
+        reachable = [member for member in members if member not in missing]
+        if reachable and self._table.ask_whole(now, links_missing=bool(missing)):
+            asked = self._random.choice(reachable)
+            self._links.send(asked, PeerFrame(registry=RegistryGossip(wants_whole=True)))
+
+    def gossip_at(self) -> float:
+        """When `pass_on` is due, by the steady clock."""
+        return self._table.gossip_at()
+
+    def pass_on(self, gateways: int) -> None:
+        """Tell the other members what came in here since the last time."""
+        batch = self._table.gossip(time.monotonic(), gateways)
+        self._links.send_to_group(lambda: PeerFrame(registry=batch))
+
+    def _tell(self, version_before: int) -> None:
+        if self._table.version != version_before or self._table.urgent:
+            self._changed()
