--- a/mallowbeam/registry/rows.py
+++ b/mallowbeam/registry/rows.py
@@ -27,7 +27,7 @@
         return self.instance.state != ENDED
 
     def for_gateways(self) -> Instance:
-        """A copy with the highest sequence that is known, so that an end counts against every earlier word."""
+        """A copy with the highest known sequence: what gateways compare an end with."""
         copy = Instance()
         copy.CopyFrom(self.instance)
         copy.sequence = max(self.sequence, 0)
--- a/mallowbeam/registry/table.py
+++ b/mallowbeam/registry/table.py
@@ -60,17 +60,23 @@
 class InstanceTable:
     """One member's table. All times are in seconds of the steady clock."""
 
-    def __init__(self, heartbeat_interval_s: float, started_at: float, expire_intervals: float =
-    EXPIRE_INTERVALS) -> None: self._expire_after_s = heartbeat_interval_s * expire_intervals
-    self._complete_after_s = heartbeat_interval_s * COMPLETE_INTERVALS + COMPLETE_MARGIN_S self._rows:
-    dict[str, Row] = {} self._by_address: dict[str, str] = {}  # the id that holds each address self._retired
-    = Retirements() self._changes = ChangeLog() self._hearing_since = started_at       # in touch with the
-    other members without a break self._complete_at = started_at + self._complete_after_s self._ran_at =
-    started_at              # the last call of `expire` self._to_tell: dict[str, None] = {}    # changed here
-    since the last batch self._to_renew: dict[str, None] = {}   # heard here since the last batch
-    self._gossip_sent_at = started_at self._whole_asked_at = started_at - WHOLE_RETRY_S self._details_missing
-    = False          # some may not have come, such as those of an instance that is heard self.urgent = False
-    # there is news that the other members should get at once
+    def __init__(self, heartbeat_interval_s: float, started_at: float,
+                 expire_intervals: float = EXPIRE_INTERVALS) -> None:
+        self._expire_after_s = heartbeat_interval_s * expire_intervals
+        self._complete_after_s = heartbeat_interval_s * COMPLETE_INTERVALS + COMPLETE_MARGIN_S
+        self._rows: dict[str, Row] = {}
+        self._by_address: dict[str, str] = {}  # the id that holds each address
+        self._retired = Retirements()
+        self._changes = ChangeLog()
+        self._hearing_since = started_at       # in touch with the other members without a break
+        self._complete_at = started_at + self._complete_after_s
+        self._ran_at = started_at              # the last call of `expire`
+        self._to_tell: dict[str, None] = {}    # changed here since the last batch
+        self._to_renew: dict[str, None] = {}   # heard here since the last batch
+        self._gossip_sent_at = started_at
+        self._whole_asked_at = started_at - WHOLE_RETRY_S
+        self._details_missing = False          # some were lost, or those of an instance that others hear
+        self.urgent = False                    # there is news that the other members should get at once
 
     # ------------------------------------------------------------ what came in
 
@@ -126,7 +132,7 @@
         return self._changes.version != before
 
     def link_lost(self) -> None:
-        """Say that a link to another member ended: what was under way on it may be lost, and is asked for again."""
+        """Say that a link to another member ended: what was under way on it is asked for again."""
         self._details_missing = True
 
     def out_of_touch(self, now: float) -> None:
