--- a/mallowbeam/consensus/storage/batch.py
+++ b/mallowbeam/consensus/storage/batch.py
@@ -96,7 +96,7 @@
 
 def _put(transaction: Any, kind: int, number: int, payload: bytes) -> None:
     for key, value in records.encode_record(kind, number, payload):
-        transaction.put(key, value)
+        transaction.put(key, value, append=kind == records.ENTRY)
 
 
 def _delete(transaction: Any, kind: int, first: int, last: int) -> None:
--- a/mallowbeam/consensus/storage/records.py
+++ b/mallowbeam/consensus/storage/records.py
@@ -1,7 +1,7 @@
 """How records lie in lmdb: keys, parts and checksums.
 
-A record has a kind and a number. Its payload is preceded by a head (length, checksum) and cut into parts, each
-of which is one lmdb value that fills one page: a record of several MB never needs adjacent free pages.
+A record has a kind and a number. Its payload is preceded by a head (length, checksum) and cut into parts.
+Each part is one lmdb value that fills one page: a record of several MB never needs adjacent free pages.
 """
 
 from __future__ import annotations
@@ -17,8 +17,8 @@
 
 IDENTITY = 1                   # kinds of records; the number is 0 for the first two
 HARD_STATE = 2
-ENTRY = 3                      # number: the entry's index
-SNAPSHOT = 4                   # number: the snapshot's index
+SNAPSHOT = 3                   # number: the snapshot's index
+ENTRY = 4                      # number: the entry's index; last, so that entries are appended
 
 KEY = struct.Struct(">BQH")    # kind, number, part: keys sort by number, then by part
 HEAD = struct.Struct("<II")    # payload bytes, checksum
@@ -54,7 +54,7 @@
                 yield (*current, _joined(*current, parts))
             current = (kind, number)
             parts = []
-        if part != len(parts) or not IDENTITY <= kind <= SNAPSHOT:
+        if part != len(parts) or not IDENTITY <= kind <= ENTRY:
             raise StoreDamagedError(f"unexpected part {part} of {name(kind, number)}", step="read")
         parts.append(value)
     if current is not None:
--- a/mallowbeam/consensus/storage/seal.py
+++ b/mallowbeam/consensus/storage/seal.py
@@ -1,10 +1,10 @@
 """Checksums for lmdb's two meta pages, which have none of their own.
 
-lmdb writes each transaction's root into one of two meta pages in turn and, when it opens a file, takes the one
-with the higher transaction number. A torn write of it may leave a new number beside old roots. So a seal (a
-checksum of what lmdb wrote) is put into the unused rest of the same page, and both are made durable by the same
-sync. A meta page whose seal does not match belongs to a transaction that was never acknowledged; before lmdb opens
-the file, such a page is replaced by a copy of the other.
+lmdb writes each transaction's roots into one of two meta pages in turn and, when it opens a file, takes
+the page with the higher transaction number. A torn write may leave a new number beside old roots. So a
+seal (a checksum of what lmdb wrote) is put into the unused rest of the page, and both are made durable by
+the same sync. A meta page whose seal does not match belongs to a transaction that was never acknowledged;
+before lmdb opens the file, such a page is replaced by a copy of the other.
 """
 
 from __future__ import annotations
--- a/mallowbeam/consensus/storage/store.py
+++ b/mallowbeam/consensus/storage/store.py
@@ -1,7 +1,7 @@
 """One member's store: opening, first state, loading, durable writes.
 
-A store is used by one caller at a time, who may be in another thread at each call; a transaction never outlives
-the call that began it. That is why lmdb's own locks, which order processes and threads, are off.
+A store is used by one caller at a time, who may be in another thread at each call; a transaction never
+outlives the call that began it. That is why lmdb's own locks, which order processes and threads, are off.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 from google.protobuf.message import DecodeError
 
 from mallowbeam.consensus.interface import Restored, Write
-from mallowbeam.consensus.storage import batch, seal
+from mallowbeam.consensus.storage import batch, pages, seal
 from mallowbeam.consensus.storage.errors import (
     StoreDamagedError,
     StoreError,
@@ -106,7 +106,7 @@
         self._identity = identity
 
     def load(self) -> Restored:
-        """All that is stored; raises `StoreDamagedError` where a record is missing or has a wrong checksum."""
+        """All that is stored; raises `StoreDamagedError` where a record is missing or damaged."""
         with self._damage_as_error(), self._opened().begin() as transaction:
             return batch.restore(transaction.cursor())
 
@@ -149,30 +149,40 @@
         try:
             with raised_as_store_error("open", self._path):
                 self._descriptor = os.open(self._path, os.O_RDWR | os.O_CLOEXEC)
-                self._restore_meta_pages()
+                standing = self._restore_meta_pages()
+                self._check_pages(standing)
                 self._environment = self._lmdb_open(self._path)
             self._note_size()
         except BaseException:
             self.close()
             raise
 
-    def _restore_meta_pages(self) -> None:
+    def _restore_meta_pages(self) -> seal.MetaPage:
         """Leave nothing for lmdb to find but the last durable transaction.
 
         The sync comes first: what a killed process wrote and did not sync may be read here and lost later.
         """
         os.fdatasync(self._descriptor)
-        pages = seal.read_pages(self._descriptor)
-        standing = seal.newest_sealed(pages, self._acknowledged)
+        meta_pages = seal.read_pages(self._descriptor)
+        standing = seal.newest_sealed(meta_pages, self._acknowledged)
         if standing is None:
             raise StoreDamagedError("no meta page has a matching checksum", self._path, step="check")
-        if os.fstat(self._descriptor).st_size < standing.file_bytes:
-            raise StoreDamagedError("the file is shorter than it was", self._path, step="check")
-        other = pages[1 - standing.slot]
+        other = meta_pages[1 - standing.slot]
         if not other.sealed or other.transaction > standing.transaction:
             seal.replace_page(self._descriptor, other.slot, standing)
             os.fdatasync(self._descriptor)
         self._acknowledged = standing.transaction
+        return standing
+
+    def _check_pages(self, standing: seal.MetaPage) -> None:
+        data = os.pread(self._descriptor, os.fstat(self._descriptor).st_size, 0)
+        if len(data) < standing.file_bytes:
+            raise StoreDamagedError("the file is shorter than it was", self._path, step="check")
+        try:
+            pages.check_pages(data, standing.content)
+        except StoreDamagedError as error:
+            error.where = self._path
+            raise
 
     def _lmdb_open(self, path: str) -> Any:
         """metasync is off because `_seal_and_sync` syncs the meta page together with its seal."""
@@ -211,8 +221,7 @@
             raise StoreFullError(what, self._path, step="bound")
 
     def _seal_and_sync(self) -> None:
-        pages = seal.read_pages(self._descriptor)
-        newest = max(pages, key=lambda page: page.transaction)
+        newest = max(seal.read_pages(self._descriptor), key=lambda page: page.transaction)
         if newest.transaction == self._acknowledged:
             return                             # the batch changed nothing
         with self._steps("seal"):
@@ -224,8 +233,8 @@
 
     def _note_size(self) -> None:
         statistics = self._environment.stat()
-        pages = statistics["branch_pages"] + statistics["leaf_pages"] + statistics["overflow_pages"]
-        self._used_bytes = (pages + len(seal.SLOTS)) * statistics["psize"]
+        used = statistics["branch_pages"] + statistics["leaf_pages"] + statistics["overflow_pages"]
+        self._used_bytes = (used + len(seal.SLOTS)) * statistics["psize"]
 
     def _steps(self, step: str) -> contextlib.AbstractContextManager[None]:
         return raised_as_store_error(step, self._path)
