--- /dev/null
+++ b/mallowbeam/data_plane/client_request.py
@@ -0,0 +1,99 @@
+"""A client's request as the gateway works with it: what its headers say, checked once.  A pure core."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from mallowbeam.data_plane.planning import PromptPart
+from mallowbeam.errors import MallowbeamError
+from mallowbeam.http.framing import HOP_BY_HOP, TOKEN, Headers, Message
+
+MOST_MS = 3_600_000         # a longer Deadline-Ms is read as this many milliseconds
+MOST_TOKENS = 1 << 30       # a larger token count is read as none
+MOST_PARTS = 1024           # parts of a prompt; those behind are left out
+# Set by the gateway alone: a client's own values would change where and how an instance runs the request.
+OWNED = frozenset((b"deadline-ms", b"target-instance", b"stage", b"kv-from"))
+LEFT_OUT = (HOP_BY_HOP - {b"host"}) | OWNED
+SINGLE = (b"request-id", b"host", b"deadline-ms", b"last-event-id")
+
+
+class BadRequest(MallowbeamError):
+    """A request that lacks what the protocol asks of it; the text says what."""
+
+    code = "REQUEST_MALFORMED"
+    remedy = "mend the client that sent it"
+
+
+@dataclass(frozen=True, slots=True)
+class ClientRequest:
+    """One request of a client, read whole."""
+
+    request_id: bytes
+    method: bytes
+    target: bytes
+    host: bytes
+    headers: Headers                           # end-to-end ones, names in lower case, without the gateway's own
+    body: bytes | bytearray
+    deadline_ms: int                           # what the client waits; MOST_MS where it does not say
+    last_event_id: bytes | None
+    prompt_parts: tuple[PromptPart, ...]
+    prompt_tokens: int
+    answer_tokens: int
+
+
+def read_request(message: Message) -> ClientRequest:
+    """Check a whole request and read its headers; raises `BadRequest`."""
+    first = dict(reversed(message.headers))
+    for name in SINGLE:
+        if sum(known == name for known, _ in message.headers) > 1:
+            raise BadRequest(f"{name.decode()} comes twice")
+    request_id = first.get(b"request-id", b"")
+    if not TOKEN.match(request_id):
+        raise BadRequest("Request-Id is missing or malformed")
+    named = _named_by_connection(first.get(b"connection", b""))
+    headers = [(name, value) for name, value in message.headers
+               if name not in LEFT_OUT and name not in named]
+    prompt_tokens, answer_tokens = _token_usage(first.get(b"token-usage", b""))
+    return ClientRequest(
+        request_id=request_id, method=message.method, target=message.target, host=first.get(b"host", b""),
+        headers=headers, body=message.body, deadline_ms=_deadline(first.get(b"deadline-ms")),
+        last_event_id=first.get(b"last-event-id"), prompt_parts=_parts(first.get(b"prompt-prefix", b"")),
+        prompt_tokens=prompt_tokens, answer_tokens=answer_tokens)
+
+
+def _named_by_connection(value: bytes) -> frozenset[bytes]:
+    """The headers that a Connection header declares to be of this connection only."""
+    if not value:
+        return frozenset()
+    named = frozenset(part.strip().lower() for part in value.split(b","))
+    return named - {b"request-id", b"host"}
+
+
+def _deadline(value: bytes | None) -> int:
+    """Milliseconds; a value that is no number of them counts as none."""
+    if value is None or not value.isdigit() or len(value) > 9:
+        return MOST_MS
+    return min(int(value), MOST_MS)
+
+
+def _token_usage(value: bytes) -> tuple[int, int]:
+    """Prompt tokens and the most that are generated; zeros where the header can't be read."""
+    prompt, _, answer = value.partition(b",")
+    return _tokens(prompt.strip()), _tokens(answer.strip())
+
+
+def _tokens(value: bytes) -> int:
+    if not value.isdigit() or len(value) > 9:
+        return 0
+    return min(int(value), MOST_TOKENS)
+
+
+def _parts(value: bytes) -> tuple[PromptPart, ...]:
+    """The parts of a prompt; one that can't be read ends the list."""
+    parts: list[PromptPart] = []
+    for piece in value.split(b",", MOST_PARTS)[:MOST_PARTS] if value else ():
+        part_id, _, tokens = piece.strip().partition(b":")
+        if not part_id or not tokens.isdigit():
+            break
+        parts.append(PromptPart(part_id.decode("latin-1"), _tokens(tokens)))
+    return tuple(parts)
--- /dev/null
+++ b/mallowbeam/data_plane/outcomes.py
@@ -0,0 +1,66 @@
+"""What an attempt proves about its request.  A pure core.
+
+Up to the last byte of a request nothing has run.  From then on only an answer that says so proves that the
+request did not run: `Not-Executed`, or status 421.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from mallowbeam.http.framing import Message
+
+MISDIRECTED_STATUS = 421
+PROMISES = frozenset((408, 421, 429, 503))  # statuses that promise the client that nothing has run
+MOST_RETRY_AFTER_S = 60.0
+
+
+class AttemptEnd(Enum):
+    """How one attempt ended."""
+
+    NO_CONNECTION = "no_connection"            # refused, unreachable or silent: never sent
+    NOT_SENT = "not_sent"                      # the connection broke before the last byte: never ran
+    NO_ROOM = "no_room"                        # no connection allowed: never sent, says nothing of the instance
+    REJECTED = "rejected"                      # Not-Executed: received, not run
+    MISDIRECTED = "misdirected"                # 421: another instance, stage or version: not run
+    FAILED = "failed"                          # an answer with a failure: may have run
+    BROKEN = "broken"                          # reset, close or bytes that are no answer: may have run
+    TIMED_OUT = "timed_out"                    # silence up to the deadline: may have run
+    ANSWERED = "answered"                      # an answer that is passed on
+
+
+def judge_answer(answer: Message, request_id: bytes, first_on_connection: bool) -> AttemptEnd:
+    """What an answer's head says.
+
+    An answer that names another request is a late one of its connection's earlier requests; one without a name
+    is only believed where there was no earlier request.
+    """
+    echoed = answer.get(b"request-id")
+    if echoed != request_id and (echoed is not None or not first_on_connection):
+        return AttemptEnd.BROKEN
+    if answer.status == MISDIRECTED_STATUS:
+        return AttemptEnd.MISDIRECTED
+    if answer.get(b"not-executed") is not None:
+        return AttemptEnd.REJECTED
+    if 200 <= answer.status < 300 and answer.get(b"server-signature") is None:
+        return AttemptEnd.BROKEN
+    if answer.status >= 500 or answer.status in PROMISES:
+        return AttemptEnd.FAILED
+    return AttemptEnd.ANSWERED
+
+
+def may_pass_on(answer: Message) -> bool:
+    """Whether a failure may go to the client as it is: not one whose status promises that nothing has run."""
+    return answer.status not in PROMISES
+
+
+def retry_after(answer: Message) -> float | None:
+    """Seconds after which an instance asks to be tried again."""
+    value = answer.get(b"retry-after")
+    if value is None:
+        return None
+    try:
+        seconds = float(value)
+    except ValueError:
+        return None
+    return min(seconds, MOST_RETRY_AFTER_S) if seconds > 0 else None
--- /dev/null
+++ b/mallowbeam/data_plane/routing.py
@@ -0,0 +1,53 @@
+"""Which route a request takes and which of the route's services receives it.  A pure core.
+
+Hosts are compared without case and port; of a host's routes the one with the longest path prefix wins.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from zlib import crc32
+
+from mallowbeam.configuration.model import Route
+
+
+class RouteTable:
+    """The routes of one configuration, arranged for look-ups."""
+
+    def __init__(self, routes: Iterable[Route] = ()) -> None:
+        self._by_host: dict[str, list[tuple[bytes, Route]]] = {}
+        for route in routes:
+            entry = (route.path_prefix.encode(), route)
+            self._by_host.setdefault(route.hostname.lower(), []).append(entry)
+        for entries in self._by_host.values():
+            entries.sort(key=lambda entry: -len(entry[0]))
+
+    def find(self, host: bytes, target: bytes) -> Route | None:
+        """The route for a Host header and a request target; None where there is none."""
+        path = target.partition(b"?")[0]
+        for prefix, route in self._by_host.get(host_name(host), ()):
+            if path.startswith(prefix):
+                return route
+        return None
+
+
+def host_name(host: bytes) -> str:
+    """The name in a Host header, without its port."""
+    name = host.decode("latin-1").lower()
+    head, colon, port = name.rpartition(":")
+    if colon and port.isdigit():
+        return head
+    return name
+
+
+def choose_backend(route: Route, request_id: bytes) -> str:
+    """One of a route's services, by weight and by the request's id: the same id always gets the same one."""
+    weighted = [choice for choice in route.backends if choice.weight > 0]
+    if len(weighted) <= 1:
+        return weighted[0].backend if weighted else ""
+    point = crc32(request_id) % sum(choice.weight for choice in weighted)
+    for choice in weighted:
+        if point < choice.weight:
+            return choice.backend
+        point -= choice.weight
+    return weighted[-1].backend
--- /dev/null
+++ b/mallowbeam/data_plane/send_policy.py
@@ -0,0 +1,93 @@
+"""Whether one request may be sent (again), and with what it is answered when it is given up.  A pure core.
+
+An *arrival* is a request that an instance has received whole or in part.  The first prefill call that an instance
+takes up is no arrival.  Every arrival after the first is charged to the retry budget of its service.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from mallowbeam.data_plane.outcomes import AttemptEnd
+from mallowbeam.data_plane.retry_budget import RetryBudget
+
+MOST_CONNECT_FAILURES = 4   # attempts that found no connection, in one request
+BAD_GATEWAY = 502
+UNAVAILABLE = 503
+GATEWAY_TIMEOUT = 504
+
+
+@dataclass(frozen=True, slots=True)
+class SendTicket:
+    """A send that was allowed: hand it back to `SendPolicy` with how it ended."""
+
+    instance: str
+    charged: bool                              # to the retry budget
+    counted: bool                              # the instance is new among those that the request was sent to
+
+
+class SendPolicy:
+    """The sends of one request."""
+
+    def __init__(self, budget: RetryBudget, repeatable: bool, most_instances: int) -> None:
+        self._budget = budget
+        self._repeatable = repeatable
+        self._most_instances = max(1, most_instances)
+        self._arrivals = 0
+        self._instances: set[str] = set()
+        self._prefill_excused = False
+        self._connect_failures = 0
+        self.may_have_run = False              # an instance may have run it, or run it still
+        self.excluded: set[str] = set()        # instances that failed or refused it
+
+    def send(self, instance: str, now: float, gateways: int) -> SendTicket | None:
+        """Ask for one send; None where it is not allowed."""
+        if self.may_have_run and not self._repeatable:
+            return None
+        if self._connect_failures >= MOST_CONNECT_FAILURES:
+            return None
+        new = instance not in self._instances
+        if new and len(self._instances) >= self._most_instances:
+            return None
+        charged = self._arrivals > 0
+        if charged and not self._budget.take(now, gateways):
+            return None
+        self._arrivals += 1
+        self._instances.add(instance)
+        return SendTicket(instance, charged, new)
+
+    def ended(self, ticket: SendTicket, end: AttemptEnd, now: float) -> None:
+        """Tell how a send ended that gave no answer for the client."""
+        self.excluded.add(ticket.instance)
+        if end in (AttemptEnd.NO_CONNECTION, AttemptEnd.NOT_SENT, AttemptEnd.NO_ROOM):
+            self._take_back(ticket, now)
+            self._connect_failures += 1
+        elif end in (AttemptEnd.BROKEN, AttemptEnd.TIMED_OUT, AttemptEnd.FAILED):
+            self.may_have_run = True
+
+    def prefill_taken(self, ticket: SendTicket, now: float) -> None:
+        """A prefill call was taken up: the first one is no arrival."""
+        if not self._prefill_excused:
+            self._prefill_excused = True
+            self._take_back(ticket, now)
+
+    def may_continue(self) -> bool:
+        """Whether another send could still be allowed, the budget apart."""
+        if self.may_have_run and not self._repeatable:
+            return False
+        if self._connect_failures >= MOST_CONNECT_FAILURES:
+            return False
+        return len(self._instances) < self._most_instances
+
+    def status_when_given_up(self, out_of_time: bool) -> int:
+        """The status of the gateway's own answer: 503 only for what has not run and never will."""
+        if not self.may_have_run:
+            return UNAVAILABLE
+        return GATEWAY_TIMEOUT if out_of_time else BAD_GATEWAY
+
+    def _take_back(self, ticket: SendTicket, now: float) -> None:
+        self._arrivals -= 1
+        if ticket.charged:
+            self._budget.give_back(now)
+        if ticket.counted:
+            self._instances.discard(ticket.instance)
