--- /dev/null
+++ b/mallowbeam/data_plane/answers.py
@@ -0,0 +1,42 @@
+"""Answers as the client gets them: an instance's unchanged, or the gateway's own."""
+
+from __future__ import annotations
+
+from mallowbeam.http.framing import HOP_BY_HOP, Headers, Message, write_head
+from mallowbeam.http.front import Reply
+
+BODILESS = (204, 304)
+UNAVAILABLE = 503
+TEXTS = {
+    400: b"bad request\n",
+    404: b"no such route\n",
+    502: b"the instance's answer broke off\n",
+    503: b"not served now\n",
+    504: b"no answer in time\n",
+}
+
+
+def passed_headers(answer: Message) -> Headers:
+    """The end-to-end headers of an instance's answer."""
+    named = frozenset(part.strip().lower() for part in (answer.get(b"connection") or b"").split(b","))
+    return [(name, value) for name, value in answer.headers
+            if name not in HOP_BY_HOP and name not in named]
+
+
+def whole_answer(answer: Message, close: bool) -> Reply:
+    """An instance's answer that was read whole."""
+    length = None if answer.status in BODILESS else len(answer.body)
+    head = write_head(answer.status, passed_headers(answer), length, close)
+    return Reply(answer.status, head + answer.body)
+
+
+def own_answer(status: int, request_id: bytes, close: bool, retry_after_s: float = 0.0,
+               text: bytes | None = None) -> Reply:
+    """An answer of the gateway's own: it never carries an instance's signature."""
+    body = text if text is not None else TEXTS.get(status, b"not served\n")
+    headers: Headers = [(b"content-type", b"text/plain")]
+    if request_id:
+        headers.append((b"request-id", request_id))
+    if status == UNAVAILABLE and retry_after_s > 0:
+        headers.append((b"retry-after", b"%.3f" % retry_after_s))
+    return Reply(status, write_head(status, headers, len(body), close) + body)
--- /dev/null
+++ b/mallowbeam/data_plane/attempt.py
@@ -0,0 +1,119 @@
+"""One attempt: a request on one connection to one instance, up to its answer's head or its whole body.
+
+The attempt owns its connection until `release`, which may be called again and again; what has run is the matter
+of `outcomes`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+
+from mallowbeam.data_plane.client_request import ClientRequest
+from mallowbeam.data_plane.fleet_view import FleetView
+from mallowbeam.data_plane.link_pool import LinkPool
+from mallowbeam.data_plane.outcomes import AttemptEnd, judge_answer
+from mallowbeam.http.client import Broken, Link, NoRoom, Unsent
+from mallowbeam.http.framing import Headers, Message, write_request
+from mallowbeam.rpc.messages_pb2 import Instance
+
+HELD_BYTES = 64 * 1024      # an answer up to this size is held whole before any of it is passed on
+WAY_BACK_S = 0.005          # of the time that is left, kept for the answer's way back
+REJECTION_BODY_S = 0.2      # an answer that is not passed on has this long to end, or its connection is closed
+EVENT_STREAM = b"text/event-stream"
+
+
+@dataclass(frozen=True, slots=True)
+class SendOrder:
+    """What is sent, and where."""
+
+    backend: str
+    instance: str
+    request: ClientRequest
+    extra: Headers                             # the gateway's own headers
+    deadline: float                            # steady time by which the answer must be there
+
+
+class Attempt:
+    """A request that was sent, or could not be."""
+
+    def __init__(self, pool: LinkPool, view: FleetView) -> None:
+        self._pool, self._view = pool, view
+        self.link: Link | None = None
+        self.instance = ""
+        self.answer: Message | None = None
+
+    async def send(self, order: SendOrder) -> AttemptEnd:
+        """Send and wait for the answer's head; small answers that are no streams are read whole."""
+        try:
+            async with asyncio.timeout(order.deadline - time.monotonic()):
+                return await self._send(order)
+        except TimeoutError:
+            end = AttemptEnd.TIMED_OUT
+        except NoRoom:
+            return AttemptEnd.NO_ROOM
+        except Unsent:
+            end = AttemptEnd.NOT_SENT
+        except Broken:
+            end = AttemptEnd.BROKEN
+        if self.link is None:
+            return AttemptEnd.NO_CONNECTION
+        if not self.link.written:
+            end = AttemptEnd.NOT_SENT
+        self.release()
+        return end
+
+    @property
+    def streams(self) -> bool:
+        """Whether the answer is an event stream."""
+        kind = self.answer.get(b"content-type") if self.answer is not None else None
+        return kind is not None and kind.partition(b";")[0].strip().lower() == EVENT_STREAM
+
+    def release(self) -> None:
+        """Keep the connection if its answer was read whole, else close it."""
+        link, self.link = self.link, None
+        if link is not None:
+            self._pool.give_back(self.instance, link, self.answer)
+
+    async def _send(self, order: SendOrder) -> AttemptEnd:
+        address = self._address(order)
+        if address is None:
+            return AttemptEnd.NO_ROOM
+        self.instance = order.instance
+        link = await self._pool.take(order.instance, address, self._view.most_connections(order.backend))
+        self.link = link
+        # The instance may have begun to drain, or have gone, while a connection came up.
+        if self._address(order) != address:
+            self.release()
+            return AttemptEnd.NO_ROOM
+        first = not link.idle_since
+        request = order.request
+        left_ms = max(1, int((order.deadline - WAY_BACK_S - time.monotonic()) * 1000))
+        headers = [*request.headers, *order.extra, (b"target-instance", order.instance.encode()),
+                   (b"deadline-ms", b"%d" % left_ms)]
+        head = write_request(request.method, request.target, headers, len(request.body))
+        await link.request(head, request.body, bodiless=request.method == b"HEAD")
+        answer = self.answer = await link.head()
+        end = judge_answer(answer, request.request_id, first)
+        if end is AttemptEnd.BROKEN:
+            answer.keep_alive = False
+            self.release()
+        elif end in (AttemptEnd.REJECTED, AttemptEnd.MISDIRECTED):
+            await self._read_rejection(link, answer)
+        elif not self.streams:
+            await link.exceeds(answer, HELD_BYTES, None, None)
+        return end
+
+    async def _read_rejection(self, link: Link, answer: Message) -> None:
+        """Read what is left of an answer that goes to nobody, so that its connection can be used again."""
+        try:
+            async with asyncio.timeout(REJECTION_BODY_S):
+                await link.body(answer)
+        except (TimeoutError, Broken):
+            pass                               # its head has said that nothing ran
+        self.release()
+
+    def _address(self, order: SendOrder) -> str | None:
+        instance: Instance | None = self._view.usable(order.instance, order.backend)
+        return instance.address if instance is not None else None
--- /dev/null
+++ b/mallowbeam/data_plane/exchange.py
@@ -0,0 +1,282 @@
+"""One client request, from its plan to the attempt whose answer is passed on.
+
+`Exchange` joins the cores: the planner names instances, the send policy allows sends, the outcomes say what an
+attempt proves.  However it ends, `close` gives back what it holds: booking, handle, connection.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from mallowbeam.configuration.model import Engine, Route
+from mallowbeam.data_plane.answers import own_answer, whole_answer
+from mallowbeam.data_plane.attempt import Attempt, SendOrder
+from mallowbeam.data_plane.client_request import ClientRequest
+from mallowbeam.data_plane.gateway import Gateway
+from mallowbeam.data_plane.outcomes import AttemptEnd, may_pass_on, retry_after
+from mallowbeam.data_plane.planning import BookingEnd, Plan, PlanRequest, Refusal
+from mallowbeam.data_plane.prefill import Handle, read_handle
+from mallowbeam.data_plane.send_policy import SendPolicy
+from mallowbeam.http.client import Broken
+from mallowbeam.http.framing import Headers, Message
+from mallowbeam.http.front import Reply
+from mallowbeam.streams.events import StreamFault
+from mallowbeam.streams.progress import StreamProgress
+
+LEAST_LEFT_S = 0.01         # a request with less time is given up
+RETRY_AFTER_S = 0.3         # with a refusal for which nobody names a time
+HANDLE_SHARE = 0.5          # of its time to live, after which a handle is not offered again
+SAFE, STREAM = "safe", "stream"
+PREFILL = "prefill"
+
+
+class GivenUp(Exception):  # noqa: N818 (no error: it ends the loop of attempts)
+    """No further attempt is made."""
+
+    def __init__(self, out_of_time: bool = False, retry_after_s: float | None = None) -> None:
+        super().__init__()
+        self.out_of_time, self.retry_after_s = out_of_time, retry_after_s
+
+
+class Exchange:
+    """One request of a client."""
+
+    def __init__(self, gateway: Gateway, request: ClientRequest, route: Route, backend: str,
+                 deadline: float) -> None:
+        self.gateway, self.request, self.route, self.deadline = gateway, request, route, deadline
+        self.attempt: Attempt | None = None    # the one whose answer is passed on
+        self.piece = b""                       # of its stream, not passed on yet
+        self.progress = StreamProgress(route.resumable and route.route_type == STREAM, request.last_event_id)
+        self._backend = backend
+        known = gateway.view.backend(backend)
+        self._engine: Engine | None = known.engine if known is not None else None
+        repeatable = route.route_type == SAFE or self.progress.resumable
+        self._policy = SendPolicy(gateway.budgets.of(backend), repeatable, route.max_retries)
+        self._booking: int | None = None
+        self._handle: Handle | None = None
+        self._failure: Message | None = None   # a failure that is passed on if nothing better comes
+
+    async def run(self, closing: Callable[[], bool]) -> Reply | None:
+        """The answer, if it is whole; None where `attempt` holds one that is passed on as it comes."""
+        try:
+            self.attempt = await self._begin()
+        except GivenUp as given_up:
+            self.close(BookingEnd.CANCELLED)
+            return self._last_answer(given_up, closing())
+        except BaseException:
+            self.close(BookingEnd.CANCELLED)
+            raise
+        answer = self.attempt.answer
+        if answer is not None and answer.whole and not self.attempt.streams:
+            self.close(BookingEnd.SERVED)
+            return whole_answer(answer, closing())
+        return None
+
+    async def resume(self) -> bool:
+        """Take a stream that broke up at another instance; False where that is not allowed or fails."""
+        self.progress.broken()
+        self._policy.may_have_run = True
+        self._release(BookingEnd.FAILED)
+        try:
+            self.attempt = await self._begin()
+        except GivenUp:
+            return False
+        return self.attempt.streams
+
+    def close(self, end: BookingEnd) -> None:
+        """Give back what is held; again and again is as good as once."""
+        self._release(end)
+        if self._handle is not None:
+            self._free(self._handle)
+
+    async def _begin(self) -> Attempt:
+        """Send until an answer is to be passed on; raises `GivenUp`."""
+        while True:
+            plan = await self._plan()
+            handle = await self._read_prompt(plan)
+            attempt = await self._send(plan, handle)
+            if attempt is not None:
+                return attempt
+            self._finish_booking(BookingEnd.REJECTED)
+
+    async def _plan(self) -> Plan:
+        """Ask for a plan and wait until it begins; raises `GivenUp`."""
+        now = time.monotonic()
+        left = self.deadline - now
+        if left < LEAST_LEFT_S:
+            raise GivenUp(out_of_time=True)
+        if not self._policy.may_continue():
+            raise GivenUp()
+        planned = self.gateway.planner.plan(self._plan_request(left, now), now)
+        if isinstance(planned, Refusal):
+            raise GivenUp(retry_after_s=planned.retry_after_s)
+        self._booking = planned.booking
+        if planned.start_in_s > 0:
+            await asyncio.sleep(planned.start_in_s)
+        self.gateway.planner.begun(planned.booking, time.monotonic())
+        return planned
+
+    def _plan_request(self, left: float, now: float) -> PlanRequest:
+        request, route, gateway = self.request, self.route, self.gateway
+        ejected = gateway.health.excluded(gateway.view.instance_ids(self._backend), now)
+        return PlanRequest(
+            backend=self._backend, engine=self._engine, prompt_parts=request.prompt_parts,
+            prompt_tokens=request.prompt_tokens, answer_tokens=request.answer_tokens, priority=route.priority,
+            target_latency_s=route.target_latency_ms / 1000, time_left_s=left, zone=gateway.zone,
+            excluded=ejected | self._policy.excluded)
+
+    async def _read_prompt(self, plan: Plan) -> Handle | None:
+        """The handle that the plan's decode instance is offered; None where it reads the prompt itself."""
+        if self._handle is not None:
+            if self._fresh(self._handle):
+                return self._handle
+            self._free(self._handle)
+        if plan.prefill_instance is None:
+            return None
+        now = time.monotonic()
+        ticket = self._policy.send(plan.prefill_instance, now, self.gateway.view.gateways)
+        if ticket is None:
+            return None
+        attempt = self._new_attempt()
+        address = self.gateway.view.instances[plan.prefill_instance].address \
+            if plan.prefill_instance in self.gateway.view.instances else ""
+        end = await self._send_order(attempt, plan.prefill_instance, [(b"stage", b"prefill")])
+        now = time.monotonic()
+        handle = read_handle(attempt, address, now) if end is AttemptEnd.ANSWERED else None
+        attempt.release()
+        if end is AttemptEnd.ANSWERED:
+            self._policy.prefill_taken(ticket, now)
+            self.gateway.planner.prefill_done(plan.booking, now)
+        else:
+            self._policy.prefill_failed(ticket, end, now)
+        self._handle = handle
+        return handle
+
+    async def _send(self, plan: Plan, handle: Handle | None) -> Attempt | None:
+        """One send to the instance that answers; the attempt if its answer is passed on."""
+        ticket = self._policy.send(plan.decode_instance, time.monotonic(), self.gateway.view.gateways)
+        if ticket is None:
+            raise GivenUp()
+        attempt = self._new_attempt()
+        extra = [(b"kv-from", handle.kv_from)] if handle is not None else []
+        end = await self._send_order(attempt, plan.decode_instance, extra)
+        if end is AttemptEnd.ANSWERED and attempt.streams:
+            end = await self._first_piece(attempt)
+        self._settle_handle(end)
+        if end is AttemptEnd.ANSWERED:
+            self.gateway.planner.first_token(plan.booking, time.monotonic())
+            return attempt
+        self._policy.ended(ticket, end, time.monotonic())
+        if end is AttemptEnd.FAILED:
+            return self._failed(attempt)
+        attempt.release()
+        if end is AttemptEnd.TIMED_OUT:
+            raise GivenUp(out_of_time=True)
+        return None
+
+    async def _send_order(self, attempt: Attempt, instance: str, extra: Headers) -> AttemptEnd:
+        """Send with the headers that every send carries, and learn from its end."""
+        if self._engine is not None:
+            extra = [*extra, (b"priority", b"%d" % min(self.route.priority, 9))]
+        if self.progress.last_event_id is not None:
+            extra = [*extra, (b"last-event-id", self.progress.last_event_id)]
+        order = SendOrder(self._backend, instance, self.request, extra, self.deadline)
+        try:
+            end = await attempt.send(order)
+        except BaseException:
+            attempt.release()
+            raise
+        self.gateway.attempt_ended(instance, end, time.monotonic())
+        return end
+
+    async def _first_piece(self, attempt: Attempt) -> AttemptEnd:
+        """Read a stream up to its first piece that can be passed on: until then nothing has gone out."""
+        end = AttemptEnd.BROKEN
+        try:
+            async with asyncio.timeout(self.deadline - time.monotonic()):
+                self.piece = await read_piece(attempt, self.progress)
+            return AttemptEnd.ANSWERED
+        except TimeoutError:
+            end = AttemptEnd.TIMED_OUT
+        except (Broken, StreamFault):
+            pass
+        except BaseException:
+            attempt.release()
+            raise
+        self.progress.broken()
+        attempt.release()
+        self.gateway.attempt_ended(attempt.instance, end, time.monotonic())
+        return end
+
+    def _failed(self, attempt: Attempt) -> Attempt | None:
+        """An instance's failure: kept while another instance may do better, else passed on."""
+        answer = attempt.answer
+        if answer is None or not may_pass_on(answer):
+            attempt.release()
+            return None
+        if answer.whole and self._policy.may_continue():
+            self._failure = answer
+            attempt.release()
+            return None
+        return attempt
+
+    def _last_answer(self, given_up: GivenUp, close: bool) -> Reply:
+        """The answer to a request that is given up, at once."""
+        if self._failure is not None:
+            return whole_answer(self._failure, close)
+        status = self._policy.status_when_given_up(given_up.out_of_time)
+        return own_answer(status, self.request.request_id, close, given_up.retry_after_s or RETRY_AFTER_S)
+
+    def _settle_handle(self, end: AttemptEnd) -> None:
+        """After a send that offered a handle: it was taken, may be offered once more, or is freed."""
+        if self._handle is None:
+            return
+        if end is AttemptEnd.ANSWERED:
+            self._handle = None
+        elif end in (AttemptEnd.BROKEN, AttemptEnd.TIMED_OUT, AttemptEnd.FAILED, AttemptEnd.REJECTED):
+            self._free(self._handle)
+
+    def _fresh(self, handle: Handle) -> bool:
+        lasts = self._engine.handle_ttl_s if self._engine is not None else 0.0
+        return time.monotonic() - handle.taken_at < lasts * HANDLE_SHARE
+
+    def _free(self, handle: Handle) -> None:
+        self._handle = None
+        self.gateway.handles.free(handle, self.gateway.view.most_connections(self._backend))
+
+    def _new_attempt(self) -> Attempt:
+        return Attempt(self.gateway.pool, self.gateway.view)
+
+    def _release(self, end: BookingEnd) -> None:
+        attempt, self.attempt = self.attempt, None
+        if attempt is not None:
+            attempt.release()
+        self._finish_booking(end)
+
+    def _finish_booking(self, end: BookingEnd) -> None:
+        booking, self._booking = self._booking, None
+        if booking is not None:
+            self.gateway.planner.finished(booking, end, time.monotonic())
+
+
+async def read_piece(attempt: Attempt, progress: StreamProgress) -> bytes:
+    """The next bytes of a stream that can be passed on; empty at its end.
+
+    Raises `Broken` where it ends inside an event or without the end that its framing asks for, `StreamFault` where
+    its events are out of order.
+    """
+    link, answer = attempt.link, attempt.answer
+    assert link is not None
+    assert answer is not None
+    while True:
+        if answer.body:
+            link.channel.framer.release()
+            if piece := progress.feed(answer.take()):
+                return piece
+        if answer.whole:
+            if progress.partial:
+                raise Broken("the stream ended inside an event")
+            return b""
+        await link.more(answer)
--- /dev/null
+++ b/mallowbeam/data_plane/fleet_view.py
@@ -0,0 +1,65 @@
+"""What the gateway knows of the fleet: configuration, routes, instances, other gateways.  A pure core.
+
+It has one owner, the feed; everything else reads it and never keeps what it read over a wait.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from mallowbeam.configuration.model import Backend, Configuration, Route
+from mallowbeam.data_plane.routing import RouteTable
+from mallowbeam.rpc.messages_pb2 import READY, Instance
+
+DEFAULT_CONNECTIONS = 64    # to one instance, from all gateways, where the configuration gives no bound
+
+
+class FleetView:
+    """The current state, replaced piece by piece."""
+
+    def __init__(self) -> None:
+        self.configuration: Configuration | None = None
+        self.instances: Mapping[str, Instance] = {}
+        self.gateways = 1                      # upper bound of those that share the instances
+        self._routes = RouteTable()
+        self._ids: dict[str, frozenset[str]] = {}
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Another configuration is in force."""
+        self.configuration = configuration
+        self._routes = RouteTable(configuration.routes.values())
+
+    def set_instances(self, instances: Mapping[str, Instance]) -> None:
+        """The table of instances is another one."""
+        self.instances = instances
+        ids: dict[str, set[str]] = {}
+        for instance in instances.values():
+            ids.setdefault(instance.backend, set()).add(instance.id)
+        self._ids = {backend: frozenset(members) for backend, members in ids.items()}
+
+    def find_route(self, host: bytes, target: bytes) -> Route | None:
+        """The route of a request."""
+        return self._routes.find(host, target)
+
+    def backend(self, name: str) -> Backend | None:
+        """A service by name."""
+        if self.configuration is None:
+            return None
+        return self.configuration.backends.get(name)
+
+    def instance_ids(self, backend: str) -> frozenset[str]:
+        """The ids of a service's instances."""
+        return self._ids.get(backend, frozenset())
+
+    def usable(self, instance_id: str, backend: str) -> Instance | None:
+        """An instance of a service, if it takes requests now: asked in the step in which one is sent."""
+        instance = self.instances.get(instance_id)
+        if instance is None or instance.state != READY or instance.backend != backend:
+            return None
+        return instance
+
+    def most_connections(self, backend: str) -> int:
+        """Connections that this gateway may hold to one instance of a service."""
+        known = self.backend(backend)
+        most = known.max_connections if known is not None and known.max_connections else DEFAULT_CONNECTIONS
+        return max(1, most // max(1, self.gateways))
--- /dev/null
+++ b/mallowbeam/data_plane/gateway.py
@@ -0,0 +1,71 @@
+"""What all requests of a gateway share: the view of the fleet, connections, budgets, health, planner, counters."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping
+
+from mallowbeam.configuration.model import Configuration
+from mallowbeam.data_plane.fleet_view import FleetView
+from mallowbeam.data_plane.link_pool import LinkPool
+from mallowbeam.data_plane.outcomes import AttemptEnd
+from mallowbeam.data_plane.planning import Planner
+from mallowbeam.data_plane.prefill import HandleRelease
+from mallowbeam.data_plane.retry_budget import RetryBudgets
+from mallowbeam.health.ejection import Ejection
+from mallowbeam.rpc.messages_pb2 import Instance
+
+UNREACHED = frozenset((AttemptEnd.NO_CONNECTION, AttemptEnd.NOT_SENT, AttemptEnd.BROKEN, AttemptEnd.TIMED_OUT))
+REACHED = frozenset((AttemptEnd.REJECTED, AttemptEnd.FAILED, AttemptEnd.ANSWERED))
+
+
+class Gateway:
+    """The shared state; all of it belongs to the event loop's thread."""
+
+    def __init__(self, zone: str, pool: LinkPool, budgets: RetryBudgets, planner: Planner) -> None:
+        self.zone = zone
+        self.pool = pool
+        self.budgets = budgets
+        self.planner = planner
+        self.view = FleetView()
+        self.health = Ejection()
+        self.handles = HandleRelease(pool)
+        self.attempts: Counter[AttemptEnd] = Counter()
+        self.answers: Counter[int] = Counter()  # by status
+
+    def set_configuration(self, configuration: Configuration, now: float) -> None:
+        """Put another configuration in force."""
+        self.view.set_configuration(configuration)
+        self.budgets.keep_only(frozenset(configuration.backends))
+        self.planner.instances_changed(self.view.instances, configuration, now)
+
+    def set_instances(self, instances: Mapping[str, Instance], now: float) -> None:
+        """Use another table of instances."""
+        gone = self.view.instances.keys() - instances.keys()
+        self.view.set_instances(instances)
+        for instance in gone:
+            self.pool.forget(instance)
+            self.health.forget(instance)
+        if self.view.configuration is not None:
+            self.planner.instances_changed(instances, self.view.configuration, now)
+
+    def set_gateways(self, count: int) -> None:
+        """Share instances and budgets with so many gateways, this one included."""
+        if count != self.view.gateways:
+            self.view.gateways = max(1, count)
+            self.planner.gateways(self.view.gateways)
+
+    def attempt_ended(self, instance: str, end: AttemptEnd, now: float) -> None:
+        """Count an attempt and learn from it."""
+        self.attempts[end] += 1
+        if end in REACHED:
+            self.health.succeeded(instance)
+        elif end in UNREACHED:
+            self.health.failed(instance, now)
+        elif end is AttemptEnd.MISDIRECTED:
+            self.health.failed(instance, now, at_once=True)
+
+    def sweep(self, now: float) -> None:
+        """What is due now and then."""
+        self.pool.sweep()
+        self.health.sweep(now)
--- /dev/null
+++ b/mallowbeam/data_plane/relay.py
@@ -0,0 +1,133 @@
+"""An answer on its way through: each piece goes out as it comes, and a stream that breaks is resumed if it may be.
+
+An answer that ends early never looks whole: `write` returns False and the connection ends without the framing's
+end mark.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from mallowbeam.data_plane.answers import passed_headers
+from mallowbeam.data_plane.exchange import Exchange, read_piece
+from mallowbeam.data_plane.outcomes import AttemptEnd
+from mallowbeam.data_plane.planning import BookingEnd
+from mallowbeam.http.client import Broken
+from mallowbeam.http.framing import Channel, Message, in_chunks, write_head
+from mallowbeam.http.front import Reply
+from mallowbeam.streams.events import StreamFault
+from mallowbeam.streams.silence import client_patience_s, resume_after_s
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+class Relay:
+    """Passes one exchange's answer on."""
+
+    def __init__(self, exchange: Exchange, request: Message, closing: Callable[[], bool]) -> None:
+        self._exchange, self._request, self._closing = exchange, request, closing
+        self._chunked = True
+        self._end = BookingEnd.CANCELLED
+
+    def reply(self) -> Reply:
+        """The reply that passes the answer on."""
+        answer = self._answer()
+        return Reply(answer.status, write=self._write)
+
+    async def _write(self, channel: Channel) -> bool:
+        """Write head and body; False if the answer broke off."""
+        try:
+            attempt = self._exchange.attempt
+            whole = await (self._stream(channel) if attempt is not None and attempt.streams
+                           else self._plain(channel))
+            self._end = BookingEnd.SERVED if whole else BookingEnd.FAILED
+            return whole
+        finally:
+            self._exchange.close(self._end)
+
+    async def _plain(self, channel: Channel) -> bool:
+        """A large answer."""
+        answer = self._answer()
+        await channel.send(self._head(answer, answer.length))
+        left = answer.length
+        while True:
+            if answer.body:
+                piece = bytes(answer.take())
+                left = left - len(piece) if left is not None else None
+                await channel.send(self._framed(piece))
+            if answer.whole:
+                break
+            try:
+                async with asyncio.timeout(self._exchange.deadline - time.monotonic()):
+                    await self._more(answer)
+            except (Broken, TimeoutError):
+                return False
+        if self._chunked:
+            await channel.send(LAST_CHUNK)
+        return not left
+
+    async def _stream(self, channel: Channel) -> bool:
+        """An event stream."""
+        head = self._head(self._answer(), None)
+        piece, self._exchange.piece = self._exchange.piece, b""
+        await channel.send(head + self._framed(piece) if piece else head)
+        while piece:
+            piece = await self._next_piece()
+            if piece is None:
+                return False
+            if piece:
+                await channel.send(self._framed(piece))
+        if self._chunked:
+            await channel.send(LAST_CHUNK)
+        return not self._answer().until_close
+
+    async def _next_piece(self) -> bytes | None:
+        """The next piece, from another instance if need be; empty at the end, None where it broke off."""
+        exchange = self._exchange
+        attempt = exchange.attempt
+        assert attempt is not None
+        try:
+            async with asyncio.timeout(self._patience()):
+                return await read_piece(attempt, exchange.progress)
+        except TimeoutError:
+            end = AttemptEnd.TIMED_OUT
+        except (Broken, StreamFault):
+            end = AttemptEnd.BROKEN
+        exchange.gateway.attempt_ended(attempt.instance, end, time.monotonic())
+        if not exchange.progress.resumable or not await exchange.resume():
+            return None
+        piece, exchange.piece = exchange.piece, b""
+        return piece
+
+    def _patience(self) -> float:
+        """Seconds that the stream may be silent from now on."""
+        exchange = self._exchange
+        route = exchange.route
+        gap_s = route.gap_aim_ms / 1000
+        if exchange.progress.resumable:
+            silence = resume_after_s(gap_s)
+        else:
+            silence = client_patience_s(route.target_latency_ms / 1000, gap_s)
+        return min(silence, exchange.deadline - time.monotonic())
+
+    def _head(self, answer: Message, length: int | None) -> bytes:
+        self._chunked = in_chunks(self._request, length)
+        return write_head(answer.status, passed_headers(answer), length, self._closing(), self._chunked)
+
+    def _framed(self, piece: bytes) -> bytes:
+        return b"%x\r\n%b\r\n" % (len(piece), piece) if self._chunked else piece
+
+    async def _more(self, answer: Message) -> None:
+        attempt = self._exchange.attempt
+        assert attempt is not None
+        assert attempt.link is not None
+        attempt.link.channel.framer.release()
+        await attempt.link.more(answer)
+
+    def _answer(self) -> Message:
+        attempt = self._exchange.attempt
+        assert attempt is not None
+        assert attempt.answer is not None
+        return attempt.answer
--- a/mallowbeam/data_plane/send_policy.py
+++ b/mallowbeam/data_plane/send_policy.py
@@ -12,6 +12,7 @@
 from mallowbeam.data_plane.retry_budget import RetryBudget
 
 MOST_CONNECT_FAILURES = 4   # attempts that found no connection, in one request
+NEVER_ARRIVED = frozenset((AttemptEnd.NO_CONNECTION, AttemptEnd.NOT_SENT, AttemptEnd.NO_ROOM))
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
@@ -59,7 +60,7 @@
     def ended(self, ticket: SendTicket, end: AttemptEnd, now: float) -> None:
         """Tell how a send ended that gave no answer for the client."""
         self.excluded.add(ticket.instance)
-        if end in (AttemptEnd.NO_CONNECTION, AttemptEnd.NOT_SENT, AttemptEnd.NO_ROOM):
+        if end in NEVER_ARRIVED:
             self._take_back(ticket, now)
             self._connect_failures += 1
         elif end in (AttemptEnd.BROKEN, AttemptEnd.TIMED_OUT, AttemptEnd.FAILED):
@@ -71,6 +72,12 @@
             self._prefill_excused = True
             self._take_back(ticket, now)
 
+    def prefill_failed(self, ticket: SendTicket, end: AttemptEnd, now: float) -> None:
+        """A prefill call failed: the request itself has not run, whatever became of the call."""
+        self.excluded.add(ticket.instance)
+        if end in NEVER_ARRIVED:
+            self._take_back(ticket, now)
+
     def may_continue(self) -> bool:
         """Whether another send could still be allowed, the budget apart."""
         if self.may_have_run and not self._repeatable:
--- a/mallowbeam/http/client.py
+++ b/mallowbeam/http/client.py
@@ -81,7 +81,8 @@
             raise Unsent(str(error)) from None
         self.written = last
 
-    async def exceeds(self, answer: Message, hold: int, most: int | None, standstill: float) -> bool:
+    async def exceeds(self, answer: Message, hold: int, most: int | None,
+                      standstill: float | None) -> bool:
         """Whether an answer is larger than what is held whole, as any is where nothing is.
 
         Guards a large answer's further try up to its first byte, and a small one's up to its last.
--- a/mallowbeam/http/connection.py
+++ b/mallowbeam/http/connection.py
@@ -16,7 +16,7 @@
 
 from mallowbeam.http.ahead import Ahead
 from mallowbeam.http.closing import LINGER, LINGER_BYTES, Ending, Stage, drop, gone, reset_at_close
-from mallowbeam.http.framing import BadMessage, Channel, Framer, Message
+from mallowbeam.http.framing import MAX_HEAD, BadMessage, Channel, Framer, Message
 from mallowbeam.http.front import Front
 from mallowbeam.http.reporting import logger
 from mallowbeam.http.stream import Stream
@@ -45,7 +45,8 @@
     def __init__(self, server: Owner, sock: socket.socket, over: bool = False) -> None:
         self.server, front = server, server.front
         self.over = over                       # no room for it: its request is refused at once
-        self.channel = Channel(sock, Framer(answers=False, max_body=front.max_body, budget=front.budget))
+        self.channel = Channel(sock, Framer(answers=False, max_body=front.max_body, budget=front.budget,
+                                            max_head=getattr(front, "max_head", MAX_HEAD)))
         self.ahead = Ahead(front.budget)       # read, and not parsed yet
         self.part: Message | None = None       # the request that is coming in
         self.since = time.monotonic()          # when that began, or the last answer went out
@@ -347,7 +348,7 @@
                 reset_at_close(self.channel.sock)  # it reads nothing, and must not take this for an end
                 self.task.cancel()
         elif self.idle:
-            if now - self.since > (IDLE if self.answered else STALLED) and self._rests():
+            if now - self.since > (self._idle_limit() if self.answered else self._stalled()) and self._rests():
                 self._hang_up()
         elif self.taking is not None:
             if not self.blocked and now - self.since > self._patience():
@@ -358,4 +359,14 @@
     def _patience(self) -> float:
         """Seconds that the request which is coming in may take, by what came: a trickle is no upload."""
         part = self.channel.framer.part
-        return STALLED + (part.came / SLOWEST if part else 0.0)
+        return self._stalled() + (part.came / SLOWEST if part else 0.0)
+
+    def _stalled(self) -> float:
+        """Seconds in which a request must come in: the front's `stalled`, if it has one."""
+        seconds: float = getattr(self.server.front, "stalled", STALLED)
+        return seconds
+
+    def _idle_limit(self) -> float:
+        """Seconds that a connection may lie idle after an answer: the front's `idle`, if it has one."""
+        seconds: float = getattr(self.server.front, "idle", IDLE)
+        return seconds
--- a/mallowbeam/http/framing.py
+++ b/mallowbeam/http/framing.py
@@ -79,8 +79,9 @@
 class Framer:
     """Turns bytes into messages, within bounds."""
 
-    def __init__(self, answers: bool, max_body: int = MAX_BODY, budget: Budget | None = None) -> None:
-        self.answers, self.max_body, self.budget = answers, max_body, budget
+    def __init__(self, answers: bool, max_body: int = MAX_BODY, budget: Budget | None = None,
+                 max_head: int = MAX_HEAD) -> None:
+        self.answers, self.max_body, self.budget, self.max_head = answers, max_body, budget, max_head
         self.charged = 0                       # bytes of the budget that this connection holds
         self.parser = (httptools.HttpResponseParser if answers else httptools.HttpRequestParser)(self)
         self.ready: deque[Message] = deque()   # whole messages
@@ -102,7 +103,7 @@
         except httptools.HttpParserError as error:
             self.fault = self.fault or BadMessage(400, f"malformed message: {error}")
         # Guards against a header or trailer without end, which the parser would collect without bound.
-        if self.quiet > MAX_QUIET:
+        if self.quiet > max(MAX_QUIET, self.max_head):
             self.fault = self.fault or BadMessage(431, "header too large")
 
     @property
@@ -143,7 +144,7 @@
 
     def on_headers_complete(self) -> None:  # noqa: D102
         part, self.in_head, self.quiet = self.part, False, 0
-        if sum(len(name) + len(value) for name, value in part.headers) + len(part.target) > MAX_HEAD:
+        if sum(len(name) + len(value) for name, value in part.headers) + len(part.target) > self.max_head:
             self._fail(431, "header too large")
         length = part.get(b"content-length")
         if length is not None and not length.isdigit():
