--- a/mallowbeam/data_plane/attempt.py
+++ b/mallowbeam/data_plane/attempt.py
@@ -1,7 +1,7 @@
 """One attempt: a request on one connection to one instance, up to its answer's head or its whole body.
 
-The attempt owns its connection until `release`, which may be called again and again; what has run is the matter
-of `outcomes`.
+The attempt owns its connection until `release`, which may be called again and again; what has run is the
+matter of `outcomes`.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
 
 HELD_BYTES = 64 * 1024      # an answer up to this size is held whole before any of it is passed on
 WAY_BACK_S = 0.005          # of the time that is left, kept for the answer's way back
-REJECTION_BODY_S = 0.2      # an answer that is not passed on has this long to end, or its connection is closed
+REJECTION_BODY_S = 0.2      # for the rest of an answer that is not passed on; else its connection closes
 EVENT_STREAM = b"text/event-stream"
 
 
--- a/mallowbeam/data_plane/client_request.py
+++ b/mallowbeam/data_plane/client_request.py
@@ -32,7 +32,7 @@
     method: bytes
     target: bytes
     host: bytes
-    headers: Headers                           # end-to-end ones, names in lower case, without the gateway's own
+    headers: Headers                           # end-to-end ones, in lower case, without the gateway's own
     body: bytes | bytearray
     deadline_ms: int                           # what the client waits; MOST_MS where it does not say
     last_event_id: bytes | None
--- a/mallowbeam/data_plane/exchange.py
+++ b/mallowbeam/data_plane/exchange.py
@@ -1,7 +1,7 @@
 """One client request, from its plan to the attempt whose answer is passed on.
 
-`Exchange` joins the cores: the planner names instances, the send policy allows sends, the outcomes say what an
-attempt proves.  However it ends, `close` gives back what it holds: booking, handle, connection.
+`Exchange` joins the cores: the planner names instances, the send policy allows sends, the outcomes say what
+an attempt proves.  However it ends, `close` gives back what it holds: booking, handle, connection.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 from mallowbeam.data_plane.attempt import Attempt, SendOrder
 from mallowbeam.data_plane.client_request import ClientRequest
 from mallowbeam.data_plane.gateway import Gateway
-from mallowbeam.data_plane.outcomes import AttemptEnd, may_pass_on, retry_after
+from mallowbeam.data_plane.outcomes import AttemptEnd, may_pass_on
 from mallowbeam.data_plane.planning import BookingEnd, Plan, PlanRequest, Refusal
 from mallowbeam.data_plane.prefill import Handle, read_handle
 from mallowbeam.data_plane.send_policy import SendPolicy
@@ -77,7 +77,8 @@
     async def resume(self) -> bool:
         """Take a stream that broke up at another instance; False where that is not allowed or fails."""
         self.progress.broken()
-        self._policy.may_have_run = True
+        if self.attempt is not None:
+            self._policy.broke_off(self.attempt.instance)
         self._release(BookingEnd.FAILED)
         try:
             self.attempt = await self._begin()
@@ -264,8 +265,8 @@
 async def read_piece(attempt: Attempt, progress: StreamProgress) -> bytes:
     """The next bytes of a stream that can be passed on; empty at its end.
 
-    Raises `Broken` where it ends inside an event or without the end that its framing asks for, `StreamFault` where
-    its events are out of order.
+    Raises `Broken` where it ends inside an event or without the end that its framing asks for, `StreamFault`
+    where its events are out of order.
     """
     link, answer = attempt.link, attempt.answer
     assert link is not None
--- /dev/null
+++ b/mallowbeam/data_plane/feed_link.py
@@ -0,0 +1,111 @@
+"""The gateway's connection to the member that it follows: does what `FeedSubscriber` decides."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from google.protobuf.message import DecodeError
+
+from mallowbeam.configuration.model import Configuration
+from mallowbeam.feed.limits import CONNECT_TIMEOUT_S
+from mallowbeam.feed.subscriber import Close, Connect, FeedEvents, FeedSubscriber
+from mallowbeam.processes.logs import get_logger
+from mallowbeam.rpc.connection import FrameConnection, connect
+from mallowbeam.rpc.messages_pb2 import FeedFrame, GatewayFrame, LinkFrame
+
+LEAST_WAIT_S = 0.01         # between two questions to the subscriber
+LOOK_S = 0.25               # while a feed is open, its silence is looked at in steps of this
+
+log = get_logger("mallowbeam.feed")
+
+
+class FeedLink:
+    """Follows one member at a time; `changed` is called with what each frame changed."""
+
+    def __init__(self, subscriber: FeedSubscriber[Configuration],
+                 changed: Callable[[FeedEvents[Configuration], float], None]) -> None:
+        self._subscriber, self._changed = subscriber, changed
+        self._connection: FrameConnection | None = None
+        self._address = ""
+        self._ended = asyncio.Event()          # the connection in use has ended
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        try:
+            while True:
+                await self._step()
+        finally:
+            self._close()
+
+    def send(self, frame: GatewayFrame) -> bool:
+        """Send a frame to the member that is followed; False where none is."""
+        connection = self._connection
+        return connection is not None and connection.send(LinkFrame(gateway=frame))
+
+    async def _step(self) -> None:
+        now = time.monotonic()
+        action = self._subscriber.next_action(now)
+        if isinstance(action, Connect):
+            await self._connect(action.address)
+        elif isinstance(action, Close):
+            log.info("feed given up: %s", action.address)
+            self._close()
+        else:
+            await self._wait(max(LEAST_WAIT_S, action.until - now))
+
+    async def _wait(self, seconds: float) -> None:
+        """Wait, or until the connection ends."""
+        if self._connection is not None:
+            seconds = max(seconds, LOOK_S)
+        self._ended.clear()
+        if self._connection is not None and not self._connection.open:
+            self._lost()
+            return
+        try:
+            async with asyncio.timeout(seconds):
+                await self._ended.wait()
+        except TimeoutError:
+            return
+        self._lost()
+
+    async def _connect(self, address: str) -> None:
+        """Open a feed, or report that it does not open."""
+        self._close()
+        try:
+            connection = await connect(address, self._received, self._closed, CONNECT_TIMEOUT_S)
+        except (OSError, ValueError):
+            self._subscriber.failed(address, time.monotonic())
+            return
+        self._connection, self._address = connection, address
+        connection.send(LinkFrame(gateway=GatewayFrame(hello=self._subscriber.hello())))
+        self._subscriber.connected(address, time.monotonic())
+        log.info("feed opened: %s", address)
+
+    def _received(self, connection: FrameConnection, data: bytes) -> None:
+        if connection is not self._connection:
+            return
+        try:
+            frame = FeedFrame.FromString(data)
+        except DecodeError:
+            connection.abort()
+            return
+        now = time.monotonic()
+        self._changed(self._subscriber.received(frame, now), now)
+
+    def _closed(self, connection: FrameConnection) -> None:
+        if connection is self._connection:
+            self._ended.set()
+
+    def _lost(self) -> None:
+        """The member ended the connection."""
+        address = self._address
+        self._close()
+        log.info("feed lost: %s", address)
+        self._subscriber.failed(address, time.monotonic())
+
+    def _close(self) -> None:
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.abort()
--- a/mallowbeam/data_plane/fleet_view.py
+++ b/mallowbeam/data_plane/fleet_view.py
@@ -5,10 +5,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from mallowbeam.configuration.model import Backend, Configuration, Route
 from mallowbeam.data_plane.routing import RouteTable
+from mallowbeam.feed.instances import InstanceChanges
 from mallowbeam.rpc.messages_pb2 import READY, Instance
 
 DEFAULT_CONNECTIONS = 64    # to one instance, from all gateways, where the configuration gives no bound
@@ -22,20 +23,22 @@
         self.instances: Mapping[str, Instance] = {}
         self.gateways = 1                      # upper bound of those that share the instances
         self._routes = RouteTable()
-        self._ids: dict[str, frozenset[str]] = {}
+        self._ids: dict[str, set[str]] = {}    # by service
+        self._backend_of: dict[str, str] = {}
 
     def set_configuration(self, configuration: Configuration) -> None:
         """Another configuration is in force."""
         self.configuration = configuration
         self._routes = RouteTable(configuration.routes.values())
 
-    def set_instances(self, instances: Mapping[str, Instance]) -> None:
-        """The table of instances is another one."""
-        self.instances = instances
-        ids: dict[str, set[str]] = {}
-        for instance in instances.values():
-            ids.setdefault(instance.backend, set()).add(instance.id)
-        self._ids = {backend: frozenset(members) for backend, members in ids.items()}
+    def instances_changed(self, changes: InstanceChanges) -> None:
+        """The table of instances, which the feed changes in place, is another one."""
+        for instance in changes.changed:
+            self._forget(instance.id)
+            self._ids.setdefault(instance.backend, set()).add(instance.id)
+            self._backend_of[instance.id] = instance.backend
+        for ended in changes.ended:
+            self._forget(ended)
 
     def find_route(self, host: bytes, target: bytes) -> Route | None:
         """The route of a request."""
@@ -47,9 +50,9 @@
             return None
         return self.configuration.backends.get(name)
 
-    def instance_ids(self, backend: str) -> frozenset[str]:
+    def instance_ids(self, backend: str) -> Collection[str]:
         """The ids of a service's instances."""
-        return self._ids.get(backend, frozenset())
+        return self._ids.get(backend, ())
 
     def usable(self, instance_id: str, backend: str) -> Instance | None:
         """An instance of a service, if it takes requests now: asked in the step in which one is sent."""
@@ -63,3 +66,12 @@
         known = self.backend(backend)
         most = known.max_connections if known is not None and known.max_connections else DEFAULT_CONNECTIONS
         return max(1, most // max(1, self.gateways))
+
+    def _forget(self, instance: str) -> None:
+        backend = self._backend_of.pop(instance, None)
+        if backend is None:
+            return
+        members = self._ids[backend]
+        members.discard(instance)
+        if not members:
+            del self._ids[backend]
--- /dev/null
+++ b/mallowbeam/data_plane/front.py
@@ -0,0 +1,75 @@
+"""The clients' front: each whole request gets its one answer."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from mallowbeam.configuration.model import ClientLimits
+from mallowbeam.data_plane.answers import own_answer
+from mallowbeam.data_plane.client_request import BadRequest, ClientRequest, read_request
+from mallowbeam.data_plane.exchange import Exchange
+from mallowbeam.data_plane.gateway import Gateway
+from mallowbeam.data_plane.relay import Relay
+from mallowbeam.data_plane.routing import choose_backend
+from mallowbeam.http.framing import Budget, Message
+from mallowbeam.http.front import Reply
+
+HELD_BYTES = 24 * 1024 * 1024  # of request bodies, over all connections, at most
+MEMORY_SHARE = 0.125        # of the process's memory, that request bodies may have
+RETRY_AFTER_S = 0.5         # with a refusal before there is a configuration
+SLACK_S = 0.5               # that a client has beyond the configured times, for the way
+WAY_S = 0.01                # of a client's deadline, kept for the way back
+MEGABYTE = 1024 * 1024
+
+
+class ClientFront:
+    """Turns clients' requests into exchanges and their answers back."""
+
+    def __init__(self, gateway: Gateway, memory_mb: float) -> None:
+        self._gateway = gateway
+        self.budget: Budget | None = Budget(int(min(HELD_BYTES, memory_mb * MEGABYTE * MEMORY_SHARE)))
+        self.set_limits(ClientLimits())
+
+    def set_limits(self, limits: ClientLimits) -> None:
+        """Bounds for clients that come from now on; times hold for all."""
+        self.max_body = self.whole = limits.max_body_bytes
+        self.max_head = limits.max_header_bytes
+        self.stalled = limits.header_timeout_ms / 1000 + SLACK_S
+        self.idle = limits.idle_timeout_ms / 1000 + SLACK_S
+
+    async def handle(self, request: Message, closing: Callable[[], bool]) -> Reply:
+        """One request to its one answer."""
+        try:
+            read = read_request(request)
+        except BadRequest as error:
+            return own_answer(400, b"", closing(), text=error.what.encode() + b"\n")
+        view = self._gateway.view
+        if view.configuration is None:
+            return own_answer(503, read.request_id, closing(), RETRY_AFTER_S)
+        route = view.find_route(read.host, read.target)
+        if route is None:
+            return own_answer(404, read.request_id, closing())
+        backend = choose_backend(route, read.request_id)
+        self._gateway.budgets.of(backend).request(time.monotonic())
+        deadline = self._deadline(read, request, route.timeout_ms)
+        exchange = Exchange(self._gateway, read, route, backend, deadline)
+        reply = await exchange.run(closing)
+        if reply is not None:
+            return reply
+        return Relay(exchange, request, closing).reply()
+
+    def complain(self, status: int, text: str) -> Reply:
+        """The answer to what breaks HTTP or a bound; its connection is closed after it."""
+        return own_answer(status, b"", True, RETRY_AFTER_S, text.encode() + b"\n")
+
+    def ended(self, request: Message, status: int, whole: bool) -> None:
+        """Count an answer that has gone out."""
+        self._gateway.answers[status] += 1
+
+    @staticmethod
+    def _deadline(read: ClientRequest, request: Message, timeout_ms: int) -> float:
+        """Steady time up to which the request may be held, from when its last byte was read."""
+        client_s = read.deadline_ms / 1000
+        began = request.at or time.monotonic()
+        return began + min(client_s - min(WAY_S, client_s / 4), timeout_ms / 1000)
--- a/mallowbeam/data_plane/gateway.py
+++ b/mallowbeam/data_plane/gateway.py
@@ -1,9 +1,8 @@
-"""What all requests of a gateway share: the view of the fleet, connections, budgets, health, planner, counters."""
+"""What all requests of a gateway share: fleet view, connections, budgets, health, planner, counters."""
 
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Mapping
 
 from mallowbeam.configuration.model import Configuration
 from mallowbeam.data_plane.fleet_view import FleetView
@@ -12,10 +11,11 @@
 from mallowbeam.data_plane.planning import Planner
 from mallowbeam.data_plane.prefill import HandleRelease
 from mallowbeam.data_plane.retry_budget import RetryBudgets
+from mallowbeam.feed.instances import InstanceChanges
 from mallowbeam.health.ejection import Ejection
-from mallowbeam.rpc.messages_pb2 import Instance
 
-UNREACHED = frozenset((AttemptEnd.NO_CONNECTION, AttemptEnd.NOT_SENT, AttemptEnd.BROKEN, AttemptEnd.TIMED_OUT))
+UNREACHED = frozenset((AttemptEnd.NO_CONNECTION, AttemptEnd.NOT_SENT, AttemptEnd.BROKEN,
+                       AttemptEnd.TIMED_OUT))
 REACHED = frozenset((AttemptEnd.REJECTED, AttemptEnd.FAILED, AttemptEnd.ANSWERED))
 
 
@@ -39,15 +39,14 @@
         self.budgets.keep_only(frozenset(configuration.backends))
         self.planner.instances_changed(self.view.instances, configuration, now)
 
-    def set_instances(self, instances: Mapping[str, Instance], now: float) -> None:
-        """Use another table of instances."""
-        gone = self.view.instances.keys() - instances.keys()
-        self.view.set_instances(instances)
-        for instance in gone:
+    def instances_changed(self, changes: InstanceChanges, now: float) -> None:
+        """The table of instances is another one."""
+        self.view.instances_changed(changes)
+        for instance in changes.ended:
             self.pool.forget(instance)
             self.health.forget(instance)
         if self.view.configuration is not None:
-            self.planner.instances_changed(instances, self.view.configuration, now)
+            self.planner.instances_changed(self.view.instances, self.view.configuration, now)
 
     def set_gateways(self, count: int) -> None:
         """Share instances and budgets with so many gateways, this one included."""
--- a/mallowbeam/data_plane/link_pool.py
+++ b/mallowbeam/data_plane/link_pool.py
@@ -1,7 +1,8 @@
 """Connections to instances, by instance id: kept while idle, within bounds for each instance and in all.
 
-A connection belongs to one instance, not to an address: addresses pass on to other instances.  It is used again
-after a short rest, in which a surplus answer of the instance shows, and only well before the instance closes it.
+A connection belongs to one instance, not to an address: addresses pass on to other instances.  It is used
+again after a short rest, in which a surplus answer of the instance shows, and only well before the instance
+closes it.
 """
 
 from __future__ import annotations
--- a/mallowbeam/data_plane/outcomes.py
+++ b/mallowbeam/data_plane/outcomes.py
@@ -20,7 +20,7 @@
 
     NO_CONNECTION = "no_connection"            # refused, unreachable or silent: never sent
     NOT_SENT = "not_sent"                      # the connection broke before the last byte: never ran
-    NO_ROOM = "no_room"                        # no connection allowed: never sent, says nothing of the instance
+    NO_ROOM = "no_room"                        # no connection allowed: says nothing of the instance
     REJECTED = "rejected"                      # Not-Executed: received, not run
     MISDIRECTED = "misdirected"                # 421: another instance, stage or version: not run
     FAILED = "failed"                          # an answer with a failure: may have run
@@ -32,8 +32,8 @@
 def judge_answer(answer: Message, request_id: bytes, first_on_connection: bool) -> AttemptEnd:
     """What an answer's head says.
 
-    An answer that names another request is a late one of its connection's earlier requests; one without a name
-    is only believed where there was no earlier request.
+    An answer that names another request is a late one of its connection's earlier requests; one without a
+    name is only believed where there was no earlier request.
     """
     echoed = answer.get(b"request-id")
     if echoed != request_id and (echoed is not None or not first_on_connection):
--- /dev/null
+++ b/mallowbeam/data_plane/readiness.py
@@ -0,0 +1,39 @@
+"""The listener that tells whether this gateway takes clients."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from mallowbeam.data_plane.answers import own_answer
+from mallowbeam.http.framing import Budget, Message
+from mallowbeam.http.front import Reply
+
+PATH = b"/mallowbeam/readyz"
+MOST_BODY = 1024
+
+
+class ReadinessFront:
+    """Answers 200 while the gateway is ready, 503 otherwise."""
+
+    max_body = whole = MOST_BODY
+    budget: Budget | None = None
+    idle = 30.0                                # seconds that a caller's connection may rest
+
+    def __init__(self, ready: Callable[[], bool]) -> None:
+        self._ready = ready
+
+    async def handle(self, request: Message, closing: Callable[[], bool]) -> Reply:
+        """One question to its answer."""
+        if request.target.partition(b"?")[0] != PATH:
+            return own_answer(404, b"", closing(), text=b"no such page\n")
+        if request.method not in (b"GET", b"HEAD"):
+            return own_answer(405, b"", closing(), text=b"GET only\n")
+        ready = self._ready()
+        return own_answer(200 if ready else 503, b"", closing(), text=b"ready\n" if ready else b"not ready\n")
+
+    def complain(self, status: int, text: str) -> Reply:
+        """The answer to what breaks HTTP."""
+        return own_answer(status, b"", True, text=text.encode() + b"\n")
+
+    def ended(self, request: Message, status: int, whole: bool) -> None:
+        """Nothing is counted here."""
--- a/mallowbeam/data_plane/relay.py
+++ b/mallowbeam/data_plane/relay.py
@@ -1,7 +1,7 @@
-"""An answer on its way through: each piece goes out as it comes, and a stream that breaks is resumed if it may be.
+"""An answer on its way through: pieces go out as they come; a stream that breaks is resumed if allowed.
 
-An answer that ends early never looks whole: `write` returns False and the connection ends without the framing's
-end mark.
+An answer that ends early never looks whole: `write` returns False and the connection ends without the
+framing's end mark.
 """
 
 from __future__ import annotations
@@ -74,9 +74,10 @@
         piece, self._exchange.piece = self._exchange.piece, b""
         await channel.send(head + self._framed(piece) if piece else head)
         while piece:
-            piece = await self._next_piece()
-            if piece is None:
+            following = await self._next_piece()
+            if following is None:
                 return False
+            piece = following
             if piece:
                 await channel.send(self._framed(piece))
         if self._chunked:
--- a/mallowbeam/data_plane/retry_budget.py
+++ b/mallowbeam/data_plane/retry_budget.py
@@ -1,9 +1,9 @@
 """How many further sends a gateway may make to one service.  A pure core.
 
 Within any span of the window's length, arrivals at the service after a request's first stay within
-`ratio` times the requests that clients sent for it, plus the gateway's part of `min_retries`.  Time is cut into
-slices; a slice counts as a retry's for longer and as a request's for shorter than the window, so that the bound
-also holds for spans that begin inside a slice.
+`ratio` times the requests that clients sent for it, plus the gateway's part of `min_retries`.  Time is cut
+into slices; retries are counted for longer and requests for shorter than the window, so that the bound also
+holds for spans that begin inside a slice.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/mallowbeam/data_plane/role.py
@@ -0,0 +1,157 @@
+"""The data-plane role: listeners, feed, and an orderly stop."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from random import Random
+
+from mallowbeam.configuration.changes import apply_update
+from mallowbeam.configuration.model import Configuration
+from mallowbeam.data_plane.feed_link import FeedLink
+from mallowbeam.data_plane.front import ClientFront
+from mallowbeam.data_plane.gateway import Gateway
+from mallowbeam.data_plane.link_pool import LinkPool
+from mallowbeam.data_plane.planning import LeastLoadedPlanner, Planner
+from mallowbeam.data_plane.readiness import ReadinessFront
+from mallowbeam.data_plane.retry_budget import BudgetSettings, RetryBudgets
+from mallowbeam.errors import MallowbeamError
+from mallowbeam.feed.subscriber import FeedEvents, FeedSubscriber
+from mallowbeam.http.server import Server
+from mallowbeam.processes.logs import get_logger
+from mallowbeam.processes.role import RoleContext, run_role
+from mallowbeam.processes.settings import NodeSettings, split_address
+
+TICK_S = 1.0                # between two looks at idle connections and counts
+RESERVED_FDS = 260          # descriptors that are neither a client's nor an instance's connection
+CLIENT_SHARE = 0.5          # of the other descriptors
+LEAST_CONNECTIONS = 16      # for clients, and for instances
+READINESS_CONNECTIONS = 16
+NOTICE_S = 2.2              # after the word to stop, until the platform sends no new connections
+NOTICE_SHARE = 0.35         # of the grace time, that this may take
+EXIT_MARGIN_S = 0.5         # of the grace time, kept for the end itself
+
+log = get_logger("mallowbeam.data_plane")
+
+
+class UnusableRole(MallowbeamError):
+    """The settings leave out an address that this role needs."""
+
+    code = "DATA_PLANE_SETTINGS"
+    remedy = "give bind_addresses.front and bind_addresses.readiness in the settings file"
+
+
+class DataPlane:
+    """One gateway process."""
+
+    def __init__(self, context: RoleContext, planner: Planner | None = None) -> None:
+        self._context = context
+        settings = context.settings
+        client_connections, instance_connections = divide_descriptors(settings.limits.max_fds)
+        bounds = settings.bounds
+        budget = BudgetSettings(bounds.retry_budget_ratio, bounds.budget_window_s, int(bounds.min_retries))
+        self.gateway = Gateway(settings.zone, LinkPool(instance_connections), RetryBudgets(budget),
+                               planner if planner is not None else LeastLoadedPlanner())
+        self.front = ClientFront(self.gateway, settings.limits.memory_mb)
+        self.subscriber = self._make_subscriber(settings)
+        self.gateway.view.instances = self.subscriber.instances
+        self.feed = FeedLink(self.subscriber, self._changed)
+        self.front_server = Server(_address(settings.bind_addresses.front), self.front, client_connections,
+                                   name="front", shared=False)
+        self.readiness_server = Server(_address(settings.bind_addresses.readiness),
+                                       ReadinessFront(self.ready), READINESS_CONNECTIONS, name="readiness",
+                                       shared=False)
+
+    def ready(self) -> bool:
+        """Whether clients may be sent here."""
+        return self.subscriber.ready(time.monotonic()) and not self._context.stopping.is_set()
+
+    async def serve(self) -> None:
+        """Serve until told to stop, then finish what is held."""
+        loop = asyncio.get_running_loop()
+        self.readiness_server.start()
+        self.front_server.start()
+        feed = loop.create_task(self.feed.run())
+        tick = loop.create_task(self._tick())
+        feed.add_done_callback(_report_end)
+        log.info("serving")
+        try:
+            await self._context.stopping.wait()
+            await self._stop()
+        finally:
+            feed.cancel()
+            tick.cancel()
+            await asyncio.gather(feed, tick, return_exceptions=True)
+            self.gateway.pool.close()
+
+    async def _stop(self) -> None:
+        """Answer 503 to the platform's question first, go on until it has noticed, then drain."""
+        grace_s = self._context.settings.bounds.grace_s
+        notice_s = min(NOTICE_S, grace_s * NOTICE_SHARE)
+        log.info("stopping")
+        await asyncio.sleep(notice_s)
+        try:
+            async with asyncio.timeout(max(0.0, grace_s - notice_s - EXIT_MARGIN_S)):
+                await self.front_server.drain()
+        except TimeoutError:
+            log.warning("%d requests were not finished in the grace time", self.front_server.pending)
+        await self.gateway.handles.finish()
+        await self.readiness_server.shut()
+
+    def _changed(self, events: FeedEvents[Configuration], now: float) -> None:
+        """Take over what a frame of the feed changed."""
+        if events.configuration is not None:
+            self.gateway.set_configuration(events.configuration, now)
+            self.front.set_limits(events.configuration.limits)
+            log.info("configuration %d", events.configuration.revision)
+        if events.instances.changed or events.instances.ended:
+            self.gateway.instances_changed(events.instances, now)
+        self.gateway.set_gateways(self.subscriber.gateways_bound(now))
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = time.monotonic()
+            self.front_server.sweep()
+            self.readiness_server.sweep()
+            self.gateway.sweep(now)
+
+    def _make_subscriber(self, settings: NodeSettings) -> FeedSubscriber[Configuration]:
+        seed = int.from_bytes(os.urandom(8), "big")
+        return FeedSubscriber(peer_addresses(settings), settings.zone, Random(seed), apply_update,
+                              gateway=settings.node_name, incarnation=seed)
+
+
+def peer_addresses(settings: NodeSettings) -> list[str]:
+    """Where the seeds listen for other processes: their addresses with the first port for such traffic."""
+    port = settings.port_range[0]
+    return [f"{split_address(seed)[0]}:{port}" for seed in settings.seeds]
+
+
+def divide_descriptors(most: int) -> tuple[int, int]:
+    """Connections for clients and connections to instances."""
+    free = most - RESERVED_FDS
+    clients = max(LEAST_CONNECTIONS, int(free * CLIENT_SHARE))
+    return clients, max(LEAST_CONNECTIONS, free - clients)
+
+
+def _address(text: str | None) -> tuple[str, int]:
+    if text is None:
+        raise UnusableRole("a listener's address is missing")
+    return split_address(text)
+
+
+def _report_end(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and (error := task.exception()) is not None:
+        log.error("the feed's task failed", exc_info=(type(error), error, error.__traceback__))
+
+
+async def serve(context: RoleContext) -> None:
+    """Run the role."""
+    await DataPlane(context).serve()
+
+
+def main() -> int:
+    """Run the data-plane role; the exit code of the process."""
+    return run_role(serve)
--- a/mallowbeam/data_plane/send_policy.py
+++ b/mallowbeam/data_plane/send_policy.py
@@ -1,7 +1,7 @@
 """Whether one request may be sent (again), and with what it is answered when it is given up.  A pure core.
 
-An *arrival* is a request that an instance has received whole or in part.  The first prefill call that an instance
-takes up is no arrival.  Every arrival after the first is charged to the retry budget of its service.
+An *arrival* is a request that an instance has received whole or in part.  The first prefill call that an
+instance takes up is no arrival.  Every arrival after the first is charged to the retry budget of its service.
 """
 
 from __future__ import annotations
@@ -66,6 +66,11 @@
         elif end in (AttemptEnd.BROKEN, AttemptEnd.TIMED_OUT, AttemptEnd.FAILED):
             self.may_have_run = True
 
+    def broke_off(self, instance: str) -> None:
+        """An answer that had begun to be passed on broke off: it has run there."""
+        self.excluded.add(instance)
+        self.may_have_run = True
+
     def prefill_taken(self, ticket: SendTicket, now: float) -> None:
         """A prefill call was taken up: the first one is no arrival."""
         if not self._prefill_excused:
--- a/mallowbeam/health/ejection.py
+++ b/mallowbeam/health/ejection.py
@@ -1,9 +1,9 @@
 """Outlier ejection: instances that fail are left out for a short, growing time.  A pure core.
 
 An instance is ejected after `failures` failures in a row.  When its time is over one request may try it
-(half-open): a success takes it back, a failure ejects it for twice as long.  Where more than `most_share` of a
-service's instances would be left out, none is (panic threshold): the failures then say more of the way than
-of the instances.
+(half-open): a success takes it back, a failure ejects it for twice as long.  Where more than `most_share` of
+a service's instances would be left out, none is (panic threshold): the failures then say more of the way
+than of the instances.
 """
 
 from __future__ import annotations
@@ -42,7 +42,7 @@
         self._records: dict[str, _Record] = {}
 
     def failed(self, instance: str, now: float, at_once: bool = False) -> None:
-        """An instance did not answer, or not as the protocol says; `at_once` ejects it whatever came before."""
+        """An instance did not answer as the protocol says; `at_once`: ejected whatever came before."""
         record = self._records.setdefault(instance, _Record())
         record.failures += 1
         record.last = now
--- a/mallowbeam/http/connection.py
+++ b/mallowbeam/http/connection.py
@@ -348,7 +348,8 @@
                 reset_at_close(self.channel.sock)  # it reads nothing, and must not take this for an end
                 self.task.cancel()
         elif self.idle:
-            if now - self.since > (self._idle_limit() if self.answered else self._stalled()) and self._rests():
+            limit = self._idle_limit() if self.answered else self._stalled()
+            if now - self.since > limit and self._rests():
                 self._hang_up()
         elif self.taking is not None:
             if not self.blocked and now - self.since > self._patience():
--- /dev/null
+++ b/mallowbeam/standins/model_server.py
@@ -0,0 +1,224 @@
+"""A stand-in for an instance of a service: a model server or a plain one, on loopback, for tests.
+
+Its faults are scripted: each request takes the next of `script`, and a good answer where that is empty.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+EVENTS = 5                  # of a good stream
+Headers = dict[str, str]
+
+
+class Fault(Enum):
+    """What the stand-in does instead of a good answer."""
+
+    REJECT = "reject"                          # 503 with Not-Executed
+    MISDIRECT = "misdirect"                    # 421
+    FAIL = "fail"                              # 500 of its own
+    UNPROVEN_503 = "unproven_503"              # 503 that does not say that nothing ran
+    RESET = "reset"                            # closes once the request is read
+    SILENT = "silent"                          # never answers
+    OTHER_ID = "other_id"                      # an answer that names another request
+    NO_SIGNATURE = "no_signature"
+    CUT = "cut"                                # a stream ends inside its third event
+    REPEAT_ID = "repeat_id"                    # the third event has the second one's id
+    PAUSE = "pause"                            # a stream goes silent behind its second event
+    SURPLUS = "surplus"                        # a whole answer, and another one behind it
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """A request as it arrived."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+
+
+@dataclass
+class ModelServer:
+    """One instance."""
+
+    id: str
+    stage: str = ""                            # prefill, decode, or empty for a plain service
+    keep_alive_s: int = 5
+    script: deque[Fault] = field(default_factory=deque)
+    seen: list[Seen] = field(default_factory=list)
+    handles: set[str] = field(default_factory=set)  # made here and not taken yet
+    freed: list[str] = field(default_factory=list)
+    peers: dict[str, ModelServer] = field(default_factory=dict)  # prefill instances by address
+    connections: int = 0                       # accepted so far
+    cancelled: int = 0                         # requests whose connection closed first
+    body: bytes = b"answer"
+    gate: asyncio.Event | None = None          # a stream waits here behind its first event
+    address: str = ""
+    _server: asyncio.Server | None = None
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._connection, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Listen no more and end what is open."""
+        assert self._server is not None
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        self.connections += 1
+        try:
+            while (seen := await read_request(reader)) is not None:
+                if not await self._answer(seen, reader, writer):
+                    return
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            writer.close()
+
+    async def _answer(self, seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        if seen.target.startswith("/mallowbeam/kv-handle/"):
+            return self._free(seen, writer)
+        self.seen.append(seen)
+        fault = self.script.popleft() if self.script else None
+        if fault is None and seen.headers.get("target-instance", self.id) != self.id:
+            fault = Fault.MISDIRECT
+        if fault is Fault.RESET:
+            return False
+        if fault is Fault.SILENT:
+            await reader.read()
+            self.cancelled += 1
+            return False
+        if fault in STATUSES:
+            status, extra = STATUSES[fault]
+            return self._whole(writer, seen, status, b"no", extra)
+        if self.stage == "prefill":
+            return self._read_prompt(seen, writer)
+        if not self._take_handle(seen):
+            return self._whole(writer, seen, 503, b"no memory", "Not-Executed: 1\r\n")
+        if self.stage == "decode":
+            return await self._stream(seen, reader, writer, fault)
+        if fault is Fault.NO_SIGNATURE:
+            return self._whole(writer, seen, 200, self.body, "")
+        self._whole(writer, seen, 200, self.body, self._stamp, other=fault is Fault.OTHER_ID)
+        if fault is Fault.SURPLUS:
+            self._whole(writer, seen, 200, b"surplus", self._stamp)
+        return True
+
+    @property
+    def _stamp(self) -> str:
+        return f"Server-Signature: stamp.{self.id}\r\n"
+
+    def _whole(self, writer: asyncio.StreamWriter, seen: Seen, status: int, body: bytes, extra: str,
+               other: bool = False) -> bool:
+        name = "ffffffffffffffff" if other else seen.headers.get("request-id", "")
+        head = (f"HTTP/1.1 {status} X\r\nRequest-Id: {name}\r\nKeep-Alive: timeout={self.keep_alive_s}\r\n"
+                f"Content-Length: {len(body)}\r\n{extra}\r\n")
+        writer.write(head.encode() + body)
+        return True
+
+    def _free(self, seen: Seen, writer: asyncio.StreamWriter) -> bool:
+        handle = seen.target.rpartition("/")[2]
+        self.handles.discard(handle)
+        self.freed.append(handle)
+        return self._whole(writer, seen, 200, b"", "")
+
+    def _read_prompt(self, seen: Seen, writer: asyncio.StreamWriter) -> bool:
+        if seen.headers.get("stage") != "prefill":
+            return self._whole(writer, seen, 421, b"", "")
+        handle = f"{len(self.seen):04x}{seen.headers['request-id'][:8]}"
+        self.handles.add(handle)
+        body = json.dumps({"kv_handle": handle, "tokens": 10, "revision": 1}).encode()
+        return self._whole(writer, seen, 200, body, self._stamp)
+
+    def _take_handle(self, seen: Seen) -> bool:
+        """Whether the request names no handle, or one that is there."""
+        address, _, handle = seen.headers.get("kv-from", "").partition("/")
+        if not address:
+            return True
+        peer = self.peers.get(address)
+        if peer is None or handle not in peer.handles:
+            return False
+        peer.handles.discard(handle)
+        return True
+
+    async def _stream(self, seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
+                      fault: Fault | None) -> bool:
+        head = (f"HTTP/1.1 200 OK\r\nRequest-Id: {seen.headers.get('request-id', '')}\r\n{self._stamp}"
+                f"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+                f"Keep-Alive: timeout={self.keep_alive_s}\r\n\r\n")
+        writer.write(head.encode())
+        first = int(seen.headers.get("last-event-id", "0")) + 1
+        for number in range(first, EVENTS + 1):
+            event = f"id: {number}\ndata: token {number}\n\n".encode()
+            if number == 3 and fault is Fault.CUT:
+                writer.write(chunk(event[:9]))
+                return False
+            if number == 3 and fault is Fault.PAUSE:
+                await reader.read()
+                self.cancelled += 1
+                return False
+            if number == 3 and fault is Fault.REPEAT_ID:
+                event = b"id: 2\ndata: token 2\n\n"
+            writer.write(chunk(event))
+            await writer.drain()
+            if number == 1 and self.gate is not None:
+                await self._wait_at(self.gate, reader)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    async def _wait_at(self, gate: asyncio.Event, reader: asyncio.StreamReader) -> None:
+        """Wait for the gate; raises where the caller closes first."""
+        opened, closed = asyncio.ensure_future(gate.wait()), asyncio.ensure_future(reader.read(1))
+        try:
+            await asyncio.wait((opened, closed), return_when=asyncio.FIRST_COMPLETED)
+            if closed.done():
+                self.cancelled += 1
+                raise ConnectionResetError
+        finally:
+            opened.cancel()
+            closed.cancel()
+
+
+STATUSES = {
+    Fault.REJECT: (503, "Not-Executed: 1\r\nRetry-After: 0.2\r\n"),
+    Fault.MISDIRECT: (421, ""),
+    Fault.FAIL: (500, "Server-Signature: stamp.failed\r\n"),
+    Fault.UNPROVEN_503: (503, "Server-Signature: stamp.failed\r\n"),
+}
+
+
+def chunk(data: bytes) -> bytes:
+    """Bytes as one chunk."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+async def read_request(reader: asyncio.StreamReader) -> Seen | None:
+    """One request with a length; None at the connection's end."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ")
+    headers = {name.strip().lower(): value.strip()
+               for name, _, value in (line.partition(":") for line in lines[1:] if line)}
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Seen(method, target, headers, body)
+
+
--- a/mallowbeam/streams/progress.py
+++ b/mallowbeam/streams/progress.py
@@ -1,6 +1,6 @@
 """How far a stream has been passed on, and where another instance has to go on.  A pure core.
 
-A stream that may be resumed is passed on in whole events whose ids rise; anything else is passed on byte by byte.
+A stream that may be resumed is passed on in whole events whose ids rise; anything else byte by byte.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/tests/test_data_plane_path.py
@@ -0,0 +1,274 @@
+"""Requests through the whole gateway to stand-in instances on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from mallowbeam.data_plane.planning import LeastLoadedPlanner, Plan, PlanRequest, Refusal
+from mallowbeam.data_plane.retry_budget import BudgetSettings
+from mallowbeam.standins.model_server import Fault
+from tests.gateway_bench import ENGINE, Bench, events, read_answer, read_head, request_bytes
+
+
+class OneByName(LeastLoadedPlanner):
+    """Takes instances in the order of their names: the order of attempts is known."""
+
+    def _rank(self, instance, zone):
+        return instance.id
+
+
+class WithPrefill(OneByName):
+    """Reads prompts at one instance first."""
+
+    def __init__(self, prefill: str) -> None:
+        super().__init__()
+        self.prefill = prefill
+
+    def plan(self, request: PlanRequest, now: float) -> Plan | Refusal:
+        planned = super().plan(request, now)
+        if isinstance(planned, Refusal) or self.prefill in request.excluded:
+            return planned
+        return Plan(planned.booking, planned.decode_instance, self.prefill)
+
+
+class Refusing(OneByName):
+    def plan(self, request: PlanRequest, now: float) -> Plan | Refusal:
+        return Refusal(0.7, "full")
+
+
+class PlainRequests(unittest.IsolatedAsyncioTestCase):
+    async def test_passed_on_unchanged_both_ways(self):
+        async with Bench() as bench:
+            one = await bench.add("i-1")
+            answer = await bench.ask("/safe/a?b=1", headers={"X-Other": "kept", "Connection": "x-hop",
+                                                             "X-Hop": "dropped", "Stage": "prefill"})
+            self.assertEqual((answer.status, answer.body), (200, b"answer"))
+            self.assertEqual(answer.headers["server-signature"], "stamp.i-1")
+            self.assertEqual(answer.headers["request-id"], "9c41d07be2a35f68")
+            self.assertNotIn("keep-alive", answer.headers)
+            (seen,) = one.seen
+            self.assertEqual((seen.method, seen.target, seen.body), ("POST", "/safe/a?b=1", b"question"))
+            self.assertEqual(seen.headers["host"], "host.example")
+            self.assertEqual(seen.headers["x-other"], "kept")
+            self.assertEqual(seen.headers["target-instance"], "i-1")
+            self.assertNotIn("x-hop", seen.headers)
+            self.assertNotIn("stage", seen.headers)
+            self.assertTrue(1300 < int(seen.headers["deadline-ms"]) < 1500)
+
+    async def test_chunked_body_reaches_the_instance_whole(self):
+        async with Bench() as bench:
+            one = await bench.add("i-1")
+            reader, writer = await bench.client()
+            writer.write(b"POST /unsafe/ HTTP/1.1\r\nHost: host.example:80\r\nRequest-Id: a1\r\n"
+                         b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+            self.assertEqual((await read_answer(reader)).status, 200)
+            self.assertEqual(one.seen[0].body, b"abcde")
+
+    async def test_no_route_no_configuration_no_id(self):
+        async with Bench() as bench:
+            self.assertEqual((await bench.ask("/none/")).status, 404)
+            self.assertEqual((await bench.ask("/safe/", headers={"Host": "other"})).status, 404)
+            self.assertEqual((await bench.ask("/safe/", headers={"Request-Id": ""})).status, 400)
+        async with Bench(None) as bench:
+            answer = await bench.ask("/safe/")
+            self.assertEqual(answer.status, 503)
+            self.assertIn("retry-after", answer.headers)
+
+    async def test_connections_are_kept_on_both_sides(self):
+        async with Bench() as bench:
+            one = await bench.add("i-1")
+            reader, writer = await bench.client()
+            for number in range(5):
+                writer.write(request_bytes("/safe/", headers={"Request-Id": f"r{number}"}))
+                self.assertEqual((await read_answer(reader)).status, 200)
+                await asyncio.sleep(0.025)
+            self.assertEqual((one.connections, len(one.seen)), (1, 5))
+
+    async def test_refusal_of_the_planner(self):
+        async with Bench(planner=Refusing()) as bench:
+            one = await bench.add("i-1")
+            answer = await bench.ask("/safe/")
+            self.assertEqual((answer.status, answer.headers["retry-after"]), (503, "0.700"))
+            self.assertEqual(one.seen, [])
+
+    async def test_large_answer_passes_through(self):
+        async with Bench() as bench:
+            await bench.add("i-1", body=b"x" * 300_000)
+            answer = await bench.ask("/safe/")
+            self.assertTrue(answer.whole)
+            self.assertEqual(len(answer.body), 300_000)
+
+
+class Repeats(unittest.IsolatedAsyncioTestCase):
+    async def ask(self, path: str, *faults: Fault, budget: BudgetSettings | None = None):
+        """Ask with the first instance's script given, and a good second one: answer and arrivals."""
+        async with Bench(planner=OneByName(), **({"budget": budget} if budget else {})) as bench:
+            first, second = await bench.add("i-1"), await bench.add("i-2")
+            first.script.extend(faults)
+            answer = await bench.ask(path)
+            return answer, len(first.seen), len(second.seen)
+
+    async def test_what_never_ran_is_sent_elsewhere(self):
+        for fault in (Fault.REJECT, Fault.MISDIRECT):
+            for path in ("/safe/", "/unsafe/"):
+                answer, first, second = await self.ask(path, fault)
+                self.assertEqual((answer.status, first, second), (200, 1, 1), (fault, path))
+                self.assertEqual(answer.headers["server-signature"], "stamp.i-2")
+
+    async def test_what_may_have_run_is_repeated_only_if_safe(self):
+        for fault in (Fault.RESET, Fault.OTHER_ID, Fault.NO_SIGNATURE, Fault.UNPROVEN_503):
+            answer, first, second = await self.ask("/safe/", fault)
+            self.assertEqual((answer.status, first, second), (200, 1, 1), fault)
+            answer, first, second = await self.ask("/unsafe/", fault)
+            self.assertEqual((answer.status, first, second), (502, 1, 0), fault)
+            self.assertNotIn("server-signature", answer.headers)
+
+    async def test_failure_of_an_instance_is_passed_on_with_its_signature(self):
+        answer, first, second = await self.ask("/unsafe/", Fault.FAIL)
+        self.assertEqual((answer.status, answer.body, first, second), (500, b"no", 1, 0))
+        self.assertEqual(answer.headers["server-signature"], "stamp.failed")
+
+    async def test_most_instances_and_budget_bound_the_sends(self):
+        answer, first, second = await self.ask("/once/", Fault.REJECT)
+        self.assertEqual((answer.status, first, second), (503, 1, 0))
+        self.assertIn("retry-after", answer.headers)
+        none = BudgetSettings(ratio=0.2, min_retries=0)
+        answer, first, second = await self.ask("/safe/", Fault.REJECT, budget=none)
+        self.assertEqual((answer.status, first, second), (503, 1, 0))
+
+    async def test_silence_up_to_the_deadline(self):
+        async with Bench(planner=OneByName()) as bench:
+            one = await bench.add("i-1")
+            one.script.append(Fault.SILENT)
+            answer = await bench.ask("/unsafe/", headers={"Deadline-Ms": "200"})
+            self.assertEqual(answer.status, 504)
+
+    async def test_refused_connection_costs_no_arrival(self):
+        none = BudgetSettings(ratio=0.0, min_retries=0)
+        async with Bench(planner=OneByName(), budget=none) as bench:
+            first, second = await bench.add("i-1"), await bench.add("i-2")
+            await first.stop()
+            answer = await bench.ask("/unsafe/")
+            self.assertEqual((answer.status, len(second.seen)), (200, 1))
+
+    async def test_surplus_answer_reaches_nobody(self):
+        async with Bench(planner=OneByName()) as bench:
+            one = await bench.add("i-1")
+            one.script.append(Fault.SURPLUS)
+            reader, writer = await bench.client()
+            for _ in range(2):
+                writer.write(request_bytes("/safe/"))
+                self.assertEqual((await read_answer(reader)).body, b"answer")
+            self.assertEqual(one.connections, 2)
+
+    async def test_draining_instance_gets_nothing(self):
+        async with Bench(planner=OneByName()) as bench:
+            first, second = await bench.add("i-1"), await bench.add("i-2")
+            bench.drain("i-1")
+            self.assertEqual((await bench.ask("/safe/")).status, 200)
+            self.assertEqual((len(first.seen), len(second.seen)), (0, 1))
+
+
+class Streams(unittest.IsolatedAsyncioTestCase):
+    async def test_events_go_out_as_they_come(self):
+        async with Bench(planner=OneByName()) as bench:
+            gate = asyncio.Event()
+            one = await bench.add("i-1", ENGINE, "decode", gate=gate)
+            reader, writer = await bench.client()
+            writer.write(request_bytes("/stream/"))
+            head = await read_head(reader)
+            size = int(await reader.readline(), 16)
+            self.assertEqual((await reader.readexactly(size + 2))[:-2], events(1, 1))
+            gate.set()
+            rest = await reader.readuntil(b"0\r\n\r\n")
+            self.assertIn(b"token 5", rest)
+            self.assertEqual((head.status, one.seen[0].headers["priority"]), (200, "1"))
+
+    async def test_cut_stream_looks_cut(self):
+        async with Bench(planner=OneByName()) as bench:
+            one, two = await bench.add("i-1", ENGINE, "decode"), await bench.add("i-2", ENGINE, "decode")
+            one.script.append(Fault.CUT)
+            answer = await bench.ask("/stream/")
+            self.assertEqual((answer.status, answer.whole, len(two.seen)), (200, False, 0))
+            self.assertTrue(answer.body.startswith(events(1, 2)))
+
+    async def test_resumed_behind_the_last_whole_event(self):
+        for fault in (Fault.CUT, Fault.REPEAT_ID, Fault.PAUSE):
+            async with Bench(planner=OneByName()) as bench:
+                one, two = await bench.add("i-1", ENGINE, "decode"), await bench.add("i-2", ENGINE, "decode")
+                one.script.append(fault)
+                answer = await bench.ask("/resume/", headers={"Deadline-Ms": "2000"})
+                self.assertEqual((answer.whole, answer.body), (True, events()), fault)
+                self.assertEqual(answer.headers["server-signature"], "stamp.i-1")
+                self.assertEqual(two.seen[0].headers["last-event-id"], "2")
+
+    async def test_clients_own_last_event_id_goes_on(self):
+        async with Bench(planner=OneByName()) as bench:
+            one = await bench.add("i-1", ENGINE, "decode")
+            answer = await bench.ask("/resume/", headers={"Last-Event-Id": "3"})
+            self.assertEqual(answer.body, events(4))
+            self.assertEqual(one.seen[0].headers["last-event-id"], "3")
+
+    async def test_client_that_leaves_ends_the_attempt(self):
+        async with Bench(planner=OneByName()) as bench:
+            one = await bench.add("i-1", ENGINE, "decode", gate=asyncio.Event())
+            reader, writer = await bench.client()
+            writer.write(request_bytes("/stream/"))
+            await read_head(reader)
+            writer.close()
+            async with asyncio.timeout(2):
+                while not one.cancelled:
+                    await asyncio.sleep(0)
+
+
+class Prefill(unittest.IsolatedAsyncioTestCase):
+    async def bench(self, bench: Bench):
+        return (await bench.add("p-1", ENGINE, "prefill"), await bench.add("d-1", ENGINE, "decode"),
+                await bench.add("d-2", ENGINE, "decode"))
+
+    async def test_prompt_is_read_first_and_its_memory_handed_over(self):
+        async with Bench(planner=WithPrefill("p-1")) as bench:
+            prefill, decode, _ = await self.bench(bench)
+            answer = await bench.ask("/stream/")
+            self.assertEqual((answer.whole, answer.body), (True, events()))
+            self.assertEqual(answer.headers["server-signature"], "stamp.d-1")
+            self.assertEqual(prefill.seen[0].headers["stage"], "prefill")
+            self.assertEqual(prefill.seen[0].body, b"question")
+            self.assertTrue(decode.seen[0].headers["kv-from"].startswith(prefill.address + "/"))
+            self.assertEqual((prefill.handles, prefill.freed), (set(), []))
+
+    async def test_failed_prefill_leaves_it_to_decode(self):
+        for fault in (Fault.REJECT, Fault.RESET, Fault.FAIL):
+            async with Bench(planner=WithPrefill("p-1")) as bench:
+                prefill, decode, _ = await self.bench(bench)
+                prefill.script.append(fault)
+                answer = await bench.ask("/stream/")
+                self.assertEqual((answer.body, "kv-from" in decode.seen[0].headers), (events(), False), fault)
+
+    async def test_handle_not_taken_is_freed(self):
+        async with Bench(planner=WithPrefill("p-1")) as bench:
+            prefill, decode, other = await self.bench(bench)
+            decode.script.append(Fault.REJECT)
+            answer = await bench.ask("/stream/")
+            self.assertEqual((answer.status, answer.body), (200, events()))
+            await bench.gateway.handles.finish()
+            self.assertEqual((prefill.handles, len(prefill.freed)), (set(), 1))
+
+    async def test_handle_is_freed_when_the_client_leaves(self):
+        async with Bench(planner=WithPrefill("p-1")) as bench:
+            prefill, decode, _ = await self.bench(bench)
+            decode.script.append(Fault.SILENT)
+            _, writer = await bench.client()
+            writer.write(request_bytes("/stream/"))
+            async with asyncio.timeout(2):
+                while not decode.seen:
+                    await asyncio.sleep(0)
+                writer.close()
+                while not prefill.freed:
+                    await asyncio.sleep(0)
+            self.assertEqual(prefill.handles, set())
+
+
+if __name__ == "__main__":
+    unittest.main()
