--- a/mallowbeam/data_plane/exchange.py
+++ b/mallowbeam/data_plane/exchange.py
@@ -9,6 +9,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from mallowbeam.configuration.model import Engine, Route
 from mallowbeam.data_plane.answers import own_answer, whole_answer
@@ -22,22 +23,22 @@
 from mallowbeam.http.client import Broken
 from mallowbeam.http.framing import Headers, Message
 from mallowbeam.http.front import Reply
-from mallowbeam.streams.events import StreamFault
 from mallowbeam.streams.progress import StreamProgress
 
 LEAST_LEFT_S = 0.01         # a request with less time is given up
 RETRY_AFTER_S = 0.3         # with a refusal for which nobody names a time
 HANDLE_SHARE = 0.5          # of its time to live, after which a handle is not offered again
 SAFE, STREAM = "safe", "stream"
-PREFILL = "prefill"
+NOT_RUN = frozenset((AttemptEnd.NO_CONNECTION, AttemptEnd.NOT_SENT, AttemptEnd.NO_ROOM, AttemptEnd.REJECTED,
+                     AttemptEnd.MISDIRECTED))
 
 
-class GivenUp(Exception):  # noqa: N818 (no error: it ends the loop of attempts)
+@dataclass(frozen=True, slots=True)
+class GivenUp:
     """No further attempt is made."""
 
-    def __init__(self, out_of_time: bool = False, retry_after_s: float | None = None) -> None:
-        super().__init__()
-        self.out_of_time, self.retry_after_s = out_of_time, retry_after_s
+    out_of_time: bool = False
+    retry_after_s: float = RETRY_AFTER_S
 
 
 class Exchange:
@@ -61,14 +62,15 @@
     async def run(self, closing: Callable[[], bool]) -> Reply | None:
         """The answer, if it is whole; None where `attempt` holds one that is passed on as it comes."""
         try:
-            self.attempt = await self._begin()
-        except GivenUp as given_up:
-            self.close(BookingEnd.CANCELLED)
-            return self._last_answer(given_up, closing())
+            begun = await self._begin()
         except BaseException:
             self.close(BookingEnd.CANCELLED)
             raise
-        answer = self.attempt.answer
+        if isinstance(begun, GivenUp):
+            self.close(BookingEnd.CANCELLED)
+            return self._last_answer(begun, closing())
+        self.attempt = begun
+        answer = begun.answer
         if answer is not None and answer.whole and not self.attempt.streams:
             self.close(BookingEnd.SERVED)
             return whole_answer(answer, closing())
@@ -80,11 +82,11 @@
         if self.attempt is not None:
             self._policy.broke_off(self.attempt.instance)
         self._release(BookingEnd.FAILED)
-        try:
-            self.attempt = await self._begin()
-        except GivenUp:
+        begun = await self._begin()
+        if isinstance(begun, GivenUp):
             return False
-        return self.attempt.streams
+        self.attempt = begun
+        return begun.streams
 
     def close(self, end: BookingEnd) -> None:
         """Give back what is held; again and again is as good as once."""
@@ -92,27 +94,28 @@
         if self._handle is not None:
             self._free(self._handle)
 
-    async def _begin(self) -> Attempt:
-        """Send until an answer is to be passed on; raises `GivenUp`."""
+    async def _begin(self) -> Attempt | GivenUp:
+        """Send until an answer is to be passed on."""
         while True:
             plan = await self._plan()
+            if isinstance(plan, GivenUp):
+                return plan
             handle = await self._read_prompt(plan)
-            attempt = await self._send(plan, handle)
-            if attempt is not None:
-                return attempt
-            self._finish_booking(BookingEnd.REJECTED)
+            result = await self._send(plan, handle)
+            if result is not None:
+                return result
 
-    async def _plan(self) -> Plan:
-        """Ask for a plan and wait until it begins; raises `GivenUp`."""
+    async def _plan(self) -> Plan | GivenUp:
+        """Ask for a plan and wait until it begins."""
         now = time.monotonic()
         left = self.deadline - now
         if left < LEAST_LEFT_S:
-            raise GivenUp(out_of_time=True)
+            return GivenUp(out_of_time=True)
         if not self._policy.may_continue():
-            raise GivenUp()
+            return GivenUp()
         planned = self.gateway.planner.plan(self._plan_request(left, now), now)
         if isinstance(planned, Refusal):
-            raise GivenUp(retry_after_s=planned.retry_after_s)
+            return GivenUp(retry_after_s=planned.retry_after_s or RETRY_AFTER_S)
         self._booking = planned.booking
         if planned.start_in_s > 0:
             await asyncio.sleep(planned.start_in_s)
@@ -155,11 +158,11 @@
         self._handle = handle
         return handle
 
-    async def _send(self, plan: Plan, handle: Handle | None) -> Attempt | None:
-        """One send to the instance that answers; the attempt if its answer is passed on."""
+    async def _send(self, plan: Plan, handle: Handle | None) -> Attempt | GivenUp | None:
+        """One send to the instance that answers; the attempt if its answer is passed on, None to go on."""
         ticket = self._policy.send(plan.decode_instance, time.monotonic(), self.gateway.view.gateways)
         if ticket is None:
-            raise GivenUp()
+            return GivenUp()
         attempt = self._new_attempt()
         extra = [(b"kv-from", handle.kv_from)] if handle is not None else []
         end = await self._send_order(attempt, plan.decode_instance, extra)
@@ -170,12 +173,11 @@
             self.gateway.planner.first_token(plan.booking, time.monotonic())
             return attempt
         self._policy.ended(ticket, end, time.monotonic())
+        self._finish_booking(BookingEnd.REJECTED if end in NOT_RUN else BookingEnd.FAILED)
         if end is AttemptEnd.FAILED:
             return self._failed(attempt)
         attempt.release()
-        if end is AttemptEnd.TIMED_OUT:
-            raise GivenUp(out_of_time=True)
-        return None
+        return GivenUp(out_of_time=True) if end is AttemptEnd.TIMED_OUT else None
 
     async def _send_order(self, attempt: Attempt, instance: str, extra: Headers) -> AttemptEnd:
         """Send with the headers that every send carries, and learn from its end."""
@@ -201,7 +203,7 @@
             return AttemptEnd.ANSWERED
         except TimeoutError:
             end = AttemptEnd.TIMED_OUT
-        except (Broken, StreamFault):
+        except Broken:
             pass
         except BaseException:
             attempt.release()
@@ -228,7 +230,7 @@
         if self._failure is not None:
             return whole_answer(self._failure, close)
         status = self._policy.status_when_given_up(given_up.out_of_time)
-        return own_answer(status, self.request.request_id, close, given_up.retry_after_s or RETRY_AFTER_S)
+        return own_answer(status, self.request.request_id, close, given_up.retry_after_s)
 
     def _settle_handle(self, end: AttemptEnd) -> None:
         """After a send that offered a handle: it was taken, may be offered once more, or is freed."""
@@ -265,8 +267,8 @@
 async def read_piece(attempt: Attempt, progress: StreamProgress) -> bytes:
     """The next bytes of a stream that can be passed on; empty at its end.
 
-    Raises `Broken` where it ends inside an event or without the end that its framing asks for, `StreamFault`
-    where its events are out of order.
+    Raises `Broken` where it ends inside an event or without the end that its framing asks for, and where
+    its events are out of order.
     """
     link, answer = attempt.link, attempt.answer
     assert link is not None
@@ -276,6 +278,8 @@
             link.channel.framer.release()
             if piece := progress.feed(answer.take()):
                 return piece
+        if progress.fault:
+            raise Broken(progress.fault)
         if answer.whole:
             if progress.partial:
                 raise Broken("the stream ended inside an event")
--- a/mallowbeam/data_plane/relay.py
+++ b/mallowbeam/data_plane/relay.py
@@ -17,7 +17,6 @@
 from mallowbeam.http.client import Broken
 from mallowbeam.http.framing import Channel, Message, in_chunks, write_head
 from mallowbeam.http.front import Reply
-from mallowbeam.streams.events import StreamFault
 from mallowbeam.streams.silence import client_patience_s, resume_after_s
 
 LAST_CHUNK = b"0\r\n\r\n"
@@ -94,7 +93,7 @@
                 return await read_piece(attempt, exchange.progress)
         except TimeoutError:
             end = AttemptEnd.TIMED_OUT
-        except (Broken, StreamFault):
+        except Broken:
             end = AttemptEnd.BROKEN
         exchange.gateway.attempt_ended(attempt.instance, end, time.monotonic())
         if not exchange.progress.resumable or not await exchange.resume():
--- a/mallowbeam/data_plane/role.py
+++ b/mallowbeam/data_plane/role.py
@@ -16,12 +16,11 @@
 from mallowbeam.data_plane.planning import LeastLoadedPlanner, Planner
 from mallowbeam.data_plane.readiness import ReadinessFront
 from mallowbeam.data_plane.retry_budget import BudgetSettings, RetryBudgets
-from mallowbeam.errors import MallowbeamError
 from mallowbeam.feed.subscriber import FeedEvents, FeedSubscriber
 from mallowbeam.http.server import Server
 from mallowbeam.processes.logs import get_logger
 from mallowbeam.processes.role import RoleContext, run_role
-from mallowbeam.processes.settings import NodeSettings, split_address
+from mallowbeam.processes.settings import NodeSettings, SettingsField, split_address
 
 TICK_S = 1.0                # between two looks at idle connections and counts
 RESERVED_FDS = 260          # descriptors that are neither a client's nor an instance's connection
@@ -35,13 +34,6 @@
 log = get_logger("mallowbeam.data_plane")
 
 
-class UnusableRole(MallowbeamError):
-    """The settings leave out an address that this role needs."""
-
-    code = "DATA_PLANE_SETTINGS"
-    remedy = "give bind_addresses.front and bind_addresses.readiness in the settings file"
-
-
 class DataPlane:
     """One gateway process."""
 
@@ -57,9 +49,9 @@
         self.subscriber = self._make_subscriber(settings)
         self.gateway.view.instances = self.subscriber.instances
         self.feed = FeedLink(self.subscriber, self._changed)
-        self.front_server = Server(_address(settings.bind_addresses.front), self.front, client_connections,
-                                   name="front", shared=False)
-        self.readiness_server = Server(_address(settings.bind_addresses.readiness),
+        front_address = _address(settings.bind_addresses.front, "front")
+        self.front_server = Server(front_address, self.front, client_connections, name="front", shared=False)
+        self.readiness_server = Server(_address(settings.bind_addresses.readiness, "readiness"),
                                        ReadinessFront(self.ready), READINESS_CONNECTIONS, name="readiness",
                                        shared=False)
 
@@ -136,9 +128,10 @@
     return clients, max(LEAST_CONNECTIONS, free - clients)
 
 
-def _address(text: str | None) -> tuple[str, int]:
+def _address(text: str | None, name: str) -> tuple[str, int]:
+    """A listener's address; raises `SettingsField` where the settings leave it out."""
     if text is None:
-        raise UnusableRole("a listener's address is missing")
+        raise SettingsField("is missing", f"bind_addresses.{name}")
     return split_address(text)
 
 
--- a/mallowbeam/streams/events.py
+++ b/mallowbeam/streams/events.py
@@ -5,21 +5,12 @@
 import re
 from dataclasses import dataclass
 
-from mallowbeam.errors import MallowbeamError
-
 MOST_EVENT_BYTES = 256 * 1024
 MOST_ID_DIGITS = 18
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
 
 
-class StreamFault(MallowbeamError):
-    """A stream that can't be passed on further: its ids do not rise, or an event has no end."""
-
-    code = "STREAM_FAULT"
-    remedy = "look at the instance that is named"
-
-
 @dataclass(frozen=True, slots=True)
 class Event:
     """One whole event."""
@@ -39,8 +30,13 @@
         """Whether part of an event waits for its end."""
         return bool(self._buffer)
 
+    @property
+    def endless(self) -> bool:
+        """Whether the event that comes in is larger than any may be."""
+        return len(self._buffer) > MOST_EVENT_BYTES
+
     def feed(self, data: bytes | bytearray) -> list[Event]:
-        """The events that are whole now; raises `StreamFault` over the bound."""
+        """The events that are whole now."""
         searched = max(0, len(self._buffer) - 3)
         self._buffer += data
         events: list[Event] = []
@@ -50,8 +46,6 @@
             events.append(Event(raw, read_id(raw)))
             start = end.end()
         del self._buffer[:start]
-        if len(self._buffer) > MOST_EVENT_BYTES:
-            raise StreamFault(f"an event of over {MOST_EVENT_BYTES} bytes")
         return events
 
     def drop_partial(self) -> None:
--- a/mallowbeam/streams/progress.py
+++ b/mallowbeam/streams/progress.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from mallowbeam.streams.events import EventParser, StreamFault, parse_id
+from mallowbeam.streams.events import EventParser, parse_id
 
 
 class StreamProgress:
@@ -16,6 +16,7 @@
         self._parser = EventParser()
         self._last_id = parse_id(last_event_id) if last_event_id is not None else None
         self.events = 0                        # passed on so far
+        self.fault = ""                        # why nothing more of this instance's stream is passed on
 
     @property
     def last_event_id(self) -> bytes | None:
@@ -28,24 +29,25 @@
         return self.resumable and self._parser.partial
 
     def feed(self, data: bytes | bytearray) -> bytes:
-        """What goes to the client of what came; raises `StreamFault` for ids that do not rise.
-
-        A call either passes on all whole events or, with a fault, none: progress then stands before them.
-        """
+        """What goes to the client of what came; where it sets `fault`, the events before that."""
         if not self.resumable:
             return bytes(data)
         whole: list[bytes] = []
-        last_id = self._last_id
+        if self.fault:
+            return b""
         for event in self._parser.feed(data):
             if event.id is not None:
-                if last_id is not None and event.id <= last_id:
-                    raise StreamFault(f"event id {event.id} behind {last_id}")
-                last_id = event.id
+                if self._last_id is not None and event.id <= self._last_id:
+                    self.fault = f"event id {event.id} behind {self._last_id}"
+                    break
+                self._last_id = event.id
             whole.append(event.raw)
-        self._last_id = last_id
+        if self._parser.endless:
+            self.fault = "an event without end"
         self.events += len(whole)
         return b"".join(whole)
 
     def broken(self) -> None:
         """The instance's stream broke: what is not a whole event is not passed on."""
         self._parser.drop_partial()
+        self.fault = ""
--- a/tests/test_data_plane_role.py
+++ b/tests/test_data_plane_role.py
@@ -73,8 +73,8 @@
     async def feed(self, connection: FrameConnection) -> None:
         connection.send(FeedFrame(heartbeat=FeedHeartbeat(gateways=1)))
         await self.told.wait()
-        row = Instance(id=self.instance.id, backend="plain", address=self.instance.address, zone="z1", slots=8,
-                       state=READY, sequence=1)
+        row = Instance(id=self.instance.id, backend="plain", address=self.instance.address, zone="z1",
+                       slots=8, state=READY, sequence=1)
         connection.send(FeedFrame(heartbeat=HEARTBEAT, configuration=to_update(DEFAULT),
                                   instances=InstancesUpdate(whole=True, instances=[row])))
         while connection.send(FeedFrame(heartbeat=HEARTBEAT)):
