--- a/mallowbeam/data_plane/exchange.py
+++ b/mallowbeam/data_plane/exchange.py
@@ -11,13 +11,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from mallowbeam.admission.messages import Outcome, Plan, PlanRequest, Refusal
 from mallowbeam.configuration.model import Engine, Route
 from mallowbeam.data_plane.answers import own_answer, whole_answer
 from mallowbeam.data_plane.attempt import Attempt, SendOrder
 from mallowbeam.data_plane.client_request import ClientRequest
 from mallowbeam.data_plane.gateway import Gateway
 from mallowbeam.data_plane.outcomes import AttemptEnd, may_pass_on
-from mallowbeam.data_plane.planning import BookingEnd, Plan, PlanRequest, Refusal
 from mallowbeam.data_plane.prefill import Handle, read_handle
 from mallowbeam.data_plane.send_policy import SendPolicy
 from mallowbeam.http.client import Broken
@@ -57,6 +57,7 @@
         self._policy = SendPolicy(gateway.budgets.of(backend), repeatable, route.max_retries)
         self._booking: int | None = None
         self._handle: Handle | None = None
+        self._head_sent = False                # part of the answer has gone out
         self._failure: Message | None = None   # a failure that is passed on if nothing better comes
 
     async def run(self, closing: Callable[[], bool]) -> Reply | None:
@@ -64,31 +65,32 @@
         try:
             begun = await self._begin()
         except BaseException:
-            self.close(BookingEnd.CANCELLED)
+            self.close(Outcome.CANCELLED)
             raise
         if isinstance(begun, GivenUp):
-            self.close(BookingEnd.CANCELLED)
+            self.close(Outcome.CANCELLED)
             return self._last_answer(begun, closing())
         self.attempt = begun
         answer = begun.answer
         if answer is not None and answer.whole and not self.attempt.streams:
-            self.close(BookingEnd.SERVED)
+            self.close(Outcome.COMPLETED)
             return whole_answer(answer, closing())
         return None
 
     async def resume(self) -> bool:
         """Take a stream that broke up at another instance; False where that is not allowed or fails."""
         self.progress.broken()
+        self._head_sent = True
         if self.attempt is not None:
             self._policy.broke_off(self.attempt.instance)
-        self._release(BookingEnd.FAILED)
+        self._release(Outcome.FAILED)
         begun = await self._begin()
         if isinstance(begun, GivenUp):
             return False
         self.attempt = begun
         return begun.streams
 
-    def close(self, end: BookingEnd) -> None:
+    def close(self, end: Outcome) -> None:
         """Give back what is held; again and again is as good as once."""
         self._release(end)
         if self._handle is not None:
@@ -126,10 +128,11 @@
         request, route, gateway = self.request, self.route, self.gateway
         ejected = gateway.health.excluded(gateway.view.instance_ids(self._backend), now)
         return PlanRequest(
-            backend=self._backend, engine=self._engine, prompt_parts=request.prompt_parts,
+            request_id=request.request_id.decode("latin-1"), backend=self._backend, engine=self._engine,
+            prompt_parts=request.prompt_parts,
             prompt_tokens=request.prompt_tokens, answer_tokens=request.answer_tokens, priority=route.priority,
             target_latency_s=route.target_latency_ms / 1000, time_left_s=left, zone=gateway.zone,
-            excluded=ejected | self._policy.excluded)
+            excluded=ejected | self._policy.excluded, resumed=self._head_sent)
 
     async def _read_prompt(self, plan: Plan) -> Handle | None:
         """The handle that the plan's decode instance is offered; None where it reads the prompt itself."""
@@ -173,7 +176,7 @@
             self.gateway.planner.first_token(plan.booking, time.monotonic())
             return attempt
         self._policy.ended(ticket, end, time.monotonic())
-        self._finish_booking(BookingEnd.REJECTED if end in NOT_RUN else BookingEnd.FAILED)
+        self._finish_booking(Outcome.REJECTED if end in NOT_RUN else Outcome.FAILED)
         if end is AttemptEnd.FAILED:
             return self._failed(attempt)
         attempt.release()
@@ -252,13 +255,13 @@
     def _new_attempt(self) -> Attempt:
         return Attempt(self.gateway.pool, self.gateway.view)
 
-    def _release(self, end: BookingEnd) -> None:
+    def _release(self, end: Outcome) -> None:
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
             attempt.release()
         self._finish_booking(end)
 
-    def _finish_booking(self, end: BookingEnd) -> None:
+    def _finish_booking(self, end: Outcome) -> None:
         booking, self._booking = self._booking, None
         if booking is not None:
             self.gateway.planner.finished(booking, end, time.monotonic())
--- a/mallowbeam/data_plane/gateway.py
+++ b/mallowbeam/data_plane/gateway.py
@@ -13,6 +13,7 @@
 from mallowbeam.data_plane.retry_budget import RetryBudgets
 from mallowbeam.feed.instances import InstanceChanges
 from mallowbeam.health.ejection import Ejection
+from mallowbeam.rpc.messages_pb2 import ENDED, Instance
 
 UNREACHED = frozenset((AttemptEnd.NO_CONNECTION, AttemptEnd.NOT_SENT, AttemptEnd.BROKEN,
                        AttemptEnd.TIMED_OUT))
@@ -37,7 +38,7 @@
         """Put another configuration in force."""
         self.view.set_configuration(configuration)
         self.budgets.keep_only(frozenset(configuration.backends))
-        self.planner.instances_changed(self.view.instances, configuration, now)
+        self.planner.configuration_changed(configuration.backends.values(), now)
 
     def instances_changed(self, changes: InstanceChanges, now: float) -> None:
         """The table of instances is another one."""
@@ -45,14 +46,14 @@
         for instance in changes.ended:
             self.pool.forget(instance)
             self.health.forget(instance)
-        if self.view.configuration is not None:
-            self.planner.instances_changed(self.view.instances, self.view.configuration, now)
+        ended = [Instance(id=instance, state=ENDED) for instance in changes.ended]
+        self.planner.instances_changed([*changes.changed, *ended], now)
 
     def set_gateways(self, count: int) -> None:
         """Share instances and budgets with so many gateways, this one included."""
         if count != self.view.gateways:
             self.view.gateways = max(1, count)
-            self.planner.gateways(self.view.gateways)
+            self.planner.gateways_changed(self.view.gateways)
 
     def attempt_ended(self, instance: str, end: AttemptEnd, now: float) -> None:
         """Count an attempt and learn from it."""
--- a/mallowbeam/data_plane/relay.py
+++ b/mallowbeam/data_plane/relay.py
@@ -10,10 +10,10 @@
 import time
 from collections.abc import Callable
 
+from mallowbeam.admission.messages import Outcome
 from mallowbeam.data_plane.answers import passed_headers
 from mallowbeam.data_plane.exchange import Exchange, read_piece
 from mallowbeam.data_plane.outcomes import AttemptEnd
-from mallowbeam.data_plane.planning import BookingEnd
 from mallowbeam.http.client import Broken
 from mallowbeam.http.framing import Channel, Message, in_chunks, write_head
 from mallowbeam.http.front import Reply
@@ -28,7 +28,7 @@
     def __init__(self, exchange: Exchange, request: Message, closing: Callable[[], bool]) -> None:
         self._exchange, self._request, self._closing = exchange, request, closing
         self._chunked = True
-        self._end = BookingEnd.CANCELLED
+        self._end = Outcome.CANCELLED
 
     def reply(self) -> Reply:
         """The reply that passes the answer on."""
@@ -41,7 +41,7 @@
             attempt = self._exchange.attempt
             whole = await (self._stream(channel) if attempt is not None and attempt.streams
                            else self._plain(channel))
-            self._end = BookingEnd.SERVED if whole else BookingEnd.FAILED
+            self._end = Outcome.COMPLETED if whole else Outcome.FAILED
             return whole
         finally:
             self._exchange.close(self._end)
--- a/mallowbeam/data_plane/role.py
+++ b/mallowbeam/data_plane/role.py
@@ -7,13 +7,15 @@
 import time
 from random import Random
 
+from mallowbeam.admission.planner import Planner as FleetPlanner
+from mallowbeam.admission.settings import PlannerSettings
 from mallowbeam.configuration.changes import apply_update
 from mallowbeam.configuration.model import Configuration
 from mallowbeam.data_plane.feed_link import FeedLink
 from mallowbeam.data_plane.front import ClientFront
 from mallowbeam.data_plane.gateway import Gateway
 from mallowbeam.data_plane.link_pool import LinkPool
-from mallowbeam.data_plane.planning import LeastLoadedPlanner, Planner
+from mallowbeam.data_plane.planning import Planner
 from mallowbeam.data_plane.readiness import ReadinessFront
 from mallowbeam.data_plane.retry_budget import BudgetSettings, RetryBudgets
 from mallowbeam.feed.subscriber import FeedEvents, FeedSubscriber
@@ -43,8 +45,9 @@
         client_connections, instance_connections = divide_descriptors(settings.limits.max_fds)
         bounds = settings.bounds
         budget = BudgetSettings(bounds.retry_budget_ratio, bounds.budget_window_s, int(bounds.min_retries))
-        self.gateway = Gateway(settings.zone, LinkPool(instance_connections), RetryBudgets(budget),
-                               planner if planner is not None else LeastLoadedPlanner())
+        if planner is None:
+            planner = FleetPlanner(PlannerSettings(), settings.node_name)
+        self.gateway = Gateway(settings.zone, LinkPool(instance_connections), RetryBudgets(budget), planner)
         self.front = ClientFront(self.gateway, settings.limits.memory_mb)
         self.subscriber = self._make_subscriber(settings)
         self.gateway.view.instances = self.subscriber.instances
--- a/tests/test_data_plane_path.py
+++ b/tests/test_data_plane_path.py
@@ -4,8 +4,12 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
-from mallowbeam.data_plane.planning import LeastLoadedPlanner, Plan, PlanRequest, Refusal
+from mallowbeam.admission.messages import Plan, PlanRequest, Refusal, RefusalReason
+from mallowbeam.admission.planner import Planner
+from mallowbeam.admission.settings import PlannerSettings
+from mallowbeam.data_plane.planning import LeastLoadedPlanner
 from mallowbeam.data_plane.retry_budget import BudgetSettings
 from mallowbeam.standins.model_server import Fault
 from tests.gateway_bench import ENGINE, Bench, events, read_answer, read_head, request_bytes
@@ -29,12 +33,12 @@
         planned = super().plan(request, now)
         if isinstance(planned, Refusal) or self.prefill in request.excluded:
             return planned
-        return Plan(planned.booking, planned.decode_instance, self.prefill)
+        return replace(planned, prefill_instance=self.prefill)
 
 
 class Refusing(OneByName):
     def plan(self, request: PlanRequest, now: float) -> Plan | Refusal:
-        return Refusal(0.7, "full")
+        return Refusal(0.7, RefusalReason.NO_CYCLE)
 
 
 class PlainRequests(unittest.IsolatedAsyncioTestCase):
@@ -222,6 +226,20 @@
                     await asyncio.sleep(0)
 
 
+class WithFleetPlanner(unittest.IsolatedAsyncioTestCase):
+    async def test_whole_path(self):
+        async with Bench(planner=Planner(PlannerSettings())) as bench:
+            prefill = await bench.add("p-1", ENGINE, "prefill")
+            decode = await bench.add("d-1", ENGINE, "decode")
+            plain = await bench.add("i-1")
+            self.assertEqual((await bench.ask("/safe/")).status, 200)
+            prompt = {"Model": "m", "Token-Usage": "1460,80", "Prompt-Prefix": "5c1e07a2:1200,e4402b7d:260"}
+            answer = await bench.ask("/stream/", headers=prompt)
+            self.assertEqual((answer.whole, answer.body), (True, events()))
+            self.assertEqual([len(one.seen) for one in (prefill, decode, plain)], [1, 1, 1])
+            self.assertEqual(bench.gateway.planner.bookings, {})
+
+
 class Prefill(unittest.IsolatedAsyncioTestCase):
     async def bench(self, bench: Bench):
         return (await bench.add("p-1", ENGINE, "prefill"), await bench.add("d-1", ENGINE, "decode"),
