--- a/mallowbeam/data_plane/attempt.py
+++ b/mallowbeam/data_plane/attempt.py
@@ -33,6 +33,7 @@
     request: ClientRequest
     extra: Headers                             # the gateway's own headers
     deadline: float                            # steady time by which the answer must be there
+    signed: bool = True                        # whether a success carries its instance's signature
 
 
 class Attempt:
@@ -95,7 +96,7 @@
         head = write_request(request.method, request.target, headers, len(request.body))
         await link.request(head, request.body, bodiless=request.method == b"HEAD")
         answer = self.answer = await link.head()
-        end = judge_answer(answer, request.request_id, first)
+        end = judge_answer(answer, request.request_id, first, order.signed)
         if end is AttemptEnd.BROKEN:
             answer.keep_alive = False
             self.release()
--- a/mallowbeam/data_plane/exchange.py
+++ b/mallowbeam/data_plane/exchange.py
@@ -149,7 +149,8 @@
         attempt = self._new_attempt()
         address = self.gateway.view.instances[plan.prefill_instance].address \
             if plan.prefill_instance in self.gateway.view.instances else ""
-        end = await self._send_order(attempt, plan.prefill_instance, [(b"stage", b"prefill")])
+        end = await self._send_order(attempt, plan.prefill_instance, [(b"stage", b"prefill")],
+                                     signed=False)
         now = time.monotonic()
         handle = read_handle(attempt, address, now) if end is AttemptEnd.ANSWERED else None
         attempt.release()
@@ -182,13 +183,14 @@
         attempt.release()
         return GivenUp(out_of_time=True) if end is AttemptEnd.TIMED_OUT else None
 
-    async def _send_order(self, attempt: Attempt, instance: str, extra: Headers) -> AttemptEnd:
+    async def _send_order(self, attempt: Attempt, instance: str, extra: Headers,
+                          signed: bool = True) -> AttemptEnd:
         """Send with the headers that every send carries, and learn from its end."""
         if self._engine is not None:
             extra = [*extra, (b"priority", b"%d" % min(self.route.priority, 9))]
         if self.progress.last_event_id is not None:
             extra = [*extra, (b"last-event-id", self.progress.last_event_id)]
-        order = SendOrder(self._backend, instance, self.request, extra, self.deadline)
+        order = SendOrder(self._backend, instance, self.request, extra, self.deadline, signed)
         try:
             end = await attempt.send(order)
         except BaseException:
--- a/mallowbeam/data_plane/outcomes.py
+++ b/mallowbeam/data_plane/outcomes.py
@@ -29,11 +29,13 @@
     ANSWERED = "answered"                      # an answer that is passed on
 
 
-def judge_answer(answer: Message, request_id: bytes, first_on_connection: bool) -> AttemptEnd:
+def judge_answer(answer: Message, request_id: bytes, first_on_connection: bool,
+                 signed: bool = True) -> AttemptEnd:
     """What an answer's head says.
 
     An answer that names another request is a late one of its connection's earlier requests; one without a
-    name is only believed where there was no earlier request.
+    name is only believed where there was no earlier request.  `signed` is False where a success carries no
+    signature, as a prefill call's does.
     """
     echoed = answer.get(b"request-id")
     if echoed != request_id and (echoed is not None or not first_on_connection):
@@ -42,7 +44,7 @@
         return AttemptEnd.MISDIRECTED
     if answer.get(b"not-executed") is not None:
         return AttemptEnd.REJECTED
-    if 200 <= answer.status < 300 and answer.get(b"server-signature") is None:
+    if signed and 200 <= answer.status < 300 and answer.get(b"server-signature") is None:
         return AttemptEnd.BROKEN
     if answer.status >= 500 or answer.status in PROMISES:
         return AttemptEnd.FAILED
