Consensus: a change needs voters that are in touch; a simulated world, checkers, walks

Cause: a leader could take a membership that it can never commit; the core was not tested. Change: a change is refused unless a majority of its voters answered lately; tests' world, walker and variants.

--- a/mallowbeam/consensus/leadership.py
+++ b/mallowbeam/consensus/leadership.py
@@ -9,7 +9,14 @@
 
 from mallowbeam.consensus.errors import MembershipChangeError, NotLeaderError, OverloadedError, TransferError
 from mallowbeam.consensus.interface import MemberProgress, Proposal, ReadResult
-from mallowbeam.consensus.membership import CHANGE_STEP, check_change, members_of, reached_by_majority
+from mallowbeam.consensus.membership import (
+    CHANGE_STEP,
+    check_change,
+    majority_of,
+    members_of,
+    reached_by_majority,
+    voters_of,
+)
 from mallowbeam.consensus.progress import Progress
 from mallowbeam.consensus.reads import ReadQueue
 from mallowbeam.consensus.replication import Replicator
@@ -150,10 +157,21 @@
         if current.index > state.commit_index:
             raise MembershipChangeError("a change is pending", step=CHANGE_STEP)
         check_change(current.membership, membership)
+        self._check_in_touch(current.voters, voters_of(membership))
         proposal = self._append(MEMBERSHIP, membership.SerializeToString())
         self._sync_members()
         return proposal
 
+    def _check_in_touch(self, old: frozenset[int], new: frozenset[int]) -> None:
+        """Refuse voters of whom no majority was heard of lately: they could not commit their own membership."""
+        if new == old:
+            return
+        since = self._state.now - self._state.settings.election_most
+        others = [self._progress[voter] for voter in new if voter in self._progress]
+        in_touch = [progress for progress in others if progress.in_touch(since)]
+        if len(in_touch) + (self._state.own_id in new) < majority_of(len(new)):
+            raise MembershipChangeError("most of the new voters are out of touch", step=CHANGE_STEP)
+
     def _sync_members(self) -> None:
         """Keep one progress for each other member."""
         state = self._state
@@ -233,9 +251,9 @@
     def _best_voter(self) -> int | None:
         """The voter with the most of the log among those heard of lately."""
         state = self._state
-        lately = state.now - state.settings.election_least
+        since = state.now - state.settings.election_least
         candidates = [voter for voter in sorted(state.voters - {state.own_id})
-                      if self._progress[voter].last_heard >= lately]
+                      if self._progress[voter].in_touch(since)]
         return max(candidates, key=lambda voter: self._progress[voter].match_index, default=None)
 
     def _hand_over(self) -> None:
--- a/mallowbeam/consensus/progress.py
+++ b/mallowbeam/consensus/progress.py
@@ -23,7 +23,7 @@
         self.next_index = next_index           # the next entry to send
         self.commit_told = 0                   # the highest commit index sent
         self.acknowledged_round = 0
-        self.last_heard = now
+        self.last_heard = now                  # at first, when it was taken in
         self.probe_sent = False
         self.snapshot_index = 0                # of the snapshot under way
         self.snapshot_sent = now
@@ -55,6 +55,10 @@
         self.last_heard = now
         self.acknowledged_round = max(self.acknowledged_round, round_number)
 
+    def in_touch(self, since: float) -> bool:
+        """Whether the member has answered, and has done so since then."""
+        return self.acknowledged_round > 0 and self.last_heard >= since
+
     def matched(self, index: int) -> bool:
         """Note that the logs are equal up to `index`; whether that is more than was known."""
         advanced = index > self.match_index
--- /dev/null
+++ b/tests/consensus_checkers.py
@@ -0,0 +1,195 @@
+"""What must hold of a simulated group at every moment; a breach raises Violation with the checker's name."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from zlib import crc32
+
+from mallowbeam.consensus.interface import ReadResult, Send
+from mallowbeam.consensus.membership import majority_of, voters_of
+from mallowbeam.consensus.node import Role
+from mallowbeam.rpc.messages_pb2 import COMMAND, MEMBERSHIP, Entry, Membership
+
+if TYPE_CHECKING:
+    from consensus_world import Machine, World
+
+
+class Violation(AssertionError):
+    """A breach of what must hold."""
+
+    def __init__(self, checker: str, what: str) -> None:
+        super().__init__(f"{checker}: {what}")
+        self.checker = checker
+
+
+@dataclass(frozen=True)
+class Applied:
+    """A state machine's state: how many commands, and a digest of them in their order."""
+
+    count: int = 0
+    digest: int = 0
+
+    def after(self, entry: Entry) -> Applied:
+        if entry.kind != COMMAND:
+            return self
+        return Applied(self.count + 1, crc32(entry.payload, self.digest))
+
+    def to_bytes(self) -> bytes:
+        return f"{self.count} {self.digest}".encode()
+
+    @classmethod
+    def of_bytes(cls, state: bytes) -> Applied:
+        return cls(*map(int, state.split())) if state else cls()
+
+
+@dataclass
+class Operation:
+    """A client's write or read. `floor`: commands that were certain when it was invoked."""
+
+    floor: int
+    invoked: float
+
+
+class Checkers:
+    """All checkers of one world. They see what members do, and look at the disks."""
+
+    def __init__(self, world: World, first_index: int, first_membership: Membership) -> None:
+        self.world = world
+        self.first_index = first_index
+        self.committed: list[Entry] = []       # the one true order, behind the first index
+        self.states = [Applied()]              # after each of them
+        self.membership = first_membership     # the last that was committed
+        self.leaders: dict[int, int] = {}      # member by term
+        self.commit_seen: dict[tuple[int, int], int] = {}
+        self.certain = 0                       # commands acknowledged, or seen by a read that ended
+        self.acknowledged = 0
+        self.reads_confirmed = 0
+        self.reads_refused = 0
+
+    # ------------------------------------------------------------ durable before said
+
+    def sends(self, machine: Machine, send: Send) -> None:
+        """Look at a message that leaves: what it claims must be on the disk."""
+        message, disk = send.message, machine.disk
+        kind = message.WhichOneof("body")
+        if kind == "vote_response" and not message.vote_response.pre_vote:
+            self._vote_durable(machine, send.recipient, message.vote_response)
+        elif kind == "vote_request" and not message.vote_request.pre_vote:
+            state = (disk.hard_state.term, disk.hard_state.vote)
+            if state != (message.vote_request.term, machine.member_id):
+                raise Violation("durable vote", f"{machine.member_id} asks for votes, its disk has {state}")
+        elif kind == "append_response":
+            response = message.append_response
+            if disk.hard_state.term < response.term:
+                raise Violation("durable term", f"{machine.member_id} answers in term {response.term}")
+            if response.success and disk.last_index < response.match_index:
+                raise Violation("durable entries", f"{machine.member_id} confirms {response.match_index}, "
+                                                   f"its disk ends at {disk.last_index}")
+
+    def _vote_durable(self, machine: Machine, candidate: int, response) -> None:
+        state = machine.disk.hard_state
+        if state.term < response.term:
+            raise Violation("durable term", f"{machine.member_id} answers a candidate in {response.term}")
+        if response.granted and state.term == response.term and state.vote != candidate:
+            raise Violation("durable vote", f"{machine.member_id} grants {candidate}, its disk has {state.vote}")
+
+    # ------------------------------------------------------------ leaders and commits
+
+    def after(self, machine: Machine) -> None:
+        """Look at a member after an event."""
+        node = machine.node
+        key = (machine.member_id, machine.incarnation)
+        if node.commit_index < self.commit_seen.get(key, 0):
+            raise Violation("commit index", f"{machine.member_id} falls back to {node.commit_index}")
+        self.commit_seen[key] = node.commit_index
+        if node.role is Role.LEADER:
+            self._leads(machine)
+
+    def _leads(self, machine: Machine) -> None:
+        node = machine.node
+        leader = self.leaders.get(node.term)
+        if leader == machine.member_id:
+            return
+        if leader is not None:
+            raise Violation("one leader a term", f"{leader} and {machine.member_id} in term {node.term}")
+        self.leaders[node.term] = machine.member_id
+        log = node._state.log
+        for entry in self.committed:
+            if entry.index > log.base_index and log.term_at(entry.index) != entry.term:
+                raise Violation("committed entries", f"new leader {machine.member_id} of term {node.term} "
+                                                     f"lacks entry {entry.index} of term {entry.term}")
+
+    def commits(self, machine: Machine, entry: Entry) -> Applied:
+        """A member hands out a committed entry; the state after it."""
+        position = entry.index - self.first_index - 1
+        if position > len(self.committed):
+            raise Violation("state machine", f"{machine.member_id} skips to {entry.index}")
+        if position == len(self.committed):
+            self._first_commit(machine, entry)
+        elif self.committed[position] != entry:
+            raise Violation("state machine", f"{machine.member_id} applies another entry at {entry.index}: "
+                                             f"term {entry.term}, not {self.committed[position].term}")
+        return self.states[position + 1]
+
+    def _first_commit(self, machine: Machine, entry: Entry) -> None:
+        voters = voters_of(machine.node.membership)
+        holders = [voter for voter in voters if self.world.disk_of(voter).holds(entry)]
+        if len(holders) < majority_of(len(voters)):
+            raise Violation("durable on a majority", f"entry {entry.index} of term {entry.term} is committed by "
+                                                     f"{machine.member_id}, held by {holders} of {set(voters)}")
+        self.committed.append(entry)
+        self.states.append(self.states[-1].after(entry))
+        if entry.kind == MEMBERSHIP:
+            membership = Membership.FromString(entry.payload)
+            if len(voters_of(membership) ^ voters_of(self.membership)) > 1:
+                raise Violation("membership", f"entry {entry.index} changes more than one voter")
+            self.membership = membership
+
+    def installs(self, machine: Machine, index: int, applied: Applied) -> None:
+        """A member takes a snapshot's state."""
+        if not self.first_index <= index <= self.first_index + len(self.committed):
+            raise Violation("state machine", f"{machine.member_id} installs a snapshot at {index}")
+        if self.states[index - self.first_index] != applied:
+            raise Violation("state machine", f"{machine.member_id} installs another state at {index}")
+
+    # ------------------------------------------------------------ clients
+
+    def invoke(self) -> Operation:
+        return Operation(self.certain, self.world.now)
+
+    def write_acknowledged(self, operation: Operation, position: int) -> None:
+        """`position`: the command's place in the order, from 1."""
+        if position <= operation.floor:
+            raise Violation("linearizable", f"write at {position}, though {operation.floor} ended before it began")
+        self.acknowledged += 1
+        self.certain = max(self.certain, position)
+
+    def read_ended(self, operation: Operation, result: ReadResult, count: int) -> None:
+        if not result.confirmed:
+            self.reads_refused += 1
+            return
+        if count < operation.floor:
+            raise Violation("linearizable", f"read sees {count} commands, {operation.floor} were certain before")
+        self.reads_confirmed += 1
+        self.certain = max(self.certain, count)
+
+    # ------------------------------------------------------------ logs
+
+    def logs_match(self) -> None:
+        """Two logs that agree in the term at an index agree in all before it."""
+        logs = [machine.node._state.log for machine in self.world.machines.values() if machine.node]
+        for position, one in enumerate(logs):
+            for other in logs[position + 1:]:
+                self._match(one, other)
+
+    def _match(self, one, other) -> None:
+        least = max(one.base_index, other.base_index)
+        agreed = False
+        for index in range(min(one.last_index, other.last_index), least, -1):
+            same = one.term_at(index) == other.term_at(index)
+            if agreed and not same:
+                raise Violation("log matching", f"logs agree behind {index}, not there")
+            if same and one.slice(index, index) != other.slice(index, index):
+                raise Violation("log matching", f"two entries at {index} in term {one.term_at(index)}")
+            agreed = agreed or same
--- /dev/null
+++ b/tests/consensus_variants.py
@@ -0,0 +1,158 @@
+"""The core broken on purpose, one rule at a time: each variant patches it while its context is open."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, contextmanager
+from unittest import mock
+
+from mallowbeam.consensus import leadership, membership
+from mallowbeam.consensus.election import Election
+from mallowbeam.consensus.follower import Follower
+from mallowbeam.consensus.leadership import Leadership
+from mallowbeam.consensus.log import RaftLog
+from mallowbeam.consensus.membership import MembershipAt, MembershipHistory, members_of
+from mallowbeam.consensus.persistence import Persistence
+from mallowbeam.consensus.state import MemberState
+
+Variant = Callable[[], AbstractContextManager[object]]
+
+
+def commits_older_terms_by_count() -> AbstractContextManager[object]:
+    """A leader commits an older term's entry as soon as a majority has it."""
+    def advance_commit(self: Leadership) -> None:
+        state = self._state
+        reached = int(self._reached(state.persistence.durable_index, lambda progress: progress.match_index))
+        if reached > state.commit_index:
+            state.commit_to(reached)
+            self._confirm_rounds()
+    return mock.patch.object(Leadership, "advance_commit", advance_commit)
+
+
+def vote_not_durable() -> AbstractContextManager[object]:
+    """Votes are granted before they are durable."""
+    return mock.patch.object(Persistence, "answer", Persistence.send_now)
+
+
+def own_vote_not_durable() -> AbstractContextManager[object]:
+    """A candidate asks for votes, and counts its own, before that one is durable."""
+    @contextmanager
+    def patched() -> Iterator[None]:
+        campaign = Election.campaign
+
+        def hasty(self: Election, transfer: bool = False) -> None:
+            with mock.patch.object(Persistence, "send_after_write", Persistence.send_now):
+                campaign(self, transfer)
+            self._votes[self._state.own_id] = True
+            self._count()
+        with mock.patch.object(Election, "campaign", hasty):
+            yield
+    return patched()
+
+
+def answers_before_write() -> AbstractContextManager[object]:
+    """A follower confirms entries before they are durable."""
+    def confirm(self: Follower, leader: int, last: int, round_number: int, waits: bool) -> None:
+        self._answer(leader, success=True, match_index=last, round_number=round_number)
+    return mock.patch.object(Follower, "_confirm", confirm)
+
+
+def leader_counts_unwritten() -> AbstractContextManager[object]:
+    """A leader counts itself for entries that its storage has not written."""
+    return mock.patch.object(Persistence, "durable_index",
+                             property(lambda self: self._log.last_index, lambda self, value: None), create=True)
+
+
+def dropped_entries_count() -> AbstractContextManager[object]:
+    """A write under way still makes entries durable that were dropped meanwhile."""
+    return mock.patch.object(Persistence, "entries_dropped", lambda self, first: None)
+
+
+def reads_without_round() -> AbstractContextManager[object]:
+    """A leader confirms reads without asking a majority."""
+    def read(self: Leadership, read_id: int) -> None:
+        self._reads.add(read_id, 0)
+        self._confirm_rounds()
+    return mock.patch.object(Leadership, "read", read)
+
+
+def reads_before_own_commit() -> AbstractContextManager[object]:
+    """A new leader confirms reads before an entry of its term is committed."""
+    return mock.patch.object(Leadership, "_own_term_committed", property(lambda self: True))
+
+
+def learners_count() -> AbstractContextManager[object]:
+    """Learners count as voters."""
+    def with_all(index: int, held: membership.Membership) -> MembershipAt:
+        return MembershipAt(index, held, members_of(held))
+    return mock.patch.object(membership, "membership_at", with_all)
+
+
+def changes_without_overlap() -> AbstractContextManager[object]:
+    """A membership may differ from the last one in any number of voters."""
+    return mock.patch.object(leadership, "check_change", lambda old, new: None)
+
+
+def membership_not_rolled_back() -> AbstractContextManager[object]:
+    """A membership stays in force though its entry was dropped."""
+    return mock.patch.object(MembershipHistory, "truncate", lambda self, first_index: None)
+
+
+def votes_without_log_check() -> AbstractContextManager[object]:
+    """Votes go to candidates whatever their logs hold."""
+    def may_grant(self: Election, sender: int, request) -> bool:
+        state = self._state
+        if request.term < state.term:
+            return False
+        return request.pre_vote or state.leader_id is None and state.vote in (0, sender)
+    return mock.patch.object(Election, "_may_grant", may_grant)
+
+
+def commits_beyond_match() -> AbstractContextManager[object]:
+    """A follower takes the leader's commit index for entries that it has not compared."""
+    def commit_to(self: MemberState, index: int) -> None:
+        self.commit_index = max(self.commit_index, min(index, self.log.last_index))
+
+    @contextmanager
+    def patched() -> Iterator[None]:
+        append = Follower.append
+
+        def hasty(self: Follower, leader: int, request) -> None:
+            append(self, leader, request)
+            self._state.commit_to(request.commit)
+        with (mock.patch.object(Follower, "append", hasty), mock.patch.object(MemberState, "commit_to", commit_to)):
+            yield
+    return patched()
+
+
+def conflicts_kept() -> AbstractContextManager[object]:
+    """A follower keeps own entries where a leader's differ in their term."""
+    def term_blind_merge(self: RaftLog, entries) -> int | None:
+        self.append([entry for entry in entries if entry.index > self.last_index])
+        return None
+    return mock.patch.object(RaftLog, "merge", term_blind_merge)
+
+
+def no_pre_vote() -> AbstractContextManager[object]:
+    """A member begins a new term without asking whether it would be elected."""
+    def start(self: Election) -> None:
+        self._state.campaigns += 1
+        self.campaign()
+    return mock.patch.object(Election, "_start", start)
+
+
+def no_check_quorum() -> AbstractContextManager[object]:
+    """A leader that hears of nobody goes on."""
+    def note_contact(self: Leadership) -> None:
+        self._state.leader_contact = self._state.now
+    return mock.patch.object(Leadership, "_note_contact", note_contact)
+
+
+def no_stickiness() -> AbstractContextManager[object]:
+    """Votes are granted though a leader is live."""
+    return mock.patch.object(MemberState, "leader_is_live", property(lambda self: False))
+
+
+def stalled_leader_stays() -> AbstractContextManager[object]:
+    """A member takes no note of a write that stands still."""
+    return mock.patch.object(MemberState, "stalled", property(lambda self: False))
--- /dev/null
+++ b/tests/consensus_walker.py
@@ -0,0 +1,277 @@
+"""Random schedules: members under random troubles, each drawn from one seed.
+
+``python tests/consensus_walker.py FIRST COUNT`` plays seeds and prints those that fail.
+"""
+
+from __future__ import annotations
+
+import sys
+from dataclasses import dataclass
+from random import Random
+
+from consensus_checkers import Violation
+from consensus_world import Machine, World, with_member, without_member
+
+from mallowbeam.consensus.interface import RaftSettings
+from mallowbeam.consensus.membership import majority_of, voters_of
+from mallowbeam.consensus.progress import Mode
+
+TROUBLE_SECONDS = 5.0          # troubles begin within this time
+QUIET_SECONDS = 8.0            # after it all is mended; the group must be whole again by its end
+STEP_SECONDS = 0.05            # mean time between two steps of clients
+TROUBLES = ("kill", "power_off", "start", "start", "freeze", "thaw", "thaw", "cut", "cut_one_way", "isolate",
+            "heal", "heal", "slow_disk", "stall_disk", "mend_disk", "mend_disk", "compact", "compact", "transfer",
+            "add", "promote", "demote", "remove", "wipe", "power_off_all")
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What a walk saw."""
+
+    seed: int
+    acknowledged: int
+    reads_confirmed: int
+    terms: int
+    snapshots: int
+    changes: int
+
+
+class Walk:
+    """One random schedule."""
+
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
+        self.random = Random(seed)
+        settings = self._settings()
+        self.world = World(seed, voters=self.random.choice((1, 2, 3, 3, 3, 4, 5, 5, 8)),
+                           learners=self.random.choice((0, 0, 1)), settings=settings)
+        self._network()
+        for machine in self.world.machines.values():
+            machine.clock_rate = self.random.uniform(0.9, 1.1)
+        self.troubles = {name: getattr(self, f"_{name}") for name in TROUBLES}
+        self.pace = self.random.choice((0.1, 0.3, 0.6))        # mean seconds between troubles
+
+    def _settings(self) -> RaftSettings:
+        if self.random.random() < 0.3:
+            return RaftSettings(member_id=0)
+        return RaftSettings(member_id=0, entries_per_message=self.random.randint(1, 4),
+                            messages_in_flight=self.random.randint(1, 4), trailing_entries=self.random.randint(0, 4),
+                            bytes_per_message=40, snapshot_retry=0.5)
+
+    def _network(self) -> None:
+        network = self.world.network
+        if self.random.random() < 0.5:
+            network.delay = (0.0005, self.random.choice((0.003, 0.02, 0.1)))
+            network.loss = self.random.choice((0.0, 0.05, 0.2))
+            network.duplicates = self.random.choice((0.0, 0.1))
+            network.reordered = self.random.random() < 0.5
+
+    def play(self) -> Outcome:
+        """Troubles, then quiet; raises Violation."""
+        self.world.at(0.3, self._client)
+        self.world.at(0.5, self._trouble)
+        self.world.run(TROUBLE_SECONDS)
+        self._mend()
+        self._settles()
+        self.world.checkers.logs_match()
+        checkers = self.world.checkers
+        snapshots = sum(machine.installed for machine in self.world.machines.values())
+        changes = sum(entry.kind == 2 for entry in checkers.committed)
+        return Outcome(self.seed, checkers.acknowledged, checkers.reads_confirmed, len(checkers.leaders),
+                       snapshots, changes)
+
+    # ------------------------------------------------------------ clients
+
+    def _client(self) -> None:
+        machines = list(self.world.machines.values())
+        leaders = [machine for machine in machines if machine.leads]
+        machine = self.random.choice(leaders or machines)
+        if self.random.random() < 0.6:
+            self.world.propose(machine)
+        else:
+            self.world.read(machine)
+        self.world.at(self.world.now + self.random.expovariate(1 / STEP_SECONDS), self._client)
+
+    # ------------------------------------------------------------ troubles
+
+    def _trouble(self) -> None:
+        if self.world.now >= TROUBLE_SECONDS:
+            return
+        self.troubles[self.random.choice(TROUBLES)](self._any())
+        self.world.at(self.world.now + self.random.expovariate(1 / self.pace), self._trouble)
+
+    def _any(self) -> Machine:
+        leader = self.world.leader()
+        if leader is not None and self.random.random() < 0.4:
+            return leader
+        return self.random.choice(list(self.world.machines.values()))
+
+    def _kill(self, machine: Machine) -> None:
+        machine.crash()
+
+    def _power_off(self, machine: Machine) -> None:
+        machine.crash(durable_writes=0)
+
+    def _power_off_all(self, machine: Machine) -> None:
+        for each in self.world.machines.values():
+            each.crash(durable_writes=0)
+        for each in self.world.machines.values():
+            self.world.at(self.world.now + self.random.uniform(0.0, 0.5), each.start)
+
+    def _start(self, machine: Machine) -> None:
+        for each in self.world.machines.values():
+            each.start()
+
+    def _freeze(self, machine: Machine) -> None:
+        machine.freeze()
+
+    def _thaw(self, machine: Machine) -> None:
+        for each in list(self.world.machines.values()):
+            each.thaw()
+
+    def _cut(self, machine: Machine) -> None:
+        self.world.cut(machine.member_id, self._any().member_id)
+
+    def _cut_one_way(self, machine: Machine) -> None:
+        self.world.cut(machine.member_id, self._any().member_id, both=False)
+
+    def _isolate(self, machine: Machine) -> None:
+        self.world.isolate(machine.member_id)
+
+    def _heal(self, machine: Machine) -> None:
+        self.world.heal()
+
+    def _slow_disk(self, machine: Machine) -> None:
+        machine.latency = (0.05, 0.4)
+
+    def _stall_disk(self, machine: Machine) -> None:
+        machine.stall()
+
+    def _mend_disk(self, machine: Machine) -> None:
+        for each in self.world.machines.values():
+            each.latency = (0.002, 0.006)
+            each.unstall()
+
+    def _compact(self, machine: Machine) -> None:
+        machine.compact()
+
+    def _transfer(self, machine: Machine) -> None:
+        machine.transfer(self.random.choice((None, self._any().member_id)))
+
+    # ------------------------------------------------------------ membership
+
+    def _add(self, machine: Machine) -> None:
+        if len(self.world.machines) < 9:
+            self._join(self.world.add_machine(self.world.next_id))
+
+    def _join(self, joiner: Machine) -> None:
+        joiner.clock_rate = self.random.uniform(0.9, 1.1)
+        joiner.clock_offset = (1 - joiner.clock_rate) * self.world.now
+        member_id = joiner.member_id
+        self.world.change(lambda membership: any(member.id == member_id for member in membership.members),
+                          lambda membership: with_member(membership, member_id, voter=False), TROUBLE_SECONDS)
+
+    def _learners(self) -> list[int]:
+        membership = self.world.checkers.membership
+        return [member.id for member in membership.members if not member.voter and member.id in self.world.machines]
+
+    def _promote(self, machine: Machine) -> None:
+        learners = self._learners()
+        if learners and machine.leads:
+            chosen = self.random.choice(learners)
+            machine.change_membership(with_member(machine.node.membership, chosen, voter=True))
+
+    def _demote(self, machine: Machine) -> None:
+        voters = sorted(voters_of(self.world.checkers.membership))
+        if len(voters) > 2 and machine.leads:
+            chosen = self.random.choice(voters)
+            machine.change_membership(with_member(machine.node.membership, chosen, voter=False))
+
+    def _remove(self, machine: Machine) -> None:
+        members = [member.id for member in self.world.checkers.membership.members]
+        if len(members) > 2 and machine.leads:
+            chosen = self.random.choice(members)
+            machine.change_membership(without_member(machine.node.membership, chosen))
+
+    def _wipe(self, machine: Machine) -> None:
+        """Only where a majority keeps its disks, in any membership that may be in force."""
+        for membership in self._memberships():
+            voters = voters_of(membership)
+            kept = [voter for voter in voters if voter in self.world.machines and voter != machine.member_id]
+            if len(kept) < majority_of(len(voters)):
+                return
+        self._join(self.world.wipe(machine.member_id))
+
+    def _memberships(self):
+        yield self.world.checkers.membership
+        for machine in self.world.machines.values():
+            if machine.node is not None and machine.node.membership.members:
+                yield machine.node.membership
+            yield from machine.disk.memberships()
+
+    # ------------------------------------------------------------ the end
+
+    def _mend(self) -> None:
+        network = self.world.network
+        network.loss, network.duplicates, network.reordered = 0.0, 0.0, False
+        network.delay = (0.0005, 0.003)
+        self._heal(None)
+        self._mend_disk(None)
+        self._start(None)
+        self._thaw(None)
+
+    def _settles(self) -> None:
+        """All members end up with the same log, and writes and reads go through."""
+        world = self.world
+        reads = world.checkers.reads_confirmed
+        acknowledged = world.checkers.acknowledged
+        until = TROUBLE_SECONDS + QUIET_SECONDS
+
+        def unsettled() -> bool:
+            goes_on = world.checkers.reads_confirmed > reads and world.checkers.acknowledged > acknowledged
+            return not (goes_on and self._agree())
+        if world.run_while(unsettled, until):
+            raise Violation("recovery", "the group is not whole again in time")
+
+    def _agree(self) -> bool:
+        world = self.world
+        leader = world.leader()
+        if leader is None:
+            return False
+        members = [member.id for member in leader.node.membership.members if member.id in world.machines]
+        progress = leader.node._leadership._progress
+        modes = [progress[member].mode for member in members if member in progress]
+        lags = [leader.applied_index - world.machines[member].applied_index for member in members]
+        return max(lags) <= 5 and all(mode is Mode.REPLICATE for mode in modes)
+
+
+def play(seed: int) -> Outcome:
+    """Play one seed; a violation names it."""
+    try:
+        return Walk(seed).play()
+    except Exception as error:
+        error.add_note(f"consensus walk, seed {seed}: python tests/consensus_walker.py {seed} 1")
+        raise
+
+
+def main() -> None:
+    first, number = int(sys.argv[1]), int(sys.argv[2])
+    failed = 0
+    totals = [0] * 5
+    for seed in range(first, first + number):
+        try:
+            outcome = Walk(seed).play()
+        except Exception as error:
+            failed += 1
+            print(f"seed {seed}: {type(error).__name__}: {error}", flush=True)
+            continue
+        seen = (outcome.acknowledged, outcome.reads_confirmed, outcome.terms, outcome.snapshots, outcome.changes)
+        totals = [total + value for total, value in zip(totals, seen, strict=True)]
+    print(f"{number} schedules from seed {first}: {failed} failed; acknowledged writes {totals[0]}, confirmed "
+          f"reads {totals[1]}, terms with a leader {totals[2]}, snapshots installed {totals[3]}, committed "
+          f"memberships {totals[4]}")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
