--- a/mallowbeam/consensus/storage/files.py
+++ b/mallowbeam/consensus/storage/files.py
@@ -25,14 +25,15 @@
 
 
 def make_folder(folder: str) -> None:
-    """Make a folder with those above it and make their names durable; does nothing where it exists."""
-    if os.path.isdir(folder):
-        return
+    """Make a folder with those above it, if absent, and make its name durable.
+
+    The name of a folder that exists is made durable too: a process that was killed may have made it.
+    """
     above = os.path.dirname(os.path.abspath(folder))
-    make_folder(above)
-    with contextlib.suppress(FileExistsError):
+    if not os.path.isdir(folder):
+        if not os.path.isdir(above):
+            make_folder(above)
         os.mkdir(folder)
-    sync_folder(folder)
     sync_folder(above)
 
 
--- a/mallowbeam/consensus/storage/store.py
+++ b/mallowbeam/consensus/storage/store.py
@@ -69,6 +69,8 @@
             make_folder(folder)
             remove_file(os.path.join(folder, UNFINISHED))
             exists = os.path.exists(store._path)
+            if exists:
+                sync_folder(folder)            # a killed process may have renamed the file and not done this
         if exists:
             store._open_environment()
             store._identity = store._read_identity()
--- /dev/null
+++ b/tests/storage_disk.py
@@ -0,0 +1,327 @@
+"""A stand-in disk under the replica store, for cuts of power at every call.
+
+lmdb makes its system calls by itself, so its file is compared before and after each transaction. The rest
+(opens, writes, syncs, renames, removals) goes through a stand-in for `os`. Beside the real files the disk
+keeps what is durable and what was written since, in lmdb's documented order: data pages, sync, meta page.
+After every call that changes something `moment` is called; `draw` then makes a folder as a power loss may
+leave it. After a failed sync what was not durable is read back as written, but no later sync covers it,
+as Linux has it.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+from unittest import mock
+
+import lmdb
+
+from mallowbeam.consensus.storage import files, seal, store
+
+SECTOR = 512
+META_START, META_END = 32, 152             # what lmdb writes into a meta page
+
+
+@dataclass(slots=True)
+class Inode:
+    """A file's bytes: durable, writes that a failed sync gave up, and each write since the last sync."""
+
+    kept: bytes = b""
+    since: list[tuple[int, bytes]] = field(default_factory=list)
+    given_up: list[tuple[int, bytes]] = field(default_factory=list)
+
+    def now(self) -> bytes:
+        """The bytes as read now."""
+        data = bytearray(self.kept)
+        for offset, written in self.given_up + self.since:
+            put(data, offset, written)
+        return bytes(data)
+
+    def sync(self) -> None:
+        """Make durable what was written since the last sync."""
+        data = bytearray(self.kept)
+        for offset, written in self.since:
+            put(data, offset, written)
+            self.given_up = outside(self.given_up, offset, offset + len(written))
+        self.kept, self.since = bytes(data), []
+
+    def fail(self) -> None:
+        """A sync has failed."""
+        self.given_up += self.since
+        self.since = []
+
+    def copy(self) -> Inode:
+        """The same, apart."""
+        return Inode(self.kept, list(self.since), list(self.given_up))
+
+
+class Disk:
+    """One folder on the stand-in disk."""
+
+    def __init__(self, root: str, moment: Callable[[str], None] = lambda label: None) -> None:
+        self.root = root
+        self.moment = moment
+        self.names: dict[str, Inode] = {}      # as seen now
+        self.kept: dict[str, Inode] = {}       # as durable
+        self.faults: dict[str, Exception] = {}
+
+    def load(self, names: dict[str, Inode], kept: dict[str, Inode]) -> None:
+        """Put files there, with what is not durable yet; `kept` are the durable names."""
+        os.makedirs(self.root, exist_ok=True)
+        copies = {id(inode): inode.copy() for inode in (*names.values(), *kept.values())}
+        self.names = {name: copies[id(inode)] for name, inode in names.items()}
+        self.kept = {name: copies[id(inode)] for name, inode in kept.items()}
+        for name, inode in self.names.items():
+            with open(os.path.join(self.root, name), "wb") as file:
+                file.write(inode.now())
+
+    def changed(self, call: str, name: str) -> None:
+        """A call has changed something."""
+        self.moment(f"{call} {name}")
+
+    def due(self, call: str) -> None:
+        """Raise the error scripted for a call, once."""
+        error = self.faults.pop(call, None)
+        if error is not None:
+            raise error
+
+    def sync(self, name: str) -> None:
+        """A file's sync keeps its bytes and the name it was made under; a new name needs the folder's."""
+        inode = self.names[name]
+        inode.sync()
+        if not any(inode is kept for kept in self.kept.values()):
+            self.kept[name] = inode
+
+    def sync_names(self) -> None:
+        """The folder's sync."""
+        self.kept = dict(self.names)
+
+
+def draw(disk: Disk, chance: random.Random) -> dict[str, bytes]:
+    """The files as a power loss leaves them: each unsynced name and write present, missing or torn."""
+    tear = chance.choice((missing, whole, mixed, mixed, mixed, mixed))
+    found: dict[str, bytes] = {}
+    for name in sorted({**disk.kept, **disk.names}):
+        inode = disk.kept.get(name)
+        if inode is not disk.names.get(name) and chance.random() < 0.5:
+            inode = disk.names.get(name)
+        if inode is None:
+            continue
+        data = bytearray(inode.kept)
+        for offset, written in inode.given_up + inode.since:
+            for start, end in tear(len(written), offset, chance):
+                put(data, offset + start, written[start:end])
+        found[name] = bytes(data)
+    return found
+
+
+def missing(length: int, offset: int, chance: random.Random) -> list[tuple[int, int]]:
+    """Nothing of a write came through."""
+    return []
+
+
+def whole(length: int, offset: int, chance: random.Random) -> list[tuple[int, int]]:
+    """All of it."""
+    return [(0, length)]
+
+
+def mixed(length: int, offset: int, chance: random.Random) -> list[tuple[int, int]]:
+    """The parts of a write that came through: none, all, start, end, middle, any sectors, any bytes."""
+    first, second = sorted((chance.randint(0, length), chance.randint(0, length)))
+    kind = chance.randrange(7)
+    if kind < 2:
+        return [(0, length)][:kind]
+    if kind == 2:
+        return [(0, first)]
+    if kind == 3:
+        return [(first, length)]
+    if kind == 4:
+        return [(first, second)]
+    if kind == 5:
+        edges = [0, *range(SECTOR - offset % SECTOR, length, SECTOR), length]
+        spans = zip(edges, edges[1:], strict=False)
+        return [span for span in spans if chance.random() < 0.5]
+    return [(at, at + 1) for at in range(min(length, 4096)) if chance.random() < 0.5]
+
+
+def outside(writes: list[tuple[int, bytes]], start: int, end: int) -> list[tuple[int, bytes]]:
+    """What is left of writes where another one covers a range."""
+    left = []
+    for offset, written in writes:
+        before, behind = max(0, start - offset), max(0, end - offset)
+        left += [(offset, written[:before]), (offset + behind, written[behind:])]
+    return [(offset, written) for offset, written in left if written]
+
+
+def put(data: bytearray, offset: int, written: bytes) -> None:
+    """A write into a file's bytes."""
+    if written and len(data) < offset:
+        data += bytes(offset - len(data))
+    data[offset:offset + len(written)] = written
+
+
+class Calls:
+    """Stands for `os` and `lmdb` in the store's modules; what lies on no stand-in disk goes through."""
+
+    def __init__(self) -> None:
+        self.disks: list[Disk] = []
+        self.open_files: dict[int, tuple[Disk, str]] = {}
+        self.deaf = False                      # syncs do nothing: to show that a missing one is noticed
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(os, name)
+
+    @contextlib.contextmanager
+    def standing_in(self) -> Iterator[Calls]:
+        """Until the end of the block."""
+        lmdb_calls = mock.Mock(wraps=lmdb, Error=lmdb.Error)
+        lmdb_calls.open = self.open_environment
+        with contextlib.ExitStack() as stack:
+            for module in (files, seal, store):
+                stack.enter_context(mock.patch.object(module, "os", self))
+            stack.enter_context(mock.patch.object(store, "lmdb", lmdb_calls))
+            yield self
+
+    def place(self, path: str) -> tuple[Disk | None, str]:
+        """The disk and name of a path; the empty name is the folder itself."""
+        for disk in reversed(self.disks):
+            if path == disk.root or path.startswith(disk.root + os.sep):
+                return disk, path[len(disk.root) + 1:]
+        return None, ""
+
+    # ------------------------------------------------------------ calls of os
+
+    def open(self, path: str, flags: int) -> int:
+        """Open an existing file or the folder."""
+        disk, name = self.place(path)
+        if disk is not None:
+            disk.due("open")
+        descriptor = os.open(path, flags)
+        if disk is not None:
+            self.open_files[descriptor] = (disk, name)
+        return descriptor
+
+    def close(self, descriptor: int) -> None:
+        """Close it."""
+        self.open_files.pop(descriptor, None)
+        os.close(descriptor)
+
+    def pwrite(self, descriptor: int, data: bytes, offset: int) -> int:
+        """Write, not durable yet."""
+        if descriptor not in self.open_files:
+            return os.pwrite(descriptor, data, offset)
+        disk, name = self.open_files[descriptor]
+        disk.due("pwrite")
+        written = os.pwrite(descriptor, data, offset)
+        disk.names[name].since.append((offset, data[:written]))
+        disk.changed("pwrite", name)
+        return written
+
+    def fdatasync(self, descriptor: int) -> None:
+        """Make a file, or the folder's names, durable."""
+        if descriptor not in self.open_files:
+            os.fdatasync(descriptor)
+            return
+        if self.deaf:
+            return
+        disk, name = self.open_files[descriptor]
+        try:
+            disk.due("sync")
+        except OSError:
+            disk.names[name].fail()
+            raise
+        if name:
+            disk.sync(name)
+        else:
+            disk.sync_names()
+        disk.changed("sync", name)
+
+    fsync = fdatasync
+
+    def rename(self, source: str, target: str) -> None:
+        """Another name, not durable yet."""
+        disk, name = self.place(source)
+        os.rename(source, target)
+        if disk is not None:
+            disk.names[self.place(target)[1]] = disk.names.pop(name)
+            disk.changed("rename", name)
+
+    def unlink(self, path: str) -> None:
+        """Remove a name, not durable yet."""
+        disk, name = self.place(path)
+        os.unlink(path)
+        if disk is not None:
+            del disk.names[name]
+            disk.changed("unlink", name)
+
+    # ------------------------------------------------------------ lmdb
+
+    def open_environment(self, path: str, **options: Any) -> Any:
+        """lmdb's open: of a new file it writes the meta pages without a sync."""
+        disk, name = self.place(path)
+        if disk is None:
+            return lmdb.open(path, **options)
+        environment = lmdb.open(path, **options)
+        data = read(path)
+        if name not in disk.names:
+            disk.names[name] = Inode(b"", [(0, data)])
+            disk.changed("lmdb.open", name)
+        assert data == disk.names[name].now(), "lmdb.open changed an existing file"
+        return Environment(environment, disk, name)
+
+
+class Environment:
+    """An lmdb environment whose write transactions are seen by the disk."""
+
+    def __init__(self, environment: Any, disk: Disk, name: str) -> None:
+        self._environment, self._disk, self._name = environment, disk, name
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._environment, name)
+
+    @contextlib.contextmanager
+    def begin(self, write: bool = False) -> Iterator[Any]:
+        """A transaction; a commit is taken apart into its steps."""
+        if not write:
+            with self._environment.begin() as transaction:
+                yield transaction
+            return
+        with self._environment.begin(write=True) as transaction:
+            yield transaction
+            self._disk.due("commit")
+            assert self._read() == self._inode().now(), "put or delete wrote to the file"
+            self._disk.changed("put and delete", self._name)
+        self._committed(self._inode(), self._read())
+
+    def _committed(self, inode: Inode, after: bytes) -> None:
+        before = inode.now()
+        pages = range(2 * seal.PAGE_BYTES, len(after), seal.PAGE_BYTES)
+        for start in pages:
+            page = after[start:start + seal.PAGE_BYTES]
+            if page != before[start:start + seal.PAGE_BYTES]:
+                inode.since.append((start, page))
+                self._disk.changed("commit: page", self._name)
+        self._disk.sync(self._name)
+        self._disk.changed("commit: sync", self._name)
+        for slot in seal.SLOTS:
+            start, end = slot * seal.PAGE_BYTES + META_START, slot * seal.PAGE_BYTES + META_END
+            if after[start:end] != before[start:end]:
+                inode.since.append((start, after[start:end]))
+        assert len(inode.since) <= 1 and inode.now() == after, "lmdb wrote elsewhere"
+        self._disk.changed("commit: meta page", self._name)
+
+    def _inode(self) -> Inode:
+        return self._disk.names[self._name]
+
+    def _read(self) -> bytes:
+        return read(os.path.join(self._disk.root, self._name))
+
+
+def read(path: str) -> bytes:
+    """All bytes of a file."""
+    with open(path, "rb") as file:
+        return file.read()
--- /dev/null
+++ b/tests/storage_trial.py
@@ -0,0 +1,183 @@
+"""Trials of power loss: a store lives on a stand-in disk; after every call, images are drawn and opened.
+
+Run for longer: ``python tests/storage_trial.py --images 20000 --seed 1``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import collections
+import errno
+import os
+import random
+import shutil
+import tempfile
+from dataclasses import dataclass, field
+
+from storage_disk import Calls, Disk, Inode, draw
+from storage_model import FIRST, IDENTITY, Model, draw_batch
+
+from mallowbeam.consensus.interface import Write
+from mallowbeam.consensus.storage import ReplicaStore, StoreFailedError, StoreFullError
+from mallowbeam.consensus.storage.store import FILE
+
+DISK_MB = 16
+
+
+class Lost(AssertionError):
+    """An image did not open with what was acknowledged."""
+
+
+@dataclass
+class Trial:
+    """One seed's trial in a temporary folder."""
+
+    seed: int
+    images_a_moment: int = 3
+    again: float = 0.2                         # chance of a second loss at each call while opening
+    calls: Calls = field(default_factory=Calls)
+    counts: collections.Counter[str] = field(default_factory=collections.Counter)
+    allowed: list[Model | None] = field(default_factory=lambda: [None])     # None: no state yet
+
+    def run(self, batches: int) -> collections.Counter[str]:
+        """A store's life: made, written, opened again; returns how many images of each kind were opened."""
+        self.chance = random.Random(self.seed)
+        self.folder = tempfile.mkdtemp(prefix="mallowbeam-store-")
+        try:
+            with self.calls.standing_in():
+                self._live(batches)
+        finally:
+            shutil.rmtree(self.folder)
+        return self.counts
+
+    def _live(self, batches: int) -> None:
+        self.disk = Disk(os.path.join(self.folder, "live"))
+        self.disk.load({}, {})
+        self.disk.moment = lambda label: self._cut(self.disk, label, 0)
+        self.calls.disks.append(self.disk)
+        store = ReplicaStore.open(self.disk.root, DISK_MB)
+        model = Model()
+        self.allowed = [None, model]
+        store.create(IDENTITY, FIRST)
+        self.allowed = [model]
+        for _ in range(batches):
+            writes = draw_batch(model, self.chance)
+            self.allowed = [model, model.after_all(writes)]
+            if self.chance.random() < 0.15:
+                self._fail(store, model, writes)
+            store.write(writes)
+            model = model.after_all(writes)
+            self.allowed = [model]
+            self._cut(self.disk, "acknowledged", 0)
+            if self.chance.random() < 0.1:
+                store.close()
+                store = ReplicaStore.open(self.disk.root, DISK_MB)
+        store.close()
+        self.allowed = [model, None]
+        ReplicaStore.discard(self.disk.root)
+        self.allowed = [None]
+        self._cut(self.disk, "discarded", 0)
+
+    def _fail(self, store: ReplicaStore, model: Model, writes: list[Write]) -> None:
+        """The disk refuses one call: the batch is not claimed, and is tried again."""
+        call = self.chance.choice(("commit", "pwrite", "sync"))
+        code = self.chance.choice((errno.ENOSPC, errno.EIO))
+        self.disk.faults[call] = OSError(code, os.strerror(code))
+        kind = StoreFullError if code == errno.ENOSPC else StoreFailedError
+        try:
+            store.write(writes)
+        except kind:
+            self.counts[f"refused: {call}"] += 1
+        else:
+            raise Lost(f"seed {self.seed}: a refused {call} went unnoticed")
+        self._cut(self.disk, "refused", 0)
+        if self.chance.random() < 0.5:
+            if store.load() != model.restored():
+                raise Lost(f"seed {self.seed}: a batch that failed is claimed")
+            self.allowed = [model]
+            self._cut(self.disk, "rolled back", 0)
+            self.allowed = [model, model.after_all(writes)]
+
+    # ------------------------------------------------------------ cuts
+
+    def _cut(self, disk: Disk, label: str, depth: int) -> None:
+        """The power is lost now; and, at some moments, the process is killed now and the power lost later."""
+        if depth > 0 and self.chance.random() > self.again:
+            return
+        for _ in range(self.images_a_moment if depth == 0 else 1):
+            image = {name: Inode(data) for name, data in draw(disk, self.chance).items()}
+            self._reopen(image, image, f"power lost, {label}", depth)
+        failed_sync = any(file.given_up for file in disk.names.values())
+        if depth == 0 and not failed_sync and self.chance.random() < 0.3:
+            self._reopen(disk.names, disk.kept, f"killed, {label}", depth)
+
+    def _reopen(self, names: dict[str, Inode], kept: dict[str, Inode], label: str, depth: int) -> None:
+        """Open an image; power is lost again during that and after it. What was once read stays."""
+        self.counts[f"{label} (depth {depth})"] += 1
+        self.counts["images"] += 1
+        outer = self.allowed
+        disk = Disk(tempfile.mkdtemp(prefix="image-", dir=self.folder))
+        disk.load(names, kept)
+        if depth < 2:
+            disk.moment = lambda inner: self._cut(disk, f"reopened: {inner}", depth + 1)
+        self.calls.disks.append(disk)
+        try:
+            found = self._found(disk, label)
+            self.allowed = [found]
+            disk.changed("opened", FILE)
+            if depth == 0 and found is not None and self.chance.random() < 0.3:
+                self._go_on(disk, found, label)
+        finally:
+            self.allowed = outer
+            self.calls.disks.remove(disk)
+            shutil.rmtree(disk.root)
+
+    def _found(self, disk: Disk, label: str) -> Model | None:
+        """What the image holds, which must be allowed."""
+        store = ReplicaStore.open(disk.root, DISK_MB)
+        try:
+            if store.identity is None:
+                found = None
+            else:
+                restored = store.load()
+                found = Model(restored.hard_state, restored.snapshot, restored.entries)
+        finally:
+            store.close()
+        if found not in self.allowed or store.identity not in (None, IDENTITY):
+            raise Lost(f"seed {self.seed}, {label}: not what was acknowledged")
+        return found
+
+    def _go_on(self, disk: Disk, model: Model, label: str) -> None:
+        """Two more batches, then all of it is read back: the store is whole, not only readable."""
+        moment, disk.moment = disk.moment, lambda inner: None
+        store = ReplicaStore.open(disk.root, DISK_MB)
+        for _ in range(2):
+            writes = draw_batch(model, self.chance)
+            store.write(writes)
+            model = model.after_all(writes)
+        store.close()
+        self.allowed = [model]
+        self._found(disk, f"{label}, written on")
+        disk.moment = moment
+        self.counts["written on"] += 1
+
+
+def main() -> None:
+    """Trials until so many images were opened."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--images", type=int, default=5000)
+    parser.add_argument("--batches", type=int, default=30)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    counts: collections.Counter[str] = collections.Counter()
+    seed = options.seed
+    while counts["images"] < options.images:
+        counts += Trial(seed).run(options.batches)
+        seed += 1
+    for label, count in sorted(counts.items()):
+        print(f"{count:8} {label}")
+    print(f"seeds {options.seed} to {seed - 1}: every image opened with what was acknowledged")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_storage_power.py
@@ -0,0 +1,103 @@
+"""Power loss at every call of the replica store, and that the trial notices each protection that is missing."""
+
+from __future__ import annotations
+
+import contextlib
+import subprocess
+import sys
+import unittest
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from storage_trial import Lost, Trial
+
+from mallowbeam.consensus.storage import ReplicaStore, StoreError, seal, store
+
+SEEDS = range(100, 103)
+BATCHES = 8
+
+
+class PowerLoss(unittest.TestCase):
+    def test_every_image_opens_with_what_was_acknowledged(self) -> None:
+        counts = sum((Trial(seed, images_a_moment=2).run(BATCHES) for seed in SEEDS), start=Trial(0).counts)
+        self.assertGreater(counts["images"], 500)
+        for call in ("lmdb.open replica.new", "rename replica.new", "put and delete replica.lmdb",
+                     "commit: page replica.lmdb", "commit: meta page replica.lmdb", "pwrite replica.lmdb",
+                     "sync replica.lmdb", "unlink replica.lmdb", "acknowledged", "refused"):
+            self.assertGreater(counts[f"power lost, {call} (depth 0)"], 0, call)
+        self.assertGreater(counts["power lost, reopened: pwrite replica.lmdb (depth 1)"], 0)
+        self.assertGreater(counts["written on"], 50)
+
+
+class MissingProtections(unittest.TestCase):
+    """Each variant lacks one step; some image must then be lost."""
+
+    def notices(self, broken: Callable[[Trial], contextlib.AbstractContextManager[Any]]) -> None:
+        for seed in range(200, 230):
+            trial = Trial(seed)
+            try:
+                with broken(trial):
+                    trial.run(BATCHES)
+            except (Lost, StoreError):
+                return
+        self.fail("the trial did not notice")
+
+    def test_no_seal_check(self) -> None:
+        unchecked = seal._read_page
+
+        def trusting(descriptor: int, slot: int) -> seal.MetaPage:
+            page = unchecked(descriptor, slot)
+            return seal.MetaPage(slot, page.transaction, True, 0, page.content)
+
+        self.notices(lambda trial: mock.patch.object(seal, "_read_page", trusting))
+
+    def test_no_sync_while_opening(self) -> None:
+        self.notices(lambda trial: deaf_in(trial, ReplicaStore, "_restore_meta_pages"))
+
+    def test_no_sync_of_the_meta_page(self) -> None:
+        self.notices(lambda trial: deaf_in(trial, ReplicaStore, "_seal_and_sync"))
+
+    def test_no_sync_of_the_first_state(self) -> None:
+        self.notices(lambda trial: deaf_in(trial, ReplicaStore, "_write_first_state"))
+
+    def test_no_sync_of_the_folder_after_the_first_state(self) -> None:
+        self.notices(lambda trial: mock.patch.object(store, "sync_folder", lambda folder: None))
+
+    def test_no_roll_back_after_a_failure(self) -> None:
+        newest = seal.newest_sealed
+        self.notices(lambda trial: mock.patch.object(seal, "newest_sealed", lambda pages, at_most: newest(pages)))
+
+    def test_no_replacement_of_a_torn_meta_page(self) -> None:
+        """lmdb may end the process here, so it runs in one of its own."""
+        script = ("from unittest import mock\n"
+                  "from storage_trial import Trial\n"
+                  "from mallowbeam.consensus.storage import seal\n"
+                  "with mock.patch.object(seal, 'replace_page', lambda *_: None):\n"
+                  f"    for seed in range(200, 230): Trial(seed).run({BATCHES})\n")
+        here = Path(__file__).parent
+        path = {"PYTHONPATH": f"{here}:{here.parent}", "PYTHONDONTWRITEBYTECODE": "1"}
+        ended = subprocess.run([sys.executable, "-c", script], env=path, capture_output=True, check=False)
+        self.assertNotEqual(ended.returncode, 0)
+        self.assertTrue(ended.returncode < 0 or b"Lost" in ended.stderr or b"Store" in ended.stderr, ended.stderr)
+
+
+@contextlib.contextmanager
+def deaf_in(trial: Trial, owner: type, name: str) -> Iterator[None]:
+    """Syncs do nothing while this method runs."""
+    method = getattr(owner, name)
+
+    def deaf(*arguments: Any) -> Any:
+        trial.calls.deaf = True
+        try:
+            return method(*arguments)
+        finally:
+            trial.calls.deaf = False
+
+    with mock.patch.object(owner, name, deaf):
+        yield
+
+
+if __name__ == "__main__":
+    unittest.main()
