--- a/mallowbeam/consensus/storage/store.py
+++ b/mallowbeam/consensus/storage/store.py
@@ -68,9 +68,8 @@
         with raised_as_store_error("open", folder):
             make_folder(folder)
             remove_file(os.path.join(folder, UNFINISHED))
+            sync_folder(folder)                # a killed process may have renamed a file and not done this
             exists = os.path.exists(store._path)
-            if exists:
-                sync_folder(folder)            # a killed process may have renamed the file and not done this
         if exists:
             store._open_environment()
             store._identity = store._read_identity()
