--- a/mallowbeam/consensus/storage/store.py
+++ b/mallowbeam/consensus/storage/store.py
@@ -68,6 +68,7 @@
         with raised_as_store_error("open", folder):
             make_folder(folder)
             remove_file(os.path.join(folder, UNFINISHED))
+            sync_folder(folder)                # a killed process may have renamed a file and not done this
             exists = os.path.exists(store._path)
         if exists:
             store._open_environment()
