--- a/tests/configuration_costs.py
+++ b/tests/configuration_costs.py
@@ -1,4 +1,4 @@
-"""Measures parsing, differences and updates of configurations: ``python -m tests.configuration_costs``."""
+"""Measures parsing, differences and updates: ``PYTHONPATH=. python tests/configuration_costs.py``."""
 
 from __future__ import annotations
 
@@ -6,12 +6,13 @@
 from collections.abc import Callable
 from statistics import median
 
+from configuration_documents import body_of, large_document
+
 from mallowbeam.configuration.changes import apply_update, difference, to_update
 from mallowbeam.configuration.model import Configuration
 from mallowbeam.configuration.parsing import ConfigurationParser, parse_configuration
 from mallowbeam.configuration.versions import ConfigurationVersions, put_command
 from mallowbeam.rpc.messages_pb2 import ConfigurationUpdate
-from tests.configuration_documents import body_of, large_document
 
 SIZES = (100, 1_000, 4_000)
 REPEATS = 7
--- a/tests/configuration_documents.py
+++ b/tests/configuration_documents.py
@@ -47,7 +47,7 @@
 
 def document(revision: int = 7) -> dict[str, Any]:
     """A copy to change."""
-    changed = copy.deepcopy(DOCUMENT)
+    changed: dict[str, Any] = copy.deepcopy(DOCUMENT)
     changed["revision"] = revision
     return changed
 
@@ -73,7 +73,7 @@
 
 def large_route(number: int, services: int) -> dict[str, Any]:
     """One route of a large document."""
-    route = copy.deepcopy(DOCUMENT["routes"][1 if number % 4 == 0 else 0])
+    route: dict[str, Any] = copy.deepcopy(DOCUMENT["routes"][1 if number % 4 == 0 else 0])
     route.update(name=f"r-{number}", hostname=f"host-{number // 5}.example", path_prefix=f"/path-{number}/")
     if "backend" in route:
         route["backend"] = f"service-{number % services}"
--- a/tests/configuration_fuzz.py
+++ b/tests/configuration_fuzz.py
@@ -1,4 +1,4 @@
-"""Random damage to configurations: ``python -m tests.configuration_fuzz SEED COUNT``.
+"""Random damage to configurations: ``PYTHONPATH=. python tests/configuration_fuzz.py SEED COUNT``.
 
 Each damaged body must be refused with a `ConfigurationError`, or taken and then carried without loss: as JSON
 in the canonical document, and as values in the message to gateways.
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import copy
 import json
 import random
 import sys
@@ -13,11 +14,12 @@
 from collections.abc import Callable
 from typing import Any
 
+from configuration_documents import body_of, document
+
 from mallowbeam.configuration.changes import apply_update, to_update
 from mallowbeam.configuration.errors import ConfigurationError
 from mallowbeam.configuration.parsing import ConfigurationParser, parse_configuration
 from mallowbeam.rpc.messages_pb2 import ConfigurationUpdate
-from tests.configuration_documents import body_of, document
 
 MOST_BYTES = 100_000
 VALUES: tuple[Any, ...] = (
@@ -54,7 +56,7 @@
 def replace(source: random.Random, value: Any) -> bytes:
     """Another value somewhere."""
     path = source.choice(paths(value))
-    parent_of(value, path)[path[-1]] = source.choice(VALUES)
+    parent_of(value, path)[path[-1]] = copy.deepcopy(source.choice(VALUES))
     return body_of(value)
 
 
--- /dev/null
+++ b/tests/configuration_scenario.py
@@ -0,0 +1,201 @@
+"""Scenarios of members that apply one log of configurations, and of gateways that follow them.
+
+One step a line; ``#`` starts a comment. Members apply what is in the log at once unless they lag.
+
+    members a b c                       the members, with nothing taken yet
+    keep 3                              how many digests each of them remembers (before `members`)
+    document NAME revision=4 routes=2 timeout=500
+                                        a document, sent under NAME below; routes and timeout may be left out
+    put NAME on=3 RESULT                a command reaches the log; every member must come to RESULT
+    refused NAME CODE [where=PATH]      the document is refused before it reaches the log
+    lag b / catch-up b                  b applies nothing, and then all
+    restart b                           b is built again from its own snapshot
+    snapshot a b                        b is built again from a's snapshot, wherever it stood
+    current NAME                        every member that does not lag holds exactly this document
+    current b NAME                      so does b, lagging or not; NAME may be `nothing`
+    follow g a                          gateway g goes over to a, which sends it the whole configuration
+    update g                            its member sends what changed since it last sent something, or all
+                                        of it where g finds that this builds on another revision
+    mismatches g COUNT                  how often g found that
+    holds g NAME                        what g has in force
+"""
+
+from __future__ import annotations
+
+import json
+import shlex
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from configuration_documents import DOCUMENT, body_of, large_route
+
+from mallowbeam.configuration.changes import apply_update, difference, to_update
+from mallowbeam.configuration.errors import ConfigurationError, UpdateMismatch
+from mallowbeam.configuration.model import Configuration
+from mallowbeam.configuration.parsing import parse_configuration
+from mallowbeam.configuration.versions import TAKEN_KEPT, ConfigurationVersions, put_command
+from mallowbeam.rpc.messages_pb2 import CommandResult, PutConfiguration, ReplicatedState
+
+SCENARIOS = Path(__file__).parent / "scenarios" / "configuration"
+NewVersions = Callable[[int], ConfigurationVersions]
+
+
+def new_versions(taken_kept: int) -> ConfigurationVersions:
+    """The program's own state machine; tests hand in broken ones."""
+    return ConfigurationVersions(taken_kept=taken_kept)
+
+
+@dataclass
+class Member:
+    """A member and how far it has applied the log."""
+
+    versions: ConfigurationVersions
+    applied: int = 0
+    lags: bool = False
+
+
+@dataclass
+class Gateway:
+    """A gateway, the member that it follows, and what that member last sent."""
+
+    member: str = ""
+    sent: Configuration | None = None
+    mismatches: int = 0
+    held: Configuration | None = None
+
+
+@dataclass
+class Scenario:
+    """The world of one file."""
+
+    new_versions: NewVersions = new_versions
+    taken_kept: int = TAKEN_KEPT
+    documents: dict[str, dict[str, Any]] = field(default_factory=dict)
+    members: dict[str, Member] = field(default_factory=dict)
+    gateways: dict[str, Gateway] = field(default_factory=dict)
+    log: list[PutConfiguration] = field(default_factory=list)
+    results: list[CommandResult] = field(default_factory=list)
+
+    def run(self, text: str) -> None:
+        """Play every line; raises `AssertionError` with the line that failed."""
+        for number, line in enumerate(text.splitlines(), 1):
+            words = shlex.split(line, comments=True)
+            if not words:
+                continue
+            step = getattr(self, "do_" + words[0].replace("-", "_"))
+            try:
+                step(*words[1:])
+            except AssertionError as error:
+                raise AssertionError(f"line {number}, {line.strip()!r}: {error}") from None
+
+    def do_keep(self, count: str) -> None:
+        self.taken_kept = int(count)
+
+    def do_members(self, *names: str) -> None:
+        for name in names:
+            self.members[name] = Member(self.new_versions(self.taken_kept))
+
+    def do_document(self, name: str, *settings: str) -> None:
+        options = dict(setting.split("=") for setting in settings)
+        routes = [large_route(number, 2) for number in range(int(options.get("routes", 2)))]
+        for route in routes:
+            route["timeout_ms"] = int(options.get("timeout", 2500))
+        services = [{**DOCUMENT["backends"][0], "name": f"service-{number}"} for number in range(2)]
+        self.documents[name] = {
+            **DOCUMENT, "revision": int(options["revision"]), "routes": routes, "backends": services,
+        }
+
+    def do_put(self, name: str, based_on: str, result: str) -> None:
+        parsed = parse_configuration(body_of(self.documents[name]))
+        self.log.append(put_command(parsed, int(based_on.removeprefix("on="))))
+        self.results.append(CommandResult.Value(result))
+        for member in self.members.values():
+            self.apply(member)
+
+    def do_refused(self, name: str, code: str, where: str = "where=") -> None:
+        try:
+            parse_configuration(body_of(self.documents[name]))
+        except ConfigurationError as error:
+            assert error.code == code, f"refused with {error.code}"
+            assert error.where.startswith(where.removeprefix("where=")), f"refused at {error.where}"
+            return
+        raise AssertionError("was not refused")
+
+    def do_lag(self, name: str) -> None:
+        self.members[name].lags = True
+
+    def do_catch_up(self, name: str) -> None:
+        self.members[name].lags = False
+        self.apply(self.members[name])
+
+    def do_restart(self, name: str) -> None:
+        self.do_snapshot(name, name)
+
+    def do_snapshot(self, source: str, target: str) -> None:
+        state = ReplicatedState()
+        self.members[source].versions.save(state)
+        versions = self.new_versions(self.taken_kept)
+        versions.restore(ReplicatedState.FromString(state.SerializeToString()))
+        previous = self.members.get(target, Member(versions))
+        self.members[target] = Member(versions, self.members[source].applied, previous.lags)
+        self.apply(self.members[target])
+
+    def do_current(self, *names: str) -> None:
+        document = names[-1]
+        followers = [name for name, member in self.members.items() if not member.lags]
+        for name in names[:-1] or followers:
+            self.check_body(name, self.members[name].versions, document)
+
+    def do_follow(self, name: str, member: str) -> None:
+        gateway = self.gateways.setdefault(name, Gateway())
+        gateway.member = member
+        gateway.sent = None
+        self.do_update(name)
+
+    def do_update(self, name: str) -> None:
+        gateway = self.gateways[name]
+        current = self.members[gateway.member].versions.current()
+        if current is None:
+            return
+        known, before = gateway.sent, gateway.held
+        gateway.sent = current
+        try:
+            update = to_update(current) if known is None else difference(known, current)
+            gateway.held = apply_update(before, update)
+        except UpdateMismatch:
+            gateway.mismatches += 1
+            gateway.held = apply_update(before, to_update(current))
+        assert before is None or gateway.held.revision >= before.revision, "the gateway went back"
+
+    def do_mismatches(self, name: str, count: str) -> None:
+        assert self.gateways[name].mismatches == int(count), f"{self.gateways[name].mismatches}"
+
+    def do_holds(self, name: str, document: str) -> None:
+        held = self.gateways[name].held
+        if document == "nothing":
+            assert held is None, f"holds revision {held.revision}"
+            return
+        expected = parse_configuration(body_of(self.documents[document])).configuration
+        assert held == expected, f"holds revision {held.revision if held else None}"
+
+    def apply(self, member: Member) -> None:
+        """Let a member apply the rest of the log, with the results that the log's lines name."""
+        while member.applied < len(self.log) and not member.lags:
+            result = member.versions.apply(self.log[member.applied])
+            expected = self.results[member.applied]
+            member.applied += 1
+            assert result == expected, f"{CommandResult.Name(result)}, not {CommandResult.Name(expected)}"
+
+    def check_body(self, name: str, versions: ConfigurationVersions, document: str) -> None:
+        """Raise `AssertionError` unless a member reads back exactly this document."""
+        if document == "nothing":
+            assert (versions.revision, versions.current_body(), versions.current()) == (0, b"", None), name
+            return
+        expected = self.documents[document]
+        body = versions.current_body()
+        assert body and json.loads(body) == expected, f"{name} holds {versions.revision}"
+        current = versions.current()
+        assert versions.revision == expected["revision"] == (current.revision if current else 0), name
+        assert current == parse_configuration(body_of(expected)).configuration, f"{name} parsed otherwise"
--- /dev/null
+++ b/tests/test_configuration_fuzz.py
@@ -0,0 +1,33 @@
+"""Damaged configurations: refused with an error of the configuration, or carried without loss."""
+
+from __future__ import annotations
+
+import unittest
+from unittest.mock import patch
+
+from configuration_fuzz import run
+
+from mallowbeam.configuration import schemas
+
+SEED = 7
+COUNT = 2_500
+
+
+class Fuzz(unittest.TestCase):
+    """A part of what ``PYTHONPATH=. python tests/configuration_fuzz.py`` does."""
+
+    def test_damaged_bodies(self) -> None:
+        outcomes = run(SEED, COUNT)
+        self.assertEqual(outcomes.total(), COUNT)
+        self.assertGreater(outcomes["taken"], 0)
+        for code in ("UNREADABLE", "FIELD", "NO_TIMEOUT", "UNKNOWN_BACKEND", "SAME_PLACE", "TOO_LARGE"):
+            self.assertGreater(outcomes[f"CONFIG_{code}"], 0, code)
+
+    def test_it_finds_numbers_that_no_message_carries(self) -> None:
+        with patch.object(schemas.Milliseconds, "_deserialize", lambda self, value, *_, **__: int(value)):
+            with self.assertRaises(AssertionError):
+                run(SEED, COUNT)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_configuration_versions.py
@@ -0,0 +1,172 @@
+"""Compare-and-set, resent configurations, snapshots: the scenarios, and variants broken on purpose."""
+
+from __future__ import annotations
+
+import unittest
+
+from configuration_documents import body_of, document
+from configuration_scenario import SCENARIOS, NewVersions, Scenario
+
+from mallowbeam.configuration.parsing import ConfigurationParser
+from mallowbeam.configuration.versions import ConfigurationVersions, put_command
+from mallowbeam.rpc.messages_pb2 import (
+    ALREADY_DONE,
+    DONE,
+    CommandResult,
+    PutConfiguration,
+    ReplicatedState,
+    RetireInstance,
+)
+
+
+class ForgetsDigests(ConfigurationVersions):
+    """Knows no configuration again."""
+
+    def apply(self, command: PutConfiguration) -> CommandResult:
+        self._taken.clear()
+        return super().apply(command)
+
+
+class ForgetsOnRestart(ConfigurationVersions):
+    """A snapshot loses the digests."""
+
+    def restore(self, state: ReplicatedState) -> None:
+        super().restore(state)
+        self._taken.clear()
+
+
+class ComparesNothing(ConfigurationVersions):
+    """Takes a change whatever it builds on."""
+
+    def apply(self, command: PutConfiguration) -> CommandResult:
+        free = PutConfiguration()
+        free.CopyFrom(command)
+        free.based_on = self.revision
+        return super().apply(free)
+
+
+class TakesAnyNumber(ConfigurationVersions):
+    """Takes a revision that is not above the current one."""
+
+    def apply(self, command: PutConfiguration) -> CommandResult:
+        self._revision, revision = min(self._revision, command.revision - 1), self._revision
+        free = PutConfiguration()
+        free.CopyFrom(command)
+        if command.based_on == revision:
+            free.based_on = self._revision
+        result = super().apply(free)
+        if result != DONE:
+            self._revision = revision
+        return result
+
+
+class KeepsAll(ConfigurationVersions):
+    """Remembers digests without a bound."""
+
+    def _remember(self, digest: bytes, revision: int) -> None:
+        self._taken[digest] = revision
+
+
+class KeepsTheOldModel(ConfigurationVersions):
+    """Does not parse again after a change."""
+
+    def apply(self, command: PutConfiguration) -> CommandResult:
+        before = self.current()
+        result = super().apply(command)
+        self._current = before
+        return result
+
+
+BROKEN: dict[type[ConfigurationVersions], tuple[str, ...]] = {
+    ForgetsDigests: ("resend", "restart", "bound"),
+    ForgetsOnRestart: ("restart",),
+    ComparesNothing: ("race", "versions"),
+    TakesAnyNumber: ("race", "versions"),
+    KeepsAll: ("bound",),
+    KeepsTheOldModel: ("race", "resend", "gateways"),
+}
+
+
+def play(name: str, kind: type[ConfigurationVersions]) -> None:
+    """Play one scenario with one kind of state machine."""
+    make: NewVersions = lambda kept: kind(taken_kept=kept)  # noqa: E731
+    Scenario(make).run((SCENARIOS / f"{name}.txt").read_text())
+
+
+class Scenarios(unittest.TestCase):
+    """Each file, and each broken variant in the files that must find it."""
+
+    def test_scenarios(self) -> None:
+        names = sorted(path.stem for path in SCENARIOS.glob("*.txt"))
+        self.assertGreaterEqual(len(names), 7)
+        for name in names:
+            with self.subTest(name):
+                play(name, ConfigurationVersions)
+
+    def test_broken_ones_are_found(self) -> None:
+        for kind, names in BROKEN.items():
+            for name in names:
+                with self.subTest(kind.__name__, scenario=name):
+                    with self.assertRaises(AssertionError):
+                        play(name, kind)
+
+
+class Versions(unittest.TestCase):
+    """What scenarios don't show."""
+
+    def test_nothing_is_parsed_twice_beside_the_api(self) -> None:
+        parser = ConfigurationParser()
+        versions = ConfigurationVersions(parser)
+        parsed = parser.parse(body_of(document()))
+        self.assertEqual(versions.apply(put_command(parsed, 0)), DONE)
+        self.assertIs(versions.current(), parsed.configuration)
+
+    def test_a_parser_that_went_on_is_no_source(self) -> None:
+        parser = ConfigurationParser()
+        versions = ConfigurationVersions(parser)
+        parsed = parser.parse(body_of(document(3)))
+        versions.apply(put_command(parsed, 0))
+        parser.parse(body_of(document(4)))
+        self.assertEqual(versions.current(), parsed.configuration)
+
+    def test_the_current_one_is_parsed_once(self) -> None:
+        versions = ConfigurationVersions()
+        versions.apply(put_command(ConfigurationParser().parse(body_of(document())), 0))
+        self.assertIs(versions.current(), versions.current())
+
+    def test_save_fills_only_its_own_fields(self) -> None:
+        versions = ConfigurationVersions()
+        versions.apply(put_command(ConfigurationParser().parse(body_of(document())), 0))
+        state = ReplicatedState(revision=1, retired=[RetireInstance(id="i-1")])
+        versions.save(state)
+        versions.save(state)
+        self.assertEqual((state.revision, len(state.taken), state.retired[0].id), (7, 1, "i-1"))
+
+    def test_equal_states_are_saved_as_equal_bytes(self) -> None:
+        parser = ConfigurationParser()
+        commands = [put_command(parser.parse(body_of(document(n))), n - 1) for n in range(1, 9)]
+        saved = set()
+        for restarted_at in (None, 3, 7):
+            versions = ConfigurationVersions()
+            for number, command in enumerate(commands):
+                if number == restarted_at:
+                    versions = reloaded(versions)
+                self.assertEqual(versions.apply(command), DONE)
+                self.assertEqual(versions.apply(command), ALREADY_DONE)
+            state = ReplicatedState()
+            versions.save(state)
+            saved.add(state.SerializeToString(deterministic=True))
+        self.assertEqual(len(saved), 1)
+
+
+def reloaded(versions: ConfigurationVersions) -> ConfigurationVersions:
+    """The same state in a new process."""
+    state = ReplicatedState()
+    versions.save(state)
+    again = ConfigurationVersions()
+    again.restore(ReplicatedState.FromString(state.SerializeToString()))
+    return again
+
+
+if __name__ == "__main__":
+    unittest.main()
