Registry: lost batches are asked for until a later answer; broken variants

Change: only an answer to a request made WHOLE_SETTLE_S after the last loss ends it; nine broken variants, each caught by a scenario.

--- a/mallowbeam/registry/limits.py
+++ b/mallowbeam/registry/limits.py
@@ -18,6 +18,7 @@
 GOSSIP_INTERVAL_S = 0.3           # between two batches to the other members
 URGENT_INTERVAL_S = 0.02          # between two batches while there is urgent news
 WHOLE_RETRY_S = 0.5               # between two requests for another member's whole table
+WHOLE_SETTLE_S = 0.1              # after a loss, until the other members have what was lost
 GATEWAY_COUNT_KEPT_S = 2.0        # how long another member's count of gateways holds without a new one
 
 MOST_BODY_BYTES = 64 * 1024       # of a heartbeat
--- a/mallowbeam/registry/table.py
+++ b/mallowbeam/registry/table.py
@@ -26,6 +26,7 @@
     STALLED_S,
     URGENT_INTERVAL_S,
     WHOLE_RETRY_S,
+    WHOLE_SETTLE_S,
 )
 from mallowbeam.registry.retirements import Retirements
 from mallowbeam.registry.rows import UNHEARD, Row, same_for_gateways
@@ -63,6 +64,7 @@
     def __init__(self, heartbeat_interval_s: float, started_at: float,
                  expire_intervals: float = EXPIRE_INTERVALS) -> None:
         self._expire_after_s = heartbeat_interval_s * expire_intervals
+        self._interval_s = heartbeat_interval_s
         self._complete_after_s = heartbeat_interval_s * COMPLETE_INTERVALS + COMPLETE_MARGIN_S
         self._rows: dict[str, Row] = {}
         self._by_address: dict[str, str] = {}  # the id that holds each address
@@ -76,6 +78,7 @@
         self._gossip_sent_at = started_at
         self._whole_asked_at = started_at - WHOLE_RETRY_S
         self._details_missing = False          # some were lost, or those of an instance that others hear
+        self._lost_at = started_at - WHOLE_SETTLE_S    # when details were last lost
         self.urgent = False                    # there is news that the other members should get at once
 
     # ------------------------------------------------------------ what came in
@@ -128,12 +131,13 @@
             self._merge_seen(seen, now)
         if gossip.whole:
             self._complete_at = min(self._complete_at, now)
-            self._details_missing = False
+            self._details_missing &= self._whole_asked_at < self._lost_at + WHOLE_SETTLE_S
         return self._changes.version != before
 
-    def link_lost(self) -> None:
-        """Say that a link to another member ended: what was under way on it is asked for again."""
+    def link_lost(self, now: float) -> None:
+        """Say that a link to another member ended, or did not take a batch: what is lost is asked for."""
         self._details_missing = True
+        self._lost_at = now
 
     def out_of_touch(self, now: float) -> None:
         """Say that this member can't hear enough of the others: nothing expires, the table is not complete.
@@ -237,12 +241,16 @@
     def ask_whole(self, now: float, links_missing: bool = False) -> bool:
         """Whether to ask one other member, drawn at random, for its whole table now.
 
-        True at most every WHOLE_RETRY_S, while the table is not complete, details may be missing, or this
-        member has no link to some other (`links_missing`): then it hears of that one's instances through a
-        third.
+        True every WHOLE_RETRY_S while the table is not complete or details may be missing. A member that has
+        no link to some other (`links_missing`) hears of that one's instances through a third: then, every
+        heartbeat interval.
         """
-        wanted = links_missing or self._details_missing or not self.complete(now)
-        if not wanted or now - self._whole_asked_at < WHOLE_RETRY_S:
+        pause = WHOLE_RETRY_S
+        if links_missing:
+            self.link_lost(now)
+            pause = max(pause, self._interval_s)
+        wanted = self._details_missing or not self.complete(now)
+        if not wanted or now - self._whole_asked_at < pause:
             return False
         self._whole_asked_at = now
         return True
--- /dev/null
+++ b/tests/test_registry_broken.py
@@ -0,0 +1,126 @@
+"""The scenarios are able to fail: each variant that is broken on purpose is caught by the one named for it."""
+
+from __future__ import annotations
+
+import unittest
+
+from test_registry_processes import Broken
+from test_registry_scenarios import FOLDER, Player
+
+from mallowbeam.feed import FeedSubscriber, InstanceChanges
+from mallowbeam.feed.instances import InstanceCopy
+from mallowbeam.registry import InstanceTable
+from mallowbeam.registry.retirements import Retirements
+from mallowbeam.registry.rows import Row
+from mallowbeam.rpc.messages_pb2 import InstancesUpdate, RegistryGossip, RetirementKind
+
+
+class ForgetsRetirements(InstanceTable):
+    """Takes a heartbeat of a retired instance as one of a new instance."""
+
+    def __init__(self, heartbeat_interval_s: float, started_at: float) -> None:
+        super().__init__(heartbeat_interval_s, started_at)
+        self._retired = Forgetful()
+
+
+class Forgetful(Retirements):
+    def kind(self, id: str) -> RetirementKind | None:
+        return None
+
+
+class ExpiresBlindly(InstanceTable):
+    """Ends what it has not heard, whether or not it could have heard it."""
+
+    def out_of_touch(self, now: float) -> None:
+        pass
+
+
+class IgnoresAddresses(InstanceTable):
+    """Keeps an instance whose address another one has."""
+
+    def _claim_address(self, row: Row) -> None:
+        pass
+
+
+class LosesDetails(InstanceTable):
+    """Does not ask again for what was lost on a link."""
+
+    def link_lost(self, now: float) -> None:
+        pass
+
+
+class TakesPartForWhole(InstanceTable):
+    """Says at once that it has heard from everyone."""
+
+    def complete(self, now: float) -> bool:
+        return True
+
+
+class IgnoresAges(InstanceTable):
+    """Takes a passed-on heartbeat as heard now, however old it is: here, by passing all on for ever."""
+
+    def gossip(self, now: float, gateways: int = 0) -> RegistryGossip:
+        batch = super().gossip(now, gateways)
+        for id, row in self._rows.items():
+            if row.live:
+                row.sequence += 1
+                batch.seen.add(id=id, sequence=row.sequence)
+        return batch
+
+
+class ReplacingCopy(InstanceCopy):
+    def apply(self, update: InstancesUpdate, replaces: bool) -> InstanceChanges:
+        return super().apply(update, replaces or update.whole)
+
+
+class ReplacesAlways(FeedSubscriber[int]):
+    """Takes every whole table in the place of its own, also one of a member that has just started."""
+
+    def __init__(self, *arguments: object, **named: object) -> None:
+        super().__init__(*arguments, **named)
+        self._copy = ReplacingCopy()
+
+
+class StaysForEver(FeedSubscriber[int]):
+    """Does not leave a member that is out of touch."""
+
+    def _may_leave(self, link: object, now: float) -> bool:
+        return False
+
+
+class Wanders(FeedSubscriber[int]):
+    """Leaves a member that is out of touch whether or not another one is better."""
+
+    def _may_leave(self, link: object, now: float) -> bool:
+        return True
+
+
+TABLES = {
+    "registry/late_heartbeat_after_delete": ForgetsRetirements,
+    "registry/frozen_member": ExpiresBlindly,
+    "registry/reused_address": IgnoresAddresses,
+    "registry/lost_details_one_way": LosesDetails,
+    "registry/all_members_restarted": TakesPartForWhole,
+    "registry/crash_expires": IgnoresAges,
+}
+SUBSCRIBERS = {
+    "registry/all_members_restarted": ReplacesAlways,
+    "feed/stale_member": StaysForEver,
+    "feed/core_out": Wanders,
+}
+
+
+class BrokenVariants(unittest.TestCase):
+    def test_broken_tables_are_caught(self) -> None:
+        for name, variant in TABLES.items():
+            with self.subTest(name), self.assertRaises(Broken):
+                Player((FOLDER / f"{name}.txt").read_text(), table_type=variant).play()
+
+    def test_broken_subscribers_are_caught(self) -> None:
+        for name, variant in SUBSCRIBERS.items():
+            with self.subTest(name), self.assertRaises(Broken):
+                Player((FOLDER / f"{name}.txt").read_text(), subscriber_type=variant).play()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_registry_world.py
+++ b/tests/test_registry_world.py
@@ -96,7 +96,7 @@
                     del member.links[link.recipient]
                     for name in (link.sender, link.recipient):
                         if self.members[name].up:
-                            self.members[name].table.link_lost()
+                            self.members[name].table.link_lost(self.now)
                     if self.members[link.recipient].up:
                         self.members[link.recipient].census.lost(hash(link.sender))
         for connection in list(self.feeds.values()):
