--- /dev/null
+++ b/tests/test_feed_subscriber.py
@@ -0,0 +1,354 @@
+"""The gateway's end of the feed: which member it follows, and what it takes of its word."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mallowbeam.errors import MallowbeamError
+from mallowbeam.feed import Close, Connect, FeedSubscriber, Wait
+from mallowbeam.feed.candidates import Candidates
+from mallowbeam.feed.limits import (
+    BACKOFF_LEAST_S,
+    BACKOFF_MOST_S,
+    CONNECT_TIMEOUT_S,
+    GATEWAYS_WINDOW_S,
+    MOST_SILENCE_S,
+    UNFIT_DWELL_S,
+    UNFIT_LEAST_S,
+)
+from mallowbeam.registry.limits import RETIRED_SEQUENCE
+from mallowbeam.rpc.messages_pb2 import (
+    DRAINS,
+    ENDED,
+    READY,
+    ConfigurationUpdate,
+    FeedFrame,
+    FeedHeartbeat,
+    Instance,
+    InstancesUpdate,
+)
+
+SEEDS = ("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1")
+
+
+def apply(held: tuple[int, ...] | None, update: ConfigurationUpdate) -> tuple[int, ...]:
+    """A configuration is the list of the revisions that led to it."""
+    if update.revision == 666:
+        raise MallowbeamError("does not fit")
+    return (update.revision,) if update.whole else (*(held or ()), update.revision)
+
+
+def frame(*instances: Instance, whole: bool = False, complete: bool = True, silence_ms: int = 0,
+          gateways: int = 1, members: tuple[str, ...] = (), revision: int = 0,
+          based_on: int | None = None) -> FeedFrame:
+    made = FeedFrame(heartbeat=FeedHeartbeat(leader_silence_ms=silence_ms, gateways=gateways, members=members,
+                                             table_complete=complete))
+    if instances or whole:
+        made.instances.CopyFrom(InstancesUpdate(whole=whole, instances=instances))
+    if revision:
+        made.configuration.CopyFrom(ConfigurationUpdate(revision=revision, whole=based_on is None,
+                                                        based_on=based_on or 0))
+    return made
+
+
+def instance(id: str, state: int = READY, sequence: int = 1, address: str = "10.1.0.1:80",
+             stage: str = "decode") -> Instance:
+    return Instance(id=id, state=state, sequence=sequence, address=address, stage=stage)
+
+
+class Case(unittest.TestCase):
+    def setUp(self) -> None:
+        self.feed = FeedSubscriber(SEEDS, "z", Random(7), apply, "g", 5)
+
+    def connect(self, now: float) -> str:
+        action = self.feed.next_action(now)
+        assert isinstance(action, Connect), action
+        self.feed.connected(action.address, now)
+        return action.address
+
+    def again(self, now: float) -> str:
+        """The peer ends the connection; another one is opened, where needed after the backoff."""
+        link = self.feed._link
+        assert link is not None
+        self.feed.failed(link.address, now)
+        return self.connect(now + 0.2)
+
+
+class Following(Case):
+    def test_silence_ends_a_feed(self) -> None:
+        first = self.connect(0.0)
+        self.feed.received(frame(whole=True), 0.5)
+        self.assertEqual(self.feed.next_action(0.6), Wait(0.5 + MOST_SILENCE_S))
+        self.assertEqual(self.feed.next_action(1.51), Close(first))
+        following = self.feed.next_action(1.51)
+        self.assertIsInstance(following, Connect)
+        self.assertNotEqual(following, Connect(first))
+
+    def test_a_connection_that_says_nothing_is_given_up(self) -> None:
+        first = self.connect(0.0)
+        self.assertEqual(self.feed.next_action(1.01), Close(first))
+
+    def test_the_host_times_an_attempt(self) -> None:
+        action = self.feed.next_action(0.0)
+        assert isinstance(action, Connect)
+        self.assertEqual(self.feed.next_action(0.1), Wait(CONNECT_TIMEOUT_S))
+        self.feed.failed(action.address, CONNECT_TIMEOUT_S)
+        following = self.feed.next_action(CONNECT_TIMEOUT_S)
+        assert isinstance(following, Connect)
+        self.assertNotEqual(following.address, action.address)
+
+    def test_all_refuse(self) -> None:
+        """Each is tried again after 0.05 to 0.1 s, later after 0.5 to 1 s."""
+        now, attempts = 0.0, []
+        while now < 20.0:
+            action = self.feed.next_action(now)
+            if isinstance(action, Connect):
+                attempts.append(now)
+                self.feed.failed(action.address, now)
+            else:
+                assert isinstance(action, Wait)
+                self.assertGreater(action.until, now)
+                now = action.until
+        self.assertEqual(attempts[:3], [0.0, 0.0, 0.0])
+        self.assertLessEqual(attempts[3], BACKOFF_LEAST_S)
+        self.assertLess(len(attempts), 3 * (20 / (BACKOFF_MOST_S / 2) + 6))
+        self.assertGreater(len(attempts), 3 * 20)
+
+    def test_gateways_spread_over_members(self) -> None:
+        taken = []
+        for seed in range(350):
+            action = FeedSubscriber(SEEDS, "z", Random(seed), apply).next_action(0.0)
+            assert isinstance(action, Connect)
+            taken.append(action.address)
+        self.assertTrue(all(90 < taken.count(address) < 145 for address in SEEDS))
+
+    def test_a_member_out_of_touch_is_left(self) -> None:
+        first = self.connect(0.0)
+        self.feed.received(frame(whole=True, silence_ms=200), 0.1)
+        self.feed.received(frame(silence_ms=900), 1.0)
+        self.assertIsInstance(self.feed.next_action(1.0), Wait)
+        self.feed.received(frame(silence_ms=1_100), 1.2)
+        self.assertEqual(self.feed.next_action(1.2), Close(first))
+        tried = []
+        for _ in SEEDS:
+            tried.append(self.connect(1.3))
+            self.feed.failed(tried[-1], 1.3)
+        self.assertEqual(set(tried[:2]), set(SEEDS) - {first})
+        self.assertEqual(tried[2], first)      # the others can't be reached: better than none
+
+    def test_a_new_feed_has_time_to_get_in_touch(self) -> None:
+        first = self.connect(0.0)
+        self.feed.received(frame(whole=True, silence_ms=9_000), 0.1)
+        self.assertIsInstance(self.feed.next_action(0.1), Wait)
+        self.feed.received(frame(silence_ms=9_500), UNFIT_DWELL_S)
+        self.assertEqual(self.feed.next_action(UNFIT_DWELL_S), Close(first))
+
+    def test_all_out_of_touch_stays_with_the_freshest(self) -> None:
+        silences = dict(zip(SEEDS, (5_000, 3_000, 4_000), strict=True))
+        now, visited = 0.0, []
+        while now < UNFIT_LEAST_S - 0.5:
+            action = self.feed.next_action(now)
+            if isinstance(action, Connect):
+                visited.append(action.address)
+                self.feed.connected(action.address, now)
+            if self.feed._link is not None:
+                silence = silences[self.feed._link.address] + round(now * 1000)
+                self.feed.received(frame(whole=True, silence_ms=silence), now)
+            now += 0.25
+        self.assertEqual(visited[-1], SEEDS[1])
+        self.assertLessEqual(len(visited), 4)
+
+    def test_members_are_learnt_and_seeds_are_a_fallback(self) -> None:
+        self.connect(0.0)
+        members = ("10.0.1.1:1", "10.0.1.2:1")
+        self.feed.received(frame(whole=True, members=members), 0.1)
+        self.feed.received(frame(), 0.2)       # no list: as before
+        link = self.feed._link
+        assert link is not None
+        self.feed.failed(link.address, 0.3)
+        tried = []
+        for _ in range(4):
+            action = self.feed.next_action(0.3)
+            assert isinstance(action, Connect)
+            tried.append(action.address)
+            self.feed.failed(action.address, 0.3)
+        self.assertEqual(set(tried[:2]), set(members))
+        self.assertTrue(set(tried[2:]) < set(SEEDS))
+
+    def test_what_comes_after_the_end_changes_nothing(self) -> None:
+        self.connect(0.0)
+        self.feed.next_action(1.5)
+        events = self.feed.received(frame(instance("a"), whole=True, revision=3), 1.5)
+        self.assertEqual((events.configuration, len(self.feed.instances)), (None, 0))
+
+
+class ConfigurationTests(Case):
+    def test_changes_in_order(self) -> None:
+        self.connect(0.0)
+        self.assertEqual(self.feed.received(frame(revision=2), 0.1).configuration, (2,))
+        self.assertEqual(self.feed.received(frame(revision=5, based_on=2), 0.2).configuration, (2, 5))
+        self.assertIsNone(self.feed.received(frame(), 0.3).configuration)
+        self.assertEqual((self.feed.configuration, self.feed.configuration_revision), ((2, 5), 5))
+        self.assertEqual(self.feed.hello().configuration_revision, 5)
+        self.assertEqual((self.feed.hello().gateway, self.feed.hello().incarnation), ("g", 5))
+
+    def test_an_older_one_is_never_taken_and_the_member_left(self) -> None:
+        self.connect(0.0)
+        self.feed.received(frame(revision=5), 0.1)
+        second = self.again(1.0)
+        self.assertIsNone(self.feed.received(frame(revision=4), 1.3).configuration)
+        self.assertEqual(self.feed.configuration, (5,))
+        self.feed.received(frame(), 1.9)
+        self.assertEqual(self.feed.next_action(1.9), Close(second))
+
+    def test_a_change_on_another_base_starts_again(self) -> None:
+        first = self.connect(0.0)
+        self.feed.received(frame(revision=5), 0.1)
+        self.assertIsNone(self.feed.received(frame(revision=9, based_on=7), 0.2).configuration)
+        self.assertEqual(self.feed.next_action(0.2), Close(first))
+        self.assertEqual(self.feed.configuration, (5,))
+
+    def test_a_change_that_can_not_be_applied_starts_again(self) -> None:
+        first = self.connect(0.0)
+        self.feed.received(frame(revision=5), 0.1)
+        self.assertIsNone(self.feed.received(frame(revision=666, based_on=5), 0.2).configuration)
+        self.assertEqual((self.feed.configuration, self.feed.configuration_revision), ((5,), 5))
+        self.assertEqual(self.feed.next_action(0.2), Close(first))
+
+    def test_ready(self) -> None:
+        self.connect(0.0)
+        self.feed.received(frame(instance("a"), whole=True, complete=False), 0.1)
+        self.assertFalse(self.feed.ready(9.0))
+        self.feed.received(frame(revision=1, complete=False), 9.0)
+        self.assertTrue(self.feed.ready(9.0))
+
+    def test_ready_by_a_complete_table_even_if_empty(self) -> None:
+        self.connect(0.0)
+        self.feed.received(frame(revision=1, whole=True, complete=False), 0.1)
+        self.assertFalse(self.feed.ready(9.0))
+        self.feed.received(frame(whole=True), 9.1)
+        self.assertTrue(self.feed.ready(9.1))
+        self.assertTrue(self.feed.ready(99.0))
+
+
+class Instances(Case):
+    def states(self) -> dict[str, int]:
+        return {id: held.state for id, held in self.feed.instances.items()}
+
+    def test_a_complete_table_replaces_an_incomplete_one_adds(self) -> None:
+        self.connect(0.0)
+        self.feed.received(frame(instance("a"), instance("b"), whole=True), 0.1)
+        self.again(1.0)
+        events = self.feed.received(frame(instance("c"), whole=True, complete=False), 1.3)
+        self.assertEqual(self.states(), {"a": READY, "b": READY, "c": READY})
+        self.assertEqual(([i.id for i in events.instances.changed], events.instances.ended), (["c"], ()))
+        events = self.feed.received(frame(instance("a"), instance("c"), whole=True), 1.4)
+        self.assertEqual((events.instances.changed, events.instances.ended), ((), ("b",)))
+
+    def test_retired_never_comes_back(self) -> None:
+        self.connect(0.0)
+        self.feed.received(frame(instance("a"), instance("b"), whole=True), 0.1)
+        self.feed.received(frame(instance("a", DRAINS), instance("b", ENDED, RETIRED_SEQUENCE)), 0.2)
+        self.again(1.0)
+        self.feed.received(frame(instance("a", READY, 99), instance("b", READY, 99), whole=True), 1.3)
+        self.assertEqual(self.states(), {"a": DRAINS})
+        self.feed.received(frame(instance("b", READY, 2**63)), 1.4)
+        self.assertEqual(self.states(), {"a": DRAINS})
+
+    def test_ended_by_silence_comes_back_with_a_higher_sequence(self) -> None:
+        self.connect(0.0)
+        self.feed.received(frame(instance("a", sequence=3), whole=True), 0.1)
+        self.assertEqual(self.feed.received(frame(instance("a", ENDED, 9)), 0.2).instances.ended, ("a",))
+        self.feed.received(frame(instance("a", READY, 9)), 0.3)
+        self.assertEqual(self.states(), {})
+        events = self.feed.received(frame(instance("a", READY, 10)), 0.4)
+        self.assertEqual([i.id for i in events.instances.changed], ["a"])
+
+    def test_an_older_word_of_an_incomplete_table_is_not_taken(self) -> None:
+        self.connect(0.0)
+        self.feed.received(frame(instance("a", sequence=9, stage="prefill"), whole=True), 0.1)
+        self.again(1.0)
+        self.feed.received(frame(instance("a", sequence=4), instance("b", ENDED, 1), whole=True,
+                                 complete=False), 1.3)
+        self.assertEqual(self.feed.instances["a"].stage, "prefill")
+        self.feed.received(frame(instance("a", ENDED, 4), whole=True, complete=False), 1.4)
+        self.assertEqual(self.states(), {"a": READY})
+
+    def test_a_drain_without_details(self) -> None:
+        self.connect(0.0)
+        self.feed.received(frame(instance("a", sequence=9), whole=True), 0.1)
+        self.again(1.0)
+        bare = [Instance(id="a", state=DRAINS), Instance(id="x", state=DRAINS)]
+        events = self.feed.received(frame(*bare, whole=True, complete=False), 1.3)
+        self.assertEqual(self.states(), {"a": DRAINS})
+        self.assertEqual([(i.id, i.address) for i in events.instances.changed], [("a", "10.1.0.1:80")])
+        self.feed.received(frame(instance("x")), 1.4)
+        self.assertEqual(self.states(), {"a": DRAINS, "x": DRAINS})
+
+    def test_a_sequence_alone_is_no_change(self) -> None:
+        self.connect(0.0)
+        self.feed.received(frame(instance("a"), whole=True), 0.1)
+        events = self.feed.received(frame(instance("a", sequence=8), whole=True), 0.2)
+        self.assertEqual((events.instances.changed, events.instances.ended), ((), ()))
+
+    @given(st.lists(st.tuples(st.sampled_from("abc"), st.sampled_from([READY, DRAINS, ENDED]),
+                              st.sampled_from([1, 2, 3, RETIRED_SEQUENCE]), st.booleans(), st.booleans()),
+                    max_size=25))
+    def test_states_only_move_on(self, words: list[tuple[str, int, int, bool, bool]]) -> None:
+        feed = FeedSubscriber(SEEDS, "z", Random(1), apply)
+        action = feed.next_action(0.0)
+        assert isinstance(action, Connect)
+        feed.connected(action.address, 0.0)
+        draining: set[str] = set()
+        deleted: set[str] = set()
+        for id, state, sequence, whole, complete in words:
+            if state != ENDED:
+                sequence = min(sequence, 3)
+            feed.received(frame(instance(id, state, sequence), whole=whole, complete=complete), 0.1)
+            if id in feed.instances and feed.instances[id].state == DRAINS:
+                draining.add(id)
+            if state == ENDED and sequence == RETIRED_SEQUENCE:
+                deleted.add(id)
+            self.assertFalse(deleted & set(feed.instances))
+            for known in draining & set(feed.instances):
+                self.assertEqual(feed.instances[known].state, DRAINS)
+
+
+class Gateways(Case):
+    def test_the_bound_is_the_greatest_of_the_window(self) -> None:
+        self.connect(0.0)
+        for now, count in ((0.1, 30), (0.2, 40), (0.3, 25), (0.4, 28)):
+            self.feed.received(frame(gateways=count), now)
+        self.assertEqual((self.feed.gateways, self.feed.gateways_bound(0.5)), (28, 40))
+        self.assertEqual(self.feed.gateways_bound(0.3 + GATEWAYS_WINDOW_S), 28)
+        self.assertEqual(self.feed.gateways_bound(1_000.0), 28)
+
+    def test_a_member_out_of_touch_only_raises_the_count(self) -> None:
+        self.connect(0.0)
+        self.feed.received(frame(gateways=30), 0.1)
+        self.feed.received(frame(gateways=3, silence_ms=2_000), 0.2)
+        self.assertEqual(self.feed.gateways, 30)
+        self.feed.received(frame(gateways=33, silence_ms=2_000), 0.3)
+        self.assertEqual(self.feed.gateways, 33)
+
+
+class CandidateTests(unittest.TestCase):
+    def test_a_member_found_unfit_is_left_aside_for_longer_each_time(self) -> None:
+        candidates = Candidates(SEEDS, Random(1))
+        candidates.unfit(SEEDS[0], 0.0)
+        candidates.unfit(SEEDS[0], 1.0)
+        self.assertFalse(candidates.get(SEEDS[0]).fit(UNFIT_LEAST_S - 0.1))
+        self.assertTrue(candidates.get(SEEDS[0]).fit(UNFIT_LEAST_S))
+        candidates.unfit(SEEDS[0], 10.0)
+        self.assertFalse(candidates.get(SEEDS[0]).fit(10.0 + 2 * UNFIT_LEAST_S - 0.1))
+        self.assertTrue(candidates.get(SEEDS[0]).fit(10.0 + 2 * UNFIT_LEAST_S))
+        candidates.fit(SEEDS[0])
+        self.assertTrue(candidates.get(SEEDS[0]).fit(11.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_registry_replicated.py
@@ -0,0 +1,89 @@
+"""Retirements and leases: same log, same state; bounds; snapshots."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mallowbeam.registry import Leases, Retirements
+from mallowbeam.rpc.messages_pb2 import (
+    ALREADY_DONE,
+    DONE,
+    DRAINING,
+    GONE,
+    REFUSED,
+    AcquireLease,
+    ReplicatedState,
+    RetireInstance,
+)
+
+RETIRE = st.builds(RetireInstance, id=st.sampled_from("abcdef"), kind=st.sampled_from([DRAINING, GONE]))
+ACQUIRE = st.builds(AcquireLease, subject=st.sampled_from("stu"), holder=st.integers(0, 3))
+
+
+class RetirementTests(unittest.TestCase):
+    def test_gone_after_draining_is_news_and_never_the_other_way(self) -> None:
+        retirements = Retirements()
+        self.assertEqual(retirements.apply(RetireInstance(id="a", kind=DRAINING)), DONE)
+        self.assertEqual(retirements.apply(RetireInstance(id="a", kind=DRAINING)), ALREADY_DONE)
+        self.assertEqual(retirements.apply(RetireInstance(id="a", kind=GONE)), DONE)
+        self.assertEqual(retirements.apply(RetireInstance(id="a", kind=DRAINING)), ALREADY_DONE)
+        self.assertEqual(retirements.kind("a"), GONE)
+        self.assertIsNone(retirements.kind("b"))
+
+    def test_the_oldest_is_dropped_first(self) -> None:
+        retirements = Retirements(most=2)
+        for id in ("a", "b"):
+            retirements.apply(RetireInstance(id=id, kind=DRAINING))
+        retirements.apply(RetireInstance(id="a", kind=GONE))
+        retirements.apply(RetireInstance(id="c", kind=GONE))
+        self.assertEqual([retired.id for retired in retirements.all()], ["a", "c"])
+
+    @given(st.lists(RETIRE, max_size=30), st.integers(0, 30))
+    def test_a_snapshot_anywhere_changes_nothing(self, log: list[RetireInstance], cut: int) -> None:
+        whole, restored = Retirements(most=4), Retirements(most=4)
+        for command in log[:cut]:
+            whole.apply(command)
+        state = ReplicatedState()
+        whole.save(state)
+        restored.apply(RetireInstance(id="other"))
+        restored.restore(ReplicatedState.FromString(state.SerializeToString()))
+        results = [whole.apply(command) for command in log[cut:]]
+        self.assertEqual(results, [restored.apply(command) for command in log[cut:]])
+        self.assertEqual(whole.all(), restored.all())
+        self.assertLessEqual(len(whole), 4)
+
+
+class LeaseTests(unittest.TestCase):
+    def test_tokens(self) -> None:
+        leases = Leases()
+        self.assertEqual(leases.apply(AcquireLease(subject="s", holder=1)), (DONE, 1))
+        self.assertEqual(leases.apply(AcquireLease(subject="s", holder=1)), (ALREADY_DONE, 1))
+        self.assertEqual(leases.apply(AcquireLease(subject="t", holder=1)), (DONE, 2))
+        self.assertEqual(leases.apply(AcquireLease(subject="s", holder=2)), (DONE, 3))
+        self.assertEqual(leases.apply(AcquireLease(subject="s", holder=1)), (DONE, 4))
+        self.assertEqual(leases.apply(AcquireLease(subject="", holder=1)), (REFUSED, 0))
+        self.assertEqual(leases.apply(AcquireLease(subject="s", holder=0)), (REFUSED, 0))
+        held = leases.get("s")
+        assert held is not None
+        self.assertEqual((held.holder, held.token), (1, 4))
+
+    @given(st.lists(ACQUIRE, max_size=40), st.integers(0, 40))
+    def test_tokens_rise_over_snapshots_and_dropped_subjects(self, log: list[AcquireLease], cut: int) -> None:
+        leases, last = Leases(most=2), 0
+        for place, command in enumerate(log):
+            if place == cut:
+                state = ReplicatedState()
+                leases.save(state)
+                leases = Leases(most=2)
+                leases.restore(ReplicatedState.FromString(state.SerializeToString()))
+            grant = leases.apply(command)
+            if grant.result == DONE:
+                self.assertGreater(grant.token, last)
+                last = grant.token
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_registry_table.py
@@ -0,0 +1,328 @@
+"""The instance table: heartbeats, retirements, expiry, addresses, changes, gossip."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mallowbeam.registry import GatewayCensus, Heard, InstanceTable
+from mallowbeam.registry.changes import ChangeLog
+from mallowbeam.registry.limits import ENDED_KEPT_S, GOSSIP_INTERVAL_S, RETIRED_SEQUENCE, URGENT_INTERVAL_S
+from mallowbeam.rpc.messages_pb2 import (
+    DRAINING,
+    DRAINS,
+    ENDED,
+    GONE,
+    READY,
+    Instance,
+    InstancesUpdate,
+    RegistryGossip,
+)
+
+STEP = 0.25                                    # between two calls of expire()
+
+
+def beat(id: str = "a", sequence: int = 1, state: int = READY, address: str = "", **more: object) -> Instance:
+    return Instance(id=id, backend="s", address=address or f"10.0.0.{ord(id[0]) % 200}:80", zone="z", slots=4,
+                    state=state, sequence=sequence, **more)
+
+
+def states(table: InstanceTable) -> dict[str, int]:
+    return {instance.id: instance.state for instance in table.changes_since(-1).instances}
+
+
+def run(table: InstanceTable, start: float, end: float) -> list[str]:
+    """Let time pass; what ended."""
+    ended: list[str] = []
+    now = start
+    while now <= end:
+        ended += table.expire(now)
+        now += STEP
+    return ended
+
+
+class Heartbeats(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = InstanceTable(1.0, 0.0)
+
+    def test_outcomes(self) -> None:
+        self.assertEqual(self.table.heard(beat(sequence=5), 0.1), Heard.CHANGED)
+        version = self.table.version
+        self.assertEqual(self.table.heard(beat(sequence=6), 0.2), Heard.SAME)
+        self.assertEqual(self.table.heard(beat(sequence=6), 0.3), Heard.STALE)
+        self.assertEqual(self.table.heard(beat(sequence=4), 0.3), Heard.STALE)
+        self.assertEqual(self.table.heard(beat(sequence=7, warmup_left_ms=9), 0.4), Heard.SAME)
+        self.assertEqual(self.table.version, version)
+        self.assertEqual(self.table.heard(beat(sequence=8, stage="prefill"), 0.5), Heard.CHANGED)
+        self.assertEqual(self.table.version, version + 1)
+
+    def test_the_first_sequence_may_be_zero(self) -> None:
+        self.assertEqual(self.table.heard(beat(sequence=0), 0.1), Heard.CHANGED)
+        self.assertEqual(self.table.heard(beat(sequence=0), 0.1), Heard.STALE)
+        self.table.retire("b", DRAINING, 0.1)
+        self.assertEqual(self.table.heard(beat("b", sequence=0), 0.1), Heard.CHANGED)
+        self.assertEqual(states(self.table)["b"], DRAINS)
+
+    def test_draining_is_for_good_and_gone_too(self) -> None:
+        self.table.heard(beat(sequence=1), 0.1)
+        self.assertEqual(self.table.heard(beat(sequence=2, state=DRAINS), 0.2), Heard.CHANGED)
+        self.assertEqual(self.table.heard(beat(sequence=3, state=READY), 0.3), Heard.SAME)
+        self.assertEqual(states(self.table), {"a": DRAINS})
+        self.assertTrue(self.table.retire("a", GONE, 0.4))
+        self.assertFalse(self.table.retire("a", DRAINING, 0.4))
+        self.assertEqual(self.table.heard(beat(sequence=99), 0.5), Heard.RETIRED)
+        self.assertEqual(states(self.table), {"a": ENDED})
+
+    def test_a_late_heartbeat_that_says_draining_is_still_true(self) -> None:
+        self.table.heard(beat(sequence=7), 0.1)
+        self.assertEqual(self.table.heard(beat(sequence=6, state=DRAINS), 0.2), Heard.CHANGED)
+        self.assertEqual(states(self.table), {"a": DRAINS})
+
+    def test_a_retirement_before_any_heartbeat_is_told(self) -> None:
+        self.table.retire("a", GONE, 0.1)
+        told = self.table.changes_since(0).instances
+        self.assertEqual([(i.id, i.state, i.sequence) for i in told], [("a", ENDED, RETIRED_SEQUENCE)])
+
+    def test_expiry_and_return(self) -> None:
+        self.table.heard(beat(sequence=1), 10.0)
+        self.table.expire(9.9)
+        self.assertEqual(run(self.table, 10.0, 13.4), [])
+        self.assertEqual(run(self.table, 13.5, 14.0), ["a"])
+        self.assertEqual(self.table.heard(beat(sequence=1), 14.1), Heard.STALE)
+        self.assertEqual(self.table.heard(beat(sequence=2), 14.2), Heard.CHANGED)
+        self.assertEqual(states(self.table), {"a": READY})
+
+    def test_what_ended_is_forgotten_and_older_cursors_get_the_whole_table(self) -> None:
+        self.table.heard(beat(sequence=1), 0.1)
+        self.table.heard(beat("b", sequence=1), 0.1)
+        cursor = self.table.version
+        self.table.retire("a", GONE, 0.2)
+        run(self.table, 0.2, 2.0)
+        self.assertFalse(self.table.changes_since(cursor).whole)
+        now = 2.0
+        for sequence in range(2, 40):
+            self.table.heard(beat("b", sequence), now)
+            run(self.table, now, now + 0.9)
+            now += 1.0
+        self.assertGreater(now, ENDED_KEPT_S)
+        self.assertTrue(self.table.changes_since(cursor).whole)
+        self.assertEqual(states(self.table), {"b": READY})
+        self.assertEqual(self.table.heard(beat(sequence=9), now), Heard.RETIRED)
+
+    def test_a_stall_ends_nothing(self) -> None:
+        self.table.heard(beat(), 0.1)
+        run(self.table, 0.0, 3.0)
+        self.assertTrue(self.table.complete(3.0))
+        self.assertEqual(self.table.expire(9.0), [])
+        self.assertFalse(self.table.complete(9.0))
+        self.assertEqual(run(self.table, 9.25, 12.25), [])
+        self.assertEqual(run(self.table, 12.5, 13.0), ["a"])
+
+    def test_complete_by_time(self) -> None:
+        self.assertFalse(self.table.complete(2.1))
+        self.assertTrue(self.table.complete(2.3))
+
+
+class Addresses(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = InstanceTable(1.0, 0.0)
+        self.table.heard(beat("a", 5, address="10.0.0.9:80"), 0.1)
+
+    def test_a_new_id_ends_the_older_one(self) -> None:
+        self.table.heard(beat("b", 1, address="10.0.0.9:80"), 0.5)
+        self.assertEqual(states(self.table), {"a": ENDED, "b": READY})
+
+    def test_one_late_heartbeat_changes_nothing_two_win_it_back(self) -> None:
+        self.table.heard(beat("b", 1, address="10.0.0.9:80"), 0.5)
+        self.assertEqual(self.table.heard(beat("a", 6, address="10.0.0.9:80"), 0.6), Heard.SAME)
+        self.assertEqual(states(self.table), {"a": ENDED, "b": READY})
+        self.assertEqual(self.table.heard(beat("a", 7, address="10.0.0.9:80"), 0.7), Heard.CHANGED)
+        self.assertEqual(states(self.table), {"a": READY, "b": ENDED})
+
+    def test_an_older_hearing_passed_on_does_not_take_the_address(self) -> None:
+        gossip = RegistryGossip(changed=[beat("b", 1, address="10.0.0.9:80")])
+        gossip.seen.add(id="b", sequence=1, age_ms=5_000)
+        self.table.merge(gossip, 1.0)
+        self.assertEqual(states(self.table), {"a": READY, "b": ENDED})
+
+    def test_an_instance_that_moves_frees_its_address(self) -> None:
+        self.table.heard(beat("a", 6, address="10.0.0.8:80"), 0.2)
+        self.table.heard(beat("b", 1, address="10.0.0.9:80"), 0.3)
+        self.assertEqual(states(self.table), {"a": READY, "b": READY})
+
+    def test_a_deleted_instance_frees_its_address(self) -> None:
+        self.table.retire("a", GONE, 0.2)
+        self.table.heard(beat("b", 1, address="10.0.0.9:80"), 0.3)
+        self.assertEqual(states(self.table), {"a": ENDED, "b": READY})
+
+
+class Gossip(unittest.TestCase):
+    def setUp(self) -> None:
+        self.one, self.other = InstanceTable(1.0, 0.0), InstanceTable(1.0, 0.0)
+
+    def test_a_new_instance_is_urgent_a_renewal_is_not(self) -> None:
+        self.one.heard(beat(sequence=1), 0.1)
+        self.assertTrue(self.one.urgent)
+        self.assertEqual(self.one.gossip_at(), URGENT_INTERVAL_S)
+        self.assertTrue(self.other.merge(self.one.gossip(0.1, gateways=3), 0.15))
+        self.one.heard(beat(sequence=2), 1.1)
+        self.assertFalse(self.one.urgent)
+        self.assertEqual(self.one.gossip_at(), 0.1 + GOSSIP_INTERVAL_S)
+        batch = self.one.gossip(1.2)
+        self.assertEqual(([seen.sequence for seen in batch.seen], len(batch.changed)), ([2], 0))
+        self.assertFalse(self.other.merge(batch, 1.25))
+        self.assertEqual(states(self.one), states(self.other))
+        self.assertEqual(len(self.one.gossip(1.3).seen), 0)
+
+    def test_ages_count(self) -> None:
+        self.one.heard(beat(sequence=1), 1.0)
+        self.other.merge(self.one.gossip(3.0), 103.0)
+        run(self.other, 103.0, 106.4)
+        self.other.out_of_touch(0.0)           # as though it had been in touch all the time
+        self.assertEqual(states(self.other), {"a": READY})
+        self.assertEqual(self.other.expire(106.45), ["a"])
+
+    def test_retirements_are_passed_on(self) -> None:
+        self.one.heard(beat(sequence=1), 0.1)
+        self.other.merge(self.one.gossip(0.1), 0.1)
+        self.one.retire("a", DRAINING, 0.2, announce=True)
+        self.assertTrue(self.one.urgent)
+        self.other.merge(self.one.gossip(0.2), 0.2)
+        self.assertEqual(states(self.other), {"a": DRAINS})
+        self.one.retire("a", GONE, 0.3, announce=True)
+        self.other.merge(self.one.gossip(0.3), 0.3)
+        self.assertEqual(states(self.other), {"a": ENDED})
+        self.assertEqual(self.other.heard(beat(sequence=9), 0.4), Heard.RETIRED)
+
+    def test_an_end_by_silence_is_not_passed_on(self) -> None:
+        self.one.heard(beat(sequence=1), 0.1)
+        self.other.merge(self.one.gossip(0.1), 0.1)
+        self.assertEqual(run(self.one, 0.1, 5.0), ["a"])
+        self.assertFalse(self.other.merge(self.one.whole(5.0), 5.0))
+        self.assertEqual(states(self.other), {"a": READY})
+
+    def test_a_whole_table_completes_only_where_it_is_complete(self) -> None:
+        late = InstanceTable(1.0, 5.0)
+        late.merge(InstanceTable(1.0, 4.0).whole(5.1), 5.1)
+        self.assertFalse(late.complete(5.1))
+        late.merge(self.one.whole(5.1), 5.1)
+        self.assertTrue(late.complete(5.1))
+
+    def test_details_behind_a_higher_sequence_are_taken(self) -> None:
+        self.one.heard(beat(sequence=1), 0.1)
+        self.other.merge(self.one.gossip(0.1), 0.1)
+        self.one.heard(beat(sequence=2, stage="prefill"), 1.1)
+        self.one.gossip(1.1)                   # lost
+        self.one.heard(beat(sequence=3, stage="prefill"), 2.1)
+        self.other.merge(self.one.gossip(2.1), 2.1)
+        self.assertTrue(self.other.merge(self.one.whole(2.2), 2.2))
+        held = self.other.get("a")
+        assert held is not None
+        self.assertEqual((held.stage, held.sequence), ("prefill", 3))
+
+    def test_asking_for_the_whole_table(self) -> None:
+        self.assertTrue(self.one.ask_whole(0.1))
+        self.assertFalse(self.one.ask_whole(0.2))
+        self.assertTrue(self.one.ask_whole(0.6))
+        self.assertFalse(self.one.ask_whole(3.0))
+        batch = RegistryGossip()
+        batch.seen.add(id="x", sequence=4)
+        self.one.merge(batch, 3.0)             # of an instance that is not known here
+        self.assertTrue(self.one.ask_whole(3.1))
+        self.one.merge(self.other.whole(3.2), 3.2)
+        self.assertFalse(self.one.ask_whole(4.0))
+
+    @given(st.integers(0, 10_000))
+    def test_tables_agree_whatever_the_order_and_doubles(self, seed: int) -> None:
+        """Batches of two members reach a third in any order, some twice: it ends with what they know."""
+        random = Random(seed)
+        sources = [InstanceTable(1.0, 0.0), InstanceTable(1.0, 0.0)]
+        batches: list[RegistryGossip] = []
+        sequences = dict.fromkeys("abcd", 0)
+        for step in range(20):
+            now, source, id = 0.1 * step, random.choice(sources), random.choice("abcd")
+            sequences[id] += 1
+            if random.random() < 0.1:
+                source.retire(id, random.choice([DRAINING, GONE]), now, announce=True)
+            else:
+                source.heard(beat(id, sequences[id], stage=random.choice(["prefill", "decode"])), now)
+            batches.append(source.gossip(now))
+        expected = InstanceTable(1.0, 0.0)
+        for batch in batches:
+            expected.merge(batch, 2.0)
+        table = InstanceTable(1.0, 0.0)
+        mixed = batches + random.sample(batches, 5)
+        random.shuffle(mixed)
+        for batch in mixed:
+            table.merge(RegistryGossip.FromString(batch.SerializeToString()), 2.0)
+        for source in sources:
+            table.merge(source.whole(2.0), 2.0)
+            expected.merge(source.whole(2.0), 2.0)
+        known = [{i.id: (i.state, i.stage if i.state != ENDED else "") for i in t.changes_since(-1).instances}
+                 for t in (expected, table)]
+        self.assertEqual(known[0], known[1])
+
+
+class Changes(unittest.TestCase):
+    def test_versions(self) -> None:
+        log = ChangeLog()
+        for id in "abca":
+            log.note(id)
+        self.assertEqual(log.since(0), ["b", "c", "a"])
+        self.assertEqual(log.since(3), ["a"])
+        self.assertEqual(log.since(4), [])
+        self.assertIsNone(log.since(5))
+        log.forget("b")
+        self.assertIsNone(log.since(1))
+        self.assertEqual(log.since(2), ["c", "a"])
+
+    @given(st.integers(0, 10_000))
+    def test_changes_from_any_version_lead_to_the_table(self, seed: int) -> None:
+        random = Random(seed)
+        table = InstanceTable(1.0, 0.0)
+        copies: list[tuple[int, dict[str, Instance]]] = [(-1, {})]
+        now = 0.0
+        for sequence in range(1, 60):
+            now += random.choice([0.1, 0.4, 0.9])
+            id = random.choice("abcdef")
+            if random.random() < 0.1:
+                table.retire(id, random.choice([DRAINING, GONE]), now)
+            table.heard(beat(id, sequence, stage=random.choice(["prefill", "decode"]),
+                             address=f"10.0.0.{random.randint(1, 4)}:80"), now)
+            table.expire(now)
+            if random.random() < 0.2:
+                copies.append((table.version, whole(table)))
+        for version, held in copies:
+            update = table.changes_since(version)
+            result = {} if update.whole else dict(held)
+            result.update({instance.id: instance for instance in update.instances})
+            self.assertEqual(decided(result), decided(whole(table)))
+
+
+def whole(table: InstanceTable) -> dict[str, Instance]:
+    update: InstancesUpdate = table.changes_since(-1)
+    return {instance.id: instance for instance in update.instances}
+
+
+def decided(instances: dict[str, Instance]) -> dict[str, tuple[int, str, str]]:
+    return {id: (instance.state, instance.stage, instance.address) for id, instance in instances.items()
+            if instance.state != ENDED}
+
+
+class Census(unittest.TestCase):
+    def test_total(self) -> None:
+        census = GatewayCensus(kept_s=2.0)
+        census.heard(1, 10, 0.0)
+        census.heard(2, 5, 1.0)
+        census.heard(1, 9, 1.0)
+        self.assertEqual(census.total(4, 2.5), 18)
+        census.lost(2)
+        self.assertEqual(census.total(4, 2.5), 13)
+        self.assertEqual(census.total(4, 3.5), 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
