--- a/tests/control_plane_rig.py
+++ b/tests/control_plane_rig.py
@@ -16,6 +16,9 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from mallowbeam.rpc.framing import FrameReader, encode_frame
+from mallowbeam.rpc.messages_pb2 import FeedFrame, FeedHello, GatewayFrame, LinkFrame
+
 ROOT = Path(__file__).resolve().parent.parent
 PATIENCE = 30.0                # seconds for what should take a moment: only a failure takes so long
 CALL_TIMEOUT = 2.0
@@ -198,3 +201,35 @@
     """A heartbeat's body."""
     return json.dumps({"backend": "s", "address": address, "zone": "z", "revision": "v1", "slots": 4,
                        "state": state, "warmup_left_ms": 0, "sequence": sequence}).encode()
+
+
+class Gateway:
+    """A gateway's end of a feed, on a plain socket."""
+
+    def __init__(self, machine: Machine, revision: int = 0) -> None:
+        self._socket = socket.create_connection((machine.ip, machine.rig.peer_port), timeout=PATIENCE)
+        self._reader = FrameReader()
+        self._frames: list[FeedFrame] = []
+        hello = FeedHello(gateway="g", incarnation=1, configuration_revision=revision)
+        self._socket.sendall(encode_frame(LinkFrame(gateway=GatewayFrame(hello=hello))))
+
+    def frame(self) -> FeedFrame:
+        """The next frame."""
+        while not self._frames:
+            data = self._socket.recv(65536)
+            if not data:
+                raise AssertionError("the feed has ended")
+            self._frames += [FeedFrame.FromString(body) for body in self._reader.feed(data)]
+        return self._frames.pop(0)
+
+    def until(self, what: str, condition: Callable[[FeedFrame], bool]) -> FeedFrame:
+        """The first frame that meets a condition."""
+        end = time.monotonic() + PATIENCE
+        while time.monotonic() < end:
+            frame = self.frame()
+            if condition(frame):
+                return frame
+        raise AssertionError(f"not told: {what}")
+
+    def close(self) -> None:
+        self._socket.close()
