--- a/mallowbeam/control_plane/answers.py
+++ b/mallowbeam/control_plane/answers.py
@@ -33,6 +33,14 @@
     remedy = "send the call again; if this lasts, more than half of the members can't reach each other"
 
 
+class OutOfTouchError(CallError):
+    """This member is cut off from the group: what it is told may reach nobody else."""
+
+    code = "CONTROL_OUT_OF_TOUCH"
+    status = 503
+    remedy = "call another member"
+
+
 class OutcomeUnknownError(CallError):
     """A command was proposed, but what became of it is not known."""
 
--- a/mallowbeam/control_plane/group.py
+++ b/mallowbeam/control_plane/group.py
@@ -61,6 +61,10 @@
                 self._propose(changed)
         connection.send(join_answer(self._own.id, response))
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Ask these from now on."""
+        self._seeds = seeds
+
     def stop(self) -> None:
         """Ask no more."""
         self._stopping = True
@@ -150,7 +154,8 @@
             connection = await connect(address, received, closed, JOIN_TIMEOUT)
         except OSError:
             return None
-        request = JoinRequest(member=self._own, first_start=self._first_start)
+        never_taken_in = not self._driver.node.membership.members
+        request = JoinRequest(member=self._own, first_start=self._first_start and never_taken_in)
         connection.send(LinkFrame(peer=PeerFrame(sender=self._own.id, join=request)))
         try:
             async with asyncio.timeout(JOIN_TIMEOUT):
--- a/mallowbeam/control_plane/instances.py
+++ b/mallowbeam/control_plane/instances.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from random import Random
 
+from mallowbeam.control_plane.answers import OutOfTouchError
 from mallowbeam.control_plane.commands import Commands
 from mallowbeam.control_plane.peer_links import PeerLinks
 from mallowbeam.registry.census import GatewayCensus
@@ -27,29 +28,42 @@
     RetirementKind,
 )
 
-OUT_OF_TOUCH = 1.0             # seconds unheard after which another member is out of touch
+OUT_OF_TOUCH = 1.0             # seconds unheard after which another member, or the group, is out of touch
+MOST_SILENCE = 2.0             # seconds out of touch after which heartbeats are not acknowledged
 
 
 class Instances:
     """Joins the table with the log and the other members."""
 
     def __init__(self, table: InstanceTable, retirements: Retirements, commands: Commands, links: PeerLinks,
-                 changed: Callable[[], None], random: Random) -> None:
-        """`changed` is called when gateways must learn of something."""
+                 changed: Callable[[], None], gateways: Callable[[], int],
+                 silence: Callable[[], float], random: Random) -> None:
+        """`changed` is called when gateways must learn of something.
+
+        `gateways` counts those that follow this member; `silence` tells the seconds since this member's state
+        was known to be current.
+        """
         self._table, self._retirements, self._commands = table, retirements, commands
         self._links, self._changed, self._random = links, changed, random
+        self._gateways, self._silence = gateways, silence
         self.census = GatewayCensus()
 
     # ------------------------------------------------------------ calls
 
     async def heartbeat(self, instance: Instance, since: float) -> None:
-        """Take a heartbeat; returns once it may be acknowledged, raises as `Commands.submit`."""
+        """Take a heartbeat; returns once it may be acknowledged, raises as `Commands.submit`.
+
+        A member that is out of touch with the group takes it and raises `OutOfTouchError`, so that the
+        instance turns to another member.
+        """
         draining = instance.state == DRAINS
         before = self._table.version
         self._table.heard(instance, time.monotonic())
         self._tell(before)
         if draining and self._retirements.kind(instance.id) is None:
             await self._retire(instance.id, DRAINING, since)
+        elif self._silence() > MOST_SILENCE:
+            raise OutOfTouchError("this member is cut off from the group")
 
     async def delete(self, id: str, since: float) -> None:
         """An instance has ended; returns once that may be acknowledged, raises as `Commands.submit`."""
@@ -73,20 +87,21 @@
         now = time.monotonic()
         self.census.heard(sender, gossip.gateways, now)
         if gossip.wants_whole:
-            self._links.send(sender, PeerFrame(registry=self._table.whole(now, gossip.gateways)))
+            self._links.send(sender, PeerFrame(registry=self._table.whole(now, self._gateways())))
         before = self._table.version
         self._table.merge(gossip, now)
         self._tell(before)
 
     # ------------------------------------------------------------ time
 
-    def look(self, members: list[int], silence: float) -> None:
-        """Let time pass; to be called several times a second.
+    def link_lost(self) -> None:
+        """Another member's connection ended: what was under way on it is asked for again."""
+        self._table.link_lost()
 
-        `members` are the ids of the others, `silence` the seconds since this member was known to be current.
-        """
+    def look(self, members: list[int]) -> None:
+        """Let time pass; to be called several times a second with the ids of the other members."""
         now = time.monotonic()
-        if silence > OUT_OF_TOUCH:
+        if self._silence() > OUT_OF_TOUCH:
             self._table.out_of_touch(now)
         before = self._table.version
         self._table.expire(now)
@@ -95,15 +110,16 @@
         reachable = [member for member in members if member not in missing]
         if reachable and self._table.ask_whole(now, links_missing=bool(missing)):
             asked = self._random.choice(reachable)
-            self._links.send(asked, PeerFrame(registry=RegistryGossip(wants_whole=True)))
+            question = RegistryGossip(wants_whole=True, gateways=self._gateways())
+            self._links.send(asked, PeerFrame(registry=question))
 
     def gossip_at(self) -> float:
         """When `pass_on` is due, by the steady clock."""
         return self._table.gossip_at()
 
-    def pass_on(self, gateways: int) -> None:
+    def pass_on(self) -> None:
         """Tell the other members what came in here since the last time."""
-        batch = self._table.gossip(time.monotonic(), gateways)
+        batch = self._table.gossip(time.monotonic(), self._gateways())
         self._links.send_to_group(lambda: PeerFrame(registry=batch))
 
     def _tell(self, version_before: int) -> None:
--- a/mallowbeam/control_plane/link_listener.py
+++ b/mallowbeam/control_plane/link_listener.py
@@ -51,6 +51,9 @@
     def read_index_response(self, response: ReadIndexResponse) -> None:
         """What the leader said to a read."""
 
+    def link_lost(self) -> None:
+        """Another member's connection to this one has ended."""
+
 
 class FeedHandler(Protocol):
     """Takes what gateways send."""
@@ -91,12 +94,10 @@
         elif kind == "gateway":
             self._feeds.gateway_frame(connection, frame.gateway)
 
-    def opened(self, connection: FrameConnection) -> None:
-        """A connection is about to be made; its first frame tells whose it is."""
-
     def closed(self, connection: FrameConnection) -> None:
         """A connection is over."""
-        self._links.forget(connection)
+        if self._links.forget(connection):
+            self._peers.link_lost()
         self._feeds.gateway_closed(connection)
 
     def _peer_frame(self, connection: FrameConnection, frame: PeerFrame) -> None:
--- a/mallowbeam/control_plane/member.py
+++ b/mallowbeam/control_plane/member.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import time
+from math import inf
 
 from mallowbeam.configuration.parsing import ConfigurationParser
 from mallowbeam.consensus.interface import RaftSettings
@@ -43,7 +44,9 @@
 )
 
 TRAILING_ENTRIES = 64          # kept in memory behind a snapshot; entries may be large
-LOOK_S = 0.2                   # between two looks at group, instances and connections
+LOOK_S = 0.25                  # between two looks at group, instances and connections
+TOGETHER = 0.03                # what is due within so many seconds is done now, to spare a wake-up
+TIMER_GRAIN = 0.001            # seconds; the loop's timers may fire this much early
 FLUSH_PAUSE = 0.01             # seconds that changes of instances wait for others, so that crowds go together
 MOST_CONNECTIONS = 1024        # of the control API
 TRANSFER_WAIT = 0.5            # seconds for another member to take over at a stop
@@ -61,6 +64,7 @@
         self._settings = settings
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = inf
         self._look_at = 0.0
         self._flush_due = False
         self._flushed_at = 0.0
@@ -78,13 +82,13 @@
         node = RaftNode(raft_settings, opened.restored, now, random.Random())
         self._driver = RaftDriver(node, self._machine, self._disk.submit, self._send_raft, self)
         self._commands = Commands(self._driver, self._links)
-        self._instances = Instances(self._table, self._machine.retirements, self._commands, self._links,
-                                    self._instances_changed, random.Random())
+        self._instances = Instances(
+            self._table, self._machine.retirements, self._commands, self._links, self._flush_soon,
+            self._count_feeds, self._driver.silence, random.Random())
         self._status = StatusPage(self._driver, self._links, self._table, self._machine.configurations)
         feed = ConfigurationFeed(self._machine.configurations)
         self._feeds = Feeds(FeedPublisher(feed, self._table), self._status.feed_status, self._flush_soon)
-        seeds = tuple(peer_address(seed, settings.port_range[0]) for seed in settings.seeds)
-        self._group = GroupKeeper(self._driver, self._own, settings.bootstrap, seeds)
+        self._group = GroupKeeper(self._driver, self._own, settings.bootstrap, seed_links(settings))
         self._listener = LinkListener(self._links, self, self._feeds)
         api = ControlApi(parser, self._machine.configurations, self._commands, self._instances, self._status)
         self._server = Server(split_address(self._own.control), api, MOST_CONNECTIONS, shared=False)
@@ -103,6 +107,10 @@
         self._turn()
         log.info("member %016x at %s, control API at %s", self._own.id, self._own.address, self._own.control)
 
+    def reload(self, settings: NodeSettings) -> None:
+        """Take changed settings: the seeds; all else holds until the next start."""
+        self._group.set_seeds(seed_links(settings))
+
     async def stop(self) -> None:
         """Hand leadership over, answer what is held, and end."""
         self._group.stop()
@@ -126,28 +134,37 @@
 
     def _turn(self) -> None:
         """Do what is due and see to the next turn."""
+        self._timer, self._timer_at = None, inf
         now = time.monotonic()
-        if now >= self._look_at:
+        soon = now + TOGETHER
+        if soon >= self._look_at:
             self._look_at = now + LOOK_S
             self._look()
-        if now >= self._instances.gossip_at():
-            self._instances.pass_on(len(self._feeds))
-        if self._flush_due or now >= self._feeds.frames_at():
+        if soon >= self._instances.gossip_at():
+            self._instances.pass_on()
+        if now >= self._flush_at():
             self._flush()
         self._set_timer(now)
 
+    def _flush_at(self) -> float:
+        """When feeds are to be sent something."""
+        heartbeat_at = self._feeds.frames_at()
+        return min(heartbeat_at, self._flushed_at + FLUSH_PAUSE) if self._flush_due else heartbeat_at
+
     def _set_timer(self, now: float) -> None:
-        due = min(self._look_at, self._instances.gossip_at(), self._feeds.frames_at())
-        if self._flush_due:
-            due = min(due, self._flushed_at + FLUSH_PAUSE)
+        """See to a turn when the next thing is due; an earlier timer stays and is set again when it fires."""
+        due = min(self._look_at, self._instances.gossip_at(), self._flush_at())
+        if self._timer_at <= due:
+            return
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._loop.call_later(max(0.0, due - now), self._turn)
+        self._timer_at = due
+        self._timer = self._loop.call_later(max(0.0, due - now) + TIMER_GRAIN, self._turn)
 
     def _look(self) -> None:
         self._group.look()
         others = [known.id for known in self._driver.node.membership.members if known.id != self._own.id]
-        self._instances.look(others, self._driver.silence())
+        self._instances.look(others)
         self._status.gateways = self._instances.census.total(len(self._feeds), time.monotonic())
         self._server.sweep()
 
@@ -159,15 +176,13 @@
         self._feeds.send()
 
     def _flush_soon(self) -> None:
-        """Gateways must learn of something: with what else comes within a moment."""
-        if not self._flush_due:
-            self._flush_due = True
-            self._set_timer(time.monotonic())
-
-    def _instances_changed(self) -> None:
+        """Gateways or members must learn of something, together with what else comes within a moment."""
         self._flush_due = True
         self._set_timer(time.monotonic())
 
+    def _count_feeds(self) -> int:
+        return len(self._feeds)
+
     def _retired(self, retirement: RetireInstance) -> None:
         """A retirement from the log."""
         self._instances.retired(retirement)
@@ -215,6 +230,10 @@
         """What the leader said to a read."""
         self._commands.read_index_response(response)
 
+    def link_lost(self) -> None:
+        """Another member's connection to this one has ended."""
+        self._instances.link_lost()
+
     # ------------------------------------------------------------ connections
 
     def _link_frame(self, connection: FrameConnection, body: bytes) -> None:
@@ -225,3 +244,8 @@
         """An incoming connection is over."""
         self._incoming.discard(connection)
         self._listener.closed(connection)
+
+
+def seed_links(settings: NodeSettings) -> tuple[str, ...]:
+    """The link listeners of the seeds."""
+    return tuple(peer_address(seed, settings.port_range[0]) for seed in settings.seeds)
--- a/mallowbeam/control_plane/peer_links.py
+++ b/mallowbeam/control_plane/peer_links.py
@@ -132,10 +132,12 @@
         self._introduced[connection] = member
         self._arrange()
 
-    def forget(self, connection: FrameConnection) -> None:
-        """An incoming connection is over."""
-        if self._introduced.pop(connection, None) is not None:
-            self._arrange()
+    def forget(self, connection: FrameConnection) -> bool:
+        """An incoming connection is over; whether it was a member's."""
+        if self._introduced.pop(connection, None) is None:
+            return False
+        self._arrange()
+        return True
 
     def heard(self, member: int) -> None:
         """A frame came from a member."""
--- a/mallowbeam/control_plane/raft_driver.py
+++ b/mallowbeam/control_plane/raft_driver.py
@@ -23,6 +23,7 @@
 
 COMPACT_ENTRIES = 2000         # applied since the last snapshot after which the next one is taken
 COMPACT_BYTES = 4 * 1024 * 1024  # likewise, of payloads
+TIMER_GRAIN = 0.001            # seconds; the loop's timers may fire this much early
 
 log = get_logger("mallowbeam.raft")
 
@@ -180,12 +181,18 @@
         """Hand in all that has come, then do what the node says."""
         self._scheduled = False
         now = time.monotonic()
-        while self._events:
-            self._hand_in(self._events.popleft(), now)
-        if now >= self._node.next_deadline():
-            self._node.tick(now)
-        self._act(self._node.output())
-        self._tell_changes()
+        try:
+            while self._events:
+                self._hand_in(self._events.popleft(), now)
+            if now >= self._node.next_deadline():
+                self._node.tick(now)
+            self._act(self._node.output())
+            self._tell_changes()
+        except Exception:
+            # Guards the member: a fault with one message must not end its part in the group.
+            log.exception("a step failed unforeseen")
+        if self._events:
+            self._wake()
         self._set_timer(now)
 
     def _hand_in(self, event: _Event, now: float) -> None:
@@ -300,7 +307,7 @@
         self._timer = None
         self._timer_at = deadline
         if deadline < inf:
-            self._timer = self._loop.call_later(max(0.0, deadline - now), self._timer_fired)
+            self._timer = self._loop.call_later(max(0.0, deadline - now) + TIMER_GRAIN, self._timer_fired)
 
     def _timer_fired(self) -> None:
         self._timer, self._timer_at = None, inf
--- a/tests/test_control_plane_loopback.py
+++ b/tests/test_control_plane_loopback.py
@@ -92,7 +92,7 @@
         self.addCleanup(gateway.close)
         self.assertEqual(first.call("PUT", INSTANCE, heartbeat(1)).status, 200)
         for machine in self.rig.machines:
-            self.rig.until("a ready instance", lambda machine=machine: self.states(machine) == {"i-1": "ready"})
+            self.rig.until("an instance", lambda machine=machine: self.states(machine) == {"i-1": "ready"})
         drained = self.rig.acknowledged(lambda _: second.call("PUT", INSTANCE, heartbeat(2, "draining")))
         self.assertEqual(drained.status, 200)
         for machine in self.rig.machines:
@@ -128,7 +128,8 @@
         self.assertIn(self.put(self.leader, body, "3").status, (0, 503, 504))
         self.rig.until("a refusal", lambda: self.put(self.leader, body, "3").status == 503)
         self.assertEqual(self.leader.call("GET", CONFIG).status, 503)
-        self.assertEqual(self.leader.call("PUT", INSTANCE, heartbeat(1)).status, 200)
+        self.rig.until("a refusal", lambda: self.leader.call("PUT", INSTANCE, heartbeat(1)).status == 503)
+        self.assertEqual(self.states(self.leader), {"i-1": "ready"})
 
     def test_a_wiped_disk_and_a_replaced_machine(self) -> None:
         self.rig.put_config(3, 0)
