--- a/mallowbeam/simulation/__init__.py
+++ b/mallowbeam/simulation/__init__.py
@@ -1,1 +1,4 @@
-"""One simulated clock and network for all cores; scenarios and checkers."""
+"""One simulated clock, network and set of machines on which cores and roles run; scenarios as text files.
+
+Nothing here waits, opens a socket or reads a clock: a run depends on its seed alone.
+"""
--- /dev/null
+++ b/mallowbeam/simulation/scenario.py
@@ -0,0 +1,180 @@
+"""Scenarios as text files, and their player.
+
+A file has one statement a line; what follows a ``#`` is a comment. Times are in seconds::
+
+    seed 7                              of the run; 1 where it is not given
+    WORD NAMES...                       a declaration, such as the machines; before all that follows
+    at 5 COMMAND ...                    a command at that time; commands run in the order of the file
+    at 5 expect CONDITION               holds at that time
+    by 9 expect CONDITION               comes to hold until then; goes on at the moment at which it does
+    always CONDITION from 5 to 9        holds after each event between the two times
+    never CONDITION from 5 to 9         does not hold after any event between the two times
+    end 20
+
+Declarations, commands and conditions are methods of a player: ``declare_WORD``, ``do_COMMAND`` and ``holds``.
+"""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import ClassVar
+
+from mallowbeam.errors import MallowbeamError
+from mallowbeam.simulation.clock import Simulator
+
+
+class ScenarioError(MallowbeamError):
+    """A scenario's text can't be played; `where` is its line."""
+
+    code: ClassVar[str] = "SCENARIO"
+    remedy = "mend the line that is named; mallowbeam/simulation/scenario.py states what a line may hold"
+
+
+class Violation(AssertionError):
+    """A condition of a scenario, or an invariant of its world, that does not hold."""
+
+
+@dataclass(frozen=True, slots=True)
+class Statement:
+    """One line."""
+
+    line: int
+    words: tuple[str, ...]
+
+    @property
+    def text(self) -> str:
+        """The line as it was read."""
+        return " ".join(self.words)
+
+
+@dataclass(frozen=True, slots=True)
+class Invariant:
+    """An `always` or `never`."""
+
+    statement: Statement
+    condition: tuple[str, ...]
+    wanted: bool
+    begin: float
+    end: float
+
+
+def read_statements(text: str) -> list[Statement]:
+    """The statements of a scenario's text."""
+    lines = ((number, line.partition("#")[0].split()) for number, line in enumerate(text.splitlines(), 1))
+    return [Statement(number, tuple(words)) for number, words in lines if words]
+
+
+class ScenarioPlayer:
+    """Plays a scenario on simulated time. Subclasses add what can be declared, done and asked."""
+
+    def __init__(self, text: str) -> None:
+        """Read the text; raises :class:`ScenarioError`."""
+        self.statements = read_statements(text)
+        self.simulator = Simulator(self._seed())
+        self.invariants = [self._invariant(statement) for statement in self.statements
+                           if statement.words[0] in ("always", "never")]
+        self.simulator.check(self._check_invariants)
+        self.prepare()
+
+    def prepare(self) -> None:
+        """Make what the declarations need; called once, before them."""
+
+    def holds(self, words: Sequence[str]) -> bool:
+        """Whether a condition holds now; raises LookupError or ValueError where it is none."""
+        raise ValueError("no condition")
+
+    def state(self) -> str:
+        """What a violation tells of the world."""
+        return ""
+
+    def play(self) -> None:
+        """Run all statements; raises :class:`Violation` or :class:`ScenarioError`, each with its line."""
+        for statement in self.statements:
+            try:
+                self._run(statement)
+            except Violation as violation:
+                raise Violation(f"line {statement.line}: {violation}") from violation.__cause__
+            except (LookupError, TypeError, ValueError) as error:
+                raise ScenarioError(f"{statement.text}: {error}", f"line {statement.line}") from error
+
+    # ------------------------------------------------------------ statements
+
+    def _run(self, statement: Statement) -> None:
+        match statement.words:
+            case ("seed", _) | ("always" | "never", *_):
+                pass
+            case ("at", time, "expect", *condition):
+                self.simulator.run_until(float(time))
+                self._demand(condition)
+            case ("by", time, "expect", *condition):
+                self._await(condition, float(time))
+            case ("at", time, command, *arguments):
+                self.simulator.run_until(float(time))
+                self._method("do", command)(*arguments)
+            case ("end", time):
+                self.simulator.run_until(float(time))
+            case (word, *names):
+                self._method("declare", word)(*names)
+
+    def _method(self, kind: str, word: str) -> Callable[..., None]:
+        method: Callable[..., None] | None = getattr(self, f"{kind}_{word.replace('-', '_')}", None)
+        if method is None:
+            raise LookupError(f"no {'command' if kind == 'do' else 'declaration'} {word!r}")
+        return method
+
+    def _demand(self, condition: Sequence[str]) -> None:
+        if not self.holds(condition):
+            raise self._violation(f"not {' '.join(condition)}")
+
+    def _await(self, condition: Sequence[str], until: float) -> None:
+        if self.simulator.run_while(lambda: not self.holds(condition), until):
+            raise self._violation(f"not {' '.join(condition)} in time")
+
+    def _violation(self, what: str) -> Violation:
+        state = self.state()
+        return Violation(f"{self.simulator.now:.3f} s, seed {self.simulator.seed}: {what}"
+                         + (f"\n{state}" if state else ""))
+
+    # ------------------------------------------------------------ the rest of the text
+
+    def _seed(self) -> int:
+        for statement in self.statements:
+            if statement.words[0] == "seed":
+                try:
+                    return int(statement.words[1])
+                except (IndexError, ValueError):
+                    raise ScenarioError("no seed", f"line {statement.line}") from None
+        return 1
+
+    def _invariant(self, statement: Statement) -> Invariant:
+        match statement.words:
+            case (kind, *condition, "from", begin, "to", end) if condition:
+                try:
+                    return Invariant(statement, tuple(condition), kind == "always", float(begin), float(end))
+                except ValueError:
+                    pass
+        raise ScenarioError(f"{statement.text}: needs CONDITION from TIME to TIME", f"line {statement.line}")
+
+    def _check_invariants(self) -> None:
+        for invariant in self.invariants:
+            if invariant.begin <= self.simulator.now <= invariant.end:
+                if self.holds(invariant.condition) is not invariant.wanted:
+                    raise self._violation(f"{invariant.statement.text} (line {invariant.statement.line})")
+
+
+def scenario_tests(folder: Path, player: type[ScenarioPlayer]) -> type[unittest.TestCase]:
+    """A test case with one test for each scenario file of a folder."""
+    methods: dict[str, Callable[[unittest.TestCase], None]] = {}
+    for path in sorted(folder.glob("*.txt")):
+        methods[f"test_{path.stem}"] = _test_of(path.name, path.read_text(), player)
+    return type("Scenarios", (unittest.TestCase,), methods)
+
+
+def _test_of(name: str, text: str, player: type[ScenarioPlayer]) -> Callable[[unittest.TestCase], None]:
+    def test(_: unittest.TestCase) -> None:
+        player(text).play()
+    test.__doc__ = f"{name}: {text.splitlines()[0].lstrip('# ')}"
+    return test
