--- /dev/null
+++ b/mallowbeam/streams/progress.py
@@ -0,0 +1,53 @@
+"""How far a stream has been passed on, and where another instance has to go on.  A pure core.
+
+A stream that may be resumed is passed on in whole events whose ids rise; anything else byte by byte.
+"""
+
+from __future__ import annotations
+
+from mallowbeam.streams.events import EventParser, parse_id
+
+
+class StreamProgress:
+    """The progress of one answer, over all instances that produce it."""
+
+    def __init__(self, resumable: bool, last_event_id: bytes | None = None) -> None:
+        self.resumable = resumable
+        self._parser = EventParser()
+        self._last_id = parse_id(last_event_id) if last_event_id is not None else None
+        self.events = 0                        # passed on so far
+        self.fault = ""                        # why nothing more of this instance's stream is passed on
+
+    @property
+    def last_event_id(self) -> bytes | None:
+        """The id behind which another instance has to go on; None: from the start."""
+        return b"%d" % self._last_id if self._last_id is not None else None
+
+    @property
+    def partial(self) -> bool:
+        """Whether the stream stands inside an event."""
+        return self.resumable and self._parser.partial
+
+    def feed(self, data: bytes | bytearray) -> bytes:
+        """What goes to the client of what came; where it sets `fault`, the events before that."""
+        if not self.resumable:
+            return bytes(data)
+        whole: list[bytes] = []
+        if self.fault:
+            return b""
+        for event in self._parser.feed(data):
+            if event.id is not None:
+                if self._last_id is not None and event.id <= self._last_id:
+                    self.fault = f"event id {event.id} behind {self._last_id}"
+                    break
+                self._last_id = event.id
+            whole.append(event.raw)
+        if self._parser.endless:
+            self.fault = "an event without end"
+        self.events += len(whole)
+        return b"".join(whole)
+
+    def broken(self) -> None:
+        """The instance's stream broke: what is not a whole event is not passed on."""
+        self._parser.drop_partial()
+        self.fault = ""
