--- a/mallowbeam/consensus/election.py
+++ b/mallowbeam/consensus/election.py
@@ -25,7 +25,7 @@
         state = self._state
         if state.role is Role.LEADER or state.now < state.election_deadline:
             return
-        if not state.is_voter or state.stalled:
+        if not state.may_campaign or state.stalled:
             state.reset_election_timer()
             return
         self._start()
@@ -37,7 +37,7 @@
         state.leader_id = None
         state.reset_election_timer(FIRST_RETRY_SCALE if state.campaigns == 0 else 1.0)
         state.campaigns += 1
-        self._votes = {state.own_id: True}
+        self._votes = {state.own_id: True}     # counts where it is a voter
         for voter in state.voters - {state.own_id}:
             request = self._request(state.term + 1, pre_vote=True)
             state.persistence.send_now(voter, request)
--- a/mallowbeam/consensus/leadership.py
+++ b/mallowbeam/consensus/leadership.py
@@ -169,7 +169,7 @@
         return proposal
 
     def _check_in_touch(self, old: frozenset[int], new: frozenset[int]) -> None:
-        """Refuse voters of whom no majority was heard of lately: they could not commit their own membership."""
+        """Refuse voters most of whom were not heard of lately: they could not commit their membership."""
         if new == old:
             return
         since = self._state.now - self._state.settings.election_most
--- a/mallowbeam/consensus/node.py
+++ b/mallowbeam/consensus/node.py
@@ -86,7 +86,7 @@
         """When `tick` is needed next, if nothing else comes before; infinite where never."""
         if self._leadership:
             return self._leadership.next_deadline()
-        return self._state.election_deadline if self._state.is_voter else inf
+        return self._state.election_deadline if self._state.may_campaign else inf
 
     # ------------------------------------------------------------ what the host hands in
 
--- a/mallowbeam/consensus/state.py
+++ b/mallowbeam/consensus/state.py
@@ -8,6 +8,7 @@
 
 from mallowbeam.consensus.interface import RaftSettings, ReadResult, Restored
 from mallowbeam.consensus.log import RaftLog
+from mallowbeam.consensus.membership import voters_of
 from mallowbeam.consensus.persistence import Persistence
 from mallowbeam.rpc.messages_pb2 import Snapshot
 
@@ -68,6 +69,15 @@
         """Whether this member is a voter of the membership in force."""
         return self.own_id in self.voters
 
+    @property
+    def may_campaign(self) -> bool:
+        """Whether this member is a voter, or still was one in the last membership known to be committed.
+
+        The log of a member whose removal is not committed may be the longest: without it, nobody could be
+        elected. It does not count itself then.
+        """
+        return self.is_voter or self.own_id in voters_of(self.log.memberships.at(self.commit_index))
+
     @property
     def stalled(self) -> bool:
         """Whether storage has kept a write under way for too long."""
--- a/tests/consensus_checkers.py
+++ b/tests/consensus_checkers.py
@@ -12,7 +12,8 @@
 from mallowbeam.rpc.messages_pb2 import COMMAND, MEMBERSHIP, Entry, Membership
 
 if TYPE_CHECKING:
-    from consensus_world import Machine, World
+    from consensus_machine import Machine
+    from consensus_world import World
 
 
 class Violation(AssertionError):
@@ -89,14 +90,14 @@
     def _candidacy_durable(self, machine: Machine, term: int) -> None:
         state = machine.disk.hard_state
         if state.term < term or state.term == term and state.vote != machine.member_id:
-            raise Violation("durable vote", f"{machine.member_id} asks for votes in {term}, its disk has {state}")
+            raise Violation("durable vote", f"{machine.member_id} asks in {term}, its disk has {state}")
 
     def _vote_durable(self, machine: Machine, candidate: int, response) -> None:
         state = machine.disk.hard_state
         if state.term < response.term:
             raise Violation("durable term", f"{machine.member_id} answers a candidate in {response.term}")
         if response.granted and state.term == response.term and state.vote != candidate:
-            raise Violation("durable vote", f"{machine.member_id} grants {candidate}, its disk has {state.vote}")
+            raise Violation("durable vote", f"{machine.member_id} grants {candidate}, its disk has {state}")
 
     # ------------------------------------------------------------ leaders and commits
 
@@ -110,8 +111,8 @@
         self.commit_seen[key] = node.commit_index
         if node.role is Role.LEADER:
             self._leads(machine)
-            if node._state.log.term_at(node.commit_index) != node.term and node.commit_index > before:
-                raise Violation("own term", f"{machine.member_id} commits an older term's entry {node.commit_index}")
+            if node.commit_index > before and node._state.log.term_at(node.commit_index) != node.term:
+                raise Violation("own term", f"{machine.member_id} commits an older term's {node.commit_index}")
 
     def _leads(self, machine: Machine) -> None:
         node = machine.node
@@ -143,8 +144,8 @@
         voters = voters_of(machine.node.membership)
         holders = [voter for voter in voters if self.world.disk_of(voter).holds(entry)]
         if len(holders) < majority_of(len(voters)):
-            raise Violation("durable on a majority", f"entry {entry.index} of term {entry.term} is committed by "
-                                                     f"{machine.member_id}, held by {holders} of {set(voters)}")
+            what = f"entry {entry.index} of term {entry.term} is committed by {machine.member_id}"
+            raise Violation("durable on a majority", f"{what}, held by {holders} of {set(voters)}")
         self.committed.append(entry)
         self.states.append(self.states[-1].after(entry))
         if entry.kind == MEMBERSHIP:
@@ -168,7 +169,7 @@
     def write_acknowledged(self, operation: Operation, position: int) -> None:
         """`position`: the command's place in the order, from 1."""
         if position <= operation.floor:
-            raise Violation("linearizable", f"write at {position}, though {operation.floor} ended before it began")
+            raise Violation("linearizable", f"write at {position}, {operation.floor} were certain before")
         self.acknowledged += 1
         self.certain = max(self.certain, position)
 
@@ -177,14 +178,14 @@
             self.reads_refused += 1
             return
         if count < operation.floor:
-            raise Violation("linearizable", f"read sees {count} commands, {operation.floor} were certain before")
+            raise Violation("linearizable", f"read sees {count}, {operation.floor} were certain before")
         self.reads_confirmed += 1
         self.certain = max(self.certain, count)
 
     # ------------------------------------------------------------ logs
 
     def logs_match(self, window: int = 10**9) -> None:
-        """Two logs that agree in the term at an index agree in all before it; so many last entries are read."""
+        """Two logs that agree in the term at an index agree in all before it; `window` last ones are read."""
         logs = [machine.node._state.log for machine in self.world.machines.values() if machine.node]
         for log in logs:
             self._membership_in_force(log)
--- a/tests/consensus_scenario.py
+++ b/tests/consensus_scenario.py
@@ -3,13 +3,14 @@
 One statement a line; ``#`` begins a comment. First the group::
 
     group 3 voters 1 learners        seeds 1 10          set trailing_entries 4
-    load every 0.02                  (a client writes at the leader, and reads at each member that says it leads)
+    load every 0.02                  (a client writes at the leader, and reads at each that says it leads)
 
-then ``at SECONDS STATEMENT``. WHO is an id, ``leader``, ``follower`` (the first running voter that does not lead),
-``learner``, ``all``, or a name given before by ``as NAME``:
+then ``at SECONDS STATEMENT``. WHO is an id, ``leader``, ``follower`` (the first running voter that does not
+lead), ``learner``, ``all``, or a name given before by ``as NAME``:
 
     kill WHO | power-off WHO | start WHO | freeze WHO | thaw WHO       any of them with: as NAME
-    cut WHO WHO | cut-one-way FROM TO | isolate WHO | heal | lose SHARE | duplicate SHARE | reorder | delay LEAST MOST
+    cut WHO WHO | cut-one-way FROM TO | isolate WHO | heal
+    lose SHARE | duplicate SHARE | reorder | delay LEAST MOST
     disk WHO LEAST MOST | stall WHO | unstall WHO | wipe WHO (it comes back under a new id) | compact WHO
     add | promote WHO | demote WHO | remove WHO | transfer WHO or any | note term
     expect EXPECTATION [within SECONDS]
@@ -26,7 +27,8 @@
 from pathlib import Path
 
 from consensus_checkers import Violation
-from consensus_world import Machine, World, with_member, without_member
+from consensus_machine import Machine
+from consensus_world import World, with_member, without_member
 
 from mallowbeam.consensus.interface import RaftSettings
 from mallowbeam.consensus.membership import voters_of
@@ -157,9 +159,9 @@
             return leader.member_id
         if who in ("follower", "learner"):
             voters = voters_of(world.checkers.membership)
-            wanted = [machine.member_id for machine in world.machines.values()
-                      if machine.runs and machine is not leader and (machine.member_id in voters) == (who == "follower")]
-            return wanted[0]
+            others = [machine.member_id for machine in world.machines.values()
+                      if machine.runs and machine is not leader]
+            return next(other for other in others if (other in voters) == (who == "follower"))
         return int(who)
 
     def do_kill(self, who: str) -> None:
@@ -277,11 +279,12 @@
         if seen():
             return
         if self.world.now >= until:
-            raise Violation("scenario", f"line {statement.line}: at {self.world.now:.3f} s, {' '.join(statement.words)}")
+            what = f"line {statement.line}: at {self.world.now:.3f} s, {' '.join(statement.words)}"
+            raise Violation("scenario", what)
         self.world.at(min(until, self.world.now + POLL_SECONDS), lambda: self._poll(seen, until, statement))
 
     def expect_leader(self, *words: str) -> Callable[[], bool]:
-        """``leader``, ``leader WHO`` or ``leader other than WHO``: one that runs and has committed in its term."""
+        """``leader``, ``leader WHO`` or ``leader other than WHO``: it runs and has committed in its term."""
         member_id = self._id(words[-1]) if words else 0
         other = words[:2] == ("other", "than")
 
--- a/tests/consensus_variants.py
+++ b/tests/consensus_variants.py
@@ -59,8 +59,8 @@
 
 def leader_counts_unwritten() -> AbstractContextManager[object]:
     """A leader counts itself for entries that its storage has not written."""
-    return mock.patch.object(Persistence, "durable_index",
-                             property(lambda self: self._log.last_index, lambda self, value: None), create=True)
+    all_of_the_log = property(lambda self: self._log.last_index, lambda self, value: None)
+    return mock.patch.object(Persistence, "durable_index", all_of_the_log, create=True)
 
 
 def dropped_entries_count() -> AbstractContextManager[object]:
@@ -120,8 +120,9 @@
         def hasty(self: Follower, leader: int, request) -> None:
             append(self, leader, request)
             self._state.commit_to(request.commit)
-        with (mock.patch.object(Follower, "append", hasty), mock.patch.object(MemberState, "commit_to", commit_to)):
-            yield
+        with mock.patch.object(Follower, "append", hasty):
+            with mock.patch.object(MemberState, "commit_to", commit_to):
+                yield
     return patched()
 
 
@@ -133,6 +134,23 @@
     return mock.patch.object(RaftLog, "merge", term_blind_merge)
 
 
+def removed_never_campaigns() -> AbstractContextManager[object]:
+    """A member does not campaign once its log holds its removal, committed or not."""
+    return mock.patch.object(MemberState, "may_campaign", property(lambda self: self.is_voter))
+
+
+def learners_refuse() -> AbstractContextManager[object]:
+    """A member that knows itself as a learner refuses its vote."""
+    may_grant = Election._may_grant
+    return mock.patch.object(Election, "_may_grant", lambda self, sender, request:
+                             self._state.is_voter and may_grant(self, sender, request))
+
+
+def silence_without_deadline() -> AbstractContextManager[object]:
+    """A leader looks for its majority only when a heartbeat is due."""
+    return mock.patch.object(Leadership, "next_deadline", lambda self: self._next_heartbeat)
+
+
 def no_pre_vote() -> AbstractContextManager[object]:
     """A member begins a new term without asking whether it would be elected."""
     def start(self: Election) -> None:
--- a/tests/consensus_walker.py
+++ b/tests/consensus_walker.py
@@ -10,7 +10,8 @@
 from random import Random
 
 from consensus_checkers import Violation
-from consensus_world import Machine, World, with_member, without_member
+from consensus_machine import Machine
+from consensus_world import World, with_member, without_member
 
 from mallowbeam.consensus.interface import RaftSettings
 from mallowbeam.consensus.membership import majority_of, voters_of
@@ -20,8 +21,8 @@
 QUIET_SECONDS = 8.0            # after it all is mended; the group must be whole again by its end
 STEP_SECONDS = 0.05            # mean time between two steps of clients
 TROUBLES = ("kill", "power_off", "start", "start", "freeze", "thaw", "thaw", "cut", "cut_one_way", "isolate",
-            "heal", "heal", "slow_disk", "stall_disk", "mend_disk", "mend_disk", "compact", "compact", "transfer",
-            "add", "promote", "demote", "remove", "wipe", "power_off_all")
+            "heal", "heal", "slow_disk", "stall_disk", "mend_disk", "mend_disk", "compact", "compact",
+            "transfer", "add", "promote", "demote", "remove", "replace_two", "wipe", "power_off_all")
 
 
 @dataclass(frozen=True)
@@ -54,9 +55,9 @@
     def _settings(self) -> RaftSettings:
         if self.random.random() < 0.3:
             return RaftSettings(member_id=0)
-        return RaftSettings(member_id=0, entries_per_message=self.random.randint(1, 4),
-                            messages_in_flight=self.random.randint(1, 4), trailing_entries=self.random.randint(0, 4),
-                            bytes_per_message=40, snapshot_retry=0.5)
+        return RaftSettings(member_id=0, entries_per_message=self.random.randint(1, 4), bytes_per_message=40,
+                            messages_in_flight=self.random.randint(1, 4),
+                            trailing_entries=self.random.randint(0, 4), snapshot_retry=0.5)
 
     def _network(self) -> None:
         network = self.world.network
@@ -172,8 +173,9 @@
                           lambda membership: with_member(membership, member_id, voter=False), TROUBLE_SECONDS)
 
     def _learners(self) -> list[int]:
-        membership = self.world.checkers.membership
-        return [member.id for member in membership.members if not member.voter and member.id in self.world.machines]
+        members = self.world.checkers.membership.members
+        learners = [member.id for member in members if not member.voter]
+        return [learner for learner in learners if learner in self.world.machines]
 
     def _promote(self, machine: Machine) -> None:
         learners = self._learners()
@@ -193,6 +195,14 @@
             chosen = self.random.choice(members)
             machine.change_membership(without_member(machine.node.membership, chosen))
 
+    def _replace_two(self, machine: Machine) -> None:
+        """Two voters at once: the core must refuse it."""
+        voters = sorted(voters_of(self.world.checkers.membership))
+        learners = self._learners()
+        if machine.leads and learners and len(voters) > 2:
+            changed = with_member(machine.node.membership, learners[0], voter=True)
+            machine.change_membership(without_member(changed, self.random.choice(voters)))
+
     def _wipe(self, machine: Machine) -> None:
         """Only where a majority keeps its disks, in any membership that may be in force."""
         for membership in self._memberships():
@@ -265,11 +275,12 @@
             failed += 1
             print(f"seed {seed}: {type(error).__name__}: {error}", flush=True)
             continue
-        seen = (outcome.acknowledged, outcome.reads_confirmed, outcome.terms, outcome.snapshots, outcome.changes)
+        seen = (outcome.acknowledged, outcome.reads_confirmed, outcome.terms, outcome.snapshots,
+                outcome.changes)
         totals = [total + value for total, value in zip(totals, seen, strict=True)]
-    print(f"{number} schedules from seed {first}: {failed} failed; acknowledged writes {totals[0]}, confirmed "
-          f"reads {totals[1]}, terms with a leader {totals[2]}, snapshots installed {totals[3]}, committed "
-          f"memberships {totals[4]}")
+    print(f"{number} schedules from seed {first}: {failed} failed; acknowledged writes {totals[0]}, "
+          f"confirmed reads {totals[1]}, terms with a leader {totals[2]}, snapshots installed {totals[3]}, "
+          f"committed memberships {totals[4]}")
     sys.exit(1 if failed else 0)
 
 
--- a/tests/consensus_world.py
+++ b/tests/consensus_world.py
@@ -1,310 +1,24 @@
-"""A group of consensus members on simulated time: machines, disks, a network, and their troubles."""
+"""A group of consensus members on simulated time: machines, the network between them, and troubles."""
 
 from __future__ import annotations
 
 import heapq
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from itertools import count
-from math import isinf
 from random import Random
 
-from consensus_checkers import Applied, Checkers, Operation
+from consensus_checkers import Checkers
+from consensus_machine import Disk, Machine
 
-from mallowbeam.consensus.errors import ConsensusError
-from mallowbeam.consensus.interface import HardState, RaftSettings, ReadResult, Restored, Send, Write
-from mallowbeam.consensus.node import RaftNode, Role
-from mallowbeam.rpc.messages_pb2 import COMMAND, MEMBERSHIP, Entry, Member, Membership, Snapshot
+from mallowbeam.consensus.interface import RaftSettings, Send
+from mallowbeam.rpc.messages_pb2 import Member, Membership, Snapshot
 
 FIRST_INDEX = 1
 CHECK_LOGS_EVERY = 250         # events
 CHECK_LOGS_WINDOW = 50         # last entries; all of them are read at the end
 
 
-@dataclass
-class Disk:
-    """What is durable on one disk, by the rules that `interface.Write` states."""
-
-    snapshot: Snapshot
-    hard_state: HardState = HardState()
-    entries: list[Entry] = field(default_factory=list)
-
-    @property
-    def last_index(self) -> int:
-        return self.snapshot.index + len(self.entries)
-
-    def holds(self, entry: Entry) -> bool:
-        """Whether the entry, known to be committed, is here."""
-        if entry.index <= self.snapshot.index:
-            return True
-        return entry.index <= self.last_index and self._at(entry.index).term == entry.term
-
-    def _at(self, index: int) -> Entry:
-        return self.entries[index - self.snapshot.index - 1]
-
-    def memberships(self) -> list[Membership]:
-        """All memberships here that may be in force."""
-        held = [Membership.FromString(entry.payload) for entry in self.entries if entry.kind == MEMBERSHIP]
-        return [self.snapshot.membership, *held] if self.snapshot.membership.members else held
-
-    def apply(self, write: Write) -> None:
-        if write.snapshot is not None:
-            self._put_snapshot(write.snapshot)
-        if write.entries:
-            first = write.entries[0].index
-            assert self.snapshot.index < first <= self.last_index + 1, "a gap in the log"
-            self.entries[first - self.snapshot.index - 1:] = write.entries
-        if write.hard_state is not None:
-            assert write.hard_state.term >= self.hard_state.term, "a term that falls"
-            self.hard_state = write.hard_state
-
-    def _put_snapshot(self, snapshot: Snapshot) -> None:
-        held = self.snapshot.index < snapshot.index <= self.last_index
-        if held and self._at(snapshot.index).term == snapshot.term:
-            del self.entries[:snapshot.index - self.snapshot.index]
-        elif snapshot.index != self.snapshot.index:
-            self.entries = []
-        self.snapshot = snapshot
-
-    def restored(self) -> Restored:
-        return Restored(self.hard_state, self.snapshot, tuple(self.entries))
-
-
-class Machine:
-    """A host of one member: its process, its disk, its clock."""
-
-    def __init__(self, world: World, member_id: int, snapshot: Snapshot, settings: RaftSettings) -> None:
-        self.world = world
-        self.member_id = member_id
-        self.settings = replace(settings, member_id=member_id)
-        self.disk = Disk(snapshot)
-        self.latency = (0.002, 0.006)          # seconds a write takes, between these
-        self.stalled = False
-        self.clock_rate = 1.0
-        self.clock_offset = 0.0
-        self.incarnation = 0
-        self.node: RaftNode | None = None
-        self.frozen = False
-        self.installed = 0                     # snapshots taken from leaders
-        self.start()
-
-    # ------------------------------------------------------------ the process
-
-    @property
-    def runs(self) -> bool:
-        return self.node is not None and not self.frozen
-
-    @property
-    def leads(self) -> bool:
-        return self.runs and self.node.role is Role.LEADER
-
-    def clock(self) -> float:
-        return self.clock_offset + self.clock_rate * self.world.now
-
-    def start(self) -> None:
-        """Start the process from its disk."""
-        if self.node is not None:
-            return
-        self.incarnation += 1
-        self.frozen = False
-        self.backlog: list[Callable[[], None]] = []
-        self.writes: deque[Write] = deque()
-        self.writing = False
-        self.tick_due: float | None = None     # the member's time of the tick that is planned
-        self.operations: dict[int, tuple[int, Operation]] = {}     # writes by index, with their term
-        self.reads: dict[int, Operation] = {}
-        self.applied_index = self.disk.snapshot.index
-        self.applied = Applied.of_bytes(self.disk.snapshot.state)
-        self.node = RaftNode(self.settings, self.disk.restored(), self.clock(), Random(self.world.random.random()))
-        self.drain()
-
-    def crash(self, durable_writes: int | None = None) -> None:
-        """End the process; of writes under way so many, or a random number, have reached the disk."""
-        if self.node is None:
-            return
-        if durable_writes is None:
-            durable_writes = self.world.random.randint(0, len(self.writes))
-        for write in list(self.writes)[:durable_writes]:
-            self.disk.apply(write)
-        self.node = None
-
-    def freeze(self) -> None:
-        self.frozen = True
-
-    def thaw(self) -> None:
-        """Go on: what came meanwhile is taken in its order, the clock's tick somewhere among it."""
-        if not self.frozen or self.node is None:
-            return
-        self.frozen = False
-        backlog, self.backlog = self.backlog, []
-        backlog.insert(self.world.random.randint(0, len(backlog)), self._tick)
-        for step in backlog:
-            step()
-
-    def later(self, delay: float, step: Callable[[], None]) -> None:
-        """Take a step of this process after a delay, unless it ends before; once thawed if it is frozen."""
-        incarnation = self.incarnation
-
-        def due() -> None:
-            if self.node is None or incarnation != self.incarnation:
-                return
-            if self.frozen:
-                self.backlog.append(step)
-            else:
-                step()
-        self.world.at(self.world.now + delay, due)
-
-    # ------------------------------------------------------------ the host's loop
-
-    def drain(self) -> None:
-        """Do what the member says."""
-        output = self.node.output()
-        for send in output.send:
-            self.world.send(self, send)
-        if output.write is not None:
-            self.writes.append(output.write)
-            self.write_next()
-        if output.install is not None:
-            self._install(output.install)
-        for entry in output.committed:
-            self._apply(entry)
-        for result in output.reads:
-            self._read_ended(result)
-        self._plan_tick()
-        self.world.checkers.after(self)
-
-    def _install(self, snapshot: Snapshot) -> None:
-        self.applied_index = snapshot.index
-        self.applied = Applied.of_bytes(snapshot.state)
-        self.installed += 1
-        self.world.checkers.installs(self, snapshot.index, self.applied)
-
-    def _apply(self, entry: Entry) -> None:
-        assert entry.index == self.applied_index + 1, "entries are handed out in order"
-        before = self.applied.after(entry)
-        self.applied_index = entry.index
-        self.applied = self.world.checkers.commits(self, entry)
-        assert self.applied == before
-        if entry.index in self.operations:
-            term, operation = self.operations.pop(entry.index)
-            if term == entry.term and entry.kind == COMMAND:
-                self.world.checkers.write_acknowledged(operation, self.applied.count)
-
-    def _read_ended(self, result: ReadResult) -> None:
-        operation = self.reads.pop(result.read_id)
-        assert not result.confirmed or result.index <= self.applied_index, "a read comes after its index"
-        self.world.checkers.read_ended(operation, result, self.applied.count)
-
-    def _plan_tick(self) -> None:
-        deadline = self.node.next_deadline()
-        if isinf(deadline):
-            return
-        delay = max(0.0001, (deadline - self.clock()) / self.clock_rate + 0.0001)
-        if self.tick_due != deadline:
-            self.tick_due = deadline
-            self.later(delay, lambda: self._tick_at(deadline))
-
-    def _tick_at(self, deadline: float) -> None:
-        if self.tick_due == deadline:
-            self.tick_due = None
-            self._tick()
-
-    def _tick(self) -> None:
-        self.node.tick(self.clock())
-        self.drain()
-
-    def receive(self, sender: int, send: Send) -> None:
-        self.node.receive(sender, send.message, self.clock())
-        self.drain()
-
-    # ------------------------------------------------------------ the disk
-
-    def write_next(self) -> None:
-        if self.writing or self.stalled or not self.writes or self.node is None:
-            return
-        self.writing = True
-        incarnation = self.incarnation
-        together = len(self.writes)            # all that waits goes with one sync
-
-        def done() -> None:
-            if self.node is not None and incarnation == self.incarnation:
-                self.writing = False
-                self._written(together)
-        self.world.at(self.world.now + self.world.random.uniform(*self.latency), done)
-
-    def _written(self, together: int) -> None:
-        if self.stalled:
-            return
-        writes = [self.writes.popleft() for _ in range(together)]
-        for write in writes:
-            self.disk.apply(write)
-        self.later(0.0, lambda: self._told_written(writes))
-        self.write_next()
-
-    def _told_written(self, writes: list[Write]) -> None:
-        for write in writes:
-            for send in write.then_send:
-                self.world.send(self, send)
-        self.node.written(writes[-1].ticket, self.clock())
-        self.drain()
-
-    def stall(self) -> None:
-        self.stalled = True
-
-    def unstall(self) -> None:
-        self.stalled = False
-        self.write_next()
-
-    # ------------------------------------------------------------ clients
-
-    def propose(self, payload: bytes) -> bool:
-        """Whether the member took the command."""
-        if not self.runs:
-            return False
-        operation = self.world.checkers.invoke()
-        try:
-            proposal = self.node.propose(payload, self.clock())
-        except ConsensusError:
-            return False
-        self.operations[proposal.index] = (proposal.term, operation)
-        self.drain()
-        return True
-
-    def read(self, read_id: int) -> None:
-        if self.runs:
-            self.reads[read_id] = self.world.checkers.invoke()
-            self.node.read(read_id, self.clock())
-            self.drain()
-
-    def compact(self) -> None:
-        if self.runs:
-            self.node.compact(self.applied_index, self.applied.to_bytes())
-            self.drain()
-
-    def change_membership(self, membership: Membership) -> bool:
-        if not self.runs:
-            return False
-        try:
-            self.node.change_membership(membership, self.clock())
-        except ConsensusError:
-            return False
-        finally:
-            self.drain()
-        return True
-
-    def transfer(self, member_id: int | None) -> bool:
-        if not self.runs:
-            return False
-        try:
-            self.node.transfer_leadership(member_id, self.clock())
-        except ConsensusError:
-            return False
-        finally:
-            self.drain()
-        return True
-
-
 @dataclass
 class Network:
     """How messages travel."""
@@ -319,7 +33,8 @@
 class World:
     """Simulated time, the machines and the network between them."""
 
-    def __init__(self, seed: int, voters: int, learners: int = 0, settings: RaftSettings | None = None) -> None:
+    def __init__(self, seed: int, voters: int, learners: int = 0,
+                 settings: RaftSettings | None = None) -> None:
         self.random = Random(seed)
         self.now = 0.0
         self.network = Network()
