Registry: a bound on the table's size

Cause: every table is to have a bound with a defined effect. Change: a new instance beyond MOST_INSTANCES is refused (Heard.FULL), one that is known goes on.

--- a/mallowbeam/registry/limits.py
+++ b/mallowbeam/registry/limits.py
@@ -5,6 +5,7 @@
 RETIRED_SEQUENCE = 2**64 - 1      # sequence of a deleted instance: no heartbeat is ever above it
 MOST_SEQUENCE = 2**63 - 1         # greatest sequence that a heartbeat may carry
 
+MOST_INSTANCES = 100_000          # in a table, ended ones included; a new one beyond it is refused
 MOST_RETIRED = 16_384             # retired ids remembered; the oldest are dropped first
 MOST_LEASES = 4_096               # lease subjects remembered; the oldest are dropped first
 
--- a/mallowbeam/registry/table.py
+++ b/mallowbeam/registry/table.py
@@ -21,6 +21,7 @@
     ENDED_KEPT_S,
     EXPIRE_INTERVALS,
     GOSSIP_INTERVAL_S,
+    MOST_INSTANCES,
     RETIRED_SEQUENCE,
     RETURN_HEARTBEATS,
     STALLED_S,
@@ -56,13 +57,15 @@
     SAME = "same"                              # renewed
     STALE = "stale"                            # its sequence is not above what is known
     RETIRED = "retired"                        # the instance is gone: its id never comes back
+    FULL = "full"                              # a new instance beyond the table's bound: not taken
 
 
 class InstanceTable:
     """One member's table. All times are in seconds of the steady clock."""
 
     def __init__(self, heartbeat_interval_s: float, started_at: float,
-                 expire_intervals: float = EXPIRE_INTERVALS) -> None:
+                 expire_intervals: float = EXPIRE_INTERVALS, most: int = MOST_INSTANCES) -> None:
+        self._most = most
         self._expire_after_s = heartbeat_interval_s * expire_intervals
         self._interval_s = heartbeat_interval_s
         self._complete_after_s = heartbeat_interval_s * COMPLETE_INTERVALS + COMPLETE_MARGIN_S
@@ -87,6 +90,8 @@
         """Take a heartbeat that the instance sent to this member. The table keeps the message."""
         if self._retired.kind(instance.id) == GONE:
             return Heard.RETIRED
+        if instance.id not in self._rows and len(self._rows) >= self._most:
+            return Heard.FULL
         draining = instance.state == DRAINS and self.retire(instance.id, DRAINING, now, announce=True)
         row = self._rows.get(instance.id)
         if row is not None and instance.sequence <= row.sequence:
@@ -108,6 +113,8 @@
         if self._retired.apply(RetireInstance(id=id, kind=kind)) != DONE:
             return False
         row = self._rows.get(id)
+        if row is None and len(self._rows) >= self._most:
+            return False                       # remembered, but gateways are not told of an unknown instance
         if row is None:
             row = self._rows[id] = Row(Instance(id=id), UNHEARD, now)
         if kind == GONE:
@@ -124,7 +131,7 @@
     def merge(self, gossip: RegistryGossip, now: float) -> bool:
         """Take what another member passed on; True where gateways must learn of something."""
         before = self._changes.version
-        ages = {seen.id: seen.age_ms / 1000 for seen in gossip.seen}
+        ages = {seen.id: seen.age_ms / 1000 for seen in gossip.seen} if gossip.changed else {}
         for instance in gossip.changed:
             self._merge_instance(instance, now - ages.get(instance.id, 0.0), now)
         for seen in gossip.seen:
@@ -267,6 +274,8 @@
         if not instance.address or self._retired.kind(instance.id) == GONE:
             return
         row = self._rows.get(instance.id)
+        if row is None and len(self._rows) >= self._most:
+            return
         if row is not None and instance.sequence <= row.details:
             return
         copy = Instance()
--- a/tests/test_feed_publisher.py
+++ b/tests/test_feed_publisher.py
@@ -45,9 +45,11 @@
 
     def beat(self, id: str, sequence: int, now: float = LATE, stage: str = "decode") -> None:
         address = f"10.1.0.{len(id)}:80"
-        self.table.heard(Instance(id=id, address=address, stage=stage, sequence=sequence), now)
+        heartbeat = Instance(id=id, address=address, stage=stage, sequence=sequence)
+        self.table.heard(heartbeat, now)
 
-    def frames(self, now: float, status: MemberStatus = STATUS, busy: tuple[int, ...] = ()) -> list[FeedBatch]:
+    def frames(self, now: float, status: MemberStatus = STATUS,
+               busy: tuple[int, ...] = ()) -> list[FeedBatch]:
         batches = self.publisher.frames(now, status, busy)
         for batch in batches:
             self.assertEqual([FeedFrame.FromString(body) for body in FrameReader().feed(batch.encoded)],
--- a/tests/test_registry_table.py
+++ b/tests/test_registry_table.py
@@ -121,6 +121,18 @@
         self.assertEqual(run(self.table, 9.25, 12.25), [])
         self.assertEqual(run(self.table, 12.5, 13.0), ["a"])
 
+    def test_a_full_table_takes_no_new_instance(self) -> None:
+        table = InstanceTable(1.0, 0.0, most=2)
+        for id in "ab":
+            table.heard(beat(id), 0.1)
+        self.assertEqual(table.heard(beat("c"), 0.2), Heard.FULL)
+        table.merge(RegistryGossip(changed=[beat("d")]), 0.2)
+        self.assertFalse(table.retire("e", GONE, 0.2))
+        self.assertEqual(states(table), {"a": READY, "b": READY})
+        self.assertEqual(table.heard(beat("a", 2), 0.3), Heard.SAME)
+        self.assertEqual(table.heard(beat("e"), 0.3), Heard.RETIRED)
+        self.assertTrue(table.retire("a", DRAINING, 0.4))
+
     def test_complete_by_time(self) -> None:
         self.assertFalse(self.table.complete(2.1))
         self.assertTrue(self.table.complete(2.3))
