--- a/mallowbeam/consensus/storage/errors.py
+++ b/mallowbeam/consensus/storage/errors.py
@@ -11,7 +11,7 @@
     """The base of the store's errors: a stable code, the step that failed, and the system's error number."""
 
     code: ClassVar[str] = "STORE"
-    remedy = "see the error's own text"
+    remedy = "look at the step and the error number, then at the machine's disk"
 
     def __init__(self, what: str, where: str = "", *, step: str = "", errno: int = 0) -> None:
         super().__init__(what, where)
@@ -48,7 +48,7 @@
 
 
 class StoreOrderError(StoreError):
-    """A batch does not fit what is stored, such as entries that leave a gap: a fault of the caller."""
+    """A call does not fit what is stored, such as entries that leave a gap: a fault of the caller."""
 
     code = "STORE_ORDER"
     remedy = "restart the member and report the fault with its log"
--- a/mallowbeam/consensus/storage/store.py
+++ b/mallowbeam/consensus/storage/store.py
@@ -18,8 +18,8 @@
 from mallowbeam.consensus.storage import batch, pages, seal
 from mallowbeam.consensus.storage.errors import (
     StoreDamagedError,
-    StoreError,
     StoreFullError,
+    StoreOrderError,
     StoreVersionError,
 )
 from mallowbeam.consensus.storage.files import (
@@ -96,7 +96,7 @@
     def create(self, identity: int, snapshot: Snapshot) -> None:
         """Make the first state durable: identity, first snapshot, an empty hard state, no entries."""
         if self._identity is not None:
-            raise StoreError("the store has an identity already", self._folder, step="create")
+            raise StoreOrderError("the store has an identity already", self._folder, step="create")
         unfinished = os.path.join(self._folder, UNFINISHED)
         with raised_as_store_error("create", unfinished):
             remove_file(unfinished)
@@ -142,7 +142,7 @@
     def _opened(self) -> Any:
         if self._environment is None:
             if self._identity is None:
-                raise StoreError("the store has no first state yet", self._folder, step="open")
+                raise StoreOrderError("the store has no first state yet", self._folder, step="open")
             self._open_environment()
         return self._environment
 
--- a/tests/test_storage_store.py
+++ b/tests/test_storage_store.py
@@ -18,7 +18,6 @@
 from mallowbeam.consensus.interface import HardState, Restored, Write
 from mallowbeam.consensus.storage import (
     ReplicaStore,
-    StoreError,
     StoreFailedError,
     StoreFullError,
     StoreOrderError,
@@ -69,14 +68,14 @@
     def test_an_empty_folder_has_no_identity(self) -> None:
         other = ReplicaStore.open(self.folder + "-other", 128)
         self.assertIsNone(other.identity)
-        with self.assertRaises(StoreError):
+        with self.assertRaises(StoreOrderError):
             other.load()
         self.assertEqual(os.listdir(self.folder + "-other"), [])
 
     def test_the_first_state(self) -> None:
         self.assertEqual(self.reopen(), Restored(HardState(), FIRST))
         self.assertEqual(self.store.identity, IDENTITY)
-        with self.assertRaises(StoreError):
+        with self.assertRaises(StoreOrderError):
             self.store.create(IDENTITY, FIRST)
 
     def test_entries_replace_all_at_their_first_index_and_behind_it(self) -> None:
