--- a/mallowbeam/cli/system_status.py
+++ b/mallowbeam/cli/system_status.py
@@ -16,7 +16,7 @@
 class MemberStatus:
     """A member as the one that was asked sees it."""
 
-    id: int
+    id: str
     address: str
     control: str
     zone: str
@@ -41,8 +41,8 @@
     """One member's view of the fleet."""
 
     asked: str                                 # address that answered
-    member: int
-    leader: int                                # 0: none is known
+    member: str
+    leader: str                                # empty: none is known
     term: int
     role: str
     commit_index: int
@@ -60,8 +60,8 @@
     try:
         return FleetStatus(
             asked=answer.address,
-            member=_whole(own["id"]) if isinstance(own, dict) else 0,
-            leader=_whole(document["leader"] or 0),
+            member=str(own["id"]) if isinstance(own, dict) else "",
+            leader=str(document["leader"] or ""),
             term=_whole(document["term"]),
             role=str(document["role"]),
             commit_index=_whole(document["commit_index"]),
@@ -78,10 +78,10 @@
 
 
 def _whole(value: object) -> int:
-    """A whole number; raises TypeError or ValueError."""
-    if not isinstance(value, int | str):
+    """A whole number; raises TypeError."""
+    if not isinstance(value, int):
         raise TypeError(f"no number: {value!r}")
-    return int(value)
+    return value
 
 
 def _entries(document: dict[str, object], key: str) -> list[dict[str, object]]:
@@ -95,7 +95,7 @@
     silence = entry["silence_ms"]
     if not isinstance(silence, int | float):
         raise TypeError(f"no number: {silence!r}")
-    return MemberStatus(_whole(entry["id"]), str(entry["address"]), str(entry["control"]), str(entry["zone"]),
+    return MemberStatus(str(entry["id"]), str(entry["address"]), str(entry["control"]), str(entry["zone"]),
                         bool(entry["voter"]), float(silence))
 
 
@@ -107,8 +107,8 @@
 def status_text(status: FleetStatus, each_instance: bool) -> str:
     """The whole view for people."""
     parts = [
-        f"asked {status.asked} ({status.role}, member {status.member:x}), term {status.term}, "
-        f"leader {f'{status.leader:x}' if status.leader else 'none'}, "
+        f"asked {status.asked} ({status.role}, member {status.member}), term {status.term}, "
+        f"leader {status.leader or 'none'}, "
         f"commit {status.commit_index}, applied {status.applied_index}",
         f"configuration {status.revision or 'none'}, gateways {status.gateways}, "
         f"instances {len(status.instances)}",
@@ -120,7 +120,7 @@
 
 def members_table(status: FleetStatus) -> str:
     """The members, the leader marked."""
-    rows = ((f"{member.id:x}", member.address, member.control, member.zone,
+    rows = ((member.id, member.address, member.control, member.zone,
              "leader" if member.id == status.leader else "voter" if member.voter else "learner",
              f"{member.silence_ms:.0f}") for member in status.members)
     return table(("MEMBER", "PEER ADDRESS", "CONTROL", "ZONE", "ROLE", "SILENT MS"), rows)
--- /dev/null
+++ b/mallowbeam/simulation/fleet_processes.py
@@ -0,0 +1,262 @@
+"""The fleet's processes on simulated machines: the real member and feed, with stand-ins beneath their I/O.
+
+Peer links and feeds are streams of the simulated network. Calls to the control API are handed to its front as
+messages, past HTTP's framing; the replica's store is a simulated disk.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass, replace
+from random import Random
+from types import ModuleType, SimpleNamespace
+from typing import Any, cast
+
+from mallowbeam.configuration.changes import apply_update
+from mallowbeam.configuration.model import Configuration
+from mallowbeam.consensus.interface import Write
+from mallowbeam.consensus.storage import ReplicaStore
+from mallowbeam.control_plane import member as member_module
+from mallowbeam.control_plane.first_start import first_state
+from mallowbeam.control_plane.member import ControlMember
+from mallowbeam.control_plane.opening import OpenedStore
+from mallowbeam.data_plane.feed_link import FeedLink
+from mallowbeam.feed.subscriber import FeedSubscriber
+from mallowbeam.http.framing import Message
+from mallowbeam.http.front import Front
+from mallowbeam.processes.settings import BindAddresses, NodeSettings
+from mallowbeam.rpc.messages_pb2 import DRAINS
+from mallowbeam.simulation.dialing import Streams
+from mallowbeam.simulation.disk import Disk
+from mallowbeam.simulation.loop import SimulatedLoop, new_loop
+from mallowbeam.simulation.machine import Machine
+from mallowbeam.simulation.replica import Replica
+
+PEER_PORT = 7660
+CONTROL_PORT = 8146
+HEARTBEAT_MS = 1200.0
+RETRY_S = 0.1               # before a write is tried again that a full disk refused
+
+
+@dataclass(frozen=True, slots=True)
+class ApiCall:
+    """A call to the control API."""
+
+    method: str
+    path: str
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+
+    def message(self, now: float) -> Message:
+        """The call as the API's front takes it."""
+        message = Message()
+        message.method, message.target = self.method.encode(), self.path.encode()
+        message.headers = [(name.lower().encode(), value.encode()) for name, value in self.headers]
+        message.body, message.whole, message.at = bytearray(self.body), True, now
+        return message
+
+
+class StandInServer:
+    """Takes the place of the HTTP server: calls are handed to its front."""
+
+    def __init__(self, address: tuple[str, int], front: Front, most: int, shared: bool = True) -> None:
+        self.address, self.front, self.serving = address, front, False
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self.serving = True
+
+    async def drain(self, within: float) -> None:
+        """Take no more calls."""
+        self.serving = False
+
+    def sweep(self) -> None:
+        """No connection is held."""
+
+
+class SimulatedWriter:
+    """Takes the place of the disk's thread: writes become durable one after another on a simulated disk."""
+
+    def __init__(self, loop: SimulatedLoop, disk: Disk, replica: Replica,
+                 durable: Callable[[Sequence[Write]], None]) -> None:
+        self._loop, self._disk, self._replica, self._durable = loop, disk, replica, durable
+        self._waiting: list[Write] = []
+        self._writing = False
+
+    def start(self) -> None:
+        """Begin to write."""
+
+    def submit(self, write: Write) -> None:
+        """Queue a write."""
+        self._waiting.append(write)
+        self._go_on()
+
+    async def stop(self, within: float) -> bool:
+        """Nothing is left running."""
+        return not self._waiting
+
+    def _go_on(self) -> None:
+        if self._writing or not self._waiting:
+            return
+        self._writing = True
+        batch = tuple(self._waiting)
+        self._waiting.clear()
+        self._write(batch)
+
+    def _write(self, batch: tuple[Write, ...]) -> None:
+        def change() -> None:
+            for write in batch:
+                self._replica.apply(write)
+
+        def done() -> None:
+            self._writing = False
+            self._durable(batch)
+            self._go_on()
+        def failed(_: OSError) -> None:
+            self._loop.call_later(RETRY_S, self._write, batch)
+        self._disk.write(change, lambda: self._loop.enter(done),
+                         lambda error: self._loop.enter(lambda: failed(error)))
+
+
+def void(_: object) -> None:
+    """Drop a result."""
+
+
+@contextmanager
+def replaced(module: ModuleType, names: dict[str, object]) -> Iterator[None]:
+    """Have names of a module stand for something else for a while."""
+    before = {name: getattr(module, name) for name in names}
+    for name, value in names.items():
+        setattr(module, name, value)
+    try:
+        yield
+    finally:
+        for name, value in before.items():
+            setattr(module, name, value)
+
+
+class SimulatedMember:
+    """A control-plane member: its machine, its disk, and the real program on them."""
+
+    def __init__(self, machine: Machine, streams: Streams, disk: Disk, settings: NodeSettings) -> None:
+        self.machine, self._streams, self._disk = machine, streams, disk
+        self._settings = settings
+        self._random = Random(machine.simulator.random.random())
+        self.replica: Replica | None = None
+        self.loop: SimulatedLoop | None = None
+        self.program: ControlMember | None = None
+        self._server: StandInServer | None = None
+        machine.boot = self._boot
+
+    def wipe(self) -> None:
+        """The disk is empty from now on; the process must not run."""
+        assert not self.machine.running
+        self.replica = None
+        self._settings = replace(self._settings, bootstrap=False)
+
+    @property
+    def live(self) -> bool:
+        """Whether the program runs and has opened."""
+        return self.machine.running and self.program is not None
+
+    def call(self, call: ApiCall, answered: Callable[[int, bytes], None]) -> None:
+        """Have the control API answer; a step of the machine. Without an answer where nobody listens."""
+        loop, server = self.loop, self._server
+        if loop is None or server is None or not server.serving:
+            return
+
+        async def answer() -> None:
+            reply = await server.front.handle(call.message(loop.time()), lambda: False)
+            answered(reply.status, bytes(reply.data).partition(b"\r\n\r\n")[2])
+        loop.enter(lambda: void(loop.create_task(answer())))
+
+    def _boot(self) -> None:
+        self.program = self._server = None
+        self.loop = loop = new_loop(self.machine, self._streams)
+        loop.create_task(self._serve(loop))
+
+    async def _serve(self, loop: SimulatedLoop) -> None:
+        if self.replica is None:
+            self.replica = await self._created(loop)
+        replica = self.replica
+        store = cast(ReplicaStore, None)       # the writer's, which has the replica itself
+        opened = OpenedStore(store, replica.identity, replica.restored())
+
+        def writer(_: object, durable: Callable[[Sequence[Write]], None]) -> SimulatedWriter:
+            return SimulatedWriter(loop, self._disk, replica, durable)
+
+        def server(*args: Any, **named: Any) -> StandInServer:
+            self._server = StandInServer(*args, **named)
+            return self._server
+        seeded = SimpleNamespace(Random=lambda: Random(self._random.random()))
+        with replaced(member_module, {"DiskWriter": writer, "Server": server, "random": seeded}):
+            program = ControlMember(self._settings, opened)
+        await program.start()
+        self.program = program
+
+    async def _created(self, loop: SimulatedLoop) -> Replica:
+        """Write an empty disk's first state."""
+        control = self._settings.bind_addresses.control
+        assert control is not None
+        first = first_state(control, self._settings.seeds, self._settings.bootstrap, PEER_PORT, self._random)
+        replica = Replica(first.identity, first.snapshot)
+        written = loop.create_future()
+        self._disk.write(lambda: void(None), lambda: loop.enter(lambda: written.set_result(None)))
+        await written
+        return replica
+
+
+class SimulatedGateway:
+    """A gateway as far as its feed: the real subscriber on the real link."""
+
+    def __init__(self, machine: Machine, streams: Streams, settings: NodeSettings) -> None:
+        self.machine, self._streams, self._settings = machine, streams, settings
+        self._random = Random(machine.simulator.random.random())
+        self.loop: SimulatedLoop | None = None
+        self.subscriber: FeedSubscriber[Configuration] | None = None
+        machine.boot = self._boot
+
+    @property
+    def revision(self) -> int:
+        """Of the configuration in force; 0: none."""
+        return self.subscriber.configuration_revision if self.subscriber is not None else 0
+
+    def instance_state(self, id: str) -> str:
+        """ready, draining or absent."""
+        held = self.subscriber.instances.get(id) if self.subscriber is not None else None
+        if held is None:
+            return "absent"
+        return "draining" if held.state == DRAINS else "ready"
+
+    def _boot(self) -> None:
+        self.loop = loop = new_loop(self.machine, self._streams)
+        seeds = [f"{seed.rpartition(':')[0]}:{PEER_PORT}" for seed in self._settings.seeds]
+        random = Random(self._random.random())
+        self.subscriber = FeedSubscriber(seeds, self._settings.zone, random, apply_update,
+                                         self._settings.node_name, self.machine.incarnation)
+        loop.create_task(self._follow())
+
+    async def _follow(self) -> None:
+        assert self.subscriber is not None
+        await FeedLink(self.subscriber, lambda events, now: None).run()
+
+
+def settings_of(name: str, ip: str, seeds: Sequence[str], member: bool, bootstrap: bool) -> NodeSettings:
+    """The settings of a member or a gateway; `seeds` are IPs."""
+    control = f"{ip}:{CONTROL_PORT}" if member else None
+    return NodeSettings(
+        node_name=name,
+        role="control-plane" if member else "data-plane",
+        machine_class="core" if member else "edge",
+        ip=ip,
+        zone="z",
+        region="r",
+        port_range=(PEER_PORT, PEER_PORT + 15),
+        seeds=tuple(f"{seed}:{CONTROL_PORT}" for seed in seeds),
+        bootstrap=bootstrap,
+        counts_for_quorum=member,
+        data_dir="/simulated" if member else None,
+        heartbeat_ms=HEARTBEAT_MS,
+        bind_addresses=BindAddresses(control=control),
+    )
--- /dev/null
+++ b/mallowbeam/simulation/replica.py
@@ -0,0 +1,46 @@
+"""What is durable on a member's simulated disk, by the rules that `consensus.interface.Write` states."""
+
+from __future__ import annotations
+
+from mallowbeam.consensus.interface import HardState, Restored, Write
+from mallowbeam.rpc.messages_pb2 import Entry, Snapshot
+
+
+class Replica:
+    """One member's identity, hard state, snapshot and log."""
+
+    def __init__(self, identity: int, snapshot: Snapshot) -> None:
+        self.identity = identity
+        self.snapshot = snapshot
+        self.hard_state = HardState()
+        self.entries: list[Entry] = []         # behind the snapshot
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self.snapshot.index + len(self.entries)
+
+    def apply(self, write: Write) -> None:
+        """Make a write durable."""
+        if write.snapshot is not None:
+            self._put_snapshot(write.snapshot)
+        if write.entries:
+            first = write.entries[0].index
+            assert self.snapshot.index < first <= self.last_index + 1, "a gap in the log"
+            self.entries[first - self.snapshot.index - 1:] = write.entries
+        if write.hard_state is not None:
+            assert write.hard_state.term >= self.hard_state.term, "a term that falls"
+            self.hard_state = write.hard_state
+
+    def restored(self) -> Restored:
+        """What a member starts from."""
+        return Restored(self.hard_state, self.snapshot, tuple(self.entries))
+
+    def _put_snapshot(self, snapshot: Snapshot) -> None:
+        """Entries behind a snapshot stay where they follow from it."""
+        held = self.snapshot.index < snapshot.index <= self.last_index
+        if held and self.entries[snapshot.index - self.snapshot.index - 1].term == snapshot.term:
+            del self.entries[:snapshot.index - self.snapshot.index]
+        elif snapshot.index != self.snapshot.index:
+            self.entries = []
+        self.snapshot = snapshot
