--- a/mallowbeam/simulation/clock.py
+++ b/mallowbeam/simulation/clock.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from random import Random
 
-Step = Callable[[], None]
+Step = Callable[[], object]                     # its result is dropped
 
 
 @dataclass(slots=True)
--- a/mallowbeam/simulation/dialing.py
+++ b/mallowbeam/simulation/dialing.py
@@ -18,7 +18,10 @@
 
 @dataclass(slots=True)
 class Dial:
-    """A connection that is being opened; `opened` or `refused` is called once, as a step of the process."""
+    """A connection that is being opened; `opened` or `refused` is called once, as a step of the process.
+
+    `given_up` is set by who does not wait any longer, and at the end of the process.
+    """
 
     opened: Callable[[Endpoint], None]
     refused: Callable[[OSError], None]
@@ -32,15 +35,29 @@
 
 @dataclass(slots=True)
 class _Ends:
-    """The ends of streams that a machine's process has."""
+    """The ends of streams that a machine's process has, and those that it waits for."""
 
     endpoints: list[Endpoint] = field(default_factory=list)
+    dials: list[Dial] = field(default_factory=list)
 
     def add(self, endpoint: Endpoint) -> None:
         """Take one in, and forget those that are over."""
         self.endpoints = [known for known in self.endpoints if not known.closed]
         self.endpoints.append(endpoint)
 
+    def add_dial(self, dial: Dial) -> None:
+        """Take one in, and forget those that are over."""
+        self.dials = [known for known in self.dials if not known.given_up]
+        self.dials.append(dial)
+
+    def process_ended(self, end: End) -> None:
+        """All are over."""
+        for dial in self.dials:
+            dial.given_up = True
+        for endpoint in self.endpoints:
+            endpoint.process_ended(end)
+        self.dials, self.endpoints = [], []
+
 
 class Streams:
     """Opens streams between the machines of a network."""
@@ -65,6 +82,7 @@
     def connect(self, machine: Machine, ip: str, port: int, dial: Dial) -> None:
         """Open a stream to an address; it goes on until it is opened, refused or given up."""
         self._watch(machine)
+        self._ends[machine.name].add_dial(dial)
         self._knock(machine, ip, port, dial, CONNECT_RETRY_S)
 
     def _knock(self, machine: Machine, ip: str, port: int, dial: Dial, pause: float) -> None:
@@ -83,27 +101,34 @@
 
     def _knocked(self, machine: Machine, target: Machine, port: int, dial: Dial, pause: float) -> None:
         """The opening packet reaches a machine."""
-        if dial.given_up or not self._reaches(machine, target):
+        if dial.given_up:
+            return
+        if not self._reaches(machine, target):
             self._knock_again(machine, target.ip, port, dial, pause)
             return
         delay = self._network.delay(target.name, machine.name)
         listener = self._listeners.get((target.name, port))
         if listener is None:
             error = ConnectionRefusedError(f"{target.ip}:{port}: connection refused")
-            self._simulator.after(delay, lambda: self._answer(machine, dial, lambda: dial.refused(error)))
+            self._simulator.after(delay, lambda: machine.after_true(0.0, lambda: self._refuse(dial, error)))
             return
         near, far = Endpoint(self._network, machine, self._free_port()), Endpoint(self._network, target, port)
         near.peer, far.peer = far, near
         self._ends[machine.name].add(near)
         self._ends[target.name].add(far)
         target.after_true(0.0, lambda: listener.accept(far))
-        self._simulator.after(delay, lambda: self._answer(machine, dial, lambda: dial.opened(near)))
+        self._simulator.after(delay, lambda: machine.after_true(0.0, lambda: self._open(dial, near)))
 
-    def _answer(self, machine: Machine, dial: Dial, step: Callable[[], None]) -> None:
-        def take() -> None:
-            if not dial.given_up:
-                step()
-        machine.after_true(0.0, take)
+    def _refuse(self, dial: Dial, error: OSError) -> None:
+        if not dial.given_up:
+            dial.refused(error)
+
+    def _open(self, dial: Dial, near: Endpoint) -> None:
+        """The opening packet is answered; a connection that nobody waits for any longer is ended."""
+        if dial.given_up:
+            near.abort()
+        else:
+            dial.opened(near)
 
     def _reaches(self, one: Machine, other: Machine) -> bool:
         both = self._network.passes(one.name, other.name) and self._network.passes(other.name, one.name)
@@ -125,7 +150,4 @@
     def _process_ended(self, machine: Machine, end: End) -> None:
         for name, port in [key for key in self._listeners if key[0] == machine.name]:
             del self._listeners[name, port]
-        ends = self._ends[machine.name]
-        endpoints, ends.endpoints = ends.endpoints, []
-        for endpoint in endpoints:
-            endpoint.process_ended(end)
+        self._ends[machine.name].process_ended(end)
--- a/mallowbeam/simulation/disk.py
+++ b/mallowbeam/simulation/disk.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from mallowbeam.simulation.clock import Event
+from mallowbeam.simulation.clock import Event, Step
 from mallowbeam.simulation.machine import End, Machine
 
 USUAL_LATENCY = (0.002, 0.006)                 # seconds that a write and its sync take, between these
@@ -24,9 +24,9 @@
 class _Write:
     """A change that waits, and whom to tell."""
 
-    change: Callable[[], None]
-    done: Callable[[], None]
-    failed: Callable[[OSError], None] | None
+    change: Step
+    done: Step
+    failed: Callable[[OSError], object] | None
 
 
 class Disk:
@@ -46,8 +46,7 @@
         """Writes that are not durable yet."""
         return len(self._writes)
 
-    def write(self, change: Callable[[], None], done: Callable[[], None],
-              failed: Callable[[OSError], None] | None = None) -> None:
+    def write(self, change: Step, done: Step, failed: Callable[[OSError], object] | None = None) -> None:
         """Make a change durable, then have the process take the step `done`.
 
         On a full disk the step `failed` is taken instead, or none where it is None: the write is gone.
--- a/mallowbeam/simulation/fleet.py
+++ b/mallowbeam/simulation/fleet.py
@@ -204,14 +204,15 @@
                 if member.live and member.program is not None and member.program._driver.is_leader]
 
     def complete(self) -> bool:
-        """Whether all members run, vote under the identities that their disks have, and are in the same term."""
+        """Whether all members run, vote under the identities that their disks have, and agree."""
         leaders = self._leading()
-        if not leaders or not all(member.live for member in self.members.values()):
+        members = self.members.values()
+        if not leaders or not all(member.live for member in members):
             return False
-        nodes = [member.program._driver.node for member in self.members.values() if member.program is not None]
+        nodes = [member.program._driver.node for member in members if member.program is not None]
         newest = max(nodes, key=lambda node: node.term)
         voters = {one.id for one in newest.membership.members if one.voter}
-        identities = {member.replica.identity for member in self.members.values() if member.replica is not None}
+        identities = {member.replica.identity for member in members if member.replica is not None}
         behind = newest.commit_index - min(node.commit_index for node in nodes)
         return voters == identities and len({node.term for node in nodes}) == 1 and behind == 0
 
--- a/mallowbeam/simulation/fleet_processes.py
+++ b/mallowbeam/simulation/fleet_processes.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
@@ -119,10 +120,6 @@
                          lambda error: self._loop.enter(lambda: failed(error)))
 
 
-def void(_: object) -> None:
-    """Drop a result."""
-
-
 @contextmanager
 def replaced(module: ModuleType, names: dict[str, object]) -> Iterator[None]:
     """Have names of a module stand for something else for a while."""
@@ -169,7 +166,7 @@
         async def answer() -> None:
             reply = await server.front.handle(call.message(loop.time()), lambda: False)
             answered(reply.status, bytes(reply.data).partition(b"\r\n\r\n")[2])
-        loop.enter(lambda: void(loop.create_task(answer())))
+        loop.enter(lambda: loop.create_task(answer()))
 
     def _boot(self) -> None:
         self.program = self._server = None
@@ -200,11 +197,16 @@
         control = self._settings.bind_addresses.control
         assert control is not None
         first = first_state(control, self._settings.seeds, self._settings.bootstrap, PEER_PORT, self._random)
-        replica = Replica(first.identity, first.snapshot)
-        written = loop.create_future()
-        self._disk.write(lambda: void(None), lambda: loop.enter(lambda: written.set_result(None)))
-        await written
-        return replica
+        while not await self._written(loop):
+            await asyncio.sleep(RETRY_S)
+        return Replica(first.identity, first.snapshot)
+
+    async def _written(self, loop: SimulatedLoop) -> bool:
+        """Write and sync; False on a full disk."""
+        written: asyncio.Future[bool] = loop.create_future()
+        self._disk.write(lambda: None, lambda: loop.enter(lambda: written.set_result(True)),
+                         lambda _: loop.enter(lambda: written.set_result(False)))
+        return await written
 
 
 class SimulatedGateway:
--- a/mallowbeam/simulation/loop.py
+++ b/mallowbeam/simulation/loop.py
@@ -15,6 +15,7 @@
 from contextvars import Context
 from typing import Any, TypeVar, TypeVarTuple, Unpack
 
+from mallowbeam.simulation.clock import Step
 from mallowbeam.simulation.dialing import Dial, Streams
 from mallowbeam.simulation.machine import Machine
 from mallowbeam.simulation.stream import Endpoint, StreamHandlers, StreamOptions
@@ -36,7 +37,7 @@
         """Whether the process is still the one that the loop was made for."""
         return self._machine.incarnation == self._incarnation and self._machine.state.value != "off"
 
-    def enter(self, step: Callable[[], None]) -> None:
+    def enter(self, step: Step) -> None:
         """Run a step of the process inside this loop."""
         if not self.alive:
             return
--- a/mallowbeam/simulation/machine.py
+++ b/mallowbeam/simulation/machine.py
@@ -52,7 +52,7 @@
 class Machine:
     """A machine by its name. `boot` makes the process run; it is called at each start."""
 
-    def __init__(self, simulator: Simulator, name: str, boot: Callable[[], None] | None = None,
+    def __init__(self, simulator: Simulator, name: str, boot: Step | None = None,
                  ip: str = "") -> None:
         self.simulator, self.name, self.ip = simulator, name, ip or name
         self.boot = boot
--- a/mallowbeam/simulation/network.py
+++ b/mallowbeam/simulation/network.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
-from mallowbeam.simulation.clock import Simulator
+from mallowbeam.simulation.clock import Simulator, Step
 from mallowbeam.simulation.machine import Machine
 
 
@@ -83,7 +82,7 @@
 
     # ------------------------------------------------------------ datagrams
 
-    def send(self, sender: Machine, recipient: str, deliver: Callable[[], None]) -> None:
+    def send(self, sender: Machine, recipient: str, deliver: Step) -> None:
         """Send a message: `deliver` is a step of the recipient's process, run never, once or more often."""
         path, random = self.path(sender.name, recipient), self.simulator.random
         copies = 2 if random.random() < path.duplicates else 1
@@ -91,7 +90,7 @@
             if random.random() >= path.loss and self.passes(sender.name, recipient):
                 self._deliver(sender.name, recipient, deliver)
 
-    def _deliver(self, sender: str, recipient: str, deliver: Callable[[], None]) -> None:
+    def _deliver(self, sender: str, recipient: str, deliver: Step) -> None:
         def arrive() -> None:
             machine = self.machines.get(recipient)
             if machine is not None and machine.powered and self.passes(sender, recipient):
--- a/mallowbeam/simulation/troubles.py
+++ b/mallowbeam/simulation/troubles.py
@@ -14,6 +14,7 @@
 
 from collections.abc import Callable
 
+from mallowbeam.simulation.clock import Step
 from mallowbeam.simulation.disk import SLOW_LATENCY, Disk
 from mallowbeam.simulation.machine import Machine
 from mallowbeam.simulation.network import Network, Path
@@ -29,7 +30,7 @@
         self.disks: dict[str, Disk] = {}
         self.groups: dict[str, list[str]] = {}
 
-    def add_machine(self, name: str, boot: Callable[[], None] | None = None, group: str = "",
+    def add_machine(self, name: str, boot: Step | None = None, group: str = "",
                     disk: bool = False, ip: str = "") -> Machine:
         """Take a machine in; it is off."""
         machine = self.network.add(Machine(self.simulator, name, boot, ip))
