--- a/mallowbeam/consensus/errors.py
+++ b/mallowbeam/consensus/errors.py
@@ -44,6 +44,13 @@
     remedy = "name a voter that is in touch with the leader"
 
 
+class DivergedError(ConsensusError):
+    """A leader's entry contradicts one that is committed here: some disk has lost what it had confirmed."""
+
+    code = "CONSENSUS_DIVERGED"
+    remedy = "stop this member, empty its data folder, and let it join as a new one"
+
+
 class OverloadedError(ConsensusError):
     """As many entries or reads are under way as the settings allow; nothing was taken."""
 
--- a/mallowbeam/consensus/follower.py
+++ b/mallowbeam/consensus/follower.py
@@ -11,25 +11,36 @@
 
     def __init__(self, state: MemberState) -> None:
         self._state = state
+        self._held_up_until = state.now        # what comes before may have been on its way for long
 
     def append(self, leader: int, request: AppendRequest) -> None:
         """Take entries, or refuse them with a hint where the leader is to look next."""
         state = self._state
+        self._note_silence()
         state.heard_leader(leader)
         previous = request.previous_index
         if state.log.blank and previous == 0 or not state.log.matches(previous, request.previous_term):
             hint = state.log.conflict_hint(previous, state.commit_index)
             self._answer(leader, success=False, hint_index=hint, round_number=request.round)
             return
-        dropped = state.log.merge(request.entries)
+        dropped = state.log.merge(request.entries, state.commit_index)
         if dropped is not None:
             state.persistence.entries_dropped(dropped)
         last = previous + len(request.entries)
         state.commit_to(min(request.commit, last))
-        if state.commit_index >= request.commit:
+        if state.commit_index >= request.commit and state.now >= self._held_up_until:
             state.current_at = state.now
         self._confirm(leader, last, request.round, waits=bool(request.entries))
 
+    def _note_silence(self) -> None:
+        """After a silence, what comes first may have been held up since it began, and tells nothing of now.
+
+        This member may have been frozen, or a cut may have kept the leader's words.
+        """
+        state = self._state
+        if state.now - state.leader_contact >= state.settings.election_least:
+            self._held_up_until = state.now + state.settings.heartbeat
+
     def _confirm(self, leader: int, last: int, round_number: int, waits: bool) -> None:
         """Answer that the log is equal up to `last`: at once where that is durable, or nothing was added."""
         persistence = self._state.persistence
@@ -44,6 +55,7 @@
     def snapshot(self, leader: int, request: SnapshotRequest) -> None:
         """Install a snapshot, unless the log already holds all of it."""
         state = self._state
+        self._note_silence()
         state.heard_leader(leader)
         snapshot = request.snapshot
         if snapshot.index <= state.commit_index and not state.log.blank:
--- a/mallowbeam/consensus/log.py
+++ b/mallowbeam/consensus/log.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Sequence
 
+from mallowbeam.consensus.errors import DivergedError
 from mallowbeam.consensus.membership import MembershipHistory
 from mallowbeam.rpc.messages_pb2 import Entry, EntryKind, Snapshot
 
@@ -88,11 +89,16 @@
         self._entries.extend(entries)
         self.memberships.append(entries)
 
-    def merge(self, entries: Sequence[Entry]) -> int | None:
-        """Take a leader's entries, whose predecessor matches; the first index of own ones dropped, if any."""
+    def merge(self, entries: Sequence[Entry], committed: int) -> int | None:
+        """Take a leader's entries, whose predecessor matches; the first index of own ones dropped, if any.
+
+        Raises DivergedError where an entry up to `committed` would have to go.
+        """
         for position, entry in enumerate(entries):
             if entry.index <= self.base_index or self.term_at(entry.index) == entry.term:
                 continue
+            if entry.index <= committed:
+                raise DivergedError(f"entry {entry.index} is committed in another term", step="append")
             dropped = self._truncate(entry.index)
             self.append(entries[position:])
             return dropped
--- a/mallowbeam/consensus/replication.py
+++ b/mallowbeam/consensus/replication.py
@@ -54,7 +54,7 @@
         return progress.next_index - 1 < self._state.log.base_index
 
     def _in_touch(self, progress: Progress) -> bool:
-        return self._state.now - progress.last_heard < self._state.settings.election_most
+        return progress.in_touch(self._state.now - self._state.settings.election_most)
 
     def _snapshot(self, member_id: int, progress: Progress, round_number: int) -> None:
         state = self._state
--- a/tests/consensus_checkers.py
+++ b/tests/consensus_checkers.py
@@ -112,7 +112,7 @@
         if node.role is Role.LEADER:
             self._leads(machine)
             if node.commit_index > before and node._state.log.term_at(node.commit_index) != node.term:
-                raise Violation("own term", f"{machine.member_id} commits an older term's {node.commit_index}")
+                raise Violation("own term", f"{machine.member_id} commits one of an older term")
 
     def _leads(self, machine: Machine) -> None:
         node = machine.node
--- /dev/null
+++ b/tests/consensus_host.py
@@ -0,0 +1,96 @@
+"""One member of consensus, whose messages and writes a test hands over itself."""
+
+from __future__ import annotations
+
+from random import Random
+
+from mallowbeam.consensus.interface import HardState, Output, RaftSettings, Restored
+from mallowbeam.consensus.node import RaftNode, Role
+from mallowbeam.rpc.messages_pb2 import (
+    COMMAND,
+    AppendRequest,
+    AppendResponse,
+    Entry,
+    Member,
+    Membership,
+    RaftMessage,
+    Snapshot,
+    VoteResponse,
+)
+
+OWN = 1
+
+
+def membership(voters: int, learners: int = 0) -> Membership:
+    members = [Member(id=number + 1, voter=number < voters) for number in range(voters + learners)]
+    return Membership(members=members)
+
+
+def entry(index: int, term: int, payload: bytes = b"x") -> Entry:
+    return Entry(index=index, term=term, kind=COMMAND, payload=payload)
+
+
+class Host:
+    """Drives one member; writes are durable only once the test says so."""
+
+    def __init__(self, voters: int = 3, learners: int = 0, entries: tuple[Entry, ...] = (), term: int = 1,
+                 founder: bool = True, own: int = OWN, **settings: object) -> None:
+        self.now = 10.0
+        first = Snapshot(index=1, term=1, membership=membership(voters, learners))
+        snapshot = first if founder else Snapshot()
+        restored = Restored(HardState(term if founder else 0), snapshot, entries)
+        self.node = RaftNode(RaftSettings(member_id=own, **settings), restored, self.now, Random(1))
+        self.tickets: list[int] = []
+        self.committed: list[Entry] = []
+
+    def output(self) -> Output:
+        output = self.node.output()
+        if output.write is not None:
+            self.tickets.append(output.write.ticket)
+        self.committed += output.committed
+        return output
+
+    def write(self) -> Output:
+        """All writes so far are durable."""
+        if self.tickets:
+            self.node.written(self.tickets[-1], self.now)
+        return self.output()
+
+    def tick(self, seconds: float) -> Output:
+        self.now += seconds
+        self.node.tick(self.now)
+        return self.output()
+
+    def receive(self, sender: int, **body: object) -> Output:
+        self.node.receive(sender, RaftMessage(**body), self.now)
+        return self.output()
+
+    def append(self, leader: int, term: int, previous: tuple[int, int], *entries: Entry, commit: int = 0,
+               round_number: int = 1) -> Output:
+        request = AppendRequest(term=term, previous_index=previous[0], previous_term=previous[1],
+                                entries=entries, commit=commit, round=round_number)
+        return self.receive(leader, append_request=request)
+
+    def confirm(self, sender: int, match: int, round_number: int = 1) -> Output:
+        response = AppendResponse(term=self.node.term, success=True, match_index=match, round=round_number)
+        return self.receive(sender, append_response=response)
+
+    def lead(self, commit: bool = True) -> Output:
+        """Become the leader of three, by the vote of member 2; commit the term's first entry if wanted."""
+        self.tick(1.0)
+        if self.node.role is Role.PRE_CANDIDATE:
+            vote = VoteResponse(term=self.node.term + 1, granted=True, pre_vote=True)
+            self.receive(2, vote_response=vote)
+            self.write()
+            self.receive(2, vote_response=VoteResponse(term=self.node.term, granted=True))
+        output = self.write()
+        assert self.node.role is Role.LEADER
+        if commit:
+            last = self.node._state.log.last_index
+            output = self.confirm(2, last)
+            assert self.node.commit_index == last
+        return output
+
+
+def bodies(messages, kind: str) -> list[object]:
+    return [getattr(send.message, kind) for send in messages if send.message.WhichOneof("body") == kind]
--- a/tests/consensus_machine.py
+++ b/tests/consensus_machine.py
@@ -132,12 +132,13 @@
         self.frozen = True
 
     def thaw(self) -> None:
-        """Go on: what came meanwhile is taken in its order, the clock's tick somewhere among it."""
+        """Go on: what came meanwhile is taken in its order, a tick and a read somewhere among it."""
         if not self.frozen or self.node is None:
             return
         self.frozen = False
         backlog, self.backlog = self.backlog, []
-        backlog.insert(self.world.random.randint(0, len(backlog)), self._tick)
+        for step in (self._tick, lambda: self.world.read(self)):
+            backlog.insert(self.world.random.randint(0, len(backlog)), step)
         for step in backlog:
             step()
 
--- a/tests/consensus_variants.py
+++ b/tests/consensus_variants.py
@@ -128,7 +128,7 @@
 
 def conflicts_kept() -> AbstractContextManager[object]:
     """A follower keeps own entries where a leader's differ in their term."""
-    def term_blind_merge(self: RaftLog, entries) -> int | None:
+    def term_blind_merge(self: RaftLog, entries, committed: int) -> int | None:
         self.append([entry for entry in entries if entry.index > self.last_index])
         return None
     return mock.patch.object(RaftLog, "merge", term_blind_merge)
--- a/tests/test_consensus_scenarios.py
+++ b/tests/test_consensus_scenarios.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
 
-from consensus_scenario import FOLDER, parse, play
+from consensus_checkers import Violation
+from consensus_scenario import FOLDER, Scenario, Statement, parse, play
 
 
 class Scenarios(unittest.TestCase):
@@ -17,11 +20,30 @@
                 with self.subTest(scenario=scenario.name, seed=seed):
                     play(scenario, seed)
 
+    def _parse(self, text: str) -> Scenario:
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / "name.txt"
+            path.write_text(text)
+            return parse(path)
+
+    def test_parse(self) -> None:
+        scenario = self._parse("# a comment\ngroup 3 voters 1 learners\nseeds 2 4\nset heartbeat 0.2\n"
+                               "at 1.5 kill leader as old  # another\n")
+        self.assertEqual((scenario.voters, scenario.learners, scenario.seeds), (3, 1, range(2, 5)))
+        self.assertEqual(scenario.settings.heartbeat, 0.2)
+        self.assertEqual(scenario.statements, [Statement(5, 1.5, ("kill", "leader", "as", "old"))])
+
     def test_unreadable(self) -> None:
-        path = FOLDER / "first_election.txt"
-        scenario = parse(path)
-        self.assertEqual((scenario.voters, scenario.learners, len(scenario.seeds)), (3, 1, 10))
-        self.assertEqual(scenario.statements[0].words, ("expect", "leader", "within", "1.2"))
+        for line in ("group many", "at 1.0", "seeds 1", "kill leader"):
+            with self.subTest(line=line), self.assertRaises(ValueError):
+                self._parse(line)
+
+    def test_unseen(self) -> None:
+        """An expectation that is not met fails, at once or when its time is up."""
+        lines = ("at 1.5 expect no leader", "at 0.1 expect leader within 0.2", "at 2.0 expect voters 1 2")
+        for line in lines:
+            with self.subTest(line=line), self.assertRaises(Violation):
+                play(self._parse(line), 1)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_consensus_walks.py
@@ -0,0 +1,34 @@
+"""Random schedules of troubles, from fixed seeds; a failure's note tells its seed and how to replay it."""
+
+from __future__ import annotations
+
+import unittest
+
+from consensus_walker import play
+
+FIRST_SEED = 1
+SCHEDULES = 200
+
+
+class Walks(unittest.TestCase):
+    def test_all(self) -> None:
+        outcomes = []
+        for seed in range(FIRST_SEED, FIRST_SEED + SCHEDULES):
+            with self.subTest(seed=seed):
+                outcomes.append(play(seed))
+        self._have_seen(outcomes)
+
+    def _have_seen(self, outcomes) -> None:
+        """The schedules reach what they are there for."""
+        self.assertEqual(len(outcomes), SCHEDULES)
+        for name, least in {"acknowledged": 15, "reads_confirmed": 8, "terms": 1.5, "snapshots": 0.2,
+                            "changes": 0.5}.items():
+            mean = sum(getattr(outcome, name) for outcome in outcomes) / SCHEDULES
+            self.assertGreater(mean, least, name)
+
+    def test_replays(self) -> None:
+        self.assertEqual(play(7), play(7))
+
+
+if __name__ == "__main__":
+    unittest.main()
