Consensus: a candidate waits for its own vote to be durable before its time runs

Cause: with disks that take 50 to 150 ms for a write, the first campaign was often given up before it could end. Change: the time for answers begins once the own vote is durable and the others are asked.

--- a/mallowbeam/consensus/election.py
+++ b/mallowbeam/consensus/election.py
@@ -25,18 +25,24 @@
         state = self._state
         if state.role is Role.LEADER or state.now < state.election_deadline:
             return
-        if not state.may_campaign or state.stalled:
+        if not state.may_campaign or state.stalled or self._own_vote_under_way:
             state.reset_election_timer()
             return
         self._start()
 
+    @property
+    def _own_vote_under_way(self) -> bool:
+        """Whether this candidate has yet to ask for votes, since its own is not durable."""
+        state = self._state
+        return state.role is Role.CANDIDATE and not state.persistence.state_is_durable
+
     def _start(self) -> None:
         """Ask for pre-votes."""
         state = self._state
         state.role = Role.PRE_CANDIDATE
         state.leader_id = None
-        state.reset_election_timer(FIRST_RETRY_SCALE if state.campaigns == 0 else 1.0)
         state.campaigns += 1
+        self._await_outcome()
         self._votes = {state.own_id: True}     # counts where it is a voter
         for voter in state.voters - {state.own_id}:
             request = self._request(state.term + 1, pre_vote=True)
@@ -49,12 +55,16 @@
         state.persistence.set_state(state.term + 1, vote=state.own_id)
         state.role = Role.CANDIDATE
         state.leader_id = None
-        state.reset_election_timer(FIRST_RETRY_SCALE if state.campaigns <= 1 else 1.0)
+        self._await_outcome()
         self._votes = {}
         for voter in state.voters - {state.own_id}:
             request = self._request(state.term, transfer=transfer)
             state.persistence.send_after_write(voter, request)
 
+    def _await_outcome(self) -> None:
+        """Give the campaign its time; the first one is short, as most that fail were split."""
+        self._state.reset_election_timer(FIRST_RETRY_SCALE if self._state.campaigns <= 1 else 1.0)
+
     def _request(self, term: int, pre_vote: bool = False, transfer: bool = False) -> RaftMessage:
         log = self._state.log
         request = VoteRequest(term=term, last_index=log.last_index, last_term=log.last_term,
@@ -62,11 +72,14 @@
         return RaftMessage(vote_request=request)
 
     def written(self) -> None:
-        """Count the own vote once it is durable."""
+        """Count the own vote once it is durable; the others are asked only now."""
         state = self._state
-        if state.role is Role.CANDIDATE and state.persistence.state_is_durable:
-            self._votes[state.own_id] = True
-            self._count()
+        if state.role is not Role.CANDIDATE or not state.persistence.state_is_durable:
+            return
+        if state.own_id not in self._votes:
+            self._await_outcome()
+        self._votes[state.own_id] = True
+        self._count()
 
     def response(self, sender: int, response: VoteResponse) -> None:
         """Count a vote or pre-vote."""
