Types: the new packages under mypy strict; a lost link's time

Cause: the packages of the router fleet were neither shipped nor checked: mypy read them only where the command line imported them. Checked, it found one fault: Instances.link_lost called the table without the time, so each lost link to another member raised a TypeError, and the details that were under way on it were never asked for. One variable of two types in PeerLinks has two names.

--- a/mallowbeam/control_plane/instances.py
+++ b/mallowbeam/control_plane/instances.py
@@ -96,7 +96,7 @@
 
     def link_lost(self) -> None:
         """Another member's connection ended: what was under way on it is asked for again."""
-        self._table.link_lost()
+        self._table.link_lost(time.monotonic())
 
     def look(self, members: list[int]) -> None:
         """Let time pass; to be called several times a second with the ids of the other members."""
--- a/mallowbeam/control_plane/peer_links.py
+++ b/mallowbeam/control_plane/peer_links.py
@@ -180,8 +180,8 @@
         """Open the links that are missing and close those that are no longer needed."""
         wanted = {member.id: member for member in self._introduced.values()}
         wanted.update(self._members)
-        for member in [known for known in self._links if known not in wanted]:
-            self._links.pop(member).close()
+        for unwanted in [known for known in self._links if known not in wanted]:
+            self._links.pop(unwanted).close()
         for member_id, member in wanted.items():
             link = self._links.get(member_id)
             if link is not None and link.peer.address == member.address:
--- /dev/null
+++ b/tests/test_control_plane_instances.py
@@ -0,0 +1,57 @@
+"""A member's instances: what becomes of a lost link to another member."""
+
+from __future__ import annotations
+
+import time
+import unittest
+from random import Random
+from typing import cast
+
+from mallowbeam.control_plane.commands import Commands
+from mallowbeam.control_plane.instances import Instances
+from mallowbeam.control_plane.peer_links import PeerLinks
+from mallowbeam.registry.retirements import Retirements
+from mallowbeam.registry.table import InstanceTable
+from mallowbeam.rpc.messages_pb2 import PeerFrame, RegistryGossip
+
+OTHER = 7                  # the other member's id
+
+
+class Links:
+    """Links to one other member, heard just now."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[int, PeerFrame]] = []
+
+    def silence(self, member: int) -> float:
+        return 0.0
+
+    def send(self, recipient: int, frame: PeerFrame) -> bool:
+        self.sent.append((recipient, frame))
+        return True
+
+
+class LostLinks(unittest.TestCase):
+    def setUp(self) -> None:
+        self.links = Links()
+        table = InstanceTable(heartbeat_interval_s=1.0, started_at=time.monotonic())
+        table.merge(RegistryGossip(whole=True), time.monotonic())      # it knows all that there is
+        self.instances = Instances(
+            table, Retirements(), cast(Commands, None), cast(PeerLinks, self.links), changed=lambda: None,
+            gateways=lambda: 0, silence=lambda: 0.0, random=Random(1))
+
+    def asked(self) -> list[int]:
+        """Whom one look asks for all that they know."""
+        self.links.sent.clear()
+        self.instances.look([OTHER])
+        return [member for member, frame in self.links.sent if frame.registry.wants_whole]
+
+    def test_what_a_lost_link_may_have_cost_is_asked_for(self) -> None:
+        """The call lacked the time: it raised, and what was under way on the link was never asked for."""
+        self.assertEqual(self.asked(), [])
+        self.instances.link_lost()
+        self.assertEqual(self.asked(), [OTHER])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -1,4 +1,4 @@
-"""Who may import whom: no circles anywhere; `net/` knows nothing that stands on it, `http/` only the errors."""
+"""Who may import whom: no circles; `net/` knows nothing that stands on it, `http/` only the errors."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/tests/test_packaging.py
@@ -0,0 +1,48 @@
+"""What the project file says of its packages: all are shipped, all but earlier code is held to strict types."""
+
+from __future__ import annotations
+
+import tomllib
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+BEFORE_TYPES = {"mallowbeam", "mallowbeam.control", "mallowbeam.http", "mallowbeam.net", "mallowbeam.fronts"}
+
+
+def project() -> dict:
+    return tomllib.loads((ROOT / "pyproject.toml").read_text())
+
+
+def packages() -> set[str]:
+    """Every package in the tree."""
+    found = (ROOT / "mallowbeam").rglob("__init__.py")
+    return {".".join(path.parent.relative_to(ROOT).parts) for path in found}
+
+
+class Packaging(unittest.TestCase):
+    def test_every_package_is_shipped(self) -> None:
+        self.assertEqual(set(project()["tool"]["setuptools"]["packages"]), packages())
+
+    def test_every_package_is_held_to_strict_types(self) -> None:
+        judged = {name.replace("/", ".") for name in project()["tool"]["mypy"]["files"]}
+        self.assertTrue(project()["tool"]["mypy"]["strict"])
+        left = {name for name in packages() - BEFORE_TYPES
+                if not any(f"{name}.".startswith(f"{one}.") for one in judged)}
+        self.assertEqual(left, set())
+
+    def test_errors_are_ignored_in_earlier_code_only(self) -> None:
+        ignored = [name for override in project()["tool"]["mypy"]["overrides"] if override.get("ignore_errors")
+                   for name in override["module"]]
+        for name in ignored:
+            package = name.removesuffix(".*")
+            self.assertTrue(package in BEFORE_TYPES or package.rpartition(".")[0] in BEFORE_TYPES, name)
+
+    def test_the_fleet_s_extra_is_what_its_build_installs(self) -> None:
+        lines = (ROOT / "deploy" / "system-requirements.txt").read_text().splitlines()
+        pins = [line for line in lines if line and not line.startswith("#")]
+        self.assertEqual(project()["project"]["optional-dependencies"]["system"], pins)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_simulation_scenarios.py
+++ b/tests/test_simulation_scenarios.py
@@ -135,8 +135,8 @@
 
     def test_texts_that_cannot_be_played_name_their_line(self):
         cases = ["dancers a", "at 1 dance", "at x kill a", "at 1 kill z", "at 1 kill", "at 1 cut a",
-                 "seed x", "seed", "at 1 expect a", "never a hears b", "always from 1 to 2", "at 1 slow a", "end", "by 1",
-                 "at 1 expect z hears a", "never a hears b from x to y"]
+                 "seed x", "seed", "at 1 expect a", "never a hears b", "always from 1 to 2", "at 1 slow a",
+                 "end", "by 1", "at 1 expect z hears a", "never a hears b from x to y"]
         for line in cases:
             with self.subTest(line), self.assertRaises(ScenarioError) as caught:
                 self.play(QUIET + "\n" + line)
