--- a/mallowbeam/registry/errors.py
+++ b/mallowbeam/registry/errors.py
@@ -16,6 +16,7 @@
     NOT_JSON: ClassVar[str] = "HEARTBEAT_NOT_JSON"
     BAD_ID: ClassVar[str] = "HEARTBEAT_BAD_ID"
     BAD_FIELD: ClassVar[str] = "HEARTBEAT_BAD_FIELD"
+    codes: ClassVar[tuple[str, ...]] = (TOO_LARGE, NOT_JSON, BAD_ID, BAD_FIELD)
 
     def __init__(self, code: str = BAD_FIELD, what: str = "", where: str = "") -> None:
         super().__init__(what, where)
