--- a/mallowbeam/control_plane/commands.py
+++ b/mallowbeam/control_plane/commands.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 import time
 from typing import TypeVar
 
@@ -32,6 +33,7 @@
 PATIENCE = 0.9                 # seconds from a call's coming in to its answer; callers wait for one
 NO_LEADER_PATIENCE = 0.7       # seconds without any leader after which a call is turned away
 LEAST_WAIT = 0.001
+REQUEST_ID_BITS = 62           # of the first id; later ones count up from it
 RETRY_PAUSE = 0.03             # seconds before a leader that did not take a call is asked again
 
 Answer = TypeVar("Answer")
@@ -50,7 +52,8 @@
     def __init__(self, driver: RaftDriver, links: PeerLinks) -> None:
         self._driver, self._links = driver, links
         self._loop = asyncio.get_running_loop()
-        self._last_id = 0
+        # Begun elsewhere in each process: answers to an earlier process of this member are none of this one's.
+        self._last_id = secrets.randbits(REQUEST_ID_BITS)
         self._proposals: dict[int, asyncio.Future[Outcome]] = {}
         self._reads: dict[int, asyncio.Future[int]] = {}
 
@@ -263,9 +266,11 @@
     translated: asyncio.Future[Outcome] = answer.get_loop().create_future()
 
     def done(original: asyncio.Future[Outcome]) -> None:
-        if translated.done() or original.cancelled():
+        if original.cancelled():
+            return
+        error = original.exception()           # also where nobody waits any more: it counts as seen
+        if translated.done():
             return
-        error = original.exception()
         if error is None:
             translated.set_result(original.result())
         elif isinstance(error, ProposalLost):
