--- a/mallowbeam/admission/messages.py
+++ b/mallowbeam/admission/messages.py
@@ -34,6 +34,8 @@
     """Instances that must not be chosen, such as those tried before."""
     resumed: bool = False
     """It continues an answer that has begun: it is not refused while any instance may take it."""
+    read_at: str = ""
+    """The instance whose handle on the prompt's memory is still good; empty where there is none."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +52,8 @@
     units: int
     """Slots that it took."""
     expected_first_token_s: float
+    engine_priority: int = 5
+    """For the engine's own queue, 0 (first) to 9: short readings go before long ones."""
 
 
 class RefusalReason(Enum):
@@ -59,6 +63,8 @@
     """No instance may take it."""
     NO_CYCLE = "no_cycle"
     """No cycle finishes it in its time."""
+    OVERLOAD = "overload"
+    """Requests wait too long at every node that was weighed."""
     NO_ROOM = "no_room"
     """All places or the memory of the instances are taken by this gateway's own requests."""
     TOO_LARGE = "too_large"
--- a/mallowbeam/admission/planner.py
+++ b/mallowbeam/admission/planner.py
@@ -7,11 +7,13 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections.abc import Iterable
 from dataclasses import dataclass
 from math import ceil
 from typing import Protocol
 
+from mallowbeam.admission.guard import OverloadGuard
 from mallowbeam.admission.messages import Outcome, Plan, PlanRequest, Refusal, RefusalReason
 from mallowbeam.admission.settings import PlannerSettings
 from mallowbeam.pairing.hashing import MASK, stable_hash
@@ -20,6 +22,8 @@
 from mallowbeam.scheduling.cycles import Placement
 
 READY, ENDED = 0, 2   # of `messages.InstanceState`
+PRIORITY_STEPS = (0, 1, 2, 3, 4, 6, 8, 12, 16)   # the most units of each engine priority; the rest have 9
+MIDDLE_PRIORITY = 4
 
 
 class BackendEntry(Protocol):
@@ -48,6 +52,21 @@
     first: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class _Offer:
+    """A way with its booking, which is not taken yet."""
+
+    way: Way
+    units: int
+    placement: Placement
+    start_in_s: float
+    expected_s: float
+    """Until the first token."""
+    finish_s: float
+    """Until the first token or the end of the last cycle's slots, whichever is later."""
+    loss: float
+
+
 class Planner:
     """Decides for each request of one gateway; owner of its books on all instances."""
 
@@ -56,6 +75,7 @@
         self.settings = settings
         self.table = InstanceTable(settings.pairing, settings.slot_time, settings.cycle_s)
         self.pairing = Pairing(settings.pairing, self.table, gateway)
+        self.guard = OverloadGuard(settings, gateway)
         self.bookings: dict[int, _Booking] = {}
         self._last = 0
 
@@ -73,6 +93,8 @@
             ways = self.pairing.plain_ways(prompt, now)
         if not ways:
             return self._refusal(request, 1.0, RefusalReason.NO_INSTANCE)
+        if request.engine is not None and self.guard.refuses(request, ways[0].reader, now):
+            return self._refusal(request, self.settings.guard_retry_s, RefusalReason.OVERLOAD)
         return self._choose(request, ways, now)
 
     def begun(self, booking: int, now: float) -> None:
@@ -96,11 +118,11 @@
         if not (entry := self.bookings.get(booking)) or entry.first:
             return
         entry.first = True
-        if not entry.read:
-            self._read_ended(booking, entry, now, measured=True)
         way = entry.way
+        if not entry.read:                      # where it was to be read apart, that did not come about
+            self._read_ended(booking, entry, now, measured=not way.split)
         if way.split and entry.handed_at is not None:
-            way.decoder.learn_join(now - entry.handed_at, way.move_s, now)
+            way.decoder.learn_join(way.reader, now - entry.handed_at, way.move_s, now)
         if entry.request.prompt_parts:
             self._keep(entry, way.decoder)
 
@@ -110,11 +132,14 @@
             return
         way = entry.way
         if not entry.read:
-            self._read_ended(booking, entry, now, measured=outcome is Outcome.COMPLETED)
+            self._read_ended(booking, entry, now, measured=outcome is Outcome.COMPLETED and not way.split)
         self._free_places(entry)
-        if outcome is Outcome.REJECTED:
-            node = way.reader if entry.handed_at is None else way.decoder
-            node.rejected_until = now + self.settings.pairing.rejected_s
+        if outcome is not Outcome.REJECTED:
+            return
+        if entry.handed_at is None:
+            way.reader.rejected_until = now + self.settings.pairing.rejected_s
+        else:                                   # its memory could not be had
+            way.reader.failures.add(1.0, now)
 
     # ---------------------------------------------------------------- what is known of the system
 
@@ -151,33 +176,44 @@
     def _prompt(request: PlanRequest) -> Prompt:
         return Prompt(request.request_id, request.backend, request.engine, request.prompt_parts,
                       request.prompt_tokens, request.answer_tokens, request.target_latency_s, request.zone,
-                      request.excluded)
+                      request.excluded, request.read_at)
 
     def units(self, read_tokens: int) -> int:
         """Slots for a prompt with so many tokens to be read."""
         return min(self.settings.most_units, max(1, ceil(read_tokens / self.settings.tokens_per_unit)))
 
     def _choose(self, request: PlanRequest, ways: list[Way], now: float) -> Plan | Refusal:
-        limit = self._limit(request)
+        """Book the way of least loss; one whose cycle begins sooner may lose less than one held back."""
         need = request.prompt_tokens + request.answer_tokens
-        soonest = float("inf")
-        room = False
-        for way in ways:
-            units = self.units(way.read_tokens)
-            if not way.decoder.has_room(need) and not way.decoder.idle:
+        open_ways = [way for way in ways if way.decoder.has_room(need) or way.decoder.idle]
+        limit, soonest = self._limit(request), float("inf")
+        best: _Offer | None = None
+        for way in open_ways:
+            offer = self._offer(request, way, now)
+            if offer is None or (best is not None and offer.loss >= best.loss):
                 continue
-            room = True
-            placement = self._place(request, way.reader, units, now)
-            if placement is None:
-                continue
-            start_in = placement.starts_at - now
-            expected = max(way.first_token_s, start_in + way.first_token_s - way.wait_s)
-            finish = max(expected, placement.ends_at - now)
-            if finish <= limit or request.resumed or not self._believed(way.reader, units, now):
-                return self._take(request, way, units, placement, now, expected)
-            soonest = min(soonest, finish)
+            if offer.finish_s <= limit or request.resumed or not self._believed(way.reader, now):
+                best = offer
+            else:
+                soonest = min(soonest, offer.finish_s)
+            if best is not None and best.start_in_s <= 0.0:
+                break                           # those that follow lose more
+        if best is not None:
+            return self._take(request, best, now)
         over = soonest - limit if soonest < float("inf") else request.time_left_s
-        return self._refusal(request, over, RefusalReason.NO_CYCLE if room else RefusalReason.NO_ROOM)
+        return self._refusal(request, over, RefusalReason.NO_CYCLE if open_ways else RefusalReason.NO_ROOM)
+
+    def _offer(self, request: PlanRequest, way: Way, now: float) -> _Offer | None:
+        """A way with its place in the reader's cycles, if they have one."""
+        units = self.units(way.read_tokens)
+        placement = self._place(request, way.reader, units, now)
+        if placement is None:
+            return None
+        start_in = max(0.0, placement.starts_at - now)
+        expected = max(way.first_token_s, start_in + way.first_token_s - way.wait_s)
+        held = start_in / max(request.target_latency_s, 1e-3) * self.settings.held_loss
+        return _Offer(way, units, placement, start_in, expected, max(expected, placement.ends_at - now),
+                      way.loss + held)
 
     def _place(self, request: PlanRequest, node: InstanceBook, units: int, now: float) -> Placement | None:
         slot_s = node.timer.slot_s(request.target_latency_s, now)
@@ -188,7 +224,7 @@
             return Placement(((current, units),), now, now + units * slot_s)
         return placement
 
-    def _believed(self, node: InstanceBook, units: int, now: float) -> bool:
+    def _believed(self, node: InstanceBook, now: float) -> bool:
         """Whether a node's estimate may refuse: work of ours is there, and waiting was seen or is sure."""
         if node.idle:
             return False
@@ -204,22 +240,29 @@
         silence = max(settings.silence_s, settings.silence_targets * request.target_latency_s)
         return min(request.time_left_s - answer, silence)
 
-    def _take(self, request: PlanRequest, way: Way, units: int, placement: Placement, now: float,
-              expected: float) -> Plan:
+    def _take(self, request: PlanRequest, offer: _Offer, now: float) -> Plan:
         self._last += 1
-        booking = self._last
-        way.reader.cycles.book(booking, placement)
+        booking, way = self._last, offer.way
+        way.reader.cycles.book(booking, offer.placement)
         way.reader.read_started(booking, way.read_tokens)
-        entry = _Booking(request, way, units)
+        entry = _Booking(request, way, offer.units)
         self.bookings[booking] = entry
-        need = request.prompt_tokens + request.answer_tokens
-        way.decoder.take_place(need)
+        way.decoder.take_place(request.prompt_tokens + request.answer_tokens)
         if way.split:
             way.reader.take_place(request.prompt_tokens)
         if request.prompt_parts:
             self._keep(entry, way.reader)
         prefill = way.reader.id if way.split else None
-        return Plan(booking, prefill, way.decoder.id, max(0.0, placement.starts_at - now), units, expected)
+        return Plan(booking, prefill, way.decoder.id, offer.start_in_s, offer.units, offer.expected_s,
+                    self._engine_priority(request, offer.units))
+
+    def _engine_priority(self, request: PlanRequest, units: int) -> int:
+        """Short readings before long ones; some long ones among the middle, lest all of them starve."""
+        steps = bisect_left(PRIORITY_STEPS, units)
+        if units >= self.settings.long_units:
+            drawn = stable_hash("long " + request.request_id) / MASK
+            return MIDDLE_PRIORITY if drawn < self.settings.long_share else steps
+        return steps
 
     def _refusal(self, request: PlanRequest, over_s: float, reason: RefusalReason) -> Refusal:
         """Come back when the overshoot has passed, spread by the request's id over half of that."""
@@ -234,17 +277,26 @@
         """The prompt was read, or will not be here."""
         entry.read = True
         reader = entry.way.reader
-        tokens = reader.read_ended(booking)
+        reader.read_ended(booking)
         if entry.sent_at is None:
             reader.cycles.release(booking)      # never sent: its slots are a hole for others
             return
         reader.cycles.forget(booking)
         latency = reader.timer.done(booking, now, measured)
-        if measured and latency is not None and entry.request.engine is not None:
-            reader.learn_read(tokens, entry.ahead, latency, now)
+        if latency is not None and entry.request.engine is not None and entry.way.read_tokens:
+            self._learn_read(entry, latency, measured, now)
         if entry.way.split:
             reader.leave_place(entry.request.prompt_tokens)
 
+    def _learn_read(self, entry: _Booking, latency_s: float, measured: bool, now: float) -> None:
+        """A prompt was read in this time, or it was given up after it."""
+        way, model = entry.way, entry.way.reader.model
+        if measured:
+            waited = model.learn(way.known, way.unseen, entry.ahead, latency_s, self.pairing.kept, now)
+        else:
+            waited = model.learn_unread(way.read_tokens, latency_s, now)
+        self.guard.waited(entry.request.backend, way.read_tokens, waited, now)
+
     def _free_places(self, entry: _Booking) -> None:
         way = entry.way
         need = entry.request.prompt_tokens + entry.request.answer_tokens
--- a/mallowbeam/admission/settings.py
+++ b/mallowbeam/admission/settings.py
@@ -18,6 +18,12 @@
     """Prompt tokens to be read that take one slot."""
     most_units: int = 24
     """The most slots that one request takes, however long its prompt."""
+    held_loss: float = 0.25
+    """Loss, as a share of a request's worth, by holding it back for a target latency."""
+    long_units: int = 9
+    """A reading from so many units is long: it waits behind shorter ones in an engine's queue."""
+    long_share: float = 0.5
+    """The share of long readings that queue among the middle ones instead, so that some are always served."""
     measured_wait_s: float = 0.25
     """Seen waiting at a node without which its estimates refuse nothing."""
     measured_units: int = 8
@@ -34,6 +40,20 @@
     """The soonest that a refused client is told to come back."""
     retry_after_share: float = 0.3
     """The latest that it is told to come back, as a share of its time left."""
+    guard_from: float = 1.0
+    """Wait at the best node, in mean target latencies, from which some requests are refused."""
+    guard_to: float = 4.0
+    """Wait, in mean target latencies, from which all are refused."""
+    guard_memory_s: float = 2.0
+    """Seconds in which a seen wait loses its weight to 1/e."""
+    guard_prior_tokens: float = 5_000.0
+    """Tokens without any wait that the seen waits are weighed against."""
+    guard_idle: float = 0.25
+    """An idle node refuses nothing while the waits seen there are below this, in mean target latencies."""
+    guard_leniency: float = 0.6
+    """How much more wait the most urgent priority bears; each next one half as much more."""
+    guard_retry_s: float = 0.5
+    """When those are told to come back."""
     pairing: PairingSettings = field(default_factory=PairingSettings)
     """Settings of the choice of instances."""
     slot_time: SlotTimeSettings = field(default_factory=SlotTimeSettings)
--- a/mallowbeam/pairing/hashing.py
+++ b/mallowbeam/pairing/hashing.py
@@ -9,6 +9,7 @@
 from bisect import bisect_left, insort
 from collections.abc import Iterator
 from hashlib import blake2b
+from math import log
 
 WINDOW = 48
 """Instances ranked for one key."""
@@ -29,6 +30,11 @@
     return value ^ (value >> 32)
 
 
+def score(instance: int, key: int, weight: float) -> float:
+    """A rank among instances of unequal weights: each comes first for a share of keys like its weight."""
+    return -weight / log((rank(instance, key) + 1) / (MASK + 2))
+
+
 class Ring:
     """Instances by hash, in order."""
 
--- a/mallowbeam/pairing/instances.py
+++ b/mallowbeam/pairing/instances.py
@@ -7,6 +7,7 @@
 
 from mallowbeam.pairing.hashing import Ring
 from mallowbeam.pairing.kept_parts import KeptParts
+from mallowbeam.pairing.reading import ReadingModel
 from mallowbeam.pairing.settings import PairingSettings
 from mallowbeam.scheduling.cycles import CycleBook
 from mallowbeam.scheduling.slot_time import FadingMean, SlotTimer, SlotTimeSettings
@@ -14,8 +15,6 @@
 PREFILL = "prefill"
 DECODE = "decode"
 DEFAULT_KV_CAPACITY = 200_000
-TOKENS_UNIT = 1_000.0   # weight of a pace sample: thousands of tokens
-CLIP = 4.0              # a pace sample counts as at most so many times slower or faster than the present pace
 
 
 class Engine(Protocol):
@@ -73,7 +72,7 @@
 
     __slots__ = ("id", "backend", "zone", "slots", "stage", "ready", "versions", "settings",
                  "timer", "cycles", "kept", "reading", "read_tokens", "places", "memory",
-                 "seconds_per_token", "delay", "join", "rejected_until")
+                 "model", "join", "hand", "failures", "rejected_until")
 
     def __init__(self, entry: InstanceEntry, settings: PairingSettings, slot_time: SlotTimeSettings,
                  cycle_s: float, kv_capacity: int) -> None:
@@ -88,9 +87,10 @@
         self.read_tokens = 0
         self.places = 0                         # bookings that hold or will take a place
         self.memory = 0                         # tokens of memory that they need
-        self.seconds_per_token = FadingMean(settings.pace_memory_s)
-        self.delay = FadingMean(settings.delay_memory_s)
-        self.join = FadingMean(settings.delay_memory_s)
+        self.model = self._new_model()
+        self.join = FadingMean(settings.delay_memory_s)      # hand-overs that it received
+        self.hand = FadingMean(settings.delay_memory_s)      # hand-overs of what it read
+        self.failures = FadingMean(settings.delay_memory_s)  # the share of the latter that failed
         self.rejected_until = float("-inf")
 
     @property
@@ -98,25 +98,30 @@
         """Whether this gateway has nothing to be done there, as far as it knows."""
         return self.timer.idle and not self.reading
 
-    def token_s(self, now: float) -> float:
-        """Seconds to read a token, as measured of late."""
+    def _new_model(self) -> ReadingModel:
         settings = self.settings
         prefill = self.stage == PREFILL
-        first = 1.0 / (settings.prefill_tokens_per_s if prefill else settings.decode_tokens_per_s)
-        return self.seconds_per_token.value(first, settings.pace_prior_tokens / TOKENS_UNIT, now)
+        pace = settings.prefill_tokens_per_s if prefill else settings.decode_tokens_per_s
+        return ReadingModel(settings, pace)
+
+    def changes_stage(self, stage: str) -> None:
+        """It reads or decodes from now on; its pace is another."""
+        self.stage = stage
+        self.model = self._new_model()
 
     def wait_s(self, now: float) -> float:
         """Seconds until what this gateway has there is read, with what others' work added of late."""
-        own = self.read_tokens * self.token_s(now)
+        own = self.read_tokens * self.model.token_s
         age = self.timer.oldest_age(now)
         overdue = max(0.0, age - own - self.settings.overhead_s) if self.reading else 0.0
         progress = min(age, own / 2)
-        return max(0.0, own - progress) + max(0.0, self.delay.value(0.0, 0.5, now)) + overdue
+        return max(0.0, own - progress) + self.model.delay_s(now) + overdue
 
     def measured_wait_s(self, now: float) -> float:
-        """The part of `wait_s` that was seen rather than estimated."""
-        age = self.timer.oldest_age(now)
-        return max(self.delay.value(0.0, 0.5, now), age if self.reading else 0.0, 0.0)
+        """The wait of readings that was seen, not estimated: of those ended, or of the oldest one out."""
+        age = self.timer.oldest_age(now) if self.reading else 0.0
+        own = self.read_tokens * self.model.token_s + self.settings.overhead_s
+        return max(self.model.backlog_s(now), age - own)
 
     def read_started(self, booking: int, tokens: int) -> None:
         """A booking will have tokens read here."""
@@ -129,28 +134,19 @@
         self.read_tokens -= tokens
         return tokens
 
-    def learn_read(self, tokens: int, ahead: int, elapsed_s: float, now: float) -> None:
-        """Reading took `elapsed_s` for these tokens and those of this gateway that were ahead of them."""
-        present = self.token_s(now)
-        total = tokens + ahead
-        expected = self.settings.overhead_s + total * present
-        self.delay.add(max(-self.settings.overhead_s, elapsed_s - expected), now)
-        if total > 0:
-            sample = max(0.0, elapsed_s - self.settings.overhead_s) / total
-            sample = min(CLIP * present, max(present / CLIP, sample))
-            self.seconds_per_token.add(sample, now, total / TOKENS_UNIT)
-
-    def join_s(self, gateways: int, now: float) -> float:
-        """Seconds until a request that was read elsewhere, and whose memory is here, has its first token."""
+    def join_s(self, reader: InstanceBook, gateways: int, now: float) -> float:
+        """Seconds from the end of reading at another instance to the first token, without the move."""
         settings = self.settings
-        running = self.places * gateways
-        crowd = running / self.slots
-        return (self.join.value(settings.join_s, 1.0, now) + running * settings.running_s
-                + settings.crowd_s * crowd * min(crowd, 4.0))
+        here = self.join.value(settings.join_s, 1.0, now)
+        there = reader.hand.value(settings.join_s, 1.0, now)
+        return max(here, there) + self.places * gateways * settings.running_s
 
-    def learn_join(self, elapsed_s: float, move_s: float, now: float) -> None:
+    def learn_join(self, reader: InstanceBook, elapsed_s: float, move_s: float, now: float) -> None:
         """The first token came `elapsed_s` after the hand-over, of which the move was to take `move_s`."""
-        self.join.add(max(0.0, elapsed_s - move_s), now)
+        seen = max(0.0, elapsed_s - move_s)
+        self.join.add(seen, now)
+        reader.hand.add(seen, now)
+        reader.failures.add(0.0, now)
 
     def take_place(self, tokens: int) -> None:
         """A booking holds a place and memory here."""
@@ -190,8 +186,7 @@
             book.versions = versions
             book.kept.clear()
         if entry.stage != book.stage:
-            book.stage = entry.stage
-            book.seconds_per_token = FadingMean(self.settings.pace_memory_s)
+            book.changes_stage(entry.stage)
         book.zone, book.slots, book.ready = entry.zone, max(1, entry.slots), ready
         if ready:
             self._join_rings(book)
@@ -220,10 +215,9 @@
             if name not in excluded and name not in self.ejected:
                 yield self.books[name]
 
-    def total_slots(self, backend: str) -> int:
-        """Places of all instances of a service that are ready."""
-        return sum(self.books[name].slots for stage in (PREFILL, DECODE, "")
-                   for name in self.rings.get((backend, stage, ""), ()))
+    def size(self, backend: str, stage: str) -> int:
+        """How many instances of a stage are ready."""
+        return len(self.rings.get((backend, stage, ""), ()))
 
     def _join_rings(self, book: InstanceBook) -> None:
         for zone in ("", book.zone):
--- a/mallowbeam/pairing/settings.py
+++ b/mallowbeam/pairing/settings.py
@@ -22,20 +22,22 @@
     """Reading pace of a prefill instance before it is measured."""
     decode_tokens_per_s: float = 20_000.0
     """Reading pace of a decode instance, between its tokens, before it is measured."""
-    pace_prior_tokens: float = 8_000.0
-    """Tokens that the first pace counts as against measured ones."""
-    pace_memory_s: float = 8.0
-    """Seconds in which a measured pace loses its weight to 1/e."""
-    delay_memory_s: float = 1.0
+    delay_memory_s: float = 2.0
     """Seconds in which a measured delay by others' work loses its weight to 1/e."""
+    delay_prior_weight: float = 1.0
+    """Samples that no delay at all counts as against measured ones."""
+    unseen_kept_share: float = 0.6
+    """The share of shared parts, unseen by this gateway, first taken for kept at their home."""
+    decode_home_weight: float = 0.2
+    """How often a decode instance is a key's home, against a prefill instance's 1."""
     overhead_s: float = 0.018
-    """What reading takes besides the tokens: way there and back, and the engine's first step."""
+    """What reading takes besides the tokens: the way there and back, and the engine's first step."""
     join_s: float = 0.015
     """From the end of reading to the first token at another instance, without the move of memory."""
     running_s: float = 0.0001
     """What each running request adds to a decode step."""
-    crowd_s: float = 0.08
-    """What a decode instance with all places taken adds to the first token; by the square of its load."""
+    crowd_loss: float = 0.1
+    """Loss at a decode instance with all places taken; by the square of its load."""
     move_setup_s: float = 0.004
     """What a move of memory takes besides its bytes."""
     zone_move_factor: float = 2.0
@@ -44,8 +46,12 @@
     """Loss by moving a gigabyte of memory within a zone."""
     zone_move_loss_factor: float = 3.0
     """How many times more a move between zones loses."""
-    reread_loss_per_1000: float = 0.02
+    reread_loss_per_1000: float = 0.08
     """Loss by reading a thousand shared tokens again away from where they are kept."""
+    reread_loss_most: float = 0.4
+    """The most that reading shared parts again counts, so that a key's home is left when it is overloaded."""
+    hand_over_loss: float = 0.6
+    """Loss by a hand-over that fails."""
     late_loss: float = 0.5
     """Loss by a first token at twice its target latency; half of it at the target, less by the cube below."""
     zone_loss: float = 0.01
--- a/mallowbeam/pairing/ways.py
+++ b/mallowbeam/pairing/ways.py
@@ -8,16 +8,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
+from itertools import islice
 
-from mallowbeam.pairing.hashing import stable_hash
+from mallowbeam.pairing.hashing import WINDOW, score, stable_hash
 from mallowbeam.pairing.instances import DECODE, PREFILL, Engine, InstanceBook, InstanceTable
 from mallowbeam.pairing.kept_parts import PromptPart
+from mallowbeam.pairing.reading import KeptShare
 from mallowbeam.pairing.settings import PairingSettings
 
 BYTES_PER_GB = 1e9
 BITS_PER_MBIT = 1e6
+OVERDUE = 3.0                             # usual latencies after which a plain answer is overdue
+REJECTED_LOSS, NO_ROOM_LOSS = 5.0, 10.0   # so that such instances come after all others
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +37,7 @@
     target_latency_s: float
     zone: str
     excluded: frozenset[str]
+    read_at: str = ""
 
     @property
     def affinity(self) -> str:
@@ -48,7 +53,12 @@
 
     reader: InstanceBook
     decoder: InstanceBook
+    known: int
+    """Tokens to be read for certain."""
+    unseen: int
+    """Shared tokens that may be kept there, by others' requests."""
     read_tokens: int
+    """Tokens that are expected to be read."""
     move_s: float
     wait_s: float
     """Until the reader turns to this prompt."""
@@ -61,6 +71,15 @@
         return self.reader is not self.decoder
 
 
+@dataclass(frozen=True, slots=True)
+class _Candidates:
+    """The instances weighed for a prompt, and the one that is its home."""
+
+    readers: list[InstanceBook]
+    decoders: list[InstanceBook]
+    home: InstanceBook | None
+
+
 class Pairing:
     """Chooses instances for one gateway."""
 
@@ -68,18 +87,19 @@
         """The gateway's name salts what is to differ among gateways."""
         self.settings, self.table, self.salt = settings, table, gateway
         self.gateways = 1
+        self.kept = KeptShare(settings.unseen_kept_share)
         self.sessions: dict[str, str] = {}      # last part: the instance that has it
 
     def ways(self, prompt: Prompt, now: float) -> list[Way]:
         """The ways that are weighed, least loss first; none where no instance is ready."""
-        key = stable_hash(prompt.affinity)
-        readers = self._readers(prompt, key)
-        decoders = self._decoders(prompt, key, readers)
-        found = [self._direct(prompt, decoder, now, home=not readers and index == 0)
-                 for index, decoder in enumerate(decoders)]
-        found += [self._split(prompt, reader, decoder, now, home=index == 0)
-                  for index, reader in enumerate(readers) for decoder in decoders if decoder.stage == DECODE]
-        return sorted(found, key=lambda way: way.loss)
+        found = self._candidates(prompt)
+        if holder := self.table.books.get(prompt.read_at):
+            return sorted((self._handed(prompt, holder, decoder, now) for decoder in found.decoders),
+                          key=lambda way: way.loss)
+        ways = [self._direct(prompt, decoder, found.home, now) for decoder in found.decoders]
+        ways += [self._split(prompt, reader, decoder, found.home, now)
+                 for reader in found.readers for decoder in found.decoders if decoder.stage == DECODE]
+        return sorted(ways, key=lambda way: way.loss)
 
     def plain_ways(self, prompt: Prompt, now: float) -> list[Way]:
         """The ways of a request to a service whose instances have no stages."""
@@ -97,75 +117,95 @@
         while len(self.sessions) > self.settings.session_entries:
             del self.sessions[next(iter(self.sessions))]
 
-    def _readers(self, prompt: Prompt, key: int) -> list[InstanceBook]:
-        found: list[InstanceBook] = []
-        for book in self.table.ranked(prompt.backend, PREFILL, "", key, prompt.excluded):
-            found.append(book)
-            if len(found) >= self.settings.read_choices:
-                break
-        return found
+    # ---------------------------------------------------------------- candidates
 
-    def _decoders(self, prompt: Prompt, key: int, readers: Sequence[InstanceBook]) -> list[InstanceBook]:
-        settings = self.settings
-        found: dict[str, InstanceBook] = {}
-        if prompt.parts and (session := self.sessions.get(prompt.parts[-1].id)):
-            book = self.table.books.get(session)
-            if book and book.ready and book.stage == DECODE and self._open(book, prompt):
-                found[book.id] = book
-        for zone in ("", *sorted({reader.zone for reader in readers})):
-            ranked = self.table.ranked(prompt.backend, DECODE, zone, key, prompt.excluded)
-            self._take(found, ranked, settings.decode_choices)
+    def _candidates(self, prompt: Prompt) -> _Candidates:
+        key, settings = stable_hash(prompt.affinity), self.settings
+        readers = self._first(prompt, PREFILL, "", key, settings.read_choices)
+        by_key = self._first(prompt, DECODE, "", key, settings.decode_choices)
+        home = self._home(prompt, key, readers[:1] + by_key[:1])
+        found = {book.id: book for book in (*self._session(prompt), *by_key)}
         drawn = stable_hash(self.salt + prompt.request_id)
-        ranked = self.table.ranked(prompt.backend, DECODE, "", drawn, prompt.excluded)
-        self._take(found, ranked, settings.spread_choices)
-        return list(found.values()) or self._any(prompt, key)
+        for zone in ("", *sorted({reader.zone for reader in readers})):
+            for book in self._first(prompt, DECODE, zone, drawn, settings.spread_choices):
+                found[book.id] = book
+        decoders = list(found.values()) or self._any(prompt, key)
+        return _Candidates(readers, decoders, home or (decoders[0] if decoders else None))
+
+    def _home(self, prompt: Prompt, key: int, firsts: Sequence[InstanceBook]) -> InstanceBook | None:
+        """Of each stage's first instance the one that comes first by weight."""
+        if not firsts:
+            return None
+        return max(firsts, key=lambda book: score(stable_hash(book.id), key, self._weight(prompt, book)))
+
+    def _weight(self, prompt: Prompt, book: InstanceBook) -> float:
+        weight = 1.0 if book.stage == PREFILL else self.settings.decode_home_weight
+        return weight * max(1.0, self.table.size(prompt.backend, book.stage) / WINDOW)
+
+    def _session(self, prompt: Prompt) -> list[InstanceBook]:
+        """The decode instance that keeps all of the prompt's parts, if it may be used."""
+        name = self.sessions.get(prompt.parts[-1].id) if prompt.parts else None
+        book = self.table.books.get(name) if name else None
+        if book is None or not book.ready or book.stage != DECODE:
+            return []
+        return [] if book.id in prompt.excluded or book.id in self.table.ejected else [book]
 
     def _any(self, prompt: Prompt, key: int) -> list[InstanceBook]:
         """Where none decodes: those without a stage, or whose stage may have changed since it was told."""
-        found: dict[str, InstanceBook] = {}
-        for stage in ("", PREFILL):
-            self._take(found, self.table.ranked(prompt.backend, stage, "", key, prompt.excluded),
-                       self.settings.read_choices)
-            if found:
-                break
-        return list(found.values())
+        count = self.settings.read_choices
+        return (self._first(prompt, "", "", key, count)
+                or self._first(prompt, PREFILL, "", key, count))
 
-    def _open(self, book: InstanceBook, prompt: Prompt) -> bool:
-        return book.id not in prompt.excluded and book.id not in self.table.ejected
+    def _first(self, prompt: Prompt, stage: str, zone: str, key: int, count: int) -> list[InstanceBook]:
+        return list(islice(self.table.ranked(prompt.backend, stage, zone, key, prompt.excluded), count))
 
-    @staticmethod
-    def _take(found: dict[str, InstanceBook], ranked: Iterator[InstanceBook], count: int) -> None:
-        for _, book in zip(range(count), ranked, strict=False):
-            found[book.id] = book
+    # ---------------------------------------------------------------- estimates
 
-    def _direct(self, prompt: Prompt, book: InstanceBook, now: float, home: bool) -> Way:
-        unread = self._unread(prompt, book)
+    def _direct(self, prompt: Prompt, book: InstanceBook, home: InstanceBook | None, now: float) -> Way:
+        known, unseen, read = self._unread(prompt, book, home)
         wait = book.wait_s(now)
-        first = wait + unread * book.token_s(now) + book.join_s(self.gateways, now)
+        first = (wait + self.settings.overhead_s + read * book.model.token_s
+                 + book.places * self.gateways * self.settings.running_s)
         loss = self._late_loss(first, prompt) + self._reread_loss(prompt, book, home)
-        return Way(book, book, unread, 0.0, wait, first, loss + self._full_loss(prompt, book, now))
+        loss += self._crowd_loss(book) + self._full_loss(prompt, book, now)
+        return Way(book, book, known, unseen, read, 0.0, wait, first, loss)
 
-    def _split(self, prompt: Prompt, reader: InstanceBook, decoder: InstanceBook, now: float,
-               home: bool) -> Way:
+    def _split(self, prompt: Prompt, reader: InstanceBook, decoder: InstanceBook, home: InstanceBook | None,
+               now: float) -> Way:
         settings = self.settings
-        unread = self._unread(prompt, reader)
+        known, unseen, read = self._unread(prompt, reader, home)
         wait = reader.wait_s(now)
         move_s, gigabytes = self.move(prompt, reader, decoder)
         near = reader.zone == decoder.zone
-        first = (wait + settings.overhead_s + unread * reader.token_s(now) + move_s
-                 + decoder.join_s(self.gateways, now))
+        first = (wait + settings.overhead_s + read * reader.model.token_s + move_s
+                 + decoder.join_s(reader, self.gateways, now))
         loss = self._late_loss(first, prompt) + self._reread_loss(prompt, reader, home)
         loss += gigabytes * settings.move_loss_per_gb * (1.0 if near else settings.zone_move_loss_factor)
-        loss += self._full_loss(prompt, decoder, now) + self._rejected_loss(reader, now)
-        return Way(reader, decoder, unread, move_s, wait, first, loss)
+        loss += self._crowd_loss(decoder) + self._full_loss(prompt, decoder, now)
+        loss += self._rejected_loss(reader, now)
+        loss += settings.hand_over_loss * reader.failures.value(0.0, 1.0, now)
+        return Way(reader, decoder, known, unseen, read, move_s, wait, first, loss)
+
+    def _handed(self, prompt: Prompt, holder: InstanceBook, decoder: InstanceBook, now: float) -> Way:
+        """What was read already is handed over: nothing is left to be read."""
+        settings = self.settings
+        move_s, gigabytes = self.move(prompt, holder, decoder)
+        near = holder.zone == decoder.zone
+        first = move_s + decoder.join_s(holder, self.gateways, now)
+        loss = self._late_loss(first, prompt) + self._full_loss(prompt, decoder, now)
+        loss += self._crowd_loss(decoder)
+        loss += gigabytes * settings.move_loss_per_gb * (1.0 if near else settings.zone_move_loss_factor)
+        return Way(decoder, decoder, 0, 0, 0, move_s, 0.0, first, loss)
 
     def _plain(self, prompt: Prompt, book: InstanceBook, now: float) -> Way:
         load = (book.places + 1) / book.slots
-        wait = book.wait_s(now)
-        first = wait + book.timer.slot_s(prompt.target_latency_s, now)
-        loss = 0.1 * load * load + self._late_loss(first, prompt) + self._full_loss(prompt, book, now)
+        usual = book.timer.latency_s(prompt.target_latency_s, now)
+        wait = max(0.0, book.timer.oldest_age(now) - OVERDUE * usual)
+        first = wait + usual
+        loss = self.settings.crowd_loss * load * load + self._late_loss(first, prompt)
+        loss += self._full_loss(prompt, book, now)
         loss += self.settings.zone_loss if book.zone != prompt.zone else 0.0
-        return Way(book, book, 0, 0.0, wait, first, loss)
+        return Way(book, book, 0, 0, 0, 0.0, wait, first, loss)
 
     def move(self, prompt: Prompt, reader: InstanceBook, decoder: InstanceBook) -> tuple[float, float]:
         """Seconds that the move of a prompt's memory takes, and its size in GB."""
@@ -178,28 +218,40 @@
             seconds *= settings.zone_move_factor
         return seconds, size / BYTES_PER_GB
 
-    @staticmethod
-    def _unread(prompt: Prompt, book: InstanceBook) -> int:
-        return max(1, prompt.tokens - book.kept.kept(prompt.parts))
+    def _unread(self, prompt: Prompt, book: InstanceBook, home: InstanceBook | None) -> tuple[int, int, int]:
+        """Tokens to be read for certain, those that may be kept by others' requests, and the expected sum."""
+        left = max(1, prompt.tokens - book.kept.kept(prompt.parts))
+        if book is not home or len(prompt.parts) < 2 or self.gateways < 2:
+            return left, 0, left
+        shared = prompt.parts[:-1]
+        unseen = min(left - 1, sum(part.tokens for part in shared) - book.kept.kept(shared))
+        known = left - unseen
+        return known, unseen, known + int(unseen * (1.0 - self.kept.value))
 
-    def _reread_loss(self, prompt: Prompt, book: InstanceBook, home: bool) -> float:
+    def _reread_loss(self, prompt: Prompt, book: InstanceBook, home: InstanceBook | None) -> float:
         """Shared parts read away from home are read again; at home, others may have had them read."""
-        if home or len(prompt.parts) < 2:
+        if book is home or len(prompt.parts) < 2:
             return 0.0
         shared = prompt.parts[:-1]
         again = sum(part.tokens for part in shared) - book.kept.kept(shared)
-        return self.settings.reread_loss_per_1000 * again / 1000.0
+        settings = self.settings
+        return min(settings.reread_loss_most, settings.reread_loss_per_1000 * again / 1000.0)
 
     def _late_loss(self, first_token_s: float, prompt: Prompt) -> float:
         share = first_token_s / max(prompt.target_latency_s, 1e-3)
         half = self.settings.late_loss / 2
         return half * share ** 3 if share <= 1.0 else half * share
 
+    def _crowd_loss(self, book: InstanceBook) -> float:
+        """Requests that run at a decode instance slow one another, and take its memory."""
+        crowd = book.places * self.gateways / book.slots
+        return self.settings.crowd_loss * crowd * crowd
+
     def _full_loss(self, prompt: Prompt, book: InstanceBook, now: float) -> float:
         """An instance without room comes after all that have some."""
         loss = self._rejected_loss(book, now)
-        return loss if book.has_room(prompt.tokens + prompt.answer_tokens) else loss + 10.0
+        return loss if book.has_room(prompt.tokens + prompt.answer_tokens) else loss + NO_ROOM_LOSS
 
     @staticmethod
     def _rejected_loss(book: InstanceBook, now: float) -> float:
-        return 5.0 if now < book.rejected_until else 0.0
+        return REJECTED_LOSS if now < book.rejected_until else 0.0
--- a/mallowbeam/scheduling/slot_time.py
+++ b/mallowbeam/scheduling/slot_time.py
@@ -109,6 +109,11 @@
         sent_at, _ = next(iter(self.out.values()))
         return max(0.0, now - sent_at)
 
+    def latency_s(self, target_latency_s: float, now: float) -> float:
+        """The smoothed latency of a unit; before any measurement, the first slot time."""
+        first = self.settings.first_share * target_latency_s
+        return self.latency.value(first, self.settings.prior_weight, now)
+
     def slot_s(self, target_latency_s: float, now: float) -> float:
         """Seconds per unit: smoothed latency, or what the oldest has waited by now, over the units out."""
         settings = self.settings
