--- a/mallowbeam/admission/planner.py
+++ b/mallowbeam/admission/planner.py
@@ -216,13 +216,9 @@
                       way.loss + held)
 
     def _place(self, request: PlanRequest, node: InstanceBook, units: int, now: float) -> Placement | None:
-        slot_s = node.timer.slot_s(request.target_latency_s, now)
-        node.cycles.slots_per_cycle(slot_s)
-        placement = node.cycles.place(units, now)
-        if node.idle:                           # bookings at once, whatever its cycle held
-            current = node.cycles.first
-            return Placement(((current, units),), now, now + units * slot_s)
-        return placement
+        """Where in the node's cycles the units go; an idle node takes them at once, whatever it held."""
+        node.cycles.measure(node.timer.slot_s(request.target_latency_s, now))
+        return node.cycles.place_now(units, now) if node.idle else node.cycles.place(units, now)
 
     def _believed(self, node: InstanceBook, now: float) -> bool:
         """Whether a node's estimate may refuse: work of ours is there, and waiting was seen or is sure."""
--- a/mallowbeam/admission/settings.py
+++ b/mallowbeam/admission/settings.py
@@ -13,7 +13,7 @@
     """What decides whether and when a request is sent."""
 
     cycle_s: float = 0.5
-    """Length of a cycle; m is its floor over a node's slot time."""
+    """The longest cycle, in seconds; m is the floor of a cycle over the node's slot time."""
     tokens_per_unit: int = 1_024
     """Prompt tokens to be read that take one slot."""
     most_units: int = 24
--- a/mallowbeam/pairing/instances.py
+++ b/mallowbeam/pairing/instances.py
@@ -160,7 +160,9 @@
 
     def has_room(self, tokens: int) -> bool:
         """Whether this gateway's own bookings alone leave a place and memory."""
-        return self.places < self.slots and (not self.places or self.memory + tokens <= self.kept.capacity)
+        if self.places >= self.slots * (1.0 + self.settings.queue_share):
+            return False
+        return not self.places or self.memory + tokens <= self.kept.capacity
 
 
 class InstanceTable:
--- a/mallowbeam/pairing/settings.py
+++ b/mallowbeam/pairing/settings.py
@@ -56,6 +56,8 @@
     """Loss by a first token at twice its target latency; half of it at the target, less by the cube below."""
     zone_loss: float = 0.01
     """Loss by sending a request to an instance in another zone than the gateway's."""
+    queue_share: float = 1.0
+    """Bookings of this gateway at an instance beyond its slots, as a share of them; past it no room is."""
     session_entries: int = 20_000
     """Last parts whose instance is remembered; past it the oldest are forgotten, and are read again."""
     own_part_share: float = 0.125
--- a/mallowbeam/pairing/ways.py
+++ b/mallowbeam/pairing/ways.py
@@ -200,7 +200,8 @@
     def _plain(self, prompt: Prompt, book: InstanceBook, now: float) -> Way:
         load = (book.places + 1) / book.slots
         usual = book.timer.latency_s(prompt.target_latency_s, now)
-        wait = max(0.0, book.timer.oldest_age(now) - OVERDUE * usual)
+        queued = max(0, book.places + 1 - book.slots) / book.slots
+        wait = queued * usual + max(0.0, book.timer.oldest_age(now) - OVERDUE * usual)
         first = wait + usual
         loss = self.settings.crowd_loss * load * load + self._late_loss(first, prompt)
         loss += self._full_loss(prompt, book, now)
--- a/mallowbeam/scheduling/cycles.py
+++ b/mallowbeam/scheduling/cycles.py
@@ -10,12 +10,13 @@
 
 from collections import deque
 from dataclasses import dataclass
-from math import floor
 
 MOST_SLOTS = 32
 """The most slots that a cycle has, whatever the measured slot time."""
 HORIZON_CYCLES = 256
 """How many cycles ahead a node may be booked; what would need more finds no room."""
+LEAST_CYCLE_S = 0.01
+"""The shortest cycle, in seconds."""
 
 
 def slots_per_cycle(cycle_s: float, slot_s: float, least: int = 1, most: int = MOST_SLOTS) -> int:
@@ -33,51 +34,70 @@
     ends_at: float
 
 
+@dataclass(slots=True)
+class _Cycle:
+    """One cycle of a node."""
+
+    start: float
+    length: float
+    used: int = 0
+
+    @property
+    def end(self) -> float:
+        return self.start + self.length
+
+
 class CycleBook:
-    """The cycles of one node, as one gateway has booked them."""
+    """The cycles of one node, as one gateway has booked them.
+
+    A cycle is as long as `cycle_s`, or as 32 slots where those take less, so that the bound on m is no bound
+    on the rate of a fast node.  The first begins when something is booked, and each next one at its end.
+    """
 
-    __slots__ = ("cycle_s", "first", "used", "bookings", "slots")
+    __slots__ = ("cycle_s", "slot_s", "first", "cycles", "bookings")
 
     def __init__(self, cycle_s: float) -> None:
-        """Start empty; a cycle lasts `cycle_s` seconds and cycle k begins at k times that."""
+        """Start empty; a cycle lasts `cycle_s` seconds at most."""
         if cycle_s <= 0:
             raise ValueError("a cycle's length must be above 0")
-        self.cycle_s = cycle_s
-        self.first = 0                          # number of the cycle that `used[0]` counts
-        self.used: deque[int] = deque()
+        self.cycle_s = self.slot_s = cycle_s
+        self.first = 0                          # number of `cycles[0]`
+        self.cycles: deque[_Cycle] = deque()
         self.bookings: dict[int, Placement] = {}
-        self.slots = 1
 
-    def slots_per_cycle(self, slot_s: float) -> int:
-        """Set and return m for a measured slot time."""
-        self.slots = slots_per_cycle(self.cycle_s, slot_s)
-        return self.slots
+    @property
+    def slots(self) -> int:
+        """The m of a cycle that would begin now."""
+        return slots_per_cycle(self._length(), self.slot_s)
+
+    def measure(self, slot_s: float) -> None:
+        """Size cycles by this slot time from now on, those ahead too."""
+        self.slot_s = slot_s
 
     def advance(self, now: float) -> None:
         """Forget the cycles that have ended by `now`."""
-        current = floor(now / self.cycle_s)
-        while self.used and self.first < current:
-            self.used.popleft()
+        while self.cycles and self.cycles[0].end <= now:
+            self.cycles.popleft()
             self.first += 1
-        self.first = max(self.first, current)
 
     def place(self, units: int, now: float) -> Placement | None:
         """The earliest cycle with room for `units`, or the cycles they span where m is less; None beyond."""
         self.advance(now)
         units = max(1, units)
-        if units <= self.slots:
-            taken = self._one_cycle(units)
-        else:
-            taken = self._span(units)
-        if not taken:
-            return None
-        return Placement(taken, self._starts_at(taken[0][0], now), self._ends_at(*taken[-1], now))
+        taken = self._one_cycle(units, now) if units <= self.slots else self._span(units, now)
+        return self._placement(taken, now) if taken else None
+
+    def place_now(self, units: int, now: float) -> Placement:
+        """The present cycle, whatever it holds: for an idle node."""
+        self.advance(now)
+        self._cycle(0, now)
+        return Placement(((self.first, max(1, units)),), now, now + max(1, units) * self.slot_s)
 
     def book(self, booking: int, placement: Placement) -> None:
         """Take the slots of a placement under a booking's number."""
         self.release(booking)
-        for cycle, count in placement.taken:
-            self._change(cycle, count)
+        for number, count in placement.taken:
+            self._change(number, count)
         self.bookings[booking] = placement
 
     def release(self, booking: int) -> None:
@@ -85,50 +105,52 @@
         placement = self.bookings.pop(booking, None)
         if placement is None:
             return
-        for cycle, count in placement.taken:
-            self._change(cycle, -count)
+        for number, count in placement.taken:
+            self._change(number, -count)
 
     def forget(self, booking: int) -> None:
         """End a booking whose work was done: its slots stay taken until their cycles pass."""
         self.bookings.pop(booking, None)
 
-    def room(self, cycle: int) -> int:
-        """Free slots of a cycle, by its number."""
-        index = cycle - self.first
-        used = self.used[index] if 0 <= index < len(self.used) else 0
-        return max(0, self.slots - used)
+    def room(self, ahead: int, now: float) -> int:
+        """Free slots of the cycle so many after the present one."""
+        cycle = self._cycle(ahead, now)
+        return max(0, slots_per_cycle(cycle.length, self.slot_s) - cycle.used)
+
+    def _length(self) -> float:
+        return max(LEAST_CYCLE_S, min(self.cycle_s, MOST_SLOTS * self.slot_s))
 
-    def _one_cycle(self, units: int) -> tuple[tuple[int, int], ...]:
-        for cycle in range(self.first, self.first + HORIZON_CYCLES):
-            if self.room(cycle) >= units:
-                return ((cycle, units),)
+    def _cycle(self, ahead: int, now: float) -> _Cycle:
+        while len(self.cycles) <= ahead:
+            start = self.cycles[-1].end if self.cycles else now
+            self.cycles.append(_Cycle(start, self._length()))
+        return self.cycles[ahead]
+
+    def _one_cycle(self, units: int, now: float) -> tuple[tuple[int, int], ...]:
+        for ahead in range(HORIZON_CYCLES):
+            if self.room(ahead, now) >= units:
+                return ((self.first + ahead, units),)
         return ()
 
-    def _span(self, units: int) -> tuple[tuple[int, int], ...]:
+    def _span(self, units: int, now: float) -> tuple[tuple[int, int], ...]:
         taken: list[tuple[int, int]] = []
         left = units
-        for cycle in range(self.first, self.first + HORIZON_CYCLES):
-            count = min(left, self.room(cycle))
+        for ahead in range(HORIZON_CYCLES):
+            count = min(left, self.room(ahead, now))
             if count:
-                taken.append((cycle, count))
+                taken.append((self.first + ahead, count))
                 left -= count
             if not left:
                 return tuple(taken)
         return ()
 
-    def _starts_at(self, cycle: int, now: float) -> float:
-        return max(now, cycle * self.cycle_s)
-
-    def _ends_at(self, cycle: int, count: int, now: float) -> float:
-        position = self.slots - self.room(cycle) + count
-        start = cycle * self.cycle_s
-        slot_s = self.cycle_s / self.slots
-        return max(start + position * slot_s, now + count * slot_s)
+    def _placement(self, taken: tuple[tuple[int, int], ...], now: float) -> Placement:
+        starts_at = max(now, self.cycles[taken[0][0] - self.first].start)
+        last, count = self.cycles[taken[-1][0] - self.first], taken[-1][1]
+        ends_at = max(last.start + (last.used + count) * self.slot_s, now + count * self.slot_s)
+        return Placement(taken, starts_at, ends_at)
 
-    def _change(self, cycle: int, count: int) -> None:
-        index = cycle - self.first
-        if index < 0:
-            return
-        while len(self.used) <= index:
-            self.used.append(0)
-        self.used[index] = max(0, self.used[index] + count)
+    def _change(self, number: int, count: int) -> None:
+        index = number - self.first
+        if 0 <= index < len(self.cycles):
+            self.cycles[index].used = max(0, self.cycles[index].used + count)
