--- /dev/null
+++ b/mallowbeam/pairing/stage_demand.py
@@ -0,0 +1,67 @@
+"""What a fleet's requests ask of each stage: sums of what gateways, or members, told of late.
+
+Every gateway tells its member once a second, every member tells the others the sum over its gateways, so that
+each member knows the whole fleet's demand.  Nothing here grows with gateways times instances: a source costs
+one entry for each service.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Hashable, Iterable
+from dataclasses import dataclass
+
+from mallowbeam.rpc.messages_pb2 import StageDemand
+
+DEMAND_KEPT_S = 3.0            # how long a source's word holds without a new one
+MOST_BACKENDS = 64             # services that one source may tell of; further ones are left out
+MOST_VALUE = 1e12              # what is larger, negative or no number counts as 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Told:
+    """One source's last word, and when it was heard by the steady clock, in seconds."""
+
+    demand: tuple[StageDemand, ...]
+    heard_at: float
+
+
+class DemandTable:
+    """The last word of each source; one that is silent is counted for DEMAND_KEPT_S."""
+
+    def __init__(self, kept_s: float = DEMAND_KEPT_S) -> None:
+        self._told: dict[Hashable, _Told] = {}
+        self._kept_s = kept_s
+
+    def told(self, source: Hashable, demand: Iterable[StageDemand], now: float) -> None:
+        """Take a source's word, in place of its earlier one."""
+        self._told[source] = _Told(tuple(demand)[:MOST_BACKENDS], now)
+
+    def forget(self, source: Hashable) -> None:
+        """A source has gone; what it asks for is told elsewhere."""
+        self._told.pop(source, None)
+
+    def sums(self, now: float) -> dict[str, StageDemand]:
+        """By service, the sum over all sources heard of late."""
+        for source in [source for source, told in self._told.items() if now - told.heard_at > self._kept_s]:
+            del self._told[source]
+        return add_up(demand for told in self._told.values() for demand in told.demand)
+
+
+def add_up(parts: Iterable[StageDemand]) -> dict[str, StageDemand]:
+    """Sums by service, as new messages."""
+    sums: dict[str, StageDemand] = {}
+    for part in parts:
+        total = sums.get(part.backend)
+        if total is None:
+            total = sums[part.backend] = StageDemand(backend=part.backend)
+        total.reading += _sound(part.reading)
+        total.read_tokens += _sound(part.read_tokens)
+        total.spilled_tokens += _sound(part.spilled_tokens)
+        total.decoding += _sound(part.decoding)
+        total.generated += _sound(part.generated)
+    return sums
+
+
+def _sound(value: float) -> float:
+    """A value that sums can bear."""
+    return value if 0.0 <= value <= MOST_VALUE else 0.0
--- a/mallowbeam/registry/rows.py
+++ b/mallowbeam/registry/rows.py
@@ -39,6 +39,7 @@
     return (one.state == other.state
             and one.address == other.address
             and one.stage == other.stage
+            and one.switching_to == other.switching_to
             and one.slots == other.slots
             and one.backend == other.backend
             and one.zone == other.zone
--- a/mallowbeam/registry/table.py
+++ b/mallowbeam/registry/table.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from enum import Enum
 
 from mallowbeam.registry.changes import ChangeLog
@@ -30,6 +31,7 @@
 )
 from mallowbeam.registry.retirements import Retirements
 from mallowbeam.registry.rows import UNHEARD, Row, same_for_gateways
+from mallowbeam.registry.switches import StageSwitches
 from mallowbeam.rpc.messages_pb2 import (
     DONE,
     DRAINING,
@@ -75,6 +77,7 @@
         self._ran_at = started_at              # the last call of `expire`
         self._to_tell: dict[str, None] = {}    # changed here since the last batch
         self._to_renew: dict[str, None] = {}   # heard here since the last batch
+        self._switches = StageSwitches()
         self._gossip_sent_at = started_at
         self._whole_asked_at = started_at - WHOLE_RETRY_S
         self._details_missing = False          # some were lost, or those of an instance that others hear
@@ -121,6 +124,21 @@
             self.urgent = True
         return True
 
+    def switch(self, id: str, stage: str, until: float, announce: bool = False) -> bool:
+        """Take note that a live instance was ordered to change its stage; True where it is news.
+
+        Gateways send it nothing until it reports that stage, or until the steady time `until`.
+        """
+        row = self._rows.get(id)
+        if row is None or not row.live or row.instance.stage == stage:
+            return False
+        if not self._switches.begin(id, stage, until, announce):
+            return False
+        row.instance.switching_to = stage
+        self._changes.note(id)
+        self.urgent |= announce
+        return True
+
     def merge(self, gossip: RegistryGossip, now: float) -> bool:
         """Take what another member passed on; True where gateways must learn of something."""
         before = self._changes.version
@@ -129,6 +147,8 @@
             self._merge_instance(instance, now - ages.get(instance.id, 0.0), now)
         for seen in gossip.seen:
             self._merge_seen(seen, now)
+        for switch in gossip.switches:
+            self.switch(switch.id, switch.stage, now + switch.left_ms / 1000)
         if gossip.whole:
             self._complete_at = min(self._complete_at, now)
             self._details_missing &= self._whole_asked_at < self._lost_at + WHOLE_SETTLE_S
@@ -174,6 +194,9 @@
         for id in forgotten:
             del self._rows[id]
             self._changes.forget(id)
+        for id in self._switches.expire(now):
+            self._rows[id].instance.switching_to = ""
+            self._changes.note(id)
         return ended
 
     def complete(self, now: float) -> bool:
@@ -199,6 +222,10 @@
         row = self._rows.get(id)
         return None if row is None else row.for_gateways()
 
+    def live(self) -> Iterator[Instance]:
+        """The instances that have not ended, as the table holds them: to be read at once, never changed."""
+        return (row.instance for row in self._rows.values() if row.live)
+
     def live_ids(self) -> list[str]:
         """Ids of the instances that have not ended."""
         return [id for id, row in self._rows.items() if row.live]
@@ -220,6 +247,7 @@
             row = self._rows.get(id)
             if row is not None and row.sequence != RETIRED_SEQUENCE:
                 batch.seen.append(_seen(row, now))
+        batch.switches.extend(self._switches.announced(now))
         self._to_tell.clear()
         self._to_renew.clear()
         self.urgent = False
@@ -229,6 +257,7 @@
     def whole(self, now: float, gateways: int = 0) -> RegistryGossip:
         """All that is known, for a member that asked; marked as whole only where it is complete."""
         batch = RegistryGossip(gateways=gateways, whole=self.complete(now))
+        batch.switches.extend(self._switches.messages(now))
         for row in self._rows.values():
             if row.sequence == RETIRED_SEQUENCE:
                 batch.changed.append(row.instance)
@@ -294,6 +323,8 @@
         if instance.sequence > row.sequence:
             changed |= self._renew(row, instance.sequence, heard_at)
         instance.state = held.state if ended and row.ended_at is not None else self._state(instance.id)
+        self._switches.reported(instance.id, instance.stage)
+        instance.switching_to = self._switches.target(instance.id)
         changed |= not same_for_gateways(held, instance)
         if held.address != instance.address and self._by_address.get(held.address) == instance.id:
             del self._by_address[held.address]
@@ -349,6 +380,8 @@
     def _end(self, row: Row, now: float) -> None:
         """Mark an instance as ended and free its address."""
         row.instance.state = ENDED
+        row.instance.switching_to = ""
+        self._switches.drop(row.instance.id)
         row.ended_at = now
         row.returned_heartbeats = 0
         if self._by_address.get(row.instance.address) == row.instance.id:
