--- a/mallowbeam/admission/messages.py
+++ b/mallowbeam/admission/messages.py
@@ -50,6 +50,8 @@
     units: int
     """Slots that it took."""
     expected_first_token_s: float
+    read_tokens: int = 0
+    """Tokens of the prompt that are believed not to be kept where it is read."""
 
 
 class RefusalReason(Enum):
--- a/mallowbeam/admission/planner.py
+++ b/mallowbeam/admission/planner.py
@@ -219,7 +219,8 @@
         if request.prompt_parts:
             self._keep(entry, way.reader)
         prefill = way.reader.id if way.split else None
-        return Plan(booking, prefill, way.decoder.id, max(0.0, placement.starts_at - now), units, expected)
+        return Plan(booking, prefill, way.decoder.id, max(0.0, placement.starts_at - now), units, expected,
+                    way.read_tokens)
 
     def _refusal(self, request: PlanRequest, over_s: float, reason: RefusalReason) -> Refusal:
         """Come back when the overshoot has passed, spread by the request's id over half of that."""
--- a/mallowbeam/control_plane/feeds.py
+++ b/mallowbeam/control_plane/feeds.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from mallowbeam.feed.publisher import FeedPublisher, MemberStatus
+from mallowbeam.pairing.stage_demand import DemandTable
 from mallowbeam.rpc.connection import FrameConnection
 from mallowbeam.rpc.messages_pb2 import GatewayFrame
 
@@ -17,9 +18,10 @@
     """Subscribed gateways by their connections."""
 
     def __init__(self, publisher: FeedPublisher, status: Callable[[], MemberStatus],
-                 subscribed: Callable[[], None]) -> None:
-        """`subscribed` is called when a gateway waits for its first frame."""
+                 subscribed: Callable[[], None], demand: DemandTable) -> None:
+        """`subscribed` is called when a gateway waits for its first frame; `demand` hears what they ask for."""
         self._publisher, self._status, self._subscribed = publisher, status, subscribed
+        self._demand = demand
         self._connections: dict[int, FrameConnection] = {}
         self._subscribers: dict[FrameConnection, int] = {}
         self._last_subscriber = 0
@@ -31,6 +33,8 @@
     def gateway_frame(self, connection: FrameConnection, frame: GatewayFrame) -> None:
         """A frame of a gateway; its hello subscribes it, and subscribes it anew where it says it again."""
         if not frame.HasField("hello"):
+            if frame.demand and connection in self._subscribers:
+                self._demand.told(self._subscribers[connection], frame.demand, time.monotonic())
             return
         if len(self._connections) >= MOST_FEEDS and connection not in self._subscribers:
             connection.abort()
@@ -49,6 +53,7 @@
         if subscriber is not None:
             del self._connections[subscriber]
             self._publisher.unsubscribe(subscriber)
+            self._demand.forget(subscriber)
 
     def frames_at(self) -> float:
         """When `send` is due at the latest, by the steady clock."""
--- a/mallowbeam/control_plane/instances.py
+++ b/mallowbeam/control_plane/instances.py
@@ -13,6 +13,7 @@
 from mallowbeam.control_plane.answers import OutOfTouchError
 from mallowbeam.control_plane.commands import Commands
 from mallowbeam.control_plane.peer_links import PeerLinks
+from mallowbeam.control_plane.stage_orders import StageOrders
 from mallowbeam.registry.census import GatewayCensus
 from mallowbeam.registry.retirements import Retirements
 from mallowbeam.registry.table import InstanceTable
@@ -96,7 +97,7 @@
 
     def link_lost(self) -> None:
         """Another member's connection ended: what was under way on it is asked for again."""
-        self._table.link_lost()
+        self._table.link_lost(time.monotonic())
 
     def look(self, members: list[int]) -> None:
         """Let time pass; to be called several times a second with the ids of the other members."""
@@ -117,9 +118,11 @@
         """When `pass_on` is due, by the steady clock."""
         return self._table.gossip_at()
 
-    def pass_on(self) -> None:
-        """Tell the other members what came in here since the last time."""
-        batch = self._table.gossip(time.monotonic(), self._gateways())
+    def pass_on(self, stages: StageOrders) -> None:
+        """Tell the other members what came in here since the last time, and what the gateways ask for."""
+        now = time.monotonic()
+        batch = self._table.gossip(now, self._gateways())
+        stages.tell(batch, now)
         self._links.send_to_group(lambda: PeerFrame(registry=batch))
 
     def _tell(self, version_before: int) -> None:
--- a/mallowbeam/control_plane/member.py
+++ b/mallowbeam/control_plane/member.py
@@ -21,6 +21,7 @@
 from mallowbeam.control_plane.opening import OpenedStore
 from mallowbeam.control_plane.peer_links import PeerLinks
 from mallowbeam.control_plane.raft_driver import RaftDriver
+from mallowbeam.control_plane.stage_orders import StageOrders
 from mallowbeam.control_plane.state_machine import ConfigurationFeed, ReplicatedStateMachine
 from mallowbeam.control_plane.status import StatusPage
 from mallowbeam.feed.publisher import FeedPublisher
@@ -86,8 +87,11 @@
             self._table, self._machine.retirements, self._commands, self._links, self._flush_soon,
             self._count_feeds, self._driver.silence, random.Random())
         self._status = StatusPage(self._driver, self._links, self._table, self._machine.configurations)
+        self._stages = StageOrders(self._driver, opened.identity, self._table, self._machine.configurations,
+                                   self._flush_soon, settings.bounds.lease_ms / 1000)
         feed = ConfigurationFeed(self._machine.configurations)
-        self._feeds = Feeds(FeedPublisher(feed, self._table), self._status.feed_status, self._flush_soon)
+        self._feeds = Feeds(FeedPublisher(feed, self._table), self._status.feed_status, self._flush_soon,
+                            self._stages.gateways)
         self._group = GroupKeeper(self._driver, self._own, settings.bootstrap, seed_links(settings))
         self._listener = LinkListener(self._links, self, self._feeds)
         api = ControlApi(parser, self._machine.configurations, self._commands, self._instances, self._status)
@@ -114,6 +118,7 @@
     async def stop(self) -> None:
         """Hand leadership over, answer what is held, and end."""
         self._group.stop()
+        self._stages.stop()
         if self._driver.is_leader:
             change = self._driver.leadership_changes.next()
             self._driver.transfer_leadership()
@@ -141,7 +146,7 @@
             self._look_at = now + LOOK_S
             self._look()
         if soon >= self._instances.gossip_at():
-            self._instances.pass_on()
+            self._instances.pass_on(self._stages)
         if now >= self._flush_at():
             self._flush()
         self._set_timer(now)
@@ -166,6 +171,7 @@
         others = [known.id for known in self._driver.node.membership.members if known.id != self._own.id]
         self._instances.look(others)
         self._status.gateways = self._instances.census.total(len(self._feeds), time.monotonic())
+        self._stages.look(time.monotonic())
         self._server.sweep()
 
     # ------------------------------------------------------------ feeds
@@ -209,6 +215,7 @@
     def registry(self, sender: int, gossip: RegistryGossip) -> None:
         """News of instances."""
         self._instances.gossip(sender, gossip)
+        self._stages.heard(sender, gossip, time.monotonic())
 
     def join(self, connection: FrameConnection, request: JoinRequest) -> None:
         """A process asks to become a member."""
--- a/mallowbeam/control_plane/stage_orders.py
+++ b/mallowbeam/control_plane/stage_orders.py
@@ -11,7 +11,7 @@
 import socket
 import struct
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from contextlib import suppress
 
 from mallowbeam.configuration.versions import ConfigurationVersions
@@ -57,9 +57,14 @@
     """Joins demand, decisions and lease with the log, the registry and the instances."""
 
     def __init__(self, driver: RaftDriver, holder: int, table: InstanceTable, versions: ConfigurationVersions,
-                 lease_s: float, settings: StageShareSettings | None = None) -> None:
-        """`holder` is this member's id, `lease_s` what must lie between the orders of two holders."""
+                 changed: Callable[[], None], lease_s: float,
+                 settings: StageShareSettings | None = None) -> None:
+        """`holder` is this member's id, `lease_s` what must lie between the orders of two holders.
+
+        `changed` is called when gateways must learn of something.
+        """
         self._driver, self._holder, self._table, self._versions = driver, holder, table, versions
+        self._changed = changed
         self._settings = settings or StageShareSettings()
         self.gateways = DemandTable()          # by the subscriber's number
         self._members = DemandTable()          # by member id
@@ -174,6 +179,7 @@
         if result is OrderResult.TAKEN:
             self._table.switch(order.id, order.stage, now + switch_s + self._settings.longest_switch_s,
                                announce=True)
+            self._changed()
 
     async def _exchange(self, order: StageOrder) -> OrderResult:
         """The order and its answer."""
--- a/mallowbeam/data_plane/exchange.py
+++ b/mallowbeam/data_plane/exchange.py
@@ -96,6 +96,12 @@
         if self._handle is not None:
             self._free(self._handle)
 
+    def stream_ended(self) -> None:
+        """Count the tokens of a stream that was passed on, once."""
+        if self._engine is not None:
+            tokens = self.progress.events * max(1, self._engine.stride)
+            self.gateway.demand.generated(self._backend, tokens, time.monotonic())
+
     async def _begin(self) -> Attempt | GivenUp:
         """Send until an answer is to be passed on."""
         while True:
--- a/mallowbeam/data_plane/fleet_view.py
+++ b/mallowbeam/data_plane/fleet_view.py
@@ -59,6 +59,8 @@
         instance = self.instances.get(instance_id)
         if instance is None or instance.state != READY or instance.backend != backend:
             return None
+        if instance.switching_to:              # it would reject what it has not begun
+            return None
         return instance
 
     def most_connections(self, backend: str) -> int:
--- a/mallowbeam/data_plane/gateway.py
+++ b/mallowbeam/data_plane/gateway.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 from mallowbeam.configuration.model import Configuration
+from mallowbeam.data_plane.demand import DemandMeter
 from mallowbeam.data_plane.fleet_view import FleetView
 from mallowbeam.data_plane.link_pool import LinkPool
 from mallowbeam.data_plane.outcomes import AttemptEnd
@@ -13,7 +14,7 @@
 from mallowbeam.data_plane.retry_budget import RetryBudgets
 from mallowbeam.feed.instances import InstanceChanges
 from mallowbeam.health.ejection import Ejection
-from mallowbeam.rpc.messages_pb2 import ENDED, Instance
+from mallowbeam.rpc.messages_pb2 import DRAINS, ENDED, Instance
 
 UNREACHED = frozenset((AttemptEnd.NO_CONNECTION, AttemptEnd.NOT_SENT, AttemptEnd.BROKEN,
                        AttemptEnd.TIMED_OUT))
@@ -31,6 +32,7 @@
         self.view = FleetView()
         self.health = Ejection()
         self.handles = HandleRelease(pool)
+        self.demand = DemandMeter()
         self.attempts: Counter[AttemptEnd] = Counter()
         self.answers: Counter[int] = Counter()  # by status
 
@@ -47,7 +49,8 @@
             self.pool.forget(instance)
             self.health.forget(instance)
         ended = [Instance(id=instance, state=ENDED) for instance in changes.ended]
-        self.planner.instances_changed([*changes.changed, *ended], now)
+        changed = [_as_planned(instance) for instance in changes.changed]
+        self.planner.instances_changed([*changed, *ended], now)
 
     def set_gateways(self, count: int) -> None:
         """Share instances and budgets with so many gateways, this one included."""
@@ -69,3 +72,13 @@
         """What is due now and then."""
         self.pool.sweep()
         self.health.sweep(now)
+
+
+def _as_planned(instance: Instance) -> Instance:
+    """An instance as the planner takes it: one that changes its stage gets no new request until then."""
+    if not instance.switching_to:
+        return instance
+    copy = Instance()
+    copy.CopyFrom(instance)
+    copy.state = DRAINS
+    return copy
--- a/mallowbeam/data_plane/relay.py
+++ b/mallowbeam/data_plane/relay.py
@@ -45,6 +45,7 @@
             return whole
         finally:
             self._exchange.close(self._end)
+            self._exchange.stream_ended()
 
     async def _plain(self, channel: Channel) -> bool:
         """A large answer."""
--- a/mallowbeam/data_plane/role.py
+++ b/mallowbeam/data_plane/role.py
@@ -11,6 +11,7 @@
 from mallowbeam.admission.settings import PlannerSettings
 from mallowbeam.configuration.changes import apply_update
 from mallowbeam.configuration.model import Configuration
+from mallowbeam.data_plane.demand import MeasuredPlanner
 from mallowbeam.data_plane.feed_link import FeedLink
 from mallowbeam.data_plane.front import ClientFront
 from mallowbeam.data_plane.gateway import Gateway
@@ -23,6 +24,7 @@
 from mallowbeam.processes.logs import get_logger
 from mallowbeam.processes.role import RoleContext, run_role
 from mallowbeam.processes.settings import NodeSettings, SettingsField, split_address
+from mallowbeam.rpc.messages_pb2 import GatewayFrame
 
 TICK_S = 1.0                # between two looks at idle connections and counts
 RESERVED_FDS = 260          # descriptors that are neither a client's nor an instance's connection
@@ -48,6 +50,7 @@
         if planner is None:
             planner = FleetPlanner(PlannerSettings(), settings.node_name)
         self.gateway = Gateway(settings.zone, LinkPool(instance_connections), RetryBudgets(budget), planner)
+        self.gateway.planner = MeasuredPlanner(planner, self.gateway.demand)
         self.front = ClientFront(self.gateway, settings.limits.memory_mb)
         self.subscriber = self._make_subscriber(settings)
         self.gateway.view.instances = self.subscriber.instances
@@ -111,6 +114,8 @@
             self.front_server.sweep()
             self.readiness_server.sweep()
             self.gateway.sweep(now)
+            if demand := self.gateway.demand.sample(now):
+                self.feed.send(GatewayFrame(demand=demand))
 
     def _make_subscriber(self, settings: NodeSettings) -> FeedSubscriber[Configuration]:
         seed = int.from_bytes(os.urandom(8), "big")
--- a/mallowbeam/registry/table.py
+++ b/mallowbeam/registry/table.py
@@ -137,9 +137,8 @@
         Gateways send it nothing until it reports that stage, or until the steady time `until`.
         """
         row = self._rows.get(id)
-        if row is None or not row.live or row.instance.stage == stage:
-            return False
-        if not self._switches.begin(id, stage, until, announce):
+        if row is None or not row.live or row.instance.stage == stage \
+                or not self._switches.begin(id, stage, until, announce):
             return False
         row.instance.switching_to = stage
         self._changes.note(id)
@@ -233,10 +232,6 @@
         """The instances that have not ended, as the table holds them: to be read at once, never changed."""
         return (row.instance for row in self._rows.values() if row.live)
 
-    def live_ids(self) -> list[str]:
-        """Ids of the instances that have not ended."""
-        return [id for id, row in self._rows.items() if row.live]
-
     # ------------------------------------------------------------ what the other members learn
 
     def gossip_at(self) -> float:
--- a/mallowbeam/streams/progress.py
+++ b/mallowbeam/streams/progress.py
@@ -7,6 +7,8 @@
 
 from mallowbeam.streams.events import EventParser, parse_id
 
+EVENT_END = b"\n\n"        # counted in what is passed on byte by byte; one that is cut in two is missed
+
 
 class StreamProgress:
     """The progress of one answer, over all instances that produce it."""
@@ -31,6 +33,7 @@
     def feed(self, data: bytes | bytearray) -> bytes:
         """What goes to the client of what came; where it sets `fault`, the events before that."""
         if not self.resumable:
+            self.events += data.count(EVENT_END)
             return bytes(data)
         whole: list[bytes] = []
         if self.fault:
