--- a/mallowbeam/control_plane/instances.py
+++ b/mallowbeam/control_plane/instances.py
@@ -13,6 +13,7 @@
 from mallowbeam.control_plane.answers import OutOfTouchError
 from mallowbeam.control_plane.commands import Commands
 from mallowbeam.control_plane.peer_links import PeerLinks
+from mallowbeam.control_plane.stage_orders import StageOrders
 from mallowbeam.registry.census import GatewayCensus
 from mallowbeam.registry.retirements import Retirements
 from mallowbeam.registry.table import InstanceTable
@@ -117,9 +118,11 @@
         """When `pass_on` is due, by the steady clock."""
         return self._table.gossip_at()
 
-    def pass_on(self) -> None:
-        """Tell the other members what came in here since the last time."""
-        batch = self._table.gossip(time.monotonic(), self._gateways())
+    def pass_on(self, stages: StageOrders) -> None:
+        """Tell the other members what came in here since the last time, and what the gateways ask for."""
+        now = time.monotonic()
+        batch = self._table.gossip(now, self._gateways())
+        stages.tell(batch, now)
         self._links.send_to_group(lambda: PeerFrame(registry=batch))
 
     def _tell(self, version_before: int) -> None:
