A prompt is read apart only before anything else was sent: no third instance runs a request

Only a prefill call that comes before all arrivals is no arrival.

Now `SendPolicy` takes back only a prefill call that came first, and `Exchange` has a prompt read apart only while nothing has arrived anywhere.

--- a/mallowbeam/data_plane/exchange.py
+++ b/mallowbeam/data_plane/exchange.py
@@ -140,7 +140,7 @@
             if self._fresh(self._handle):
                 return self._handle
             self._free(self._handle)
-        if plan.prefill_instance is None:
+        if plan.prefill_instance is None or not self._policy.may_read_apart():
             return None
         now = time.monotonic()
         ticket = self._policy.send(plan.prefill_instance, now, self.gateway.view.gateways)
--- a/mallowbeam/data_plane/send_policy.py
+++ b/mallowbeam/data_plane/send_policy.py
@@ -1,7 +1,9 @@
 """Whether one request may be sent (again), and with what it is answered when it is given up.  A pure core.
 
-An *arrival* is a request that an instance has received whole or in part.  The first prefill call that an
-instance takes up is no arrival.  Every arrival after the first is charged to the retry budget of its service.
+An *arrival* is a request that an instance has received whole or in part.  A prefill call that comes before
+all other arrivals, and is not rejected, is none.  Every arrival after the first is charged to the retry
+budget of its service.  A prompt is therefore read apart only before all arrivals: later the call would take
+the place of an instance that could answer.
 """
 
 from __future__ import annotations
@@ -25,6 +27,7 @@
     instance: str
     charged: bool                              # to the retry budget
     counted: bool                              # the instance is new among those that the request was sent to
+    first: bool = False                        # nothing arrived anywhere before it
 
 
 class SendPolicy:
@@ -36,7 +39,6 @@
         self._most_instances = max(1, most_instances)
         self._arrivals = 0
         self._instances: set[str] = set()
-        self._prefill_excused = False
         self._connect_failures = 0
         self.may_have_run = False              # an instance may have run it, or run it still
         self.excluded: set[str] = set()        # instances that failed or refused it
@@ -55,7 +57,7 @@
             return None
         self._arrivals += 1
         self._instances.add(instance)
-        return SendTicket(instance, charged, new)
+        return SendTicket(instance, charged, new, not charged)
 
     def ended(self, ticket: SendTicket, end: AttemptEnd, now: float) -> None:
         """Tell how a send ended that gave no answer for the client."""
@@ -72,9 +74,8 @@
         self.may_have_run = True
 
     def prefill_taken(self, ticket: SendTicket, now: float) -> None:
-        """A prefill call was taken up: the first one is no arrival."""
-        if not self._prefill_excused:
-            self._prefill_excused = True
+        """A prefill call was taken up: one before all arrivals is no arrival."""
+        if ticket.first:
             self._take_back(ticket, now)
 
     def prefill_failed(self, ticket: SendTicket, end: AttemptEnd, now: float) -> None:
@@ -83,6 +84,10 @@
         if end in NEVER_ARRIVED:
             self._take_back(ticket, now)
 
+    def may_read_apart(self) -> bool:
+        """Whether the prompt may be read at a prefill instance."""
+        return not self._arrivals
+
     def may_continue(self) -> bool:
         """Whether another send could still be allowed, the budget apart."""
         if self.may_have_run and not self._repeatable:
--- /dev/null
+++ b/tests/failing_instances.py
@@ -0,0 +1,162 @@
+"""Stand-in instances that fail in the ways of an instance in trouble, and planners with a known order."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from dataclasses import dataclass, field, replace
+
+from mallowbeam.admission.messages import Plan, PlanRequest, Refusal
+from mallowbeam.data_plane.planning import LeastLoadedPlanner
+from mallowbeam.rpc.messages_pb2 import READY, Instance
+from mallowbeam.standins.model_server import ModelServer, Seen
+from tests.gateway_bench import Bench
+
+
+class ByName(LeastLoadedPlanner):
+    """Takes instances in the order of their names; prompts are read at the first one of `readers` left."""
+
+    def __init__(self, *readers: str, expected_s: float = 0.05) -> None:
+        super().__init__()
+        self.readers, self.expected_s = readers, expected_s
+
+    def _rank(self, instance, zone):
+        return instance.id
+
+    def plan(self, request: PlanRequest, now: float) -> Plan | Refusal:
+        """The first instance by name, and the first reader."""
+        planned = super().plan(request, now)
+        if isinstance(planned, Refusal):
+            return planned
+        reader = next((one for one in self.readers if one not in request.excluded), None)
+        return replace(planned, prefill_instance=reader, expected_first_token_s=self.expected_s)
+
+
+class DirectFirst(ByName):
+    """Has the first request's prompt read where it is answered, and all later ones' apart."""
+
+    planned = 0
+
+    def plan(self, request: PlanRequest, now: float) -> Plan | Refusal:
+        """As by name; the first plan names no reader."""
+        planned = super().plan(request, now)
+        self.planned += 1
+        if isinstance(planned, Refusal) or self.planned > 1:
+            return planned
+        return replace(planned, prefill_instance=None)
+
+
+@dataclass
+class Hanging(ModelServer):
+    """Keeps the requests that `hangs` names (by number, from 0) until `wake` is set."""
+
+    hangs: set[int] = field(default_factory=set)
+    wake: asyncio.Event = field(default_factory=asyncio.Event)
+    number: int = 0
+
+    async def _answer(self, seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        number, self.number = self.number, self.number + 1
+        if number in self.hangs:
+            self.seen.append(seen)
+            await self._wait(reader)
+            self.seen.pop()
+        return await super()._answer(seen, reader, writer)
+
+    async def _wait(self, reader: asyncio.StreamReader) -> None:
+        """Wait to be woken; raises where the caller closes first."""
+        woken, closed = asyncio.ensure_future(self.wake.wait()), asyncio.ensure_future(reader.read(1))
+        await asyncio.wait((woken, closed), return_when=asyncio.FIRST_COMPLETED)
+        if closed.done():
+            self.cancelled += 1
+            raise ConnectionResetError
+        closed.cancel()
+        await asyncio.wait((closed,))
+
+
+@dataclass
+class Surplus(ModelServer):
+    """Sends each answer once more, when the next request of the connection has come."""
+
+    async def _answer(self, seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        for before in self.seen[-1:]:
+            self._whole(writer, before, 200, b"late", self._stamp)
+        return await super()._answer(seen, reader, writer)
+
+
+@dataclass
+class Forgetful(ModelServer):
+    """Resets a request that comes on a connection which was idle for longer than `holds_s`."""
+
+    holds_s: float = 0.3
+    reset: int = 0
+
+    async def _answer(self, seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        now = asyncio.get_running_loop().time()
+        since = writer.__dict__.get("answered_at", now)
+        if now - since > self.holds_s:
+            self.reset += 1
+            return False
+        going_on = await super()._answer(seen, reader, writer)
+        writer.__dict__["answered_at"] = asyncio.get_running_loop().time()
+        return going_on
+
+
+@dataclass
+class LostHandles(ModelServer):
+    """A prefill instance whose handles lapse at once."""
+
+    lost: bool = True
+
+    def _read_prompt(self, seen: Seen, writer: asyncio.StreamWriter) -> bool:
+        going_on = super()._read_prompt(seen, writer)
+        if self.lost:
+            self.handles.clear()
+        return going_on
+
+
+class Dark:
+    """An address that says nothing to who asks for a connection: its queue of them is full."""
+
+    def __init__(self) -> None:
+        self._listener = socket.socket()
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(0)
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._fill = []
+        for _ in range(4):
+            one = socket.socket()
+            one.setblocking(False)
+            one.connect_ex(self._listener.getsockname())
+            self._fill.append(one)
+
+    def close(self) -> None:
+        """Give the sockets back."""
+        for one in (*self._fill, self._listener):
+            one.close()
+
+
+async def add(bench: Bench, instance: ModelServer, backend: str = "plain") -> ModelServer:
+    """Start an instance of one's own and tell the gateway of it."""
+    await instance.start()
+    bench.instances[instance.id] = instance
+    for other in bench.instances.values():
+        other.peers.update({one.address: one for one in bench.instances.values()})
+    row = Instance(id=instance.id, backend=backend, address=instance.address, zone="z1", slots=8, state=READY,
+                   stage=instance.stage)
+    row.models.add(name="m", revision=1)
+    bench.tell(row)
+    return instance
+
+
+def add_dark(bench: Bench, id: str, dark: Dark, backend: str = "plain", stage: str = "") -> None:
+    """Tell the gateway of an instance that can't be reached."""
+    bench.tell(Instance(id=id, backend=backend, address=dark.address, zone="z1", slots=8, state=READY,
+                        stage=stage))
+
+
+def set_state(bench: Bench, id: str, state: int) -> None:
+    """Tell the gateway of an instance's state."""
+    row = Instance()
+    row.CopyFrom(bench.gateway.view.instances[id])
+    row.state = state
+    bench.tell(row)
