--- a/mallowbeam/admission/messages.py
+++ b/mallowbeam/admission/messages.py
@@ -52,13 +52,10 @@
     units: int
     """Slots that it took."""
     expected_first_token_s: float
-<<<<<<< HEAD
     engine_priority: int = 5
     """For the engine's own queue, 0 (first) to 9: short readings go before long ones."""
-=======
     read_tokens: int = 0
     """Tokens of the prompt that are believed not to be kept where it is read."""
->>>>>>> stages
 
 
 class RefusalReason(Enum):
--- a/mallowbeam/admission/planner.py
+++ b/mallowbeam/admission/planner.py
@@ -249,9 +249,8 @@
         if request.prompt_parts:
             self._keep(entry, way.reader)
         prefill = way.reader.id if way.split else None
-<<<<<<< HEAD
         return Plan(booking, prefill, way.decoder.id, offer.start_in_s, offer.units, offer.expected_s,
-                    self._engine_priority(request, offer.units))
+                    self._engine_priority(request, offer.units), way.read_tokens)
 
     def _engine_priority(self, request: PlanRequest, units: int) -> int:
         """Short readings before long ones; some long ones among the middle, lest all of them starve."""
@@ -260,10 +259,6 @@
             drawn = stable_hash("long " + request.request_id) / MASK
             return MIDDLE_PRIORITY if drawn < self.settings.long_share else steps
         return steps
-=======
-        return Plan(booking, prefill, way.decoder.id, max(0.0, placement.starts_at - now), units, expected,
-                    way.read_tokens)
->>>>>>> stages
 
     def _refusal(self, request: PlanRequest, over_s: float, reason: RefusalReason) -> Refusal:
         """Come back when the overshoot has passed, spread by the request's id over half of that."""
--- a/mallowbeam/control_plane/waiting.py
+++ b/mallowbeam/control_plane/waiting.py
@@ -81,13 +81,13 @@
     """Lets many wait for the next change of something."""
 
     def __init__(self) -> None:
-        self._waiting: set[asyncio.Future[None]] = set()
+        self._waiting: dict[asyncio.Future[None], None] = {}  # in the order in which they began to wait
 
     def next(self) -> asyncio.Future[None]:
         """A future that is done with the next change; to be cancelled by who no longer waits."""
         answer: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._waiting.add(answer)
-        answer.add_done_callback(self._waiting.discard)
+        self._waiting[answer] = None
+        answer.add_done_callback(self._forget)
         return answer
 
     def tell(self) -> None:
@@ -97,5 +97,8 @@
                 answer.set_result(None)
 
     def _take(self) -> Iterator[asyncio.Future[None]]:
-        waiting, self._waiting = self._waiting, set()
+        waiting, self._waiting = self._waiting, {}
         return iter(waiting)
+
+    def _forget(self, answer: asyncio.Future[None]) -> None:
+        self._waiting.pop(answer, None)
--- a/tests/test_simulation_scenarios.py
+++ b/tests/test_simulation_scenarios.py
@@ -134,17 +134,11 @@
         self.assertNotEqual(one, other)
 
     def test_texts_that_cannot_be_played_name_their_line(self):
-<<<<<<< HEAD
         cases = [
             "dancers a", "at 1 dance", "at x kill a", "at 1 kill z", "at 1 kill", "at 1 cut a", "seed x",
             "seed", "at 1 expect a", "never a hears b", "always from 1 to 2", "at 1 slow a", "end", "by 1",
             "at 1 expect z hears a", "never a hears b from x to y",
         ]
-=======
-        cases = ["dancers a", "at 1 dance", "at x kill a", "at 1 kill z", "at 1 kill", "at 1 cut a",
-                 "seed x", "seed", "at 1 expect a", "never a hears b", "always from 1 to 2", "at 1 slow a",
-                 "end", "by 1", "at 1 expect z hears a", "never a hears b from x to y"]
->>>>>>> quality
         for line in cases:
             with self.subTest(line), self.assertRaises(ScenarioError) as caught:
                 self.play(QUIET + "\n" + line)
