--- a/mallowbeam/pairing/settings.py
+++ b/mallowbeam/pairing/settings.py
@@ -52,6 +52,8 @@
     """The most that reading shared parts again counts, so that a key's home is left when it is overloaded."""
     hand_over_loss: float = 0.6
     """Loss by a hand-over that fails."""
+    interruption_loss_per_s: float = 0.3
+    """Loss by each second that reading takes from one request that a decode instance runs."""
     late_loss: float = 0.5
     """Loss by a first token at twice its target latency; half of it at the target, less by the cube below."""
     zone_loss: float = 0.01
--- a/mallowbeam/pairing/ways.py
+++ b/mallowbeam/pairing/ways.py
@@ -168,8 +168,16 @@
                  + book.places * self.gateways * self.settings.running_s)
         loss = self._late_loss(first, prompt) + self._reread_loss(prompt, book, home)
         loss += self._crowd_loss(book) + self._full_loss(prompt, book, now)
+        loss += self._interruption_loss(book, read)
         return Way(book, book, known, unseen, read, 0.0, wait, first, loss)
 
+    def _interruption_loss(self, book: InstanceBook, read: float) -> float:
+        """What reading between their tokens costs the requests that a decode instance runs."""
+        if book.stage != DECODE:
+            return 0.0
+        running = 1 + book.places * self.gateways
+        return self.settings.interruption_loss_per_s * running * read * book.model.token_s
+
     def _split(self, prompt: Prompt, reader: InstanceBook, decoder: InstanceBook, home: InstanceBook | None,
                now: float) -> Way:
         settings = self.settings
