Retry budget: every sliding span is within the bound, for the sum of all gateways

Cause: a retry was weighed against the requests of the window that ends with it. A service that a configuration dropped and the next one named again also had its whole budget anew. Change: a retry is allowed where each span that holds it keeps to the bound against the requests of the span before, which all gateways go by, so that their sums add up; half a window before while a service is young. A budget is forgotten only when nothing of it counts any more.

--- a/mallowbeam/data_plane/gateway.py
+++ b/mallowbeam/data_plane/gateway.py
@@ -39,7 +39,7 @@
     def set_configuration(self, configuration: Configuration, now: float) -> None:
         """Put another configuration in force."""
         self.view.set_configuration(configuration)
-        self.budgets.keep_only(frozenset(configuration.backends))
+        self.budgets.keep_only(frozenset(configuration.backends), now)
         self.planner.configuration_changed(configuration.backends.values(), now)
 
     def instances_changed(self, changes: InstanceChanges, now: float) -> None:
--- a/mallowbeam/data_plane/retry_budget.py
+++ b/mallowbeam/data_plane/retry_budget.py
@@ -1,9 +1,18 @@
 """How many further sends a gateway may make to one service.  A pure core.
 
-Within any span of the window's length, arrivals at the service after a request's first stay within
-`ratio` times the requests that clients sent for it, plus the gateway's part of `min_retries`.  Time is cut
-into slices; retries are counted for longer and requests for shorter than the window, so that the bound also
-holds for spans that begin inside a slice.
+The bound, for the whole fleet and for every span of the window's length: arrivals at the service after a
+request's first are at most `ratio` times the requests that clients sent for it, plus `min_retries`; the
+requests are those of that span, of the one before it, or of the one half a window before it, whichever has
+the most.
+
+Each gateway keeps its own part, so that the sum holds without a word between them: its retries in a span are
+at most `ratio` times its requests in the span *before*, plus its part of `min_retries`.  All gateways go by
+the same one of the three: the largest of each would add up to more than the largest of the sums.  While a
+service has been asked for less than half a window there is little before; until then the span half a window
+before is taken.
+
+Time is cut into slices.  A span that begins inside a slice counts all retries of that slice and of the one
+before, as a send may arrive up to a slice later than it is counted; of requests it counts whole slices only.
 """
 
 from __future__ import annotations
@@ -11,6 +20,7 @@
 from dataclasses import dataclass
 
 SLICES = 20                 # of one window
+HALF = SLICES // 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,65 +32,94 @@
     min_retries: int = 0
 
 
+@dataclass(slots=True)
+class _Slice:
+    """What was counted in one slice of time."""
+
+    requests: int = 0
+    retries: int = 0
+
+
+EMPTY = _Slice()            # never changed
+
+
 class RetryBudget:
     """The budget of one service at this gateway."""
 
     def __init__(self, settings: BudgetSettings) -> None:
         self._settings = settings
         self._slice_s = settings.window_s / SLICES
-        self._slices: dict[int, list[int]] = {}  # slice number -> [requests, retries]
+        self._slices: dict[int, _Slice] = {}   # by number, in rising order
+        self._first = 0                        # the first slice since nothing was counted
 
     def request(self, now: float) -> None:
         """Count a client's request for the service."""
-        self._slice(now)[0] += 1
+        self._slice(now).requests += 1
 
     def take(self, now: float, gateways: int) -> bool:
         """Count a further send, if it is within the budget; `gateways` share `min_retries`."""
         if self.available(now, gateways) < 1.0:
             return False
-        self._slice(now)[1] += 1
+        self._slice(now).retries += 1
         return True
 
     def give_back(self, now: float) -> None:
         """A send that was counted just now never arrived."""
         current = self._number(now)
         for number in sorted(self._slices, reverse=True):
-            if number <= current and self._slices[number][1] > 0:
-                self._slices[number][1] -= 1
+            if number <= current and self._slices[number].retries > 0:
+                self._slices[number].retries -= 1
                 return
 
     def available(self, now: float, gateways: int) -> float:
-        """Further sends that are within the budget now."""
+        """Further sends that are within the budget now: as many as the tightest span that ends now allows."""
         current = self._number(now)
         self._forget(current)
-        requests = 0
-        retries = 0
-        for number, (sent, repeated) in self._slices.items():
-            retries += repeated
-            if number > current - SLICES:
-                requests += sent
+        oldest = current - 2 * SLICES
+        kept = [self._slices.get(number, EMPTY) for number in range(oldest, current + 1)]
+        first = self._first if self._slices else current
         part = self._settings.min_retries / max(1, gateways)
-        return self._settings.ratio * requests + part - retries
+        before = sum(counts.requests for counts in kept[SLICES + 1:-1])
+        retries = kept[-1].retries
+        least = float("inf")
+        for begin in range(current, max(first, current - SLICES) - 1, -1):
+            at = begin - oldest
+            retries += kept[at - 1].retries
+            requests = self._around(begin, current) if begin < first + HALF else before
+            least = min(least, self._settings.ratio * requests + part - retries)
+            before += kept[at - SLICES].requests - kept[at - 1].requests
+        return least
+
+    def unused(self, now: float) -> bool:
+        """Whether nothing is counted any more."""
+        self._forget(self._number(now))
+        return not self._slices
+
+    def _around(self, begin: int, current: int) -> int:
+        """Requests from half a window before a slice to half a window behind it, as far as they have come."""
+        last = min(current, begin + HALF - 1)
+        return sum(self._slices.get(number, EMPTY).requests for number in range(begin - HALF + 1, last + 1))
 
     def _number(self, now: float) -> int:
         return int(now // self._slice_s)
 
-    def _slice(self, now: float) -> list[int]:
+    def _slice(self, now: float) -> _Slice:
         number = self._number(now)
         counts = self._slices.get(number)
         if counts is None:
             self._forget(number)
-            counts = self._slices[number] = [0, 0]
+            self._first = self._first if self._slices else number
+            counts = self._slices[number] = _Slice()
         return counts
 
     def _forget(self, current: int) -> None:
-        """Drop slices that lie more than a window and a slice back."""
-        while self._slices and (oldest := next(iter(self._slices))) < current - SLICES - 1:
+        """Drop slices that lie more than two windows and a slice back."""
+        while self._slices and (oldest := next(iter(self._slices))) < current - 2 * SLICES - 1:
             del self._slices[oldest]
 
 
 class RetryBudgets:
-    """The budgets of all services; one that had no request for a while is forgotten by `sweep`."""
+    """The budgets of all services."""
 
     def __init__(self, settings: BudgetSettings) -> None:
         self._settings = settings
@@ -93,7 +132,8 @@
             budget = self._budgets[backend] = RetryBudget(self._settings)
         return budget
 
-    def keep_only(self, backends: frozenset[str]) -> None:
-        """Forget the services that no configuration names any more."""
+    def keep_only(self, backends: frozenset[str], now: float) -> None:
+        """Forget services that the configuration does not name, once nothing of theirs counts any more."""
         for name in [name for name in self._budgets if name not in backends]:
-            del self._budgets[name]
+            if self._budgets[name].unused(now):
+                del self._budgets[name]
