--- a/mallowbeam/control_plane/stage_orders.py
+++ b/mallowbeam/control_plane/stage_orders.py
@@ -99,11 +99,9 @@
         self._look_at = now + LOOK_S
         self._read_instances(now)
         self._observe(now)
-        if not self._instances or not self._table.complete(now):
-            return
-        if self._lease.should_acquire(self._standing(now), now):
+        if self._has_engines() and self._lease.should_acquire(self._standing(now), now):
             self._start(self._acquire(self._driver.node.term))
-        if self._lease.token(self._standing(now), now) is not None:
+        if self._table.complete(now) and self._lease.token(self._standing(now), now) is not None:
             for backend in self._instances:
                 self._decide(backend, now)
 
@@ -140,6 +138,12 @@
 
     # ------------------------------------------------------------ the leader's part
 
+    def _has_engines(self) -> bool:
+        """Whether there is a service with model servers."""
+        configuration = self._versions.current()
+        return configuration is not None and any(
+            backend.engine is not None for backend in configuration.backends.values())
+
     async def _acquire(self, term: int) -> None:
         """Get the lease through the log, by a proposal of this member's own leadership."""
         command = Command(acquire_lease=AcquireLease(subject=SUBJECT, holder=self._holder))
--- a/mallowbeam/pairing/order_lease.py
+++ b/mallowbeam/pairing/order_lease.py
@@ -57,6 +57,7 @@
     def __init__(self, settings: OrderLeaseSettings) -> None:
         self.settings = settings
         self._grant: _Grant | None = None
+        self._usable_at: dict[int, float] = {}  # by token: the last one that this process acquired
         self._acquiring_in = -1                # term of the attempt that is under way
         self._next_attempt_at = -inf
 
@@ -73,8 +74,16 @@
         return True
 
     def acquired(self, term: int, token: int, now: float) -> None:
-        """The log gave the lease to this member, by a proposal that it made as the leader of `term`."""
-        self._grant = _Grant(term, token, now + self.settings.wait_s)
+        """The log gave the lease to this member, by a proposal that it made as the leader of `term`.
+
+        A token that it had before tells that nobody else held the lease in between: nothing more is to be
+        waited for than was then.
+        """
+        usable_at = now + self.settings.wait_s
+        if token in self._usable_at:
+            usable_at = self._usable_at[token]
+        self._usable_at = {token: usable_at}
+        self._grant = _Grant(term, token, usable_at)
 
     def not_acquired(self, now: float) -> None:
         """An attempt failed, or its outcome is not known."""
