--- a/mallowbeam/control_plane/feeds.py
+++ b/mallowbeam/control_plane/feeds.py
@@ -19,7 +19,7 @@
 
     def __init__(self, publisher: FeedPublisher, status: Callable[[], MemberStatus],
                  subscribed: Callable[[], None], demand: DemandTable) -> None:
-        """`subscribed` is called when a gateway waits for its first frame; `demand` hears what they ask for."""
+        """`subscribed` is called when a gateway waits for its first frame; `demand` hears their demand."""
         self._publisher, self._status, self._subscribed = publisher, status, subscribed
         self._demand = demand
         self._connections: dict[int, FrameConnection] = {}
