Stages: work of both stages measured apart from what spilled prompts cost decode instances

Change: tokens are counted as they come; a token's time is freed of what prompts read at decode instances add.

--- a/mallowbeam/control_plane/stage_orders.py
+++ b/mallowbeam/control_plane/stage_orders.py
@@ -166,7 +166,11 @@
             return
         switch_s = known.engine.switch_s
         share = self._share(backend)
-        for order in share.decide(self._instances[backend], known.engine.slots, switch_s, now):
+        orders = share.decide(self._instances[backend], known.engine.slots, switch_s, now)
+        if orders and share.work is not None:
+            log.info("%s: work of %.2f prefill and %.2f decode instances", backend, share.work.prefill,
+                     share.work.decode)
+        for order in orders:
             self._start(self._send(share, order, switch_s))
 
     async def _send(self, share: StageShare, order: StageOrder, switch_s: float) -> None:
--- a/mallowbeam/data_plane/demand.py
+++ b/mallowbeam/data_plane/demand.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import Enum
 
 from mallowbeam.admission.messages import Outcome, Plan, PlanRequest, Refusal, RefusalReason
 from mallowbeam.configuration.model import Backend
@@ -15,6 +17,7 @@
 from mallowbeam.rpc.messages_pb2 import Instance, StageDemand
 
 LEAST_PERIOD_S = 0.1        # a shorter one gives no sample
+DIRECT_TOKENS = 1024        # to be read at most, where reading apart saves less than way and move cost
 UNREAD_MEMORY = 0.05        # weight of one request in the share of its prompt that has to be read
 
 
@@ -42,23 +45,34 @@
         self._at = now
 
 
+class Tokens(Enum):
+    """What tokens are counted for; the values are fields of `StageDemand`."""
+
+    READ = "read_tokens"
+    DONE = "done_tokens"
+    SPILLED = "spilled_tokens"
+    DIRECT = "direct_tokens"
+    GENERATED = "generated"
+    FIRST = "first_tokens"
+
+
 class _Service:
     """The counts of one service."""
 
-    __slots__ = ("reading", "decoding", "read_tokens", "spilled_tokens", "generated", "unread_share")
+    __slots__ = ("reading", "decoding", "tokens", "unread_share")
 
     def __init__(self, now: float) -> None:
         self.reading, self.decoding = Gauge(now), Gauge(now)
-        self.read_tokens = self.spilled_tokens = self.generated = 0
+        self.tokens: Counter[Tokens] = Counter()
         self.unread_share = 1.0                # of prompts, by the requests that were taken
 
     def sample(self, backend: str, period_s: float, now: float) -> StageDemand:
         """The means over the period that ends now; a new one begins."""
-        demand = StageDemand(
-            backend=backend, reading=self.reading.mean(period_s, now),
-            read_tokens=self.read_tokens / period_s, spilled_tokens=self.spilled_tokens / period_s,
-            decoding=self.decoding.mean(period_s, now), generated=self.generated / period_s)
-        self.read_tokens = self.spilled_tokens = self.generated = 0
+        demand = StageDemand(backend=backend, reading=self.reading.mean(period_s, now),
+                             decoding=self.decoding.mean(period_s, now))
+        for kind, count in self.tokens.items():
+            setattr(demand, kind.value, count / period_s)
+        self.tokens.clear()
         return demand
 
 
@@ -73,9 +87,10 @@
         """A request was taken: its prompt is read at a prefill instance, or spills to a decode instance."""
         service = self._service(request.backend, now)
         if plan.prefill_instance is not None:
-            service.read_tokens += plan.read_tokens
+            service.tokens[Tokens.READ] += plan.read_tokens
         else:
-            service.spilled_tokens += plan.read_tokens
+            kind = Tokens.DIRECT if plan.read_tokens <= DIRECT_TOKENS else Tokens.SPILLED
+            service.tokens[kind] += plan.read_tokens
         if request.prompt_tokens:
             share = min(1.0, plan.read_tokens / request.prompt_tokens)
             service.unread_share += (share - service.unread_share) * UNREAD_MEMORY
@@ -83,7 +98,7 @@
     def refused(self, request: PlanRequest, now: float) -> None:
         """A request was refused for want of reading pace."""
         service = self._service(request.backend, now)
-        service.spilled_tokens += int(request.prompt_tokens * service.unread_share)
+        service.tokens[Tokens.SPILLED] += int(request.prompt_tokens * service.unread_share)
 
     def reading(self, backend: str, change: int, now: float) -> None:
         """Calls to prefill instances began or ended."""
@@ -93,9 +108,9 @@
         """Requests began or ceased to receive tokens."""
         self._service(backend, now).decoding.add(change, now)
 
-    def generated(self, backend: str, tokens: int, now: float) -> None:
-        """Tokens that a request received."""
-        self._service(backend, now).generated += tokens
+    def count(self, backend: str, kind: Tokens, tokens: int, now: float) -> None:
+        """Tokens were read, or received."""
+        self._service(backend, now).tokens[kind] += tokens
 
     def keep_only(self, backends: frozenset[str]) -> None:
         """Forget services that are no longer configured; what is still under way there counts no more."""
@@ -125,6 +140,7 @@
 
     backend: str
     split: bool
+    read_tokens: int
     reading: bool = False
     decoding: bool = False
 
@@ -142,7 +158,8 @@
         if request.engine is None:
             return planned
         if isinstance(planned, Plan):
-            self._bookings[planned.booking] = _Booking(request.backend, planned.prefill_instance is not None)
+            self._bookings[planned.booking] = _Booking(
+                request.backend, planned.prefill_instance is not None, planned.read_tokens)
             self._meter.planned(request, planned, now)
         elif planned.reason is RefusalReason.NO_CYCLE:
             self._meter.refused(request, now)
@@ -158,8 +175,9 @@
     def prefill_done(self, booking: int, now: float) -> None:
         """The prompt was read."""
         self._planner.prefill_done(booking, now)
-        if entry := self._bookings.get(booking):
+        if (entry := self._bookings.get(booking)) and entry.reading:
             self._reading_ended(entry, now)
+            self._meter.count(entry.backend, Tokens.DONE, entry.read_tokens, now)
 
     def first_token(self, booking: int, now: float) -> None:
         """The answer's first bytes came."""
--- a/mallowbeam/data_plane/exchange.py
+++ b/mallowbeam/data_plane/exchange.py
@@ -16,6 +16,7 @@
 from mallowbeam.data_plane.answers import own_answer, whole_answer
 from mallowbeam.data_plane.attempt import Attempt, SendOrder
 from mallowbeam.data_plane.client_request import ClientRequest
+from mallowbeam.data_plane.demand import Tokens
 from mallowbeam.data_plane.gateway import Gateway
 from mallowbeam.data_plane.outcomes import AttemptEnd, may_pass_on
 from mallowbeam.data_plane.prefill import Handle, read_handle
@@ -57,6 +58,7 @@
         self._policy = SendPolicy(gateway.budgets.of(backend), repeatable, route.max_retries)
         self._booking: int | None = None
         self._handle: Handle | None = None
+        self._counted = 0                      # events of which the demand meter knows
         self._head_sent = False                # part of the answer has gone out
         self._failure: Message | None = None   # a failure that is passed on if nothing better comes
 
@@ -96,11 +98,13 @@
         if self._handle is not None:
             self._free(self._handle)
 
-    def stream_ended(self) -> None:
-        """Count the tokens of a stream that was passed on, once."""
-        if self._engine is not None:
-            tokens = self.progress.events * max(1, self._engine.stride)
-            self.gateway.demand.generated(self._backend, tokens, time.monotonic())
+    def count_tokens(self) -> None:
+        """Tell the demand meter of the events that came since the last call."""
+        if self._engine is None:
+            return
+        events, self._counted = self.progress.events - self._counted, self.progress.events
+        kind = Tokens.GENERATED if self._counted > events else Tokens.FIRST
+        self.gateway.demand.count(self._backend, kind, events * max(1, self._engine.stride), time.monotonic())
 
     async def _begin(self) -> Attempt | GivenUp:
         """Send until an answer is to be passed on."""
--- a/mallowbeam/data_plane/relay.py
+++ b/mallowbeam/data_plane/relay.py
@@ -45,7 +45,6 @@
             return whole
         finally:
             self._exchange.close(self._end)
-            self._exchange.stream_ended()
 
     async def _plain(self, channel: Channel) -> bool:
         """A large answer."""
@@ -74,6 +73,7 @@
         piece, self._exchange.piece = self._exchange.piece, b""
         await channel.send(head + self._framed(piece) if piece else head)
         while piece:
+            self._exchange.count_tokens()
             following = await self._next_piece()
             if following is None:
                 return False
--- a/mallowbeam/pairing/stage_demand.py
+++ b/mallowbeam/pairing/stage_demand.py
@@ -14,6 +14,8 @@
 
 DEMAND_KEPT_S = 3.0            # how long a source's word holds without a new one
 MOST_BACKENDS = 64             # services that one source may tell of; further ones are left out
+MEASURES = ("reading", "read_tokens", "done_tokens", "spilled_tokens", "direct_tokens", "decoding",
+            "generated", "first_tokens")
 MOST_VALUE = 1e12              # what is larger, negative or no number counts as 0
 
 
@@ -54,11 +56,8 @@
         total = sums.get(part.backend)
         if total is None:
             total = sums[part.backend] = StageDemand(backend=part.backend)
-        total.reading += _sound(part.reading)
-        total.read_tokens += _sound(part.read_tokens)
-        total.spilled_tokens += _sound(part.spilled_tokens)
-        total.decoding += _sound(part.decoding)
-        total.generated += _sound(part.generated)
+        for name in MEASURES:
+            setattr(total, name, getattr(total, name) + _sound(getattr(part, name)))
     return sums
 
 
--- a/mallowbeam/pairing/stage_share.py
+++ b/mallowbeam/pairing/stage_share.py
@@ -24,7 +24,7 @@
 class StageShareSettings:
     """What a change has to be worth."""
 
-    comfortable_share: float = 0.25
+    comfortable_share: float = 0.4
     """The share of an instance's slots that may decode at once before its tokens slow down much."""
     least_utilisation: float = 0.35
     """Nothing changes while the busier stage is less busy than this."""
@@ -148,7 +148,8 @@
 
     def __init__(self, settings: StageShareSettings) -> None:
         self._settings = settings
-        self._work = WorkMeter(settings.work)
+        self._meter = WorkMeter(settings.work)
+        self.work: StageWork | None = None     # at the last decision
         self._pending: dict[str, _Pending] = {}
         self._left_alone: dict[str, float] = {}        # id: until when
         self._wish: _Wish | None = None
@@ -161,10 +162,10 @@
     def observe(self, demand: StageDemand | None, instances: Iterable[StageInstance], now: float) -> None:
         """Take the fleet's demand of the last second; None where no gateway told of any."""
         if demand is None:
-            self._work.forget()
+            self._meter.forget()
             return
-        reading = sum(1 for one in instances if one.stage == PREFILL and not one.switching_to)
-        self._work.observe(demand, reading, now)
+        working = Counter(one.stage for one in instances if not one.switching_to)
+        self._meter.observe(demand, working[PREFILL], working[DECODE], now)
 
     def answered(self, order: StageOrder, result: OrderResult, switch_s: float, now: float) -> None:
         """Say what became of an order."""
@@ -192,11 +193,11 @@
             return []
         if missing := self._missing_stage(plan):
             return self._order(plan, missing, 1, now)
-        work = self._work.work(now)
+        work = self.work = self._meter.work(max(1.0, slots * self._settings.comfortable_share), now)
         if work is None:
             self._wish = None
             return []
-        change = self._change(plan, work, max(1, slots), switch_s, now)
+        change = self._change(plan, work, switch_s, now)
         if not self._held(change, now):
             return []
         count = min(abs(change), self._may_order(plan, now))
@@ -231,20 +232,19 @@
                 return stage
         return ""
 
-    def _change(self, plan: _Plan, work: StageWork, slots: int, switch_s: float, now: float) -> int:
+    def _change(self, plan: _Plan, work: StageWork, switch_s: float, now: float) -> int:
         """By how many the prefill instances should rise or fall now; 0 where that is not worth it."""
         settings = self._settings
         present = plan.count[PREFILL]
-        decode = work.decode / (slots * settings.comfortable_share)
         least = settings.least_each if plan.total >= settings.least_each_from else 1
-        best = best_split(work.prefill, decode, plan.total, least)
+        best = best_split(work, plan.total, least)
         change = best - present
         if not change:
             return 0
         if min(present, plan.total - present) < least:
             return change                      # a stage has fewer than it should keep
-        worst = worse_utilisation(work.prefill, decode, present, plan.total)
-        gain = 1.0 - worse_utilisation(work.prefill, decode, best, plan.total) / max(worst, 1e-9)
+        worst = worse_utilisation(work, present, plan.total)
+        gain = 1.0 - worse_utilisation(work, best, plan.total) / max(worst, 1e-9)
         if worst < settings.least_utilisation or gain < settings.least_gain:
             return 0
         if change * self._last_direction < 0:
@@ -288,18 +288,22 @@
         return orders
 
 
-def best_split(prefill: float, decode: float, total: int, least: int) -> int:
-    """The number of prefill instances at which the busier stage is least busy; the work is in instances."""
+def best_split(work: StageWork, total: int, least: int) -> int:
+    """The number of prefill instances, of `total`, at which the busier stage is least busy."""
     lowest, highest = least, total - least
-    if prefill + decode <= 0.0:
+    if work.prefill + work.decode <= 0.0:
         return max(lowest, min(highest, total // 2))
-    crossing = floor(total * prefill / (prefill + decode))
+    crossing = floor(total * work.prefill / (work.prefill + work.decode))
     choices = {max(lowest, min(highest, count)) for count in (crossing, crossing + 1)}
-    return min(sorted(choices), key=lambda count: worse_utilisation(prefill, decode, count, total))
+    return min(sorted(choices), key=lambda count: worse_utilisation(work, count, total))
 
 
-def worse_utilisation(prefill: float, decode: float, prefill_count: int, total: int) -> float:
+def worse_utilisation(work: StageWork, prefill_count: int, total: int) -> float:
     """The utilisation of the busier stage, where so many of all instances read prompts."""
-    decode_count = total - prefill_count
-    return max(prefill / prefill_count if prefill_count else (inf if prefill > 0 else 0.0),
-               decode / decode_count if decode_count else (inf if decode > 0 else 0.0))
+    return max(_share(work.prefill, prefill_count), _share(work.decode, total - prefill_count))
+
+
+def _share(work: float, count: int) -> float:
+    if count:
+        return work / count
+    return inf if work > 0.0 else 0.0
--- a/mallowbeam/pairing/stage_work.py
+++ b/mallowbeam/pairing/stage_work.py
@@ -1,14 +1,16 @@
-"""How much work each stage of a service has, in instances that would be busy with it all the time.
+"""How much work each stage of a service has, in instances that would be busy with it.  A pure core.
 
 Prefill.  Gateways tell how many calls are under way at prefill instances.  An instance with `L` of them on
 average is busy for the share `rho` of its time for which a queue of fixed service time holds `L` requests:
-L = rho + rho^2 / (2 (1 - rho)), so rho = 1 + L - sqrt(1 + L^2).  Tokens given to prefill instances over their
-busy time give the seconds that a token takes, in the gateways' own count of tokens, whatever is kept.  Tokens
-that spilled to decode instances, or were refused, are work as well, at the same seconds for each token.
-
-Decode.  Tokens generated a second times the seconds of a token at an instance that is not crowded give the
-requests that would run if none were crowded.  The count that runs now won't do: where prompts spill, tokens
-slow down and more requests run at once, which would look like a want of decode instances.
+L = rho + rho^2 / (2 (1 - rho)), so rho = 1 + L - sqrt(1 + L^2).  Tokens read over busy time give the seconds
+that a token takes, in the gateways' own count of tokens, whatever is kept.  Tokens that spilled to decode
+instances, or were refused, are work of prefill instances too, at the same seconds for each token.
+
+Decode.  An instance is fully used with a comfortable number of requests, at which its tokens are not much
+slower than alone.  Requests that run over tokens a second give the time of a token.  Part of it is not the
+decode stage's own: while an instance reads a prompt, no request there gets a token.  That part is taken off,
+because it goes away with the prompts that spill; else a want of prefill instances would look like one of
+decode instances.  Prompts that are better read where they are decoded stay as work.
 """
 
 from __future__ import annotations
@@ -21,7 +23,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkSettings:
-    """How demand is smoothed."""
+    """How demand is smoothed and weighed."""
 
     memory_s: float = 2.5
     """Seconds in which a sample of demand loses its weight to 1/e."""
@@ -31,19 +33,23 @@
     """Reading pace of a prefill instance before it is measured."""
     prior_tokens: float = 20_000.0
     """Tokens that this first pace counts as against measured ones."""
-    token_rise: float = 0.01
-    """The share by which the least time of a generated token rises in a second, towards the present one."""
-    token_fall: float = 0.3
-    """The share of the way that it falls towards a shorter one with a sample."""
+    decode_read_factor: float = 2.0
+    """How many times longer a decode instance reads a token."""
+    running_s: float = 0.0001
+    """What each running request adds to a decode step."""
+    most_reading: float = 0.75
+    """The largest share of their time that decode instances are taken to read prompts."""
+    least_token_share: float = 0.3
+    """The least share of a token's time that is taken to be the decode stage's own."""
     least_generated: float = 20.0
-    """Tokens a second below which a sample says nothing of their time."""
+    """Tokens a second below which the decode stage counts as idle."""
     observed_s: float = 1.5
     """Demand must have been seen for so long before it is acted on."""
 
 
 @dataclass(frozen=True, slots=True)
 class StageWork:
-    """Work of both stages: instances of prefill that would be busy, and requests that would decode."""
+    """Work of both stages, in instances that it would keep fully used."""
 
     prefill: float
     decode: float
@@ -54,41 +60,53 @@
 
     def __init__(self, settings: WorkSettings) -> None:
         self._settings = settings
-        self._first_at: float | None = None
-        self._at = 0.0
-        self._tokens = _Faded(settings.memory_s)
-        self._generated = _Faded(settings.memory_s)
         self._busy = _Faded(settings.pace_memory_s)
         self._read = _Faded(settings.pace_memory_s)
-        self._token_s = 0.0                    # least time of a generated token, 0 before any
+        self.forget()
 
-    def observe(self, demand: StageDemand, prefill_count: int, now: float) -> None:
-        """Take the fleet's demand of the last second, while `prefill_count` instances read prompts."""
+    def forget(self) -> None:
+        """Start anew: the demand was not seen for some time. The measured reading pace stays."""
+        memory_s = self._settings.memory_s
+        self._first_at: float | None = None
+        self._at = 0.0
+        self._prompts = _Faded(memory_s)
+        self._direct = _Faded(memory_s)
+        self._spilled = _Faded(memory_s)
+        self._decoding = _Faded(memory_s)
+        self._generated = _Faded(memory_s)
+        self._first = _Faded(memory_s)
+        self._decode_count = _Faded(memory_s)
+
+    def observe(self, demand: StageDemand, prefill_count: int, decode_count: int, now: float) -> None:
+        """Take the fleet's demand of the last second, while so many instances worked in each stage."""
         if self._first_at is None:
             self._first_at = self._at = now
         passed, self._at = now - self._at, now
-        self._tokens.add(demand.read_tokens + demand.spilled_tokens, passed)
+        self._prompts.add(demand.read_tokens + demand.spilled_tokens, passed)
+        self._direct.add(demand.direct_tokens, passed)
+        self._spilled.add(demand.spilled_tokens, passed)
+        self._decoding.add(demand.decoding, passed)
         self._generated.add(demand.generated, passed)
+        self._first.add(demand.first_tokens, passed)
+        self._decode_count.add(decode_count, passed)
         if prefill_count > 0:
             self._busy.add(prefill_count * utilisation(demand.reading / prefill_count), passed)
-            self._read.add(demand.read_tokens, passed)
-        if demand.generated >= self._settings.least_generated:
-            self._learn_token(demand.decoding / demand.generated, passed)
+            self._read.add(demand.done_tokens, passed)
 
-    def forget(self) -> None:
-        """Start anew: the demand was not seen for some time. The measured paces stay."""
-        self._first_at = None
-        self._tokens = _Faded(self._settings.memory_s)
-        self._generated = _Faded(self._settings.memory_s)
+    def work(self, comfortable: float, now: float) -> StageWork | None:
+        """The work as smoothed; None while too little was seen.
 
-    def work(self, now: float) -> StageWork | None:
-        """The work as smoothed; None while too little was seen."""
+        `comfortable` is the number of requests with which a decode instance is fully used.
+        """
         if self._first_at is None or now - self._first_at < self._settings.observed_s:
             return None
-        return StageWork(self._tokens.value * self.seconds_per_token(),
-                         self._generated.value * self._token_s)
+        token_s = self.seconds_per_read_token()
+        direct = self._direct.value * token_s * self._settings.decode_read_factor
+        tokens = self._generated.value + self._first.value
+        running = tokens * self._generated_token_s(comfortable)
+        return StageWork(self._prompts.value * token_s, running / comfortable + direct)
 
-    def seconds_per_token(self) -> float:
+    def seconds_per_read_token(self) -> float:
         """Seconds that a prefill instance is busy for a token to be read, as measured of late."""
         settings = self._settings
         read = self._read.value * settings.pace_memory_s
@@ -96,14 +114,17 @@
         prior = settings.prior_tokens
         return (busy + prior / settings.tokens_per_s) / (read + prior)
 
-    def _learn_token(self, seconds: float, passed: float) -> None:
+    def _generated_token_s(self, comfortable: float) -> float:
+        """Seconds of a generated token at an instance that runs a comfortable number and reads nothing."""
         settings = self._settings
-        if self._token_s <= 0.0:
-            self._token_s = seconds
-        elif seconds < self._token_s:
-            self._token_s += (seconds - self._token_s) * settings.token_fall
-        else:
-            self._token_s = min(seconds, self._token_s * (1.0 + settings.token_rise * passed))
+        if self._generated.value < settings.least_generated or self._decode_count.value <= 0.0:
+            return 0.0
+        token_s = self._decoding.value / self._generated.value
+        read = (self._direct.value + self._spilled.value) * self.seconds_per_read_token()
+        reading = min(settings.most_reading, read * settings.decode_read_factor / self._decode_count.value)
+        crowd = self._decoding.value / self._decode_count.value
+        own = token_s * (1.0 - reading) + settings.running_s * (comfortable - crowd)
+        return max(own, token_s * settings.least_token_share)
 
 
 class _Faded:
