--- a/mallowbeam/control_plane/stage_orders.py
+++ b/mallowbeam/control_plane/stage_orders.py
@@ -99,11 +99,9 @@
         self._look_at = now + LOOK_S
         self._read_instances(now)
         self._observe(now)
-        if not self._instances or not self._table.complete(now):
-            return
-        if self._lease.should_acquire(self._standing(now), now):
+        if self._has_engines() and self._lease.should_acquire(self._standing(now), now):
             self._start(self._acquire(self._driver.node.term))
-        if self._lease.token(self._standing(now), now) is not None:
+        if self._table.complete(now) and self._lease.token(self._standing(now), now) is not None:
             for backend in self._instances:
                 self._decide(backend, now)
 
@@ -140,6 +138,12 @@
 
     # ------------------------------------------------------------ the leader's part
 
+    def _has_engines(self) -> bool:
+        """Whether there is a service with model servers."""
+        configuration = self._versions.current()
+        return configuration is not None and any(
+            backend.engine is not None for backend in configuration.backends.values())
+
     async def _acquire(self, term: int) -> None:
         """Get the lease through the log, by a proposal of this member's own leadership."""
         command = Command(acquire_lease=AcquireLease(subject=SUBJECT, holder=self._holder))
@@ -162,7 +166,11 @@
             return
         switch_s = known.engine.switch_s
         share = self._share(backend)
-        for order in share.decide(self._instances[backend], known.engine.slots, switch_s, now):
+        orders = share.decide(self._instances[backend], known.engine.slots, switch_s, now)
+        if orders and share.work is not None:
+            log.info("%s: work of %.2f prefill and %.2f decode instances", backend, share.work.prefill,
+                     share.work.decode)
+        for order in orders:
             self._start(self._send(share, order, switch_s))
 
     async def _send(self, share: StageShare, order: StageOrder, switch_s: float) -> None:
