Exchange: the engine's queue goes by the plan's priority, short readings first

Cause: instances served prompts by the route's rank alone, so short prompts waited behind long ones of the same rank. Change: the plan's engine_priority (by units to be read; half of the long ones queue among the middle ones, so that the largest are not starved) goes out as Priority; the test asks for the plan's value as strictly as it did for the route's.

--- a/mallowbeam/data_plane/exchange.py
+++ b/mallowbeam/data_plane/exchange.py
@@ -159,7 +159,7 @@
         attempt = self._new_attempt()
         address = self.gateway.view.instances[plan.prefill_instance].address \
             if plan.prefill_instance in self.gateway.view.instances else ""
-        end = await self._send_order(attempt, plan.prefill_instance, [(b"stage", b"prefill")],
+        end = await self._send_order(attempt, plan.prefill_instance, [(b"stage", b"prefill")], plan,
                                      signed=False)
         now = time.monotonic()
         handle = read_handle(attempt, address, now) if end is AttemptEnd.ANSWERED else None
@@ -179,7 +179,7 @@
             return GivenUp()
         attempt = self._new_attempt()
         extra = [(b"kv-from", handle.kv_from)] if handle is not None else []
-        end = await self._send_order(attempt, plan.decode_instance, extra)
+        end = await self._send_order(attempt, plan.decode_instance, extra, plan)
         if end is AttemptEnd.ANSWERED and attempt.streams:
             end = await self._first_piece(attempt)
         self._settle_handle(end)
@@ -193,11 +193,11 @@
         attempt.release()
         return GivenUp(out_of_time=True) if end is AttemptEnd.TIMED_OUT else None
 
-    async def _send_order(self, attempt: Attempt, instance: str, extra: Headers,
+    async def _send_order(self, attempt: Attempt, instance: str, extra: Headers, plan: Plan,
                           signed: bool = True) -> AttemptEnd:
         """Send with the headers that every send carries, and learn from its end."""
         if self._engine is not None:
-            extra = [*extra, (b"priority", b"%d" % min(self.route.priority, 9))]
+            extra = [*extra, (b"priority", b"%d" % min(plan.engine_priority, 9))]
         if self.progress.last_event_id is not None:
             extra = [*extra, (b"last-event-id", self.progress.last_event_id)]
         order = SendOrder(self._backend, instance, self.request, extra, self.deadline, signed)
--- a/tests/test_data_plane_path.py
+++ b/tests/test_data_plane_path.py
@@ -237,7 +237,7 @@
             self.assertEqual([one.seen[0].headers["last-event-id"], two.seen[0].headers["last-event-id"]],
                              ["1", "2"])
             self.assertEqual([seen.repeated for seen in one.seen + two.seen], [frozenset()] * 2)
-            self.assertEqual(two.seen[0].headers["priority"], "0")
+            self.assertEqual(two.seen[0].headers["priority"], "3")  # as the plan says
 
 
 class WithFleetPlanner(unittest.IsolatedAsyncioTestCase):
