Consensus: outputs may wait for several events in the walks; each checker is shown to fail

Cause: hosts hand in several events before they ask for the output, and may be frozen between; the walks asked after each one. Confirmed rounds piled up at a leader whose term had nothing committed. Change: the walks batch events; a scenario of colliding campaigns; variants for one leader a term, log matching, commit index, durable term and recovery; rounds are dropped once confirmed.

--- a/mallowbeam/consensus/leadership.py
+++ b/mallowbeam/consensus/leadership.py
@@ -52,6 +52,7 @@
         self._round = 0
         self._rounds: deque[Round] = deque()   # not yet confirmed by a majority
         self._confirmed_round = 0
+        self._confirmed_began = -inf
         self._round_unsent = False
         self._next_heartbeat = state.now
         self._transferee: int | None = None
@@ -125,10 +126,11 @@
         state = self._state
         confirmed = self._reached(self._round, lambda progress: progress.acknowledged_round)
         self._confirmed_round = max(self._confirmed_round, int(confirmed))
+        while self._rounds and self._rounds[0].number <= self._confirmed_round:
+            self._confirmed_began = self._rounds.popleft().began
         if not self._own_term_committed:
             return
-        while self._rounds and self._rounds[0].number <= self._confirmed_round:
-            state.current_at = self._rounds.popleft().began
+        state.current_at = max(state.current_at, self._confirmed_began)
         state.reads += self._reads.confirmed(self._confirmed_round, state.commit_index)
 
     def _reached(self, own: float, of: Callable[[Progress], float]) -> float:
--- a/tests/consensus_machine.py
+++ b/tests/consensus_machine.py
@@ -19,6 +19,8 @@
 if TYPE_CHECKING:
     from consensus_world import World
 
+BATCH_SECONDS = (0.0, 0.004)   # how long a member's output may wait where events are batched
+
 
 @dataclass
 class Disk:
@@ -109,6 +111,7 @@
         self.backlog: list[Callable[[], None]] = []
         self.writes: deque[Write] = deque()
         self.writing = False
+        self.drain_due = False
         self.tick_due: float | None = None     # the member's time of the tick that is planned
         self.operations: dict[int, tuple[int, Operation]] = {}     # writes by index, with their term
         self.reads: dict[int, Operation] = {}
@@ -157,8 +160,21 @@
 
     # ------------------------------------------------------------ the host's loop
 
+    def settle(self) -> None:
+        """After an event, do what the member says: at once, or together with what comes a moment later."""
+        if self.world.random.random() >= self.world.batched:
+            self.drain()
+        elif not self.drain_due:
+            self.drain_due = True
+            self.later(self.world.random.uniform(*BATCH_SECONDS), self.drain_if_due)
+
+    def drain_if_due(self) -> None:
+        if self.drain_due:
+            self.drain()
+
     def drain(self) -> None:
         """Do what the member says."""
+        self.drain_due = False
         output = self.node.output()
         for send in output.send:
             self.world.send(self, send)
@@ -212,11 +228,11 @@
 
     def _tick(self) -> None:
         self.node.tick(self.clock())
-        self.drain()
+        self.settle()
 
     def receive(self, sender: int, send: Send) -> None:
         self.node.receive(sender, send.message, self.clock())
-        self.drain()
+        self.settle()
 
     # ------------------------------------------------------------ the disk
 
@@ -247,7 +263,7 @@
             for send in write.then_send:
                 self.world.send(self, send)
         self.node.written(writes[-1].ticket, self.clock())
-        self.drain()
+        self.settle()
 
     def stall(self) -> None:
         self.stalled = True
@@ -268,14 +284,14 @@
         except ConsensusError:
             return False
         self.operations[proposal.index] = (proposal.term, operation)
-        self.drain()
+        self.settle()
         return True
 
     def read(self, read_id: int) -> None:
         if self.runs:
             self.reads[read_id] = self.world.checkers.invoke()
             self.node.read(read_id, self.clock())
-            self.drain()
+            self.settle()
 
     def compact(self) -> None:
         if self.runs:
@@ -285,6 +301,7 @@
     def change_membership(self, membership: Membership) -> bool:
         if not self.runs:
             return False
+        self.drain_if_due()                    # so that commits are seen under the membership they had
         try:
             self.node.change_membership(membership, self.clock())
         except ConsensusError:
--- a/tests/consensus_variants.py
+++ b/tests/consensus_variants.py
@@ -13,7 +13,8 @@
 from mallowbeam.consensus.log import RaftLog
 from mallowbeam.consensus.membership import MembershipAt, MembershipHistory, members_of
 from mallowbeam.consensus.persistence import Persistence
-from mallowbeam.consensus.state import MemberState
+from mallowbeam.consensus.progress import Progress
+from mallowbeam.consensus.state import MemberState, Role
 
 Variant = Callable[[], AbstractContextManager[object]]
 
@@ -108,6 +109,52 @@
     return mock.patch.object(Election, "_may_grant", may_grant)
 
 
+def votes_twice() -> AbstractContextManager[object]:
+    """A member that does not stand itself grants all votes; campaigns are not put off and collide."""
+    def may_grant(self: Election, sender: int, request) -> bool:
+        log = self._state.log
+        newer = (request.last_term, request.last_index) >= (log.last_term, log.last_index)
+        return request.term >= self._state.term and newer and self._state.role is not Role.CANDIDATE
+
+    @contextmanager
+    def patched() -> Iterator[None]:
+        with mock.patch.object(Election, "_may_grant", may_grant):
+            with mock.patch.object(Election, "_put_off", lambda self, sender, request: None):
+                yield
+    return patched()
+
+
+def previous_entry_unchecked() -> AbstractContextManager[object]:
+    """A follower takes entries whatever precedes them, as long as there is no gap."""
+    return mock.patch.object(RaftLog, "matches", lambda self, index, term: index <= self.last_index)
+
+
+def commit_index_falls() -> AbstractContextManager[object]:
+    """A follower takes any commit index that the leader tells."""
+    def commit_to(self: MemberState, index: int) -> None:
+        self.commit_index = index
+    return mock.patch.object(MemberState, "commit_to", commit_to)
+
+
+def refusals_ignored() -> AbstractContextManager[object]:
+    """A leader does not go back where a follower refuses entries."""
+    return mock.patch.object(Progress, "rejected", lambda self, hint_index: None)
+
+
+def term_not_durable() -> AbstractContextManager[object]:
+    """A follower answers in a term before that is durable."""
+    @contextmanager
+    def patched() -> Iterator[None]:
+        answer = Follower._answer
+
+        def hasty(self: Follower, leader: int, **fields) -> None:
+            with mock.patch.object(Persistence, "answer", Persistence.send_now):
+                answer(self, leader, **fields)
+        with mock.patch.object(Follower, "_answer", hasty):
+            yield
+    return patched()
+
+
 def commits_beyond_match() -> AbstractContextManager[object]:
     """A follower takes the leader's commit index for entries that it has not compared."""
     def commit_to(self: MemberState, index: int) -> None:
--- a/tests/consensus_walker.py
+++ b/tests/consensus_walker.py
@@ -48,6 +48,7 @@
         self.world = World(seed, voters=self.random.choice((1, 2, 3, 3, 3, 4, 5, 5, 8)),
                            learners=self.random.choice((0, 0, 1)), settings=settings)
         self._network()
+        self.world.batched = self.random.choice((0.0, 0.5, 0.9))
         for machine in self.world.machines.values():
             machine.clock_rate = self.random.uniform(0.9, 1.1)
         self.troubles = {name: getattr(self, f"_{name}") for name in TROUBLES}
--- a/tests/consensus_world.py
+++ b/tests/consensus_world.py
@@ -38,6 +38,7 @@
         self.random = Random(seed)
         self.now = 0.0
         self.network = Network()
+        self.batched = 0.0                     # share of events after which a member's output waits for more
         self.settings = settings or RaftSettings(member_id=0)
         self.machines: dict[int, Machine] = {}
         self._retired: dict[int, Disk] = {}
