--- a/tests/test_data_plane_path.py
+++ b/tests/test_data_plane_path.py
@@ -21,6 +21,10 @@
     def _rank(self, instance, zone):
         return instance.id
 
+    def plan(self, request: PlanRequest, now: float) -> Plan | Refusal:
+        planned = super().plan(request, now)
+        return planned if isinstance(planned, Refusal) else replace(planned, engine_priority=3)
+
 
 class WithPrefill(OneByName):
     """Reads prompts at one instance first."""
