--- /dev/null
+++ b/tests/test_data_plane_idle.py
@@ -0,0 +1,40 @@
+"""How long a connection to an instance may rest before it is used again, by what the instance says."""
+
+from __future__ import annotations
+
+import unittest
+
+from mallowbeam.data_plane.link_pool import MOST_IDLE_S, UNSTATED_IDLE_S, USED_SHARE, idle_time_s
+from mallowbeam.http.framing import Message
+
+
+def idle_s(*keep_alive: bytes) -> float:
+    answer = Message()
+    answer.headers = [(b"keep-alive", value) for value in keep_alive]
+    return idle_time_s(answer)
+
+
+class IdleTime(unittest.TestCase):
+    def test_a_share_of_what_is_stated(self) -> None:
+        for value in (b"timeout=5", b"Timeout=5", b"max=9, timeout=5", b"timeout=5, max=9", b"timeout=05"):
+            self.assertEqual(idle_s(value), 5 * USED_SHARE, value)
+
+    def test_it_ends_before_the_instance_closes(self) -> None:
+        for seconds in range(1, 200):
+            self.assertLess(idle_s(b"timeout=%d" % seconds), seconds)
+
+    def test_none_is_left_where_it_is_to_be_closed_at_once(self) -> None:
+        self.assertEqual(idle_s(b"timeout=0"), 0.0)
+
+    def test_long_ones_are_bounded(self) -> None:
+        for value in (b"timeout=61", b"timeout=99999999"):
+            self.assertEqual(idle_s(value), MOST_IDLE_S * USED_SHARE, value)
+
+    def test_little_where_nothing_can_be_read(self) -> None:
+        for values in ((), (b"",), (b"max=5",), (b"timeout=",), (b"timeout=-5",), (b"timeout=1.5",),
+                       (b"timeout=x",), (b"timeout=999999999",), (b"timeout",)):
+            self.assertEqual(idle_s(*values), UNSTATED_IDLE_S * USED_SHARE, values)
+
+
+if __name__ == "__main__":
+    unittest.main()
