--- a/mallowbeam/data_plane/exchange.py
+++ b/mallowbeam/data_plane/exchange.py
@@ -150,7 +150,10 @@
             if self._fresh(self._handle):
                 return self._handle
             self._free(self._handle)
-        if plan.prefill_instance is None or not self._policy.may_read_apart():
+        # A request without a prompt is run by an instance that is asked to read it: it goes out once, whole.
+        if plan.prefill_instance is None or not self.request.prompt_tokens:
+            return None
+        if not self._policy.may_read_apart():
             return None
         now = time.monotonic()
         ticket = self._policy.send(plan.prefill_instance, now, self.gateway.view.gateways)
