Tests: requests to engines carry a prompt, as on the wire; one without is never read apart

Cause: three tests of prefill sent no prompt tokens, which is not what clients send, and relied on reading them apart. Change: the test client names its tokens; their assertions stay.

--- a/tests/gateway_bench.py
+++ b/tests/gateway_bench.py
@@ -125,7 +125,8 @@
 
 def request_bytes(target: str, method: str = "POST", body: bytes = b"question",
                   headers: dict[str, str] | None = None) -> bytes:
-    named = {"Host": HOST, "Request-Id": "9c41d07be2a35f68", "Deadline-Ms": "1500", **(headers or {})}
+    named = {"Host": HOST, "Request-Id": "9c41d07be2a35f68", "Deadline-Ms": "1500",
+             "Token-Usage": "1460,80", **(headers or {})}
     lines = [f"{method} {target} HTTP/1.1", *(f"{name}: {value}" for name, value in named.items()),
              f"Content-Length: {len(body)}"]
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- a/tests/test_data_plane_path.py
+++ b/tests/test_data_plane_path.py
@@ -275,6 +275,14 @@
         return (await bench.add("p-1", ENGINE, "prefill"), await bench.add("d-1", ENGINE, "decode"),
                 await bench.add("d-2", ENGINE, "decode"))
 
+    async def test_without_a_prompt_nothing_is_read_apart(self):
+        """An instance runs such a request though it is asked to read it: it would run on one more."""
+        async with Bench(planner=WithPrefill("p-1")) as bench:
+            prefill, decode, _ = await self.bench(bench)
+            answer = await bench.ask("/stream/", headers={"Token-Usage": "0,0"})
+            self.assertEqual((answer.whole, answer.body), (True, events()))
+            self.assertEqual((len(prefill.seen), len(decode.seen)), (0, 1))
+
     async def test_prompt_is_read_first_and_its_memory_handed_over(self):
         async with Bench(planner=WithPrefill("p-1")) as bench:
             prefill, decode, _ = await self.bench(bench)
