--- a/mallowbeam/simulation/fleet.py
+++ b/mallowbeam/simulation/fleet.py
@@ -10,6 +10,7 @@
     at 1 launch I                         a new instance
     at 1 wipe M                           a member loses its disk, and starts again
     at 1 add M                            a new machine with an empty disk
+    at 1 term M                           a member gets SIGTERM: it stops in order and its process ends
 
 Conditions: ``leader``; ``no-leader``; ``voters N``; ``taken|refused|pending REVISION``;
 ``one-taken REVISION REVISION``; ``read REVISION``; ``acknowledged I`` (its drain or end);
@@ -129,6 +130,12 @@
         """A member on a new machine."""
         self._add_member(name, f"10.0.0.{len(self.members) + 1}", bootstrap=False)
 
+    def do_term(self, *words: str) -> None:
+        """Members get SIGTERM; to be started again by `start`, or never."""
+        for word in words:
+            for name in self.names(word):
+                self.members[name].terminate()
+
     # ------------------------------------------------------------ conditions
 
     def holds(self, words: Sequence[str]) -> bool:
--- a/mallowbeam/simulation/fleet_processes.py
+++ b/mallowbeam/simulation/fleet_processes.py
@@ -153,6 +153,22 @@
         self.replica = None
         self._settings = replace(self._settings, bootstrap=False)
 
+    def terminate(self) -> None:
+        """SIGTERM: the program stops in order, then the process ends. One that is starting ends at once."""
+        loop, program = self.loop, self.program
+        if not self.machine.running or loop is None:
+            return
+        if program is None:
+            self.machine.kill()
+            return
+        incarnation = self.machine.incarnation
+
+        async def stop() -> None:
+            await program.stop()
+            if self.machine.incarnation == incarnation:
+                self.machine.kill()
+        loop.enter(lambda: loop.create_task(stop()))
+
     @property
     def live(self) -> bool:
         """Whether the program runs and has opened."""
