--- /dev/null
+++ b/mallowbeam/buffer/groups.py
@@ -0,0 +1,120 @@
+"""The order that barriers give to the writes of a bucket: what comes behind one waits for all before it.
+
+Source: group order as in a write-back cache with barriers (SCSI SBC, SYNCHRONIZE CACHE).
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import NamedTuple
+
+from mallowbeam.buffer.entries import Entry, Group, State
+
+
+class PassedBarrier(NamedTuple):
+    """A barrier that nothing is left before, and the segment that held its record."""
+
+    lsn: int
+    segment: int
+
+
+class WriteGroups:
+    """The writes of each bucket, in groups between barriers."""
+
+    def __init__(self) -> None:
+        self.buckets: dict[str, deque[Group]] = {}
+        self.barriers: dict[int, tuple[str, int]] = {}  # pending ones: bucket, and their record's segment
+
+    def add(self, entry: Entry) -> None:
+        """A write joins the last group of its bucket."""
+        entry.group = self._of(entry.bucket)[-1]
+        entry.group.entries[entry.lsn] = entry
+
+    def in_first_group(self, entry: Entry) -> bool:
+        """Whether no barrier stands before a write."""
+        return self.buckets[entry.bucket][0] is entry.group
+
+    def first_group(self, bucket: str) -> list[Entry]:
+        """The writes of a bucket that no barrier stands before."""
+        groups = self.buckets.get(bucket)
+        return list(groups[0].entries.values()) if groups else []
+
+    def has_barrier(self, bucket: str) -> bool:
+        """Whether a bucket has a barrier that has not passed."""
+        return len(self.buckets.get(bucket, ())) > 1
+
+    def open_barrier(self, lsn: int, bucket: str) -> None:
+        """A barrier is on its way to the log: a new group begins behind it."""
+        groups = self._of(bucket)
+        groups[-1].barrier = lsn
+        groups.append(Group())
+        self.barriers[lsn] = bucket, 0
+
+    def barrier_durable(self, lsn: int, segment: int) -> str:
+        """The log has a barrier, its record in `segment`; its bucket."""
+        bucket, _ = self.barriers[lsn]
+        self.barriers[lsn] = bucket, segment
+        for group in self.buckets[bucket]:
+            if group.barrier == lsn:
+                group.durable = True
+        return bucket
+
+    def barrier_lost(self, lsn: int) -> str:
+        """The log could not take a barrier: what it parted belongs together again; its bucket."""
+        bucket, _ = self.barriers.pop(lsn)
+        groups = self.buckets[bucket]
+        for position, group in enumerate(groups):
+            if group.barrier != lsn:
+                continue
+            later = groups[position + 1]
+            for entry in group.entries.values():
+                entry.group = later
+            later.entries = group.entries | later.entries
+            del groups[position]
+            break
+        return bucket
+
+    def barrier_moved(self, lsn: int, segment: int) -> int:
+        """A barrier's record was copied to `segment`; the segment in which it stood before."""
+        bucket, before = self.barriers[lsn]
+        self.barriers[lsn] = bucket, segment
+        return before
+
+    def pass_barriers(self, bucket: str) -> list[PassedBarrier]:
+        """Let barriers pass that nothing is left before."""
+        groups = self.buckets[bucket]
+        passed = []
+        while len(groups) > 1 and not groups[0].entries and groups[0].durable:
+            lsn = groups.popleft().barrier
+            assert lsn is not None
+            _, segment = self.barriers.pop(lsn)
+            passed.append(PassedBarrier(lsn, segment))
+        return passed
+
+    def forget_if_empty(self, bucket: str) -> None:
+        """Drop a bucket that holds neither writes nor barriers."""
+        groups = self.buckets[bucket]
+        if len(groups) == 1 and not groups[0].entries:
+            del self.buckets[bucket]
+
+    def writes_before(self, lsn: int) -> int | None:
+        """How many writes a barrier still waits for; None where it has passed, or there never was one."""
+        known = self.barriers.get(lsn)
+        if known is None:
+            return None
+        count = 0
+        for group in self.buckets[known[0]]:
+            count += len(group.entries)
+            if group.barrier == lsn:
+                break
+        return count
+
+    def held_in_first_group(self, bucket: str) -> Entry | None:
+        """The held write, if there is one, that keeps a bucket's first barrier from passing."""
+        return next((entry for entry in self.first_group(bucket) if entry.state is State.HELD), None)
+
+    def _of(self, bucket: str) -> deque[Group]:
+        groups = self.buckets.get(bucket)
+        if groups is None:
+            groups = self.buckets[bucket] = deque([Group()])
+        return groups
