Stand-ins: the storage node split by concern

Cause: standins/node.py (405 lines) held data, S3's documents, requests, one connection and the listening socket. Change: store, documents, backend, connection, server; node.py (37 lines) joins them and keeps every name.

--- /dev/null
+++ b/mallowbeam/standins/backend.py
@@ -0,0 +1,144 @@
+"""Runs the requests of a storage node on what it holds; knows no socket.
+
+Byte ranges, conditions (RFC 9110, 13.1), multipart uploads, and the drop of a keyed write's repeat within
+`window` seconds are offered; each run is recorded, so that a checker can tell what ran, how often and when.
+"""
+
+from __future__ import annotations
+
+import re
+import time
+from urllib.parse import parse_qs, quote, unquote, urlsplit
+
+from mallowbeam.standins.documents import document, error
+from mallowbeam.standins.store import Answer, Run, Store, Stored, etag_of
+
+KEPT = ("content-type", "content-encoding", "content-language", "content-disposition", "cache-control",
+        "expires")
+
+
+class Backend:
+    """Runs requests on a store; knows no socket."""
+
+    def __init__(self, store: Store, ignores_ranges: bool = False, window: float = 4.0) -> None:
+        self.store, self.ignores_ranges, self.window = store, ignores_ranges, window
+
+    def handle(self, method: str, target: str, headers: dict[str, str], body: bytes) -> Answer:
+        """One request to its answer; the repeat of a keyed one gets the first one's."""
+        token, now = headers.get("idempotency-key", ""), time.monotonic()
+        path = urlsplit(target).path
+        known = self.store.done.get(token)
+        if token and known is not None and now - known[0] < self.window:
+            self.store.history.append(Run(now, method, path, token, "", True))
+            return known[1]
+        self.store.history.append(Run(now, method, target, token, etag_of(body) if body else ""))
+        answer = self._run(method, target, headers, body)
+        if token:
+            self.store.done[token] = now, answer
+        return answer
+
+    def _run(self, method: str, target: str, headers: dict[str, str], body: bytes) -> Answer:
+        url = urlsplit(target)
+        path = unquote(url.path)               # however its name is spelled, it is one object
+        if "x-extent" in headers:              # the platform's: less the class
+            path = "/" + path.split("/", 2)[2]
+        query = {name: values[0] for name, values in parse_qs(url.query, keep_blank_values=True).items()}
+        objects = self.store.objects
+        if "uploadId" in query:
+            return self._upload(method, path, query, body)
+        if method == "POST" and "uploads" in query:
+            upload = f"u/{len(self.store.uploads)}+{time.time_ns():x}"
+            self.store.uploads[upload] = path, {}
+            bucket, _, name = path[1:].partition("/")
+            return 200, {}, document("InitiateMultipartUploadResult", Bucket=bucket, Key=name,
+                                     UploadId=upload)
+        if method == "GET" and path.count("/") == 1:
+            return self._listing(path[1:], query)
+        known = objects.get(path)
+        if method in ("PUT", "DELETE") and not self._holds(headers, known):
+            return error(412, "PreconditionFailed")
+        if method == "PUT":
+            kept = {name: value for name, value in headers.items()
+                    if name in KEPT or name.startswith("x-amz-meta-")}
+            stored = objects[path] = Stored(body, etag_of(body), kept)
+            return 200, {"ETag": stored.etag}, b"stored" if "x-extent" in headers else b""
+        if method == "DELETE":
+            objects.pop(path, None)
+            return 204, {}, b""
+        if known is None:
+            return error(404, "NoSuchKey")
+        return self._piece(known, headers)
+
+    def _listing(self, bucket: str, query: dict[str, str]) -> Answer:
+        """ListObjectsV2, names in percent-encoding."""
+        prefix, delimiter = query.get("prefix", ""), query.get("delimiter", "")
+        after = unquote(query.get("continuation-token", "")) or query.get("start-after", "")
+        most, found = int(query.get("max-keys", "1000")), dict[str, dict[str, object]]()
+        places = sorted((path.split("/", 2)[2] for path in self.store.objects
+                         if path.startswith(f"/{bucket}/")), key=str.encode)
+        last, more = "", False
+        for name in places:
+            if name.encode() <= after.encode() or not name.startswith(prefix):
+                continue
+            at = name.find(delimiter, len(prefix)) if delimiter else -1
+            shown = name if at < 0 else name[:at + len(delimiter)]
+            if shown not in found and len(found) >= most:
+                more = True
+                break
+            stored = self.store.objects[f"/{bucket}/{name}"]
+            found[shown] = {"Prefix": quote(shown)} if at >= 0 else {
+                "Key": quote(shown), "Size": len(stored.body), "ETag": stored.etag,
+                "LastModified": "2026-12-01T00:00:00.000Z"}
+            last = name
+        fields: dict[str, object] = {"IsTruncated": "true" if more else "false"}
+        if more:
+            fields["NextContinuationToken"] = quote(last)
+        fields["Contents"] = [entry for entry in found.values() if "Key" in entry]
+        fields["CommonPrefixes"] = [entry for entry in found.values() if "Prefix" in entry]
+        return 200, {}, document("ListBucketResult", **fields)
+
+    @staticmethod
+    def _holds(headers: dict[str, str], known: Stored | None) -> bool:
+        """Whether a write's conditions hold (RFC 9110, 13.1.1 and 13.1.2)."""
+        match, none = headers.get("if-match"), headers.get("if-none-match")
+        if match is not None and (known is None or match not in ("*", known.etag)):
+            return False
+        return none is None or known is None or none not in ("*", known.etag)
+
+    def _piece(self, known: Stored, asked: dict[str, str]) -> Answer:
+        """The range asked for, or all of it."""
+        data = known.body
+        headers = {**known.headers, "ETag": known.etag, "Accept-Ranges": "bytes"}
+        match = re.fullmatch(r"bytes=(\d*)-(\d*)", asked.get("range", ""))
+        first, last = match.groups() if match else ("", "")
+        if not first + last or first and last and int(first) > int(last) or self.ignores_ranges:
+            return 200, headers, data
+        start = int(first) if first else max(0, len(data) - int(last))
+        end = min(int(last) + 1, len(data)) if first and last else len(data)
+        if start >= len(data):
+            return error(416, "InvalidRange", {"Content-Range": f"bytes */{len(data)}"})
+        return 206, {**headers, "Content-Range": f"bytes {start}-{end - 1}/{len(data)}"}, data[start:end]
+
+    def _upload(self, method: str, path: str, query: dict[str, str], body: bytes) -> Answer:
+        """The calls on one multipart upload."""
+        upload, store = query["uploadId"], self.store
+        known, parts = store.uploads.get(upload, ("", {}))
+        if known != path:
+            return error(404, "NoSuchUpload")
+        if method == "PUT":
+            parts[int(query["partNumber"])] = body
+            return 200, {"ETag": etag_of(body)}, b""
+        if method == "GET":
+            listed = [{"PartNumber": number, "ETag": etag_of(part), "Size": len(part)}
+                      for number, part in sorted(parts.items())]
+            return 200, {}, document("ListPartsResult", UploadId=upload, Part=listed)
+        if method == "DELETE":
+            del store.uploads[upload]
+            return 204, {}, b""
+        wanted = [int(number) for number in re.findall(rb"<PartNumber>\s*(\d+)\s*</PartNumber>", body)]
+        if not wanted or any(number not in parts for number in wanted):
+            return error(400, "InvalidPart")
+        whole = b"".join(parts[number] for number in wanted)
+        store.objects[path] = Stored(whole, etag_of(whole), {})
+        del store.uploads[upload]
+        return 200, {}, document("CompleteMultipartUploadResult", ETag=etag_of(whole))
--- /dev/null
+++ b/mallowbeam/standins/server.py
@@ -0,0 +1,70 @@
+"""A stand-in's listening socket, in a thread and an event loop of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+import time
+from collections.abc import Callable
+
+from mallowbeam.standins.connection import Connection
+from mallowbeam.standins.faults import Script
+from mallowbeam.standins.store import Answer
+
+
+class Server:
+    """A stand-in that listens on loopback, in a thread and a loop of its own."""
+
+    def __init__(self, address: tuple[str, int] = ("127.0.0.1", 0), script: Script | None = None,
+                 delay: float = 0.0) -> None:
+        self.script, self.delay = script or Script(), delay
+        self.stands_until = 0.0                # steady time before which nothing is answered
+        self.draining = False
+        self.connections: set[Connection] = set()
+        self.loop = asyncio.new_event_loop()
+        self._server: asyncio.Server | None = None
+        self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self._thread.start()
+        self.address = address
+        self.listen()
+
+    def handle(self, method: str, target: str, headers: dict[str, str], body: bytes) -> Answer:
+        """The answer to a request: the stand-in's own business."""
+        raise NotImplementedError
+
+    def listen(self) -> None:
+        """Take connections, again after `die`: at the same address."""
+        async def start() -> None:
+            self._server = await self.loop.create_server(lambda: Connection(self), *self.address)
+            self.address = self._server.sockets[0].getsockname()[:2]
+        asyncio.run_coroutine_threadsafe(start(), self.loop).result(10)
+
+    def call(self, function: Callable[[], object]) -> None:
+        """Run something in the stand-in's own thread."""
+        self.loop.call_soon_threadsafe(function)
+
+    def stand_still(self, seconds: float) -> None:
+        """Answer nothing for a while: a pause of the machine."""
+        self.stands_until = time.monotonic() + seconds
+
+    def die(self) -> None:
+        """Take no connection and reset those open; to be called in the stand-in's thread."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.transport.abort()
+
+    def close(self) -> None:
+        """The end."""
+        async def end() -> None:
+            self.die()
+            await asyncio.sleep(0)
+        asyncio.run_coroutine_threadsafe(end(), self.loop).result(10)
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._thread.join(10)
+        self.loop.close()
+
+    @property
+    def host_port(self) -> str:
+        """Where it listens."""
+        return f"{self.address[0]}:{self.address[1]}"
