Errors: code, step and peer in the one base

Change: MallowbeamError takes code, step and peer; a peer stands for the place where none is given; `told` names the code and the step where they are known. Four bodies went. `code` is no ClassVar any more, as an error may be given its own: three other files lose the annotation (cli/system_errors.py, processes/settings.py, simulation/scenario.py).

--- a/mallowbeam/cli/system_errors.py
+++ b/mallowbeam/cli/system_errors.py
@@ -33,21 +33,21 @@
 class CommandFileError(FleetCommandError):
     """A file named on the command line can't be read."""
 
-    code: ClassVar[str] = "FLEET_FILE"
+    code = "FLEET_FILE"
     remedy = "name a file that can be read"
 
 
 class ControlAddressError(FleetCommandError):
     """What was given as the members' addresses is no list of HOST:PORT."""
 
-    code: ClassVar[str] = "FLEET_ADDRESS"
+    code = "FLEET_ADDRESS"
     remedy = "give --control HOST:PORT, several separated by commas"
 
 
 class CallRefusedError(FleetCommandError):
     """The control plane refused the call; nothing was changed."""
 
-    code: ClassVar[str] = "FLEET_REFUSED"
+    code = "FLEET_REFUSED"
     exit_code = EXIT_REFUSED
     remedy = "mend what the answer names and send the call again"
 
@@ -55,7 +55,7 @@
 class NoAnswerError(FleetCommandError):
     """No member gave a clear answer in time; nothing was changed."""
 
-    code: ClassVar[str] = "FLEET_NO_ANSWER"
+    code = "FLEET_NO_ANSWER"
     exit_code = EXIT_NO_ANSWER
     remedy = "see whether the members run and reach each other: `python -m mallowbeam fleet status`"
 
@@ -63,7 +63,7 @@
 class CallOutcomeUnknownError(FleetCommandError):
     """A call may have been taken, but no clear answer came back."""
 
-    code: ClassVar[str] = "FLEET_OUTCOME_UNKNOWN"
+    code = "FLEET_OUTCOME_UNKNOWN"
     exit_code = EXIT_UNKNOWN
     remedy = "send the same call again: what was taken is acknowledged again"
 
@@ -71,6 +71,6 @@
 class BadAnswerError(FleetCommandError):
     """A member's answer is not what the control API promises."""
 
-    code: ClassVar[str] = "FLEET_ANSWER"
+    code = "FLEET_ANSWER"
     exit_code = EXIT_NO_ANSWER
     remedy = "see whether the address is a member's control address, and runs the same version"
--- a/mallowbeam/configuration/errors.py
+++ b/mallowbeam/configuration/errors.py
@@ -13,15 +13,11 @@
 class ConfigurationError(MallowbeamError):
     """A configuration that cannot be taken; nothing of it comes into force."""
 
-    code: ClassVar[str] = "CONFIG"
+    code = "CONFIG"
     status: ClassVar[int] = 400
-    step: ClassVar[str] = "parse_configuration"
+    step = "parse_configuration"
     remedy = "mend the document at the path given and send it again"
 
-    def told(self) -> dict[str, str]:
-        """What, where, the code and the step, for a JSON answer."""
-        return {**super().told(), "code": self.code, "step": self.step}
-
 
 class UnreadableConfiguration(ConfigurationError):
     """The body is no JSON document, or one that cannot be kept exactly (a key twice, an infinite number)."""
@@ -89,6 +85,6 @@
 class UpdateMismatch(MallowbeamError):
     """A change builds on another revision than the one held; the whole configuration has to be asked for."""
 
-    code: ClassVar[str] = "CONFIG_UPDATE_BASE"
-    step: ClassVar[str] = "apply_update"
+    code = "CONFIG_UPDATE_BASE"
+    step = "apply_update"
     remedy = "none needed: the gateway asks for the whole configuration"
--- a/mallowbeam/consensus/errors.py
+++ b/mallowbeam/consensus/errors.py
@@ -2,22 +2,15 @@
 
 from __future__ import annotations
 
-from typing import ClassVar
-
 from mallowbeam.errors import MallowbeamError
 
 
 class ConsensusError(MallowbeamError):
     """The base of the core's errors: a stable code, the step that was refused, and the member concerned."""
 
-    code: ClassVar[str] = "CONSENSUS"
+    code = "CONSENSUS"
     remedy = "see the error's own text"
 
-    def __init__(self, what: str, *, step: str = "", peer: int | None = None) -> None:
-        super().__init__(what, f"member {peer}" if peer is not None else "")
-        self.step = step
-        self.peer = peer
-
 
 class NotLeaderError(ConsensusError):
     """This member is not the leader, or hands leadership over; `leader_id` names whom to ask, if known."""
--- a/mallowbeam/consensus/storage/errors.py
+++ b/mallowbeam/consensus/storage/errors.py
@@ -2,21 +2,19 @@
 
 from __future__ import annotations
 
-from typing import ClassVar
-
 from mallowbeam.errors import MallowbeamError
 
 
 class StoreError(MallowbeamError):
     """The base of the store's errors: a stable code, the step that failed, and the system's error number."""
 
-    code: ClassVar[str] = "STORE"
+    code = "STORE"
     remedy = "look at the step and the error number, then at the machine's disk"
 
     def __init__(self, what: str, where: str = "", *, step: str = "", errno: int = 0) -> None:
-        super().__init__(what, where)
-        self.step = step        # what the store was doing: open, check, put, commit, seal, sync, ...
-        self.errno = errno      # of the system call, 0 where none failed
+        """`step` is open, check, put, commit, seal, sync, ...; `errno` is 0 where no system call failed."""
+        super().__init__(what, where, step=step)
+        self.errno = errno
 
 
 class StoreDamagedError(StoreError):
--- a/mallowbeam/errors.py
+++ b/mallowbeam/errors.py
@@ -1,7 +1,8 @@
 """The base of the project's error types: what went wrong, where, and what an operator can do.
 
-The command line, the pages' JSON answers and the log show the same three through `line` and `told`.  A class
-states a `remedy` that holds for all of its errors; one that knows better is given its own.
+The command line, the pages' JSON answers and the log show the same through `line` and `told`.  A class
+states a `remedy` that holds for all of its errors, and the router fleet's classes a `code` that stays the
+same; an error that knows better is given its own.
 """
 
 from __future__ import annotations
@@ -13,10 +14,23 @@
     """An error of the project; `remedy` is one sentence that tells an operator what to do."""
 
     remedy: ClassVar[str] = ""
-
-    def __init__(self, what: str = "", where: str = "", remedy: str = "") -> None:
+    code: str = ""
+    """A name for programs and for the table of errors; empty for types from before there was one."""
+    step: str = ""
+    """What was being done, in a word or two."""
+    peer: int | str | None = None
+    """The process at which it arose: a member's id, or an address."""
+
+    def __init__(self, what: str = "", where: str = "", remedy: str = "", *, code: str = "", step: str = "",
+                 peer: int | str | None = None) -> None:
+        """Tell what is wrong; `where` is a place in a file or message, the peer where none is given."""
         super().__init__(what)
-        self.what, self.where, self.cure = what, where, remedy or self.remedy
+        self.what = what
+        self.where = where or _name_of(peer)
+        self.cure = remedy or self.remedy
+        self.code = code or self.code
+        self.step = step or self.step
+        self.peer = peer
 
     def __str__(self) -> str:
         """Where and what."""
@@ -28,5 +42,17 @@
         return f"{self} ({self.cure})" if self.cure else str(self)
 
     def told(self) -> dict[str, str]:
-        """The same for a JSON answer."""
-        return {"error": type(self).__name__, "what": self.what, "where": self.where, "remedy": self.cure}
+        """The same for a JSON answer, with the code and the step where they are known."""
+        told = {"error": type(self).__name__, "what": self.what, "where": self.where, "remedy": self.cure}
+        if self.code:
+            told["code"] = self.code
+        if self.step:
+            told["step"] = self.step
+        return told
+
+
+def _name_of(peer: int | str | None) -> str:
+    """A peer as an operator reads it."""
+    if peer is None:
+        return ""
+    return f"member {peer}" if isinstance(peer, int) else peer
--- a/mallowbeam/fronts/objects/errors.py
+++ b/mallowbeam/fronts/objects/errors.py
@@ -48,8 +48,8 @@
     remedy = "the code says what the client has to change; SlowDown is repeated after its Retry-After"
 
     def __init__(self, code: str, headers: Headers | None = None) -> None:
-        super().__init__(code)
-        self.code, self.headers = code, headers or []
+        super().__init__(code, code=code)
+        self.headers = headers or []
 
 
 def error_body(code: str, target: bytes, request_id: str) -> bytes:
--- a/mallowbeam/processes/settings.py
+++ b/mallowbeam/processes/settings.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field, fields
 from pathlib import Path
 from types import MappingProxyType
-from typing import ClassVar, TypeVar
+from typing import TypeVar
 
 from mallowbeam.errors import MallowbeamError
 
@@ -34,14 +34,14 @@
 class SettingsUnreadable(SettingsError):
     """The settings file can't be opened, or is no TOML."""
 
-    code: ClassVar[str] = "SETTINGS_UNREADABLE"
+    code = "SETTINGS_UNREADABLE"
     remedy = "look at the path in MALLOWBEAM_NODE_FILE, its mode and its TOML syntax"
 
 
 class SettingsField(SettingsError):
     """A key of the settings file is missing or has a wrong value; ``where`` is its path."""
 
-    code: ClassVar[str] = "SETTINGS_FIELD"
+    code = "SETTINGS_FIELD"
     remedy = "correct the key that is named in the settings file"
 
 
--- a/mallowbeam/registry/errors.py
+++ b/mallowbeam/registry/errors.py
@@ -10,7 +10,7 @@
 class HeartbeatError(MallowbeamError):
     """A heartbeat that can't be read; `code` is stable, `where` names the field or part."""
 
-    remedy: ClassVar[str] = "look at what the server sends as its heartbeat; the call is answered with 400"
+    remedy = "look at what the server sends as its heartbeat; the call is answered with 400"
 
     TOO_LARGE: ClassVar[str] = "HEARTBEAT_TOO_LARGE"
     NOT_JSON: ClassVar[str] = "HEARTBEAT_NOT_JSON"
@@ -19,5 +19,4 @@
     codes: ClassVar[tuple[str, ...]] = (TOO_LARGE, NOT_JSON, BAD_ID, BAD_FIELD)
 
     def __init__(self, code: str = BAD_FIELD, what: str = "", where: str = "") -> None:
-        super().__init__(what, where)
-        self.code = code
+        super().__init__(what, where, code=code)
--- a/mallowbeam/simulation/scenario.py
+++ b/mallowbeam/simulation/scenario.py
@@ -20,7 +20,6 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
-from typing import ClassVar
 
 from mallowbeam.errors import MallowbeamError
 from mallowbeam.simulation.clock import Simulator
@@ -29,7 +28,7 @@
 class ScenarioError(MallowbeamError):
     """A scenario's text can't be played; `where` is its line."""
 
-    code: ClassVar[str] = "SCENARIO"
+    code = "SCENARIO"
     remedy = "mend the line that is named; mallowbeam/simulation/scenario.py states what a line may hold"
 
 
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -51,3 +51,19 @@
     assert error.line == "knob: it is off (turn it)"
     assert error.told() == {"error": "Odd", "what": "it is off", "where": "knob", "remedy": "turn it"}
     assert Odd("it is off", remedy="leave it").line == "it is off (leave it)"
+
+
+def test_code_step_and_peer_are_carried_and_told():
+    class Coded(MallowbeamError):
+        code = "CODED"
+        step = "read"
+        remedy = "turn it"
+
+    error = Coded("it is off")
+    assert (error.code, error.step, error.peer, error.where) == ("CODED", "read", None, "")
+    assert error.told() == {"error": "Coded", "what": "it is off", "where": "", "remedy": "turn it",
+                            "code": "CODED", "step": "read"}
+    own = Coded("it is off", code="OWN", step="write", peer=7)
+    assert (own.code, own.step, own.peer, str(own)) == ("OWN", "write", 7, "member 7: it is off")
+    assert str(Coded("it is off", peer="127.0.0.1:7660")) == "127.0.0.1:7660: it is off"
+    assert str(Coded("it is off", "page 3", peer=7)) == "page 3: it is off"
