--- a/mallowbeam/cli/lab.py
+++ b/mallowbeam/cli/lab.py
@@ -164,3 +164,26 @@
         with tempfile.TemporaryDirectory() as place:
             results.append(trial.measure(Path(place) / "folder", records, size, settled))
     rows(results, as_json)
+
+
+@app.command()
+def days(
+    seed: Annotated[int, typer.Option(help="of the first day")],
+    site: Annotated[Path, typer.Option(help="the deployment's site file, TOML")],
+    count: Annotated[int, typer.Option(help="days, of consecutive seeds")] = 1,
+    out: Annotated[Path, typer.Option(help="folder for the files")] = Path("."),
+) -> None:
+    """Draw test days with any kind of trouble at any moment; each becomes a TOML file."""
+    from mallowbeam.lab.days.draw import draw_day
+    from mallowbeam.lab.days.site import SiteFileError, read_site
+    from mallowbeam.lab.days.text import day_text
+    try:
+        deployment = read_site(site.read_text())
+    except (OSError, SiteFileError) as error:
+        typer.echo(f"mallowbeam: {site}: {error}", err=True)
+        raise typer.Exit(2) from None
+    out.mkdir(parents=True, exist_ok=True)
+    for one in range(seed, seed + count):
+        path = out / f"{deployment.name}-{one}.toml"
+        path.write_text(day_text(draw_day(deployment, one), deployment.name))
+        typer.echo(path)
--- /dev/null
+++ b/mallowbeam/lab/days/site.py
@@ -0,0 +1,54 @@
+"""What a drawn day needs to know of a deployment, read from its site file."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from dataclasses import dataclass
+from typing import ClassVar
+
+from mallowbeam.errors import MallowbeamError
+
+
+class SiteFileError(MallowbeamError):
+    """A site file lacks what a day is drawn from; `where` names the part."""
+
+    code: ClassVar[str] = "SITE-FILE"
+    remedy = "give a deployment's site file: TOML with zones, machines, services, classes and length_s"
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """A deployment: the names that troubles may point at, and how long a day is, in seconds."""
+
+    name: str
+    length_s: float
+    zones: tuple[str, ...]
+    regions: tuple[str, ...]
+    machine_classes: frozenset[str]
+    services: tuple[str, ...]
+    request_classes: tuple[str, ...]
+    contracts: frozenset[str]
+    named_kinds: frozenset[str]
+
+
+def read_site(text: str) -> Site:
+    """The deployment of a site file's text; raises :class:`SiteFileError`."""
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise SiteFileError(str(error), "syntax") from error
+    try:
+        return Site(
+            name=raw["name"],
+            length_s=float(raw["length_s"]),
+            zones=tuple(zone["name"] for zone in raw["zones"]),
+            regions=tuple(sorted({zone["region"] for zone in raw["zones"]})),
+            machine_classes=frozenset(machine["class"] for machine in raw["machines"]),
+            services=tuple(service["name"] for service in raw["services"]),
+            request_classes=tuple(one["name"] for one in raw["classes"]),
+            contracts=frozenset(raw.get("contracts", ())),
+            named_kinds=frozenset(re.findall(r'\bkind = "([a-z_]+)"', text)),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise SiteFileError(f"missing or wrong: {error}", "content") from error
