Tests: fourteen variants of the fleet that are broken on purpose are caught by its checkers

Cause: a checker that never fails proves nothing. Change: tests/fleet_variants.py has one variant or more for each of the five guarantees, with the scenario that shows it; the scenario passes without the fault. The leader's log is judged against the term of what was committed.

--- a/mallowbeam/simulation/fleet.py
+++ b/mallowbeam/simulation/fleet.py
@@ -5,7 +5,11 @@
 which ``leader`` and ``followers`` name members too::
 
     at 1 put REVISION on BASED [via M] [by NAME]  the operator sends a configuration until there is a clear answer
-    at 1 get                              the operator reads the configuration back
+    at 1 get [M]                          the operator reads the configuration back, at a member first
+    at 1 again REVISION                   the operator sends a configuration once more that was taken
+    at 1 report I M                       an instance reports to a member from now on
+    at 1 seeds G M...                     a gateway has these seeds from its next start on
+    at 1 lose-answers NAME SHARE          a share of the answers to an operator is lost on the way
     at 1 drain I      delete I            an instance says that it leaves, or has ended
     at 1 launch I                         a new instance
     at 1 wipe M                           a member loses its disk, and starts again
@@ -121,9 +125,26 @@
         member = self.names(options["via"])[0] if "via" in options else ""
         self.operators[options.get("by", "operator")].put(int(revision), int(based_on), member)
 
-    def do_get(self) -> None:
+    def do_get(self, member: str = "") -> None:
         """Read the configuration back."""
-        self.operator.get()
+        self.operator.get(self.names(member)[0] if member else "")
+
+    def do_again(self, revision: str) -> None:
+        """Send a configuration once more that was taken."""
+        self.operator.send_again(int(revision))
+
+    def do_lose_answers(self, name: str, share: str) -> None:
+        """Lose answers on their way to an operator."""
+        self.operators[name].answer_loss = float(share)
+
+    def do_report(self, instance: str, member: str) -> None:
+        """Have an instance report to a member."""
+        self.instances[instance].member = self.names(member)[0]
+
+    def do_seeds(self, gateway: str, *members: str) -> None:
+        """Give a gateway other seeds."""
+        names = [name for word in members for name in self.names(word)]
+        self.gateways[gateway].set_seeds([self.network.machines[name].ip for name in names])
 
     def do_drain(self, name: str) -> None:
         """Have an instance leave."""
--- a/mallowbeam/simulation/fleet_checkers.py
+++ b/mallowbeam/simulation/fleet_checkers.py
@@ -120,7 +120,7 @@
 
     def __init__(self) -> None:
         self._committed = 0                    # the highest commit index seen
-        self._term = 0                         # the highest term of a member that has committed it
+        self._term = 0                         # of the entry there
         self._leaders: set[tuple[str, int]] = set()
 
     def look(self, world: World) -> str:
@@ -129,12 +129,14 @@
             leads = member.program is not None and member.program._driver.is_leader
             if leads and (name, node.term) not in self._leaders:
                 self._leaders.add((name, node.term))
-                if node.term > self._term and node._state.log.last_index < self._committed:
-                    return (f"4: {name} leads term {node.term} with entries up to "
-                            f"{node._state.log.last_index}, {self._committed} were committed")
+                last = node._state.log.last_index
+                if node.term > self._term and last < self._committed:
+                    return (f"4: {name} leads term {node.term} with entries up to {last}, "
+                            f"{self._committed} were committed")
         for _, _, node in world.live():
-            self._committed = max(self._committed, node.commit_index)
-            self._term = max(self._term, node.term)
+            if node.commit_index > self._committed:
+                self._committed = node.commit_index
+                self._term = node._state.log.term_at(node.commit_index) or node.term
         return ""
 
 
--- a/mallowbeam/simulation/walk_members.py
+++ b/mallowbeam/simulation/walk_members.py
@@ -9,7 +9,7 @@
 from mallowbeam.simulation.fleet import FleetPlayer
 from mallowbeam.simulation.loss_budget import CATCH_UP_S, LossBudget
 
-LONGEST_TROUBLE_S = 6.0
+LONGEST_TROUBLE_S = (0.5, 2.0, 6.0)  # one of them bounds a trouble
 TAKEN_WITHIN_S = 0.004      # from an acknowledgement to the loss of power
 TIMED_S = (0.005, 0.4)      # from a change's sending to the loss of power
 SUCCESSOR_WITHIN_S = 3.0    # from a loss for good to the empty machine
@@ -79,9 +79,10 @@
         name = self._aim()
         return name if name is not None and self.budget.begin(name, self.now) else None
 
-    def _for(self, step: Step, longest: float = LONGEST_TROUBLE_S) -> None:
+    def _for(self, step: Step, longest: float | None = None) -> None:
         """End a trouble later."""
-        self.player.simulator.after(self._random.uniform(0.1, longest), step)
+        most = longest if longest is not None else self._random.choice(LONGEST_TROUBLE_S)
+        self.player.simulator.after(self._random.uniform(0.1, most), step)
 
     def _returns(self, name: str) -> None:
         """A member is back; it is sent changes at about that moment."""
--- /dev/null
+++ b/tests/fleet_variants.py
@@ -0,0 +1,219 @@
+"""Variants of the fleet that are broken on purpose, each with the scenario that shows it.
+
+A variant patches the real classes while its scenario is played. The scenario itself passes without the patch,
+so that it is the fault which is found.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from contextlib import AbstractContextManager
+from dataclasses import dataclass
+from typing import Any
+from unittest import mock
+
+from mallowbeam.configuration.versions import ConfigurationVersions
+from mallowbeam.consensus.interface import Restored
+from mallowbeam.consensus.node import RaftNode
+from mallowbeam.consensus.state import MemberState
+from mallowbeam.control_plane import commands, group
+from mallowbeam.control_plane.answers import VersionMismatchError
+from mallowbeam.control_plane.api import ControlApi
+from mallowbeam.control_plane.commands import Commands
+from mallowbeam.control_plane.group import GroupKeeper
+from mallowbeam.control_plane.membership_policy import Group, promote
+from mallowbeam.control_plane.member import ControlMember
+from mallowbeam.control_plane.state_machine import Outcome, ReplicatedStateMachine
+from mallowbeam.feed.instances import InstanceCopy
+from mallowbeam.rpc.messages_pb2 import ALREADY_DONE, DONE, REFUSED, VERSION_MISMATCH, Membership
+from mallowbeam.simulation.replica import Replica
+
+HEAD = "members m1 m2 m3\ngateways g1\ninstances a b\nat 2 put 1 on 0\nby 8 expect gateways ready\n"
+M3_CUT_OFF = "at 8 cut m3 m1\nat 8 cut m3 m2\nat 8.5 put 2 on 1 via m1\nby 11 expect taken 2\n"
+Patch = Callable[[], AbstractContextManager[Any]]
+
+
+@dataclass(frozen=True, slots=True)
+class Variant:
+    """A fault, the scenario that brings it about, and the words in which it is told."""
+
+    name: str
+    told: str
+    text: str
+    patch: Patch
+    watched: tuple[str, ...] = ()              # checkers within the tolerance that look on, by their names
+
+
+def _replaced(owner: object, name: str, value: object) -> Patch:
+    return lambda: mock.patch.object(owner, name, value)
+
+
+# ------------------------------------------------------------ 1: contact with a majority
+
+async def _no_barrier(self: Commands, since: float) -> None:
+    return None
+
+
+async def _taken_unasked(self: Commands, command: object, since: float) -> Outcome:
+    return Outcome(DONE)
+
+
+def _always_fresh(self: RaftNode, now: float) -> float:
+    return 0.0
+
+
+CONTACT = (
+    Variant("reads without the leader's word", "revision 2 was acknowledged, m3 reads 1 back",
+            M3_CUT_OFF + "at 11 get m3\nend 14", _replaced(Commands, "read_barrier", _no_barrier)),
+    Variant("changes acknowledged before they are committed", "which no member has applied",
+            "at 8 put 2 on 1\nend 11", _replaced(Commands, "submit", _taken_unasked)),
+    Variant("heartbeats acknowledged by a member that is cut off", "without a majority in reach",
+            M3_CUT_OFF + "at 8 report a m3\nend 14", _replaced(RaftNode, "freshness", _always_fresh)),
+    Variant("callers held up by a member that is cut off", "m3 answered GET /mallowbeam/config after",
+            M3_CUT_OFF + "at 11 get m3\nend 16", lambda: mock.patch.multiple(
+                commands, PATIENCE=4.0, NO_LEADER_PATIENCE=4.0)),
+)
+
+
+# ------------------------------------------------------------ 2: one number, one winner
+
+_apply_version = ConfigurationVersions.apply
+
+
+def _on_any_version(self: ConfigurationVersions, command: Any) -> Any:
+    result = _apply_version(self, command)
+    if result == VERSION_MISMATCH and command.revision > self.revision:
+        command.based_on = self.revision
+        return _apply_version(self, command)
+    return result
+
+
+def _known_is_refused(self: ConfigurationVersions, command: Any) -> Any:
+    result = _apply_version(self, command)
+    return VERSION_MISMATCH if result == ALREADY_DONE else result
+
+
+_put_config = ControlApi._put_config
+
+
+async def _refused_though_taken(self: ControlApi, request: Any, since: float) -> Any:
+    await _put_config(self, request, since)
+    raise VersionMismatchError("another version is current", "If-Match")
+
+
+WINNERS = (
+    Variant("both of two changes on one version are taken", "were both acknowledged",
+            "at 8 operator second\nat 9 put 2 on 1 via m1\nat 9.1 put 3 on 1 via m2 by second\nend 12",
+            _replaced(ConfigurationVersions, "apply", _on_any_version)),
+    Variant("a change that is sent again is refused", "refused ChangeKey(",
+            "at 8 put 2 on 1\nby 10 expect taken 2\nat 10 again 2\nend 12",
+            _replaced(ConfigurationVersions, "apply", _known_is_refused)),
+    Variant("a refused change comes into force", "refused ChangeKey(",
+            "at 8 put 2 on 1\nend 10", _replaced(ControlApi, "_put_config", _refused_though_taken)),
+)
+
+
+# ------------------------------------------------------------ 3: membership
+
+def _promote_all(group: Group) -> Membership | None:
+    if not group.learners or not group.caught_up(group.learners[0].id):
+        return None
+    chosen = group.learners[0].id
+    members = [promote(one) if one.id == chosen else one for one in group.membership.members]
+    return Membership(members=members, target_voters=group.membership.target_voters)
+
+
+MEMBERSHIP = (
+    Variant("a learner gets a vote without a place", "4 voters for 3 places",
+            "at 8 wipe m3\nend 14", _replaced(group, "next_change", _promote_all)),
+    Variant("nobody stands for election", "nobody leads",
+            "at 10 kill leader\nend 14",
+            lambda: mock.patch.object(MemberState, "may_campaign", property(lambda self: self.now < 9.0)),
+            ("LeadershipChecker",)),
+    Variant("a wiped member is never taken in again", "of 3 voters are sound, 1 more may be lost",
+            "at 8 wipe m3\nend 14", _replaced(GroupKeeper, "join", lambda self, connection, request: None),
+            ("RepairChecker",)),
+)
+
+
+# ------------------------------------------------------------ 4: logs and snapshots
+
+def _forgets_entries(self: Replica) -> Restored:
+    return Restored(self.hard_state, self.snapshot)
+
+
+_raft = ControlMember.raft
+
+
+def _deaf(self: ControlMember, sender: int, message: Any) -> None:
+    if not (self._own.address.startswith("10.0.0.3:") and time.monotonic() > 9.0):
+        _raft(self, sender, message)
+
+
+_apply_entry = ReplicatedStateMachine.apply
+
+
+def _differs_at_random(self: ReplicatedStateMachine, index: int, payload: bytes) -> Outcome:
+    outcome = _apply_entry(self, index, payload)
+    return Outcome(REFUSED if id(self) % 3 else DONE, outcome.index) if index > 3 else outcome
+
+
+LOGS = (
+    Variant("entries are forgotten at a restart", "were committed",
+            "at 9 power-off members\nat 10 start members\nend 13",
+            _replaced(Replica, "restored", _forgets_entries)),
+    Variant("a member never catches up", "m3 has committed",
+            "at 9 put 2 on 1\nby 11 expect taken 2\nend 16", _replaced(ControlMember, "raft", _deaf),
+            ("CatchUpChecker",)),
+)
+
+
+# ------------------------------------------------------------ 5: answers and spread
+
+def _any_pending(self: Commands, response: Any) -> None:
+    pending = next(iter(self._proposals), None)
+    if pending is not None:
+        response.id = pending
+        _propose_response(self, response)
+
+
+_propose_response = Commands.propose_response
+_apply_instances = InstanceCopy.apply
+
+
+def _overlooks_drains(self: InstanceCopy, update: Any, replaces: bool) -> object:
+    changes = _apply_instances(self, update, replaces)
+    for instance in self.held.values():
+        instance.state = 0
+    return changes
+
+
+ANSWERS = (
+    Variant("answers of the leader go to any call", "ChangeKey",
+            "at 8 operator second\nat 9 put 2 on 1 via followers\nat 9 put 3 on 1 via followers by second\n"
+            "at 9 put 4 on 1 via followers\nat 9 put 5 on 1 via followers by second\nend 12",
+            lambda: mock.patch.object(Commands, "propose_response", _swapped())),
+    Variant("drains are overlooked by a gateway", "holds a for ready",
+            "at 8 drain a\nend 13.5", _replaced(InstanceCopy, "apply", _overlooks_drains), ("InTouchChecker",)),
+)
+
+
+def _swapped() -> Callable[[Commands, Any], None]:
+    """Hold one answer back and give the next two to each other's calls."""
+    held: list[Any] = []
+
+    def respond(self: Commands, response: Any) -> None:
+        if response.id not in self._proposals:
+            return
+        if not held:
+            held.append(response)
+            return
+        other = held.pop()
+        other.id, response.id = response.id, other.id
+        _propose_response(self, other)
+        _propose_response(self, response)
+    return respond
+
+
+VARIANTS = CONTACT + WINNERS + MEMBERSHIP + LOGS + ANSWERS
--- /dev/null
+++ b/tests/test_fleet_variants.py
@@ -0,0 +1,70 @@
+"""Each checker of the fleet can fail: a variant that is broken on purpose is caught, the real program passes."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable, Sequence
+from unittest import mock
+
+from fleet_variants import HEAD, M3_CUT_OFF, VARIANTS, Variant, _always_fresh
+
+from mallowbeam.consensus.node import RaftNode
+from mallowbeam.simulation import fleet_checkers
+from mallowbeam.simulation.fleet import FleetPlayer
+from mallowbeam.simulation.loss_budget import LossBudget
+from mallowbeam.simulation.scenario import Violation
+
+LATE_GATEWAY = M3_CUT_OFF + "at 8 report a m1\nat 8 report b m1\nat 8 kill g1\nat 8 seeds g1 m3\nat 12.5 start g1\nend 14"
+
+
+def player_of(variant: Variant) -> FleetPlayer:
+    """The scenario with the checkers that look on; all but what it does itself counts as calm."""
+    player = FleetPlayer(HEAD + variant.text)
+    budget = LossBudget(tolerance=1)
+    budget.disturbed(10.0)
+    events: dict[str, float] = {}
+    for name in variant.watched:
+        checker = getattr(fleet_checkers, name)
+        player.checkers.append(checker(budget, events) if name == "InTouchChecker" else checker(budget))
+    return player
+
+
+def case_of(variants: Sequence[Variant]) -> type[unittest.TestCase]:
+    """Two tests for each variant: it is caught, and the real program passes its scenario."""
+    methods: dict[str, Callable[[unittest.TestCase], None]] = {}
+    for variant in variants:
+        name = variant.name.replace(" ", "_")
+        methods[f"test_caught_{name}"] = _caught(variant)
+        methods[f"test_passed_without_{name}"] = _passed(variant)
+    return type("Variants", (unittest.TestCase,), methods)
+
+
+def _caught(variant: Variant) -> Callable[[unittest.TestCase], None]:
+    def test(case: unittest.TestCase) -> None:
+        with variant.patch(), case.assertRaises(Violation) as caught:
+            player_of(variant).play()
+        case.assertIn(variant.told, str(caught.exception))
+    return test
+
+
+def _passed(variant: Variant) -> Callable[[unittest.TestCase], None]:
+    def test(_: unittest.TestCase) -> None:
+        player_of(variant).play()
+    return test
+
+
+Variants = case_of(VARIANTS)
+
+
+class StartedGateways(unittest.TestCase):
+    def test_a_started_gateway_is_given_an_old_configuration(self) -> None:
+        with mock.patch.object(RaftNode, "freshness", _always_fresh):
+            with self.assertRaisesRegex(Violation, "1: g1 is given 1 first, 2 was acknowledged"):
+                FleetPlayer(HEAD + LATE_GATEWAY).play()
+
+    def test_a_started_gateway_is_given_no_old_configuration(self) -> None:
+        FleetPlayer(HEAD + LATE_GATEWAY).play()
+
+
+if __name__ == "__main__":
+    unittest.main()
