--- /dev/null
+++ b/tests/buffer_world.py
@@ -0,0 +1,312 @@
+"""A plain model of nodes and log around the buffer's core, driven by hand in any order."""
+
+from __future__ import annotations
+
+import random
+
+from mallowbeam.buffer import core as c
+from mallowbeam.buffer.core import Core, Entry, Known, Limits, Offer, Outcome, Replay
+
+WINDOW, DEADLINE = 4.0, 1.0
+LIMITS = Limits(max_bytes=6000, max_records=30, max_age=1000.0, in_flight=4, per_shard=2, deadline=DEADLINE,
+                window=WINDOW, shards=2, max_commit=3000, flush_bytes=250)
+COST, PER_SEGMENT = 100, 5
+
+
+class Nodes:
+    """What the nodes hold and have run: a run is a repeat if its token ran within the window."""
+
+    def __init__(self) -> None:
+        self.versions: dict[tuple[str, bytes], int] = {}  # the lsn whose body is there; 0 for none
+        self.applied: dict[tuple[str, bytes], int] = {}  # the highest lsn that ever ran
+        self.ran: dict[int, float] = {}        # by lsn, which stands for the token
+        self.coming: list[tuple[float, Entry, str | None]] = []  # may yet run, until then
+
+    def run(self, now: float, entry: Entry, seen: str | None) -> bool:
+        """Run a write; False where a condition does not hold."""
+        if entry.lsn in self.ran:
+            assert now - self.ran[entry.lsn] < WINDOW, f"{entry.lsn} ran twice"
+            return True
+        there = self.versions.get(entry.key, 0)
+        if seen is not None and seen != (f"v{there}" if there else ""):
+            return False
+        assert entry.lsn > self.applied.get(entry.key, 0), "a key's writes ran out of order"
+        self.ran[entry.lsn] = now
+        self.applied[entry.key] = entry.lsn
+        self.versions[entry.key] = 0 if entry.method == "DELETE" else entry.lsn
+        return True
+
+
+class World:
+    """A core, its log and nodes; what the shell does is done here by hand, in any order."""
+
+    def __init__(self, limits: Limits = LIMITS) -> None:
+        self.limits, self.now, self.boot, self.lsn = limits, 100.0, b"b0", 0
+        self.core = Core(limits, random.Random(7))
+        self.core.away = False
+        self.log: list[tuple[int, tuple]] = []  # segment and record, as durable
+        self.segment = 1
+        self.pending: list[tuple] = []         # appended, not synced
+        self.sends: dict[int, c.Send] = {}
+        self.reads: dict[int, c.ReadBack] = {}
+        self.sent_at: dict[int, float] = {}
+        self.nodes = Nodes()
+        self.durable: dict[tuple[str, bytes], list[int]] = {}  # writes by key, in order
+        self.methods: dict[int, str] = {}
+        self.barriers: dict[int, str] = {}
+        self.passed: set[int] = set()
+
+    # what clients do
+
+    def entry(self, lsn: int, bucket: str, name: bytes, method: str, at: float) -> Entry:
+        return Entry(lsn, bucket, name, method, name[0], f"v{lsn}", 60, COST, at)
+
+    def offer(self, bucket: str, name: bytes, method: str = "PUT") -> int | None:
+        if self.core.offer(self.now, bucket, name, COST) is not Offer.TAKE:
+            return None
+        self.lsn += 1
+        self.core.accept(self.entry(self.lsn, bucket, name, method, self.now))
+        self.pending.append(("write", self.lsn, bucket, name, method))
+        return self.lsn
+
+    def barrier(self, bucket: str) -> int:
+        self.lsn += 1
+        self.core.barrier(self.lsn, bucket)
+        self.pending.append(("barrier", self.lsn, bucket))
+        return self.lsn
+
+    def direct(self, bucket: str, name: bytes, method: str = "PUT") -> bool:
+        """A write past the buffer, acknowledged by its node; False where its order forbids that."""
+        if self.core.ordered(bucket, name):
+            return False
+        self.lsn += 1
+        entry = self.entry(self.lsn, bucket, name, method, self.now)
+        self.methods[self.lsn] = method
+        self.durable.setdefault(entry.key, []).append(self.lsn)
+        assert self.nodes.run(self.now, entry, None)
+        return True
+
+    # what the shell and the disk do
+
+    def keep(self, record: tuple) -> int:
+        """A record becomes durable; its segment."""
+        if sum(segment == self.segment for segment, _ in self.log) >= PER_SEGMENT:
+            self.segment += 1
+        self.log.append((self.segment, record))
+        match record:
+            case ("write", lsn, bucket, name, method):
+                self.durable.setdefault((bucket, name), []).append(lsn)
+                self.methods[lsn] = method
+            case ("barrier", lsn, bucket):
+                self.barriers[lsn] = bucket
+        self.sizes()
+        return self.segment
+
+    def sizes(self) -> None:
+        sizes: dict[int, int] = {}
+        for segment, _ in self.log:
+            sizes[segment] = sizes.get(segment, 0) + COST
+        sizes.setdefault(self.segment, 0)
+        self.core.on_disk(sizes, self.segment)
+
+    def commit(self, good: bool = True) -> None:
+        """All that waits is synced, or none of it, and then it is void."""
+        batch, self.pending = self.pending, []
+        lost = []
+        for record in batch:
+            kind = record[0]
+            if not good:
+                match record:
+                    case ("write", lsn, *_):
+                        lost.append(lsn)
+                        self.core.lost(lsn)
+                    case ("barrier", lsn, *_):
+                        lost.append(lsn)
+                        self.core.barrier_lost(lsn)
+                    case ("intent", lsns, _):
+                        self.core.not_intended(self.now, lsns)
+                    case ("done", lsns):
+                        self.core.not_settled(lsns)
+                    case ("moved", *_):
+                        self.core.moving_over()
+                continue
+            segment = self.keep(record)
+            if kind == "write":
+                self.core.durable(self.now, record[1], (segment, 0), ())
+            elif kind == "barrier":
+                self.core.barrier_durable(record[1], segment)
+            elif kind == "intent":
+                self.core.intended(self.now, record[1])
+            elif kind == "done":
+                self.core.settled(record[1])
+            elif kind == "moved":
+                self.core.moved(record[1], (segment, 0), ())
+                self.core.moving_over()
+        if lost:
+            self.log.append((self.segment, ("done", lost)))
+        self.do()
+
+    def do(self) -> None:
+        for action in self.core.take():
+            match action:
+                case c.Intend(lsns):
+                    self.pending.append(("intent", lsns, (self.boot, self.now, self.limits.shards)))
+                case c.Settle(lsns):
+                    self.pending.append(("done", lsns))
+                case c.Hold(lsn, reason):
+                    self.pending.append(("held", lsn, reason))
+                case c.Send(lsn, expires, _):
+                    assert any(r[0] == "intent" and lsn in r[1] or r[0] == "moved" and r[1] == lsn
+                               for _, r in self.log), "sent without an intent"
+                    assert expires > 0
+                    self.sends[lsn], self.sent_at[lsn] = action, self.now
+                case c.ReadBack(lsn, _):
+                    self.reads[lsn] = action
+                case c.Passed(lsn):
+                    self.passed.add(lsn)
+                    self.check_barrier(lsn)
+                case c.Remove(segments):
+                    self.log = [(s, r) for s, r in self.log if s not in segments]
+                    self.core.removed(segments)
+                case c.Move(lsns):
+                    for lsn in lsns:
+                        if lsn in self.core.barriers:
+                            self.core.barrier_moved(lsn, self.keep(("barrier again", lsn,
+                                                                    self.core.barriers[lsn][0])))
+                        elif (e := self.core.entries.get(lsn)) is not None:
+                            intent = None if e.intent is None else (self.boot, max(0.0, e.doubt or e.intent),
+                                                                    self.limits.shards)
+                            self.pending.append(("moved", lsn, e.bucket, e.name, e.method, intent,
+                                                 e.reason or None))
+                    self.core.moving_over()
+        assert self.core.out <= self.limits.in_flight
+        assert self.core.out_bytes <= max(60, self.limits.flush_bytes)
+        assert all(shard.out <= self.limits.per_shard for shard in self.core.shards.values())
+
+    def plan(self, direct: int = 0) -> None:
+        self.core.plan(self.now, direct)
+        self.do()
+
+    # what nodes do
+
+    def run(self, entry: Entry, seen: str | None) -> bool:
+        for lsn, bucket in self.barriers.items():
+            if bucket == entry.bucket and lsn < entry.lsn:
+                self.check_barrier(lsn)
+        return self.nodes.run(self.now, entry, seen)
+
+    def check_barrier(self, barrier: int) -> None:
+        """All taken in before a barrier is on the nodes."""
+        for key, lsns in self.durable.items():
+            before = [lsn for lsn in lsns if lsn < barrier]
+            if key[0] == self.barriers[barrier] and before:
+                assert self.nodes.applied.get(key, 0) >= before[-1], "a barrier was passed over"
+
+    def answer(self, lsn: int, how: str) -> None:
+        send = self.sends.pop(lsn)
+        entry, outcome = self.core.entries[lsn], Outcome.UNKNOWN
+        until = self.sent_at[lsn] + send.expires
+        if self.now > until and how in ("stored", "ran", "late"):
+            how = "gone"                       # by then the node has dropped it
+        if how in ("stored", "ran"):
+            assert self.run(entry, send.seen)
+            outcome = Outcome.STORED if how == "stored" else Outcome.UNKNOWN
+        elif how == "late":
+            self.nodes.coming.append((until, entry, send.seen))
+        elif how == "refused":
+            outcome = Outcome.REFUSED
+        self.core.sent(self.now, lsn, outcome, 0.05)
+        self.do()
+
+    def look(self, lsn: int, answered: bool) -> None:
+        self.reads.pop(lsn)
+        entry = self.core.entries[lsn]
+        version = self.nodes.versions.get(entry.key, 0)
+        if answered and not version and entry.method == "DELETE":
+            self.nodes.applied[entry.key] = lsn  # what was to be gone is gone: as good as run
+        self.core.read_back(self.now, lsn, f"v{version}" if version else None, answered)
+        self.do()
+
+    def advance(self, seconds: float) -> None:
+        """Time passes; what may yet run does, at the last moment or never."""
+        self.now += seconds
+        later = []
+        for until, entry, seen in self.nodes.coming:
+            if until < self.now:
+                self.now, now = until, self.now
+                self.run(entry, seen)
+                self.now = now
+            else:
+                later.append((until, entry, seen))
+        self.nodes.coming = later
+
+    # what goes wrong
+
+    def crash(self, kept: int, reboot: bool, ran: list[bool]) -> None:
+        """This life ends: some of what was not synced stands all the same; attempts out run or not."""
+        for record in self.pending[:kept]:
+            self.keep(record)
+        self.pending = []
+        for i, (lsn, send) in enumerate(sorted(self.sends.items())):
+            until = self.sent_at[lsn] + send.expires
+            if until > self.now and ran[i % len(ran)]:
+                self.nodes.coming.append((until, self.core.entries[lsn], send.seen))
+        self.sends, self.reads = {}, {}
+        if reboot:
+            self.boot += b"+"
+        self.core = Core(self.limits, random.Random(7))
+        self.segment += 1
+        self.sizes()
+        state = Replay()
+        for segment, record in self.log:
+            match record:
+                case ("write", lsn, bucket, name, method):
+                    state.write(Known(self.entry(lsn, bucket, name, method, self.now), (segment, 0), []))
+                case ("moved", lsn, bucket, name, method, intent, held):
+                    state.write(Known(self.entry(lsn, bucket, name, method, self.now), (segment, 0), [],
+                                      intent, held))
+                case ("barrier" | "barrier again", lsn, bucket):
+                    state.barrier(lsn, bucket, segment)
+                case ("intent", lsns, intent):
+                    state.intent(lsns, intent)
+                case ("done", lsns):
+                    state.settled(lsns)
+                case ("held", lsn, reason):
+                    state.held(lsn, reason)
+        state.build(self.core, self.now, self.boot)
+        self.do()
+
+    def drain(self) -> None:
+        """Everything is well from now on: all goes to the nodes, in bounded time."""
+        for _ in range(4000):
+            self.plan()
+            self.commit()
+            for lsn in list(self.sends):
+                self.answer(lsn, "stored")
+            for lsn in list(self.reads):
+                self.look(lsn, True)
+            if not self.core.entries and not self.pending:
+                break
+            self.advance(0.05)
+        assert not self.core.entries, [(e.lsn, e.state) for e in self.core.entries.values()]
+        assert not self.core.barriers and not self.core.keys and not self.core.groups
+        assert self.core.out == self.core.out_bytes == self.core.committing == 0
+        self.check_reads()
+        for key, lsns in self.durable.items():
+            last = lsns[-1]
+            assert self.nodes.versions.get(key, 0) == (0 if self.methods[last] == "DELETE" else last)
+
+    def check_reads(self) -> None:
+        """A reader sees the newest durable write, here or at its node."""
+        for key, lsns in self.durable.items():
+            newest = self.core.newest_of(*key)
+            if newest is not None:
+                assert newest.lsn == lsns[-1]
+            else:
+                assert self.nodes.applied.get(key) == lsns[-1]
+
+
+def sent(world: World) -> list[int]:
+    world.plan()
+    world.commit()
+    return sorted(world.sends)
