--- a/mallowbeam/admission/guard.py
+++ b/mallowbeam/admission/guard.py
@@ -13,7 +13,7 @@
 from mallowbeam.pairing.instances import InstanceBook
 from mallowbeam.scheduling.slot_time import FadingMean
 
-TARGET_MEMORY_S = 10.0   # of the mean target latency of a service
+TARGET_MEMORY_S = 10.0  # of the mean target latency of a service
 LEAST_TARGET_S = 1e-3
 
 
@@ -24,7 +24,7 @@
 
     def __init__(self, memory_s: float) -> None:
         self.target = FadingMean(TARGET_MEMORY_S)
-        self.wait = FadingMean(memory_s)        # of a token, over all instances
+        self.wait = FadingMean(memory_s)  # of a token, over all instances
         self.least_priority = 9
 
 
--- a/mallowbeam/admission/planner.py
+++ b/mallowbeam/admission/planner.py
@@ -21,8 +21,8 @@
 from mallowbeam.pairing.ways import Pairing, Prompt, Way
 from mallowbeam.scheduling.cycles import Placement
 
-READY, ENDED = 0, 2   # of `messages.InstanceState`
-PRIORITY_STEPS = (0, 1, 2, 3, 4, 6, 8, 12, 16)   # the most units of each engine priority; the rest have 9
+READY, ENDED = 0, 2  # of `messages.InstanceState`
+PRIORITY_STEPS = (0, 1, 2, 3, 4, 6, 8, 12, 16)  # the most units of each engine priority; the rest have 9
 MIDDLE_PRIORITY = 4
 
 
@@ -119,7 +119,7 @@
             return
         entry.first = True
         way = entry.way
-        if not entry.read:                      # where it was to be read apart, that did not come about
+        if not entry.read:  # where it was to be read apart, that did not come about
             self._read_ended(booking, entry, now, measured=not way.split)
         if way.split and entry.handed_at is not None:
             way.decoder.learn_join(way.reader, now - entry.handed_at, way.move_s, now)
@@ -138,7 +138,7 @@
             return
         if entry.handed_at is None:
             way.reader.rejected_until = now + self.settings.pairing.rejected_s
-        else:                                   # its memory could not be had
+        else:  # its memory could not be had
             way.reader.failures.add(1.0, now)
 
     # ---------------------------------------------------------------- what is known of the system
@@ -174,9 +174,18 @@
 
     @staticmethod
     def _prompt(request: PlanRequest) -> Prompt:
-        return Prompt(request.request_id, request.backend, request.engine, request.prompt_parts,
-                      request.prompt_tokens, request.answer_tokens, request.target_latency_s, request.zone,
-                      request.excluded, request.read_at)
+        return Prompt(
+            request.request_id,
+            request.backend,
+            request.engine,
+            request.prompt_parts,
+            request.prompt_tokens,
+            request.answer_tokens,
+            request.target_latency_s,
+            request.zone,
+            request.excluded,
+            request.read_at,
+        )
 
     def units(self, read_tokens: int) -> int:
         """Slots for a prompt with so many tokens to be read."""
@@ -197,7 +206,7 @@
             else:
                 soonest = min(soonest, offer.finish_s)
             if best is not None and best.start_in_s <= 0.0:
-                break                           # those that follow lose more
+                break  # those that follow lose more
         if best is not None:
             return self._take(request, best, now)
         over = soonest - limit if soonest < float("inf") else request.time_left_s
@@ -212,8 +221,9 @@
         start_in = max(0.0, placement.starts_at - now)
         expected = max(way.first_token_s, start_in + way.first_token_s - way.wait_s)
         held = start_in / max(request.target_latency_s, 1e-3) * self.settings.held_loss
-        return _Offer(way, units, placement, start_in, expected, max(expected, placement.ends_at - now),
-                      way.loss + held)
+        return _Offer(
+            way, units, placement, start_in, expected, max(expected, placement.ends_at - now), way.loss + held
+        )
 
     def _place(self, request: PlanRequest, node: InstanceBook, units: int, now: float) -> Placement | None:
         """Where in the node's cycles the units go; an idle node takes them at once, whatever it held."""
@@ -224,8 +234,10 @@
         """Whether a node's estimate may refuse: work of ours is there, and waiting was seen or is sure."""
         if node.idle:
             return False
-        return (node.measured_wait_s(now) >= self.settings.measured_wait_s
-                or node.timer.units_out >= self.settings.measured_units)
+        return (
+            node.measured_wait_s(now) >= self.settings.measured_wait_s
+            or node.timer.units_out >= self.settings.measured_units
+        )
 
     def _limit(self, request: PlanRequest) -> float:
         """Seconds within which the first token must come to be of use."""
@@ -249,8 +261,16 @@
         if request.prompt_parts:
             self._keep(entry, way.reader)
         prefill = way.reader.id if way.split else None
-        return Plan(booking, prefill, way.decoder.id, offer.start_in_s, offer.units, offer.expected_s,
-                    self._engine_priority(request, offer.units), way.read_tokens)
+        return Plan(
+            booking,
+            prefill,
+            way.decoder.id,
+            offer.start_in_s,
+            offer.units,
+            offer.expected_s,
+            self._engine_priority(request, offer.units),
+            way.read_tokens,
+        )
 
     def _engine_priority(self, request: PlanRequest, units: int) -> int:
         """Short readings before long ones; some long ones among the middle, lest all of them starve."""
@@ -275,7 +295,7 @@
         reader = entry.way.reader
         reader.read_ended(booking)
         if entry.sent_at is None:
-            reader.cycles.release(booking)      # never sent: its slots are a hole for others
+            reader.cycles.release(booking)  # never sent: its slots are a hole for others
             return
         reader.cycles.forget(booking)
         latency = reader.timer.done(booking, now, measured)
--- a/mallowbeam/buffer/actions.py
+++ b/mallowbeam/buffer/actions.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-SETTLE_MOST = 256           # writes told settled in one record
+SETTLE_MOST = 256  # writes told settled in one record
 
 
 class Send(NamedTuple):
@@ -81,7 +81,7 @@
     def take(self) -> list[Action]:
         """All that was asked for since the last call."""
         for start in range(0, len(self._settling), SETTLE_MOST):
-            self._actions.append(Settle(self._settling[start:start + SETTLE_MOST]))
+            self._actions.append(Settle(self._settling[start : start + SETTLE_MOST]))
         self._settling = []
         actions, self._actions = self._actions, []
         return actions
--- a/mallowbeam/buffer/core.py
+++ b/mallowbeam/buffer/core.py
@@ -36,15 +36,38 @@
 from mallowbeam.buffer.shards import Shard
 
 __all__ = [
-    "DROPPED", "LEAST_SEND", "MOVE_BELOW", "NEVER", "SAFE_MARGIN", "SETTLE_MOST",
-    "Action", "Core", "Counts", "Entry", "Group", "Hold", "Intend", "Known", "Limits", "Move", "Offer",
-    "Outcome", "Passed", "ReadBack", "Remove", "Replay", "Send", "Settle", "Shard", "State",
+    "DROPPED",
+    "LEAST_SEND",
+    "MOVE_BELOW",
+    "NEVER",
+    "SAFE_MARGIN",
+    "SETTLE_MOST",
+    "Action",
+    "Core",
+    "Counts",
+    "Entry",
+    "Group",
+    "Hold",
+    "Intend",
+    "Known",
+    "Limits",
+    "Move",
+    "Offer",
+    "Outcome",
+    "Passed",
+    "ReadBack",
+    "Remove",
+    "Replay",
+    "Send",
+    "Settle",
+    "Shard",
+    "State",
 ]
 
-GIVE_WAY = 0.1              # of its window the flush keeps, however much direct traffic there is
-CALM = 0.5                  # pressure from which on the flush gives way less, all the way up to 1
-MOVE_ABOVE = 0.5            # of the bytes allowed: from there on old segments are emptied by copying
-MOVE_MOST = 64              # writes copied on at once
+GIVE_WAY = 0.1  # of its window the flush keeps, however much direct traffic there is
+CALM = 0.5  # pressure from which on the flush gives way less, all the way up to 1
+MOVE_ABOVE = 0.5  # of the bytes allowed: from there on old segments are emptied by copying
+MOVE_MOST = 64  # writes copied on at once
 MOVABLE = (State.READY, State.DOUBTFUL, State.HELD)
 
 
@@ -56,10 +79,10 @@
         self.segments = SegmentTable()
         self.actions = ActionQueue()
         self.dispatch = Dispatch(limits, chance, self.writes, self.segments, self.actions)
-        self.committing = 0                    # bytes on their way to the disk
-        self.away = True                       # what the folder holds is not known here, or no longer
-        self.broken: str | None = None         # why nothing is taken in, None where it is
-        self.tainted: set[Key] = set()         # keys with a record on a file that is trusted no more
+        self.committing = 0  # bytes on their way to the disk
+        self.away = True  # what the folder holds is not known here, or no longer
+        self.broken: str | None = None  # why nothing is taken in, None where it is
+        self.tainted: set[Key] = set()  # keys with a record on a file that is trusted no more
         self._moving: set[int] = set()
 
     def take(self) -> list[Action]:
@@ -146,8 +169,11 @@
     def pressure(self, now: float) -> float:
         """How full the buffer is, 0 to 1 and beyond, by what is nearest to its bound."""
         limits = self.limits
-        return max((self.bytes + self.committing) / limits.max_bytes, len(self.entries) / limits.max_records,
-                   self.age(now) / limits.max_age)
+        return max(
+            (self.bytes + self.committing) / limits.max_bytes,
+            len(self.entries) / limits.max_records,
+            self.age(now) / limits.max_age,
+        )
 
     def ordered(self, bucket: str, name: Name) -> bool:
         """Whether something here must be on the nodes before a direct write of that name may go."""
@@ -157,9 +183,13 @@
         """What becomes of a write of `size` bytes in the log."""
         limits = self.limits
         if (bucket, name) in self.tainted:
-            return Offer.SLOW                  # what stands on a distrusted file may come back
-        if (self.room(size) and len(self.entries) < limits.max_records
-                and self.committing + size <= limits.max_commit and self.age(now) < limits.max_age):
+            return Offer.SLOW  # what stands on a distrusted file may come back
+        if (
+            self.room(size)
+            and len(self.entries) < limits.max_records
+            and self.committing + size <= limits.max_commit
+            and self.age(now) < limits.max_age
+        ):
             return Offer.TAKE
         if self.away:
             return Offer.SLOW
@@ -167,8 +197,11 @@
 
     def room(self, size: int) -> bool:
         """Whether so many bytes more may go to the disk."""
-        return (self.broken is None and not self.away
-                and self.bytes + self.committing + size <= self.limits.max_bytes)
+        return (
+            self.broken is None
+            and not self.away
+            and self.bytes + self.committing + size <= self.limits.max_bytes
+        )
 
     def accept(self, entry: Entry) -> None:
         """A write is on its way to the log, behind all accepted before it."""
@@ -254,8 +287,9 @@
         """The log could not take that word: they stay."""
         self.dispatch.not_intended(now, lsns)
 
-    def sent(self, now: float, lsn: int, outcome: Outcome, retry_after: float = 0.0,
-             reason: str = "") -> None:
+    def sent(
+        self, now: float, lsn: int, outcome: Outcome, retry_after: float = 0.0, reason: str = ""
+    ) -> None:
         """An attempt has ended."""
         self.dispatch.sent(now, lsn, outcome, retry_after, reason)
 
@@ -333,8 +367,11 @@
 
     def _move(self, oldest: int) -> None:
         """Copy on what still needs a segment."""
-        lsns = [entry.lsn for entry in self.entries.values()
-                if oldest in entry.segments and entry.state in MOVABLE][:MOVE_MOST]
+        lsns = [
+            entry.lsn
+            for entry in self.entries.values()
+            if oldest in entry.segments and entry.state in MOVABLE
+        ][:MOVE_MOST]
         lsns += [lsn for lsn, (_, segment) in self.barriers.items() if segment == oldest][:MOVE_MOST]
         if lsns:
             self._moving = set(lsns)
--- a/mallowbeam/buffer/dispatch.py
+++ b/mallowbeam/buffer/dispatch.py
@@ -19,17 +19,23 @@
 from mallowbeam.buffer.segments import SegmentTable
 from mallowbeam.buffer.shards import Shard, ShardTable
 
-SAFE_MARGIN = 0.25          # seconds of the repeat window left unused: the way to the node and its clock
-LEAST_SEND = 0.1            # seconds: an attempt with less time than that is not begun
-DROPPED = 0.5               # seconds after its deadline by which a node has dropped what it has not begun
-MOST_DOUBLINGS = 30         # of the wait before a repeat
+SAFE_MARGIN = 0.25  # seconds of the repeat window left unused: the way to the node and its clock
+LEAST_SEND = 0.1  # seconds: an attempt with less time than that is not begun
+DROPPED = 0.5  # seconds after its deadline by which a node has dropped what it has not begun
+MOST_DOUBLINGS = 30  # of the wait before a repeat
 
 
 class Dispatch:
     """Sends writes in their order, repeats them, reads them back, and ends them."""
 
-    def __init__(self, limits: Limits, chance: random.Random, writes: HeldWrites, segments: SegmentTable,
-                 actions: ActionQueue) -> None:
+    def __init__(
+        self,
+        limits: Limits,
+        chance: random.Random,
+        writes: HeldWrites,
+        segments: SegmentTable,
+        actions: ActionQueue,
+    ) -> None:
         self.limits = limits
         self.random = chance
         self.writes = writes
@@ -58,7 +64,7 @@
             if self._waits(entry, now):
                 continue
             if self.shards.out_bytes and self.shards.out_bytes + entry.size > self.limits.flush_bytes:
-                self.queue(entry, now)         # others may be smaller, but none goes before for ever
+                self.queue(entry, now)  # others may be smaller, but none goes before for ever
                 break
             if self._start(entry, now, intending):
                 self.shards.begin(entry)
@@ -117,7 +123,7 @@
             return self._read_back(entry, now)
         if wait := self.budget.wait(now):
             if wait >= left - LEAST_SEND:
-                entry.doubt = -NEVER           # no repeat before the window ends: it is read back
+                entry.doubt = -NEVER  # no repeat before the window ends: it is read back
             self.queue(entry, now + wait)
             return False
         self.writes.counts.repeats += 1
--- a/mallowbeam/buffer/entries.py
+++ b/mallowbeam/buffer/entries.py
@@ -29,44 +29,75 @@
     """What becomes of a write that a client offers."""
 
     TAKE = "take"
-    DIRECT = "direct"                          # straight to its node: there is no room here
-    SLOW = "slow down"                         # not now: its order or its fate here forbids the direct way
+    DIRECT = "direct"  # straight to its node: there is no room here
+    SLOW = "slow down"  # not now: its order or its fate here forbids the direct way
 
 
 class Outcome(Enum):
     """How an attempt at a node ended."""
 
     STORED = "stored"
-    REFUSED = "refused"                        # it never ran
-    UNKNOWN = "unknown"                        # it may have run
-    DECLINED = "declined"                      # a node's own final no
+    REFUSED = "refused"  # it never ran
+    UNKNOWN = "unknown"  # it may have run
+    DECLINED = "declined"  # a node's own final no
 
 
 class Entry:
     """A write held here."""
 
-    __slots__ = ("lsn", "bucket", "name", "method", "place", "etag", "size", "cost", "state", "at", "where",
-                 "segments", "intent", "doubt", "last", "tries", "due", "queued", "group", "seen", "reason",
-                 "attempted")
-
-    def __init__(self, lsn: int, bucket: str, name: bytes, method: str, place: int, etag: str, size: int,
-                 cost: int, at: float) -> None:
+    __slots__ = (
+        "lsn",
+        "bucket",
+        "name",
+        "method",
+        "place",
+        "etag",
+        "size",
+        "cost",
+        "state",
+        "at",
+        "where",
+        "segments",
+        "intent",
+        "doubt",
+        "last",
+        "tries",
+        "due",
+        "queued",
+        "group",
+        "seen",
+        "reason",
+        "attempted",
+    )
+
+    def __init__(
+        self,
+        lsn: int,
+        bucket: str,
+        name: bytes,
+        method: str,
+        place: int,
+        etag: str,
+        size: int,
+        cost: int,
+        at: float,
+    ) -> None:
         self.lsn, self.bucket, self.name, self.method = lsn, bucket, name, method
         self.place, self.etag, self.size = place, etag, size
-        self.cost, self.at = cost, at          # bytes in the log; when it was taken in
+        self.cost, self.at = cost, at  # bytes in the log; when it was taken in
         self.state = State.COMMITTING
-        self.where = (0, 0)                    # segment and offset of its record
-        self.segments: tuple[int, ...] = ()    # all segments that hold a part of it
-        self.intent: float | None = None       # since when it may have been sent
-        self.doubt: float | None = None        # when the first attempt went out that may have run
-        self.last = 0.0                        # when the last attempt went out
-        self.tries = 0                         # attempts that brought nothing
-        self.attempted = False                 # whether one was ever begun
+        self.where = (0, 0)  # segment and offset of its record
+        self.segments: tuple[int, ...] = ()  # all segments that hold a part of it
+        self.intent: float | None = None  # since when it may have been sent
+        self.doubt: float | None = None  # when the first attempt went out that may have run
+        self.last = 0.0  # when the last attempt went out
+        self.tries = 0  # attempts that brought nothing
+        self.attempted = False  # whether one was ever begun
         self.due = 0.0
         self.queued = False
         self.group: Group
-        self.seen: str | None = None           # the version read back, "" for none
-        self.reason = ""                       # why it is held
+        self.seen: str | None = None  # the version read back, "" for none
+        self.reason = ""  # why it is held
 
     @property
     def key(self) -> tuple[str, bytes]:
@@ -81,8 +112,8 @@
 
     def __init__(self) -> None:
         self.entries: dict[int, Entry] = {}
-        self.barrier: int | None = None        # the lsn of the barrier that ends it, None while it is open
-        self.durable = False                   # whether the log has that barrier
+        self.barrier: int | None = None  # the lsn of the barrier that ends it, None while it is open
+        self.durable = False  # whether the log has that barrier
 
 
 @dataclass(slots=True)
@@ -97,4 +128,4 @@
     refused: int = 0
     held: int = 0
     moved: int = 0
-    lost: int = 0                              # never acknowledged
+    lost: int = 0  # never acknowledged
--- a/mallowbeam/buffer/flush.py
+++ b/mallowbeam/buffer/flush.py
@@ -17,8 +17,8 @@
 from mallowbeam.buffer.terms import Sender, Upload
 from mallowbeam.net.log import Sparse
 
-LATER = 0.05                # seconds for which word of what is settled waits for company
-MOST_SETTLED = 4096         # writes that one record settles
+LATER = 0.05  # seconds for which word of what is settled waits for company
+MOST_SETTLED = 4096  # writes that one record settles
 
 
 class Flush(Intake):
@@ -26,9 +26,9 @@
 
     sender: Sender
     boot: bytes
-    _settling: list[int]                       # settled, and the log does not say so yet
+    _settling: list[int]  # settled, and the log does not say so yet
     _timer: asyncio.TimerHandle | None
-    _sending: int                              # calls at the gateway
+    _sending: int  # calls at the gateway
     _held: Sparse
     _trouble: Sparse
 
@@ -88,8 +88,11 @@
         entry = self.core.entries[action.lsn]
         try:
             write, whole = await self.words(entry)
-            body = whole if not write.pieces else b"".join(
-                [piece async for piece in self.body(write, whole, 0, write.size)])
+            body = (
+                whole
+                if not write.pieces
+                else b"".join([piece async for piece in self.body(write, whole, 0, write.size)])
+            )
         except (Failed, ValueError) as error:
             logger.error("buffer: write {lsn} can't be read again: {why}", lsn=action.lsn, why=str(error))
             self.core.hold(action.lsn, f"its bytes can't be read: {error}")
@@ -142,7 +145,7 @@
     async def _hold(self, lsn: int, reason: str) -> None:
         if reason:
             self._held(f"{lsn}: {reason}")
-        with suppress(NotTaken, Doubtful):     # after a restart it is found out anew
+        with suppress(NotTaken, Doubtful):  # after a restart it is found out anew
             await self.store.append(Kind.HELD, self.store.next_lsn(), pack(Kind.HELD, Held(lsn, reason))).done
 
     async def _move(self, lsns: list[int]) -> None:
@@ -158,8 +161,9 @@
 
     async def _move_one(self, lsn: int) -> None:
         if (pending := self.core.barriers.get(lsn)) is not None:
-            waiting = self.store.append(Kind.BARRIER, self.store.next_lsn(),
-                                        pack(Kind.BARRIER, Barrier(pending[0], lsn)))
+            waiting = self.store.append(
+                Kind.BARRIER, self.store.next_lsn(), pack(Kind.BARRIER, Barrier(pending[0], lsn))
+            )
             await waiting.done
             if lsn in self.core.barriers:
                 self.core.barrier_moved(lsn, waiting.item.segment)
@@ -178,15 +182,22 @@
                 await self.complete(upload, write)
             if entry.state is decisions.State.OVER:
                 return
-            intent = None if entry.intent is None else (
-                self.boot, entry.intent if entry.doubt is None else max(0.0, entry.doubt),
-                self.settings.limits.shards)
+            intent = (
+                None
+                if entry.intent is None
+                else (
+                    self.boot,
+                    entry.intent if entry.doubt is None else max(0.0, entry.doubt),
+                    self.settings.limits.shards,
+                )
+            )
             moved = Moved(lsn, write, intent, entry.reason or None)
             waiting = self.store.append(Kind.MOVED, self.store.next_lsn(), pack(Kind.MOVED, moved, body))
             await waiting.done
             self._forget(lsn)
-            self.core.moved(lsn, (waiting.item.segment, waiting.item.offset),
-                            [segment for segment, _, _ in write.pieces])
+            self.core.moved(
+                lsn, (waiting.item.segment, waiting.item.offset), [segment for segment, _, _ in write.pieces]
+            )
         finally:
             self.drop(upload)
 
--- a/mallowbeam/buffer/held_writes.py
+++ b/mallowbeam/buffer/held_writes.py
@@ -12,8 +12,8 @@
 from mallowbeam.buffer.entries import Counts, Entry, State
 from mallowbeam.buffer.groups import WriteGroups
 
-Name = bytes                # of an object in its bucket
-Key = tuple[str, Name]      # a bucket, and a name in it
+Name = bytes  # of an object in its bucket
+Key = tuple[str, Name]  # a bucket, and a name in it
 
 
 class HeldWrites:
@@ -24,10 +24,10 @@
         self.keys: dict[Key, list[Entry]] = {}
         self.groups = WriteGroups()
         self.counts = Counts()
-        self.held = 0                          # entries that wait for an operator
+        self.held = 0  # entries that wait for an operator
         self._ages: deque[Entry] = deque()
-        self._leaving: dict[int, Entry] = {}   # over, but the log may not have that yet
-        self._unsettled: dict[Key, int] = {}   # how many of those, by key
+        self._leaving: dict[int, Entry] = {}  # over, but the log may not have that yet
+        self._unsettled: dict[Key, int] = {}  # how many of those, by key
 
     def add(self, entry: Entry) -> None:
         """A write comes in, behind all that came before it."""
@@ -93,7 +93,9 @@
 
     def may_go(self, entry: Entry) -> bool:
         """Whether a write is next: first of its key, in the first group of its bucket, and not held."""
-        return (entry.state in (State.READY, State.DOUBTFUL)
-                and self.keys[entry.key][0] is entry
-                and entry.key not in self._unsettled
-                and self.groups.in_first_group(entry))
+        return (
+            entry.state in (State.READY, State.DOUBTFUL)
+            and self.keys[entry.key][0] is entry
+            and entry.key not in self._unsettled
+            and self.groups.in_first_group(entry)
+        )
--- a/mallowbeam/buffer/inspect.py
+++ b/mallowbeam/buffer/inspect.py
@@ -53,7 +53,7 @@
     segment: int
     offset: int
     length: int
-    kind: str                                  # damaged, torn, blank
+    kind: str  # damaged, torn, blank
 
 
 @dataclass(slots=True)
@@ -68,9 +68,9 @@
     writes: int = 0
     write_bytes: int = 0
     barriers: int = 0
-    in_doubt: int = 0                          # writes that may have been sent
+    in_doubt: int = 0  # writes that may have been sent
     held: list[dict[str, object]] = field(default_factory=list)
-    oldest_s: float = 0.0                      # age of the oldest write by the wall clock
+    oldest_s: float = 0.0  # age of the oldest write by the wall clock
     buckets: dict[str, int] = field(default_factory=dict)
     damage: list[Damage] = field(default_factory=list)
     missing: list[int] = field(default_factory=list)  # segments
@@ -104,7 +104,7 @@
         state = replay(log, found, time.time(), now)
         report = Report(folder, len(numbers(disk)), sum(found.segments.values()), log.kinds, found.last)
         report.missing = found.missing
-        firsts: dict[str, int] = {}            # by bucket: the first write still here
+        firsts: dict[str, int] = {}  # by bucket: the first write still here
         for lsn, known in state.writes.items():
             firsts[known.entry.bucket] = min(lsn, firsts.get(known.entry.bucket, lsn))
         report.barriers = sum(firsts.get(bucket, lsn) < lsn for lsn, (bucket, _) in state.barriers.items())
@@ -120,9 +120,15 @@
             report.buckets[entry.bucket] = report.buckets.get(entry.bucket, 0) + 1
             report.oldest_s = max(report.oldest_s, round(now - entry.at, 3))
             if known.held is not None:
-                report.held.append({
-                    "lsn": lsn, "method": entry.method, "target": entry.name.decode("latin-1"),
-                    "bytes": entry.size, "reason": known.held})
+                report.held.append(
+                    {
+                        "lsn": lsn,
+                        "method": entry.method,
+                        "target": entry.name.decode("latin-1"),
+                        "bytes": entry.size,
+                        "reason": known.held,
+                    }
+                )
             if pieces and not readable(log, known):
                 report.unreadable.append(lsn)
         return report
@@ -133,6 +139,7 @@
 def readable(log: Log, known: Known) -> bool:
     """Whether a write and its pieces stand where the log says."""
     from mallowbeam.buffer.errors import Failed
+
     try:
         write, _ = words(log, known)
         for segment, offset, _ in write.pieces:
@@ -160,7 +167,7 @@
     try:
         log, found = Tally(disk, None), Found()
         state = replay(log, found, time.time(), boot_clock())
-        target.mkdir(parents=True)             # an export never adds to another
+        target.mkdir(parents=True)  # an export never adds to another
         index = []
         for lsn in sorted(state.writes):
             write, body = words(log, state.writes[lsn])
@@ -170,10 +177,19 @@
                     file.write(body)
                     for segment, offset, _ in write.pieces:
                         file.write(log.read(segment, offset).payload)
-            index.append({"lsn": lsn, "file": name, "method": write.method, "bucket": write.bucket,
-                          "target": write.target.decode("latin-1"), "bytes": write.size, "etag": write.etag,
-                          "headers": [[n.decode("latin-1"), v.decode("latin-1")] for n, v in write.headers],
-                          "held": state.writes[lsn].held})
+            index.append(
+                {
+                    "lsn": lsn,
+                    "file": name,
+                    "method": write.method,
+                    "bucket": write.bucket,
+                    "target": write.target.decode("latin-1"),
+                    "bytes": write.size,
+                    "etag": write.etag,
+                    "headers": [[n.decode("latin-1"), v.decode("latin-1")] for n, v in write.headers],
+                    "held": state.writes[lsn].held,
+                }
+            )
             if told is not None:
                 told(write.size)
         (target / "index.json").write_text(json.dumps(index, indent=1))
--- a/mallowbeam/buffer/intake.py
+++ b/mallowbeam/buffer/intake.py
@@ -17,7 +17,7 @@
 from mallowbeam.buffer.store import Doubtful, NotTaken, Store
 from mallowbeam.buffer.terms import Settings, Upload
 
-PIECE = 256 * 1024          # bytes of a body that stand in one record: larger ones come in pieces
+PIECE = 256 * 1024  # bytes of a body that stand in one record: larger ones come in pieces
 
 
 class Intake:
@@ -27,11 +27,11 @@
     core: Core
     store: Store
     clock: Callable[[], float]
-    _stir: asyncio.Event                       # look again at what is to be done
+    _stir: asyncio.Event  # look again at what is to be done
     _through: dict[int, list[asyncio.Future[None]]]  # by barrier: who waits for it to pass
     _clear: list[tuple[str, bytes, asyncio.Future[None]]]  # who waits, by bucket and name
     _cache: OrderedDict[int, tuple[Write, bytes]]
-    _cached: int                               # bytes in the cache
+    _cached: int  # bytes in the cache
     _spawn: Callable[[Coroutine[Any, Any, None]], None]
 
     # --- taking in ------------------------------------------------------------------------------
@@ -45,8 +45,17 @@
         parts = pack(Kind.WRITE, write, body)
         lsn = self.store.next_lsn()
         cost = RECORD.size + sum(map(len, parts)) + sum(RECORD.size + size for *_, size in write.pieces)
-        entry = Entry(lsn, write.bucket, write.target, write.method, write.place, write.etag, write.size,
-                      cost, self.clock())
+        entry = Entry(
+            lsn,
+            write.bucket,
+            write.target,
+            write.method,
+            write.place,
+            write.etag,
+            write.size,
+            cost,
+            self.clock(),
+        )
         self.core.accept(entry)
         waiting = self.store.append(Kind.WRITE, lsn, parts)
         # The log's word counts whether or not its client still waits: it is taken by a task of its own.
@@ -57,8 +66,9 @@
         await done
         return entry
 
-    async def _taken(self, entry: Entry, write: Write, word: asyncio.Future[None], item: Any,
-                     done: asyncio.Future[None]) -> None:
+    async def _taken(
+        self, entry: Entry, write: Write, word: asyncio.Future[None], item: Any, done: asyncio.Future[None]
+    ) -> None:
         try:
             await word
         except (NotTaken, Doubtful) as error:
@@ -69,8 +79,12 @@
             if not done.done():
                 done.set_exception(error)
         else:
-            self.core.durable(self.clock(), entry.lsn, (item.segment, item.offset),
-                              [segment for segment, _, _ in write.pieces])
+            self.core.durable(
+                self.clock(),
+                entry.lsn,
+                (item.segment, item.offset),
+                [segment for segment, _, _ in write.pieces],
+            )
             if not done.done():
                 done.set_result(None)
         self._stir.set()
@@ -114,8 +128,9 @@
         await done
         return lsn
 
-    async def _barrier_taken(self, lsn: int, word: asyncio.Future[None], item: Any,
-                             done: asyncio.Future[None]) -> None:
+    async def _barrier_taken(
+        self, lsn: int, word: asyncio.Future[None], item: Any, done: asyncio.Future[None]
+    ) -> None:
         try:
             await word
         except (NotTaken, Doubtful) as error:
@@ -154,7 +169,7 @@
         except asyncio.CancelledError:
             if not future.cancelled() or (task := asyncio.current_task()) is not None and task.cancelling():
                 raise
-            return False                       # the folder was handed over
+            return False  # the folder was handed over
         return True
 
     # --- reading --------------------------------------------------------------------------------
@@ -184,7 +199,7 @@
         for segment, offset, size in write.pieces:
             if at < end and at + size > start:
                 record = await self.store.read((segment, offset))
-                yield bytes(record.payload[max(0, start - at):end - at])
+                yield bytes(record.payload[max(0, start - at) : end - at])
             at += size
 
     def _remember(self, lsn: int, write: Write, body: bytes) -> None:
--- a/mallowbeam/buffer/log.py
+++ b/mallowbeam/buffer/log.py
@@ -34,8 +34,8 @@
     segment_head,
 )
 
-READ = 1 << 20              # bytes read at once when the log is read through
-RESERVE = 1 << 20           # bytes kept back for what ends writes, where the disk is full
+READ = 1 << 20  # bytes read at once when the log is read through
+RESERVE = 1 << 20  # bytes kept back for what ends writes, where the disk is full
 FOLDER = "folder.json"
 FULL = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 
@@ -64,15 +64,15 @@
     segment: int
     offset: int
     length: int
-    acknowledged: bool                         # it held records known to be durable; else a torn end
+    acknowledged: bool  # it held records known to be durable; else a torn end
 
 
 @dataclass(slots=True)
 class Found:
     """What a look at the folder brought, beside its records."""
 
-    last: int = 0                              # the highest lsn
-    durable: int = 0                           # up to here records were told to be durable
+    last: int = 0  # the highest lsn
+    durable: int = 0  # up to here records were told to be durable
     segments: dict[int, int] = field(default_factory=dict)  # bytes of each
     bad: list[Bad] = field(default_factory=list)
     headless: list[int] = field(default_factory=list)  # segments without a readable head
@@ -86,8 +86,11 @@
 
 def numbers(disk: Disk) -> list[int]:
     """The segments of a folder, oldest first."""
-    return sorted(int(name[8:-4]) for name in disk.names()
-                  if name.startswith("segment-") and name.endswith(".log") and name[8:-4].isdigit())
+    return sorted(
+        int(name[8:-4])
+        for name in disk.names()
+        if name.startswith("segment-") and name.endswith(".log") and name[8:-4].isdigit()
+    )
 
 
 def folder_id(disk: Disk) -> bytes | None:
@@ -107,7 +110,7 @@
     except (ValueError, KeyError, TypeError):
         if numbers(disk):
             raise Newer(f"{FOLDER} can't be read") from None
-        return None                            # the power went while it was being made
+        return None  # the power went while it was being made
     finally:
         file.close()
 
@@ -140,12 +143,12 @@
     for number in known:
         try:
             file = disk.open(name_of(number))
-        except FileNotFoundError:              # its owner has just taken it away: all in it is settled
+        except FileNotFoundError:  # its owner has just taken it away: all in it is settled
             continue
         try:
             size = found.segments[number] = file.size()
             marker = read_head(file.read(SEGMENT.size, 0), owner, number)
-            if marker is None:                 # the records may stand for all that
+            if marker is None:  # the records may stand for all that
                 marker = marker_at(file.read(READ + RECORD.size, SEGMENT.size))
             if marker is None:
                 found.headless.append(number)
@@ -172,12 +175,12 @@
         self.files: dict[int, File] = {}
         self.sizes: dict[int, int] = {}
         self.markers: dict[int, int] = {}
-        self.number = self.at = 0              # of the segment written to; where the next record goes
+        self.number = self.at = 0  # of the segment written to; where the next record goes
         self.file: File | None = None
         self.durable = 0
-        self.synced = 0                        # syncs of a file so far
+        self.synced = 0  # syncs of a file so far
         self.reserve = False
-        self._opening = threading.Lock()       # readers are threads of their own
+        self._opening = threading.Lock()  # readers are threads of their own
 
     # --- coming up ------------------------------------------------------------------------------
 
@@ -221,7 +224,7 @@
 
     def _set_apart(self, bad: Bad, acknowledged: bool) -> list[Apart]:
         name = f"apart-{bad.segment:010d}-{bad.offset}.bin"
-        if name in self.disk.names():          # known from an earlier life, and told then
+        if name in self.disk.names():  # known from an earlier life, and told then
             return []
         file, copy = self.disk.open(name_of(bad.segment)), self.disk.open(name, new=True)
         at, end = bad.offset, bad.offset + bad.length
@@ -347,7 +350,7 @@
         if told is None:
             raise Failed(f"{name_of(segment)} at {offset}: the record is damaged")
         kind, lsn, durable, _ = told
-        return Record(Kind(kind), lsn, durable, segment, offset, data[RECORD.size:])
+        return Record(Kind(kind), lsn, durable, segment, offset, data[RECORD.size :])
 
     def _open(self, segment: int) -> File:
         """A segment's file, and its marker known."""
@@ -356,8 +359,9 @@
             if file is None:
                 file = self.files[segment] = self.disk.open(name_of(segment))
             if segment not in self.markers:
-                marker = (read_head(file.read(SEGMENT.size, 0), self.owner, segment)
-                          or marker_at(file.read(READ + RECORD.size, SEGMENT.size)))
+                marker = read_head(file.read(SEGMENT.size, 0), self.owner, segment) or marker_at(
+                    file.read(READ + RECORD.size, SEGMENT.size)
+                )
                 if marker is None:
                     raise Failed(f"the head of {name_of(segment)} is damaged")
                 self.markers[segment] = marker
--- a/mallowbeam/buffer/records.py
+++ b/mallowbeam/buffer/records.py
@@ -19,10 +19,10 @@
 
 VERSION = 1
 MAGIC = b"MBWBSEG\n"
-SEGMENT = struct.Struct("<8sHHI16sQQI")       # magic, version, 0, marker, folder id, number, first lsn, crc
-RECORD = struct.Struct("<IIIBxxxQQ")          # marker, crc, payload bytes, kind, lsn, durable lsn
-MOST_PAYLOAD = 1 << 20                        # bytes of one record's payload
-META = struct.Struct("<I")                    # bytes of the msgpack part in front of a body
+SEGMENT = struct.Struct("<8sHHI16sQQI")  # magic, version, 0, marker, folder id, number, first lsn, crc
+RECORD = struct.Struct("<IIIBxxxQQ")  # marker, crc, payload bytes, kind, lsn, durable lsn
+MOST_PAYLOAD = 1 << 20  # bytes of one record's payload
+META = struct.Struct("<I")  # bytes of the msgpack part in front of a body
 
 
 class Newer(MallowbeamError):
@@ -34,15 +34,15 @@
 class Kind(IntEnum):
     """What a record says."""
 
-    WRITE = 1        # a write taken in: its words, then its body or the list of its pieces
-    PIECE = 2        # a piece of a large body, ahead of its WRITE
-    BARRIER = 3      # what comes later in this bucket waits for what came before
-    INTENT = 4       # these writes are about to be sent for the first time
-    DONE = 5         # these writes are on their nodes, absorbed by later ones, or dropped by an operator
-    HELD = 6         # a write that waits for an operator, and why
-    VOID = 7         # writes that were never acknowledged: nobody was told yes
-    MARK = 8         # nothing but how far the log is durable
-    MOVED = 9        # a write copied on from an old segment, with what was known of it
+    WRITE = 1  # a write taken in: its words, then its body or the list of its pieces
+    PIECE = 2  # a piece of a large body, ahead of its WRITE
+    BARRIER = 3  # what comes later in this bucket waits for what came before
+    INTENT = 4  # these writes are about to be sent for the first time
+    DONE = 5  # these writes are on their nodes, absorbed by later ones, or dropped by an operator
+    HELD = 6  # a write that waits for an operator, and why
+    VOID = 7  # writes that were never acknowledged: nobody was told yes
+    MARK = 8  # nothing but how far the log is durable
+    MOVED = 9  # a write copied on from an old segment, with what was known of it
 
 
 class Write(msgspec.Struct, array_like=True):
@@ -50,14 +50,14 @@
 
     method: str
     bucket: str
-    target: bytes                              # path and query as they go to the node
-    place: int                                 # what its name hashes to
-    headers: list[tuple[bytes, bytes]]         # those that go to the node
-    token: bytes                               # its idempotency key
-    etag: str                                  # S3's: the quoted MD5 of the body
+    target: bytes  # path and query as they go to the node
+    place: int  # what its name hashes to
+    headers: list[tuple[bytes, bytes]]  # those that go to the node
+    token: bytes  # its idempotency key
+    etag: str  # S3's: the quoted MD5 of the body
     size: int
-    at: float                                  # Unix seconds, when it was taken in
-    pieces: list[tuple[int, int, int]] = []    # segment, offset and bytes of each piece of a large body
+    at: float  # Unix seconds, when it was taken in
+    pieces: list[tuple[int, int, int]] = []  # segment, offset and bytes of each piece of a large body
 
 
 class Barrier(msgspec.Struct, array_like=True):
@@ -72,8 +72,8 @@
 
     lsns: list[int]
     boot: bytes
-    at: float                                  # seconds of that clock
-    shards: int                                # in how many shards objects lie: their places depend on it
+    at: float  # seconds of that clock
+    shards: int  # in how many shards objects lie: their places depend on it
 
 
 class Done(msgspec.Struct, array_like=True):
@@ -98,8 +98,15 @@
     held: str | None = None
 
 
-PACKED = {Kind.WRITE: Write, Kind.BARRIER: Barrier, Kind.INTENT: Intent, Kind.DONE: Done, Kind.HELD: Held,
-          Kind.VOID: Done, Kind.MOVED: Moved}
+PACKED = {
+    Kind.WRITE: Write,
+    Kind.BARRIER: Barrier,
+    Kind.INTENT: Intent,
+    Kind.DONE: Done,
+    Kind.HELD: Held,
+    Kind.VOID: Done,
+    Kind.MOVED: Moved,
+}
 ENCODER = msgspec.msgpack.Encoder()
 DECODERS = {kind: msgspec.msgpack.Decoder(packed) for kind, packed in PACKED.items()}
 Words = Write | Barrier | Intent | Done | Held | Moved
@@ -129,9 +136,9 @@
     segment: int
     offset: int
     length: int
-    blank: bool                                # zeros only: room that was never written
-    after: int                                 # the highest lsn read before it
-    last: bool                                 # no record follows in this segment
+    blank: bool  # zeros only: room that was never written
+    after: int  # the highest lsn read before it
+    last: bool  # no record follows in this segment
 
 
 def pack(kind: Kind, words: Words | None, body: bytes | bytearray | memoryview = b"") -> list[bytes]:
@@ -153,10 +160,10 @@
     if META.size + size > len(view):
         raise ValueError("a payload that ends within its words")
     try:
-        words: Words = DECODERS[kind].decode(view[META.size:META.size + size])
+        words: Words = DECODERS[kind].decode(view[META.size : META.size + size])
     except (msgspec.DecodeError, KeyError) as error:
         raise ValueError(str(error)) from None
-    return words, view[META.size + size:]
+    return words, view[META.size + size :]
 
 
 def frame(marker: int, kind: Kind, lsn: int, durable: int, parts: list[bytes]) -> list[bytes]:
@@ -181,7 +188,7 @@
     if len(data) < SEGMENT.size:
         return None
     magic, version, _, marker, owner, told, _, crc = SEGMENT.unpack_from(data)
-    if crc32c(data[:SEGMENT.size - 4]) != crc:
+    if crc32c(data[: SEGMENT.size - 4]) != crc:
         return None
     if magic != MAGIC or owner != folder or told != number:
         raise Newer(f"segment {number} belongs to another folder")
@@ -198,7 +205,7 @@
     if mark != marker or size > MOST_PAYLOAD or not 1 <= kind <= 9 or at + RECORD.size + size > len(data):
         return None
     told = crc32c(RECORD.pack(marker, 0, size, kind, lsn, durable))
-    if crc32c(data[at + RECORD.size:at + RECORD.size + size], told) != crc:
+    if crc32c(data[at + RECORD.size : at + RECORD.size + size], told) != crc:
         return None
     return kind, lsn, durable, size
 
@@ -217,7 +224,7 @@
     `last` is the highest lsn before it.  Holds a few records' worth of bytes at once.
     """
     mark, data, base, ended = struct.pack("<I", marker), bytearray(), SEGMENT.size, False
-    at, bad, blank = 0, -1, True               # in `data`; where bad bytes began in the file; all zeros
+    at, bad, blank = 0, -1, True  # in `data`; where bad bytes began in the file; all zeros
     while True:
         if not ended and len(data) - at < RECORD.size + MOST_PAYLOAD:
             more = next(read, b"")
@@ -234,7 +241,7 @@
             found = check(view, at, marker)
             if found is not None:
                 kind, lsn, durable, size = found
-                payload = bytes(view[at + RECORD.size:at + RECORD.size + size])
+                payload = bytes(view[at + RECORD.size : at + RECORD.size + size])
         if found is not None:
             if bad >= 0:
                 yield Bad(segment, bad, base + at - bad, blank, last, False)
--- a/mallowbeam/buffer/reopen.py
+++ b/mallowbeam/buffer/reopen.py
@@ -106,6 +106,15 @@
 def known(record: Record, lsn: int, write: Write, wall: float, now: float) -> Known:
     """A write as its record tells of it; its age by the wall clock, and none where that stepped back."""
     cost = RECORD.size + len(record.payload) + sum(RECORD.size + size for _, _, size in write.pieces)
-    entry = Entry(lsn, sys.intern(write.bucket), write.target, write.method, write.place, write.etag,
-                  write.size, cost, now - max(0.0, wall - write.at))
+    entry = Entry(
+        lsn,
+        sys.intern(write.bucket),
+        write.target,
+        write.method,
+        write.place,
+        write.etag,
+        write.size,
+        cost,
+        now - max(0.0, wall - write.at),
+    )
     return Known(entry, (record.segment, record.offset), [segment for segment, _, _ in write.pieces])
--- a/mallowbeam/buffer/replay.py
+++ b/mallowbeam/buffer/replay.py
@@ -46,7 +46,7 @@
         for lsn in lsns:
             known = self.writes.get(lsn)
             if known is not None:
-                known.intent = intent          # a later one stands for a new first attempt
+                known.intent = intent  # a later one stands for a new first attempt
 
     def settled(self, lsns: list[int]) -> None:
         """Writes are over, or never were."""
--- a/mallowbeam/buffer/segments.py
+++ b/mallowbeam/buffer/segments.py
@@ -6,18 +6,18 @@
 
 from mallowbeam.buffer.entries import Entry
 
-MOVE_BELOW = 0.25           # of an old segment that still counts: with more, copying costs too much
+MOVE_BELOW = 0.25  # of an old segment that still counts: with more, copying costs too much
 
 
 class SegmentTable:
     """Segments by number, with what they hold that is still needed."""
 
     def __init__(self) -> None:
-        self.bytes = 0                         # of all segments on disk
-        self.newest = 0                        # the segment written to: it stays
-        self.live: dict[int, int] = {}         # by segment: writes and barriers that need it
+        self.bytes = 0  # of all segments on disk
+        self.newest = 0  # the segment written to: it stays
+        self.live: dict[int, int] = {}  # by segment: writes and barriers that need it
         self.live_bytes: dict[int, int] = {}
-        self.sizes: dict[int, int] = {}        # bytes of each segment
+        self.sizes: dict[int, int] = {}  # bytes of each segment
         self._removing: set[int] = set()
 
     def on_disk(self, sizes: dict[int, int], newest: int) -> None:
--- a/mallowbeam/buffer/service.py
+++ b/mallowbeam/buffer/service.py
@@ -28,16 +28,23 @@
 from mallowbeam.buffer.terms import Phase, Sender, Settings
 from mallowbeam.net.log import Sparse
 
-LOCK_AGAIN = 0.02           # seconds between looks at a folder that the process before this one still has
-LEAVE = 1.0                 # seconds that writes on their way have to end when the folder is handed over
-LOOK = 0.02                 # seconds between looks while there is something to send and no room for it
+LOCK_AGAIN = 0.02  # seconds between looks at a folder that the process before this one still has
+LEAVE = 1.0  # seconds that writes on their way have to end when the folder is handed over
+LOOK = 0.02  # seconds between looks while there is something to send and no room for it
 
 
 class Buffer(Flush):
     """One folder's buffer."""
 
-    def __init__(self, settings: Settings, sender: Sender, handed: bool = False, disk: Disk | None = None,
-                 clock: Callable[[], float] = boot_clock, seed: int | None = None) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        sender: Sender,
+        handed: bool = False,
+        disk: Disk | None = None,
+        clock: Callable[[], float] = boot_clock,
+        seed: int | None = None,
+    ) -> None:
         self.settings, self.sender, self.handed, self.clock = settings, sender, handed, clock
         self.disk = disk
         self.core = Core(settings.limits, random.Random(seed))
@@ -54,7 +61,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._main: asyncio.Task[None] | None = None
-        self._sending = 0                      # calls at the gateway
+        self._sending = 0  # calls at the gateway
         self._held = Sparse("a buffered write is held for an operator")
         self._trouble = Sparse("the buffer's disk is in trouble")
 
@@ -94,20 +101,31 @@
             log, found, state = await loop.run_in_executor(None, self._read)
         for apart in await loop.run_in_executor(None, self._come_up, log, found, state):
             if apart.acknowledged:
-                logger.error("buffer: {length} bytes of segment {segment} at {offset} are damaged and "
-                             "held acknowledged records; set apart as {name}", **asdict(apart))
+                logger.error(
+                    "buffer: {length} bytes of segment {segment} at {offset} are damaged and "
+                    "held acknowledged records; set apart as {name}",
+                    **asdict(apart),
+                )
             else:
-                logger.warning("buffer: {length} bytes of segment {segment} at {offset} are torn, and "
-                               "nothing says they were acknowledged; set apart as {name}", **asdict(apart))
+                logger.warning(
+                    "buffer: {length} bytes of segment {segment} at {offset} are torn, and "
+                    "nothing says they were acknowledged; set apart as {name}",
+                    **asdict(apart),
+                )
         if found.missing:
-            logger.error("buffer: segments {segments} are missing: what they held is lost",
-                         segments=found.missing)
+            logger.error(
+                "buffer: segments {segments} are missing: what they held is lost", segments=found.missing
+            )
         self.store = Store(log, found.last, self._broken, self.core.on_disk)
         self.phase = Phase.OPEN
         self.opened.set()
-        logger.info("buffer open: {writes} writes to flush, {held} held, {bytes} bytes read in "
-                    "{seconds:.2f} s", writes=len(self.core.entries), held=self.core.held,
-                    bytes=sum(found.segments.values()), seconds=self.clock() - began)
+        logger.info(
+            "buffer open: {writes} writes to flush, {held} held, {bytes} bytes read in " "{seconds:.2f} s",
+            writes=len(self.core.entries),
+            held=self.core.held,
+            bytes=sum(found.segments.values()),
+            seconds=self.clock() - began,
+        )
 
     def _read(self) -> tuple[Log | None, Found, Replay]:
         """Own the folder and read it, in a thread; no log while another process has it."""
@@ -171,16 +189,24 @@
 
     def gauges(self) -> dict[str, int]:
         """Figures for the operators' door."""
-        if self.phase is Phase.OPENING:        # a thread has the core
+        if self.phase is Phase.OPENING:  # a thread has the core
             return {"buffer_opening": 1}
         core, counts = self.core, self.core.counts
-        return {"buffer_opening": 0, "buffer_records": len(core.entries), "buffer_bytes": core.bytes,
-                "buffer_held": core.held,
-                "buffer_age_seconds": int(core.age(self.clock())), "buffer_taken": counts.taken,
-                "buffer_stored": counts.stored, "buffer_absorbed": counts.absorbed,
-                "buffer_repeats": counts.repeats, "buffer_read_back": counts.read_back,
-                "buffer_refused": counts.refused, "buffer_moved": counts.moved,
-                "buffer_syncs": self.store.log.synced}
+        return {
+            "buffer_opening": 0,
+            "buffer_records": len(core.entries),
+            "buffer_bytes": core.bytes,
+            "buffer_held": core.held,
+            "buffer_age_seconds": int(core.age(self.clock())),
+            "buffer_taken": counts.taken,
+            "buffer_stored": counts.stored,
+            "buffer_absorbed": counts.absorbed,
+            "buffer_repeats": counts.repeats,
+            "buffer_read_back": counts.read_back,
+            "buffer_refused": counts.refused,
+            "buffer_moved": counts.moved,
+            "buffer_syncs": self.store.log.synced,
+        }
 
     # --- its tasks -------------------------------------------------------------------------------
 
--- a/mallowbeam/buffer/shards.py
+++ b/mallowbeam/buffer/shards.py
@@ -17,9 +17,9 @@
     __slots__ = ("window", "out", "until", "parked")
 
     def __init__(self, window: float) -> None:
-        self.window = window                   # writes that may be on their way
-        self.out = 0                           # writes that are
-        self.until = 0.0                       # when the shard may be sent to again
+        self.window = window  # writes that may be on their way
+        self.out = 0  # writes that are
+        self.until = 0.0  # when the shard may be sent to again
         self.parked: deque[Entry] = deque()
 
     @property
@@ -41,11 +41,11 @@
 
     def __init__(self, limits: Limits) -> None:
         self.shards: dict[int, Shard] = {}
-        self.out = 0                           # writes and reads on their way
-        self.out_bytes = 0                     # of their bodies
+        self.out = 0  # writes and reads on their way
+        self.out_bytes = 0  # of their bodies
         self._count = limits.shards
         self._first_window = float(limits.per_shard)
-        self._crowded: set[int] = set()        # shards with parked writes
+        self._crowded: set[int] = set()  # shards with parked writes
 
     def of(self, entry: Entry) -> Shard:
         """The shard that a write goes to."""
--- a/mallowbeam/buffer/store.py
+++ b/mallowbeam/buffer/store.py
@@ -19,9 +19,9 @@
 from mallowbeam.buffer.records import Done, Kind, Record, pack
 from mallowbeam.errors import MallowbeamError
 
-MOST_BATCH = 4 << 20        # bytes synced at once
-QUIET = 0.05                # seconds without a batch after which a mark says how far the log is durable
-AGAIN = 0.5                 # seconds between tries to write to a disk that takes nothing
+MOST_BATCH = 4 << 20  # bytes synced at once
+QUIET = 0.05  # seconds without a batch after which a mark says how far the log is durable
+AGAIN = 0.5  # seconds between tries to write to a disk that takes nothing
 GIVES_WORDS = (Kind.WRITE, Kind.PIECE, Kind.BARRIER)  # what somebody waits for; all else ends or moves writes
 
 
@@ -48,18 +48,23 @@
 class Store:
     """The log of an open folder, as the event loop sees it."""
 
-    def __init__(self, log: Log, last: int, broken: Callable[[str | None, list[int]], None],
-                 sizes: Callable[[dict[int, int], int], None]) -> None:
+    def __init__(
+        self,
+        log: Log,
+        last: int,
+        broken: Callable[[str | None, list[int]], None],
+        sizes: Callable[[dict[int, int], int], None],
+    ) -> None:
         self.log, self.lsn = log, last
         self._broken, self._sizes = broken, sizes  # told of trouble and its end; and of the segments
         self._writer = ThreadPoolExecutor(1, "buffer-log")
         self._reader = ThreadPoolExecutor(2, "buffer-read")
         self._queue: deque[Waiting] = deque()
         self._more = asyncio.Event()
-        self._void: list[int] = []             # never acknowledged, but may stand on a distrusted file
+        self._void: list[int] = []  # never acknowledged, but may stand on a distrusted file
         self._pins: Counter[int] = Counter()
         self._closing = False
-        self._gone: list[int] = []             # segments to be removed once nobody reads them
+        self._gone: list[int] = []  # segments to be removed once nobody reads them
         self._over = False
         self._task = asyncio.create_task(self._run())
         self._task.add_done_callback(self._ended)
@@ -107,7 +112,7 @@
                 continue
             if self._closing and not self._queue:
                 return
-            if self._void:                     # nothing new before it is clear what the old files hold
+            if self._void:  # nothing new before it is clear what the old files hold
                 await self._say_void()
                 if self._void:
                     self._refuse()
@@ -182,7 +187,8 @@
         self._pins[segment] += 1
         try:
             return await asyncio.get_running_loop().run_in_executor(
-                self._reader, self.log.read, segment, offset)
+                self._reader, self.log.read, segment, offset
+            )
         finally:
             self._pins[segment] -= 1
 
@@ -213,4 +219,4 @@
     """Tell who waits; nobody need listen."""
     if not waiting.done.done():
         waiting.done.set_exception(error)
-        waiting.done.exception()               # asyncio: it has been seen
+        waiting.done.exception()  # asyncio: it has been seen
--- a/mallowbeam/errors.py
+++ b/mallowbeam/errors.py
@@ -21,8 +21,16 @@
     peer: int | str | None = None
     """The process at which it arose: a member's id, or an address."""
 
-    def __init__(self, what: str = "", where: str = "", remedy: str = "", *, code: str = "", step: str = "",
-                 peer: int | str | None = None) -> None:
+    def __init__(
+        self,
+        what: str = "",
+        where: str = "",
+        remedy: str = "",
+        *,
+        code: str = "",
+        step: str = "",
+        peer: int | str | None = None,
+    ) -> None:
         """Tell what is wrong; `where` is a place in a file or message, the peer where none is given."""
         super().__init__(what)
         self.what = what
--- a/mallowbeam/standins/backend.py
+++ b/mallowbeam/standins/backend.py
@@ -13,8 +13,14 @@
 from mallowbeam.standins.documents import document, error
 from mallowbeam.standins.store import Answer, Run, Store, Stored, etag_of
 
-KEPT = ("content-type", "content-encoding", "content-language", "content-disposition", "cache-control",
-        "expires")
+KEPT = (
+    "content-type",
+    "content-encoding",
+    "content-language",
+    "content-disposition",
+    "cache-control",
+    "expires",
+)
 
 
 class Backend:
@@ -39,8 +45,8 @@
 
     def _run(self, method: str, target: str, headers: dict[str, str], body: bytes) -> Answer:
         url = urlsplit(target)
-        path = unquote(url.path)               # however its name is spelled, it is one object
-        if "x-extent" in headers:              # the platform's: less the class
+        path = unquote(url.path)  # however its name is spelled, it is one object
+        if "x-extent" in headers:  # the platform's: less the class
             path = "/" + path.split("/", 2)[2]
         query = {name: values[0] for name, values in parse_qs(url.query, keep_blank_values=True).items()}
         objects = self.store.objects
@@ -50,16 +56,22 @@
             upload = f"u/{len(self.store.uploads)}+{time.time_ns():x}"
             self.store.uploads[upload] = path, {}
             bucket, _, name = path[1:].partition("/")
-            return 200, {}, document("InitiateMultipartUploadResult", Bucket=bucket, Key=name,
-                                     UploadId=upload)
+            return (
+                200,
+                {},
+                document("InitiateMultipartUploadResult", Bucket=bucket, Key=name, UploadId=upload),
+            )
         if method == "GET" and path.count("/") == 1:
             return self._listing(path[1:], query)
         known = objects.get(path)
         if method in ("PUT", "DELETE") and not self._holds(headers, known):
             return error(412, "PreconditionFailed")
         if method == "PUT":
-            kept = {name: value for name, value in headers.items()
-                    if name in KEPT or name.startswith("x-amz-meta-")}
+            kept = {
+                name: value
+                for name, value in headers.items()
+                if name in KEPT or name.startswith("x-amz-meta-")
+            }
             stored = objects[path] = Stored(body, etag_of(body), kept)
             return 200, {"ETag": stored.etag}, b"stored" if "x-extent" in headers else b""
         if method == "DELETE":
@@ -74,21 +86,30 @@
         prefix, delimiter = query.get("prefix", ""), query.get("delimiter", "")
         after = unquote(query.get("continuation-token", "")) or query.get("start-after", "")
         most, found = int(query.get("max-keys", "1000")), dict[str, dict[str, object]]()
-        places = sorted((path.split("/", 2)[2] for path in self.store.objects
-                         if path.startswith(f"/{bucket}/")), key=str.encode)
+        places = sorted(
+            (path.split("/", 2)[2] for path in self.store.objects if path.startswith(f"/{bucket}/")),
+            key=str.encode,
+        )
         last, more = "", False
         for name in places:
             if name.encode() <= after.encode() or not name.startswith(prefix):
                 continue
             at = name.find(delimiter, len(prefix)) if delimiter else -1
-            shown = name if at < 0 else name[:at + len(delimiter)]
+            shown = name if at < 0 else name[: at + len(delimiter)]
             if shown not in found and len(found) >= most:
                 more = True
                 break
             stored = self.store.objects[f"/{bucket}/{name}"]
-            found[shown] = {"Prefix": quote(shown)} if at >= 0 else {
-                "Key": quote(shown), "Size": len(stored.body), "ETag": stored.etag,
-                "LastModified": "2026-12-01T00:00:00.000Z"}
+            found[shown] = (
+                {"Prefix": quote(shown)}
+                if at >= 0
+                else {
+                    "Key": quote(shown),
+                    "Size": len(stored.body),
+                    "ETag": stored.etag,
+                    "LastModified": "2026-12-01T00:00:00.000Z",
+                }
+            )
             last = name
         fields: dict[str, object] = {"IsTruncated": "true" if more else "false"}
         if more:
@@ -129,8 +150,10 @@
             parts[int(query["partNumber"])] = body
             return 200, {"ETag": etag_of(body)}, b""
         if method == "GET":
-            listed = [{"PartNumber": number, "ETag": etag_of(part), "Size": len(part)}
-                      for number, part in sorted(parts.items())]
+            listed = [
+                {"PartNumber": number, "ETag": etag_of(part), "Size": len(part)}
+                for number, part in sorted(parts.items())
+            ]
             return 200, {}, document("ListPartsResult", UploadId=upload, Part=listed)
         if method == "DELETE":
             del store.uploads[upload]
--- a/mallowbeam/standins/connection.py
+++ b/mallowbeam/standins/connection.py
@@ -16,10 +16,19 @@
 if TYPE_CHECKING:
     from mallowbeam.standins.server import Server
 
-REASONS = {200: "OK", 204: "No Content", 206: "Partial Content", 304: "Not Modified", 400: "Bad Request",
-           404: "Not Found", 412: "Precondition Failed", 416: "Range Not Satisfiable",
-           500: "Internal Server Error", 503: "Service Unavailable"}
-CUT_ANSWER = 40             # bytes of an answer that go out before the connection is cut
+REASONS = {
+    200: "OK",
+    204: "No Content",
+    206: "Partial Content",
+    304: "Not Modified",
+    400: "Bad Request",
+    404: "Not Found",
+    412: "Precondition Failed",
+    416: "Range Not Satisfiable",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+}
+CUT_ANSWER = 40  # bytes of an answer that go out before the connection is cut
 
 
 class Connection(asyncio.Protocol):
@@ -86,15 +95,18 @@
         while self.waiting and not self.transport.is_closing():
             request = self.waiting.pop(0)
             rule = self.server.script.take(request[0], request[1])
-            hold = max(self.server.stands_until - time.monotonic(),
-                       rule.seconds if rule is not None and rule.action == "stall" else self.server.delay)
+            hold = max(
+                self.server.stands_until - time.monotonic(),
+                rule.seconds if rule is not None and rule.action == "stall" else self.server.delay,
+            )
             if hold > 0:
                 self.task = asyncio.create_task(self._later(hold, rule, request))
                 return
             self._answer(rule, request)
 
-    async def _later(self, seconds: float, rule: Rule | None,
-                     request: tuple[str, str, dict[str, str], bytes]) -> None:
+    async def _later(
+        self, seconds: float, rule: Rule | None, request: tuple[str, str, dict[str, str], bytes]
+    ) -> None:
         await asyncio.sleep(seconds)
         self._answer(rule, request)
         self._next()
@@ -120,10 +132,13 @@
         if rule is not None and rule.action == "answer-die":
             asyncio.get_running_loop().call_soon(self.server.die)
 
-    def _write(self, status: int, headers: dict[str, str], data: bytes, method: str,
-               cut: int | None = None) -> None:
-        lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}",
-                 *(f"{name}: {value}" for name, value in headers.items())]
+    def _write(
+        self, status: int, headers: dict[str, str], data: bytes, method: str, cut: int | None = None
+    ) -> None:
+        lines = [
+            f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}",
+            *(f"{name}: {value}" for name, value in headers.items()),
+        ]
         if status not in (204, 304):
             lines.append(f"Content-Length: {len(data)}")
         head = "\r\n".join([*lines, "", ""]).encode()
--- a/mallowbeam/standins/discovery.py
+++ b/mallowbeam/standins/discovery.py
@@ -12,21 +12,34 @@
 from mallowbeam.standins.faults import Rule, Script
 from mallowbeam.standins.node import Answer, Server
 
-POLL = 0.05                 # seconds that a watch without news waits: changes are told that fast
+POLL = 0.05  # seconds that a watch without news waits: changes are told that fast
 
 
-def member(name: str, host_port: str, cell: int, phase: str = "up", zone: str = "hall-a",
-           since_ms: int = 0) -> dict[str, object]:
+def member(
+    name: str, host_port: str, cell: int, phase: str = "up", zone: str = "hall-a", since_ms: int = 0
+) -> dict[str, object]:
     """One entry of the list in discovery's form."""
-    return {"id": name, "host_port": host_port, "locality": zone, "flavor": "toy", "cell": cell,
-            "phase": phase, "size": 1.0, "up_since_ms": since_ms}
+    return {
+        "id": name,
+        "host_port": host_port,
+        "locality": zone,
+        "flavor": "toy",
+        "cell": cell,
+        "phase": phase,
+        "size": 1.0,
+        "up_since_ms": since_ms,
+    }
 
 
 class Discovery(Server):
     """A discovery service on a socket."""
 
-    def __init__(self, members: list[dict[str, object]], address: tuple[str, int] = ("127.0.0.1", 0),
-                 poll: float = POLL) -> None:
+    def __init__(
+        self,
+        members: list[dict[str, object]],
+        address: tuple[str, int] = ("127.0.0.1", 0),
+        poll: float = POLL,
+    ) -> None:
         self.members, self.revision = members, 1
         super().__init__(address, Script([Rule("stall", path="since=", times=-1, seconds=poll)]))
 
--- a/mallowbeam/standins/disk.py
+++ b/mallowbeam/standins/disk.py
@@ -29,7 +29,7 @@
     code: int
     name: str = ""
     skip: int = 0
-    times: int = 1                             # -1 for ever
+    times: int = 1  # -1 for ever
 
 
 @dataclass(slots=True)
@@ -46,12 +46,12 @@
 
     def __init__(self) -> None:
         self.files: dict[str, Inode] = {}
-        self.kept: dict[str, Inode] = {}       # names as durable
+        self.kept: dict[str, Inode] = {}  # names as durable
         self.faults: list[Fault] = []
         self.ops = 0
         self.cut_at: int | None = None
         self.locked = False
-        self.room: int | None = None           # bytes of all files together, None for no bound
+        self.room: int | None = None  # bytes of all files together, None for no bound
 
     def step(self, call: str, name: str) -> None:
         """Count a call that changes something; raises what is due."""
@@ -145,7 +145,7 @@
         if mode < 0.3 or mode < 0.8 and chance.random() < 0.5:  # all of it, or any sectors of it, or none
             if len(data) < offset + end:
                 data += bytes(offset + end - len(data))
-            data[offset + at:offset + end] = written[at:end]
+            data[offset + at : offset + end] = written[at:end]
         at = end
 
 
@@ -162,7 +162,7 @@
         room = self.disk.room
         grows = max(0, at + len(data) - len(self.inode.now))
         if room is not None and self.disk.used() + grows > room:
-            data = data[:max(0, len(data) - (self.disk.used() + grows - room))]
+            data = data[: max(0, len(data) - (self.disk.used() + grows - room))]
             self._put(data, at)
             raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
         self._put(data, at)
@@ -171,12 +171,12 @@
         now = self.inode.now
         if len(now) < at:
             now += bytes(at - len(now))
-        now[at:at + len(data)] = data
+        now[at : at + len(data)] = data
         self.inode.since.append((at, data))
 
     def read(self, size: int, at: int) -> bytes:
         """Up to so many bytes."""
-        return bytes(self.inode.now[at:at + size])
+        return bytes(self.inode.now[at : at + size])
 
     def size(self) -> int:
         """Its length."""
@@ -193,7 +193,7 @@
         try:
             self.disk.step("sync", self.name)
         except OSError:
-            self.inode.since = []              # never written, though reads still show it
+            self.inode.since = []  # never written, though reads still show it
             raise
         self.inode.kept, self.inode.since = bytes(self.inode.now), []
 
--- a/mallowbeam/standins/faults.py
+++ b/mallowbeam/standins/faults.py
@@ -25,10 +25,10 @@
     """
 
     action: str
-    method: str = ""                           # empty: any
-    path: str = ""                             # a pattern searched for in the path; empty: any
-    skip: int = 0                              # matching requests passed over first
-    times: int = 1                             # requests hit, -1 for all
+    method: str = ""  # empty: any
+    path: str = ""  # a pattern searched for in the path; empty: any
+    skip: int = 0  # matching requests passed over first
+    times: int = 1  # requests hit, -1 for all
     seconds: float = 0.0
     status: int = 500
 
--- a/mallowbeam/standins/model_server.py
+++ b/mallowbeam/standins/model_server.py
@@ -11,25 +11,25 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-EVENTS = 5                  # of a good stream
+EVENTS = 5  # of a good stream
 Headers = dict[str, str]
 
 
 class Fault(Enum):
     """What the stand-in does instead of a good answer."""
 
-    REJECT = "reject"                          # 503 with Not-Executed
-    MISDIRECT = "misdirect"                    # 421
-    FAIL = "fail"                              # 500 of its own
-    UNPROVEN_503 = "unproven_503"              # 503 that does not say that nothing ran
-    RESET = "reset"                            # closes once the request is read
-    SILENT = "silent"                          # never answers
-    OTHER_ID = "other_id"                      # an answer that names another request
+    REJECT = "reject"  # 503 with Not-Executed
+    MISDIRECT = "misdirect"  # 421
+    FAIL = "fail"  # 500 of its own
+    UNPROVEN_503 = "unproven_503"  # 503 that does not say that nothing ran
+    RESET = "reset"  # closes once the request is read
+    SILENT = "silent"  # never answers
+    OTHER_ID = "other_id"  # an answer that names another request
     NO_SIGNATURE = "no_signature"
-    CUT = "cut"                                # a stream ends inside its third event
-    REPEAT_ID = "repeat_id"                    # the third event has the second one's id
-    PAUSE = "pause"                            # a stream goes silent behind its second event
-    SURPLUS = "surplus"                        # a whole answer, and another one behind it
+    CUT = "cut"  # a stream ends inside its third event
+    REPEAT_ID = "repeat_id"  # the third event has the second one's id
+    PAUSE = "pause"  # a stream goes silent behind its second event
+    SURPLUS = "surplus"  # a whole answer, and another one behind it
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,7 +40,7 @@
     target: str
     headers: Headers
     body: bytes
-    repeated: frozenset[str] = frozenset()     # names of headers that came more than once
+    repeated: frozenset[str] = frozenset()  # names of headers that came more than once
 
 
 @dataclass
@@ -48,17 +48,17 @@
     """One instance."""
 
     id: str
-    stage: str = ""                            # prefill, decode, or empty for a plain service
+    stage: str = ""  # prefill, decode, or empty for a plain service
     keep_alive_s: int = 5
     script: deque[Fault] = field(default_factory=deque)
     seen: list[Seen] = field(default_factory=list)
     handles: set[str] = field(default_factory=set)  # made here and not taken yet
     freed: list[str] = field(default_factory=list)
     peers: dict[str, ModelServer] = field(default_factory=dict)  # prefill instances by address
-    connections: int = 0                       # accepted so far
-    cancelled: int = 0                         # requests whose connection closed first
+    connections: int = 0  # accepted so far
+    cancelled: int = 0  # requests whose connection closed first
     body: bytes = b"answer"
-    gate: asyncio.Event | None = None          # a stream waits here behind its first event
+    gate: asyncio.Event | None = None  # a stream waits here behind its first event
     address: str = ""
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -127,11 +127,20 @@
     def _stamp(self) -> str:
         return f"Server-Signature: stamp.{self.id}\r\n"
 
-    def _whole(self, writer: asyncio.StreamWriter, seen: Seen, status: int, body: bytes, extra: str,
-               other: bool = False) -> bool:
+    def _whole(
+        self,
+        writer: asyncio.StreamWriter,
+        seen: Seen,
+        status: int,
+        body: bytes,
+        extra: str,
+        other: bool = False,
+    ) -> bool:
         name = "ffffffffffffffff" if other else seen.headers.get("request-id", "")
-        head = (f"HTTP/1.1 {status} X\r\nRequest-Id: {name}\r\nKeep-Alive: timeout={self.keep_alive_s}\r\n"
-                f"Content-Length: {len(body)}\r\n{extra}\r\n")
+        head = (
+            f"HTTP/1.1 {status} X\r\nRequest-Id: {name}\r\nKeep-Alive: timeout={self.keep_alive_s}\r\n"
+            f"Content-Length: {len(body)}\r\n{extra}\r\n"
+        )
         writer.write(head.encode() + body)
         return True
 
@@ -160,11 +169,14 @@
         peer.handles.discard(handle)
         return True
 
-    async def _stream(self, seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
-                      fault: Fault | None) -> bool:
-        head = (f"HTTP/1.1 200 OK\r\nRequest-Id: {seen.headers.get('request-id', '')}\r\n{self._stamp}"
-                f"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
-                f"Keep-Alive: timeout={self.keep_alive_s}\r\n\r\n")
+    async def _stream(
+        self, seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, fault: Fault | None
+    ) -> bool:
+        head = (
+            f"HTTP/1.1 200 OK\r\nRequest-Id: {seen.headers.get('request-id', '')}\r\n{self._stamp}"
+            f"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+            f"Keep-Alive: timeout={self.keep_alive_s}\r\n\r\n"
+        )
         writer.write(head.encode())
         first = int(seen.headers.get("last-event-id", "0")) + 1
         for number in range(first, EVENTS + 1):
@@ -198,8 +210,9 @@
             closed.cancel()
 
 
-SINGLE = frozenset(("request-id", "host", "deadline-ms", "last-event-id", "priority", "target-instance",
-                    "stage", "kv-from"))
+SINGLE = frozenset(
+    ("request-id", "host", "deadline-ms", "last-event-id", "priority", "target-instance", "stage", "kv-from")
+)
 STATUSES = {
     Fault.REJECT: (503, "Not-Executed: 1\r\nRetry-After: 0.2\r\n"),
     Fault.MISDIRECT: (421, ""),
@@ -221,8 +234,10 @@
         return None
     lines = head.decode("latin-1").split("\r\n")
     method, target, _ = lines[0].split(" ")
-    pairs = [(name.strip().lower(), value.strip())
-             for name, _, value in (line.partition(":") for line in lines[1:] if line)]
+    pairs = [
+        (name.strip().lower(), value.strip())
+        for name, _, value in (line.partition(":") for line in lines[1:] if line)
+    ]
     headers = dict(pairs)
     counts = Counter(name for name, _ in pairs)
     body = await reader.readexactly(int(headers.get("content-length", "0")))
--- a/mallowbeam/standins/node.py
+++ b/mallowbeam/standins/node.py
@@ -13,7 +13,16 @@
 from mallowbeam.standins.store import Answer, Run, Store, Stored, etag_of
 
 __all__ = [
-    "Answer", "Backend", "Connection", "ObjectNode", "Run", "Server", "Store", "Stored", "document", "error",
+    "Answer",
+    "Backend",
+    "Connection",
+    "ObjectNode",
+    "Run",
+    "Server",
+    "Store",
+    "Stored",
+    "document",
+    "error",
     "etag_of",
 ]
 
@@ -21,9 +30,15 @@
 class ObjectNode(Server):
     """A storage node on a socket."""
 
-    def __init__(self, address: tuple[str, int] = ("127.0.0.1", 0), ignores_ranges: bool = False,
-                 window: float = 4.0, store: Store | None = None, script: Script | None = None,
-                 delay: float = 0.0) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int] = ("127.0.0.1", 0),
+        ignores_ranges: bool = False,
+        window: float = 4.0,
+        store: Store | None = None,
+        script: Script | None = None,
+        delay: float = 0.0,
+    ) -> None:
         self.store = store or Store()
         self.backend = Backend(self.store, ignores_ranges, window)
         super().__init__(address, script, delay)
--- a/mallowbeam/standins/server.py
+++ b/mallowbeam/standins/server.py
@@ -15,10 +15,11 @@
 class Server:
     """A stand-in that listens on loopback, in a thread and a loop of its own."""
 
-    def __init__(self, address: tuple[str, int] = ("127.0.0.1", 0), script: Script | None = None,
-                 delay: float = 0.0) -> None:
+    def __init__(
+        self, address: tuple[str, int] = ("127.0.0.1", 0), script: Script | None = None, delay: float = 0.0
+    ) -> None:
         self.script, self.delay = script or Script(), delay
-        self.stands_until = 0.0                # steady time before which nothing is answered
+        self.stands_until = 0.0  # steady time before which nothing is answered
         self.draining = False
         self.connections: set[Connection] = set()
         self.loop = asyncio.new_event_loop()
@@ -34,9 +35,11 @@
 
     def listen(self) -> None:
         """Take connections, again after `die`: at the same address."""
+
         async def start() -> None:
             self._server = await self.loop.create_server(lambda: Connection(self), *self.address)
             self.address = self._server.sockets[0].getsockname()[:2]
+
         asyncio.run_coroutine_threadsafe(start(), self.loop).result(10)
 
     def call(self, function: Callable[[], object]) -> None:
@@ -56,9 +59,11 @@
 
     def close(self) -> None:
         """The end."""
+
         async def end() -> None:
             self.die()
             await asyncio.sleep(0)
+
         asyncio.run_coroutine_threadsafe(end(), self.loop).result(10)
         self.loop.call_soon_threadsafe(self.loop.stop)
         self._thread.join(10)
--- a/mallowbeam/standins/store.py
+++ b/mallowbeam/standins/store.py
@@ -5,19 +5,19 @@
 import hashlib
 from dataclasses import dataclass, field
 
-Answer = tuple[int, dict[str, str], bytes]     # status, headers, body
+Answer = tuple[int, dict[str, str], bytes]  # status, headers, body
 
 
 @dataclass(slots=True)
 class Run:
     """A request that ran."""
 
-    at: float                                  # seconds, steady
+    at: float  # seconds, steady
     method: str
     path: str
-    token: str                                 # its idempotency key, empty without one
-    etag: str                                  # of its body
-    deduped: bool = False                      # dropped as the repeat of an earlier run
+    token: str  # its idempotency key, empty without one
+    etag: str  # of its body
+    deduped: bool = False  # dropped as the repeat of an earlier run
 
 
 @dataclass(slots=True)
