--- a/mallowbeam/simulation/fleet.py
+++ b/mallowbeam/simulation/fleet.py
@@ -17,7 +17,7 @@
     at 1 add M                            a new machine with an empty disk
     at 1 term M                           a member gets SIGTERM: it stops in order and its process ends
 
-Conditions: ``leader``; ``no-leader``; ``voters N``; ``taken|refused|pending REVISION``;
+Conditions: ``leader``; ``no-leader``; ``voters N``; ``voters complete``; ``taken|refused|pending REVISION``;
 ``one-taken REVISION REVISION``; ``read REVISION``; ``acknowledged I`` (its drain or end);
 ``WHO revision N``; ``G ready``; ``G I ready|draining|absent``; ``G gateways N``.
 
@@ -188,6 +188,8 @@
                 return bool(self._leading())
             case ("no-leader",):
                 return not self._leading()
+            case ("voters", "complete"):
+                return self._voters() == self._wanted_voters() > 0
             case ("voters", number):
                 return self._voters() == int(number)
             case ("taken" | "refused" | "pending" as state, revision):
@@ -267,6 +269,11 @@
         behind = newest.commit_index - min(node.commit_index for node in nodes)
         return voters == identities and len({node.term for node in nodes}) == 1 and behind == 0
 
+    def _wanted_voters(self) -> int:
+        """Voters that the newest leader's membership is meant to have; 0 without a leader."""
+        leader = self.world.leader()
+        return leader[1].membership.target_voters if leader is not None else 0
+
     def _voters(self) -> int:
         """Voters by the newest leader's membership; 0 without a leader."""
         leaders = self._leading()
--- a/mallowbeam/simulation/fleet_processes.py
+++ b/mallowbeam/simulation/fleet_processes.py
@@ -179,18 +179,22 @@
         if loop is None or server is None or not server.serving:
             return
 
-        began = self.machine.simulator.now
+        began, slow = self.machine.simulator.now, self._slow
 
         async def answer() -> None:
             reply = await server.front.handle(message_of(call, loop.time()), lambda: False)
             body = bytes(reply.data).partition(b"\r\n\r\n")[2]
-            self._note(call, began, reply.status, body)
+            paused = slow or self._slow or self._thawed_at >= began
+            self._note(call, began, reply.status, body, paused)
             answered(reply.status, body)
         loop.enter(lambda: loop.create_task(answer()))
 
-    def _note(self, call: ApiCall, began: float, status: int, body: bytes) -> None:
+    @property
+    def _slow(self) -> bool:
+        return self.machine.step_cost > 0.0 or self.machine.clock_rate < 1.0
+
+    def _note(self, call: ApiCall, began: float, status: int, body: bytes, paused: bool) -> None:
         now = self.machine.simulator.now
-        paused = self._thawed_at >= began or self.machine.step_cost > 0.0 or self.machine.clock_rate < 1.0
         out_of_reach = now - self.unreachable_since if self.unreachable_since is not None else 0.0
         name = self.machine.name
         self._history.answered(Answer(name, call, began, now, status, body, paused, out_of_reach))
@@ -258,7 +262,9 @@
         self._random = Random(machine.simulator.random.random())
         self.loop: SimulatedLoop | None = None
         self.subscriber: FeedSubscriber[Configuration] | None = None
+        self.thawed_at = -inf
         machine.boot = self._boot
+        machine.on_thaw(self._thawed)
 
     def set_seeds(self, ips: Sequence[str]) -> None:
         """Begin at these members from the next start on."""
@@ -269,6 +275,9 @@
         """Of the configuration in force; 0: none."""
         return self.subscriber.configuration_revision if self.subscriber is not None else 0
 
+    def _thawed(self) -> None:
+        self.thawed_at = self.machine.simulator.now
+
     def instance_state(self, id: str) -> str:
         """ready, draining or absent."""
         held = self.subscriber.instances.get(id) if self.subscriber is not None else None
--- a/mallowbeam/simulation/walk_members.py
+++ b/mallowbeam/simulation/walk_members.py
@@ -42,9 +42,10 @@
             "cut-both": self._cut_both, "cut-seeds": self._cut_seeds, "disk": self._disk,
             "taken": self._taken, "timed": self._timed, "slow": self._slow, "all": self._all}
 
-    def draw(self, without: frozenset[str] = frozenset()) -> None:
-        """One trouble of any kind, if there is a member that may have it."""
-        kind = self._random.choice([kind for kind in self.kinds if kind not in without])
+    def draw(self, without: frozenset[str] = frozenset(), kind: str = "") -> None:
+        """One trouble of a kind, or of any, if there is a member that may have it."""
+        if not kind or kind in without:
+            kind = self._random.choice([kind for kind in self.kinds if kind not in without])
         if self.kinds[kind]():
             self.drawn[kind] = self.drawn.get(kind, 0) + 1
 
