--- a/tests/test_system_scenarios.py
+++ b/tests/test_system_scenarios.py
@@ -24,5 +24,29 @@
         self.assertEqual(*runs)
 
 
+# A gateway that reached nobody for a while comes back beside a member that is cut off.
+RETURNS_BESIDE_CUT_OFF = """seed {seed}
+members m1 m2 m3
+gateways g1
+instances a
+at 2 put 1 on 0
+by 8 expect gateways ready
+at 8 isolate g1
+at 12.5 cut m1 m2
+at 12.5 cut m1 m3
+at 13 put 2 on 1 via m2
+at 15 heal g1
+by 18 expect g1 revision 2
+end 19
+"""
+
+
+class Returns(unittest.TestCase):
+    def test_a_gateway_that_returns_does_not_stay_with_a_member_that_is_cut_off(self):
+        for seed in range(1, 41):
+            with self.subTest(seed=seed):
+                FleetPlayer(RETURNS_BESIDE_CUT_OFF.format(seed=seed)).play()
+
+
 if __name__ == "__main__":
     unittest.main()
