Simulation: scenario words for calls to one member and new gateways; a gateway must not become ready with old state

Change: the commands call, launch-gateway and get via; what a gateway becomes ready with is judged as what it is given first.

--- a/mallowbeam/simulation/fleet.py
+++ b/mallowbeam/simulation/fleet.py
@@ -6,9 +6,10 @@
 
     at 1 put REVISION on BASED [via M] [by NAME]   an operator sends a configuration until there is a clear
                                           answer, to a member first
-    at 1 get [M]                          the operator reads the configuration back, at a member first
+    at 1 get [via M]                      the operator reads the configuration back
     at 1 again REVISION                   the operator sends a configuration once more that was taken
-    at 1 report I M                       an instance reports to a member from now on
+    at 1 call I M                         an instance's next call goes to this member
+    at 1 launch-gateway G                 a new gateway
     at 1 seeds G M...                     a gateway has these seeds from its next start on
     at 1 lose-answers NAME SHARE          a share of the answers to an operator is lost on the way
     at 1 drain I      delete I            an instance says that it leaves, or has ended
@@ -90,10 +91,7 @@
     def declare_gateways(self, *names: str) -> None:
         """The gateways."""
         for name in names:
-            machine = self._new_machine(name, "gateways")
-            settings = settings_of(name, machine.ip, self.seeds, member=False, bootstrap=True)
-            self.gateways[name] = SimulatedGateway(machine, self.streams, settings)
-            self._start_soon(machine)
+            self.do_launch_gateway(name)
 
     def declare_instances(self, *names: str) -> None:
         """The first instances."""
@@ -126,8 +124,10 @@
         member = self.names(options["via"])[0] if "via" in options else ""
         self.operators[options.get("by", "operator")].put(int(revision), int(based_on), member)
 
-    def do_get(self, member: str = "") -> None:
+    def do_get(self, via: str = "", member: str = "") -> None:
         """Read the configuration back."""
+        if via and via != "via":
+            raise ValueError("needs get [via M]")
         self.operator.get(self.names(member)[0] if member else "")
 
     def do_again(self, revision: str) -> None:
@@ -138,10 +138,6 @@
         """Lose answers on their way to an operator."""
         self.operators[name].answer_loss = float(share)
 
-    def do_report(self, instance: str, member: str) -> None:
-        """Have an instance report to a member."""
-        self.instances[instance].member = self.names(member)[0]
-
     def do_seeds(self, gateway: str, *members: str) -> None:
         """Give a gateway other seeds."""
         names = [name for word in members for name in self.names(word)]
@@ -155,6 +151,17 @@
         """Have an instance end."""
         self.instances[name].delete()
 
+    def do_call(self, name: str, member: str) -> None:
+        """Have an instance turn to a member."""
+        self.instances[name].member = self.names(member)[0]
+
+    def do_launch_gateway(self, name: str) -> None:
+        """A new gateway."""
+        machine = self._new_machine(name, "gateways")
+        settings = settings_of(name, machine.ip, self.seeds, member=False, bootstrap=True)
+        self.gateways[name] = SimulatedGateway(machine, self.streams, settings)
+        self._start_soon(machine)
+
     def do_launch(self, name: str) -> None:
         """A new instance."""
         machine = self._new_machine(name, "instances")
@@ -206,8 +213,7 @@
             case (who, "gateways", number):
                 return all(self._subscriber(name).gateways == int(number) for name in self.names(who))
             case (who, "ready"):
-                return all(self._subscriber(name).ready(self.network.machines[name].clock())
-                           for name in self.names(who))
+                return all(self.gateways[name].ready for name in self.names(who))
             case (who, instance, "ready" | "draining" | "absent" as state):
                 return all(self.gateways[name].instance_state(instance) == state for name in self.names(who))
         raise ValueError("no such condition")
--- a/mallowbeam/simulation/fleet_checkers.py
+++ b/mallowbeam/simulation/fleet_checkers.py
@@ -141,25 +141,30 @@
 
 
 class FreshGatewayChecker:
-    """Guarantee 1: the first configuration that a started gateway is given is not old.
+    """Guarantee 1: what a started gateway begins with is not old: its first configuration, and the one with
+    which it becomes ready.
 
     Not judged at one that was frozen meanwhile: it takes first what came in before.
     """
 
     def __init__(self) -> None:
-        self._had: dict[str, tuple[int, int]] = {}     # incarnation and revision
+        self._had: dict[str, tuple[int, bool, bool]] = {}  # incarnation, any configuration, ready
 
     def look(self, world: World) -> str:
-        """Judge gateways that have their first configuration now."""
+        """Judge gateways that have their first configuration, or are ready, since the last look."""
         for name, gateway in world.gateways.items():
-            incarnation, revision = gateway.machine.incarnation, gateway.revision
-            before, had = self._had.get(name, (0, 0))
-            self._had[name] = incarnation, revision
-            first = revision > 0 and (before != incarnation or had == 0)
+            if not gateway.machine.running:
+                continue
+            now = gateway.machine.incarnation, gateway.revision > 0, gateway.ready
+            before = self._had.get(name)
+            self._had[name] = now
+            if before is None or before[0] != now[0]:
+                before = now[0], False, False
             newest = world.history.newest_acknowledged(world.now - FRESH_BOUND_S)
             frozen = world.now - gateway.thawed_at < FRESH_BOUND_S
-            if first and not frozen and gateway.machine.running and revision < newest:
-                return (f"1: {name} is given {revision} first, {newest} was acknowledged over "
+            if now != before and not frozen and gateway.revision < newest:
+                what = "is given" if now[1] != before[1] else "becomes ready with"
+                return (f"1: {name} {what} {gateway.revision} first, {newest} was acknowledged over "
                         f"{FRESH_BOUND_S} s ago")
         return ""
 
--- a/mallowbeam/simulation/fleet_processes.py
+++ b/mallowbeam/simulation/fleet_processes.py
@@ -278,6 +278,11 @@
     def _thawed(self) -> None:
         self.thawed_at = self.machine.simulator.now
 
+    @property
+    def ready(self) -> bool:
+        """Whether it would serve requests; one that was not started yet would not."""
+        return self.subscriber is not None and self.subscriber.ready(self.machine.clock())
+
     def instance_state(self, id: str) -> str:
         """ready, draining or absent."""
         held = self.subscriber.instances.get(id) if self.subscriber is not None else None
--- a/tests/fleet_variants.py
+++ b/tests/fleet_variants.py
@@ -65,13 +65,13 @@
 
 CONTACT = (
     Variant("reads without the leader's word", "revision 2 was acknowledged, m3 reads 1 back",
-            M3_CUT_OFF + "at 11 get m3\nend 14", _replaced(Commands, "read_barrier", _no_barrier)),
+            M3_CUT_OFF + "at 11 get via m3\nend 14", _replaced(Commands, "read_barrier", _no_barrier)),
     Variant("changes acknowledged before they are committed", "which no member has applied",
             "at 8 put 2 on 1\nend 11", _replaced(Commands, "submit", _taken_unasked)),
     Variant("heartbeats acknowledged by a member that is cut off", "without a majority in reach",
-            M3_CUT_OFF + "at 8 report a m3\nend 14", _replaced(RaftNode, "freshness", _always_fresh)),
+            M3_CUT_OFF + "at 8 call a m3\nend 14", _replaced(RaftNode, "freshness", _always_fresh)),
     Variant("callers held up by a member that is cut off", "m3 answered GET /mallowbeam/config after",
-            M3_CUT_OFF + "at 11 get m3\nend 16", lambda: mock.patch.multiple(
+            M3_CUT_OFF + "at 11 get via m3\nend 16", lambda: mock.patch.multiple(
                 commands, PATIENCE=4.0, NO_LEADER_PATIENCE=4.0)),
 )
 
--- a/tests/test_fleet_variants.py
+++ b/tests/test_fleet_variants.py
@@ -14,8 +14,8 @@
 from mallowbeam.simulation.loss_budget import LossBudget
 from mallowbeam.simulation.scenario import Violation
 
-LATE_GATEWAY = M3_CUT_OFF + """at 8 report a m1
-at 8 report b m1
+LATE_GATEWAY = M3_CUT_OFF + """at 8 call a m1
+at 8 call b m1
 at 8 kill g1
 at 8 seeds g1 m3
 at 12.5 start g1
