--- a/mallowbeam/simulation/fleet_checkers.py
+++ b/mallowbeam/simulation/fleet_checkers.py
@@ -12,7 +12,6 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from mallowbeam.consensus.membership import majority_of
 from mallowbeam.consensus.node import RaftNode
 from mallowbeam.rpc.messages_pb2 import Membership
 from mallowbeam.simulation.fleet_history import History
@@ -76,6 +75,11 @@
         """One look."""
 
 
+def majority_of(count: int) -> int:
+    """The least number that is more than half; not the program's own, which is judged here."""
+    return count // 2 + 1
+
+
 def voter_sets(membership: Membership) -> list[frozenset[int]]:
     """The sets of which a majority each is needed: one, or two within a joint change."""
     sets = [frozenset(member.id for member in membership.members if member.voter)]
