--- a/mallowbeam/simulation/fleet.py
+++ b/mallowbeam/simulation/fleet.py
@@ -31,7 +31,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Container, Sequence
 
 from mallowbeam.configuration.model import Configuration
 from mallowbeam.feed.subscriber import FeedSubscriber
@@ -243,6 +243,13 @@
                                              self.history)
         self._start_soon(machine)
 
+    def turn_over_seeds(self, gone: Container[str]) -> None:
+        """The settings name members as seeds that are not gone for good."""
+        left = [member.machine.ip for name, member in self.members.items() if name not in gone]
+        self.seeds = left[:SEEDS]
+        for process in (*self.members.values(), *self.gateways.values()):
+            process.set_seeds(self.seeds)
+
     def _start_soon(self, machine: Machine) -> None:
         self.simulator.after(self.simulator.random.uniform(0.0, START_WITHIN_S), machine.start)
 
--- a/mallowbeam/simulation/fleet_processes.py
+++ b/mallowbeam/simulation/fleet_processes.py
@@ -152,6 +152,13 @@
         self.replica = None
         self._settings = replace(self._settings, bootstrap=False)
 
+    def set_seeds(self, ips: Sequence[str]) -> None:
+        """Change the settings: other seeds, which a running process takes at once."""
+        self._settings = settings = replace(self._settings, seeds=seeds_of(ips))
+        loop, program = self.loop, self.program
+        if loop is not None and program is not None and self.machine.running:
+            loop.enter(lambda: program.reload(settings))
+
     def terminate(self) -> None:
         """SIGTERM: the program stops in order, then the process ends. One that is starting ends at once."""
         loop, program = self.loop, self.program
@@ -268,7 +275,7 @@
 
     def set_seeds(self, ips: Sequence[str]) -> None:
         """Begin at these members from the next start on."""
-        self._settings = replace(self._settings, seeds=tuple(f"{ip}:{CONTROL_PORT}" for ip in ips))
+        self._settings = replace(self._settings, seeds=seeds_of(ips))
 
     @property
     def revision(self) -> int:
@@ -303,6 +310,11 @@
         await FeedLink(self.subscriber, lambda events, now: None).run()
 
 
+def seeds_of(ips: Sequence[str]) -> tuple[str, ...]:
+    """Control addresses, as settings have them."""
+    return tuple(f"{ip}:{CONTROL_PORT}" for ip in ips)
+
+
 def settings_of(name: str, ip: str, seeds: Sequence[str], member: bool, bootstrap: bool) -> NodeSettings:
     """The settings of a member or a gateway; `seeds` are IPs."""
     control = f"{ip}:{CONTROL_PORT}" if member else None
@@ -314,7 +326,7 @@
         zone="z",
         region="r",
         port_range=(PEER_PORT, PEER_PORT + 15),
-        seeds=tuple(f"{seed}:{CONTROL_PORT}" for seed in seeds),
+        seeds=seeds_of(seeds),
         bootstrap=bootstrap,
         counts_for_quorum=member,
         data_dir="/simulated" if member else None,
--- a/mallowbeam/simulation/walk_callers.py
+++ b/mallowbeam/simulation/walk_callers.py
@@ -139,7 +139,8 @@
             return
         kind = self._random.choice(("anew", "kill", "power", "freeze", "cut"))
         self._events[name] = inf
-        ips = [self.player.network.machines[member].ip for member in self.player.members]
+        gone = self.troubles.retiring if self.troubles is not None else {}
+        ips = [member.machine.ip for name, member in self.player.members.items() if name not in gone]
         self.player.gateways[name].set_seeds(self._random.sample(ips, min(3, len(ips))))
         longest = LONGEST_GATEWAY_TROUBLE_S
         match kind:
--- a/mallowbeam/simulation/walk_members.py
+++ b/mallowbeam/simulation/walk_members.py
@@ -176,6 +176,7 @@
 
     def _successor(self) -> str:
         name = f"m{len(self.player.members) + 1}"
+        self.player.turn_over_seeds(self.retiring)
         self.player.do_add(name)
         self._disk_since[name] = self.now
         return name
@@ -201,6 +202,7 @@
         name = self._aim()
         if name is None or len(self.player.members) >= MOST_MEMBERS:
             return False
+        self.retiring[name] = ""
         successor, since = self._successor(), self.now
         self.retiring[name] = successor
         self.budget.disturbed(self.now)
