--- a/mallowbeam/simulation/fleet.py
+++ b/mallowbeam/simulation/fleet.py
@@ -247,7 +247,8 @@
         """The settings name members as seeds that are not gone for good."""
         left = [member.machine.ip for name, member in self.members.items() if name not in gone]
         self.seeds = left[:SEEDS]
-        for process in (*self.members.values(), *self.gateways.values()):
+        processes: list[SimulatedMember | SimulatedGateway] = [*self.members.values(), *self.gateways.values()]
+        for process in processes:
             process.set_seeds(self.seeds)
 
     def _start_soon(self, machine: Machine) -> None:
