Headers: Priority and Expect-Version are the system's, a prompt's headers are no hop's

A client's Priority and Expect-Version went on to instances as they came: the first let a client pass others in an instance's queue at services without model servers, the second was turned away with 421 by every instance, and each 421 opens that instance's circuit, so that one client closed a service for all. A Connection header that names Model, Token-Usage or Prompt-Prefix took these away.

Both are among the headers that a client never sets; those that make the request what it is stay, whatever Connection names.

--- a/mallowbeam/data_plane/client_request.py
+++ b/mallowbeam/data_plane/client_request.py
@@ -12,7 +12,9 @@
 MOST_TOKENS = 1 << 30       # a larger token count is read as none
 MOST_PARTS = 1024           # parts of a prompt; those behind are left out
 # Set by the gateway alone: a client's own values would change where and how an instance runs the request.
-OWNED = frozenset((b"deadline-ms", b"target-instance", b"stage", b"kv-from"))
+OWNED = frozenset((b"deadline-ms", b"target-instance", b"stage", b"kv-from", b"priority", b"expect-version"))
+# Never of one connection only, whatever a Connection header says: the request would be another without them.
+END_TO_END = frozenset((b"request-id", b"host", b"model", b"token-usage", b"prompt-prefix", b"last-event-id"))
 LEFT_OUT = (HOP_BY_HOP - {b"host"}) | OWNED
 SINGLE = (b"request-id", b"host", b"deadline-ms", b"last-event-id")
 
@@ -72,7 +74,7 @@
     if not values:
         return frozenset()
     named = frozenset(part.strip().lower() for part in b",".join(values).split(b","))
-    return named - {b"request-id", b"host"}
+    return named - END_TO_END
 
 
 def _deadline(value: bytes | None) -> int:
--- /dev/null
+++ b/tests/test_rules_headers.py
@@ -0,0 +1,124 @@
+"""Which headers reach an instance: the system's own are never the client's, the client's never changed."""
+
+from __future__ import annotations
+
+import unittest
+
+from mallowbeam.standins.model_server import Fault, ModelServer, Seen
+from tests.failing_instances import ByName, add
+from tests.gateway_bench import ENGINE, Bench, events
+from tests.virtual_time import play
+
+SYSTEMS = {"Stage": "prefill", "Kv-From": "10.9.9.9:1/feedbeef", "Target-Instance": "i-other",
+           "Priority": "0", "Expect-Version": "77"}
+PROMPT = {"Model": "m;v=2, \"x\"", "Token-Usage": "1000, 5", "Prompt-Prefix": "aa:600, bb:400"}
+SPELLINGS = (SYSTEMS, {name.upper(): value for name, value in SYSTEMS.items()},
+             {name.lower(): f"  {value}  " for name, value in SYSTEMS.items()})
+
+
+class SystemsHeaders(unittest.TestCase):
+    def check(self, instance: ModelServer, seen: Seen, stage: str | None, priority: str | None) -> None:
+        """Whether a request carries what the system set, and nothing of the client's."""
+        headers = seen.headers
+        self.assertEqual(headers["target-instance"], instance.id)
+        self.assertEqual((headers.get("stage"), headers.get("priority")), (stage, priority))
+        self.assertNotIn("expect-version", headers)
+        self.assertNotIn("feedbeef", headers.get("kv-from", ""))
+        self.assertEqual(seen.repeated, frozenset())
+
+    def test_at_a_plain_service(self) -> None:
+        async def scenario() -> None:
+            for sent in SPELLINGS:
+                async with Bench(planner=ByName()) as bench:
+                    instance = await bench.add("i-1")
+                    self.assertEqual((await bench.ask("/unsafe/", headers=sent)).status, 200)
+                    self.check(instance, instance.seen[0], None, None)
+                    self.assertNotIn("kv-from", instance.seen[0].headers)
+        play(scenario())
+
+    def test_where_the_prompt_is_read_apart(self) -> None:
+        async def scenario() -> None:
+            for sent in SPELLINGS:
+                async with Bench(planner=ByName("p-1")) as bench:
+                    reader = await bench.add("p-1", ENGINE, "prefill")
+                    decoder = await bench.add("d-1", ENGINE, "decode")
+                    answer = await bench.ask("/stream/", headers={**PROMPT, **sent})
+                    self.assertEqual((answer.whole, answer.body), (True, events()))
+                    self.check(reader, reader.seen[0], "prefill", "5")
+                    self.check(decoder, decoder.seen[0], None, "5")
+                    self.assertTrue(decoder.seen[0].headers["kv-from"].startswith(reader.address))
+        play(scenario())
+
+    def test_at_every_further_send(self) -> None:
+        async def scenario() -> None:
+            async with Bench(planner=ByName()) as bench:
+                first = await bench.add("d-1", ENGINE, "decode")
+                second = await bench.add("d-2", ENGINE, "decode")
+                first.script.append(Fault.CUT)
+                answer = await bench.ask("/resume/", headers=SYSTEMS)
+                self.assertEqual((answer.whole, answer.body), (True, events()))
+                for instance in (first, second):
+                    self.check(instance, instance.seen[0], None, "5")
+                    self.assertNotIn("kv-from", instance.seen[0].headers)
+        play(scenario())
+
+    def test_a_client_s_expected_version_ejects_nobody(self) -> None:
+        """Each 421 opens an instance's circuit: a version that nobody has would close the whole service."""
+        async def scenario() -> None:
+            async with Bench(planner=ByName()) as bench:
+                await add(bench, _OfVersion("i-1"))
+                for _ in range(3):
+                    answer = await bench.ask("/safe/", headers={"Expect-Version": "77"})
+                    self.assertEqual(answer.status, 200)
+        play(scenario())
+
+
+class ClientsHeaders(unittest.TestCase):
+    def test_the_prompt_s_headers_are_the_client_s_at_every_send(self) -> None:
+        async def scenario() -> None:
+            async with Bench(planner=ByName("p-1")) as bench:
+                reader = await bench.add("p-1", ENGINE, "prefill")
+                decoders = [await bench.add(f"d-{number}", ENGINE, "decode") for number in (1, 2)]
+                decoders[0].script.append(Fault.CUT)
+                answer = await bench.ask("/resume/", headers=PROMPT)
+                self.assertEqual(answer.body, events())
+                for instance in (reader, *decoders):
+                    seen = instance.seen[0]
+                    for name, value in PROMPT.items():
+                        self.assertEqual(seen.headers[name.lower()], value, (instance.id, name))
+                    self.assertEqual((seen.method, seen.target, seen.body), ("POST", "/resume/", b"question"))
+        play(scenario())
+
+    def test_no_connection_header_takes_them_away(self) -> None:
+        async def scenario() -> None:
+            async with Bench(planner=ByName()) as bench:
+                instance = await bench.add("d-1", ENGINE, "decode")
+                named = "Model, token-usage, PROMPT-PREFIX, last-event-id"
+                headers = {**PROMPT, "Last-Event-Id": "2", "Connection": named}
+                self.assertEqual((await bench.ask("/stream/", headers=headers)).body, events(3))
+                for name, value in PROMPT.items():
+                    self.assertEqual(instance.seen[0].headers.get(name.lower()), value)
+        play(scenario())
+
+    def test_none_is_made_up(self) -> None:
+        async def scenario() -> None:
+            async with Bench(planner=ByName()) as bench:
+                instance = await bench.add("d-1", ENGINE, "decode")
+                await bench.ask("/stream/", headers={"Token-Usage": "x"})
+                self.assertEqual(instance.seen[0].headers["token-usage"], "x")
+                self.assertFalse({"model", "prompt-prefix", "last-event-id"} & set(instance.seen[0].headers))
+        play(scenario())
+
+
+class _OfVersion(ModelServer):
+    """Turns away what expects another version of its weights than 1."""
+
+    async def _answer(self, seen, reader, writer):
+        if seen.headers.get("expect-version", "1") != "1":
+            self.seen.append(seen)
+            return self._whole(writer, seen, 421, b"", "")
+        return await super()._answer(seen, reader, writer)
+
+
+if __name__ == "__main__":
+    unittest.main()
