Limits: those in force hold on open connections, and a body is never passed on in part

A connection kept the limits of its first moment.

A connection takes the front's bounds before each read that it parses; what is coming in may still be as large as it was when it began. The clients' front holds every body whole, whatever the limits.

--- a/mallowbeam/data_plane/front.py
+++ b/mallowbeam/data_plane/front.py
@@ -21,19 +21,22 @@
 SLACK_S = 0.5               # that a client has beyond the configured times, for the way
 WAY_S = 0.01                # of a client's deadline, kept for the way back
 MEGABYTE = 1024 * 1024
+ANY_SIZE = 1 << 62          # bytes: no body is larger
 
 
 class ClientFront:
     """Turns clients' requests into exchanges and their answers back."""
 
+    whole = ANY_SIZE                           # a request is passed on once it has come in whole
+
     def __init__(self, gateway: Gateway, memory_mb: float) -> None:
         self._gateway = gateway
         self.budget: Budget | None = Budget(int(min(HELD_BYTES, memory_mb * MEGABYTE * MEMORY_SHARE)))
         self.set_limits(ClientLimits())
 
     def set_limits(self, limits: ClientLimits) -> None:
-        """Bounds for clients that come from now on; times hold for all."""
-        self.max_body = self.whole = limits.max_body_bytes
+        """Bounds for what comes in from now on, also on open connections."""
+        self.max_body = limits.max_body_bytes
         self.max_head = limits.max_header_bytes
         self.stalled = limits.header_timeout_ms / 1000 + SLACK_S
         self.idle = limits.idle_timeout_ms / 1000 + SLACK_S
--- a/mallowbeam/http/connection.py
+++ b/mallowbeam/http/connection.py
@@ -114,8 +114,8 @@
         while self.stage is not Stage.LINGERING:
             waits = len(framer.ready) > PIPELINED
             if self.ahead and not waits:
-                framer.read_at, data = self.ahead.take()
-                framer.feed(memoryview(data))
+                at, data = self.ahead.take()
+                self._feed(memoryview(data), at)
                 return True
             if waits and self.ahead.full:
                 self.room.clear()
@@ -127,13 +127,19 @@
             if not count:
                 return False
             if not waits and not self.ahead:
-                framer.read_at = channel.moved
-                framer.feed(channel.buffer[:count])
+                self._feed(channel.buffer[:count], channel.moved)
                 return True
             self.ahead.put(channel.buffer[:count], channel.moved)
         await self._read_out()
         return False
 
+    def _feed(self, data: memoryview, at: float) -> None:
+        """Parse what was read at a time, within the front's bounds, which may have changed since the last."""
+        framer, front = self.channel.framer, self.server.front
+        framer.bound(front.max_body, getattr(front, "max_head", MAX_HEAD))
+        framer.read_at = at
+        framer.feed(data)
+
     async def _unread(self, wait: Awaitable[object]) -> None:
         """Wait while nothing is read, and look now and then whether the client is still there."""
         self.held = True
--- a/mallowbeam/http/framing.py
+++ b/mallowbeam/http/framing.py
@@ -106,6 +106,12 @@
         if self.quiet > max(MAX_QUIET, self.max_head):
             self.fault = self.fault or BadMessage(431, "header too large")
 
+    def bound(self, max_body: int, max_head: int) -> None:
+        """Other bounds from now on; what is coming in may still be as large as it was when it began."""
+        if self.part is not None:
+            max_body, max_head = max(max_body, self.max_body), max(max_head, self.max_head)
+        self.max_body, self.max_head = max_body, max_head
+
     @property
     def empty(self) -> bool:
         """Whether nothing is coming in and nothing waits."""
