--- a/mallowbeam/data_plane/exchange.py
+++ b/mallowbeam/data_plane/exchange.py
@@ -129,6 +129,8 @@
         if isinstance(planned, Refusal):
             return GivenUp(retry_after_s=planned.retry_after_s or RETRY_AFTER_S)
         self._booking = planned.booking
+        if planned.start_in_s > left - LEAST_LEFT_S:
+            return GivenUp()
         if planned.start_in_s > 0:
             await asyncio.sleep(planned.start_in_s)
         self.gateway.planner.begun(planned.booking, time.monotonic())
@@ -177,6 +179,8 @@
 
     async def _send(self, plan: Plan, handle: Handle | None) -> Attempt | GivenUp | None:
         """One send to the instance that answers; the attempt if its answer is passed on, None to go on."""
+        if self.deadline - time.monotonic() < LEAST_LEFT_S:
+            return GivenUp(out_of_time=True)   # the wait for its cycle, or reading its prompt, took all of it
         ticket = self._policy.send(plan.decode_instance, time.monotonic(), self.gateway.view.gateways)
         if ticket is None:
             return GivenUp()
--- /dev/null
+++ b/tests/test_rules_time.py
@@ -0,0 +1,210 @@
+"""Time that is handed on, and routes' time-outs: in virtual time, with instances that take theirs."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Sequence
+
+from mallowbeam.data_plane.planning import Planner
+from mallowbeam.standins.model_server import Fault
+from tests.failing_instances import ByName, Dark, add, add_dark
+from tests.gateway_bench import (
+    ENGINE,
+    Answer,
+    Bench,
+    configuration,
+    events,
+    read_answer,
+    request_bytes,
+    route,
+)
+from tests.timed_instances import Held, Timed, Trickling, now
+from tests.virtual_time import play
+
+TIMEOUT_S = 2.0
+LATE_S = 0.5                # within which a request that reached its route's time-out is answered
+LONG_MS = 60_000            # what a patient client waits
+PROMPT = {"Token-Usage": "1000,5", "Prompt-Prefix": "aa:600,bb:400"}
+ROUTES = configuration(
+    route("/safe/", "safe"), route("/unsafe/", "unsafe"), route("/stream/", "stream", ENGINE, gap_aim_ms=100),
+    route("/resume/", "stream", ENGINE, resumable=True, gap_aim_ms=100, max_retries=3),
+    route("/long/", "stream", ENGINE, resumable=True, gap_aim_ms=100, timeout_ms=600_000))
+
+
+class Case(unittest.TestCase):
+    def check_handed_on(self, began: float, client_ms: float, instances: Sequence[Timed]) -> list[int]:
+        """Each send carries what was left then, never more; the values in the order of arrival."""
+        arrivals = [one for instance in instances for one in instance.arrivals]
+        arrivals.sort(key=lambda one: one.at)
+        for arrival in arrivals:
+            self.assertIn("deadline-ms", arrival.seen.headers)
+            self.assertNotIn("deadline-ms", arrival.seen.repeated)
+            left_ms = client_ms - (arrival.at - began) * 1000
+            self.assertLessEqual(arrival.deadline_ms, left_ms)
+            self.assertGreater(arrival.deadline_ms, left_ms - 30)
+        return [arrival.deadline_ms for arrival in arrivals]
+
+
+class HandedOn(Case):
+    """`Deadline-Ms` of every send is what the client has left."""
+
+    def test_over_retries(self) -> None:
+        async def scenario() -> None:
+            for fault in (Fault.REJECT, Fault.RESET, Fault.FAIL, Fault.MISDIRECT):
+                async with Bench(ROUTES, ByName()) as bench:
+                    instances = [Timed(f"i-{number}", takes_s=0.3) for number in (1, 2, 3)]
+                    for one in instances:
+                        await add(bench, one)
+                    for one in instances[:2]:
+                        one.script.append(fault)
+                    began = now()
+                    answer = await bench.ask("/safe/", headers={"Deadline-Ms": "1500"})
+                    self.assertEqual(answer.status, 200)
+                    handed = self.check_handed_on(began, 1500, instances)
+                    self.assertEqual(len(handed), 3)
+                    self.assertLess(handed[2], 1500 - 600)
+        play(scenario())
+
+    def test_from_prefill_to_decode_and_to_a_resumption(self) -> None:
+        async def scenario() -> None:
+            async with Bench(ROUTES, ByName("p-1")) as bench:
+                reader = Timed("p-1", "prefill", takes_s=0.4)
+                decoders = [Timed(f"d-{number}", "decode", takes_s=0.2) for number in (1, 2)]
+                for one in (reader, *decoders):
+                    await add(bench, one, ENGINE)
+                decoders[0].script.append(Fault.CUT)
+                began = now()
+                answer = await bench.ask("/resume/", headers={**PROMPT, "Deadline-Ms": "1800"})
+                self.assertEqual((answer.whole, answer.body), (True, events()))
+                handed = self.check_handed_on(began, 1800, [reader, *decoders])
+                self.assertEqual(len(handed), 3)
+                self.assertLess(handed[2], 1800 - 600)
+        play(scenario())
+
+    def test_after_a_wait_for_its_cycle(self) -> None:
+        async def scenario() -> None:
+            async with Bench(ROUTES, Held(0.7)) as bench:
+                one = Timed("i-1")
+                await add(bench, one)
+                began = now()
+                self.assertEqual((await bench.ask("/unsafe/", headers={"Deadline-Ms": "1500"})).status, 200)
+                (handed,) = self.check_handed_on(began, 1500, [one])
+                self.assertLess(handed, 800)
+        play(scenario())
+
+    def test_never_more_than_the_route_s_time_out_and_never_missing(self) -> None:
+        async def scenario() -> None:
+            for named in ({}, {"Deadline-Ms": str(LONG_MS)}, {"Deadline-Ms": "soon"}, {"Deadline-Ms": ""}):
+                async with Bench(ROUTES, ByName()) as bench:
+                    one = Timed("i-1")
+                    await add(bench, one)
+                    data = request_bytes("/unsafe/", headers=named or {"Deadline-Ms": "gone"})
+                    reader, writer = await bench.client()
+                    began = now()
+                    writer.write(data if named else data.replace(b"Deadline-Ms: gone\r\n", b""))
+                    self.assertEqual((await read_answer(reader)).status, 200)
+                    self.check_handed_on(began, TIMEOUT_S * 1000, [one])
+        play(scenario())
+
+    def test_a_prompt_that_took_all_the_time_is_not_sent_on(self) -> None:
+        """It was written to the decode instance with a millisecond left, and counted as run."""
+        async def scenario() -> None:
+            async with Bench(ROUTES, ByName("p-1")) as bench:
+                reader, decoder = Timed("p-1", "prefill", takes_s=9.0), Timed("d-1", "decode")
+                await add(bench, reader, ENGINE)
+                await add(bench, decoder, ENGINE)
+                # Leaves an idle connection to the decode instance.
+                self.assertEqual((await bench.ask("/stream/", headers={"Token-Usage": "0,5"})).status, 200)
+                decoder.arrivals.clear()
+                answer = await bench.ask("/stream/", headers={**PROMPT, "Deadline-Ms": "900"})
+                self.assertEqual((answer.status, len(reader.arrivals), decoder.arrivals), (503, 1, []))
+        play(scenario())
+
+
+class Patient:
+    """A client that waits longer than its route's time-out."""
+
+    def __init__(self, bench: Bench, target: str) -> None:
+        self._bench, self._target = bench, target
+        self.took_s = 0.0
+
+    async def ask(self, most_s: float = TIMEOUT_S + LATE_S) -> Answer:
+        """The answer, whole or broken off; raises TimeoutError where it is late."""
+        began = now()
+        async with asyncio.timeout(most_s):
+            answer = await self._bench.ask(self._target, headers={**PROMPT, "Deadline-Ms": str(LONG_MS)})
+        self.took_s = now() - began
+        return answer
+
+
+class RouteTimeouts(Case):
+    """A route's time-out ends every phase of a request within half a second."""
+
+    def expect(self, target: str, status: int, planner: Planner, *instances: Timed,
+               whole: bool = True) -> None:
+        """Ask at a fleet of these instances: the answer is in time, and no instance works on it any more."""
+        async def scenario() -> None:
+            async with Bench(ROUTES, planner) as bench:
+                for one in instances:
+                    await add(bench, one, ENGINE if one.stage else "plain")
+                client = Patient(bench, target)
+                answer = await client.ask()
+                self.assertEqual((answer.status, answer.whole), (status, whole))
+                if status == 504:
+                    self.assertGreater(client.took_s, TIMEOUT_S - 0.1)
+                await asyncio.sleep(LATE_S)
+                self.assertEqual([one.working for one in instances], [0] * len(instances))
+        play(scenario())
+
+    def test_held_for_a_cycle_that_begins_too_late(self) -> None:
+        self.expect("/unsafe/", 503, Held(30.0), Timed("i-1"))
+
+    def test_sent_and_silent(self) -> None:
+        for target in ("/safe/", "/unsafe/"):
+            self.expect(target, 504, ByName(), Timed("i-1", takes_s=60.0), Timed("i-2", takes_s=60.0))
+
+    def test_the_second_instance_is_silent(self) -> None:
+        first = Timed("i-1", takes_s=1.5)
+        first.script.append(Fault.REJECT)
+        self.expect("/unsafe/", 504, ByName(), first, Timed("i-2", takes_s=60.0))
+
+    def test_a_prompt_that_is_never_read(self) -> None:
+        reader, decoder = Timed("p-1", "prefill", takes_s=60.0), Timed("d-1", "decode")
+        self.expect("/stream/", 503, ByName("p-1"), reader, decoder)
+        self.assertEqual(decoder.arrivals, [])
+
+    def test_a_stream_without_a_first_event(self) -> None:
+        for target in ("/stream/", "/resume/"):
+            self.expect(target, 504, ByName(), Timed("d-1", "decode", takes_s=60.0))
+
+    def test_a_stream_without_end_breaks_off(self) -> None:
+        for target in ("/stream/", "/resume/"):
+            self.expect(target, 200, ByName(), Trickling("d-1", "decode"), Trickling("d-2", "decode"),
+                        whole=False)
+
+    def test_a_large_answer_without_end_breaks_off(self) -> None:
+        self.expect("/stream/", 200, ByName(), Trickling("d-1", "decode", plain=True), whole=False)
+
+    def test_connections_that_never_come_up(self) -> None:
+        async def scenario() -> None:
+            dark = Dark()
+            try:
+                async with Bench(ROUTES, ByName()) as bench:
+                    for number in range(4):
+                        add_dark(bench, f"i-{number}", dark)
+                    self.assertEqual((await Patient(bench, "/unsafe/").ask()).status, 503)
+            finally:
+                dark.close()
+        play(scenario())
+
+    def test_one_that_is_not_reached_ends_nothing(self) -> None:
+        async def scenario() -> None:
+            async with Bench(ROUTES, ByName()) as bench:
+                await add(bench, Timed("d-1", "decode", takes_s=30.0), ENGINE)
+                self.assertEqual((await Patient(bench, "/long/").ask(40.0)).body, events())
+        play(scenario())
+
+
+if __name__ == "__main__":
+    unittest.main()
