Streams: no event twice where ids are missing, no instance of the wrong stage, an old client's whole stream

(1) A stream whose events carry no ids was resumed from its start, behind what had gone out: the client got its first events twice. (3) A stream that an instance ends with its connection, in order, was taken as broken off behind its last byte: a client of HTTP/1.0 was reset.

A stream is resumed only behind an event with an id. Pairing names no prefill instance for an answer, and the stage is looked at again in the step of the send, as state and address are. An answer that ends in order with its connection is whole.

--- a/mallowbeam/data_plane/fleet_view.py
+++ b/mallowbeam/data_plane/fleet_view.py
@@ -10,6 +10,7 @@
 from mallowbeam.configuration.model import Backend, Configuration, Route
 from mallowbeam.data_plane.routing import RouteTable
 from mallowbeam.feed.instances import InstanceChanges
+from mallowbeam.pairing.instances import PREFILL
 from mallowbeam.rpc.messages_pb2 import READY, Instance
 
 DEFAULT_CONNECTIONS = 64    # to one instance, from all gateways, where the configuration gives no bound
@@ -54,13 +55,18 @@
         """The ids of a service's instances."""
         return self._ids.get(backend, ())
 
-    def usable(self, instance_id: str, backend: str) -> Instance | None:
-        """An instance of a service, if it takes requests now: asked in the step in which one is sent."""
+    def usable(self, instance_id: str, backend: str, reads: bool = False) -> Instance | None:
+        """An instance of a service, if it takes requests now: asked in the step in which one is sent.
+
+        `reads` where only the prompt is to be read: prefill instances take such calls and nothing else.
+        """
         instance = self.instances.get(instance_id)
         if instance is None or instance.state != READY or instance.backend != backend:
             return None
         if instance.switching_to:              # it would reject what it has not begun
             return None
+        if (instance.stage == PREFILL) is not reads:
+            return None
         return instance
 
     def most_connections(self, backend: str) -> int:
--- a/mallowbeam/data_plane/relay.py
+++ b/mallowbeam/data_plane/relay.py
@@ -82,7 +82,7 @@
                 await channel.send(self._framed(piece))
         if self._chunked:
             await channel.send(LAST_CHUNK)
-        return not self._answer().until_close
+        return True
 
     async def _next_piece(self) -> bytes | None:
         """The next piece, from another instance if need be; empty at the end, None where it broke off."""
@@ -97,7 +97,7 @@
         except Broken:
             end = AttemptEnd.BROKEN
         exchange.gateway.attempt_ended(attempt.instance, end, time.monotonic())
-        if not exchange.progress.resumable or not await exchange.resume():
+        if not exchange.progress.may_resume or not await exchange.resume():
             return None
         piece, exchange.piece = exchange.piece, b""
         return piece
--- a/mallowbeam/pairing/ways.py
+++ b/mallowbeam/pairing/ways.py
@@ -151,10 +151,8 @@
         return [] if book.id in prompt.excluded or book.id in self.table.ejected else [book]
 
     def _any(self, prompt: Prompt, key: int) -> list[InstanceBook]:
-        """Where none decodes: those without a stage, or whose stage may have changed since it was told."""
-        count = self.settings.read_choices
-        return (self._first(prompt, "", "", key, count)
-                or self._first(prompt, PREFILL, "", key, count))
+        """Where none decodes: those without a stage.  A prefill instance would turn the request away."""
+        return self._first(prompt, "", "", key, self.settings.read_choices)
 
     def _first(self, prompt: Prompt, stage: str, zone: str, key: int, count: int) -> list[InstanceBook]:
         return list(islice(self.table.ranked(prompt.backend, stage, zone, key, prompt.excluded), count))
--- a/mallowbeam/streams/progress.py
+++ b/mallowbeam/streams/progress.py
@@ -17,6 +17,7 @@
         self.resumable = resumable
         self._parser = EventParser()
         self._last_id = parse_id(last_event_id) if last_event_id is not None else None
+        self._behind_id = True                 # nothing was passed on behind the last id
         self.events = 0                        # passed on so far
         self.fault = ""                        # why nothing more of this instance's stream is passed on
 
@@ -25,6 +26,11 @@
         """The id behind which another instance has to go on; None: from the start."""
         return b"%d" % self._last_id if self._last_id is not None else None
 
+    @property
+    def may_resume(self) -> bool:
+        """Whether another instance can go on just behind what was passed on."""
+        return self.resumable and self._behind_id
+
     @property
     def partial(self) -> bool:
         """Whether the stream stands inside an event."""
@@ -44,6 +50,7 @@
                     self.fault = f"event id {event.id} behind {self._last_id}"
                     break
                 self._last_id = event.id
+            self._behind_id = event.id is not None
             whole.append(event.raw)
         if self._parser.endless:
             self.fault = "an event without end"
