Tests: a planned stop, a hangup and a change of configuration lose nothing

The role runs as its process does, in virtual time, beside a platform that asks for readiness once a second: two questions in a row fail within 4 s whatever their phase, and every client that comes until then is served. What was taken is answered within the grace time, kept connections are told to close or find an orderly end, SIGHUP and a configuration that drops its routes end no request.

--- /dev/null
+++ b/tests/test_rules_stop.py
@@ -0,0 +1,307 @@
+"""A gateway that is told to stop, or to read its settings again, loses nothing: in virtual time.
+
+The platform asks for readiness once a second and sends new connections until two questions in a row fail.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import tempfile
+import unittest
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from mallowbeam.data_plane.role import DataPlane
+from mallowbeam.feed.instances import InstanceChanges
+from mallowbeam.processes.role import RoleContext
+from mallowbeam.processes.settings import read_settings
+from mallowbeam.rpc.messages_pb2 import READY, Instance
+from tests.failing_instances import ByName
+from tests.gateway_bench import (
+    ENGINE,
+    PLAIN,
+    Answer,
+    configuration,
+    events,
+    read_answer,
+    read_head,
+    request_bytes,
+    route,
+)
+from tests.timed_instances import Timed, now
+from tests.virtual_time import play
+
+GRACE_S = 8.0
+ASKED_EACH_S = 1.0
+OUT_WITHIN_S = 4.0
+MISSES = 2
+LONG = {"Deadline-Ms": "60000"}
+LONG_MS = 30_000
+ROUTES = configuration(
+    route("/unsafe/", "unsafe", timeout_ms=LONG_MS), route("/stream/", "stream", ENGINE, timeout_ms=LONG_MS))
+WITHOUT_ROUTES = configuration(route("/other/", "unsafe"), revision=2)
+READINESS = b"GET /mallowbeam/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+SETTINGS = """
+node_name = "edge-1"
+role = "data-plane"
+machine_class = "edge"
+serves = ["edge"]
+ip = "127.0.0.1"
+zone = "z1"
+region = "r1"
+port_range = [1, 1]
+seeds = ["127.0.0.1:1"]
+[bind_addresses]
+front = "127.0.0.1:{front}"
+readiness = "127.0.0.1:{readiness}"
+[limits]
+max_fds = 1000
+[bounds]
+grace_s = {grace}
+"""
+
+
+def free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    ports = [int(one.getsockname()[1]) for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+class Process:
+    """The role as its process runs it, with a feed that has told all it has to."""
+
+    def __init__(self, folder: str) -> None:
+        self.front, self.readiness = free_ports(2)
+        self.path = Path(folder) / "settings.toml"
+        self.write(GRACE_S)
+        self.context = RoleContext(read_settings(str(self.path)), str(self.path))
+        self.plane = DataPlane(self.context, ByName())
+        self.plane.subscriber.ready = lambda now: True  # type: ignore[method-assign]
+        self.plane.gateway.set_configuration(ROUTES, 0.0)
+        self.plane.gateway.view.instances = self.table = {}
+        self.instances: list[Timed] = []
+        self.ended_at: float | None = None
+
+    def write(self, grace_s: float) -> None:
+        """The settings file."""
+        self.path.write_text(SETTINGS.format(front=self.front, readiness=self.readiness, grace=grace_s))
+
+    async def add(self, instance: Timed) -> Timed:
+        """Start an instance and tell the gateway of it."""
+        await instance.start()
+        self.instances.append(instance)
+        row = Instance(id=instance.id, backend=ENGINE if instance.stage else PLAIN, address=instance.address,
+                       zone="z1", slots=8, state=READY, stage=instance.stage)
+        self.table[instance.id] = row
+        self.plane.gateway.instances_changed(InstanceChanges([row], ()), 0.0)
+        return instance
+
+    async def run(self) -> None:
+        """Serve to the end."""
+        await self.plane.serve()
+        self.ended_at = now()
+
+    def told_to_stop(self) -> float:
+        """SIGTERM; when it came."""
+        self.context.stopping.set()
+        return now()
+
+    async def ready(self) -> bool:
+        """One question of the platform."""
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.readiness)
+        except OSError:
+            return False
+        writer.write(READINESS)
+        try:
+            return (await read_head(reader)).status == 200
+        except (asyncio.IncompleteReadError, OSError):
+            return False
+        finally:
+            writer.close()
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """A client's connection."""
+        return await asyncio.open_connection("127.0.0.1", self.front)
+
+    async def ask(self, target: str) -> Answer:
+        """A client's request on a connection of its own."""
+        reader, writer = await self.connect()
+        writer.write(request_bytes(target, headers=LONG))
+        try:
+            return await read_answer(reader)
+        finally:
+            writer.close()
+
+
+class Case(unittest.TestCase):
+    def play(self, scenario: Callable[[Process], Awaitable[None]]) -> None:
+        """Run a scenario beside the process."""
+        async def whole() -> None:
+            with tempfile.TemporaryDirectory() as folder:
+                process = Process(folder)
+                task = asyncio.ensure_future(process.run())
+                try:
+                    await asyncio.sleep(0.1)
+                    await scenario(process)
+                finally:
+                    process.context.stopping.set()
+                    await task
+                    for instance in process.instances:
+                        await instance.stop()
+        play(whole())
+
+
+class Platform:
+    """Asks once a second; `out_at` is when two questions in a row have failed."""
+
+    def __init__(self, process: Process, offset_s: float) -> None:
+        self._process, self._offset_s = process, offset_s
+        self.out_at: float | None = None
+        self.back_at: float | None = None      # ready again after it was out
+
+    async def run(self) -> None:
+        await asyncio.sleep(self._offset_s)
+        misses = 0
+        while self._process.ended_at is None:
+            misses = 0 if await self._process.ready() else misses + 1
+            if misses == MISSES:
+                self.out_at = now()
+            if not misses and self.out_at is not None:
+                self.back_at = now()
+            await asyncio.sleep(ASKED_EACH_S)
+
+
+class Readiness(Case):
+    def test_two_questions_in_a_row_fail_and_clients_are_taken_until_then(self) -> None:
+        for offset_s in (0.0, 0.3, 0.6, 0.95):
+            async def scenario(process: Process, offset_s: float = offset_s) -> None:
+                await process.add(Timed("i-1"))
+                platform = Platform(process, offset_s)
+                asking = asyncio.ensure_future(platform.run())
+                await asyncio.sleep(3.0)
+                self.assertIsNone(platform.out_at)
+                stopped_at = process.told_to_stop()
+                while platform.out_at is None:
+                    answer = await process.ask("/unsafe/")
+                    self.assertEqual((answer.status, answer.whole), (200, True))
+                    await asyncio.sleep(0.05)
+                self.assertLess(platform.out_at - stopped_at, OUT_WITHIN_S)
+                await asking
+                self.assertIsNone(platform.back_at)
+            self.play(scenario)
+
+
+class Stopping(Case):
+    def test_what_was_taken_is_answered_within_the_grace_time(self) -> None:
+        async def scenario(process: Process) -> None:
+            await process.add(Timed("i-1", takes_s=4.0))
+            await process.add(Timed("d-1", "decode", takes_s=5.0))
+            asked = [asyncio.ensure_future(process.ask(target)) for target in ("/unsafe/", "/stream/")]
+            await asyncio.sleep(0.1)
+            stopped_at = process.told_to_stop()
+            await asyncio.sleep(2.0)
+            asked.append(asyncio.ensure_future(process.ask("/unsafe/")))   # the platform may still send it
+            bodies = [answer.body for answer in await asyncio.gather(*asked)]
+            self.assertEqual(bodies, [b"answer", events(), b"answer"])
+            while process.ended_at is None:
+                await asyncio.sleep(0.05)
+            self.assertLess(process.ended_at - stopped_at, GRACE_S)
+        self.play(scenario)
+
+    def test_it_ends_within_the_grace_time_whatever_is_held(self) -> None:
+        async def scenario(process: Process) -> None:
+            await process.add(Timed("i-1", takes_s=100.0))
+            asked = asyncio.ensure_future(process.ask("/unsafe/"))
+            await asyncio.sleep(0.1)
+            stopped_at = process.told_to_stop()
+            await asyncio.sleep(GRACE_S)
+            assert process.ended_at is not None
+            self.assertGreater(process.ended_at - stopped_at, GRACE_S - 1.0)   # it had nearly all of it
+            await asyncio.gather(asked, return_exceptions=True)
+        self.play(scenario)
+
+    def test_kept_connections_are_told_to_close_and_lose_nothing(self) -> None:
+        """Each of these clients sends on until it is told, or finds its connection at an end."""
+        async def scenario(process: Process) -> None:
+            instance = await process.add(Timed("i-1", takes_s=0.03))
+            clients = [asyncio.ensure_future(self.keep_asking(process, 0.011 * number))
+                       for number in range(9)]
+            await asyncio.sleep(1.0)
+            process.told_to_stop()
+            counts = await asyncio.gather(*clients)
+            self.assertEqual(len(instance.arrivals), sum(answered for answered, _ in counts))
+            self.assertGreater(sum(told for _, told in counts), 0)
+        self.play(scenario)
+
+    async def keep_asking(self, process: Process, pause_s: float) -> tuple[int, bool]:
+        """How many answers came, and whether the last one said that its connection closes."""
+        reader, writer = await process.connect()
+        answered = 0
+        while True:
+            await asyncio.sleep(pause_s)
+            writer.write(request_bytes("/unsafe/", headers=LONG))
+            try:
+                answer = await read_answer(reader)
+            except asyncio.IncompleteReadError as error:
+                self.assertEqual(error.partial, b"")   # an orderly end in place of an answer
+                return answered, False
+            self.assertEqual((answer.status, answer.whole), (200, True))
+            answered += 1
+            if answer.headers.get("connection") == "close":
+                return answered, True
+
+    def test_idle_connections_find_an_orderly_end(self) -> None:
+        async def scenario(process: Process) -> None:
+            await process.add(Timed("i-1"))
+            idle = [await process.connect() for _ in range(3)]
+            for reader, writer in idle[:2]:
+                writer.write(request_bytes("/unsafe/", headers=LONG))
+                await read_answer(reader)
+            process.told_to_stop()
+            for reader, _ in idle:
+                self.assertEqual(await reader.read(), b"")
+        self.play(scenario)
+
+
+class Hangup(Case):
+    def test_new_settings_end_no_request_and_no_connection(self) -> None:
+        async def scenario(process: Process) -> None:
+            await process.add(Timed("i-1", takes_s=1.0))
+            await process.add(Timed("d-1", "decode", takes_s=1.0))
+            kept = await process.connect()
+            asked = [asyncio.ensure_future(process.ask(target)) for target in ("/unsafe/", "/stream/")]
+            kept[1].write(request_bytes("/unsafe/", headers=LONG))
+            await asyncio.sleep(0.5)
+            process.write(GRACE_S + 1)
+            process.context.reload()
+            self.assertEqual(process.context.settings.bounds.grace_s, GRACE_S + 1)
+            self.assertTrue(await process.ready())
+            answer = await read_answer(kept[0])
+            self.assertEqual((answer.status, "connection" in answer.headers), (200, False))
+            kept[1].write(request_bytes("/unsafe/", headers=LONG))
+            self.assertEqual((await read_answer(kept[0])).status, 200)
+            self.assertEqual([(await one).body for one in asked], [b"answer", events()])
+        self.play(scenario)
+
+
+class NewConfiguration(Case):
+    def test_what_was_taken_is_answered_by_its_service(self) -> None:
+        async def scenario(process: Process) -> None:
+            await process.add(Timed("i-1", takes_s=1.0))
+            await process.add(Timed("d-1", "decode", takes_s=1.0))
+            asked = [asyncio.ensure_future(process.ask(target)) for target in ("/unsafe/", "/stream/")]
+            await asyncio.sleep(0.5)
+            process.plane.gateway.set_configuration(WITHOUT_ROUTES, now())
+            self.assertEqual((await process.ask("/unsafe/")).status, 404)
+            self.assertEqual([(await one).body for one in asked], [b"answer", events()])
+        self.play(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
