--- /dev/null
+++ b/tests/test_rules_budget.py
@@ -0,0 +1,92 @@
+"""Arrivals of whole requests against what the retry budget was charged."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Sequence
+
+from mallowbeam.data_plane.retry_budget import BudgetSettings
+from mallowbeam.standins.model_server import Fault
+from tests.failing_instances import ByName, LostHandles, add
+from tests.gateway_bench import ENGINE, Bench, configuration, route
+from tests.timed_instances import Timed, now
+from tests.virtual_time import play
+
+PROMPT = {"Token-Usage": "1000,5", "Prompt-Prefix": "aa:600,bb:400"}
+ROUTES = configuration(
+    route("/safe/", "safe", max_retries=3), route("/unsafe/", "unsafe", max_retries=3),
+    route("/stream/", "stream", ENGINE, gap_aim_ms=100, max_retries=3),
+    route("/resume/", "stream", ENGINE, resumable=True, gap_aim_ms=100, max_retries=3))
+BUDGET = 50
+MOST_INSTANCES = 3          # of each route
+
+
+def one_too_many(arrivals: int, first_prefill_taken: bool) -> int:
+    """What a request's arrivals cost: all but the first, and but a first prefill call that was taken."""
+    return max(0, arrivals - first_prefill_taken - 1)
+
+
+class Charged(unittest.TestCase):
+    """The budget's charge is what the service sees, for every way that a request can go."""
+
+    def ask(self, target: str, faults: dict[str, Sequence[Fault]], readers: Sequence[str] = (),
+            lost: bool = False) -> tuple[int, int, list[int]]:
+        """Status, what was charged, and arrivals at each instance."""
+        result: list[tuple[int, int, list[int]]] = []
+
+        async def scenario() -> None:
+            async with Bench(ROUTES, ByName(*readers), BudgetSettings(0.0, 10.0, BUDGET)) as bench:
+                instances = [LostHandles(name, "prefill", lost=lost) for name in readers]
+                stage, backend = ("decode", ENGINE) if readers else ("", "plain")
+                instances += [Timed(f"x-{number}", stage) for number in (1, 2, 3)]
+                for one in instances:
+                    one.script.extend(faults.get(one.id, ()))
+                    await add(bench, one, backend)
+                answer = await bench.ask(target, headers=PROMPT if readers else None)
+                budget = bench.gateway.budgets.of(backend)
+                left = int(budget.available(now(), 1))
+                result.append((answer.status, BUDGET - left, [len(one.seen) for one in instances]))
+        play(scenario())
+        return result[0]
+
+    def test_a_first_prefill_call_that_is_taken_costs_nothing(self) -> None:
+        self.assertEqual(self.ask("/stream/", {}, ["p-1"]), (200, 0, [1, 1, 0, 0]))
+
+    def test_one_that_is_rejected_does_and_no_second_one_is_made(self) -> None:
+        for fault in (Fault.REJECT, Fault.MISDIRECT, Fault.FAIL, Fault.RESET):
+            self.assertEqual(self.ask("/stream/", {"p-1": [fault]}, ["p-1", "p-2"]),
+                             (200, 1, [1, 0, 1, 0, 0]), fault)
+
+    def test_each_arrival_after_the_first_is_charged(self) -> None:
+        for fault in (Fault.REJECT, Fault.MISDIRECT, Fault.RESET, Fault.FAIL, Fault.UNPROVEN_503):
+            self.assertEqual(self.ask("/safe/", {"x-1": [fault]}), (200, 1, [1, 1, 0]), fault)
+            self.assertEqual(self.ask("/safe/", {"x-1": [fault], "x-2": [fault]}), (200, 2, [1, 1, 1]), fault)
+
+    def test_a_handle_that_could_not_be_had(self) -> None:
+        """The decode instance rejects it: an arrival, and so is the next one."""
+        status, charged, arrivals = self.ask("/stream/", {}, ["p-1"], lost=True)
+        self.assertEqual((status, arrivals[0]), (200, 1))
+        self.assertEqual(charged, one_too_many(sum(arrivals), True))
+        self.assertGreaterEqual(charged, 1)
+
+    def test_a_stream_that_breaks_after_a_hand_over(self) -> None:
+        for fault in (Fault.CUT, Fault.RESET, Fault.FAIL):
+            self.assertEqual(self.ask("/resume/", {"x-1": [fault]}, ["p-1"]), (200, 1, [1, 1, 1, 0]), fault)
+
+    def test_no_way_of_failing_costs_less_than_it_should(self) -> None:
+        kinds = (None, Fault.REJECT, Fault.FAIL, Fault.RESET, Fault.CUT)
+        for target in ("/stream/", "/resume/"):
+            for reader in (None, Fault.REJECT, Fault.FAIL):
+                for first in kinds:
+                    for second in kinds:
+                        faults = {"p-1": [reader], "x-1": [first], "x-2": [second]}
+                        given = {name: [one for one in named if one] for name, named in faults.items()}
+                        _, charged, arrivals = self.ask(target, given, ["p-1"])
+                        taken = reader is None and arrivals[0] == 1
+                        self.assertEqual(charged, one_too_many(sum(arrivals), taken), (target, faults))
+                        places = sum(1 for count in arrivals if count) - taken
+                        self.assertLessEqual(places, MOST_INSTANCES, (target, faults))
+
+
+if __name__ == "__main__":
+    unittest.main()
