--- a/mallowbeam/data_plane/attempt.py
+++ b/mallowbeam/data_plane/attempt.py
@@ -35,11 +35,6 @@
     deadline: float                            # steady time by which the answer must be there
     signed: bool = True                        # whether a success carries its instance's signature
 
-    @property
-    def reads(self) -> bool:
-        """Whether only the prompt is to be read: the answer to that, and no other, is not signed."""
-        return not self.signed
-
 
 class Attempt:
     """A request that was sent, or could not be."""
@@ -121,5 +116,6 @@
         self.release()
 
     def _address(self, order: SendOrder) -> str | None:
-        instance: Instance | None = self._view.usable(order.instance, order.backend, order.reads)
+        # The answer to a call that has only the prompt read, and no other, is not signed.
+        instance: Instance | None = self._view.usable(order.instance, order.backend, reads=not order.signed)
         return instance.address if instance is not None else None
--- a/mallowbeam/streams/progress.py
+++ b/mallowbeam/streams/progress.py
@@ -17,9 +17,9 @@
         self.resumable = resumable
         self._parser = EventParser()
         self._last_id = parse_id(last_event_id) if last_event_id is not None else None
-        self._behind_id = True                 # nothing was passed on behind the last id
         self.events = 0                        # passed on so far
         self.fault = ""                        # why nothing more of this instance's stream is passed on
+        self._behind_id = True                 # nothing was passed on behind the last id
 
     @property
     def last_event_id(self) -> bytes | None:
