Requests: a Deadline-Ms with a fraction is one, a coded body is refused

The fraction is cut off; what is no number counts as none, as before. The check on codings that answers had holds for requests too.

--- a/mallowbeam/data_plane/client_request.py
+++ b/mallowbeam/data_plane/client_request.py
@@ -78,10 +78,11 @@
 
 
 def _deadline(value: bytes | None) -> int:
-    """Milliseconds; a value that is no number of them counts as none."""
-    if value is None or not value.isdigit() or len(value) > 9:
+    """Whole milliseconds, a fraction cut off; a value that is no number of them counts as none."""
+    whole, _, fraction = (value or b"").partition(b".")
+    if not whole.isdigit() or len(whole) > 9 or not (fraction or b"0").isdigit():
         return MOST_MS
-    return min(int(value), MOST_MS)
+    return min(int(whole), MOST_MS)
 
 
 def _token_usage(value: bytes) -> tuple[int, int]:
--- a/mallowbeam/http/framing.py
+++ b/mallowbeam/http/framing.py
@@ -159,10 +159,10 @@
         # Answers are bounded by what is kept of them: a streamed one may be of any length.
         if part.length is not None and part.length > self.max_body and not self.answers:
             self._fail(413, "body too large")
+        # Guards against a body whose end nothing marks, or that is another one once its coding is dropped.
+        if (part.get(b"transfer-encoding") or b"chunked").strip().lower() != b"chunked":
+            self._fail(400, "unknown transfer coding")
         if self.answers:
-            # Guards against a body whose end nothing marks: no other coding is asked for.
-            if (part.get(b"transfer-encoding") or b"chunked").strip().lower() != b"chunked":
-                self._fail(400, "unknown transfer coding")
             part.status = self.parser.get_status_code()
             part.until_close = (length is None and part.get(b"transfer-encoding") is None
                                 and part.status not in (204, 304) and not self.bodiless)
--- a/tests/test_rules_headers.py
+++ b/tests/test_rules_headers.py
@@ -6,7 +6,7 @@
 
 from mallowbeam.standins.model_server import Fault, ModelServer, Seen
 from tests.failing_instances import ByName, add
-from tests.gateway_bench import ENGINE, Bench, events
+from tests.gateway_bench import ENGINE, Bench, events, read_head
 from tests.virtual_time import play
 
 SYSTEMS = {"Stage": "prefill", "Kv-From": "10.9.9.9:1/feedbeef", "Target-Instance": "i-other",
@@ -110,6 +110,55 @@
         play(scenario())
 
 
+NAMED = b"Host: host.example\r\nRequest-Id: a1\r\n"
+POST = b"POST /unsafe/ HTTP/1.1\r\n" + NAMED
+ANOTHER = b"POST /unsafe/x HTTP/1.1\r\n" + NAMED.replace(b"a1", b"b2") + b"\r\n"
+CHUNKED = b"3\r\nabc\r\n0\r\n\r\n"
+
+
+class Smuggled(unittest.TestCase):
+    """What two readers could take for different requests reaches no instance, or is one whole request."""
+
+    def seen(self, data: bytes) -> tuple[int, list[Seen]]:
+        """The first answer's status, and what reached the instance."""
+        result: list[tuple[int, list[Seen]]] = []
+
+        async def scenario() -> None:
+            async with Bench(planner=ByName()) as bench:
+                instance = await bench.add("i-1")
+                reader, writer = await bench.client()
+                writer.write(data)
+                result.append(((await read_head(reader)).status, instance.seen))
+        play(scenario())
+        return result[0]
+
+    def test_refused(self) -> None:
+        for data in (
+                POST + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNKED,
+                POST + b"Content-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef",
+                POST + b"Content-Length: +3\r\n\r\nabc",
+                POST + b"Stage : prefill\r\nContent-Length: 3\r\n\r\nabc",
+                POST + b"X-A: 1\r\n Stage: prefill\r\nContent-Length: 3\r\n\r\nabc",
+                POST + b"X-A: 1\rStage: prefill\r\nContent-Length: 3\r\n\r\nabc",
+                POST + b"X-A: a\0b\r\nContent-Length: 3\r\n\r\nabc",
+                POST.replace(b"\r\n", b"\n") + b"Content-Length: 3\n\nabc",
+                POST + b"Transfer-Encoding: identity\r\nContent-Length: 3\r\n\r\nabc",
+                POST + b"Transfer-Encoding: gzip, chunked\r\n\r\n" + CHUNKED):
+            self.assertEqual(self.seen(data), (400, []), data)
+
+    def test_a_body_is_a_body_whatever_it_holds(self) -> None:
+        length = b"Content-Length: %d\r\n\r\n" % len(ANOTHER)
+        chunked = b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n" % (len(ANOTHER), ANOTHER)
+        for data in (POST + length + ANOTHER, POST + chunked):
+            status, (only,) = self.seen(data)
+            self.assertEqual((status, only.target, only.body), (200, "/unsafe/", ANOTHER))
+
+    def test_trailers_and_extensions_of_chunks_are_nobody_s_headers(self) -> None:
+        data = POST + b"Transfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n0\r\nStage: prefill\r\n\r\n"
+        status, (only,) = self.seen(data)
+        self.assertEqual((status, only.body, "stage" in only.headers), (200, b"abc", False))
+
+
 class _OfVersion(ModelServer):
     """Turns away what expects another version of its weights than 1."""
 
--- a/tests/test_rules_time.py
+++ b/tests/test_rules_time.py
@@ -82,6 +82,18 @@
                 self.assertLess(handed[2], 1800 - 600)
         play(scenario())
 
+    def test_a_fraction_of_a_millisecond(self) -> None:
+        """A value with one was read as none: the instance was handed the route's whole time-out."""
+        async def scenario() -> None:
+            for value in ("700.5", "700.", "700"):
+                async with Bench(ROUTES, ByName()) as bench:
+                    one = Timed("i-1")
+                    await add(bench, one)
+                    began = now()
+                    self.assertEqual((await bench.ask("/safe/", headers={"Deadline-Ms": value})).status, 200)
+                    self.check_handed_on(began, 700, [one])
+        play(scenario())
+
     def test_after_a_wait_for_its_cycle(self) -> None:
         async def scenario() -> None:
             async with Bench(ROUTES, Held(0.7)) as bench:
