--- a/mallowbeam/data_plane/attempt.py
+++ b/mallowbeam/data_plane/attempt.py
@@ -116,5 +116,6 @@
         self.release()
 
     def _address(self, order: SendOrder) -> str | None:
-        instance: Instance | None = self._view.usable(order.instance, order.backend)
+        # The answer to a call that has only the prompt read, and no other, is not signed.
+        instance: Instance | None = self._view.usable(order.instance, order.backend, reads=not order.signed)
         return instance.address if instance is not None else None
--- a/mallowbeam/http/framing.py
+++ b/mallowbeam/http/framing.py
@@ -106,6 +106,12 @@
         if self.quiet > max(MAX_QUIET, self.max_head):
             self.fault = self.fault or BadMessage(431, "header too large")
 
+    def bound(self, max_body: int, max_head: int) -> None:
+        """Other bounds from now on; what is coming in may still be as large as it was when it began."""
+        if self.part is not None:
+            max_body, max_head = max(max_body, self.max_body), max(max_head, self.max_head)
+        self.max_body, self.max_head = max_body, max_head
+
     @property
     def empty(self) -> bool:
         """Whether nothing is coming in and nothing waits."""
@@ -153,10 +159,10 @@
         # Answers are bounded by what is kept of them: a streamed one may be of any length.
         if part.length is not None and part.length > self.max_body and not self.answers:
             self._fail(413, "body too large")
+        # Guards against a body whose end nothing marks, or that is another one once its coding is dropped.
+        if (part.get(b"transfer-encoding") or b"chunked").strip().lower() != b"chunked":
+            self._fail(400, "unknown transfer coding")
         if self.answers:
-            # Guards against a body whose end nothing marks: no other coding is asked for.
-            if (part.get(b"transfer-encoding") or b"chunked").strip().lower() != b"chunked":
-                self._fail(400, "unknown transfer coding")
             part.status = self.parser.get_status_code()
             part.until_close = (length is None and part.get(b"transfer-encoding") is None
                                 and part.status not in (204, 304) and not self.bodiless)
--- a/mallowbeam/streams/progress.py
+++ b/mallowbeam/streams/progress.py
@@ -19,12 +19,18 @@
         self._last_id = parse_id(last_event_id) if last_event_id is not None else None
         self.events = 0                        # passed on so far
         self.fault = ""                        # why nothing more of this instance's stream is passed on
+        self._behind_id = True                 # nothing was passed on behind the last id
 
     @property
     def last_event_id(self) -> bytes | None:
         """The id behind which another instance has to go on; None: from the start."""
         return b"%d" % self._last_id if self._last_id is not None else None
 
+    @property
+    def may_resume(self) -> bool:
+        """Whether another instance can go on just behind what was passed on."""
+        return self.resumable and self._behind_id
+
     @property
     def partial(self) -> bool:
         """Whether the stream stands inside an event."""
@@ -44,6 +50,7 @@
                     self.fault = f"event id {event.id} behind {self._last_id}"
                     break
                 self._last_id = event.id
+            self._behind_id = event.id is not None
             whole.append(event.raw)
         if self._parser.endless:
             self.fault = "an event without end"
