One gate for what a member says; feeds hold back configuration and table while out of touch

Cause: each part of the member decided for itself what it may say, and some decided nothing: a member that was cut off handed a new gateway its old configuration and table, and the gateway called itself ready with them; a read confirmed before the process stood still was answered with 200 after it; a call at a member cut off for long was held 0.7 s before its 503, and no answer named another member.

Change: control_plane/serving.py names the condition of each thing said; api, instances, feeds' status and stage orders ask it in the step in which bytes are written. The publisher holds back what the allowance leaves out and sends it once allowed. A gateway becomes ready only while the member that it follows is in touch. Feed heartbeats carry the member's steady clock (FeedHeartbeat.sent_at_ms, messages_pb2 regenerated), so that frames held up on the way count as old (feed/lateness.py). When a followed member is no longer current, what was learnt of the others before is forgotten. 5xx answers name the other members' control addresses.

--- a/mallowbeam/control_plane/answers.py
+++ b/mallowbeam/control_plane/answers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from mallowbeam.errors import MallowbeamError
 from mallowbeam.http.framing import Headers, write_head
@@ -76,8 +76,12 @@
     return Reply(status, write_head(status, headers, len(body), close) + body)
 
 
-def error_reply(status: int, error: MallowbeamError, close: bool) -> Reply:
-    """An answer that tells what is wrong, where, and what to do."""
+def error_reply(status: int, error: MallowbeamError, close: bool, others: Sequence[str] = ()) -> Reply:
+    """An answer that tells what is wrong, where, and what to do.
+
+    With a 5xx, `others` are the control addresses of members to which the caller may turn. A redirection to
+    one of them would be a guess: it may be cut off as well.
+    """
     told = {
         "code": getattr(error, "code", "") or type(error).__name__,
         "where": error.where,
@@ -85,4 +89,7 @@
         "remedy": error.cure,
     }
     more = (RETRY_AFTER,) if status == 503 else ()
-    return json_reply(status, {"error": told}, close, *more)
+    page: dict[str, object] = {"error": told}
+    if status >= 500 and others:
+        page["members"] = list(others)
+    return json_reply(status, page, close, *more)
--- a/mallowbeam/control_plane/api.py
+++ b/mallowbeam/control_plane/api.py
@@ -18,6 +18,7 @@
 )
 from mallowbeam.control_plane.commands import Commands
 from mallowbeam.control_plane.instances import Instances
+from mallowbeam.control_plane.serving import AppliedEntry, ConfirmedRead, Said, ServingGate
 from mallowbeam.control_plane.status import StatusPage
 from mallowbeam.errors import MallowbeamError
 from mallowbeam.http.framing import Budget, Message
@@ -43,10 +44,10 @@
     max_body = whole = MOST_BODY
 
     def __init__(self, parser: ConfigurationParser, versions: ConfigurationVersions, commands: Commands,
-                 instances: Instances, status: StatusPage) -> None:
+                 instances: Instances, status: StatusPage, gate: ServingGate) -> None:
         self.budget: Budget | None = Budget(MOST_BODIES)
         self._parser, self._versions, self._commands = parser, versions, commands
-        self._instances, self._status = instances, status
+        self._instances, self._status, self._gate = instances, status, gate
         self._calls: dict[tuple[bytes, bytes], Call] = {
             (CONFIG_PATH, b"PUT"): self._put_config,
             (CONFIG_PATH, b"GET"): self._get_config,
@@ -61,13 +62,13 @@
         try:
             status, body = await self._find(request)(request, since)
         except CallError as error:
-            return error_reply(error.status, error, closing())
+            return error_reply(error.status, error, closing(), self._status.other_controls())
         except ConfigurationError as error:
             return error_reply(error.status, error, closing())
         except HeartbeatError as error:
             return error_reply(400, error, closing())
         except MallowbeamError as error:
-            return error_reply(503, error, closing())
+            return error_reply(503, error, closing(), self._status.other_controls())
         return body_reply(status, body, closing())
 
     def complain(self, status: int, text: str) -> Reply:
@@ -93,16 +94,23 @@
     async def _put_config(self, request: Message, since: float) -> tuple[int, bytes]:
         based_on = _based_on(request)
         parsed = self._parser.parse(bytes(request.body))
+        self._gate.check_reachable()
         command = Command(put_configuration=put_command(parsed, based_on))
         outcome = await self._commands.submit(command, since)
+        evidence = AppliedEntry(outcome.index)
+        if outcome.result in (VERSION_MISMATCH, REVISION_NOT_ABOVE):
+            self._gate.check(Said.CHANGE_REFUSED, evidence)
         if outcome.result == VERSION_MISMATCH:
             raise VersionMismatchError("another version is current", "If-Match")
         if outcome.result == REVISION_NOT_ABOVE:
             raise RevisionNotAboveError("not above the current revision", "revision")
+        self._gate.check(Said.CHANGE_ACKNOWLEDGED, evidence)
         return 200, b'{"revision":%d}' % parsed.configuration.revision
 
     async def _get_config(self, request: Message, since: float) -> tuple[int, bytes]:
+        self._gate.check_reachable()
         await self._commands.read_barrier(since)
+        self._gate.check(Said.CONFIGURATION_READ, ConfirmedRead(since))
         body = self._versions.current_body()
         if not body:
             raise CallError("no configuration was taken yet", status=404)
--- a/mallowbeam/control_plane/instances.py
+++ b/mallowbeam/control_plane/instances.py
@@ -10,9 +10,9 @@
 from collections.abc import Callable
 from random import Random
 
-from mallowbeam.control_plane.answers import OutOfTouchError
 from mallowbeam.control_plane.commands import Commands
 from mallowbeam.control_plane.peer_links import PeerLinks
+from mallowbeam.control_plane.serving import AppliedEntry, Said, ServingGate
 from mallowbeam.control_plane.stage_orders import StageOrders
 from mallowbeam.registry.census import GatewayCensus
 from mallowbeam.registry.retirements import Retirements
@@ -30,7 +30,6 @@
 )
 
 OUT_OF_TOUCH = 1.0             # seconds unheard after which another member, or the group, is out of touch
-MOST_SILENCE = 2.0             # seconds out of touch after which heartbeats are not acknowledged
 
 
 class Instances:
@@ -38,15 +37,14 @@
 
     def __init__(self, table: InstanceTable, retirements: Retirements, commands: Commands, links: PeerLinks,
                  changed: Callable[[], None], gateways: Callable[[], int],
-                 silence: Callable[[], float], random: Random) -> None:
+                 gate: ServingGate, random: Random) -> None:
         """`changed` is called when gateways must learn of something.
 
-        `gateways` counts those that follow this member; `silence` tells the seconds since this member's state
-        was known to be current.
+        `gateways` counts those that follow this member.
         """
         self._table, self._retirements, self._commands = table, retirements, commands
         self._links, self._changed, self._random = links, changed, random
-        self._gateways, self._silence = gateways, silence
+        self._gateways, self._gate = gateways, gate
         self.census = GatewayCensus()
 
     # ------------------------------------------------------------ calls
@@ -61,19 +59,26 @@
         before = self._table.version
         self._table.heard(instance, time.monotonic())
         self._tell(before)
-        if draining and self._retirements.kind(instance.id) is None:
+        if draining:
             await self._retire(instance.id, DRAINING, since)
-        elif self._silence() > MOST_SILENCE:
-            raise OutOfTouchError("this member is cut off from the group")
+        else:
+            self._gate.check(Said.HEARTBEAT_ACKNOWLEDGED)
 
     async def delete(self, id: str, since: float) -> None:
         """An instance has ended; returns once that may be acknowledged, raises as `Commands.submit`."""
         self.retired(RetireInstance(id=id, kind=GONE), announce=True)
-        if self._retirements.kind(id) != GONE:
-            await self._retire(id, GONE, since)
+        await self._retire(id, GONE, since)
 
     async def _retire(self, id: str, kind: RetirementKind, since: float) -> None:
-        await self._commands.submit(Command(retire_instance=RetireInstance(id=id, kind=kind)), since)
+        """Have the log hold a retirement, unless this member has applied it, or one that says more."""
+        if self._retirements.kind(id) in (kind, GONE):
+            evidence = AppliedEntry(self._commands.applied_index)
+        else:
+            self._gate.check_reachable()
+            outcome = await self._commands.submit(Command(retire_instance=RetireInstance(id=id, kind=kind)),
+                                                  since)
+            evidence = AppliedEntry(outcome.index)
+        self._gate.check(Said.RETIREMENT_ACKNOWLEDGED, evidence)
 
     # ------------------------------------------------------------ from the log and from other members
 
@@ -102,7 +107,7 @@
     def look(self, members: list[int]) -> None:
         """Let time pass; to be called several times a second with the ids of the other members."""
         now = time.monotonic()
-        if self._silence() > OUT_OF_TOUCH:
+        if self._gate.silence() > OUT_OF_TOUCH:
             self._table.out_of_touch(now)
         before = self._table.version
         self._table.expire(now)
--- a/mallowbeam/control_plane/member.py
+++ b/mallowbeam/control_plane/member.py
@@ -21,6 +21,7 @@
 from mallowbeam.control_plane.opening import OpenedStore
 from mallowbeam.control_plane.peer_links import PeerLinks
 from mallowbeam.control_plane.raft_driver import RaftDriver
+from mallowbeam.control_plane.serving import ServingGate
 from mallowbeam.control_plane.stage_orders import StageOrders
 from mallowbeam.control_plane.state_machine import ConfigurationFeed, ReplicatedStateMachine
 from mallowbeam.control_plane.status import StatusPage
@@ -82,19 +83,22 @@
         raft_settings = RaftSettings(opened.identity, trailing_entries=TRAILING_ENTRIES)
         node = RaftNode(raft_settings, opened.restored, now, random.Random())
         self._driver = RaftDriver(node, self._machine, self._disk.submit, self._send_raft, self)
+        self._gate = ServingGate(time.monotonic, self._driver.silence, lambda: self._driver.is_leader)
         self._commands = Commands(self._driver, self._links)
         self._instances = Instances(
             self._table, self._machine.retirements, self._commands, self._links, self._flush_soon,
-            self._count_feeds, self._driver.silence, random.Random())
-        self._status = StatusPage(self._driver, self._links, self._table, self._machine.configurations)
+            self._count_feeds, self._gate, random.Random())
+        self._status = StatusPage(self._driver, self._links, self._table, self._machine.configurations,
+                                  self._gate)
         self._stages = StageOrders(self._driver, opened.identity, self._table, self._machine.configurations,
-                                   self._flush_soon, settings.bounds.lease_ms / 1000)
+                                   self._flush_soon, self._gate, settings.bounds.lease_ms / 1000)
         feed = ConfigurationFeed(self._machine.configurations)
         self._feeds = Feeds(FeedPublisher(feed, self._table), self._status.feed_status, self._flush_soon,
                             self._stages.gateways)
         self._group = GroupKeeper(self._driver, self._own, settings.bootstrap, seed_links(settings))
         self._listener = LinkListener(self._links, self, self._feeds)
-        api = ControlApi(parser, self._machine.configurations, self._commands, self._instances, self._status)
+        api = ControlApi(parser, self._machine.configurations, self._commands, self._instances, self._status,
+                         self._gate)
         self._server = Server(split_address(self._own.control), api, MOST_CONNECTIONS, shared=False)
         self._machine.restore(opened.restored.snapshot.state)
 
--- a/mallowbeam/control_plane/stage_orders.py
+++ b/mallowbeam/control_plane/stage_orders.py
@@ -17,6 +17,7 @@
 from mallowbeam.configuration.versions import ConfigurationVersions
 from mallowbeam.consensus.errors import ConsensusError
 from mallowbeam.control_plane.raft_driver import RaftDriver
+from mallowbeam.control_plane.serving import Said, ServingGate
 from mallowbeam.http.client import Broken, Link, Unsent, connect
 from mallowbeam.http.framing import write_request
 from mallowbeam.pairing.order_lease import OrderLease, OrderLeaseSettings, Standing
@@ -57,14 +58,14 @@
     """Joins demand, decisions and lease with the log, the registry and the instances."""
 
     def __init__(self, driver: RaftDriver, holder: int, table: InstanceTable, versions: ConfigurationVersions,
-                 changed: Callable[[], None], lease_s: float,
+                 changed: Callable[[], None], gate: ServingGate, lease_s: float,
                  settings: StageShareSettings | None = None) -> None:
         """`holder` is this member's id, `lease_s` what must lie between the orders of two holders.
 
         `changed` is called when gateways must learn of something.
         """
         self._driver, self._holder, self._table, self._versions = driver, holder, table, versions
-        self._changed = changed
+        self._changed, self._gate = changed, gate
         self._settings = settings or StageShareSettings()
         self.gateways = DemandTable()          # by the subscriber's number
         self._members = DemandTable()          # by member id
@@ -101,7 +102,7 @@
         self._observe(now)
         if self._has_engines() and self._lease.should_acquire(self._standing(now), now):
             self._start(self._acquire(self._driver.node.term))
-        if self._table.complete(now) and self._lease.token(self._standing(now), now) is not None:
+        if self._table.complete(now) and self._token(now) is not None:
             for backend in self._instances:
                 self._decide(backend, now)
 
@@ -115,6 +116,12 @@
         node = self._driver.node
         return Standing(self._driver.is_leader, node.term, node.freshness(now))
 
+    def _token(self, now: float) -> int | None:
+        """The token under which an order may be sent in this step; None: none may."""
+        if not self._gate.may(Said.INSTANCE_ORDER):
+            return None
+        return self._lease.token(self._standing(now), now)
+
     def _read_instances(self, now: float) -> None:
         """Bring the instances of services with model servers up to date."""
         if self._table.version == self._read_version and now - self._read_at < REREAD_S:
@@ -198,7 +205,7 @@
         try:
             link.channel.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
             now = time.monotonic()
-            token = self._lease.token(self._standing(now), now)
+            token = self._token(now)
             if token is None:                  # leadership may have passed on while the connection came up
                 return OrderResult.NOT_SENT
             with suppress(TimeoutError, Unsent, Broken):
--- a/mallowbeam/control_plane/status.py
+++ b/mallowbeam/control_plane/status.py
@@ -8,6 +8,7 @@
 from mallowbeam.configuration.versions import ConfigurationVersions
 from mallowbeam.control_plane.peer_links import PeerLinks
 from mallowbeam.control_plane.raft_driver import RaftDriver
+from mallowbeam.control_plane.serving import ServingGate
 from mallowbeam.feed.publisher import NO_TABLE, MemberStatus
 from mallowbeam.registry.table import InstanceTable
 from mallowbeam.rpc.messages_pb2 import DRAINS, ENDED, Instance, Member
@@ -20,8 +21,8 @@
     """Collects what the member's parts know."""
 
     def __init__(self, driver: RaftDriver, links: PeerLinks, table: InstanceTable,
-                 versions: ConfigurationVersions) -> None:
-        self._driver, self._links = driver, links
+                 versions: ConfigurationVersions, gate: ServingGate) -> None:
+        self._driver, self._links, self._gate = driver, links, gate
         self._table, self._versions = table, versions
         self.gateways = 0                      # of the fleet, as last counted
 
@@ -33,6 +34,8 @@
             "leader": name(node.leader_id) if node.leader_id is not None else None,
             "term": node.term,
             "role": node.role.value,
+            "silence_ms": milliseconds(self._gate.silence()),
+            "out_of_touch": self._gate.out_of_touch,
             "commit_index": node.commit_index,
             "applied_index": self._driver.applied_index,
             "members": [self._member(member) for member in node.membership.members],
@@ -46,7 +49,13 @@
     def feed_status(self) -> MemberStatus:
         """What gateways are told beside configuration and instances."""
         members = sorted(member.address for member in self._driver.node.membership.members)
-        return MemberStatus(milliseconds(self._driver.silence()), self.gateways, tuple(members))
+        allowance = self._gate.feed_allowance()
+        return MemberStatus(milliseconds(self._gate.silence()), self.gateways, tuple(members), allowance)
+
+    def other_controls(self) -> list[str]:
+        """The other members' control addresses: where a call that is refused here may be answered."""
+        members = self._driver.node.membership.members
+        return [member.control for member in members if member.control and member.id != self._links.own.id]
 
     def _member(self, member: Member) -> dict[str, object]:
         own = member.id == self._links.own.id
--- a/mallowbeam/feed/candidates.py
+++ b/mallowbeam/feed/candidates.py
@@ -39,6 +39,7 @@
         self._seeds = tuple(dict.fromkeys(seeds))
         self._members: tuple[str, ...] = ()
         self._random = random
+        self.patient = True                    # False: not ready before it finds a current one
         self._known: dict[str, Candidate] = {address: Candidate() for address in self._seeds}
 
     def learn(self, members: Iterable[str]) -> None:
@@ -73,11 +74,20 @@
         candidate.unfit_times = 0
 
     def unfit(self, address: str, now: float) -> None:
-        """Leave a member aside while others are fit, for longer each time; nothing new while that lasts."""
+        """Leave a member aside while others are fit; nothing new while that lasts.
+
+        That lasts longer each time where the gateway is patient.
+        """
         candidate = self.get(address)
         if candidate.fit(now):
             candidate.unfit_until = now + min(UNFIT_LEAST_S * 2**min(candidate.unfit_times, 16), UNFIT_MOST_S)
-            candidate.unfit_times += 1
+            candidate.unfit_times += self.patient
+
+    def reconsider_others(self, address: str) -> None:
+        """A member that was current no longer is: what was learnt of the others before is old."""
+        for other, candidate in self._known.items():
+            if other != address:
+                candidate.unfit_until = 0.0
 
     def choose(self, now: float) -> str | None:
         """The member to try now; None: all are backed off from.
--- a/mallowbeam/feed/publisher.py
+++ b/mallowbeam/feed/publisher.py
@@ -34,6 +34,18 @@
         """
 
 
+@dataclass(frozen=True, slots=True)
+class FeedAllowance:
+    """What a member may tell gateways now; what it may not is held back until it may.
+
+    Heartbeats and the list of members may always be told.
+    """
+
+    configuration: bool = True                 # whole or as a change
+    table: bool = True                         # all instances
+    instance_changes: bool = True              # to gateways that have the table
+
+
 @dataclass(frozen=True, slots=True)
 class MemberStatus:
     """What the host knows beside the two tables."""
@@ -41,6 +53,7 @@
     leader_silence_ms: int                     # since this member's state was known to be current
     gateways: int                              # in the whole fleet
     members: tuple[str, ...]                   # peer addresses of all members
+    allowance: FeedAllowance = FeedAllowance()
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +112,7 @@
         if status.members != self._members:
             self._members = status.members
             self._members_version += 1
+        stamp_ms = int(now * 1000)
         complete = self._table.complete(now)
         groups: dict[_Cursor, list[int]] = {}
         for subscriber, cursor in self._cursors.items():
@@ -106,10 +120,11 @@
                 groups.setdefault(cursor, []).append(subscriber)
         batches: list[FeedBatch] = []
         for cursor, subscribers in groups.items():
-            after = self._after(cursor, complete)
+            after = self._after(cursor, complete, status.allowance)
             if after == cursor and not due:
                 continue
             frame = self._frame(cursor, after, complete, status)
+            frame.heartbeat.sent_at_ms = stamp_ms
             if frame.instances.whole:
                 after = after._replace(complete=complete)
             batches.append(FeedBatch(frame, encode_frame(frame), tuple(subscribers)))
@@ -117,14 +132,16 @@
                 self._cursors[subscriber] = after
         return batches
 
-    def _after(self, cursor: _Cursor, complete: bool) -> _Cursor:
-        """Where a subscriber stands once it has all that there is."""
-        return _Cursor(
-            revision=max(cursor.revision, self._configuration.revision),
-            version=self._table.version,
-            complete=cursor.complete or complete,
-            members=self._members_version,
-        )
+    def _after(self, cursor: _Cursor, complete: bool, allowance: FeedAllowance) -> _Cursor:
+        """Where a subscriber stands once it has all that it may be told."""
+        after = cursor._replace(members=self._members_version)
+        if allowance.configuration:
+            after = after._replace(revision=max(cursor.revision, self._configuration.revision))
+        if allowance.table:
+            after = after._replace(complete=cursor.complete or complete)
+        if allowance.table if cursor.version == NO_TABLE else allowance.instance_changes:
+            after = after._replace(version=self._table.version)
+        return after
 
     def _frame(self, cursor: _Cursor, after: _Cursor, complete: bool, status: MemberStatus) -> FeedFrame:
         """The frame that leads from one cursor to the other."""
@@ -139,7 +156,7 @@
             if update is not None:
                 frame.configuration.CopyFrom(update)
         newly_complete = after.complete and not cursor.complete
-        if newly_complete or cursor.version == NO_TABLE:
+        if newly_complete or cursor.version == NO_TABLE != after.version:
             frame.instances.CopyFrom(self._table.changes_since(NO_TABLE))
         elif cursor.version != after.version:
             frame.instances.CopyFrom(self._table.changes_since(cursor.version))
--- a/mallowbeam/feed/subscriber.py
+++ b/mallowbeam/feed/subscriber.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 from types import MappingProxyType
 from typing import Generic, TypeVar
@@ -12,6 +12,7 @@
 from mallowbeam.errors import MallowbeamError
 from mallowbeam.feed.candidates import Candidates
 from mallowbeam.feed.instances import InstanceChanges, InstanceCopy
+from mallowbeam.feed.lateness import FrameLateness
 from mallowbeam.feed.limits import (
     CONNECT_TIMEOUT_S,
     GATEWAYS_WINDOW_S,
@@ -72,6 +73,8 @@
     since: float
     open: bool = False
     heard_at: float = 0.0
+    lateness: FrameLateness = field(default_factory=FrameLateness)
+    was_in_touch: bool = False                 # by any heartbeat of the member
     out_of_touch: bool = False                 # by the member's last heartbeat
     behind: bool = False                       # the member sent an older configuration than is held
     broken: bool = False                       # its changes don't fit what is held: needs a new start
@@ -90,6 +93,7 @@
         self._zone, self._gateway, self._incarnation = zone, gateway, incarnation
         self._apply_update = apply_update
         self._candidates = Candidates(seeds, random)
+        self._candidates.patient = False       # until it is ready
         self._link: _Link | None = None
         self._copy = InstanceCopy()
         self._first_frame_at: float | None = None
@@ -114,11 +118,22 @@
         return max(self.gateways, self._counts[0][1] if self._counts else 0)
 
     def ready(self, now: float) -> bool:
-        """Whether requests can be served; once true it stays so, also without a feed."""
-        if not self._was_ready and self.configuration_revision > 0:
+        """Whether requests can be served; once true it stays so, also without a feed.
+
+        What a gateway begins with has to be current: it becomes ready while it follows a member in touch.
+        """
+        if not self._was_ready and self.configuration_revision > 0 and self._follows_current(now):
             self._was_ready = self._table_complete or (bool(self._copy.held) and self._waited(now))
+            self._candidates.patient = self._was_ready
         return self._was_ready
 
+    def _follows_current(self, now: float) -> bool:
+        """Whether the member that is followed was in touch by its last word, which is not old."""
+        link = self._link
+        if link is None or not link.was_in_touch or link.out_of_touch or link.broken:
+            return False
+        return now - link.heard_at <= MOST_SILENCE_S
+
     def _waited(self, now: float) -> bool:
         """Whether a table that is not complete will do."""
         return self._first_frame_at is not None and now - self._first_frame_at > READY_WITHOUT_COMPLETE_S
@@ -138,6 +153,7 @@
         if not link.open:
             return Wait(link.since + CONNECT_TIMEOUT_S)
         if now - link.heard_at > MOST_SILENCE_S:
+            self._reconsider_others(link)
             self._candidates.failed(link.address, now)
             return self._give_up(link)
         unfit = link.out_of_touch or link.behind
@@ -159,6 +175,7 @@
     def failed(self, address: str, now: float) -> None:
         """Take note that a connection could not be opened, or that its peer ended it."""
         if self._link is not None and self._link.address == address:
+            self._reconsider_others(self._link)
             self._link = None
             self._candidates.failed(address, now)
 
@@ -170,6 +187,12 @@
         self._link = _Link(address, now)
         return Connect(address)
 
+    def _reconsider_others(self, link: _Link) -> None:
+        """Have the others tried soon, once, where the member followed is no longer current."""
+        if link.was_in_touch:
+            link.was_in_touch = False
+            self._candidates.reconsider_others(link.address)
+
     def _give_up(self, link: _Link) -> Close:
         """Leave the member."""
         self._link = None
@@ -193,19 +216,25 @@
         changes = InstanceChanges()
         if frame.HasField("instances"):
             changes = self._take_instances(frame.instances, frame.heartbeat.table_complete)
+        self.ready(now)
         return FeedEvents(configuration, changes)
 
     def _take_heartbeat(self, link: _Link, heartbeat: FeedHeartbeat, now: float) -> None:
         """Judge the member by its silence, and learn the fleet's size and members."""
         silence_ms = heartbeat.leader_silence_ms
+        if heartbeat.sent_at_ms:
+            silence_ms += int(link.lateness.frame(heartbeat.sent_at_ms / 1000, now) * 1000)
         self._candidates.served(link.address, now - silence_ms / 1000)
         if heartbeat.members:
             self._candidates.learn(heartbeat.members)
         link.out_of_touch = silence_ms > MOST_LEADER_SILENCE_MS
         if link.out_of_touch:
+            self._reconsider_others(link)
             self._candidates.unfit(link.address, now)
-        elif not link.behind:
-            self._candidates.fit(link.address)
+        else:
+            link.was_in_touch = True
+            if not link.behind:
+                self._candidates.fit(link.address)
         if not link.out_of_touch or heartbeat.gateways > self.gateways:
             self._count(heartbeat.gateways, now)
 
--- a/tests/test_control_plane_instances.py
+++ b/tests/test_control_plane_instances.py
@@ -10,6 +10,7 @@
 from mallowbeam.control_plane.commands import Commands
 from mallowbeam.control_plane.instances import Instances
 from mallowbeam.control_plane.peer_links import PeerLinks
+from mallowbeam.control_plane.serving import ServingGate
 from mallowbeam.registry.retirements import Retirements
 from mallowbeam.registry.table import InstanceTable
 from mallowbeam.rpc.messages_pb2 import PeerFrame, RegistryGossip
@@ -36,9 +37,10 @@
         self.links = Links()
         table = InstanceTable(heartbeat_interval_s=1.0, started_at=time.monotonic())
         table.merge(RegistryGossip(whole=True), time.monotonic())      # it knows all that there is
+        gate = ServingGate(time.monotonic, lambda: 0.0, lambda: False)
         self.instances = Instances(
             table, Retirements(), cast(Commands, None), cast(PeerLinks, self.links), changed=lambda: None,
-            gateways=lambda: 0, silence=lambda: 0.0, random=Random(1))
+            gateways=lambda: 0, gate=gate, random=Random(1))
 
     def asked(self) -> list[int]:
         """Whom one look asks for all that they know."""
--- a/tests/test_registry_processes.py
+++ b/tests/test_registry_processes.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from mallowbeam.control_plane.serving import ServingGate
 from mallowbeam.feed import Close, Connect, FeedPublisher, FeedSubscriber, MemberStatus
 from mallowbeam.feed.limits import CONNECT_TIMEOUT_S
 from mallowbeam.registry import GatewayCensus, Retirements
@@ -147,8 +148,9 @@
 
     def feed(self, now: float) -> None:
         silence = round((now - self.current_at) * 1000)
+        gate = ServingGate(lambda: now, lambda: now - self.current_at, lambda: False)
         status = MemberStatus(silence, self.census.total(len(self.publisher), now),
-                              tuple(f"{name}:1" for name in self.world.members))
+                              tuple(f"{name}:1" for name in self.world.members), gate.feed_allowance())
         for batch in self.publisher.frames(now, status):
             frame = FeedFrame.FromString(batch.encoded[4:])
             for number in batch.subscribers:
