Scenarios and a model of what a member says; heartbeats are acknowledged for 1 s out of touch, not 2

Cause: a leader cut off from the other members acknowledged heartbeats for 2 s and more.

Scenarios: a cut-off leader that is asked, one-way cuts, frozen members, disks in trouble, a new gateway that reaches only the cut-off member, no majority and a new gateway. The simulation has 'get via M', 'call I M' and 'launch-gateway G', instances go on to the next member of the list, and each gateway's first configuration must not be old.

--- a/mallowbeam/control_plane/serving.py
+++ b/mallowbeam/control_plane/serving.py
@@ -19,7 +19,8 @@
 
 CALL_AGE_S = 1.0               # a confirmed read is answered up to this age of its call: callers wait so long
 FEED_SILENCE_S = 1.0           # out of touch for longer: no configuration and no table to gateways
-HEARTBEAT_SILENCE_S = 2.0      # out of touch for longer: heartbeats and calls are refused at once
+HEARTBEAT_SILENCE_S = 1.0      # out of touch for longer: no heartbeat is acknowledged
+REACHABLE_SILENCE_S = 2.0      # out of touch for longer: calls are refused at once
 ORDER_SILENCE_S = 0.5          # since a majority confirmed the leader: up to it, instances get orders
 
 
@@ -162,7 +163,7 @@
         A member that has just started first gets the time that it takes to find the leader.
         """
         running = self._clock() - self._started_at
-        if min(self._silence(), running) > HEARTBEAT_SILENCE_S:
+        if min(self._silence(), running) > REACHABLE_SILENCE_S:
             raise OutOfTouchError("this member is cut off from the group")
 
     def feed_allowance(self) -> FeedAllowance:
--- a/mallowbeam/simulation/fleet.py
+++ b/mallowbeam/simulation/fleet.py
@@ -5,8 +5,10 @@
 which ``leader`` and ``followers`` name members too::
 
     at 1 put REVISION on BASED [via M]    the operator sends a configuration until there is a clear answer
-    at 1 get                              the operator reads the configuration back
+    at 1 get [via M]                      the operator reads the configuration back
     at 1 drain I      delete I            an instance says that it leaves, or has ended
+    at 1 call I M                         an instance's next call goes to this member
+    at 1 launch-gateway G                 a new gateway
     at 1 launch I                         a new instance
     at 1 wipe M                           a member loses its disk, and starts again
     at 1 add M                            a new machine with an empty disk
@@ -17,7 +19,8 @@
 ``WHO revision N``; ``G ready``; ``G I ready|draining|absent``; ``G gateways N``.
 
 At all times: each term has one leader at most, no gateway's configuration goes back, what was acknowledged is
-read back, and no task of a process fails unhandled.
+read back, what a gateway begins with is not old (its first configuration, and the one with which it becomes
+ready), and no task of a process fails unhandled.
 """
 
 from __future__ import annotations
@@ -36,6 +39,7 @@
 
 SEEDS = 3
 START_WITHIN_S = 0.3
+OLD_AFTER_S = 3.0           # a configuration is old so long after the acknowledgement of a newer one
 
 
 def term_of(member: SimulatedMember) -> int:
@@ -58,6 +62,8 @@
         self.operator.machine.start()
         self._leaders: dict[int, str] = {}     # by term
         self._revisions: dict[str, tuple[int, int]] = {}   # gateways: incarnation and revision last seen
+        self._ready: dict[str, int] = {}       # gateways: incarnation in which they became ready
+        self._acknowledged: list[tuple[float, int]] = []   # when each revision was, oldest first
         self.simulator.check(self._check)
 
     # ------------------------------------------------------------ declarations
@@ -72,10 +78,7 @@
     def declare_gateways(self, *names: str) -> None:
         """The gateways."""
         for name in names:
-            machine = self._new_machine(name, "gateways")
-            settings = settings_of(name, machine.ip, self.seeds, member=False, bootstrap=True)
-            self.gateways[name] = SimulatedGateway(machine, self.streams, settings)
-            self._start_soon(machine)
+            self.do_launch_gateway(name)
 
     def declare_instances(self, *names: str) -> None:
         """The first instances."""
@@ -100,9 +103,11 @@
             raise ValueError("needs put REVISION on BASED [via M]")
         self.operator.put(int(revision), int(based_on), self.names(member)[0] if member else "")
 
-    def do_get(self) -> None:
+    def do_get(self, via: str = "", member: str = "") -> None:
         """Read the configuration back."""
-        self.operator.get()
+        if via and via != "via":
+            raise ValueError("needs get [via M]")
+        self.operator.get(self.names(member)[0] if member else "")
 
     def do_drain(self, name: str) -> None:
         """Have an instance leave."""
@@ -112,6 +117,17 @@
         """Have an instance end."""
         self.instances[name].delete()
 
+    def do_call(self, name: str, member: str) -> None:
+        """Have an instance turn to a member."""
+        self.instances[name].member = self.names(member)[0]
+
+    def do_launch_gateway(self, name: str) -> None:
+        """A new gateway."""
+        machine = self._new_machine(name, "gateways")
+        settings = settings_of(name, machine.ip, self.seeds, member=False, bootstrap=True)
+        self.gateways[name] = SimulatedGateway(machine, self.streams, settings)
+        self._start_soon(machine)
+
     def do_launch(self, name: str) -> None:
         """A new instance."""
         machine = self._new_machine(name, "instances")
@@ -161,8 +177,7 @@
             case (who, "gateways", number):
                 return all(self._subscriber(name).gateways == int(number) for name in self.names(who))
             case (who, "ready"):
-                return all(self._subscriber(name).ready(self.network.machines[name].clock())
-                           for name in self.names(who))
+                return all(self._is_ready(name) for name in self.names(who))
             case (who, instance, "ready" | "draining" | "absent" as state):
                 return all(self.gateways[name].instance_state(instance) == state for name in self.names(who))
         raise ValueError("no such condition")
@@ -235,6 +250,8 @@
     # ------------------------------------------------------------ what holds at all times
 
     def _check(self) -> None:
+        if not self._acknowledged or self._acknowledged[-1][1] != self.operator.acknowledged:
+            self._acknowledged.append((self.simulator.now, self.operator.acknowledged))
         for member in self._leading():
             term = term_of(member)
             leader = self._leaders.setdefault(term, member.machine.name)
@@ -245,12 +262,35 @@
             back = incarnation == gateway.machine.incarnation and now < before
             self._must(not back, f"{name}: the configuration went back from {before} to {now}")
             self._revisions[name] = gateway.machine.incarnation, now
+            if now > 0 and (before == 0 or incarnation != gateway.machine.incarnation):
+                self._check_not_old(name, now, "is first told")
+            if gateway.machine.running and self._became_ready(name):
+                self._check_not_old(name, now, "becomes ready with")
         self._must(not self.operator.lost, self.operator.lost)
         for name, member in self.members.items():
             self._check_failures(name, member.loop)
         for name, gateway in self.gateways.items():
             self._check_failures(name, gateway.loop)
 
+    def _became_ready(self, name: str) -> bool:
+        """Whether a gateway is ready now and was not before in this life of its process."""
+        incarnation = self.gateways[name].machine.incarnation
+        if self._ready.get(name) == incarnation or not self._is_ready(name):
+            return False
+        self._ready[name] = incarnation
+        return True
+
+    def _is_ready(self, name: str) -> bool:
+        """Whether a gateway is ready; one that was not started yet is not."""
+        gateway = self.gateways[name]
+        return gateway.subscriber is not None and gateway.subscriber.ready(gateway.machine.clock())
+
+    def _check_not_old(self, name: str, revision: int, what: str) -> None:
+        """No newer configuration was acknowledged long before."""
+        now = self.simulator.now
+        known = max((told for at, told in self._acknowledged if at < now - OLD_AFTER_S), default=0)
+        self._must(revision >= known, f"{name} {what} revision {revision}, {known} was acknowledged")
+
     def _check_failures(self, name: str, loop: SimulatedLoop | None) -> None:
         if loop is not None and loop.failures:
             failure = loop.failures[0]
--- a/mallowbeam/simulation/fleet_callers.py
+++ b/mallowbeam/simulation/fleet_callers.py
@@ -29,6 +29,11 @@
         """A member by chance."""
         return self.random.choice(list(self._members))
 
+    def member_after(self, name: str) -> str:
+        """The next member of the list, where one did not acknowledge."""
+        names = list(self._members)
+        return names[(names.index(name) + 1) % len(names)]
+
     def ask(self, name: str, call: ApiCall, answered: Callable[[int, bytes], None]) -> None:
         """One attempt; `answered` is called once, with status 0 where no answer came in time."""
         over = False
@@ -88,12 +93,13 @@
         self._call(call, lambda: None, lambda: None)
 
     def _call(self, call: ApiCall, again: Callable[[], None], done: Callable[[], None]) -> None:
-        self.member = self.member or self.any_member()
+        self.member = asked = self.member or self.any_member()
         leaving = self.state != "ready"
 
         def answered(status: int, body: bytes) -> None:
             if not 200 <= status < 300:
-                self.member = ""
+                if self.member == asked:       # no other call has moved on from it meanwhile
+                    self.member = self.member_after(asked)
                 again()
                 return
             if leaving and self.retired_at is None:
@@ -129,8 +135,8 @@
         self.orders[revision] = order = Order(revision, call)
         self._send(order, member or self.any_member())
 
-    def get(self) -> None:
-        """Read the newest configuration back, until there is an answer."""
+    def get(self, member: str = "") -> None:
+        """Read the newest configuration back until there is an answer, from one member first if named."""
         before = self.acknowledged
 
         def answered(status: int, body: bytes) -> None:
@@ -140,7 +146,7 @@
             self.read = json.loads(body)["revision"] if status == 200 else 0
             if self.read < before:
                 self.lost = f"revision {before} was acknowledged, {self.read} is read back"
-        self.ask(self.any_member(), ApiCall("GET", "/mallowbeam/config"), answered)
+        self.ask(member or self.any_member(), ApiCall("GET", "/mallowbeam/config"), answered)
 
     def _send(self, order: Order, member: str) -> None:
         def answered(status: int, body: bytes) -> None:
--- /dev/null
+++ b/tests/test_control_plane_serving.py
@@ -0,0 +1,388 @@
+"""What a member says on its worst days: the gate's conditions, the answers behind it, broken variants."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import unittest
+from dataclasses import dataclass
+from pathlib import Path
+from types import SimpleNamespace
+from typing import cast
+from unittest import mock
+
+from mallowbeam.configuration.parsing import ConfigurationParser
+from mallowbeam.configuration.versions import ConfigurationVersions
+from mallowbeam.control_plane import serving
+from mallowbeam.control_plane.answers import OutOfTouchError
+from mallowbeam.control_plane.api import ControlApi
+from mallowbeam.control_plane.commands import Commands
+from mallowbeam.control_plane.instances import Instances
+from mallowbeam.control_plane.serving import (
+    CALL_AGE_S,
+    FEED_SILENCE_S,
+    HEARTBEAT_SILENCE_S,
+    NOTHING,
+    ORDER_SILENCE_S,
+    REACHABLE_SILENCE_S,
+    Always,
+    AppliedEntry,
+    ConfirmedRead,
+    Evidence,
+    InTouch,
+    Said,
+    ServingGate,
+)
+from mallowbeam.control_plane.state_machine import Outcome
+from mallowbeam.control_plane.status import StatusPage
+from mallowbeam.feed.publisher import FeedAllowance
+from mallowbeam.http.front import Reply
+from mallowbeam.rpc.messages_pb2 import DONE, DRAINING, GONE, REVISION_NOT_ABOVE, VERSION_MISMATCH, Command
+from mallowbeam.simulation.fleet import FleetPlayer
+from mallowbeam.simulation.fleet_processes import ApiCall
+from mallowbeam.simulation.scenario import Violation
+from tests.control_plane_rig import configuration, heartbeat
+
+SCENARIOS = Path(__file__).parent / "scenarios" / "system"
+OTHERS = ["10.0.0.2:8146", "10.0.0.3:8146"]
+STEPS_OF_A_READ = range(0, 60, 3)              # of the member's process, more than it takes
+LONG = 20.0                                    # seconds for which a process stands still
+
+
+class Situation:
+    """What a member knows of the group, and its steady clock."""
+
+    def __init__(self, silence: float = 0.1, leads: bool = False) -> None:
+        self.now, self.leads = 100.0, leads
+        self.current_at = self.now - silence
+        self.gate = ServingGate(lambda: self.now, lambda: self.now - self.current_at, lambda: self.leads)
+
+    def freeze(self, seconds: float = LONG) -> None:
+        """The process stands still; nothing that it knows has changed when it goes on."""
+        self.now += seconds
+
+
+@dataclass(frozen=True)
+class Expected:
+    """Everything that may be said in a situation; `read` and `entry` with evidence from before it."""
+
+    situation: str
+    read: bool
+    entry: bool
+    heartbeat: bool
+    feed: bool
+    order: bool
+
+
+MODEL = (
+    Expected("leader", read=True, entry=True, heartbeat=True, feed=True, order=True),
+    Expected("follower", read=True, entry=True, heartbeat=True, feed=True, order=False),
+    Expected("follower with a stalled disk", read=True, entry=True, heartbeat=True, feed=True, order=False),
+    Expected("leader just cut off", read=True, entry=True, heartbeat=True, feed=True, order=False),
+    Expected("cut off for 1.5 s", read=False, entry=True, heartbeat=False, feed=False, order=False),
+    Expected("cut off for long", read=False, entry=True, heartbeat=False, feed=False, order=False),
+    Expected("never in touch", read=False, entry=True, heartbeat=False, feed=False, order=False),
+    Expected("leader frozen since", read=False, entry=True, heartbeat=False, feed=False, order=False),
+    Expected("follower frozen since", read=False, entry=True, heartbeat=False, feed=False, order=False),
+)
+
+
+def bring_about(name: str) -> Situation:
+    """A situation of the model, 0 s or more after a read was confirmed at 100 s."""
+    match name:
+        case "leader":
+            return Situation(leads=True)
+        case "follower" | "follower with a stalled disk":  # its own disk does not decide what it knows
+            return Situation()
+        case "never in touch":
+            situation = Situation(math.inf)
+            situation.freeze()
+            return situation
+    situation = Situation(0.0, leads=name.startswith("leader"))
+    situation.freeze({"leader just cut off": 0.7, "cut off for 1.5 s": 1.5}.get(name, LONG))
+    return situation
+
+
+class Model(unittest.TestCase):
+    """Each thing said in each situation, against a table written by hand."""
+
+    def test_every_thing_in_every_situation(self) -> None:
+        evidence: dict[Said, Evidence] = {
+            Said.CONFIGURATION_READ: ConfirmedRead(100.0),
+            Said.CHANGE_ACKNOWLEDGED: AppliedEntry(7),
+            Said.CHANGE_REFUSED: AppliedEntry(7),
+            Said.RETIREMENT_ACKNOWLEDGED: AppliedEntry(7),
+        }
+        for expected in MODEL:
+            situation = bring_about(expected.situation)
+            wanted = {
+                Said.CONFIGURATION_READ: expected.read,
+                Said.CHANGE_ACKNOWLEDGED: expected.entry,
+                Said.CHANGE_REFUSED: expected.entry,
+                Said.RETIREMENT_ACKNOWLEDGED: expected.entry,
+                Said.HEARTBEAT_ACKNOWLEDGED: expected.heartbeat,
+                Said.FEED_CONFIGURATION: expected.feed,
+                Said.FEED_TABLE: expected.feed,
+                Said.INSTANCE_ORDER: expected.order,
+                Said.BODY_REFUSED: True,
+                Said.UNAVAILABLE: True,
+                Said.FEED_INSTANCE_CHANGES: True,
+                Said.FEED_HEARTBEAT: True,
+                Said.FEED_MEMBERS: True,
+                Said.STATUS: True,
+            }
+            self.assertEqual(set(wanted), set(Said))
+            for said, allowed in wanted.items():
+                with self.subTest(situation=expected.situation, said=said.name):
+                    self.assertIs(situation.gate.may(said, evidence.get(said, NOTHING)), allowed)
+
+    def test_without_evidence_nothing_of_the_replicated_state_is_said(self) -> None:
+        gate = Situation(leads=True).gate
+        for said in (Said.CONFIGURATION_READ, Said.CHANGE_ACKNOWLEDGED, Said.CHANGE_REFUSED,
+                     Said.RETIREMENT_ACKNOWLEDGED):
+            for evidence in (NOTHING, AppliedEntry(0)):
+                self.assertFalse(gate.may(said, evidence))
+            with self.assertRaises(OutOfTouchError):
+                gate.check(said)
+        self.assertFalse(gate.may(Said.CONFIGURATION_READ, AppliedEntry(7)))
+        self.assertFalse(gate.may(Said.CHANGE_ACKNOWLEDGED, ConfirmedRead(100.0)))
+
+    def test_each_bound_to_the_millisecond(self) -> None:
+        bounds = ((Said.FEED_TABLE, FEED_SILENCE_S), (Said.FEED_CONFIGURATION, FEED_SILENCE_S),
+                  (Said.HEARTBEAT_ACKNOWLEDGED, HEARTBEAT_SILENCE_S), (Said.INSTANCE_ORDER, ORDER_SILENCE_S))
+        for said, bound in bounds:
+            self.assertTrue(Situation(bound - 0.001, leads=True).gate.may(said), said)
+            self.assertFalse(Situation(bound + 0.001, leads=True).gate.may(said), said)
+        situation = Situation()
+        situation.freeze(CALL_AGE_S - 0.001)
+        self.assertTrue(situation.gate.may(Said.CONFIGURATION_READ, ConfirmedRead(100.0)))
+        situation.freeze(0.002)
+        self.assertFalse(situation.gate.may(Said.CONFIGURATION_READ, ConfirmedRead(100.0)))
+
+    def test_calls_are_refused_at_once_only_after_a_start_has_had_its_time(self) -> None:
+        situation = Situation(math.inf)
+        situation.gate.check_reachable()       # the process began just now
+        situation.freeze(REACHABLE_SILENCE_S + 0.1)
+        with self.assertRaises(OutOfTouchError):
+            situation.gate.check_reachable()
+        situation.current_at = situation.now
+        situation.gate.check_reachable()
+
+
+class Log:
+    """In the place of `Commands`: answers as told, after the process has stood still."""
+
+    def __init__(self, situation: Situation) -> None:
+        self.situation = situation
+        self.frozen_s = 0.0                    # before the answer is known here
+        self.frozen_after_s = 0.0              # after it
+        self.outcome = Outcome(DONE, 5)
+        self.applied_index = 5
+        self.calls = 0
+
+    async def submit(self, command: Command, since: float) -> Outcome:
+        self.calls += 1
+        await self._stand_still()
+        return self.outcome
+
+    async def read_barrier(self, since: float) -> None:
+        self.calls += 1
+        await self._stand_still()
+
+    async def _stand_still(self) -> None:
+        await asyncio.sleep(0)
+        self.situation.freeze(self.frozen_s)
+
+
+class Table:
+    """In the place of the instance table."""
+
+    version, urgent = 0, False
+
+    def heard(self, instance: object, now: float) -> None:
+        pass
+
+    def retire(self, *retirement: object) -> None:
+        pass
+
+
+class Api(unittest.IsolatedAsyncioTestCase):
+    """The whole control API in front of a log that answers as told."""
+
+    def setUp(self) -> None:
+        self.situation = Situation()
+        self.log = Log(self.situation)
+        self.kinds: dict[str, int] = {}
+        versions = SimpleNamespace(current_body=lambda: b'{"revision":1}', revision=1)
+        status = SimpleNamespace(other_controls=lambda: OTHERS, write=lambda: b"{}")
+        self.gate = self.situation.gate
+        commands = cast(Commands, self.log)
+        retirements = SimpleNamespace(kind=self.kinds.get)
+        instances = Instances(cast("object", Table()), retirements, commands, SimpleNamespace(),
+                              lambda: None, lambda: 0, self.gate, SimpleNamespace())
+        self.api = ControlApi(ConfigurationParser(), cast(ConfigurationVersions, versions), commands,
+                              instances, cast(StatusPage, status), self.gate)
+
+    async def call(self, method: str, path: str, body: bytes = b"", based_on: int | None = None) -> Reply:
+        headers = () if based_on is None else (("If-Match", str(based_on)),)
+        call = ApiCall(method, path, body, headers)
+        return await self.api.handle(call.message(self.situation.now), lambda: False)
+
+    async def get(self) -> Reply:
+        return await self.call("GET", "/mallowbeam/config")
+
+    async def put(self) -> Reply:
+        return await self.call("PUT", "/mallowbeam/config", json.dumps(configuration(2)).encode(), 1)
+
+    async def beat(self, state: str = "ready") -> Reply:
+        return await self.call("PUT", "/mallowbeam/instances/i", heartbeat(1, state))
+
+    async def delete(self) -> Reply:
+        return await self.call("DELETE", "/mallowbeam/instances/i")
+
+    async def test_in_touch_all_is_answered(self) -> None:
+        for call in (self.get, self.put, self.beat, self.delete, lambda: self.beat("draining")):
+            self.assertEqual((await call()).status, 200)
+
+    async def test_a_read_confirmed_before_the_process_stood_still_is_not_answered(self) -> None:
+        self.log.frozen_s = LONG
+        self.assertEqual((await self.get()).status, 503)
+        self.log.frozen_s = 0.5
+        self.situation.current_at = self.situation.now
+        self.assertEqual((await self.get()).status, 200)
+
+    async def test_what_was_committed_is_acknowledged_however_late(self) -> None:
+        self.log.frozen_s = LONG
+        for call in (self.put, self.delete, lambda: self.beat("draining")):
+            self.situation.current_at = self.situation.now
+            self.assertEqual((await call()).status, 200)
+        for result, status in ((VERSION_MISMATCH, 412), (REVISION_NOT_ABOVE, 400)):
+            self.situation.current_at = self.situation.now
+            self.log.outcome = Outcome(result, 5)
+            self.assertEqual((await self.put()).status, status)
+
+    async def test_no_entry_no_word(self) -> None:
+        for result in (DONE, VERSION_MISMATCH, REVISION_NOT_ABOVE):
+            self.log.outcome = Outcome(result, 0)
+            self.assertEqual((await self.put()).status, 503)
+        self.assertEqual((await self.delete()).status, 503)
+
+    async def test_cut_off_for_long_all_is_refused_at_once_and_others_are_named(self) -> None:
+        self.situation.freeze()
+        for call in (self.get, self.put, self.beat, self.delete, lambda: self.beat("draining")):
+            reply = await call()
+            head, _, body = reply.data.partition(b"\r\n\r\n")
+            self.assertEqual(reply.status, 503)
+            self.assertIn(b"retry-after: ", head)
+            self.assertNotIn(b"location", head.lower())
+            self.assertEqual(json.loads(body)["members"], OTHERS)
+        self.assertEqual(self.log.calls, 0)
+
+    async def test_cut_off_what_no_state_would_take_is_still_told(self) -> None:
+        self.situation.freeze()
+        self.assertEqual((await self.call("PUT", "/mallowbeam/config", b"{", 1)).status, 400)
+        self.assertEqual((await self.call("GET", "/mallowbeam/none")).status, 404)
+        self.assertEqual((await self.call("GET", "/mallowbeam/status")).status, 200)
+
+    async def test_a_retirement_that_this_member_has_applied_is_acknowledged_again(self) -> None:
+        self.situation.freeze()
+        self.kinds["i"] = DRAINING
+        self.assertEqual((await self.beat("draining")).status, 200)
+        self.assertEqual((await self.delete()).status, 503)
+        self.kinds["i"] = GONE
+        self.assertEqual((await self.delete()).status, 200)
+        self.assertEqual((await self.beat()).status, 503)
+
+
+class FrozenInARead(unittest.TestCase):
+    """The real member, frozen at each step between a read's coming in and its answer."""
+
+    def read(self, steps: int) -> tuple[int, bool]:
+        """Freeze the asked member so many steps after the call came, for 20 s with a change meanwhile.
+
+        The answer's status, 0 for none, and whether it came before the freeze.
+        """
+        player = FleetPlayer("members m1 m2 m3\ngateways g1\nat 2 put 1 on 0\nat 8 expect taken 1\n")
+        player.play()
+        simulator, machine = player.simulator, player.network.machines["m1"]
+        told: list[tuple[float, int, bytes]] = []
+        call = ApiCall("GET", "/mallowbeam/config")
+        player.members["m1"].call(call, lambda status, body: told.append((simulator.now, status, body)))
+        end = simulator.steps + steps
+        simulator.run_while(lambda: simulator.steps < end, 9.0)
+        machine.freeze()
+        before = bool(told)
+        player.do_put("2", "on", "1", "via", "m2")
+        simulator.run_until(28.0)
+        self.assertEqual(player.operator.orders[2].state, "taken")
+        machine.thaw()
+        simulator.run_until(32.0)
+        if not told:
+            return 0, before
+        if not before and told[0][1] == 200:
+            self.assertEqual(json.loads(told[0][2])["revision"], 2)
+        return told[0][1], before
+
+    def test_frozen_at_any_step_of_a_read_no_old_configuration_is_answered(self) -> None:
+        results = [self.read(steps) for steps in STEPS_OF_A_READ]
+        self.assertIn((200, True), results)
+        self.assertTrue(any(not before for _, before in results))
+
+    def test_without_the_gate_an_old_one_would_be(self) -> None:
+        with mock.patch.object(ServingGate, "check", lambda *_: None), self.assertRaises(AssertionError):
+            for steps in STEPS_OF_A_READ:
+                self.read(steps)
+
+
+class BrokenVariants(unittest.TestCase):
+    """Members that are broken on purpose are caught by the scenarios and the fleet's checkers."""
+
+    def violation(self, scenario: str) -> str:
+        text = (SCENARIOS / scenario).read_text()
+        with self.assertRaises(Violation) as caught:
+            FleetPlayer(text).play()
+        return str(caught.exception)
+
+    def without(self, said: Said) -> object:
+        conditions = {**serving.CONDITIONS, said: Always()}
+        return mock.patch.object(serving, "CONDITIONS", conditions)
+
+    def test_a_gate_that_lets_everything_pass(self) -> None:
+        with mock.patch.object(ServingGate, "may", lambda *_: True):
+            self.assertIn("is first told revision 1", self.violation("gateway_reaches_only_cut_off.txt"))
+
+    def test_feeds_without_the_gate(self) -> None:
+        with mock.patch.object(ServingGate, "feed_allowance", lambda _: FeedAllowance()):
+            self.assertIn("is first told revision 1", self.violation("gateway_reaches_only_cut_off.txt"))
+
+    def test_a_configuration_fed_while_cut_off(self) -> None:
+        with self.without(Said.FEED_CONFIGURATION):
+            self.assertIn("is first told revision 1", self.violation("gateway_reaches_only_cut_off.txt"))
+
+    def test_reads_without_a_barrier(self) -> None:
+        async def confirmed(self: Commands, since: float) -> None:
+            await asyncio.sleep(0)
+        reachable = mock.patch.object(ServingGate, "check_reachable", lambda _: None)
+        with mock.patch.object(Commands, "read_barrier", confirmed), reachable:
+            self.assertIn("is read back", self.violation("cut_off_leader_asked.txt"))
+
+    def test_heartbeats_acknowledged_for_too_long(self) -> None:
+        """As it was: the instances turned to the others only after these had taken them for gone."""
+        conditions = {**serving.CONDITIONS, Said.HEARTBEAT_ACKNOWLEDGED: InTouch(2.0)}
+        with mock.patch.object(serving, "CONDITIONS", conditions):
+            self.assertIn("always gateways", self.violation("heartbeats_at_cut_off_member.txt"))
+
+    def test_heartbeats_acknowledged_while_cut_off(self) -> None:
+        with self.without(Said.HEARTBEAT_ACKNOWLEDGED):
+            self.assertIn("always gateways", self.violation("heartbeats_at_cut_off_member.txt"))
+
+    def test_drains_acknowledged_without_the_log(self) -> None:
+        async def retire(*_: object) -> None:
+            await asyncio.sleep(0)
+        with mock.patch.object(Instances, "_retire", retire):
+            self.assertRegex(self.violation("drain_at_cut_off_member.txt"), "not gateways [ab] draining")
+
+
+if __name__ == "__main__":
+    unittest.main()
