--- a/tests/test_feed_publisher.py
+++ b/tests/test_feed_publisher.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from mallowbeam.feed import FeedBatch, FeedPublisher, MemberStatus
+from mallowbeam.feed import FeedAllowance, FeedBatch, FeedPublisher, MemberStatus
 from mallowbeam.feed.limits import HEARTBEAT_INTERVAL_S
 from mallowbeam.registry import InstanceTable
 from mallowbeam.rpc.framing import FrameReader
@@ -18,6 +18,7 @@
 )
 
 STATUS = MemberStatus(leader_silence_ms=7, gateways=3, members=("10.0.0.1:1", "10.0.0.2:1"))
+HELD_BACK = MemberStatus(5_000, 3, STATUS.members, FeedAllowance(configuration=False, table=False))
 LATE = 10.0                                    # the table is complete
 
 
@@ -140,6 +141,41 @@
         (batch,) = self.frames(LATE + 0.11)
         self.assertEqual(batch.subscribers, (1, 2))
 
+    def test_what_may_not_be_told_is_held_back_until_it_may(self) -> None:
+        self.beat("a", 1)
+        self.publisher.subscribe(1, FeedHello(), LATE)
+        self.publisher.subscribe(2, FeedHello(configuration_revision=3), LATE)
+        for batch in self.frames(LATE, HELD_BACK):
+            self.assertEqual([field.name for field, _ in batch.frame.ListFields()], ["heartbeat"])
+            self.assertEqual(list(batch.frame.heartbeat.members), list(STATUS.members))
+            self.assertEqual(batch.frame.heartbeat.leader_silence_ms, 5_000)
+        self.assertEqual(self.frames(LATE + 0.01, HELD_BACK), [])
+        frames = {batch.subscribers: batch.frame for batch in self.frames(LATE + 0.02)}
+        self.assertEqual((frames[1,].configuration.revision, frames[1,].configuration.whole), (4, True))
+        self.assertEqual((frames[2,].configuration.revision, frames[2,].configuration.based_on), (4, 3))
+        self.assertTrue(all(frame.instances.whole for frame in frames.values()))
+
+    def test_changes_of_instances_go_on_to_those_that_have_the_table(self) -> None:
+        self.publisher.subscribe(1, FeedHello(), LATE)
+        self.frames(LATE)
+        self.publisher.subscribe(2, FeedHello(), LATE)
+        self.frames(LATE, HELD_BACK)
+        self.beat("a", 1)
+        self.source.revision = 5
+        (batch,) = self.frames(LATE + 0.01, HELD_BACK)
+        self.assertEqual(batch.subscribers, (1,))
+        self.assertEqual([one.id for one in batch.frame.instances.instances], ["a"])
+        self.assertFalse(batch.frame.HasField("configuration"))
+        frames = {batch.subscribers: batch.frame for batch in self.frames(LATE + 0.02)}
+        self.assertEqual(frames[1,].configuration.revision, 5)
+        self.assertFalse(frames[1,].HasField("instances"))
+        self.assertTrue(frames[2,].instances.whole)
+
+    def test_frames_carry_the_time_at_which_they_were_built(self) -> None:
+        self.publisher.subscribe(1, FeedHello(), LATE)
+        self.assertEqual(self.frames(LATE)[0].frame.heartbeat.sent_at_ms, 10_000)
+        self.assertEqual(self.frames(LATE + 0.25)[0].frame.heartbeat.sent_at_ms, 10_250)
+
     def test_unsubscribed(self) -> None:
         self.publisher.subscribe(1, FeedHello(), LATE)
         self.publisher.unsubscribe(1)
--- a/tests/test_feed_subscriber.py
+++ b/tests/test_feed_subscriber.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import unittest
 from random import Random
 
@@ -17,6 +18,7 @@
     CONNECT_TIMEOUT_S,
     GATEWAYS_WINDOW_S,
     MOST_SILENCE_S,
+    READY_WITHOUT_COMPLETE_S,
     UNFIT_DWELL_S,
     UNFIT_LEAST_S,
 )
@@ -186,6 +188,115 @@
         self.assertEqual((events.configuration, len(self.feed.instances)), (None, 0))
 
 
+class HeldUp(Case):
+    """Frames that waited on the way: over a cut, in a frozen process, behind a slow link."""
+
+    CLOCK = 5_000.0                            # of the member, when the gateway's shows 0
+
+    def take(self, now: float, sent: float, silence_ms: int = 50, **more: object) -> None:
+        """A frame that was sent at a time of the gateway's clock."""
+        made = frame(silence_ms=silence_ms, **more)
+        made.heartbeat.sent_at_ms = round((self.CLOCK + sent) * 1000)
+        self.feed.received(made, now)
+
+    def out_of_touch(self) -> bool:
+        assert self.feed._link is not None
+        return self.feed._link.out_of_touch
+
+    def test_a_burst_after_a_cut_does_not_count_the_member_as_in_touch(self) -> None:
+        """Each frame said 50 ms of silence, and was taken for news of now."""
+        self.connect(0.0)
+        self.take(0.1, 0.1, whole=True)
+        for sent in (0.35, 0.6, 0.85):         # held up, and brought in one burst
+            self.take(20.0, sent)
+            self.assertTrue(self.out_of_touch())
+        self.take(20.25, 20.25)                # the member goes on
+        self.assertFalse(self.out_of_touch())
+
+    def test_a_gateway_that_stood_still_does_not_begin_with_what_waited(self) -> None:
+        self.connect(0.0)
+        self.take(0.1, 0.1)
+        self.take(20.0, 0.2, whole=True, revision=3)
+        self.assertFalse(self.feed.ready(20.0))
+        self.take(20.1, 20.1)
+        self.assertTrue(self.feed.ready(20.1))
+
+    def test_a_link_that_lags_tells_how_old_its_words_are(self) -> None:
+        self.connect(0.0)
+        for step in range(40):                 # a queue builds up: each frame is later than the one before
+            sent = 0.25 * step
+            self.take(0.1 + 1.3 * sent, sent, whole=step == 0)
+        self.assertTrue(self.out_of_touch())
+
+    def test_clocks_of_other_rates_are_no_lateness(self) -> None:
+        for rate in (0.9, 1.1):
+            feed = self.feed = FeedSubscriber(SEEDS, "z", Random(7), apply, "g", 5)
+            self.connect(0.0)
+            for step in range(4_000):
+                now = 0.25 * step
+                self.take(now, now * rate, whole=step == 0)
+                self.assertFalse(self.out_of_touch(), (rate, now))
+            self.assertFalse(feed.instances)
+
+    def test_a_member_without_a_stamp_is_taken_at_its_word(self) -> None:
+        self.connect(0.0)
+        self.feed.received(frame(whole=True, silence_ms=50), 0.1)
+        self.feed.received(frame(silence_ms=50), 0.9)
+        self.assertFalse(self.out_of_touch())
+
+
+class CutOffMembers(Case):
+    """A gateway that first meets members which are out of touch."""
+
+    def test_it_is_not_ready_by_the_word_of_a_member_out_of_touch(self) -> None:
+        self.connect(0.0)
+        self.feed.received(frame(instance("a"), whole=True, revision=3, silence_ms=5_000), 0.1)
+        self.assertFalse(self.feed.ready(0.1))
+        self.assertFalse(self.feed.ready(READY_WITHOUT_COMPLETE_S + 1.0))
+        self.feed.received(frame(silence_ms=100), 0.6)
+        self.assertTrue(self.feed.ready(0.6))
+
+    def test_nor_without_a_feed_or_after_its_silence(self) -> None:
+        self.connect(0.0)
+        self.feed.received(frame(instance("a"), whole=True, complete=False, revision=3), 0.1)
+        later = 0.1 + READY_WITHOUT_COMPLETE_S + 0.5
+        self.assertFalse(self.feed.ready(later))
+        self.again(later)
+        self.assertFalse(self.feed.ready(later + 0.3))
+        self.feed.received(frame(), later + 0.3)
+        self.assertTrue(self.feed.ready(later + 0.3))
+
+    def test_while_it_is_not_ready_the_time_aside_does_not_grow(self) -> None:
+        """A gateway that starts without a majority would follow the wrong member for up to a minute after."""
+        now, attempts = 0.0, []
+        while now < 120.0:
+            action = self.feed.next_action(now)
+            if isinstance(action, Connect):
+                attempts.append(now)
+                self.feed.connected(action.address, now)
+            if self.feed._link is not None:
+                self.feed.received(frame(silence_ms=2**32 - 1), now)
+            now += 0.25
+        pauses = [after - before for before, after in itertools.pairwise(attempts)]
+        self.assertLessEqual(max(pauses), UNFIT_LEAST_S + 0.5)
+        self.assertLessEqual(len(attempts), 120.0 / UNFIT_LEAST_S * len(SEEDS))
+
+    def test_others_are_tried_again_where_the_member_followed_falls_out_of_touch(self) -> None:
+        """They were out of reach a short time before, and were left aside for up to a minute."""
+        first = self.connect(0.0)
+        self.feed.received(frame(whole=True, revision=3), 0.1)
+        self.assertTrue(self.feed.ready(0.1))
+        for other in SEEDS:
+            if other != first:
+                for _ in range(3):
+                    self.feed._candidates.failed(other, 0.2)
+        self.feed.received(frame(silence_ms=1_500), 3.0)
+        self.assertEqual(self.feed.next_action(3.0), Close(first))
+        following = self.feed.next_action(3.0)
+        assert isinstance(following, Connect)
+        self.assertNotEqual(following.address, first)
+
+
 class ConfigurationTests(Case):
     def test_changes_in_order(self) -> None:
         self.connect(0.0)
