Orders to instances: the gate has the last word, and the kernel drops what can't be delivered

Cause: an order's connection was reset 0.6 s after its writing by this process alone; one frozen behind a cut resets nothing, and its order would be delivered once the cut is over, beside those of the next holder. StageOrders had no test.

--- a/mallowbeam/control_plane/stage_orders.py
+++ b/mallowbeam/control_plane/stage_orders.py
@@ -203,7 +203,7 @@
         except Unsent:
             return OrderResult.NOT_SENT
         try:
-            link.channel.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            self._bound_time_on_the_way(link.channel.sock)
             now = time.monotonic()
             token = self._token(now)
             if token is None:                  # leadership may have passed on while the connection came up
@@ -215,6 +215,15 @@
         finally:
             link.close()
 
+    def _bound_time_on_the_way(self, sock: socket.socket) -> None:
+        """Have an order that can't be delivered dropped, not delivered late.
+
+        By this process when it closes, and by the kernel where the process stands still meanwhile.
+        """
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        answer_ms = int(self._lease.settings.answer_s * 1000)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, answer_ms)
+
     def _judge(self, status: int) -> OrderResult:
         """What an answer's status says."""
         if status in (200, 202):
--- /dev/null
+++ b/tests/test_control_plane_stage_orders.py
@@ -0,0 +1,128 @@
+"""Orders to instances: sent only by a leader that a majority confirmed just now, whatever it waited for."""
+
+from __future__ import annotations
+
+import json
+import socket
+import unittest
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import cast
+from unittest import mock
+
+from mallowbeam.configuration.versions import ConfigurationVersions
+from mallowbeam.control_plane import stage_orders
+from mallowbeam.control_plane.raft_driver import RaftDriver
+from mallowbeam.control_plane.serving import Said, ServingGate
+from mallowbeam.control_plane.stage_orders import RESET, StageOrders
+from mallowbeam.pairing.stage_share import OrderResult, StageOrder
+from mallowbeam.registry.table import InstanceTable
+
+ORDER = StageOrder("i", "10.1.0.1:8080", "prefill")
+LEASE_S = 3.0
+TOKEN = 41
+
+
+class Leader:
+    """What the driver knows, and the member's steady clock."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.confirmed_at = self.now
+        self.is_leader = True
+        self.node = SimpleNamespace(term=2, freshness=lambda now: now - self.confirmed_at)
+
+    def silence(self) -> float:
+        return self.now - self.confirmed_at
+
+
+class Link:
+    """A connection to an instance: what was set and written, in order."""
+
+    def __init__(self) -> None:
+        self.done: list[tuple[object, ...]] = []
+        self.channel = SimpleNamespace(sock=SimpleNamespace(setsockopt=self._set))
+        self.order: dict[str, object] = {}
+
+    def _set(self, *option: object) -> None:
+        self.done.append(option)
+
+    async def request(self, head: bytes, body: bytes) -> None:
+        self.done.append(("request",))
+        self.order = json.loads(body)
+
+    async def head(self) -> SimpleNamespace:
+        return SimpleNamespace(status=202)
+
+    async def body(self, answer: object) -> bytes:
+        return b""
+
+    def close(self) -> None:
+        self.done.append(("close",))
+
+
+class Exchange(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.leader, self.link = Leader(), Link()
+        leader = self.leader
+        gate = ServingGate(lambda: leader.now, leader.silence, lambda: leader.is_leader)
+        self.gate = gate
+        self.orders = StageOrders(cast(RaftDriver, leader), 7, cast(InstanceTable, None),
+                                  cast(ConfigurationVersions, None), lambda: None, gate, LEASE_S)
+        lease = self.orders._lease
+        lease.acquired(2, TOKEN, leader.now - lease.settings.wait_s)
+
+    async def exchange(self, while_connecting: Callable[[], None]) -> OrderResult:
+        """One order; something happens while its connection comes up."""
+        async def connect(*_: object) -> Link:
+            while_connecting()
+            return self.link
+        clock = SimpleNamespace(monotonic=lambda: self.leader.now)
+        with mock.patch.multiple(stage_orders, connect=connect, time=clock):
+            return await self.orders._exchange(ORDER)
+
+    def written(self) -> bool:
+        return ("request",) in self.link.done
+
+    async def test_a_leader_in_touch_sends_its_token(self) -> None:
+        self.assertIs(await self.exchange(lambda: None), OrderResult.TAKEN)
+        self.assertEqual(self.link.order["fencing_token"], TOKEN)
+
+    async def test_frozen_while_the_connection_came_up(self) -> None:
+        def freeze() -> None:
+            self.leader.now += 20.0
+        self.assertIs(await self.exchange(freeze), OrderResult.NOT_SENT)
+        self.assertFalse(self.written())
+
+    async def test_cut_off_while_the_connection_came_up(self) -> None:
+        def cut_off() -> None:
+            self.leader.now += 0.6             # it still believes that it leads: check-quorum takes 0.8 s
+        self.assertIs(await self.exchange(cut_off), OrderResult.NOT_SENT)
+        self.assertFalse(self.written())
+
+    async def test_leadership_lost_and_won_again_meanwhile(self) -> None:
+        def lose() -> None:
+            self.leader.is_leader = False
+        self.assertIs(await self.exchange(lose), OrderResult.NOT_SENT)
+
+        def win_again() -> None:
+            self.leader.is_leader = True
+            self.leader.node.term = 4
+        self.assertIs(await self.exchange(win_again), OrderResult.NOT_SENT)
+        self.assertFalse(self.written())
+
+    async def test_the_gate_has_the_last_word(self) -> None:
+        with mock.patch.object(ServingGate, "may", lambda _, said: said is not Said.INSTANCE_ORDER):
+            self.assertIs(await self.exchange(lambda: None), OrderResult.NOT_SENT)
+        self.assertFalse(self.written())
+
+    async def test_an_order_that_does_not_arrive_is_dropped_by_the_kernel_too(self) -> None:
+        """A process frozen behind a cut closes nothing; the order would be delivered once the cut is over."""
+        await self.exchange(lambda: None)
+        before = self.link.done[:self.link.done.index(("request",))]
+        self.assertIn((socket.SOL_SOCKET, socket.SO_LINGER, RESET), before)
+        self.assertIn((socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 600), before)
+
+
+if __name__ == "__main__":
+    unittest.main()
