--- a/mallowbeam/control_plane/answers.py
+++ b/mallowbeam/control_plane/answers.py
@@ -34,11 +34,11 @@
 
 
 class OutOfTouchError(CallError):
-    """This member is cut off from the group: what it is told may reach nobody else."""
+    """This member is cut off from the group, or stood still in the middle of the call."""
 
     code = "CONTROL_OUT_OF_TOUCH"
     status = 503
-    remedy = "call another member"
+    remedy = "call another member; the answer names them"
 
 
 class OutcomeUnknownError(CallError):
