--- a/mallowbeam/feed/subscriber.py
+++ b/mallowbeam/feed/subscriber.py
@@ -16,6 +16,7 @@
 from mallowbeam.feed.limits import (
     CONNECT_TIMEOUT_S,
     GATEWAYS_WINDOW_S,
+    MOST_LATENESS_S,
     MOST_LEADER_SILENCE_MS,
     MOST_SILENCE_S,
     READY_WITHOUT_COMPLETE_S,
@@ -75,7 +76,8 @@
     heard_at: float = 0.0
     lateness: FrameLateness = field(default_factory=FrameLateness)
     was_in_touch: bool = False                 # by any heartbeat of the member
-    out_of_touch: bool = False                 # by the member's last heartbeat
+    out_of_touch: bool = False                 # by the member's last heartbeat, or that came far too late
+    current: bool = False                      # the last heartbeat tells of a state that was current just now
     behind: bool = False                       # the member sent an older configuration than is held
     broken: bool = False                       # its changes don't fit what is held: needs a new start
 
@@ -130,7 +132,7 @@
     def _follows_current(self, now: float) -> bool:
         """Whether the member that is followed was in touch by its last word, which is not old."""
         link = self._link
-        if link is None or not link.was_in_touch or link.out_of_touch or link.broken:
+        if link is None or not link.current or link.broken:
             return False
         return now - link.heard_at <= MOST_SILENCE_S
 
@@ -222,12 +224,12 @@
     def _take_heartbeat(self, link: _Link, heartbeat: FeedHeartbeat, now: float) -> None:
         """Judge the member by its silence, and learn the fleet's size and members."""
         silence_ms = heartbeat.leader_silence_ms
-        if heartbeat.sent_at_ms:
-            silence_ms += int(link.lateness.frame(heartbeat.sent_at_ms / 1000, now) * 1000)
-        self._candidates.served(link.address, now - silence_ms / 1000)
+        late_s = link.lateness.frame(heartbeat.sent_at_ms / 1000, now) if heartbeat.sent_at_ms else 0.0
+        self._candidates.served(link.address, now - silence_ms / 1000 - late_s)
         if heartbeat.members:
             self._candidates.learn(heartbeat.members)
-        link.out_of_touch = silence_ms > MOST_LEADER_SILENCE_MS
+        link.current = silence_ms + late_s * 1000 <= MOST_LEADER_SILENCE_MS
+        link.out_of_touch = silence_ms > MOST_LEADER_SILENCE_MS or late_s > MOST_LATENESS_S
         if link.out_of_touch:
             self._reconsider_others(link)
             self._candidates.unfit(link.address, now)
