Frame connections: nothing is handed on once the owner has ended one

Change: `data_received` asks before each frame, and before each read, whether the connection is still open.

--- a/mallowbeam/rpc/connection.py
+++ b/mallowbeam/rpc/connection.py
@@ -40,7 +40,13 @@
         self.last_received = asyncio.get_running_loop().time()
 
     def data_received(self, data: bytes) -> None:
-        """Cut what came into frames; what is no frame ends the connection."""
+        """Cut what came into frames; what is no frame ends the connection.
+
+        Guards the owner against late frames: those that came together with the one for which it ended the
+        connection, and any behind them, are handed on to nobody.
+        """
+        if not self.open:
+            return
         self.last_received = asyncio.get_running_loop().time()
         try:
             frames = self._reader.feed(data)
@@ -48,7 +54,7 @@
             self.abort()
             return
         for frame in frames:
-            if self._transport is None:
+            if not self.open:
                 return
             self._received(self, frame)
 
--- /dev/null
+++ b/tests/test_rpc_connection.py
@@ -0,0 +1,82 @@
+"""A frame connection's end: what came together with it, or behind it, is handed on to nobody."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Callable
+
+from mallowbeam.rpc.connection import FrameConnection
+from mallowbeam.rpc.framing import HEADER, MOST_BYTES
+
+
+class StandInTransport(asyncio.Transport):
+    """Keeps what is written; its protocol is told of an abort later, as by a real one."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written, self.ending = b"", False
+
+    def get_extra_info(self, name: str, default: object = None) -> object:
+        return default
+
+    def is_closing(self) -> bool:
+        return self.ending
+
+    def abort(self) -> None:
+        self.ending = True
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        self.written += data
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+
+def encoded(*bodies: bytes) -> bytes:
+    return b"".join(HEADER.pack(len(body)) + body for body in bodies)
+
+
+class Ends(unittest.IsolatedAsyncioTestCase):
+    def open(self, received: Callable[[FrameConnection, bytes], None]) -> FrameConnection:
+        connection = FrameConnection(received, lambda _: None)
+        connection.connection_made(StandInTransport())
+        return connection
+
+    async def test_frames_beside_the_one_that_ends_it_are_not_handed_on(self) -> None:
+        for ends_at in range(3):
+            taken: list[bytes] = []
+
+            def received(connection: FrameConnection, body: bytes, ends_at=ends_at, taken=taken) -> None:
+                taken.append(body)
+                if len(taken) > ends_at:
+                    connection.abort()
+            connection = self.open(received)
+            connection.data_received(encoded(b"0", b"1", b"2"))
+            self.assertEqual(taken, [b"0", b"1", b"2"][:ends_at + 1])
+
+    async def test_a_read_behind_the_end_is_not_handed_on(self) -> None:
+        taken: list[bytes] = []
+        connection = self.open(lambda _, body: taken.append(body))
+        connection.data_received(encoded(b"0", b"1")[:-1])
+        connection.abort()
+        connection.data_received(encoded(b"0", b"1")[-1:])
+        connection.data_received(encoded(b"2"))
+        self.assertEqual(taken, [b"0"])
+
+    async def test_nothing_is_handed_on_behind_what_is_no_frame(self) -> None:
+        taken: list[bytes] = []
+        connection = self.open(lambda _, body: taken.append(body))
+        connection.data_received(encoded(b"0"))
+        connection.data_received(HEADER.pack(MOST_BYTES + 1))
+        connection.data_received(encoded(b"1"))
+        self.assertEqual((taken, connection.open), ([b"0"], False))
+
+    async def test_nothing_is_sent_behind_the_end(self) -> None:
+        connection = self.open(lambda _, body: None)
+        connection.abort()
+        self.assertFalse(connection.send_encoded(encoded(b"0")))
+
+
+if __name__ == "__main__":
+    unittest.main()
