Exchanges: a connection with surplus or a rest due is not used again; only no byte at all is proven unsent

Cause, each found by the new model on the code before: - what was parsed behind an answer in the read of its last bytes was forgotten (`Link.more` cleared it), so a connection with a surplus answer went back to the pool as clean; - a request of which part was written counted as not sent: an instance that answers or runs it before it has read it whole would run it, and it went out again elsewhere, or its client was told 503; - a request that the kernel did not take at once was written to its end before its answer was looked for, so an early answer was seen at the deadline, as silence; - a write that fails takes the reset that a read would be told of: an answer without length then looked whole; - a stream without length that ended inside an event looked whole; a failure or an answer to HEAD of the type of event streams was passed on as an empty stream. Change: `Link.ask` writes what the kernel takes at once and the rest beside the reading; `Link.begun`, by the kernel's count of bytes taken, alone decides what is proven unsent (the gateway in service keeps its own rule); a connection is used again only if its request is written, its answer whole and nothing behind it; a connection belongs to an address too, and one on which something came before the request is none; statuses outside 200 to 599 and several Request-Ids are no answer.

--- a/mallowbeam/data_plane/attempt.py
+++ b/mallowbeam/data_plane/attempt.py
@@ -44,6 +44,7 @@
         self.link: Link | None = None
         self.instance = ""
         self.answer: Message | None = None
+        self._bodiless = False                 # the answer is to a HEAD
 
     async def send(self, order: SendOrder) -> AttemptEnd:
         """Send and wait for the answer's head; small answers that are no streams are read whole."""
@@ -60,15 +61,21 @@
             end = AttemptEnd.BROKEN
         if self.link is None:
             return AttemptEnd.NO_CONNECTION
-        if not self.link.written:
+        # An instance may run, and answer, what it has not read whole: only no byte at all is proven unsent.
+        if not self.link.begun:
             end = AttemptEnd.NOT_SENT
+        elif end is AttemptEnd.NOT_SENT:
+            end = AttemptEnd.BROKEN
         self.release()
         return end
 
     @property
     def streams(self) -> bool:
-        """Whether the answer is an event stream."""
-        kind = self.answer.get(b"content-type") if self.answer is not None else None
+        """Whether the answer is an event stream: a success of that type, with a body."""
+        answer = self.answer
+        if answer is None or self._bodiless or not 200 <= answer.status < 300:
+            return False
+        kind = answer.get(b"content-type")
         return kind is not None and kind.partition(b";")[0].strip().lower() == EVENT_STREAM
 
     def release(self) -> None:
@@ -94,8 +101,8 @@
         headers = request.headers_with([*order.extra, (b"target-instance", order.instance.encode()),
                                         (b"deadline-ms", b"%d" % left_ms)])
         head = write_request(request.method, request.target, headers, len(request.body))
-        await link.request(head, request.body, bodiless=request.method == b"HEAD")
-        answer = self.answer = await link.head()
+        self._bodiless = request.method == b"HEAD"
+        answer = self.answer = await link.ask(head, request.body, self._bodiless)
         end = judge_answer(answer, request.request_id, first, order.signed)
         if end is AttemptEnd.BROKEN:
             answer.keep_alive = False
--- a/mallowbeam/data_plane/exchange.py
+++ b/mallowbeam/data_plane/exchange.py
@@ -177,6 +177,8 @@
 
     async def _send(self, plan: Plan, handle: Handle | None) -> Attempt | GivenUp | None:
         """One send to the instance that answers; the attempt if its answer is passed on, None to go on."""
+        if self.deadline - time.monotonic() < LEAST_LEFT_S:  # used up by the prompt's reading, or on the way
+            return GivenUp(out_of_time=True)
         ticket = self._policy.send(plan.decode_instance, time.monotonic(), self.gateway.view.gateways)
         if ticket is None:
             return GivenUp()
@@ -285,8 +287,9 @@
 async def read_piece(attempt: Attempt, progress: StreamProgress) -> bytes:
     """The next bytes of a stream that can be passed on; empty at its end.
 
-    Raises `Broken` where it ends inside an event or without the end that its framing asks for, and where
-    its events are out of order.
+    Raises `Broken` where it ends without the end that its framing asks for, or inside an event (what is
+    passed on byte by byte: only where nothing but the connection's end marks its own), and where its events
+    are out of order.
     """
     link, answer = attempt.link, attempt.answer
     assert link is not None
@@ -299,7 +302,7 @@
         if progress.fault:
             raise Broken(progress.fault)
         if answer.whole:
-            if progress.partial:
+            if progress.partial or (answer.until_close and progress.inside_event):
                 raise Broken("the stream ended inside an event")
             return b""
         await link.more(answer)
--- a/mallowbeam/data_plane/link_pool.py
+++ b/mallowbeam/data_plane/link_pool.py
@@ -11,7 +11,7 @@
 import time
 from dataclasses import dataclass
 
-from mallowbeam.http.client import Link, NoRoom, connect
+from mallowbeam.http.client import Link, NoRoom, Unsent, connect
 from mallowbeam.http.framing import Budget, Message
 
 CONNECT_TIMEOUT_S = 1.0
@@ -49,7 +49,7 @@
         Raises `NoRoom` at a bound, `Unsent` where no connection comes up.  An idle one is returned without a
         wait.
         """
-        link = self._reusable(instance, self._open.get(instance, 0) >= most)
+        link = self._reusable(instance, address, self._open.get(instance, 0) >= most)
         if link is not None:
             return link
         if self._open.get(instance, 0) >= most:
@@ -58,7 +58,7 @@
             raise NoRoom("as many connections are open as are allowed")
         self._add(instance, 1)
         try:
-            link = await connect(address, CONNECT_TIMEOUT_S, MOST_ANSWER_BYTES, self._budget)
+            link = await self._connect(address)
         except BaseException:
             self._add(instance, -1)
             raise
@@ -68,7 +68,7 @@
 
     def give_back(self, instance: str, link: Link, answer: Message | None) -> None:
         """Keep a connection whose answer was read whole; close any other."""
-        if answer is None or not link.written or not link.reusable(answer):
+        if answer is None or not link.reusable(answer):
             return self.drop(instance, link)
         idle = self._idle.setdefault(instance, [])
         if len(idle) >= MOST_IDLE_EACH:
@@ -79,10 +79,6 @@
         link.written, link.idle_since = False, now
         idle.append(_Idle(link, now, now + idle_time_s(answer)))
 
-    def unused(self, instance: str, link: Link) -> None:
-        """Close a connection on which nothing was sent, unless it can be kept."""
-        self.drop(instance, link)
-
     def drop(self, instance: str, link: Link) -> None:
         """Close a connection that was taken."""
         self._add(instance, -1)
@@ -110,7 +106,15 @@
         for instance in list(self._idle):
             self.forget(instance)
 
-    def _reusable(self, instance: str, none_free: bool) -> Link | None:
+    async def _connect(self, address: str) -> Link:
+        """A new connection; one that ended, or on which something came unasked, is of no use."""
+        link = await connect(address, CONNECT_TIMEOUT_S, MOST_ANSWER_BYTES, self._budget)
+        if link.channel.stale():
+            link.close()
+            raise Unsent("the connection was ended, or something came on it, before the request")
+        return link
+
+    def _reusable(self, instance: str, address: str, none_free: bool) -> Link | None:
         """The idle connection used last, of those that have rested; one that has not, only if `none_free`."""
         idle = self._idle.get(instance)
         if not idle:
@@ -120,7 +124,7 @@
             if now - idle[position].since < REST_S and not none_free:
                 continue
             one = idle.pop(position)
-            if now < one.until and not one.link.channel.stale():
+            if now < one.until and one.link.address == address and not one.link.channel.stale():
                 return one.link
             self.drop(instance, one.link)
         return None
--- a/mallowbeam/data_plane/outcomes.py
+++ b/mallowbeam/data_plane/outcomes.py
@@ -1,7 +1,7 @@
 """What an attempt proves about its request.  A pure core.
 
-Up to the last byte of a request nothing has run.  From then on only an answer that says so proves that the
-request did not run: `Not-Executed`, or status 421.
+Up to its first byte a request is proven not to have run.  From then on only an answer that says so proves it:
+`Not-Executed`, or status 421.  An instance may begin before it has read a request whole.
 """
 
 from __future__ import annotations
@@ -10,6 +10,7 @@
 
 from mallowbeam.http.framing import Message
 
+LEAST_STATUS, MOST_STATUS = 200, 599  # of a final answer
 MISDIRECTED_STATUS = 421
 PROMISES = frozenset((408, 421, 429, 503))  # statuses that promise the client that nothing has run
 MOST_RETRY_AFTER_S = 60.0
@@ -19,7 +20,7 @@
     """How one attempt ended."""
 
     NO_CONNECTION = "no_connection"            # refused, unreachable or silent: never sent
-    NOT_SENT = "not_sent"                      # the connection broke before the last byte: never ran
+    NOT_SENT = "not_sent"                      # the connection broke before the first byte: never ran
     NO_ROOM = "no_room"                        # no connection allowed: says nothing of the instance
     REJECTED = "rejected"                      # Not-Executed: received, not run
     MISDIRECTED = "misdirected"                # 421: another instance, stage or version: not run
@@ -37,8 +38,10 @@
     name is only believed where there was no earlier request.  `signed` is False where a success carries no
     signature, as a prefill call's does.
     """
-    echoed = answer.get(b"request-id")
-    if echoed != request_id and (echoed is not None or not first_on_connection):
+    if not LEAST_STATUS <= answer.status <= MOST_STATUS:
+        return AttemptEnd.BROKEN
+    echoed = [value for name, value in answer.headers if name == b"request-id"]
+    if echoed != [request_id] and (echoed or not first_on_connection):
         return AttemptEnd.BROKEN
     if answer.status == MISDIRECTED_STATUS:
         return AttemptEnd.MISDIRECTED
--- a/mallowbeam/data_plane/relay.py
+++ b/mallowbeam/data_plane/relay.py
@@ -82,7 +82,7 @@
                 await channel.send(self._framed(piece))
         if self._chunked:
             await channel.send(LAST_CHUNK)
-        return not self._answer().until_close
+        return True
 
     async def _next_piece(self) -> bytes | None:
         """The next piece, from another instance if need be; empty at the end, None where it broke off."""
--- a/mallowbeam/http/client.py
+++ b/mallowbeam/http/client.py
@@ -1,7 +1,9 @@
 """Connections to nodes: opened when needed, kept while idle, retired well before the node would close them.
 
-What has run decides every error here.  Up to the last byte of a request nothing has run (`Unsent`); from
-then on it may have (`Broken`).  Nothing is ever sent again by this file.
+What has run decides every error here.  Up to the last byte of a request none is whole at its node
+(`Unsent`); from then on it may have run (`Broken`).  A node that answers before it has read a request whole
+may have run it all the same: who must not send twice asks `Link.begun`, which only the kernel's count of
+bytes taken decides.  Nothing is ever sent again by this file.
 """
 
 from __future__ import annotations
@@ -51,6 +53,14 @@
         self.channel, self.address, self.idle_since = channel, address, 0.0
         self.written = False                   # the request's last byte is the kernel's: it may run
         self.left: int | None = 0              # bytes of its body that are not written; None: comes in chunks
+        self._start = channel.taken            # the count of bytes taken as the request began
+        self._writer: asyncio.Task[None] | None = None  # writes what the kernel did not take at once
+        self._refused = False                  # a write failed: the end of the connection is no orderly one
+
+    @property
+    def begun(self) -> bool:
+        """Whether the kernel has taken any byte of the request; if not, it is proven unsent."""
+        return self.channel.taken > self._start
 
     async def request(self, head: bytes, body: bytes | bytearray = b"", bodiless: bool = False,
                       follows: int | None = 0) -> None:
@@ -58,14 +68,54 @@
 
         `follows` tells how many bytes of its body come by `write`, None where they come in chunks.
         """
-        self.channel.framer.bodiless = bodiless
-        self.written, self.left = False, follows
+        self._begin(bodiless, follows)
         if len(body) > CHUNK:                  # a large body is not copied
             await self._send(head, False)
             await self._send(body, True)
         else:
             await self._send(head + body, follows == 0)
 
+    async def ask(self, head: bytes, body: bytes | bytearray = b"", bodiless: bool = False) -> Message:
+        """Write a request and return its answer, headers read; raises `Unsent` and `Broken`.
+
+        The kernel is given the request in this step, with nothing awaited before.  What it does not take at
+        once is written beside the reading: a node may answer before it has read a long body, and reads on
+        later.  Until all is written the connection is of no further use.
+        """
+        self._begin(bodiless, 0)
+        data = head if len(body) > CHUNK else head + body
+        rest = [self._push(data)]
+        if len(body) > CHUNK:
+            rest.append(memoryview(body) if rest[0] else self._push(body))
+        if any(rest):
+            self._writer = asyncio.create_task(self._write_rest(rest))
+        else:
+            self.written = True
+        return await self.head()
+
+    def _begin(self, bodiless: bool, follows: int | None) -> None:
+        """A request begins; the one before it is over."""
+        self.channel.framer.bodiless = bodiless
+        self.written, self.left = False, follows
+        self._start = self.channel.taken
+
+    def _push(self, data: bytes | bytearray) -> memoryview:
+        """Write what the kernel takes at once; what is left."""
+        try:
+            return memoryview(data)[self.channel.push(data):]
+        except OSError as error:
+            raise Unsent(str(error)) from None
+
+    async def _write_rest(self, rest: list[memoryview]) -> None:
+        """Write what is left of a request; a failure shows in what is read."""
+        try:
+            for piece in rest:
+                await self.channel.send(piece)
+        except OSError:
+            self._refused = True
+        else:
+            self.written = True
+
     async def write(self, piece: bytes | bytearray) -> None:
         """Write a piece of a request's body; in chunks, an empty one is its end.  Raises `Unsent`."""
         if self.left is None:
@@ -116,10 +166,13 @@
     async def more(self, answer: Message) -> None:
         """Read on in an answer's body; raises `Broken`."""
         if not await self._read():
-            if not answer.until_close:
+            # A write that failed has taken the reset that a read would have told of.
+            if not answer.until_close or self._refused:
                 raise Broken("the connection ended inside the answer")
             answer.whole, answer.keep_alive = True, False
-        self.channel.framer.ready.clear()
+        ready = self.channel.framer.ready
+        if ready and ready[0] is answer:       # one behind it stays: such a connection is not used again
+            ready.popleft()
 
     async def body(self, answer: Message, standstill: float | None = None) -> bytearray:
         """The whole body of an answer that is not passed on in pieces.
@@ -154,7 +207,7 @@
     def reusable(self, answer: Message) -> bool:
         """Whether another request may follow on this connection."""
         framer = self.channel.framer
-        return (answer.whole and answer.keep_alive and not answer.until_close
+        return (self.written and answer.whole and answer.keep_alive and not answer.until_close
                 and not framer.bodiless and framer.empty and framer.fault is None)
 
     def close(self) -> None:
--- a/mallowbeam/http/framing.py
+++ b/mallowbeam/http/framing.py
@@ -204,6 +204,8 @@
         self.buffer = memoryview(bytearray(CHUNK))
         self.moved = time.monotonic()          # when bytes last went in or out
         self.unsent = 0                        # bytes of the last write that the kernel has not taken yet
+        self.taken = 0                         # bytes that the kernel has taken since the connection came up
+        self.blocked: asyncio.Future[None] | None = None  # who waits for the kernel to take more
         self.watched = False                   # the loop tells when there is more,
         self.waiter: asyncio.Future[None] | None = None  # and who waits for that
 
@@ -222,24 +224,36 @@
         """
         view = memoryview(data)
         self.unsent = len(view)
-        while True:
-            try:
-                self.unsent -= self.sock.send(view[len(view) - self.unsent:])
-            except (BlockingIOError, InterruptedError):
-                pass
-            if not self.unsent:
-                break
-            await self._writable()
+        while self.unsent:
+            self.unsent -= self.push(view[len(view) - self.unsent:])
+            if self.unsent:
+                await self._writable()
         self.moved = time.monotonic()
 
+    def push(self, data: bytes | bytearray | memoryview) -> int:
+        """Write what the kernel takes now, without waiting; the count of bytes that it took."""
+        try:
+            count = self.sock.send(data)
+        except (BlockingIOError, InterruptedError):
+            return 0
+        self.taken += count
+        return count
+
     async def _writable(self) -> None:
         """Wait until the kernel takes more."""
-        ready = self.loop.create_future()
+        ready = self.blocked = self.loop.create_future()
         self.loop.add_writer(self.sock, lambda: ready.done() or ready.set_result(None))
         try:
             await ready
         finally:
+            self._unblock()
+
+    def _unblock(self) -> None:
+        """Look no more whether the kernel takes more; who still waits for that is cancelled."""
+        blocked, self.blocked = self.blocked, None
+        if blocked is not None:
             self.loop.remove_writer(self.sock)
+            blocked.cancel()
 
     def widen(self) -> None:
         """Read more at once from now on: a large body passes through."""
@@ -301,8 +315,9 @@
         return self.peek() is not None
 
     def close(self) -> None:
-        """Close the socket; no call may be waiting on it."""
+        """Close the socket; no read may be waiting on it, and a write that waits is cancelled."""
         self._unwatch()
+        self._unblock()
         self.sock.close()
 
 
--- a/mallowbeam/streams/progress.py
+++ b/mallowbeam/streams/progress.py
@@ -8,6 +8,8 @@
 from mallowbeam.streams.events import EventParser, parse_id
 
 EVENT_END = b"\n\n"        # counted in what is passed on byte by byte; one that is cut in two is missed
+EVENT_ENDS = (EVENT_END, b"\r\n\r\n")
+LONGEST_END = 4             # bytes
 
 
 class StreamProgress:
@@ -17,6 +19,7 @@
         self.resumable = resumable
         self._parser = EventParser()
         self._last_id = parse_id(last_event_id) if last_event_id is not None else None
+        self._tail = b""                       # the last bytes that were passed on byte by byte
         self.events = 0                        # passed on so far
         self.fault = ""                        # why nothing more of this instance's stream is passed on
 
@@ -27,13 +30,21 @@
 
     @property
     def partial(self) -> bool:
-        """Whether the stream stands inside an event."""
+        """Whether part of an event is held back."""
         return self.resumable and self._parser.partial
 
+    @property
+    def inside_event(self) -> bool:
+        """Whether the instance's stream stands inside an event, held back or passed on."""
+        if self.resumable:
+            return self._parser.partial
+        return bool(self._tail) and not self._tail.endswith(EVENT_ENDS)
+
     def feed(self, data: bytes | bytearray) -> bytes:
         """What goes to the client of what came; where it sets `fault`, the events before that."""
         if not self.resumable:
             self.events += data.count(EVENT_END)
+            self._tail = (self._tail + bytes(data[-LONGEST_END:]))[-LONGEST_END:]
             return bytes(data)
         whole: list[bytes] = []
         if self.fault:
--- /dev/null
+++ b/tests/exchange_model.py
@@ -0,0 +1,280 @@
+"""Two client requests that follow each other at one instance, in any order of events; no sockets, no waits.
+
+The gateway's own code runs whole, from `ClientFront` down to `http.framing.Channel`, over the stand-in
+sockets of `exchange_sockets`; what it does is judged by what the instances saw: see `Violation`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass, replace
+from unittest.mock import patch
+
+from mallowbeam.configuration.model import Configuration
+from mallowbeam.data_plane import attempt, link_pool
+from mallowbeam.data_plane.front import ClientFront
+from mallowbeam.data_plane.gateway import Gateway
+from mallowbeam.data_plane.link_pool import LinkPool
+from mallowbeam.data_plane.retry_budget import RetryBudgets
+from mallowbeam.feed.instances import InstanceChanges
+from mallowbeam.http.client import Link
+from mallowbeam.http.framing import Channel, Framer, Message
+from mallowbeam.http.front import Reply
+from mallowbeam.rpc.messages_pb2 import READY, Instance
+from tests.exchange_sockets import HEAD_END, WIDE, Arrival, Form, Line, ModelLoop, answer_body
+from tests.failing_instances import ByName
+from tests.gateway_bench import BUDGET, HOST
+
+FIRST, SECOND = b"r1", b"r2"
+LARGE_BODY = 24 * 1024      # more than the gateway copies together with a head
+SMALL_BODY = 8
+WINDOW = 4 * 1024           # that the kernel takes of a large request before the instance reads on
+REST_S = 0.03               # longer than a connection rests between two requests
+BEYOND_DEADLINE_S = 3.0
+PROMISES = (408, 421, 429, 503)
+
+
+class Violation(AssertionError):
+    """The gateway did what it must never do; the first word names the rule."""
+
+
+@dataclass(frozen=True)
+class Setting:
+    """What stays the same over one order of events."""
+
+    target: bytes = b"/unsafe/"
+    large: bool = False                        # the first request is not taken by the kernel at once
+    until_close: bool = False                  # answers have no length and end with their connection
+    held: bool = True                          # small answers are read whole before they are passed on
+    connections: int = 1                       # to each instance; one is used again without its rest
+
+
+class ClientChannel:
+    """A client that takes all that is written."""
+
+    def __init__(self) -> None:
+        self.data = b""
+
+    async def send(self, data: bytes) -> None:
+        """Take it."""
+        self.data += data
+
+    def body(self) -> bytes:
+        """The body of the one answer, out of its chunks."""
+        head, _, rest = self.data.partition(HEAD_END)
+        if b"transfer-encoding: chunked" not in head:
+            return rest
+        body = b""
+        while (size := int(rest.partition(b"\r\n")[0], 16)) > 0:
+            piece = rest.partition(b"\r\n")[2]
+            body, rest = body + piece[:size], piece[size + 2:]
+        return body
+
+
+class Call:
+    """One client request and what the client got."""
+
+    def __init__(self, world: World, id: bytes) -> None:
+        self.id = id
+        self.whole = False                     # the answer looks complete
+        self.reply: Reply | None = None
+        self.channel = ClientChannel()
+        self.task = asyncio.get_running_loop().create_task(self._run(world.front, world.request(id)))
+
+    async def _run(self, front: ClientFront, request: Message) -> None:
+        self.reply = await front.handle(request, lambda: False)
+        if self.reply.write is None:
+            await self.channel.send(self.reply.data)
+            self.whole = True
+        else:
+            self.whole = await self.reply.write(self.channel)  # type: ignore[arg-type]
+
+
+class World:
+    """A gateway with two instances; `act` plays one event."""
+
+    def __init__(self, setting: Setting, routes: Configuration) -> None:
+        self.setting = setting
+        self.form = Form(setting.until_close, b"stream" in setting.target)
+        self.lines: list[Line] = []
+        self.violations: list[str] = []        # seen on the way, perhaps in a task that nobody waits for
+        self.arrivals: list[tuple[Line, Arrival]] = []
+        self.loop = asyncio.get_running_loop()
+        self.gateway = Gateway("z1", LinkPool(10), RetryBudgets(BUDGET), ByName())
+        rows = [Instance(id=name, backend="plain", address=f"{name}:1", zone="z1", slots=8, state=READY)
+                for name in ("i-1", "i-2")]
+        self.gateway.view.instances = {row.id: row for row in rows}
+        bounded = {name: replace(one, max_connections=setting.connections)
+                   for name, one in routes.backends.items()}
+        self.gateway.set_configuration(replace(routes, backends=bounded), 0.0)
+        self.gateway.instances_changed(InstanceChanges(tuple(rows), ()), 0.0)
+        self.front = ClientFront(self.gateway, 300)
+        self.calls = [Call(self, FIRST)]
+
+    def arrived(self, line: Line, arrival: Arrival) -> None:
+        """A request's head has come to an instance."""
+        self.arrivals.append((line, arrival))
+
+    def violate(self, text: str) -> None:
+        """Note what the gateway must never do."""
+        self.violations.append(text)
+
+    async def connect(self, address: str, *_: object) -> Link:
+        """In the place of `http.client.connect`."""
+        instance = address.partition(":")[0]
+        first = self.setting.large and not self.lines
+        line = Line(self, instance, WINDOW if first else WIDE, self.form)
+        self.lines.append(line)
+        return Link(Channel(line.sock, Framer(answers=True)), address)  # type: ignore[arg-type]
+
+    def request(self, id: bytes) -> Message:
+        """A client's request."""
+        message = Message()
+        length = LARGE_BODY if self.setting.large and id == FIRST else SMALL_BODY
+        message.method, message.target = b"POST", self.setting.target
+        message.whole, message.at = True, time.monotonic()
+        message.headers = [(b"host", HOST.encode()), (b"request-id", id), (b"deadline-ms", b"1500")]
+        message.body += id[-1:] * length
+        return message
+
+    @property
+    def line(self) -> Line | None:
+        """The first instance's connection that was opened last."""
+        return next((line for line in reversed(self.lines) if line.instance == "i-1"), None)
+
+    def enabled(self) -> list[str]:
+        """The events that can come next."""
+        call = self.calls[-1]
+        events: list[str] = []
+        if call.task.done():
+            events += ["next"] if len(self.calls) == 1 else []
+        else:
+            events += ["cancel", "timeout"]
+        line = self.line
+        if line is None or line.over or line.sock.closed:
+            return events
+        events += ["end", "reset"]
+        due = line.open_arrival
+        if due is not None and not line.sent_whole(due):
+            events += ["answer", "answer+end", "answer+reset"]
+            events += ["half", "reject"] if not due.sent else []
+            events += ["cancel+answer", "timeout+answer"] if not call.task.done() else []
+            events += ["answer+repeat"] if not self.setting.until_close else []
+        if due is None or not due.sent:        # else it would be part of that answer's body
+            events += ["noise"]
+            events += ["repeat", "nameless"] if line.may_repeat else []
+        if not line.sock.window:
+            events += ["open", "open+reset"]
+        if call.task.done() and len(self.calls) == 1 and self.setting.connections > 1:
+            events += ["rest"]
+        return events
+
+    async def act(self, event: str) -> None:
+        """Play an event; what is joined by + comes in one step."""
+        for part in event.split("+"):
+            self._part(part)
+        await self.settle()
+
+    def _part(self, part: str) -> None:
+        line, call = self.line, self.calls[-1]
+        if part == "next":
+            self.calls.append(Call(self, SECOND))
+        elif part == "cancel":
+            call.task.cancel()
+        elif part == "timeout":
+            self.loop.at += BEYOND_DEADLINE_S  # type: ignore[attr-defined]
+        elif part == "rest":
+            self.loop.at += REST_S             # type: ignore[attr-defined]
+        else:
+            assert line is not None
+            {"answer": line.answer, "half": lambda: line.answer(0.8), "reject": line.reject,
+             "repeat": line.repeat, "nameless": lambda: line.repeat(named=False), "noise": line.noise,
+             "end": line.end, "reset": line.reset, "open": line.sock.open_window}[part]()
+
+    async def settle(self) -> None:
+        """Let the gateway do all that it can do without time."""
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        while self.loop._ready:                # type: ignore[attr-defined]
+            await asyncio.sleep(0)
+
+    async def finish(self) -> None:
+        """Let what is under way end by its deadline, then judge."""
+        for _ in range(3):
+            if not all(call.task.done() for call in self.calls):
+                self.loop.at += BEYOND_DEADLINE_S  # type: ignore[attr-defined]
+                await self.settle()
+        for violation in self.violations:
+            raise Violation(violation)
+        for call in self.calls:
+            self.judge(call)
+
+    def judge(self, call: Call) -> None:
+        """Compare what a client got with what instances did."""
+        if not call.task.cancelled():
+            call.task.result()                 # raises what the gateway raised
+        seen = [(line, arrival) for line, arrival in self.arrivals if arrival.id == call.id]
+        may_run = [arrival for _, arrival in seen if not arrival.rejected]
+        if len(may_run) > 1:
+            raise Violation(f"TWICE: {call.id!r} went out {len(may_run)} times and may have run each time")
+        if call.reply is None:
+            return
+        if call.reply.status in PROMISES and may_run:
+            raise Violation(f"REFUSED: {call.id!r} may have run and was answered {call.reply.status}")
+        self._judge_body(call, [arrival for _, arrival in seen if arrival.answered])
+
+    @staticmethod
+    def _judge_body(call: Call, answered: list[Arrival]) -> None:
+        other = SECOND if call.id == FIRST else FIRST
+        if other in call.channel.data:
+            raise Violation(f"MIXED: {call.id!r} got an answer to {other!r}")
+        if call.reply is None or call.reply.status != 200:
+            return
+        if call.whole and not answered:
+            raise Violation(f"MIXED: {call.id!r} got an answer that looks whole and is not")
+        if call.whole and call.channel.body() != answer_body(call.id)[:answered[0].body_sent]:
+            raise Violation(f"MIXED: {call.id!r} got another body")
+
+
+class Explorer:
+    """Plays all orders of events up to a depth."""
+
+    def __init__(self, setting: Setting, routes: Configuration) -> None:
+        self._setting, self._routes = setting, routes
+        self._loop = ModelLoop()
+        self.runs = 0
+
+    def explore(self, depth: int) -> None:
+        """Raises `Violation`, with the order of events, at the first one."""
+        with patch.object(time, "monotonic", self._loop.time):
+            try:
+                self._extend((), depth)
+            finally:
+                self._loop.close()
+
+    def _extend(self, events: tuple[str, ...], depth: int) -> None:
+        for event in self._play(events):
+            if depth:
+                self._extend((*events, event), depth - 1)
+
+    def _play(self, events: tuple[str, ...]) -> list[str]:
+        self.runs += 1
+        try:
+            return self._loop.run_until_complete(self._order(events))
+        except Violation as violation:
+            raise Violation(f"{violation}; after {', '.join(events)}; {self._setting}") from None
+
+    async def _order(self, events: tuple[str, ...]) -> list[str]:
+        world = World.__new__(World)
+        held = attempt.HELD_BYTES if self._setting.held else 1
+        with patch.object(link_pool, "connect", world.connect), patch.object(attempt, "HELD_BYTES", held):
+            world.__init__(self._setting, self._routes)  # type: ignore[misc]
+            await world.settle()
+            for event in events:
+                await world.act(event)
+            following = world.enabled()
+            await world.finish()
+            world.gateway.pool.close()
+            await world.settle()
+        return following
--- /dev/null
+++ b/tests/test_exchange_model.py
@@ -0,0 +1,204 @@
+"""All orders of events, to a depth, for two requests on one connection; broken variants are caught."""
+
+from __future__ import annotations
+
+import os
+import unittest
+from contextlib import ExitStack
+from dataclasses import replace
+from unittest.mock import patch
+
+from mallowbeam.data_plane import attempt
+from mallowbeam.data_plane.attempt import Attempt, SendOrder
+from mallowbeam.data_plane.link_pool import LinkPool
+from mallowbeam.data_plane.outcomes import AttemptEnd, judge_answer
+from mallowbeam.data_plane.send_policy import SendPolicy, SendTicket
+from mallowbeam.http.client import Broken, Link
+from mallowbeam.http.framing import Channel, Message
+from mallowbeam.streams.progress import StreamProgress
+from tests.exchange_model import Explorer, Setting, Violation
+from tests.gateway_bench import configuration, route
+
+DEPTH = int(os.environ.get("EXCHANGE_DEPTH", "4"))  # events in one order
+SHOW = "EXCHANGE_SHOW" in os.environ
+ROUTES = configuration(route("/unsafe/", "unsafe"), route("/stream/", "stream", gap_aim_ms=100))
+SETTINGS = {
+    "held": Setting(),
+    "many_connections": Setting(connections=10),
+    "passed_on": Setting(held=False),
+    "large": Setting(large=True),
+    "until_close": Setting(until_close=True),
+    "until_close_large": Setting(until_close=True, large=True),
+    "until_close_passed_on": Setting(until_close=True, held=False),
+    "until_close_stream": Setting(target=b"/stream/", until_close=True),
+    "stream": Setting(target=b"/stream/"),
+    "stream_large": Setting(target=b"/stream/", large=True),
+}
+
+
+class Orders(unittest.TestCase):
+    def explore(self, name: str) -> None:
+        explorer = Explorer(SETTINGS[name], ROUTES)
+        explorer.explore(DEPTH)
+        self.assertGreater(explorer.runs, 2 ** DEPTH)
+        if SHOW:
+            print(name, explorer.runs, "orders")
+
+
+def _add(name: str) -> None:
+    setattr(Orders, f"test_{name}", lambda self: self.explore(name))
+
+
+for _name in SETTINGS:
+    _add(_name)
+
+
+# ------------------------------------------------------------ variants that are broken on purpose
+
+
+def reuse_behind_surplus(stack: ExitStack) -> None:
+    """What lies unread, or was parsed behind the answer, is not looked for."""
+    stack.enter_context(patch.object(Channel, "stale", lambda self: self.peek() is False))
+    stack.enter_context(patch.object(
+        Link, "reusable", lambda self, answer: self.written and answer.whole and answer.keep_alive))
+
+
+def reuse_of_an_ended_connection(stack: ExitStack) -> None:
+    """The instance's end is not looked for before the next request."""
+    stack.enter_context(patch.object(Channel, "stale", lambda self: self.peek() is True))
+
+
+def surplus_dropped_with_the_end(stack: ExitStack) -> None:
+    """All that was parsed together with an answer's end is forgotten, as if nothing had come."""
+    more = Link.more
+
+    async def forgetting(self: Link, answer: Message) -> None:
+        await more(self, answer)
+        self.channel.framer.ready.clear()
+    stack.enter_context(patch.object(Link, "more", forgetting))
+
+
+def reuse_without_an_answer(stack: ExitStack) -> None:
+    """A connection is kept after a time-out, a cancel or half an answer."""
+    give_back = LinkPool.give_back
+
+    def keeping(self: LinkPool, instance: str, link: Link, answer: Message | None) -> None:
+        kept = Message()
+        kept.whole = link.written = True
+        kept.headers = [(b"keep-alive", b"timeout=30")]
+        if link.channel.framer.part is None and not link.channel.sock.finished:
+            give_back(self, instance, link, kept)
+        else:
+            give_back(self, instance, link, answer)
+    stack.enter_context(patch.object(LinkPool, "give_back", keeping))
+
+
+def reuse_with_a_rest_due(stack: ExitStack) -> None:
+    """After an early answer the connection is kept, though the request is not whole at the instance."""
+    def reusable(self: Link, answer: Message) -> bool:
+        return answer.whole and answer.keep_alive and not answer.until_close and self.channel.framer.empty
+
+    def keeping(self: LinkPool, instance: str, link: Link, answer: Message | None) -> None:
+        link.channel._unblock()
+        give_back(self, instance, link, answer)
+    give_back = LinkPool.give_back
+    stack.enter_context(patch.object(Link, "reusable", reusable))
+    stack.enter_context(patch.object(LinkPool, "give_back", keeping))
+
+
+def second_send_after_a_reset(stack: ExitStack) -> None:
+    """A connection that broke after the request was written counts as proof that it did not run."""
+    ended = SendPolicy.ended
+
+    def trusting(self: SendPolicy, ticket: SendTicket, end: AttemptEnd, now: float) -> None:
+        ended(self, ticket, AttemptEnd.NOT_SENT if end is AttemptEnd.BROKEN else end, now)
+    stack.enter_context(patch.object(SendPolicy, "ended", trusting))
+
+
+def second_send_after_part_of_a_request(stack: ExitStack) -> None:
+    """What the instance has not read whole counts as not run."""
+    stack.enter_context(patch.object(Link, "begun", property(lambda self: self.written)))
+
+
+def second_send_after_a_time_out(stack: ExitStack) -> None:
+    """Silence counts as proof that the request did not run."""
+    send = Attempt.send
+
+    async def trusting(self: Attempt, order: SendOrder) -> AttemptEnd:
+        end = await send(self, replace(order, deadline=order.deadline - 0.5))
+        return AttemptEnd.NOT_SENT if end is AttemptEnd.TIMED_OUT else end
+    stack.enter_context(patch.object(Attempt, "send", trusting))
+
+
+def names_not_compared(stack: ExitStack) -> None:
+    """An answer counts for the request that waits, whatever id it names."""
+    def unnamed(answer: Message, request_id: bytes, first: bool, signed: bool = True) -> AttemptEnd:
+        echoed = answer.get(b"request-id") or request_id
+        return judge_answer(answer, echoed, True, signed)
+    stack.enter_context(patch.object(attempt, "judge_answer", unnamed))
+
+
+def nameless_answers_believed(stack: ExitStack) -> None:
+    """An answer without an id counts also where there was an earlier request."""
+    def believing(answer: Message, request_id: bytes, first: bool, signed: bool = True) -> AttemptEnd:
+        return judge_answer(answer, request_id, True, signed)
+    stack.enter_context(patch.object(attempt, "judge_answer", believing))
+
+
+def a_reset_counts_as_an_end(stack: ExitStack) -> None:
+    """An answer without length is whole wherever its connection is over."""
+    read = Link._read
+
+    async def forgiving(self: Link) -> bool:
+        try:
+            return await read(self)
+        except Broken:
+            return False
+    stack.enter_context(patch.object(Link, "_read", forgiving))
+
+
+def a_refused_write_is_forgotten(stack: ExitStack) -> None:
+    """The reset that a write was told of is not remembered, and what is read after it is an orderly end."""
+    write_rest = Link._write_rest
+
+    async def forgetting(self: Link, rest: list[memoryview]) -> None:
+        await write_rest(self, rest)
+        self._refused = False
+    stack.enter_context(patch.object(Link, "_write_rest", forgetting))
+
+
+def a_cut_event_counts_as_an_end(stack: ExitStack) -> None:
+    """A stream without length is whole also inside an event."""
+    stack.enter_context(patch.object(StreamProgress, "inside_event", False))
+
+
+VARIANTS = (
+    (reuse_behind_surplus, "held", "SURPLUS"),
+    (reuse_of_an_ended_connection, "held", "ENDED"),
+    (surplus_dropped_with_the_end, "held", "SURPLUS"),
+    (reuse_without_an_answer, "held", "OWED"),
+    (reuse_with_a_rest_due, "large", "UNASKED|OWED"),
+    (second_send_after_a_reset, "held", "TWICE"),
+    (second_send_after_part_of_a_request, "large", "TWICE|REFUSED"),
+    (second_send_after_a_time_out, "held", "TWICE|REFUSED"),
+    (names_not_compared, "held", "MIXED"),
+    (nameless_answers_believed, "held", "MIXED"),
+    (a_reset_counts_as_an_end, "until_close", "MIXED"),
+    (a_refused_write_is_forgotten, "until_close_large", "MIXED"),
+    (a_cut_event_counts_as_an_end, "until_close_stream", "MIXED"),
+)
+
+
+class BrokenVariants(unittest.TestCase):
+    def test_each_variant_is_caught(self) -> None:
+        for variant, setting, rule in VARIANTS:
+            with self.subTest(variant.__name__), ExitStack() as stack:
+                variant(stack)
+                with self.assertRaisesRegex(Violation, rule) as caught:
+                    Explorer(SETTINGS[setting], ROUTES).explore(DEPTH)
+                if SHOW:
+                    print(variant.__name__, caught.exception)
+
+
+if __name__ == "__main__":
+    unittest.main()
