Answers: a late one is passed over where the call can't be repeated; no send without time; several names are none

Cause: - a late answer to an earlier request, in the place of the next one due, ended an exchange that may not be repeated with 502, though its own answer was on the way behind it; - the call that frees a handle took any answer for its own, and its connection was kept with an answer owed; - a request whose time the wait for its plan or its prompt's reading had used up went out on a pooled connection with 1 ms left, and was then unknown (504) in place of refused. Change: on a connection with earlier requests up to 4 answers that name another one are read past, for what may not be repeated (repeatable ones go elsewhere at once, as before); such a connection is closed after it. The answer to freeing a handle that names a request closes its connection. The time is looked at before each send.

--- a/mallowbeam/data_plane/attempt.py
+++ b/mallowbeam/data_plane/attempt.py
@@ -13,13 +13,14 @@
 from mallowbeam.data_plane.client_request import ClientRequest
 from mallowbeam.data_plane.fleet_view import FleetView
 from mallowbeam.data_plane.link_pool import LinkPool
-from mallowbeam.data_plane.outcomes import AttemptEnd, judge_answer
-from mallowbeam.http.client import Broken, Link, NoRoom, Unsent
+from mallowbeam.data_plane.outcomes import AttemptEnd, judge_answer, names_another
+from mallowbeam.http.client import Broken, Link, NoRoom, Spoilt, Unsent
 from mallowbeam.http.framing import Headers, Message, write_request
 from mallowbeam.rpc.messages_pb2 import Instance
 
 HELD_BYTES = 64 * 1024      # an answer up to this size is held whole before any of it is passed on
 WAY_BACK_S = 0.005          # of the time that is left, kept for the answer's way back
+MOST_LATE_ANSWERS = 4       # to other requests, in front of the one that is due
 REJECTION_BODY_S = 0.2      # for the rest of an answer that is not passed on; else its connection closes
 EVENT_STREAM = b"text/event-stream"
 
@@ -34,6 +35,7 @@
     extra: Headers                             # the gateway's own headers
     deadline: float                            # steady time by which the answer must be there
     signed: bool = True                        # whether a success carries its instance's signature
+    once: bool = False                         # it may not be sent again: waited for past a late answer
 
 
 class Attempt:
@@ -102,7 +104,10 @@
                                         (b"deadline-ms", b"%d" % left_ms)])
         head = write_request(request.method, request.target, headers, len(request.body))
         self._bodiless = request.method == b"HEAD"
-        answer = self.answer = await link.ask(head, request.body, self._bodiless)
+        answer = await link.ask(head, request.body, self._bodiless)
+        if order.once and not first:
+            answer = await self._own_answer(link, answer, request.request_id)
+        self.answer = answer
         end = judge_answer(answer, request.request_id, first, order.signed)
         if end is AttemptEnd.BROKEN:
             answer.keep_alive = False
@@ -113,6 +118,18 @@
             await link.exceeds(answer, HELD_BYTES, None, None)
         return end
 
+    async def _own_answer(self, link: Link, answer: Message, request_id: bytes) -> Message:
+        """The answer itself, past late ones that name earlier requests; the connection is not used again."""
+        late = 0
+        while names_another(answer, request_id):
+            late += 1
+            if late > MOST_LATE_ANSWERS:
+                raise Spoilt("answers to other requests without end")
+            await link.body(answer)
+            answer = await link.head()
+        answer.keep_alive = answer.keep_alive and not late
+        return answer
+
     async def _read_rejection(self, link: Link, answer: Message) -> None:
         """Read what is left of an answer that goes to nobody, so that its connection can be used again."""
         try:
--- a/mallowbeam/data_plane/exchange.py
+++ b/mallowbeam/data_plane/exchange.py
@@ -119,12 +119,12 @@
 
     async def _plan(self) -> Plan | GivenUp:
         """Ask for a plan and wait until it begins."""
-        now = time.monotonic()
-        left = self.deadline - now
-        if left < LEAST_LEFT_S:
+        if self._out_of_time():
             return GivenUp(out_of_time=True)
         if not self._policy.may_continue():
             return GivenUp()
+        now = time.monotonic()
+        left = self.deadline - now
         planned = self.gateway.planner.plan(self._plan_request(left, now), now)
         if isinstance(planned, Refusal):
             return GivenUp(retry_after_s=planned.retry_after_s or RETRY_AFTER_S)
@@ -153,7 +153,7 @@
         # A request without a prompt is run by an instance that is asked to read it: it goes out once, whole.
         if plan.prefill_instance is None or not self.request.prompt_tokens:
             return None
-        if not self._policy.may_read_apart():
+        if not self._policy.may_read_apart() or self._out_of_time():
             return None
         now = time.monotonic()
         ticket = self._policy.send(plan.prefill_instance, now, self.gateway.view.gateways)
@@ -177,7 +177,7 @@
 
     async def _send(self, plan: Plan, handle: Handle | None) -> Attempt | GivenUp | None:
         """One send to the instance that answers; the attempt if its answer is passed on, None to go on."""
-        if self.deadline - time.monotonic() < LEAST_LEFT_S:  # used up by the prompt's reading, or on the way
+        if self._out_of_time():                # used up by the wait for the plan, or by the prompt's reading
             return GivenUp(out_of_time=True)
         ticket = self._policy.send(plan.decode_instance, time.monotonic(), self.gateway.view.gateways)
         if ticket is None:
@@ -205,7 +205,8 @@
             extra = [*extra, (b"priority", b"%d" % min(plan.engine_priority, 9))]
         if self.progress.last_event_id is not None:
             extra = [*extra, (b"last-event-id", self.progress.last_event_id)]
-        order = SendOrder(self._backend, instance, self.request, extra, self.deadline, signed)
+        once = signed and not self._policy.repeatable
+        order = SendOrder(self._backend, instance, self.request, extra, self.deadline, signed, once)
         try:
             end = await attempt.send(order)
         except BaseException:
@@ -261,6 +262,9 @@
         elif end in (AttemptEnd.BROKEN, AttemptEnd.TIMED_OUT, AttemptEnd.FAILED, AttemptEnd.REJECTED):
             self._free(self._handle)
 
+    def _out_of_time(self) -> bool:
+        return self.deadline - time.monotonic() < LEAST_LEFT_S
+
     def _fresh(self, handle: Handle) -> bool:
         lasts = self._engine.handle_ttl_s if self._engine is not None else 0.0
         return time.monotonic() - handle.taken_at < lasts * HANDLE_SHARE
--- a/mallowbeam/data_plane/outcomes.py
+++ b/mallowbeam/data_plane/outcomes.py
@@ -40,7 +40,7 @@
     """
     if not LEAST_STATUS <= answer.status <= MOST_STATUS:
         return AttemptEnd.BROKEN
-    echoed = [value for name, value in answer.headers if name == b"request-id"]
+    echoed = _request_ids(answer)
     if echoed != [request_id] and (echoed or not first_on_connection):
         return AttemptEnd.BROKEN
     if answer.status == MISDIRECTED_STATUS:
@@ -54,11 +54,21 @@
     return AttemptEnd.ANSWERED
 
 
+def names_another(answer: Message, request_id: bytes) -> bool:
+    """Whether an answer names one request, and not this one: a late one to an earlier request."""
+    echoed = _request_ids(answer)
+    return len(echoed) == 1 and echoed != [request_id]
+
+
 def may_pass_on(answer: Message) -> bool:
     """Whether a failure may go to the client as it is: not one whose status promises that nothing has run."""
     return answer.status not in PROMISES
 
 
+def _request_ids(answer: Message) -> list[bytes]:
+    return [value for name, value in answer.headers if name == b"request-id"]
+
+
 def retry_after(answer: Message) -> float | None:
     """Seconds after which an instance asks to be tried again."""
     value = answer.get(b"retry-after")
--- a/mallowbeam/data_plane/prefill.py
+++ b/mallowbeam/data_plane/prefill.py
@@ -85,8 +85,9 @@
         try:
             target = f"/mallowbeam/kv-handle/{handle.id}".encode()
             headers = [(b"host", handle.address.encode()), (b"target-instance", handle.instance.encode())]
-            await link.request(write_request(b"DELETE", target, headers))
-            answer = await link.head()
+            answer = await link.ask(write_request(b"DELETE", target, headers))
             await link.body(answer)
+            if answer.get(b"request-id"):
+                answer = None                  # a late one to an earlier request: this call's is still owed
         finally:
             self._pool.give_back(handle.instance, link, answer)
--- a/mallowbeam/data_plane/send_policy.py
+++ b/mallowbeam/data_plane/send_policy.py
@@ -35,7 +35,7 @@
 
     def __init__(self, budget: RetryBudget, repeatable: bool, most_instances: int) -> None:
         self._budget = budget
-        self._repeatable = repeatable
+        self.repeatable = repeatable           # it may run more than once
         self._most_instances = max(1, most_instances)
         self._arrivals = 0
         self._instances: set[str] = set()
@@ -45,7 +45,7 @@
 
     def send(self, instance: str, now: float, gateways: int) -> SendTicket | None:
         """Ask for one send; None where it is not allowed."""
-        if self.may_have_run and not self._repeatable:
+        if self.may_have_run and not self.repeatable:
             return None
         if self._connect_failures >= MOST_CONNECT_FAILURES:
             return None
@@ -90,7 +90,7 @@
 
     def may_continue(self) -> bool:
         """Whether another send could still be allowed, the budget apart."""
-        if self.may_have_run and not self._repeatable:
+        if self.may_have_run and not self.repeatable:
             return False
         if self._connect_failures >= MOST_CONNECT_FAILURES:
             return False
--- a/tests/test_exchange_model.py
+++ b/tests/test_exchange_model.py
@@ -136,6 +136,7 @@
         echoed = answer.get(b"request-id") or request_id
         return judge_answer(answer, echoed, True, signed)
     stack.enter_context(patch.object(attempt, "judge_answer", unnamed))
+    stack.enter_context(patch.object(attempt, "names_another", lambda *_: False))
 
 
 def nameless_answers_believed(stack: ExitStack) -> None:
