--- /dev/null
+++ b/tests/test_control_plane_calls.py
@@ -0,0 +1,107 @@
+"""Answers to calls between members: each finds the call that it belongs to, or none."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from types import SimpleNamespace
+from typing import cast
+
+from mallowbeam.control_plane.commands import Commands
+from mallowbeam.control_plane.peer_links import PeerLinks
+from mallowbeam.control_plane.raft_driver import RaftDriver
+from mallowbeam.rpc.messages_pb2 import (
+    APPLIED,
+    Command,
+    PeerFrame,
+    ProposeResponse,
+    ReadIndexResponse,
+)
+from tests.virtual_time import play
+
+OWN, LEADER = 1, 2
+
+
+class Member:
+    """One process of a member: its calls to the leader, whose frames are kept."""
+
+    def __init__(self) -> None:
+        self.sent: list[PeerFrame] = []
+        self.loop = asyncio.get_running_loop()
+        changes = SimpleNamespace(next=self.loop.create_future)
+        driver = SimpleNamespace(leader_id=LEADER, leadership_changes=changes)
+        links = SimpleNamespace(own=SimpleNamespace(id=OWN), send=self._send)
+        self.commands = Commands(cast(RaftDriver, driver), cast(PeerLinks, links))
+
+    def _send(self, recipient: int, frame: PeerFrame) -> bool:
+        self.sent.append(frame)
+        return True
+
+    async def call(self) -> asyncio.Task[object]:
+        """A command on its way to the leader."""
+        task: asyncio.Task[object] = self.loop.create_task(
+            self.commands.submit(Command(), self.loop.time()))
+        await asyncio.sleep(0.01)
+        return task
+
+
+def applied(id: int, index: int) -> ProposeResponse:
+    return ProposeResponse(id=id, status=APPLIED, index=index)
+
+
+class Callers(unittest.TestCase):
+    def test_an_answer_to_a_process_before_a_restart_reaches_no_call(self) -> None:
+        async def scenario() -> None:
+            for _ in range(20):
+                before, after = Member(), Member()
+                first = await before.call()
+                first.cancel()
+                second = await after.call()
+                after.commands.propose_response(applied(before.sent[0].propose.id, 7))
+                await asyncio.sleep(0.01)
+                self.assertFalse(second.done())
+                after.commands.propose_response(applied(after.sent[0].propose.id, 8))
+                self.assertEqual(getattr(await second, "index", None), 8)
+        play(scenario())
+
+    def test_answers_that_pass_each_other_reach_their_own_calls(self) -> None:
+        async def scenario() -> None:
+            member = Member()
+            calls = [await member.call() for _ in range(3)]
+            for number in (2, 0, 1):
+                member.commands.propose_response(applied(member.sent[number].propose.id, 10 + number))
+            self.assertEqual([getattr(await call, "index", None) for call in calls], [10, 11, 12])
+        play(scenario())
+
+    def test_an_answer_that_comes_again_or_to_a_call_given_up_reaches_no_other(self) -> None:
+        async def scenario() -> None:
+            member = Member()
+            first = await member.call()
+            answer = applied(member.sent[0].propose.id, 7)
+            member.commands.propose_response(answer)
+            await first
+            given_up = await member.call()
+            given_up.cancel()
+            await asyncio.sleep(0.01)
+            second = await member.call()
+            for late in (answer, applied(member.sent[1].propose.id, 8)):
+                member.commands.propose_response(late)
+            await asyncio.sleep(0.01)
+            self.assertFalse(second.done())
+            second.cancel()
+        play(scenario())
+
+    def test_an_answer_to_a_read_is_none_to_a_command(self) -> None:
+        async def scenario() -> None:
+            member = Member()
+            call = await member.call()
+            member.commands.read_index_response(
+                ReadIndexResponse(id=member.sent[0].propose.id, confirmed=True, index=9))
+            await asyncio.sleep(0.01)
+            self.assertFalse(call.done())
+            call.cancel()
+        play(scenario())
+
+
+if __name__ == "__main__":
+    unittest.main()
