--- a/mallowbeam/data_plane/exchange.py
+++ b/mallowbeam/data_plane/exchange.py
@@ -207,7 +207,8 @@
             extra = [*extra, (b"priority", b"%d" % min(plan.engine_priority, 9))]
         if self.progress.last_event_id is not None:
             extra = [*extra, (b"last-event-id", self.progress.last_event_id)]
-        order = SendOrder(self._backend, instance, self.request, extra, self.deadline, signed)
+        once = signed and not self._policy.repeatable
+        order = SendOrder(self._backend, instance, self.request, extra, self.deadline, signed, once)
         try:
             end = await attempt.send(order)
         except BaseException:
@@ -292,8 +293,9 @@
 async def read_piece(attempt: Attempt, progress: StreamProgress) -> bytes:
     """The next bytes of a stream that can be passed on; empty at its end.
 
-    Raises `Broken` where it ends inside an event or without the end that its framing asks for, and where
-    its events are out of order.
+    Raises `Broken` where it ends without the end that its framing asks for, or inside an event (what is
+    passed on byte by byte: only where nothing but the connection's end marks its own), and where its events
+    are out of order.
     """
     link, answer = attempt.link, attempt.answer
     assert link is not None
@@ -306,7 +308,7 @@
         if progress.fault:
             raise Broken(progress.fault)
         if answer.whole:
-            if progress.partial:
+            if progress.partial or (answer.until_close and progress.inside_event):
                 raise Broken("the stream ended inside an event")
             return b""
         await link.more(answer)
