Tests: orders without the constructor of their sender

The test built a StageOrders with stand-ins for what it does not use, and would change with each of them. It now sets what it is about: the lease, the holder and what the member knows of its leadership.

--- a/tests/test_rules_orders.py
+++ b/tests/test_rules_orders.py
@@ -26,7 +26,8 @@
 SECONDS = 60.0
 LEASE_S = 3.0
 NOW = 100.0
-LEADS = Standing(True, 4, 0.0)
+HOLDER, TERM = 0xabc, 4
+LEADS = Standing(True, TERM, 0.0)
 
 
 class NoWait(OrderLease):
@@ -157,30 +158,34 @@
         writer.close()
 
 
+class Leader(StageOrders):
+    """A member with a lease; all else about it is as it is told."""
+
+    def __init__(self, token: int = 7, leads: bool = True, silence_s: float = 0.0) -> None:
+        self._holder, self._told = HOLDER, Standing(leads, TERM, silence_s)
+        self._gate = SimpleNamespace(may=lambda *_: True)
+        self._lease = OrderLease(OrderLeaseSettings(LEASE_S))
+        self._lease.acquired(TERM, token, time.monotonic() - self._lease.settings.wait_s)
+
+    def _standing(self, now: float) -> Standing:
+        return self._told
+
+
 class Sending(unittest.IsolatedAsyncioTestCase):
     """What a leader sends, and what it takes an answer for."""
 
-    def leader(self, token: int = 7, leads: bool = True, silence_s: float = 0.0) -> StageOrders:
-        """A member under a lease."""
-        node = SimpleNamespace(term=4, freshness=lambda now: silence_s)
-        driver = SimpleNamespace(node=node, is_leader=leads)
-        orders = StageOrders(driver, 0xabc, None, None, lambda: None, LEASE_S)  # type: ignore[arg-type]
-        settings = orders._lease.settings
-        orders._lease.acquired(4, token, time.monotonic() - settings.wait_s)
-        return orders
-
     def to(self, instance: Ordered, stage: str = "prefill", id: str = "i-1") -> StageOrder:
         return StageOrder(id, instance.address, stage)
 
     async def test_op_holder_token_and_instance_are_named(self) -> None:
         async with Ordered() as instance:
-            self.assertEqual(await self.leader()._exchange(self.to(instance)), OrderResult.TAKEN)
-            self.assertEqual(instance.taken, [{"op": "stage", "stage": "prefill", "holder": f"{0xabc:016x}",
+            self.assertEqual(await Leader()._exchange(self.to(instance)), OrderResult.TAKEN)
+            self.assertEqual(instance.taken, [{"op": "stage", "stage": "prefill", "holder": f"{HOLDER:016x}",
                                                "fencing_token": 7}])
 
     async def test_what_each_answer_means(self) -> None:
         async with Ordered() as instance:
-            leader = self.leader()
+            leader = Leader()
             self.assertEqual(await leader._exchange(self.to(instance)), OrderResult.TAKEN)           # 202
             self.assertEqual(await leader._exchange(self.to(instance)), OrderResult.UNKNOWN)         # 409
             instance.stage, instance.busy = "prefill", False
@@ -191,14 +196,14 @@
 
     async def test_a_lower_token_ends_the_lease(self) -> None:
         async with Ordered(fence=9) as instance:
-            leader = self.leader(token=7)
+            leader = Leader(token=7)
             self.assertEqual(await leader._exchange(self.to(instance)), OrderResult.REFUSED)
             self.assertEqual(await leader._exchange(self.to(instance)), OrderResult.NOT_SENT)
             self.assertEqual((instance.statuses, instance.taken), ([412], []))
 
     async def test_no_answer_may_have_been_taken_and_no_connection_was_not(self) -> None:
         async with Ordered(silent=True) as instance:
-            leader = self.leader()
+            leader = Leader()
             self.assertEqual(await leader._exchange(self.to(instance)), OrderResult.UNKNOWN)
             self.assertEqual(len(instance.taken), 1)
         nobody = StageOrder("i-1", "127.0.0.1:1", "prefill")
@@ -207,7 +212,7 @@
     async def test_an_order_for_an_earlier_incarnation_is_not_taken_by_the_next(self) -> None:
         """It has forgotten fences and sequence: its id alone tells it from the one that was meant."""
         async with Ordered() as instance:
-            leader = self.leader()
+            leader = Leader()
             instance.restart("i-2")
             self.assertEqual(await leader._exchange(self.to(instance)), OrderResult.REFUSED)
             self.assertEqual((instance.statuses, instance.taken), ([421], []))
@@ -215,7 +220,7 @@
 
     async def test_whoever_does_not_lead_or_is_out_of_touch_sends_nothing(self) -> None:
         async with Ordered() as instance:
-            for leader in (self.leader(leads=False), self.leader(silence_s=2.0)):
+            for leader in (Leader(leads=False), Leader(silence_s=2.0)):
                 self.assertEqual(await leader._exchange(self.to(instance)), OrderResult.NOT_SENT)
             self.assertEqual(instance.statuses, [])
 
