--- /dev/null
+++ b/tests/test_rules_instances.py
@@ -0,0 +1,73 @@
+"""What instances of grown deployments do: idle connections dropped in silence, health told falsely."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from mallowbeam.rpc.messages_pb2 import ENDED
+from tests.failing_instances import ByName, Forgetful, add, set_state
+from tests.gateway_bench import DEFAULT, Bench, configuration, route
+from tests.timed_instances import Timed
+from tests.virtual_time import play
+
+RESTS_S = 1.0               # longer than `Forgetful` holds a connection, shorter than it says
+
+
+class DroppedIdle(unittest.TestCase):
+    """A connection that the instance has forgotten is reset when it is used again."""
+
+    async def ask_twice(self, target: str) -> tuple[list[int], Forgetful, Timed]:
+        async with Bench(DEFAULT, ByName()) as bench:
+            forgetful, other = Forgetful("i-1"), Timed("i-2")
+            await add(bench, forgetful)
+            await add(bench, other)
+            statuses = [(await bench.ask(target)).status]
+            await asyncio.sleep(RESTS_S)
+            statuses.append((await bench.ask(target)).status)
+            return statuses, forgetful, other
+
+    def test_what_may_not_run_twice_is_not_sent_again_and_nothing_is_promised(self) -> None:
+        async def scenario() -> None:
+            statuses, forgetful, other = await self.ask_twice("/unsafe/")
+            self.assertEqual(statuses, [200, 502])
+            self.assertEqual((forgetful.reset, len(forgetful.seen), len(other.seen)), (1, 1, 0))
+        play(scenario())
+
+    def test_what_may_is(self) -> None:
+        async def scenario() -> None:
+            statuses, forgetful, other = await self.ask_twice("/safe/")
+            self.assertEqual(statuses, [200, 200])
+            self.assertEqual((forgetful.reset, len(forgetful.seen), len(other.seen)), (1, 1, 1))
+        play(scenario())
+
+
+class FalseHealth(unittest.TestCase):
+    """Health checks are neither made nor believed: what requests meet counts, and what members say."""
+
+    def test_none_is_made(self) -> None:
+        async def scenario() -> None:
+            async with Bench(configuration(route("/safe/", "safe")), ByName()) as bench:
+                instance = Timed("i-1")
+                await add(bench, instance)
+                for _ in range(3):
+                    self.assertEqual((await bench.ask("/safe/")).status, 200)
+                    await asyncio.sleep(5.0)
+                    bench.gateway.sweep(1000.0)
+                self.assertEqual({(seen.method, seen.target) for seen in instance.seen}, {("POST", "/safe/")})
+        play(scenario())
+
+    def test_an_instance_that_ended_gets_nothing_however_well_it_answers(self) -> None:
+        async def scenario() -> None:
+            async with Bench(DEFAULT, ByName()) as bench:
+                first, second = Timed("i-1"), Timed("i-2")
+                await add(bench, first)
+                await add(bench, second)
+                set_state(bench, "i-1", ENDED)
+                self.assertEqual((await bench.ask("/unsafe/")).headers["server-signature"], "stamp.i-2")
+                self.assertEqual(first.seen, [])
+        play(scenario())
+
+
+if __name__ == "__main__":
+    unittest.main()
