A refused order stays refused; a taken one that is forgotten is never refused

Cause: a call that builds on a version that is not taken yet was refused with VERSION_MISMATCH and forgotten. A second copy of it, applied after that version had come, was taken: in force although refused. Change: refused calls that could succeed later (based_on above the current revision and below their own) are kept in the replicated state by (digest, based_on), 1,024 of them, dropped once they can't succeed; without room the answer is OUTCOME_UNKNOWN (504), not a refusal. Taken configurations are 24-byte records, 65,536 of them (28 hours); what may be among the dropped ones gets OUTCOME_UNKNOWN. The API acknowledges DONE and ALREADY_DONE only. messages.proto: taken_records, forgotten_revision, OUTCOME_UNKNOWN; regenerated. Tests changed: configuration/bound.txt held that a forgotten order is refused, versions.txt that the very call that was refused is taken later; both break a rule. They now hold the opposite, and that the changed order is taken.

--- a/mallowbeam/configuration/versions.py
+++ b/mallowbeam/configuration/versions.py
@@ -10,21 +10,19 @@
 
 from mallowbeam.configuration.model import Configuration
 from mallowbeam.configuration.parsing import ConfigurationParser, ParsedConfiguration
+from mallowbeam.configuration.refusals import MOST_REFUSED, CallIdentity, RefusedCalls
+from mallowbeam.configuration.taken import MOST_TAKEN, TakenConfigurations
 from mallowbeam.rpc.messages_pb2 import (
     ALREADY_DONE,
     DONE,
+    OUTCOME_UNKNOWN,
     REVISION_NOT_ABOVE,
     VERSION_MISMATCH,
     CommandResult,
     PutConfiguration,
     ReplicatedState,
-    TakenConfiguration,
 )
 
-# Digests that are remembered (about 100 KB of a snapshot). A configuration that is sent again after so many
-# others were taken is no longer known: it is answered as a new one, with VERSION_MISMATCH or
-# REVISION_NOT_ABOVE.
-TAKEN_KEPT = 4096
 COMPRESSION_LEVEL = 1  # a body is written to a log: fast counts for more than small
 
 
@@ -39,16 +37,20 @@
 
 
 class ConfigurationVersions:
-    """The current configuration and the digests of those that were taken."""
-
-    def __init__(self, parser: ConfigurationParser | None = None, taken_kept: int = TAKEN_KEPT) -> None:
+    """The current configuration, those that were taken, and refused calls that could still succeed."""
+
+    def __init__(
+        self,
+        parser: ConfigurationParser | None = None,
+        most_taken: int = MOST_TAKEN,
+        most_refused: int = MOST_REFUSED,
+    ) -> None:
         """`parser` may be the one that the member's API uses, so that nothing is parsed twice."""
         self._parser = parser if parser is not None else ConfigurationParser()
-        self._taken_kept = taken_kept
+        self._taken = TakenConfigurations(most_taken)
+        self._refused = RefusedCalls(most_refused)
         self._revision = 0
         self._body = b""                       # zlib of the canonical JSON
-        self._taken: dict[bytes, int] = {}     # revisions by digest, oldest first
-        self._digest = b""                     # of the current configuration
         self._current: Configuration | None = None
 
     @property
@@ -57,19 +59,40 @@
         return self._revision
 
     def apply(self, command: PutConfiguration) -> CommandResult:
-        """Apply one committed command."""
-        if command.digest in self._taken:
+        """Apply one committed command; copies of one call get answers that agree."""
+        if self._taken.holds(command.revision, command.digest):
             return ALREADY_DONE
+        call = CallIdentity(command.digest, command.based_on)
+        refused = self._refused.result(call)
+        if refused is not None:
+            return refused
+        result = self._judge(command)
+        if result == DONE:
+            self._take(command)
+        elif self._could_succeed_later(command) and not self._refused.add(call, result):
+            return OUTCOME_UNKNOWN
+        return result
+
+    def _judge(self, command: PutConfiguration) -> CommandResult:
+        """What becomes of a call of which no copy is known."""
+        if self._taken.may_be_forgotten(command.revision):
+            return OUTCOME_UNKNOWN
         if command.based_on != self._revision:
             return VERSION_MISMATCH
         if command.revision <= self._revision:
             return REVISION_NOT_ABOVE
+        return DONE
+
+    def _could_succeed_later(self, command: PutConfiguration) -> bool:
+        """Whether a later revision could be the one that a refused call builds on."""
+        return self._revision < command.based_on < command.revision
+
+    def _take(self, command: PutConfiguration) -> None:
         self._revision = command.revision
         self._body = command.body
-        self._digest = command.digest
         self._current = None
-        self._remember(command.digest, command.revision)
-        return DONE
+        self._taken.add(command.revision, command.digest)
+        self._refused.drop_below(command.revision)
 
     def current_body(self) -> bytes:
         """The current configuration's canonical JSON; empty if none was taken yet."""
@@ -78,7 +101,7 @@
     def current(self) -> Configuration | None:
         """The current configuration, parsed when first asked for; None if none was taken yet."""
         if self._current is None and self._body:
-            known = self._parser.recall(self._digest) or self._parser.parse(self.current_body())
+            known = self._parser.recall(self._taken.last_digest) or self._parser.parse(self.current_body())
             self._current = known.configuration
         return self._current
 
@@ -86,20 +109,13 @@
         """Fill this part's fields of a snapshot."""
         state.revision = self._revision
         state.body = self._body
-        del state.taken[:]
-        state.taken.extend(
-            TakenConfiguration(digest=digest, revision=revision) for digest, revision in self._taken.items()
-        )
+        self._taken.save(state)
+        self._refused.save(state)
 
     def restore(self, state: ReplicatedState) -> None:
         """Take over this part of a snapshot in place of all that was held."""
         self._revision = state.revision
         self._body = state.body
-        self._taken = {taken.digest: taken.revision for taken in state.taken}
-        self._digest = state.taken[-1].digest if state.taken else b""
         self._current = None
-
-    def _remember(self, digest: bytes, revision: int) -> None:
-        self._taken[digest] = revision
-        while len(self._taken) > self._taken_kept:
-            del self._taken[next(iter(self._taken))]
+        self._taken.restore(state)
+        self._refused.restore(state)
--- a/mallowbeam/control_plane/api.py
+++ b/mallowbeam/control_plane/api.py
@@ -11,6 +11,7 @@
 from mallowbeam.configuration.versions import ConfigurationVersions, put_command
 from mallowbeam.control_plane.answers import (
     CallError,
+    OutcomeUnknownError,
     RevisionNotAboveError,
     VersionMismatchError,
     body_reply,
@@ -24,7 +25,7 @@
 from mallowbeam.http.front import Reply
 from mallowbeam.registry.errors import HeartbeatError
 from mallowbeam.registry.parse import check_id, parse_heartbeat
-from mallowbeam.rpc.messages_pb2 import REVISION_NOT_ABOVE, VERSION_MISMATCH, Command
+from mallowbeam.rpc.messages_pb2 import ALREADY_DONE, DONE, REVISION_NOT_ABOVE, VERSION_MISMATCH, Command
 
 MOST_BODY = 4 * 1024 * 1024    # bytes of a configuration
 MOST_BODIES = 24 * 1024 * 1024  # bytes of bodies that are held at once; beyond it calls are turned away
@@ -99,6 +100,8 @@
             raise VersionMismatchError("another version is current", "If-Match")
         if outcome.result == REVISION_NOT_ABOVE:
             raise RevisionNotAboveError("not above the current revision", "revision")
+        if outcome.result not in (DONE, ALREADY_DONE):
+            raise OutcomeUnknownError("a copy of this call may have been taken, or may yet be", "revision")
         return 200, b'{"revision":%d}' % parsed.configuration.revision
 
     async def _get_config(self, request: Message, since: float) -> tuple[int, bytes]:
--- a/tests/configuration_scenario.py
+++ b/tests/configuration_scenario.py
@@ -4,6 +4,7 @@
 
     members a b c                       the members, with nothing taken yet
     keep 3                              how many digests each of them remembers (before `members`)
+    keep-refused 3                      likewise of refused calls
     document NAME revision=4 routes=2 timeout=500
                                         a document, sent under NAME below; routes and timeout may be left out
     put NAME on=3 RESULT                a command reaches the log; every member must come to RESULT
@@ -35,16 +36,16 @@
 from mallowbeam.configuration.errors import ConfigurationError, UpdateMismatch
 from mallowbeam.configuration.model import Configuration
 from mallowbeam.configuration.parsing import parse_configuration
-from mallowbeam.configuration.versions import TAKEN_KEPT, ConfigurationVersions, put_command
+from mallowbeam.configuration.versions import ConfigurationVersions, put_command
 from mallowbeam.rpc.messages_pb2 import CommandResult, PutConfiguration, ReplicatedState
 
 SCENARIOS = Path(__file__).parent / "scenarios" / "configuration"
-NewVersions = Callable[[int], ConfigurationVersions]
+NewVersions = Callable[[dict[str, int]], ConfigurationVersions]
 
 
-def new_versions(taken_kept: int) -> ConfigurationVersions:
+def new_versions(bounds: dict[str, int]) -> ConfigurationVersions:
     """The program's own state machine; tests hand in broken ones."""
-    return ConfigurationVersions(taken_kept=taken_kept)
+    return ConfigurationVersions(**bounds)
 
 
 @dataclass
@@ -71,7 +72,7 @@
     """The world of one file."""
 
     new_versions: NewVersions = new_versions
-    taken_kept: int = TAKEN_KEPT
+    bounds: dict[str, int] = field(default_factory=dict)
     documents: dict[str, dict[str, Any]] = field(default_factory=dict)
     members: dict[str, Member] = field(default_factory=dict)
     gateways: dict[str, Gateway] = field(default_factory=dict)
@@ -91,11 +92,14 @@
                 raise AssertionError(f"line {number}, {line.strip()!r}: {error}") from None
 
     def do_keep(self, count: str) -> None:
-        self.taken_kept = int(count)
+        self.bounds["most_taken"] = int(count)
+
+    def do_keep_refused(self, count: str) -> None:
+        self.bounds["most_refused"] = int(count)
 
     def do_members(self, *names: str) -> None:
         for name in names:
-            self.members[name] = Member(self.new_versions(self.taken_kept))
+            self.members[name] = Member(self.new_versions(self.bounds))
 
     def do_document(self, name: str, *settings: str) -> None:
         options = dict(setting.split("=") for setting in settings)
@@ -136,7 +140,7 @@
     def do_snapshot(self, source: str, target: str) -> None:
         state = ReplicatedState()
         self.members[source].versions.save(state)
-        versions = self.new_versions(self.taken_kept)
+        versions = self.new_versions(self.bounds)
         versions.restore(ReplicatedState.FromString(state.SerializeToString()))
         previous = self.members.get(target, Member(versions))
         self.members[target] = Member(versions, self.members[source].applied, previous.lags)
--- a/tests/test_configuration_versions.py
+++ b/tests/test_configuration_versions.py
@@ -8,6 +8,8 @@
 from configuration_scenario import SCENARIOS, NewVersions, Scenario
 
 from mallowbeam.configuration.parsing import ConfigurationParser
+from mallowbeam.configuration.refusals import RefusedCalls
+from mallowbeam.configuration.taken import RECORD, TakenConfigurations
 from mallowbeam.configuration.versions import ConfigurationVersions, put_command
 from mallowbeam.rpc.messages_pb2 import (
     ALREADY_DONE,
@@ -23,7 +25,7 @@
     """Knows no configuration again."""
 
     def apply(self, command: PutConfiguration) -> CommandResult:
-        self._taken.clear()
+        self._taken = TakenConfigurations()
         return super().apply(command)
 
 
@@ -32,7 +34,7 @@
 
     def restore(self, state: ReplicatedState) -> None:
         super().restore(state)
-        self._taken.clear()
+        self._taken = TakenConfigurations()
 
 
 class ComparesNothing(ConfigurationVersions):
@@ -63,8 +65,42 @@
 class KeepsAll(ConfigurationVersions):
     """Remembers digests without a bound."""
 
-    def _remember(self, digest: bytes, revision: int) -> None:
-        self._taken[digest] = revision
+    def __init__(self, parser: ConfigurationParser | None = None, **bounds: int) -> None:
+        super().__init__(parser)
+
+
+class RefusesTheForgotten(ConfigurationVersions):
+    """Refuses what it may have taken long ago."""
+
+    def _judge(self, command: PutConfiguration) -> CommandResult:
+        self._taken._forgotten_revision = 0
+        return super()._judge(command)
+
+
+class ForgetsRefusals(ConfigurationVersions):
+    """Takes a late copy of a call that it has refused."""
+
+    def apply(self, command: PutConfiguration) -> CommandResult:
+        self._refused = RefusedCalls()
+        return super().apply(command)
+
+
+class ForgetsRefusalsOnRestart(ConfigurationVersions):
+    """A snapshot loses the refused calls."""
+
+    def restore(self, state: ReplicatedState) -> None:
+        super().restore(state)
+        self._refused = RefusedCalls()
+
+
+class DropsTheOldestRefusal(ConfigurationVersions):
+    """Makes room for a refusal by forgetting one that could still succeed."""
+
+    def _judge(self, command: PutConfiguration) -> CommandResult:
+        refused = self._refused
+        if len(refused) >= refused._most:
+            del refused._results[next(iter(refused._results))]
+        return super()._judge(command)
 
 
 class KeepsTheOldModel(ConfigurationVersions):
@@ -83,13 +119,17 @@
     ComparesNothing: ("race", "versions"),
     TakesAnyNumber: ("race", "versions"),
     KeepsAll: ("bound",),
+    RefusesTheForgotten: ("bound",),
+    ForgetsRefusals: ("late_copy", "refusals_bound"),
+    ForgetsRefusalsOnRestart: ("late_copy",),
+    DropsTheOldestRefusal: ("refusals_bound",),
     KeepsTheOldModel: ("race", "resend", "gateways"),
 }
 
 
 def play(name: str, kind: type[ConfigurationVersions]) -> None:
     """Play one scenario with one kind of state machine."""
-    make: NewVersions = lambda kept: kind(taken_kept=kept)  # noqa: E731
+    make: NewVersions = lambda bounds: kind(**bounds)  # noqa: E731
     Scenario(make).run((SCENARIOS / f"{name}.txt").read_text())
 
 
@@ -98,7 +138,7 @@
 
     def test_scenarios(self) -> None:
         names = sorted(path.stem for path in SCENARIOS.glob("*.txt"))
-        self.assertGreaterEqual(len(names), 7)
+        self.assertGreaterEqual(len(names), 9)
         for name in names:
             with self.subTest(name):
                 play(name, ConfigurationVersions)
@@ -140,7 +180,8 @@
         state = ReplicatedState(revision=1, retired=[RetireInstance(id="i-1")])
         versions.save(state)
         versions.save(state)
-        self.assertEqual((state.revision, len(state.taken), state.retired[0].id), (7, 1, "i-1"))
+        self.assertEqual((state.revision, len(state.taken_records)), (7, RECORD.size))
+        self.assertEqual(state.retired[0].id, "i-1")
 
     def test_equal_states_are_saved_as_equal_bytes(self) -> None:
         parser = ConfigurationParser()
