--- /dev/null
+++ b/tests/command_model.py
@@ -0,0 +1,180 @@
+"""A model of calls of two operators whose copies are applied in any order, and a judge of their results.
+
+Each call may be applied several times: its caller sends it again after a lost answer, and members propose it
+again after a change of leader. Every copy's result counts as told to its caller. One replica is never
+restored, a second one is restored from its own snapshot after each command.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import zlib
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass, field
+
+from mallowbeam.configuration.taken import RECORD
+from mallowbeam.configuration.versions import ConfigurationVersions
+from mallowbeam.rpc.messages_pb2 import (
+    ALREADY_DONE,
+    DONE,
+    OUTCOME_UNKNOWN,
+    CommandResult,
+    PutConfiguration,
+    ReplicatedState,
+)
+
+NewVersions = Callable[[], ConfigurationVersions]
+
+
+class RuleBroken(AssertionError):
+    """A result that an operator must not be told, or replicas that differ."""
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One order of an operator: what stays the same in all of its copies."""
+
+    revision: int
+    content: str
+    based_on: int
+
+    @property
+    def document(self) -> tuple[int, str]:
+        """What the body says; calls on different versions may share it."""
+        return self.revision, self.content
+
+    def command(self) -> PutConfiguration:
+        """The call as it stands in the log."""
+        text = f"{self.revision} {self.content}".encode()
+        digest = hashlib.blake2b(text, digest_size=16).digest()
+        return PutConfiguration(body=zlib.compress(text), based_on=self.based_on, digest=digest,
+                                revision=self.revision)
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """How much the state machine remembers."""
+
+    most_taken: int
+    most_refused: int
+
+
+@dataclass(slots=True)
+class Judge:
+    """What was told so far, and whether one more result agrees with it."""
+
+    bounds: Bounds
+    in_force: list[Call] = field(default_factory=list)
+    refused: set[Call] = field(default_factory=set)
+    acknowledged: set[Call] = field(default_factory=set)
+
+    @property
+    def revision(self) -> int:
+        """The current revision."""
+        return self.in_force[-1].revision if self.in_force else 0
+
+    def copy(self) -> Judge:
+        """The same history, to go on in another way."""
+        return Judge(self.bounds, list(self.in_force), set(self.refused), set(self.acknowledged))
+
+    def told(self, call: Call, result: CommandResult) -> None:
+        """Take one result; raises `RuleBroken`."""
+        taken = call.document in {one.document for one in self.in_force}
+        if result == DONE:
+            self._must(not taken, "taken twice")
+            self._must(call not in self.refused, "in force although it was refused")
+            self._must(call.based_on == self.revision, "in force though another change of its version won")
+            self._must(call.revision > self.revision, "in force though its revision is not above")
+            self.in_force.append(call)
+            self.acknowledged.add(call)
+        elif result == ALREADY_DONE:
+            self._must(taken, "acknowledged and not in force")
+            self.acknowledged.add(call)
+        elif result == OUTCOME_UNKNOWN:
+            self._must(self._may_be_forgotten(call) or self._no_room(call), "no clear answer without need")
+        else:
+            self._must(not taken and call not in self.acknowledged, "taken, and then refused")
+            valid = call.based_on == self.revision < call.revision
+            self._must(call in self.refused or not valid, "a valid change was refused")
+            self.refused.add(call)
+
+    def check_bounds(self, state: ReplicatedState) -> None:
+        """Whether a replica holds no more than it may."""
+        taken = len(state.taken_records) // RECORD.size
+        self._must(taken <= self.bounds.most_taken, "more configurations are remembered than may be")
+        self._must(len(state.refused) <= self.bounds.most_refused, "more refusals are remembered than may be")
+
+    def _may_be_forgotten(self, call: Call) -> bool:
+        dropped = self.in_force[: max(0, len(self.in_force) - self.bounds.most_taken)]
+        return bool(dropped) and call.revision <= dropped[-1].revision
+
+    def _no_room(self, call: Call) -> bool:
+        waiting = [one for one in self.refused if self.revision <= one.based_on < one.revision]
+        return len(waiting) >= self.bounds.most_refused and call.based_on > self.revision
+
+    def _must(self, holds: bool, what: str) -> None:
+        if not holds:
+            raise RuleBroken(what)
+
+
+class Replicas:
+    """Two replicas of one log, and the judge of what they answer."""
+
+    def __init__(self, new_versions: NewVersions, judge: Judge) -> None:
+        self._new_versions = new_versions
+        self.judge = judge
+        self.steady = new_versions()
+        self.restored = new_versions()
+
+    def fork(self) -> Replicas:
+        """The same state, to go on in another way."""
+        other = Replicas(self._new_versions, self.judge.copy())
+        other.steady.restore(state_of(self.steady))
+        other.restored.restore(state_of(self.restored))
+        return other
+
+    def apply(self, call: Call, command: PutConfiguration) -> None:
+        """Apply one copy of a call everywhere; raises `RuleBroken`."""
+        result = self.steady.apply(command)
+        if self.restored.apply(command) != result:
+            raise RuleBroken("replicas answer differently")
+        self.restart()
+        state = state_of(self.steady)
+        if state != state_of(self.restored):
+            raise RuleBroken("replicas hold different states")
+        self.judge.told(call, result)
+        self.judge.check_bounds(state)
+
+    def restart(self) -> None:
+        """Build one replica anew from its snapshot."""
+        saved = state_of(self.restored)
+        self.restored = self._new_versions()
+        self.restored.restore(saved)
+
+
+def state_of(versions: ConfigurationVersions) -> ReplicatedState:
+    """What a snapshot holds of a replica."""
+    state = ReplicatedState()
+    versions.save(state)
+    return state
+
+
+def apply_in_all_orders(replicas: Replicas, calls: Sequence[Call], copies: int) -> int:
+    """Apply so many copies of each call in each order; returns how many applications that took."""
+    commands = [call.command() for call in calls]
+    return _go_on(replicas, calls, commands, [copies] * len(calls))
+
+
+def _go_on(replicas: Replicas, calls: Sequence[Call], commands: Sequence[PutConfiguration],
+           left: Sequence[int]) -> int:
+    applied = 0
+    for number in _with_copies(left):
+        next_one = replicas.fork()
+        next_one.apply(calls[number], commands[number])
+        still_left = [count - (position == number) for position, count in enumerate(left)]
+        applied += 1 + _go_on(next_one, calls, commands, still_left)
+    return applied
+
+
+def _with_copies(left: Sequence[int]) -> Iterator[int]:
+    return (number for number, count in enumerate(left) if count)
--- a/tests/test_configuration_versions.py
+++ b/tests/test_configuration_versions.py
@@ -6,113 +6,29 @@
 
 from configuration_documents import body_of, document
 from configuration_scenario import SCENARIOS, NewVersions, Scenario
+from configuration_variants import (
+    ComparesNothing,
+    DropsTheOldestRefusal,
+    ForgetsDigests,
+    ForgetsOnRestart,
+    ForgetsRefusals,
+    ForgetsRefusalsOnRestart,
+    KeepsAll,
+    KeepsTheOldModel,
+    RefusesTheForgotten,
+    TakesAnyNumber,
+)
 
 from mallowbeam.configuration.parsing import ConfigurationParser
-from mallowbeam.configuration.refusals import RefusedCalls
-from mallowbeam.configuration.taken import RECORD, TakenConfigurations
+from mallowbeam.configuration.taken import RECORD
 from mallowbeam.configuration.versions import ConfigurationVersions, put_command
 from mallowbeam.rpc.messages_pb2 import (
     ALREADY_DONE,
     DONE,
-    CommandResult,
-    PutConfiguration,
     ReplicatedState,
     RetireInstance,
 )
 
-
-class ForgetsDigests(ConfigurationVersions):
-    """Knows no configuration again."""
-
-    def apply(self, command: PutConfiguration) -> CommandResult:
-        self._taken = TakenConfigurations()
-        return super().apply(command)
-
-
-class ForgetsOnRestart(ConfigurationVersions):
-    """A snapshot loses the digests."""
-
-    def restore(self, state: ReplicatedState) -> None:
-        super().restore(state)
-        self._taken = TakenConfigurations()
-
-
-class ComparesNothing(ConfigurationVersions):
-    """Takes a change whatever it builds on."""
-
-    def apply(self, command: PutConfiguration) -> CommandResult:
-        free = PutConfiguration()
-        free.CopyFrom(command)
-        free.based_on = self.revision
-        return super().apply(free)
-
-
-class TakesAnyNumber(ConfigurationVersions):
-    """Takes a revision that is not above the current one."""
-
-    def apply(self, command: PutConfiguration) -> CommandResult:
-        self._revision, revision = min(self._revision, command.revision - 1), self._revision
-        free = PutConfiguration()
-        free.CopyFrom(command)
-        if command.based_on == revision:
-            free.based_on = self._revision
-        result = super().apply(free)
-        if result != DONE:
-            self._revision = revision
-        return result
-
-
-class KeepsAll(ConfigurationVersions):
-    """Remembers digests without a bound."""
-
-    def __init__(self, parser: ConfigurationParser | None = None, **bounds: int) -> None:
-        super().__init__(parser)
-
-
-class RefusesTheForgotten(ConfigurationVersions):
-    """Refuses what it may have taken long ago."""
-
-    def _judge(self, command: PutConfiguration) -> CommandResult:
-        self._taken._forgotten_revision = 0
-        return super()._judge(command)
-
-
-class ForgetsRefusals(ConfigurationVersions):
-    """Takes a late copy of a call that it has refused."""
-
-    def apply(self, command: PutConfiguration) -> CommandResult:
-        self._refused = RefusedCalls()
-        return super().apply(command)
-
-
-class ForgetsRefusalsOnRestart(ConfigurationVersions):
-    """A snapshot loses the refused calls."""
-
-    def restore(self, state: ReplicatedState) -> None:
-        super().restore(state)
-        self._refused = RefusedCalls()
-
-
-class DropsTheOldestRefusal(ConfigurationVersions):
-    """Makes room for a refusal by forgetting one that could still succeed."""
-
-    def _judge(self, command: PutConfiguration) -> CommandResult:
-        refused = self._refused
-        if len(refused) >= refused._most:
-            del refused._results[next(iter(refused._results))]
-        return super()._judge(command)
-
-
-class KeepsTheOldModel(ConfigurationVersions):
-    """Does not parse again after a change."""
-
-    def apply(self, command: PutConfiguration) -> CommandResult:
-        before = self.current()
-        result = super().apply(command)
-        self._current = before
-        return result
-
-
 BROKEN: dict[type[ConfigurationVersions], tuple[str, ...]] = {
     ForgetsDigests: ("resend", "restart", "bound"),
     ForgetsOnRestart: ("restart",),
