Two operators race through leader changes with lost answers and late copies of their orders

Cause: the fleet's scenarios have one operator, and each of its orders ends with its first clear answer; what late copies do was not shown. Change: tests/operator_races.py plays several operators on the simulated fleet, with copies of orders sent at any moment, and checks after each event that no order is acknowledged and refused, that of orders on one version one is acknowledged at most, that no member has what was refused, and that members know what was acknowledged.

--- /dev/null
+++ b/tests/operator_races.py
@@ -0,0 +1,264 @@
+"""Several operators with lost answers and late copies of their calls, on the simulated fleet.
+
+Besides the statements of :mod:`mallowbeam.simulation.fleet`::
+
+    operators o1 o2                       declared last
+    at 8 send ORDER 5 on 3 from o1 [via M]   an order of revision 5, sent until there is a clear answer
+    at 8 copy ORDER [via M]               one more copy of it, as one that was long under way
+    at 9 again ORDER [via M]              its operator sends it once more, until there is a clear answer
+
+Conditions: ``ORDER open|taken|refused``; ``one-won ORDER ORDER``; ``in-force ORDER``.
+
+At all times: no order is both acknowledged and refused; of orders on one version one is acknowledged at
+most; what was refused is in force at no member; what was acknowledged is remembered by every member that has
+applied a revision as high.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Sequence
+from contextlib import suppress
+from dataclasses import dataclass, field
+from random import Random
+
+from mallowbeam.configuration.parsing import parse_configuration
+from mallowbeam.configuration.versions import ConfigurationVersions
+from mallowbeam.simulation.fleet import FleetPlayer
+from mallowbeam.simulation.fleet_callers import (
+    CLEAR,
+    FIRST_PAUSE_S,
+    LONGEST_PAUSE_S,
+    Caller,
+    document,
+)
+from mallowbeam.simulation.fleet_processes import ApiCall
+
+
+@dataclass(slots=True)
+class RacedOrder:
+    """One order: what is sent, and what its operator was told of it."""
+
+    name: str
+    revision: int
+    based_on: int
+    call: ApiCall
+    digest: bytes
+    operator: RacingOperator
+    told: set[str] = field(default_factory=set)  # taken, refused
+    open: bool = True                          # whether its operator still sends it
+
+
+class RacingOperator(Caller):
+    """Sends orders until there is a clear answer to each."""
+
+    def send(self, order: RacedOrder, member: str, pause: float = FIRST_PAUSE_S) -> None:
+        """Send an order to a member, and to others until there is a clear answer."""
+        order.open = True
+
+        def answered(status: int, body: bytes) -> None:
+            note(order, status)
+            order.open = not clear(status)
+            if order.open:
+                again = min(2 * pause, LONGEST_PAUSE_S)
+                self.machine.later(pause, lambda: self.send(order, self.any_member(), again))
+        self.ask(member, order.call, answered)
+
+    def send_copy(self, order: RacedOrder, member: str) -> None:
+        """Send an order once; what is told of it counts."""
+        self.ask(member, order.call, lambda status, body: note(order, status))
+
+
+def clear(status: int) -> bool:
+    """Whether an answer ends an order."""
+    return 200 <= status < 300 or status in CLEAR
+
+
+def note(order: RacedOrder, status: int) -> None:
+    """Keep what an answer says of its order."""
+    if clear(status):
+        order.told.add("taken" if status < 300 else "refused")
+
+
+class RacesPlayer(FleetPlayer):
+    """Plays scenarios with several operators."""
+
+    def prepare(self) -> None:
+        """No operator, no order yet."""
+        super().prepare()
+        self.operators: dict[str, RacingOperator] = {}
+        self.orders: dict[str, RacedOrder] = {}
+        self.simulator.check(self._check_orders)
+
+    def declare_operators(self, *names: str) -> None:
+        """Machines of operators, a group of that name."""
+        for name in names:
+            machine = self._new_machine(name, "operators")
+            self.operators[name] = RacingOperator(machine, self.network, self.members)
+            machine.start()
+
+    # ------------------------------------------------------------ commands
+
+    def do_send(self, name: str, revision: str, on: str, based_on: str, origin: str, operator: str,
+                *via: str) -> None:
+        """Send a new order."""
+        if on != "on" or origin != "from":
+            raise ValueError("needs send ORDER REVISION on BASED from OPERATOR [via M]")
+        body = json.dumps({**document(int(revision)), "x-order": name}).encode()
+        call = ApiCall("PUT", "/mallowbeam/config", body, (("If-Match", based_on),))
+        digest = parse_configuration(body).digest
+        order = RacedOrder(name, int(revision), int(based_on), call, digest, self.operators[operator])
+        self.orders[name] = order
+        order.operator.send(order, self._via(order, via))
+
+    def do_again(self, name: str, *via: str) -> None:
+        """Send an order once more until there is a clear answer."""
+        order = self.orders[name]
+        order.operator.send(order, self._via(order, via))
+
+    def do_copy(self, name: str, *via: str) -> None:
+        """One more copy of an order."""
+        order = self.orders[name]
+        order.operator.send_copy(order, self._via(order, via))
+
+    def _via(self, order: RacedOrder, via: Sequence[str]) -> str:
+        if not via:
+            return order.operator.any_member()
+        if via[0] != "via":
+            raise ValueError("needs via M")
+        return self.names(via[1])[0]
+
+    # ------------------------------------------------------------ conditions
+
+    def holds(self, words: Sequence[str]) -> bool:
+        """Whether a condition holds."""
+        match words:
+            case ("one-won", *names):
+                orders = [self.orders[name] for name in names]
+                won = [order for order in orders if "taken" in order.told]
+                return len(won) == 1 and not any(order.open for order in orders)
+            case ("in-force", name):
+                order = self.orders[name]
+                return all(versions.revision == order.revision and remembers(versions, order)
+                           for versions in self._versions())
+            case (name, "open") if name in self.orders:
+                return self.orders[name].open
+            case (name, "taken" | "refused" as told) if name in self.orders:
+                return self.orders[name].told == {told} and not self.orders[name].open
+        return super().holds(words)
+
+    # ------------------------------------------------------------ what holds at all times
+
+    def _versions(self) -> list[ConfigurationVersions]:
+        return [member.program._machine.configurations for member in self.members.values()
+                if member.live and member.program is not None]
+
+    def _check_orders(self) -> None:
+        by_version: dict[int, list[RacedOrder]] = {}
+        for order in self.orders.values():
+            self._must(len(order.told) < 2, f"{order.name} was acknowledged and refused")
+            if "taken" in order.told:
+                by_version.setdefault(order.based_on, []).append(order)
+        for based_on, orders in by_version.items():
+            names = ", ".join(order.name for order in orders)
+            self._must(len(orders) == 1, f"{names} on version {based_on} were acknowledged")
+        for versions in self._versions():
+            for order in self.orders.values():
+                held = remembers(versions, order)
+                self._must(not held or "refused" not in order.told, f"{order.name} is in force though refused")
+                behind = versions.revision < order.revision
+                self._must(held or behind or "taken" not in order.told, f"{order.name} is lost though taken")
+
+
+def remembers(versions: ConfigurationVersions, order: RacedOrder) -> bool:
+    """Whether a member knows an order as taken."""
+    return versions._taken.holds(order.revision, order.digest)
+
+
+# ---------------------------------------------------------------- random races
+
+HEAD = """seed {seed}
+members m1 m2 m3
+gateways g1
+instances a
+operators o1 o2
+at 3 send first 1 on 0 from o1
+by 9 expect first taken
+at 9 path members operators 0.001 {delay} {loss}
+"""
+TROUBLES: tuple[tuple[str, str], ...] = (      # what begins and what ends it
+    ("kill leader", "start members"), ("isolate leader", "heal"), ("freeze leader", "thaw members"),
+    ("stall-disk leader", "mend-disk members"), ("wipe leader", "start members"),
+    ("term leader", "start members"), ("wipe m2", "start members"), ("cut leader followers", "heal"),
+    ("power-off members", "start members"),
+)
+ROUND_S = 20.0              # until all orders of a round have their clear answers
+
+
+class RandomRace:
+    """Rounds in which two operators race on one version through a trouble; a seed always gives the same run."""
+
+    def __init__(self, seed: int, rounds: int) -> None:
+        self._random = random = Random(seed)
+        loss, delay = random.choice((0, 0.2, 0.4)), random.choice((0.01, 0.5, 0.9))
+        self.player = RacesPlayer(HEAD.format(seed=seed, loss=loss, delay=delay))
+        self._rounds = rounds
+
+    def play(self) -> None:
+        """Play all rounds; raises `Violation`."""
+        self.player.play()
+        for number in range(self._rounds):
+            self._play_round(number)
+
+    def _play_round(self, number: int) -> None:
+        random, player = self._random, self.player
+        begin, end = random.choice(TROUBLES)
+        trouble_s = random.uniform(0.0, 0.4)
+        self._later(trouble_s, begin)
+        self._later(trouble_s + random.uniform(0.3, 3.0), end)
+        names = self._race(number)
+        for name in [*names, *random.choices(list(player.orders), k=3)]:
+            self._later(random.uniform(0.6, 6.0), f"copy {name}")
+        for name in names:
+            self._later(random.uniform(1.0, 8.0), f"copy {name}")
+        end_at = player.simulator.now + ROUND_S
+        player.simulator.run_while(lambda: self._unsettled(names), end_at)
+        player._must(not self._unsettled(names), f"an order of round {number} has no clear answer")
+        player.simulator.run_until(end_at)
+        self._resend_all(end_at)
+
+    def _race(self, number: int) -> list[str]:
+        """Two orders on the current version, and one on a version that may come or not."""
+        random, version = self._random, self._version()
+        left, right, early = f"left{number}", f"right{number}", f"early{number}"
+        left_revision = version + random.choice((1, 2, 3))
+        right_revision = left_revision + random.choice((0, 0, 1))
+        self._later(random.uniform(0.0, 0.5), f"send {left} {left_revision} on {version} from o1")
+        self._later(random.uniform(0.0, 0.5), f"send {right} {right_revision} on {version} from o2")
+        early_revision = right_revision + 2
+        self._later(random.uniform(0.0, 0.6), f"send {early} {early_revision} on {left_revision} from o2")
+        return [left, right, early]
+
+    def _resend_all(self, now: float) -> None:
+        """Every order that was taken is sent again and must be acknowledged again."""
+        player = self.player
+        names = [name for name, order in player.orders.items() if order.told == {"taken"}]
+        for name in names:
+            player.do_again(name)
+        player.simulator.run_while(lambda: self._unsettled(names), now + ROUND_S)
+        player._must(not self._unsettled(names), "an order that was taken is not acknowledged again")
+
+    def _version(self) -> int:
+        return max(versions.revision for versions in self.player._versions())
+
+    def _unsettled(self, names: Sequence[str]) -> bool:
+        return any(name not in self.player.orders or self.player.orders[name].open for name in names)
+
+    def _later(self, delay: float, command: str) -> None:
+        word, *arguments = command.split()
+        method = self.player._method("do", word)
+
+        def run() -> None:
+            with suppress(LookupError):        # no member leads just now, or the order was not sent yet
+                method(*arguments)
+        self.player.simulator.after(delay, run)
