Ends and leases that are asked for again; the status of each result

Cause: nothing showed what copies of retirements and lease requests do over restarts, nor that an unknown result is no 200.

--- /dev/null
+++ b/tests/test_configuration_calls.py
@@ -0,0 +1,56 @@
+"""What an operator is answered for each result of the replicated state."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import cast
+
+from configuration_documents import body_of, document
+
+from mallowbeam.configuration.parsing import ConfigurationParser
+from mallowbeam.configuration.versions import ConfigurationVersions
+from mallowbeam.control_plane.api import ControlApi
+from mallowbeam.control_plane.commands import Commands
+from mallowbeam.control_plane.instances import Instances
+from mallowbeam.control_plane.state_machine import Outcome
+from mallowbeam.control_plane.status import StatusPage
+from mallowbeam.rpc.messages_pb2 import Command, CommandResult
+from mallowbeam.simulation.fleet_processes import ApiCall
+
+STATUSES = {
+    "DONE": 200, "ALREADY_DONE": 200, "VERSION_MISMATCH": 412, "REVISION_NOT_ABOVE": 400,
+    "OUTCOME_UNKNOWN": 504, "REFUSED": 504,
+}
+
+
+class Decided:
+    """Commands that all come to one result."""
+
+    def __init__(self, result: CommandResult) -> None:
+        self.result = result
+
+    async def submit(self, command: Command, since: float) -> Outcome:
+        return Outcome(self.result, 7)
+
+
+class Answers(unittest.TestCase):
+    def test_each_result_has_its_status(self) -> None:
+        """Only what is known as taken is acknowledged, and only what can't be taken any more is refused."""
+        self.assertEqual(set(STATUSES), set(CommandResult.keys()))
+        for name, status in STATUSES.items():
+            with self.subTest(name):
+                self.assertEqual(self.status(CommandResult.Value(name)), status)
+
+    def status(self, result: CommandResult) -> int:
+        """The answer's status where the replicated state comes to a result."""
+        parser = ConfigurationParser()
+        api = ControlApi(parser, ConfigurationVersions(parser), cast(Commands, Decided(result)),
+                         cast(Instances, None), cast(StatusPage, None))
+        call = ApiCall("PUT", "/mallowbeam/config", body_of(document()), (("If-Match", "0"),))
+        reply = asyncio.run(api.handle(call.message(1.0), lambda: False))
+        return reply.status
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_registry_replicated.py
+++ b/tests/test_registry_replicated.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import unittest
+from itertools import product
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -84,6 +86,69 @@
                 self.assertGreater(grant.token, last)
                 last = grant.token
 
+    def test_no_two_holders_share_a_token(self) -> None:
+        """Copies of requests in any order, restarts and dropped subjects."""
+        grant_in_all_orders()
+
+    def test_a_grant_that_is_asked_for_again_keeps_its_token(self) -> None:
+        """The answer to a grant was lost: the same holder gets the same token, also after a restart."""
+        leases = Leases(most=2)
+        first = leases.apply(AcquireLease(subject="s", holder=1))
+        leases = reloaded(leases)
+        self.assertEqual(leases.apply(AcquireLease(subject="s", holder=1)), (ALREADY_DONE, first.token))
+        other = leases.apply(AcquireLease(subject="s", holder=2))
+        leases = reloaded(leases)
+        self.assertGreater(other.token, first.token)
+        self.assertGreater(leases.apply(AcquireLease(subject="s", holder=1)).token, other.token)
+
+
+class BrokenLeases(unittest.TestCase):
+    def test_broken_ones_are_found(self) -> None:
+        """Tokens from the number of leases, and tokens that begin anew."""
+        for name, broken in (("counts", lambda self: len(self._leases)), ("begins anew", lambda self: 0)):
+            with self.subTest(name), mock.patch.object(Leases, "_last_token", broken):
+                with self.assertRaises(AssertionError):
+                    grant_in_all_orders()
+
+
+class ResentEnds(unittest.TestCase):
+    def test_copies_of_ends_in_any_order_lead_to_the_same_state(self) -> None:
+        """A drain or an end may be applied again, late and after the other: gone stays gone."""
+        commands = [RetireInstance(id="a", kind=kind) for kind in (DRAINING, GONE)]
+        for order in product(commands, repeat=5):
+            retirements = Retirements()
+            for command in order:
+                self.assertIn(retirements.apply(command), (DONE, ALREADY_DONE))
+            gone = any(command.kind == GONE for command in order)
+            self.assertEqual(retirements.kind("a"), GONE if gone else DRAINING)
+
+
+def grant_in_all_orders() -> None:
+    """Requests of two holders for three subjects, two of them remembered; one replica restarts all the time.
+
+    Raises `AssertionError` where a token falls or has two holders, or the replicas differ.
+    """
+    requests = [AcquireLease(subject=subject, holder=holder) for subject in "stu" for holder in (1, 2)]
+    for log in product(requests, repeat=5):
+        steady, restarted = Leases(most=2), Leases(most=2)
+        owners: dict[int, tuple[str, int]] = {}
+        for command in log:
+            grant = steady.apply(command)
+            restarted = reloaded(restarted)
+            assert restarted.apply(command) == grant, "replicas differ"
+            owner = command.subject, command.holder
+            assert grant.result == ALREADY_DONE or grant.token > max(owners, default=0), "a token falls"
+            assert owners.setdefault(grant.token, owner) == owner, "a token has two holders"
+
+
+def reloaded(leases: Leases) -> Leases:
+    """The same state in a new process."""
+    state = ReplicatedState()
+    leases.save(state)
+    again = Leases(most=2)
+    again.restore(ReplicatedState.FromString(state.SerializeToString()))
+    return again
+
 
 if __name__ == "__main__":
     unittest.main()
