--- a/tests/test_configuration_identity.py
+++ b/tests/test_configuration_identity.py
@@ -21,6 +21,8 @@
     return TEXT.replace(old, new, 1).encode()
 
 
+DIGEST = "46fd58bae2f78af18b316f656cebc0a9"  # of `CanonicalForm.CANONICAL` in a document
+
 SAME = {  # one JSON value, written in another way
     "white space": json.dumps(json.loads(TEXT), indent=3).encode(),
     "order of keys": json.dumps(dict(reversed(json.loads(TEXT).items()))).encode(),
@@ -80,6 +82,22 @@
                 self.assertEqual(json.loads(versions.current_body()), json.loads(body))
 
 
+class CanonicalForm(unittest.TestCase):
+    """The digest is kept in logs and snapshots: another way to write the same value would make it unknown."""
+
+    FIELDS = r"""{"z": [1E22, 1e-7, 0.1, 100.0, -0.0, 5e-324, 12345678901234567890, true, null],
+        "\u00e4": "\u0007 \" \\ \/ \u2028 \ud83d\ude00 \u007f", "a": {"b": 1, "B": 2}}"""
+    CANONICAL = ('{"a":{"B":2,"b":1},"z":[1e22,1e-7,0.1,100.0,-0.0,5e-324,12345678901234567890,true,null],'
+                 '"\u00e4":"\\u0007 \\" \\\\ / \u2028 \U0001f600 \x7f"}')
+
+    def test_it_stays_as_it_is(self) -> None:
+        body = b'{"revision": 7, "backends": [], "routes": [], "x": ' + self.FIELDS.encode() + b"}"
+        parsed = parse_configuration(body)
+        expected = f'{{"backends":[],"revision":7,"routes":[],"x":{self.CANONICAL}}}'
+        self.assertEqual(parsed.canonical.decode(), expected)
+        self.assertEqual(parsed.digest.hex(), DIGEST)
+
+
 class OneParser(unittest.TestCase):
     """What one member refuses before it is proposed, each other member refuses too."""
 
