--- a/mallowbeam/consensus/follower.py
+++ b/mallowbeam/consensus/follower.py
@@ -2,8 +2,17 @@
 
 from __future__ import annotations
 
+from mallowbeam.consensus.snapshot_receiver import SnapshotReceiver
 from mallowbeam.consensus.state import MemberState
-from mallowbeam.rpc.messages_pb2 import AppendRequest, AppendResponse, RaftMessage, Snapshot, SnapshotRequest
+from mallowbeam.rpc.messages_pb2 import (
+    AppendRequest,
+    AppendResponse,
+    RaftMessage,
+    Snapshot,
+    SnapshotChunk,
+    SnapshotProgress,
+    SnapshotRequest,
+)
 
 
 class Follower:
@@ -11,6 +20,7 @@
 
     def __init__(self, state: MemberState) -> None:
         self._state = state
+        self._receiver = SnapshotReceiver(state.settings.most_snapshot)
         self._held_up_until = state.now        # what comes before may have been on its way for long
 
     def append(self, leader: int, request: AppendRequest) -> None:
@@ -53,19 +63,43 @@
         self._answer(leader, success=True, match_index=min(last, durable), round_number=round_number)
 
     def snapshot(self, leader: int, request: SnapshotRequest) -> None:
-        """Install a snapshot, unless the log already holds all of it."""
-        state = self._state
+        """Install a snapshot that an earlier version of the program sends whole."""
         self._note_silence()
-        state.heard_leader(leader)
-        snapshot = request.snapshot
-        if snapshot.index <= state.commit_index and not state.log.blank:
-            self._confirm(leader, state.commit_index, request.round, waits=True)
-        elif not state.log.blank and state.log.term_at(snapshot.index) == snapshot.term:
+        self._state.heard_leader(leader)
+        self._receiver.forget()
+        self._take_snapshot(leader, request.snapshot, request.round)
+
+    def chunk(self, leader: int, chunk: SnapshotChunk) -> None:
+        """Take a piece of a snapshot; answer what is held of it or, once all is durable, its index."""
+        self._note_silence()
+        self._state.heard_leader(leader)
+        snapshot = chunk.head if self._covers(chunk.head) else self._receiver.take(chunk)
+        if snapshot is not None:
+            self._receiver.forget()
+            self._take_snapshot(leader, snapshot, chunk.round)
+        elif self._receiver.holds(chunk):
+            self._tell_received(leader, chunk)
+
+    def _tell_received(self, leader: int, chunk: SnapshotChunk) -> None:
+        progress = SnapshotProgress(term=self._state.term, round=chunk.round, index=chunk.head.index,
+                                    received=self._receiver.received)
+        self._state.persistence.answer(leader, RaftMessage(snapshot_progress=progress))
+
+    def _covers(self, head: Snapshot) -> bool:
+        """Whether the log already holds all that a snapshot stands for, whatever its state."""
+        state = self._state
+        if state.log.blank:
+            return False
+        return head.index <= state.commit_index or state.log.term_at(head.index) == head.term
+
+    def _take_snapshot(self, leader: int, snapshot: Snapshot, round_number: int) -> None:
+        """Install a snapshot, unless the log already holds all of it; confirm it once it is durable."""
+        state = self._state
+        if self._covers(snapshot):
             state.commit_to(snapshot.index)
-            self._confirm(leader, snapshot.index, request.round, waits=True)
         else:
             self._install(snapshot)
-            self._confirm(leader, snapshot.index, request.round, waits=True)
+        self._confirm(leader, state.commit_index, round_number, waits=True)
 
     def _install(self, snapshot: Snapshot) -> None:
         state = self._state
--- a/mallowbeam/consensus/interface.py
+++ b/mallowbeam/consensus/interface.py
@@ -39,12 +39,19 @@
     election_most: float = 0.8
     stalled_write: float = 0.8                 # a leader whose own write takes longer steps down
     entries_per_message: int = 64
-    bytes_per_message: int = 1 << 20           # one entry that is larger goes alone
+    bytes_per_message: int = 1 << 17           # one entry that is larger goes alone
     messages_in_flight: int = 16               # appends to one follower that are not yet answered
+    bytes_in_flight: int = 1 << 20             # of entries in them; one message may reach over it
     uncommitted_entries: int = 4096            # proposals beyond it are refused
+    uncommitted_bytes: int = 8 << 20           # proposals on top of so many are refused
     pending_reads: int = 4096                  # reads beyond it are refused (not confirmed)
     trailing_entries: int = 1024               # kept in memory before a snapshot, for slow followers
-    snapshot_retry: float = 3.0                # a snapshot that is not answered is sent again
+    trailing_bytes: int = 16 << 20             # of them, and of those behind a snapshot that is being sent
+    snapshot_chunk: int = 1 << 15              # bytes of a snapshot in one message
+    snapshot_window: int = 1 << 18             # bytes of a snapshot on their way to one member
+    snapshot_retry: float = 1.0                # without progress, what is not acknowledged is sent again
+    snapshot_kept: float = 10.0                # a transfer is given up once the member was silent for so long
+    most_snapshot: int = 64 << 20              # a follower takes no larger snapshot
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowbeam/consensus/leadership.py
+++ b/mallowbeam/consensus/leadership.py
@@ -29,6 +29,7 @@
     EntryKind,
     Membership,
     RaftMessage,
+    SnapshotProgress,
     TimeoutNow,
 )
 
@@ -146,7 +147,8 @@
         if self._transferee is not None:
             raise NotLeaderError("propose", self._transferee)
         state = self._state
-        if state.log.last_index - state.commit_index >= state.settings.uncommitted_entries:
+        if state.log.last_index - state.commit_index >= state.settings.uncommitted_entries \
+                or state.log.bytes_behind(state.commit_index) >= state.settings.uncommitted_bytes:
             raise OverloadedError("too many entries are not committed", step="propose")
         return self._append(COMMAND, payload)
 
@@ -233,6 +235,21 @@
             self._replicator.rejected(sender, progress, response.hint_index)
         self._confirm_rounds()
 
+    def needed_behind(self, index: int) -> int:
+        """The lowest index of a snapshot that is being sent, or `index`: entries behind it will be needed."""
+        transfers = [progress.transfer for progress in self._progress.values()]
+        return min([transfer.index for transfer in transfers if transfer is not None], default=index)
+
+    def snapshot_progress(self, sender: int, answer: SnapshotProgress) -> None:
+        """Take a member's answer to a chunk of a snapshot."""
+        progress = self._progress.get(sender)
+        if progress is None:
+            return
+        progress.heard(answer.round, self._state.now)
+        self._note_contact()
+        self._replicator.snapshot_progress(progress, answer)
+        self._confirm_rounds()
+
     # ------------------------------------------------------------ transfer
 
     def transfer(self, member_id: int | None) -> None:
--- a/mallowbeam/consensus/log.py
+++ b/mallowbeam/consensus/log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections.abc import Sequence
 
 from mallowbeam.consensus.errors import DivergedError
@@ -24,6 +25,8 @@
         self.memberships = MembershipHistory(snapshot.index, snapshot.membership)
         self.first_unwritten = snapshot.index + 1
         self._entries: list[Entry] = []
+        self._base_bytes = 0                   # of the payloads of all entries up to the base
+        self._payload_ends: list[int] = []     # the same up to each entry
 
     @property
     def last_index(self) -> int:
@@ -63,20 +66,26 @@
             index -= 1
         return index
 
+    def bytes_behind(self, index: int) -> int:
+        """Bytes of the payloads behind `index`, which is not before the base."""
+        return self._bytes_up_to(self.last_index) - self._bytes_up_to(index)
+
+    def _bytes_up_to(self, index: int) -> int:
+        if index <= self.base_index:
+            return self._base_bytes
+        return self._payload_ends[index - self.base_index - 1]
+
     def slice(self, first: int, last: int) -> list[Entry]:
         """The entries from `first` to `last`, both included."""
         return self._entries[first - self.base_index - 1:last - self.base_index]
 
     def batch(self, first: int, most_entries: int, most_bytes: int) -> list[Entry]:
         """Entries from `first` on within the bounds, but one at least where there is one."""
-        chosen: list[Entry] = []
-        room = most_bytes
-        for entry in self.slice(first, first + most_entries - 1):
-            room -= len(entry.payload)
-            if chosen and room < 0:
-                break
-            chosen.append(entry)
-        return chosen
+        last = min(first + most_entries - 1, self.last_index)
+        bound = self._bytes_up_to(first - 1) + most_bytes
+        while last > first and self._bytes_up_to(last) > bound:
+            last -= 1
+        return self.slice(first, last)
 
     def extend(self, term: int, kind: EntryKind, payload: bytes) -> Entry:
         """Append a leader's own entry."""
@@ -87,6 +96,10 @@
     def append(self, entries: Sequence[Entry]) -> None:
         """Append entries that follow the last one."""
         self._entries.extend(entries)
+        total = self._payload_ends[-1] if self._payload_ends else self._base_bytes
+        for entry in entries:
+            total += len(entry.payload)
+            self._payload_ends.append(total)
         self.memberships.append(entries)
 
     def merge(self, entries: Sequence[Entry], committed: int) -> int | None:
@@ -108,19 +121,33 @@
         if first > self.last_index:
             return None
         del self._entries[first - self.base_index - 1:]
+        del self._payload_ends[first - self.base_index - 1:]
         self.memberships.truncate(first)
         self.first_unwritten = min(self.first_unwritten, first)
         return first
 
-    def compact(self, snapshot: Snapshot, trailing: int) -> None:
-        """Take a snapshot of an applied index, and drop entries but for `trailing` before it."""
-        base = max(self.base_index, snapshot.index - trailing)
+    def compact(self, snapshot: Snapshot, trailing: int, trailing_bytes: int, needed_behind: int) -> None:
+        """Take a snapshot of an applied index, and drop entries before it.
+
+        Kept are the last `trailing` and those behind `needed_behind`, as far as they have no more than
+        `trailing_bytes` of payloads together.
+        """
+        base = min(snapshot.index - trailing, needed_behind)
+        least_bytes = self._bytes_up_to(snapshot.index) - trailing_bytes
+        affordable = self.base_index + 1 + bisect_left(self._payload_ends, least_bytes)
+        if self._base_bytes >= least_bytes:
+            affordable = self.base_index
+        self._drop_up_to(min(max(base, affordable, self.base_index), snapshot.index))
+        self.snapshot = snapshot
+        self.memberships.compact(snapshot.index)
+
+    def _drop_up_to(self, base: int) -> None:
         base_term = self.term_at(base)
         assert base_term is not None
+        self._base_bytes = self._bytes_up_to(base)
         del self._entries[:base - self.base_index]
+        del self._payload_ends[:base - self.base_index]
         self.base_index, self.base_term = base, base_term
-        self.snapshot = snapshot
-        self.memberships.compact(snapshot.index)
 
     def install(self, snapshot: Snapshot) -> None:
         """Take a leader's snapshot in place of the whole log."""
--- a/mallowbeam/consensus/node.py
+++ b/mallowbeam/consensus/node.py
@@ -24,6 +24,8 @@
     Membership,
     RaftMessage,
     Snapshot,
+    SnapshotChunk,
+    SnapshotProgress,
     SnapshotRequest,
     TimeoutNow,
 )
@@ -140,7 +142,9 @@
             return
         snapshot = Snapshot(index=index, term=log.term_at(index) or 0, membership=log.memberships.at(index),
                             state=state)
-        log.compact(snapshot, self._state.settings.trailing_entries)
+        settings = self._state.settings
+        needed = self._leadership.needed_behind(index) if self._leadership else index
+        log.compact(snapshot, settings.trailing_entries, settings.trailing_bytes, needed)
         self._state.persistence.put_snapshot(snapshot)
 
     def receive(self, sender: int, message: RaftMessage, now: float) -> None:
@@ -157,6 +161,10 @@
                 self._append_response(sender, message.append_response)
             case "snapshot_request":
                 self._snapshot_request(sender, message.snapshot_request)
+            case "snapshot_chunk":
+                self._snapshot_chunk(sender, message.snapshot_chunk)
+            case "snapshot_progress":
+                self._snapshot_progress(sender, message.snapshot_progress)
             case "timeout_now":
                 self._timeout_now(message.timeout_now)
         self._settle()
@@ -184,6 +192,16 @@
         if self._current_leader(sender, request.term, request.round):
             self._follower.snapshot(sender, request)
 
+    def _snapshot_chunk(self, sender: int, chunk: SnapshotChunk) -> None:
+        if self._current_leader(sender, chunk.term, chunk.round):
+            self._follower.chunk(sender, chunk)
+
+    def _snapshot_progress(self, sender: int, progress: SnapshotProgress) -> None:
+        if progress.term > self._state.term:
+            self._state.become_follower(progress.term, None)
+        elif progress.term == self._state.term and self._leadership:
+            self._leadership.snapshot_progress(sender, progress)
+
     def _current_leader(self, sender: int, term: int, round_number: int) -> bool:
         """Whether the sender leads the current term; one of an older term is told of the current one."""
         state = self._state
--- a/mallowbeam/consensus/progress.py
+++ b/mallowbeam/consensus/progress.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
 from enum import Enum
 
+from mallowbeam.consensus.snapshot_sender import SnapshotTransfer
+
 
 class Mode(Enum):
     """How entries go to a member."""
@@ -14,6 +17,14 @@
     SNAPSHOT = "snapshot"                      # a snapshot is under way; no entries
 
 
+@dataclass(frozen=True, slots=True)
+class AppendInFlight:
+    """An append with entries that is not answered yet."""
+
+    last_index: int
+    payload_bytes: int
+
+
 class Progress:
     """A leader's view of one other member."""
 
@@ -25,30 +36,38 @@
         self.acknowledged_round = 0
         self.last_heard = now                  # at first, when it was taken in
         self.probe_sent = False
-        self.snapshot_index = 0                # of the snapshot under way
-        self.snapshot_sent = now
-        self._in_flight: deque[int] = deque()  # last index of each append that is not answered
+        self.transfer: SnapshotTransfer | None = None      # of the snapshot under way
+        self._in_flight: deque[AppendInFlight] = deque()
+        self._bytes_in_flight = 0
 
-    def may_send(self, messages_in_flight: int) -> bool:
+    def may_send(self, messages_in_flight: int, bytes_in_flight: int) -> bool:
         """Whether entries may be sent now."""
         if self.mode is Mode.PROBE:
             return not self.probe_sent
-        return self.mode is Mode.REPLICATE and len(self._in_flight) < messages_in_flight
+        if self.mode is Mode.SNAPSHOT:
+            return False
+        return len(self._in_flight) < messages_in_flight and self._bytes_in_flight < bytes_in_flight
 
-    def entries_sent(self, last_index: int) -> None:
+    def entries_sent(self, last_index: int, payload_bytes: int) -> None:
         """Note that entries up to `last_index` were sent."""
         if self.mode is Mode.PROBE:
             self.probe_sent = True
         else:
             self.next_index = last_index + 1
-            self._in_flight.append(last_index)
+            self._in_flight.append(AppendInFlight(last_index, payload_bytes))
+            self._bytes_in_flight += payload_bytes
 
-    def begin_snapshot(self, index: int, now: float) -> None:
-        """Note that a snapshot was sent."""
+    def begin_snapshot(self, transfer: SnapshotTransfer) -> None:
+        """Note that a snapshot is being sent."""
         self.mode = Mode.SNAPSHOT
-        self.snapshot_index = index
-        self.snapshot_sent = now
-        self._in_flight.clear()
+        self.transfer = transfer
+        self._forget_in_flight()
+
+    def give_up_snapshot(self) -> None:
+        """End a transfer that gets no answer; entries are tried next."""
+        self.mode = Mode.PROBE
+        self.transfer = None
+        self.probe_sent = True                 # until the member is heard again
 
     def heard(self, round_number: int, now: float) -> None:
         """Note an answer, whatever it says."""
@@ -64,11 +83,12 @@
         advanced = index > self.match_index
         self.match_index = max(self.match_index, index)
         self.next_index = max(self.next_index, self.match_index + 1)
-        while self._in_flight and self._in_flight[0] <= self.match_index:
-            self._in_flight.popleft()
-        if self.mode is Mode.SNAPSHOT and self.match_index < self.snapshot_index:
+        while self._in_flight and self._in_flight[0].last_index <= self.match_index:
+            self._bytes_in_flight -= self._in_flight.popleft().payload_bytes
+        if self.transfer is not None and self.match_index < self.transfer.index:
             return advanced
         self.mode = Mode.REPLICATE
+        self.transfer = None
         self.probe_sent = False
         return advanced
 
@@ -81,4 +101,8 @@
         self.next_index = next_index
         self.mode = Mode.PROBE
         self.probe_sent = not probe_again
+        self._forget_in_flight()
+
+    def _forget_in_flight(self) -> None:
         self._in_flight.clear()
+        self._bytes_in_flight = 0
--- a/mallowbeam/consensus/replication.py
+++ b/mallowbeam/consensus/replication.py
@@ -5,8 +5,9 @@
 from collections.abc import Sequence
 
 from mallowbeam.consensus.progress import Mode, Progress
+from mallowbeam.consensus.snapshot_sender import SnapshotTransfer
 from mallowbeam.consensus.state import MemberState
-from mallowbeam.rpc.messages_pb2 import AppendRequest, Entry, RaftMessage, SnapshotRequest
+from mallowbeam.rpc.messages_pb2 import AppendRequest, Entry, RaftMessage, SnapshotProgress
 
 
 class Replicator:
@@ -26,8 +27,10 @@
     def replicate(self, member_id: int, progress: Progress, round_number: int) -> None:
         """Send entries as far as they may go, a snapshot where they are gone, and the commit index."""
         log = self._state.log
-        if self._needs_snapshot(progress):
-            self._snapshot(member_id, progress, round_number)
+        if progress.transfer is not None:
+            self._go_on_with_snapshot(member_id, progress, progress.transfer, round_number)
+        elif self._lacks_entries(progress) and self._in_touch(progress):
+            self._begin_snapshot(member_id, progress, round_number)
         if self._lacks_entries(progress):
             return
         while progress.next_index <= log.last_index and self._may_send(progress):
@@ -35,20 +38,13 @@
             entries = log.batch(first, self._state.settings.entries_per_message,
                                 self._state.settings.bytes_per_message)
             self._append(member_id, progress, first - 1, entries, round_number)
-            progress.entries_sent(first - 1 + len(entries))
+            progress.entries_sent(first - 1 + len(entries), sum(len(entry.payload) for entry in entries))
         if progress.mode is Mode.REPLICATE and progress.commit_told < self._state.commit_index:
             self._append(member_id, progress, progress.next_index - 1, (), round_number)
 
     def _may_send(self, progress: Progress) -> bool:
-        return progress.may_send(self._state.settings.messages_in_flight)
-
-    def _needs_snapshot(self, progress: Progress) -> bool:
-        """Whether a snapshot is due: the log lacks the entry before the next one, and none is under way."""
-        state = self._state
-        if progress.mode is Mode.SNAPSHOT:
-            late = state.now - progress.snapshot_sent >= state.settings.snapshot_retry
-            return late and self._in_touch(progress)
-        return self._lacks_entries(progress) and self._in_touch(progress)
+        settings = self._state.settings
+        return progress.may_send(settings.messages_in_flight, settings.bytes_in_flight)
 
     def _lacks_entries(self, progress: Progress) -> bool:
         return progress.next_index - 1 < self._state.log.base_index
@@ -56,12 +52,38 @@
     def _in_touch(self, progress: Progress) -> bool:
         return progress.in_touch(self._state.now - self._state.settings.election_most)
 
-    def _snapshot(self, member_id: int, progress: Progress, round_number: int) -> None:
+    # ------------------------------------------------------------ snapshots
+
+    def _begin_snapshot(self, member_id: int, progress: Progress, round_number: int) -> None:
+        """Begin to send the newest snapshot, and keep the entries behind it."""
+        state = self._state
+        transfer = SnapshotTransfer(state.log.snapshot, state.now)
+        progress.begin_snapshot(transfer)
+        self._send_chunks(member_id, transfer, round_number)
+
+    def _go_on_with_snapshot(self, member_id: int, progress: Progress, transfer: SnapshotTransfer,
+                             round_number: int) -> None:
+        """Send what may go out; nothing to a member that is silent, and give it up after a while."""
         state = self._state
-        snapshot = state.log.snapshot
-        request = SnapshotRequest(term=state.term, snapshot=snapshot, round=round_number)
-        state.persistence.send_now(member_id, RaftMessage(snapshot_request=request))
-        progress.begin_snapshot(snapshot.index, state.now)
+        if self._in_touch(progress):
+            transfer.retry(state.now, state.settings.snapshot_retry)
+            self._send_chunks(member_id, transfer, round_number)
+        elif not progress.in_touch(state.now - state.settings.snapshot_kept):
+            progress.give_up_snapshot()
+
+    def _send_chunks(self, member_id: int, transfer: SnapshotTransfer, round_number: int) -> None:
+        state, settings = self._state, self._state.settings
+        chunks = transfer.chunks(state.term, round_number, settings.snapshot_chunk, settings.snapshot_window)
+        for chunk in chunks:
+            state.persistence.send_now(member_id, RaftMessage(snapshot_chunk=chunk))
+
+    def snapshot_progress(self, progress: Progress, answer: SnapshotProgress) -> None:
+        """Take a member's answer to a chunk; what it allows goes out with the next output."""
+        transfer = progress.transfer
+        if transfer is not None and transfer.index == answer.index:
+            transfer.progress(answer.received, self._state.now)
+
+    # ------------------------------------------------------------ entries
 
     def _append(self, member_id: int, progress: Progress, previous: int, entries: Sequence[Entry],
                 round_number: int) -> None:
@@ -77,6 +99,6 @@
         log = self._state.log
         at_start = progress.mode is not Mode.SNAPSHOT and progress.next_index - 1 <= log.base_index == 0
         if at_start and hint_index == 0:
-            self._snapshot(member_id, progress, progress.acknowledged_round)
+            self._begin_snapshot(member_id, progress, progress.acknowledged_round)
         else:
             progress.rejected(hint_index)
--- a/tests/test_consensus_replication.py
+++ b/tests/test_consensus_replication.py
@@ -61,9 +61,9 @@
         self.assertEqual(host.node._state.log.base_index, 2)
         refusal = AppendResponse(term=host.node.term, success=False, hint_index=0, round=1)
         output = host.receive(3, append_response=refusal)
-        (request,) = bodies(output.send, "snapshot_request")
-        self.assertEqual((request.snapshot.index, request.snapshot.state), (2, b"state"))
-        self.assertEqual(bodies(host.receive(3, append_response=refusal).send, "snapshot_request"), [])
+        (chunk,) = bodies(output.send, "snapshot_chunk")
+        self.assertEqual((chunk.head.index, chunk.data, chunk.size), (2, b"state", 5))
+        self.assertEqual(bodies(host.receive(3, append_response=refusal).send, "snapshot_chunk"), [])
         host.node.propose(b"a", host.now)
         host.output()
         (request,) = bodies(host.confirm(3, 2).send, "append_request")
@@ -79,8 +79,8 @@
         for _ in range(6):
             host.confirm(2, 2)
             host.receive(3, append_response=refusal)
-            sent += bodies(host.tick(0.1).send, "snapshot_request")
-        self.assertEqual(len(sent), 1)
+            sent += bodies(host.tick(0.1).send, "snapshot_chunk")
+        self.assertEqual([chunk.data for chunk in sent], [b"state"])
 
     def test_trailing_entries_are_kept(self) -> None:
         host = Host(entries=tuple(entry(index, 1) for index in range(2, 12)), trailing_entries=3)
--- /dev/null
+++ b/tests/test_consensus_snapshots.py
@@ -0,0 +1,344 @@
+"""Snapshots in chunks: what a leader sends, what a follower takes, and what is kept meanwhile."""
+
+from __future__ import annotations
+
+import unittest
+
+from consensus_host import OWN, Host, bodies, entry, membership
+
+from mallowbeam.consensus.errors import OverloadedError
+from mallowbeam.rpc.messages_pb2 import (
+    AppendResponse,
+    Member,
+    Membership,
+    Snapshot,
+    SnapshotChunk,
+    SnapshotProgress,
+)
+
+STATE = bytes(range(10))
+SLOW = 3                       # the member that lies behind
+
+
+def leader(**settings: object) -> Host:
+    """A leader whose log begins with a snapshot of ten bytes; four go in a chunk, eight are on their way."""
+    settings = {"trailing_entries": 0, "snapshot_chunk": 4, "snapshot_window": 8, **settings}
+    host = Host(**settings)
+    host.lead()
+    host.node.compact(2, STATE)
+    host.output()
+    host.write()
+    return host
+
+
+def refuse(host: Host) -> list[SnapshotChunk]:
+    """The slow member says that it has nothing; the chunks that it is sent."""
+    refusal = AppendResponse(term=host.node.term, success=False, hint_index=0, round=1)
+    return bodies(host.receive(SLOW, append_response=refusal).send, "snapshot_chunk")
+
+
+def answer(host: Host, received: int, index: int = 2) -> list[SnapshotChunk]:
+    progress = SnapshotProgress(term=host.node.term, round=1, index=index, received=received)
+    return bodies(host.receive(SLOW, snapshot_progress=progress).send, "snapshot_chunk")
+
+
+def offsets(chunks: list[SnapshotChunk]) -> list[int]:
+    return [chunk.offset for chunk in chunks]
+
+
+def pass_time(host: Host, seconds: float, *, heard: bool = True) -> list[SnapshotChunk]:
+    """Time passes; member 2 answers, and the slow one's heartbeats are answered where it is `heard`."""
+    sent = []
+    for _ in range(round(seconds / 0.1)):
+        host.confirm(2, 2)
+        if heard:
+            sent += bodies(host.confirm(SLOW, 0).send, "snapshot_chunk")
+        sent += bodies(host.tick(0.1).send, "snapshot_chunk")
+    return sent
+
+
+class Sending(unittest.TestCase):
+    """A leader's part."""
+
+    def test_chunks_go_out_in_order_within_the_window(self) -> None:
+        host = leader()
+        chunks = refuse(host)
+        self.assertEqual(offsets(chunks), [0, 4])
+        more = answer(host, 4)
+        self.assertEqual(offsets(more), [8])
+        self.assertEqual(b"".join(chunk.data for chunk in chunks + more), STATE)
+        self.assertEqual({chunk.size for chunk in chunks + more}, {len(STATE)})
+        self.assertEqual({(chunk.head.index, chunk.head.term, chunk.head.state) for chunk in chunks + more},
+                         {(2, host.node.term, b"")})
+        self.assertEqual(offsets(answer(host, 8)), [])
+        self.assertEqual(offsets(answer(host, 10)), [])
+
+    def test_one_at_a_time(self) -> None:
+        host = leader()
+        refuse(host)
+        self.assertEqual(offsets(refuse(host)), [])
+        self.assertEqual(offsets(pass_time(host, 0.5)), [])
+
+    def test_silence_has_it_go_on_where_the_member_is(self) -> None:
+        host = leader(snapshot_retry=0.5)
+        refuse(host)
+        answer(host, 4)
+        self.assertEqual(offsets(pass_time(host, 0.7)), [4, 8])
+
+    def test_gap_has_it_go_on_at_once_and_once(self) -> None:
+        host = leader()
+        refuse(host)
+        self.assertEqual(offsets(answer(host, 0)), [0, 4])
+        self.assertEqual(offsets(answer(host, 0)), [])
+        self.assertEqual(offsets(answer(host, 4)), [8])
+
+    def test_restarted_member_gets_it_from_the_start(self) -> None:
+        host = leader()
+        refuse(host)
+        answer(host, 4)
+        answer(host, 8)
+        self.assertEqual(offsets(answer(host, 0)), [0, 4])
+
+    def test_member_that_holds_all_is_asked_again(self) -> None:
+        host = leader(snapshot_retry=0.5)
+        refuse(host)
+        answer(host, 4)
+        answer(host, 10)
+        (asked,) = pass_time(host, 0.7)
+        self.assertEqual((asked.offset, asked.data), (10, b""))
+
+    def test_answers_for_another_snapshot_change_nothing(self) -> None:
+        host = leader()
+        refuse(host)
+        self.assertEqual(offsets(answer(host, 8, index=1)), [])
+        self.assertEqual(offsets(answer(host, 999)), [])
+
+    def test_entries_follow_only_once_it_is_installed(self) -> None:
+        host = leader()
+        refuse(host)
+        host.node.propose(b"a", host.now)
+        answer(host, 4)
+        output = host.output()
+        self.assertEqual([send.recipient for send in output.send if send.message.append_request.entries], [])
+        answer(host, 10)
+        requests = bodies(host.confirm(SLOW, 2).send, "append_request")
+        self.assertEqual([each.index for request in requests for each in request.entries], [3])
+
+    def test_silent_member_is_sent_nothing_and_then_given_up(self) -> None:
+        host = leader(snapshot_kept=2.0)
+        refuse(host)
+        self.assertEqual(offsets(pass_time(host, 1.5, heard=False)), [])
+        transfer = host.node._leadership._progress[SLOW].transfer
+        self.assertEqual(transfer.index, 2)
+        self.assertEqual(offsets(pass_time(host, 1.5, heard=False)), [])
+        self.assertIsNone(host.node._leadership._progress[SLOW].transfer)
+        self.assertEqual(offsets(refuse(host)), [0, 4])
+
+    def test_unbroken_after_a_short_cut(self) -> None:
+        host = leader(snapshot_retry=0.5)
+        refuse(host)
+        answer(host, 4)
+        pass_time(host, 1.5, heard=False)
+        self.assertEqual(offsets(pass_time(host, 0.2)), [4, 8])
+
+
+class Kept(unittest.TestCase):
+    """What a leader keeps, and its bounds."""
+
+    def _compact(self, host: Host, payloads: int, size: int = 1) -> None:
+        for _ in range(payloads):
+            host.node.propose(b"x" * size, host.now)
+        last = host.node._state.log.last_index
+        host.output()
+        host.write()
+        host.confirm(2, last)
+        host.node.compact(last, b"newer")
+        host.output()
+
+    def test_compaction_leaves_the_snapshot_that_is_sent_and_entries_behind_it(self) -> None:
+        host = leader()
+        refuse(host)
+        self._compact(host, 5)
+        self.assertEqual((host.node._state.log.snapshot.index, host.node._state.log.base_index), (7, 2))
+        (chunk,) = answer(host, 4)
+        self.assertEqual((chunk.head.index, chunk.data), (2, STATE[8:]))
+        answer(host, 10)
+        requests = bodies(host.confirm(SLOW, 2).send, "append_request")
+        self.assertEqual([each.index for request in requests for each in request.entries], [3, 4, 5, 6, 7])
+
+    def test_over_the_bound_a_newer_snapshot_follows_the_one_that_is_sent(self) -> None:
+        host = leader(trailing_bytes=20)
+        refuse(host)
+        self._compact(host, 5, size=10)
+        self.assertEqual(host.node._state.log.base_index, 5)
+        (chunk,) = answer(host, 4)
+        self.assertEqual(chunk.head.index, 2)
+        answer(host, 10)
+        (chunk, *_) = bodies(host.confirm(SLOW, 2).send, "snapshot_chunk")
+        self.assertEqual((chunk.head.index, chunk.offset, chunk.data), (7, 0, b"newe"))
+
+    def test_trailing_entries_are_bounded_in_bytes(self) -> None:
+        host = leader(trailing_entries=100, trailing_bytes=35)
+        self._compact(host, 10, size=10)
+        log = host.node._state.log
+        self.assertEqual((log.snapshot.index, log.base_index, log.bytes_behind(log.base_index)), (12, 9, 30))
+
+    def test_compaction_after_it_has_arrived_keeps_nothing_for_it(self) -> None:
+        host = leader()
+        refuse(host)
+        host.confirm(SLOW, 2)
+        self._compact(host, 5)
+        self.assertEqual(host.node._state.log.base_index, 7)
+
+    def test_appends_in_flight_are_bounded_in_bytes(self) -> None:
+        host = Host(bytes_per_message=10, bytes_in_flight=25)
+        host.lead()
+        for _ in range(6):
+            host.node.propose(b"x" * 10, host.now)
+        requests = [request for request in bodies(host.output().send, "append_request") if request.entries]
+        self.assertEqual(len(requests), 3)
+        first = requests[0].entries[0].index
+        self.assertEqual(len(bodies(host.confirm(2, first).send, "append_request")), 1)
+        self.assertEqual(len(bodies(host.confirm(2, first + 3).send, "append_request")), 2)
+
+    def test_entry_over_the_bounds_goes_alone(self) -> None:
+        host = Host(bytes_per_message=10, bytes_in_flight=10)
+        host.lead()
+        for size in (50, 1, 1):
+            host.node.propose(b"x" * size, host.now)
+        requests = [request for request in bodies(host.output().send, "append_request") if request.entries]
+        self.assertEqual([len(request.entries) for request in requests], [1])
+        (request,) = bodies(host.confirm(2, requests[0].entries[0].index).send, "append_request")
+        self.assertEqual(len(request.entries), 2)
+
+    def test_proposals_are_bounded_in_bytes_until_they_are_committed(self) -> None:
+        host = Host(uncommitted_bytes=100)
+        host.lead()
+        host.node.propose(b"x" * 300, host.now)
+        with self.assertRaises(OverloadedError):
+            host.node.propose(b"x", host.now)
+        host.output()
+        host.write()
+        host.confirm(2, host.node._state.log.last_index)
+        host.node.propose(b"x", host.now)
+
+
+class Receiving(unittest.TestCase):
+    """A follower's part."""
+
+    def _chunk(self, host: Host, offset: int, data: bytes = b"", *, term: int = 1, index: int = 9,
+               size: int = len(STATE), sender: int = 2, joint: bool = False):
+        voters = membership(3)
+        if joint:
+            voters.outgoing_voters.extend([1, 2, 4])
+        head = Snapshot(index=index, term=1, membership=voters)
+        chunk = SnapshotChunk(term=term, round=7, head=head, size=size, offset=offset,
+                              data=data or STATE[offset:offset + 4])
+        return host.receive(sender, snapshot_chunk=chunk)
+
+    def _received(self, output) -> list[int]:
+        return [progress.received for progress in bodies(output.send, "snapshot_progress")]
+
+    def test_installed_once_whole_and_confirmed_once_durable(self) -> None:
+        host = Host()
+        for offset in (0, 4):
+            output = self._chunk(host, offset)
+            self.assertIsNone(output.install)
+            self.assertIsNone(output.write)
+            self.assertEqual(self._received(output), [offset + 4])
+        output = self._chunk(host, 8)
+        self.assertEqual((output.install.index, output.install.state), (9, STATE))
+        self.assertEqual(output.write.snapshot, output.install)
+        self.assertEqual(output.send, [])
+        (response,) = bodies(output.write.then_send, "append_response")
+        self.assertEqual((response.success, response.match_index, response.round), (True, 9, 7))
+
+    def test_gap_and_repetition_change_nothing(self) -> None:
+        host = Host()
+        self.assertEqual(self._received(self._chunk(host, 4)), [0])
+        self.assertEqual(self._received(self._chunk(host, 0)), [4])
+        self.assertEqual(self._received(self._chunk(host, 0)), [4])
+        self.assertEqual(self._received(self._chunk(host, 8)), [4])
+        self._chunk(host, 4)
+        self.assertEqual(self._chunk(host, 8).install.state, STATE)
+
+    def test_newer_snapshot_of_the_leader_begins_anew_and_the_older_is_over(self) -> None:
+        host = Host()
+        self._chunk(host, 0)
+        self.assertEqual(self._received(self._chunk(host, 4, index=10)), [0])
+        self.assertEqual(self._received(self._chunk(host, 4, index=9)), [])
+        self.assertEqual(self._received(self._chunk(host, 0, b"abcd", index=10)), [4])
+        self._chunk(host, 4, b"efgh", index=10)
+        self.assertEqual(self._chunk(host, 8, b"ij", index=10).install.state, b"abcdefghij")
+
+    def test_chunks_of_two_leaders_are_not_put_together(self) -> None:
+        host = Host()
+        self._chunk(host, 0)
+        self._chunk(host, 4)
+        output = self._chunk(host, 8, term=2, sender=3)
+        self.assertIsNone(output.install)
+        (progress,) = bodies(output.write.then_send, "snapshot_progress")
+        self.assertEqual((progress.term, progress.received), (2, 0))
+
+    def test_former_leader_is_told_of_the_term(self) -> None:
+        host = Host(term=4)
+        (response,) = bodies(self._chunk(host, 0, term=3).send, "append_response")
+        self.assertEqual((response.success, response.term), (False, 4))
+
+    def test_what_the_log_holds_is_confirmed_without_the_state(self) -> None:
+        host = Host(entries=tuple(entry(index, 1) for index in range(2, 12)))
+        output = self._chunk(host, 0)
+        self.assertIsNone(output.install)
+        (response,) = bodies(output.send, "append_response")
+        self.assertEqual((response.success, response.match_index), (True, 9))
+        self.assertEqual(host.node._state.log.last_index, 11)
+
+    def test_asked_again_after_installing(self) -> None:
+        """Whether or not it is durable already."""
+        host = Host()
+        for offset in (0, 4, 8):
+            self._chunk(host, offset)
+        output = self._chunk(host, 10)
+        self.assertEqual(output.send, [])
+        (response,) = bodies(output.write.then_send, "append_response")
+        self.assertEqual(response.match_index, 9)
+        host.write()
+        (response,) = bodies(self._chunk(host, 10).send, "append_response")
+        self.assertEqual((response.success, response.match_index), (True, 9))
+
+    def test_asked_again_after_a_restart_before_it_was_durable(self) -> None:
+        self.assertEqual(self._received(self._chunk(Host(), 10)), [0])
+
+    def test_more_than_is_allowed_is_not_begun(self) -> None:
+        host = Host(most_snapshot=9)
+        output = self._chunk(host, 0)
+        self.assertEqual((self._received(output), output.install), ([], None))
+
+    def test_state_without_bytes(self) -> None:
+        output = self._chunk(Host(founder=False, own=9), 0, size=0)
+        self.assertEqual((output.install.index, output.install.state), (9, b""))
+
+    def test_membership_of_a_joint_change_comes_with_it(self) -> None:
+        host = Host()
+        for offset in (0, 4, 8):
+            output = self._chunk(host, offset, joint=True)
+        self.assertEqual(list(output.write.snapshot.membership.outgoing_voters), [1, 2, 4])
+        self.assertEqual(list(host.node.membership.outgoing_voters), [1, 2, 4])
+
+
+class JointMembershipCompacted(unittest.TestCase):
+    """A membership that is in force at the snapshot's index is sent with it, whatever its form."""
+
+    def test_sent(self) -> None:
+        joint = Membership(members=[Member(id=number, voter=True) for number in (OWN, 2, SLOW)],
+                           outgoing_voters=[OWN, 2, 4])
+        host = Host()
+        host.lead()
+        host.node._state.log.memberships.current.membership.CopyFrom(joint)
+        host.node.compact(2, STATE)
+        snapshot = host.output().write.snapshot
+        self.assertEqual(snapshot.membership, joint)
+
+
+if __name__ == "__main__":
+    unittest.main()
