--- a/mallowbeam/consensus/interface.py
+++ b/mallowbeam/consensus/interface.py
@@ -43,7 +43,7 @@
     messages_in_flight: int = 16               # appends to one follower that are not yet answered
     bytes_in_flight: int = 1 << 20             # of entries in them; one message may reach over it
     uncommitted_entries: int = 4096            # proposals beyond it are refused
-    uncommitted_bytes: int = 8 << 20           # proposals on top of so many are refused
+    uncommitted_bytes: int = 4 << 20           # proposals on top of so many are refused
     pending_reads: int = 4096                  # reads beyond it are refused (not confirmed)
     trailing_entries: int = 1024               # kept in memory before a snapshot, for slow followers
     trailing_bytes: int = 16 << 20             # of them, and of those behind a snapshot that is being sent
@@ -85,6 +85,11 @@
     snapshot: Snapshot | None = None
     then_send: tuple[Send, ...] = ()           # only once the write is durable
 
+    def size(self) -> int:
+        """Bytes that it brings to storage, but for what storage adds."""
+        size = sum(entry.ByteSize() for entry in self.entries)
+        return size + (self.snapshot.ByteSize() if self.snapshot is not None else 0)
+
 
 @dataclass(frozen=True, slots=True)
 class ReadResult:
--- a/mallowbeam/control_plane/disk_writer.py
+++ b/mallowbeam/control_plane/disk_writer.py
@@ -1,7 +1,9 @@
 """One thread that makes writes durable, in the order in which they were handed over.
 
-Writes that wait while one is under way go to the store together, with one sync. A write that the disk refuses
-is tried again at intervals: the member's consensus sees a write that stands still and steps down meanwhile.
+Writes that wait while one is under way go to the store together, with one sync, as far as they are small: a
+transaction keeps the pages that it frees. A write that the disk refuses is tried again at intervals: the member's
+consensus sees a write that stands still and steps down meanwhile. Entries that the store has no room for wait for
+a snapshot, by which others are dropped: it goes to the store together with them.
 """
 
 from __future__ import annotations
@@ -17,6 +19,7 @@
 from mallowbeam.processes.logs import get_logger
 
 RETRY_S = 0.25                 # seconds between two attempts at a write that the disk refused
+MOST_TOGETHER = 8 * 1024 * 1024  # bytes of writes that go to the store together; one that is larger goes alone
 
 log = get_logger("mallowbeam.disk")
 
@@ -60,31 +63,44 @@
 
     def _run(self) -> None:
         while (writes := self._next_writes()) is not None:
-            if self._write(writes):
-                self._loop.call_soon_threadsafe(self._durable, writes)
+            written = self._write(writes)
+            if written:
+                self._loop.call_soon_threadsafe(self._durable, written)
 
-    def _next_writes(self) -> Sequence[Write] | None:
-        """All writes that wait, once there are any; None at the stop."""
+    def _next_writes(self) -> tuple[Write, ...] | None:
+        """The writes that wait, as far as they go together, once there are any; None at the stop."""
         with self._changed:
             while not self._waiting:
                 if self._stopping:
                     return None
                 self._changed.wait()
-            writes = tuple(self._waiting)
-            self._waiting.clear()
-            return writes
-
-    def _write(self, writes: Sequence[Write]) -> bool:
-        """Write until the disk takes it; False where the stop came first."""
+            writes = [self._waiting.popleft()]
+            size = writes[0].size()
+            while self._waiting and (size := size + self._waiting[0].size()) <= MOST_TOGETHER:
+                writes.append(self._waiting.popleft())
+            return tuple(writes)
+
+    def _write(self, writes: tuple[Write, ...]) -> tuple[Write, ...]:
+        """Write until the disk takes it; what it took, with what had to go together; empty at the stop."""
         while True:
             try:
                 self._store.write(writes)
-                return True
+                return writes
             except (MallowbeamError, OSError) as error:
                 log.error("a write failed: %s", error)
             with self._changed:
                 if self._stopping:
-                    return False
+                    return ()
                 self._changed.wait(RETRY_S)
                 if self._stopping:
-                    return False
+                    return ()
+                writes += self._up_to_snapshot(writes)
+
+    def _up_to_snapshot(self, writes: tuple[Write, ...]) -> tuple[Write, ...]:
+        """The writes that wait up to the first one with a snapshot, if there is one and `writes` have none."""
+        if any(write.snapshot is not None for write in writes):
+            return ()
+        for position, write in enumerate(self._waiting):
+            if write.snapshot is not None:
+                return tuple(self._waiting.popleft() for _ in range(position + 1))
+        return ()
