--- a/mallowbeam/control_plane/disk_writer.py
+++ b/mallowbeam/control_plane/disk_writer.py
@@ -1,9 +1,9 @@
 """One thread that makes writes durable, in the order in which they were handed over.
 
 Writes that wait while one is under way go to the store together, with one sync, as far as they are small: a
-transaction keeps the pages that it frees. A write that the disk refuses is tried again at intervals: the member's
-consensus sees a write that stands still and steps down meanwhile. Entries that the store has no room for wait for
-a snapshot, by which others are dropped: it goes to the store together with them.
+transaction can't use the pages that it frees. A write that the disk refuses is tried again at intervals: the
+member's consensus sees a write that stands still and steps down meanwhile. Entries that the store has no room
+for wait for a snapshot, by which others are dropped: it goes to the store together with them.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 from mallowbeam.processes.logs import get_logger
 
 RETRY_S = 0.25                 # seconds between two attempts at a write that the disk refused
-MOST_TOGETHER = 8 * 1024 * 1024  # bytes of writes that go to the store together; one that is larger goes alone
+MOST_TOGETHER = 8 * 1024 * 1024  # bytes that go to the store together; one write that is larger goes alone
 
 log = get_logger("mallowbeam.disk")
 
@@ -97,7 +97,7 @@
                 writes += self._up_to_snapshot(writes)
 
     def _up_to_snapshot(self, writes: tuple[Write, ...]) -> tuple[Write, ...]:
-        """The writes that wait up to the first one with a snapshot, if there is one and `writes` have none."""
+        """The writes that wait up to the first one with a snapshot; none where `writes` have one already."""
         if any(write.snapshot is not None for write in writes):
             return ()
         for position, write in enumerate(self._waiting):
--- a/tests/test_control_plane_disk_writer.py
+++ b/tests/test_control_plane_disk_writer.py
@@ -72,7 +72,8 @@
 
     def test_large_ones_do_not(self) -> None:
         store = NotingStore()
-        writes = [entry_write(ticket, 3 * MEGABYTE) for ticket in range(1, 6)] + [entry_write(6, 9 * MEGABYTE)]
+        writes = [entry_write(ticket, 3 * MEGABYTE) for ticket in range(1, 6)]
+        writes.append(entry_write(6, 9 * MEGABYTE))
         self.assertEqual(play(store, writes), [[1, 2], [3, 4], [5], [6]])
 
 
@@ -110,7 +111,7 @@
             store.close()
 
     def test_real_store_is_not_stuck_at_its_bound(self) -> None:
-        """Entries up to the bound and one more, which finds room only with the snapshot that waits behind it."""
+        """Entries up to the bound and one more, which fits only with the snapshot that waits behind it."""
         with tempfile.TemporaryDirectory() as folder:
             store = ReplicaStore.open(folder, 32)
             store.create(1, Snapshot(index=0, term=0, membership=FOUNDERS))
