--- /dev/null
+++ b/tests/consensus_bulk.py
@@ -0,0 +1,113 @@
+"""Statements of consensus scenarios on large states, many changes and slow links.
+
+    state BYTES                      (from now on a snapshot's state has so many bytes)
+    compact-every ENTRIES BYTES      (members take a snapshot after so many applied entries, or so many bytes)
+    bandwidth BYTES [WHO]            (a second, on each way of all links, or of those of WHO)
+    write COUNT BYTES                (one command after another, each once the last is acknowledged)
+    power-off-on-install WHO         (once a snapshot is whole there, before it is durable)
+
+Expectations: ``written`` (all of them), ``received below WHO BYTES`` (since the machine was last started),
+``waiting below BYTES`` (on any link at any time; what is more is dropped), ``progress WHO`` (bytes of a snapshot
+are held, and not all).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from consensus_machine import Machine
+    from consensus_world import World
+
+POLL_SECONDS = 0.002
+REPEAT_SECONDS = 3.0           # without an acknowledgement: the command's leader may be gone
+
+
+class BulkStatements:
+    """What a player of scenarios can do and expect of them."""
+
+    world: World
+    end: float
+
+    def _machine(self, who: str) -> Machine:
+        raise NotImplementedError
+
+    def _id(self, who: str) -> int:
+        raise NotImplementedError
+
+    # ------------------------------------------------------------ statements
+
+    def do_state(self, size: str) -> None:
+        self.world.state_bytes = int(size)
+
+    def do_compact_every(self, entries: str, size: str) -> None:
+        self.world.compact_entries, self.world.compact_bytes = int(entries), int(size)
+
+    def do_bandwidth(self, bytes_a_second: str, who: str = "") -> None:
+        self.world.limit_links(float(bytes_a_second), self._id(who) if who else None)
+
+    def do_write(self, count: str, size: str) -> None:
+        self.world.unwritten += int(count)
+        self._write(int(count), int(size))
+
+    def _write(self, count: int, size: int) -> None:
+        """Propose one command and wait for it, then the rest."""
+        world = self.world
+        if count == 0:
+            return
+        leader = world.leader()
+        before = world.checkers.acknowledged
+        proposed = leader is not None and leader.propose(world.random.randbytes(size))
+        until = world.now + (REPEAT_SECONDS if proposed else POLL_SECONDS)
+
+        def look() -> None:
+            if world.checkers.acknowledged > before:
+                world.unwritten -= 1
+                self._write(count - 1, size)
+            elif world.now >= until:
+                self._write(count, size)
+            else:
+                world.at(world.now + POLL_SECONDS, look)
+        look()
+
+    def do_power_off_on_install(self, who: str) -> None:
+        """The power is lost at the moment at which a snapshot is whole, before it is written."""
+        machine = self._machine(who)
+
+        def look() -> None:
+            if machine.installed > 0:
+                machine.crash(durable_writes=0)
+            else:
+                self.world.at(self.world.now + POLL_SECONDS, look)
+        look()
+
+    # ------------------------------------------------------------ expectations
+
+    def expect_written(self) -> Callable[[], bool]:
+        return lambda: self.world.unwritten == 0
+
+    def expect_received_below(self, who: str, size: str) -> Callable[[], bool]:
+        machine = self._machine(who)
+        return lambda: machine.received_bytes < int(size)
+
+    def expect_waiting_below(self, size: str) -> Callable[[], bool]:
+        return lambda: self.world.most_waiting < int(size)
+
+    def expect_progress(self, who: str) -> Callable[[], bool]:
+        machine = self._machine(who)
+        return lambda: machine.node is not None and machine.node._follower._receiver.received > 0
+
+    def expect_down(self, who: str) -> Callable[[], bool]:
+        machine = self._machine(who)
+        return lambda: machine.node is None
+
+    def expect_index(self, who: str, disk_index: str) -> Callable[[], bool]:
+        """``index WHO INDEX``: the snapshot on its disk is of that index, or an older one."""
+        machine = self._machine(who)
+        return lambda: machine.disk.snapshot.index <= int(disk_index)
+
+    def expect_applied(self, who: str, count: str) -> Callable[[], bool]:
+        """``applied WHO COUNT``: so many commands, or more."""
+        machine = self._machine(who)
+        return lambda: machine.node is not None and machine.applied.count >= int(count)
--- a/tests/consensus_checkers.py
+++ b/tests/consensus_checkers.py
@@ -36,12 +36,20 @@
             return self
         return Applied(self.count + 1, crc32(entry.payload, self.digest))
 
-    def to_bytes(self) -> bytes:
-        return f"{self.count} {self.digest}".encode()
+    def to_bytes(self, size: int = 0) -> bytes:
+        """As a snapshot's state, of `size` bytes or more; no part of it stands for another state's."""
+        line = f"{self.count} {self.digest}\n".encode()
+        return line + (line * (size // len(line)) if size else b"")
 
     @classmethod
     def of_bytes(cls, state: bytes) -> Applied:
-        return cls(*map(int, state.split())) if state else cls()
+        if not state:
+            return cls()
+        line = state[:state.find(b"\n") + 1]
+        numbers = line.split()
+        if len(numbers) != 2 or state != line * (len(state) // len(line)):
+            raise Violation("state machine", "a snapshot's state is not whole")
+        return cls(*map(int, numbers))
 
 
 @dataclass
--- a/tests/consensus_machine.py
+++ b/tests/consensus_machine.py
@@ -117,6 +117,8 @@
         self.reads: dict[int, Operation] = {}
         self.applied_index = self.disk.snapshot.index
         self.applied = Applied.of_bytes(self.disk.snapshot.state)
+        self.received_bytes = 0
+        self.uncompacted_entries = self.uncompacted_bytes = 0
         random = Random(self.world.random.random())
         self.node = RaftNode(self.settings, self.disk.restored(), self.clock(), random)
         self.drain()
@@ -189,11 +191,13 @@
             self._read_ended(result)
         self._plan_tick()
         self.world.checkers.after(self)
+        self._compact_where_due()
 
     def _install(self, snapshot: Snapshot) -> None:
         self.applied_index = snapshot.index
         self.applied = Applied.of_bytes(snapshot.state)
         self.installed += 1
+        self.uncompacted_entries = self.uncompacted_bytes = 0
         self.world.checkers.installs(self, snapshot.index, self.applied)
 
     def _apply(self, entry: Entry) -> None:
@@ -202,6 +206,8 @@
         self.applied_index = entry.index
         self.applied = self.world.checkers.commits(self, entry)
         assert self.applied == before
+        self.uncompacted_entries += 1
+        self.uncompacted_bytes += len(entry.payload)
         if entry.index in self.operations:
             term, operation = self.operations.pop(entry.index)
             if term == entry.term and entry.kind == COMMAND:
@@ -231,6 +237,7 @@
         self.settle()
 
     def receive(self, sender: int, send: Send) -> None:
+        self.received_bytes += send.message.ByteSize()
         self.node.receive(sender, send.message, self.clock())
         self.settle()
 
@@ -293,9 +300,16 @@
             self.node.read(read_id, self.clock())
             self.settle()
 
+    def _compact_where_due(self) -> None:
+        """As the driver does, where the world says so."""
+        world = self.world
+        if self.uncompacted_entries >= world.compact_entries or self.uncompacted_bytes >= world.compact_bytes:
+            self.compact()
+
     def compact(self) -> None:
         if self.runs:
-            self.node.compact(self.applied_index, self.applied.to_bytes())
+            self.uncompacted_entries = self.uncompacted_bytes = 0
+            self.node.compact(self.applied_index, self.applied.to_bytes(self.world.state_bytes))
             self.drain()
 
     def change_membership(self, membership: Membership) -> bool:
--- a/tests/consensus_scenario.py
+++ b/tests/consensus_scenario.py
@@ -16,7 +16,7 @@
     expect EXPECTATION [within SECONDS]
 
 An expectation without ``within`` must hold at once, one with it at some time until then. See the methods
-``expect_...`` of Player for all.
+``expect_...`` of Player for all; those on large states and slow links are in `consensus_bulk`.
 """
 
 from __future__ import annotations
@@ -26,6 +26,7 @@
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 
+from consensus_bulk import BulkStatements
 from consensus_checkers import Violation
 from consensus_machine import Machine
 from consensus_world import World, with_member, without_member
@@ -99,7 +100,7 @@
         raise
 
 
-class Player:
+class Player(BulkStatements):
     """Plays one scenario with one seed."""
 
     def __init__(self, scenario: Scenario, seed: int) -> None:
--- a/tests/consensus_variants.py
+++ b/tests/consensus_variants.py
@@ -14,7 +14,10 @@
 from mallowbeam.consensus.membership import MembershipAt, MembershipHistory, members_of
 from mallowbeam.consensus.persistence import Persistence
 from mallowbeam.consensus.progress import Progress
+from mallowbeam.consensus.snapshot_receiver import SnapshotReceiver
+from mallowbeam.consensus.snapshot_sender import SnapshotTransfer
 from mallowbeam.consensus.state import MemberState, Role
+from mallowbeam.rpc.messages_pb2 import Snapshot
 
 Variant = Callable[[], AbstractContextManager[object]]
 
@@ -221,3 +224,58 @@
 def stalled_leader_stays() -> AbstractContextManager[object]:
     """A member takes no note of a write that stands still."""
     return mock.patch.object(MemberState, "stalled", property(lambda self: False))
+
+
+def snapshot_installed_in_part() -> AbstractContextManager[object]:
+    """A follower installs a snapshot at its first chunk."""
+    def take(self: SnapshotReceiver, chunk) -> Snapshot | None:
+        head = chunk.head
+        return Snapshot(index=head.index, term=head.term, membership=head.membership, state=chunk.data)
+    return mock.patch.object(SnapshotReceiver, "take", take)
+
+
+def snapshots_mixed() -> AbstractContextManager[object]:
+    """A follower goes on with the chunks of another snapshot where it is."""
+    begin = SnapshotReceiver._begin
+
+    def keep(self: SnapshotReceiver, key) -> None:
+        state = self._state
+        begin(self, key)
+        self._state = state
+    return mock.patch.object(SnapshotReceiver, "_begin", keep)
+
+
+def snapshot_confirmed_before_write() -> AbstractContextManager[object]:
+    """A follower confirms a snapshot once it is whole, before it is durable."""
+    take_snapshot = Follower._take_snapshot
+
+    def hasty(self: Follower, leader: int, snapshot: Snapshot, round_number: int) -> None:
+        with mock.patch.object(Persistence, "send_after_write", Persistence.send_now):
+            take_snapshot(self, leader, snapshot, round_number)
+    return mock.patch.object(Follower, "_take_snapshot", hasty)
+
+
+def snapshot_sent_from_the_start() -> AbstractContextManager[object]:
+    """A leader begins a snapshot anew after a loss or a cut."""
+    def send_again(self: SnapshotTransfer, now: float) -> None:
+        self._acknowledged = self._next_offset = 0
+        self._ended = False
+        self._progress_at = now
+    return mock.patch.object(SnapshotTransfer, "_send_again", send_again)
+
+
+def snapshot_never_sent_again() -> AbstractContextManager[object]:
+    """A leader sends each chunk once."""
+    return mock.patch.object(SnapshotTransfer, "_send_again", lambda self, now: None)
+
+
+def snapshot_window_unbounded() -> AbstractContextManager[object]:
+    """A leader sends all chunks at once."""
+    chunks = SnapshotTransfer.chunks
+    return mock.patch.object(SnapshotTransfer, "chunks", lambda self, term, round_number, chunk, window:
+                             chunks(self, term, round_number, chunk, 1 << 40))
+
+
+def entries_behind_transfer_dropped() -> AbstractContextManager[object]:
+    """A leader compacts its log whatever snapshot it is sending."""
+    return mock.patch.object(Leadership, "needed_behind", lambda self, index: index)
--- a/tests/consensus_world.py
+++ b/tests/consensus_world.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import count
+from math import inf
 from random import Random
 
 from consensus_checkers import Checkers
@@ -17,6 +18,7 @@
 FIRST_INDEX = 1
 CHECK_LOGS_EVERY = 250         # events
 CHECK_LOGS_WINDOW = 50         # last entries; all of them are read at the end
+MOST_UNSENT = 4 << 20          # bytes that wait on a link; what would come on top is dropped
 
 
 @dataclass
@@ -45,6 +47,12 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = count()
         self._link_free: dict[tuple[int, int], float] = {}
+        self._bandwidth: dict[int | None, float] = {}      # bytes a second, by member; None: the others'
+        self._sent_by: dict[tuple[int, int], float] = {}   # when the last bytes of a link will have left
+        self.most_waiting = 0.0                # bytes on any link at any time
+        self.state_bytes = 0                   # of a snapshot; 0: as few as are needed
+        self.compact_entries, self.compact_bytes = inf, inf    # applied before a snapshot is taken
+        self.unwritten = 0                     # commands of scenarios that are not acknowledged yet
         self._names = count(1)
         self.next_id = voters + learners + 1
         members = [Member(id=number, voter=number <= voters) for number in range(1, self.next_id)]
@@ -111,7 +119,10 @@
 
     def _deliver(self, sender: int, send: Send) -> None:
         link = (sender, send.recipient)
-        arrival = self.now + self.random.uniform(*self.network.delay)
+        left = self._leaves(link, send)
+        if left is None:
+            return
+        arrival = left + self.random.uniform(*self.network.delay)
         if not self.network.reordered:
             arrival = max(arrival, self._link_free.get(link, 0.0))
             self._link_free[link] = arrival
@@ -122,6 +133,24 @@
                 machine.later(0.0, lambda: machine.receive(sender, send))
         self.at(arrival, arrive)
 
+    def _leaves(self, link: tuple[int, int], send: Send) -> float | None:
+        """When a message's last byte leaves; None where too much waits before it."""
+        if not self._bandwidth:
+            return self.now
+        unlimited = self._bandwidth.get(None, inf)
+        rate = min(self._bandwidth.get(end, unlimited) for end in link)
+        begins = max(self.now, self._sent_by.get(link, 0.0))
+        waiting = (begins - self.now) * rate if begins > self.now else 0.0
+        self.most_waiting = max(self.most_waiting, waiting)
+        if waiting > MOST_UNSENT:
+            return None
+        self._sent_by[link] = begins + send.message.ByteSize() / rate
+        return self._sent_by[link]
+
+    def limit_links(self, bytes_a_second: float, member_id: int | None) -> None:
+        """Have the links of a member, or all others, carry so much each way."""
+        self._bandwidth[member_id] = bytes_a_second
+
     def cut(self, one: int, other: int, both: bool = True) -> None:
         self.network.cuts.add((one, other))
         if both:
