Simulation: paths may have a bandwidth; scenarios of large changes on slow links

Change: Path.bandwidth; streams on such a path send in segments of 16 KiB, which wait for the way; the user time-out counts from the last acknowledgement. tests/system_bulk.py plays series of changes.

--- a/mallowbeam/simulation/network.py
+++ b/mallowbeam/simulation/network.py
@@ -17,6 +17,7 @@
     loss: float = 0.0                          # share of messages
     duplicates: float = 0.0
     reordered: bool = False                    # else what takes one way arrives in its order
+    bandwidth: float = 0.0                     # bytes a second that streams carry; 0: any number
 
 
 class Network:
@@ -29,6 +30,7 @@
         self._paths: dict[tuple[str, str], Path] = {}
         self._cuts: set[tuple[str, str]] = set()
         self._arrival: dict[tuple[str, str], float] = {}
+        self._busy_until: dict[tuple[str, str], float] = {}    # ways with a bandwidth: with what was sent
 
     def add(self, machine: Machine) -> Machine:
         """Take a machine in."""
@@ -71,15 +73,27 @@
         """Whether anything gets from one machine to another now."""
         return (sender, recipient) not in self._cuts
 
-    def delay(self, sender: str, recipient: str) -> float:
-        """Seconds that the next bytes on a way take, by its order if it keeps one."""
+    def delay(self, sender: str, recipient: str, size: int = 0) -> float:
+        """Seconds that the next `size` bytes on a way take, by its order if it keeps one."""
         path, now = self.path(sender, recipient), self.simulator.now
-        arrival = now + self.simulator.random.uniform(path.least_delay, path.most_delay)
+        sent = self._sent_at(sender, recipient, size / path.bandwidth) if path.bandwidth else now
+        arrival = sent + self.simulator.random.uniform(path.least_delay, path.most_delay)
         if not path.reordered:
             arrival = max(arrival, self._arrival.get((sender, recipient), 0.0))
             self._arrival[sender, recipient] = arrival
         return arrival - now
 
+    def _sent_at(self, sender: str, recipient: str, seconds: float) -> float:
+        """When bytes that take so many seconds have left, behind those that wait."""
+        begins = max(self.simulator.now, self._busy_until.get((sender, recipient), 0.0))
+        self._busy_until[sender, recipient] = begins + seconds
+        return begins + seconds
+
+    def drop_waiting(self, sender: str, recipient: str) -> None:
+        """Forget bytes that wait for a way: their connection is over."""
+        self._busy_until.pop((sender, recipient), None)
+        self._arrival.pop((sender, recipient), None)
+
     # ------------------------------------------------------------ datagrams
 
     def send(self, sender: Machine, recipient: str, deliver: Step) -> None:
--- a/mallowbeam/simulation/stream.py
+++ b/mallowbeam/simulation/stream.py
@@ -21,6 +21,7 @@
 LONGEST_RETRY_S = 60.0
 LEAST_PAUSE_S = 0.001
 WINDOW_BYTES = 64 * 1024    # that a process which does not read is sent at most
+SEGMENT_BYTES = 16 * 1024   # on a path with a bandwidth, where what is sent takes time
 NO_TIMEOUT_S = 900.0        # user time-out where none is set
 
 
@@ -31,6 +32,7 @@
     number: int
     data: bytes | None
     since: float
+    arrives: float = 0.0                       # when it last sent reaches the peer; past where it was lost
 
 
 @dataclass(slots=True)
@@ -75,6 +77,7 @@
         self.reading = self._attached = False
         self._error: OSError | None = None
         self._heard_at = self._simulator.now
+        self._progress_at = 0.0                # of the last acknowledgement
         self._retry: Event | None = None
         self._retry_pause = FIRST_RETRY_S
         self._probe: Event | None = None
@@ -102,8 +105,12 @@
 
     def write(self, data: bytes) -> None:
         """Send bytes."""
-        if data and not self.closed and not self._finished:
-            self._queue(data)
+        if not data or self.closed or self._finished:
+            return
+        limited = self._network.path(self.machine.name, self._peer.machine.name).bandwidth > 0
+        step = SEGMENT_BYTES if limited else len(data)
+        for start in range(0, len(data), step):
+            self._queue(data[start:start + step])
 
     def close(self) -> None:
         """Send what is queued and the end; the process is told that the connection is over."""
@@ -143,7 +150,8 @@
         peer = self._peer
         path = self._network.path(self.machine.name, peer.machine.name)
         if self._passes_to(peer) and self._simulator.random.random() >= path.loss:
-            delay = self._network.delay(self.machine.name, peer.machine.name)
+            delay = self._network.delay(self.machine.name, peer.machine.name, len(segment.data or b""))
+            segment.arrives = self._simulator.now + delay
             self._simulator.after(delay, lambda: peer._arrive(segment))
 
     def _plan_retry(self) -> None:
@@ -153,13 +161,15 @@
         self._retry = None
         if self.closed or not self._unacknowledged:
             return
-        if self._simulator.now - self._unacknowledged[0].since >= self.options.user_timeout:
+        unheard_since = max(self._unacknowledged[0].since, self._progress_at)
+        if self._simulator.now - unheard_since >= self.options.user_timeout:
             self._end(TimeoutError("connection timed out"))
             return
         for segment in self._unacknowledged:
-            self._transmit(segment)
+            if segment.arrives <= self._simulator.now:
+                self._transmit(segment)
         self._retry_pause = min(2 * self._retry_pause, LONGEST_RETRY_S)
-        due = self._unacknowledged[0].since + self.options.user_timeout - self._simulator.now
+        due = unheard_since + self.options.user_timeout - self._simulator.now
         self._retry = self._simulator.after(min(self._retry_pause, max(due, LEAST_PAUSE_S)), self._send_again)
 
     def _acknowledged(self, number: int) -> None:
@@ -171,6 +181,7 @@
         while self._unacknowledged and self._unacknowledged[0].number <= number:
             ended = self._unacknowledged.popleft().data is None
             self._retry_pause = FIRST_RETRY_S
+            self._progress_at = self._simulator.now
         if not self._unacknowledged and self._retry is not None:
             self._retry.cancel()
             self._retry = None
@@ -247,6 +258,8 @@
             if event is not None:
                 event.cancel()
         self._retry = self._probe = None
+        if self._unacknowledged:
+            self._network.drop_waiting(self.machine.name, self._peer.machine.name)
         self._unacknowledged.clear()
 
     def _reset_peer(self) -> None:
--- /dev/null
+++ b/tests/system_bulk.py
@@ -0,0 +1,94 @@
+"""Scenarios of the fleet with many or large configurations and slow links. Beside the commands of the fleet::
+
+    at 1 change COUNT [BYTES]        one configuration after another, each once the last is acknowledged
+    at 1 bandwidth A B BYTES         a second, both ways
+
+BYTES is the size of a body, of random text. Conditions: ``changed`` (all are acknowledged), ``M current`` (it has
+applied all that were acknowledged), ``waiting-below BYTES`` (that were written to a link and not taken, so far).
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Sequence
+from dataclasses import replace
+
+from mallowbeam.control_plane.peer_links import PeerLink
+from mallowbeam.simulation.fleet import FleetPlayer
+from mallowbeam.simulation.fleet_callers import CLEAR, document
+from mallowbeam.simulation.fleet_processes import ApiCall
+from mallowbeam.simulation.scenario import Violation
+
+RETRY_S = 0.1
+TEXT = bytes(code for code in range(35, 127) if chr(code) not in '"\\')    # needs no escape in JSON
+
+
+class BulkPlayer(FleetPlayer):
+    """Plays them."""
+
+    def prepare(self) -> None:
+        super().prepare()
+        self.changes_left = 0
+        self.changed_revision = 0
+        self.most_waiting = 0
+        self.simulator.check(self._look_at_links)
+
+    def do_change(self, count: str, size: str = "0") -> None:
+        self.changes_left += int(count)
+        self._change(int(count), int(size))
+
+    def do_bandwidth(self, one: str, other: str, bytes_a_second: str) -> None:
+        for sender in self.names(one):
+            for recipient in self.names(other):
+                path = replace(self.network.path(sender, recipient), bandwidth=float(bytes_a_second))
+                self.network.set_path(sender, recipient, path)
+
+    def holds(self, words: Sequence[str]) -> bool:
+        match words:
+            case ("changed",):
+                return self.changes_left == 0
+            case (who, "current"):
+                return all(self._revision(name) == self.changed_revision for name in self.names(who))
+            case ("waiting-below", size):
+                return self.most_waiting < int(size)
+        return super().holds(words)
+
+    def _change(self, count: int, size: int) -> None:
+        """Send one configuration until it is taken, then the rest."""
+        if count == 0:
+            return
+        revision = self.changed_revision + 1
+        body = document(revision)
+        if size:
+            body["note"] = self._text(size)
+        headers = (("If-Match", str(self.changed_revision)),)
+        call = ApiCall("PUT", "/mallowbeam/config", json.dumps(body).encode(), headers)
+
+        def send() -> None:
+            self.operator.ask(self.operator.any_member(), call, answered)
+
+        def answered(status: int, _: bytes) -> None:
+            if status in CLEAR:
+                raise Violation(f"revision {revision} was refused with {status}")
+            if status != 200:
+                self.operator.machine.later(RETRY_S, send)
+                return
+            self.changed_revision = self.operator.acknowledged = revision
+            self.changes_left -= 1
+            self._change(count - 1, size)
+        send()
+
+    def _text(self, size: int) -> str:
+        """Text that does not compress well."""
+        table = (TEXT * 3)[:256]
+        return self.simulator.random.randbytes(size).translate(table).decode()
+
+    def _look_at_links(self) -> None:
+        for member in self.members.values():
+            if member.live and member.program is not None:
+                for link in member.program._links._links.values():
+                    self.most_waiting = max(self.most_waiting, _waiting(link))
+
+
+def _waiting(link: PeerLink) -> int:
+    return link._connection.unsent if link._connection is not None else 0
