--- a/mallowbeam/control_plane/raft_driver.py
+++ b/mallowbeam/control_plane/raft_driver.py
@@ -218,7 +218,8 @@
             proposal = propose()
         except ConsensusError as error:
             if not answer.done():
-                answer.set_exception(error)
+                # Its frames hold the answer and the payload: with them, both would wait for the collector.
+                answer.set_exception(error.with_traceback(None))
             return
         self._proposals.add(proposal.index, proposal.term, answer)
 
--- /dev/null
+++ b/tests/snapshot_load.py
@@ -0,0 +1,122 @@
+"""A member's log, disk writer and real store under large configurations that do not compress, in one process.
+
+    python tests/snapshot_load.py COUNT BYTES [DISK_MB]        with PYTHONPATH=.:tests
+
+Prints a JSON object: peak memory of the process and largest size of the store, in MiB, what a restart reads
+back, and the seconds that all took.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import resource
+import sys
+import tempfile
+import time
+from pathlib import Path
+from random import Random
+
+from mallowbeam.configuration.parsing import ConfigurationParser
+from mallowbeam.consensus.errors import OverloadedError
+from mallowbeam.consensus.interface import RaftSettings
+from mallowbeam.consensus.node import RaftNode
+from mallowbeam.consensus.storage import ReplicaStore
+from mallowbeam.control_plane.disk_writer import DiskWriter
+from mallowbeam.control_plane.member import TRAILING_ENTRIES
+from mallowbeam.control_plane.raft_driver import RaftDriver
+from mallowbeam.control_plane.state_machine import ReplicatedStateMachine
+from mallowbeam.rpc.messages_pb2 import DONE, Command, Member, Membership, PutConfiguration, Snapshot
+
+OWN = 1
+CALLERS = 8                    # operators' orders that may be under way at once
+MEBIBYTE = 1 << 20
+FOUNDERS = Membership(members=[Member(id=OWN, voter=True)], target_voters=1)
+FIRST = Snapshot(index=1, term=1, membership=FOUNDERS)
+
+
+class Listener:
+    """Nobody else is told of anything."""
+
+    def applied(self) -> None:
+        pass
+
+    def membership_changed(self, membership: Membership) -> None:
+        pass
+
+
+class Load:
+    """One member with a group of its own, and what it was seen to need."""
+
+    def __init__(self, folder: str, disk_mb: int) -> None:
+        self.folder, self.disk_mb = folder, disk_mb
+        self.file = Path(folder) / "replica.lmdb"
+        self.largest_file = 0
+        self.refused = 0
+        self.done = 0
+
+    async def run(self, count: int, size: int) -> None:
+        store = ReplicaStore.open(self.folder, self.disk_mb)
+        store.create(OWN, FIRST)
+        machine = ReplicatedStateMachine(ConfigurationParser(), lambda _: None)
+        disk = DiskWriter(store, lambda writes: self.driver.durable(writes))
+        settings = RaftSettings(OWN, trailing_entries=TRAILING_ENTRIES)
+        node = RaftNode(settings, store.load(), time.monotonic(), Random(1))
+        self.driver = RaftDriver(node, machine, disk.submit, lambda recipient, message: None, Listener())
+        disk.start()
+        self.driver.start()
+        while not self.driver.is_leader:
+            await asyncio.sleep(0.01)
+        waiting = iter(range(count))
+        await asyncio.gather(*(self._caller(waiting, size) for _ in range(CALLERS)))
+        await disk.stop(30.0)
+        store.close()
+
+    async def _caller(self, numbers, size: int) -> None:
+        """One change after another, each until it is taken; all build on the last one that was."""
+        for _ in numbers:
+            body = os.urandom(size)
+            while not await self._change(body):
+                pass
+
+    async def _change(self, body: bytes) -> bool:
+        """Whether the change was taken: not where another was first."""
+        based_on = self.done
+        put = PutConfiguration(body=body, based_on=based_on, digest=os.urandom(16), revision=based_on + 1)
+        try:
+            outcome = await self.driver.propose(Command(put_configuration=put).SerializeToString())
+        except OverloadedError:
+            self.refused += 1
+            await asyncio.sleep(0.02)
+            return False
+        self.largest_file = max(self.largest_file, self.file.stat().st_size)
+        if outcome.result == DONE:
+            self.done = based_on + 1
+        return outcome.result == DONE
+
+
+def main() -> None:
+    count, size = int(sys.argv[1]), int(sys.argv[2])
+    disk_mb = int(sys.argv[3]) if len(sys.argv) > 3 else 128
+    began = time.monotonic()
+    with tempfile.TemporaryDirectory() as folder:
+        load = Load(folder, disk_mb)
+        asyncio.run(load.run(count, size))
+        store = ReplicaStore.open(folder, disk_mb)
+        restored = store.load()
+        machine = ReplicatedStateMachine(ConfigurationParser(), lambda _: None)
+        machine.restore(restored.snapshot.state)
+        for entry in restored.entries:
+            machine.apply(entry.index, entry.payload)
+        store.close()
+    peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+    print(json.dumps({"taken": load.done, "refused": load.refused, "peak_mib": round(peak, 1),
+                      "file_mib": round(load.largest_file / MEBIBYTE, 1),
+                      "revision_read_back": machine.configurations.revision,
+                      "entries_read_back": len(restored.entries),
+                      "seconds": round(time.monotonic() - began, 1)}))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/storage_model.py
+++ b/tests/storage_model.py
@@ -10,6 +10,7 @@
 
 IDENTITY = 0x8000_0000_0000_0001
 FIRST = Snapshot(membership=Membership(members=[Member(id=IDENTITY, address="10.0.0.1:1", voter=True)]))
+JOINT = Membership(members=FIRST.membership.members, target_voters=3, outgoing_voters=[IDENTITY, 5, 7])
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,7 +90,8 @@
 
 def draw_snapshot(index: int, term: int, chance: random.Random) -> Snapshot:
     """A snapshot with some state."""
-    return Snapshot(index=index, term=term, membership=FIRST.membership, state=draw_bytes(chance))
+    membership = JOINT if index % 3 == 0 else FIRST.membership
+    return Snapshot(index=index, term=term, membership=membership, state=draw_bytes(chance))
 
 
 def draw_batch(model: Model, chance: random.Random) -> list[Write]:
--- a/tests/test_control_plane_disk_writer.py
+++ b/tests/test_control_plane_disk_writer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import os
 import tempfile
 import unittest
@@ -93,6 +94,25 @@
         self.assertEqual(play(store, writes), [[1, 2, 3]])
         self.assertEqual(store.refused, [[1]])
 
+    def test_real_store_on_a_full_disk_goes_on_once_there_is_room(self) -> None:
+        """Seals are refused for a while: nothing is told durable meanwhile, all of it afterwards."""
+        refused = iter([True] * 6)
+        pwrite = os.pwrite
+
+        def full(*arguments: object) -> int:
+            if next(refused, False):
+                raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+            return pwrite(*arguments)
+        with tempfile.TemporaryDirectory() as folder:
+            store = ReplicaStore.open(folder, 32)
+            store.create(1, Snapshot(index=0, term=0, membership=FOUNDERS))
+            writes = [entry_write(1, 3 * MEGABYTE), snapshot_write(2, 1, 3 * MEGABYTE)]
+            with mock.patch("os.pwrite", full):
+                self.assertEqual(play(store, writes), [[1, 2]])
+            self.assertIsNone(next(refused, None))
+            self.assertEqual(store.load().snapshot, writes[-1].snapshot)
+            store.close()
+
     def test_real_store_takes_a_queue_that_is_larger_than_itself(self) -> None:
         """Together they would never fit: a transaction can't use the pages that it frees."""
         with tempfile.TemporaryDirectory() as folder:
--- /dev/null
+++ b/tests/test_storage_large.py
@@ -0,0 +1,34 @@
+"""Large configurations that do not compress, on the real store: the bounds of memory and disk hold."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import unittest
+from pathlib import Path
+
+HERE = Path(__file__).parent
+COUNT = 100                    # by then, the file and the process have long stopped growing
+BODY = 4 * 1024 * 1024
+DISK_MB = 128
+MEMORY_MIB = 296               # of a machine of the core
+
+
+class LargeConfigurations(unittest.TestCase):
+    def test_memory_and_disk_are_bounded(self) -> None:
+        path = os.pathsep.join((str(HERE.parent), str(HERE)))
+        environment = {**os.environ, "PYTHONPATH": path, "PYTHONDONTWRITEBYTECODE": "1"}
+        script = [sys.executable, str(HERE / "snapshot_load.py"), str(COUNT), str(BODY), str(DISK_MB)]
+        ended = subprocess.run(script, env=environment, capture_output=True, check=False, text=True)
+        self.assertEqual(ended.returncode, 0, ended.stderr)
+        seen = json.loads(ended.stdout.splitlines()[-1])
+        self.assertEqual(seen["taken"], COUNT)
+        self.assertEqual(seen["revision_read_back"], COUNT)
+        self.assertLess(seen["peak_mib"], MEMORY_MIB)
+        self.assertLessEqual(seen["file_mib"], DISK_MB // 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
