--- a/mallowbeam/consensus/interface.py
+++ b/mallowbeam/consensus/interface.py
@@ -39,12 +39,21 @@
     election_most: float = 0.8
     stalled_write: float = 0.8                 # a leader whose own write takes longer steps down
     entries_per_message: int = 64
-    bytes_per_message: int = 1 << 20           # one entry that is larger goes alone
+    bytes_per_message: int = 1 << 17           # one entry that is larger goes alone
     messages_in_flight: int = 16               # appends to one follower that are not yet answered
+    bytes_in_flight: int = 1 << 20             # of entries in them; one message may reach over it
+    chunked_entry: int = 1 << 17               # an entry with a larger payload goes in chunks
     uncommitted_entries: int = 4096            # proposals beyond it are refused
+    uncommitted_bytes: int = 4 << 20           # proposals on top of so many are refused
     pending_reads: int = 4096                  # reads beyond it are refused (not confirmed)
     trailing_entries: int = 1024               # kept in memory before a snapshot, for slow followers
-    snapshot_retry: float = 3.0                # a snapshot that is not answered is sent again
+    trailing_bytes: int = 16 << 20             # of them, and of those behind a snapshot that is being sent
+    snapshot_instead: int = 1 << 20            # a snapshot smaller by so much goes in place of entries
+    chunk: int = 1 << 15                       # bytes of a snapshot or a large entry in one message
+    chunk_window: int = 1 << 18                # bytes of them on their way to one member
+    chunk_retry: float = 1.0                   # without progress, what is not acknowledged is sent again
+    transfer_kept: float = 10.0                # one is given up once the member was silent for so long
+    most_transfer: int = 64 << 20              # a follower takes no larger snapshot or entry
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +87,11 @@
     snapshot: Snapshot | None = None
     then_send: tuple[Send, ...] = ()           # only once the write is durable
 
+    def size(self) -> int:
+        """Bytes that it brings to storage, but for what storage adds."""
+        size = sum(entry.ByteSize() for entry in self.entries)
+        return size + (self.snapshot.ByteSize() if self.snapshot is not None else 0)
+
 
 @dataclass(frozen=True, slots=True)
 class ReadResult:
--- a/mallowbeam/simulation/stream.py
+++ b/mallowbeam/simulation/stream.py
@@ -21,6 +21,7 @@
 LONGEST_RETRY_S = 60.0
 LEAST_PAUSE_S = 0.001
 WINDOW_BYTES = 64 * 1024    # that a process which does not read is sent at most
+SEGMENT_BYTES = 16 * 1024   # on a path with a bandwidth, where what is sent takes time
 NO_TIMEOUT_S = 900.0        # user time-out where none is set
 
 
@@ -31,6 +32,7 @@
     number: int
     data: bytes | None
     since: float
+    arrives: float = 0.0                       # when it last sent reaches the peer; past where it was lost
 
 
 @dataclass(slots=True)
@@ -71,10 +73,12 @@
         self._unacknowledged: deque[_Segment] = deque()
         self._early: dict[int, bytes | None] = {}  # that came before what is in front of them
         self._unread = 0                       # bytes that the kernel holds for the process
+        self._window_full = False              # something was refused since, because of them
         self._held: deque[bytes | None] = deque()  # likewise, while the process does not want to read
         self.reading = self._attached = False
         self._error: OSError | None = None
         self._heard_at = self._simulator.now
+        self._progress_at = 0.0                # of the last acknowledgement
         self._retry: Event | None = None
         self._retry_pause = FIRST_RETRY_S
         self._probe: Event | None = None
@@ -102,8 +106,12 @@
 
     def write(self, data: bytes) -> None:
         """Send bytes."""
-        if data and not self.closed and not self._finished:
-            self._queue(data)
+        if not data or self.closed or self._finished:
+            return
+        limited = self._network.path(self.machine.name, self._peer.machine.name).bandwidth > 0
+        step = SEGMENT_BYTES if limited else len(data)
+        for start in range(0, len(data), step):
+            self._queue(data[start:start + step])
 
     def close(self) -> None:
         """Send what is queued and the end; the process is told that the connection is over."""
@@ -143,7 +151,8 @@
         peer = self._peer
         path = self._network.path(self.machine.name, peer.machine.name)
         if self._passes_to(peer) and self._simulator.random.random() >= path.loss:
-            delay = self._network.delay(self.machine.name, peer.machine.name)
+            delay = self._network.delay(self.machine.name, peer.machine.name, len(segment.data or b""))
+            segment.arrives = self._simulator.now + delay
             self._simulator.after(delay, lambda: peer._arrive(segment))
 
     def _plan_retry(self) -> None:
@@ -153,15 +162,21 @@
         self._retry = None
         if self.closed or not self._unacknowledged:
             return
-        if self._simulator.now - self._unacknowledged[0].since >= self.options.user_timeout:
+        unheard_since = max(self._unacknowledged[0].since, self._progress_at)
+        if self._simulator.now - unheard_since >= self.options.user_timeout:
             self._end(TimeoutError("connection timed out"))
             return
-        for segment in self._unacknowledged:
-            self._transmit(segment)
+        self._transmit_waiting()
         self._retry_pause = min(2 * self._retry_pause, LONGEST_RETRY_S)
-        due = self._unacknowledged[0].since + self.options.user_timeout - self._simulator.now
+        due = unheard_since + self.options.user_timeout - self._simulator.now
         self._retry = self._simulator.after(min(self._retry_pause, max(due, LEAST_PAUSE_S)), self._send_again)
 
+    def _transmit_waiting(self) -> None:
+        """Send again what is neither acknowledged nor on its way."""
+        for segment in self._unacknowledged:
+            if segment.arrives <= self._simulator.now:
+                self._transmit(segment)
+
     def _acknowledged(self, number: int) -> None:
         """The peer's kernel has all segments up to a number."""
         if self.closed:
@@ -171,6 +186,7 @@
         while self._unacknowledged and self._unacknowledged[0].number <= number:
             ended = self._unacknowledged.popleft().data is None
             self._retry_pause = FIRST_RETRY_S
+            self._progress_at = self._simulator.now
         if not self._unacknowledged and self._retry is not None:
             self._retry.cancel()
             self._retry = None
@@ -193,6 +209,7 @@
         self._heard_at = self._simulator.now
         if segment.number >= self._expected:
             if self._unread >= WINDOW_BYTES:
+                self._window_full = True
                 return
             self._early[segment.number] = segment.data
         while self._expected in self._early:
@@ -220,12 +237,20 @@
             self._unread -= len(data or b"")
             if self.closed:
                 return
+            self._open_window()
             if data is None:
                 self.handlers.ended()
             else:
                 self.handlers.received(data)
         self.machine.after_true(0.0, take)
 
+    def _open_window(self) -> None:
+        """Have the peer send at once what there was no room for."""
+        if self._window_full and self._unread < WINDOW_BYTES and self._passes_to(self._peer):
+            self._window_full = False
+            delay = self._network.delay(self.machine.name, self._peer.machine.name)
+            self._simulator.after(delay, self._peer._transmit_waiting)
+
     # ------------------------------------------------------------ ends
 
     def process_ended(self, end: End) -> None:
@@ -247,6 +272,8 @@
             if event is not None:
                 event.cancel()
         self._retry = self._probe = None
+        if self._unacknowledged:
+            self._network.drop_waiting(self.machine.name, self._peer.machine.name)
         self._unacknowledged.clear()
 
     def _reset_peer(self) -> None:
--- a/tests/consensus_variants.py
+++ b/tests/consensus_variants.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from mallowbeam.consensus import leadership, membership
+from mallowbeam.consensus.chunk_receiver import ChunkReceiver, Content, TransferKey
 from mallowbeam.consensus.election import Election
 from mallowbeam.consensus.follower import Follower
 from mallowbeam.consensus.leadership import Leadership
@@ -15,6 +16,8 @@
 from mallowbeam.consensus.persistence import Persistence
 from mallowbeam.consensus.progress import Progress
 from mallowbeam.consensus.state import MemberState, Role
+from mallowbeam.consensus.transfer import Transfer
+from mallowbeam.rpc.messages_pb2 import Snapshot
 
 Variant = Callable[[], AbstractContextManager[object]]
 
@@ -221,3 +224,64 @@
 def stalled_leader_stays() -> AbstractContextManager[object]:
     """A member takes no note of a write that stands still."""
     return mock.patch.object(MemberState, "stalled", property(lambda self: False))
+
+
+def snapshot_taken_in_part() -> AbstractContextManager[object]:
+    """A follower installs a snapshot at its first chunk."""
+    return _taken_in_part(Content.SNAPSHOT)
+
+
+def entry_taken_in_part() -> AbstractContextManager[object]:
+    """A follower appends an entry at its first chunk."""
+    return _taken_in_part(Content.ENTRY)
+
+
+def _taken_in_part(content: Content) -> AbstractContextManager[object]:
+    whole = ChunkReceiver.take
+
+    def take(self: ChunkReceiver, key: TransferKey, size: int, offset: int, data: bytes) -> bytes | None:
+        return data if key.content is content else whole(self, key, size, offset, data)
+    return mock.patch.object(ChunkReceiver, "take", take)
+
+
+def transfers_mixed() -> AbstractContextManager[object]:
+    """A follower goes on with the chunks of another snapshot or entry where it is."""
+    def keep(self: ChunkReceiver, key) -> None:
+        self._key = key
+    return mock.patch.object(ChunkReceiver, "_begin", keep)
+
+
+def snapshot_confirmed_before_write() -> AbstractContextManager[object]:
+    """A follower confirms a snapshot once it is whole, before it is durable."""
+    take_snapshot = Follower._take_snapshot
+
+    def hasty(self: Follower, leader: int, snapshot: Snapshot, round_number: int) -> None:
+        with mock.patch.object(Persistence, "send_after_write", Persistence.send_now):
+            take_snapshot(self, leader, snapshot, round_number)
+    return mock.patch.object(Follower, "_take_snapshot", hasty)
+
+
+def sent_from_the_start() -> AbstractContextManager[object]:
+    """A leader begins a snapshot anew after a loss or a cut."""
+    def send_again(self: Transfer, now: float) -> None:
+        self._acknowledged = self._next_offset = 0
+        self._ended = False
+        self._progress_at = now
+    return mock.patch.object(Transfer, "_send_again", send_again)
+
+
+def chunks_never_sent_again() -> AbstractContextManager[object]:
+    """A leader sends each chunk once."""
+    return mock.patch.object(Transfer, "_send_again", lambda self, now: None)
+
+
+def window_unbounded() -> AbstractContextManager[object]:
+    """A leader sends all chunks at once."""
+    chunks = Transfer.chunks
+    return mock.patch.object(Transfer, "chunks", lambda self, leader, chunk, window:
+                             chunks(self, leader, chunk, 1 << 40))
+
+
+def entries_behind_transfer_dropped() -> AbstractContextManager[object]:
+    """A leader compacts its log whatever snapshot it is sending."""
+    return mock.patch.object(Leadership, "needed_behind", lambda self, index: index)
