Membership by joint consensus in the core: quorums of two sets while a change is under way

Cause: the core took single voter changes only, so that a planned replacement held four voters for three places. Change: consensus/quorum.py (Quorum) carries majorities for elections, pre-votes, commits, read rounds, contact and transfer; a joint membership names the voters before it in outgoing_voters; the leader ends it once it is committed, as does the next leader; check_change bounds voters by places. The walks replace up to three voters at once, the checkers count quorums by themselves; five broken variants more.

--- a/mallowbeam/consensus/election.py
+++ b/mallowbeam/consensus/election.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from mallowbeam.consensus.membership import majority_of
 from mallowbeam.consensus.state import MemberState, Role
 from mallowbeam.rpc.messages_pb2 import RaftMessage, VoteRequest, VoteResponse
 
@@ -100,14 +99,12 @@
 
     def _count(self) -> None:
         state = self._state
-        votes = [self._votes[voter] for voter in state.voters if voter in self._votes]
-        needed = majority_of(len(state.voters))
-        if votes.count(True) >= needed:
+        if state.quorum.granted(self._votes):
             if state.role is Role.PRE_CANDIDATE:
                 self.campaign()
             else:
                 self.won = True
-        elif votes.count(False) > len(state.voters) - needed and state.role is Role.PRE_CANDIDATE:
+        elif state.quorum.refused(self._votes) and state.role is Role.PRE_CANDIDATE:
             state.become_follower(state.term, None)
 
     # ------------------------------------------------------------ answers
--- a/mallowbeam/consensus/errors.py
+++ b/mallowbeam/consensus/errors.py
@@ -34,7 +34,7 @@
     """A membership change that is not allowed, or not yet."""
 
     code = "CONSENSUS_MEMBERSHIP"
-    remedy = "wait until the pending change is committed, and change one voter at a time"
+    remedy = "wait until the pending change is committed; change one voter, or more by a joint change"
 
 
 class TransferError(ConsensusError):
--- a/mallowbeam/consensus/leadership.py
+++ b/mallowbeam/consensus/leadership.py
@@ -12,12 +12,12 @@
 from mallowbeam.consensus.membership import (
     CHANGE_STEP,
     check_change,
-    majority_of,
     members_of,
-    reached_by_majority,
-    voters_of,
+    quorum_of,
+    without_outgoing,
 )
 from mallowbeam.consensus.progress import Progress
+from mallowbeam.consensus.quorum import Quorum
 from mallowbeam.consensus.reads import ReadQueue
 from mallowbeam.consensus.replication import Replicator
 from mallowbeam.consensus.state import MemberState
@@ -134,10 +134,10 @@
         state.reads += self._reads.confirmed(self._confirmed_round, state.commit_index)
 
     def _reached(self, own: float, of: Callable[[Progress], float]) -> float:
-        """What a majority of the voters has reached; this member counts only as a voter."""
-        state = self._state
-        values = [own if voter == state.own_id else of(self._progress[voter]) for voter in state.voters]
-        return reached_by_majority(values)
+        """What a quorum has reached; this member counts only as a voter."""
+        own_id = self._state.own_id
+        return self._state.quorum.reached(
+            lambda voter: own if voter == own_id else of(self._progress[voter]))
 
     # ------------------------------------------------------------ the log
 
@@ -165,21 +165,34 @@
         if current.index > state.commit_index:
             raise MembershipChangeError("a change is pending", step=CHANGE_STEP)
         check_change(current.membership, membership)
-        self._check_in_touch(current.voters, voters_of(membership))
+        self._check_in_touch(current.quorum, quorum_of(membership))
+        return self._append_membership(membership)
+
+    def _append_membership(self, membership: Membership) -> Proposal:
         proposal = self._append(MEMBERSHIP, membership.SerializeToString())
         self._sync_members()
         return proposal
 
-    def _check_in_touch(self, old: frozenset[int], new: frozenset[int]) -> None:
+    def _check_in_touch(self, old: Quorum, new: Quorum) -> None:
         """Refuse voters most of whom were not heard of lately: they could not commit their membership."""
         if new == old:
             return
         since = self._state.now - self._state.settings.election_most
-        others = [self._progress[voter] for voter in new if voter in self._progress]
-        in_touch = [progress for progress in others if progress.in_touch(since)]
-        if len(in_touch) + (self._state.own_id in new) < majority_of(len(new)):
+        in_touch = {member for member, progress in self._progress.items() if progress.in_touch(since)}
+        if not new.within(in_touch | {self._state.own_id}):
             raise MembershipChangeError("most of the new voters are out of touch", step=CHANGE_STEP)
 
+    def _end_joint_change(self) -> None:
+        """Append the membership without outgoing voters once the joint one is committed.
+
+        Not while leadership is handed over: the next leader does it, or this one once the transfer has
+        failed.
+        """
+        current = self._state.log.memberships.current
+        committed = self._own_term_committed and current.index <= self._state.commit_index
+        if current.quorum.joint and committed and self._transferee is None:
+            self._append_membership(without_outgoing(current.membership))
+
     def _sync_members(self) -> None:
         """Keep one progress for each other member."""
         state = self._state
@@ -199,6 +212,8 @@
         self._confirm_rounds()
         if not state.is_voter and state.log.memberships.current.index <= reached:
             self._leave()
+        else:
+            self._end_joint_change()
 
     def _leave(self) -> None:
         """This member's removal is committed: tell the others, ask one to take over, step down."""
@@ -255,14 +270,17 @@
     def _end_transfer(self) -> None:
         self._transferee = None
         self._transfer_deadline = inf
+        self._end_joint_change()
 
     def _best_voter(self) -> int | None:
-        """The voter with the most of the log among those heard of lately."""
+        """The voter heard of lately that has the most of the log; those that stay voters come first."""
         state = self._state
         since = state.now - state.settings.election_least
         candidates = [voter for voter in sorted(state.voters - {state.own_id})
                       if self._progress[voter].in_touch(since)]
-        return max(candidates, key=lambda voter: self._progress[voter].match_index, default=None)
+        incoming = state.quorum.incoming
+        return max(candidates, key=lambda voter: (voter in incoming, self._progress[voter].match_index),
+                   default=None)
 
     def _hand_over(self) -> None:
         target = self._best_voter()
--- a/mallowbeam/consensus/membership.py
+++ b/mallowbeam/consensus/membership.py
@@ -1,18 +1,19 @@
-"""Who votes, what a majority is, and the memberships that a log holds."""
+"""The memberships that a log holds, and which changes of them are allowed."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from mallowbeam.consensus.errors import MembershipChangeError
+from mallowbeam.consensus.quorum import Quorum
 from mallowbeam.rpc.messages_pb2 import MEMBERSHIP, Entry, Membership
 
 CHANGE_STEP = "change membership"
 
 
 def voters_of(membership: Membership) -> frozenset[int]:
-    """Ids of the members that vote and count."""
+    """Ids of the members that vote once no joint change is under way."""
     return frozenset(member.id for member in membership.members if member.voter)
 
 
@@ -21,24 +22,50 @@
     return frozenset(member.id for member in membership.members)
 
 
-def majority_of(count: int) -> int:
-    """The least number that is more than half of `count`."""
-    return count // 2 + 1
+def quorum_of(membership: Membership) -> Quorum:
+    """What counts under a membership."""
+    return Quorum(voters_of(membership), frozenset(membership.outgoing_voters))
 
 
-def reached_by_majority(values: Sequence[float]) -> float:
-    """The greatest value that a majority has reached; `values` has one for each voter, and at least one."""
-    return sorted(values, reverse=True)[majority_of(len(values)) - 1]
+def joint_change(old: Membership, new: Membership) -> Membership:
+    """The joint membership that leads from `old` to `new`: members that only `old` has stay as learners."""
+    joint = Membership()
+    joint.CopyFrom(new)
+    kept = members_of(new)
+    for member in old.members:
+        if member.id not in kept:
+            joint.members.add().CopyFrom(member)
+            joint.members[-1].voter = False
+    joint.outgoing_voters.extend(sorted(voters_of(old)))
+    return joint
+
+
+def without_outgoing(joint: Membership) -> Membership:
+    """The membership that ends a joint change."""
+    final = Membership()
+    final.CopyFrom(joint)
+    final.ClearField("outgoing_voters")
+    return final
 
 
 def check_change(old: Membership, new: Membership) -> None:
-    """Raise MembershipChangeError unless majorities of `old` and `new` always overlap."""
+    """Raise MembershipChangeError unless quorums of both always overlap and each voter has a place.
+
+    A joint membership may follow, or one of which one voter differs. The leader itself ends a joint change.
+    """
+    if old.outgoing_voters:
+        raise MembershipChangeError("a joint change is under way", step=CHANGE_STEP)
     ids = [member.id for member in new.members]
     if 0 in ids or len(set(ids)) != len(ids):
         raise MembershipChangeError("an id is zero or given twice", step=CHANGE_STEP)
     if not voters_of(new):
         raise MembershipChangeError("no voter is left", step=CHANGE_STEP)
-    if len(voters_of(old) ^ voters_of(new)) > 1:
+    if len(voters_of(new)) > max(new.target_voters, len(voters_of(old))):
+        raise MembershipChangeError("there are more voters than places", step=CHANGE_STEP)
+    outgoing = frozenset(new.outgoing_voters)
+    if outgoing and (outgoing != voters_of(old) or not outgoing <= members_of(new)):
+        raise MembershipChangeError("the outgoing voters are not those in force", step=CHANGE_STEP)
+    if not outgoing and len(voters_of(old) ^ voters_of(new)) > 1:
         raise MembershipChangeError("more than one voter differs", step=CHANGE_STEP)
 
 
@@ -48,12 +75,12 @@
 
     index: int
     membership: Membership
-    voters: frozenset[int]
+    quorum: Quorum
 
 
 def membership_at(index: int, membership: Membership) -> MembershipAt:
-    """Build a record with its voters."""
-    return MembershipAt(index, membership, voters_of(membership))
+    """Build a record with its quorum."""
+    return MembershipAt(index, membership, quorum_of(membership))
 
 
 class MembershipHistory:
--- a/mallowbeam/consensus/node.py
+++ b/mallowbeam/consensus/node.py
@@ -69,6 +69,12 @@
         """The membership in force, committed or not."""
         return self._state.log.memberships.current.membership
 
+    @property
+    def membership_committed(self) -> bool:
+        """Whether the membership in force is committed, and no joint change is under way."""
+        current = self._state.log.memberships.current
+        return current.index <= self._state.commit_index and not current.quorum.joint
+
     @property
     def is_voter(self) -> bool:
         """Whether this member votes, by the membership in force."""
--- a/mallowbeam/consensus/state.py
+++ b/mallowbeam/consensus/state.py
@@ -8,8 +8,9 @@
 
 from mallowbeam.consensus.interface import RaftSettings, ReadResult, Restored
 from mallowbeam.consensus.log import RaftLog
-from mallowbeam.consensus.membership import voters_of
+from mallowbeam.consensus.membership import quorum_of
 from mallowbeam.consensus.persistence import Persistence
+from mallowbeam.consensus.quorum import Quorum
 from mallowbeam.rpc.messages_pb2 import Snapshot
 
 
@@ -59,10 +60,15 @@
         """The member voted for in this term; 0: none."""
         return self.persistence.hard_state.vote
 
+    @property
+    def quorum(self) -> Quorum:
+        """What counts under the membership in force."""
+        return self.log.memberships.current.quorum
+
     @property
     def voters(self) -> frozenset[int]:
-        """Voters of the membership in force."""
-        return self.log.memberships.current.voters
+        """All voters of the membership in force; of both sets while a joint change is under way."""
+        return self.quorum.all
 
     @property
     def is_voter(self) -> bool:
@@ -76,7 +82,7 @@
         The log of a member whose removal is not committed may be the longest: without it, nobody could be
         elected. It does not count itself then.
         """
-        return self.is_voter or self.own_id in voters_of(self.log.memberships.at(self.commit_index))
+        return self.is_voter or self.own_id in quorum_of(self.log.memberships.at(self.commit_index)).all
 
     @property
     def stalled(self) -> bool:
--- a/tests/consensus_checkers.py
+++ b/tests/consensus_checkers.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from itertools import combinations, product
 from typing import TYPE_CHECKING
 from zlib import crc32
 
 from mallowbeam.consensus.interface import ReadResult, Send
-from mallowbeam.consensus.membership import majority_of, voters_of
+from mallowbeam.consensus.membership import voters_of
 from mallowbeam.consensus.node import Role
 from mallowbeam.rpc.messages_pb2 import COMMAND, MEMBERSHIP, Entry, Membership
 
@@ -52,6 +53,28 @@
     invoked: float
 
 
+def overlap(before: Membership, after: Membership) -> bool:
+    """Whether each quorum of one membership shares a voter with each of the other, by trying all.
+
+    Written apart from the core's own rules. A quorum is a majority of each set of voters; where the least ones
+    overlap, greater ones do.
+    """
+    return not any(quorum.isdisjoint(other) for quorum in _least_quorums(before)
+                   for other in _least_quorums(after))
+
+
+def _sets(membership: Membership) -> list[list[int]]:
+    """The voters, and those before a joint change that is under way."""
+    sets = [[member.id for member in membership.members if member.voter], list(membership.outgoing_voters)]
+    return [voters for voters in sets if voters]
+
+
+def _least_quorums(membership: Membership) -> set[frozenset[int]]:
+    majorities = [[frozenset(chosen) for chosen in combinations(voters, len(voters) // 2 + 1)]
+                  for voters in _sets(membership)]
+    return {frozenset().union(*chosen) for chosen in product(*majorities)}
+
+
 class Checkers:
     """All checkers of one world. They see what members do, and look at the disks."""
 
@@ -62,6 +85,7 @@
         self.commit_terms: list[int] = []      # of the leaders that committed them
         self.states = [Applied()]              # after each of them
         self.membership = first_membership     # the last that was committed
+        self.memberships = [(first_index, first_membership)]   # all that were, by index
         self.leaders: dict[int, int] = {}      # member by term
         self.commit_seen: dict[tuple[int, int], int] = {}      # by member and incarnation
         self.last_terms: dict[tuple[int, int], int] = {}       # the same
@@ -160,14 +184,28 @@
         self.states.append(self.states[-1].after(entry))
         if entry.kind == MEMBERSHIP:
             membership = Membership.FromString(entry.payload)
-            if len(voters_of(membership) ^ voters_of(self.membership)) > 1:
-                raise Violation("membership", f"entry {entry.index} changes more than one voter")
+            if not self._held_by_majority(membership, entry):
+                raise Violation("durable on a majority", f"membership {entry.index} is committed by "
+                                                         f"{machine.member_id} without a quorum of its own")
+            self._follows(entry.index, self.membership, membership)
             self.membership = membership
+            self.memberships.append((entry.index, membership))
+
+    def _follows(self, index: int, before: Membership, after: Membership) -> None:
+        """Each voter has a place, and quorums of successive memberships overlap."""
+        if len(voters_of(after)) > max(after.target_voters, len(voters_of(before))):
+            raise Violation("places", f"entry {index} has {len(voters_of(after))} voters, "
+                                      f"{after.target_voters} places")
+        if not overlap(before, after):
+            raise Violation("membership", f"entry {index}: quorums of it and the one before do not overlap")
 
     def _held_by_majority(self, membership: Membership, entry: Entry) -> bool:
-        voters = voters_of(membership)
-        holders = [voter for voter in voters if self.world.disk_of(voter).holds(entry)]
-        return len(holders) >= majority_of(len(voters))
+        """Whether a majority of each set of voters has the entry on disk; counted apart from the core."""
+        for voters in _sets(membership):
+            holders = [voter for voter in voters if self.world.disk_of(voter).holds(entry)]
+            if 2 * len(holders) <= len(voters):
+                return False
+        return True
 
     def installs(self, machine: Machine, index: int, applied: Applied) -> None:
         """A member takes a snapshot's state."""
@@ -176,6 +214,14 @@
         if self.states[index - self.first_index] != applied:
             raise Violation("state machine", f"{machine.member_id} installs another state at {index}")
 
+    def compacts(self, machine: Machine) -> None:
+        """A member has taken a snapshot: it holds the membership of its index, whole."""
+        snapshot = machine.node._state.log.snapshot
+        held = [membership for index, membership in self.memberships if index <= snapshot.index]
+        if snapshot.membership != held[-1]:
+            raise Violation("membership", f"{machine.member_id} has another one in its snapshot at "
+                                          f"{snapshot.index}")
+
     # ------------------------------------------------------------ clients
 
     def invoke(self) -> Operation:
--- a/tests/consensus_host.py
+++ b/tests/consensus_host.py
@@ -23,7 +23,7 @@
 
 def membership(voters: int, learners: int = 0) -> Membership:
     members = [Member(id=number + 1, voter=number < voters) for number in range(voters + learners)]
-    return Membership(members=members)
+    return Membership(members=members, target_voters=voters)
 
 
 def entry(index: int, term: int, payload: bytes = b"x") -> Entry:
--- a/tests/consensus_machine.py
+++ b/tests/consensus_machine.py
@@ -296,6 +296,8 @@
     def compact(self) -> None:
         if self.runs:
             self.node.compact(self.applied_index, self.applied.to_bytes())
+            if self.node.membership.members:
+                self.world.checkers.compacts(self)
             self.drain()
 
     def change_membership(self, membership: Membership) -> bool:
--- a/tests/consensus_scenario.py
+++ b/tests/consensus_scenario.py
@@ -12,7 +12,8 @@
     cut WHO WHO | cut-one-way FROM TO | isolate WHO | heal
     lose SHARE | duplicate SHARE | reorder | delay LEAST MOST
     disk WHO LEAST MOST | stall WHO | unstall WHO | wipe WHO (it comes back under a new id) | compact WHO
-    add | promote WHO | demote WHO | remove WHO | transfer WHO or any | note term
+    add | promote WHO (a place is added) | replace WHO by WHO (a joint change) | demote WHO | remove WHO |
+    transfer WHO or any | note term
     expect EXPECTATION [within SECONDS]
 
 An expectation without ``within`` must hold at once, one with it at some time until then. See the methods
@@ -28,7 +29,7 @@
 
 from consensus_checkers import Violation
 from consensus_machine import Machine
-from consensus_world import World, with_member, without_member
+from consensus_world import World, replaced, with_member, with_place, without_member
 
 from mallowbeam.consensus.interface import RaftSettings
 from mallowbeam.consensus.membership import voters_of
@@ -240,7 +241,14 @@
     def do_promote(self, who: str) -> None:
         member_id = self._id(who)
         self._change(lambda membership: member_id in voters_of(membership),
-                     lambda membership: with_member(membership, member_id, voter=True))
+                     lambda membership: with_place(membership, member_id))
+
+    def do_replace(self, who: str, by: str, successor: str) -> None:
+        """A voter gives its place to a learner, in one joint change."""
+        assert by == "by"
+        out, taken_in = self._id(who), self._id(successor)
+        self._change(lambda membership: taken_in in voters_of(membership),
+                     lambda membership: replaced(membership, [out], [taken_in]))
 
     def do_demote(self, who: str) -> None:
         member_id = self._id(who)
--- a/tests/consensus_variants.py
+++ b/tests/consensus_variants.py
@@ -11,9 +11,10 @@
 from mallowbeam.consensus.follower import Follower
 from mallowbeam.consensus.leadership import Leadership
 from mallowbeam.consensus.log import RaftLog
-from mallowbeam.consensus.membership import MembershipAt, MembershipHistory, members_of
+from mallowbeam.consensus.membership import MembershipAt, MembershipHistory, members_of, without_outgoing
 from mallowbeam.consensus.persistence import Persistence
 from mallowbeam.consensus.progress import Progress
+from mallowbeam.consensus.quorum import Quorum
 from mallowbeam.consensus.state import MemberState, Role
 
 Variant = Callable[[], AbstractContextManager[object]]
@@ -85,7 +86,7 @@
 def learners_count() -> AbstractContextManager[object]:
     """Learners count as voters."""
     def with_all(index: int, held: membership.Membership) -> MembershipAt:
-        return MembershipAt(index, held, members_of(held))
+        return MembershipAt(index, held, Quorum(members_of(held)))
     return mock.patch.object(membership, "membership_at", with_all)
 
 
@@ -94,6 +95,54 @@
     return mock.patch.object(leadership, "check_change", lambda old, new: None)
 
 
+def joint_by_incoming_only() -> AbstractContextManager[object]:
+    """During a joint change the new voters decide alone."""
+    return mock.patch.object(Quorum, "_sets", property(lambda self: (self.incoming,)))
+
+
+def joint_by_outgoing_only() -> AbstractContextManager[object]:
+    """During a joint change the voters before it decide alone."""
+    return mock.patch.object(Quorum, "_sets", property(lambda self: (self.outgoing or self.incoming,)))
+
+
+def outgoing_dropped_at_compaction() -> AbstractContextManager[object]:
+    """A snapshot in the middle of a joint change holds the new voters only."""
+    at = MembershipHistory.at
+    return mock.patch.object(MembershipHistory, "at", lambda self, index: without_outgoing(at(self, index)))
+
+
+def joint_ended_before_commit() -> AbstractContextManager[object]:
+    """A leader appends the end of a joint change together with its beginning."""
+    @contextmanager
+    def patched() -> Iterator[None]:
+        change = Leadership.change_membership
+
+        def hasty(self: Leadership, held: membership.Membership):
+            proposal = change(self, held)
+            if held.outgoing_voters:
+                self._append_membership(without_outgoing(held))
+            return proposal
+        with mock.patch.object(Leadership, "change_membership", hasty):
+            yield
+    return patched()
+
+
+def places_not_counted() -> AbstractContextManager[object]:
+    """A learner is promoted where no place is free."""
+    @contextmanager
+    def patched() -> Iterator[None]:
+        check = membership.check_change
+
+        def blind(old: membership.Membership, new: membership.Membership) -> None:
+            with_room = membership.Membership()
+            with_room.CopyFrom(new)
+            with_room.target_voters = len(new.members)
+            check(old, with_room)
+        with mock.patch.object(leadership, "check_change", blind):
+            yield
+    return patched()
+
+
 def membership_not_rolled_back() -> AbstractContextManager[object]:
     """A membership stays in force though its entry was dropped."""
     return mock.patch.object(MembershipHistory, "truncate", lambda self, first_index: None)
--- a/tests/consensus_walker.py
+++ b/tests/consensus_walker.py
@@ -11,10 +11,10 @@
 
 from consensus_checkers import Violation
 from consensus_machine import Machine
-from consensus_world import World, with_member, without_member
+from consensus_world import World, replaced, with_member, with_place, without_member
 
 from mallowbeam.consensus.interface import RaftSettings
-from mallowbeam.consensus.membership import majority_of, voters_of
+from mallowbeam.consensus.membership import quorum_of, voters_of
 from mallowbeam.consensus.progress import Mode
 from mallowbeam.rpc.messages_pb2 import Membership
 
@@ -23,7 +23,8 @@
 STEP_SECONDS = 0.05            # mean time between two steps of clients
 TROUBLES = ("kill", "power_off", "start", "start", "freeze", "thaw", "thaw", "cut", "cut_one_way", "isolate",
             "heal", "heal", "slow_disk", "stall_disk", "mend_disk", "mend_disk", "compact", "compact",
-            "transfer", "add", "promote", "demote", "remove", "replace_two", "wipe", "power_off_all")
+            "transfer", "add", "promote", "demote", "remove", "replace", "replace", "replace_at_once",
+            "wipe", "power_off_all")
 
 
 @dataclass(frozen=True)
@@ -183,7 +184,10 @@
         learners = self._learners()
         if learners and machine.leads:
             chosen = self.random.choice(learners)
-            self._change(machine, with_member(machine.node.membership, chosen, voter=True))
+            membership = machine.node.membership
+            added = self.random.random() < 0.4
+            changed = with_place(membership, chosen) if added else with_member(membership, chosen, True)
+            self._change(machine, changed)
 
     def _demote(self, machine: Machine) -> None:
         voters = sorted(voters_of(self.world.checkers.membership))
@@ -197,8 +201,27 @@
             chosen = self.random.choice(members)
             self._change(machine, without_member(machine.node.membership, chosen))
 
-    def _replace_two(self, machine: Machine) -> None:
-        """Two voters at once: the core must refuse it."""
+    def _replace(self, machine: Machine) -> None:
+        """Learners take the places of as many voters, in one joint change; the leader's too."""
+        leader = self.world.leader()
+        if leader is None:
+            return
+        membership = leader.node.membership
+        learners, voters = self._learners(), sorted(voters_of(membership))
+        count = self.random.randint(1, min(len(learners), len(voters), 3)) if learners else 0
+        if count:
+            out, taken_in = self.random.sample(voters, count), self.random.sample(learners, count)
+            self._change(leader, replaced(membership, out, taken_in))
+            soon = self.world.now + self.random.uniform(0.0, 0.03)
+            self.world.at(soon, self.random.choice((self._compact_all, lambda: None)))
+
+    def _compact_all(self) -> None:
+        """Have all take snapshots: some while the newest membership applied is a joint one."""
+        for each in self.world.machines.values():
+            each.compact()
+
+    def _replace_at_once(self, machine: Machine) -> None:
+        """Two voters at once without a joint change: the core must refuse it."""
         voters = sorted(voters_of(self.world.checkers.membership))
         learners = self._learners()
         if machine.leads and learners and len(voters) > 2:
@@ -211,9 +234,8 @@
             machine.change_membership(membership)
 
     def _majority_kept(self, membership: Membership, lost: int | None) -> bool:
-        voters = voters_of(membership)
-        kept = [voter for voter in voters if voter in self.world.machines and voter != lost]
-        return len(kept) >= majority_of(len(voters))
+        quorum = quorum_of(membership)
+        return quorum.within(self.world.machines.keys() - {lost})
 
     def _wipe(self, machine: Machine) -> None:
         """Only where a majority keeps its disks, in any membership that may be in force."""
--- a/tests/consensus_world.py
+++ b/tests/consensus_world.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from itertools import count
 from random import Random
@@ -12,6 +12,7 @@
 from consensus_machine import Disk, Machine
 
 from mallowbeam.consensus.interface import RaftSettings, Send
+from mallowbeam.consensus.membership import joint_change, voters_of
 from mallowbeam.rpc.messages_pb2 import Member, Membership, Snapshot
 
 FIRST_INDEX = 1
@@ -161,6 +162,23 @@
     return changed
 
 
+def with_place(membership: Membership, member_id: int) -> Membership:
+    """The membership with the member as a voter, for whom a place is added where there is none."""
+    changed = with_member(membership, member_id, voter=True)
+    changed.target_voters = max(changed.target_voters, len(voters_of(changed)))
+    return changed
+
+
+def replaced(membership: Membership, out: Sequence[int], taken_in: Sequence[int]) -> Membership:
+    """The joint membership in which voters give their places to learners, and stay as learners."""
+    changed = membership
+    for member_id in out:
+        changed = with_member(changed, member_id, voter=False)
+    for member_id in taken_in:
+        changed = with_member(changed, member_id, voter=True)
+    return joint_change(membership, changed)
+
+
 def without_member(membership: Membership, member_id: int) -> Membership:
     """The membership without the member."""
     kept = [member for member in membership.members if member.id != member_id]
