Losses right after repairs, on 3, 5, 6 and 8 members; a wiped member asks those that call it

Change: the members of the group still dial the address of the identity that was lost, and name themselves; a joiner asks them too. tests/membership_plays.py plays nine kinds of repairs and losses, and times each repair in simulated seconds.

--- a/mallowbeam/control_plane/group.py
+++ b/mallowbeam/control_plane/group.py
@@ -39,6 +39,7 @@
 
 JOIN_TIMEOUT = 0.5             # seconds for one member to answer
 JOIN_PAUSE = 0.2               # seconds between two rounds of asking
+MOST_CALLERS = 8               # addresses of members that are kept to be asked
 LOST_AFTER = 2.0               # seconds without a current state after which a member asks to join again
 
 log = get_logger("mallowbeam.group")
@@ -51,6 +52,7 @@
                  answer_leave: Callable[[int, LeaveResponse], None]) -> None:
         """`seeds` are the link listeners' addresses of members that may be asked."""
         self._leaves = LeaveRequests(answer_leave)
+        self._callers: dict[str, None] = {}    # addresses of members that call this one, oldest first
         self._seen: Membership | None = None   # the last committed one that a change was looked for at
         self._driver, self._own, self._first_start, self._seeds = driver, own, first_start, seeds
         self._change: asyncio.Future[Outcome] | None = None
@@ -98,6 +100,13 @@
         """Ask these from now on."""
         self._seeds = seeds
 
+    def called(self, address: str) -> None:
+        """A member called an earlier identity at this address: ask it too, the seeds may all be gone."""
+        self._callers.pop(address, None)
+        self._callers[address] = None
+        if len(self._callers) > MOST_CALLERS:
+            del self._callers[next(iter(self._callers))]
+
     def stop(self) -> None:
         """Ask no more."""
         self._stopping = True
@@ -160,9 +169,9 @@
             self._joining = None
 
     def _addresses(self) -> list[str]:
-        """Whom to ask: seeds and members, each once."""
+        """Whom to ask: seeds, members and those that call an earlier identity of this one, each once."""
         members = [member.address for member in self._driver.node.membership.members]
-        known = dict.fromkeys([*self._seeds, *members])
+        known = dict.fromkeys([*self._seeds, *members, *self._callers])
         known.pop(self._own.address, None)
         return list(known)
 
--- a/mallowbeam/control_plane/link_listener.py
+++ b/mallowbeam/control_plane/link_listener.py
@@ -17,6 +17,7 @@
     LeaveRequest,
     LeaveResponse,
     LinkFrame,
+    Member,
     PeerFrame,
     ProposeRequest,
     ProposeResponse,
@@ -59,6 +60,9 @@
     def read_index_response(self, response: ReadIndexResponse) -> None:
         """What the leader said to a read."""
 
+    def mistaken(self, caller: Member) -> None:
+        """A member means an earlier identity at this address."""
+
     def link_lost(self) -> None:
         """Another member's connection to this one has ended."""
 
@@ -113,7 +117,11 @@
     def _peer_frame(self, connection: FrameConnection, frame: PeerFrame) -> None:
         """Hand on a frame of a member, unless it is meant for another identity at this address."""
         own = self._links.own.id
-        if frame.recipient not in (0, own) or frame.sender == own:
+        if frame.sender == own:
+            return
+        if frame.recipient not in (0, own):
+            if frame.HasField("sender_member"):
+                self._peers.mistaken(frame.sender_member)
             return
         kind = frame.WhichOneof("body")
         if frame.HasField("sender_member") and kind != "join":
--- a/mallowbeam/control_plane/member.py
+++ b/mallowbeam/control_plane/member.py
@@ -267,6 +267,10 @@
         """What the leader said to a read."""
         self._commands.read_index_response(response)
 
+    def mistaken(self, caller: Member) -> None:
+        """A member means an earlier identity at this address: it may be asked to take this one in."""
+        self._group.called(caller.address)
+
     def link_lost(self) -> None:
         """Another member's connection to this one has ended."""
         self._instances.link_lost()
--- /dev/null
+++ b/tests/membership_plays.py
@@ -0,0 +1,345 @@
+"""Plays of losses right after repairs, on groups of any size and any seed.
+
+``python tests/membership_plays.py FIRST COUNT [PLAY...]`` plays seeds on 3, 5, 6 and 8 members. It prints what
+failed, and how long after each kind of repair the next loss was survived, in simulated seconds.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, field
+
+from mallowbeam.processes.logs import set_up_logging
+from mallowbeam.rpc.messages_pb2 import Member, Membership
+from mallowbeam.simulation.fleet import FleetPlayer, term_of
+from mallowbeam.simulation.fleet_processes import SimulatedMember
+from mallowbeam.simulation.scenario import Violation
+
+SIZES = (3, 5, 6, 8)
+REPAIRED_WITHIN = 6.0          # seconds; far more than any repair may take, see `Repair`
+LEADER_WITHIN = 4.0            # after losses that are survived
+TAKEN_WITHIN = 8.0             # a configuration, by callers that try members by chance
+CAUGHT_UP_ENTRIES = 8
+BEGIN = 8.0
+
+
+@dataclass
+class Result:
+    """What a play saw: for each repair, how many seconds it took."""
+
+    repairs: dict[str, list[float]] = field(default_factory=dict)
+
+
+class GroupPlay:
+    """A group of members in a simulation, driven step by step; raises Violation."""
+
+    def __init__(self, size: int, seed: int) -> None:
+        self.size = size
+        names = " ".join(f"m{number}" for number in range(1, size + 1))
+        self.player = FleetPlayer(f"seed {seed}\nmembers {names}\nat 2 put 1 on 0\n"
+                                  f"by {BEGIN} expect taken 1\nat {BEGIN} expect voters {size}\n")
+        self.result = Result()
+        self._revision = 1
+        self._leaving: set[str] = set()        # got SIGTERM: what they still do does not count
+        self._checked: dict[str, tuple[Membership, bool]] = {}
+
+    @property
+    def tolerance(self) -> int:
+        """How many voters may be lost at once."""
+        return (self.size - 1) // 2
+
+    def begin(self) -> None:
+        """Start all members; from here on there is a place for each of them, and never more."""
+        self.player.play()
+        self.player.simulator.check(self._check_places)
+
+    # ------------------------------------------------------------ what happens
+
+    def wait(self, seconds: float) -> None:
+        self.player.simulator.run_until(self.player.simulator.now + seconds)
+
+    def leader(self) -> str:
+        return self.player.names("leader")[0]
+
+    def voters(self, but: tuple[str, ...] = ()) -> list[str]:
+        """Names of live voters, the leader last."""
+        leader = self.leader()
+        ids = {member.id for member in self._membership() if member.voter}
+        names = [name for name, member in self.player.members.items()
+                 if self._counts(name) and self._identity(member) in ids and name != leader]
+        return [name for name in [*names, leader] if name not in but]
+
+    def term(self, name: str) -> None:
+        self._leaving.add(name)
+        self.player.do_term(name)
+
+    def kill(self, name: str) -> None:
+        self.player.do_kill(name)
+
+    def wipe(self, name: str) -> None:
+        """The disk is lost; the machine starts again within 0.3 s."""
+        self.player.do_wipe(name)
+
+    def start(self, name: str) -> None:
+        self._leaving.discard(name)
+        self.player.do_start(name)
+
+    def add(self) -> str:
+        """A new machine; it stands by once it has caught up."""
+        name = f"m{len(self.player.members) + 1}"
+        self.player.do_add(name)
+        return name
+
+    def stands_by(self, *names: str) -> None:
+        """Wait until these are learners that have caught up."""
+        self._until(lambda: all(self._is_learner(name) for name in names), 4.0, f"{names} stand by")
+        self.wait(0.5)
+
+    def repaired(self, kind: str) -> None:
+        """Wait until the next loss is survived."""
+        before = self.player.simulator.now
+        self._until(self._whole, REPAIRED_WITHIN, f"repaired after {kind}")
+        self.result.repairs.setdefault(kind, []).append(self.player.simulator.now - before)
+
+    def serves(self) -> None:
+        """Somebody leads, and a configuration is taken."""
+        before = self.player.simulator.now
+        self._until(self._leads, LEADER_WITHIN, "a leader")
+        self._revision += 1
+        number = str(self._revision)
+        self.player.do_put(number, "on", str(self._revision - 1), "via", self.leader())
+        self._until(lambda: self.player.holds(("taken", number)), TAKEN_WITHIN, f"taken {number}")
+        self.result.repairs["a change taken again"] = [self.player.simulator.now - before]
+
+    # ------------------------------------------------------------ what is seen
+
+    def _until(self, seen: Callable[[], bool], within: float, what: str) -> None:
+        simulator = self.player.simulator
+        if simulator.run_while(lambda: not seen(), simulator.now + within):
+            raise Violation(f"{simulator.now:.3f} s, seed {simulator.seed}: not {what} in time\n"
+                            f"{self.player.state()}")
+
+    def _leads(self) -> bool:
+        return bool(self.player._leading())
+
+    def _leading_node(self):
+        leading = self.player._leading()
+        return max(leading, key=term_of).program._driver.node if leading else None
+
+    def _membership(self) -> list[Member]:
+        node = self._leading_node()
+        return list(node.membership.members) if node is not None else []
+
+    def _counts(self, name: str) -> bool:
+        return self.player.members[name].live and name not in self._leaving
+
+    @staticmethod
+    def _identity(member: SimulatedMember) -> int:
+        return member.replica.identity if member.replica is not None else 0
+
+    def _is_learner(self, name: str) -> bool:
+        identity = self._identity(self.player.members[name])
+        return any(member.id == identity and not member.voter for member in self._membership())
+
+    def _whole(self) -> bool:
+        """Whether a committed membership has a voter for each place, and all of them live and are current."""
+        node = self._leading_node()
+        if node is None or not node.membership_committed:
+            return False
+        live = {self._identity(member): member for name, member in self.player.members.items()
+                if self._counts(name)}
+        voters = [member.id for member in node.membership.members if member.voter]
+        if len(voters) != node.membership.target_voters or not all(voter in live for voter in voters):
+            return False
+        least = node.commit_index - CAUGHT_UP_ENTRIES
+        return all(live[voter].replica.last_index >= least for voter in voters)
+
+    def _check_places(self) -> None:
+        """At no moment has a member's log more voters than places, or a leader's fewer."""
+        for name, member in self.player.members.items():
+            if not member.live:
+                continue
+            driver = member.program._driver
+            membership, leads = driver.node.membership, driver.is_leader
+            before = self._checked.get(name)
+            if before is not None and before[0] is membership and before[1] is leads:
+                continue
+            self._checked[name] = membership, leads
+            voters = sum(one.voter for one in membership.members)
+            if voters > membership.target_voters or leads and voters != self.size:
+                raise Violation(f"{self.player.simulator.now:.3f} s, {name}: {voters} voters for "
+                                f"{membership.target_voters} places, {self.size} machines")
+
+
+# ---------------------------------------------------------------- the plays
+
+
+def planned_then_loss(play: GroupPlay) -> None:
+    """As many as may be lost are replaced as planned; right after, as many are lost."""
+    _replace_as_planned(play)
+    play.wait(0.3)
+    _lose(play)
+    play.serves()
+
+
+def planned_then_wipe(play: GroupPlay) -> None:
+    """The same; then as many lose their disks, and come back."""
+    _replace_as_planned(play)
+    play.wait(0.3)
+    for name in play.voters()[-play.tolerance:]:
+        play.wipe(name)
+    play.repaired("wiped")
+    play.serves()
+
+
+def losses_one_by_one(play: GroupPlay) -> None:
+    """A disk is lost, again and again, each as soon as the last one is made up for; the leader's too."""
+    for turn in range(4):
+        voters = play.voters()
+        play.wipe(voters[-1] if turn % 2 else voters[0])
+        play.repaired("wiped")
+    _lose(play)
+    play.serves()
+
+
+def leader_leaves(play: GroupPlay) -> None:
+    """The leader is replaced as planned, then the next one, then as many as may be are lost."""
+    for _ in range(2):
+        play.stands_by(play.add())
+        play.term(play.leader())
+        play.repaired("planned")
+    _lose(play)
+    play.serves()
+
+
+def loss_during_change(play: GroupPlay) -> None:
+    """The leader dies in the middle of a planned change; a learner more stands by, and takes its place."""
+    play.stands_by(play.add(), play.add())
+    play.term(play.voters()[0])
+    play.wait(play.player.simulator.random.uniform(0.0, 0.02))
+    play.kill(play.leader() if play._leads() else play.voters()[0])
+    play.repaired("during a change")
+    _lose(play)
+    play.serves()
+
+
+def leaving_restarts(play: GroupPlay) -> None:
+    """One that left is started again at once: it stands by, and takes the place of the next one that dies."""
+    play.stands_by(play.add())
+    gone = play.voters()[0]
+    play.term(gone)
+    play.wait(play.player.simulator.random.uniform(0.0, 1.5))
+    play.kill(gone)
+    play.start(gone)
+    play.repaired("restarted")
+    play.kill(play.voters(but=(gone,))[0])
+    play.repaired("silent")
+    _lose(play)
+    play.serves()
+
+
+def silent_then_loss(play: GroupPlay) -> None:
+    """A voter dies while a learner stands by; its place taken, as many as may be are lost."""
+    play.stands_by(play.add())
+    play.kill(play.voters()[play.player.simulator.random.choice((0, -1))])
+    play.repaired("silent")
+    _lose(play)
+    play.serves()
+
+
+def dead_then_added(play: GroupPlay) -> None:
+    """A voter dies with nobody standing by; a new machine comes three seconds later."""
+    play.kill(play.voters()[0])
+    play.wait(3.0)
+    play.add()
+    play.repaired("added")
+    _lose(play)
+    play.serves()
+
+
+def roll(play: GroupPlay) -> None:
+    """SIGTERM to one after the other, each started again a second later, while one stands by."""
+    play.stands_by(play.add())
+    for name in list(play.player.members):
+        play.term(name)
+        play.wait(1.0)
+        play.kill(name)
+        play.start(name)
+        play.wait(1.0)
+        play.repaired("rolled")
+    _lose(play)
+    play.serves()
+
+
+def _replace_as_planned(play: GroupPlay) -> None:
+    play.stands_by(*[play.add() for _ in range(play.tolerance)])
+    for name in play.voters()[:play.tolerance]:
+        play.term(name)
+    play.repaired("planned")
+
+
+def _lose(play: GroupPlay) -> None:
+    """As many voters as may be lost die at once, the leader among them."""
+    for name in play.voters()[-play.tolerance:]:
+        play.kill(name)
+
+
+PLAYS: dict[str, Callable[[GroupPlay], None]] = {
+    play.__name__: play for play in (
+        planned_then_loss, planned_then_wipe, losses_one_by_one, leader_leaves, loss_during_change,
+        leaving_restarts, silent_then_loss, dead_then_added, roll)
+}
+
+
+def run(name: str, size: int, seed: int) -> Result:
+    """Run a play; raises Violation, with a note of how to run it again."""
+    try:
+        play = GroupPlay(size, seed)
+        play.begin()
+        PLAYS[name](play)
+        return play.result
+    except Exception as error:
+        error.add_note(f"{name}, {size} members: python tests/membership_plays.py {seed} 1 {name}")
+        raise
+
+
+def _outcome(case: tuple[str, int, int]) -> Result | str:
+    try:
+        return run(*case)
+    except Exception as error:
+        return f"{case}: {type(error).__name__}: {error}"
+
+
+def main() -> int:
+    """Run plays by the command line; 1 where one fails."""
+    first, count, *chosen = sys.argv[1:]
+    seeds = range(int(first), int(first) + int(count))
+    failed = 0
+    with ProcessPoolExecutor(WORKERS, initializer=set_up_logging, initargs=("plays",)) as pool:
+        for name in chosen or PLAYS:
+            for size in SIZES:
+                outcomes = list(pool.map(_outcome, [(name, size, seed) for seed in seeds]))
+                failures = [outcome for outcome in outcomes if isinstance(outcome, str)]
+                failed += len(failures)
+                print(f"{name}, {size} members: {len(failures)} of {len(outcomes)} failed; {_told(outcomes)}")
+                print("".join(f"  {failure}\n" for failure in failures[:3]), end="", flush=True)
+    return 1 if failed else 0
+
+
+WORKERS = 4
+
+
+def _told(outcomes: list[Result | str]) -> str:
+    repairs: dict[str, list[float]] = {}
+    for outcome in outcomes:
+        if isinstance(outcome, Result):
+            for kind, times in outcome.repairs.items():
+                repairs.setdefault(kind, []).extend(times)
+    return ", ".join(f"{kind} {sum(times) / len(times):.2f} s, {max(times):.2f} at most"
+                     for kind, times in repairs.items())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
