A member whose store diverged or is damaged ends in order, discards it and comes back as a new identity

Cause: the driver logged DivergedError and went on; a log that differs at a committed index was refused for ever, without an end in sight, as the leader looked further back in vain; a write into a damaged store was tried again for ever; a process that ended between discarding a store and making the next one took the identity of the first start again. Change: the node compares the leader's previous entry with what is committed; the driver takes no further step after DivergedError; WatchedStore tells of damage; the role stops the member, marks the folder, discards the store and runs a new member.

--- a/mallowbeam/consensus/node.py
+++ b/mallowbeam/consensus/node.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from mallowbeam.consensus.election import Election
-from mallowbeam.consensus.errors import NotLeaderError
+from mallowbeam.consensus.errors import DivergedError, NotLeaderError
 from mallowbeam.consensus.follower import Follower
 from mallowbeam.consensus.interface import (
     MemberProgress,
@@ -184,8 +184,20 @@
 
     def _append_request(self, sender: int, request: AppendRequest) -> None:
         if self._current_leader(sender, request.term, request.round):
+            self._check_not_diverged(request)
             self._follower.append(sender, request)
 
+    def _check_not_diverged(self, request: AppendRequest) -> None:
+        """Raise DivergedError where the leader's log differs at an index that is committed here.
+
+        A refusal would not do: the leader would look further back for a place where the logs meet, in vain.
+        """
+        log, previous = self._state.log, request.previous_index
+        if not log.base_index <= previous <= self._state.commit_index:
+            return
+        if previous and log.term_at(previous) != request.previous_term:
+            raise DivergedError(f"entry {previous} is committed in another term", step="append")
+
     def _snapshot_request(self, sender: int, request: SnapshotRequest) -> None:
         if self._current_leader(sender, request.term, request.round):
             self._follower.snapshot(sender, request)
--- a/mallowbeam/control_plane/member.py
+++ b/mallowbeam/control_plane/member.py
@@ -19,12 +19,13 @@
 from mallowbeam.control_plane.instances import Instances
 from mallowbeam.control_plane.leaving import Departure
 from mallowbeam.control_plane.link_listener import LinkListener
-from mallowbeam.control_plane.opening import OpenedStore
+from mallowbeam.control_plane.opening import OpenedStore, WatchedStore
 from mallowbeam.control_plane.peer_links import PeerLinks
 from mallowbeam.control_plane.raft_driver import RaftDriver
 from mallowbeam.control_plane.stage_orders import StageOrders
 from mallowbeam.control_plane.state_machine import ConfigurationFeed, ReplicatedStateMachine
 from mallowbeam.control_plane.status import StatusPage
+from mallowbeam.errors import MallowbeamError
 from mallowbeam.feed.publisher import FeedPublisher
 from mallowbeam.http.server import Server
 from mallowbeam.processes.logs import get_logger
@@ -81,7 +82,11 @@
         parser = ConfigurationParser()
         self._table = InstanceTable(settings.heartbeat_ms / 1000, now)
         self._machine = ReplicatedStateMachine(parser, self._retired)
-        self._disk = DiskWriter(opened.store, lambda writes: self._driver.durable(writes))
+        self.unusable: asyncio.Future[MallowbeamError] = self._loop.create_future()
+        self.disk_ended = False                # once stopped: whether nothing is written any more
+        store = WatchedStore(opened.store, lambda error: self._loop.call_soon_threadsafe(
+            self.store_unusable, error))
+        self._disk = DiskWriter(store, lambda writes: self._driver.durable(writes))
         raft_settings = RaftSettings(opened.identity, trailing_entries=TRAILING_ENTRIES)
         node = RaftNode(raft_settings, opened.restored, now, random.Random())
         self._driver = RaftDriver(node, self._machine, self._disk.submit, self._send_raft, self)
@@ -128,15 +133,18 @@
         """
         self._group.stop()
         self._stages.stop()
-        await self._hand_over()
-        await asyncio.gather(self._departure.leave(), self._server.drain(DRAIN_WAIT))
-        await self._hand_over()                # it may have been elected meanwhile
+        if self.unusable.done():
+            await self._server.drain(DRAIN_WAIT)
+        else:
+            await self._hand_over()
+            await asyncio.gather(self._departure.leave(), self._server.drain(DRAIN_WAIT))
+            await self._hand_over()            # it may have been elected meanwhile
         if self._timer is not None:
             self._timer.cancel()
         if self._listening is not None:
             self._listening.close()
         self._driver.stop()
-        await self._disk.stop(DISK_WAIT)
+        self.disk_ended = await self._disk.stop(DISK_WAIT)
         self._feeds.close()
         self._links.close()
         for connection in list(self._incoming):
@@ -218,6 +226,13 @@
         """Another membership is in force."""
         self._links.set_members(membership.members)
 
+    def store_unusable(self, error: MallowbeamError) -> None:
+        """The store can't be used any more: take no further part; who runs this member discards it."""
+        if not self.unusable.done():
+            log.error("the store can't be used any more: %s", error.line)
+            self._driver.stop()
+            self.unusable.set_result(error)
+
     def _send_raft(self, recipient: int, message: RaftMessage) -> None:
         self._links.send(recipient, PeerFrame(raft=message))
 
--- a/mallowbeam/control_plane/opening.py
+++ b/mallowbeam/control_plane/opening.py
@@ -4,16 +4,19 @@
 
 import os
 import random
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from mallowbeam.consensus.interface import Restored
+from mallowbeam.consensus.interface import Restored, Write
 from mallowbeam.consensus.storage import ReplicaStore, StoreDamagedError
+from mallowbeam.consensus.storage.files import make_folder, raised_as_store_error, sync_folder
 from mallowbeam.control_plane.first_start import first_state
 from mallowbeam.errors import MallowbeamError
 from mallowbeam.processes.logs import get_logger
 from mallowbeam.processes.settings import NodeSettings
 
 FOLDER = "replica"
+DISCARDED = "discarded"        # a file that says: no identity of a first start is taken here again
 LEAST_DISK_MB = 128            # taken where the settings name no bound
 
 log = get_logger("mallowbeam.store")
@@ -35,34 +38,72 @@
     restored: Restored
 
 
+class WatchedStore:
+    """A store whose damage is told once, besides being raised: no later write can mend it."""
+
+    def __init__(self, store: ReplicaStore, damaged: Callable[[StoreDamagedError], object]) -> None:
+        self._store, self._damaged = store, damaged
+
+    def write(self, writes: Sequence[Write]) -> None:
+        """Make all of them durable together, as the store does."""
+        try:
+            self._store.write(writes)
+        except StoreDamagedError as error:
+            self._damaged(error)
+            raise
+
+
 def open_store(settings: NodeSettings) -> OpenedStore:
     """Open the store; a damaged one is named in the log and treated as a disk that was wiped."""
-    if settings.data_dir is None:
-        raise ControlSettingsError("is missing", "data_dir")
-    folder = os.path.join(settings.data_dir, FOLDER)
-    disk_mb = int(settings.limits.disk_mb) or LEAST_DISK_MB
+    folder = _folder(settings)
     try:
-        return _load(ReplicaStore.open(folder, disk_mb), settings)
+        return _load(ReplicaStore.open(folder, _disk_mb(settings)), settings)
     except StoreDamagedError as error:
         log.error("the store is damaged, its member starts anew: %s", error.line)
+    return open_anew(settings)
+
+
+def open_anew(settings: NodeSettings) -> OpenedStore:
+    """Discard the store and open an empty one, under an identity that nobody had before."""
+    folder = _folder(settings)
+    _mark_discarded(folder)
     ReplicaStore.discard(folder)
-    return _load(ReplicaStore.open(folder, disk_mb), settings, damaged=True)
+    return _load(ReplicaStore.open(folder, _disk_mb(settings)), settings)
+
+
+def _folder(settings: NodeSettings) -> str:
+    if settings.data_dir is None:
+        raise ControlSettingsError("is missing", "data_dir")
+    return os.path.join(settings.data_dir, FOLDER)
+
+
+def _disk_mb(settings: NodeSettings) -> int:
+    return int(settings.limits.disk_mb) or LEAST_DISK_MB
+
+
+def _mark_discarded(folder: str) -> None:
+    """Durable before the store goes: this process may end in between."""
+    with raised_as_store_error("discard", folder):
+        make_folder(folder)
+        with open(os.path.join(folder, DISCARDED), "wb") as file:
+            os.fsync(file.fileno())
+        sync_folder(folder)
 
 
-def _load(store: ReplicaStore, settings: NodeSettings, damaged: bool = False) -> OpenedStore:
+def _load(store: ReplicaStore, settings: NodeSettings) -> OpenedStore:
     if store.identity is None:
-        _create(store, settings, damaged)
+        _create(store, settings)
     identity = store.identity
     assert identity is not None
     return OpenedStore(store, identity, store.load())
 
 
-def _create(store: ReplicaStore, settings: NodeSettings, damaged: bool) -> None:
-    """Give an empty store its first state; a damaged one's old identity is never taken again."""
+def _create(store: ReplicaStore, settings: NodeSettings) -> None:
+    """Give an empty store its first state; a discarded one's old identity is never taken again."""
     control = settings.bind_addresses.control
     if control is None:
         raise ControlSettingsError("is missing", "bind_addresses.control")
-    bootstrap = settings.bootstrap and not damaged
+    bootstrap = settings.bootstrap and not os.path.exists(os.path.join(_folder(settings), DISCARDED))
     first = first_state(control, settings.seeds, bootstrap, settings.port_range[0], random.SystemRandom())
     store.create(first.identity, first.snapshot)
     log.info("new identity %016x", first.identity)
--- a/mallowbeam/control_plane/raft_driver.py
+++ b/mallowbeam/control_plane/raft_driver.py
@@ -13,11 +13,12 @@
 from math import inf
 from typing import Protocol
 
-from mallowbeam.consensus.errors import ConsensusError
+from mallowbeam.consensus.errors import ConsensusError, DivergedError
 from mallowbeam.consensus.interface import Output, Proposal, ReadResult, Send, Write
 from mallowbeam.consensus.node import RaftNode, Role
 from mallowbeam.control_plane.state_machine import Outcome, ReplicatedStateMachine
 from mallowbeam.control_plane.waiting import AppliedWaiters, Changes, ProposalWaiters, ReadRefused
+from mallowbeam.errors import MallowbeamError
 from mallowbeam.processes.logs import get_logger
 from mallowbeam.rpc.messages_pb2 import COMMAND, DONE, Entry, Membership, RaftMessage, Snapshot
 
@@ -37,6 +38,9 @@
     def membership_changed(self, membership: Membership) -> None:
         """Another membership is in force."""
 
+    def store_unusable(self, error: MallowbeamError) -> None:
+        """What this member has on disk contradicts the group: it must end, and come back as a new one."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Receive:
@@ -188,6 +192,10 @@
                 self._node.tick(now)
             self._act(self._node.output())
             self._tell_changes()
+        except DivergedError as error:
+            self.stop()
+            self._listener.store_unusable(error)
+            return
         except Exception:
             # Guards the member: a fault with one message must not end its part in the group.
             log.exception("a step failed unforeseen")
--- a/mallowbeam/control_plane/role.py
+++ b/mallowbeam/control_plane/role.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from contextlib import suppress
 
 from mallowbeam.consensus.storage import StoreFailedError, StoreFullError
 from mallowbeam.control_plane.member import ControlMember
-from mallowbeam.control_plane.opening import OpenedStore, open_store
+from mallowbeam.control_plane.opening import OpenedStore, open_anew, open_store
 from mallowbeam.processes.logs import get_logger
 from mallowbeam.processes.role import RoleContext, run_role
+from mallowbeam.processes.settings import NodeSettings
 
 RETRY_S = 0.5                  # seconds between two attempts at a disk that refuses
 
@@ -22,24 +24,36 @@
 
 
 async def serve(context: RoleContext) -> None:
-    """Open the store, serve until the word to stop comes, then stop in order."""
-    opened = await _open_store(context)
-    if opened is None:
-        return
-    member = ControlMember(context.settings, opened)
-    context.on_reload(member.reload)
+    """Run a member until the word to stop comes; one whose store can't be used comes back as a new one."""
+    how = open_store
+    while (opened := await _open_store(context, how)) is not None:
+        member = ControlMember(context.settings, opened)
+        context.on_reload(member.reload)
+        await _run(context, member)
+        if not member.unusable.done():
+            return
+        if not member.disk_ended:
+            raise member.unusable.result()     # a write is under way: not discarded beneath it
+        opened.store.close()
+        how = open_anew
+
+
+async def _run(context: RoleContext, member: ControlMember) -> None:
+    """Serve until the word to stop comes, or until the store can't be used; then stop in order."""
     await member.start()
+    stopping = asyncio.create_task(context.stopping.wait())
     try:
-        await context.stopping.wait()
+        await asyncio.wait((stopping, member.unusable), return_when=asyncio.FIRST_COMPLETED)
     finally:
+        stopping.cancel()
         await member.stop()
 
 
-async def _open_store(context: RoleContext) -> OpenedStore | None:
+async def _open_store(context: RoleContext, how: Callable[[NodeSettings], OpenedStore]) -> OpenedStore | None:
     """Open the store, trying again as long as the disk refuses; None where the word to stop came first."""
     while not context.stopping.is_set():
         try:
-            return await asyncio.to_thread(open_store, context.settings)
+            return await asyncio.to_thread(how, context.settings)
         except (StoreFullError, StoreFailedError) as error:
             log.error("the store can't be opened yet: %s", error.line)
         with suppress(TimeoutError):
--- a/mallowbeam/simulation/fleet_processes.py
+++ b/mallowbeam/simulation/fleet_processes.py
@@ -208,6 +208,11 @@
             program = ControlMember(self._settings, opened)
         await program.start()
         self.program = program
+        await program.unusable                 # then it comes back as a new member, as the role does it
+        await program.stop()
+        self.program = self.replica = None
+        self._settings = replace(self._settings, bootstrap=False)
+        loop.create_task(self._serve(loop))
 
     async def _created(self, loop: SimulatedLoop) -> Replica:
         """Write an empty disk's first state."""
--- a/tests/membership_plays.py
+++ b/tests/membership_plays.py
@@ -1,7 +1,7 @@
 """Plays of losses right after repairs, on groups of any size and any seed.
 
-``python tests/membership_plays.py FIRST COUNT [PLAY...]`` plays seeds on 3, 5, 6 and 8 members. It prints what
-failed, and how long after each kind of repair the next loss was survived, in simulated seconds.
+``python tests/membership_plays.py FIRST COUNT [PLAY...]`` plays seeds on 3, 5, 6 and 8 members. It prints
+what failed, and how long after each kind of repair the next loss was survived, in simulated seconds.
 """
 
 from __future__ import annotations
--- a/tests/test_membership_plays.py
+++ b/tests/test_membership_plays.py
@@ -1,4 +1,4 @@
-"""Losses right after repairs, on groups of 3 to 8 members; `membership_plays` has the plays and more seeds."""
+"""Losses right after repairs, on groups of 3 to 8 members; `membership_plays` has the plays, for any seed."""
 
 from __future__ import annotations
 
