--- a/mallowbeam/control_plane/link_listener.py
+++ b/mallowbeam/control_plane/link_listener.py
@@ -14,7 +14,10 @@
     GatewayFrame,
     JoinRequest,
     JoinResponse,
+    LeaveRequest,
+    LeaveResponse,
     LinkFrame,
+    Member,
     PeerFrame,
     ProposeRequest,
     ProposeResponse,
@@ -39,6 +42,12 @@
     def join(self, connection: FrameConnection, request: JoinRequest) -> None:
         """A process asks to become a member; the answer goes back on its connection."""
 
+    def leave(self, sender: int, request: LeaveRequest) -> None:
+        """A member that stops asks the leader to give its place away."""
+
+    def leave_response(self, response: LeaveResponse) -> None:
+        """What the leader said to that."""
+
     def propose(self, sender: int, request: ProposeRequest) -> None:
         """A command for the leader."""
 
@@ -51,6 +60,9 @@
     def read_index_response(self, response: ReadIndexResponse) -> None:
         """What the leader said to a read."""
 
+    def mistaken(self, caller: Member) -> None:
+        """A member means an earlier identity at this address."""
+
     def link_lost(self) -> None:
         """Another member's connection to this one has ended."""
 
@@ -74,6 +86,8 @@
             "raft": lambda _, frame: peers.raft(frame.sender, frame.raft),
             "registry": lambda _, frame: peers.registry(frame.sender, frame.registry),
             "join": lambda connection, frame: peers.join(connection, frame.join),
+            "leave": lambda _, frame: peers.leave(frame.sender, frame.leave),
+            "leave_response": lambda _, frame: peers.leave_response(frame.leave_response),
             "propose": lambda _, frame: peers.propose(frame.sender, frame.propose),
             "propose_response": lambda _, frame: peers.propose_response(frame.propose_response),
             "read_index": lambda _, frame: peers.read_index(frame.sender, frame.read_index),
@@ -103,7 +117,11 @@
     def _peer_frame(self, connection: FrameConnection, frame: PeerFrame) -> None:
         """Hand on a frame of a member, unless it is meant for another identity at this address."""
         own = self._links.own.id
-        if frame.recipient not in (0, own) or frame.sender == own:
+        if frame.sender == own:
+            return
+        if frame.recipient not in (0, own):
+            if frame.HasField("sender_member"):
+                self._peers.mistaken(frame.sender_member)
             return
         kind = frame.WhichOneof("body")
         if frame.HasField("sender_member") and kind != "join":
--- a/mallowbeam/control_plane/member.py
+++ b/mallowbeam/control_plane/member.py
@@ -17,14 +17,16 @@
 from mallowbeam.control_plane.first_start import peer_address
 from mallowbeam.control_plane.group import GroupKeeper
 from mallowbeam.control_plane.instances import Instances
+from mallowbeam.control_plane.leaving import Departure
 from mallowbeam.control_plane.link_listener import LinkListener
-from mallowbeam.control_plane.opening import OpenedStore
+from mallowbeam.control_plane.opening import OpenedStore, WatchedStore
 from mallowbeam.control_plane.peer_links import PeerLinks
 from mallowbeam.control_plane.raft_driver import RaftDriver
 from mallowbeam.control_plane.serving import ServingGate
 from mallowbeam.control_plane.stage_orders import StageOrders
 from mallowbeam.control_plane.state_machine import ConfigurationFeed, ReplicatedStateMachine
 from mallowbeam.control_plane.status import StatusPage
+from mallowbeam.errors import MallowbeamError
 from mallowbeam.feed.publisher import FeedPublisher
 from mallowbeam.http.server import Server
 from mallowbeam.processes.logs import get_logger
@@ -33,6 +35,8 @@
 from mallowbeam.rpc.connection import FrameConnection, listen
 from mallowbeam.rpc.messages_pb2 import (
     JoinRequest,
+    LeaveRequest,
+    LeaveResponse,
     Member,
     Membership,
     PeerFrame,
@@ -79,7 +83,11 @@
         parser = ConfigurationParser()
         self._table = InstanceTable(settings.heartbeat_ms / 1000, now)
         self._machine = ReplicatedStateMachine(parser, self._retired)
-        self._disk = DiskWriter(opened.store, lambda writes: self._driver.durable(writes))
+        self.unusable: asyncio.Future[MallowbeamError] = self._loop.create_future()
+        self.disk_ended = False                # once stopped: whether nothing is written any more
+        store = WatchedStore(opened.store, lambda error: self._loop.call_soon_threadsafe(
+            self.store_unusable, error))
+        self._disk = DiskWriter(store, lambda writes: self._driver.durable(writes))
         raft_settings = RaftSettings(opened.identity, trailing_entries=TRAILING_ENTRIES)
         node = RaftNode(raft_settings, opened.restored, now, random.Random())
         self._driver = RaftDriver(node, self._machine, self._disk.submit, self._send_raft, self)
@@ -95,7 +103,9 @@
         feed = ConfigurationFeed(self._machine.configurations)
         self._feeds = Feeds(FeedPublisher(feed, self._table), self._status.feed_status, self._flush_soon,
                             self._stages.gateways)
-        self._group = GroupKeeper(self._driver, self._own, settings.bootstrap, seed_links(settings))
+        self._group = GroupKeeper(self._driver, self._own, settings.bootstrap, seed_links(settings),
+                                  self._answer_leave)
+        self._departure = Departure(self._driver, self._links, self._group.leave)
         self._listener = LinkListener(self._links, self, self._feeds)
         api = ControlApi(parser, self._machine.configurations, self._commands, self._instances, self._status,
                          self._gate)
@@ -120,25 +130,37 @@
         self._group.set_seeds(seed_links(settings))
 
     async def stop(self) -> None:
-        """Hand leadership over, answer what is held, and end."""
+        """Hand leadership over, give the voter's place away, answer what is held, and end.
+
+        No new call is taken meanwhile, but consensus goes on: the others may need this member until its place
+        is given away.
+        """
         self._group.stop()
         self._stages.stop()
-        if self._driver.is_leader:
-            change = self._driver.leadership_changes.next()
-            self._driver.transfer_leadership()
-            await asyncio.wait((change,), timeout=TRANSFER_WAIT)
-        await self._server.drain(DRAIN_WAIT)
+        if self.unusable.done():
+            await self._server.drain(DRAIN_WAIT)
+        else:
+            await self._hand_over()
+            await asyncio.gather(self._departure.leave(), self._server.drain(DRAIN_WAIT))
+            await self._hand_over()            # it may have been elected meanwhile
         if self._timer is not None:
             self._timer.cancel()
         if self._listening is not None:
             self._listening.close()
         self._driver.stop()
-        await self._disk.stop(DISK_WAIT)
+        self.disk_ended = await self._disk.stop(DISK_WAIT)
         self._feeds.close()
         self._links.close()
         for connection in list(self._incoming):
             connection.abort()
 
+    async def _hand_over(self) -> None:
+        """Have another member lead, where this one does; not for longer than `TRANSFER_WAIT`."""
+        if self._driver.is_leader:
+            change = self._driver.leadership_changes.next()
+            self._driver.transfer_leadership()
+            await asyncio.wait((change,), timeout=TRANSFER_WAIT)
+
     # ------------------------------------------------------------ time
 
     def _turn(self) -> None:
@@ -202,11 +224,19 @@
     def applied(self) -> None:
         """Entries were applied: gateways get a new configuration at once."""
         self._flush()
+        self._group.applied()
 
     def membership_changed(self, membership: Membership) -> None:
         """Another membership is in force."""
         self._links.set_members(membership.members)
 
+    def store_unusable(self, error: MallowbeamError) -> None:
+        """The store can't be used any more: take no further part; who runs this member discards it."""
+        if not self.unusable.done():
+            log.error("the store can't be used any more: %s", error.line)
+            self._driver.stop()
+            self.unusable.set_result(error)
+
     def _send_raft(self, recipient: int, message: RaftMessage) -> None:
         self._links.send(recipient, PeerFrame(raft=message))
 
@@ -225,6 +255,21 @@
         """A process asks to become a member."""
         self._group.join(connection, request)
 
+    def leave(self, sender: int, request: LeaveRequest) -> None:
+        """A member asks the leader to give its place away."""
+        self._group.leave(sender, request)
+
+    def leave_response(self, response: LeaveResponse) -> None:
+        """What the leader said to that."""
+        self._departure.response(response)
+
+    def _answer_leave(self, member: int, response: LeaveResponse) -> None:
+        """Answer a member that leaves, which may be this one."""
+        if member == self._own.id:
+            self._departure.response(response)
+        else:
+            self._links.send(member, PeerFrame(leave_response=response))
+
     def propose(self, sender: int, request: ProposeRequest) -> None:
         """A command for the leader."""
         self._commands.propose(sender, request)
@@ -241,6 +286,10 @@
         """What the leader said to a read."""
         self._commands.read_index_response(response)
 
+    def mistaken(self, caller: Member) -> None:
+        """A member means an earlier identity at this address: it may be asked to take this one in."""
+        self._group.called(caller.address)
+
     def link_lost(self) -> None:
         """Another member's connection to this one has ended."""
         self._instances.link_lost()
--- a/mallowbeam/simulation/fleet_processes.py
+++ b/mallowbeam/simulation/fleet_processes.py
@@ -233,6 +233,11 @@
         self._record_applied(program._machine)
         await program.start()
         self.program = program
+        await program.unusable                 # then it comes back as a new member, as the role does it
+        await program.stop()
+        self.program = self.replica = None
+        self._settings = replace(self._settings, bootstrap=False)
+        loop.create_task(self._serve(loop))
 
     def _record_applied(self, state: ReplicatedStateMachine) -> None:
         """Tell the history of each entry that is applied from now on."""
--- a/tests/consensus_machine.py
+++ b/tests/consensus_machine.py
@@ -310,6 +310,8 @@
         if self.runs:
             self.uncompacted_entries = self.uncompacted_bytes = 0
             self.node.compact(self.applied_index, self.applied.to_bytes(self.world.state_bytes))
+            if self.node.membership.members:
+                self.world.checkers.compacts(self)
             self.drain()
 
     def change_membership(self, membership: Membership) -> bool:
