--- a/mallowbeam/simulation/fleet.py
+++ b/mallowbeam/simulation/fleet.py
@@ -37,7 +37,7 @@
 from mallowbeam.feed.subscriber import FeedSubscriber
 from mallowbeam.simulation.dialing import Streams
 from mallowbeam.simulation.fleet_callers import SimulatedInstance
-from mallowbeam.simulation.fleet_checkers import ALWAYS, LOOK_S, Checker, World
+from mallowbeam.simulation.fleet_checkers import ALWAYS, LOOK_S, Checker, ReachWatch, World
 from mallowbeam.simulation.fleet_history import History
 from mallowbeam.simulation.fleet_operators import Operator
 from mallowbeam.simulation.fleet_processes import SimulatedGateway, SimulatedMember, settings_of
@@ -241,6 +241,7 @@
         settings = settings_of(name, ip, self.seeds, member=True, bootstrap=bootstrap)
         self.members[name] = SimulatedMember(machine, self.streams, self.disks[name], settings,
                                              self.history)
+        self.members[name].watch = lambda: ReachWatch().look(self.world)
         self._start_soon(machine)
 
     def turn_over_seeds(self, gone: Container[str]) -> None:
--- a/mallowbeam/simulation/fleet_processes.py
+++ b/mallowbeam/simulation/fleet_processes.py
@@ -143,6 +143,7 @@
         self._server: StandInServer | None = None
         self._thawed_at = -inf
         self.unreachable_since: float | None = None    # no majority in reach, by the one who watches
+        self.watch: Callable[[], object] = lambda: None  # looks whether that still holds
         machine.boot = self._boot
         machine.on_thaw(self._thawed)
 
@@ -201,6 +202,7 @@
         return self.machine.step_cost > 0.0 or self.machine.clock_rate < 1.0
 
     def _note(self, call: ApiCall, began: float, status: int, body: bytes, paused: bool) -> None:
+        self.watch()
         now = self.machine.simulator.now
         out_of_reach = now - self.unreachable_since if self.unreachable_since is not None else 0.0
         name = self.machine.name
--- a/mallowbeam/simulation/walk_unbounded.py
+++ b/mallowbeam/simulation/walk_unbounded.py
@@ -12,6 +12,8 @@
 from mallowbeam.simulation.loss_budget import CATCH_UP_S
 from mallowbeam.simulation.network import Path
 
+LONGEST_EXIT_S = 10         # from a SIGTERM
+
 
 class UnboundedTroubles:
     """Draws troubles that last until others end them."""
@@ -30,7 +32,9 @@
         self._random.choice(self._troubles)()
 
     def mend_all(self) -> None:
-        """End all troubles."""
+        """End all troubles, and start again what is still ending."""
+        for delay in range(1, LONGEST_EXIT_S + 1):
+            self.player.simulator.after(float(delay), self._start)
         self._heal()
         self._mend_disks()
         self.player.network.default = Path()
