--- a/mallowbeam/feed/limits.py
+++ b/mallowbeam/feed/limits.py
@@ -7,8 +7,8 @@
 MOST_SILENCE_S = 1.0              # without a frame, after which a feed is given up
 UNFIT_DWELL_S = 0.5               # a new feed is kept for so long before its member is judged unfit
 MOST_LEADER_SILENCE_MS = 1_000    # a member out of touch with its leader for longer is left
-# A member whose frames are held up for longer is left. Not sooner: that may be the gateway's own link, which a
-# new connection only loads more.
+# A member whose frames are held up for longer is left. Not sooner: that may be the gateway's own link, which
+# a new connection only loads more.
 MOST_LATENESS_S = 2.0
 CONNECT_TIMEOUT_S = 0.6           # the host reports an attempt as failed after this time
 BACKOFF_LEAST_S = 0.1             # after the first failure to reach a member; doubles up to the next
--- a/mallowbeam/pairing/order_lease.py
+++ b/mallowbeam/pairing/order_lease.py
@@ -2,8 +2,8 @@
 
 The token of the lease fences orders, and rises with each new holder.  Instances may forget tokens, so holders
 are kept apart in time as well: a new one waits until the one before can't have an order on its way any more.
-That one sends only while a majority has confirmed its leadership within `fresh_s`, which ends before another
-leader can be elected; a process that stood still finds that out by the clock before it sends.
+That one sends only while a majority has confirmed its leadership within `fresh_s`, which the wait of the new
+holder covers; a process that stood still finds that out by the clock before it sends.
 Times are seconds of the steady clock.
 """
 
