Buffer and stand-ins: no circle of imports for types

Cause: after the splits replay imported core, and connection imported server, for their types alone; tests/test_layers.py counts these. Change: both state what they need as a Protocol (Restored, Host).

--- a/mallowbeam/buffer/replay.py
+++ b/mallowbeam/buffer/replay.py
@@ -2,14 +2,38 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from mallowbeam.buffer.entries import Entry, State
-from mallowbeam.buffer.limits import NEVER
+from mallowbeam.buffer.limits import NEVER, Limits
 
-if TYPE_CHECKING:
-    from mallowbeam.buffer.core import Core
+
+class Restored(Protocol):
+    """What is handed the writes and barriers that an earlier process left: the buffer's core."""
+
+    @property
+    def limits(self) -> Limits:
+        """The bounds in force."""
+
+    def accept(self, entry: Entry) -> None:
+        """A write comes in."""
+
+    def durable(self, now: float, lsn: int, where: tuple[int, int], segments: Iterable[int]) -> None:
+        """The log has it."""
+
+    def barrier(self, lsn: int, bucket: str) -> None:
+        """A barrier comes in."""
+
+    def barrier_durable(self, lsn: int, segment: int) -> None:
+        """The log has it."""
+
+    def hold_again(self, entry: Entry, reason: str) -> None:
+        """A write was held, and still is."""
+
+    def opened(self) -> None:
+        """That was all."""
 
 
 @dataclass(slots=True)
@@ -62,7 +86,7 @@
             if not reason:
                 known.intent = None
 
-    def build(self, core: Core, now: float, boot: bytes) -> None:
+    def build(self, core: Restored, now: float, boot: bytes) -> None:
         """Hand all that is left to the core.
 
         An attempt of unknown end may be repeated within its window only where one clock measured both its
--- a/mallowbeam/standins/connection.py
+++ b/mallowbeam/standins/connection.py
@@ -7,14 +7,12 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import httptools
 
-from mallowbeam.standins.faults import Rule
-
-if TYPE_CHECKING:
-    from mallowbeam.standins.server import Server
+from mallowbeam.standins.faults import Rule, Script
+from mallowbeam.standins.store import Answer
 
 REASONS = {
     200: "OK",
@@ -31,10 +29,28 @@
 CUT_ANSWER = 40  # bytes of an answer that go out before the connection is cut
 
 
+class Host(Protocol):
+    """The stand-in that a connection belongs to."""
+
+    script: Script
+    delay: float
+    """Seconds before each answer."""
+    stands_until: float
+    """Steady time before which nothing is answered."""
+    draining: bool
+    connections: set[Connection]
+
+    def handle(self, method: str, target: str, headers: dict[str, str], body: bytes) -> Answer:
+        """The answer to a request."""
+
+    def die(self) -> None:
+        """Take no connection and reset those open."""
+
+
 class Connection(asyncio.Protocol):
     """One connection to a stand-in: requests in, answers out, faults between."""
 
-    def __init__(self, server: Server) -> None:
+    def __init__(self, server: Host) -> None:
         self.server = server
         self.parser = httptools.HttpRequestParser(self)
         self.transport: asyncio.Transport
