--- /dev/null
+++ b/tests/test_feed_candidates.py
@@ -0,0 +1,44 @@
+"""Which member a gateway tries next while none answers."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from mallowbeam.feed.candidates import Candidates
+from mallowbeam.feed.limits import CONNECT_TIMEOUT_S
+
+MEMBERS = ("m1", "m2", "m3", "m4", "m5")
+LOOK_S = 0.01
+
+
+class NoneAnswers(unittest.TestCase):
+    def test_each_member_is_tried_within_a_few_seconds(self) -> None:
+        """Two that were followed before are gone; the others, never followed, must not wait behind them."""
+        for seed in range(1, 21):
+            candidates = Candidates(MEMBERS, Random(seed))
+            candidates.learn(MEMBERS)
+            candidates.served("m1", 5.0)
+            candidates.served("m4", 6.0)
+            for member in MEMBERS:
+                candidates.failed(member, 10.0)
+            tried = self.tried(candidates, 10.0, 14.0)
+            with self.subTest(seed=seed):
+                self.assertEqual(tried, set(MEMBERS))
+
+    def tried(self, candidates: Candidates, since: float, until: float) -> set[str]:
+        """Members that are tried while no connection opens."""
+        now, tried = since, set()
+        while now < until:
+            member = candidates.choose(now)
+            if member is None:
+                now += LOOK_S
+                continue
+            tried.add(member)
+            now += CONNECT_TIMEOUT_S
+            candidates.failed(member, now)
+        return tried
+
+
+if __name__ == "__main__":
+    unittest.main()
