Tests: joined parts fit each other

Cause: parts were made apart: the policy's promote() is gone, the API takes a gate, the core refuses more voters than places. Change: the variant of a vote without a place also switches off the core's check; the status test has a gate and a status page.

--- a/mallowbeam/lab/days/site.py
+++ b/mallowbeam/lab/days/site.py
@@ -5,7 +5,6 @@
 import re
 import tomllib
 from dataclasses import dataclass
-from typing import ClassVar
 
 from mallowbeam.errors import MallowbeamError
 
@@ -13,7 +12,7 @@
 class SiteFileError(MallowbeamError):
     """A site file lacks what a day is drawn from; `where` names the part."""
 
-    code: ClassVar[str] = "SITE-FILE"
+    code = "SITE-FILE"
     remedy = "give a deployment's site file: TOML with zones, machines, services, classes and length_s"
 
 
--- a/tests/fleet_variants.py
+++ b/tests/fleet_variants.py
@@ -14,6 +14,7 @@
 from unittest import mock
 
 from mallowbeam.configuration.versions import ConfigurationVersions
+from mallowbeam.consensus import leadership
 from mallowbeam.consensus.interface import Restored
 from mallowbeam.consensus.node import RaftNode
 from mallowbeam.consensus.state import MemberState
@@ -23,11 +24,11 @@
 from mallowbeam.control_plane.commands import Commands
 from mallowbeam.control_plane.group import GroupKeeper
 from mallowbeam.control_plane.member import ControlMember
-from mallowbeam.control_plane.membership_policy import Group, promote
+from mallowbeam.control_plane.membership_policy import Group
 from mallowbeam.control_plane.serving import ServingGate
 from mallowbeam.control_plane.state_machine import Outcome, ReplicatedStateMachine
 from mallowbeam.feed.instances import InstanceCopy
-from mallowbeam.rpc.messages_pb2 import ALREADY_DONE, DONE, REFUSED, VERSION_MISMATCH, Membership
+from mallowbeam.rpc.messages_pb2 import ALREADY_DONE, DONE, REFUSED, VERSION_MISMATCH, Member, Membership
 from mallowbeam.simulation.replica import Replica
 
 HEAD = "members m1 m2 m3\ngateways g1\ninstances a b\nat 2 put 1 on 0\nby 8 expect gateways ready\n"
@@ -131,17 +132,30 @@
 
 # ------------------------------------------------------------ 3: membership
 
+def _promoted(member: Member) -> Member:
+    voter = Member()
+    voter.CopyFrom(member)
+    voter.voter = True
+    return voter
+
+
 def _promote_all(group: Group) -> Membership | None:
     if not group.learners or not group.caught_up(group.learners[0].id):
         return None
     chosen = group.learners[0].id
-    members = [promote(one) if one.id == chosen else one for one in group.membership.members]
+    members = [_promoted(one) if one.id == chosen else one for one in group.membership.members]
     return Membership(members=members, target_voters=group.membership.target_voters)
 
 
+def _any_change(old: Membership, new: Membership) -> None:
+    return None
+
+
 MEMBERSHIP = (
     Variant("a learner gets a vote without a place", "4 voters for 3 places",
-            "at 8 wipe m3\nend 14", _replaced(group, "next_change", _promote_all)),
+            "at 8 wipe m3\nend 14", _all_of(
+                _replaced(group, "next_change", _promote_all),
+                _replaced(leadership, "check_change", _any_change))),
     Variant("nobody stands for election", "nobody leads",
             "at 10 kill leader\nend 14",
             lambda: mock.patch.object(MemberState, "may_campaign", property(lambda self: self.now < 9.0)),
--- a/tests/operator_races.py
+++ b/tests/operator_races.py
@@ -35,7 +35,6 @@
 )
 from mallowbeam.simulation.fleet_processes import ApiCall
 
-
 CHAIN_PAUSE_S = 0.005       # between two looks at whether the last order of a chain is answered
 
 
--- a/tests/test_configuration_calls.py
+++ b/tests/test_configuration_calls.py
@@ -13,10 +13,11 @@
 from mallowbeam.control_plane.api import ControlApi
 from mallowbeam.control_plane.commands import Commands
 from mallowbeam.control_plane.instances import Instances
+from mallowbeam.control_plane.serving import ServingGate
 from mallowbeam.control_plane.state_machine import Outcome
 from mallowbeam.control_plane.status import StatusPage
 from mallowbeam.rpc.messages_pb2 import Command, CommandResult
-from mallowbeam.simulation.fleet_processes import ApiCall
+from mallowbeam.simulation.fleet_processes import ApiCall, message_of
 
 STATUSES = {
     "DONE": 200, "ALREADY_DONE": 200, "VERSION_MISMATCH": 412, "REVISION_NOT_ABOVE": 400,
@@ -34,6 +35,13 @@
         return Outcome(self.result, 7)
 
 
+class Alone:
+    """The status page of a member that knows no others."""
+
+    def other_controls(self) -> list[str]:
+        return []
+
+
 class Answers(unittest.TestCase):
     def test_each_result_has_its_status(self) -> None:
         """Only what is known as taken is acknowledged, and only what can't be taken any more is refused."""
@@ -45,10 +53,11 @@
     def status(self, result: CommandResult) -> int:
         """The answer's status where the replicated state comes to a result."""
         parser = ConfigurationParser()
+        in_touch = ServingGate(lambda: 1.0, lambda: 0.0, lambda: False)
         api = ControlApi(parser, ConfigurationVersions(parser), cast(Commands, Decided(result)),
-                         cast(Instances, None), cast(StatusPage, None))
+                         cast(Instances, None), cast(StatusPage, Alone()), in_touch)
         call = ApiCall("PUT", "/mallowbeam/config", body_of(document()), (("If-Match", "0"),))
-        reply = asyncio.run(api.handle(call.message(1.0), lambda: False))
+        reply = asyncio.run(api.handle(message_of(call, 1.0), lambda: False))
         return reply.status
 
 
