Retirements: one applied before is acknowledged again only by a member in touch

The test that asked for 200 while cut off now asks for 503, and for 200 in touch without another entry.

--- a/mallowbeam/control_plane/commands.py
+++ b/mallowbeam/control_plane/commands.py
@@ -57,11 +57,6 @@
         self._proposals: dict[int, asyncio.Future[Outcome]] = {}
         self._reads: dict[int, asyncio.Future[int]] = {}
 
-    @property
-    def applied_index(self) -> int:
-        """Up to here this member has applied the log."""
-        return self._driver.applied_index
-
     # ------------------------------------------------------------ for callers
 
     async def submit(self, command: Command, since: float) -> Outcome:
--- a/mallowbeam/control_plane/instances.py
+++ b/mallowbeam/control_plane/instances.py
@@ -72,13 +72,12 @@
     async def _retire(self, id: str, kind: RetirementKind, since: float) -> None:
         """Have the log hold a retirement, unless this member has applied it, or one that says more."""
         if self._retirements.kind(id) in (kind, GONE):
-            evidence = AppliedEntry(self._commands.applied_index)
-        else:
-            self._gate.check_reachable()
-            outcome = await self._commands.submit(Command(retire_instance=RetireInstance(id=id, kind=kind)),
-                                                  since)
-            evidence = AppliedEntry(outcome.index)
-        self._gate.check(Said.RETIREMENT_ACKNOWLEDGED, evidence)
+            self._gate.check(Said.RETIREMENT_KNOWN)
+            return
+        self._gate.check_reachable()
+        command = Command(retire_instance=RetireInstance(id=id, kind=kind))
+        outcome = await self._commands.submit(command, since)
+        self._gate.check(Said.RETIREMENT_ACKNOWLEDGED, AppliedEntry(outcome.index))
 
     # ------------------------------------------------------------ from the log and from other members
 
--- a/mallowbeam/control_plane/serving.py
+++ b/mallowbeam/control_plane/serving.py
@@ -33,7 +33,8 @@
     BODY_REFUSED = auto()                      # 4xx of a call that no state would take
     UNAVAILABLE = auto()                       # 503 and 504
     HEARTBEAT_ACKNOWLEDGED = auto()
-    RETIREMENT_ACKNOWLEDGED = auto()           # of `draining` and DELETE
+    RETIREMENT_ACKNOWLEDGED = auto()           # of `draining` and DELETE, by an entry of this call
+    RETIREMENT_KNOWN = auto()                  # likewise, of one that was applied here before
     FEED_CONFIGURATION = auto()                # whole or as a change
     FEED_TABLE = auto()                        # all instances
     FEED_INSTANCE_CHANGES = auto()             # to gateways that have this member's table
@@ -84,6 +85,7 @@
     Said.UNAVAILABLE: Always(),
     Said.HEARTBEAT_ACKNOWLEDGED: InTouch(HEARTBEAT_SILENCE_S),
     Said.RETIREMENT_ACKNOWLEDGED: Committed(),
+    Said.RETIREMENT_KNOWN: InTouch(HEARTBEAT_SILENCE_S),
     Said.FEED_CONFIGURATION: InTouch(FEED_SILENCE_S),
     Said.FEED_TABLE: InTouch(FEED_SILENCE_S),
     Said.FEED_INSTANCE_CHANGES: Always(),
--- a/tests/test_control_plane_serving.py
+++ b/tests/test_control_plane_serving.py
@@ -122,6 +122,7 @@
                 Said.CHANGE_REFUSED: expected.entry,
                 Said.RETIREMENT_ACKNOWLEDGED: expected.entry,
                 Said.HEARTBEAT_ACKNOWLEDGED: expected.heartbeat,
+                Said.RETIREMENT_KNOWN: expected.heartbeat,
                 Said.FEED_CONFIGURATION: expected.feed,
                 Said.FEED_TABLE: expected.feed,
                 Said.INSTANCE_ORDER: expected.order,
@@ -150,7 +151,8 @@
 
     def test_each_bound_to_the_millisecond(self) -> None:
         bounds = ((Said.FEED_TABLE, FEED_SILENCE_S), (Said.FEED_CONFIGURATION, FEED_SILENCE_S),
-                  (Said.HEARTBEAT_ACKNOWLEDGED, HEARTBEAT_SILENCE_S), (Said.INSTANCE_ORDER, ORDER_SILENCE_S))
+                  (Said.HEARTBEAT_ACKNOWLEDGED, HEARTBEAT_SILENCE_S),
+                  (Said.RETIREMENT_KNOWN, HEARTBEAT_SILENCE_S), (Said.INSTANCE_ORDER, ORDER_SILENCE_S))
         for said, bound in bounds:
             self.assertTrue(Situation(bound - 0.001, leads=True).gate.may(said), said)
             self.assertFalse(Situation(bound + 0.001, leads=True).gate.may(said), said)
@@ -178,7 +180,6 @@
         self.frozen_s = 0.0                    # before the answer is known here
         self.frozen_after_s = 0.0              # after it
         self.outcome = Outcome(DONE, 5)
-        self.applied_index = 5
         self.calls = 0
 
     async def submit(self, command: Command, since: float) -> Outcome:
@@ -286,12 +287,20 @@
         self.assertEqual((await self.call("GET", "/mallowbeam/status")).status, 200)
 
     async def test_a_retirement_that_this_member_has_applied_is_acknowledged_again(self) -> None:
-        self.situation.freeze()
         self.kinds["i"] = DRAINING
         self.assertEqual((await self.beat("draining")).status, 200)
-        self.assertEqual((await self.delete()).status, 503)
+        self.assertEqual(self.log.calls, 0)
         self.kinds["i"] = GONE
         self.assertEqual((await self.delete()).status, 200)
+        self.assertEqual(self.log.calls, 0)
+
+    async def test_cut_off_not_even_a_retirement_that_this_member_has_applied_is_acknowledged(self) -> None:
+        self.situation.freeze()
+        self.kinds["i"] = DRAINING
+        self.assertEqual((await self.beat("draining")).status, 503)
+        self.assertEqual((await self.delete()).status, 503)
+        self.kinds["i"] = GONE
+        self.assertEqual((await self.delete()).status, 503)
         self.assertEqual((await self.beat()).status, 503)
 
 
