--- a/mallowbeam/consensus/interface.py
+++ b/mallowbeam/consensus/interface.py
@@ -44,7 +44,7 @@
     bytes_in_flight: int = 1 << 20             # of entries in them; one message may reach over it
     chunked_entry: int = 1 << 17               # an entry with a larger payload goes in chunks
     uncommitted_entries: int = 4096            # proposals beyond it are refused
-    uncommitted_bytes: int = 4 << 20           # proposals on top of so many are refused
+    uncommitted_bytes: int = 8 << 20           # proposals on top of so many are refused
     pending_reads: int = 4096                  # reads beyond it are refused (not confirmed)
     trailing_entries: int = 1024               # kept in memory before a snapshot, for slow followers
     trailing_bytes: int = 16 << 20             # of them, and of those behind a snapshot that is being sent
--- a/mallowbeam/consensus/storage/batch.py
+++ b/mallowbeam/consensus/storage/batch.py
@@ -119,6 +119,13 @@
     return int(number) if key_kind == kind else None
 
 
+def stored_bytes(cursor: Any, first: int) -> int:
+    """Bytes of the stored entries from index `first` on, which are the last records."""
+    if not cursor.set_range(records.first_key(records.ENTRY, first)):
+        return 0
+    return sum(len(value) for _key, value in cursor.iternext())
+
+
 def read_identity(cursor: Any) -> int:
     """The member's id; raises `StoreVersionError` for a format of a newer program."""
     if not cursor.set_key(records.first_key(records.IDENTITY)):
--- a/mallowbeam/consensus/storage/store.py
+++ b/mallowbeam/consensus/storage/store.py
@@ -224,9 +224,17 @@
         more = sum(entry.ByteSize() + batch.ENTRY_OVERHEAD for write in writes for entry in write.entries)
         bound = self._map_bytes // ENTRIES_SHARE
         if more and self._used_bytes + more > bound:
+            more -= self._replaced_bytes(writes)
+        if more > 0 and self._used_bytes + more > bound:
             what = f"{self._used_bytes} bytes in use, {more} more are over the bound of {bound}"
             raise StoreFullError(what, self._path, step="bound")
 
+    def _replaced_bytes(self, writes: Sequence[Write]) -> int:
+        """Bytes of the stored entries that those of a batch take the place of."""
+        first = min(write.entries[0].index for write in writes if write.entries)
+        with self._steps("read"), self._opened().begin() as transaction:
+            return batch.stored_bytes(transaction.cursor(), first)
+
     def _seal_and_sync(self) -> None:
         newest = max(seal.read_pages(self._descriptor), key=lambda page: page.transaction)
         if newest.transaction == self._acknowledged:
--- a/tests/test_storage_store.py
+++ b/tests/test_storage_store.py
@@ -229,6 +229,21 @@
         self.write(entries(next_index, 10, size=1000))
         self.assertEqual(len(self.reopen().entries), 10)
 
+    def test_entries_at_the_bound_give_way_to_those_of_another_leader(self) -> None:
+        """They can't be committed and so never be dropped by a snapshot: a member that had to wait for one,
+        and whose acknowledgement the new leader waits for, would be stuck."""
+        next_index = 1
+        with self.assertRaises(StoreFullError):
+            while True:
+                self.write(entries(next_index, 10, size=3000))
+                next_index += 10
+        with self.assertRaises(StoreFullError):
+            self.write(entries(next_index, 10, term=2, size=3000))
+        with self.assertRaises(StoreFullError):
+            self.write(entries(next_index - 5, 100, term=2, size=3000))
+        self.write(entries(5, 50, term=2, size=3000))
+        self.assertEqual(self.indexes(), list(range(1, 55)))
+
     def test_many_rounds_at_the_bound_never_need_more_than_the_map(self) -> None:
         next_index = 1
         for _round in range(30):
