--- a/mallowbeam/consensus/errors.py
+++ b/mallowbeam/consensus/errors.py
@@ -48,7 +48,7 @@
     """A leader's entry contradicts one that is committed here: some disk has lost what it had confirmed."""
 
     code = "CONSENSUS_DIVERGED"
-    remedy = "stop this member, empty its data folder, and let it join as a new one"
+    remedy = "none needed: the member discards its store and joins as a new one; look at the disks"
 
 
 class OverloadedError(ConsensusError):
