--- a/mallowbeam/simulation/fleet_checkers.py
+++ b/mallowbeam/simulation/fleet_checkers.py
@@ -181,7 +181,8 @@
 
     def look(self, world: World) -> str:
         """Note it at each running member."""
-        connected = {world.identity(name) for name, _, node in world.live() if self._direct(world, name, node)}
+        connected = {world.identity(name) for name, _, node in world.live()
+                     if self._direct(world, name, node)}
         for name, member, _ in world.live():
             if world.reaches(name) & connected:
                 member.unreachable_since = None
@@ -190,10 +191,10 @@
         return ""
 
     def _direct(self, world: World, name: str, node: RaftNode) -> bool:
-        """Whether a member reaches a majority itself; one that knows no membership yet answers nothing."""
+        """Whether a member reaches a majority itself; one that knows no membership yet does not."""
         reached = world.reaches(name)
         return all(len(reached & voters) >= majority_of(len(voters))
-                   for voters in voter_sets(node.membership) if voters)
+                   for voters in voter_sets(node.membership))
 
 
 # ------------------------------------------------------------ within the tolerance
