History: no member without a majority acknowledges anything, retirements included

Cause: the checker was eased for retirements that a member had applied. The program refuses these now while it is out of touch (RETIREMENT_KNOWN), so the strict form holds.

--- a/mallowbeam/simulation/fleet_history.py
+++ b/mallowbeam/simulation/fleet_history.py
@@ -125,7 +125,7 @@
         if answer.ended - answer.began > SLOWEST_ANSWER_S and not answer.paused:
             self._fail(f"1: {answer.member} answered {answer.call.method} {answer.call.path} after "
                        f"{answer.ended - answer.began:.2f} s")
-        if taken and answer.out_of_reach > CUT_OFF_S and not leaves(answer.call):
+        if taken and answer.out_of_reach > CUT_OFF_S:
             self._fail(f"1: {answer.member} answered {answer.call.method} {answer.call.path} with "
                        f"{answer.status} after {answer.out_of_reach:.1f} s without a majority in reach")
         if answer.call.path != CONFIG_PATH:
@@ -174,7 +174,7 @@
 
     def _instance_answered(self, answer: Answer, taken: bool) -> None:
         call = answer.call
-        if not taken or not leaves(call):
+        if not taken or not (call.method == "DELETE" or json.loads(call.body).get("state") == "draining"):
             return
         instance = call.path.rpartition("/")[2]
         if instance not in self._retirements:
@@ -185,17 +185,6 @@
         self.wrong = self.wrong or what
 
 
-def leaves(call: ApiCall) -> bool:
-    """Whether an instance says that it drains or has ended.
-
-    Any member may acknowledge that for good once it has applied the retirement, also one that is cut off:
-    a retirement is never taken back. That it was applied is judged at each such answer.
-    """
-    if call.path == CONFIG_PATH:
-        return False
-    return call.method == "DELETE" or json.loads(call.body).get("state") == "draining"
-
-
 def call_key(call: ApiCall) -> ChangeKey:
     """Which change a call asks for."""
     based_on = next(int(value) for name, value in call.headers if name == "If-Match")
