Repair times as measured; variants without leaving, without callers, and with a dead voter that stays are caught

Cause: a play took a leaving member for the leader to be asked: it may be elected for a moment while it stops (its log may be the longest) and has closed its port. Change: the play asks a leader that stays.

--- a/tests/membership_plays.py
+++ b/tests/membership_plays.py
@@ -106,7 +106,7 @@
     def serves(self) -> None:
         """Somebody leads, and a configuration is taken."""
         before = self.player.simulator.now
-        self._until(self._leads, LEADER_WITHIN, "a leader")
+        self._until(lambda: self._leads() and self.leader() not in self._leaving, LEADER_WITHIN, "a leader")
         self._revision += 1
         number = str(self._revision)
         self.player.do_put(number, "on", str(self._revision - 1), "via", self.leader())
--- a/tests/test_control_plane_unusable.py
+++ b/tests/test_control_plane_unusable.py
@@ -60,7 +60,8 @@
     """A member that was away for longer than learners are kept comes back with its old store."""
 
     TEXT = HEAD + ("at 8 add m4\nat 10 kill m3\nby 14 expect voters 3\nat 14 put 2 on 1\n"
-                   "by 17 expect taken 2\nat 20 put 3 on 2\nby 23 expect taken 3\nat 23 put 4 on 3\nby 26 expect taken 4\n"
+                   "by 17 expect taken 2\nat 20 put 3 on 2\nby 23 expect taken 3\nat 23 put 4 on 3\n"
+                   "by 26 expect taken 4\n"
                    "at 60 start m3\nby 64 expect m3 revision 4\nat 64 kill m4\nby 68 expect voters 3\n"
                    "at 68 kill m1\nat 70 put 5 on 4 via m3\nby 76 expect taken 5\nend 77")
 
--- a/tests/test_membership_plays.py
+++ b/tests/test_membership_plays.py
@@ -3,9 +3,19 @@
 from __future__ import annotations
 
 import unittest
+from pathlib import Path
+from unittest import mock
 
 from membership_plays import PLAYS, SIZES, run
 
+from mallowbeam.control_plane import membership_policy
+from mallowbeam.control_plane.group import GroupKeeper
+from mallowbeam.control_plane.leaving import Departure
+from mallowbeam.simulation.fleet import FleetPlayer
+from mallowbeam.simulation.scenario import Violation
+
+SCENARIOS = Path(__file__).parent / "scenarios" / "system"
+
 CATCH_UP_S = 4.0               # what operators are promised to leave between two losses
 REPAIRED_S = 3.0               # until the next loss is survived, after any repair
 GIVEN_S = 0.5                  # after SIGTERM, where a learner stands by
@@ -37,5 +47,30 @@
     setattr(Plays, f"test_{_name}", _test_of(_name))
 
 
+async def ends_at_once(self: Departure, within: float = 0.0) -> bool:
+    """A member that leaves without asking for its place to be given away."""
+    return False
+
+
+class BrokenVariants(unittest.TestCase):
+    def test_a_member_that_ends_at_once(self) -> None:
+        with mock.patch.object(Departure, "leave", ends_at_once):
+            player = FleetPlayer((SCENARIOS / "planned_replacement_then_loss.txt").read_text())
+            with self.assertRaises(Violation):
+                player.play()
+            repairs = run("silent_then_loss", 3, 1).repairs    # its place is still taken once it is silent
+        self.assertLess(max(repairs["silent"]), REPAIRED_S)
+
+    def test_a_wiped_member_that_asks_the_seeds_alone(self) -> None:
+        with mock.patch.object(GroupKeeper, "called", lambda self, address: None):
+            with self.assertRaisesRegex(Violation, "repaired after wiped"):
+                run("planned_then_wipe", 5, 1)
+
+    def test_a_dead_voter_that_keeps_its_place(self) -> None:
+        with mock.patch.object(membership_policy, "DEAD_VOTER", 99.0):
+            with self.assertRaisesRegex(Violation, "repaired after silent"):
+                run("silent_then_loss", 3, 1)
+
+
 if __name__ == "__main__":
     unittest.main()
