--- /dev/null
+++ b/tests/test_control_plane_peer_links.py
@@ -0,0 +1,61 @@
+"""A link is dialled anew where its peer was not heard, and not while a frame of it is still coming in."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from mallowbeam.control_plane.peer_links import SETTLING, UNHEARD_RESET, PeerLinks
+from mallowbeam.rpc.messages_pb2 import Member, PeerFrame
+
+OWN = Member(id=1, address="127.0.0.1:1")
+PEER = Member(id=2, address="127.0.0.1:2")
+LONG_AGO = -10 * (SETTLING + UNHEARD_RESET)
+
+
+class OpenConnection:
+    """A connection that takes all it is given."""
+
+    open = True
+    unsent = 0
+
+    def __init__(self, last_received: float) -> None:
+        self.last_received = last_received
+        self.sent = 0
+        self.aborted = False
+
+    def send(self, frame: object) -> bool:
+        self.sent += 1
+        return True
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
+class Unheard(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.now = asyncio.get_running_loop().time()
+        self.links = PeerLinks(OWN, lambda connection, body: None)
+        self.addCleanup(self.links.close)
+        self.links.set_members([PEER])
+        link = self.links._links[PEER.id]
+        self.outgoing = OpenConnection(self.now)
+        link._connection = self.outgoing
+        link._opened_at = link.heard_at = self.now + LONG_AGO
+
+    def send(self) -> bool:
+        return self.links.send(PEER.id, PeerFrame())
+
+    async def test_dialled_anew(self) -> None:
+        self.links.introduce(OpenConnection(self.now + LONG_AGO), PEER)
+        self.assertFalse(self.send())
+        self.assertTrue(self.outgoing.aborted)
+
+    async def test_not_while_bytes_come_in(self) -> None:
+        self.links.introduce(OpenConnection(self.now), PEER)
+        self.assertTrue(self.send())
+        self.assertEqual((self.outgoing.sent, self.outgoing.aborted), (1, False))
+
+
+if __name__ == "__main__":
+    unittest.main()
