Feed and follower: who is current is known, and every member has its turn; races fit the joined simulation

Cause: found by the fleet's walk on the joined program. Change: a state is current once the leader's commit is of its own term; among members that can't be reached the one that has waited longest is next. Tests: test_consensus_freshness, test_feed_candidates, red before, pass now. The races of operators take the joined simulation's modules and name each order's author.

--- a/mallowbeam/consensus/follower.py
+++ b/mallowbeam/consensus/follower.py
@@ -40,10 +40,19 @@
             state.persistence.entries_dropped(dropped)
         last = previous + len(request.entries)
         state.commit_to(min(request.commit, last))
-        if state.commit_index >= request.commit and state.now >= self._held_up_until:
+        if self._has_all_that_is_committed(request) and state.now >= self._held_up_until:
             state.current_at = state.now
         self._confirm(leader, last, request.round, waits=bool(request.entries))
 
+    def _has_all_that_is_committed(self, request: AppendRequest) -> bool:
+        """Whether the leader's commit index is known to be current, and reached here.
+
+        It is once the leader has committed an entry of its own term. Before, more may have been acknowledged.
+        """
+        log = self._state.log
+        known = log.term_at(request.commit) == request.term
+        return known and self._state.commit_index >= request.commit
+
     def _note_silence(self) -> None:
         """After a silence, what comes first may have been held up since it began, and tells nothing of now.
 
--- a/mallowbeam/feed/candidates.py
+++ b/mallowbeam/feed/candidates.py
@@ -95,7 +95,8 @@
         """The member to try now; None: all are backed off from.
 
         Fit members come first, in random order; then fit seeds that are no members any more; then, where all
-        are unfit, the one whose state is freshest among those that could be reached.
+        are unfit, the one whose state is freshest among those that could be reached; then the one that has
+        waited longest.
         """
         ready = [address for address, candidate in self._known.items() if candidate.not_before <= now]
         members = [address for address in ready if address in self._members and self._known[address].fit(now)]
@@ -106,7 +107,10 @@
             return self._random.choice(fit)
         if not ready:
             return None
-        return max(ready, key=self._freshness)
+        reachable = [address for address in ready if not self._known[address].failures]
+        if reachable:
+            return max(reachable, key=self._freshness)
+        return min(ready, key=lambda address: self._known[address].not_before)
 
     def next_ready(self) -> float:
         """When the first backoff ends."""
@@ -122,7 +126,6 @@
                 return True
         return False
 
-    def _freshness(self, address: str) -> tuple[bool, float, float]:
-        """Order of unfit members: reachable ones first, then by the age of their state, then at random."""
-        candidate = self._known[address]
-        return not candidate.failures, candidate.current_at, self._random.random()
+    def _freshness(self, address: str) -> tuple[float, float]:
+        """Order of unfit members: by the age of their state, then at random."""
+        return self._known[address].current_at, self._random.random()
--- a/mallowbeam/lab/days/site.py
+++ b/mallowbeam/lab/days/site.py
@@ -12,7 +12,7 @@
 class SiteFileError(MallowbeamError):
     """A site file lacks what a day is drawn from; `where` names the part."""
 
-    code = "SITE-FILE"
+    code = "SITE_FILE"
     remedy = "give a deployment's site file: TOML with zones, machines, services, classes and length_s"
 
 
--- a/mallowbeam/simulation/fleet_operators.py
+++ b/mallowbeam/simulation/fleet_operators.py
@@ -95,8 +95,8 @@
         self.ask(member, order.call, answered)
 
 
-def document(revision: int, hostname: str, padding: int, random_bytes: Callable[[int], bytes]) \
-        -> dict[str, object]:
+def document(revision: int, hostname: str = "a.example", padding: int = 0,
+             random_bytes: Callable[[int], bytes] = bytes) -> dict[str, object]:
     """A configuration; with so many bytes of padding in its routes, which hardly compress."""
     routes = [_route("r", hostname, "/x/")]
     for number in range(padding // PIECE_BYTES):
--- a/tests/operator_races.py
+++ b/tests/operator_races.py
@@ -26,14 +26,9 @@
 from mallowbeam.configuration.parsing import parse_configuration
 from mallowbeam.configuration.versions import ConfigurationVersions
 from mallowbeam.simulation.fleet import FleetPlayer
-from mallowbeam.simulation.fleet_callers import (
-    CLEAR,
-    FIRST_PAUSE_S,
-    LONGEST_PAUSE_S,
-    Caller,
-    document,
-)
-from mallowbeam.simulation.fleet_processes import ApiCall
+from mallowbeam.simulation.fleet_callers import Caller
+from mallowbeam.simulation.fleet_history import ApiCall
+from mallowbeam.simulation.fleet_operators import CLEAR, FIRST_PAUSE_S, LONGEST_PAUSE_S, document
 
 CHAIN_PAUSE_S = 0.005       # between two looks at whether the last order of a chain is answered
 
@@ -92,7 +87,7 @@
     def prepare(self) -> None:
         """No operator, no order yet."""
         super().prepare()
-        self.operators: dict[str, RacingOperator] = {}
+        self.racing_operators: dict[str, RacingOperator] = {}
         self.orders: dict[str, RacedOrder] = {}
         self._checked: object = None
         self.simulator.check(self._check_orders)
@@ -101,7 +96,7 @@
         """Machines of operators, a group of that name."""
         for name in names:
             machine = self._new_machine(name, "operators")
-            self.operators[name] = RacingOperator(machine, self.network, self.members)
+            self.racing_operators[name] = RacingOperator(machine, self.network, self.members)
             machine.start()
 
     # ------------------------------------------------------------ commands
@@ -111,10 +106,10 @@
         """Send a new order."""
         if on != "on" or origin != "from":
             raise ValueError("needs send ORDER REVISION on BASED from OPERATOR [via M]")
-        body = json.dumps({**document(int(revision)), "x-order": name}).encode()
+        body = json.dumps({**document(int(revision), f"{name}.example"), "x-order": name}).encode()
         call = ApiCall("PUT", "/mallowbeam/config", body, (("If-Match", based_on),))
         digest = parse_configuration(body).digest
-        order = RacedOrder(name, int(revision), int(based_on), call, digest, self.operators[operator])
+        order = RacedOrder(name, int(revision), int(based_on), call, digest, self.racing_operators[operator])
         self.orders[name] = order
         order.operator.send(order, self._via(order, via))
 
@@ -141,7 +136,7 @@
         elif not self.orders[name].open:
             number, based_on = number + 1, based_on + 1
         if number <= count:
-            machine = self.operators[operator].machine
+            machine = self.racing_operators[operator].machine
             machine.later(CHAIN_PAUSE_S, lambda: self._send_link(number, count, based_on, operator))
 
     def _via(self, order: RacedOrder, via: Sequence[str]) -> str:
@@ -179,7 +174,7 @@
 
     def _check_orders(self) -> None:
         """Check all orders, where an answer came or a member went on since the last event."""
-        answers = sum(operator.answers for operator in self.operators.values())
+        answers = sum(operator.answers for operator in self.racing_operators.values())
         incarnations = [member.machine.incarnation for member in self.members.values()]
         state = answers, incarnations, [versions.revision for versions in self._versions()]
         if state != self._checked:
--- a/tests/system_bulk.py
+++ b/tests/system_bulk.py
@@ -15,8 +15,8 @@
 
 from mallowbeam.control_plane.peer_links import PeerLink
 from mallowbeam.simulation.fleet import FleetPlayer
-from mallowbeam.simulation.fleet_callers import CLEAR, document
-from mallowbeam.simulation.fleet_processes import ApiCall
+from mallowbeam.simulation.fleet_history import ApiCall
+from mallowbeam.simulation.fleet_operators import CLEAR, document
 from mallowbeam.simulation.scenario import Violation
 
 RETRY_S = 0.1
