--- a/mallowbeam/http/framing.py
+++ b/mallowbeam/http/framing.py
@@ -16,13 +16,25 @@
 
 from mallowbeam.errors import MallowbeamError
 
-CHUNK = 16 * 1024           # bytes read at once: what one connection may hold beyond its messages
-BULK = 32 * 1024            # the same while a large body passes through
-MAX_HEAD = 16 * 1024        # bytes of start line and headers
-MAX_BODY = 64 * 1024        # bytes of a body that are held whole, where a front does not say otherwise
-MAX_QUIET = MAX_HEAD        # bytes without a whole head, a piece of body or an end: trailers, chunk marks
-HOP_BY_HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade",
-                        b"transfer-encoding", b"content-length", b"expect", b"host"))
+CHUNK = 16 * 1024  # bytes read at once: what one connection may hold beyond its messages
+BULK = 32 * 1024  # the same while a large body passes through
+MAX_HEAD = 16 * 1024  # bytes of start line and headers
+MAX_BODY = 64 * 1024  # bytes of a body that are held whole, where a front does not say otherwise
+MAX_QUIET = MAX_HEAD  # bytes without a whole head, a piece of body or an end: trailers, chunk marks
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"upgrade",
+        b"transfer-encoding",
+        b"content-length",
+        b"expect",
+        b"host",
+    )
+)
 TOKEN = re.compile(rb"[\x21-\x7e]{1,256}\Z")  # what a key that goes on to a node may be
 ABSOLUTE = re.compile(rb"\Ahttps?://[^/?#]*", re.IGNORECASE)
 REASONS = {status.value: status.phrase for status in HTTPStatus}
@@ -43,17 +55,30 @@
 class Message:
     """A request or an answer."""
 
-    __slots__ = ("method", "target", "status", "headers", "body", "keep_alive", "whole", "until_close",
-                 "version", "length", "came", "stream", "at")
+    __slots__ = (
+        "method",
+        "target",
+        "status",
+        "headers",
+        "body",
+        "keep_alive",
+        "whole",
+        "until_close",
+        "version",
+        "length",
+        "came",
+        "stream",
+        "at",
+    )
 
     def __init__(self) -> None:
         self.method, self.target, self.status = b"", b"", 0
-        self.headers: Headers = []             # names in lower case
+        self.headers: Headers = []  # names in lower case
         self.body, self.length = bytearray(), None  # what is held of it, and the length stated
-        self.came, self.stream = 0, None       # bytes of it so far; where it goes, if not held whole
+        self.came, self.stream = 0, None  # bytes of it so far; where it goes, if not held whole
         self.keep_alive, self.whole, self.version = True, False, "1.1"
-        self.at = 0.0                          # when its last byte was read, by the steady clock
-        self.until_close = False               # its end (a request's: its answer's) is the connection's
+        self.at = 0.0  # when its last byte was read, by the steady clock
+        self.until_close = False  # its end (a request's: its answer's) is the connection's
 
     def get(self, name: bytes) -> bytes | None:
         """The first header of that name."""
@@ -72,24 +97,25 @@
     """Bytes of bodies that the connections of one server may hold together."""
 
     def __init__(self, most: int) -> None:
-        self.whole = self.most = most          # in all, and while another process has its part
+        self.whole = self.most = most  # in all, and while another process has its part
         self.used = 0
 
 
 class Framer:
     """Turns bytes into messages, within bounds."""
 
-    def __init__(self, answers: bool, max_body: int = MAX_BODY, budget: Budget | None = None,
-                 max_head: int = MAX_HEAD) -> None:
+    def __init__(
+        self, answers: bool, max_body: int = MAX_BODY, budget: Budget | None = None, max_head: int = MAX_HEAD
+    ) -> None:
         self.answers, self.max_body, self.budget, self.max_head = answers, max_body, budget, max_head
-        self.charged = 0                       # bytes of the budget that this connection holds
+        self.charged = 0  # bytes of the budget that this connection holds
         self.parser = (httptools.HttpResponseParser if answers else httptools.HttpRequestParser)(self)
-        self.ready: deque[Message] = deque()   # whole messages
-        self.part: Message | None = None       # the one that is coming in
+        self.ready: deque[Message] = deque()  # whole messages
+        self.part: Message | None = None  # the one that is coming in
         self.in_head, self.quiet = False, 0
-        self.bodiless = False                  # the next answer is to a HEAD
-        self.read_at = 0.0                     # when what is fed was read
-        self.fault: BadMessage | None = None   # what came after the messages in `ready` is of no use
+        self.bodiless = False  # the next answer is to a HEAD
+        self.read_at = 0.0  # when what is fed was read
+        self.fault: BadMessage | None = None  # what came after the messages in `ready` is of no use
 
     def feed(self, data: memoryview) -> None:
         """Take in bytes; what breaks HTTP or a bound sets `fault`, and messages whole before it stand."""
@@ -120,8 +146,12 @@
     def holds_more_than(self, most: int) -> bool:
         """Whether the request coming in is one with a body larger than that."""
         part = self.part
-        return (self.fault is None and part is not None and not self.in_head
-                and max(part.length or 0, part.came) > most)
+        return (
+            self.fault is None
+            and part is not None
+            and not self.in_head
+            and max(part.length or 0, part.came) > most
+        )
 
     def wants_continue(self) -> bool:
         """Whether the client waits for a word before it sends the body of a request; true once for each."""
@@ -144,7 +174,7 @@
         self.part.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: D102
-        if self.in_head:                       # a trailer is read and not kept
+        if self.in_head:  # a trailer is read and not kept
             # Space around a value is not part of it (RFC 9110, 5.5); the parser leaves what is behind.
             self.part.headers.append((name.lower(), value.strip(b" \t")))
 
@@ -164,8 +194,12 @@
             self._fail(400, "unknown transfer coding")
         if self.answers:
             part.status = self.parser.get_status_code()
-            part.until_close = (length is None and part.get(b"transfer-encoding") is None
-                                and part.status not in (204, 304) and not self.bodiless)
+            part.until_close = (
+                length is None
+                and part.get(b"transfer-encoding") is None
+                and part.status not in (204, 304)
+                and not self.bodiless
+            )
         else:
             part.method, part.version = self.parser.get_method(), self.parser.get_http_version()
             if self.parser.should_upgrade():
@@ -194,7 +228,7 @@
 
     def on_message_complete(self) -> None:  # noqa: D102
         self.part.whole, self.quiet, self.part.at = True, 0, self.read_at
-        if self.part.stream is None:           # else it is being answered already
+        if self.part.stream is None:  # else it is being answered already
             self.ready.append(self.part)
         self.part = None
 
@@ -208,11 +242,11 @@
         self.sock, self.framer = sock, framer
         self.loop = asyncio.get_running_loop()
         self.buffer = memoryview(bytearray(CHUNK))
-        self.moved = time.monotonic()          # when bytes last went in or out
-        self.unsent = 0                        # bytes of the last write that the kernel has not taken yet
-        self.taken = 0                         # bytes that the kernel has taken since the connection came up
+        self.moved = time.monotonic()  # when bytes last went in or out
+        self.unsent = 0  # bytes of the last write that the kernel has not taken yet
+        self.taken = 0  # bytes that the kernel has taken since the connection came up
         self.blocked: asyncio.Future[None] | None = None  # who waits for the kernel to take more
-        self.watched = False                   # the loop tells when there is more,
+        self.watched = False  # the loop tells when there is more,
         self.waiter: asyncio.Future[None] | None = None  # and who waits for that
 
     async def receive(self) -> bool:
@@ -231,7 +265,7 @@
         view = memoryview(data)
         self.unsent = len(view)
         while self.unsent:
-            self.unsent -= self.push(view[len(view) - self.unsent:])
+            self.unsent -= self.push(view[len(view) - self.unsent :])
             if self.unsent:
                 await self._writable()
         self.moved = time.monotonic()
@@ -281,7 +315,7 @@
         if not self.watched:
             self.watched = True
             self.loop.add_reader(self.sock, self._readable)
-        await self.waiter                      # also where there is more: others have their turn first
+        await self.waiter  # also where there is more: others have their turn first
         try:
             count = self.sock.recv_into(self.buffer)
         except BlockingIOError:
@@ -327,8 +361,9 @@
         self.sock.close()
 
 
-def write_request(method: bytes, target: bytes, headers: Headers, length: int | None = 0,
-                  chunked: bool = False) -> bytes:
+def write_request(
+    method: bytes, target: bytes, headers: Headers, length: int | None = 0, chunked: bool = False
+) -> bytes:
     """A request's start line and headers."""
     lines = [b"%b %b HTTP/1.1" % (method, target)]
     lines += [b"%b: %b" % header for header in headers]
@@ -349,8 +384,7 @@
     return length is None and not request.until_close
 
 
-def write_head(status: int, headers: Headers, length: int | None, close: bool,
-               chunked: bool = True) -> bytes:
+def write_head(status: int, headers: Headers, length: int | None, close: bool, chunked: bool = True) -> bytes:
     """An answer's start line and headers; a body without a length comes in chunks, or ends with the close."""
     lines = [b"HTTP/1.1 %d %b" % (status, REASONS.get(status, "Unknown").encode())]
     lines += [b"%b: %b" % header for header in headers]
--- a/mallowbeam/http/front.py
+++ b/mallowbeam/http/front.py
@@ -20,7 +20,7 @@
     """What speaks a protocol to clients."""
 
     max_body: int
-    whole: int                                 # bytes of a body up to which it is held whole
+    whole: int  # bytes of a body up to which it is held whole
     budget: Budget | None
 
     async def handle(self, request: Message, closing: Callable[[], bool]) -> Reply:
--- a/mallowbeam/http/reporting.py
+++ b/mallowbeam/http/reporting.py
@@ -9,7 +9,7 @@
 import logging
 import time
 
-APART = 5.0                 # seconds between two lines of one kind
+APART = 5.0  # seconds between two lines of one kind
 
 logger = logging.getLogger("mallowbeam.http")
 logger.propagate = False
--- a/mallowbeam/http/server.py
+++ b/mallowbeam/http/server.py
@@ -22,22 +22,41 @@
 from mallowbeam.http.reporting import Sparse, logger
 
 BACKLOG = 512
-SPARE = 8                   # one in so many connections is kept for refusing those beyond the others
-AT_ONCE = 16                # connections accepted in one step of the loop, at most
-NO_DESCRIPTORS = 0.05       # seconds without accepting after descriptors ran out
+SPARE = 8  # one in so many connections is kept for refusing those beyond the others
+AT_ONCE = 16  # connections accepted in one step of the loop, at most
+NO_DESCRIPTORS = 0.05  # seconds without accepting after descriptors ran out
 # What accept(2) says of the one connection that it was about to hand over, not of the listener.
-GONE = frozenset((errno.ECONNABORTED, errno.EPROTO, errno.EPERM, errno.ENETDOWN, errno.ENOPROTOOPT,
-                  errno.EHOSTDOWN, errno.ENONET, errno.EHOSTUNREACH, errno.EOPNOTSUPP, errno.ENETUNREACH))
+GONE = frozenset(
+    (
+        errno.ECONNABORTED,
+        errno.EPROTO,
+        errno.EPERM,
+        errno.ENETDOWN,
+        errno.ENOPROTOOPT,
+        errno.EHOSTDOWN,
+        errno.ENONET,
+        errno.EHOSTUNREACH,
+        errno.EOPNOTSUPP,
+        errno.ENETUNREACH,
+    )
+)
 
 
 class Server:
     """One listening address and the front behind it."""
 
-    def __init__(self, address: tuple[str, int], front: Front, most: int,
-                 connection: type = Connection, name: str = "", handed: socket.socket | None = None,
-                 shared: bool = True) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        front: Front,
+        most: int,
+        connection: type = Connection,
+        name: str = "",
+        handed: socket.socket | None = None,
+        shared: bool = True,
+    ) -> None:
         self.front, self.closing, self.name = front, False, name
-        self.whole = self.most = most          # connections that may be held at once: in all, and now
+        self.whole = self.most = most  # connections that may be held at once: in all, and now
         self.connection = connection
         self.sock = handed or bound(address, shared)
         self.address = self.sock.getsockname()
@@ -100,7 +119,7 @@
                 if over:
                     self.crowded(f"{len(self.connections)} of {self.most}")
                 self.connections.add(self.connection(self, sock, over))
-            except OSError:                    # its client has gone
+            except OSError:  # its client has gone
                 sock.close()
             except Exception as error:
                 # Guards the listener: a fault with one connection must not leave all later ones unheard.
@@ -116,7 +135,7 @@
     def _make_room(self) -> bool:
         """Whether there is room for one more request, if need be that of a connection which may be closed."""
         room = self.most - self.spare
-        if len(self.connections) < room:       # the usual case, without a look at any
+        if len(self.connections) < room:  # the usual case, without a look at any
             return True
         return sum(not c.closing for c in self.connections) < room or self._let_go(ending=False)
 
@@ -127,8 +146,11 @@
         that has had nothing yet may be about to send, and that request would fail.  Where clients come in
         crowds this is most of the work: only those in question are put in order, as far as needed.
         """
-        among = [(not closing, not c.answered, c.since, id(c), c) for c in self.connections
-                 if not c.leaving and (ending if (closing := c.closing) else c.busy is None)]
+        among = [
+            (not closing, not c.answered, c.since, id(c), c)
+            for c in self.connections
+            if not c.leaving and (ending if (closing := c.closing) else c.busy is None)
+        ]
         heapify(among)
         while among:
             connection = heappop(among)[-1]
@@ -160,14 +182,14 @@
         """
         self.acceptor.cancel()
         await asyncio.gather(self.acceptor, return_exceptions=True)
-        if self.sock.fileno() < 0:             # shut before
+        if self.sock.fileno() < 0:  # shut before
             return
         if within is not None:
             with suppress(TimeoutError):
                 async with asyncio.timeout(within):  # strikes where there is no room, and nowhere else
                     while not await self._take_in():
                         pass
-        self.sock.close()                      # in the step in which the queue was found empty
+        self.sock.close()  # in the step in which the queue was found empty
 
     async def drain(self, within: float = LINGER) -> None:
         """Take no new connection, let go of idle ones, and wait for what is held.
@@ -181,18 +203,20 @@
         await self.shut(within)
         while self.connections:
             for connection in list(self.connections):
-                if connection.closing:         # it has had its last answer, and a moment to read it
+                if connection.closing:  # it has had its last answer, and a moment to read it
                     continue
                 if connection.spare or time.monotonic() > end and self._nothing_taken(connection):
                     connection.leave()
-            await asyncio.wait([c.task for c in self.connections], timeout=LINGER / 10,
-                               return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait(
+                [c.task for c in self.connections], timeout=LINGER / 10, return_when=asyncio.FIRST_COMPLETED
+            )
 
     @staticmethod
     def _nothing_taken(connection: Connection) -> bool:
         """Whether no request is held there, nor lies unread in the socket; an agent check ends by itself."""
-        return (isinstance(connection, Connection) and connection.busy is None
-                and not connection.channel.stale())
+        return (
+            isinstance(connection, Connection) and connection.busy is None and not connection.channel.stale()
+        )
 
 
 def bound(address: tuple[str, int], shared: bool) -> socket.socket:
--- a/mallowbeam/http/stream.py
+++ b/mallowbeam/http/stream.py
@@ -7,15 +7,16 @@
 
 from mallowbeam.http.framing import Channel
 
-HELD_CHUNKS = 2             # pieces that wait for a slow taker: many bodies at once stay within memory
-MOST = 40 * 1024 * 1024     # bytes of a body that passes through the platform's front, at most
+HELD_CHUNKS = 2  # pieces that wait for a slow taker: many bodies at once stay within memory
+MOST = 40 * 1024 * 1024  # bytes of a body that passes through the platform's front, at most
 
 
 class Stream:
     """Between one who reads a body and one who passes it on; a few pieces wait here."""
 
-    def __init__(self, closed: Callable[[], object] | None = None,
-                 wanted: Callable[[], object] | None = None) -> None:
+    def __init__(
+        self, closed: Callable[[], object] | None = None, wanted: Callable[[], object] | None = None
+    ) -> None:
         self._pieces: asyncio.Queue[bytearray | None] = asyncio.Queue(HELD_CHUNKS)
         self._closed, self._wanted = closed, wanted  # told once: no more is wanted; the first piece is
         self.broken = self.over = False
@@ -68,7 +69,7 @@
             return True
         skipped = min(skip, len(piece))
         skip -= skipped
-        data = memoryview(piece)[skipped:] if left is None else memoryview(piece)[skipped:skipped + left]
+        data = memoryview(piece)[skipped:] if left is None else memoryview(piece)[skipped : skipped + left]
         if not data:
             continue
         if chunked:
--- a/mallowbeam/pairing/hashing.py
+++ b/mallowbeam/pairing/hashing.py
@@ -55,14 +55,14 @@
         """Add an instance; one that is there already stays as it is."""
         point = (stable_hash(name), name)
         index = bisect_left(self.points, point)
-        if self.points[index:index + 1] != [point]:
+        if self.points[index : index + 1] != [point]:
             insort(self.points, point)
 
     def remove(self, name: str) -> None:
         """Take an instance out, if it is there."""
         point = (stable_hash(name), name)
         index = bisect_left(self.points, point)
-        if self.points[index:index + 1] == [point]:
+        if self.points[index : index + 1] == [point]:
             del self.points[index]
 
     def ranked(self, key: int) -> list[str]:
@@ -75,5 +75,5 @@
         if count <= WINDOW:
             return self.points
         start = bisect_left(self.points, (key, ""))
-        chosen = self.points[start:start + WINDOW]
-        return chosen + self.points[:WINDOW - len(chosen)]
+        chosen = self.points[start : start + WINDOW]
+        return chosen + self.points[: WINDOW - len(chosen)]
--- a/mallowbeam/pairing/instances.py
+++ b/mallowbeam/pairing/instances.py
@@ -70,12 +70,37 @@
 class InstanceBook:
     """One instance: what this gateway has there, and what it measured."""
 
-    __slots__ = ("id", "backend", "zone", "slots", "stage", "ready", "versions", "settings",
-                 "timer", "cycles", "kept", "reading", "read_tokens", "places", "memory",
-                 "model", "join", "hand", "failures", "rejected_until")
-
-    def __init__(self, entry: InstanceEntry, settings: PairingSettings, slot_time: SlotTimeSettings,
-                 cycle_s: float, kv_capacity: int) -> None:
+    __slots__ = (
+        "id",
+        "backend",
+        "zone",
+        "slots",
+        "stage",
+        "ready",
+        "versions",
+        "settings",
+        "timer",
+        "cycles",
+        "kept",
+        "reading",
+        "read_tokens",
+        "places",
+        "memory",
+        "model",
+        "join",
+        "hand",
+        "failures",
+        "rejected_until",
+    )
+
+    def __init__(
+        self,
+        entry: InstanceEntry,
+        settings: PairingSettings,
+        slot_time: SlotTimeSettings,
+        cycle_s: float,
+        kv_capacity: int,
+    ) -> None:
         self.id, self.backend, self.zone = entry.id, entry.backend, entry.zone
         self.slots, self.stage, self.ready = max(1, entry.slots), entry.stage, False
         self.versions: tuple[tuple[str, int], ...] = ()
@@ -83,13 +108,13 @@
         self.timer = SlotTimer(slot_time)
         self.cycles = CycleBook(cycle_s)
         self.kept = KeptParts(kv_capacity)
-        self.reading: dict[int, int] = {}       # tokens that bookings have still to be read here
+        self.reading: dict[int, int] = {}  # tokens that bookings have still to be read here
         self.read_tokens = 0
-        self.places = 0                         # bookings that hold or will take a place
-        self.memory = 0                         # tokens of memory that they need
+        self.places = 0  # bookings that hold or will take a place
+        self.memory = 0  # tokens of memory that they need
         self.model = self._new_model()
-        self.join = FadingMean(settings.delay_memory_s)      # hand-overs that it received
-        self.hand = FadingMean(settings.delay_memory_s)      # hand-overs of what it read
+        self.join = FadingMean(settings.delay_memory_s)  # hand-overs that it received
+        self.hand = FadingMean(settings.delay_memory_s)  # hand-overs of what it read
         self.failures = FadingMean(settings.delay_memory_s)  # the share of the latter that failed
         self.rejected_until = float("-inf")
 
@@ -171,7 +196,7 @@
     def __init__(self, settings: PairingSettings, slot_time: SlotTimeSettings, cycle_s: float) -> None:
         self.settings, self.slot_time, self.cycle_s = settings, slot_time, cycle_s
         self.books: dict[str, InstanceBook] = {}
-        self.rings: dict[tuple[str, str, str], Ring] = {}   # service, stage, zone; zone "" is all of them
+        self.rings: dict[tuple[str, str, str], Ring] = {}  # service, stage, zone; zone "" is all of them
         self.capacities: dict[str, int] = {}
         self.ejected: frozenset[str] = frozenset()
 
@@ -207,8 +232,9 @@
             if book.backend == backend:
                 book.kept.resize(kv_capacity)
 
-    def ranked(self, backend: str, stage: str, zone: str, key: int,
-               excluded: frozenset[str]) -> Iterator[InstanceBook]:
+    def ranked(
+        self, backend: str, stage: str, zone: str, key: int, excluded: frozenset[str]
+    ) -> Iterator[InstanceBook]:
         """Instances that may get work, in rendezvous order of a key; zone "" stands for all zones."""
         ring = self.rings.get((backend, stage, zone))
         if ring is None:
--- a/mallowbeam/pairing/kept_parts.py
+++ b/mallowbeam/pairing/kept_parts.py
@@ -50,7 +50,7 @@
 
     def used(self, parts: Sequence[PromptPart], sharers: int) -> None:
         """A request with this prompt was read here; its last part counts `sharers` times."""
-        for index in range(len(parts) - 1, -1, -1):   # the first part ends up as the latest used
+        for index in range(len(parts) - 1, -1, -1):  # the first part ends up as the latest used
             part = parts[index]
             own = index == len(parts) - 1
             self._put(part, part.tokens * max(1, sharers) if own else part.tokens)
--- a/mallowbeam/pairing/order_lease.py
+++ b/mallowbeam/pairing/order_lease.py
@@ -39,7 +39,7 @@
 
     leads: bool
     term: int
-    silence_s: float                           # since a majority confirmed it
+    silence_s: float  # since a majority confirmed it
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +58,7 @@
         self.settings = settings
         self._grant: _Grant | None = None
         self._usable_at: dict[int, float] = {}  # by token: the last one that this process acquired
-        self._acquiring_in = -1                # term of the attempt that is under way
+        self._acquiring_in = -1  # term of the attempt that is under way
         self._next_attempt_at = -inf
 
     def should_acquire(self, standing: Standing, now: float) -> bool:
--- a/mallowbeam/pairing/reading.py
+++ b/mallowbeam/pairing/reading.py
@@ -13,11 +13,11 @@
 from mallowbeam.pairing.settings import PairingSettings
 from mallowbeam.scheduling.slot_time import FadingMean
 
-PACE_MEMORY_S = 20.0           # in which a sample's weight for the pace falls to 1/e
-PACE_PRIOR_TOKENS = 4_000.0    # spread of sizes from which the measured pace outweighs the first one
-RANGE = 4.0                    # the pace stays within this factor of its first value
-KEPT_STEP = 0.05               # how far one sample moves the share of unseen parts taken for kept
-TOKENS_WEIGHT = 2_000.0        # tokens that count as one sample of the backlog
+PACE_MEMORY_S = 20.0  # in which a sample's weight for the pace falls to 1/e
+PACE_PRIOR_TOKENS = 4_000.0  # spread of sizes from which the measured pace outweighs the first one
+RANGE = 4.0  # the pace stays within this factor of its first value
+KEPT_STEP = 0.05  # how far one sample moves the share of unseen parts taken for kept
+TOKENS_WEIGHT = 2_000.0  # tokens that count as one sample of the backlog
 
 
 class KeptShare:
@@ -42,8 +42,8 @@
 
     def __init__(self, first: float) -> None:
         self.first, self.at = first, 0.0
-        self.weight = self.tokens = self.time = 0.0      # sum of weights; weighted means
-        self.spread = self.together = 0.0                # weighted squares of tokens, products with time
+        self.weight = self.tokens = self.time = 0.0  # sum of weights; weighted means
+        self.spread = self.together = 0.0  # weighted squares of tokens, products with time
 
     def add(self, tokens: float, time: float, weight: float, now: float) -> None:
         """Take in a sample."""
@@ -65,7 +65,7 @@
     @property
     def value(self) -> float:
         """Seconds per token, within bounds around the first value."""
-        prior = PACE_PRIOR_TOKENS ** 2
+        prior = PACE_PRIOR_TOKENS**2
         slope = (self.together + prior * self.first) / (self.spread + prior)
         return min(self.first * RANGE, max(self.first / RANGE, slope))
 
@@ -98,8 +98,9 @@
         """The wait by others' work, as seen of late."""
         return max(0.0, self.delay.value(0.0, self.settings.delay_prior_weight, now))
 
-    def learn(self, known: float, unseen: float, ahead: float, elapsed_s: float, kept: KeptShare,
-              now: float) -> float:
+    def learn(
+        self, known: float, unseen: float, ahead: float, elapsed_s: float, kept: KeptShare, now: float
+    ) -> float:
         """Take in a reading; the seconds that it waited, as far as can be told.
 
         It had `known` tokens that were not kept and `unseen` ones that may have been; `ahead` tokens of this
--- a/mallowbeam/pairing/stage_demand.py
+++ b/mallowbeam/pairing/stage_demand.py
@@ -12,11 +12,19 @@
 
 from mallowbeam.rpc.messages_pb2 import StageDemand
 
-DEMAND_KEPT_S = 3.0            # how long a source's word holds without a new one
-MOST_BACKENDS = 64             # services that one source may tell of; further ones are left out
-MEASURES = ("reading", "read_tokens", "done_tokens", "spilled_tokens", "direct_tokens", "decoding",
-            "generated", "first_tokens")
-MOST_VALUE = 1e12              # what is larger, negative or no number counts as 0
+DEMAND_KEPT_S = 3.0  # how long a source's word holds without a new one
+MOST_BACKENDS = 64  # services that one source may tell of; further ones are left out
+MEASURES = (
+    "reading",
+    "read_tokens",
+    "done_tokens",
+    "spilled_tokens",
+    "direct_tokens",
+    "decoding",
+    "generated",
+    "first_tokens",
+)
+MOST_VALUE = 1e12  # what is larger, negative or no number counts as 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/mallowbeam/pairing/stage_share.py
+++ b/mallowbeam/pairing/stage_share.py
@@ -17,7 +17,7 @@
 from mallowbeam.pairing.stage_work import StageWork, WorkMeter, WorkSettings
 from mallowbeam.rpc.messages_pb2 import StageDemand
 
-WINDOW_S = 60.0                # of `StageShareSettings.most_orders`
+WINDOW_S = 60.0  # of `StageShareSettings.most_orders`
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +66,7 @@
     stage: str
     zone: str
     switching_to: str = ""
-    ready: bool = True                         # neither draining nor ended
+    ready: bool = True  # neither draining nor ended
     warming: bool = False
 
 
@@ -82,10 +82,10 @@
 class OrderResult(Enum):
     """What became of an order."""
 
-    TAKEN = "taken"                            # the instance switches, or holds that stage already
-    REFUSED = "refused"                        # it was not taken
-    UNKNOWN = "unknown"                        # sent without an answer: it may have been taken
-    NOT_SENT = "not_sent"                      # nothing has left
+    TAKEN = "taken"  # the instance switches, or holds that stage already
+    REFUSED = "refused"  # it was not taken
+    UNKNOWN = "unknown"  # sent without an answer: it may have been taken
+    NOT_SENT = "not_sent"  # nothing has left
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,8 +108,8 @@
     """Counts as they will be once all that is under way is done."""
 
     def __init__(self) -> None:
-        self.count: Counter[str] = Counter()   # by stage
-        self.zones: Counter[tuple[str, str]] = Counter()   # by stage and zone
+        self.count: Counter[str] = Counter()  # by stage
+        self.zones: Counter[tuple[str, str]] = Counter()  # by stage and zone
         self.movable: list[StageInstance] = []
         self.under_way = 0
 
@@ -138,9 +138,15 @@
         """
         other = DECODE if stage == PREFILL else PREFILL
         fits = [instance for instance in self.movable if instance.stage == stage]
-        return min(fits, default=None, key=lambda instance: (
-            self.zones[other, instance.zone] - self.zones[stage, instance.zone],
-            -self.zones[stage, instance.zone], instance.id))
+        return min(
+            fits,
+            default=None,
+            key=lambda instance: (
+                self.zones[other, instance.zone] - self.zones[stage, instance.zone],
+                -self.zones[stage, instance.zone],
+                instance.id,
+            ),
+        )
 
 
 class StageShare:
@@ -149,9 +155,9 @@
     def __init__(self, settings: StageShareSettings) -> None:
         self._settings = settings
         self._meter = WorkMeter(settings.work)
-        self.work: StageWork | None = None     # at the last decision
+        self.work: StageWork | None = None  # at the last decision
         self._pending: dict[str, _Pending] = {}
-        self._left_alone: dict[str, float] = {}        # id: until when
+        self._left_alone: dict[str, float] = {}  # id: until when
         self._wish: _Wish | None = None
         self._last_direction = 0
         self._last_at = -inf
@@ -180,8 +186,9 @@
 
     # ------------------------------------------------------------ the decision
 
-    def decide(self, instances: Sequence[StageInstance], slots: int, switch_s: float,
-               now: float) -> list[StageOrder]:
+    def decide(
+        self, instances: Sequence[StageInstance], slots: int, switch_s: float, now: float
+    ) -> list[StageOrder]:
         """The orders to be sent now; each is under way until `answered`, and shows in the registry later.
 
         `slots` are those of one instance, `switch_s` is what a change of stage takes it.
@@ -207,8 +214,10 @@
         """Drop what has come true, has gone, or was waited for too long."""
         stages = {instance.id: instance.stage for instance in instances if instance.id in self._pending}
         self._pending = {
-            id: pending for id, pending in self._pending.items()
-            if now < pending.until and stages.get(id, pending.stage) != pending.stage}
+            id: pending
+            for id, pending in self._pending.items()
+            if now < pending.until and stages.get(id, pending.stage) != pending.stage
+        }
         self._left_alone = {id: until for id, until in self._left_alone.items() if now < until}
 
     def _plan(self, instances: Sequence[StageInstance], now: float) -> _Plan:
@@ -242,7 +251,7 @@
         if not change:
             return 0
         if min(present, plan.total - present) < least:
-            return change                      # a stage has fewer than it should keep
+            return change  # a stage has fewer than it should keep
         worst = worse_utilisation(work, present, plan.total)
         gain = 1.0 - worse_utilisation(work, best, plan.total) / max(worst, 1e-9)
         if worst < settings.least_utilisation or gain < settings.least_gain:
--- a/mallowbeam/pairing/ways.py
+++ b/mallowbeam/pairing/ways.py
@@ -20,8 +20,8 @@
 
 BYTES_PER_GB = 1e9
 BITS_PER_MBIT = 1e6
-OVERDUE = 3.0                             # usual latencies after which a plain answer is overdue
-REJECTED_LOSS, NO_ROOM_LOSS = 5.0, 10.0   # so that such instances come after all others
+OVERDUE = 3.0  # usual latencies after which a plain answer is overdue
+REJECTED_LOSS, NO_ROOM_LOSS = 5.0, 10.0  # so that such instances come after all others
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,17 +88,23 @@
         self.settings, self.table, self.salt = settings, table, gateway
         self.gateways = 1
         self.kept = KeptShare(settings.unseen_kept_share)
-        self.sessions: dict[str, str] = {}      # last part: the instance that has it
+        self.sessions: dict[str, str] = {}  # last part: the instance that has it
 
     def ways(self, prompt: Prompt, now: float) -> list[Way]:
         """The ways that are weighed, least loss first; none where no instance is ready."""
         found = self._candidates(prompt)
         if holder := self.table.books.get(prompt.read_at):
-            return sorted((self._handed(prompt, holder, decoder, now) for decoder in found.decoders),
-                          key=lambda way: way.loss)
+            return sorted(
+                (self._handed(prompt, holder, decoder, now) for decoder in found.decoders),
+                key=lambda way: way.loss,
+            )
         ways = [self._direct(prompt, decoder, found.home, now) for decoder in found.decoders]
-        ways += [self._split(prompt, reader, decoder, found.home, now)
-                 for reader in found.readers for decoder in found.decoders if decoder.stage == DECODE]
+        ways += [
+            self._split(prompt, reader, decoder, found.home, now)
+            for reader in found.readers
+            for decoder in found.decoders
+            if decoder.stage == DECODE
+        ]
         return sorted(ways, key=lambda way: way.loss)
 
     def plain_ways(self, prompt: Prompt, now: float) -> list[Way]:
@@ -106,8 +112,11 @@
         key = stable_hash(self.salt + prompt.request_id)
         near = list(self.table.ranked(prompt.backend, "", prompt.zone, key, prompt.excluded))
         names = {book.id for book in near}
-        far = [book for book in self.table.ranked(prompt.backend, "", "", key, prompt.excluded)
-               if book.id not in names]
+        far = [
+            book
+            for book in self.table.ranked(prompt.backend, "", "", key, prompt.excluded)
+            if book.id not in names
+        ]
         return sorted((self._plain(prompt, book, now) for book in near + far), key=lambda way: way.loss)
 
     def remember(self, part_id: str, instance_id: str) -> None:
@@ -162,8 +171,12 @@
     def _direct(self, prompt: Prompt, book: InstanceBook, home: InstanceBook | None, now: float) -> Way:
         known, unseen, read = self._unread(prompt, book, home)
         wait = book.wait_s(now)
-        first = (wait + self.settings.overhead_s + read * book.model.token_s
-                 + book.places * self.gateways * self.settings.running_s)
+        first = (
+            wait
+            + self.settings.overhead_s
+            + read * book.model.token_s
+            + book.places * self.gateways * self.settings.running_s
+        )
         loss = self._late_loss(first, prompt) + self._reread_loss(prompt, book, home)
         loss += self._crowd_loss(book) + self._full_loss(prompt, book, now)
         loss += self._interruption_loss(book, read)
@@ -176,15 +189,26 @@
         running = 1 + book.places * self.gateways
         return self.settings.interruption_loss_per_s * running * read * book.model.token_s
 
-    def _split(self, prompt: Prompt, reader: InstanceBook, decoder: InstanceBook, home: InstanceBook | None,
-               now: float) -> Way:
+    def _split(
+        self,
+        prompt: Prompt,
+        reader: InstanceBook,
+        decoder: InstanceBook,
+        home: InstanceBook | None,
+        now: float,
+    ) -> Way:
         settings = self.settings
         known, unseen, read = self._unread(prompt, reader, home)
         wait = reader.wait_s(now)
         move_s, gigabytes = self.move(prompt, reader, decoder)
         near = reader.zone == decoder.zone
-        first = (wait + settings.overhead_s + read * reader.model.token_s + move_s
-                 + decoder.join_s(reader, self.gateways, now))
+        first = (
+            wait
+            + settings.overhead_s
+            + read * reader.model.token_s
+            + move_s
+            + decoder.join_s(reader, self.gateways, now)
+        )
         loss = self._late_loss(first, prompt) + self._reread_loss(prompt, reader, home)
         loss += gigabytes * settings.move_loss_per_gb * (1.0 if near else settings.zone_move_loss_factor)
         loss += self._crowd_loss(decoder) + self._full_loss(prompt, decoder, now)
@@ -247,7 +271,7 @@
     def _late_loss(self, first_token_s: float, prompt: Prompt) -> float:
         share = first_token_s / max(prompt.target_latency_s, 1e-3)
         half = self.settings.late_loss / 2
-        return half * share ** 3 if share <= 1.0 else half * share
+        return half * share**3 if share <= 1.0 else half * share
 
     def _crowd_loss(self, book: InstanceBook) -> float:
         """Requests that run at a decode instance slow one another, and take its memory."""
--- a/mallowbeam/processes/logs.py
+++ b/mallowbeam/processes/logs.py
@@ -20,10 +20,10 @@
 
 from mallowbeam.http import reporting
 
-BURST = 3                   # lines of an event in a window
-WINDOW_S = 5.0              # seconds
-MOST_EVENTS = 512           # events remembered; the oldest is forgotten for a new one
-MOST_FRAMES = 8             # of a traceback, the innermost
+BURST = 3  # lines of an event in a window
+WINDOW_S = 5.0  # seconds
+MOST_EVENTS = 512  # events remembered; the oldest is forgotten for a new one
+MOST_FRAMES = 8  # of a traceback, the innermost
 
 
 class EventBound:
@@ -87,7 +87,7 @@
         try:
             self._stream.write(line)
             self._stream.flush()
-        except (OSError, ValueError):          # nobody reads standard error: the role goes on
+        except (OSError, ValueError):  # nobody reads standard error: the role goes on
             pass
 
 
@@ -123,8 +123,9 @@
     return logger
 
 
-def set_up_logging(node: str, stream: TextIO | None = None,
-                   clock: Callable[[], float] = time.monotonic) -> LineHandler:
+def set_up_logging(
+    node: str, stream: TextIO | None = None, clock: Callable[[], float] = time.monotonic
+) -> LineHandler:
     """Write all events of this process to ``stream`` (None: standard error), instead of what was set up."""
     lines = LineHandler(node, stream if stream is not None else sys.stderr, clock)
     for old in list(picologging.root.handlers):
--- a/mallowbeam/processes/role.py
+++ b/mallowbeam/processes/role.py
@@ -24,8 +24,8 @@
 EXIT_STOPPED = 0
 EXIT_FAILED = 1
 EXIT_UNUSABLE = 2
-SETTINGS_LOOK_S = 1.0                          # between two looks at the settings file
-GC_THRESHOLDS = (20_000, 20, 50)               # new objects before a collection, collections before an older
+SETTINGS_LOOK_S = 1.0  # between two looks at the settings file
+GC_THRESHOLDS = (20_000, 20, 50)  # new objects before a collection, collections before an older
 
 ReloadCallback = Callable[[NodeSettings], None]
 
@@ -88,7 +88,7 @@
 
 def run_role(serve: Callable[[RoleContext], Awaitable[None]]) -> int:
     """Run a role until it is told to stop; the exit code of the process."""
-    hangups = hold_hangups()                   # SIGHUPs from before this line are covered by the read below
+    hangups = hold_hangups()  # SIGHUPs from before this line are covered by the read below
     path = settings_path()
     try:
         settings = read_settings(path)
@@ -107,8 +107,9 @@
     return EXIT_STOPPED
 
 
-async def _serve(serve: Callable[[RoleContext], Awaitable[None]], settings: NodeSettings, path: str,
-                 hangups: Sequence[int]) -> None:
+async def _serve(
+    serve: Callable[[RoleContext], Awaitable[None]], settings: NodeSettings, path: str, hangups: Sequence[int]
+) -> None:
     """Run the role inside its event loop."""
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(_report)
--- a/mallowbeam/processes/settings.py
+++ b/mallowbeam/processes/settings.py
@@ -58,7 +58,7 @@
 class Limits:
     """What the process may use of its machine."""
 
-    cpu_share: float = 1.0                     # of one core
+    cpu_share: float = 1.0  # of one core
     cores: int = 1
     memory_mb: float = 300.0
     max_fds: int = 1024
@@ -111,15 +111,15 @@
     ip: str
     zone: str
     region: str
-    port_range: tuple[int, int]                # first and last port for traffic between processes
+    port_range: tuple[int, int]  # first and last port for traffic between processes
     serves: tuple[str, ...] = ()
-    seeds: tuple[str, ...] = ()                # control addresses, IP:PORT
+    seeds: tuple[str, ...] = ()  # control addresses, IP:PORT
     bootstrap: bool = False
     counts_for_quorum: bool = False
     data_dir: str | None = None
     discovery: str = ""
     entry: str = ""
-    heartbeat_ms: float = DEFAULT_HEARTBEAT_MS               # between two heartbeats of an instance
+    heartbeat_ms: float = DEFAULT_HEARTBEAT_MS  # between two heartbeats of an instance
     contracts: frozenset[str] = frozenset()
     zones: Mapping[str, str] = field(default_factory=lambda: MappingProxyType({}))  # zone to region
     bind_addresses: BindAddresses = BindAddresses()
@@ -142,7 +142,7 @@
     """Read a settings file; raises :class:`SettingsError`."""
     try:
         table = tomllib.loads(Path(path).read_bytes().decode())
-    except (OSError, ValueError) as error:     # UnicodeDecodeError and TOMLDecodeError are ValueErrors
+    except (OSError, ValueError) as error:  # UnicodeDecodeError and TOMLDecodeError are ValueErrors
         raise SettingsUnreadable(str(error), path) from None
     return parse_settings(table)
 
--- a/mallowbeam/registry/__init__.py
+++ b/mallowbeam/registry/__init__.py
@@ -7,5 +7,14 @@
 from mallowbeam.registry.retirements import Retirements
 from mallowbeam.registry.table import Heard, InstanceTable
 
-__all__ = ["GatewayCensus", "Heard", "HeartbeatError", "InstanceTable", "LeaseGrant", "Leases", "Retirements",
-           "check_id", "parse_heartbeat"]
+__all__ = [
+    "GatewayCensus",
+    "Heard",
+    "HeartbeatError",
+    "InstanceTable",
+    "LeaseGrant",
+    "Leases",
+    "Retirements",
+    "check_id",
+    "parse_heartbeat",
+]
--- a/mallowbeam/registry/changes.py
+++ b/mallowbeam/registry/changes.py
@@ -8,8 +8,8 @@
 
     def __init__(self) -> None:
         self.version = 0
-        self._last: dict[str, int] = {}        # id to the version of its last change, oldest first
-        self._forgotten = 0                    # changes up to this version may be missing
+        self._last: dict[str, int] = {}  # id to the version of its last change, oldest first
+        self._forgotten = 0  # changes up to this version may be missing
 
     def note(self, id: str) -> None:
         """Record that the entry changed."""
--- a/mallowbeam/registry/leases.py
+++ b/mallowbeam/registry/leases.py
@@ -32,7 +32,7 @@
     """The holder and token of each subject, bounded; the oldest grant is dropped first."""
 
     def __init__(self, most: int = MOST_LEASES) -> None:
-        self._leases: dict[str, Lease] = {}           # oldest grant first
+        self._leases: dict[str, Lease] = {}  # oldest grant first
         self._most = most
 
     def get(self, subject: str) -> Lease | None:
@@ -66,7 +66,7 @@
     def restore(self, state: ReplicatedState) -> None:
         """Replace everything by a snapshot's content."""
         self._leases = {}
-        for lease in list(state.leases)[-self._most:]:
+        for lease in list(state.leases)[-self._most :]:
             copy = Lease()
             copy.CopyFrom(lease)
             self._leases[lease.subject] = copy
--- a/mallowbeam/registry/parse.py
+++ b/mallowbeam/registry/parse.py
@@ -22,7 +22,7 @@
 )
 from mallowbeam.rpc.messages_pb2 import DRAINS, READY, Instance, InstanceState, Model
 
-ID_FORM = re.compile(r"[!-~]+")                # visible ASCII
+ID_FORM = re.compile(r"[!-~]+")  # visible ASCII
 ADDRESS_FORM = re.compile(r"(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})", re.ASCII)
 MOST_PORT = 65_535
 MOST_OCTET = 255
@@ -81,14 +81,15 @@
     if not isinstance(value, str) or len(value) > MOST_NAME_LENGTH or (required and not value):
         raise _bad(where + name, f"not a string of at most {MOST_NAME_LENGTH} characters")
     try:
-        value.encode()                         # a lone surrogate can't be passed on
+        value.encode()  # a lone surrogate can't be passed on
     except UnicodeEncodeError:
         raise _bad(where + name, "not valid Unicode") from None
     return value
 
 
-def _whole_number(fields: dict[str, Any], name: str, least: int, most: int, default: int | None,
-                  where: str = "") -> int:
+def _whole_number(
+    fields: dict[str, Any], name: str, least: int, most: int, default: int | None, where: str = ""
+) -> int:
     """A whole number between two bounds; required where there is no default."""
     value = fields.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int) or not least <= value <= most:
--- a/mallowbeam/registry/retirements.py
+++ b/mallowbeam/registry/retirements.py
@@ -22,7 +22,7 @@
     """Retired ids with the kind of their retirement, bounded; the oldest are dropped first."""
 
     def __init__(self, most: int = MOST_RETIRED) -> None:
-        self._kinds: dict[str, RetirementKind] = {}   # oldest first
+        self._kinds: dict[str, RetirementKind] = {}  # oldest first
         self._most = most
 
     def __len__(self) -> int:
@@ -55,5 +55,5 @@
 
     def restore(self, state: ReplicatedState) -> None:
         """Replace everything by a snapshot's content."""
-        kept = list(state.retired)[-self._most:]
+        kept = list(state.retired)[-self._most :]
         self._kinds = {retired.id: retired.kind for retired in kept}
--- a/mallowbeam/registry/table.py
+++ b/mallowbeam/registry/table.py
@@ -31,7 +31,7 @@
     WHOLE_SETTLE_S,
 )
 from mallowbeam.registry.retirements import Retirements
-from mallowbeam.registry.rows import UNHEARD, Row, same_for_gateways
+from mallowbeam.registry.rows import UNHEARD, Row, heartbeat_seen, same_for_gateways
 from mallowbeam.registry.switches import StageSwitches
 from mallowbeam.rpc.messages_pb2 import (
     DONE,
@@ -49,24 +49,27 @@
     RetirementKind,
 )
 
-MOST_AGE_MS = 2**32 - 1
-
 
 class Heard(Enum):
     """What a heartbeat brought."""
 
-    CHANGED = "changed"                        # gateways must learn of it
-    SAME = "same"                              # renewed
-    STALE = "stale"                            # its sequence is not above what is known
-    RETIRED = "retired"                        # the instance is gone: its id never comes back
-    FULL = "full"                              # a new instance beyond the table's bound: not taken
+    CHANGED = "changed"  # gateways must learn of it
+    SAME = "same"  # renewed
+    STALE = "stale"  # its sequence is not above what is known
+    RETIRED = "retired"  # the instance is gone: its id never comes back
+    FULL = "full"  # a new instance beyond the table's bound: not taken
 
 
 class InstanceTable:
     """One member's table. All times are in seconds of the steady clock."""
 
-    def __init__(self, heartbeat_interval_s: float, started_at: float,
-                 expire_intervals: float = EXPIRE_INTERVALS, most: int = MOST_INSTANCES) -> None:
+    def __init__(
+        self,
+        heartbeat_interval_s: float,
+        started_at: float,
+        expire_intervals: float = EXPIRE_INTERVALS,
+        most: int = MOST_INSTANCES,
+    ) -> None:
         self._most = most
         self._expire_after_s = heartbeat_interval_s * expire_intervals
         self._interval_s = heartbeat_interval_s
@@ -75,17 +78,17 @@
         self._by_address: dict[str, str] = {}  # the id that holds each address
         self._retired = Retirements()
         self._changes = ChangeLog()
-        self._hearing_since = started_at       # in touch with the other members without a break
+        self._hearing_since = started_at  # in touch with the other members without a break
         self._complete_at = started_at + self._complete_after_s
-        self._ran_at = started_at              # the last call of `expire`
-        self._to_tell: dict[str, None] = {}    # changed here since the last batch
-        self._to_renew: dict[str, None] = {}   # heard here since the last batch
+        self._ran_at = started_at  # the last call of `expire`
+        self._to_tell: dict[str, None] = {}  # changed here since the last batch
+        self._to_renew: dict[str, None] = {}  # heard here since the last batch
         self._switches = StageSwitches()
         self._gossip_sent_at = started_at
         self._whole_asked_at = started_at - WHOLE_RETRY_S
-        self._details_missing = False          # some were lost, or those of an instance that others hear
-        self._lost_at = started_at - WHOLE_SETTLE_S    # when details were last lost
-        self.urgent = False                    # there is news that the other members should get at once
+        self._details_missing = False  # some were lost, or those of an instance that others hear
+        self._lost_at = started_at - WHOLE_SETTLE_S  # when details were last lost
+        self.urgent = False  # there is news that the other members should get at once
 
     # ------------------------------------------------------------ what came in
 
@@ -117,7 +120,7 @@
             return False
         row = self._rows.get(id)
         if row is None and len(self._rows) >= self._most:
-            return False                       # remembered, but gateways are not told of an unknown instance
+            return False  # remembered, but gateways are not told of an unknown instance
         if row is None:
             row = self._rows[id] = Row(Instance(id=id), UNHEARD, now)
         if kind == GONE:
@@ -137,8 +140,12 @@
         Gateways send it nothing until it reports that stage, or until the steady time `until`.
         """
         row = self._rows.get(id)
-        if row is None or not row.live or row.instance.stage == stage \
-                or not self._switches.begin(id, stage, until, announce):
+        if (
+            row is None
+            or not row.live
+            or row.instance.stage == stage
+            or not self._switches.begin(id, stage, until, announce)
+        ):
             return False
         row.instance.switching_to = stage
         self._changes.note(id)
@@ -248,7 +255,7 @@
         for id in self._to_renew:
             row = self._rows.get(id)
             if row is not None and row.sequence != RETIRED_SEQUENCE:
-                batch.seen.append(_seen(row, now))
+                batch.seen.append(heartbeat_seen(row, now))
         batch.switches.extend(self._switches.announced(now))
         self._to_tell.clear()
         self._to_renew.clear()
@@ -266,7 +273,7 @@
             elif row.live:
                 batch.changed.append(row.instance)
                 if row.sequence != UNHEARD:
-                    batch.seen.append(_seen(row, now))
+                    batch.seen.append(heartbeat_seen(row, now))
         return batch
 
     def ask_whole(self, now: float, links_missing: bool = False) -> bool:
@@ -390,9 +397,3 @@
         row.returned_heartbeats = 0
         if self._by_address.get(row.instance.address) == row.instance.id:
             del self._by_address[row.instance.address]
-
-
-def _seen(row: Row, now: float) -> HeartbeatSeen:
-    """The last heartbeat of an instance with its age."""
-    age_ms = min(max(0, round((now - row.heard_at) * 1000)), MOST_AGE_MS)
-    return HeartbeatSeen(id=row.instance.id, sequence=row.sequence, age_ms=age_ms)
--- a/mallowbeam/rpc/connection.py
+++ b/mallowbeam/rpc/connection.py
@@ -11,8 +11,8 @@
 
 from mallowbeam.rpc.framing import FrameError, FrameReader, encode_frame
 
-USER_TIMEOUT_MS = 1500      # unacknowledged bytes on a silent network end the connection after this time
-KEEPALIVE_IDLE_S = 1        # seconds of rest before the kernel probes
+USER_TIMEOUT_MS = 1500  # unacknowledged bytes on a silent network end the connection after this time
+KEEPALIVE_IDLE_S = 1  # seconds of rest before the kernel probes
 KEEPALIVE_EVERY_S = 1
 KEEPALIVE_PROBES = 2
 MOST_UNSENT = 8 * 1024 * 1024  # bytes that may wait for a slow peer before the connection is given up
@@ -21,17 +21,18 @@
 class FrameConnection(asyncio.Protocol):
     """One connection. `received` is called with each frame's body, `closed` once at the end."""
 
-    def __init__(self, received: Callable[[FrameConnection, bytes], None],
-                 closed: Callable[[FrameConnection], None]) -> None:
+    def __init__(
+        self, received: Callable[[FrameConnection, bytes], None], closed: Callable[[FrameConnection], None]
+    ) -> None:
         self._received, self._closed = received, closed
         self._reader = FrameReader()
         self._transport: asyncio.Transport | None = None
         self.peer = ""
-        self.last_received = 0.0               # loop time, in seconds
+        self.last_received = 0.0  # loop time, in seconds
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket up so that a silent cut is noticed."""
-        self._transport = cast(asyncio.Transport, transport)   # uvloop's are no subclass of it
+        self._transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass of it
         sock = transport.get_extra_info("socket")
         if sock is not None:
             configure(sock)
@@ -103,23 +104,34 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
-async def connect(address: str, received: Callable[[FrameConnection, bytes], None],
-                  closed: Callable[[FrameConnection], None], timeout: float) -> FrameConnection:
+async def connect(
+    address: str,
+    received: Callable[[FrameConnection, bytes], None],
+    closed: Callable[[FrameConnection], None],
+    timeout: float,
+) -> FrameConnection:
     """Open a connection to IP:PORT within `timeout` seconds; raises OSError (TimeoutError among them)."""
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout):
         _, connection = await loop.create_connection(
-            lambda: FrameConnection(received, closed), host, int(port))
+            lambda: FrameConnection(received, closed), host, int(port)
+        )
     return connection
 
 
-async def listen(ip: str, port: int, received: Callable[[FrameConnection, bytes], None],
-                 opened: Callable[[FrameConnection], None],
-                 closed: Callable[[FrameConnection], None]) -> asyncio.Server:
+async def listen(
+    ip: str,
+    port: int,
+    received: Callable[[FrameConnection, bytes], None],
+    opened: Callable[[FrameConnection], None],
+    closed: Callable[[FrameConnection], None],
+) -> asyncio.Server:
     """Accept connections at an address; `opened` is called with each."""
+
     def make() -> FrameConnection:
         connection = FrameConnection(received, closed)
         opened(connection)
         return connection
+
     return await asyncio.get_running_loop().create_server(make, ip, port, backlog=512, reuse_address=True)
--- a/mallowbeam/rpc/framing.py
+++ b/mallowbeam/rpc/framing.py
@@ -44,7 +44,7 @@
             end = start + HEADER.size + length
             if end > len(self._buffer):
                 break
-            frames.append(bytes(self._buffer[start + HEADER.size:end]))
+            frames.append(bytes(self._buffer[start + HEADER.size : end]))
             start = end
         del self._buffer[:start]
         return frames
--- a/mallowbeam/scheduling/cycles.py
+++ b/mallowbeam/scheduling/cycles.py
@@ -61,7 +61,7 @@
         if cycle_s <= 0:
             raise ValueError("a cycle's length must be above 0")
         self.cycle_s = self.slot_s = cycle_s
-        self.first = 0                          # number of `cycles[0]`
+        self.first = 0  # number of `cycles[0]`
         self.cycles: deque[_Cycle] = deque()
         self.bookings: dict[int, Placement] = {}
 
--- a/mallowbeam/scheduling/slot_time.py
+++ b/mallowbeam/scheduling/slot_time.py
@@ -71,7 +71,7 @@
         self.settings = settings
         self.latency = FadingMean(settings.memory_s)
         self.out_mean = FadingMean(settings.memory_s)
-        self.out: dict[int, tuple[float, int]] = {}   # by booking: when it was sent, and its units
+        self.out: dict[int, tuple[float, int]] = {}  # by booking: when it was sent, and its units
         self.units_out = 0
 
     @property
--- a/mallowbeam/simulation/clock.py
+++ b/mallowbeam/simulation/clock.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from random import Random
 
-Step = Callable[[], object]                     # its result is dropped
+Step = Callable[[], object]  # its result is dropped
 
 
 @dataclass(slots=True)
@@ -27,8 +27,8 @@
     def __init__(self, seed: int = 1) -> None:
         self.seed = seed
         self.random = Random(seed)
-        self.now = 0.0                         # seconds
-        self.steps = 0                         # events run so far
+        self.now = 0.0  # seconds
+        self.steps = 0  # events run so far
         self._events: list[tuple[float, int, Event]] = []  # events at one time run in the order of planning
         self._order = 0
         self._checks: list[Step] = []
--- a/mallowbeam/simulation/dialing.py
+++ b/mallowbeam/simulation/dialing.py
@@ -12,7 +12,7 @@
 from mallowbeam.simulation.network import Network
 from mallowbeam.simulation.stream import Endpoint
 
-CONNECT_RETRY_S = 1.0       # before an opening packet is sent again; doubles
+CONNECT_RETRY_S = 1.0  # before an opening packet is sent again; doubles
 FIRST_FREE_PORT = 32768
 
 
@@ -64,7 +64,7 @@
 
     def __init__(self, network: Network) -> None:
         self._network, self._simulator = network, network.simulator
-        self._listeners: dict[tuple[str, int], _Listener] = {}     # by machine and port
+        self._listeners: dict[tuple[str, int], _Listener] = {}  # by machine and port
         self._ends: dict[str, _Ends] = {}
         self._next_port = FIRST_FREE_PORT
 
--- a/mallowbeam/simulation/disk.py
+++ b/mallowbeam/simulation/disk.py
@@ -16,7 +16,7 @@
 from mallowbeam.simulation.clock import Event, Step
 from mallowbeam.simulation.machine import End, Machine
 
-USUAL_LATENCY = (0.002, 0.006)                 # seconds that a write and its sync take, between these
+USUAL_LATENCY = (0.002, 0.006)  # seconds that a write and its sync take, between these
 SLOW_LATENCY = (0.05, 0.4)
 
 
@@ -37,8 +37,8 @@
         self._writes: deque[_Write] = deque()
         self._sync: Event | None = None
         self.latency = USUAL_LATENCY
-        self.stalled = False                   # nothing becomes durable
-        self.full = False                      # every write is refused
+        self.stalled = False  # nothing becomes durable
+        self.full = False  # every write is refused
         machine.on_end(self._process_ended)
 
     @property
--- a/mallowbeam/simulation/fleet.py
+++ b/mallowbeam/simulation/fleet.py
@@ -67,14 +67,14 @@
         self.gateways: dict[str, SimulatedGateway] = {}
         self.instances: dict[str, SimulatedInstance] = {}
         self.history = History()
-        self.places = 0                        # members that the system is meant to have
+        self.places = 0  # members that the system is meant to have
         self.world = World(self.network, self.members, self.gateways, self.history, lambda: self.places)
         self.checkers: list[Checker] = [checker() for checker in ALWAYS]
         self.operators: dict[str, Operator] = {}
         self.do_operator("operator")
         self.operator = self.operators["operator"]
-        self._leaders: dict[int, str] = {}     # by term
-        self._revisions: dict[str, tuple[int, int]] = {}   # gateways: incarnation and revision last seen
+        self._leaders: dict[int, str] = {}  # by term
+        self._revisions: dict[str, tuple[int, int]] = {}  # gateways: incarnation and revision last seen
         self.simulator.check(self._check)
         self.simulator.after(LOOK_S, self._look)
 
@@ -227,8 +227,10 @@
                 continue
             node = member.program._driver.node
             voters = sum(one.voter for one in node.membership.members)
-            lines.append(f"{name}: {node.role.value}, term {node.term}, commit {node.commit_index}, "
-                         f"{voters} of {len(node.membership.members)} vote")
+            lines.append(
+                f"{name}: {node.role.value}, term {node.term}, commit {node.commit_index}, "
+                f"{voters} of {len(node.membership.members)} vote"
+            )
         return "\n".join(lines)
 
     # ------------------------------------------------------------ the parts
@@ -239,8 +241,7 @@
     def _add_member(self, name: str, ip: str, bootstrap: bool) -> None:
         machine = self._new_machine(name, "members", ip, disk=True)
         settings = settings_of(name, ip, self.seeds, member=True, bootstrap=bootstrap)
-        self.members[name] = SimulatedMember(machine, self.streams, self.disks[name], settings,
-                                             self.history)
+        self.members[name] = SimulatedMember(machine, self.streams, self.disks[name], settings, self.history)
         self.members[name].watch = lambda: ReachWatch().look(self.world)
         self._start_soon(machine)
 
@@ -269,8 +270,11 @@
         return program._machine.configurations.revision if program is not None else 0
 
     def _leading(self) -> list[SimulatedMember]:
-        return [member for member in self.members.values()
-                if member.live and member.program is not None and member.program._driver.is_leader]
+        return [
+            member
+            for member in self.members.values()
+            if member.live and member.program is not None and member.program._driver.is_leader
+        ]
 
     def complete(self) -> bool:
         """Whether all members run, vote under the identities that their disks have, and agree."""
@@ -328,8 +332,9 @@
     def _check_failures(self, name: str, loop: SimulatedLoop | None) -> None:
         if loop is not None and loop.failures:
             failure = loop.failures[0]
-            raise Violation(f"{name}: {failure.get('message')}: {failure.get('exception')!r}") \
-                from failure.get("exception")
+            raise Violation(
+                f"{name}: {failure.get('message')}: {failure.get('exception')!r}"
+            ) from failure.get("exception")
 
     def _must(self, holds: bool, what: str) -> None:
         if not holds:
--- a/mallowbeam/simulation/fleet_callers.py
+++ b/mallowbeam/simulation/fleet_callers.py
@@ -11,8 +11,8 @@
 from mallowbeam.simulation.machine import Machine
 from mallowbeam.simulation.network import Network
 
-PATIENCE_S = 1.0            # for one answer
-LEAVES_AFTER_S = 6.0        # from a drain's beginning to the instance's end
+PATIENCE_S = 1.0  # for one answer
+LEAVES_AFTER_S = 6.0  # from a drain's beginning to the instance's end
 
 
 class Caller:
@@ -21,7 +21,7 @@
     def __init__(self, machine: Machine, network: Network, members: dict[str, SimulatedMember]) -> None:
         self.machine, self._network, self._members = machine, network, members
         self.random = Random(machine.simulator.random.random())
-        self.answer_loss = 0.0                 # share of the answers that are lost on the way
+        self.answer_loss = 0.0  # share of the answers that are lost on the way
 
     def any_member(self) -> str:
         """A member by chance."""
@@ -41,12 +41,14 @@
             if not over:
                 over = True
                 answered(status, body)
+
         member = self._members[name]
 
         def reply(status: int, body: bytes) -> None:
             if self.random.random() < self.answer_loss:
                 return
             self._network.send(member.machine, self.machine.name, lambda: take(status, body))
+
         self._network.send(self.machine, name, lambda: member.call(call, reply))
         self.machine.later(PATIENCE_S, lambda: take(0, b""))
 
@@ -54,12 +56,13 @@
 class SimulatedInstance(Caller):
     """An instance: heartbeats to one member, to the next where that does not acknowledge."""
 
-    def __init__(self, machine: Machine, network: Network, members: dict[str, SimulatedMember],
-                 address: str) -> None:
+    def __init__(
+        self, machine: Machine, network: Network, members: dict[str, SimulatedMember], address: str
+    ) -> None:
         super().__init__(machine, network, members)
         self.address = address
         self.state, self.sequence, self.member = "ready", 0, ""
-        self.retired_at: float | None = None   # when the drain or the end was first acknowledged
+        self.retired_at: float | None = None  # when the drain or the end was first acknowledged
         machine.boot = self._boot
 
     def drain(self) -> None:
@@ -86,9 +89,18 @@
 
     def _beat(self) -> None:
         self.sequence += 1
-        body = {"backend": "s", "address": self.address, "zone": "z", "revision": "v1", "slots": 8,
-                "state": self.state, "warmup_left_ms": 0, "stage": "decode", "sequence": self.sequence,
-                "models": [{"name": "m", "revision": 1, "adapters": []}]}
+        body = {
+            "backend": "s",
+            "address": self.address,
+            "zone": "z",
+            "revision": "v1",
+            "slots": 8,
+            "state": self.state,
+            "warmup_left_ms": 0,
+            "stage": "decode",
+            "sequence": self.sequence,
+            "models": [{"name": "m", "revision": 1, "adapters": []}],
+        }
         call = ApiCall("PUT", f"/mallowbeam/instances/{self.machine.name}", json.dumps(body).encode())
         self._call(call, lambda: None, lambda: None)
 
@@ -98,11 +110,12 @@
 
         def answered(status: int, body: bytes) -> None:
             if not 200 <= status < 300:
-                if self.member == asked:       # no other call has moved on from it meanwhile
+                if self.member == asked:  # no other call has moved on from it meanwhile
                     self.member = self.member_after(asked)
                 again()
                 return
             if leaving and self.retired_at is None:
                 self.retired_at = self.machine.simulator.now
             done()
+
         self.ask(self.member, call, answered)
--- a/mallowbeam/simulation/fleet_checkers.py
+++ b/mallowbeam/simulation/fleet_checkers.py
@@ -19,14 +19,14 @@
 from mallowbeam.simulation.loss_budget import LossBudget
 from mallowbeam.simulation.network import Network
 
-LOOK_S = 0.05               # between two looks
-FRESH_BOUND_S = 3.0         # a configuration that a started gateway is given first is at most so old
-SPREAD_BOUND_S = 2.0        # from an acknowledgement until all gateways in touch know
-CONTACT_S = 3.0             # without an event, after which a gateway is in touch
-LEADER_WITHIN_S = 2.5       # from an event until a leader leads a majority
-REPAIRED_WITHIN_S = 3.0     # from a repair until a further loss within the tolerance is survived
-CAUGHT_UP_WITHIN_S = 4.0    # from an event until all members have what was committed before
-COMMIT_AGE_S = 1.0          # what was committed so long ago is expected at all members
+LOOK_S = 0.05  # between two looks
+FRESH_BOUND_S = 3.0  # a configuration that a started gateway is given first is at most so old
+SPREAD_BOUND_S = 2.0  # from an acknowledgement until all gateways in touch know
+CONTACT_S = 3.0  # without an event, after which a gateway is in touch
+LEADER_WITHIN_S = 2.5  # from an event until a leader leads a majority
+REPAIRED_WITHIN_S = 3.0  # from a repair until a further loss within the tolerance is survived
+CAUGHT_UP_WITHIN_S = 4.0  # from an event until all members have what was committed before
+COMMIT_AGE_S = 1.0  # what was committed so long ago is expected at all members
 
 
 @dataclass(slots=True)
@@ -37,7 +37,7 @@
     members: dict[str, SimulatedMember]
     gateways: dict[str, SimulatedGateway]
     history: History
-    places: Callable[[], int]                  # members that the system is meant to have
+    places: Callable[[], int]  # members that the system is meant to have
 
     @property
     def now(self) -> float:
@@ -58,13 +58,19 @@
     def reaches(self, name: str) -> set[int]:
         """Ids of running members that exchange messages with one, and its own."""
         passes = self.network.passes
-        return {self.identity(other) for other, _, _ in self.live()
-                if other == name or (passes(name, other) and passes(other, name))}
+        return {
+            self.identity(other)
+            for other, _, _ in self.live()
+            if other == name or (passes(name, other) and passes(other, name))
+        }
 
     def leader(self) -> tuple[str, RaftNode] | None:
         """The leader of the newest term."""
-        leaders = [(name, node) for name, member, node in self.live()
-                   if member.program is not None and member.program._driver.is_leader]
+        leaders = [
+            (name, node)
+            for name, member, node in self.live()
+            if member.program is not None and member.program._driver.is_leader
+        ]
         return max(leaders, key=lambda found: found[1].term, default=None)
 
 
@@ -99,11 +105,12 @@
 
 # ------------------------------------------------------------ at all times
 
+
 class PlacesChecker:
     """Guarantee 3: no committed membership has more voters than places."""
 
     def __init__(self) -> None:
-        self._seen: set[int] = set()           # memberships looked at, by object
+        self._seen: set[int] = set()  # memberships looked at, by object
 
     def look(self, world: World) -> str:
         """Judge each member's committed membership."""
@@ -123,8 +130,8 @@
     """Guarantee 4: a leader's log has all that was committed before its term."""
 
     def __init__(self) -> None:
-        self._committed = 0                    # the highest commit index seen
-        self._term = 0                         # of the entry there
+        self._committed = 0  # the highest commit index seen
+        self._term = 0  # of the entry there
         self._leaders: set[tuple[str, int]] = set()
 
     def look(self, world: World) -> str:
@@ -135,8 +142,10 @@
                 self._leaders.add((name, node.term))
                 last = node._state.log.last_index
                 if node.term > self._term and last < self._committed:
-                    return (f"4: {name} leads term {node.term} with entries up to {last}, "
-                            f"{self._committed} were committed")
+                    return (
+                        f"4: {name} leads term {node.term} with entries up to {last}, "
+                        f"{self._committed} were committed"
+                    )
         for _, _, node in world.live():
             if node.commit_index > self._committed:
                 self._committed = node.commit_index
@@ -168,8 +177,10 @@
             frozen = world.now - gateway.thawed_at < FRESH_BOUND_S
             if now != before and not frozen and gateway.revision < newest:
                 what = "is given" if now[1] != before[1] else "becomes ready with"
-                return (f"1: {name} {what} {gateway.revision} first, {newest} was acknowledged over "
-                        f"{FRESH_BOUND_S} s ago")
+                return (
+                    f"1: {name} {what} {gateway.revision} first, {newest} was acknowledged over "
+                    f"{FRESH_BOUND_S} s ago"
+                )
         return ""
 
 
@@ -181,8 +192,9 @@
 
     def look(self, world: World) -> str:
         """Note it at each running member."""
-        connected = {world.identity(name) for name, _, node in world.live()
-                     if self._direct(world, name, node)}
+        connected = {
+            world.identity(name) for name, _, node in world.live() if self._direct(world, name, node)
+        }
         for name, member, _ in world.live():
             if world.reaches(name) & connected:
                 member.unreachable_since = None
@@ -193,12 +205,14 @@
     def _direct(self, world: World, name: str, node: RaftNode) -> bool:
         """Whether a member reaches a majority itself; one that knows no membership yet does not."""
         reached = world.reaches(name)
-        return all(len(reached & voters) >= majority_of(len(voters))
-                   for voters in voter_sets(node.membership))
+        return all(
+            len(reached & voters) >= majority_of(len(voters)) for voters in voter_sets(node.membership)
+        )
 
 
 # ------------------------------------------------------------ within the tolerance
 
+
 class LeadershipChecker:
     """Guarantee 3: after any loss within the tolerance, a leader soon leads a majority again."""
 
@@ -218,8 +232,10 @@
         reached = world.reaches(name)
         for voters in voter_sets(node.membership):
             if len(reached & voters) < majority_of(len(voters)):
-                return (f"3: {name} reaches {len(reached & voters)} of {len(voters)} voters "
-                        f"{budget.calm_for(world.now):.1f} s after the last event ({lost} lost)")
+                return (
+                    f"3: {name} reaches {len(reached & voters)} of {len(voters)} voters "
+                    f"{budget.calm_for(world.now):.1f} s after the last event ({lost} lost)"
+                )
         return ""
 
 
@@ -240,8 +256,10 @@
         for voters in voter_sets(leader[1].membership):
             count = len(voters & sound)
             if count - further < majority_of(len(voters)):
-                return (f"3: {budget.calm_for(world.now):.1f} s after the last event "
-                        f"{count} of {len(voters)} voters are sound, {further} more may be lost")
+                return (
+                    f"3: {budget.calm_for(world.now):.1f} s after the last event "
+                    f"{count} of {len(voters)} voters are sound, {further} more may be lost"
+                )
         return ""
 
 
@@ -264,8 +282,10 @@
         at, wanted = self._committed[0]
         for name, node in nodes:
             if name not in self._budget.active and node.commit_index < wanted:
-                return (f"4: {name} has committed {node.commit_index}, {wanted} was {world.now - at:.1f} s "
-                        f"ago; the last event is {self._budget.calm_for(world.now):.1f} s past")
+                return (
+                    f"4: {name} has committed {node.commit_index}, {wanted} was {world.now - at:.1f} s "
+                    f"ago; the last event is {self._budget.calm_for(world.now):.1f} s past"
+                )
         return ""
 
 
@@ -297,8 +317,11 @@
         if not gateway.machine.running or world.now - self._events.get(name, 0.0) < CONTACT_S:
             return False
         passes = world.network.passes
-        return all(passes(name, member) and passes(member, name) for member in world.members
-                   if member not in self._budget.active)
+        return all(
+            passes(name, member) and passes(member, name)
+            for member in world.members
+            if member not in self._budget.active
+        )
 
 
 ALWAYS = (ReachWatch, PlacesChecker, LeaderLogChecker, FreshGatewayChecker)
--- a/mallowbeam/simulation/fleet_history.py
+++ b/mallowbeam/simulation/fleet_history.py
@@ -12,8 +12,8 @@
 
 from mallowbeam.rpc.messages_pb2 import DONE, Command, CommandResult
 
-SLOWEST_ANSWER_S = 1.5      # from a call's arrival at a member that runs to its answer
-CUT_OFF_S = 3.0             # without a majority in reach, after which a member confirms nothing
+SLOWEST_ANSWER_S = 1.5  # from a call's arrival at a member that runs to its answer
+CUT_OFF_S = 3.0  # without a majority in reach, after which a member confirms nothing
 REFUSALS = frozenset((400, 409, 412))
 CONFIG_PATH = "/mallowbeam/config"
 
@@ -43,12 +43,12 @@
 
     member: str
     call: ApiCall
-    began: float               # the call arrived at the member
+    began: float  # the call arrived at the member
     ended: float
     status: int
     body: bytes
-    paused: bool               # the process was frozen in between, or is slow
-    out_of_reach: float        # seconds for which the member had no majority in reach
+    paused: bool  # the process was frozen in between, or is slow
+    out_of_reach: float  # seconds for which the member had no majority in reach
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,12 +73,12 @@
     in_force: set[ChangeKey] = field(default_factory=set)
     refused: set[ChangeKey] = field(default_factory=set)
     acknowledged: dict[int, ChangeKey] = field(default_factory=dict)  # winners by the version they build on
-    retired: dict[str, float] = field(default_factory=dict)           # instances: first acknowledgement
+    retired: dict[str, float] = field(default_factory=dict)  # instances: first acknowledgement
     answers: int = 0
-    _applied: dict[int, _Applied] = field(default_factory=dict)       # by log index
+    _applied: dict[int, _Applied] = field(default_factory=dict)  # by log index
     _retirements: set[str] = field(default_factory=set)
-    _newest: list[_Winner] = field(default_factory=list)              # rising in both
-    _keys: dict[bytes, ChangeKey] = field(default_factory=dict)       # by digest
+    _newest: list[_Winner] = field(default_factory=list)  # rising in both
+    _keys: dict[bytes, ChangeKey] = field(default_factory=dict)  # by digest
 
     # ------------------------------------------------------------ what was acknowledged
 
@@ -123,11 +123,15 @@
         self.answers += 1
         taken = 200 <= answer.status < 300
         if answer.ended - answer.began > SLOWEST_ANSWER_S and not answer.paused:
-            self._fail(f"1: {answer.member} answered {answer.call.method} {answer.call.path} after "
-                       f"{answer.ended - answer.began:.2f} s")
+            self._fail(
+                f"1: {answer.member} answered {answer.call.method} {answer.call.path} after "
+                f"{answer.ended - answer.began:.2f} s"
+            )
         if taken and answer.out_of_reach > CUT_OFF_S:
-            self._fail(f"1: {answer.member} answered {answer.call.method} {answer.call.path} with "
-                       f"{answer.status} after {answer.out_of_reach:.1f} s without a majority in reach")
+            self._fail(
+                f"1: {answer.member} answered {answer.call.method} {answer.call.path} with "
+                f"{answer.status} after {answer.out_of_reach:.1f} s without a majority in reach"
+            )
         if answer.call.path != CONFIG_PATH:
             self._instance_answered(answer, taken)
         elif answer.call.method == "GET":
--- a/mallowbeam/simulation/fleet_processes.py
+++ b/mallowbeam/simulation/fleet_processes.py
@@ -40,7 +40,7 @@
 PEER_PORT = 7660
 CONTROL_PORT = 8146
 HEARTBEAT_MS = 1200.0
-RETRY_S = 0.1               # before a write is tried again that a full disk refused
+RETRY_S = 0.1  # before a write is tried again that a full disk refused
 
 
 def message_of(call: ApiCall, now: float) -> Message:
@@ -73,8 +73,9 @@
 class SimulatedWriter:
     """Takes the place of the disk's thread: writes become durable one after another on a simulated disk."""
 
-    def __init__(self, loop: SimulatedLoop, disk: Disk, replica: Replica,
-                 durable: Callable[[Sequence[Write]], None]) -> None:
+    def __init__(
+        self, loop: SimulatedLoop, disk: Disk, replica: Replica, durable: Callable[[Sequence[Write]], None]
+    ) -> None:
         self._loop, self._disk, self._replica, self._durable = loop, disk, replica, durable
         self._waiting: list[Write] = []
         self._writing = False
@@ -111,8 +112,10 @@
 
         def failed(_: OSError) -> None:
             self._loop.call_later(RETRY_S, self._write, batch)
-        self._disk.write(change, lambda: self._loop.enter(done),
-                         lambda error: self._loop.enter(lambda: failed(error)))
+
+        self._disk.write(
+            change, lambda: self._loop.enter(done), lambda error: self._loop.enter(lambda: failed(error))
+        )
 
 
 @contextmanager
@@ -131,8 +134,9 @@
 class SimulatedMember:
     """A control-plane member: its machine, its disk, and the real program on them."""
 
-    def __init__(self, machine: Machine, streams: Streams, disk: Disk, settings: NodeSettings,
-                 history: History) -> None:
+    def __init__(
+        self, machine: Machine, streams: Streams, disk: Disk, settings: NodeSettings, history: History
+    ) -> None:
         """`history` is told what is applied and answered."""
         self.machine, self._streams, self._disk = machine, streams, disk
         self._settings, self._history = settings, history
@@ -142,7 +146,7 @@
         self.program: ControlMember | None = None
         self._server: StandInServer | None = None
         self._thawed_at = -inf
-        self.unreachable_since: float | None = None    # no majority in reach, by the one who watches
+        self.unreachable_since: float | None = None  # no majority in reach, by the one who watches
         self.watch: Callable[[], object] = lambda: None  # looks whether that still holds
         machine.boot = self._boot
         machine.on_thaw(self._thawed)
@@ -174,6 +178,7 @@
             await program.stop()
             if self.machine.incarnation == incarnation:
                 self.machine.kill()
+
         loop.enter(lambda: loop.create_task(stop()))
 
     @property
@@ -195,6 +200,7 @@
             paused = slow or self._slow or self._thawed_at >= began
             self._note(call, began, reply.status, body, paused)
             answered(reply.status, body)
+
         loop.enter(lambda: loop.create_task(answer()))
 
     @property
@@ -220,7 +226,7 @@
         if self.replica is None:
             self.replica = await self._created(loop)
         replica = self.replica
-        store = cast(ReplicaStore, None)       # the writer's, which has the replica itself
+        store = cast(ReplicaStore, None)  # the writer's, which has the replica itself
         opened = OpenedStore(store, replica.identity, replica.restored())
 
         def writer(_: object, durable: Callable[[Sequence[Write]], None]) -> SimulatedWriter:
@@ -229,13 +235,14 @@
         def server(*args: Any, **named: Any) -> StandInServer:
             self._server = StandInServer(*args, **named)
             return self._server
+
         seeded = SimpleNamespace(Random=lambda: Random(self._random.random()))
         with replaced(member_module, {"DiskWriter": writer, "Server": server, "random": seeded}):
             program = ControlMember(self._settings, opened)
         self._record_applied(program._machine)
         await program.start()
         self.program = program
-        await program.unusable                 # then it comes back as a new member, as the role does it
+        await program.unusable  # then it comes back as a new member, as the role does it
         await program.stop()
         self.program = self.replica = None
         self._settings = replace(self._settings, bootstrap=False)
@@ -249,6 +256,7 @@
             outcome = apply(index, payload)
             self._history.applied(name, index, payload, outcome.result)
             return outcome
+
         setattr(state, "apply", recording)  # noqa: B010 (an attribute of the instance hides the method)
 
     async def _created(self, loop: SimulatedLoop) -> Replica:
@@ -263,8 +271,11 @@
     async def _written(self, loop: SimulatedLoop) -> bool:
         """Write and sync; False on a full disk."""
         written: asyncio.Future[bool] = loop.create_future()
-        self._disk.write(lambda: None, lambda: loop.enter(lambda: written.set_result(True)),
-                         lambda _: loop.enter(lambda: written.set_result(False)))
+        self._disk.write(
+            lambda: None,
+            lambda: loop.enter(lambda: written.set_result(True)),
+            lambda _: loop.enter(lambda: written.set_result(False)),
+        )
         return await written
 
 
@@ -308,8 +319,14 @@
         self.loop = loop = new_loop(self.machine, self._streams)
         seeds = [f"{seed.rpartition(':')[0]}:{PEER_PORT}" for seed in self._settings.seeds]
         random = Random(self._random.random())
-        self.subscriber = FeedSubscriber(seeds, self._settings.zone, random, apply_update,
-                                         self._settings.node_name, self.machine.incarnation)
+        self.subscriber = FeedSubscriber(
+            seeds,
+            self._settings.zone,
+            random,
+            apply_update,
+            self._settings.node_name,
+            self.machine.incarnation,
+        )
         loop.create_task(self._follow())
 
     async def _follow(self) -> None:
--- a/mallowbeam/simulation/loop.py
+++ b/mallowbeam/simulation/loop.py
@@ -30,7 +30,7 @@
     def __init__(self, machine: Machine, streams: Streams) -> None:
         self._machine, self._streams = machine, streams
         self._incarnation = machine.incarnation
-        self.failures: list[dict[str, Any]] = []   # what nobody handled
+        self.failures: list[dict[str, Any]] = []  # what nobody handled
 
     @property
     def alive(self) -> bool:
@@ -56,26 +56,44 @@
         """The machine's steady clock, in seconds."""
         return self._machine.clock()
 
-    def call_soon(self, callback: Callable[[Unpack[Arguments]], object], *args: Unpack[Arguments],
-                  context: Context | None = None) -> asyncio.Handle:
+    def call_soon(
+        self,
+        callback: Callable[[Unpack[Arguments]], object],
+        *args: Unpack[Arguments],
+        context: Context | None = None,
+    ) -> asyncio.Handle:
         """Run a callback in a step of its own."""
         handle = asyncio.Handle(callback, args, self, context)
         if self.alive:
             self._machine.after_true(0.0, lambda: self._run_handle(handle))
         return handle
 
-    def call_soon_threadsafe(self, callback: Callable[[Unpack[Arguments]], object], *args: Unpack[Arguments],
-                             context: Context | None = None) -> asyncio.Handle:
+    def call_soon_threadsafe(
+        self,
+        callback: Callable[[Unpack[Arguments]], object],
+        *args: Unpack[Arguments],
+        context: Context | None = None,
+    ) -> asyncio.Handle:
         """As `call_soon`: there are no threads here."""
         return self.call_soon(callback, *args, context=context)
 
-    def call_later(self, delay: float, callback: Callable[[Unpack[Arguments]], object],
-                   *args: Unpack[Arguments], context: Context | None = None) -> asyncio.TimerHandle:
+    def call_later(
+        self,
+        delay: float,
+        callback: Callable[[Unpack[Arguments]], object],
+        *args: Unpack[Arguments],
+        context: Context | None = None,
+    ) -> asyncio.TimerHandle:
         """Run a callback after a delay in seconds."""
         return self.call_at(self.time() + delay, callback, *args, context=context)
 
-    def call_at(self, when: float, callback: Callable[[Unpack[Arguments]], object],
-                *args: Unpack[Arguments], context: Context | None = None) -> asyncio.TimerHandle:
+    def call_at(
+        self,
+        when: float,
+        callback: Callable[[Unpack[Arguments]], object],
+        *args: Unpack[Arguments],
+        context: Context | None = None,
+    ) -> asyncio.TimerHandle:
         """Run a callback at a time of the steady clock."""
         handle = asyncio.TimerHandle(when, callback, args, self, context)
         if self.alive:
@@ -95,8 +113,13 @@
         """A future of this loop."""
         return asyncio.Future(loop=self)
 
-    def create_task(self, coro: Coroutine[Any, Any, Result] | Generator[Any, None, Result],
-                    *, name: str | None = None, context: Context | None = None) -> asyncio.Task[Result]:
+    def create_task(
+        self,
+        coro: Coroutine[Any, Any, Result] | Generator[Any, None, Result],
+        *,
+        name: str | None = None,
+        context: Context | None = None,
+    ) -> asyncio.Task[Result]:
         """A task of this loop."""
         return asyncio.Task(coro, loop=self, name=name, context=context)
 
@@ -123,9 +146,13 @@
 
     # ------------------------------------------------------------ connections
 
-    async def create_connection(self, protocol_factory: Callable[[], asyncio.Protocol],  # type: ignore[override]
-                                host: str, port: int,
-                                **_: object) -> tuple[asyncio.Transport, asyncio.Protocol]:
+    async def create_connection(
+        self,
+        protocol_factory: Callable[[], asyncio.Protocol],  # type: ignore[override]
+        host: str,
+        port: int,
+        **_: object,
+    ) -> tuple[asyncio.Transport, asyncio.Protocol]:
         """Open a stream to an address; raises OSError where it is refused."""
         opening: asyncio.Future[Endpoint] = self.create_future()
 
@@ -138,8 +165,11 @@
         def refused(error: OSError) -> None:
             if not opening.done():
                 opening.set_exception(error)
-        dial = Dial(lambda endpoint: self.enter(lambda: opened(endpoint)),
-                    lambda error: self.enter(lambda: refused(error)))
+
+        dial = Dial(
+            lambda endpoint: self.enter(lambda: opened(endpoint)),
+            lambda error: self.enter(lambda: refused(error)),
+        )
         self._streams.connect(self._machine, host, port, dial)
         try:
             endpoint = await opening
@@ -148,14 +178,20 @@
         protocol = protocol_factory()
         return SimulatedTransport(self, endpoint, protocol), protocol
 
-    async def create_server(self, protocol_factory: Callable[[], asyncio.Protocol],  # type: ignore[override]
-                            host: str, port: int, **_: object) -> SimulatedServer:
+    async def create_server(
+        self,
+        protocol_factory: Callable[[], asyncio.Protocol],  # type: ignore[override]
+        host: str,
+        port: int,
+        **_: object,
+    ) -> SimulatedServer:
         """Take connections at an address of this machine; raises OSError where it is taken."""
         if host not in (self._machine.ip, "0.0.0.0", ""):
             raise OSError(f"{host}: cannot assign requested address")
 
         def accept(endpoint: Endpoint) -> None:
             self.enter(lambda: self._made(endpoint, protocol_factory()))
+
         self._streams.listen(self._machine, port, accept)
         return SimulatedServer(self, self._streams, self._machine, port)
 
@@ -232,17 +268,22 @@
         self._loop, self._endpoint, self._protocol = loop, endpoint, protocol
         self._closing = False
         protocol.connection_made(self)
-        endpoint.attach(StreamHandlers(
-            received=lambda data: loop.enter(lambda: protocol.data_received(data)),
-            ended=lambda: loop.enter(self._ended),
-            lost=lambda error: loop.enter(lambda: self._lost(error)),
-        ))
+        endpoint.attach(
+            StreamHandlers(
+                received=lambda data: loop.enter(lambda: protocol.data_received(data)),
+                ended=lambda: loop.enter(self._ended),
+                lost=lambda error: loop.enter(lambda: self._lost(error)),
+            )
+        )
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
         """The socket and the two addresses."""
         assert self._endpoint.peer is not None
-        known = {"socket": SimulatedSocket(self._endpoint), "sockname": self._endpoint.address,
-                 "peername": self._endpoint.peer.address}
+        known = {
+            "socket": SimulatedSocket(self._endpoint),
+            "sockname": self._endpoint.address,
+            "peername": self._endpoint.peer.address,
+        }
         return known.get(name, default)
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
--- a/mallowbeam/simulation/loss_budget.py
+++ b/mallowbeam/simulation/loss_budget.py
@@ -16,9 +16,9 @@
 
     def __init__(self, tolerance: int) -> None:
         self.tolerance = tolerance
-        self._until: dict[str, float] = {}     # when a member's catch-up time is over
+        self._until: dict[str, float] = {}  # when a member's catch-up time is over
         self._active: set[str] = set()
-        self.last_change = -inf                # when a trouble last began or ended
+        self.last_change = -inf  # when a trouble last began or ended
 
     def begin(self, name: str, now: float) -> bool:
         """Have a member be lost from now on, if it is in no trouble and few enough others count as lost."""
--- a/mallowbeam/simulation/machine.py
+++ b/mallowbeam/simulation/machine.py
@@ -19,8 +19,8 @@
 class End(Enum):
     """How a process ended."""
 
-    KILLED = "killed"                          # the machine goes on: its kernel closes the connections
-    POWER = "power"                            # nobody is told
+    KILLED = "killed"  # the machine goes on: its kernel closes the connections
+    POWER = "power"  # nobody is told
 
 
 class Timer:
@@ -52,18 +52,17 @@
 class Machine:
     """A machine by its name. `boot` makes the process run; it is called at each start."""
 
-    def __init__(self, simulator: Simulator, name: str, boot: Step | None = None,
-                 ip: str = "") -> None:
+    def __init__(self, simulator: Simulator, name: str, boot: Step | None = None, ip: str = "") -> None:
         self.simulator, self.name, self.ip = simulator, name, ip or name
         self.boot = boot
         self.state = State.OFF
-        self.powered = True                    # the kernel answers, whether or not the process runs
-        self.incarnation = 0                   # rises with each start
-        self.clock_rate = 1.0                  # seconds of its steady clock in one true second
+        self.powered = True  # the kernel answers, whether or not the process runs
+        self.incarnation = 0  # rises with each start
+        self.clock_rate = 1.0  # seconds of its steady clock in one true second
         self.clock_offset = 0.0
-        self.step_cost = 0.0                   # true seconds that each step of the process takes
+        self.step_cost = 0.0  # true seconds that each step of the process takes
         self._busy_until = 0.0
-        self._waiting: list[Timer] = []        # due while the process was frozen
+        self._waiting: list[Timer] = []  # due while the process was frozen
         self._end_listeners: list[Callable[[End], None]] = []
         self._thaw_listeners: list[Step] = []
 
@@ -96,6 +95,7 @@
             else:
                 self._busy_until = self.simulator.now + self.step_cost
                 timer.run()
+
         timer.planned(self.simulator.after(delay, due))
         return timer
 
--- a/mallowbeam/simulation/network.py
+++ b/mallowbeam/simulation/network.py
@@ -12,12 +12,12 @@
 class Path:
     """How one way from one machine to another behaves."""
 
-    least_delay: float = 0.0005                # seconds
+    least_delay: float = 0.0005  # seconds
     most_delay: float = 0.003
-    loss: float = 0.0                          # share of messages
+    loss: float = 0.0  # share of messages
     duplicates: float = 0.0
-    reordered: bool = False                    # else what takes one way arrives in its order
-    bandwidth: float = 0.0                     # bytes a second that streams carry; 0: any number
+    reordered: bool = False  # else what takes one way arrives in its order
+    bandwidth: float = 0.0  # bytes a second that streams carry; 0: any number
 
 
 class Network:
@@ -30,7 +30,7 @@
         self._paths: dict[tuple[str, str], Path] = {}
         self._cuts: set[tuple[str, str]] = set()
         self._arrival: dict[tuple[str, str], float] = {}
-        self._busy_until: dict[tuple[str, str], float] = {}    # ways with a bandwidth: with what was sent
+        self._busy_until: dict[tuple[str, str], float] = {}  # ways with a bandwidth: with what was sent
 
     def add(self, machine: Machine) -> Machine:
         """Take a machine in."""
@@ -109,4 +109,5 @@
             machine = self.machines.get(recipient)
             if machine is not None and machine.powered and self.passes(sender, recipient):
                 machine.after_true(0.0, deliver)
+
         self.simulator.after(self.delay(sender, recipient), arrive)
--- a/mallowbeam/simulation/replica.py
+++ b/mallowbeam/simulation/replica.py
@@ -13,7 +13,7 @@
         self.identity = identity
         self.snapshot = snapshot
         self.hard_state = HardState()
-        self.entries: list[Entry] = []         # behind the snapshot
+        self.entries: list[Entry] = []  # behind the snapshot
 
     @property
     def last_index(self) -> int:
@@ -27,7 +27,7 @@
         if write.entries:
             first = write.entries[0].index
             assert self.snapshot.index < first <= self.last_index + 1, "a gap in the log"
-            self.entries[first - self.snapshot.index - 1:] = write.entries
+            self.entries[first - self.snapshot.index - 1 :] = write.entries
         if write.hard_state is not None:
             assert write.hard_state.term >= self.hard_state.term, "a term that falls"
             self.hard_state = write.hard_state
@@ -40,7 +40,7 @@
         """Entries behind a snapshot stay where they follow from it."""
         held = self.snapshot.index < snapshot.index <= self.last_index
         if held and self.entries[snapshot.index - self.snapshot.index - 1].term == snapshot.term:
-            del self.entries[:snapshot.index - self.snapshot.index]
+            del self.entries[: snapshot.index - self.snapshot.index]
         elif snapshot.index != self.snapshot.index:
             self.entries = []
         self.snapshot = snapshot
--- a/mallowbeam/simulation/scenario.py
+++ b/mallowbeam/simulation/scenario.py
@@ -73,8 +73,11 @@
         """Read the text; raises :class:`ScenarioError`."""
         self.statements = read_statements(text)
         self.simulator = Simulator(self._seed())
-        self.invariants = [self._invariant(statement) for statement in self.statements
-                           if statement.words[0] in ("always", "never")]
+        self.invariants = [
+            self._invariant(statement)
+            for statement in self.statements
+            if statement.words[0] in ("always", "never")
+        ]
         self.simulator.check(self._check_invariants)
         self.prepare()
 
@@ -134,8 +137,10 @@
 
     def _violation(self, what: str) -> Violation:
         state = self.state()
-        return Violation(f"{self.simulator.now:.3f} s, seed {self.simulator.seed}: {what}"
-                         + (f"\n{state}" if state else ""))
+        return Violation(
+            f"{self.simulator.now:.3f} s, seed {self.simulator.seed}: {what}"
+            + (f"\n{state}" if state else "")
+        )
 
     # ------------------------------------------------------------ the rest of the text
 
@@ -175,5 +180,6 @@
 def _test_of(name: str, text: str, player: type[ScenarioPlayer]) -> Callable[[unittest.TestCase], None]:
     def test(_: unittest.TestCase) -> None:
         player(text).play()
+
     test.__doc__ = f"{name}: {text.splitlines()[0].lstrip('# ')}"
     return test
--- a/mallowbeam/simulation/stream.py
+++ b/mallowbeam/simulation/stream.py
@@ -17,12 +17,12 @@
 from mallowbeam.simulation.machine import End, Machine
 from mallowbeam.simulation.network import Network
 
-FIRST_RETRY_S = 0.2         # before unacknowledged bytes are sent again; doubles up to the longest
+FIRST_RETRY_S = 0.2  # before unacknowledged bytes are sent again; doubles up to the longest
 LONGEST_RETRY_S = 60.0
 LEAST_PAUSE_S = 0.001
-WINDOW_BYTES = 64 * 1024    # that a process which does not read is sent at most
-SEGMENT_BYTES = 16 * 1024   # on a path with a bandwidth, where what is sent takes time
-NO_TIMEOUT_S = 900.0        # user time-out where none is set
+WINDOW_BYTES = 64 * 1024  # that a process which does not read is sent at most
+SEGMENT_BYTES = 16 * 1024  # on a path with a bandwidth, where what is sent takes time
+NO_TIMEOUT_S = 900.0  # user time-out where none is set
 
 
 @dataclass(slots=True)
@@ -32,7 +32,7 @@
     number: int
     data: bytes | None
     since: float
-    arrives: float = 0.0                       # when it last sent reaches the peer; past where it was lost
+    arrives: float = 0.0  # when it last sent reaches the peer; past where it was lost
 
 
 @dataclass(slots=True)
@@ -40,7 +40,7 @@
     """What a process may set on its end of a stream, in seconds."""
 
     user_timeout: float = NO_TIMEOUT_S
-    keepalive_idle: float | None = None        # None: no probes
+    keepalive_idle: float | None = None  # None: no probes
     keepalive_every: float = 1.0
     keepalive_probes: int = 2
 
@@ -54,7 +54,7 @@
     """What a process is told of its end of a stream, each as one step of it."""
 
     received: Callable[[bytes], None] = _nothing
-    ended: Callable[[], None] = _nothing       # the peer sends nothing more
+    ended: Callable[[], None] = _nothing  # the peer sends nothing more
     lost: Callable[[OSError | None], None] = _nothing  # the last word; None after a close of its own
 
 
@@ -67,18 +67,18 @@
         self.peer: Endpoint | None = None
         self.options = StreamOptions()
         self.handlers = StreamHandlers()
-        self.closed = False                    # nothing is sent or taken any more
-        self._finished = False                 # the end of what is sent is queued
-        self._sent, self._expected = 0, 0      # segments
+        self.closed = False  # nothing is sent or taken any more
+        self._finished = False  # the end of what is sent is queued
+        self._sent, self._expected = 0, 0  # segments
         self._unacknowledged: deque[_Segment] = deque()
         self._early: dict[int, bytes | None] = {}  # that came before what is in front of them
-        self._unread = 0                       # bytes that the kernel holds for the process
-        self._window_full = False              # something was refused since, because of them
+        self._unread = 0  # bytes that the kernel holds for the process
+        self._window_full = False  # something was refused since, because of them
         self._held: deque[bytes | None] = deque()  # likewise, while the process does not want to read
         self.reading = self._attached = False
         self._error: OSError | None = None
         self._heard_at = self._simulator.now
-        self._progress_at = 0.0                # of the last acknowledgement
+        self._progress_at = 0.0  # of the last acknowledgement
         self._retry: Event | None = None
         self._retry_pause = FIRST_RETRY_S
         self._probe: Event | None = None
@@ -111,7 +111,7 @@
         limited = self._network.path(self.machine.name, self._peer.machine.name).bandwidth > 0
         step = SEGMENT_BYTES if limited else len(data)
         for start in range(0, len(data), step):
-            self._queue(data[start:start + step])
+            self._queue(data[start : start + step])
 
     def close(self) -> None:
         """Send what is queued and the end; the process is told that the connection is over."""
@@ -233,6 +233,7 @@
 
     def _hand_over(self, data: bytes | None) -> None:
         """Have the process take bytes, or the end, in a step of its own."""
+
         def take() -> None:
             self._unread -= len(data or b"")
             if self.closed:
@@ -242,6 +243,7 @@
                 self.handlers.ended()
             else:
                 self.handlers.received(data)
+
         self.machine.after_true(0.0, take)
 
     def _open_window(self) -> None:
--- a/mallowbeam/simulation/troubles.py
+++ b/mallowbeam/simulation/troubles.py
@@ -30,8 +30,9 @@
         self.disks: dict[str, Disk] = {}
         self.groups: dict[str, list[str]] = {}
 
-    def add_machine(self, name: str, boot: Step | None = None, group: str = "",
-                    disk: bool = False, ip: str = "") -> Machine:
+    def add_machine(
+        self, name: str, boot: Step | None = None, group: str = "", disk: bool = False, ip: str = ""
+    ) -> Machine:
         """Take a machine in; it is off."""
         machine = self.network.add(Machine(self.simulator, name, boot, ip))
         if group:
--- a/mallowbeam/simulation/walk.py
+++ b/mallowbeam/simulation/walk.py
@@ -32,8 +32,8 @@
 
 TROUBLES_BEGIN_S = 10.0
 TROUBLES_END_S = 32.0
-LAST_ENDS_S = 14.0          # after the last trouble was drawn, all have ended
-WHOLE_AGAIN_S = 12.0        # after the last trouble has ended
+LAST_ENDS_S = 14.0  # after the last trouble was drawn, all have ended
+WHOLE_AGAIN_S = 12.0  # after the last trouble has ended
 UNBOUNDED_SHARE = 0.25
 FAVOURITE_SHARE = 0.5
 FAVOURITES = ("", "", "wipe", "replace", "replace-planned", "taken", "cut-seeds", "freeze", "restart")
@@ -58,7 +58,7 @@
     large: bool
     compact_entries: int
     trailing_entries: int
-    favourite: str = ""        # the kind of trouble of members that comes more often than others
+    favourite: str = ""  # the kind of trouble of members that comes more often than others
 
     @property
     def tolerance(self) -> int:
@@ -94,19 +94,25 @@
         self.gateway_events: dict[str, float] = {}
         self.budget = LossBudget(self.plan.tolerance)
         self.callers = Callers(self.player, self._random, self.gateway_events, self.plan.large)
-        self.members = MemberTroubles(self.player, self.budget, self._random, self.callers.put_at,
-                                      self.gateway_events)
+        self.members = MemberTroubles(
+            self.player, self.budget, self._random, self.callers.put_at, self.gateway_events
+        )
         self.callers.troubles = self.members
         self._unbounded = UnboundedTroubles(self.player, self._random)
 
     def play(self) -> int:
         """Play it; the number of configurations that were acknowledged. Raises :class:`Violation`."""
         plan = self.plan
-        with replaced(raft_driver, {"COMPACT_ENTRIES": plan.compact_entries}), \
-                replaced(member_module, {"TRAILING_ENTRIES": plan.trailing_entries}):
+        with (
+            replaced(raft_driver, {"COMPACT_ENTRIES": plan.compact_entries}),
+            replaced(member_module, {"TRAILING_ENTRIES": plan.trailing_entries}),
+        ):
             self._play()
-        return sum(order.state == "taken" for operator in self.player.operators.values()
-                   for order in operator.orders.values())
+        return sum(
+            order.state == "taken"
+            for operator in self.player.operators.values()
+            for order in operator.orders.values()
+        )
 
     def _play(self) -> None:
         player, simulator = self.player, self.player.simulator
@@ -201,11 +207,18 @@
         player = self.player
         lines = [player.state()]
         lines += [f"{name}: revision {gateway.revision}" for name, gateway in player.gateways.items()]
-        lines += [f"{order.revision}: {order.state}" for operator in player.operators.values()
-                  for order in operator.orders.values() if order.state == "pending"]
-        lines += [f"{name}: {instance.state}, {instance.machine.state.value}, at the gateways "
-                  + ", ".join(gateway.instance_state(name) for gateway in player.gateways.values())
-                  for name, instance in player.instances.items() if not self._settled(name)]
+        lines += [
+            f"{order.revision}: {order.state}"
+            for operator in player.operators.values()
+            for order in operator.orders.values()
+            if order.state == "pending"
+        ]
+        lines += [
+            f"{name}: {instance.state}, {instance.machine.state.value}, at the gateways "
+            + ", ".join(gateway.instance_state(name) for gateway in player.gateways.values())
+            for name, instance in player.instances.items()
+            if not self._settled(name)
+        ]
         return "\n".join(lines)
 
 
--- a/mallowbeam/simulation/walk_callers.py
+++ b/mallowbeam/simulation/walk_callers.py
@@ -16,15 +16,16 @@
 LARGE_BYTES = (20_000, 100_000, 300_000)
 LARGEST_BYTES = 2_000_000
 LOST_ANSWERS = (0.0, 0.0, 0.3, 0.7)
-FAR_AHEAD = 60              # of the newest revision, that of a change on a version to come
+FAR_AHEAD = 60  # of the newest revision, that of a change on a version to come
 LONGEST_GATEWAY_TROUBLE_S = 5.0
 
 
 class Callers:
     """Draws their actions."""
 
-    def __init__(self, player: FleetPlayer, random: Random, gateway_events: dict[str, float],
-                 large: bool) -> None:
+    def __init__(
+        self, player: FleetPlayer, random: Random, gateway_events: dict[str, float], large: bool
+    ) -> None:
         self.player, self._random, self._events = player, random, gateway_events
         self._large = large
         self._revision = 1
@@ -116,8 +117,11 @@
 
     def instance(self) -> None:
         """One leaves with or without a notice, ends, or a new one starts."""
-        running = [name for name, one in self.player.instances.items()
-                   if one.machine.running and one.state == "ready"]
+        running = [
+            name
+            for name, one in self.player.instances.items()
+            if one.machine.running and one.state == "ready"
+        ]
         if not running or (self._random.random() < 0.5 and self._launched < MOST_LAUNCHES):
             if self._launched < MOST_LAUNCHES:
                 self._launched += 1
--- a/mallowbeam/simulation/walk_members.py
+++ b/mallowbeam/simulation/walk_members.py
@@ -10,38 +10,57 @@
 from mallowbeam.simulation.loss_budget import CATCH_UP_S, LossBudget
 
 LONGEST_TROUBLE_S = (0.5, 2.0, 6.0)  # one of them bounds a trouble
-TAKEN_WITHIN_S = 0.004      # from an acknowledgement to the loss of power
-TIMED_S = (0.005, 0.4)      # from a change's sending to the loss of power
-SUCCESSOR_WITHIN_S = 3.0    # from a loss for good to the empty machine
+TAKEN_WITHIN_S = 0.004  # from an acknowledgement to the loss of power
+TIMED_S = (0.005, 0.4)  # from a change's sending to the loss of power
+SUCCESSOR_WITHIN_S = 3.0  # from a loss for good to the empty machine
 PLANNED_AHEAD_S = (0.5, 6.0)  # from the successor's start to the SIGTERM
-SLOWEST_EXIT_S = 10.0       # of a process after SIGTERM
+SLOWEST_EXIT_S = 10.0  # of a process after SIGTERM
 EXIT_LOOK_S = 0.05
-PAUSE_OF_ALL_S = 8.0        # between two losses of all members
-MEETING_S = (0.0, 0.05)     # before a machine returns, when changes are sent to it
-MOST_MEMBERS = 20           # machines that ever were members
+PAUSE_OF_ALL_S = 8.0  # between two losses of all members
+MEETING_S = (0.0, 0.05)  # before a machine returns, when changes are sent to it
+MOST_MEMBERS = 20  # machines that ever were members
 
-Put = Callable[[str, int, bool], None]         # member, how many at once, to it alone
+Put = Callable[[str, int, bool], None]  # member, how many at once, to it alone
 
 
 class MemberTroubles:
     """Draws troubles and ends them. `put` sends changes that race on one version at one member."""
 
-    def __init__(self, player: FleetPlayer, budget: LossBudget, random: Random, put: Put,
-                 gateway_events: dict[str, float]) -> None:
+    def __init__(
+        self,
+        player: FleetPlayer,
+        budget: LossBudget,
+        random: Random,
+        put: Put,
+        gateway_events: dict[str, float],
+    ) -> None:
         self.player, self.budget, self._random = player, budget, random
         self._put, self._gateway_events = put, gateway_events
         self._disk_since: dict[str, float] = {}
         self._next_of_all = 0.0
-        self._planned = 0                      # replacements under way, no more than may be lost at one time
-        self.retiring: dict[str, str] = {}     # members that leave for good, and their successors
+        self._planned = 0  # replacements under way, no more than may be lost at one time
+        self.retiring: dict[str, str] = {}  # members that leave for good, and their successors
         self.cut_off: set[str] = set()
-        self.drawn: dict[str, int] = {}        # by kind
+        self.drawn: dict[str, int] = {}  # by kind
         self.kinds: dict[str, Callable[[], bool]] = {
-            "kill": self._kill, "power": self._power, "freeze": self._freeze, "restart": self._restart,
-            "wipe": self._wipe, "replace": self._replace, "replace-planned": self._replace_planned,
-            "cut": self._cut, "cut-near": self._cut_near, "cut-one-way": self._cut_one_way,
-            "cut-both": self._cut_both, "cut-seeds": self._cut_seeds, "disk": self._disk,
-            "taken": self._taken, "timed": self._timed, "slow": self._slow, "all": self._all}
+            "kill": self._kill,
+            "power": self._power,
+            "freeze": self._freeze,
+            "restart": self._restart,
+            "wipe": self._wipe,
+            "replace": self._replace,
+            "replace-planned": self._replace_planned,
+            "cut": self._cut,
+            "cut-near": self._cut_near,
+            "cut-one-way": self._cut_one_way,
+            "cut-both": self._cut_both,
+            "cut-seeds": self._cut_seeds,
+            "disk": self._disk,
+            "taken": self._taken,
+            "timed": self._timed,
+            "slow": self._slow,
+            "all": self._all,
+        }
 
     def draw(self, without: frozenset[str] = frozenset(), kind: str = "") -> None:
         """One trouble of a kind, or of any, if there is a member that may have it."""
@@ -59,8 +78,11 @@
 
     def standing(self) -> list[str]:
         """Members that run, are in no trouble and stay."""
-        return [name for name, member in self.player.members.items() if member.live
-                and not self.budget.in_trouble(name) and name not in self.retiring]
+        return [
+            name
+            for name, member in self.player.members.items()
+            if member.live and not self.budget.in_trouble(name) and name not in self.retiring
+        ]
 
     def _aim(self) -> str | None:
         """The leader, the one whose disk has lasted longest, or any."""
@@ -136,6 +158,7 @@
         def thaw() -> None:
             self.player.do_thaw(name)
             self._returns(name)
+
         self._for(thaw)
         return True
 
@@ -152,9 +175,10 @@
         machine = self.player.network.machines[name]
         if machine.running and waited < SLOWEST_EXIT_S:
             self.player.simulator.after(
-                EXIT_LOOK_S, lambda: self._when_ended(name, step, waited + EXIT_LOOK_S))
+                EXIT_LOOK_S, lambda: self._when_ended(name, step, waited + EXIT_LOOK_S)
+            )
             return
-        machine.power_off()                    # as the operator would who waits no longer
+        machine.power_off()  # as the operator would who waits no longer
         self.budget.disturbed(self.now)
         step()
 
@@ -170,6 +194,7 @@
         def end() -> None:
             machine.step_cost = 0.0
             self._returns(name)
+
         self._for(end)
         return True
 
@@ -195,14 +220,14 @@
         def come() -> None:
             self.retiring[name] = self._successor()
             self.budget.end(name, self.now)
+
         self._for(come, SUCCESSOR_WITHIN_S)
         return True
 
     def _replace_planned(self) -> bool:
         """The new one first, then SIGTERM to the old one."""
         name = self._aim()
-        if name is None or len(self.player.members) >= MOST_MEMBERS \
-                or self._planned >= self.budget.tolerance:
+        if name is None or len(self.player.members) >= MOST_MEMBERS or self._planned >= self.budget.tolerance:
             return False
         self._planned += 1
         self.retiring[name] = ""
@@ -246,6 +271,7 @@
             self.cut_off.discard(name)
             self._touch_gateways(peers)
             self._returns(name)
+
         self._for(heal)
         return name
 
@@ -310,12 +336,14 @@
         if name is None:
             return False
         trouble = self._random.choice(
-            (self.player.do_slow_disk, self.player.do_stall_disk, self.player.do_fill_disk))
+            (self.player.do_slow_disk, self.player.do_stall_disk, self.player.do_fill_disk)
+        )
         trouble(name)
 
         def mend() -> None:
             self.player.do_mend_disk(name)
             self._returns(name)
+
         self._for(mend)
         return True
 
@@ -333,6 +361,7 @@
                 self.player.simulator.after(within, lambda: self._lose_power(name))
             elif left:
                 self.player.simulator.after(0.001, lambda: watch(left - 1))
+
         watch(1000)
         return True
 
--- a/mallowbeam/simulation/walk_unbounded.py
+++ b/mallowbeam/simulation/walk_unbounded.py
@@ -12,7 +12,7 @@
 from mallowbeam.simulation.loss_budget import CATCH_UP_S
 from mallowbeam.simulation.network import Path
 
-LONGEST_EXIT_S = 10         # from a SIGTERM
+LONGEST_EXIT_S = 10  # from a SIGTERM
 
 
 class UnboundedTroubles:
@@ -22,10 +22,32 @@
         self.player, self._random = player, random
         self._next_wipe = 0.0
         self._troubles: Sequence[Callable[[], None]] = (
-            self._kill, self._kill, self._power_off, self._start, self._start, self._start, self._freeze,
-            self._thaw, self._thaw, self._cut, self._cut_one_way, self._isolate, self._heal, self._heal,
-            self._lossy, self._stall_disk, self._slow_disk, self._fill_disk, self._mend_disks,
-            self._mend_disks, self._power_off_all, self._wipe, self._wipe, self._term, self._clock)
+            self._kill,
+            self._kill,
+            self._power_off,
+            self._start,
+            self._start,
+            self._start,
+            self._freeze,
+            self._thaw,
+            self._thaw,
+            self._cut,
+            self._cut_one_way,
+            self._isolate,
+            self._heal,
+            self._heal,
+            self._lossy,
+            self._stall_disk,
+            self._slow_disk,
+            self._fill_disk,
+            self._mend_disks,
+            self._mend_disks,
+            self._power_off_all,
+            self._wipe,
+            self._wipe,
+            self._term,
+            self._clock,
+        )
 
     def draw(self) -> None:
         """One trouble, or the end of some."""
--- a/mallowbeam/streams/events.py
+++ b/mallowbeam/streams/events.py
@@ -15,8 +15,8 @@
 class Event:
     """One whole event."""
 
-    raw: bytes                                 # with the blank line at its end
-    id: int | None                             # None: it has none, or none that is a number
+    raw: bytes  # with the blank line at its end
+    id: int | None  # None: it has none, or none that is a number
 
 
 class EventParser:
@@ -42,7 +42,7 @@
         events: list[Event] = []
         start = 0
         while (end := EVENT_END.search(self._buffer, max(start, searched))) is not None:
-            raw = bytes(self._buffer[start:end.end()])
+            raw = bytes(self._buffer[start : end.end()])
             events.append(Event(raw, read_id(raw)))
             start = end.end()
         del self._buffer[:start]
--- a/mallowbeam/streams/progress.py
+++ b/mallowbeam/streams/progress.py
@@ -7,9 +7,9 @@
 
 from mallowbeam.streams.events import EventParser, parse_id
 
-EVENT_END = b"\n\n"        # counted in what is passed on byte by byte; one that is cut in two is missed
+EVENT_END = b"\n\n"  # counted in what is passed on byte by byte; one that is cut in two is missed
 EVENT_ENDS = (EVENT_END, b"\r\n\r\n")
-LONGEST_END = 4             # bytes
+LONGEST_END = 4  # bytes
 
 
 class StreamProgress:
@@ -19,10 +19,10 @@
         self.resumable = resumable
         self._parser = EventParser()
         self._last_id = parse_id(last_event_id) if last_event_id is not None else None
-        self._tail = b""                       # the last bytes that were passed on byte by byte
-        self.events = 0                        # passed on so far
-        self.fault = ""                        # why nothing more of this instance's stream is passed on
-        self._behind_id = True                 # nothing was passed on behind the last id
+        self._tail = b""  # the last bytes that were passed on byte by byte
+        self.events = 0  # passed on so far
+        self.fault = ""  # why nothing more of this instance's stream is passed on
+        self._behind_id = True  # nothing was passed on behind the last id
 
     @property
     def last_event_id(self) -> bytes | None:
--- a/mallowbeam/streams/silence.py
+++ b/mallowbeam/streams/silence.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-CLIENT_LEAST_S = 2.0        # clients wait at least this long,
-CLIENT_OBJECTIVES = 4.0     # this many times the objective,
-CLIENT_GAPS = 8.0           # and this many times the longest pause that keeps an answer in time
+CLIENT_LEAST_S = 2.0  # clients wait at least this long,
+CLIENT_OBJECTIVES = 4.0  # this many times the objective,
+CLIENT_GAPS = 8.0  # and this many times the longest pause that keeps an answer in time
 RESUME_LEAST_S = 1.0
 RESUME_GAPS = 4.0
 
