--- a/mallowbeam/simulation/loop.py
+++ b/mallowbeam/simulation/loop.py
@@ -146,9 +146,9 @@
 
     # ------------------------------------------------------------ connections
 
-    async def create_connection(
+    async def create_connection(  # type: ignore[override]
         self,
-        protocol_factory: Callable[[], asyncio.Protocol],  # type: ignore[override]
+        protocol_factory: Callable[[], asyncio.Protocol],
         host: str,
         port: int,
         **_: object,
@@ -178,9 +178,9 @@
         protocol = protocol_factory()
         return SimulatedTransport(self, endpoint, protocol), protocol
 
-    async def create_server(
+    async def create_server(  # type: ignore[override]
         self,
-        protocol_factory: Callable[[], asyncio.Protocol],  # type: ignore[override]
+        protocol_factory: Callable[[], asyncio.Protocol],
         host: str,
         port: int,
         **_: object,
