--- a/mallowbeam/simulation/walk_members.py
+++ b/mallowbeam/simulation/walk_members.py
@@ -21,18 +21,14 @@
 MOST_MEMBERS = 20  # machines that ever were members
 
 Put = Callable[[str, int, bool], None]  # member, how many at once, to it alone
+EventTimes = dict[str, float]  # by gateway
 
 
 class MemberTroubles:
     """Draws troubles and ends them. `put` sends changes that race on one version at one member."""
 
     def __init__(
-        self,
-        player: FleetPlayer,
-        budget: LossBudget,
-        random: Random,
-        put: Put,
-        gateway_events: dict[str, float],
+        self, player: FleetPlayer, budget: LossBudget, random: Random, put: Put, gateway_events: EventTimes
     ) -> None:
         self.player, self.budget, self._random = player, budget, random
         self._put, self._gateway_events = put, gateway_events
