--- a/tests/test_control_plane_serving_variants.py
+++ b/tests/test_control_plane_serving_variants.py
@@ -23,7 +23,6 @@
 from mallowbeam.simulation.fleet_processes import ApiCall
 from mallowbeam.simulation.scenario import Violation
 
-
 GIVEN_OLD = r"g[23] is given 1 first, 2 was acknowledged"  # a gateway that began during the cut
 
 
