Tests: a follower's freshness by leaders that have committed

Change: the leader's commit index is 1, as it is at any leader; one more step with a leader of a new term that has committed nothing, which must not count.

--- a/tests/test_consensus_leading.py
+++ b/tests/test_consensus_leading.py
@@ -169,25 +169,28 @@
 
     def test_freshness_of_a_follower(self) -> None:
         host = Host()
-        host.append(2, 1, (1, 1))
+        host.append(2, 1, (1, 1), commit=1)
         self.assertEqual(host.node.freshness(host.now), inf)          # it may have been held up
         host.now += 0.1
-        host.append(2, 1, (1, 1))
+        host.append(2, 1, (1, 1), commit=1)
         self.assertEqual(host.node.freshness(host.now), 0.0)
         host.now += 0.1
         host.append(2, 1, (1, 1), commit=5)                           # it lacks entries that are committed
         self.assertAlmostEqual(host.node.freshness(host.now), 0.1)
+        host.now += 0.1
+        host.append(3, 2, (1, 1), commit=1)                           # a leader that committed nothing yet
+        self.assertAlmostEqual(host.node.freshness(host.now), 0.2)
 
     def test_freshness_after_a_freeze(self) -> None:
         host = Host()
         for _ in range(3):
             host.now += 0.1
-            host.append(2, 1, (1, 1))
+            host.append(2, 1, (1, 1), commit=1)
         host.now += 5.0
-        host.append(2, 1, (1, 1))
+        host.append(2, 1, (1, 1), commit=1)
         self.assertAlmostEqual(host.node.freshness(host.now), 5.0)
         host.now += 0.11
-        host.append(2, 1, (1, 1))
+        host.append(2, 1, (1, 1), commit=1)
         self.assertEqual(host.node.freshness(host.now), 0.0)
 
 
