Election: a voter of any membership that may still be in force stands

Change: all memberships from the last one known to be committed on count. Test: test_consensus_quorum, fails without.

--- a/mallowbeam/consensus/membership.py
+++ b/mallowbeam/consensus/membership.py
@@ -98,6 +98,11 @@
         """The membership that was in force at `index`, which is not before the snapshot."""
         return next(record.membership for record in reversed(self._records) if record.index <= index)
 
+    def since(self, index: int) -> list[Quorum]:
+        """The quorums of the membership that was in force at `index` and of all behind it."""
+        behind = [record.quorum for record in self._records if record.index > index]
+        return [quorum_of(self.at(index)), *behind]
+
     def append(self, entries: Iterable[Entry]) -> None:
         """Note the memberships among new entries."""
         for entry in entries:
--- a/mallowbeam/consensus/state.py
+++ b/mallowbeam/consensus/state.py
@@ -8,7 +8,6 @@
 
 from mallowbeam.consensus.interface import RaftSettings, ReadResult, Restored
 from mallowbeam.consensus.log import RaftLog
-from mallowbeam.consensus.membership import quorum_of
 from mallowbeam.consensus.persistence import Persistence
 from mallowbeam.consensus.quorum import Quorum
 from mallowbeam.rpc.messages_pb2 import Snapshot
@@ -77,12 +76,13 @@
 
     @property
     def may_campaign(self) -> bool:
-        """Whether this member is a voter, or still was one in the last membership known to be committed.
+        """Whether this member is a voter of any membership that may be in force at another member.
 
-        The log of a member whose removal is not committed may be the longest: without it, nobody could be
-        elected. It does not count itself then.
+        These are all from the last one known to be committed on. The log of a member whose removal is not
+        committed may be the longest, and a joint membership may still need its vote: without it, nobody could
+        be elected. It does not count itself then.
         """
-        return self.is_voter or self.own_id in quorum_of(self.log.memberships.at(self.commit_index)).all
+        return any(self.own_id in quorum.all for quorum in self.log.memberships.since(self.commit_index))
 
     @property
     def stalled(self) -> bool:
--- a/tests/test_consensus_quorum.py
+++ b/tests/test_consensus_quorum.py
@@ -14,7 +14,7 @@
 from mallowbeam.consensus.membership import check_change, joint_change, voters_of, without_outgoing
 from mallowbeam.consensus.node import RaftNode, Role
 from mallowbeam.consensus.quorum import Quorum
-from mallowbeam.rpc.messages_pb2 import MEMBERSHIP, Member, Membership, Snapshot, VoteResponse
+from mallowbeam.rpc.messages_pb2 import MEMBERSHIP, Entry, Member, Membership, Snapshot, VoteResponse
 
 ABC = frozenset((1, 2, 3))
 
@@ -260,6 +260,26 @@
         self.assertEqual(len(host.node.membership.outgoing_voters), 0)
         self.assertEqual(voters_of(host.node.membership), {1, 2, 3})
 
+    def test_a_voter_between_what_is_known_as_committed_and_the_last_entry_stands(self) -> None:
+        """Member 2 took the place of 1 and gave it back; it has the end of that change, 1 lacks it.
+
+        1 needs its vote, as of an outgoing voter, and its log is the shorter one: only 2 can be elected.
+        """
+        first = membership(1, 1)
+        there = replaced(first, [1], [2])
+        back = replaced(without_outgoing(there), [2], [1])
+        changes = (there, without_outgoing(there), back, without_outgoing(back))
+        entries = tuple(Entry(index=index, term=1, kind=MEMBERSHIP, payload=change.SerializeToString())
+                        for index, change in enumerate(changes, 2))
+        host = Host(1, 1, entries, own=2)
+        output = host.tick(1.0)
+        self.assertIs(host.node.role, Role.PRE_CANDIDATE)
+        self.assertEqual({send.recipient for send in output.send}, {1})
+        host.receive(1, vote_response=VoteResponse(term=2, granted=True, pre_vote=True))
+        host.write()
+        host.receive(1, vote_response=VoteResponse(term=2, granted=True))
+        self.assertIs(host.node.role, Role.LEADER)
+
 
 if __name__ == "__main__":
     unittest.main()
