Control plane: large bodies one at a time, beside the event loop

Cause: eight callers with bodies of 4 MiB had as many bodies parsed and compressed in the loop that also keeps the leadership, and each call that waited held its body, its canonical document and two copies of its command. (Inferred from the code and from the effect of the change; not profiled.)

Change: a body over 256 KiB takes the one place for such bodies (http/budget.py) at its head, or once so many bytes came; a second one is refused at once with 503 CONTROL_LARGE_BODY and Retry-After. It does not count among the 24 MiB of the small ones. It is parsed and compressed in a thread, by a fork of the member's parser, which adopts it afterwards; how it is run is handed in, at once in the simulation. Calls no longer hold their body, nor a serialized copy of their command. An unread body is read out after a refusal, so that callers which send all before they read get the answer.

Variants of the program are each caught: no place in the API's budget, a place that is not kept, work that ends with its caller, a refused body that is not read out.

--- a/mallowbeam/configuration/parsing.py
+++ b/mallowbeam/configuration/parsing.py
@@ -71,7 +71,11 @@
 
     def keep(self, texts: list[bytes], entries: list[ParsedEntry[Entry]]) -> None:
         """Remember these entries in place of those before."""
-        self._known = dict(zip(texts, entries, strict=True))
+        self._known = dict(zip(texts, entries, strict=True))  # a new one: others may share the one before
+
+    def share(self, other: EntryReader[Entry]) -> None:
+        """Know the entries that another reader knows."""
+        self._known = other._known
 
     def _read(self, text: bytes, where: str) -> ParsedEntry[Entry]:
         document = decode(VALUE_DECODER, text, where)
@@ -83,7 +87,7 @@
 class ConfigurationParser:
     """Parses configurations one after another, at the cost of what differs from the last valid one.
 
-    What it holds is bounded by one document. It belongs to one thread.
+    What it holds is bounded by one document. It belongs to one thread; a `fork` may belong to another.
     """
 
     def __init__(self, most_bytes: int = MOST_BODY_BYTES) -> None:
@@ -120,6 +124,18 @@
             return self._last
         return None
 
+    def fork(self) -> ConfigurationParser:
+        """A parser of its own, for another thread, that knows what this one knows now."""
+        forked = ConfigurationParser(self._most_bytes)
+        forked.adopt(self)
+        return forked
+
+    def adopt(self, other: ConfigurationParser) -> None:
+        """Know what another parser knows, in place of what was known; the other one must be at rest."""
+        self._routes.share(other._routes)
+        self._backends.share(other._backends)
+        self._last = other._last
+
     def _check(
         self,
         rest: dict[str, Any],
--- a/mallowbeam/control_plane/answers.py
+++ b/mallowbeam/control_plane/answers.py
@@ -41,6 +41,14 @@
     remedy = "call another member; the answer names them"
 
 
+class LargeBodyError(CallError):
+    """This member has a large body under way already; nothing was proposed."""
+
+    code = "CONTROL_LARGE_BODY"
+    status = 503
+    remedy = "call another member, or this one again a moment later"
+
+
 class OutcomeUnknownError(CallError):
     """A command was proposed, but what became of it is not known."""
 
--- a/mallowbeam/control_plane/api.py
+++ b/mallowbeam/control_plane/api.py
@@ -11,6 +11,7 @@
 from mallowbeam.configuration.versions import ConfigurationVersions, put_command
 from mallowbeam.control_plane.answers import (
     CallError,
+    LargeBodyError,
     OutcomeUnknownError,
     RevisionNotAboveError,
     VersionMismatchError,
@@ -19,17 +20,26 @@
 )
 from mallowbeam.control_plane.commands import Commands
 from mallowbeam.control_plane.instances import Instances
+from mallowbeam.control_plane.large_bodies import LARGE_BODY, LargeBodies, Work, run_in_thread
 from mallowbeam.control_plane.serving import AppliedEntry, ConfirmedRead, Said, ServingGate
 from mallowbeam.control_plane.status import StatusPage
 from mallowbeam.errors import MallowbeamError
-from mallowbeam.http.framing import Budget, Message
+from mallowbeam.http.budget import ANOTHER_LARGE_BODY, Budget
+from mallowbeam.http.framing import Message
 from mallowbeam.http.front import Reply
 from mallowbeam.registry.errors import HeartbeatError
 from mallowbeam.registry.parse import check_id, parse_heartbeat
-from mallowbeam.rpc.messages_pb2 import ALREADY_DONE, DONE, REVISION_NOT_ABOVE, VERSION_MISMATCH, Command
+from mallowbeam.rpc.messages_pb2 import (
+    ALREADY_DONE,
+    DONE,
+    REVISION_NOT_ABOVE,
+    VERSION_MISMATCH,
+    Command,
+    PutConfiguration,
+)
 
 MOST_BODY = 4 * 1024 * 1024  # bytes of a configuration
-MOST_BODIES = 24 * 1024 * 1024  # bytes of bodies that are held at once; beyond it calls are turned away
+MOST_BODIES = 24 * 1024 * 1024  # bytes of small bodies held at once; beyond it calls are turned away
 CONFIG_PATH = b"/mallowbeam/config"
 STATUS_PATH = b"/mallowbeam/status"
 INSTANCES_PATH = b"/mallowbeam/instances/"
@@ -42,7 +52,7 @@
 class ControlApi:
     """The front behind the control address."""
 
-    max_body = whole = MOST_BODY
+    max_body = whole = unread_body = MOST_BODY
 
     def __init__(
         self,
@@ -52,8 +62,11 @@
         instances: Instances,
         status: StatusPage,
         gate: ServingGate,
+        work: Work = run_in_thread,
     ) -> None:
-        self.budget: Budget | None = Budget(MOST_BODIES)
+        """`work` runs what large bodies take beside the event loop."""
+        self.budget: Budget | None = Budget(MOST_BODIES, LARGE_BODY)
+        self._large_bodies = LargeBodies(parser, work)
         self._parser, self._versions, self._commands = parser, versions, commands
         self._instances, self._status, self._gate = instances, status, gate
         self._calls: dict[tuple[bytes, bytes], Call] = {
@@ -81,6 +94,8 @@
 
     def complain(self, status: int, text: str) -> Reply:
         """The answer to what breaks HTTP or a bound; the connection is closed after it."""
+        if text == ANOTHER_LARGE_BODY:
+            return error_reply(status, LargeBodyError(text, "body"), True, self._status.other_controls())
         return error_reply(status, CallError(text, status=status), True)
 
     def ended(self, request: Message, status: int, whole: bool) -> None:
@@ -101,9 +116,11 @@
 
     async def _put_config(self, request: Message, since: float) -> tuple[int, bytes]:
         based_on = _based_on(request)
-        parsed = self._parser.parse(bytes(request.body))
+        change = await self._change(request, based_on)
         self._gate.check_reachable()
-        command = Command(put_configuration=put_command(parsed, based_on))
+        revision = change.revision
+        command = Command(put_configuration=change)
+        del change
         outcome = await self._commands.submit(command, since)
         evidence = AppliedEntry(outcome.index)
         if outcome.result in (VERSION_MISMATCH, REVISION_NOT_ABOVE):
@@ -115,7 +132,14 @@
         if outcome.result not in (DONE, ALREADY_DONE):
             raise OutcomeUnknownError("a copy of this call may have been taken, or may yet be", "revision")
         self._gate.check(Said.CHANGE_ACKNOWLEDGED, evidence)
-        return 200, b'{"revision":%d}' % parsed.configuration.revision
+        return 200, b'{"revision":%d}' % revision
+
+    async def _change(self, request: Message, based_on: int) -> PutConfiguration:
+        """The command that a body asks for; the request holds its body no longer."""
+        body = request.take()
+        if len(body) > LARGE_BODY:
+            return await self._large_bodies.command(body, based_on)
+        return put_command(self._parser.parse(bytes(body)), based_on)
 
     async def _get_config(self, request: Message, since: float) -> tuple[int, bytes]:
         self._gate.check_reachable()
--- a/mallowbeam/control_plane/commands.py
+++ b/mallowbeam/control_plane/commands.py
@@ -65,9 +65,8 @@
         Raises NothingProposedError, or OutcomeUnknownError where it may yet be applied.
         """
         attempts = _Attempts(since)
-        payload = command.SerializeToString()
         while attempts.go_on(self._driver.leader_id):
-            attempt = self._propose_to_leader(command, payload)
+            attempt = self._propose_to_leader(command)
             if attempt is None:
                 await self._leadership_change(attempts.left_without_leader())
                 continue
@@ -160,13 +159,13 @@
 
     # ------------------------------------------------------------ attempts
 
-    def _propose_to_leader(self, command: Command, payload: bytes) -> asyncio.Future[Outcome] | None:
+    def _propose_to_leader(self, command: Command) -> asyncio.Future[Outcome] | None:
         """One attempt at the leader that is known; None without one."""
         leader = self._driver.leader_id
         if leader is None:
             return None
         if leader == self._links.own.id:
-            return _not_taken_as_such(self._driver.propose(payload))
+            return _not_taken_as_such(self._driver.propose(command.SerializeToString()))
         request_id = self._next_id()
         frame = PeerFrame(propose=ProposeRequest(id=request_id, command=command))
         return self._ask(leader, frame, request_id, self._proposals)
--- /dev/null
+++ b/mallowbeam/control_plane/large_bodies.py
@@ -0,0 +1,90 @@
+"""Large configurations: one at a time for each member, parsed and compressed beside the event loop.
+
+A body of some MB takes a noticeable part of a small machine's memory and time: several copies of it exist for
+a moment, and the loop that would parse it also keeps the leadership. So a second one is refused at once, and
+its caller turns to another member; small bodies, heartbeats among them, are not concerned.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Protocol, TypeVar
+
+from mallowbeam.configuration.parsing import ConfigurationParser
+from mallowbeam.configuration.versions import put_command
+from mallowbeam.control_plane.answers import LargeBodyError
+from mallowbeam.http.budget import ANOTHER_LARGE_BODY
+from mallowbeam.rpc.messages_pb2 import PutConfiguration
+
+LARGE_BODY = 256 * 1024  # bytes above which a body is large
+
+Result = TypeVar("Result")
+
+
+class Work(Protocol):
+    """How a large body's work is run."""
+
+    def __call__(self, job: Callable[[], Result]) -> Awaitable[Result]:
+        """Run a job to its result; its exception is raised."""
+
+
+async def run_at_once(job: Callable[[], Result]) -> Result:
+    """Run a job in this step: where there are no threads, as in the simulation."""
+    return job()
+
+
+async def run_in_thread(job: Callable[[], Result]) -> Result:
+    """Run a job in a thread, so that the event loop goes on meanwhile."""
+    return await asyncio.to_thread(job)
+
+
+@dataclass(frozen=True, slots=True)
+class _Prepared:
+    """What came of a body, and the parser that has read it."""
+
+    command: PutConfiguration
+    parser: ConfigurationParser
+
+
+class LargeBodies:
+    """Turns large bodies into commands, one at a time."""
+
+    def __init__(self, parser: ConfigurationParser, work: Work) -> None:
+        """`parser` is the member's: it takes over what is learned of each valid body."""
+        self._parser, self._work = parser, work
+        self._busy = False
+
+    async def command(self, body: bytearray, based_on: int) -> PutConfiguration:
+        """The command that a body asks for; empties `body`.
+
+        Raises `LargeBodyError` while another one is under way, and a `ConfigurationError` for a body that is
+        not valid.
+        """
+        if self._busy:
+            raise LargeBodyError(ANOTHER_LARGE_BODY, "body")
+        self._busy = True
+        job = asyncio.ensure_future(self._work(self._job(body, based_on)))
+        job.add_done_callback(self._ended)
+        # A caller that leaves does not end a thread: the next body waits for its end all the same.
+        prepared = await asyncio.shield(job)
+        self._parser.adopt(prepared.parser)
+        return prepared.command
+
+    def _job(self, body: bytearray, based_on: int) -> Callable[[], _Prepared]:
+        """What is done beside the loop; it alone holds the body's bytes."""
+        parser = self._parser.fork()
+        held = [bytes(body)]
+        body.clear()
+
+        def prepare() -> _Prepared:
+            parsed = parser.parse(held.pop())
+            return _Prepared(put_command(parsed, based_on), parser)
+
+        return prepare
+
+    def _ended(self, job: asyncio.Future[_Prepared]) -> None:
+        self._busy = False
+        if not job.cancelled():
+            job.exception()  # counts as seen, also where the caller has left
--- a/mallowbeam/control_plane/member.py
+++ b/mallowbeam/control_plane/member.py
@@ -17,6 +17,7 @@
 from mallowbeam.control_plane.first_start import peer_address
 from mallowbeam.control_plane.group import GroupKeeper
 from mallowbeam.control_plane.instances import Instances
+from mallowbeam.control_plane.large_bodies import Work, run_in_thread
 from mallowbeam.control_plane.leaving import Departure
 from mallowbeam.control_plane.link_listener import LinkListener
 from mallowbeam.control_plane.opening import OpenedStore, WatchedStore
@@ -65,7 +66,8 @@
 class ControlMember:
     """A member from its opened store to its end. Takes what peers send and hands it to the part concerned."""
 
-    def __init__(self, settings: NodeSettings, opened: OpenedStore) -> None:
+    def __init__(self, settings: NodeSettings, opened: OpenedStore, work: Work = run_in_thread) -> None:
+        """`work` runs what large bodies take beside the event loop."""
         assert settings.bind_addresses.control is not None
         self._settings = settings
         self._loop = asyncio.get_running_loop()
@@ -133,7 +135,13 @@
         self._departure = Departure(self._driver, self._links, self._group.leave)
         self._listener = LinkListener(self._links, self, self._feeds)
         api = ControlApi(
-            parser, self._machine.configurations, self._commands, self._instances, self._status, self._gate
+            parser,
+            self._machine.configurations,
+            self._commands,
+            self._instances,
+            self._status,
+            self._gate,
+            work,
         )
         self._server = Server(split_address(self._own.control), api, MOST_CONNECTIONS, shared=False)
         self._machine.restore(opened.restored.snapshot.state)
--- a/mallowbeam/http/closing.py
+++ b/mallowbeam/http/closing.py
@@ -141,7 +141,7 @@
 
     async def _read_out(self) -> None:
         """Read on and drop it up to the client's end, so that the last answer is not lost with it."""
-        most = LINGER_BYTES
+        most: int = max(LINGER_BYTES, getattr(self.server.front, "unread_body", 0))
         if self.taking is not None:  # refused before its end
             most = max(most, self.taking.length or self.channel.framer.max_body)
         while most > 0:
--- a/mallowbeam/http/framing.py
+++ b/mallowbeam/http/framing.py
@@ -15,6 +15,8 @@
 import httptools
 
 from mallowbeam.errors import MallowbeamError
+from mallowbeam.http.budget import Budget as Budget  # for those that have it from here
+from mallowbeam.http.budget import Held
 
 CHUNK = 16 * 1024  # bytes read at once: what one connection may hold beyond its messages
 BULK = 32 * 1024  # the same while a large body passes through
@@ -93,22 +95,14 @@
         return body
 
 
-class Budget:
-    """Bytes of bodies that the connections of one server may hold together."""
-
-    def __init__(self, most: int) -> None:
-        self.whole = self.most = most  # in all, and while another process has its part
-        self.used = 0
-
-
 class Framer:
     """Turns bytes into messages, within bounds."""
 
     def __init__(
         self, answers: bool, max_body: int = MAX_BODY, budget: Budget | None = None, max_head: int = MAX_HEAD
     ) -> None:
-        self.answers, self.max_body, self.budget, self.max_head = answers, max_body, budget, max_head
-        self.charged = 0  # bytes of the budget that this connection holds
+        self.answers, self.max_body, self.max_head = answers, max_body, max_head
+        self.held = Held(budget)
         self.parser = (httptools.HttpResponseParser if answers else httptools.HttpRequestParser)(self)
         self.ready: deque[Message] = deque()  # whole messages
         self.part: Message | None = None  # the one that is coming in
@@ -207,6 +201,8 @@
             # An absolute target (RFC 9112, 3.2.2) names the host once more; what counts is behind it.
             part.target = ABSOLUTE.sub(b"", part.target) or b"/"
         part.keep_alive = self.parser.should_keep_alive()
+        if refusal := self.held.expect(part, part.length or 0):
+            self._fail(503, refusal)
 
     def on_body(self, body: bytes) -> None:  # noqa: D102
         self.part.body += body
@@ -214,17 +210,12 @@
         self.quiet = 0
         if (len(self.part.body) if self.answers else self.part.came) > self.max_body:
             self._fail(413, "body too large")
-        if self.budget is not None:
-            self.charged += len(body)
-            self.budget.used += len(body)
-            if self.budget.used > self.budget.most:
-                self._fail(503, "too many bodies at once")
+        if refusal := self.held.charge(self.part, self.part.came, len(body)):
+            self._fail(503, refusal)
 
     def release(self) -> None:
         """Give back what was charged for bodies: they are answered, or their connection is over."""
-        if self.budget is not None:
-            self.budget.used -= self.charged
-            self.charged = 0
+        self.held.release()
 
     def on_message_complete(self) -> None:  # noqa: D102
         self.part.whole, self.quiet, self.part.at = True, 0, self.read_at
--- a/mallowbeam/simulation/fleet_processes.py
+++ b/mallowbeam/simulation/fleet_processes.py
@@ -21,6 +21,7 @@
 from mallowbeam.consensus.storage import ReplicaStore
 from mallowbeam.control_plane import member as member_module
 from mallowbeam.control_plane.first_start import first_state
+from mallowbeam.control_plane.large_bodies import run_at_once
 from mallowbeam.control_plane.member import ControlMember
 from mallowbeam.control_plane.opening import OpenedStore
 from mallowbeam.control_plane.state_machine import Outcome, ReplicatedStateMachine
@@ -238,7 +239,7 @@
 
         seeded = SimpleNamespace(Random=lambda: Random(self._random.random()))
         with replaced(member_module, {"DiskWriter": writer, "Server": server, "random": seeded}):
-            program = ControlMember(self._settings, opened)
+            program = ControlMember(self._settings, opened, run_at_once)
         self._record_applied(program._machine)
         await program.start()
         self.program = program
--- /dev/null
+++ b/tests/test_control_plane_large_bodies.py
@@ -0,0 +1,270 @@
+"""Large configurations: one at a time for each member, beside the event loop, at no small call's cost."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+import threading
+import unittest
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from types import SimpleNamespace
+from typing import cast
+
+from control_plane_rig import PATIENCE, Answer, configuration, heartbeat
+
+from mallowbeam.configuration.errors import ConfigurationError
+from mallowbeam.configuration.parsing import ConfigurationParser
+from mallowbeam.configuration.versions import ConfigurationVersions
+from mallowbeam.control_plane.answers import LargeBodyError
+from mallowbeam.control_plane.api import MOST_BODIES, MOST_BODY, ControlApi
+from mallowbeam.control_plane.commands import Commands
+from mallowbeam.control_plane.instances import Instances
+from mallowbeam.control_plane.large_bodies import LARGE_BODY, LargeBodies, Work, run_at_once, run_in_thread
+from mallowbeam.control_plane.serving import ServingGate
+from mallowbeam.control_plane.state_machine import Outcome
+from mallowbeam.control_plane.status import StatusPage
+from mallowbeam.http.budget import ANOTHER_LARGE_BODY, TOO_MANY_BODIES, Budget
+from mallowbeam.http.framing import Framer
+from mallowbeam.http.server import Server
+from mallowbeam.rpc.messages_pb2 import DONE, Command
+
+HERE = Path(__file__).parent
+CONFIG, INSTANCE = "/mallowbeam/config", "/mallowbeam/instances/i-1"
+CALLERS, MEMBERS = 8, 3
+LOAD_S = 60                    # the load's bound; it ends long before, once so many changes were taken:
+MOST_TAKEN = 4
+MEMORY_MIB = 296               # of a machine of the core
+
+
+def large(revision: int, size: int = MOST_BODY - 4096) -> bytes:
+    """A valid configuration with a note of so many bytes."""
+    return json.dumps(configuration(revision) | {"note": "n" * size}).encode()
+
+
+def call(path: str, body: bytes, chunked: bool = False) -> bytes:
+    """A whole PUT as it goes over a connection."""
+    length = "transfer-encoding: chunked" if chunked else f"content-length: {len(body)}"
+    head = f"PUT {path} HTTP/1.1\r\nhost: m\r\nif-match: 1\r\n{length}\r\n\r\n".encode()
+    return head + (b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body) if chunked else body)
+
+
+class HeldWork:
+    """Work that goes on only when it is told to."""
+
+    def __init__(self) -> None:
+        self.begun, self.go_on = asyncio.Event(), asyncio.Event()
+
+    async def __call__(self, job: Callable[[], object]) -> object:
+        self.begun.set()
+        await self.go_on.wait()
+        return job()
+
+
+class Log:
+    """In the place of the replicated log: every command is applied; it notes what came."""
+
+    def __init__(self) -> None:
+        self.commands: list[Command] = []
+
+    async def submit(self, command: Command, since: float) -> Outcome:
+        self.commands.append(command)
+        return Outcome(DONE, 7)
+
+
+class Heartbeats:
+    """In the place of the instances."""
+
+    async def heartbeat(self, instance: object, since: float) -> None:
+        pass
+
+
+def api_of(parser: ConfigurationParser, log: Log, work: Work = run_in_thread) -> ControlApi:
+    """A control API in touch with its group."""
+    gate = ServingGate(lambda: 1.0, lambda: 0.0, lambda: False)
+    status = SimpleNamespace(other_controls=lambda: ["127.0.0.1:1"])
+    return ControlApi(parser, ConfigurationVersions(parser), cast(Commands, log),
+                      cast(Instances, Heartbeats()), cast(StatusPage, status), gate, work)
+
+
+class Framing(unittest.TestCase):
+    """What the connections of one server hold together."""
+
+    def setUp(self) -> None:
+        self.budget = Budget(MOST_BODIES, LARGE_BODY)
+
+    def fed(self, data: bytes) -> Framer:
+        framer = Framer(answers=False, max_body=MOST_BODY, budget=self.budget)
+        framer.feed(memoryview(data))
+        return framer
+
+    def test_a_second_large_body_is_refused_at_its_head(self) -> None:
+        request = call(CONFIG, large(2))
+        head = request[:request.index(b"\r\n\r\n") + 4]
+        first, second = self.fed(head), self.fed(head)
+        self.assertIsNone(first.fault)
+        self.assertEqual((second.fault.status, str(second.fault)), (503, ANOTHER_LARGE_BODY))
+        second.release()
+        self.assertIsNotNone(self.fed(head).fault, "the refused one gave the first one's place away")
+        first.release()
+        self.assertIsNone(self.fed(head).fault)
+
+    def test_one_without_a_stated_length_is_refused_once_it_is_large(self) -> None:
+        first, second = (self.fed(call(CONFIG, large(2), chunked=True)) for _ in range(2))
+        self.assertEqual(len(first.ready), 1)
+        self.assertEqual(str(second.fault), ANOTHER_LARGE_BODY)
+        self.assertLessEqual(len(second.part.body), MOST_BODY)
+
+    def test_a_second_one_on_the_same_connection_is_refused(self) -> None:
+        framer = self.fed(call(CONFIG, large(2)) * 2)
+        self.assertEqual((len(framer.ready), str(framer.fault)), (1, ANOTHER_LARGE_BODY))
+
+    def test_small_bodies_have_the_common_bound_for_themselves(self) -> None:
+        self.fed(call(CONFIG, large(2)))
+        self.assertEqual(self.budget.used, 0)
+        small = call(INSTANCE, b"x" * LARGE_BODY)
+        held = [self.fed(small) for _ in range(MOST_BODIES // LARGE_BODY)]
+        self.assertTrue(all(framer.fault is None for framer in held))
+        self.assertEqual(str(self.fed(small).fault), TOO_MANY_BODIES)
+
+    def test_the_control_api_has_one_place(self) -> None:
+        api = api_of(ConfigurationParser(), Log())
+        budget = api.budget
+        assert budget is not None
+        self.budget = budget
+        faults = [self.fed(call(CONFIG, large(2))).fault for _ in range(2)]
+        self.assertIsNone(faults[0])
+        self.assertEqual(str(faults[1]), ANOTHER_LARGE_BODY)
+
+
+class OverLoopback(unittest.IsolatedAsyncioTestCase):
+    """The control API behind its server."""
+
+    async def asyncSetUp(self) -> None:
+        self.work, self.log = HeldWork(), Log()
+        api = api_of(ConfigurationParser(), self.log, self.work)
+        self.server = Server(("127.0.0.1", 0), api, 64, shared=False)
+        self.server.start()
+        self.addAsyncCleanup(self.server.drain)
+
+    async def put(self, path: str, body: bytes) -> tuple[Answer, bytes]:
+        """One call on its own connection, whose body is sent before anything is read: answer and head."""
+        async with asyncio.timeout(PATIENCE):
+            return await self._put(path, body)
+
+    async def _put(self, path: str, body: bytes) -> tuple[Answer, bytes]:
+        reader, writer = await asyncio.open_connection(*self.server.address)
+        try:
+            writer.write(call(path, body))
+            await writer.drain()
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0])
+            return Answer(int(head.split()[1]), await reader.readexactly(length)), head.lower()
+        finally:
+            writer.close()
+
+    async def test_a_second_one_is_refused_while_small_calls_are_answered(self) -> None:
+        first = asyncio.create_task(self.put(CONFIG, large(2)))
+        await self.work.begun.wait()
+        refused, head = await self.put(CONFIG, large(3))
+        self.assertEqual((refused.status, refused.json()["error"]["code"]), (503, "CONTROL_LARGE_BODY"))
+        self.assertIn(b"retry-after: ", head)
+        self.assertEqual(refused.json()["members"], ["127.0.0.1:1"])
+        for path, body in ((INSTANCE, heartbeat(1)), (CONFIG, json.dumps(configuration(4)).encode())):
+            self.assertEqual((await self.put(path, body))[0].status, 200)
+        self.assertFalse(first.done())
+        self.work.go_on.set()
+        self.assertEqual((await first)[0].json(), {"revision": 2})
+        self.assertEqual((await self.put(CONFIG, large(5)))[0].status, 200)
+        self.assertEqual([command.put_configuration.revision for command in self.log.commands], [4, 2, 5])
+
+
+class OneAtATime(unittest.IsolatedAsyncioTestCase):
+    async def test_a_caller_that_leaves_keeps_the_place_until_its_work_ends(self) -> None:
+        work = HeldWork()
+        bodies = LargeBodies(ConfigurationParser(), work)
+        left = asyncio.create_task(bodies.command(bytearray(large(2)), 1))
+        await work.begun.wait()
+        left.cancel()
+        await asyncio.gather(left, return_exceptions=True)
+        with self.assertRaises(LargeBodyError):
+            async with asyncio.timeout(PATIENCE):
+                await bodies.command(bytearray(large(3)), 1)
+        work.go_on.set()
+        for _ in range(5):
+            await asyncio.sleep(0)
+        self.assertEqual((await bodies.command(bytearray(large(3)), 1)).revision, 3)
+
+    async def test_a_body_that_is_not_valid_gives_the_place_back(self) -> None:
+        bodies = LargeBodies(ConfigurationParser(), run_at_once)
+        with self.assertRaises(ConfigurationError):
+            await bodies.command(bytearray(b"{" + large(2)), 1)
+        self.assertEqual((await bodies.command(bytearray(large(2)), 1)).revision, 2)
+
+    async def test_the_body_is_let_go_and_the_parser_knows_it(self) -> None:
+        parser = ConfigurationParser()
+        body = bytearray(large(2))
+        command = await LargeBodies(parser, run_at_once).command(body, 1)
+        self.assertEqual(len(body), 0)
+        self.assertEqual(parser.recall(command.digest).configuration.revision, 2)
+
+    async def test_work_leaves_the_event_loop(self) -> None:
+        here = threading.get_ident()
+        self.assertNotEqual(await run_in_thread(threading.get_ident), here)
+        self.assertEqual(await run_at_once(threading.get_ident), here)
+
+    async def test_a_member_runs_it_in_a_thread(self) -> None:
+        threads: list[int] = []
+
+        class Noted(ConfigurationParser):
+            def fork(self) -> ConfigurationParser:
+                return Noted()
+
+            def parse(self, body: bytes) -> object:
+                threads.append(threading.get_ident())
+                return super().parse(body)
+
+        gate = ServingGate(lambda: 1.0, lambda: 0.0, lambda: False)
+        parser = Noted()
+        status = SimpleNamespace(other_controls=lambda: [])
+        api = ControlApi(parser, ConfigurationVersions(parser), cast(Commands, Log()),
+                         cast(Instances, None), cast(StatusPage, status), gate)
+        framer = Framer(answers=False, max_body=MOST_BODY)
+        framer.feed(memoryview(call(CONFIG, large(2))))
+        answer: Awaitable = api.handle(framer.ready.popleft(), lambda: False)
+        self.assertEqual((await answer).status, 200)
+        self.assertEqual(len(threads), 1)
+        self.assertNotIn(threading.get_ident(), threads)
+
+
+class Forks(unittest.TestCase):
+    def test_a_fork_knows_what_was_known_and_changes_nothing_until_it_is_adopted(self) -> None:
+        parser = ConfigurationParser()
+        first = parser.parse(json.dumps(configuration(1)).encode())
+        forked = parser.fork()
+        self.assertIs(forked.recall(first.digest), first)
+        second = forked.parse(json.dumps(configuration(2)).encode())
+        self.assertIs(second.configuration.routes and forked.recall(second.digest), second)
+        self.assertIs(parser.recall(first.digest), first)
+        parser.adopt(forked)
+        self.assertIs(parser.recall(second.digest), second)
+
+
+class RealMembers(unittest.TestCase):
+    def test_changes_are_taken_and_memory_is_bounded_with_eight_callers(self) -> None:
+        path = os.pathsep.join((str(HERE.parent), str(HERE)))
+        environment = {**os.environ, "PYTHONPATH": path, "PYTHONDONTWRITEBYTECODE": "1"}
+        script = [sys.executable, str(HERE / "large_bodies_load.py"),
+                  str(MEMBERS), str(CALLERS), str(LOAD_S), str(MOST_TAKEN)]
+        ended = subprocess.run(script, env=environment, capture_output=True, check=False, text=True)
+        self.assertEqual(ended.returncode, 0, ended.stderr)
+        seen = json.loads(ended.stdout.splitlines()[-1])
+        self.assertGreaterEqual(seen["taken"], MOST_TAKEN, seen)
+        self.assertLess(max(seen["peak_mib"]), MEMORY_MIB, seen)
+
+
+if __name__ == "__main__":
+    unittest.main()
