--- a/mallowbeam/control_plane/instances.py
+++ b/mallowbeam/control_plane/instances.py
@@ -29,15 +29,23 @@
     RetirementKind,
 )
 
-OUT_OF_TOUCH = 1.0             # seconds unheard after which another member, or the group, is out of touch
+OUT_OF_TOUCH = 1.0  # seconds unheard after which another member, or the group, is out of touch
 
 
 class Instances:
     """Joins the table with the log and the other members."""
 
-    def __init__(self, table: InstanceTable, retirements: Retirements, commands: Commands, links: PeerLinks,
-                 changed: Callable[[], None], gateways: Callable[[], int],
-                 gate: ServingGate, random: Random) -> None:
+    def __init__(
+        self,
+        table: InstanceTable,
+        retirements: Retirements,
+        commands: Commands,
+        links: PeerLinks,
+        changed: Callable[[], None],
+        gateways: Callable[[], int],
+        gate: ServingGate,
+        random: Random,
+    ) -> None:
         """`changed` is called when gateways must learn of something.
 
         `gateways` counts those that follow this member.
@@ -72,13 +80,12 @@
     async def _retire(self, id: str, kind: RetirementKind, since: float) -> None:
         """Have the log hold a retirement, unless this member has applied it, or one that says more."""
         if self._retirements.kind(id) in (kind, GONE):
-            evidence = AppliedEntry(self._commands.applied_index)
-        else:
-            self._gate.check_reachable()
-            outcome = await self._commands.submit(Command(retire_instance=RetireInstance(id=id, kind=kind)),
-                                                  since)
-            evidence = AppliedEntry(outcome.index)
-        self._gate.check(Said.RETIREMENT_ACKNOWLEDGED, evidence)
+            self._gate.check(Said.RETIREMENT_KNOWN)
+            return
+        self._gate.check_reachable()
+        command = Command(retire_instance=RetireInstance(id=id, kind=kind))
+        outcome = await self._commands.submit(command, since)
+        self._gate.check(Said.RETIREMENT_ACKNOWLEDGED, AppliedEntry(outcome.index))
 
     # ------------------------------------------------------------ from the log and from other members
 
