Write buffer: a call that waits for its commit is answered when the folder is handed over

Cause: Buffer.stop cancelled all tasks of the buffer, also those that notify the calls that wait for a commit (Intake._commit_write, _commit_barrier). The log then made the write durable, and nobody told the client: a PUT, DELETE or barrier under way at a hand-over had no answer at all.

Change: Runtime keeps these tasks apart (spawn_commit); they are never cancelled and end with the log's last batch, for which stop waits. A read that finds the log closed is a LogIOError instead of a RuntimeError of the closed thread pool, and is answered with 503, so that its client goes to the next process.

--- a/mallowbeam/cli/lab.py
+++ b/mallowbeam/cli/lab.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+import shutil
 import sys
 import tempfile
-from collections.abc import Callable, Iterator, Sequence
+from collections import Counter
+from collections.abc import Callable, Coroutine, Iterator, Sequence
 from contextlib import contextmanager
 from dataclasses import asdict
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, NoReturn
 
 import typer
 from rich.console import Console
@@ -103,6 +106,11 @@
         raise typer.Exit(1)
 
 
+BufferTrial = Callable[
+    [Path, int, int, int, "asyncio.Queue[int]"], Coroutine[Any, Any, tuple[Counter[str], list[str]]]
+]
+
+
 @app.command("crash-buffer")
 def crash_buffer(
     runs: Annotated[int, typer.Option(help="gateways killed")] = 2000,
@@ -112,17 +120,35 @@
     as_json: AsJson = False,
 ) -> None:
     """Kill gateways with a write-back buffer under load, then look for what was acknowledged."""
-    import asyncio
-    import shutil
-
     from mallowbeam.lab import crash as trial
 
+    _play_buffer_trial(trial.crash, "gateways killed", runs, lanes, seed, folder, as_json)
+
+
+@app.command("hand-over-buffer")
+def hand_over_buffer(
+    runs: Annotated[int, typer.Option(help="hand-overs")] = 200,
+    lanes: Annotated[int, typer.Option(help="gateways at a time")] = 6,
+    seed: Annotated[int, typer.Option()] = 1,
+    folder: Annotated[Path | None, typer.Option(help="for its files; kept where something is wrong")] = None,
+    as_json: AsJson = False,
+) -> None:
+    """Hand gateways with a write-back buffer over under load; every call must be answered, none lost."""
+    from mallowbeam.lab import handover as trial
+
+    _play_buffer_trial(trial.hand_over_gateways, "hand-overs", runs, lanes, seed, folder, as_json)
+
+
+def _play_buffer_trial(
+    trial: BufferTrial, title: str, runs: int, lanes: int, seed: int, folder: Path | None, as_json: bool
+) -> NoReturn:
+    """Play a trial in a folder that is kept if there are violations; exit status 1 then."""
     directory = Path(tempfile.mkdtemp(dir=folder))
 
-    async def run() -> tuple[dict[str, int], list[str]]:
+    async def run() -> tuple[Counter[str], list[str]]:
         finished: asyncio.Queue[int] = asyncio.Queue()
-        with progress_bar("gateways killed", runs) as advance:
-            work = asyncio.create_task(trial.crash(directory, runs, lanes, seed, finished))
+        with progress_bar(title, runs) as advance:
+            work = asyncio.create_task(trial(directory, runs, lanes, seed, finished))
             while not work.done():
                 await asyncio.wait([work], timeout=PROGRESS_INTERVAL_S)
                 while not finished.empty():
@@ -133,7 +159,7 @@
     if as_json:
         typer.echo(json.dumps({"seed": seed, "counts": counts, "wrong": failures}))
     else:
-        _print_crash_counts(counts, failures)
+        _print_buffer_counts(counts, failures)
         verdict = f"{len(failures)} WRONG, see {directory}" if failures else "nothing wrong"
         typer.echo(f"seed {seed}: {verdict}")
     if not failures:
@@ -141,8 +167,8 @@
     raise typer.Exit(1 if failures else 0)
 
 
-def _print_crash_counts(counts: dict[str, int], failures: list[str]) -> None:
-    """Print the counters of a crash trial, then its first failures."""
+def _print_buffer_counts(counts: Counter[str], failures: list[str]) -> None:
+    """Print the counters of a buffer trial, then its first failures."""
     table = Table(show_header=False, box=None)
     for name, count in sorted(counts.items()):
         table.add_row(name, f"{count:,}")
@@ -159,8 +185,6 @@
     as_json: AsJson = False,
 ) -> None:
     """Times to a write's acknowledgement, buffered against direct, with and without pauses of the nodes."""
-    import asyncio
-
     from mallowbeam.lab import ack as trial
 
     with tempfile.TemporaryDirectory() as directory:
@@ -246,8 +270,6 @@
     as_json: AsJson = False,
 ) -> None:
     """Play days with each mechanism and without it, in pairs; the table and a plot of what each is worth."""
-    import asyncio
-
     from mallowbeam.lab.ablation.plan import Play, VariantsError, jobs_of, read_days, read_variants
     from mallowbeam.lab.ablation.results import effects, load_results, plot
     from mallowbeam.lab.ablation.run import AblationError, Bench, Runner
--- a/mallowbeam/lab/crash.py
+++ b/mallowbeam/lab/crash.py
@@ -95,19 +95,7 @@
     async def life(self) -> None:
         """One start, a load, faults at the nodes, and SIGKILL at a moment drawn at random."""
         chance, rig = self.chance, self.rig
-        for node in rig.nodes:
-            node.script.clear()
-            node.script.add(
-                *(
-                    Rule(
-                        chance.choice(FAULTS),
-                        skip=chance.randrange(40),
-                        seconds=chance.random(),
-                        times=chance.randrange(1, 3),
-                    )
-                    for _ in range(chance.randrange(4))
-                )
-            )
+        self.script_faults()
         rig.start()
         over = asyncio.Event()
         if chance.random() < 0.15:  # within the start, or while the folder is being read
@@ -124,6 +112,23 @@
             if isinstance(task, BaseException):
                 self.wrong.append(f"a client failed: {task!r}")
 
+    def script_faults(self) -> None:
+        """Draw the faults of both nodes anew."""
+        chance = self.chance
+        for node in self.rig.nodes:
+            node.script.clear()
+            node.script.add(
+                *(
+                    Rule(
+                        chance.choice(FAULTS),
+                        skip=chance.randrange(40),
+                        seconds=chance.random(),
+                        times=chance.randrange(1, 3),
+                    )
+                    for _ in range(chance.randrange(4))
+                )
+            )
+
     async def settle(self) -> None:
         """A last life without faults, until all is on the nodes; then look it over."""
         for node in self.rig.nodes:
@@ -164,13 +169,12 @@
     return "nothing" if body is None else body[:24].rstrip(b"\0").decode() + f"({len(body)})"
 
 
-async def lane(folder: Path, seed: int, kills: int, told: asyncio.Queue[int]) -> Lane:
-    """So many kills, then a settled end."""
+def new_rig(folder: Path) -> Rig:
+    """A gateway with a small buffer and two nodes, in a new folder."""
     folder.mkdir(parents=True)
-    nodes = [ObjectNode(), ObjectNode()]
-    rig = Rig(
+    return Rig(
         folder,
-        nodes,
+        [ObjectNode(), ObjectNode()],
         buffer={
             "buckets": [BUCKET],
             "max_bytes": 16 << 20,
@@ -179,7 +183,11 @@
             "max_records": 5000,
         },
     )
-    trial = Lane(rig, random.Random(seed))
+
+
+async def lane(folder: Path, seed: int, kills: int, told: asyncio.Queue[int]) -> Lane:
+    """So many kills, then a settled end."""
+    trial = Lane(new_rig(folder), random.Random(seed))
     try:
         for _ in range(kills):
             await trial.life()
@@ -187,7 +195,7 @@
             told.put_nowait(1)
         await trial.settle()
     finally:
-        rig.close()
+        trial.rig.close()
     return trial
 
 
--- a/mallowbeam/storage_gateway/frontends/object_api/buffered.py
+++ b/mallowbeam/storage_gateway/frontends/object_api/buffered.py
@@ -348,6 +348,8 @@
         try:
             write, whole = await self.buffer.reader.read(entry)
         except (LogIOError, ValueError):
+            if self.buffer.phase is Phase.CLOSED:  # another process has what this one can't read any more
+                raise slow_down() from None
             raise Error("InternalError") from None
         headers: Headers = [
             *write.headers,
--- a/mallowbeam/storage_gateway/write_buffer/intake.py
+++ b/mallowbeam/storage_gateway/write_buffer/intake.py
@@ -52,7 +52,7 @@
             self._reader.remember(lsn, write, body)
         # The commit counts whether or not the client still waits: it is awaited by a task of its own.
         done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._runtime.spawn(self._commit_write(entry, write, pending, done))
+        self._runtime.spawn_commit(self._commit_write(entry, write, pending, done))
         await done
         return entry
 
@@ -120,7 +120,7 @@
         self._core.open_barrier(lsn, bucket)
         pending = self.store.append(Kind.BARRIER, lsn, pack(Kind.BARRIER, Barrier(bucket)))
         done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._runtime.spawn(self._commit_barrier(lsn, pending, done))
+        self._runtime.spawn_commit(self._commit_barrier(lsn, pending, done))
         await done
         return lsn
 
--- a/mallowbeam/storage_gateway/write_buffer/runtime.py
+++ b/mallowbeam/storage_gateway/write_buffer/runtime.py
@@ -21,15 +21,38 @@
     boot: bytes  # the id of that boot
     wakeup: asyncio.Event = field(default_factory=asyncio.Event)  # `Core.plan` may find something to do
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    commits: set[asyncio.Task[None]] = field(default_factory=set)
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        """Run a task of the buffer's own; with a fault in one nothing more is accepted."""
+        """Run a task of the buffer's own, which is cancelled when the folder is closed."""
+        self._start(work, self.tasks)
+
+    def spawn_commit(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run a task that notifies a waiting call of its commit: it ends with the log, never by cancellation.
+
+        A call whose task was cancelled would wait for an answer that nobody gives.
+        """
+        self._start(work, self.commits)
+
+    async def cancel_tasks(self) -> None:
+        """Cancel the buffer's own tasks; those that notify calls go on."""
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def commits_ended(self) -> None:
+        """Wait until every waiting call is notified; the log must be closed, or about to be."""
+        await asyncio.gather(*self.commits, return_exceptions=True)
+
+    def _start(self, work: Coroutine[Any, Any, None], running: set[asyncio.Task[None]]) -> None:
+        """Run a task; with a fault in one nothing more is accepted."""
         task = asyncio.create_task(work)
-        self.tasks.add(task)
+        running.add(task)
+        task.add_done_callback(running.discard)
         task.add_done_callback(self._ended)
 
     def _ended(self, task: asyncio.Task[None]) -> None:
-        self.tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
             self.core.unavailable = True
             logger.opt(exception=error).error("the buffer failed unforeseen; nothing more is taken in")
--- a/mallowbeam/storage_gateway/write_buffer/service.py
+++ b/mallowbeam/storage_gateway/write_buffer/service.py
@@ -148,7 +148,7 @@
         await self.stop()
 
     async def stop(self) -> None:
-        """Accept nothing more, drain for a moment, sync, and unlock the folder.
+        """Accept nothing more, drain for a moment, sync, unlock the folder, and notify all that wait.
 
         Attempts still in flight have their intent in the log: whoever opens the folder next resolves them.
         """
@@ -165,6 +165,7 @@
         await self._drain()
         self.waiters.cancel()
         await self.store.close()
+        await self._runtime.commits_ended()
         logger.info("buffer closed: {writes} writes left for the next start", writes=len(self.core.entries))
 
     async def _drain(self) -> None:
@@ -173,10 +174,7 @@
             await asyncio.sleep(DRAIN_POLL_S)
         self.flush.execute()
         self.flush.record_done()
-        tasks = list(self._runtime.tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*self._runtime.tasks, return_exceptions=True)
+        await self._runtime.cancel_tasks()
 
     # --- for operators --------------------------------------------------------------------------
 
--- a/mallowbeam/storage_gateway/write_buffer/store.py
+++ b/mallowbeam/storage_gateway/write_buffer/store.py
@@ -225,7 +225,9 @@
     # --- reading and removing -------------------------------------------------------------------
 
     async def read(self, position: tuple[int, int]) -> Record:
-        """The record at a segment and offset; raises `LogIOError`."""
+        """The record at a segment and offset; raises `LogIOError`, also once the log is closed."""
+        if self._closed:
+            raise LogIOError("the log is closed")
         segment, offset = position
         self._pins[segment] += 1
         try:
