--- a/mallowbeam/router/control_plane/member.py
+++ b/mallowbeam/router/control_plane/member.py
@@ -31,14 +31,14 @@
         """Once stopped: whether nothing is written any more."""
         self._cycle = cycle
         self._listening: asyncio.Server | None = None
-        self._incoming: set[FrameConnection] = set()
+        self._incoming: dict[FrameConnection, None] = {}  # in the order in which they came, in which they end
 
     async def start(self) -> None:
         """Listen and take part; raises an error of the listener if the address is in use."""
         parts = self.parts
         host, port = split_address(parts.own.address)
         self._listening = await listen(
-            host, port, parts.dispatcher.received, self._incoming.add, self._connection_closed
+            host, port, parts.dispatcher.received, self._connection_opened, self._connection_closed
         )
         parts.storage.start()
         parts.links.set_members(parts.driver.node.membership.members)
@@ -111,9 +111,13 @@
             self.parts.driver.stop()
             self.unusable.set_result(error)
 
+    def _connection_opened(self, connection: FrameConnection) -> None:
+        """Another process has connected."""
+        self._incoming[connection] = None
+
     def _connection_closed(self, connection: FrameConnection) -> None:
         """An incoming connection is over."""
-        self._incoming.discard(connection)
+        self._incoming.pop(connection, None)
         self.parts.dispatcher.closed(connection)
 
 
--- a/mallowbeam/router/control_plane/stage_controller.py
+++ b/mallowbeam/router/control_plane/stage_controller.py
@@ -59,7 +59,7 @@
         self._table_version = -1
         self._next_cycle_at = 0.0
         self._next_gossip_at = 0.0
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: dict[asyncio.Task[None], None] = {}  # in the order of their starts
         self._orders_in_flight = 0
         self._stopped = False
 
@@ -170,11 +170,11 @@
 
     def _start(self, work: Coroutine[object, object, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
+        self._tasks[task] = None
         task.add_done_callback(self._done)
 
     def _done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
+        self._tasks.pop(task, None)
         if not task.cancelled() and (error := task.exception()) is not None:
             log.error("stage orders failed", exc_info=(type(error), error, error.__traceback__))
 
--- a/mallowbeam/simulation/clock.py
+++ b/mallowbeam/simulation/clock.py
@@ -29,6 +29,7 @@
         self.random = Random(seed)
         self.now = 0.0  # seconds
         self.steps = 0  # events that have run
+        self.digest = 0  # of the times and the order of all events that have run
         self._events: list[
             tuple[float, int, Event]
         ] = []  # ties run in the order in which they were scheduled
@@ -65,10 +66,11 @@
     def _run_next(self, until: float) -> bool:
         """Run the next event that is due by `until`; returns False if there is none."""
         while self._events and self._events[0][0] <= until:
-            time, _, event = heapq.heappop(self._events)
+            time, order, event = heapq.heappop(self._events)
             if event.step is not None:
                 self.now = time
                 self.steps += 1
+                self.digest = hash((self.digest, time, order))
                 event.step()
                 for check in self._checks:
                     check()
--- a/mallowbeam/simulation/fleet_callers.py
+++ b/mallowbeam/simulation/fleet_callers.py
@@ -35,8 +35,8 @@
         self.answer_loss = 0.0  # probability that a response is lost
 
     def any_member(self) -> str:
-        """Draw a member."""
-        return self.random.choice(list(self._members))
+        """Draw a member that was not removed for good; it may be off or out of reach for a while."""
+        return self.random.choice([name for name, member in self._members.items() if not member.removed])
 
     def member_after(self, name: str) -> str:
         """The next member of the list, for a retry after a failed attempt."""
--- a/mallowbeam/simulation/fleet_processes.py
+++ b/mallowbeam/simulation/fleet_processes.py
@@ -146,6 +146,7 @@
         self, machine: Machine, streams: Streams, disk: Disk, settings: NodeSettings, history: History
     ) -> None:
         """`history` records what the member applies and answers."""
+        self.removed = False  # for good, as operators know
         self.machine = machine
         self._streams = streams
         self._disk = disk
--- a/mallowbeam/simulation/walk_members.py
+++ b/mallowbeam/simulation/walk_members.py
@@ -227,6 +227,7 @@
 
         def add_replacement() -> None:
             self.retiring[name] = self._add_successor()
+            self.player.members[name].removed = True
             self.budget.end(name, self.now)
 
         self._after_random_delay(add_replacement, LONGEST_REPLACEMENT_DELAY_S)
@@ -262,6 +263,7 @@
 
     def _removed(self, name: str, successor_at: float) -> None:
         self._planned_replacements -= 1
+        self.player.members[name].removed = True
         self.budget.removed(name, self.now, successor_at)
 
     # ------------------------------------------------------------ partitions
--- a/tests/simulation/test_simulation_walks.py
+++ b/tests/simulation/test_simulation_walks.py
@@ -93,7 +93,30 @@
             self.assertEqual(walk.budget.active, frozenset(), kind)
 
 
+class Operators(unittest.TestCase):
+    def test_they_call_members_that_are_lost_but_none_that_was_removed_for_good(self) -> None:
+        player = Walk(1, plan=CALM).player
+        player.play()
+        player.members["m1"].removed = True
+        player.do_power_off("m2")
+        called = {player.operator.any_member() for _ in range(DRAWS)}
+        self.assertEqual(called, {"m2", "m3"})
+
+    def test_a_removed_member_is_known_as_removed_once_its_successor_has_started(self) -> None:
+        for kind in ("replace", "replace-planned"):
+            walk = Walk(1, plan=CALM)
+            walk.player.play()
+            walk.player.checkers.clear()
+            self.assertTrue(walk.members.kinds[kind]())
+            walk.player.simulator.run_until(walk.player.simulator.now + LONGEST_RECOVERY_S)
+            removed = [name for name, member in walk.player.members.items() if member.removed]
+            self.assertEqual(removed, list(walk.members.retiring), kind)
+
+
 class Walks(unittest.TestCase):
+    def test_an_order_whose_operator_would_call_only_removed_members_is_answered(self) -> None:
+        self.assertEqual(run_seed(9001).failure, "")
+
     def test_random_walks(self) -> None:
         with ProcessPoolExecutor(PROCESSES, initializer=discard_logs) as pool:
             results = list(pool.map(run_seed, range(1, WALKS + 1)))
--- a/tests/support/consensus_world.py
+++ b/tests/support/consensus_world.py
@@ -41,6 +41,7 @@
     ) -> None:
         self.random = Random(seed)
         self.now = 0.0
+        self.digest = 0  # of the times and the order of all events
         self.network = Network()
         self.batched = 0.0  # share of events after which a member's output waits for more
         self.settings = settings or RaftSettings(member_id=0)
@@ -78,6 +79,7 @@
             if not wanted():
                 return False
             self.now, order, step = heapq.heappop(self._events)
+            self.digest = hash((self.digest, self.now, order))
             step()
             if order % CHECK_LOGS_EVERY == 0:
                 self.checkers.logs_match(CHECK_LOGS_WINDOW)
