--- a/mallowbeam/router/registry/gateway_counts.py
+++ b/mallowbeam/router/registry/gateway_counts.py
@@ -9,10 +9,10 @@
 class GatewayCounts:
     """The last count of each other member; a count expires after a time to live.
 
-    A lost member's count is valid until then: its gateways, which move to other members meanwhile, are counted
-    twice for at most the time to live. They are never counted short, as they would be if a count were dropped
-    with the link between two members that both serve on. A count that is too high makes each gateway's part of
-    a limit smaller; one that is too low would break the limit.
+    A lost member's count is valid until then: its gateways, which move to other members meanwhile, are
+    counted twice for at most the time to live. They are never counted short, as they would be if a count were
+    dropped with the link between two members that both serve on. A count that is too high makes each
+    gateway's part of a limit smaller; one that is too low would break the limit.
     """
 
     def __init__(self, ttl_s: float = GATEWAY_COUNT_TTL_S) -> None:
