Consensus: a follower knows how old an append is by the round that it echoes

Cause: a follower took an append for as new as its arrival, but for the first 0.1 s after a silence. Behind a path that lags constantly old appends counted as news: its feed passed the gate as current though it was as old as the lag.

Change: an append echoes the last round that its recipient has answered (AppendRequest.answered_round). The leader can have built it only after that answer, so it is as new as the moment at which the round was processed here (consensus/round_echo.py). A leader of an earlier version does not echo; its appends are judged as before, and a member of an earlier version skips the field. In peace the silence of a follower is longer by a round trip and one heartbeat interval.

Tests: test_consensus_freshness.py (lags of 0.4 to 5 s, a leader without echo, chunks, terms); scenario consensus/steady_lag.txt, and the variant arrival_counts_as_news that it catches.

--- a/mallowbeam/router/consensus/follower.py
+++ b/mallowbeam/router/consensus/follower.py
@@ -4,6 +4,7 @@
 
 from mallowbeam.router.consensus.chunk_receiver import ChunkContent, ChunkReceiver, ChunkStreamKey
 from mallowbeam.router.consensus.errors import DivergedError
+from mallowbeam.router.consensus.round_echo import RoundEcho
 from mallowbeam.router.consensus.state import MemberState
 from mallowbeam.router.rpc.messages_pb2 import (
     AppendRequest,
@@ -24,6 +25,7 @@
     def __init__(self, state: MemberState) -> None:
         self._state = state
         self._receiver = ChunkReceiver(state.settings.max_chunked_bytes)
+        self._echo = RoundEcho()
         self._delayed_until = state.now  # messages received before may have been delayed for long
 
     def accepts_leader(self, sender: int, term: int, round_number: int) -> bool:
@@ -34,6 +36,7 @@
             state.persistence.respond(sender, RaftMessage(append_response=response))
             return False
         state.become_follower(term, sender)
+        self._echo.processed(term, round_number, state.now)
         return True
 
     # ------------------------------------------------------------ appends
@@ -58,8 +61,9 @@
             state.persistence.entries_truncated(truncated)
         last = previous + len(request.entries)
         state.commit_to(min(request.commit, last))
+        built_after = self._echo.built_after(request.answered_round, state.now)
         if self._is_current_with_leader(request) and state.now >= self._delayed_until:
-            state.current_as_of = state.now
+            state.current_as_of = max(state.current_as_of, built_after)
         self._acknowledge(leader, last, request.round, wait_for_write=bool(request.entries))
 
     def check_not_diverged(self, request: AppendRequest) -> None:
--- a/mallowbeam/router/consensus/replication.py
+++ b/mallowbeam/router/consensus/replication.py
@@ -129,6 +129,7 @@
             entries=entries,
             commit=state.commit_index,
             round=round_number,
+            answered_round=progress.acknowledged_round,
         )
         state.persistence.send_now(member_id, RaftMessage(append_request=request))
         progress.sent_commit_index = state.commit_index
--- a/tests/router/consensus/test_consensus_freshness.py
+++ b/tests/router/consensus/test_consensus_freshness.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import unittest
-from math import isinf
+from math import inf, isinf
 
 from consensus_host import Host, entry
 
+from mallowbeam.router.consensus.round_echo import MAX_ROUNDS, RoundEcho
+
+HEARTBEAT_S = 0.1
 LONG_S = 2.0  # what comes first after a start may have been on its way for long
 
 
@@ -31,5 +34,66 @@
             host.append(2, 2, last, commit=commit)
 
 
+class Echoes(unittest.TestCase):
+    """An append that echoes the last answered round is as new as that answer, however late it arrives."""
+
+    def test_a_healthy_path_costs_a_round_trip_and_a_heartbeat_interval(self) -> None:
+        self.assertLess(self.freshness(lag_s=0.002), 0.2)
+
+    def test_a_steady_lag_counts_in_full(self) -> None:
+        for lag_s in (0.4, 0.7, 1.5, 5.0):
+            self.assertGreaterEqual(self.freshness(lag_s), lag_s)
+
+    def test_a_leader_of_an_earlier_version_does_not_echo(self) -> None:
+        host = Host()
+        for number in range(1, 30):
+            host.now += HEARTBEAT_S
+            host.append(2, 1, (1, 1), commit=1, round_number=number)
+        self.assertEqual(host.node.freshness(host.now), 0.0)
+
+    def test_an_append_without_an_echo_of_a_leader_that_echoes_proves_nothing(self) -> None:
+        host = Host()
+        for number in range(1, 30):
+            host.now += HEARTBEAT_S
+            host.append(2, 1, (1, 1), commit=1, round_number=number, answered_round=number - 1)
+        before = host.node.freshness(host.now)
+        host.now += HEARTBEAT_S
+        host.append(2, 1, (1, 1), commit=1, round_number=29)  # as one that came in chunks
+        self.assertAlmostEqual(host.node.freshness(host.now), before + HEARTBEAT_S)
+
+    def freshness(self, lag_s: float) -> float:
+        """Of a follower, after ten lags, behind a path that delays all that its leader sends."""
+        host = Host()
+        lag, rounds = max(1, round(lag_s / HEARTBEAT_S)), 10 * max(1, round(lag_s / HEARTBEAT_S)) + 30
+        for number in range(1, rounds):
+            host.now += HEARTBEAT_S
+            answered = max(0, number - lag)  # the answers are back at once
+            host.append(2, 1, (1, 1), commit=1, round_number=number, answered_round=answered)
+        return host.node.freshness(host.now)
+
+
+class RoundEchoTests(unittest.TestCase):
+    def test_the_first_message_of_a_round_counts(self) -> None:
+        echo = RoundEcho()
+        for now in (1.0, 2.0, 3.0):
+            echo.processed(1, 7, now)
+        self.assertEqual(echo.built_after(7, 9.0), 1.0)
+
+    def test_a_round_that_came_after_a_later_one_counts_as_the_one_before(self) -> None:
+        echo = RoundEcho()
+        for number, now in ((5, 1.0), (8, 2.0), (6, 3.0)):
+            echo.processed(1, number, now)
+        self.assertEqual(echo.built_after(6, 9.0), 1.0)
+
+    def test_rounds_of_another_term_and_forgotten_ones_prove_nothing(self) -> None:
+        echo = RoundEcho()
+        echo.processed(1, 5, 1.0)
+        echo.processed(2, 6, 2.0)
+        self.assertEqual(echo.built_after(5, 9.0), -inf)
+        for number in range(7, 7 + MAX_ROUNDS):
+            echo.processed(2, number, 3.0)
+        self.assertEqual(echo.built_after(6, 9.0), -inf)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/router/consensus/test_consensus_variants.py
+++ b/tests/router/consensus/test_consensus_variants.py
@@ -55,6 +55,7 @@
     (variants.chunk_streams_mixed, "snapshot_leader_killed", "state machine"),
     (variants.entry_appended_incomplete, "large_entries_in_chunks", "state machine"),
     (variants.chunks_restarted_from_zero, "snapshot_cut", "scenario"),
+    (variants.arrival_counts_as_news, "steady_lag", "scenario"),
     (variants.window_unbounded, "snapshot_in_chunks", "scenario"),
     (variants.entries_after_chunks_dropped, "changes_while_sending", "scenario"),
 ]
--- a/tests/support/consensus_host.py
+++ b/tests/support/consensus_host.py
@@ -81,6 +81,7 @@
         *entries: Entry,
         commit: int = 0,
         round_number: int = 1,
+        answered_round: int = 0,
     ) -> Output:
         request = AppendRequest(
             term=term,
@@ -89,6 +90,7 @@
             entries=entries,
             commit=commit,
             round=round_number,
+            answered_round=answered_round,
         )
         return self.receive(leader, append_request=request)
 
--- a/tests/support/consensus_scenario.py
+++ b/tests/support/consensus_scenario.py
@@ -10,7 +10,7 @@
 
     kill WHO | power-off WHO | start WHO | freeze WHO | thaw WHO       any of them with: as NAME
     cut WHO WHO | cut-one-way FROM TO | isolate WHO | heal
-    lose SHARE | duplicate SHARE | reorder | delay LEAST MOST
+    lose SHARE | duplicate SHARE | reorder | delay LEAST MOST | lag WHO SECONDS (of all that reaches it)
     disk WHO LEAST MOST | stall WHO | unstall WHO | wipe WHO (it comes back under a new id) | compact WHO
     add | promote WHO (a place is added) | replace WHO by WHO (a joint change) | demote WHO | remove WHO |
     transfer WHO or any | note term
@@ -214,6 +214,9 @@
     def do_delay(self, least: str, most: str) -> None:
         self.world.network.delay = (float(least), float(most))
 
+    def do_lag(self, who: str, seconds: str) -> None:
+        self.world.network.lags[self._id(who)] = float(seconds)
+
     def do_disk(self, who: str, least: str, most: str) -> None:
         for machine in self._machines(who):
             machine.latency = (float(least), float(most))
--- a/tests/support/consensus_variants.py
+++ b/tests/support/consensus_variants.py
@@ -22,6 +22,7 @@
 from mallowbeam.router.consensus.persistence import Persistence
 from mallowbeam.router.consensus.progress import Progress
 from mallowbeam.router.consensus.quorum import Quorum
+from mallowbeam.router.consensus.round_echo import RoundEcho
 from mallowbeam.router.consensus.state import MemberState, Role
 from mallowbeam.router.rpc.messages_pb2 import Snapshot
 
@@ -375,6 +376,11 @@
     return mock.patch.object(ChunkSender, "_send_again", lambda self, now: None)
 
 
+def arrival_counts_as_news() -> AbstractContextManager[object]:
+    """A follower takes an append for as new as its arrival."""
+    return mock.patch.object(RoundEcho, "built_after", lambda self, answered_round, now: now)
+
+
 def window_unbounded() -> AbstractContextManager[object]:
     """A leader sends all chunks at once."""
     chunks = ChunkSender.chunks
--- a/tests/support/consensus_world.py
+++ b/tests/support/consensus_world.py
@@ -31,6 +31,7 @@
     duplicates: float = 0.0
     reordered: bool = False  # else those of one link arrive in their order
     disconnected: set[tuple[int, int]] = field(default_factory=set)
+    lags: dict[int, float] = field(default_factory=dict)  # seconds, by recipient, on top of the delay
 
 
 class World:
@@ -126,7 +127,7 @@
         left = self._departure(link, send)
         if left is None:
             return
-        arrival = left + self.random.uniform(*self.network.delay)
+        arrival = left + self.random.uniform(*self.network.delay) + self.network.lags.get(send.recipient, 0.0)
         if not self.network.reordered:
             arrival = max(arrival, self._link_free.get(link, 0.0))
             self._link_free[link] = arrival
