Pairing: reading shared segments again away from their home costs more

Change: reread_loss_per_1000 0.12 (0.08) and reread_loss_most 0.6 (0.4).

The other tests keep fixed stages as they were.

--- a/mallowbeam/router/pairing/settings.py
+++ b/mallowbeam/router/pairing/settings.py
@@ -41,9 +41,9 @@
     """How many times longer a transfer between zones takes."""
     zone_move_loss: float = 0.03
     """Loss by a transfer between zones, besides its time."""
-    reread_loss_per_1000: float = 0.08
+    reread_loss_per_1000: float = 0.12
     """Loss by prefilling a thousand shared tokens again away from their home."""
-    reread_loss_most: float = 0.4
+    reread_loss_most: float = 0.6
     """Upper bound of that loss, so that an overloaded home is left."""
     hand_over_loss: float = 0.6
     """Loss by a transfer that fails."""
--- a/tests/router/admission/test_admission_fleet.py
+++ b/tests/router/admission/test_admission_fleet.py
@@ -16,13 +16,27 @@
 from mallowbeam.router.admission.messages import Outcome, Plan, PlanRequest, PromptSegment, Rejection
 from mallowbeam.router.admission.planner import Planner
 from mallowbeam.router.admission.settings import PlannerSettings
+from mallowbeam.router.data_plane.demand import DemandMeter, MeasuredPlanner, Tokens
+from mallowbeam.router.pairing.stage_balancer import (
+    OrderResult,
+    StageBalancer,
+    StageBalancerSettings,
+    StageInstance,
+    StageOrder,
+)
+from mallowbeam.router.pairing.stage_demand import add_up
 from mallowbeam.router.rpc import messages_pb2 as messages
 
 ZONES = ("a", "b", "c")
-ENGINE = messages.Engine(slots=64, kv_capacity=400_000, kv_token_bytes=18_432, link_mbps=500_000.0)
+ENGINE = messages.Engine(
+    slots=64, kv_capacity=400_000, kv_token_bytes=18_432, link_mbps=500_000.0, switch_s=1.7
+)
 READ_MS, PAIRS_MS, PIECE = 1 / 57.0, 0.165e-6, 2_048
 STEP_MS, RUNNING_MS, FIRST_MS, SETUP_MS, WAY_MS = 3.2, 0.1, 13.0, 3.3, 1.0
 QUEUE = 192
+BACKEND = "llm"
+ORDER_CYCLE_S = 1.0  # between two looks of the leader at the fleet's demand
+ANNOUNCED_S = 0.05  # from an order to the gateways' knowledge of it
 AGAIN_S = 6.0
 
 
@@ -90,6 +104,7 @@
         self.link_free = 0.0
         self.busy = False
         self.down_until = 0.0
+        self.switching_to = ""
         self.arrivals = self.tokens_read = 0
 
     @property
@@ -98,7 +113,7 @@
 
     def take(self, job: Job, on_read: Callable[[], None]) -> bool:
         """Queue a prompt for reading."""
-        if self.taken >= ENGINE.slots + QUEUE:
+        if self.switching_to or self.taken >= ENGINE.slots + QUEUE:
             return False
         job.on_read, job.unread = on_read, -1.0
         self.arrivals += 1
@@ -113,6 +128,19 @@
         self.running.append(job)
         self._wake()
 
+    def order(self, stage: str) -> None:
+        """Change the stage: what runs reaches its end, and the server is back `switch_s` later."""
+        self.switching_to = stage
+        if not self.taken and not self.busy:
+            self._switch()
+
+    def _switch(self) -> None:
+        def switched() -> None:
+            self.stage, self.switching_to = self.switching_to, ""
+            self.world.announce(self)
+
+        self.world.at(self.world.now + ENGINE.switch_s, switched)
+
     def _wake(self) -> None:
         if not self.busy:
             self.busy = True
@@ -124,6 +152,8 @@
             return
         if not self.queue and not self.running:
             self.busy = False
+            if self.switching_to:
+                self._switch()
             return
         ms, read = 0.0, []
         if self.queue:
@@ -228,6 +258,35 @@
         return self.large_served / max(1, self.large)
 
 
+class StageOrders:
+    """The leader's stage orders: the fleet's demand once a second into the real decision core."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.balancer = StageBalancer(StageBalancerSettings())
+        self.orders = 0
+        world.at(ORDER_CYCLE_S, self._cycle)
+
+    def _cycle(self) -> None:
+        world = self.world
+        instances = [self._instance(server) for server in world.servers.values()]
+        samples = [demand for meter in world.meters for demand in meter.sample(world.now)]
+        self.balancer.observe(add_up(samples).get(BACKEND), instances, world.now)
+        for order in self.balancer.decide(instances, ENGINE.slots, ENGINE.switch_s, world.now):
+            self._send(order)
+        world.at(world.now + ORDER_CYCLE_S, self._cycle)
+
+    def _instance(self, server: Server) -> StageInstance:
+        return StageInstance(server.name, server.name, server.stage, server.zone, server.switching_to)
+
+    def _send(self, order: StageOrder) -> None:
+        self.orders += 1
+        server = self.world.servers[order.id]
+        server.order(order.stage)
+        self.balancer.answered(order, OrderResult.ACCEPTED, ENGINE.switch_s, self.world.now)
+        self.world.at(self.world.now + ANNOUNCED_S, lambda: self.world.announce(server))
+
+
 class World:
     """Gateways, instances and clients on one event heap."""
 
@@ -241,6 +300,7 @@
         decode: int = 5,
         seconds: float = 20.0,
         kinds: tuple[Kind, ...] = KINDS,
+        stage_orders: bool = False,
     ) -> None:
         self.kinds = kinds
         self.now, self.events, self.turn = 0.0, [], 0
@@ -258,22 +318,32 @@
             for place, k in enumerate(order)
         }
         self.planners = [Planner(settings, f"g{k}") for k in range(gateways)]
+        self.meters = [DemandMeter() for _ in range(gateways)]
+        self.measured = [
+            MeasuredPlanner(planner, meter) for planner, meter in zip(self.planners, self.meters, strict=True)
+        ]
         for planner in self.planners:
             planner.gateways_changed(gateways)
-            planner.configuration_changed([messages.Backend(name="llm", engine=ENGINE)], 0.0)
+            planner.configuration_changed([messages.Backend(name=BACKEND, engine=ENGINE)], 0.0)
             planner.instances_changed([self.entry(server) for server in self.servers.values()], 0.0)
         self.shares = [1.0 + 0.6 * self.random.random() for _ in range(gateways)]
         self.sizes: dict[str, int] = {}
         self.number = 0
+        self.stage_orders = StageOrders(self) if stage_orders else None
+
+    def announce(self, server: Server) -> None:
+        """All gateways hear of a server's state; one that changes its stage gets no new request."""
+        for measured in self.measured:
+            measured.instances_changed([self.entry(server)], self.now)
 
     def entry(self, server: Server) -> messages.Instance:
         return messages.Instance(
             id=server.name,
-            backend="llm",
+            backend=BACKEND,
             zone=server.zone,
             slots=ENGINE.slots,
             stage=server.stage,
-            state=messages.READY,
+            state=messages.DRAINS if server.switching_to else messages.READY,
         )
 
     def at(self, when: float, what: Callable[[], None]) -> None:
@@ -281,7 +351,7 @@
         heapq.heappush(self.events, (when, self.turn, what))
 
     def run(self) -> World:
-        """Play the traffic and let what is under candidate end."""
+        """Play the traffic and let what is under way end."""
         for kind in self.kinds:
             self._next(kind)
         while self.events and self.now < self.seconds + 15.0:
@@ -311,7 +381,7 @@
         gateway = self.random.choices(range(len(self.planners)), self.shares)[0]
         request = PlanRequest(
             f"r{self.number}",
-            "llm",
+            BACKEND,
             ENGINE,
             tuple(parts),
             sum(p.tokens for p in parts),
@@ -327,7 +397,7 @@
         self._try(Job(kind, request, gateway, self.now, answer, self.now))
 
     def _try(self, job: Job) -> None:
-        planner = self.planners[job.gateway]
+        planner = self.measured[job.gateway]
         left = job.kind.time_s - (self.now - job.first_try)
         decision = planner.plan(replace(job.request, time_left_s=left), self.now)
         if isinstance(decision, Rejection):
@@ -355,23 +425,35 @@
             tally.refused_twice += job.tries > 1
 
     def _send(self, job: Job) -> None:
-        plan, planner = job.plan, self.planners[job.gateway]
+        plan, planner = job.plan, self.measured[job.gateway]
         if plan is None or job.gone:
             return
-        planner.begun(plan.booking, self.now)
         reader = self.servers[plan.prefill_instance or plan.decode_instance]
+        if reader.switching_to:  # seen at the moment of sending: it is planned anew
+            self._plan_again(job, reader)
+            return
+        planner.begun(plan.booking, self.now)
         then = self._read if plan.prefill_instance else self._ready
         taken = reader.take(job, lambda: self.at(self.now + WAY_MS / 1e3, lambda: then(job)))
         if not taken:
             self._end(job, Outcome.REJECTED)
             self._refused(job, 0.3)
 
+    def _plan_again(self, job: Job, switching: Server) -> None:
+        """A server changes its stage: the request is planned without it, within the same deadline."""
+        self._end(job, Outcome.CANCELLED)
+        request = replace(job.request, excluded=job.request.excluded | {switching.name})
+        self._try(replace(job, request=request, plan=None, gone=False))
+
     def _read(self, job: Job) -> None:
-        plan, planner = job.plan, self.planners[job.gateway]
+        plan, planner = job.plan, self.measured[job.gateway]
         if plan is None or job.gone:
             return
         planner.prefill_done(plan.booking, self.now)
         source, target = self.servers[plan.prefill_instance or ""], self.servers[plan.decode_instance]
+        if target.switching_to:
+            self._plan_again(job, target)
+            return
         size = job.request.prompt_tokens * ENGINE.kv_token_bytes
         seconds = SETUP_MS / 1e3 + size * 8 / (ENGINE.link_mbps * 1e6)
         far = source.zone != target.zone
@@ -391,10 +473,12 @@
         if job.gone or job.plan is None:
             return False
         job.produced += 1
+        meter = self.meters[job.gateway]
+        meter.count(BACKEND, Tokens.GENERATED if job.first_at is not None else Tokens.FIRST, 1, self.now)
         arrived = self.now + 2 * WAY_MS / 1e3
         if job.first_at is None:
             job.first_at = arrived
-            self.planners[job.gateway].first_token(job.plan.booking, self.now)
+            self.measured[job.gateway].first_token(job.plan.booking, self.now)
         else:
             job.pause = max(job.pause, arrived - job.last_at)
         job.last_at = arrived
@@ -421,4 +505,4 @@
     def _end(self, job: Job, outcome: Outcome) -> None:
         job.gone = True
         if job.plan is not None:
-            self.planners[job.gateway].finished(job.plan.booking, outcome, self.now)
+            self.measured[job.gateway].finished(job.plan.booking, outcome, self.now)
--- a/tests/router/admission/test_admission_simulation.py
+++ b/tests/router/admission/test_admission_simulation.py
@@ -35,6 +35,12 @@
     return earned / owed
 
 
+def shared_read_again(world: World) -> float:
+    """Shared tokens that were read again soon after another reading, as a fraction of all shared tokens."""
+    shared = sum(world.tallies[kind.name].asked * sum(mean for mean, _ in kind.chain) for kind in KINDS)
+    return world.reread / shared
+
+
 def report(world: World) -> str:
     """One line for each kind, and one for the fleet."""
     lines = []
@@ -97,9 +103,8 @@
 
     def test_shared_parts_are_found_again(self) -> None:
         """Much less is read again than if each prompt's shared parts were read anew."""
-        world = played(BUSY)
-        shared = sum(world.tallies[kind.name].asked * sum(mean for mean, _ in kind.chain) for kind in KINDS)
-        self.assertLess(world.reread, 0.1 * shared)
+        for seed in (1, 2, 3):
+            self.assertLess(shared_read_again(played(BUSY, seed)), 0.1, f"seed {seed}")
 
     def test_blind_gateways_spread_their_load(self) -> None:
         """No instance of a stage is given much more than the others."""
@@ -109,6 +114,34 @@
             self.assertLess(max(read), 2.0 * sum(read) / len(read), stage)
 
 
+class ABusyFleetWithStageOrders(unittest.TestCase):
+    """The same load while the leader moves instances between the stages."""
+
+    @staticmethod
+    @cache
+    def played(seed: int) -> World:
+        """A run with the default settings."""
+        return World(PlannerSettings(), BUSY, seed=seed, seconds=12.0, stage_orders=True).run()
+
+    def test_instances_are_moved(self) -> None:
+        orders = self.played(1).stage_orders
+        assert orders is not None
+        self.assertGreater(orders.orders, 0)
+        self.assertLess(orders.orders, 12)
+
+    def test_shared_parts_are_found_again(self) -> None:
+        for seed in (1, 2, 3):
+            self.assertLess(shared_read_again(self.played(seed)), 0.1, f"seed {seed}")
+
+    def test_worth(self) -> None:
+        for seed in (1, 2, 3):
+            self.assertGreater(worth(self.played(seed)), 0.85, f"seed {seed}")
+
+    def test_no_booking_is_left_behind(self) -> None:
+        for planner in self.played(1).planners:
+            self.assertEqual(planner.bookings, {})
+
+
 class AnOverloadedFleet(unittest.TestCase):
     """Twice what the instances can do."""
 
