Control plane: a member stops before it applies what a newer program version wrote

Such a member reaches another state than its peers and goes on serving it.

A leader does not propose a forwarded command that it couldn't apply itself. The format number is absent, so 1, in all that is written today: nothing on the wire or on disk changes.

--- a/mallowbeam/router/control_plane/command_forwarder.py
+++ b/mallowbeam/router/control_plane/command_forwarder.py
@@ -20,7 +20,9 @@
     ReadNotConfirmedError,
 )
 from mallowbeam.router.control_plane.raft_driver import RaftDriver
+from mallowbeam.router.control_plane.state_format import UnsupportedFormatError, decode_command
 from mallowbeam.router.control_plane.state_machine import CommandOutcome
+from mallowbeam.router.processes.logs import get_logger
 from mallowbeam.router.rpc.messages_pb2 import (
     APPLIED,
     NOT_LEADER,
@@ -42,6 +44,8 @@
 
 Answer = TypeVar("Answer")
 
+log = get_logger("mallowbeam.commands")
+
 
 class CommandForwarder:
     """Forwards commands and reads to the leader, and serves those that other members forward."""
@@ -103,8 +107,19 @@
     # ------------------------------------------------------------ from other members
 
     def propose(self, sender: int, request: ProposeRequest) -> None:
-        """Another member forwards a command: propose it, and answer once it is applied."""
-        answer = self._driver.propose(request.command.SerializeToString())
+        """Another member forwards a command: propose it, and answer once it is applied.
+
+        A command of a newer program version is not proposed: this member could not apply it.
+        """
+        payload = request.command.SerializeToString()
+        try:
+            decode_command(0, payload)
+        except UnsupportedFormatError as error:
+            log.warning("a forwarded command is not proposed: %s", error.line)
+            response = ProposeResponse(id=request.id, status=NOT_LEADER)
+            self._links.send(sender, PeerFrame(propose_response=response))
+            return
+        answer = self._driver.propose(payload)
         answer.add_done_callback(lambda done: self._answer_proposal(sender, request.id, done))
 
     def propose_response(self, response: ProposeResponse) -> None:
--- a/mallowbeam/router/control_plane/member.py
+++ b/mallowbeam/router/control_plane/member.py
@@ -27,6 +27,8 @@
         self.parts = parts
         self.unusable: asyncio.Future[MallowbeamError] = asyncio.get_running_loop().create_future()
         """Done once the store can't be used any more."""
+        self.outdated: asyncio.Future[MallowbeamError] = asyncio.get_running_loop().create_future()
+        """Done once what is committed can't be applied by this program version."""
         self.storage_ended = False
         """Once stopped: whether nothing is written any more."""
         self._cycle = cycle
@@ -62,7 +64,7 @@
         parts = self.parts
         parts.joining.stop()
         parts.stages.stop()
-        if self.unusable.done():
+        if self.unusable.done() or self.outdated.done():
             await parts.api_server.drain(API_DRAIN_TIMEOUT_S)
         else:
             await self._transfer_leadership()
@@ -111,6 +113,12 @@
             self.parts.driver.stop()
             self.unusable.set_result(error)
 
+    def program_outdated(self, error: MallowbeamError) -> None:
+        """A newer program version is needed: take no further part; the role ends and keeps the store."""
+        if not self.outdated.done():
+            log.error("a newer program version is needed here: %s", error.line)
+            self.outdated.set_result(error)
+
     def _connection_opened(self, connection: FrameConnection) -> None:
         """Another process has connected."""
         self._incoming[connection] = None
--- a/mallowbeam/router/control_plane/member_builder.py
+++ b/mallowbeam/router/control_plane/member_builder.py
@@ -158,6 +158,10 @@
         """The store can't be used any more."""
         self._member.store_unusable(error)
 
+    def program_outdated(self, error: MallowbeamError) -> None:
+        """A newer program version is needed for what is committed."""
+        self._member.program_outdated(error)
+
 
 @dataclass(frozen=True, slots=True)
 class _Replication:
--- a/mallowbeam/router/control_plane/raft_driver.py
+++ b/mallowbeam/router/control_plane/raft_driver.py
@@ -19,6 +19,7 @@
 from mallowbeam.router.consensus.node import RaftNode, Role
 from mallowbeam.router.control_plane.pending_proposals import PendingProposals
 from mallowbeam.router.control_plane.proposal_errors import ReadNotConfirmedError
+from mallowbeam.router.control_plane.state_format import UnsupportedFormatError, check_entry_kind
 from mallowbeam.router.control_plane.state_machine import CommandOutcome, ReplicatedStateMachine
 from mallowbeam.router.control_plane.wait_conditions import AppliedIndexWaiters, ChangeNotifier
 from mallowbeam.router.processes.logs import get_logger
@@ -43,6 +44,9 @@
     def store_unusable(self, error: MallowbeamError) -> None:
         """This member's store contradicts the group: it must stop, and rejoin as a new member."""
 
+    def program_outdated(self, error: MallowbeamError) -> None:
+        """A newer program version is needed for what is committed: it must stop, and keep its store."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Receive:
@@ -218,6 +222,10 @@
             self.stop()
             self._listener.store_unusable(error)
             return
+        except UnsupportedFormatError as error:
+            self.stop()
+            self._listener.program_outdated(error)
+            return
         except Exception:
             # A fault in handling one message must not stop the member.
             log.exception("a step failed unforeseen")
@@ -282,6 +290,7 @@
     # ------------------------------------------------------------ the state machine
 
     def _apply(self, entry: Entry) -> None:
+        check_entry_kind(entry)
         outcome = CommandOutcome(DONE, entry.index)
         if entry.kind == COMMAND:
             outcome = self._machine.apply(entry.index, entry.payload)
--- a/mallowbeam/router/control_plane/role.py
+++ b/mallowbeam/router/control_plane/role.py
@@ -25,12 +25,17 @@
 
 
 async def serve(context: RoleContext) -> None:
-    """Run a member until the stop; one whose store is unusable is replaced by a new one on an empty store."""
+    """Run a member until the stop; one whose store is unusable is replaced by a new one on an empty store.
+
+    Raises `UnsupportedFormatError` where a newer program version is needed for what the store holds.
+    """
     open_next = open_store
     while (opened := await _open_store(context, open_next)) is not None:
         member = build_member(context.settings, opened)
         context.on_reload(member.reload)
         await _run(context, member)
+        if member.outdated.done():
+            raise member.outdated.result()
         if not member.unusable.done():
             return
         if not member.storage_ended:
@@ -40,11 +45,11 @@
 
 
 async def _run(context: RoleContext, member: ControlMember) -> None:
-    """Run a member until the stop, or until its store is unusable; then shut it down gracefully."""
+    """Run a member until the stop, or until its store or its program can't go on; then shut it down."""
     await member.start()
     stopping = asyncio.create_task(context.stopping.wait())
     try:
-        await asyncio.wait((stopping, member.unusable), return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait((stopping, member.unusable, member.outdated), return_when=asyncio.FIRST_COMPLETED)
     finally:
         stopping.cancel()
         await member.stop()
--- a/mallowbeam/router/control_plane/state_machine.py
+++ b/mallowbeam/router/control_plane/state_machine.py
@@ -12,12 +12,11 @@
 from mallowbeam.router.configuration.parsing import ConfigurationParser
 from mallowbeam.router.configuration.updates import full_update, incremental_update
 from mallowbeam.router.configuration.versions import ConfigurationVersions
+from mallowbeam.router.control_plane.state_format import decode_command, decode_state
 from mallowbeam.router.registry.leases import Leases
 from mallowbeam.router.registry.retirements import Retirements
 from mallowbeam.router.rpc.messages_pb2 import (
     DONE,
-    REFUSED,
-    Command,
     CommandResult,
     ConfigurationUpdate,
     ReplicatedState,
@@ -47,8 +46,8 @@
         self._retired = retired
 
     def apply(self, index: int, payload: bytes) -> CommandOutcome:
-        """Apply one committed command."""
-        command = Command.FromString(payload)
+        """Apply one committed command; raises `UnsupportedFormatError` before anything of it is applied."""
+        command = decode_command(index, payload)
         match command.WhichOneof("body"):
             case "put_configuration":
                 return CommandOutcome(self.configurations.apply(command.put_configuration), index)
@@ -57,7 +56,7 @@
             case "acquire_lease":
                 grant = self.leases.apply(command.acquire_lease)
                 return CommandOutcome(grant.result, index, grant.token)
-        return CommandOutcome(REFUSED, index)  # a command of a later version of the program
+        raise AssertionError("decode_command lets known commands through only")
 
     def _retire(self, retirement: RetireInstance) -> CommandResult:
         result = self.retirements.apply(retirement)
@@ -75,8 +74,8 @@
         return saved
 
     def restore(self, saved: bytes) -> None:
-        """Replace the state by that of a snapshot."""
-        state = ReplicatedState.FromString(saved)
+        """Replace the state by that of a snapshot; raises `UnsupportedFormatError` and changes nothing."""
+        state = decode_state(saved)
         self.configurations.restore(state)
         self.retirements.restore(state)
         self.leases.restore(state)
--- a/mallowbeam/simulation/fleet_processes.py
+++ b/mallowbeam/simulation/fleet_processes.py
@@ -254,6 +254,7 @@
         self._record_applied(program.parts.machine)
         await program.start()
         self.program = program
+        program.outdated.add_done_callback(lambda _: self.machine.kill())  # the role ends and keeps the store
         await program.unusable  # then it rejoins as a new member, as the role does
         await program.stop()
         self.program = self.replica = None
--- a/tests/router/control_plane/test_control_plane_store_recovery.py
+++ b/tests/router/control_plane/test_control_plane_store_recovery.py
@@ -169,6 +169,7 @@
     def __init__(self, settings: object, opened) -> None:
         self.opened, self.storage_ended, self.stopped = opened, True, False
         self.unusable = asyncio.get_running_loop().create_future()
+        self.outdated = asyncio.get_running_loop().create_future()
         self.made.append(self)
 
     def reload(self, settings: object) -> None:
--- a/tests/support/snapshot_load.py
+++ b/tests/support/snapshot_load.py
@@ -48,6 +48,9 @@
     def store_unusable(self, error: MallowbeamError) -> None:
         raise error
 
+    def program_outdated(self, error: MallowbeamError) -> None:
+        raise error
+
 
 class Load:
     """A group of one member under concurrent changes, and the resources that it used."""
