Maintenance: a node that is down for less than a report interval is known as restarted by its start time

Cause of the known red trial (a machine still out, another proposed, 60 s over): a machine that is out counts as back once most gateways' reports have shown it down and then up, or shown another start of it. The second was decided on and tested, but MaintenanceSubsystem never reported a node's start. A node whose work takes 0.6 s, with reports each 0.2 s and a gateway stopped, may never be seen down by most at one time; under load it was not, and stood at "out" up to its deadline.

Change: reports carry the node's start as discovery gives it, in milliseconds. The trial's discovery lists another start for a node that was restarted, as a real one does.

Tests: in simulated time a node down for 0.05 s of reports each 0.4 s comes back by its start; without a start time it stays out with the reason until an operator says that it is done; a gateway stopped with its work out while a machine is under way and another proposed is at rest within the same 60 s, 24 plays. A report's start counts.

--- a/mallowbeam/lab/faults/maintenance.py
+++ b/mallowbeam/lab/faults/maintenance.py
@@ -25,6 +25,7 @@
 DELAY_S = 0.03  # for which a node is at work on a request
 LOAD_S = 0.03  # between a client's requests, one client at each gateway
 WORK_S = 0.6  # that the operators take at a machine
+FIRST_START_MS = 1000  # when discovery says that the nodes started first
 TRIAL_TIMEOUT_S = 60.0  # seconds after which a trial has failed
 
 
@@ -61,9 +62,13 @@
         super().__init__(folder, size, 0)
         self.rng, self.record = random.Random(seed), Record()
         self.phases: dict[str, str] = {}
+        self.starts: dict[
+            str, int
+        ] = {}  # of each node: the time of its last start that discovery gives, in ms
         for number in range(NODES):
             self.nodes.append(self.node(f"n{number}"))
             self.phases[f"n{number}"] = "up"
+            self.starts[f"n{number}"] = FIRST_START_MS
         self.discovery.members = self.discovery_members()
         self.busy: set[str] = set()
         self.tasks: list[asyncio.Task[None]] = []
@@ -89,10 +94,16 @@
                 i // len(ZONES),
                 self.phases[f"n{i}"],
                 f"hall-{ZONES[i % len(ZONES)]}",
+                self.starts[f"n{i}"],
             )
             for i, node in enumerate(self.nodes)
         ]
 
+    def node_started(self, name: str) -> None:
+        """A node is up again: discovery lists another start of it, long ago, so that it counts as warm."""
+        self.phases[name] = "up"
+        self.starts[name] += 1
+
     def sections(self) -> dict[str, Any]:
         """What each gateway has on."""
         return {"maintenance": {"on": True, "lease_s": 2.0, "report_s": 0.2, "warm_s": 0.5}}
@@ -177,7 +188,7 @@
                 node.address = ("127.0.0.1", 0)
                 node.listen()
             self.record.worked.append((began, time.monotonic(), machine))
-            self.phases[machine] = "up"
+            self.node_started(machine)
             self.discovery.publish(self.discovery_members())
         else:
             self.record.disturbed.add(machine)
--- a/mallowbeam/lab/faults/work.py
+++ b/mallowbeam/lab/faults/work.py
@@ -234,7 +234,7 @@
         self.discovery.publish(self.discovery_members())
         await asyncio.sleep(self.rng.uniform(1.0, 3.0))
         node.listen()
-        self.phases[FAILING_NODE] = "up"
+        self.node_started(FAILING_NODE)
         self.discovery.publish(self.discovery_members())
 
     async def _rolling_restart(self, free: list[str]) -> None:
--- a/mallowbeam/storage_gateway/coordination/maintenance/entries.py
+++ b/mallowbeam/storage_gateway/coordination/maintenance/entries.py
@@ -24,7 +24,7 @@
     in_flight: int = 0  # this gateway's attempts at the node
     utilization: float = 0.0  # fraction of its time in which the node works
     sole_replica: bool = False  # this gateway knows of data that no other node serves
-    start_count: int = 0  # number of the node's start as discovery has it; 0 where it is not known
+    start_count: int = 0  # tells the node's starts apart, by discovery's time of it; 0 where it is not known
 
 
 class StatusReport(
--- a/mallowbeam/storage_gateway/coordination/maintenance/subsystem.py
+++ b/mallowbeam/storage_gateway/coordination/maintenance/subsystem.py
@@ -42,7 +42,7 @@
 from mallowbeam.storage_gateway.coordination.replicated_log import Committed
 from mallowbeam.storage_gateway.coordination.subsystem import SubsystemContext
 from mallowbeam.storage_gateway.operator_settings import MaintenanceSection
-from mallowbeam.storage_gateway.scheduler.interface import NodeState
+from mallowbeam.storage_gateway.scheduler.interface import NodeEntry, NodeState
 
 register_section("maintenance", Section)
 
@@ -55,6 +55,14 @@
     remedy = "see at /fleet which machines are out, and say so of one of them"
 
 
+def _start_count(entry: NodeEntry) -> int:
+    """Tells one start of a node from another: its time as discovery has it, in milliseconds; 0 if unknown.
+
+    A node that is down for less than most gateways' report interval is recognised as restarted by it alone.
+    """
+    return round(entry.started_at * 1000) if entry.started_at is not None else 0
+
+
 class MaintenanceSubsystem:
     """The subsystem of one gateway.
 
@@ -96,6 +104,7 @@
                 entry.weight,
                 entry.state is NodeState.READY,
                 context.attempts_at(entry.node),
+                start_count=_start_count(entry),
             )
             for entry in context.nodes()
         }
--- a/tests/storage_gateway/coordination/maintenance/test_maintenance_subsystem.py
+++ b/tests/storage_gateway/coordination/maintenance/test_maintenance_subsystem.py
@@ -21,6 +21,8 @@
 from mallowbeam.storage_gateway.operator_settings import MaintenanceSection
 from mallowbeam.storage_gateway.scheduler.interface import NodeEntry, NodeState
 
+STARTS = {1: 12.25, 2: 0.0}  # of nodes, in seconds; of the others discovery gives none
+
 
 class RecordingContext:
     """A context that records; what is proposed is put in by the test."""
@@ -41,7 +43,9 @@
         (self.drained.add if out else self.drained.discard)(node)
 
     def nodes(self):
-        return [NodeEntry(f"n{i}", NodeState.READY, 0, "ab"[i % 2]) for i in range(4)]
+        return [
+            NodeEntry(f"n{i}", NodeState.READY, 0, "ab"[i % 2], started_at=STARTS.get(i)) for i in range(4)
+        ]
 
     def attempts_at(self, node):
         return self.work
@@ -150,3 +154,11 @@
     rig.push("n0")
     assert not rig.context.gates[0]()  # no mark and no report of its own has come back yet
     assert rig.subsystem.describe()["counted"] is False
+
+
+def test_a_report_tells_the_starts_of_nodes_apart_as_discovery_has_them(rig):
+    rig.push("n1")
+    rig.subsystem.tick(101.0)
+    reports = [entry for entry in rig.context.proposed if isinstance(entry, StatusReport)]
+    counts = {name: status.start_count for name, status in reports[-1].nodes.items()}
+    assert counts == {"n0": 0, "n1": 12250, "n2": 0, "n3": 0}
--- a/tests/storage_gateway/coordination/maintenance/test_maintenance_walks.py
+++ b/tests/storage_gateway/coordination/maintenance/test_maintenance_walks.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from mallowbeam.lab.faults import orderly
+from mallowbeam.lab.faults.maintenance import TRIAL_TIMEOUT_S as REST_S
 from mallowbeam.lab.faults.walk import Walk
 from mallowbeam.lab.faults.walks import judge, play
 from mallowbeam.storage_gateway.coordination.maintenance.entries import WorkCompleted
@@ -99,6 +100,66 @@
     ends_well(walk, asked)
 
 
+def test_a_node_that_is_down_for_less_than_a_report_interval_is_known_as_restarted_by_its_start():
+    asked = request("n0", "n3")
+    walk = begun(asked)
+    walk.works = {"n0": 0.05, "n3": 0.05}  # seconds, of reports each 0.4 s
+    ends_well(walk, asked)
+    assert not any(item.seen_down for item in walk.state.machines.values())
+
+
+def test_without_a_start_time_it_stays_out_with_the_reason_until_an_operator_says_that_it_is_done():
+    asked = request("n0")
+    walk = begun(asked)
+    walk.works = {"n0": 0.05}
+    for node in walk.nodes.values():
+        node.started = 0
+    mend = walk.mend
+
+    def mend_without_a_start_time(name):
+        mend(name)
+        walk.nodes[name].started = 0
+
+    walk.mend = mend_without_a_start_time
+    until(walk, "n0", "out")
+    walk.run(15.0)
+    assert walk.state.machines["n0"].step == "out"
+    guard = walk.gateways["g1"].core.state_machine.guard
+    reason = guard.blocked_reason(walk.state, walk.state.machines["n0"], "back", None)
+    assert reason == "it has not been seen down and up again"
+    walk.gateways["g1"].core.complete_work("n0")
+    ends_well(walk, asked)
+
+
+def busy_gateway(walk, out):
+    """A gateway that has work in flight and is not among the machines that go out."""
+    return next((one for one in walk.gateways.values() if one.work and one.name not in out), None)
+
+
+@pytest.mark.parametrize("step", ["draining", "out", "back", "warming"])
+@pytest.mark.parametrize("seed", range(6))
+def test_gateway_stopped_with_its_work_out_while_a_machine_is_under_way_and_another_proposed(seed, step):
+    """The crossing of the trial on real processes, at rest within the same time, in simulated seconds."""
+    machines = ("n0", "n3", "g4")
+    asked = request(*machines)
+    walk = begun(asked, seed=seed)
+    began = walk.now
+
+    def crossing():
+        now = {name: item.step for name, item in walk.state.machines.items()}
+        return (
+            step in now.values() and "proposed" in now.values() and busy_gateway(walk, machines) is not None
+        )
+
+    assert walk.run(REST_S, crossing)
+    stopped = busy_gateway(walk, machines).name
+    walk.stop(stopped)
+    walk.run(walk.rng.uniform(2.5, 3.0))
+    walk.go(stopped)
+    assert walk.run(began + REST_S - walk.now, lambda: not walk.state.active), walk.state.machines
+    ends_well(walk, asked)
+
+
 def test_operator_on_the_small_side_of_a_partition():
     asked = request("n0")
     walk = Walk(7)
