--- a/mallowbeam/router/pairing/instances.py
+++ b/mallowbeam/router/pairing/instances.py
@@ -25,15 +25,15 @@
 
     @property
     def kv_capacity(self) -> int:
-        """Tokens that the occupied_tokens holds."""
+        """Tokens that its KV cache holds."""
 
     @property
     def kv_token_bytes(self) -> int:
-        """Bytes of occupied_tokens for each token."""
+        """Bytes of KV cache for each token."""
 
     @property
     def link_mbps(self) -> float:
-        """Rate of moves of occupied_tokens, in Mbit/s."""
+        """Rate of KV cache transfers, in Mbit/s."""
 
 
 class ModelVersion(Protocol):
@@ -114,7 +114,7 @@
         self.pending_prefills: dict[int, int] = {}  # by booking: tokens still to be prefilled here
         self.pending_tokens = 0
         self.occupied_slots = 0  # bookings that occupy a slot or will
-        self.occupied_tokens = 0  # tokens of occupied_tokens that they need
+        self.occupied_tokens = 0  # tokens of KV cache that they need
         self.model = self._new_model()
         self.join = FadingMean(settings.delay_memory_s)  # delay of transfers that it received, seconds
         self.handover = FadingMean(settings.delay_memory_s)  # delay of transfers that it sent, seconds
@@ -177,7 +177,7 @@
         prefiller.failures.add(0.0, now)
 
     def occupy_slot(self, tokens: int) -> None:
-        """A booking holds a place and occupied_tokens here."""
+        """A booking holds a slot and KV cache here."""
         self.occupied_slots += 1
         self.occupied_tokens += tokens
 
@@ -187,7 +187,7 @@
         self.occupied_tokens -= tokens
 
     def has_capacity(self, tokens: int) -> bool:
-        """Whether this gateway's own bookings alone leave a place and occupied_tokens."""
+        """Whether this gateway's own bookings alone leave a slot and KV cache."""
         if self.occupied_slots >= self.slots * (1.0 + self.settings.queue_fraction):
             return False
         return not self.occupied_slots or self.occupied_tokens + tokens <= self.prefix_cache.capacity
@@ -229,7 +229,7 @@
             self._leave_rings(instance)
 
     def set_capacity(self, backend: str, kv_capacity: int) -> None:
-        """The occupied_tokens of a service's instances, in tokens."""
+        """The KV cache of a service's instances, in tokens."""
         if kv_capacity <= 0 or self.capacities.get(backend) == kv_capacity:
             return
         self.capacities[backend] = kv_capacity
--- /dev/null
+++ b/mallowbeam/simulation/recovery.py
@@ -0,0 +1,131 @@
+"""When each part of the fleet is ready again after all machines lost power, on simulated time.
+
+From the command line::
+
+    python -m mallowbeam.simulation.recovery [SEEDS]
+
+prints the median and the longest time of each milestone in seconds after the machines are powered on. All
+processes start at once; how long a real process and its store take to open is not part of the simulation.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable, Mapping
+from enum import Enum
+from statistics import median
+
+from mallowbeam.router.consensus.node import Role
+from mallowbeam.simulation.fleet import FleetPlayer
+from mallowbeam.simulation.fleet_processes import SimulatedGateway
+from mallowbeam.simulation.walk import discard_logs
+
+POWER_ON_S = 14.0
+GIVE_UP_S = 30.0
+CURRENT_WITHIN_S = 1.0  # age of a follower's state up to which it feeds gateways
+DEFAULT_SEEDS = 20
+SCENARIO = """seed {seed}
+members m1 m2 m3 m4 m5
+gateways g1 g2 g3 g4 g5 g6
+instances a b c
+at 2 put 1 on 0
+by 9 expect gateways ready
+at 10 put 2 on 1
+by 11 expect taken 2
+at 12 power-off {lost}
+end 13.9
+"""
+
+
+class Milestone(Enum):
+    """What is reached, in the order in which it must be."""
+
+    FIRST_MEMBER_STARTED = "first member started"
+    MAJORITY_STARTED = "majority of members started"
+    LEADER_ELECTED = "leader elected"
+    OWN_TERM_COMMITTED = "leader committed in its own term"
+    MEMBERS_CURRENT = "all members current"
+    FIRST_GATEWAY_FED = "first gateway has the configuration"
+    FIRST_GATEWAY_READY = "first gateway ready"
+    GATEWAYS_READY = "all gateways ready"
+    INSTANCES_KNOWN = "all instances ready at all gateways"
+
+
+class RecoveryRun:
+    """One loss of power, with the time of each milestone."""
+
+    def __init__(self, seed: int, lost: str) -> None:
+        """`lost`: the machines that lose power, as a scenario names them."""
+        self.player = FleetPlayer(SCENARIO.format(seed=seed, lost=lost))
+        self.reached: dict[Milestone, float] = {}
+        self._tests: Mapping[Milestone, Callable[[], bool]] = {
+            Milestone.FIRST_MEMBER_STARTED: lambda: self._started() >= 1,
+            Milestone.MAJORITY_STARTED: lambda: 2 * self._started() > len(self.player.members),
+            Milestone.LEADER_ELECTED: self._leader_elected,
+            Milestone.OWN_TERM_COMMITTED: lambda: self._current(lambda role: role is Role.LEADER) >= 1,
+            Milestone.MEMBERS_CURRENT: lambda: self._current(lambda _: True) == len(self.player.members),
+            Milestone.FIRST_GATEWAY_FED: lambda: any(one.revision for one in self._gateways()),
+            Milestone.FIRST_GATEWAY_READY: lambda: any(one.ready for one in self._gateways()),
+            Milestone.GATEWAYS_READY: lambda: all(one.ready for one in self.player.gateways.values()),
+            Milestone.INSTANCES_KNOWN: self._instances_known,
+        }
+
+    def play(self) -> dict[Milestone, float]:
+        """Play it; the seconds from power-on to each milestone. Raises ViolationError."""
+        player = self.player
+        player.play()
+        player.simulator.at(POWER_ON_S, lambda: player.do_start("members", "gateways", "instances"))
+        player.simulator.run_until(POWER_ON_S)
+        player.simulator.check(self._look)
+        player.simulator.run_while(lambda: len(self.reached) < len(Milestone), GIVE_UP_S)
+        return self.reached
+
+    def _look(self) -> None:
+        for milestone, is_reached in self._tests.items():
+            if milestone not in self.reached and is_reached():
+                self.reached[milestone] = self.player.simulator.now - POWER_ON_S
+
+    def _started(self) -> int:
+        return sum(member.live and member.program is not None for member in self.player.members.values())
+
+    def _leader_elected(self) -> bool:
+        return self.player.holds(("leader",))
+
+    def _current(self, counts: Callable[[Role], bool]) -> int:
+        """How many members of the roles that count know their state to be current."""
+        nodes = [
+            (member.program.parts.driver.node, member.machine.clock())
+            for member in self.player.members.values()
+            if member.live and member.program is not None
+        ]
+        return sum(counts(node.role) and node.freshness(now) <= CURRENT_WITHIN_S for node, now in nodes)
+
+    def _gateways(self) -> list[SimulatedGateway]:
+        return [one for one in self.player.gateways.values() if one.machine.running]
+
+    def _instances_known(self) -> bool:
+        return all(self.player.holds(("gateways", name, "ready")) for name in self.player.instances)
+
+
+def measure(seeds: range, lost: str) -> dict[Milestone, list[float]]:
+    """The times of each milestone over many seeds."""
+    times: dict[Milestone, list[float]] = {milestone: [] for milestone in Milestone}
+    for seed in seeds:
+        for milestone, at in RecoveryRun(seed, lost).play().items():
+            times[milestone].append(at)
+    return times
+
+
+def main() -> int:
+    """Print a table for each kind of loss."""
+    discard_logs()
+    seeds = range(1, 1 + (int(sys.argv[1]) if len(sys.argv) > 1 else DEFAULT_SEEDS))
+    for lost in ("members", "members gateways instances"):
+        print(f"power lost on: {lost}; seconds, {len(seeds)} seeds")
+        for milestone, times in measure(seeds, lost).items():
+            print(f"  {milestone.value:40} median {median(times):6.2f}  longest {max(times):6.2f}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
