--- a/mallowbeam/router/control_plane/state_format.py
+++ b/mallowbeam/router/control_plane/state_format.py
@@ -40,15 +40,17 @@
 
 
 def decode_command(index: int, payload: bytes) -> Command:
-    """Decode the command of the entry at a log index; raises `UnsupportedFormatError`."""
+    """Decode the command of the entry at a log index; raises `UnsupportedFormatError`.
+
+    An empty command, which logs of earlier versions may have, is none of a newer one: it has no body.
+    """
     what = f"the command of entry {index}"
     command = Command()
     _parse(command, payload, what, "apply")
-    body = command.WhichOneof("body")
-    if body is None:
-        raise _unsupported(f"{what} is unknown", "apply")
     _check_known(command, command.format, what, "apply")
-    _check_known(getattr(command, body), 0, what, "apply")
+    body = command.WhichOneof("body")
+    if body is not None:
+        _check_known(getattr(command, body), 0, what, "apply")
     return command
 
 
--- a/mallowbeam/router/control_plane/state_machine.py
+++ b/mallowbeam/router/control_plane/state_machine.py
@@ -17,6 +17,7 @@
 from mallowbeam.router.registry.retirements import Retirements
 from mallowbeam.router.rpc.messages_pb2 import (
     DONE,
+    REFUSED,
     CommandResult,
     ConfigurationUpdate,
     ReplicatedState,
@@ -56,7 +57,7 @@
             case "acquire_lease":
                 grant = self.leases.apply(command.acquire_lease)
                 return CommandOutcome(grant.result, index, grant.token)
-        raise AssertionError("decode_command lets known commands through only")
+        return CommandOutcome(REFUSED, index)  # an empty command
 
     def _retire(self, retirement: RetireInstance) -> CommandResult:
         result = self.retirements.apply(retirement)
