--- a/mallowbeam/lab/crash.py
+++ b/mallowbeam/lab/crash.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from mallowbeam.lab.ask import Answered, ask
+from mallowbeam.lab.ask import ask
 from mallowbeam.lab.rig import Rig
 from mallowbeam.standins.faults import Rule
 from mallowbeam.standins.node import ObjectNode
@@ -55,24 +55,19 @@
         self.counts["keys"] += 1
         return self.counts["keys"]
 
-    async def ask(
-        self, method: str, target: str, body: bytes = b"", headers: dict[str, str] | None = None
-    ) -> Answered:
-        """Send one request to the gateway and read its answer; raises OSError or EOFError without one."""
-        return await ask(self.rig.port, method, target, body, headers)
-
     async def call(self, chance: random.Random, key: str) -> None:
         """One call, and what its answer says of the key."""
         kind, known = chance.random(), self.wanted.setdefault(key, [None])
         if kind < 0.15:
-            answer = await self.ask("GET", f"/{BUCKET}/{key}", headers=BRIEFLY)
+            answer = await ask(self.rig.port, "GET", f"/{BUCKET}/{key}", headers=BRIEFLY)
             seen = answer.body if answer.status == 200 else None
             if answer.status in (200, 404) and seen not in known:
                 self.wrong.append(f"{key}: a reader saw {short(seen)}, not one of {[*map(short, known)]}")
             self.counts["reads"] += 1
             return
         if kind < 0.16:
-            answer = await self.ask(
+            answer = await ask(
+                self.rig.port,
                 "POST",
                 f"/{BUCKET}?barrier=" + chance.choice(("sync", "through")),
                 headers=BRIEFLY,
@@ -85,7 +80,7 @@
             body = f"{key} {self.fresh()} ".encode() + bytes(size)
         known.append(body)  # from now on it may be there
         method = "DELETE" if body is None else "PUT"
-        answer = await self.ask(method, f"/{BUCKET}/{key}", body or b"")
+        answer = await ask(self.rig.port, method, f"/{BUCKET}/{key}", body or b"")
         if answer.status in (200, 204):
             self.wanted[key] = [body]
             self.counts["acknowledged"] += 1
--- a/mallowbeam/lab/handover.py
+++ b/mallowbeam/lab/handover.py
@@ -14,12 +14,10 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from mallowbeam.lab.ask import Answered
 from mallowbeam.lab.crash import CLIENTS, Lane, new_rig
 from mallowbeam.lab.rig import Rig
 
 ANSWER_S = 15.0  # a call without an answer by then has none
-MAX_CROSSINGS = 3  # connections in a row that end as a request is sent
 EXIT_S = 30.0  # for the old process to answer what it has and exit
 LOAD_S = (0.02, 0.3)  # between two hand-overs
 HANDED_OVER = b"phase handed over"  # in a process's log
@@ -29,23 +27,6 @@
 class HandoverLane(Lane):
     """One gateway's trial."""
 
-    async def ask(
-        self, method: str, target: str, body: bytes = b"", headers: dict[str, str] | None = None
-    ) -> Answered:
-        """Send a request again, as a client does, if its connection ended in order before it had come.
-
-        A process that leaves ends connections on which nothing has come; a request may cross that end
-        (`docs/endings.md`). An end within an answer, a reset and no end at all are no such crossing.
-        """
-        for _ in range(MAX_CROSSINGS):
-            try:
-                return await super().ask(method, target, body, headers)
-            except asyncio.IncompleteReadError as error:
-                if error.partial:
-                    raise
-                self.counts["crossed an end"] += 1
-        return await super().ask(method, target, body, headers)
-
     async def call(self, chance: random.Random, key: str) -> None:
         """One call; without a whole answer it is a violation."""
         try:
