Data plane: a gateway tells how old its state is, and which addresses it tries

Cause: when a gateway serves with an old configuration, neither its log nor its metrics could tell apart that it follows an isolated member, that it can't reach the members it knows, or that it knows none that still exists. A failed attempt to open a feed left no line, and readiness stays true.

Change: the metric mallowbeam_silence_seconds (members have it already) and a line each 10 s, from 5 s on, that names the age of the state and the members and seeds tried; another line when the state is confirmed again. No decision changes.

--- a/mallowbeam/router/data_plane/role.py
+++ b/mallowbeam/router/data_plane/role.py
@@ -22,6 +22,7 @@
 from mallowbeam.router.data_plane.planner_interface import Planner
 from mallowbeam.router.data_plane.readiness import ReadinessFrontend
 from mallowbeam.router.data_plane.retry_budget import BudgetSettings, RetryBudgets
+from mallowbeam.router.data_plane.staleness_monitor import StalenessMonitor, StateCurrent, StateStale
 from mallowbeam.router.feed.subscriber import FeedEvents, FeedSubscriber, GatewayIdentity
 from mallowbeam.router.processes.logs import get_logger
 from mallowbeam.router.processes.metrics import Metric, metrics_server
@@ -39,6 +40,7 @@
 READINESS_CONNECTIONS = 16
 DRAIN_DELAY_S = 2.2  # from the stop signal until the platform has stopped sending new connections
 DRAIN_DELAY_FRACTION = 0.35  # of the grace period; upper limit for that delay
+MAX_REPORTED_STALENESS_S = 1e9  # in place of infinity, before the first frame of a current member
 EXIT_MARGIN_S = 0.5  # of the grace period, reserved for the final clean-up
 
 log = get_logger("mallowbeam.data_plane")
@@ -65,6 +67,7 @@
         self.subscriber = self._make_subscriber(settings)
         self.gateway.view.instances = self.subscriber.instances
         self.feed = FeedLink(self.subscriber, self._apply_events)
+        self._staleness = StalenessMonitor(time.monotonic())
         front_address = _address(settings.bind_addresses.front, "front")
         self.front_server = Server(front_address, self.front, client_connections, name="front", shared=False)
         self.readiness_server = Server(
@@ -95,6 +98,8 @@
         yield Metric("mallowbeam_gateways", gateway.view.gateways, "Gateways that share the instances.")
         revision = self.subscriber.configuration_revision
         yield Metric("mallowbeam_configuration_revision", revision, "Configuration in force.")
+        staleness_s = min(self.subscriber.staleness(now), MAX_REPORTED_STALENESS_S)
+        yield Metric("mallowbeam_silence_seconds", staleness_s, "Time since a member confirmed the state.")
         yield Metric("mallowbeam_ready", int(self.ready()), "1 while clients may be sent here.")
 
     def ready(self) -> bool:
@@ -163,6 +168,16 @@
             self.front_server.sweep()
             self.readiness_server.sweep()
             self.gateway.sweep(now)
+            self._report_staleness(now)
+
+    def _report_staleness(self, now: float) -> None:
+        """Log that no followed member's state is current, or that one is current again."""
+        match self._staleness.update(self.subscriber.staleness(now), now):
+            case StateStale(age_s):
+                addresses = " ".join(self.subscriber.member_addresses)
+                log.warning("no member has confirmed the state for %.0f s, trying %s", age_s, addresses)
+            case StateCurrent():
+                log.info("a member confirms the state again")
 
     def _make_subscriber(self, settings: NodeSettings) -> FeedSubscriber[Configuration]:
         seed = int.from_bytes(os.urandom(8), "big")
--- a/mallowbeam/router/feed/candidates.py
+++ b/mallowbeam/router/feed/candidates.py
@@ -45,6 +45,11 @@
         self.ejections_grow = True  # False while the gateway is not ready and needs any current member
         self._by_address: dict[str, Candidate] = {address: Candidate() for address in self._seeds}
 
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """All members and seeds, each once."""
+        return tuple(self._by_address)
+
     def update_members(self, members: Iterable[str]) -> None:
         """Replace the membership; members that remain keep their records."""
         self._members = tuple(dict.fromkeys(members))[:MAX_MEMBERS]
--- a/mallowbeam/router/feed/subscriber.py
+++ b/mallowbeam/router/feed/subscriber.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from random import Random
@@ -117,6 +118,7 @@
         self._table_complete = False
         self._was_ready = False
         self._gateway_counts = GatewayCountWindow()
+        self._current_at = -math.inf  # the last time at which a followed member's state was current
         self.configuration: Configuration | None = None
         self.configuration_revision = 0
 
@@ -136,6 +138,15 @@
         """The maximum number of gateways received within GATEWAY_COUNT_WINDOW_S, or the last one."""
         return self._gateway_counts.maximum(now)
 
+    def staleness(self, now: float) -> float:
+        """Seconds since a followed member's state was known to be current; infinite before the first."""
+        return now - self._current_at
+
+    @property
+    def member_addresses(self) -> tuple[str, ...]:
+        """The addresses of members and seeds that this gateway may connect to, each once."""
+        return self._candidates.addresses
+
     def ready(self, now: float) -> bool:
         """Whether requests can be served; once true it stays true, also without a feed.
 
@@ -252,7 +263,9 @@
         staleness_s = 0.0
         if heartbeat.sent_at_ms:
             staleness_s = connection.staleness.measure(heartbeat.sent_at_ms / 1000, now)
-        self._candidates.record_frame(connection.address, now - state_age_ms / 1000 - staleness_s)
+        current_at = now - state_age_ms / 1000 - staleness_s
+        self._candidates.record_frame(connection.address, current_at)
+        self._current_at = max(self._current_at, current_at)
         if heartbeat.members:
             self._candidates.update_members(heartbeat.members)
         connection.current = state_age_ms + staleness_s * 1000 <= LEADER_TIMEOUT_MS
