Doc references: an annotated field no longer hides the definitions after it

Cause: the pattern of an annotated assignment ran over line ends, so a field without a default took everything up to the next "=" with it, a whole class among it. Change: it ends with its line. References that exist are found, none is let through that was refused before.

--- a/tests/support/doc_references.py
+++ b/tests/support/doc_references.py
@@ -19,7 +19,7 @@
 PATH = re.compile(r"`([\w./-]+\.(?:py|txt|sh|toml|proto|md|json))`(?: `(\w[\w.]*)(?:\([^`]*\))?`)?")
 TEST_ID = re.compile(r"`((?:[\w/.]+)?(?:\.\.\.)?)::(\w+)(?:::(\w+))?[^`]*`")
 PART_OF_NAME = re.compile(r"`(?:[\w/]*test_\w+)?\.\.\._?(\w+?)_?(?:\.\.\.)?(?:\[[^`]*\])?`")
-DEFINED = re.compile(r"^\s*(?:async )?(?:def|class) (\w+)|^\s*(\w+)(?:: [^=]+)? = ", re.MULTILINE)
+DEFINED = re.compile(r"^\s*(?:async )?(?:def|class) (\w+)|^\s*(\w+)(?:: [^=\n]+)? = ", re.MULTILINE)
 HISTORY = ("CHANGELOG.md", "docs/readers-tests.md", "docs/readers.md")  # may name removed files and symbols
 FILES_OF_A_RUN = frozenset(
     ("config.json", "fronts.json", "settings.toml", "log.txt", "/etc/mallowbeam/settings.toml", "LATER.md")
