--- a/mallowbeam/router/control_plane/member.py
+++ b/mallowbeam/router/control_plane/member.py
@@ -5,7 +5,6 @@
 import asyncio
 
 from mallowbeam.errors import MallowbeamError
-from mallowbeam.router.control_plane.bootstrap import peer_address
 from mallowbeam.router.control_plane.member_cycle import MemberCycle
 from mallowbeam.router.control_plane.member_parts import MemberParts
 from mallowbeam.router.processes.logs import get_logger
@@ -53,7 +52,7 @@
 
     def reload(self, settings: NodeSettings) -> None:
         """Apply changed seeds; all other changed settings apply from the next start."""
-        self.parts.cluster_join.set_seeds(seed_link_addresses(settings))
+        self.parts.cluster_join.set_seeds(settings.seed_peer_addresses)
 
     async def stop(self) -> None:
         """Transfer leadership, give up the vote, drain the calls in flight, and close.
@@ -127,8 +126,3 @@
         """An incoming connection has closed."""
         self._incoming_connections.pop(connection, None)
         self.parts.dispatcher.closed(connection)
-
-
-def seed_link_addresses(settings: NodeSettings) -> tuple[str, ...]:
-    """The link addresses (IP:PORT) of the seeds."""
-    return tuple(peer_address(seed, settings.port_range[0]) for seed in settings.seeds)
--- a/mallowbeam/router/control_plane/member_builder.py
+++ b/mallowbeam/router/control_plane/member_builder.py
@@ -26,7 +26,7 @@
 from mallowbeam.router.control_plane.frame_dispatcher import FrameDispatcher
 from mallowbeam.router.control_plane.graceful_leave import GracefulLeave
 from mallowbeam.router.control_plane.instance_service import InstanceService, RegistryParts
-from mallowbeam.router.control_plane.member import ControlMember, seed_link_addresses
+from mallowbeam.router.control_plane.member import ControlMember
 from mallowbeam.router.control_plane.member_cycle import MemberCycle
 from mallowbeam.router.control_plane.member_parts import MemberParts
 from mallowbeam.router.control_plane.membership_manager import MembershipManager
@@ -299,7 +299,7 @@
 def _build_membership(settings: NodeSettings, replication: _Replication, wiring: _Wiring) -> _MembershipParts:
     manager = MembershipManager(replication.driver, replication.own.id, wiring.answer_leave)
     cluster_join = ClusterJoin(
-        replication.driver, replication.own, settings.bootstrap, seed_link_addresses(settings)
+        replication.driver, replication.own, settings.bootstrap, settings.seed_peer_addresses
     )
     graceful_leave = GracefulLeave(replication.driver, replication.links, manager.leave)
     return _MembershipParts(manager, cluster_join, graceful_leave)
--- a/mallowbeam/router/data_plane/feed_link.py
+++ b/mallowbeam/router/data_plane/feed_link.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from contextlib import suppress
 
 from google.protobuf.message import DecodeError
 
@@ -33,7 +34,7 @@
         self._on_changes = on_changes
         self._connection: FrameConnection | None = None
         self._address = ""
-        self._ended = asyncio.Event()  # the connection in use has ended
+        self._wake = asyncio.Event()  # the connection in use has ended, or the seeds have changed
 
     async def run(self) -> None:
         """Follow members until cancelled."""
@@ -48,6 +49,11 @@
         connection = self._connection
         return connection is not None and connection.send(LinkFrame(gateway=frame))
 
+    def replace_seeds(self, seeds: Iterable[str]) -> None:
+        """Replace the addresses from the settings, HOST:PORT; without a feed they are tried at once."""
+        self._subscriber.replace_seeds(seeds)
+        self._wake.set()
+
     async def _step(self) -> None:
         now = time.monotonic()
         action = self._subscriber.next_action(now)
@@ -60,19 +66,20 @@
             await self._wait(max(MIN_WAIT_S, action.until - now))
 
     async def _wait(self, seconds: float) -> None:
-        """Wait for a number of seconds or until the connection ends."""
+        """Wait for a number of seconds, until the connection ends or until the seeds change."""
         if self._connection is not None:
             seconds = max(seconds, POLL_PERIOD_S)
-        self._ended.clear()
-        if self._connection is not None and not self._connection.open:
+        self._wake.clear()
+        if not self._has_ended():
+            with suppress(TimeoutError):
+                async with asyncio.timeout(seconds):
+                    await self._wake.wait()
+        if self._has_ended():
             self._handle_disconnect()
-            return
-        try:
-            async with asyncio.timeout(seconds):
-                await self._ended.wait()
-        except TimeoutError:
-            return
-        self._handle_disconnect()
+
+    def _has_ended(self) -> bool:
+        """Whether the connection in use is no longer open."""
+        return self._connection is not None and not self._connection.open
 
     async def _connect(self, address: str) -> None:
         """Open a feed; report a failure to the subscriber."""
@@ -101,7 +108,7 @@
 
     def _closed(self, connection: FrameConnection) -> None:
         if connection is self._connection:
-            self._ended.set()
+            self._wake.set()
 
     def _handle_disconnect(self) -> None:
         """Report that the member ended the connection."""
--- a/mallowbeam/router/data_plane/role.py
+++ b/mallowbeam/router/data_plane/role.py
@@ -67,6 +67,7 @@
         self.subscriber = self._make_subscriber(settings)
         self.gateway.view.instances = self.subscriber.instances
         self.feed = FeedLink(self.subscriber, self._apply_events)
+        context.on_reload(self._apply_settings)
         self._staleness = StalenessMonitor(time.monotonic())
         front_address = _address(settings.bind_addresses.front, "front")
         self.front_server = Server(front_address, self.front, client_connections, name="front", shared=False)
@@ -144,6 +145,10 @@
         await self.gateway.handles.finish()
         await self.readiness_server.stop_accepting()
 
+    def _apply_settings(self, settings: NodeSettings) -> None:
+        """Apply changed seeds; all other changed settings apply from the next start."""
+        self.feed.replace_seeds(settings.seed_peer_addresses)
+
     def _apply_events(self, events: FeedEvents[Configuration], now: float) -> None:
         """Apply the changes of one feed frame."""
         if events.configuration is not None:
@@ -182,19 +187,13 @@
     def _make_subscriber(self, settings: NodeSettings) -> FeedSubscriber[Configuration]:
         seed = int.from_bytes(os.urandom(8), "big")
         return FeedSubscriber(
-            peer_addresses(settings),
+            settings.seed_peer_addresses,
             GatewayIdentity(settings.zone, settings.node_name, seed),
             Random(seed),
             apply_update,
         )
 
 
-def peer_addresses(settings: NodeSettings) -> list[str]:
-    """Return the seeds' addresses for traffic between processes: it uses the first port of the range."""
-    port = settings.port_range[0]
-    return [f"{split_address(seed)[0]}:{port}" for seed in settings.seeds]
-
-
 def retry_budget(bounds: Bounds) -> BudgetSettings:
     """Return the gateways' retry budget, which is smaller than the fleet's limit.
 
--- a/mallowbeam/router/feed/candidates.py
+++ b/mallowbeam/router/feed/candidates.py
@@ -50,9 +50,18 @@
         """All members and seeds, each once."""
         return tuple(self._by_address)
 
+    def replace_seeds(self, seeds: Iterable[str]) -> None:
+        """Replace the seeds by those of changed settings; addresses that remain keep their records."""
+        self._seeds = tuple(dict.fromkeys(seeds))
+        self._update_records()
+
     def update_members(self, members: Iterable[str]) -> None:
         """Replace the membership; members that remain keep their records."""
         self._members = tuple(dict.fromkeys(members))[:MAX_MEMBERS]
+        self._update_records()
+
+    def _update_records(self) -> None:
+        """Keep a record for each member and seed, and none for other addresses."""
         addresses = dict.fromkeys(self._members + self._seeds)
         self._by_address = {address: self._by_address.get(address, Candidate()) for address in addresses}
 
--- a/mallowbeam/router/feed/subscriber.py
+++ b/mallowbeam/router/feed/subscriber.py
@@ -181,6 +181,14 @@
 
     # ------------------------------------------------------------ the connection
 
+    def replace_seeds(self, seeds: Iterable[str]) -> None:
+        """Replace the seeds; a member that is followed stays followed.
+
+        The host calls it when the settings name other members, and `next_action()` afterwards: while no
+        member is reachable, the seeds may be the only addresses that still exist.
+        """
+        self._candidates.replace_seeds(seeds)
+
     def next_action(self, now: float) -> Action:
         """The host's next action; call it again after each event and at the end of a Wait."""
         connection = self._connection
--- a/mallowbeam/router/processes/settings.py
+++ b/mallowbeam/router/processes/settings.py
@@ -145,6 +145,11 @@
         """IP:PORT of the listener for other processes of the fleet."""
         return f"{self.ip}:{self.port_range[0]}"
 
+    @property
+    def seed_peer_addresses(self) -> tuple[str, ...]:
+        """IP:PORT of the seeds' listeners for other processes; their port is the same on all machines."""
+        return tuple(f"{split_address(seed)[0]}:{self.port_range[0]}" for seed in self.seeds)
+
 
 def settings_path() -> str:
     """The path of the settings file."""
--- a/mallowbeam/simulation/fleet.py
+++ b/mallowbeam/simulation/fleet.py
@@ -11,7 +11,7 @@
     at 1 again REVISION                   the operator submits an accepted configuration again
     at 1 call I M                         an instance sends its next request to this member
     at 1 launch-gateway G                 add and start a gateway
-    at 1 seeds G M...                     a gateway has these seeds after its next start
+    at 1 seeds G M...                     the settings of a gateway name these seeds
     at 1 lose-answers NAME RATE           answers to an operator are lost with this probability
     at 1 drain I      delete I            an instance reports that it is draining, or that it ends
     at 1 launch I                         add and start an instance
--- a/mallowbeam/simulation/fleet_processes.py
+++ b/mallowbeam/simulation/fleet_processes.py
@@ -29,6 +29,7 @@
 from mallowbeam.router.control_plane.store_recovery import OpenedStore
 from mallowbeam.router.data_plane.feed_link import FeedLink
 from mallowbeam.router.feed.subscriber import FeedSubscriber, GatewayIdentity
+from mallowbeam.router.processes.role import SETTINGS_POLL_INTERVAL_S
 from mallowbeam.router.processes.settings import BindAddresses, NodeSettings
 from mallowbeam.router.rpc.messages_pb2 import DRAINS
 from mallowbeam.simulation.dialing import Streams
@@ -170,11 +171,12 @@
         self._settings = replace(self._settings, bootstrap=False)
 
     def set_seeds(self, ips: Sequence[str]) -> None:
-        """Change the seeds in the settings; a running process reloads them at once."""
-        self._settings = settings = replace(self._settings, seeds=seeds_of(ips))
-        loop, program = self.loop, self.program
-        if loop is not None and program is not None and self.machine.running:
-            loop.enter(lambda: program.reload(settings))
+        """Change the seeds in the settings; a running process notices it at its next poll."""
+        self._settings = replace(self._settings, seeds=seeds_of(ips))
+
+    def _reload(self, settings: NodeSettings) -> None:
+        if self.program is not None:
+            self.program.reload(settings)
 
     def terminate(self) -> None:
         """Send SIGTERM: the process shuts down gracefully; one that is still starting ends at once."""
@@ -233,6 +235,7 @@
         self.program = self._server = None
         self.loop = loop = new_loop(self.machine, self._streams)
         loop.create_task(self._serve(loop))
+        loop.create_task(watch_settings(lambda: self._settings, self._reload))
 
     async def _serve(self, loop: SimulatedLoop) -> None:
         if self.replica is None:
@@ -313,7 +316,7 @@
         machine.on_thaw(self._thawed)
 
     def set_seeds(self, ips: Sequence[str]) -> None:
-        """Change the seeds; takes effect at the next start."""
+        """Change the seeds in the settings; a running process notices it at its next poll."""
         self._settings = replace(self._settings, seeds=seeds_of(ips))
 
     @property
@@ -338,15 +341,28 @@
 
     def _boot(self) -> None:
         self.loop = loop = new_loop(self.machine, self._streams)
-        seeds = [f"{seed.rpartition(':')[0]}:{PEER_PORT}" for seed in self._settings.seeds]
         random = Random(self._random.random())
         identity = GatewayIdentity(self._settings.zone, self._settings.node_name, self.machine.incarnation)
-        self.subscriber = FeedSubscriber(seeds, identity, random, apply_update)
-        loop.create_task(self._run_feed())
+        self.subscriber = FeedSubscriber(self._settings.seed_peer_addresses, identity, random, apply_update)
+        loop.create_task(self._run_feed(self.subscriber))
 
-    async def _run_feed(self) -> None:
-        assert self.subscriber is not None
-        await FeedLink(self.subscriber, lambda events, now: None).run()
+    async def _run_feed(self, subscriber: FeedSubscriber[Configuration]) -> None:
+        link = FeedLink(subscriber, lambda events, now: None)
+        watcher = watch_settings(
+            lambda: self._settings, lambda settings: link.replace_seeds(settings.seed_peer_addresses)
+        )
+        await asyncio.gather(link.run(), watcher)
+
+
+async def watch_settings(current: Callable[[], NodeSettings], reload: Callable[[NodeSettings], None]) -> None:
+    """Poll a process's settings at the interval of the real role, and reload changed ones."""
+    in_force = current()
+    while True:
+        await asyncio.sleep(SETTINGS_POLL_INTERVAL_S)
+        settings = current()
+        if settings != in_force:
+            in_force = settings
+            reload(settings)
 
 
 def seeds_of(ips: Sequence[str]) -> tuple[str, ...]:
--- a/tests/router/data_plane/test_data_plane_feed_link.py
+++ b/tests/router/data_plane/test_data_plane_feed_link.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import unittest
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import suppress
 from typing import cast
 
@@ -56,6 +56,9 @@
     def hello(self) -> FeedHello:
         return HELLO
 
+    def replace_seeds(self, seeds: Iterable[str]) -> None:
+        self.actions = [Connect(seed) for seed in seeds]
+
     def connected(self, address: str, now: float) -> None:
         self.reports.append(("connected", address))
 
@@ -153,6 +156,31 @@
 
         self.play(scenario)
 
+    # Guards against new seeds that wait for the end of a backoff, which has no end without any address.
+    def test_new_seeds_end_the_wait_for_a_member(self) -> None:
+        async def scenario(member: Member, _: Member) -> None:
+            now = asyncio.get_running_loop().time
+            async with Bench(ScriptedSubscriber(Wait(now() + 60.0))) as bench:
+                await asyncio.sleep(0)
+                began = now()
+                bench.link.replace_seeds([member.address])
+                await until(lambda: member.frames)
+                self.assertLess(now() - began, 1.0)
+
+        self.play(scenario)
+
+    def test_new_seeds_leave_an_open_feed_alone(self) -> None:
+        async def scenario(member: Member, other: Member) -> None:
+            async with Bench(ScriptedSubscriber(Connect(member.address))) as bench:
+                await until(lambda: member.frames)
+                bench.script.replace_seeds = lambda seeds: None  # type: ignore[method-assign]
+                bench.link.replace_seeds([other.address])
+                member.connections[0].send(frame(1))
+                await until(lambda: bench.changes)
+                self.assertEqual((other.frames, member.ended), ([], []))
+
+        self.play(scenario)
+
     def test_closed_feed_is_not_reported_as_failed(self) -> None:
         async def scenario(member: Member, other: Member) -> None:
             script = ScriptedSubscriber(
--- a/tests/router/data_plane/test_data_plane_role.py
+++ b/tests/router/data_plane/test_data_plane_role.py
@@ -9,7 +9,10 @@
 import sys
 import tempfile
 import unittest
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import NamedTuple
 
 from gateway_bench import DEFAULT, Answer, read_answer, request_bytes
 from project_paths import ROOT
@@ -37,7 +40,7 @@
 zone = "z1"
 region = "r1"
 port_range = [{feed}, {feed}]
-seeds = ["{ip}:1"]
+seeds = ["{seed}:1"]
 [bind_addresses]
 front = "{ip}:{front}"
 readiness = "{ip}:{readiness}"
@@ -48,13 +51,14 @@
 """
 
 
-def own_address() -> str:
+def own_address(block: int) -> str:
     """Return a loopback address that no other process uses, so that free ports on it stay free."""
     high, low = divmod(os.getpid(), 250)
-    return f"127.{64 + high // 250 % 64}.{high % 250 + 1}.{low + 1}"
+    return f"127.{block + high // 250 % 64}.{high % 250 + 1}.{low + 1}"
 
 
-IP = own_address()
+IP = own_address(64)
+SUCCESSOR_IP = own_address(128)  # of a member that takes the place of the one at IP
 
 
 def free_port() -> int:
@@ -70,9 +74,20 @@
     def __init__(self, instance: ModelServer) -> None:
         self.instance, self.hellos = instance, []
         self.data_released = asyncio.Event()  # set once the member may send its data
+        self.connections: list[FrameConnection] = []
 
     def opened(self, connection: FrameConnection) -> None:
-        pass
+        self.connections.append(connection)
+
+    async def listen(self, ip: str, port: int) -> None:
+        self.server = await listen(ip, port, self.received, self.opened, lambda connection: None)
+
+    def remove(self) -> None:
+        """End the member for good."""
+        self.server.close()
+        self.task.cancel()
+        for connection in self.connections:
+            connection.abort()
 
     def received(self, connection: FrameConnection, data: bytes) -> None:
         frame = LinkFrame.FromString(data)
@@ -126,35 +141,81 @@
             await asyncio.sleep(0.02)
 
 
+class Ports(NamedTuple):
+    feed: int
+    front: int
+    readiness: int
+
+
 class Role(unittest.IsolatedAsyncioTestCase):
-    async def test_life_of_a_gateway(self):
-        instance = ModelServer("i-1")
-        await instance.start()
-        member = Member(instance)
-        feed, front, readiness = free_port(), free_port(), free_port()
-        server = await listen(IP, feed, member.received, member.opened, lambda connection: None)
-        with tempfile.TemporaryDirectory() as folder:
-            path = Path(folder) / "settings.toml"
-            path.write_text(SETTINGS.format(ip=IP, feed=feed, front=front, readiness=readiness))
-            process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "mallowbeam",
-                "data-plane",
-                cwd=ROOT,
-                env={**os.environ, "MALLOWBEAM_NODE_FILE": str(path)},
-                stderr=asyncio.subprocess.PIPE,
-            )
-            try:
-                await self.run_lifecycle(process, member, front, readiness)
-            finally:
-                if process.returncode is None:
-                    process.kill()
-                _, log = await process.communicate()
+    async def asyncSetUp(self) -> None:
+        self.instance = ModelServer("i-1")
+        await self.instance.start()
+        self.ports = Ports(free_port(), free_port(), free_port())
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.settings_path = Path(folder.name) / "settings.toml"
+        self.write_settings(IP)
+
+    async def asyncTearDown(self) -> None:
+        await self.instance.stop()
+
+    def write_settings(self, seed: str) -> None:
+        self.settings_path.write_text(SETTINGS.format(ip=IP, seed=seed, **self.ports._asdict()))
+
+    @asynccontextmanager
+    async def gateway(self) -> AsyncIterator[asyncio.subprocess.Process]:
+        """Run the role as a process, which must have ended in order at the end."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "mallowbeam",
+            "data-plane",
+            cwd=ROOT,
+            env={**os.environ, "MALLOWBEAM_NODE_FILE": str(self.settings_path)},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        try:
+            yield process
+        finally:
+            if process.returncode is None:
+                process.kill()
+            _, log = await process.communicate()
         self.assertEqual(process.returncode, 0, log.decode())
-        member.task.cancel()
-        server.close()
-        await instance.stop()
+
+    async def test_life_of_a_gateway(self):
+        member = Member(self.instance)
+        await member.listen(IP, self.ports.feed)
+        async with self.gateway() as process:
+            await self.run_lifecycle(process, member, self.ports.front, self.ports.readiness)
+        member.remove()
+
+    # Guards against a gateway that never follows a member again once all that it knew have been replaced.
+    async def test_seeds_of_changed_settings_are_followed_when_every_known_member_is_gone(self):
+        for notified in (True, False):  # by SIGHUP, or by the file alone
+            with self.subTest(notified=notified):
+                await self.replace_the_only_member(notified)
+
+    async def replace_the_only_member(self, notified: bool) -> None:
+        self.write_settings(IP)
+        member, successor = Member(self.instance), Member(self.instance)
+        await member.listen(IP, self.ports.feed)
+        member.data_released.set()
+        async with self.gateway() as process:
+            await until(self.ports.readiness, 200)
+            member.remove()
+            await successor.listen(SUCCESSOR_IP, self.ports.feed)
+            self.write_settings(SUCCESSOR_IP)
+            if notified:
+                process.send_signal(signal.SIGHUP)
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                while not successor.hellos:
+                    await asyncio.sleep(0.02)
+            self.assertEqual(successor.hellos[0].configuration_revision, DEFAULT.revision)
+            process.terminate()
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                await process.wait()
+        successor.remove()
 
     async def run_lifecycle(
         self, process: asyncio.subprocess.Process, member: Member, front: int, readiness: int
--- a/tests/router/feed/test_feed_subscriber.py
+++ b/tests/router/feed/test_feed_subscriber.py
@@ -123,6 +123,38 @@
         self.assertEqual(set(tried[:2]), set(members))
         self.assertTrue(set(tried[2:]) < set(SEEDS))
 
+    # Guards against a gateway that tries only addresses that no longer exist.
+    def test_replaced_seeds_are_tried_though_all_known_members_are_gone(self) -> None:
+        self.connect(0.0)
+        members = ("10.0.1.1:1", "10.0.1.2:1")
+        self.feed.received(frame(whole=True, members=members), 0.1)
+        new_seed = "10.0.2.1:1"
+        self.feed.replace_seeds([new_seed])
+        self.assertEqual(set(self.feed.member_addresses), {*members, new_seed})
+        connection = self.feed._connection
+        assert connection is not None  # the member that is followed is not left
+        self.feed.failed(connection.address, 0.3)
+        tried = []
+        for _ in range(3):
+            action = self.feed.next_action(0.3)
+            assert isinstance(action, Connect)
+            tried.append(action.address)
+            self.feed.failed(action.address, 0.3)
+        self.assertEqual((set(tried[:2]), tried[2]), (set(members), new_seed))
+
+    def test_replaced_seeds_end_a_wait_without_any_address(self) -> None:
+        self.feed = FeedSubscriber((), GatewayIdentity("z"), Random(7), apply_update)
+        self.assertIsInstance(self.feed.next_action(0.0), Wait)
+        self.feed.replace_seeds(SEEDS[:1])
+        self.assertEqual(self.feed.next_action(0.1), Connect(SEEDS[0]))
+
+    def test_seeds_that_remain_keep_their_backoff(self) -> None:
+        action = self.feed.next_action(0.0)
+        assert isinstance(action, Connect)
+        self.feed.failed(action.address, 0.0)
+        self.feed.replace_seeds([action.address])
+        self.assertIsInstance(self.feed.next_action(0.0), Wait)
+
     def test_a_frame_after_the_end_has_no_effect(self) -> None:
         self.connect(0.0)
         self.feed.next_action(1.5)
