Feed: a member that is not current no longer replaces a gateway's membership

What callers would see: a gateway that turns to a member which is cut off, while the members it followed are all reachable again, stays with that one: old configuration, old instances.

Cause: each membership in a feed frame replaced the gateway's. Members may always send theirs (FEED_MEMBERS has no condition), so one that was cut off sends that of then. Where the others have been replaced meanwhile, every address in it is gone.

Evidence: the scenario on the program before: from the moment at which g1 reaches nothing but m1 it opens and closes the feed of m1 alone, also once m6 to m9, which it followed before, are reachable again.

Change: a membership adds to the known one until the member that sent it is current; then it replaces it.

--- a/mallowbeam/router/feed/candidates.py
+++ b/mallowbeam/router/feed/candidates.py
@@ -55,11 +55,15 @@
         self._seeds = tuple(dict.fromkeys(seeds))
         self._update_records()
 
-    def update_members(self, members: Iterable[str]) -> None:
-        """Replace the membership; members that remain keep their records."""
+    def replace_members(self, members: Iterable[str]) -> None:
+        """Replace the membership by that of a current member; members that remain keep their records."""
         self._members = tuple(dict.fromkeys(members))[:MAX_MEMBERS]
         self._update_records()
 
+    def add_members(self, members: Iterable[str]) -> None:
+        """Add the membership of a member that may be outdated: members that it lacks stay known."""
+        self.replace_members((*self._members, *members))
+
     def _update_records(self) -> None:
         """Keep a record for each member and seed, and none for other addresses."""
         addresses = dict.fromkeys(self._members + self._seeds)
--- a/mallowbeam/router/feed/subscriber.py
+++ b/mallowbeam/router/feed/subscriber.py
@@ -91,6 +91,7 @@
     current: bool = False  # according to the last heartbeat, the member's state was current
     behind: bool = False  # the member sent an older configuration than this gateway has
     inconsistent: bool = False  # the member's changes don't fit this gateway's state: reconnect
+    unconfirmed_members: tuple[str, ...] = ()  # the membership that it sent last, until it is current
 
 
 class FeedSubscriber(Generic[Configuration]):
@@ -274,9 +275,8 @@
         current_at = now - state_age_ms / 1000 - staleness_s
         self._candidates.record_frame(connection.address, current_at)
         self._current_at = max(self._current_at, current_at)
-        if heartbeat.members:
-            self._candidates.update_members(heartbeat.members)
         connection.current = state_age_ms + staleness_s * 1000 <= LEADER_TIMEOUT_MS
+        self._apply_members(connection, tuple(heartbeat.members))
         connection.isolated = state_age_ms > LEADER_TIMEOUT_MS or staleness_s > MAX_STALENESS_S
         if connection.isolated:
             self._readmit_others_once(connection)
@@ -289,6 +289,19 @@
         if not connection.isolated or heartbeat.gateways > self.gateways:
             self._gateway_counts.record(heartbeat.gateways, now)
 
+    def _apply_members(self, connection: _Connection, members: tuple[str, ...]) -> None:
+        """Apply the membership of a heartbeat; one without members repeats the last one.
+
+        A member that is not current may not know who replaced the members that it knew, so its membership
+        only adds addresses until it is current.
+        """
+        if members:
+            connection.unconfirmed_members = members
+            self._candidates.add_members(members)
+        if connection.current and connection.unconfirmed_members:
+            self._candidates.replace_members(connection.unconfirmed_members)
+            connection.unconfirmed_members = ()
+
     def _apply_configuration(
         self, connection: _Connection, update: ConfigurationUpdate, now: float
     ) -> Configuration | None:
--- a/tests/router/feed/test_feed_candidates.py
+++ b/tests/router/feed/test_feed_candidates.py
@@ -17,7 +17,7 @@
         """Two unreachable members that were followed before must not starve those never followed."""
         for seed in range(1, 21):
             candidates = Candidates(MEMBERS, Random(seed))
-            candidates.update_members(MEMBERS)
+            candidates.replace_members(MEMBERS)
             candidates.record_frame("m1", 5.0)
             candidates.record_frame("m4", 6.0)
             for member in MEMBERS:
--- a/tests/router/feed/test_feed_subscriber.py
+++ b/tests/router/feed/test_feed_subscriber.py
@@ -123,6 +123,21 @@
         self.assertEqual(set(tried[:2]), set(members))
         self.assertTrue(set(tried[2:]) < set(SEEDS))
 
+    # Guards against a cut-off member whose membership makes a gateway forget those that replaced the others.
+    def test_the_membership_of_a_member_that_is_not_current_replaces_none(self) -> None:
+        self.connect(0.0)
+        members = ("10.0.1.1:1", "10.0.1.2:1")
+        self.feed.received(frame(whole=True, members=members), 0.1)
+        self.reconnect(0.2)
+        outdated = ("10.0.3.1:1",)
+        self.feed.received(frame(whole=True, members=outdated, silence_ms=30_000), 0.5)
+        self.feed.received(frame(silence_ms=30_250), 0.75)
+        self.assertEqual(set(self.feed.member_addresses), {*members, *outdated, *SEEDS})
+        self.feed.received(frame(silence_ms=100), 1.0)  # it is current again, and its membership unchanged
+        self.assertEqual(set(self.feed.member_addresses), {*outdated, *SEEDS})
+        self.feed.received(frame(members=members), 1.2)
+        self.assertEqual(set(self.feed.member_addresses), {*members, *SEEDS})
+
     # Guards against a gateway that tries only addresses that no longer exist.
     def test_replaced_seeds_are_tried_though_all_known_members_are_gone(self) -> None:
         self.connect(0.0)
