--- a/mallowbeam/simulation/fleet.py
+++ b/mallowbeam/simulation/fleet.py
@@ -11,7 +11,7 @@
     at 1 again REVISION                   the operator submits an accepted configuration again
     at 1 call I M                         an instance sends its next request to this member
     at 1 launch-gateway G                 add and start a gateway
-    at 1 seeds G M...                     the settings of a gateway name these seeds
+    at 1 seeds WHO M...                   the settings of gateways or members name these seeds
     at 1 lose-answers NAME RATE           answers to an operator are lost with this probability
     at 1 drain I      delete I            an instance reports that it is draining, or that it ends
     at 1 launch I                         add and start an instance
@@ -145,10 +145,12 @@
         """Set the probability that answers to an operator are lost."""
         self.operators[name].answer_loss = float(loss_rate)
 
-    def do_seeds(self, gateway: str, *members: str) -> None:
-        """Change a gateway's seeds."""
-        names = [name for target in members for name in self.names(target)]
-        self.gateways[gateway].set_seeds([self.network.machines[name].ip for name in names])
+    def do_seeds(self, target: str, *seeds: str) -> None:
+        """Change the seeds of gateways or members."""
+        ips = [self.network.machines[name].ip for seed in seeds for name in self.names(seed)]
+        for name in self.names(target):
+            process = self.gateways.get(name) or self.members[name]
+            process.set_seeds(ips)
 
     def do_drain(self, name: str) -> None:
         """Drain an instance."""
