--- a/tests/simulation/test_system_scenarios.py
+++ b/tests/simulation/test_system_scenarios.py
@@ -59,7 +59,7 @@
 """
 
 
-# For a minute a gateway reaches nothing but a cut-off member; then it reaches the others, and that one does not.
+# For a minute a gateway reaches only a cut-off member; then it reaches the others, and that one does not.
 LONG_WITH_PARTITIONED = """seed {seed}
 members m1 m2 m3 m4 m5
 gateways g1
