Tests: real processes of trials in a module of their own

Change: real_processes.py has processes, settings, calls and routes, and names what it needs of a trial's fleet (ProcessFleet); the soak's fleet needs no type exceptions. No check changes: the classes and functions are moved as they were.

--- a/tests/support/mixed_storage_gateways.py
+++ b/tests/support/mixed_storage_gateways.py
@@ -37,8 +37,9 @@
 from pathlib import Path
 from typing import Any
 
-from mixed_fleet import NEW, OLD, PATIENCE_S, Answer, TrialFailedError, call, check_code, free_port, until
+from mixed_fleet import check_code
 from project_paths import EXAMPLE
+from real_processes import NEW, OLD, PATIENCE_S, Answer, TrialFailedError, call, free_port, until
 
 from mallowbeam.standins.discovery import Discovery, member
 from mallowbeam.standins.node import ObjectNode
--- a/tests/support/soak_fleet.py
+++ b/tests/support/soak_fleet.py
@@ -13,8 +13,8 @@
 from pathlib import Path
 from typing import Any
 
-from mixed_fleet import NEW, Gateway, Member, free_port
 from project_paths import ROOT
+from real_processes import NEW, Gateway, Member, free_port
 from soak_judge import CORE, GRACE_S, MACHINE, Configurations, Disturbances, Judge, planned_stop
 
 SEED_LAG_S = 3.0  # until the settings name other members
@@ -57,10 +57,10 @@
         self._delayed: set[asyncio.Task[None]] = set()
 
     def _member(self, number: int) -> Member:
-        return Member(self, number, NEW)  # type: ignore[arg-type]
+        return Member(self, number, NEW)
 
     def _gateway(self, number: int) -> Gateway:
-        return Gateway(self, number, NEW)  # type: ignore[arg-type]
+        return Gateway(self, number, NEW)
 
     def seeds(self) -> list[str]:
         """The control addresses that a settings file names: some members of the operator's list."""
--- a/tests/support/soak_traffic.py
+++ b/tests/support/soak_traffic.py
@@ -13,7 +13,7 @@
 from math import inf
 from typing import Any
 
-from mixed_fleet import HEARTBEAT_MS, HOST, SERVICE, Answer, Gateway, call, read_answer, route
+from real_processes import HEARTBEAT_MS, HOST, SERVICE, Answer, Gateway, call, read_answer, route
 from soak_fleet import SoakFleet
 from soak_judge import DRAIN_S, SERVICES, BrokenOff, Exchange, service_of
 from timed_instances import Timed
