Stop of a gateway: the log tells which requests get no answer, and how far they had come

Change: Server counts requests that were read and get no response (metric mallowbeam_requests_dropped_total, in the gateway's last line); the exit names each request that it cuts, when it was read after the signal and how far it was. Result: no behaviour changes.

--- a/mallowbeam/http/connection.py
+++ b/mallowbeam/http/connection.py
@@ -28,6 +28,7 @@
     reset_at_close,
 )
 from mallowbeam.http.stream import Stream
+from mallowbeam.http.unanswered import Progress, UnansweredRequest
 
 MAX_PIPELINED = 2  # complete requests that may wait behind the one being answered
 REQUEST_TIMEOUT_S = 2.5  # to receive a request; on a new connection since it opened
@@ -62,6 +63,7 @@
         self.streamed_request: Message | None = None  # the request whose body is being streamed
         self.consumer_is_slow = False  # reading is paused because the body's consumer is slow
         self.writing = self.answered = False
+        self.streams_response = False  # the response being written is streamed
         self.pipeline_deadline = 0.0  # until when pipelined requests are answered before a close
         self.reading_paused = False  # reading is paused; only the client's departure is checked
         self.liveness_timer: asyncio.TimerHandle | None = None
@@ -78,6 +80,15 @@
         """Number of requests received completely and not yet answered."""
         return len(self.channel.framer.ready) + (self.request is not None and self.request.complete)
 
+    @property
+    def unanswered(self) -> list[UnansweredRequest]:
+        """The requests received completely that have no complete response."""
+        waiting = [UnansweredRequest(one, Progress.QUEUED) for one in self.channel.framer.ready]
+        if self.request is None or not self.request.complete:
+            return waiting
+        progress = Progress.STREAMING if self.streams_response else Progress.IN_PROGRESS
+        return [UnansweredRequest(self.request, progress), *waiting]
+
     @property
     def can_be_closed(self) -> bool:
         """Whether the connection may be closed to make room for another.
@@ -269,7 +280,7 @@
             time.monotonic(),
             True,
         )
-        self.request = None
+        self.request, self.streams_response = None, False
         if request.stream is not None:
             request.stream.close()
         if self.channel.framer.empty:
@@ -302,6 +313,7 @@
             reply = self.server.front.error_response(500, "internal error")
             request.keep_alive = False
         self.channel.last_activity, self.writing, sent_completely = time.monotonic(), True, False
+        self.streams_response = reply.write is not None
         try:
             if reply.write is None:
                 head_only = request.method == b"HEAD"  # no body follows, whatever its headers state
--- a/mallowbeam/http/server.py
+++ b/mallowbeam/http/server.py
@@ -12,16 +12,19 @@
 import errno
 import socket
 import time
+from collections.abc import Sequence
 from contextlib import suppress
 from heapq import heapify, heappop
 from typing import Protocol
 
 from mallowbeam.http.connection import Connection
+from mallowbeam.http.framing import Message
 from mallowbeam.http.handler import RequestHandler
 from mallowbeam.http.handler import Response as Response  # re-exported for the fleet's page
 from mallowbeam.http.handler import text_response as text_response
 from mallowbeam.http.reporting import RateLimitedWarning, logger
 from mallowbeam.http.shutdown import LINGER_S
+from mallowbeam.http.unanswered import UnansweredRequest
 
 LISTEN_BACKLOG = 512
 REJECT_ONLY_DIVISOR = 8  # one in this many connections is reserved for rejecting the excess ones
@@ -118,6 +121,7 @@
             RateLimitedWarning("all connections are busy"),
             RateLimitedWarning("cannot accept"),
         )
+        self.dropped_requests = 0  # requests read completely whose connection closed without a response
 
     @property
     def spare(self) -> int:
@@ -133,6 +137,16 @@
         """Number of requests received completely and not yet answered, over all connections."""
         return sum(connection.pending for connection in self.connections)
 
+    @property
+    def unanswered(self) -> list[UnansweredRequest]:
+        """The requests received completely that have no complete response, over all connections."""
+        connections = [one for one in self.connections if isinstance(one, Connection)]
+        return [request for connection in connections for request in connection.unanswered]
+
+    def dropped(self, requests: Sequence[Message]) -> None:
+        """Count requests that were read completely and get no response."""
+        self.dropped_requests += len(requests)
+
     def start(self) -> None:
         """Start to listen and accept connections."""
         self.sock.listen(LISTEN_BACKLOG)
--- a/mallowbeam/http/shutdown.py
+++ b/mallowbeam/http/shutdown.py
@@ -13,6 +13,7 @@
 import socket
 import struct
 import time
+from collections.abc import Sequence
 from contextlib import suppress
 from enum import Enum
 from typing import Protocol
@@ -90,6 +91,9 @@
     def connections(self) -> Connections:
         """The open connections; each removes itself when it closes."""
 
+    def dropped(self, requests: Sequence[Message]) -> None:
+        """Record requests that were read completely and get no response."""
+
 
 class ConnectionShutdown:
     """Closing of a client's connection; the base of `Connection`, which sets the attributes declared here."""
@@ -140,6 +144,8 @@
     def _half_close(self, linger: float | None = None) -> None:
         """End this side; the client has `linger` seconds to read and to end its own before the close."""
         self.state, self.half_closed_at = Stage.LINGERING, time.monotonic()
+        if self.channel.framer.ready:
+            self.server.dropped(self.channel.framer.ready)
         self.channel.framer.ready.clear()  # no request is accepted after the last response
         self.read_ahead.clear()
         shutdown_write(self.channel.sock)
--- a/mallowbeam/router/data_plane/role.py
+++ b/mallowbeam/router/data_plane/role.py
@@ -41,6 +41,7 @@
 DRAIN_DELAY_S = 2.2  # from the stop signal until the platform has stopped sending new connections
 DRAIN_DELAY_FRACTION = 0.35  # of the grace period; upper limit for that delay
 MAX_REPORTED_STALENESS_S = 1e9  # in place of infinity, before the first frame of a current member
+MAX_LOGGED_REQUESTS = 20  # requests cut by the exit that are logged one by one
 EXIT_MARGIN_S = 0.5  # of the grace period, reserved for the final clean-up
 
 log = get_logger("mallowbeam.data_plane")
@@ -101,6 +102,10 @@
         yield Metric("mallowbeam_configuration_revision", revision, "Configuration in force.")
         staleness_s = min(self.subscriber.staleness(now), MAX_REPORTED_STALENESS_S)
         yield Metric("mallowbeam_silence_seconds", staleness_s, "Time since a member confirmed the state.")
+        dropped = "Requests read completely whose connection was closed without an answer."
+        yield Metric(
+            "mallowbeam_requests_dropped_total", self.front_server.dropped_requests, dropped, "counter"
+        )
         yield Metric("mallowbeam_ready", int(self.ready()), "1 while clients may be sent here.")
 
     def ready(self) -> bool:
@@ -133,6 +138,7 @@
         """Fail readiness checks, keep serving until the platform has noticed, then drain."""
         grace_s = self._context.settings.bounds.grace_s
         drain_delay_s = min(DRAIN_DELAY_S, grace_s * DRAIN_DELAY_FRACTION)
+        stopped_at = time.monotonic()
         log.info("stopping")
         await asyncio.sleep(drain_delay_s)
         try:
@@ -142,9 +148,27 @@
             log.warning(
                 "%d requests were unfinished at the end of the grace period", self.front_server.pending
             )
+            self._log_unanswered(stopped_at)
+        log.info(
+            "drained %.1f s after the stop signal, %d requests were dropped unanswered in this life",
+            time.monotonic() - stopped_at,
+            self.front_server.dropped_requests,
+        )
         await self.gateway.handles.finish()
         await self.readiness_server.stop_accepting()
 
+    def _log_unanswered(self, stopped_at: float) -> None:
+        """Log the requests that the exit cuts, when each was read, and how far it had come."""
+        for one in self.front_server.unanswered[:MAX_LOGGED_REQUESTS]:
+            request_id = (one.request.get(b"request-id") or b"unknown").decode("latin-1")
+            read_at_s = one.request.completed_at - stopped_at
+            log.warning(
+                "request %s is cut by the exit; read %+.1f s after the stop signal, %s",
+                request_id,
+                read_at_s,
+                one.progress.value,
+            )
+
     def _apply_settings(self, settings: NodeSettings) -> None:
         """Apply changed seeds; all other changed settings apply from the next start."""
         self.feed.replace_seeds(settings.seed_peer_addresses)
