--- a/tests/router/data_plane/test_rules_stop.py
+++ b/tests/router/data_plane/test_rules_stop.py
@@ -24,7 +24,7 @@
     request_bytes,
     route,
 )
-from timed_instances import Timed, now
+from timed_instances import EndlessAnswers, Timed, TimedStream, now
 from virtual_time import play
 
 from mallowbeam.router.data_plane.role import DataPlane
@@ -36,6 +36,7 @@
 GRACE_S = 8.0
 CHECK_PERIOD_S = 1.0
 OUT_WITHIN_S = 4.0
+DRAINS_AFTER_S = 2.2  # after the stop signal
 FAILED_CHECKS = 2
 LONG = {"Deadline-Ms": "60000"}
 LONG_MS = 30_000
@@ -288,6 +289,81 @@
         self.play(scenario)
 
 
+class BehindAStream(Case):
+    """Requests on a kept connection whose stream goes on while the gateway stops."""
+
+    @staticmethod
+    async def open_stream(process: Process) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        reader, writer = await process.connect()
+        writer.write(request_bytes("/stream/", headers=LONG))
+        return reader, writer
+
+    def test_a_request_read_behind_a_stream_that_outlasts_the_linger_time_is_not_dropped(self) -> None:
+        async def scenario(process: Process) -> None:
+            instance = await process.add(Timed("i-1"))
+            await process.add(TimedStream("d-1", "decode", service_time_s=0.5, lasts_s=3.0))
+            process.signal_stop()
+            await asyncio.sleep(DRAINS_AFTER_S - 0.1)
+            reader, writer = await self.open_stream(process)
+            writer.write(request_bytes("/unsafe/", headers=LONG) * 2)
+            answers = [await read_answer(reader) for _ in range(3)]
+            self.assertEqual(
+                [(one.status, one.complete) for one in answers], [(200, True), *[(503, True)] * 2]
+            )
+            closes = [one.headers.get("connection") for one in answers]
+            self.assertEqual(closes, [None, None, "close"])
+            self.assertEqual(await reader.read(), b"")
+            self.assertEqual(instance.arrivals, [])
+
+        self.play(scenario)
+
+    def test_a_request_taken_late_on_a_kept_connection_is_not_passed_on_to_be_cut_by_the_exit(self) -> None:
+        for deadline_ms, status, arrivals in (("60000", 503, 0), ("3000", 200, 1)):
+
+            async def scenario(
+                process: Process,
+                deadline_ms: str = deadline_ms,
+                status: int = status,
+                arrivals: int = arrivals,
+            ) -> None:
+                instance = await process.add(Timed("i-1", service_time_s=0.5 if arrivals else 10.0))
+                await process.add(TimedStream("d-1", "decode", lasts_s=6.0))
+                reader, writer = await self.open_stream(process)
+                await asyncio.sleep(1.0)
+                process.signal_stop()
+                await asyncio.sleep(4.0)
+                writer.write(request_bytes("/unsafe/", headers={"Deadline-Ms": deadline_ms}))
+                self.assertTrue((await read_answer(reader)).complete)
+                answer = await read_answer(reader)
+                self.assertEqual((answer.status, answer.complete), (status, True))
+                self.assertEqual(answer.headers.get("connection"), "close")
+                self.assertEqual(len(instance.arrivals), arrivals)
+
+            self.play(scenario)
+
+    def test_a_request_sent_behind_a_stream_that_the_exit_cuts_is_never_read(self) -> None:
+        for sent_after_s in (-0.5, 1.0, 4.0):
+
+            async def scenario(process: Process, sent_after_s: float = sent_after_s) -> None:
+                instance = await process.add(Timed("i-1"))
+                await process.add(EndlessAnswers("d-1", "decode"))
+                _, writer = await self.open_stream(process)
+                asyncio.get_running_loop().call_later(
+                    1.0 + sent_after_s, writer.write, request_bytes("/unsafe/", headers=LONG)
+                )
+                await asyncio.sleep(1.0)
+                process.signal_stop()
+                await asyncio.sleep(GRACE_S - 1.0)
+                (connection,) = process.plane.front_server.connections
+                self.assertTrue(connection.channel.peek())
+                self.assertEqual(connection.pending, 1)  # the stream
+                while process.ended_at is None:
+                    await asyncio.sleep(0.05)
+                self.assertEqual(instance.arrivals, [])
+
+            self.play(scenario)
+
+
 class Hangup(Case):
     def test_new_settings_end_no_request_and_no_connection(self) -> None:
         async def scenario(process: Process) -> None:
--- a/tests/support/timed_instances.py
+++ b/tests/support/timed_instances.py
@@ -90,6 +90,30 @@
             await self._work(reader, self.interval_s)
 
 
+@dataclass
+class TimedStream(Timed):
+    """Sends an event every `interval_s` seconds for `lasts_s` seconds, then ends the stream."""
+
+    interval_s: float = 0.1
+    lasts_s: float = 1.0
+
+    async def _stream(
+        self, seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, fault: object
+    ) -> bool:
+        writer.write(
+            (
+                f"HTTP/1.1 200 OK\r\nRequest-Id: {seen.headers['request-id']}\r\n{self._stamp}"
+                "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            ).encode()
+        )
+        first = int(seen.headers.get("last-event-id", "0")) + 1
+        for number in range(first, first + round(self.lasts_s / self.interval_s)):
+            writer.write(chunk(b"id: %d\ndata: token\n\n" % number))
+            await self._work(reader, self.interval_s)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+
 class DelayedStart(ByName):
     """A planner that has every request wait `start_in_s` seconds before it is sent."""
 
