Data plane: a gateway that stops takes no request late that its exit could cut

Cause: whatever a kept connection brought (behind a stream, or with a body in parts) was taken until the exit, with no look at the time left. One that must end before the exit is served. Class of fault: admission that ignores the end of the process. Evidence: the log of the failing test reads 'read +4.0 s after the stop signal, in progress'; with the change the request gets 503 and no instance sees it, and one with 3 s to live is served.

--- a/mallowbeam/router/data_plane/client_frontend.py
+++ b/mallowbeam/router/data_plane/client_frontend.py
@@ -4,6 +4,7 @@
 
 import time
 from collections.abc import Callable
+from math import inf
 
 from mallowbeam.http.budget import BodyBudget
 from mallowbeam.http.framing import Message
@@ -19,6 +20,7 @@
 MAX_BUFFERED_BYTES = 24 * 1024 * 1024  # limit for request bodies over all connections
 MEMORY_FRACTION = 0.125  # share of the process's memory that request bodies may use
 RETRY_AFTER_S = 0.5  # Retry-After of a 503 that is sent before the first configuration arrives
+STOPPING_RETRY_AFTER_S = 0.01  # Retry-After of a 503 shortly before the exit: others can serve at once
 CLIENT_TIMEOUT_MARGIN_S = 0.5  # network allowance added to the configured client timeouts
 CLIENT_RETURN_MARGIN_S = 0.01  # part of a client's deadline, reserved for the answer's way to the client
 MEGABYTE = 1024 * 1024
@@ -36,6 +38,17 @@
             int(min(MAX_BUFFERED_BYTES, memory_mb * MEGABYTE * MEMORY_FRACTION))
         )
         self.set_limits(ClientLimits())
+        self._unbounded_until = inf  # monotonic time; a request taken later must end before the exit
+        self._last_answer_at = inf  # monotonic time; the latest deadline of such a request
+
+    def stop(self, unbounded_until: float, last_answer_at: float) -> None:
+        """Prepare for the exit of the process.
+
+        Args:
+            unbounded_until: Monotonic time from which requests that could still run at the exit are rejected.
+            last_answer_at: Monotonic time by which answers to those taken later must be complete.
+        """
+        self._unbounded_until, self._last_answer_at = unbounded_until, last_answer_at
 
     def set_limits(self, limits: ClientLimits) -> None:
         """Apply limits to requests that start from now on, also on open connections."""
@@ -56,9 +69,11 @@
         route = view.find_route(client_request.host, client_request.target)
         if route is None:
             return gateway_answer(404, client_request.request_id, closing())
+        deadline = self._deadline(client_request, request, route.timeout_ms)
+        if deadline > self._last_answer_at and time.monotonic() > self._unbounded_until:
+            return gateway_answer(503, client_request.request_id, closing(), STOPPING_RETRY_AFTER_S)
         backend = choose_backend(route, client_request.request_id)
         self._gateway.budgets.of(backend).request(time.monotonic())
-        deadline = self._deadline(client_request, request, route.timeout_ms)
         exchange = Exchange(self._gateway, client_request, route, backend, deadline)
         response = await exchange.run(closing)
         if response is not None:
