HTTP server: requests that were read are answered before a connection closes, however long that takes

Cause: requests behind the response that announces the close were answered for 1 s from the announcement, which a stream outlasts; what had been read by then was cleared without an answer. Change: what was read is always answered. After that second it is rejected with 503, which promises that it never runs; the last answer alone announces the close, and input that is unread by then stays unread. error_response takes 'close'. Class of fault: a time limit that is measured from the start of something that has no limit.

--- a/mallowbeam/http/connection.py
+++ b/mallowbeam/http/connection.py
@@ -64,7 +64,9 @@
         self.consumer_is_slow = False  # reading is paused because the body's consumer is slow
         self.writing = self.answered = False
         self.streams_response = False  # the response being written is streamed
-        self.pipeline_deadline = 0.0  # until when pipelined requests are answered before a close
+        self.pipeline_deadline = (
+            0.0  # when a closing connection begins to reject requests; 0 before it closes
+        )
         self.reading_paused = False  # reading is paused; only the client's departure is checked
         self.liveness_timer: asyncio.TimerHandle | None = None
         self.reading_may_resume = asyncio.Event()
@@ -305,6 +307,10 @@
             if self.rejected:
                 request.keep_alive = False
                 reply = self.server.front.error_response(503, "too many connections")
+            elif self._pipeline_time_is_over():
+                reply = self.server.front.error_response(
+                    503, "the connection is closing", close=self.closes(request)
+                )
             else:
                 reply = await self.server.front.handle(request, lambda: self.closes(request))
         except Exception as error:
@@ -326,33 +332,36 @@
         return sent_completely
 
     def _request_is_pending(self) -> bool:
-        """Whether a request arrived while the last response was being written.
+        """Whether a request has been received that is to be answered before this side ends.
 
-        Such a request counts as received, so it is answered before this side ends.  Its client may read until
-        then.
+        One that was read always is; one that is unread only until `pipeline_deadline`.
         """
-        if (
-            time.monotonic() > self.pipeline_deadline
-            or not self.channel.framer.ready
-            and self._nothing_unread()
-        ):
+        if not self._has_read_requests and (self._pipeline_time_is_over() or self._nothing_unread()):
             return False
         self.state = Stage.DRAINING
         return True
 
+    @property
+    def _has_read_requests(self) -> bool:
+        """Whether input behind the current request was read: complete requests, or bytes not parsed yet."""
+        return bool(self.channel.framer.ready or self.read_ahead)
+
+    def _pipeline_time_is_over(self) -> bool:
+        """Whether requests on this closing connection are rejected, as it has been closing for too long."""
+        return 0.0 < self.pipeline_deadline < time.monotonic()
+
     def closes(self, request: Message) -> bool:
         """Whether the connection closes after the response to a request; True is final.
 
-        If the close is this side's choice, complete requests queued behind it are answered first, for at most
-        `LINGER_S` seconds.
+        If the close is this side's choice, complete requests queued behind it are answered first; those that
+        still wait `LINGER_S` seconds later are rejected.
         """
         if not request.keep_alive or not request.complete:  # incomplete: its body may still be arriving
             return True
         if not self.server.closing and self.state is Stage.OPEN:
             return False
-        now = time.monotonic()
-        self.pipeline_deadline = self.pipeline_deadline or now + LINGER_S
-        request.keep_alive = bool(self.channel.framer.ready) and now < self.pipeline_deadline
+        self.pipeline_deadline = self.pipeline_deadline or time.monotonic() + LINGER_S
+        request.keep_alive = self._has_read_requests
         return not request.keep_alive
 
     async def _answer_malformed(self, error: MessageError) -> None:
--- a/mallowbeam/http/handler.py
+++ b/mallowbeam/http/handler.py
@@ -38,8 +38,14 @@
         `closing`, called once the response is known, tells whether the connection closes after it.
         """
 
-    def error_response(self, status: int, text: str) -> Response:
-        """Return the response to a malformed or oversized request; the connection closes after it."""
+    def error_response(self, status: int, text: str, close: bool = True) -> Response:
+        """Return the response to a request that the server rejects itself.
+
+        Args:
+            status: The response's status.
+            text: The reason, for the body.
+            close: Whether the connection closes after it, as after a malformed or oversized request.
+        """
 
     def finished(self, request: Message, status: int, whole: bool) -> None:
         """Called when a response was sent or truncated; the only place where requests are counted."""
--- a/mallowbeam/router/control_plane/api.py
+++ b/mallowbeam/router/control_plane/api.py
@@ -122,11 +122,11 @@
             return error_reply(SERVICE_UNAVAILABLE, error, closing(), self._status.other_controls())
         return body_reply(status, body, closing())
 
-    def error_response(self, status: int, text: str) -> Response:
-        """Return the response to a violation of HTTP or of a limit; the connection is closed after it."""
+    def error_response(self, status: int, text: str, close: bool = True) -> Response:
+        """Return the response to a violation of HTTP or of a limit, or to a call on a closing connection."""
         if text == ANOTHER_LARGE_BODY:
-            return error_reply(status, LargeBodyError(text, "body"), True, self._status.other_controls())
-        return error_reply(status, CallError(text, status=status), True)
+            return error_reply(status, LargeBodyError(text, "body"), close, self._status.other_controls())
+        return error_reply(status, CallError(text, status=status), close)
 
     def finished(self, request: Message, status: int, whole: bool) -> None:
         """Do nothing: calls of the control API are not counted."""
--- a/mallowbeam/router/data_plane/client_frontend.py
+++ b/mallowbeam/router/data_plane/client_frontend.py
@@ -80,9 +80,9 @@
             return response
         return Relay(exchange, request, closing).response()
 
-    def error_response(self, status: int, text: str) -> Response:
-        """Return the answer to a request that violates HTTP or a limit; its connection then closes."""
-        return gateway_answer(status, b"", True, RETRY_AFTER_S, text.encode() + b"\n")
+    def error_response(self, status: int, text: str, close: bool = True) -> Response:
+        """Return the answer to a request that violates HTTP or a limit, or comes while its connection closes."""
+        return gateway_answer(status, b"", close, RETRY_AFTER_S, text.encode() + b"\n")
 
     def finished(self, request: Message, status: int, whole: bool) -> None:
         """Count an answer that was sent."""
--- a/mallowbeam/router/data_plane/readiness.py
+++ b/mallowbeam/router/data_plane/readiness.py
@@ -34,9 +34,9 @@
             200 if ready else 503, b"", closing(), text=b"ready\n" if ready else b"not ready\n"
         )
 
-    def error_response(self, status: int, text: str) -> Response:
+    def error_response(self, status: int, text: str, close: bool = True) -> Response:
         """Return the answer to a request that violates HTTP."""
-        return gateway_answer(status, b"", True, text=text.encode() + b"\n")
+        return gateway_answer(status, b"", close, text=text.encode() + b"\n")
 
     def finished(self, request: Message, status: int, whole: bool) -> None:
         """Do nothing: readiness checks are not counted."""
--- a/mallowbeam/router/processes/metrics.py
+++ b/mallowbeam/router/processes/metrics.py
@@ -74,9 +74,9 @@
             return _reply(405, b"GET only\n", closing())
         return _reply(200, exposition(self._collect()), closing())
 
-    def error_response(self, status: int, text: str) -> Response:
+    def error_response(self, status: int, text: str, close: bool = True) -> Response:
         """The response to a violation of HTTP."""
-        return _reply(status, text.encode() + b"\n", True)
+        return _reply(status, text.encode() + b"\n", close)
 
     def finished(self, request: Message, status: int, whole: bool) -> None:
         """Do nothing: requests for this page are not counted."""
--- a/mallowbeam/storage_gateway/coordination/status_pages.py
+++ b/mallowbeam/storage_gateway/coordination/status_pages.py
@@ -85,9 +85,9 @@
             return json_response(200, self.service.describe_policy(), closing())
         return json_response(200, self.service.describe_fleet(), closing())
 
-    def error_response(self, status: int, text: str) -> Response:
+    def error_response(self, status: int, text: str, close: bool = True) -> Response:
         """The response to a request that violates HTTP or a limit."""
-        return json_response(status, UnreadableRequestError(text).as_dict(), True)
+        return json_response(status, UnreadableRequestError(text).as_dict(), close)
 
     def finished(self, request: Message, status: int, whole: bool) -> None:
         """Requests for the pages are not counted in the metrics."""
--- a/mallowbeam/storage_gateway/frontends/object_api/front.py
+++ b/mallowbeam/storage_gateway/frontends/object_api/front.py
@@ -309,14 +309,14 @@
             return self._streaming_response(request, answer, answer.stream, request_id, closing)
         return self._buffered_response(request, answer, request_id, closing())
 
-    def error_response(self, status: int, text: str) -> Response:
+    def error_response(self, status: int, text: str, close: bool = True) -> Response:
         """Return the response to malformed HTTP or an exceeded limit."""
         code = CODE_BY_STATUS.get(status, "InvalidRequest")
         headers = [(b"content-type", b"application/xml")]
         if code == "SlowDown":
             headers.append((b"retry-after", b"1"))
         body = error_body(code, b"", "")
-        return Response(ERRORS[code][0], write_head(ERRORS[code][0], headers, len(body), True) + body)
+        return Response(ERRORS[code][0], write_head(ERRORS[code][0], headers, len(body), close) + body)
 
     def finished(self, request: Message, status: int, whole: bool) -> None:
         """Count a finished request under the class configured for reads or writes."""
--- a/mallowbeam/storage_gateway/frontends/platform.py
+++ b/mallowbeam/storage_gateway/frontends/platform.py
@@ -84,9 +84,9 @@
             return self.streaming_response(answer, answer.stream, request, closing)
         return self.buffered_response(answer, closing())
 
-    def error_response(self, status: int, text: str) -> Response:
+    def error_response(self, status: int, text: str, close: bool = True) -> Response:
         """Return the response to malformed HTTP or an exceeded limit."""
-        return text_response(status, text, True, RETRY_AFTER_HEADER if status == REFUSED_STATUS else None)
+        return text_response(status, text, close, RETRY_AFTER_HEADER if status == REFUSED_STATUS else None)
 
     def finished(self, request: Message, status: int, whole: bool) -> None:
         """Count a finished request under the class that it names."""
--- a/mallowbeam/storage_gateway/server/admin.py
+++ b/mallowbeam/storage_gateway/server/admin.py
@@ -44,9 +44,9 @@
             return text_response(405, "not by this method", True, [(b"allow", method)])
         return respond(request)
 
-    def error_response(self, status: int, text: str) -> Response:
+    def error_response(self, status: int, text: str, close: bool = True) -> Response:
         """Returns the response to a request that violates HTTP or a size limit."""
-        return text_response(status, text, True)
+        return text_response(status, text, close)
 
     def finished(self, request: Message, status: int, whole: bool) -> None:
         """Does nothing: admin requests are not counted in the metrics."""
--- a/mallowbeam/storage_gateway/server/health.py
+++ b/mallowbeam/storage_gateway/server/health.py
@@ -63,9 +63,9 @@
             404, "no such page", closing()
         )
 
-    def error_response(self, status: int, text: str) -> Response:
+    def error_response(self, status: int, text: str, close: bool = True) -> Response:
         """Returns the response to a request that violates HTTP or a size limit."""
-        return text_response(status, text, True)
+        return text_response(status, text, close)
 
     def finished(self, request: Message, status: int, whole: bool) -> None:
         """Does nothing: health checks are not counted in the metrics."""
--- a/tests/http/test_accepting.py
+++ b/tests/http/test_accepting.py
@@ -35,8 +35,8 @@
         await self.held.wait()
         return text_response(200, "here", closing())
 
-    def error_response(self, status: int, text: str) -> Response:
-        return text_response(status, text, True)
+    def error_response(self, status: int, text: str, close: bool = True) -> Response:
+        return text_response(status, text, close)
 
     def finished(self, request: Message, status: int, whole: bool) -> None:
         pass
--- a/tests/http/test_closing.py
+++ b/tests/http/test_closing.py
@@ -368,7 +368,7 @@
 
 
 def test_endless_requests_do_not_keep_a_closing_connection_open(monkeypatch):
-    """Requests that arrive during a close are answered for a limited time only."""
+    """Requests that arrive during a close are served for a limited time only, and those read are rejected."""
     monkeypatch.setattr(shutdown, "LINGER_S", 0.0)
     monkeypatch.setattr(connections, "LINGER_S", 0.0)
 
@@ -379,7 +379,9 @@
             here.close_soon()
             await world.play("n0 send 200 body=one")
             got = await client.read()
-            assert got.count(b"HTTP/1.1 200") == 1 and b"connection: close" in got
+            assert got.count(b"HTTP/1.1 200") == 1 and got.count(b"HTTP/1.1 503") == 4
+            assert b"connection: close" in got.rpartition(b"HTTP/1.1")[2]
+            assert got.count(b"connection: close") == 1
             await world.play("n0 expect nothing")
 
     uvloop.run(run())
