HTTP server: input behind a streamed response stays in the socket, and so does any behind a response during a stop

What callers saw: a request sent on a kept connection behind a stream was read, waited, and was closed without an answer when the process exited before the stream had ended (LOST); its client could not know that it had not run. Cause: a connection reads ahead while it answers, also where the answer has no known end and where the process is about to exit. Change: while a response is streamed, and on a closing connection while one is in progress, the next request is left in the socket; its time counts from when it was first seen there. Where the connection closes over it, it is not read to be discarded either: the response has its linger time, then the socket is reset, unless a part of the response is still unsent. Class of fault: work that is taken in earlier than it can be promised an answer.

--- a/mallowbeam/http/connection.py
+++ b/mallowbeam/http/connection.py
@@ -23,6 +23,7 @@
     ConnectionOwner,
     ConnectionShutdown,
     Stage,
+    all_acknowledged,
     discard_unread,
     peer_has_closed,
     reset_at_close,
@@ -67,6 +68,7 @@
         self.pipeline_deadline = (
             0.0  # when a closing connection begins to reject requests; 0 before it closes
         )
+        self.unread_since = 0.0  # when input was first left in the socket; 0 while there is none
         self.reading_paused = False  # reading is paused; only the client's departure is checked
         self.liveness_timer: asyncio.TimerHandle | None = None
         self.reading_may_resume = asyncio.Event()
@@ -145,19 +147,43 @@
                 self.reading_may_resume.clear()
                 await self._wait_unread(self.reading_may_resume.wait())
                 continue
-            count = await channel.read()
-            # Another task may have closed this side meanwhile, which mypy does not see: discard the bytes.
-            if count is None or self.state is Stage.LINGERING:  # type: ignore[comparison-overlap]
+            await channel.wait_for_input()
+            # Another task may have closed this side meanwhile, which mypy does not see.
+            if self.state is Stage.LINGERING:  # type: ignore[comparison-overlap]
+                continue
+            if self._defers_input() and channel.peek():
+                await self._wait_deferred()
+                continue
+            count = channel.read_available()
+            if count is None:
                 continue
             if not count:
                 return False
+            read_at = self.unread_since or channel.last_activity
+            self.unread_since = 0.0
             if not queue_is_full and not self.read_ahead:
-                self._feed(channel.buffer[:count], channel.last_activity)
+                self._feed(channel.buffer[:count], read_at)
                 return True
-            self.read_ahead.append(channel.buffer[:count], channel.last_activity)
+            self.read_ahead.append(channel.buffer[:count], read_at)
         await self._discard_input()
         return False
 
+    def _defers_input(self) -> bool:
+        """Whether input is left in the socket until the response in progress is complete.
+
+        Behind a streamed response, and on a closing connection, a request could wait until the process exits.
+        One that was not read then is not lost: its client can send it again elsewhere.
+        """
+        if self.response_task is None or self.streamed_request is not None:
+            return False
+        return self.streams_response or not self.writing and (self.closing or self.server.closing)
+
+    async def _wait_deferred(self) -> None:
+        """Wait until input may be read again; its time counts from now."""
+        self.unread_since = self.unread_since or time.monotonic()
+        self.reading_may_resume.clear()
+        await self._wait_unread(self.reading_may_resume.wait())
+
     def _feed(self, data: memoryview, at: float) -> None:
         """Parse bytes read at time `at`, within the front's limits, which can change between calls."""
         framer, front = self.channel.framer, self.server.front
@@ -200,10 +226,19 @@
                 self.streamed_request.stream.close()
             self.read_ahead.clear()
             self.channel.framer.release()
-            discard_unread(self.channel.sock, self.channel.buffer, MAX_DISCARDED_BYTES)
+            if not self._leaves_unread:
+                discard_unread(self.channel.sock, self.channel.buffer, MAX_DISCARDED_BYTES)
             self.channel.close()
             self.server.connections.discard(self)
 
+    @property
+    def _leaves_unread(self) -> bool:
+        """Whether the socket is closed over unread input, which resets the connection.
+
+        The reset would destroy a complete response of which a part is still to be sent.
+        """
+        return bool(self.unread_since) and (self.writing or all_acknowledged(self.channel.sock))
+
     def _start_next_response(self) -> None:
         """Start to answer the next complete or streamed request, unless one is being answered."""
         framer = self.channel.framer
--- a/mallowbeam/http/framing.py
+++ b/mallowbeam/http/framing.py
@@ -261,7 +261,7 @@
         self.bytes_sent = 0  # bytes that the kernel has accepted since the connection opened
         self.write_waiter: asyncio.Future[None] | None = None  # pending while a write is blocked
         self.reading = False  # whether the loop watches the socket for input
-        self.read_waiter: asyncio.Future[None] | None = None  # pending while `read` waits for input
+        self.read_waiter: asyncio.Future[None] | None = None  # pending while `wait_for_input` waits
 
     async def receive(self) -> bool:
         """Read once and parse the bytes; False at the end of the stream."""
@@ -332,11 +332,19 @@
         Raises:
             OSError: The connection was reset.
         """
+        await self.wait_for_input()
+        return self.read_available()
+
+    async def wait_for_input(self) -> None:
+        """Wait for input or the end of the stream, which stay in the socket, or for `wake`."""
         self.read_waiter = self.loop.create_future()
         if not self.reading:
             self.reading = True
             self.loop.add_reader(self.sock, self._readable)
         await self.read_waiter  # even if input is pending: other tasks run first
+
+    def read_available(self) -> int | None:
+        """Read into `buffer` without waiting; the result and the errors are those of `read`."""
         try:
             count = self.sock.recv_into(self.buffer)
         except BlockingIOError:
@@ -345,7 +353,7 @@
         return count
 
     def wake(self) -> None:
-        """Make `read` return at once, with None if there is no input."""
+        """Make `wait_for_input` return at once, and `read` with None if there is no input."""
         if self.read_waiter is not None and not self.read_waiter.done():
             self.read_waiter.set_result(None)
 
--- a/mallowbeam/http/shutdown.py
+++ b/mallowbeam/http/shutdown.py
@@ -9,11 +9,14 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import select
 import socket
 import struct
+import termios
 import time
-from collections.abc import Sequence
+from array import array
+from collections.abc import Awaitable, Sequence
 from contextlib import suppress
 from enum import Enum
 from typing import Protocol
@@ -59,6 +62,14 @@
         pass
 
 
+def all_acknowledged(sock: socket.socket) -> bool:
+    """Whether the peer's kernel has acknowledged everything that was sent; False if that can't be told."""
+    unacknowledged = array("i", [1])
+    with suppress(OSError):
+        fcntl.ioctl(sock, termios.TIOCOUTQ, unacknowledged)
+    return not unacknowledged[0]
+
+
 def reset_at_close(sock: socket.socket) -> None:
     """Make the later close send a reset.
 
@@ -106,6 +117,7 @@
     streamed_request: Message | None  # the request whose body is being streamed
     writing: bool  # a response is being written
     reading_may_resume: asyncio.Event
+    unread_since: float  # when input was first left in the socket; 0 while there is none
 
     state = Stage.OPEN
     closing_soon = False  # `close_soon` was called: the close can't be hastened further
@@ -117,6 +129,10 @@
         """Whether the connection is closing or closed."""
         return self.state is not Stage.OPEN
 
+    async def _wait_unread(self, wait: Awaitable[object]) -> None:
+        """Wait with reading paused until the client leaves."""
+        raise NotImplementedError
+
     def close_soon(self) -> None:
         """Begin the orderly close, without waiting; idempotent.
 
@@ -171,7 +187,13 @@
             self._half_close()
 
     async def _discard_input(self) -> None:
-        """Read and discard input until the client ends, so that no reset destroys the last response."""
+        """Read and discard input until the client ends, so that no reset destroys the last response.
+
+        Input that was left unread on purpose stays unread: the client has the same time to read the response.
+        """
+        if self.unread_since:
+            await self._wait_unread(asyncio.sleep(LINGER_S))
+            return
         remaining: int = max(MAX_DISCARDED_BYTES, getattr(self.server.front, "unread_body", 0))
         if self.streamed_request is not None:  # rejected before its end
             remaining = max(remaining, self.streamed_request.length or self.channel.framer.max_body)
--- a/mallowbeam/router/data_plane/client_frontend.py
+++ b/mallowbeam/router/data_plane/client_frontend.py
@@ -81,7 +81,7 @@
         return Relay(exchange, request, closing).response()
 
     def error_response(self, status: int, text: str, close: bool = True) -> Response:
-        """Return the answer to a request that violates HTTP or a limit, or comes while its connection closes."""
+        """Return the answer to a request that violates HTTP or a limit, or comes during a close."""
         return gateway_answer(status, b"", close, RETRY_AFTER_S, text.encode() + b"\n")
 
     def finished(self, request: Message, status: int, whole: bool) -> None:
--- a/tests/http/test_closing.py
+++ b/tests/http/test_closing.py
@@ -385,3 +385,71 @@
             await world.play("n0 expect nothing")
 
     uvloop.run(run())
+
+
+@pytest.mark.parametrize("slow", [False, True])
+def test_a_request_behind_a_streamed_response_stays_unread_and_its_close_spares_the_response(
+    monkeypatch, slow
+):
+    """Read requests that wait for a stream had no answer when the process exited first."""
+    monkeypatch.setattr(connections, "LINGER_S", 0.0)
+    monkeypatch.setattr(shutdown, "LINGER_S", 0.05)
+    size = 3_000_000
+
+    async def run() -> None:
+        async with World() as world:
+            client, here = await connect_client(world, request(1))
+            if slow:  # the rest of the response waits in the gateway's socket
+                client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+            head = rf"HTTP/1.1 200 OK\r\ncontent-length: {size}\r\n\r\n"
+            await world.play(f"n0 expect GET\nn0 send raw '{head}' fill={size // 2}")
+            await client.read(until=b"\r\n\r\n")
+            assert here.streams_response
+            client.send_now(request(2))
+            await until(lambda: here.unread_since)
+            server = world.gateway.servers[-1]
+            server.close_after_responses()
+            head_bytes = client.got.index(b"\r\n\r\n") + 4
+            await world.play(f"n0 send raw '' fill={size // 2}")
+            if slow:
+                await until(lambda: here.task.done())
+            assert len(await client.read()) == head_bytes + size
+            assert here.state in (Stage.LINGERING, Stage.CLOSED)
+            client.disconnect()
+            await until(lambda: here.task.done())
+            await world.play("n0 expect nothing")
+            assert server.dropped_requests == 0
+
+    uvloop.run(run())
+
+
+def test_a_client_that_leaves_while_its_next_request_is_unread_is_noticed():
+    """The end of its connection is hidden behind the unread request."""
+
+    async def run() -> None:
+        async with World() as world:
+            client, here = await connect_client(world, request(1))
+            await world.play("n0 expect GET\nn0 send 200 fill=9000000")
+            await client.read(until=b"\r\n\r\n")
+            client.send_now(request(2))
+            await until(lambda: here.unread_since)
+            client.end()
+            await until(lambda: here.task.done())
+
+    uvloop.run(run())
+
+
+def test_a_request_that_was_left_unread_is_served_after_the_streamed_response():
+    async def run() -> None:
+        async with World() as world:
+            client, here = await connect_client(world, request(1))
+            await world.play("n0 expect GET\nn0 send 200 fill=3000000")
+            await client.read(until=b"\r\n\r\n")
+            client.send_now(request(2) + request(3))
+            await until(lambda: here.unread_since)
+            answers = asyncio.create_task(client.read(until=b"three"))
+            await world.play("n0 expect GET\nn0 send 200 body=two\nn0 expect GET\nn0 send 200 body=three")
+            assert (await answers).count(b"HTTP/1.1 200") == 3
+            assert here.unread_since == 0.0
+
+    uvloop.run(run())
