HTTP server: a response that ends with its connection is reset where the process's exit cuts it

Cause: only a response that fails by itself was ended by a reset; one that is cancelled with its connection was closed in order. Change: the one place that closes the socket resets it where a response without length is still in progress. Evidence: test_a_response_without_a_length_that_the_exit_cuts_does_not_look_complete read a regular end before.

--- a/mallowbeam/http/connection.py
+++ b/mallowbeam/http/connection.py
@@ -226,6 +226,8 @@
                 self.streamed_request.stream.close()
             self.read_ahead.clear()
             self.channel.framer.release()
+            if self.request is not None and self.request.until_close:
+                reset_at_close(self.channel.sock)  # its response is truncated, and must not look complete
             if not self._leaves_unread:
                 discard_unread(self.channel.sock, self.channel.buffer, MAX_DISCARDED_BYTES)
             self.channel.close()
--- a/tests/http/test_closing.py
+++ b/tests/http/test_closing.py
@@ -263,6 +263,21 @@
     uvloop.run(run())
 
 
+def test_a_response_without_a_length_that_the_exit_cuts_does_not_look_complete():
+    """The process ended such a connection in order, so that an HTTP/1.0 client took the part for the whole."""
+
+    async def run() -> None:
+        async with World() as world:
+            client, here = await connect_client(world, request(1, version="1.0"))
+            await world.play("n0 expect GET\nn0 send raw 'HTTP/1.1 200 OK\\r\\n\\r\\n' fill=9000000")
+            await until(lambda: here.writing)
+            here.task.cancel()  # as the end of the event loop does
+            with pytest.raises(ConnectionResetError):
+                await client.read()
+
+    uvloop.run(run())
+
+
 @pytest.mark.parametrize("way", WAYS)
 def test_an_upload_is_answered_when_its_connection_is_closed(way):
     """A stalled upload is aborted at the node and gets 503; one that goes on gets the node's response."""
