HTTP server: the data plane reads requests one by one, each only once the one before it is answered

What callers saw: a request that was read behind another one (sent together with it, or while it waited for its first byte) had no answer when that one was cut by the exit or by its own deadline (LOST); its client could not send it elsewhere. Cause: leaving input in the socket from the first byte of a streamed response on is too late: by then more was read. Change: a front says with reads_ahead = False that nothing is read behind the request in progress; the data plane does. A request is read to its end and no further (http/message_boundary.py, by length or last chunk), the next one when the answer is out. Its time counts from when its last byte was noticed in the socket. The storage gateway reads ahead as before.

--- a/mallowbeam/http/connection.py
+++ b/mallowbeam/http/connection.py
@@ -2,8 +2,9 @@
 
 The front is called with each complete request and returns its response.  A client that ends or resets its
 connection has gone: that cancels the call and drops the requests queued after it.  While a request is being
-answered the next ones are read ahead, up to a limit; beyond it the connection is polled for the client's
-departure.  `http/shutdown.py` closes the connection, also for callers outside (`close_soon`).
+answered the next ones are read ahead, up to a limit, or, if the front has `reads_ahead = False`, left in the
+socket; meanwhile the connection is polled for the client's departure.  `http/shutdown.py` closes the
+connection, also for callers outside (`close_soon`).
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 from contextlib import suppress
 
 from mallowbeam.http.framing import MAX_HEAD_BYTES, Channel, Framer, Message, MessageError
+from mallowbeam.http.message_boundary import MessageBoundary
 from mallowbeam.http.read_ahead import ReadAhead
 from mallowbeam.http.reporting import logger
 from mallowbeam.http.shutdown import (
@@ -68,7 +70,10 @@
         self.pipeline_deadline = (
             0.0  # when a closing connection begins to reject requests; 0 before it closes
         )
-        self.unread_since = 0.0  # when input was first left in the socket; 0 while there is none
+        reads_ahead = getattr(front, "reads_ahead", True)
+        self.boundary = None if reads_ahead else MessageBoundary(self.channel.framer)
+        self.unread_at = 0.0  # when the newest byte left in the socket was noticed; 0 while none is
+        self.unread_bytes = 0  # bytes left in the socket, as far as noticed
         self.reading_paused = False  # reading is paused; only the client's departure is checked
         self.liveness_timer: asyncio.TimerHandle | None = None
         self.reading_may_resume = asyncio.Event()
@@ -84,6 +89,11 @@
         """Number of requests received completely and not yet answered."""
         return len(self.channel.framer.ready) + (self.request is not None and self.request.complete)
 
+    @property
+    def input_is_deferred(self) -> bool:
+        """Whether input that has arrived is left in the socket."""
+        return self.unread_at > 0.0
+
     @property
     def unanswered(self) -> list[UnansweredRequest]:
         """The requests received completely that have no complete response."""
@@ -154,33 +164,47 @@
             if self._defers_input() and channel.peek():
                 await self._wait_deferred()
                 continue
-            count = channel.read_available()
+            count = self._read_input()
             if count is None:
                 continue
             if not count:
                 return False
-            read_at = self.unread_since or channel.last_activity
-            self.unread_since = 0.0
+            arrived_at = self._arrival_time(count)
             if not queue_is_full and not self.read_ahead:
-                self._feed(channel.buffer[:count], read_at)
+                self._feed(channel.buffer[:count], arrived_at)
                 return True
-            self.read_ahead.append(channel.buffer[:count], read_at)
+            self.read_ahead.append(channel.buffer[:count], arrived_at)
         await self._discard_input()
         return False
 
+    def _read_input(self) -> int | None:
+        """Read input; unless the front reads ahead, none behind the request being received."""
+        if self.boundary is None:
+            return self.channel.read_available()
+        if self.input_is_deferred:
+            self._note_unread()
+        unread = self.channel.peek_available()
+        return self.channel.read_available(self.boundary.take(unread) if unread else 0)
+
+    def _arrival_time(self, count: int) -> float:
+        """Return when the `count` bytes read last had arrived at the latest, by the monotonic clock."""
+        arrived_at = self.unread_at or self.channel.last_activity
+        self.unread_bytes -= count
+        if self.unread_bytes <= 0:
+            self.unread_at, self.unread_bytes = 0.0, 0
+        return arrived_at
+
     def _defers_input(self) -> bool:
         """Whether input is left in the socket until the response in progress is complete.
 
-        Behind a streamed response, and on a closing connection, a request could wait until the process exits.
-        One that was not read then is not lost: its client can send it again elsewhere.
+        A request that was not read when its connection ends is not lost: its client can send it elsewhere.
         """
-        if self.response_task is None or self.streamed_request is not None:
-            return False
-        return self.streams_response or not self.writing and (self.closing or self.server.closing)
+        return self.boundary is not None and self.response_task is not None and self.streamed_request is None
 
     async def _wait_deferred(self) -> None:
-        """Wait until input may be read again; its time counts from now."""
-        self.unread_since = self.unread_since or time.monotonic()
+        """Wait until input may be read again."""
+        self.unread_at = self.unread_at or time.monotonic()
+        self._note_unread()
         self.reading_may_resume.clear()
         await self._wait_unread(self.reading_may_resume.wait())
 
@@ -191,6 +215,12 @@
         framer.read_at = at
         framer.feed(data)
 
+    def _note_unread(self) -> None:
+        """Note when the newest unread bytes arrived: a request's time counts from its last byte."""
+        count = self.channel.unread_bytes()
+        if count > self.unread_bytes:
+            self.unread_at, self.unread_bytes = time.monotonic(), count
+
     async def _wait_unread(self, wait: Awaitable[object]) -> None:
         """Wait with reading paused, checking periodically that the client is still connected."""
         self.reading_paused = True
@@ -210,6 +240,8 @@
         """
         if peer_has_closed(self.channel.sock):
             self.task.cancel()
+        elif self.input_is_deferred:
+            self._note_unread()
         self.liveness_timer = self.channel.loop.call_later(LIVENESS_CHECK_INTERVAL_S, self._check_liveness)
 
     async def _close(self) -> None:
@@ -239,7 +271,7 @@
 
         The reset would destroy a complete response of which a part is still to be sent.
         """
-        return bool(self.unread_since) and (self.writing or all_acknowledged(self.channel.sock))
+        return self.input_is_deferred and (self.writing or all_acknowledged(self.channel.sock))
 
     def _start_next_response(self) -> None:
         """Start to answer the next complete or streamed request, unless one is being answered."""
--- a/mallowbeam/http/framing.py
+++ b/mallowbeam/http/framing.py
@@ -6,10 +6,14 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import re
 import socket
+import termios
 import time
+from array import array
 from collections import deque
+from contextlib import suppress
 from http import HTTPStatus
 
 import httptools
@@ -343,15 +347,35 @@
             self.loop.add_reader(self.sock, self._readable)
         await self.read_waiter  # even if input is pending: other tasks run first
 
-    def read_available(self) -> int | None:
-        """Read into `buffer` without waiting; the result and the errors are those of `read`."""
+    def read_available(self, limit: int = 0) -> int | None:
+        """Read into `buffer` without waiting, at most `limit` bytes unless that is 0.
+
+        The result and the errors are those of `read`.
+        """
         try:
-            count = self.sock.recv_into(self.buffer)
+            count = self.sock.recv_into(self.buffer, limit)
         except BlockingIOError:
             return None
         self.last_activity = time.monotonic()
         return count
 
+    def unread_bytes(self) -> int:
+        """Return how many bytes are unread; 0 if that can't be told."""
+        count = array("i", [0])
+        with suppress(OSError):
+            fcntl.ioctl(self.sock, termios.FIONREAD, count)
+        return count[0]
+
+    def peek_available(self) -> memoryview:
+        """Return a copy of the unread bytes, as many as `buffer` holds; they stay in the socket.
+
+        Empty if there are none, at the end of the stream and after a reset.
+        """
+        try:
+            return self.buffer[: self.sock.recv_into(self.buffer, 0, socket.MSG_PEEK)]
+        except OSError:
+            return self.buffer[:0]
+
     def wake(self) -> None:
         """Make `wait_for_input` return at once, and `read` with None if there is no input."""
         if self.read_waiter is not None and not self.read_waiter.done():
--- a/mallowbeam/http/shutdown.py
+++ b/mallowbeam/http/shutdown.py
@@ -117,7 +117,6 @@
     streamed_request: Message | None  # the request whose body is being streamed
     writing: bool  # a response is being written
     reading_may_resume: asyncio.Event
-    unread_since: float  # when input was first left in the socket; 0 while there is none
 
     state = Stage.OPEN
     closing_soon = False  # `close_soon` was called: the close can't be hastened further
@@ -129,6 +128,11 @@
         """Whether the connection is closing or closed."""
         return self.state is not Stage.OPEN
 
+    @property
+    def input_is_deferred(self) -> bool:
+        """Whether input that has arrived is left in the socket."""
+        raise NotImplementedError
+
     async def _wait_unread(self, wait: Awaitable[object]) -> None:
         """Wait with reading paused until the client leaves."""
         raise NotImplementedError
@@ -191,7 +195,7 @@
 
         Input that was left unread on purpose stays unread: the client has the same time to read the response.
         """
-        if self.unread_since:
+        if self.input_is_deferred:
             await self._wait_unread(asyncio.sleep(LINGER_S))
             return
         remaining: int = max(MAX_DISCARDED_BYTES, getattr(self.server.front, "unread_body", 0))
--- a/mallowbeam/router/data_plane/client_frontend.py
+++ b/mallowbeam/router/data_plane/client_frontend.py
@@ -30,6 +30,7 @@
 class ClientFrontend:
     """Runs an exchange for each client request and returns its answer."""
 
+    reads_ahead = False  # a request that was read has to be answered, and the process may stop at any time
     max_buffered_body = UNLIMITED_BYTES  # a request is forwarded only after it has arrived completely
 
     def __init__(self, gateway: Gateway, memory_mb: float) -> None:
