Tests: a soak of planned stops with streams, pipelined requests, bodies in parts and series of signals

Change: tests/support/stop_soak.py, real processes. The judge is shown able to fail by histories that break each condition.

--- a/tests/support/outage_soak.py
+++ b/tests/support/outage_soak.py
@@ -142,13 +142,13 @@
     }
 
 
-def run_in_processes(first: int, count: int, jobs: int, gateways: int | None) -> bool:
-    """Run seeds, each in a process of its own; whether none failed."""
+def run_in_processes(script: str, first: int, count: int, jobs: int, gateways: int | None) -> bool:
+    """Run seeds of a soak's script, each in a process of its own; whether none failed."""
     waiting, running, failed = list(range(first, first + count)), [], 0
     while waiting or running:
         while waiting and len(running) < jobs:
             more = [] if gateways is None else ["--gateways", str(gateways)]
-            command = [sys.executable, __file__, "--first", str(waiting.pop(0)), *more]
+            command = [sys.executable, script, "--first", str(waiting.pop(0)), *more]
             running.append(subprocess.Popen(command))
         ended = [one for one in running if one.poll() is not None]
         failed += sum(one.returncode != 0 for one in ended)
@@ -169,7 +169,8 @@
     parser.add_argument("--gateways", type=int, help="how many gateways; 3 to 7 by the seed if not given")
     given = parser.parse_args()
     if given.count > 1:
-        return 0 if run_in_processes(given.first, given.count, given.jobs, given.gateways) else 1
+        ok = run_in_processes(__file__, given.first, given.count, given.jobs, given.gateways)
+        return 0 if ok else 1
     summary = asyncio.run(run(given.first, given.gateways))
     print(json.dumps(summary), flush=True)
     return 1 if summary["violations"] else 0
--- a/tests/support/soak_traffic.py
+++ b/tests/support/soak_traffic.py
@@ -45,7 +45,7 @@
         """A further configuration, sent until it is acknowledged."""
         before = self._configurations.sent
         revision = self._configurations.sent = before + 1
-        body = json.dumps(configuration(revision)).encode()
+        body = json.dumps(self.document(revision)).encode()
         answer = Answer(0)
 
         async def answered() -> bool:
@@ -60,6 +60,10 @@
         else:
             self._fleet.judge.violations.append(f"CONFIG: revision {revision} was answered {answer.status}")
 
+    def document(self, revision: int) -> dict[str, Any]:
+        """The configuration of a revision."""
+        return configuration(revision)
+
     async def call(
         self, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None
     ) -> Answer:
@@ -79,6 +83,8 @@
 class SoakInstances:
     """Stand-in instances that register by heartbeats, drain, and are replaced by others."""
 
+    services: tuple[str, ...] = (*SERVICES, SLOW)
+
     def __init__(self, fleet: SoakFleet, operator: SoakOperator) -> None:
         self.all: list[
             Timed
@@ -91,7 +97,7 @@
 
     async def start(self) -> None:
         """Start the first instances of each service."""
-        for service in (*SERVICES, SLOW):
+        for service in self.services:
             for number in range(INSTANCES):
                 await self._add(f"{service}-{number}")
 
@@ -101,11 +107,15 @@
             await instance.stop()
 
     async def _add(self, name: str) -> None:
-        instance = Timed(name, service_time_s=SLOW_S if name.startswith(SLOW) else 0.0)
+        instance = self.make(name)
         await instance.start()
         self.all.append(instance)
         self._registered[name] = instance
 
+    def make(self, name: str) -> Timed:
+        """An instance of the service that its name begins with."""
+        return Timed(name, service_time_s=SLOW_S if name.startswith(SLOW) else 0.0)
+
     async def register(self, stopping: asyncio.Event) -> None:
         """Send the heartbeats of all instances until told to stop."""
         while not stopping.is_set():
--- /dev/null
+++ b/tests/support/stop_soak.py
@@ -0,0 +1,261 @@
+"""A soak of planned stops: real gateways get SIGTERM in series under streams, pipelines and bodies in parts.
+
+    PYTHONPATH=. python tests/support/stop_soak.py [--first SEED] [--count N] [--jobs N] [--gateways N]
+        [--seconds S]
+
+Members and gateways run on loopback addresses of their own. Each gateway is stopped again and again, by the
+seed with one SIGTERM or several, with SIGHUP among them, while others are being stopped too; meanwhile an
+operator moves routes, instances drain and others come, and now and then a member is restarted. Clients use
+their connections until these are gone (`stop_soak_clients.py`). `stop_soak_judge.py` judges rule LOST;
+besides, a stop must end in time with exit status 0, no process may end by itself or log a fault, and what
+may not be repeated must run once. Each seed prints a line in JSON; exit status 1 where something was
+violated, and then the logs are kept.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import shutil
+import signal
+import sys
+import time
+from collections import Counter
+from typing import Any
+
+from outage_soak import run_in_processes
+from real_processes import SERVICE, Gateway, route
+from soak_fleet import CATCH_UP_S, SoakFleet
+from soak_judge import GRACE_S, MACHINE
+from soak_traffic import SERVICES, SLOW, SLOW_S, SoakInstances, SoakOperator, configuration
+from stop_soak_clients import NOT_RESUMABLE, RESUMABLE, STREAM_TIMEOUT_S, StopClients
+from stop_soak_judge import LOOK_S, Run, StopJudge
+from timed_instances import Timed, TimedStream
+
+STOPS_S = 24.0  # unless the arguments say otherwise
+CLIENTS = 6  # connections to each gateway
+SIGNALS = (1, 1, 1, 2, 3)  # SIGTERM of one stop
+BETWEEN_STOPS_S = (0.5, 4.0)
+LATE_S = 0.02  # a loop that is so late notices the end of a connection late
+BUSY_S = 0.3  # a loop that is so late tells that the machine of the soak was busy
+TALK = "talk"  # the service of both stream routes
+
+
+class RecordedRuns(Timed):
+    """An instance that records when it works on which request."""
+
+    judge: StopJudge
+
+    async def _answer(self, seen, reader, writer):
+        run = Run(time.monotonic())
+        self.judge.runs[seen.headers.get("request-id", "")].append(run)
+        try:
+            return await super()._answer(seen, reader, writer)
+        finally:
+            run.ended_at = time.monotonic()
+
+
+class RecordedStream(RecordedRuns, TimedStream):
+    """An instance whose streams last as long as the last part of the request's path says."""
+
+    async def _stream(self, seen, reader, writer, fault):
+        lasting = TimedStream(self.id, "decode", lasts_s=float(seen.target.rpartition("/")[2]))
+        return await lasting._stream(seen, reader, writer, fault)
+
+
+class StopOperator(SoakOperator):
+    """Its configurations have two stream routes more."""
+
+    def document(self, revision: int) -> dict[str, Any]:
+        """The configuration of a revision."""
+        document = configuration(revision)
+        more = {"timeout_ms": int(STREAM_TIMEOUT_S * 1000), "gap_aim_ms": 250, "max_retries": 2}
+        document["routes"] += [
+            route(RESUMABLE, "stream", TALK, resumable=True, **more),
+            route(NOT_RESUMABLE, "stream", TALK, resumable=False, **more),
+        ]
+        document["backends"].append({**SERVICE, "name": TALK, "max_connections": 200})
+        return document
+
+
+class StopInstances(SoakInstances):
+    """Instances that record their runs, with those of the streams."""
+
+    services = (*SERVICES, SLOW, TALK)
+
+    def __init__(self, fleet: SoakFleet, operator: SoakOperator, judge: StopJudge) -> None:
+        super().__init__(fleet, operator)
+        self._stop_judge = judge
+
+    def make(self, name: str) -> Timed:
+        """An instance of the service that its name begins with."""
+        instance: RecordedRuns
+        if name.startswith(TALK):
+            instance = RecordedStream(name, "decode")
+        else:
+            instance = RecordedRuns(name, service_time_s=SLOW_S if name.startswith(SLOW) else 0.0)
+        instance.judge = self._stop_judge
+        return instance
+
+
+class StopFleet(SoakFleet):
+    """A fleet whose gateways are stopped by series of signals."""
+
+    def __init__(self, seed: int, gateways: int | None) -> None:
+        super().__init__(seed, gateways)
+        self.stop_judge = StopJudge()
+
+    async def gateway_stops(self, until: float, gateway: Gateway) -> None:
+        """Stop and start one gateway, again and again."""
+        while time.monotonic() < until:
+            await asyncio.sleep(self.draw.uniform(*BETWEEN_STOPS_S))
+            await self.stop_by_series(gateway)
+            await self.start_gateway(gateway)
+
+    async def stop_by_series(self, gateway: Gateway) -> None:
+        """Stop a gateway by SIGTERM, with further signals until it has ended."""
+        process = gateway.process
+        assert process is not None
+        self.note(f"{gateway.name} is stopped")
+        stopped_at = time.monotonic()
+        self.stop_judge.stop_sent(gateway.name, stopped_at)
+        more = [signal.SIGTERM] * (self.draw.choice(SIGNALS) - 1) + [signal.SIGHUP] * self.draw.randint(0, 2)
+        for number in more:
+
+            def send(number: int = number) -> None:
+                if process.poll() is None:
+                    process.send_signal(number)
+
+            self.later(self.draw.uniform(0.0, GRACE_S / 2), send)
+        await gateway.end(signal.SIGTERM)
+        took_s = time.monotonic() - stopped_at
+        if took_s > GRACE_S and not self.disturbances.any(MACHINE, stopped_at, time.monotonic()):
+            self.stop_judge.violations.append(f"LOST: {gateway.name} took {took_s:.1f} s to stop")
+
+    async def member_restarts(self, until: float) -> None:
+        """Restart one member after another, each once the one before has caught up."""
+        while time.monotonic() < until:
+            await asyncio.sleep(self.draw.uniform(4.0, 10.0))
+            await self.restart_member(self.draw.choice(self.members))
+            await asyncio.sleep(CATCH_UP_S)
+
+
+class StopSoak:
+    """One seed: the parts that run beside each other, and the order of events."""
+
+    def __init__(self, fleet: StopFleet, stops_s: float) -> None:
+        self._fleet, self._judge, self._stops_s = fleet, fleet.stop_judge, stops_s
+        self._operator = StopOperator(fleet)
+        self._instances = StopInstances(fleet, self._operator, self._judge)
+        self._clients = StopClients(fleet.draw, self._judge)
+        self._stopping, self._over = asyncio.Event(), asyncio.Event()
+
+    async def play(self) -> None:
+        """The start, the stops, and the checks."""
+        self._fleet.start()
+        await self._instances.start()
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._instances.register(self._over))
+                tasks.create_task(self._look())
+                tasks.create_task(self._fleet.restart_ended(self._over))
+                await self._operator.put()
+                for gateway in self._fleet.gateways:
+                    await self._fleet.seen(f"{gateway.name} ready", gateway.look)
+                clients = [
+                    tasks.create_task(self._clients.run(gateway, self._stopping))
+                    for gateway in self._fleet.gateways * CLIENTS
+                ]
+                await self._play_stops()
+                self._stopping.set()
+                await asyncio.gather(*clients)
+                self._over.set()
+            self._check()
+        finally:
+            await self._instances.stop()
+
+    async def _play_stops(self) -> None:
+        fleet, until = self._fleet, time.monotonic() + self._stops_s
+        changes_over = asyncio.Event()
+        operator = asyncio.create_task(self._operator.run(changes_over))
+        stops = [fleet.gateway_stops(until, gateway) for gateway in fleet.gateways]
+        await asyncio.gather(*stops, fleet.member_restarts(until), self._instances.release(until))
+        await fleet.settle()
+        changes_over.set()
+        await operator
+
+    async def _look(self) -> None:
+        """Look at what gateways have read, and record when this process was late."""
+        last = time.monotonic()
+        while not self._over.is_set():
+            self._judge.look()
+            await asyncio.sleep(LOOK_S)
+            now = time.monotonic()
+            if now - last - LOOK_S > LATE_S:
+                self._judge.was_late(last, now)
+            if now - last > BUSY_S:
+                self._fleet.disturbances.begin(MACHINE, last).until = now
+                self._judge.judged["busy moments"] += 1
+            last = now
+
+    def _check(self) -> None:
+        """Unsafe requests have run once, stops have exit status 0, and no process logs a fault."""
+        violations = self._judge.violations
+        arrivals = Counter(
+            arrival.seen.headers.get("request-id", "")
+            for instance in self._instances.all
+            for arrival in instance.arrivals
+            if not arrival.seen.target.startswith((f"/{RESUMABLE}/", f"/{SLOW}/"))
+        )
+        violations += [f"TWICE: {one} ran {count} times" for one, count in arrivals.items() if count > 1]
+        for process in (*self._fleet.members, *self._fleet.gateways):
+            if any(process.planned_ends):
+                violations.append(f"{process.name} ended with {process.planned_ends}")
+            violations += process.faults()
+        violations += self._fleet.judge.violations
+
+
+async def run(seed: int, gateways: int | None, stops_s: float = STOPS_S) -> dict[str, Any]:
+    """One seed with a fleet of its own; its summary."""
+    fleet = StopFleet(seed, gateways)
+    try:
+        await StopSoak(fleet, stops_s).play()
+    finally:
+        await fleet.close()
+    if fleet.stop_judge.violations:
+        (fleet.folder / "events").write_text("\n".join(fleet.events) + "\n")
+        print(f"seed {seed}: logs are kept in {fleet.folder}", file=sys.stderr)
+    else:
+        shutil.rmtree(fleet.folder, ignore_errors=True)
+    return {
+        "seed": seed,
+        "took_s": round(time.monotonic() - fleet.began, 1),
+        "processes": len(fleet.members) + len(fleet.gateways),
+        "configurations": fleet.configurations.sent,
+        "judged": dict(sorted(fleet.stop_judge.judged.items())),
+        "violations": fleet.stop_judge.violations,
+    }
+
+
+def main() -> int:
+    """Run the seeds that the arguments name."""
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--first", type=int, default=1, help="the first seed")
+    parser.add_argument("--count", type=int, default=1, help="how many seeds")
+    parser.add_argument("--jobs", type=int, default=1, help="how many seeds at a time")
+    parser.add_argument("--gateways", type=int, help="how many gateways; 3 to 7 by the seed if not given")
+    parser.add_argument("--seconds", type=float, default=STOPS_S, help="how long gateways are stopped")
+    given = parser.parse_args()
+    if given.count > 1:
+        ok = run_in_processes(__file__, given.first, given.count, given.jobs, given.gateways)
+        return 0 if ok else 1
+    summary = asyncio.run(run(given.first, given.gateways, given.seconds))
+    print(json.dumps(summary), flush=True)
+    return 1 if summary["violations"] else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/support/stop_soak_judge.py
@@ -0,0 +1,173 @@
+"""Judges rule LOST around planned stops: from what clients sent, what gateways read, what instances ran.
+
+What a process has read of a connection is what was sent less what waits in the two sockets' queues, which
+`/proc/net/tcp` shows. It is looked at every `LOOK_S`; what a process reads right before it ends goes unseen,
+so the judge may miss a loss but reports none that did not happen. Times are in seconds of the monotonic
+clock.
+"""
+
+from __future__ import annotations
+
+import socket
+import struct
+import time
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from math import inf
+from pathlib import Path
+
+from soak_judge import GRACE_S, LOSS_SLACK_S
+
+LOOK_S = 0.03
+CLOSE_WAIT = 8  # TCP state of a socket whose peer has ended the connection
+TCP_TABLE = Path("/proc/net/tcp")
+LATE_S = 3.0  # after SIGTERM; a request sent later may not be cut, however long its instance works
+LAST_PART_S = GRACE_S * 5 / 6  # after SIGTERM; an instance still at work from then on excuses a cut
+AFTER_GRACE_S = 1.0  # a stop counts for so long after the grace period
+TIME_LIMIT_SLACK_S = 0.05  # a gateway ends an answer so long before its client's deadline at most
+
+
+@dataclass(slots=True)
+class Sent:
+    """A request as its client sent it."""
+
+    id: str
+    path: str
+    time_limit_s: float  # the smaller of the client's deadline and the route's time-out
+    end: int = 0  # offset of its last byte on the connection
+    sent_at: float = inf  # when its last byte was written
+    read_at: float = inf  # when the gateway was first seen to have read it
+    too_late: bool = False  # the gateway's end of the connection had arrived before its last byte was sent
+
+
+@dataclass(eq=False)
+class SentConnection:
+    """A client's connection: what was sent on it and has no complete answer."""
+
+    gateway: str
+    key: tuple[str, str]  # both ends as the kernel's table names them, the gateway's first
+    written: int = 0  # bytes given to the kernel
+    waiting: list[Sent] = field(default_factory=list)
+
+    def look(self, queued: int, now: float) -> None:
+        """Note which requests the gateway has read, as `queued` bytes have not been."""
+        for sent in self.waiting:
+            if sent.end and sent.read_at == inf and sent.end <= self.written - queued:
+                sent.read_at = now
+
+
+@dataclass
+class Run:
+    """What an instance did with a request."""
+
+    begun_at: float
+    ended_at: float = inf
+
+
+def connection_key(sock: socket.socket) -> tuple[str, str]:
+    """The two ends of a client's socket as the kernel's table names them, the gateway's first."""
+    return _as_listed(sock.getpeername()), _as_listed(sock.getsockname())
+
+
+def _as_listed(address: tuple[str, int]) -> str:
+    ip = struct.unpack("=I", socket.inet_aton(address[0]))[0]
+    return f"{ip:08X}:{address[1]:04X}"
+
+
+def peer_has_ended(sock: socket.socket) -> bool:
+    """Whether the peer's end of the connection has arrived, noticed by this process or not."""
+    return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == CLOSE_WAIT
+
+
+def queued_bytes(port: str) -> dict[tuple[str, str], tuple[int, int]]:
+    """Bytes to send and bytes unread of each TCP connection of a port, by its two ends."""
+    queues = {}
+    for line in TCP_TABLE.read_text().splitlines():
+        if port not in line:
+            continue
+        _, local, remote, _, queued, *_ = line.split(maxsplit=5)
+        to_send, _, unread = queued.partition(":")
+        queues[local, remote] = int(to_send, 16), int(unread, 16)
+    return queues
+
+
+class StopJudge:
+    """Collects the violations of the rule, and counts what was judged."""
+
+    def __init__(self) -> None:
+        self.violations: list[str] = []
+        self.judged: Counter[str] = Counter()
+        self.open: set[SentConnection] = set()
+        self.runs: defaultdict[str, list[Run]] = defaultdict(list)
+        self._stops: defaultdict[str, list[float]] = defaultdict(list)
+        self._late: list[tuple[float, float]] = []
+
+    def was_late(self, since: float, until: float) -> None:
+        """Record a span in which this process did not run: it saw what happened at its end."""
+        self._late.append((since, until))
+
+    def _late_s(self, since: float, until: float) -> float:
+        """How much of a span this process did not run."""
+        spans = ((max(since, one), min(until, other)) for one, other in self._late)
+        return sum(max(0.0, end - begin) for begin, end in spans)
+
+    def stop_sent(self, gateway: str, at: float) -> None:
+        """Record SIGTERM at a gateway."""
+        self._stops[gateway].append(at)
+        self.judged["stops"] += 1
+
+    def look(self) -> None:
+        """Note what the gateways have read so far."""
+        if not self.open:
+            return
+        port = next(iter(self.open)).key[0].partition(":")[2]
+        queues, now = queued_bytes(f":{port} "), time.monotonic()
+        for connection in self.open:
+            gateway, client = connection.key
+            if (gateway, client) in queues:
+                unread = queues[gateway, client][1] + queues.get((client, gateway), (0, 0))[0]
+                connection.look(unread, now)
+
+    def ended(self, connection: SentConnection, at: float) -> None:
+        """Judge the requests that a connection's end left without a complete answer."""
+        self.open.discard(connection)
+        for sent in connection.waiting:
+            if sent.end:
+                self.judged["without an answer"] += 1
+                self._judge(connection.gateway, sent, at)
+
+    def _judge(self, gateway: str, sent: Sent, at: float) -> None:
+        runs = self.runs.get(sent.id, [])
+        waited_s = at - sent.sent_at
+        if waited_s >= sent.time_limit_s - TIME_LIMIT_SLACK_S:
+            self.judged["excused: time limit"] += 1
+        elif at > self._stop_before(gateway, at) + GRACE_S + AFTER_GRACE_S:
+            self.judged["not around a stop"] += 1
+        elif not runs and sent.read_at == inf:
+            self.judged["unread at the close"] += 1
+        elif not runs and (sent.too_late or waited_s - self._late_s(sent.sent_at, at) <= LOSS_SLACK_S):
+            self.judged["crossed the close"] += 1
+        elif self._was_long_at_work(gateway, sent, runs):
+            self.judged["excused: at work to the end"] += 1
+        else:
+            self.violations.append(
+                f"LOST: {sent} at {gateway}, {self._circumstances(gateway, sent, runs, at)}"
+            )
+
+    def _was_long_at_work(self, gateway: str, sent: Sent, runs: Iterable[Run]) -> bool:
+        stopped_at = self._stop_before(gateway, sent.sent_at + GRACE_S)
+        last_part = stopped_at + LAST_PART_S
+        return sent.sent_at <= stopped_at + LATE_S and any(run.ended_at >= last_part for run in runs)
+
+    def _stop_before(self, gateway: str, at: float) -> float:
+        return max((one for one in self._stops[gateway] if one <= at), default=-inf)
+
+    def _circumstances(self, gateway: str, sent: Sent, runs: list[Run], at: float) -> str:
+        """The times of a loss, in seconds after the gateway's last stop before it."""
+        stop = self._stop_before(gateway, at)
+        ran = [(round(run.begun_at - stop, 3), round(run.ended_at - stop, 3)) for run in runs]
+        return (
+            f"after its stop: sent {sent.sent_at - stop:.3f}, read {sent.read_at - stop:.3f}, ran {ran}, "
+            f"ended {at - stop:.3f}"
+        )
--- /dev/null
+++ b/tests/test_stop_soak.py
@@ -0,0 +1,105 @@
+"""Two short soaks of planned stops with real processes, and their judge shown able to fail.
+
+The long run is started by hand: see the docstring of `tests/support/stop_soak.py`.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import unittest
+
+import pytest
+from project_paths import ROOT
+from soak_judge import GRACE_S, LOSS_SLACK_S
+from stop_soak_judge import (
+    AFTER_GRACE_S,
+    LAST_PART_S,
+    LATE_S,
+    Run,
+    Sent,
+    SentConnection,
+    StopJudge,
+)
+
+SEEDS = (1, 2)
+STOPS_S = 10.0
+TIMEOUT_S = 300.0  # a run takes about half a minute; only a failure comes near the limit
+GATEWAY = "data-plane-1"
+STOPPED_AT = 100.0
+LIMIT_S = 8.0
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_series_of_stops_lose_no_request(seed):
+    script = ROOT / "tests" / "support" / "stop_soak.py"
+    completed = subprocess.run(
+        [sys.executable, str(script), "--first", str(seed), "--seconds", str(STOPS_S)],
+        env={**os.environ, "PYTHONPATH": str(ROOT)},
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+        check=False,
+    )
+    assert completed.returncode == 0, completed.stdout + completed.stderr
+    judged = json.loads(completed.stdout.splitlines()[-1])["judged"]
+    assert judged["stops"] and judged["answers 200"] and judged["without an answer"]
+
+
+class JudgeOfStops(unittest.TestCase):
+    """Each condition of the rule is met once, and once not; times are relative to one SIGTERM."""
+
+    def setUp(self) -> None:
+        self.judge = StopJudge()
+        self.judge.stop_sent(GATEWAY, STOPPED_AT)
+
+    def lost(
+        self, sent_s: float, read_s: float | None, ended_s: float, *runs: tuple[float, float], **more: object
+    ) -> bool:
+        """Whether a request without an answer counts as lost."""
+        read_at = float("inf") if read_s is None else STOPPED_AT + read_s
+        sent = Sent("a", "/talk/1", LIMIT_S, 10, STOPPED_AT + sent_s, read_at, **more)  # type: ignore[arg-type]
+        self.judge.runs["a"] = [Run(STOPPED_AT + begun, STOPPED_AT + ended) for begun, ended in runs]
+        self.judge.violations.clear()
+        self.judge.ended(SentConnection(GATEWAY, ("", ""), 10, [sent]), STOPPED_AT + ended_s)
+        return bool(self.judge.violations)
+
+    def test_a_request_that_was_read_and_dropped_is_lost(self) -> None:
+        self.assertTrue(self.lost(1.0, 1.1, 2.0))
+        self.assertTrue(self.lost(-1.0, -0.9, 2.0))
+        self.assertFalse(self.lost(1.0, None, 2.0))  # its client may send it elsewhere
+        self.assertFalse(self.lost(1.0, 1.1, 1.0 + LOSS_SLACK_S - 0.01))  # it crossed the close
+        self.assertFalse(self.lost(1.0, 1.1, 2.0, too_late=True))
+        self.assertFalse(self.lost(1.0, 1.1, GRACE_S + AFTER_GRACE_S + 0.1))
+
+    def test_a_request_that_was_passed_on_is_lost_however_soon(self) -> None:
+        self.assertTrue(self.lost(1.0, 1.0, 1.1, (1.05, 1.1)))
+        self.assertTrue(self.lost(1.0, 1.0, 1.1, (1.05, 1.1), too_late=True))
+
+    def test_work_to_the_end_excuses_only_what_was_sent_early(self) -> None:
+        late, end = LATE_S + 0.1, LAST_PART_S + 0.5
+        self.assertFalse(self.lost(1.0, 1.0, end, (1.0, end)))
+        self.assertTrue(self.lost(late, late, end, (late, end)))
+        self.assertTrue(self.lost(1.0, 1.0, end, (1.0, LAST_PART_S - 0.1)))
+
+    def test_a_time_limit_that_was_reached_excuses(self) -> None:
+        self.assertFalse(self.lost(-4.0, -4.0, LIMIT_S - 4.0, (-4.0, LIMIT_S - 4.0)))
+        self.assertTrue(self.lost(-4.0, -4.0, LIMIT_S - 4.5, (-4.0, LIMIT_S - 4.5)))
+
+    def test_time_in_which_the_soak_itself_did_not_run_does_not_count(self) -> None:
+        self.judge.was_late(STOPPED_AT + 1.1, STOPPED_AT + 1.9)
+        self.assertFalse(self.lost(1.0, 1.1, 2.0))
+        self.assertTrue(self.lost(1.0, 1.1, 2.2))
+
+    def test_a_request_is_read_once_no_byte_of_it_is_queued(self) -> None:
+        sent = [Sent("a", "/x", LIMIT_S, 10), Sent("b", "/x", LIMIT_S, 30), Sent("c", "/x", LIMIT_S)]
+        connection = SentConnection(GATEWAY, ("", ""), 40, sent)
+        connection.look(11, 1.0)
+        connection.look(10, 2.0)
+        self.assertEqual([one.read_at for one in sent], [1.0, 2.0, float("inf")])
+
+
+if __name__ == "__main__":
+    unittest.main()
