--- a/tests/support/outage_soak.py
+++ b/tests/support/outage_soak.py
@@ -1,6 +1,7 @@
 """A soak of the router fleet: real processes, and outages that overlap with everything that changes.
 
     PYTHONPATH=. python tests/support/outage_soak.py [--first SEED] [--count N] [--jobs N] [--gateways N]
+        [--seconds S]
 
 Members and gateways run on loopback addresses of their own, with stand-in instances behind them. One gateway
 is frozen until every member that it knew has been replaced, one is left alone. By the seed, members are
@@ -18,15 +19,12 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
-import json
-import shutil
-import subprocess
 import sys
 import time
 from typing import Any
 
+from soak_command import SoakCommand, play_and_summarize
 from soak_fleet import CATCH_UP_S, SoakFleet
 from soak_judge import CONFIG_S, CONTACT_S, MACHINE
 from soak_traffic import SoakClients, SoakInstances, SoakOperator
@@ -41,8 +39,9 @@
 class Soak:
     """One seed: the parts that run beside each other, and the order of events."""
 
-    def __init__(self, fleet: SoakFleet) -> None:
+    def __init__(self, fleet: SoakFleet, outages_s: float) -> None:
         self._fleet = fleet
+        self._outages_s = outages_s
         self._operator = SoakOperator(fleet)
         self._instances = SoakInstances(fleet, self._operator)
         self._clients = SoakClients(fleet, self._instances)
@@ -76,7 +75,7 @@
 
     async def _play_outages(self) -> None:
         """All outages and changes, until each is over and the settings name the last members."""
-        fleet, until = self._fleet, time.monotonic() + OUTAGES_S
+        fleet, until = self._fleet, time.monotonic() + self._outages_s
         outliving, _left_alone, *others = fleet.gateways
         changes_over = asyncio.Event()
         operator = asyncio.create_task(self._operator.run(changes_over))
@@ -118,63 +117,13 @@
             self._fleet.judge.violations += process.faults()
 
 
-async def run(seed: int, gateways: int | None) -> dict[str, Any]:
+async def run(seed: int, gateways: int | None, outages_s: float) -> dict[str, Any]:
     """One seed with a fleet of its own; its summary."""
     fleet = SoakFleet(seed, gateways)
-    try:
-        await Soak(fleet).play()
-    finally:
-        await fleet.close()
-    if fleet.judge.violations:
-        (fleet.folder / "events").write_text("\n".join(fleet.events) + "\n")
-        print(f"seed {seed}: logs are kept in {fleet.folder}", file=sys.stderr)
-    else:
-        shutil.rmtree(fleet.folder, ignore_errors=True)
-    return {
-        "seed": seed,
-        "took_s": round(time.monotonic() - fleet.began, 1),
-        "members": len(fleet.members),
-        "members_started": fleet.members_started,
-        "gateways": len(fleet.gateways),
-        "configurations": fleet.configurations.sent,
-        "judged": dict(fleet.judge.judged),
-        "violations": fleet.judge.violations,
-    }
-
-
-def run_in_processes(script: str, first: int, count: int, jobs: int, gateways: int | None) -> bool:
-    """Run seeds of a soak's script, each in a process of its own; whether none failed."""
-    waiting, running, failed = list(range(first, first + count)), [], 0
-    while waiting or running:
-        while waiting and len(running) < jobs:
-            more = [] if gateways is None else ["--gateways", str(gateways)]
-            command = [sys.executable, script, "--first", str(waiting.pop(0)), *more]
-            running.append(subprocess.Popen(command))
-        ended = [one for one in running if one.poll() is not None]
-        failed += sum(one.returncode != 0 for one in ended)
-        running = [one for one in running if one not in ended]
-        time.sleep(0.1)
-    print(f"{count} seeds from {first}: {failed} failed", flush=True)
-    return not failed
-
-
-def main() -> int:
-    """Run the seeds that the arguments name."""
-    parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
-    )
-    parser.add_argument("--first", type=int, default=1, help="the first seed")
-    parser.add_argument("--count", type=int, default=1, help="how many seeds")
-    parser.add_argument("--jobs", type=int, default=1, help="how many seeds at a time")
-    parser.add_argument("--gateways", type=int, help="how many gateways; 3 to 7 by the seed if not given")
-    given = parser.parse_args()
-    if given.count > 1:
-        ok = run_in_processes(__file__, given.first, given.count, given.jobs, given.gateways)
-        return 0 if ok else 1
-    summary = asyncio.run(run(given.first, given.gateways))
-    print(json.dumps(summary), flush=True)
-    return 1 if summary["violations"] else 0
+    soak = Soak(fleet, outages_s).play()
+    summary = await play_and_summarize(fleet, seed, soak, fleet.judge.violations)
+    return {**summary, "judged": dict(fleet.judge.judged)}
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(SoakCommand(__file__, __doc__, OUTAGES_S, run).main())
--- a/tests/support/run_python.py
+++ b/tests/support/run_python.py
@@ -1,10 +1,12 @@
-"""Runs Python source code in a separate process."""
+"""Runs Python source code, or a script of `tests/support`, in a separate process."""
 
 from __future__ import annotations
 
+import json
 import os
 import subprocess
 import sys
+from typing import Any
 
 from project_paths import ROOT
 
@@ -22,3 +24,17 @@
         timeout=TIMEOUT_S,
         check=False,
     )
+
+
+def run_script(name: str, *arguments: str, timeout_s: float) -> Any:
+    """Run a script of `tests/support` that must succeed; return its last line of output, read as JSON."""
+    completed = subprocess.run(
+        [sys.executable, str(ROOT / "tests" / "support" / name), *arguments],
+        env={**os.environ, "PYTHONPATH": str(ROOT)},
+        capture_output=True,
+        text=True,
+        timeout=timeout_s,
+        check=False,
+    )
+    assert completed.returncode == 0, completed.stdout + completed.stderr
+    return json.loads(completed.stdout.splitlines()[-1])
--- a/tests/support/stop_soak.py
+++ b/tests/support/stop_soak.py
@@ -14,18 +14,15 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
-import json
-import shutil
 import signal
 import sys
 import time
 from collections import Counter
 from typing import Any
 
-from outage_soak import run_in_processes
 from real_processes import SERVICE, Gateway, route
+from soak_command import SoakCommand, play_and_summarize
 from soak_fleet import CATCH_UP_S, SoakFleet
 from soak_judge import GRACE_S, MACHINE
 from soak_traffic import SERVICES, SLOW, SLOW_S, SoakInstances, SoakOperator, configuration
@@ -33,7 +30,7 @@
 from stop_soak_judge import LOOK_S, Run, StopJudge
 from timed_instances import Timed, TimedStream
 
-STOPS_S = 24.0  # unless the arguments say otherwise
+STOPS_S = 24.0
 CLIENTS = 6  # connections to each gateway
 SIGNALS = (1, 1, 1, 2, 3)  # SIGTERM of one stop
 BETWEEN_STOPS_S = (0.5, 4.0)
@@ -216,46 +213,13 @@
         violations += self._fleet.judge.violations
 
 
-async def run(seed: int, gateways: int | None, stops_s: float = STOPS_S) -> dict[str, Any]:
+async def run(seed: int, gateways: int | None, stops_s: float) -> dict[str, Any]:
     """One seed with a fleet of its own; its summary."""
     fleet = StopFleet(seed, gateways)
-    try:
-        await StopSoak(fleet, stops_s).play()
-    finally:
-        await fleet.close()
-    if fleet.stop_judge.violations:
-        (fleet.folder / "events").write_text("\n".join(fleet.events) + "\n")
-        print(f"seed {seed}: logs are kept in {fleet.folder}", file=sys.stderr)
-    else:
-        shutil.rmtree(fleet.folder, ignore_errors=True)
-    return {
-        "seed": seed,
-        "took_s": round(time.monotonic() - fleet.began, 1),
-        "processes": len(fleet.members) + len(fleet.gateways),
-        "configurations": fleet.configurations.sent,
-        "judged": dict(sorted(fleet.stop_judge.judged.items())),
-        "violations": fleet.stop_judge.violations,
-    }
-
-
-def main() -> int:
-    """Run the seeds that the arguments name."""
-    parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
-    )
-    parser.add_argument("--first", type=int, default=1, help="the first seed")
-    parser.add_argument("--count", type=int, default=1, help="how many seeds")
-    parser.add_argument("--jobs", type=int, default=1, help="how many seeds at a time")
-    parser.add_argument("--gateways", type=int, help="how many gateways; 3 to 7 by the seed if not given")
-    parser.add_argument("--seconds", type=float, default=STOPS_S, help="how long gateways are stopped")
-    given = parser.parse_args()
-    if given.count > 1:
-        ok = run_in_processes(__file__, given.first, given.count, given.jobs, given.gateways)
-        return 0 if ok else 1
-    summary = asyncio.run(run(given.first, given.gateways, given.seconds))
-    print(json.dumps(summary), flush=True)
-    return 1 if summary["violations"] else 0
+    judge, soak = fleet.stop_judge, StopSoak(fleet, stops_s).play()
+    summary = await play_and_summarize(fleet, seed, soak, judge.violations)
+    return {**summary, "judged": dict(sorted(judge.judged.items()))}
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(SoakCommand(__file__, __doc__, STOPS_S, run).main())
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -6,13 +6,9 @@
 
 from __future__ import annotations
 
-import json
-import os
-import subprocess
-import sys
-
 import pytest
 from project_paths import ROOT
+from run_python import run_script
 
 TIMEOUT_S = 240.0  # each trial takes about 10 s alone; only a failure comes near the limit
 
@@ -24,14 +20,5 @@
 )
 def test_a_short_trial_ends_without_a_violation(script):
     name, *options = script
-    completed = subprocess.run(
-        [sys.executable, str(ROOT / "tests" / "support" / name), str(ROOT), str(ROOT), "--quick", *options],
-        env={**os.environ, "PYTHONPATH": str(ROOT)},
-        capture_output=True,
-        text=True,
-        timeout=TIMEOUT_S,
-        check=False,
-    )
-    assert completed.returncode == 0, completed.stdout + completed.stderr
-    results = json.loads(completed.stdout.splitlines()[-1])
+    results = run_script(name, str(ROOT), str(ROOT), "--quick", *options, timeout_s=TIMEOUT_S)
     assert results and not any(result["violations"] for result in results)
--- a/tests/test_outage_soak.py
+++ b/tests/test_outage_soak.py
@@ -5,15 +5,11 @@
 
 from __future__ import annotations
 
-import json
-import os
-import subprocess
-import sys
 import unittest
 from collections import Counter
 
 import pytest
-from project_paths import ROOT
+from run_python import run_script
 from soak_judge import (
     CONFIG_S,
     CONTACT_S,
@@ -35,17 +31,7 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_outages_that_overlap_break_no_rule(seed):
-    script = ROOT / "tests" / "support" / "outage_soak.py"
-    completed = subprocess.run(
-        [sys.executable, str(script), "--first", str(seed)],
-        env={**os.environ, "PYTHONPATH": str(ROOT)},
-        capture_output=True,
-        text=True,
-        timeout=TIMEOUT_S,
-        check=False,
-    )
-    assert completed.returncode == 0, completed.stdout + completed.stderr
-    summary = json.loads(completed.stdout.splitlines()[-1])
+    summary = run_script("outage_soak.py", "--first", str(seed), timeout_s=TIMEOUT_S)
     assert summary["members_started"] >= 2 * summary["members"]
     assert summary["judged"]["CONFIG"] and summary["judged"]["unsafe requests run"]
 
--- a/tests/test_stop_soak.py
+++ b/tests/test_stop_soak.py
@@ -5,14 +5,10 @@
 
 from __future__ import annotations
 
-import json
-import os
-import subprocess
-import sys
 import unittest
 
 import pytest
-from project_paths import ROOT
+from run_python import run_script
 from soak_judge import GRACE_S, LOSS_SLACK_S
 from stop_soak_judge import (
     AFTER_GRACE_S,
@@ -34,17 +30,8 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_series_of_stops_lose_no_request(seed):
-    script = ROOT / "tests" / "support" / "stop_soak.py"
-    completed = subprocess.run(
-        [sys.executable, str(script), "--first", str(seed), "--seconds", str(STOPS_S)],
-        env={**os.environ, "PYTHONPATH": str(ROOT)},
-        capture_output=True,
-        text=True,
-        timeout=TIMEOUT_S,
-        check=False,
-    )
-    assert completed.returncode == 0, completed.stdout + completed.stderr
-    judged = json.loads(completed.stdout.splitlines()[-1])["judged"]
+    options = ("--first", str(seed), "--seconds", str(STOPS_S))
+    judged = run_script("stop_soak.py", *options, timeout_s=TIMEOUT_S)["judged"]
     assert judged["stops"] and judged["answers 200"] and judged["without an answer"]
 
 
