Streams that are cut: the log tells why, and a metric counts them by cause

A stream that ended before its last event left no line, so that a cut of our own, an instance that broke off and a deadline looked alike. No decision changes. The line is written from a callback of the loop, as picologging keeps the frames of its callers.

--- a/mallowbeam/router/data_plane/exchange.py
+++ b/mallowbeam/router/data_plane/exchange.py
@@ -20,6 +20,7 @@
 from mallowbeam.router.data_plane.answers import gateway_answer, instance_answer
 from mallowbeam.router.data_plane.attempt import Attempt, OutboundRequest
 from mallowbeam.router.data_plane.client_request import ClientRequest
+from mallowbeam.router.data_plane.cut_streams import AbandonReason
 from mallowbeam.router.data_plane.demand import TokenKind
 from mallowbeam.router.data_plane.gateway import Gateway
 from mallowbeam.router.data_plane.outcomes import AttemptEnd, may_forward
@@ -46,7 +47,7 @@
 class Abandoned:
     """The request is abandoned: no further attempt is made."""
 
-    out_of_time: bool = False
+    reason: AbandonReason
     retry_after_s: float = RETRY_AFTER_S
 
 
@@ -72,6 +73,7 @@
         self._handle: Handle | None = None
         self._counted_events = 0  # events already reported to the demand meter
         self._head_sent = False  # part of the answer was already sent to the client
+        self.not_resumed: AbandonReason | None = None  # why the last resumption failed
         self._failure: Message | None = None  # a failure that is forwarded if no later attempt succeeds
 
     async def run(self, closing: Callable[[], bool]) -> Response | None:
@@ -105,8 +107,10 @@
         self._release(Outcome.FAILED)
         result = await self._attempt_until_answered()
         if isinstance(result, Abandoned):
+            self.not_resumed = result.reason
             return False
         self.attempt = result
+        self.not_resumed = None if result.streams else AbandonReason.NOT_A_STREAM
         return result.streams
 
     def close(self, end: Outcome) -> None:
@@ -137,17 +141,17 @@
     async def _plan(self) -> Plan | Abandoned:
         """Request a plan and wait until its start time."""
         if self._out_of_time():
-            return Abandoned(out_of_time=True)
+            return Abandoned(AbandonReason.OUT_OF_TIME)
         if not self._policy.may_continue():
-            return Abandoned()
+            return Abandoned(AbandonReason.NO_INSTANCE_LEFT)
         now = time.monotonic()
         remaining_s = self.deadline - now
         decision = self.gateway.planner.plan(self._plan_request(remaining_s, now), now)
         if isinstance(decision, Rejection):
-            return Abandoned(retry_after_s=decision.retry_after_s or RETRY_AFTER_S)
+            return Abandoned(AbandonReason.NO_CAPACITY, decision.retry_after_s or RETRY_AFTER_S)
         self._booking = decision.booking
         if decision.start_in_s > remaining_s - MIN_TIME_LEFT_S:
-            return Abandoned()
+            return Abandoned(AbandonReason.NO_CAPACITY)
         if decision.start_in_s > 0:
             await asyncio.sleep(decision.start_in_s)
         self.gateway.planner.begun(decision.booking, time.monotonic())
@@ -217,10 +221,10 @@
         Returns the attempt if its answer is to be forwarded, None if another attempt is to be made.
         """
         if self._out_of_time():  # spent waiting for the plan's start or on the prefill
-            return Abandoned(out_of_time=True)
+            return Abandoned(AbandonReason.OUT_OF_TIME)
         ticket = self._policy.send(plan.decode_instance, time.monotonic(), self.gateway.view.gateways)
         if ticket is None:
-            return Abandoned()
+            return Abandoned(AbandonReason.RETRY_BUDGET)
         attempt = self._new_attempt()
         added_headers = [(b"kv-from", handle.kv_from)] if handle is not None else []
         end = await self._send_attempt(attempt, plan.decode_instance, added_headers, plan)
@@ -240,7 +244,7 @@
         if end is AttemptEnd.FAILED:
             return self._handle_failure(attempt)
         attempt.release()
-        return Abandoned(out_of_time=True) if end is AttemptEnd.TIMED_OUT else None
+        return Abandoned(AbandonReason.OUT_OF_TIME) if end is AttemptEnd.TIMED_OUT else None
 
     async def _send_attempt(
         self, attempt: Attempt, instance: str, added_headers: Headers, plan: Plan, signed: bool = True
@@ -299,7 +303,7 @@
         """Return the answer to an abandoned request."""
         if self._failure is not None:
             return instance_answer(self._failure, close)
-        status = self._policy.status_when_abandoned(abandoned.out_of_time)
+        status = self._policy.status_when_abandoned(abandoned.reason is AbandonReason.OUT_OF_TIME)
         return gateway_answer(status, self.request.request_id, close, abandoned.retry_after_s)
 
     def _resolve_handle(self, end: AttemptEnd) -> None:
--- a/mallowbeam/router/data_plane/gateway.py
+++ b/mallowbeam/router/data_plane/gateway.py
@@ -7,6 +7,7 @@
 
 from mallowbeam.router.configuration.model import Configuration
 from mallowbeam.router.data_plane.attempt_meter import AttemptMeter
+from mallowbeam.router.data_plane.cut_streams import CutCause
 from mallowbeam.router.data_plane.demand import DemandMeter
 from mallowbeam.router.data_plane.fleet_view import FleetView
 from mallowbeam.router.data_plane.link_pool import LinkPool
@@ -42,6 +43,7 @@
         self.attempt_meter = AttemptMeter()
         self.attempts: Counter[AttemptEnd] = Counter()
         self.answers: Counter[int] = Counter()  # by HTTP status
+        self.streams_cut: Counter[CutCause] = Counter()
 
     def set_configuration(self, configuration: Configuration, now: float) -> None:
         """Apply a configuration."""
--- a/mallowbeam/router/data_plane/relay.py
+++ b/mallowbeam/router/data_plane/relay.py
@@ -15,11 +15,16 @@
 from mallowbeam.http.handler import Response
 from mallowbeam.router.admission.messages import Outcome
 from mallowbeam.router.data_plane.answers import forwarded_headers
+from mallowbeam.router.data_plane.cut_streams import CutCause
 from mallowbeam.router.data_plane.exchange import Exchange, read_chunk
 from mallowbeam.router.data_plane.outcomes import AttemptEnd
+from mallowbeam.router.processes.logs import get_logger
 from mallowbeam.router.streams.timeouts import client_timeout_s, resume_timeout_s
 
 LAST_CHUNK = b"0\r\n\r\n"
+NOT_RESUMABLE = "the route or its events do not allow it"
+
+log = get_logger("mallowbeam.data_plane")
 
 
 class Relay:
@@ -31,6 +36,7 @@
         self._closing = closing
         self._chunked = True
         self._end = Outcome.CANCELLED
+        self._received_at = 0.0  # monotonic time of the last chunk received
 
     def response(self) -> Response:
         """Return the response that forwards the answer."""
@@ -78,6 +84,7 @@
         chunk, self._exchange.first_chunk = self._exchange.first_chunk, b""
         await channel.send(head + self._encode_chunk(chunk) if chunk else head)
         while chunk:
+            self._received_at = time.monotonic()
             self._exchange.count_tokens()
             next_chunk = await self._next_chunk()
             if next_chunk is None:
@@ -102,11 +109,34 @@
         except ConnectionBrokenError:
             end = AttemptEnd.BROKEN
         exchange.gateway.attempt_ended(attempt.instance, end, time.monotonic())
-        if not exchange.progress.may_resume or not await exchange.resume():
+        resumable = exchange.progress.may_resume
+        if not resumable or not await exchange.resume():
+            self._report_cut(attempt.instance, end, resumable)
             return None
         chunk, exchange.first_chunk = exchange.first_chunk, b""
         return chunk
 
+    def _report_cut(self, instance: str, end: AttemptEnd, resumable: bool) -> None:
+        """Log and count a stream that is cut."""
+        exchange, now = self._exchange, time.monotonic()
+        cause = CutCause.BROKEN
+        if end is AttemptEnd.TIMED_OUT:
+            cause = CutCause.DEADLINE if now >= exchange.deadline else CutCause.SILENT
+        exchange.gateway.streams_cut[cause] += 1
+        reason = exchange.not_resumed.value if resumable and exchange.not_resumed else NOT_RESUMABLE
+        # picologging keeps the frames of its callers, and with this one the request's body.
+        asyncio.get_running_loop().call_soon(
+            log.info,
+            "request %s: stream of instance %s is cut (%s) after %.3f s of silence, "
+            "%.3f s before its deadline; not resumed: %s",
+            exchange.request.request_id.decode("latin-1"),
+            instance,
+            cause.value,
+            now - self._received_at,
+            exchange.deadline - now,
+            reason,
+        )
+
     def _event_timeout_s(self) -> float:
         """Return the seconds without an event after which the stream counts as stalled.
 
