--- a/tests/router/data_plane/test_rules_stop.py
+++ b/tests/router/data_plane/test_rules_stop.py
@@ -37,6 +37,8 @@
 CHECK_PERIOD_S = 1.0
 OUT_WITHIN_S = 4.0
 DRAINS_AFTER_S = 2.2  # after the stop signal
+LATE_S = 3.0  # after SIGTERM; the exit may cut no request that was sent later
+NOTICED_AFTER_S = 0.4  # a busy process notices the signal so long after it was sent
 FAILED_CHECKS = 2
 LONG = {"Deadline-Ms": "60000"}
 LONG_MS = 30_000
@@ -342,6 +344,21 @@
 
             self.play(scenario)
 
+    def test_a_request_sent_late_is_not_taken_to_be_cut_where_the_stop_signal_was_noticed_late(self) -> None:
+        async def scenario(process: Process) -> None:
+            instance = await process.add(Timed("i-1", service_time_s=10.0))
+            await process.add(TimedStream("d-1", "decode", lasts_s=LATE_S + 0.2))
+            reader, writer = await self.open_stream(process)
+            await asyncio.sleep(NOTICED_AFTER_S)
+            process.signal_stop()
+            await asyncio.sleep(LATE_S + 0.1 - NOTICED_AFTER_S)
+            writer.write(request_bytes("/unsafe/", headers=LONG))
+            self.assertTrue((await read_answer(reader)).complete)
+            self.assertEqual((await read_answer(reader)).status, 503)
+            self.assertEqual(instance.arrivals, [])
+
+        self.play(scenario)
+
     def test_a_request_sent_behind_a_stream_that_the_exit_cuts_is_never_read(self) -> None:
         for sent_after_s in (-0.5, 1.0, 4.0):
 
--- a/tests/support/failing_instances.py
+++ b/tests/support/failing_instances.py
@@ -24,6 +24,11 @@
     def _rank(self, instance, zone):
         return instance.id
 
+    @property
+    def open_bookings(self) -> int:
+        """Bookings that have not been finished."""
+        return len(self._bookings)
+
     def plan(self, request: PlanRequest, now: float) -> Plan | Rejection:
         """Select the first instance by name and the first prefill instance."""
         planned = super().plan(request, now)
--- a/tests/support/gateway_bench.py
+++ b/tests/support/gateway_bench.py
@@ -100,9 +100,13 @@
         self.server.start()
         return self
 
-    async def __aexit__(self, *_: object) -> None:
+    def close_clients(self) -> None:
+        """Close all client connections."""
         for client in self._clients:
             client.close()
+
+    async def __aexit__(self, *_: object) -> None:
+        self.close_clients()
         await self.server.drain(0.2)
         await self.gateway.handles.finish()
         self.gateway.pool.close()
