Relay: a stream whose instance is silent is cut at its deadline only

The gateway took the time for which clients wait as a bound of its own. A stream that no other instance may resume is now waited for to its deadline; a client that gives up closes its connection, which ends the attempt as before.

test_relay_timeouts asserted the old bound. It asks for the deadline now, which is stricter: the stream may not be cut at any earlier moment.

--- a/mallowbeam/router/data_plane/relay.py
+++ b/mallowbeam/router/data_plane/relay.py
@@ -19,7 +19,7 @@
 from mallowbeam.router.data_plane.exchange import Exchange, read_chunk
 from mallowbeam.router.data_plane.outcomes import AttemptEnd
 from mallowbeam.router.processes.logs import get_logger
-from mallowbeam.router.streams.timeouts import client_timeout_s, resume_timeout_s
+from mallowbeam.router.streams.timeouts import resume_timeout_s
 
 LAST_CHUNK = b"0\r\n\r\n"
 NOT_RESUMABLE = "the route or its events do not allow it"
@@ -102,7 +102,7 @@
         attempt = exchange.attempt
         assert attempt is not None
         try:
-            async with asyncio.timeout(self._event_timeout_s()):
+            async with asyncio.timeout(self._stall_timeout_s()):
                 return await read_chunk(attempt, exchange.progress)
         except TimeoutError:
             end = AttemptEnd.TIMED_OUT
@@ -137,19 +137,16 @@
             reason,
         )
 
-    def _event_timeout_s(self) -> float:
-        """Return the seconds without an event after which the stream counts as stalled.
+    def _stall_timeout_s(self) -> float:
+        """Return the seconds without an event after which the stream is resumed or, at its deadline, cut.
 
-        If no other instance may resume the stream, this is as long as its client waits.
+        An instance's silence is no reason to end an answer sooner.
         """
         exchange = self._exchange
-        route = exchange.route
-        gap_s = route.gap_aim_ms / 1000
-        if exchange.progress.resumable and exchange.may_send_again:
-            timeout_s = resume_timeout_s(gap_s)
-        else:
-            timeout_s = client_timeout_s(route.target_latency_ms / 1000, gap_s)
-        return min(timeout_s, exchange.deadline - time.monotonic())
+        time_left_s = exchange.deadline - time.monotonic()
+        if not exchange.progress.resumable or not exchange.may_send_again:
+            return time_left_s
+        return min(resume_timeout_s(exchange.route.gap_aim_ms / 1000), time_left_s)
 
     def _head(self, answer: Message, length: int | None) -> bytes:
         self._chunked = use_chunked_encoding(self._request, length)
