Relay: the silent run of a stream is kept until another instance continues it

Callers saw a resumable stream closed about 1 s into a silence of its instance, though that instance was sound and would have gone on. After 1 s of silence (resume_timeout_s) the relay closed the instance's connection first and asked for a resumption then; if the planner, the retry budget or the other instance refused it, the client's connection was closed. Around the stop of gateways the others are fuller than else, so refusals are likelier.

Class of fault: an answer is given up before what is to replace it is certain. Now the silent run is set aside and read on beside the try at another instance (resumption.py); whichever sends the next event first is forwarded, and only then the other one ends. A try that is refused costs nothing; it is made again after 0.5 s while the client still waits.

--- a/mallowbeam/router/data_plane/cut_streams.py
+++ b/mallowbeam/router/data_plane/cut_streams.py
@@ -12,6 +12,7 @@
     NO_INSTANCE_LEFT = "it has been sent to as many instances as it may be"
     NO_CAPACITY = "no instance has room in time"
     RETRY_BUDGET = "the retry budget or the number of instances is used up"
+    NOT_RESUMABLE = "the route or its events do not allow it"
     NOT_A_STREAM = "the instance answered no stream"
 
 
@@ -19,5 +20,4 @@
     """What ended a response that had begun; the values are labels of a metric."""
 
     BROKEN = "broken"  # the instance's connection broke, or what it sent was malformed
-    SILENT = "silent"  # the instance sent nothing for as long as the stall time-out
     DEADLINE = "deadline"  # the client's deadline or the route's time-out
--- a/mallowbeam/router/data_plane/exchange.py
+++ b/mallowbeam/router/data_plane/exchange.py
@@ -51,6 +51,15 @@
     retry_after_s: float = RETRY_AFTER_S
 
 
+@dataclass(frozen=True, slots=True)
+class StreamSource:
+    """A stream from one instance: its attempt, its booking and its progress."""
+
+    attempt: Attempt
+    booking: int | None
+    progress: StreamProgress
+
+
 class Exchange:
     """The processing of one client request."""
 
@@ -101,10 +110,14 @@
     async def resume(self) -> bool:
         """Resume a broken stream at another instance; False if that is not allowed or fails."""
         self.progress.broken()
-        self._head_sent = True
         if self.attempt is not None:
             self._policy.answer_truncated(self.attempt.instance)
         self._release(Outcome.FAILED)
+        return await self.continue_elsewhere()
+
+    async def continue_elsewhere(self) -> bool:
+        """Continue the stream at another instance; False if that is not allowed or fails."""
+        self._head_sent = True
         result = await self._attempt_until_answered()
         if isinstance(result, Abandoned):
             self.not_resumed = result.reason
@@ -113,6 +126,32 @@
         self.not_resumed = None if result.streams else AbandonReason.NOT_A_STREAM
         return result.streams
 
+    def set_aside(self) -> StreamSource:
+        """Keep the stream's source apart, so that another instance can be tried beside it."""
+        assert self.attempt is not None
+        source = StreamSource(self.attempt, self._booking, self.progress)
+        self._policy.answer_truncated(source.attempt.instance)
+        self.attempt, self._booking = None, None
+        self.progress = source.progress.fork()
+        return source
+
+    def restore(self, source: StreamSource) -> None:
+        """Return to a source that was set aside, and release what was tried beside it."""
+        self._release(Outcome.CANCELLED)
+        self.first_chunk = b""
+        self.attempt, self._booking, self.progress = source.attempt, source.booking, source.progress
+
+    def discard(self, source: StreamSource) -> None:
+        """Release a source that was set aside: another instance continues its stream."""
+        source.attempt.release()
+        if source.booking is not None:
+            self.gateway.planner.finished(source.booking, Outcome.FAILED, time.monotonic())
+
+    def take_first_chunk(self) -> bytes:
+        """Return the first chunk of the attempt's stream, once."""
+        chunk, self.first_chunk = self.first_chunk, b""
+        return chunk
+
     def close(self, end: Outcome) -> None:
         """Release all reserved resources; idempotent."""
         self._release(end)
--- a/mallowbeam/router/data_plane/relay.py
+++ b/mallowbeam/router/data_plane/relay.py
@@ -9,20 +9,22 @@
 import asyncio
 import time
 from collections.abc import Callable
+from contextlib import suppress
 
 from mallowbeam.http.client import ConnectionBrokenError
 from mallowbeam.http.framing import Channel, Message, use_chunked_encoding, write_head
 from mallowbeam.http.handler import Response
 from mallowbeam.router.admission.messages import Outcome
 from mallowbeam.router.data_plane.answers import forwarded_headers
-from mallowbeam.router.data_plane.cut_streams import CutCause
+from mallowbeam.router.data_plane.cut_streams import AbandonReason, CutCause
 from mallowbeam.router.data_plane.exchange import Exchange, read_chunk
 from mallowbeam.router.data_plane.outcomes import AttemptEnd
+from mallowbeam.router.data_plane.resumption import Resumption
 from mallowbeam.router.processes.logs import get_logger
-from mallowbeam.router.streams.timeouts import resume_timeout_s
+from mallowbeam.router.streams.timeouts import client_timeout_s, resume_timeout_s
 
 LAST_CHUNK = b"0\r\n\r\n"
-NOT_RESUMABLE = "the route or its events do not allow it"
+RESUME_RETRY_S = 0.5  # between two tries to continue a silent stream at another instance
 
 log = get_logger("mallowbeam.data_plane")
 
@@ -81,7 +83,7 @@
     async def _forward_stream(self, channel: Channel) -> bool:
         """Forward an event stream; False if it was truncated."""
         head = self._head(self._answer(), None)
-        chunk, self._exchange.first_chunk = self._exchange.first_chunk, b""
+        chunk = self._exchange.take_first_chunk()
         await channel.send(head + self._encode_chunk(chunk) if chunk else head)
         while chunk:
             self._received_at = time.monotonic()
@@ -98,55 +100,95 @@
 
     async def _next_chunk(self) -> bytes | None:
         """Return the next chunk, resuming elsewhere if needed; empty at the end, None if truncated."""
-        exchange = self._exchange
-        attempt = exchange.attempt
-        assert attempt is not None
         try:
             async with asyncio.timeout(self._stall_timeout_s()):
-                return await read_chunk(attempt, exchange.progress)
+                return await self._read_chunk()
         except TimeoutError:
-            end = AttemptEnd.TIMED_OUT
+            return await self._next_chunk_of_stalled()
         except ConnectionBrokenError:
-            end = AttemptEnd.BROKEN
-        exchange.gateway.attempt_ended(attempt.instance, end, time.monotonic())
-        resumable = exchange.progress.may_resume
-        if not resumable or not await exchange.resume():
-            self._report_cut(attempt.instance, end, resumable)
+            return await self._resume_broken()
+
+    async def _next_chunk_of_stalled(self) -> bytes | None:
+        """Return the next chunk of a stream whose instance is silent; None if truncated."""
+        attempt = self._exchange.attempt
+        assert attempt is not None
+        self._exchange.gateway.attempt_ended(attempt.instance, AttemptEnd.TIMED_OUT, time.monotonic())
+        try:
+            async with asyncio.timeout(self._exchange.deadline - time.monotonic()):
+                return await self._wait_or_resume()
+        except TimeoutError:
+            self._report_cut(CutCause.DEADLINE)
             return None
-        chunk, exchange.first_chunk = exchange.first_chunk, b""
-        return chunk
+        except ConnectionBrokenError:
+            return await self._resume_broken()
+
+    async def _wait_or_resume(self) -> bytes:
+        """Return the next chunk of the silent instance, or of another one that continues the stream."""
+        while self._may_move and self._client_waits:
+            chunk = await Resumption(self._exchange).next_chunk()
+            if chunk is not None:
+                return chunk
+            with suppress(TimeoutError):
+                async with asyncio.timeout(RESUME_RETRY_S):
+                    return await self._read_chunk()
+        return await self._read_chunk()
+
+    async def _resume_broken(self) -> bytes | None:
+        """Return the next chunk of a stream that broke, from another instance; None if truncated."""
+        exchange = self._exchange
+        attempt = exchange.attempt
+        assert attempt is not None
+        exchange.gateway.attempt_ended(attempt.instance, AttemptEnd.BROKEN, time.monotonic())
+        if not exchange.progress.may_resume:
+            exchange.not_resumed = AbandonReason.NOT_RESUMABLE
+        elif await exchange.resume():
+            return exchange.take_first_chunk()
+        self._report_cut(CutCause.BROKEN, attempt.instance)
+        return None
+
+    async def _read_chunk(self) -> bytes:
+        attempt = self._exchange.attempt
+        assert attempt is not None
+        return await read_chunk(attempt, self._exchange.progress)
 
-    def _report_cut(self, instance: str, end: AttemptEnd, resumable: bool) -> None:
+    def _report_cut(self, cause: CutCause, instance: str = "") -> None:
         """Log and count a stream that is cut."""
         exchange, now = self._exchange, time.monotonic()
-        cause = CutCause.BROKEN
-        if end is AttemptEnd.TIMED_OUT:
-            cause = CutCause.DEADLINE if now >= exchange.deadline else CutCause.SILENT
         exchange.gateway.streams_cut[cause] += 1
-        reason = exchange.not_resumed.value if resumable and exchange.not_resumed else NOT_RESUMABLE
         # picologging keeps the frames of its callers, and with this one the request's body.
         asyncio.get_running_loop().call_soon(
             log.info,
             "request %s: stream of instance %s is cut (%s) after %.3f s of silence, "
             "%.3f s before its deadline; not resumed: %s",
             exchange.request.request_id.decode("latin-1"),
-            instance,
+            instance or (exchange.attempt.instance if exchange.attempt is not None else "unknown"),
             cause.value,
             now - self._received_at,
             exchange.deadline - now,
-            reason,
+            exchange.not_resumed.value if exchange.not_resumed is not None else "not tried",
         )
 
+    @property
+    def _may_move(self) -> bool:
+        """Whether another instance could continue the stream."""
+        return self._exchange.progress.may_resume and self._exchange.may_send_again
+
+    @property
+    def _client_waits(self) -> bool:
+        """Whether the client has not given the stream up yet, by how long clients wait for an event."""
+        route = self._exchange.route
+        gives_up_s = client_timeout_s(route.target_latency_ms / 1000, route.gap_aim_ms / 1000)
+        return time.monotonic() - self._received_at < gives_up_s
+
     def _stall_timeout_s(self) -> float:
-        """Return the seconds without an event after which the stream is resumed or, at its deadline, cut.
+        """Return the seconds without an event after which another instance is tried, or the stream is cut.
 
         An instance's silence is no reason to end an answer sooner.
         """
-        exchange = self._exchange
-        time_left_s = exchange.deadline - time.monotonic()
-        if not exchange.progress.resumable or not exchange.may_send_again:
+        time_left_s = self._exchange.deadline - time.monotonic()
+        if not self._may_move:
             return time_left_s
-        return min(resume_timeout_s(exchange.route.gap_aim_ms / 1000), time_left_s)
+        return min(resume_timeout_s(self._exchange.route.gap_aim_ms / 1000), time_left_s)
 
     def _head(self, answer: Message, length: int | None) -> bytes:
         self._chunked = use_chunked_encoding(self._request, length)
--- a/mallowbeam/router/streams/progress.py
+++ b/mallowbeam/router/streams/progress.py
@@ -47,6 +47,14 @@
             return self._parser.partial
         return bool(self._tail) and not self._tail.endswith(EVENT_ENDS)
 
+    def fork(self) -> StreamProgress:
+        """Return the progress of a second instance that continues after the last forwarded event."""
+        forked = StreamProgress(self.resumable)
+        forked._last_id = self._last_id
+        forked._ends_with_id = self._ends_with_id
+        forked.events = self.events
+        return forked
+
     def feed(self, data: bytes | bytearray) -> bytes:
         """Add bytes from an instance; return the bytes to forward, up to the event that sets `fault`."""
         if not self.resumable:
--- a/tests/router/data_plane/test_relay_timeouts.py
+++ b/tests/router/data_plane/test_relay_timeouts.py
@@ -26,7 +26,7 @@
             policy.ended(ticket, AttemptEnd.TIMED_OUT, 0.0)
     exchange = SimpleNamespace(
         route=SimpleNamespace(gap_aim_ms=int(GAP_S * 1000), target_latency_ms=int(TARGET_S * 1000)),
-        progress=SimpleNamespace(resumable=resumable),
+        progress=SimpleNamespace(may_resume=resumable),
         may_send_again=policy.may_continue(),
         deadline=time.monotonic() + time_s,
     )
--- a/tests/router/data_plane/test_rules_silence.py
+++ b/tests/router/data_plane/test_rules_silence.py
@@ -144,6 +144,28 @@
         answer = self.ask(*instances)
         self.assertEqual((answer.complete, answer.body), (True, events()))
 
+    def test_a_client_that_goes_while_another_instance_is_asked_leaves_no_work(self) -> None:
+        planner = ByName()
+
+        async def scenario() -> None:
+            async with Bench(ROUTES, planner) as bench:
+                instances = [
+                    SilentStream("d-1", "decode", silent_s=30.0),
+                    Timed("d-2", "decode", service_time_s=30.0),
+                ]
+                for one in instances:
+                    await add(bench, one, ENGINE)
+                asking = asyncio.ensure_future(bench.ask("/resume/", headers={"Deadline-Ms": str(LONG_MS)}))
+                await asyncio.sleep(MIN_RESUME_TIMEOUT_S + 0.2)
+                self.assertEqual([one.working for one in instances], [1, 1])
+                bench.close_clients()
+                await asyncio.sleep(0.2)
+                self.assertEqual([one.working for one in instances], [0, 0])
+                self.assertEqual(planner.open_bookings, 0)
+                await asyncio.gather(asking, return_exceptions=True)
+
+        play(scenario())
+
 
 class EndAtTheDeadline(unittest.TestCase):
     DEADLINE_S = 3.0
--- a/tests/router/streams/test_streams.py
+++ b/tests/router/streams/test_streams.py
@@ -189,6 +189,23 @@
             self.assertEqual((progress.fault, progress.partial), ("", False))
 
 
+class Fork(unittest.TestCase):
+    def test_a_fork_continues_after_the_last_event_and_leaves_the_other_progress_as_it_is(self) -> None:
+        progress = StreamProgress(resumable=True)
+        third = stream(3, 3)
+        progress.feed(stream(1, 2) + third[:8])
+        forked = progress.fork()
+        self.assertEqual((forked.last_event_id, forked.events, forked.partial), (b"2", 2, False))
+        self.assertEqual(forked.feed(stream(3, 4)), stream(3, 4))
+        self.assertEqual((progress.last_event_id, progress.events, progress.partial), (b"2", 2, True))
+        self.assertEqual(progress.feed(third[8:]), third)
+
+    def test_a_fork_of_a_stream_whose_last_event_has_no_id_may_not_resume(self) -> None:
+        progress = StreamProgress(resumable=True)
+        progress.feed(b"data: token\n\n")
+        self.assertFalse(progress.fork().may_resume)
+
+
 class Silence(unittest.TestCase):
     def test_clients_wait_for_the_longest_of_three(self) -> None:
         self.assertEqual(client_timeout_s(0.1, 0.05), 2.0)
