Data plane: a response that has begun is not cut before its client's deadline

Callers saw streams closed 10 ms before their deadline: the gateway's own answer to a request that has not begun needs that time for its way to the client, and the same bound ended responses that had begun. Their instances were told to cease 15 ms before the deadline, for the same reason. A 3 s stream that ran into its deadline around a SIGTERM was so cut with nothing that excuses it.

Margins of requests without a stream stay as they were.

--- a/mallowbeam/router/data_plane/attempt.py
+++ b/mallowbeam/router/data_plane/attempt.py
@@ -25,7 +25,6 @@
 from mallowbeam.router.rpc.messages_pb2 import Instance
 
 MAX_BUFFERED_BYTES = 64 * 1024  # an answer up to this size is read completely before any of it is forwarded
-INSTANCE_RETURN_MARGIN_S = 0.005  # part of the remaining time, reserved for the answer's way to the gateway
 MAX_LATE_ANSWERS = 4  # answers to earlier requests that are skipped before the expected one
 REJECTION_BODY_TIMEOUT_S = 0.2  # time to read the rest of a rejection; after it the connection is closed
 EVENT_STREAM = b"text/event-stream"
@@ -39,7 +38,8 @@
     instance: str
     request: ClientRequest
     added_headers: Headers  # headers that the gateway adds
-    deadline: float  # monotonic time by which the answer must have arrived
+    deadline: float  # monotonic time by which the answer must have begun, or arrived if it is small
+    instance_deadline: float  # monotonic time at which the instance is to cease work
     signed: bool = True  # whether a successful answer must carry the instance's signature
     send_once: bool = False  # it may not be sent again, so late answers to earlier requests are skipped
 
@@ -112,7 +112,7 @@
             return AttemptEnd.NO_CAPACITY
         first_on_connection = not link.idle_since
         request = outbound.request
-        remaining_ms = max(1, int((outbound.deadline - INSTANCE_RETURN_MARGIN_S - time.monotonic()) * 1000))
+        remaining_ms = max(1, int((outbound.instance_deadline - time.monotonic()) * 1000))
         headers = request.headers_with(
             [
                 *outbound.added_headers,
--- a/mallowbeam/router/data_plane/client_frontend.py
+++ b/mallowbeam/router/data_plane/client_frontend.py
@@ -11,7 +11,8 @@
 from mallowbeam.http.handler import Response
 from mallowbeam.router.configuration.model import ClientLimits
 from mallowbeam.router.data_plane.answers import gateway_answer
-from mallowbeam.router.data_plane.client_request import BadRequestError, ClientRequest, read_request
+from mallowbeam.router.data_plane.client_request import BadRequestError, read_request
+from mallowbeam.router.data_plane.deadlines import request_deadlines
 from mallowbeam.router.data_plane.exchange import Exchange
 from mallowbeam.router.data_plane.gateway import Gateway
 from mallowbeam.router.data_plane.relay import Relay
@@ -22,7 +23,6 @@
 RETRY_AFTER_S = 0.5  # Retry-After of a 503 that is sent before the first configuration arrives
 STOPPING_RETRY_AFTER_S = 0.01  # Retry-After of a 503 shortly before the exit: others can serve at once
 CLIENT_TIMEOUT_MARGIN_S = 0.5  # network allowance added to the configured client timeouts
-CLIENT_RETURN_MARGIN_S = 0.01  # part of a client's deadline, reserved for the answer's way to the client
 MEGABYTE = 1024 * 1024
 UNLIMITED_BYTES = 1 << 62  # no body is larger
 
@@ -70,12 +70,13 @@
         route = view.find_route(client_request.host, client_request.target)
         if route is None:
             return gateway_answer(404, client_request.request_id, closing())
-        deadline = self._deadline(client_request, request, route.timeout_ms)
-        if deadline > self._last_answer_at and time.monotonic() > self._unbounded_until:
+        started_at = request.completed_at or time.monotonic()
+        deadlines = request_deadlines(started_at, client_request.deadline_ms, route.timeout_ms)
+        if deadlines.cut_at > self._last_answer_at and time.monotonic() > self._unbounded_until:
             return gateway_answer(503, client_request.request_id, closing(), STOPPING_RETRY_AFTER_S)
         backend = choose_backend(route, client_request.request_id)
         self._gateway.budgets.of(backend).request(time.monotonic())
-        exchange = Exchange(self._gateway, client_request, route, backend, deadline)
+        exchange = Exchange(self._gateway, client_request, route, backend, deadlines)
         response = await exchange.run(closing)
         if response is not None:
             return response
@@ -88,10 +89,3 @@
     def finished(self, request: Message, status: int, whole: bool) -> None:
         """Count an answer that was sent."""
         self._gateway.answers[status] += 1
-
-    @staticmethod
-    def _deadline(client_request: ClientRequest, request: Message, timeout_ms: int) -> float:
-        """Return the monotonic time by which the request must end, measured from its last byte."""
-        client_s = client_request.deadline_ms / 1000
-        started_at = request.completed_at or time.monotonic()
-        return started_at + min(client_s - min(CLIENT_RETURN_MARGIN_S, client_s / 4), timeout_ms / 1000)
--- a/mallowbeam/router/data_plane/exchange.py
+++ b/mallowbeam/router/data_plane/exchange.py
@@ -21,6 +21,7 @@
 from mallowbeam.router.data_plane.attempt import Attempt, OutboundRequest
 from mallowbeam.router.data_plane.client_request import ClientRequest
 from mallowbeam.router.data_plane.cut_streams import AbandonReason
+from mallowbeam.router.data_plane.deadlines import Deadlines
 from mallowbeam.router.data_plane.demand import TokenKind
 from mallowbeam.router.data_plane.gateway import Gateway
 from mallowbeam.router.data_plane.outcomes import AttemptEnd, may_forward
@@ -64,12 +65,12 @@
     """The processing of one client request."""
 
     def __init__(
-        self, gateway: Gateway, request: ClientRequest, route: Route, backend: str, deadline: float
+        self, gateway: Gateway, request: ClientRequest, route: Route, backend: str, deadlines: Deadlines
     ) -> None:
         self.gateway = gateway
         self.request = request
         self.route = route
-        self.deadline = deadline
+        self.deadlines = deadlines
         self.attempt: Attempt | None = None  # the attempt whose answer is forwarded
         self.first_chunk = b""  # of the attempt's stream, not forwarded yet
         self.progress = StreamProgress(route.resumable and route.route_type == STREAM, request.last_event_id)
@@ -184,7 +185,7 @@
         if not self._policy.may_continue():
             return Abandoned(AbandonReason.NO_INSTANCE_LEFT)
         now = time.monotonic()
-        remaining_s = self.deadline - now
+        remaining_s = self.deadlines.answer_by - now
         decision = self.gateway.planner.plan(self._plan_request(remaining_s, now), now)
         if isinstance(decision, Rejection):
             return Abandoned(AbandonReason.NO_CAPACITY, decision.retry_after_s or RETRY_AFTER_S)
@@ -296,8 +297,16 @@
         if self.progress.last_event_id is not None:
             added_headers = [*added_headers, (b"last-event-id", self.progress.last_event_id)]
         send_once = signed and not self._policy.idempotent
+        streams = signed and self.route.route_type == STREAM
         outbound = OutboundRequest(
-            self._backend, instance, self.request, added_headers, self.deadline, signed, send_once
+            self._backend,
+            instance,
+            self.request,
+            added_headers,
+            self.deadlines.answer_by,
+            self.deadlines.of_instance(streams),
+            signed,
+            send_once,
         )
         try:
             end = await attempt.send(outbound)
@@ -311,7 +320,7 @@
         """Read a stream up to its first forwardable chunk; before that nothing is sent to the client."""
         end = AttemptEnd.BROKEN
         try:
-            async with asyncio.timeout(self.deadline - time.monotonic()):
+            async with asyncio.timeout(self.deadlines.answer_by - time.monotonic()):
                 self.first_chunk = await read_chunk(attempt, self.progress)
             return AttemptEnd.ANSWERED
         except TimeoutError:
@@ -355,7 +364,7 @@
             self._free_handle(self._handle)
 
     def _out_of_time(self) -> bool:
-        return self.deadline - time.monotonic() < MIN_TIME_LEFT_S
+        return self.deadlines.answer_by - time.monotonic() < MIN_TIME_LEFT_S
 
     def _is_fresh(self, handle: Handle) -> bool:
         ttl_s = self._engine.handle_ttl_s if self._engine is not None else 0.0
--- a/mallowbeam/router/data_plane/relay.py
+++ b/mallowbeam/router/data_plane/relay.py
@@ -72,7 +72,7 @@
             if answer.complete:
                 break
             try:
-                async with asyncio.timeout(self._exchange.deadline - time.monotonic()):
+                async with asyncio.timeout(self._exchange.deadlines.cut_at - time.monotonic()):
                     await self._read_more(answer)
             except (ConnectionBrokenError, TimeoutError):
                 return False
@@ -114,7 +114,7 @@
         assert attempt is not None
         self._exchange.gateway.attempt_ended(attempt.instance, AttemptEnd.TIMED_OUT, time.monotonic())
         try:
-            async with asyncio.timeout(self._exchange.deadline - time.monotonic()):
+            async with asyncio.timeout(self._exchange.deadlines.cut_at - time.monotonic()):
                 return await self._wait_or_resume()
         except TimeoutError:
             self._report_cut(CutCause.DEADLINE)
@@ -164,7 +164,7 @@
             instance or (exchange.attempt.instance if exchange.attempt is not None else "unknown"),
             cause.value,
             now - self._received_at,
-            exchange.deadline - now,
+            exchange.deadlines.ends_at - now,
             exchange.not_resumed.value if exchange.not_resumed is not None else "not tried",
         )
 
@@ -185,7 +185,7 @@
 
         An instance's silence is no reason to end an answer sooner.
         """
-        time_left_s = self._exchange.deadline - time.monotonic()
+        time_left_s = self._exchange.deadlines.cut_at - time.monotonic()
         if not self._may_move:
             return time_left_s
         return min(resume_timeout_s(self._exchange.route.gap_aim_ms / 1000), time_left_s)
--- a/tests/router/data_plane/test_data_plane_path.py
+++ b/tests/router/data_plane/test_data_plane_path.py
@@ -14,8 +14,7 @@
 from mallowbeam.router.admission.planner import Planner
 from mallowbeam.router.admission.settings import PlannerSettings
 from mallowbeam.router.data_plane import link_pool
-from mallowbeam.router.data_plane.attempt import INSTANCE_RETURN_MARGIN_S
-from mallowbeam.router.data_plane.client_frontend import CLIENT_RETURN_MARGIN_S
+from mallowbeam.router.data_plane.deadlines import CLIENT_RETURN_MARGIN_S, INSTANCE_RETURN_MARGIN_S
 from mallowbeam.router.data_plane.planner_interface import LeastLoadedPlanner
 from mallowbeam.router.data_plane.retry_budget import BudgetSettings
 from mallowbeam.standins.model_server import Fault
