Stop of a gateway: requests count as late 0.5 s earlier, as a busy process notices SIGTERM late

One that noticed it 0.4 s late took a request sent 3.1 s after SIGTERM without a look at the time left, and cut it.

--- a/mallowbeam/router/data_plane/role.py
+++ b/mallowbeam/router/data_plane/role.py
@@ -41,8 +41,9 @@
 DRAIN_DELAY_S = 2.2  # from the stop signal until the platform has stopped sending new connections
 DRAIN_DELAY_FRACTION = 0.35  # of the grace period; upper limit for that delay
 MAX_REPORTED_STALENESS_S = 1e9  # in place of infinity, before the first frame of a current member
-UNBOUNDED_S = 3.0  # from the stop signal; a request taken later must end before the exit
-UNBOUNDED_FRACTION = 0.4  # of the grace period; upper limit for that time
+LATE_REQUEST_S = 3.0  # from SIGTERM; a request sent later must not be cut by the exit
+SIGNAL_DELAY_S = 0.5  # until a busy process notices SIGTERM; its own times count from then
+UNBOUNDED_FRACTION = 0.4  # of the grace period; upper limit for the time until a request counts as late
 ANSWER_MARGIN_S = 0.1  # between the last deadline of an accepted request and the exit
 MAX_LOGGED_REQUESTS = 20  # requests cut by the exit that are logged one by one
 EXIT_MARGIN_S = 0.5  # of the grace period, reserved for the final clean-up
@@ -148,7 +149,7 @@
         log.info("stopping")
         await asyncio.sleep(drain_delay_s)
         exit_at = stopped_at + max(drain_delay_s, grace_s - EXIT_MARGIN_S)
-        unbounded_s = min(UNBOUNDED_S, grace_s * UNBOUNDED_FRACTION)
+        unbounded_s = min(LATE_REQUEST_S - SIGNAL_DELAY_S, grace_s * UNBOUNDED_FRACTION)
         self.front.stop(stopped_at + unbounded_s, exit_at - ANSWER_MARGIN_S)
         try:
             async with asyncio.timeout(exit_at - time.monotonic()):
