--- a/mallowbeam/router/data_plane/exchange.py
+++ b/mallowbeam/router/data_plane/exchange.py
@@ -303,7 +303,7 @@
             instance,
             self.request,
             added_headers,
-            self.deadlines.answer_by,
+            self._respond_by,
             self.deadlines.of_instance(streams),
             signed,
             send_once,
@@ -320,7 +320,7 @@
         """Read a stream up to its first forwardable chunk; before that nothing is sent to the client."""
         end = AttemptEnd.BROKEN
         try:
-            async with asyncio.timeout(self.deadlines.answer_by - time.monotonic()):
+            async with asyncio.timeout(self._respond_by - time.monotonic()):
                 self.first_chunk = await read_chunk(attempt, self.progress)
             return AttemptEnd.ANSWERED
         except TimeoutError:
@@ -363,6 +363,11 @@
         elif end in (AttemptEnd.BROKEN, AttemptEnd.TIMED_OUT, AttemptEnd.FAILED, AttemptEnd.REJECTED):
             self._free_handle(self._handle)
 
+    @property
+    def _respond_by(self) -> float:
+        """Until when an instance is waited for: a response that has begun is not cut sooner."""
+        return self.deadlines.cut_at if self._head_sent else self.deadlines.answer_by
+
     def _out_of_time(self) -> bool:
         return self.deadlines.answer_by - time.monotonic() < MIN_TIME_LEFT_S
 
--- a/tests/router/data_plane/test_rules_silence.py
+++ b/tests/router/data_plane/test_rules_silence.py
@@ -189,6 +189,20 @@
 
                 play(scenario())
 
+    def test_a_resumed_stream_whose_second_instance_is_silent_is_not_cut_before_its_client_s_deadline(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            async with Bench(ROUTES, ByName()) as bench:
+                await add(bench, scripted("d-1", Fault.TRUNCATED), ENGINE)
+                await add(bench, Timed("d-2", "decode", service_time_s=30.0), ENGINE)
+                began = now()
+                answer = await bench.ask("/resume/", headers={"Deadline-Ms": "3000"})
+                self.assertFalse(answer.complete)
+                self.assertGreaterEqual(now() - began, self.DEADLINE_S)
+
+        play(scenario())
+
     def test_an_instance_is_not_told_to_end_a_stream_before_its_client_s_deadline(self) -> None:
         async def scenario() -> None:
             async with Bench(ROUTES, ByName()) as bench:
