Stop of a gateway: a request without a byte of its answer gets one before the exit

Callers would see a connection closed without an answer where the exit came while their request waited for its cycle, or for the first byte from its instance. A response that has begun goes on to the exit as before.

--- a/mallowbeam/router/data_plane/client_frontend.py
+++ b/mallowbeam/router/data_plane/client_frontend.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from math import inf
 
 from mallowbeam.http.budget import BodyBudget
@@ -41,15 +43,20 @@
         self.set_limits(ClientLimits())
         self._unbounded_until = inf  # monotonic time; a request taken later must end before the exit
         self._last_answer_at = inf  # monotonic time; the latest deadline of such a request
+        self._waiting: set[asyncio.Timeout] = set()  # of requests whose response has not begun
 
     def stop(self, unbounded_until: float, last_answer_at: float) -> None:
         """Prepare for the exit of the process.
 
         Args:
             unbounded_until: Monotonic time from which requests that could still run at the exit are rejected.
-            last_answer_at: Monotonic time by which answers to those taken later must be complete.
+            last_answer_at: Monotonic time by which answers to those taken later must be complete, and at
+                which a request that still waits for the first byte of its answer gets a failure.
         """
         self._unbounded_until, self._last_answer_at = unbounded_until, last_answer_at
+        ends_at = asyncio.get_running_loop().time() + last_answer_at - time.monotonic()
+        for time_limit in self._waiting:
+            time_limit.reschedule(ends_at)
 
     def set_limits(self, limits: ClientLimits) -> None:
         """Apply limits to requests that start from now on, also on open connections."""
@@ -76,12 +83,37 @@
             return gateway_answer(503, client_request.request_id, closing(), STOPPING_RETRY_AFTER_S)
         backend = choose_backend(route, client_request.request_id)
         self._gateway.budgets.of(backend).request(time.monotonic())
-        exchange = Exchange(self._gateway, client_request, route, backend, deadlines)
-        response = await exchange.run(closing)
+        return await self._answer(
+            Exchange(self._gateway, client_request, route, backend, deadlines), request, closing
+        )
+
+    async def _answer(self, exchange: Exchange, request: Message, closing: Callable[[], bool]) -> Response:
+        """Return the answer of an exchange, or a failure where the process ends before its first byte."""
+        try:
+            async with self._until_exit() as time_limit:
+                response = await exchange.run(closing)
+        except TimeoutError:
+            if not time_limit.expired():
+                raise
+            return exchange.interrupted_answer(closing())
         if response is not None:
             return response
         return Relay(exchange, request, closing).response()
 
+    @asynccontextmanager
+    async def _until_exit(self) -> AsyncIterator[asyncio.Timeout]:
+        """Limit the wait for a response's first byte to the exit, also if the process stops meanwhile."""
+        async with asyncio.timeout(self._time_to_exit_s()) as time_limit:
+            self._waiting.add(time_limit)
+            try:
+                yield time_limit
+            finally:
+                self._waiting.discard(time_limit)
+
+    def _time_to_exit_s(self) -> float | None:
+        """Return the seconds until the last answer before the exit; None while the process does not stop."""
+        return None if self._last_answer_at == inf else self._last_answer_at - time.monotonic()
+
     def error_response(self, status: int, text: str, close: bool = True) -> Response:
         """Return the answer to a request that violates HTTP or a limit, or comes during a close."""
         return gateway_answer(status, b"", close, RETRY_AFTER_S, text.encode() + b"\n")
--- a/mallowbeam/router/data_plane/exchange.py
+++ b/mallowbeam/router/data_plane/exchange.py
@@ -103,6 +103,11 @@
             return instance_answer(answer, closing())
         return None
 
+    def interrupted_answer(self, close: bool) -> Response:
+        """Return the answer to a request whose `run` was cancelled."""
+        status = self._policy.status_when_interrupted()
+        return gateway_answer(status, self.request.request_id, close, RETRY_AFTER_S)
+
     @property
     def may_send_again(self) -> bool:
         """Whether another send could still be allowed, regardless of the retry budget."""
--- a/mallowbeam/router/data_plane/send_policy.py
+++ b/mallowbeam/router/data_plane/send_policy.py
@@ -102,6 +102,10 @@
             return UNAVAILABLE
         return GATEWAY_TIMEOUT if out_of_time else BAD_GATEWAY
 
+    def status_when_interrupted(self) -> int:
+        """Return the answer's status while a send may be under way: 503 only if there is none."""
+        return UNAVAILABLE if not self._arrivals and not self.may_have_run else GATEWAY_TIMEOUT
+
     def _undo_send(self, ticket: SendTicket, now: float) -> None:
         self._arrivals -= 1
         if ticket.charged:
--- a/tests/router/data_plane/test_rules_stop.py
+++ b/tests/router/data_plane/test_rules_stop.py
@@ -24,9 +24,10 @@
     request_bytes,
     route,
 )
-from timed_instances import EndlessAnswers, Timed, TimedStream, now
+from timed_instances import DelayedStart, EndlessAnswers, Timed, TimedStream, now
 from virtual_time import play
 
+from mallowbeam.router.data_plane.planner_interface import Planner
 from mallowbeam.router.data_plane.role import DataPlane
 from mallowbeam.router.feed.instance_replica import InstanceChanges
 from mallowbeam.router.processes.role import RoleContext
@@ -80,12 +81,12 @@
 class Process:
     """The role as its process runs it, with a feed that has delivered all data."""
 
-    def __init__(self, folder: str) -> None:
+    def __init__(self, folder: str, planner: Planner | None = None) -> None:
         self.front, self.readiness = free_ports(2)
         self.path = Path(folder) / "settings.toml"
         self.write(GRACE_S)
         self.context = RoleContext(read_settings(str(self.path)), str(self.path))
-        self.plane = DataPlane(self.context, ByName())
+        self.plane = DataPlane(self.context, planner or ByName())
         self.plane.subscriber.ready = lambda now: True  # type: ignore[method-assign]
         self.plane.gateway.set_configuration(ROUTES, 0.0)
         self.plane.gateway.view.instances = self.table = {}
@@ -152,12 +153,12 @@
 
 
 class Case(unittest.TestCase):
-    def play(self, scenario: Callable[[Process], Awaitable[None]]) -> None:
+    def play(self, scenario: Callable[[Process], Awaitable[None]], planner: Planner | None = None) -> None:
         """Run a scenario while the process serves."""
 
         async def run_scenario() -> None:
             with tempfile.TemporaryDirectory() as folder:
-                process = Process(folder)
+                process = Process(folder, planner)
                 task = asyncio.ensure_future(process.run())
                 try:
                     await asyncio.sleep(0.1)
@@ -244,6 +245,27 @@
 
         self.play(scenario)
 
+    def test_a_request_without_a_byte_of_its_answer_at_the_exit_gets_a_failure(self) -> None:
+        for start_in_s, status in ((20.0, 503), (0.0, 504)):
+
+            async def scenario(
+                process: Process, start_in_s: float = start_in_s, status: int = status
+            ) -> None:
+                instances = [
+                    await process.add(Timed("i-1", service_time_s=100.0)),
+                    await process.add(Timed("d-1", "decode", service_time_s=100.0)),
+                ]
+                asked = [asyncio.ensure_future(process.ask(target)) for target in ("/unsafe/", "/stream/")]
+                await asyncio.sleep(0.1)
+                process.signal_stop()
+                answers = await asyncio.gather(*asked)
+                self.assertIsNone(process.ended_at)
+                self.assertEqual([(one.status, one.complete) for one in answers], [(status, True)] * 2)
+                arrivals = 0 if start_in_s else 1
+                self.assertEqual([len(one.arrivals) for one in instances], [arrivals] * 2)
+
+            self.play(scenario, DelayedStart(start_in_s))
+
     def test_kept_connections_are_told_to_close_and_lose_nothing(self) -> None:
         """Each client sends requests until it gets `Connection: close` or its connection ends."""
 
