Roles: a further signal while the interpreter ends leaves the exit status as it is

The interpreter restores the default action of signals before it takes its modules down, so a second SIGTERM of a series killed the process there. The signals are blocked from the end of the role on.

--- a/mallowbeam/router/processes/role.py
+++ b/mallowbeam/router/processes/role.py
@@ -24,6 +24,7 @@
 EXIT_STOPPED = 0
 EXIT_FAILED = 1
 EXIT_UNUSABLE = 2
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 SETTINGS_POLL_INTERVAL_S = 1.0  # between two polls of the settings file
 # allocations before a collection of the youngest generation; collections before one of the next generation
 GC_THRESHOLDS = (20_000, 20, 50)
@@ -129,6 +130,8 @@
     try:
         await serve(context)
     finally:
+        # The loop resets its signal handlers before the process ends.
+        signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
         watcher.cancel()
 
 
--- a/tests/router/processes/test_processes_role.py
+++ b/tests/router/processes/test_processes_role.py
@@ -127,6 +127,21 @@
                 """)
                 self.assertEqual((ended.returncode, ended.stdout, ended.stderr), (0, "stopping\n", ""))
 
+    def test_a_further_signal_while_the_interpreter_ends_leaves_the_exit_status_as_it_is(self):
+        for name in ("SIGTERM", "SIGINT", "SIGHUP"):
+            with self.subTest(name):
+                program = textwrap.dedent(f"""
+                    import os, signal, sys
+                    from mallowbeam.router.processes.role import run_role
+                    async def serve(context):
+                        pass
+                    code = run_role(serve)
+                    signal.signal(signal.{name}, signal.SIG_DFL)  # as the interpreter does when it ends
+                    os.kill(os.getpid(), signal.{name})
+                    sys.exit(code)
+                """)
+                self.assertEqual(self.run_text(program).returncode, 0)
+
     def test_a_hangup_brings_new_settings(self):
         ended = self.run_program("""
             changed = asyncio.Event()
