Stop of a gateway: unfinished requests are cut 0.8 s before the end of the grace period

The cut came 7.5 s after the process noticed the signal, and neither the time until it did nor the time that the process needs to end was counted.

Requests taken late are compared with the client's deadline, as a cut after it loses nothing.

--- a/mallowbeam/router/data_plane/client_frontend.py
+++ b/mallowbeam/router/data_plane/client_frontend.py
@@ -79,7 +79,7 @@
             return gateway_answer(404, client_request.request_id, closing())
         started_at = request.completed_at or time.monotonic()
         deadlines = request_deadlines(started_at, client_request.deadline_ms, route.timeout_ms)
-        if deadlines.cut_at > self._last_answer_at and time.monotonic() > self._unbounded_until:
+        if deadlines.ends_at > self._last_answer_at and time.monotonic() > self._unbounded_until:
             return gateway_answer(503, client_request.request_id, closing(), STOPPING_RETRY_AFTER_S)
         backend = choose_backend(route, client_request.request_id)
         self._gateway.budgets.of(backend).request(time.monotonic())
--- a/mallowbeam/router/data_plane/role.py
+++ b/mallowbeam/router/data_plane/role.py
@@ -46,7 +46,8 @@
 UNBOUNDED_FRACTION = 0.4  # of the grace period; upper limit for the time until a request counts as late
 ANSWER_MARGIN_S = 0.1  # between the last deadline of an accepted request and the exit
 MAX_LOGGED_REQUESTS = 20  # requests cut by the exit that are logged one by one
-EXIT_MARGIN_S = 0.5  # of the grace period, reserved for the final clean-up
+PROCESS_END_S = 0.3  # from the cut of unfinished requests to the end of the process
+EXIT_MARGIN_S = SIGNAL_DELAY_S + PROCESS_END_S  # of the grace period, after the cut
 
 log = get_logger("mallowbeam.data_plane")
 decisions = get_logger("mallowbeam.decisions")
--- a/tests/router/data_plane/test_rules_stop.py
+++ b/tests/router/data_plane/test_rules_stop.py
@@ -39,6 +39,7 @@
 OUT_WITHIN_S = 4.0
 DRAINS_AFTER_S = 2.2  # after the stop signal
 LATE_S = 3.0  # after SIGTERM; the exit may cut no request that was sent later
+PROCESS_END_S = 0.3  # what a busy machine needs to end a process
 NOTICED_AFTER_S = 0.4  # a busy process notices the signal so long after it was sent
 FAILED_CHECKS = 2
 LONG = {"Deadline-Ms": "60000"}
@@ -245,6 +246,24 @@
 
         self.play(scenario)
 
+    def test_the_exit_comes_in_time_where_the_stop_signal_was_noticed_late(self) -> None:
+        """The exit may cut only in the last sixth of the grace period, and then the process has to end."""
+
+        async def scenario(process: Process) -> None:
+            await process.add(EndlessAnswers("d-1", "decode"))
+            asked = asyncio.ensure_future(process.ask("/stream/"))
+            await asyncio.sleep(0.1)
+            sent_at = now()
+            await asyncio.sleep(NOTICED_AFTER_S)
+            process.signal_stop()
+            while process.ended_at is None:
+                await asyncio.sleep(0.01)
+            self.assertLessEqual(process.ended_at - sent_at, GRACE_S - PROCESS_END_S)
+            self.assertGreater(process.ended_at - sent_at - NOTICED_AFTER_S, GRACE_S * 5 / 6)
+            asked.cancel()
+
+        self.play(scenario)
+
     def test_a_request_without_a_byte_of_its_answer_at_the_exit_gets_a_failure(self) -> None:
         for start_in_s, status in ((20.0, 503), (0.0, 504)):
 
