--- a/mallowbeam/router/data_plane/deadlines.py
+++ b/mallowbeam/router/data_plane/deadlines.py
@@ -6,7 +6,9 @@
 
 CLIENT_RETURN_MARGIN_S = 0.01  # part of a client's deadline, reserved for the answer's way to the client
 INSTANCE_RETURN_MARGIN_S = 0.005  # part of the remaining time, reserved for the answer's way to the gateway
-CUT_MARGIN_S = 0.1  # after a client's deadline, so that the client's own clock has reached it before a cut
+TRUNCATION_MARGIN_S = (
+    0.1  # after a client's deadline, so that the client's own clock has reached it before a cut
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,10 +17,10 @@
 
     answer_by: float  # a response that has not begun by then is replaced by a failure
     ends_at: float  # the client's deadline or the route's time-out, whichever is first
-    cut_at: float  # a response that has begun is cut then, and never sooner
+    truncate_at: float  # a response that has begun is truncated then, and never sooner
 
     def of_instance(self, streams: bool) -> float:
-        """Return when an instance is to cease work: on a stream not before it is cut for its client."""
+        """Return when an instance is to cease work: on a stream not before it is truncated for its client."""
         return self.ends_at if streams else self.answer_by - INSTANCE_RETURN_MARGIN_S
 
 
@@ -36,5 +38,5 @@
     return Deadlines(
         answer_by=started_at + min(client_s - margin_s, timeout_s),
         ends_at=ends_at,
-        cut_at=ends_at + CUT_MARGIN_S,
+        truncate_at=ends_at + TRUNCATION_MARGIN_S,
     )
--- a/mallowbeam/router/data_plane/exchange.py
+++ b/mallowbeam/router/data_plane/exchange.py
@@ -20,13 +20,13 @@
 from mallowbeam.router.data_plane.answers import gateway_answer, instance_answer
 from mallowbeam.router.data_plane.attempt import Attempt, OutboundRequest
 from mallowbeam.router.data_plane.client_request import ClientRequest
-from mallowbeam.router.data_plane.cut_streams import AbandonReason
 from mallowbeam.router.data_plane.deadlines import Deadlines
 from mallowbeam.router.data_plane.demand import TokenKind
 from mallowbeam.router.data_plane.gateway import Gateway
 from mallowbeam.router.data_plane.outcomes import AttemptEnd, may_forward
 from mallowbeam.router.data_plane.prefill import Handle, read_handle
 from mallowbeam.router.data_plane.send_policy import SendPolicy
+from mallowbeam.router.data_plane.truncation import AbandonReason
 from mallowbeam.router.streams.progress import StreamProgress
 
 MIN_TIME_LEFT_S = 0.01  # a request with less time left is abandoned
@@ -371,7 +371,7 @@
     @property
     def _respond_by(self) -> float:
         """Until when an instance is waited for: a response that has begun is not cut sooner."""
-        return self.deadlines.cut_at if self._head_sent else self.deadlines.answer_by
+        return self.deadlines.truncate_at if self._head_sent else self.deadlines.answer_by
 
     def _out_of_time(self) -> bool:
         return self.deadlines.answer_by - time.monotonic() < MIN_TIME_LEFT_S
--- a/mallowbeam/router/data_plane/gateway.py
+++ b/mallowbeam/router/data_plane/gateway.py
@@ -7,7 +7,6 @@
 
 from mallowbeam.router.configuration.model import Configuration
 from mallowbeam.router.data_plane.attempt_meter import AttemptMeter
-from mallowbeam.router.data_plane.cut_streams import CutCause
 from mallowbeam.router.data_plane.demand import DemandMeter
 from mallowbeam.router.data_plane.fleet_view import FleetView
 from mallowbeam.router.data_plane.link_pool import LinkPool
@@ -15,6 +14,7 @@
 from mallowbeam.router.data_plane.planner_interface import Planner
 from mallowbeam.router.data_plane.prefill import HandleRelease
 from mallowbeam.router.data_plane.retry_budget import RetryBudgets
+from mallowbeam.router.data_plane.truncation import TruncationCause
 from mallowbeam.router.feed.instance_replica import InstanceChanges
 from mallowbeam.router.health.outlier_detection import OutlierDetector
 from mallowbeam.router.rpc.messages_pb2 import DRAINS, ENDED, Instance, InstanceAttempts
@@ -43,7 +43,7 @@
         self.attempt_meter = AttemptMeter()
         self.attempts: Counter[AttemptEnd] = Counter()
         self.answers: Counter[int] = Counter()  # by HTTP status
-        self.streams_cut: Counter[CutCause] = Counter()
+        self.streams_truncated: Counter[TruncationCause] = Counter()
 
     def set_configuration(self, configuration: Configuration, now: float) -> None:
         """Apply a configuration."""
--- a/mallowbeam/router/data_plane/relay.py
+++ b/mallowbeam/router/data_plane/relay.py
@@ -16,10 +16,10 @@
 from mallowbeam.http.handler import Response
 from mallowbeam.router.admission.messages import Outcome
 from mallowbeam.router.data_plane.answers import forwarded_headers
-from mallowbeam.router.data_plane.cut_streams import AbandonReason, CutCause
 from mallowbeam.router.data_plane.exchange import Exchange, read_chunk
 from mallowbeam.router.data_plane.outcomes import AttemptEnd
 from mallowbeam.router.data_plane.resumption import Resumption
+from mallowbeam.router.data_plane.truncation import AbandonReason, TruncationCause
 from mallowbeam.router.processes.logs import get_logger
 from mallowbeam.router.streams.timeouts import client_timeout_s, resume_timeout_s
 
@@ -72,7 +72,7 @@
             if answer.complete:
                 break
             try:
-                async with asyncio.timeout(self._exchange.deadlines.cut_at - time.monotonic()):
+                async with asyncio.timeout(self._exchange.deadlines.truncate_at - time.monotonic()):
                     await self._read_more(answer)
             except (ConnectionBrokenError, TimeoutError):
                 return False
@@ -114,10 +114,10 @@
         assert attempt is not None
         self._exchange.gateway.attempt_ended(attempt.instance, AttemptEnd.TIMED_OUT, time.monotonic())
         try:
-            async with asyncio.timeout(self._exchange.deadlines.cut_at - time.monotonic()):
+            async with asyncio.timeout(self._exchange.deadlines.truncate_at - time.monotonic()):
                 return await self._wait_or_resume()
         except TimeoutError:
-            self._report_cut(CutCause.DEADLINE)
+            self._report_truncation(TruncationCause.DEADLINE)
             return None
         except ConnectionBrokenError:
             return await self._resume_broken()
@@ -143,7 +143,7 @@
             exchange.not_resumed = AbandonReason.NOT_RESUMABLE
         elif await exchange.resume():
             return exchange.take_first_chunk()
-        self._report_cut(CutCause.BROKEN, attempt.instance)
+        self._report_truncation(TruncationCause.BROKEN, attempt.instance)
         return None
 
     async def _read_chunk(self) -> bytes:
@@ -151,14 +151,14 @@
         assert attempt is not None
         return await read_chunk(attempt, self._exchange.progress)
 
-    def _report_cut(self, cause: CutCause, instance: str = "") -> None:
-        """Log and count a stream that is cut."""
+    def _report_truncation(self, cause: TruncationCause, instance: str = "") -> None:
+        """Log and count a stream that is truncated."""
         exchange, now = self._exchange, time.monotonic()
-        exchange.gateway.streams_cut[cause] += 1
+        exchange.gateway.streams_truncated[cause] += 1
         # picologging keeps the frames of its callers, and with this one the request's body.
         asyncio.get_running_loop().call_soon(
             log.info,
-            "request %s: stream of instance %s is cut (%s) after %.3f s of silence, "
+            "request %s: stream of instance %s is truncated (%s) after %.3f s of silence, "
             "%.3f s before its deadline; not resumed: %s",
             exchange.request.request_id.decode("latin-1"),
             instance or (exchange.attempt.instance if exchange.attempt is not None else "unknown"),
@@ -181,11 +181,11 @@
         return time.monotonic() - self._received_at < gives_up_s
 
     def _stall_timeout_s(self) -> float:
-        """Return the seconds without an event after which another instance is tried, or the stream is cut.
+        """Return the silence in seconds after which another instance is tried or the stream truncated.
 
         An instance's silence is no reason to end an answer sooner.
         """
-        time_left_s = self._exchange.deadlines.cut_at - time.monotonic()
+        time_left_s = self._exchange.deadlines.truncate_at - time.monotonic()
         if not self._may_move:
             return time_left_s
         return min(resume_timeout_s(self._exchange.route.gap_aim_ms / 1000), time_left_s)
--- a/mallowbeam/router/data_plane/resumption.py
+++ b/mallowbeam/router/data_plane/resumption.py
@@ -40,9 +40,9 @@
             return reading.result() if reading.done() else None
         finally:
             await _cancel(reading, continuing)
-            self._settle(silent, moved)
+            self._release_other(silent, moved)
 
-    def _settle(self, silent: StreamSource, moved: bool) -> None:
+    def _release_other(self, silent: StreamSource, moved: bool) -> None:
         """Release the source that is not forwarded any more."""
         if moved:
             self._exchange.discard(silent)
--- a/mallowbeam/router/data_plane/role.py
+++ b/mallowbeam/router/data_plane/role.py
@@ -112,8 +112,8 @@
             "mallowbeam_requests_dropped_total", self.front_server.dropped_requests, dropped, "counter"
         )
         cut = "Streams that ended before their last event, by cause."
-        for cause, count in sorted(gateway.streams_cut.items(), key=lambda entry: entry[0].value):
-            yield Metric("mallowbeam_streams_cut_total", count, cut, "counter", ("cause", cause.value))
+        for cause, count in sorted(gateway.streams_truncated.items(), key=lambda entry: entry[0].value):
+            yield Metric("mallowbeam_streams_truncated_total", count, cut, "counter", ("cause", cause.value))
         yield Metric("mallowbeam_ready", int(self.ready()), "1 while clients may be sent here.")
 
     def ready(self) -> bool:
--- a/mallowbeam/router/data_plane/cut_streams.py
+++ b/mallowbeam/router/data_plane/truncation.py
@@ -1,4 +1,4 @@
-"""Why a request is abandoned and why a streamed response is cut, for the log and the metrics.  No I/O."""
+"""Why a request is abandoned and why a streamed response is truncated, for log and metrics.  No I/O."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
     NOT_A_STREAM = "the instance answered no stream"
 
 
-class CutCause(Enum):
+class TruncationCause(Enum):
     """What ended a response that had begun; the values are labels of a metric."""
 
     BROKEN = "broken"  # the instance's connection broke, or what it sent was malformed
--- a/tests/router/data_plane/test_relay_timeouts.py
+++ b/tests/router/data_plane/test_relay_timeouts.py
@@ -28,7 +28,7 @@
         route=SimpleNamespace(gap_aim_ms=int(GAP_S * 1000), target_latency_ms=int(TARGET_S * 1000)),
         progress=SimpleNamespace(may_resume=resumable),
         may_send_again=policy.may_continue(),
-        deadlines=SimpleNamespace(cut_at=time.monotonic() + time_s),
+        deadlines=SimpleNamespace(truncate_at=time.monotonic() + time_s),
     )
     return Relay(exchange, None, lambda: False)._stall_timeout_s()
 
--- a/tests/router/data_plane/test_rules_silence.py
+++ b/tests/router/data_plane/test_rules_silence.py
@@ -11,8 +11,8 @@
 from timed_instances import EndlessAnswers, Timed, now
 from virtual_time import play
 
-from mallowbeam.router.data_plane.cut_streams import CutCause
 from mallowbeam.router.data_plane.retry_budget import BudgetSettings
+from mallowbeam.router.data_plane.truncation import TruncationCause
 from mallowbeam.router.streams.timeouts import MIN_CLIENT_TIMEOUT_S, MIN_RESUME_TIMEOUT_S
 from mallowbeam.standins.model_server import EVENTS, Fault, ReceivedRequest, chunk
 
@@ -61,7 +61,7 @@
         *instances: Timed,
         target: str = "/resume/",
         budget: BudgetSettings = BUDGET,
-        cut: dict[CutCause, int] | None = None,
+        cut: dict[TruncationCause, int] | None = None,
     ) -> Answer:
         """Ask once, check which streams were cut and that nobody works on; return the answer."""
         answers: list[Answer] = []
@@ -75,7 +75,7 @@
                 await asyncio.sleep(0.1)
                 self.assertEqual([one.working for one in instances], [0] * len(instances))
                 self.assertEqual(planner.open_bookings, 0)
-                self.assertEqual(dict(bench.gateway.streams_cut), cut or {})
+                self.assertEqual(dict(bench.gateway.streams_truncated), cut or {})
 
         play(scenario())
         return answers[0]
--- a/tests/support/stop_soak.py
+++ b/tests/support/stop_soak.py
@@ -38,7 +38,7 @@
 BETWEEN_STOPS_S = (0.5, 4.0)
 LATE_S = 0.02  # a loop that is so late notices the end of a connection late
 BUSY_S = 0.3  # a loop that is so late tells that the machine of the soak was busy
-CUT_LINE = r"stream of instance \S+ is cut \((\w+)\)"  # logged at most three times in 5 s
+TRUNCATED_LINE = r"stream of instance \S+ is truncated \((\w+)\)"  # logged at most three times in 5 s
 REFUSED_SHARE = 0.5  # of the streams that are to be resumed
 TALK = "talk"  # the service of both stream routes
 
@@ -220,8 +220,8 @@
         )
         violations += [f"TWICE: {one} ran {count} times" for one, count in arrivals.items() if count > 1]
         for gateway in self._fleet.gateways:
-            for cause in re.findall(CUT_LINE, gateway.log()):
-                self._judge.judged[f"streams cut: {cause}"] += 1
+            for cause in re.findall(TRUNCATED_LINE, gateway.log()):
+                self._judge.judged[f"truncated: {cause}"] += 1
         for process in (*self._fleet.members, *self._fleet.gateways):
             if any(process.planned_ends):
                 violations.append(f"{process.name} ended with {process.planned_ends}")
