Roles: signals are ignored, not blocked, while the interpreter ends

Its test played what the interpreter does by hand, and saw one thread only; the new one sends each signal over and over to a process with such threads from its stop to its end.

--- a/mallowbeam/router/processes/role.py
+++ b/mallowbeam/router/processes/role.py
@@ -107,9 +107,17 @@
     except Exception:
         log.exception("the role failed")
         return EXIT_FAILED
+    finally:
+        ignore_signals()
     return EXIT_STOPPED
 
 
+def ignore_signals() -> None:
+    """Ignore further signals: at its end the interpreter would restore the default action of handled ones."""
+    for signal_number in HANDLED_SIGNALS:
+        signal.signal(signal_number, signal.SIG_IGN)
+
+
 async def _serve(
     serve: Callable[[RoleContext], Awaitable[None]],
     settings: NodeSettings,
@@ -130,8 +138,6 @@
     try:
         await serve(context)
     finally:
-        # The loop resets its signal handlers before the process ends.
-        signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
         watcher.cancel()
 
 
--- a/tests/router/processes/test_processes_role.py
+++ b/tests/router/processes/test_processes_role.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import os
+import signal
 import subprocess
 import tempfile
 import textwrap
 import unittest
 from pathlib import Path
 
-from run_python import run_python
+from run_python import run_python, start_python
 
 from mallowbeam.router.processes.role import RoleContext, file_signature
 from mallowbeam.router.processes.settings import read_settings
@@ -127,20 +128,28 @@
                 """)
                 self.assertEqual((ended.returncode, ended.stdout, ended.stderr), (0, "stopping\n", ""))
 
-    def test_a_further_signal_while_the_interpreter_ends_leaves_the_exit_status_as_it_is(self):
-        for name in ("SIGTERM", "SIGINT", "SIGHUP"):
-            with self.subTest(name):
-                program = textwrap.dedent(f"""
-                    import os, signal, sys
-                    from mallowbeam.router.processes.role import run_role
-                    async def serve(context):
-                        pass
-                    code = run_role(serve)
-                    signal.signal(signal.{name}, signal.SIG_DFL)  # as the interpreter does when it ends
-                    os.kill(os.getpid(), signal.{name})
-                    sys.exit(code)
-                """)
-                self.assertEqual(self.run_text(program).returncode, 0)
+    def test_further_signals_while_the_interpreter_ends_leave_the_exit_status_as_it_is(self):
+        program = textwrap.dedent("""
+            import asyncio, sys
+            from mallowbeam.router.processes.role import run_role
+            async def serve(context):
+                await asyncio.get_running_loop().getaddrinfo("localhost", 80)  # starts the loop's threads
+                print("serving", flush=True)
+                await context.stopping.wait()
+                print("stopping", flush=True)
+            sys.exit(run_role(serve))
+        """)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            with self.subTest(number):
+                process = start_python(program, MALLOWBEAM_NODE_FILE=str(self.path))
+                assert process.stdout is not None
+                self.assertEqual(process.stdout.readline(), "serving\n")
+                process.send_signal(signal.SIGTERM)
+                self.assertEqual(process.stdout.readline(), "stopping\n")
+                while process.poll() is None:
+                    process.send_signal(number)
+                process.stdout.close()
+                self.assertEqual(process.returncode, 0)
 
     def test_a_hangup_brings_new_settings(self):
         ended = self.run_program("""
--- a/tests/support/run_python.py
+++ b/tests/support/run_python.py
@@ -26,6 +26,17 @@
     )
 
 
+def start_python(program: str, **environment: str) -> subprocess.Popen[str]:
+    """Start a program in the repository's root, with its output in a pipe."""
+    return subprocess.Popen(
+        [sys.executable, "-c", program],
+        cwd=ROOT,
+        env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1", **environment},
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+
+
 def run_script(name: str, *arguments: str, timeout_s: float) -> Any:
     """Run a script of `tests/support` that must succeed; return its last line of output, read as JSON."""
     completed = subprocess.run(
