--- a/review/rig.py
+++ b/review/rig.py
@@ -374,6 +374,7 @@
     runs: list[tuple[float, str]] = field(default_factory=list)  # when, Request-Id
     handles: dict[str, str] = field(default_factory=dict)  # handle to the Request-Id it was made for
     server: asyncio.Server | None = None
+    open: dict[asyncio.StreamWriter, str] = field(default_factory=dict)  # connection to last Request-Id
 
     async def start(self) -> None:
         """Listen, and begin to send heartbeats."""
@@ -415,11 +416,13 @@
                 line, headers = await read_head(reader)
                 method, target, _ = line.split(" ")
                 request = Request(method, target, headers, await read_body(reader, headers))
+                self.open[writer] = headers.get("request-id", "")
                 if not await self._dispatch(request, writer):
                     return
         except (OSError, ValueError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            self.open.pop(writer, None)
             writer.close()
 
     async def _dispatch(self, request: Request, writer: asyncio.StreamWriter) -> bool:
