--- a/review/4/play.py
+++ b/review/4/play.py
@@ -18,6 +18,7 @@
     backend,
     chunks,
     event,
+    prefill,
     read_head,
     request_bytes,
     respond,
@@ -29,7 +30,7 @@
 STREAMS = 60
 EVENTS = 86  # the longest answer of the smallest sites
 GAP_S = 0.04
-FREEZES = 4
+FREEZES = 8
 FROZEN_S = 1.15
 
 
@@ -82,6 +83,7 @@
 async def play(rig: Rig) -> tuple[int, str]:
     """Start the deployment, freeze its gateway under load, and check the streams."""
     servers = [Server(rig, f"i-{n}", "llm", "decode", answer=decode, zone=f"z{n}") for n in (1, 2, 3)]
+    servers.append(Server(rig, "i-read", "llm", "prefill", answer=prefill))
     for server in servers:
         await server.start()
     await rig.up([route("reply")], [backend()])
--- a/review/rig.py
+++ b/review/rig.py
@@ -1,4 +1,4 @@
-"""A small deployment for the scripts of the second review: the project's processes, and stand-ins around them.
+"""A small deployment for the scripts: the project's processes, and stand-ins around them.
 
 The members and gateways are started with the commands of deploy/system.toml, each on a loopback address of
 its own.  The model servers, the clients and the operator are stand-ins that do what PROTOCOL.md says.  A
@@ -19,12 +19,11 @@
 import sys
 import tempfile
 import time
+import tomllib
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
-import tomllib
-
 ROOT = Path(__file__).resolve().parent.parent
 HOLDS, BROKEN, CANNOT_RUN = 0, 1, 2
 TIME_LIMIT_S = 110.0  # a script may run for 120 s
@@ -379,7 +378,7 @@
     async def start(self) -> None:
         """Listen, and begin to send heartbeats."""
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:{}".format(self.server.sockets[0].getsockname()[1])
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
         self.rig.tasks.append(asyncio.create_task(self._beat()))
 
     async def heartbeat(self) -> bool:
@@ -469,6 +468,19 @@
     return True
 
 
+async def prefill(server: Server, request: Request, writer: asyncio.StreamWriter) -> bool:
+    """Answer of a server of stage prefill: read the prompt and hand out a handle."""
+    if request.headers.get("stage") != "prefill" or server.stage != "prefill":
+        return respond(writer, request, 421)
+    name = request.headers["request-id"]
+    handle = f"{len(server.handles) + 1:012x}"
+    server.handles[handle] = name
+    server.rig.note(f"{server.id} has read {name}, handle {handle}")
+    await asyncio.sleep(0.02)
+    body = json.dumps({"kv_handle": handle, "tokens": 9000, "revision": 1}).encode()
+    return respond(writer, request, 200, body, "Content-Type: application/json\r\n")
+
+
 def stream_head(server: Server, request: Request) -> bytes:
     """The head of an event stream."""
     return (
