A cancelled read of an instance's connection loses no byte

Cause: Channel.receive awaited loop.sock_recv_into. The loop takes the bytes from the socket in a callback; a reading task that is cancelled before it runs again loses them. The stall timeout, the retry pause and the end of a try at another instance cancel a read and then read on, on the same connection.

Change: receive waits for readability alone and takes the bytes in the loop step that parses them, as the reads of clients did already. There is no moment at which bytes are taken and not parsed, so nothing can be lost by a cancellation, whoever causes it and whenever.

Why no test showed it: the model of an exchange had its loop read in the step in which input arrived, kinder than a real loop. Its loop now has add_reader and remove_reader in place of that, and test_crossings of the storage gateway holds input back at the socket.

Other reads that may be cancelled were looked at (http/client, prefill, storage gateway attempts, discovery, handover, health agent): they drop their connection, so no byte is missed there.

--- a/mallowbeam/http/framing.py
+++ b/mallowbeam/http/framing.py
@@ -268,9 +268,16 @@
         self.read_waiter: asyncio.Future[None] | None = None  # pending while `wait_for_input` waits
 
     async def receive(self) -> bool:
-        """Read once and parse the bytes; False at the end of the stream."""
-        count = await self.loop.sock_recv_into(self.sock, self.buffer)
-        self.last_activity = time.monotonic()
+        """Wait for input, read once and parse the bytes; False at the end of the stream.
+
+        Bytes stay in the socket until the loop step that parses them, so a caller may cancel this and read on
+        later.  (A cancelled `loop.sock_recv_into` may have taken bytes from the socket.)
+
+        Raises:
+            OSError: The connection was reset.
+        """
+        while (count := await self.read()) is None:
+            pass
         if count:
             self.framer.feed(self.buffer[:count])
         return count > 0
@@ -408,7 +415,7 @@
         return self.peek() is not None
 
     def close(self) -> None:
-        """Close the socket and cancel a waiting write; no read may be waiting."""
+        """Close the socket and cancel a waiting write; a read may only wait if it has been cancelled."""
         self._unwatch()
         self._unblock()
         self.sock.close()
--- a/tests/storage_gateway/server/test_crossings.py
+++ b/tests/storage_gateway/server/test_crossings.py
@@ -5,39 +5,57 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
+from collections.abc import Callable
 
 import pytest
 import uvloop
 from crossed import DRAINING, UP, Crossing, body, crossing, first_list, until
 from scenario import ScriptedServer
 
+from mallowbeam.http.framing import Channel
 from mallowbeam.storage_gateway.scheduler.gateway_host import Orders
 from mallowbeam.storage_gateway.server import discovery
 from mallowbeam.storage_gateway.server import gateway as gateways
 from mallowbeam.storage_gateway.server.listing import read_listing
 
 
-class SteppedLoop:
-    """The event loop as seen by one connection; the test completes each read, a step before it is used."""
+class SteppedInput:
+    """The input of one connection; the test sends it, a loop step before it is used.
 
-    def __init__(self) -> None:
-        self.loop, self.read, self.buffer = asyncio.get_running_loop(), None, None
+    Takes the place of the channel's loop and socket, and passes on everything but reading.
+    """
 
-    def sock_recv_into(self, _, buffer: memoryview) -> asyncio.Future:
-        """Starts a read that the test completes."""
-        self.read, self.buffer = self.loop.create_future(), buffer
-        return self.read
+    def __init__(self, channel: Channel) -> None:
+        self._loop, self._socket = channel.loop, channel.sock
+        self._received = b""
+        self.readable: Callable[[], None] | None = None  # set while the channel waits for input
+        channel.loop = channel.sock = self
 
-    def sock_sendall(self, sock, data: bytes):
-        """Sends like the real loop."""
-        return self.loop.sock_sendall(sock, data)
+    def __getattr__(self, name: str):
+        """Returns what the real socket or loop has."""
+        return getattr(self._socket, name) if hasattr(self._socket, name) else getattr(self._loop, name)
 
-    def complete_read(self, data: bytes) -> None:
-        """Completes the read; the task that awaits it has not resumed yet."""
-        self.buffer[: len(data)] = data
-        self.read.set_result(len(data))
+    def add_reader(self, _, callback: Callable[[], None]) -> None:
+        """Watches for input that the test sends."""
+        self.readable = callback
+
+    def remove_reader(self, _) -> None:
+        """Watches no more."""
+        self.readable = None
+
+    def recv_into(self, buffer: memoryview, *_) -> int:
+        """Reads what the test has sent."""
+        if not self._received:
+            raise BlockingIOError
+        data, self._received = self._received, b""
+        buffer[: len(data)] = data
+        return len(data)
+
+    def receive(self, data: bytes) -> None:
+        """Sends input; the task that waits for it has not resumed yet."""
+        self._received = data
+        self.readable()
 
 
 @pytest.mark.parametrize("then", ["pause", "move", "pause and resume"])
@@ -59,15 +77,15 @@
 
         async def holding(*args) -> discovery.Link:
             link = await connect(*args)
-            link.channel.loop = SteppedLoop()
+            SteppedInput(link.channel)
             links.append(link)
             return link
 
         monkeypatch.setattr(discovery, "connect", holding)
         watch = discovery.Watch(stand.address, 1, told.append)
         watch.begin()
-        await until(lambda: links and links[0].channel.loop.read)
-        links[0].channel.loop.complete_read(came)
+        await until(lambda: links and links[0].channel.loop.readable)
+        links[0].channel.loop.receive(came)
         if then == "move":
             watch.address = "127.0.0.1:1"  # so that `move` to the stand-in's address is a change
             watch.move(stand.address)
@@ -78,9 +96,9 @@
         await until(lambda: links[0].channel.sock.fileno() < 0)
         assert not told and (watch.task is None) is (then == "pause")
         if watch.task:
-            await until(lambda: len(links) == 2 and links[1].channel.loop.read)
+            await until(lambda: len(links) == 2 and links[1].channel.loop.readable)
             assert watch.revision == (None if then == "move" else 1)
-            links[1].channel.loop.complete_read(
+            links[1].channel.loop.receive(
                 b"HTTP/1.1 200 OK\r\ncontent-length: 43\r\n\r\n"
                 b'{"revision":7,"complete":true,"members":[]}'
             )
--- a/tests/support/exchange_sockets.py
+++ b/tests/support/exchange_sockets.py
@@ -223,6 +223,12 @@
             return b""
         raise BlockingIOError
 
+    def recv_into(self, buffer: memoryview, count: int = 0, flags: int = 0) -> int:
+        """Like `recv`, into a buffer; a count of 0 means its size."""
+        data = self.recv(count or len(buffer), flags)
+        buffer[: len(data)] = data
+        return len(data)
+
     def close(self) -> None:
         """Close the socket."""
         self.closed = True
@@ -255,10 +261,18 @@
             self.reset_unreported = False
             raise ConnectionResetError(errno.ECONNRESET, "reset")
 
+    @property
+    def has_input(self) -> bool:
+        """Whether a read would not block."""
+        return bool(self.received_data) or self.end_received or self.reset_received
+
+    def notify_reader(self) -> None:
+        """Call back whoever waits for input."""
+        if self.readable is not None:
+            self.readable()
+
     def _notify(self) -> None:
-        readable, self.readable = self.readable, None
-        if readable is not None:
-            readable()
+        self.notify_reader()
         if self.writable is not None and (self.window or self.reset_received):
             self.writable()
 
@@ -266,18 +280,23 @@
 class ModelLoop(Jumping):
     """An event loop on which `Channel` works with stand-in sockets."""
 
-    async def sock_recv_into(self, sock: StandInSocket, buffer: memoryview) -> int:  # type: ignore[override]
-        """Wait for input and read it in the step in which it arrives."""
-        while True:
-            try:
-                data = sock.recv(len(buffer))
-            except BlockingIOError:
-                ready = self.create_future()
-                sock.readable = lambda ready=ready: ready.done() or ready.set_result(None)
-                await ready
-                continue
-            buffer[: len(data)] = data
-            return len(data)
+    def add_reader(
+        self,
+        sock: StandInSocket,
+        callback: Callable[..., object],  # type: ignore[override]
+        *args: object,
+    ) -> None:
+        """Call back whenever input arrives, and in the next step if there is some."""
+        sock.readable = lambda: callback(*args)
+        if sock.has_input:
+            self.call_soon(sock.notify_reader)
+
+    def remove_reader(self, sock: StandInSocket) -> bool:  # type: ignore[override]
+        """Remove the callback."""
+        if sock.closed:
+            raise ValueError("the closed socket still has a reader")
+        sock.readable = None
+        return True
 
     def add_writer(
         self,
