A second cancellation doesn't leak a silent stream's connection and booking

Callers saw nothing at once; the gateway kept a connection and a booking for ever, so that the instance seemed busier than it was and the pool's limit came nearer with each.

Cause: Resumption.next_chunk, once cancelled, waits for its two tasks to end and only then releases the source that is not forwarded. A cancellation that arrives during that wait (the deadline after the first event's crossing, a client that leaves) skipped the release.

Change: the release stands in a finally of its own.

Tests: every crossing of test_stream_crossings now ends with no open booking and no open connection. Before, nine failed: the deadline while another instance is tried, the event 3 to 5 turns before it, three parts.

--- a/mallowbeam/router/data_plane/resumption.py
+++ b/mallowbeam/router/data_plane/resumption.py
@@ -39,8 +39,10 @@
                 return self._exchange.take_first_chunk()
             return reading.result() if reading.done() else None
         finally:
-            await _cancel(reading, continuing)
-            self._release_other(silent, moved)
+            try:
+                await _cancel(reading, continuing)
+            finally:  # also where this is cancelled again meanwhile
+                self._release_other(silent, moved)
 
     def _release_other(self, silent: StreamSource, moved: bool) -> None:
         """Release the source that is not forwarded any more."""
--- a/tests/router/data_plane/test_stream_crossings.py
+++ b/tests/router/data_plane/test_stream_crossings.py
@@ -190,9 +190,10 @@
 
     def play_one(self, approach: Approach, part: Part, lead: int, target: str, deadline_ms: int) -> Answer:
         answers: list[Answer] = []
+        planner = ByName()
 
         async def scenario() -> None:
-            async with Bench(ROUTES, ByName()) as bench:
+            async with Bench(ROUTES, planner) as bench:
                 silent = WrittenByTest("d-1", "decode")
                 await add(bench, silent, ENGINE)
                 asking = asyncio.create_task(bench.ask(target, headers={"Deadline-Ms": str(deadline_ms)}))
@@ -207,6 +208,9 @@
                 next_event.after()
                 silent.end_stream(FORWARDED + 1)
                 answers.append(await asking)
+                await turns(SETTLING_TURNS)
+                self.assertEqual(planner.open_bookings, 0)
+            self.assertEqual(bench.gateway.pool._count, 0)
 
         play(scenario())
         return answers[0]
