The soak of stops judges ORDER of every stream

Cause: the soak counted an answer as good once its framing was complete, so a stream that lacked events passed.

Change: clients keep the events of each stream, also of those that are cut, and the judge wants each once, ascending, none missing, and a complete stream to reach the last event of an instance that ran it. Half of the resumptions are answered up to two seconds later, so that the silent instance goes on while another one is being tried. What was judged before is judged as it was.

Tests: the judge is shown each kind of fault; a stand-in for a gateway that drops one event of each stream, any of five, is noticed through the soak's own client.

--- a/tests/support/stop_soak.py
+++ b/tests/support/stop_soak.py
@@ -7,9 +7,9 @@
 seed with one SIGTERM or several, with SIGHUP among them, while others are being stopped too; meanwhile an
 operator moves routes, instances drain and others come, are silent in the middle of a stream or refuse to
 resume one, and now and then a member is restarted. Clients use their connections until these are gone
-(`stop_soak_clients.py`). `stop_soak_judge.py` judges rule LOST; besides, a stop must end in time with exit
-status 0, no process may end by itself or log a fault, and what may not be repeated must run once. Each seed
-prints a line in JSON; exit status 1 where something was violated, and then the logs are kept.
+(`stop_soak_clients.py`). `stop_soak_judge.py` judges rules LOST and ORDER; besides, a stop must end in time
+with exit status 0, no process may end by itself or log a fault, and what may not be repeated must run once.
+Each seed prints a line in JSON; exit status 1 where something was violated, and then the logs are kept.
 """
 
 from __future__ import annotations
@@ -40,6 +40,8 @@
 BUSY_S = 0.3  # a loop that is so late tells that the machine of the soak was busy
 TRUNCATED_LINE = r"stream of instance \S+ is truncated \((\w+)\)"  # logged at most three times in 5 s
 REFUSED_SHARE = 0.5  # of the streams that are to be resumed
+SLOW_SHARE = 0.5  # of these, the ones that are answered later: the silent instance may go on meanwhile
+ANSWERED_AFTER_S = (0.0, 2.0)  # the slow ones
 TALK = "talk"  # the service of both stream routes
 
 
@@ -60,16 +62,20 @@
 class RecordedStream(RecordedRuns, TimedStream):
     """An instance whose streams are silent and last as long as the last parts of the request's path say.
 
-    It refuses some streams that are to be resumed, as a full instance does.
+    Some streams that are to be resumed it answers late, and some it refuses, as a full instance does.
     """
 
     draw: random.Random
 
     async def _stream(self, seen, reader, writer, fault):
-        if "last-event-id" in seen.headers and self.draw.random() < REFUSED_SHARE:
-            return self._respond(writer, seen, 503, b"full", "Not-Executed: 1\r\n")
+        if "last-event-id" in seen.headers:
+            if self.draw.random() < SLOW_SHARE:
+                await self._work(reader, self.draw.uniform(*ANSWERED_AFTER_S))
+            if self.draw.random() < REFUSED_SHARE:
+                return self._respond(writer, seen, 503, b"full", "Not-Executed: 1\r\n")
         *_, silent_s, lasts_s = seen.target.split("/")
         lasting = TimedStream(self.id, "decode", lasts_s=float(lasts_s), silent_s=float(silent_s))
+        self.judge.last_events[seen.headers["request-id"]].add(lasting.event_numbers(seen).stop - 1)
         return await lasting._stream(seen, reader, writer, fault)
 
 
--- a/tests/support/stop_soak_clients.py
+++ b/tests/support/stop_soak_clients.py
@@ -195,8 +195,8 @@
             raise asyncio.IncompleteReadError(b"", None)
         await asyncio.sleep(0.005)
 
-    async def _read_chunk(self) -> bool:
-        """Read one chunk of a stream; False if it is the last one.
+    async def _read_chunk(self) -> bytes:
+        """Read one chunk of a stream; empty if it is the last one.
 
         Raises:
             ConnectionAbortedError: the client gives up, as the stream was silent for too long.
@@ -204,11 +204,16 @@
         try:
             async with asyncio.timeout(GIVES_UP_AFTER_S):
                 size = int(await self._reader.readline(), 16)
-                await self._reader.readexactly(size + 2)
+                return (await self._reader.readexactly(size + 2))[:size]
         except TimeoutError:
             self._connection.given_up = True
             raise ConnectionAbortedError from None
-        return size > 0
+
+    async def _read_stream(self, sent: Sent) -> None:
+        """Read a stream to its end."""
+        while chunk := await self._read_chunk():
+            sent.stream += chunk
+        self._judge.stream_ended(sent, complete=True)
 
     async def _read_answer(self) -> None:
         """Read one complete answer: it is the first waiting request's."""
@@ -218,8 +223,7 @@
         if headers.get("connection", "").lower() == "close":
             self._close_announced = True
         if headers.get("transfer-encoding") == "chunked":
-            while await self._read_chunk():
-                pass
+            await self._read_stream(self._connection.waiting[0])
         else:
             await self._reader.readexactly(int(headers.get("content-length", "0")))
         sent = self._connection.waiting.pop(0)
--- a/tests/support/stop_soak_judge.py
+++ b/tests/support/stop_soak_judge.py
@@ -1,4 +1,4 @@
-"""Judges rule LOST around planned stops: from what clients sent, what gateways read, what instances ran.
+"""Judges rules LOST and ORDER around planned stops: from what clients sent and what instances ran.
 
 What a process has read of a connection is what was sent less what waits in the two sockets' queues, which
 `/proc/net/tcp` shows. It is looked at every `LOOK_S`; what a process reads right before it ends goes unseen,
@@ -18,6 +18,7 @@
 from pathlib import Path
 
 from soak_judge import GRACE_S, LOSS_SLACK_S
+from stream_order import order_violation
 
 LOOK_S = 0.03
 CLOSE_WAIT = 8  # TCP state of a socket whose peer has ended the connection
@@ -39,6 +40,7 @@
     sent_at: float = inf  # when its last byte was written
     read_at: float = inf  # when the gateway was first seen to have read it
     too_late: bool = False  # the gateway's end of the connection had arrived before its last byte was sent
+    stream: bytearray = field(default_factory=bytearray)  # the body that has come, if it is a stream
 
 
 @dataclass(eq=False)
@@ -101,6 +103,9 @@
         self.judged: Counter[str] = Counter()
         self.open: set[SentConnection] = set()
         self.runs: defaultdict[str, list[Run]] = defaultdict(list)
+        self.last_events: defaultdict[str, set[int]] = defaultdict(
+            set
+        )  # of the instances' streams, by request
         self._stops: defaultdict[str, list[float]] = defaultdict(list)
         self._late: list[tuple[float, float]] = []
         self._other_losses: Counter[str] = Counter()
@@ -135,6 +140,8 @@
         """Judge the requests that a connection's end left without a complete answer."""
         self.open.discard(connection)
         for sent in connection.waiting:
+            if sent.stream:
+                self.stream_ended(sent, complete=False)
             if sent.end:
                 self.judged["without an answer"] += 1
                 if connection.given_up:
@@ -142,6 +149,13 @@
                     continue
                 self._judge(connection.gateway, sent, at)
 
+    def stream_ended(self, sent: Sent, complete: bool) -> None:
+        """Judge the order of a stream's events, as far as they have come."""
+        self.judged["streams, complete" if complete else "streams, cut"] += 1
+        wrong = order_violation(sent.stream, complete, self.last_events[sent.id])
+        if wrong is not None:
+            self.violations.append(f"ORDER: {sent.id} {sent.path}: {wrong}")
+
     def _judge(self, gateway: str, sent: Sent, at: float) -> None:
         runs = self.runs.get(sent.id, [])
         waited_s = at - sent.sent_at
--- a/tests/support/timed_instances.py
+++ b/tests/support/timed_instances.py
@@ -101,6 +101,11 @@
     lasts_s: float = 1.0
     silent_s: float = 0.0
 
+    def event_numbers(self, seen: ReceivedRequest) -> range:
+        """Return the numbers of the events of a request's stream."""
+        first = int(seen.headers.get("last-event-id", "0")) + 1
+        return range(first, first + round(self.lasts_s / self.interval_s))
+
     async def _stream(
         self, seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, fault: object
     ) -> bool:
@@ -110,11 +115,10 @@
                 "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
             ).encode()
         )
-        first = int(seen.headers.get("last-event-id", "0")) + 1
-        count = round(self.lasts_s / self.interval_s)
-        for number in range(first, first + count):
+        numbers = self.event_numbers(seen)
+        for number in numbers:
             writer.write(chunk(b"id: %d\ndata: token\n\n" % number))
-            silent_s = self.silent_s if number == first + count // 2 else 0.0
+            silent_s = self.silent_s if number == numbers.start + len(numbers) // 2 else 0.0
             await self._work(reader, self.interval_s + silent_s)
         writer.write(b"0\r\n\r\n")
         return True
--- a/tests/test_stop_soak.py
+++ b/tests/test_stop_soak.py
@@ -1,15 +1,19 @@
-"""Two short soaks of planned stops with real processes, and their judge shown able to fail.
+"""Two short soaks of planned stops with real processes, and their judges shown able to fail.
 
 The long run is started by hand: see the docstring of `tests/support/stop_soak.py`.
 """
 
 from __future__ import annotations
 
+import asyncio
+import random
 import unittest
+from dataclasses import dataclass, field
 
 import pytest
 from run_python import run_script
 from soak_judge import GRACE_S, LOSS_SLACK_S
+from stop_soak_clients import StopClients
 from stop_soak_judge import (
     AFTER_GRACE_S,
     LAST_PART_S,
@@ -20,6 +24,9 @@
     SentConnection,
     StopJudge,
 )
+from stream_order import order_violation
+
+from mallowbeam.standins.model_server import ModelServer, chunk
 
 SEEDS = (1, 2)
 STOPS_S = 10.0
@@ -34,6 +41,7 @@
     options = ("--first", str(seed), "--seconds", str(STOPS_S))
     judged = run_script("stop_soak.py", *options, timeout_s=TIMEOUT_S)["judged"]
     assert judged["stops"] and judged["answers 200"] and judged["without an answer"]
+    assert judged["streams, complete"]
 
 
 class JudgeOfStops(unittest.TestCase):
@@ -101,5 +109,88 @@
         self.assertEqual([one.read_at for one in sent], [1.0, 2.0, float("inf")])
 
 
+def stream(*numbers: int) -> bytes:
+    """The body of a stream with these events."""
+    return b"".join(b"id: %d\ndata: token\n\n" % number for number in numbers)
+
+
+class JudgeOfOrder(unittest.TestCase):
+    def test_a_whole_stream_is_in_order_and_so_is_any_begin_of_a_cut_one(self) -> None:
+        self.assertIsNone(order_violation(stream(1, 2, 3), True, {3}))
+        self.assertIsNone(order_violation(stream(1, 2, 3), True, {3, 5}))
+        for size in range(len(stream(1, 2, 3))):
+            self.assertIsNone(order_violation(stream(1, 2, 3)[:size], False, {3}))
+
+    def test_an_event_that_is_missing_doubled_or_out_of_order_is_noticed(self) -> None:
+        for numbers in ((1, 3), (2, 3), (1, 1, 2, 3), (1, 2, 2, 3), (2, 1, 3), (1, 3, 2), (1, 2, 3, 1)):
+            for complete in (True, False):
+                self.assertIsNotNone(order_violation(stream(*numbers), complete, {3}), numbers)
+
+    def test_a_stream_that_is_complete_before_its_end_is_noticed(self) -> None:
+        self.assertIsNotNone(order_violation(stream(1, 2), True, {3}))
+        self.assertIsNotNone(order_violation(stream(1, 2, 3)[:-1], True, {3}))
+        self.assertIsNotNone(order_violation(stream(1, 2) + stream(3)[:9] + stream(3), False, {3}))
+
+
+@dataclass
+class Dropping(ModelServer):
+    """Stands in for a gateway that drops an event of each stream."""
+
+    EVENTS = 5
+    dropped: int = 0  # number of the event; 0 for none
+    judge: StopJudge = field(default_factory=StopJudge)
+    stopping: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def front(self) -> str:
+        """Where clients connect."""
+        return self.address
+
+    @property
+    def name(self) -> str:
+        """The gateway's name."""
+        return self.id
+
+    async def _stream(self, seen, reader, writer, fault):
+        self.stopping.set()
+        request_id = seen.headers["request-id"]
+        self.judge.last_events[request_id].add(self.EVENTS)
+        writer.write(
+            f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
+        )
+        for number in range(1, self.EVENTS + 1):
+            if number != self.dropped:
+                writer.write(chunk(stream(number)))
+        writer.write(b"0\r\n\r\n")
+        return True
+
+
+class ClientOfStops(unittest.TestCase):
+    """A client of the soak has each stream judged that it reads."""
+
+    def play(self, dropped: int) -> StopJudge:
+        """A client's requests at a gateway that drops that event."""
+
+        async def scenario() -> StopJudge:
+            gateway = Dropping("d-1", "decode", dropped=dropped)
+            await gateway.start()
+            await StopClients(random.Random(1), gateway.judge).run(gateway, gateway.stopping)
+            await gateway.stop()
+            return gateway.judge
+
+        return asyncio.run(asyncio.wait_for(scenario(), TIMEOUT_S))
+
+    def test_a_gateway_that_drops_one_event_is_noticed(self) -> None:
+        for dropped in range(1, Dropping.EVENTS + 1):
+            violations = self.play(dropped).violations
+            self.assertTrue(violations)
+            self.assertTrue(all(one.startswith("ORDER") for one in violations), violations)
+
+    def test_a_gateway_that_drops_none_is_not(self) -> None:
+        judge = self.play(dropped=0)
+        self.assertEqual(judge.violations, [])
+        self.assertGreater(judge.judged["streams, complete"], 0)
+
+
 if __name__ == "__main__":
     unittest.main()
