Tests: one head of chunked answers for stand-in instances

Change: stream_head in tests/support; what goes out is the same but for the stand-in of the soak's client test, whose head names its type now.

--- a/tests/router/data_plane/test_rules_silence.py
+++ b/tests/router/data_plane/test_rules_silence.py
@@ -8,6 +8,7 @@
 
 from failing_instances import ByName, add
 from gateway_bench import BUDGET, ENGINE, Answer, Bench, configuration, events, route
+from stream_head import stream_head
 from timed_instances import EndlessAnswers, Timed, now
 from virtual_time import play
 
@@ -34,8 +35,7 @@
     async def _stream(
         self, seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, fault: object
     ) -> bool:
-        head = f"HTTP/1.1 200 OK\r\nRequest-Id: {seen.headers['request-id']}\r\n{self._stamp}"
-        writer.write(f"{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
+        writer.write(stream_head(seen.headers["request-id"], self._stamp))
         first = int(seen.headers.get("last-event-id", "0")) + 1
         for number in range(first, EVENTS + 1):
             if number == first + 2:
--- a/tests/support/crossing_streams.py
+++ b/tests/support/crossing_streams.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from stream_head import stream_head
 from virtual_time import VirtualLoop
 
 from mallowbeam.standins.model_server import EVENTS, ModelServer, ReceivedRequest, chunk
@@ -68,13 +69,7 @@
 
     def begin_stream(self) -> None:
         """Write the head of a stream."""
-        request_id = self.seen[-1].headers["request-id"]
-        self.write(
-            (
-                f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n{self._stamp}"
-                "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-            ).encode()
-        )
+        self.write(stream_head(self.seen[-1].headers["request-id"], self._stamp))
 
     def end_stream(self, after: int) -> None:
         """Write the events after that number, and the stream's end."""
--- a/tests/support/timed_instances.py
+++ b/tests/support/timed_instances.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field, replace
 
 from failing_instances import ByName
+from stream_head import EVENT_STREAM, stream_head
 
 from mallowbeam.router.admission.messages import Plan, PlanRequest, Rejection
 from mallowbeam.standins.model_server import ModelServer, ReceivedRequest, chunk
@@ -75,13 +76,8 @@
     async def _stream(
         self, seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, fault: object
     ) -> bool:
-        kind = "text/plain" if self.plain else "text/event-stream"
-        writer.write(
-            (
-                f"HTTP/1.1 200 OK\r\nRequest-Id: {seen.headers['request-id']}\r\n{self._stamp}"
-                f"Content-Type: {kind}\r\nTransfer-Encoding: chunked\r\n\r\n"
-            ).encode()
-        )
+        content_type = "text/plain" if self.plain else EVENT_STREAM
+        writer.write(stream_head(seen.headers["request-id"], self._stamp, content_type))
         number = int(seen.headers.get("last-event-id", "0"))
         while True:
             number += 1
@@ -109,12 +105,7 @@
     async def _stream(
         self, seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, fault: object
     ) -> bool:
-        writer.write(
-            (
-                f"HTTP/1.1 200 OK\r\nRequest-Id: {seen.headers['request-id']}\r\n{self._stamp}"
-                "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-            ).encode()
-        )
+        writer.write(stream_head(seen.headers["request-id"], self._stamp))
         numbers = self.event_numbers(seen)
         for number in numbers:
             writer.write(chunk(b"id: %d\ndata: token\n\n" % number))
--- a/tests/test_stop_soak.py
+++ b/tests/test_stop_soak.py
@@ -24,6 +24,7 @@
     SentConnection,
     StopJudge,
 )
+from stream_head import stream_head
 from stream_order import order_violation
 
 from mallowbeam.standins.model_server import ModelServer, chunk
@@ -155,9 +156,7 @@
         self.stopping.set()
         request_id = seen.headers["request-id"]
         self.judge.last_events[request_id].add(self.EVENTS)
-        writer.write(
-            f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
-        )
+        writer.write(stream_head(request_id, self._stamp))
         for number in range(1, self.EVENTS + 1):
             if number != self.dropped:
                 writer.write(chunk(stream(number)))
