--- a/tests/storage_gateway/server/test_crossings.py
+++ b/tests/storage_gateway/server/test_crossings.py
@@ -16,7 +16,6 @@
 from mallowbeam.http.framing import Channel
 from mallowbeam.storage_gateway.scheduler.gateway_host import Orders
 from mallowbeam.storage_gateway.server import discovery
-from mallowbeam.storage_gateway.server import gateway as gateways
 from mallowbeam.storage_gateway.server.listing import read_listing
 
 
@@ -194,9 +193,8 @@
 
 
 @pytest.mark.parametrize("first", ["hup", "stop"])
-def test_a_reload_and_a_stop_in_one_step_serve_what_is_held_by_the_new_discovery_s_list(monkeypatch, first):
+def test_a_reload_and_a_stop_in_one_step_serve_what_is_held_by_the_new_discovery_s_list(first):
     """The watch continues at the new address until the exit, so that drains are still applied."""
-    monkeypatch.setattr(gateways, "SHUTDOWN_LIMIT_S", 1.0)
 
     async def run(here: Crossing) -> None:
         await here.play("d expect GET since=1\nc1 send read\nn0 expect GET")
--- a/tests/storage_gateway/server/test_crossings_upgrade.py
+++ b/tests/storage_gateway/server/test_crossings_upgrade.py
@@ -12,7 +12,6 @@
 from scenario import TIMEOUT_S
 
 from mallowbeam.storage_gateway.scheduler.gateway_host import Orders
-from mallowbeam.storage_gateway.server import gateway as gateways
 from mallowbeam.storage_gateway.server import handover
 from mallowbeam.storage_gateway.server.calls import Phase
 from mallowbeam.storage_gateway.server.listing import Listing, read_listing, write_listing
@@ -25,9 +24,8 @@
 
 
 @pytest.mark.parametrize("first", ["stop", "upgrade"])
-def test_a_stop_beside_an_upgrade_loses_nothing(monkeypatch, first):
+def test_a_stop_beside_an_upgrade_loses_nothing(first):
     """The old process is stopped just after its state is written, or before the new one connects."""
-    monkeypatch.setattr(gateways, "SHUTDOWN_LIMIT_S", 1.0)
 
     async def before(old: Crossing) -> None:
         await old.play("c1 send read\nn0 expect GET")
